--- /dev/null
+++ b/toucanchute_log/src/clock.rs
@@ -0,0 +1,104 @@
+use std::{
+    fmt,
+    str::FromStr,
+    sync::atomic::{AtomicU64, Ordering},
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use serde::{Deserialize, Serialize};
+
+/// HTTP header that carries the sender's [`Stamp`].
+pub const CLOCK_HEADER: &str = "toucanchute-clock";
+
+/// Bits of a stamp that count events within one millisecond.
+const COUNTER_BITS: u32 = 16;
+
+/// A reading of a hybrid logical clock: milliseconds since the Unix epoch, then a counter.
+///
+/// ```
+/// use toucanchute_log::Stamp;
+///
+/// let stamp: Stamp = "1700000000000.0003".parse().unwrap();
+/// assert_eq!(stamp.to_string(), "1700000000000.0003");
+/// ```
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Stamp(pub u64);
+
+impl fmt::Display for Stamp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}.{:04x}",
+            self.0 >> COUNTER_BITS,
+            self.0 & ((1 << COUNTER_BITS) - 1)
+        )
+    }
+}
+
+impl FromStr for Stamp {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(s: &str) -> Result<Stamp, Self::Err> {
+        let (ms, counter) = s.split_once('.').unwrap_or((s, "0"));
+        let counter = u16::from_str_radix(counter, 16)?;
+        Ok(Stamp(
+            ms.parse::<u64>()? << COUNTER_BITS | u64::from(counter),
+        ))
+    }
+}
+
+/// A hybrid logical clock: never behind the wall clock it is shown nor behind any stamp observed.
+#[derive(Debug, Default)]
+pub struct HybridClock {
+    /// Greatest stamp issued or observed; it only rises.
+    last: AtomicU64,
+}
+
+impl HybridClock {
+    /// Creates a clock that has observed nothing.
+    #[must_use]
+    pub const fn new() -> HybridClock {
+        HybridClock {
+            last: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns a stamp greater than all issued and observed, given the wall clock in milliseconds.
+    pub fn tick(&self, wall_ms: u64) -> Stamp {
+        let wall = wall_ms << COUNTER_BITS;
+        let step = |last: u64| Some(wall.max(last + 1));
+        let last = self
+            .last
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, step);
+        Stamp(wall.max(last.unwrap_or_default() + 1))
+    }
+
+    /// Raises the clock to a stamp received from another process.
+    pub fn observe(&self, stamp: Stamp) {
+        self.last.fetch_max(stamp.0, Ordering::AcqRel);
+    }
+}
+
+static CLOCK: HybridClock = HybridClock::new();
+
+/// Returns the next stamp of this process's clock.
+#[must_use]
+pub fn now() -> Stamp {
+    CLOCK.tick(wall_clock_ms())
+}
+
+/// Raises this process's clock to a stamp received from another process.
+pub fn observe(stamp: Stamp) {
+    CLOCK.observe(stamp);
+}
+
+/// Returns the wall clock in milliseconds since the Unix epoch.
+#[must_use]
+pub fn wall_clock_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/toucanchute_log/src/lib.rs
@@ -0,0 +1,19 @@
+//! Event log of a process: one line of key=value pairs for each event, stamped by a hybrid logical
+//! clock so that `toucanchute-timeline` can order the events of all processes.
+//!
+//! Events are written with the macros of the `log` crate; the message is the event's name:
+//!
+//! ```
+//! use toucanchute_log::Setup;
+//!
+//! Setup::new("router").host("bilbao-1").install().unwrap();
+//! log::info!(request = "r-1", tokens = 12; "request-settled");
+//! ```
+
+mod clock;
+mod line;
+mod setup;
+
+pub use clock::{CLOCK_HEADER, HybridClock, Stamp, now, observe, wall_clock_ms};
+pub use line::{KeyValues, quote};
+pub use setup::{InstallError, Setup};
--- /dev/null
+++ b/toucanchute_log/src/setup.rs
@@ -0,0 +1,123 @@
+use std::{
+    fmt, io,
+    path::{Path, PathBuf},
+    sync::atomic::{AtomicU64, Ordering},
+};
+
+use log::LevelFilter;
+
+use crate::{clock, line::KeyValues};
+
+/// Builder of a process's event log.
+#[derive(Clone, Debug)]
+#[must_use]
+pub struct Setup {
+    process: String,
+    host: String,
+    incarnation: String,
+    level: LevelFilter,
+    file: Option<PathBuf>,
+}
+
+/// An event log that could not be installed.
+#[derive(Debug)]
+#[non_exhaustive]
+pub enum InstallError {
+    /// The log file could not be opened.
+    Open {
+        /// Path of the log file.
+        path: PathBuf,
+        /// Cause reported by the operating system.
+        source: io::Error,
+    },
+    /// The process has an event log already.
+    Installed,
+}
+
+impl Setup {
+    /// Starts the setup of the log of a process such as `router`.
+    pub fn new(process: &str) -> Setup {
+        Setup {
+            process: process.to_owned(),
+            host: "-".to_owned(),
+            incarnation: "-".to_owned(),
+            level: LevelFilter::Info,
+            file: None,
+        }
+    }
+
+    /// Sets the host's name that each line carries.
+    pub fn host(mut self, host: &str) -> Setup {
+        host.clone_into(&mut self.host);
+        self
+    }
+
+    /// Sets the incarnation that each line carries.
+    pub fn incarnation(mut self, incarnation: impl fmt::Display) -> Setup {
+        self.incarnation = incarnation.to_string();
+        self
+    }
+
+    /// Sets the lowest level that is written.
+    pub fn level(mut self, level: LevelFilter) -> Setup {
+        self.level = level;
+        self
+    }
+
+    /// Appends to the file at `path` instead of writing to standard error.
+    pub fn file(mut self, path: &Path) -> Setup {
+        self.file = Some(path.to_owned());
+        self
+    }
+
+    /// Installs the log for the whole process.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be opened or a log is installed already.
+    pub fn install(self) -> Result<(), InstallError> {
+        let seq = AtomicU64::new(0);
+        let Setup {
+            process,
+            host,
+            incarnation,
+            level,
+            file,
+        } = self;
+        let dispatch = fern::Dispatch::new()
+            .level(level)
+            .format(move |out, message, record| {
+                let mut line = KeyValues::new();
+                line.push("hlc", &clock::now().to_string());
+                line.push("seq", &seq.fetch_add(1, Ordering::Relaxed).to_string());
+                line.push("process", &process);
+                line.push("host", &host);
+                line.push("incarnation", &incarnation);
+                line.push("level", &record.level().as_str().to_ascii_lowercase());
+                line.push("event", &message.to_string());
+                let _ = record.key_values().visit(&mut line);
+                out.finish(format_args!("{}", line.into_line()));
+            });
+        let dispatch = match file {
+            None => dispatch.chain(io::stderr()),
+            Some(path) => match fern::log_file(&path) {
+                Ok(f) => dispatch.chain(f),
+                Err(source) => return Err(InstallError::Open { path, source }),
+            },
+        };
+        dispatch.apply().map_err(|_| InstallError::Installed)
+    }
+}
+
+impl fmt::Display for InstallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            InstallError::Open { path, source } => {
+                write!(f, "cannot open log file {}: {source}", path.display())
+            }
+            InstallError::Installed => f.write_str("the process has an event log already"),
+        }
+    }
+}
+
+impl std::error::Error for InstallError {}
--- /dev/null
+++ b/toucanchute_timeline/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
