--- /dev/null
+++ b/toucanchute_core/src/ledger.rs
@@ -0,0 +1,16 @@
+//! Ledger of budgets: shards, each a log of batches in a ring of keys of the platform's service.
+
+mod error;
+mod fault;
+mod grants;
+mod keys;
+mod log;
+mod state;
+mod store;
+
+pub use error::ApplyError;
+pub use fault::Fault;
+pub use grants::fences_needed;
+pub use log::{LogEvent, ShardLog};
+pub use state::{KEY_MARGIN, MAX_ENDED, MAX_RERUNS, ShardState};
+pub use store::{StoreKey, StoreOp, StoreRequest, StoreResult};
--- /dev/null
+++ b/toucanchute_core/src/ledger/grants.rs
@@ -0,0 +1,190 @@
+use toucanchute_proto::{
+    BudgetId, GrantId,
+    ledger::{
+        Backing, EntryRefusal, EntryResult, GrantRecord, GrantRequest, GrantReturn, Reclaim,
+        Transfer,
+    },
+};
+
+use super::ShardState;
+
+type Applied = Result<EntryResult, EntryRefusal>;
+
+/// Entries about grants.
+impl ShardState {
+    pub(super) fn open_grant(&mut self, budget: BudgetId, body: &GrantRequest) -> Applied {
+        if let Some(record) = self.grants.get(&body.grant) {
+            return Ok(EntryResult::Granted(record.granted));
+        }
+        let GrantId(holder, number) = body.grant;
+        let newest = self.holders.entry(holder).or_default();
+        if number <= *newest {
+            return Err(EntryRefusal::StaleGrant);
+        }
+        *newest = number;
+        let totals = self
+            .budgets
+            .get_mut(&budget)
+            .ok_or(EntryRefusal::Insufficient)?;
+        if totals.free < body.least.max(1) {
+            return Err(EntryRefusal::Insufficient);
+        }
+        let share = (totals.free / body.divisor.max(1)).max(body.min.max(1));
+        let tokens = body.want.max(1).min(share).min(totals.free);
+        totals.free -= tokens;
+        let record = self.new_grant(body.grant, budget, tokens, &body.backing);
+        self.grants.insert(body.grant, record);
+        Ok(EntryResult::Granted(tokens))
+    }
+
+    pub(super) fn return_tokens(&mut self, budget: BudgetId, body: &GrantReturn) -> Applied {
+        let grant = self
+            .grants
+            .get_mut(&body.grant)
+            .ok_or(EntryRefusal::GrantClosed)?;
+        if body.sequence < grant.returns {
+            return Ok(EntryResult::Done);
+        }
+        let fits = body.sequence == grant.returns && body.tokens <= grant.remainder;
+        let totals = self
+            .budgets
+            .get_mut(&budget)
+            .ok_or(EntryRefusal::Malformed)?;
+        if !fits || grant.budget != budget {
+            return Err(EntryRefusal::Malformed);
+        }
+        grant.returns += 1;
+        grant.remainder -= body.tokens;
+        totals.free += body.tokens;
+        self.close_if_empty(body.grant);
+        Ok(EntryResult::Done)
+    }
+
+    pub(super) fn transfer(&mut self, budget: BudgetId, body: &Transfer) -> Applied {
+        if let Some(record) = self.grants.get(&body.grant) {
+            return Ok(EntryResult::Granted(record.granted));
+        }
+        let from = self
+            .grants
+            .get_mut(&body.from)
+            .ok_or(EntryRefusal::GrantClosed)?;
+        if from.given.contains(&body.grant) {
+            return Ok(EntryResult::Granted(body.tokens));
+        }
+        if from.budget != budget || body.tokens == 0 {
+            return Err(EntryRefusal::Malformed);
+        }
+        if from.remainder < body.tokens {
+            return Err(EntryRefusal::Insufficient);
+        }
+        from.remainder -= body.tokens;
+        from.given.push(body.grant);
+        let opened_at = from.opened_at;
+        let mut record = self.new_grant(body.grant, budget, body.tokens, &body.backing);
+        record.opened_at = opened_at;
+        self.grants.insert(body.grant, record);
+        self.close_if_empty(body.from);
+        Ok(EntryResult::Granted(body.tokens))
+    }
+
+    pub(super) fn reclaim(&mut self, budget: BudgetId, body: &Reclaim) -> Applied {
+        for debit in &body.debits {
+            self.apply_entry(debit);
+        }
+        let Some(grant) = self.grants.get_mut(&body.grant) else {
+            return Ok(EntryResult::Reclaimed);
+        };
+        for witness in &body.fenced {
+            if grant.backing.witnesses.contains(witness) && !grant.fenced.contains(witness) {
+                grant.fenced.push(*witness);
+            }
+        }
+        if grant.fenced.len() < fences_needed(&grant.backing) {
+            grant.forfeited = true;
+            return Ok(EntryResult::Forfeited);
+        }
+        let totals = self
+            .budgets
+            .get_mut(&budget)
+            .ok_or(EntryRefusal::Malformed)?;
+        totals.free += grant.remainder;
+        self.grants.remove(&body.grant);
+        Ok(EntryResult::Reclaimed)
+    }
+
+    pub(super) fn write_off(&mut self, budget: BudgetId, id: GrantId) -> Applied {
+        let grant = self.grants.get(&id).ok_or(EntryRefusal::GrantClosed)?;
+        let totals = self
+            .budgets
+            .get_mut(&budget)
+            .ok_or(EntryRefusal::Malformed)?;
+        if !grant.forfeited || grant.budget != budget {
+            return Err(EntryRefusal::Malformed);
+        }
+        totals.spent += grant.remainder;
+        totals.written_off += grant.remainder;
+        self.grants.remove(&id);
+        Ok(EntryResult::Done)
+    }
+
+    /// Takes tokens out of a grant and counts them as spent.
+    pub(super) fn debit(
+        &mut self,
+        budget: BudgetId,
+        id: GrantId,
+        tokens: u64,
+    ) -> Result<(), EntryRefusal> {
+        let grant = self.grants.get_mut(&id).ok_or(EntryRefusal::GrantClosed)?;
+        let totals = self
+            .budgets
+            .get_mut(&budget)
+            .ok_or(EntryRefusal::Malformed)?;
+        if grant.budget != budget {
+            return Err(EntryRefusal::Malformed);
+        }
+        if grant.remainder < tokens {
+            return Err(EntryRefusal::Insufficient);
+        }
+        grant.remainder -= tokens;
+        totals.spent += tokens;
+        self.close_if_empty(id);
+        Ok(())
+    }
+
+    /// Closes a grant of which nothing remains: no further debit can be due.
+    fn close_if_empty(&mut self, id: GrantId) {
+        if self.grants.get(&id).is_some_and(|g| g.remainder == 0) {
+            self.grants.remove(&id);
+        }
+    }
+
+    fn new_grant(
+        &self,
+        grant: GrantId,
+        budget: BudgetId,
+        tokens: u64,
+        backing: &Backing,
+    ) -> GrantRecord {
+        GrantRecord {
+            grant,
+            budget,
+            remainder: tokens,
+            granted: tokens,
+            opened_at: self.time,
+            returns: 0,
+            backing: backing.clone(),
+            fenced: Vec::new(),
+            forfeited: false,
+            given: Vec::new(),
+        }
+    }
+}
+
+/// Returns how many witnesses have to be fenced before a grant may be closed.
+///
+/// A debit that was released had `acks` acknowledgements, so every set of this size holds a witness
+/// that keeps it; and fewer than `acks` witnesses are left to acknowledge another one.
+#[must_use]
+pub fn fences_needed(backing: &Backing) -> usize {
+    (backing.witnesses.len() + 1).saturating_sub(usize::from(backing.acks.max(1)))
+}
--- /dev/null
+++ b/toucanchute_core/src/ledger/log.rs
@@ -0,0 +1,381 @@
+use std::collections::BTreeMap;
+
+use toucanchute_proto::{
+    Bytes, EntryId, Incarnation, Millis, ShardId,
+    ledger::{Batch, Entry, EntryResult},
+    to_cbor,
+};
+
+use super::{Fault, ShardState, StoreKey, StoreOp, StoreRequest, StoreResult};
+
+mod load;
+mod snapshot;
+
+/// Pause before the first retry of a call that the platform refused, in milliseconds.
+const RETRY_MS: u64 = 50;
+
+/// Longest pause between retries, in milliseconds.
+const MAX_RETRY_MS: u64 = 1_000;
+
+/// Most bytes of a batch's entries; a batch takes part of one value of at most a megabyte.
+const MAX_BATCH_BYTES: usize = 512 * 1024;
+
+/// Number of a call to the platform's service.
+pub(crate) type OpId = u64;
+
+/// Reader and writer of one shard's log.
+///
+/// Batch `n` replaces batch `n - ring` at key `n mod ring` by one compare-and-swap.
+#[derive(Debug)]
+pub struct ShardLog {
+    shard: ShardId,
+    /// Keys in the ring; at least 2.
+    ring: u64,
+    me: Incarnation,
+    state: ShardState,
+    phase: Phase,
+    /// What each ring key held when it was last read or written.
+    slots: BTreeMap<u64, Slot>,
+    /// Batches read so far while the log is loading.
+    loaded: BTreeMap<u64, Batch>,
+    snapshot: SnapshotKey,
+    /// Batch being written. It keeps its position, identifier and bytes until it is known to be
+    /// committed or its position to be taken by another batch.
+    pending: Option<PendingBatch>,
+    ops: BTreeMap<OpId, Purpose>,
+    /// Time before which no call is retried.
+    retry_at: Option<Millis>,
+    retry_ms: u64,
+    next_batch: u64,
+    fault: Option<Fault>,
+}
+
+/// What a [`ShardLog`] reports.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LogEvent {
+    /// The log is loaded up to its tail.
+    Ready,
+    /// Our batch is committed.
+    Committed {
+        /// Result of each entry.
+        results: Vec<(EntryId, EntryResult)>,
+    },
+    /// Our batch is not committed and never will be; its entries may be committed by another one.
+    Displaced {
+        /// The batch's entries.
+        entries: Vec<Entry>,
+    },
+    /// The platform's service cannot be reached or did not answer.
+    Unreachable,
+    /// A value cannot be decoded or applied; the shard is out of use.
+    Broken {
+        /// What is wrong.
+        detail: String,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Cold,
+    Loading,
+    /// Reading batches from the tail on.
+    Chasing,
+    Ready,
+    Broken,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Slot {
+    revision: u64,
+    /// Position of the batch held; `None` if the key is absent.
+    position: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct SnapshotKey {
+    revision: u64,
+    /// First position that the stored snapshot does not cover.
+    position: u64,
+    writing: bool,
+}
+
+#[derive(Debug)]
+struct PendingBatch {
+    batch: Batch,
+    value: Bytes,
+    /// Whether a compare-and-swap is in flight.
+    in_flight: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Purpose {
+    LoadSnapshot,
+    LoadSlot(u64),
+    Chase(u64),
+    Write(u64),
+    WriteSnapshot(u64),
+    ReadSnapshot,
+}
+
+impl ShardLog {
+    /// Creates a log that has read nothing.
+    #[must_use]
+    pub fn new(shard: ShardId, ring: u32, me: Incarnation) -> ShardLog {
+        ShardLog {
+            shard,
+            ring: u64::from(ring.max(2)),
+            me,
+            state: ShardState::default(),
+            phase: Phase::Cold,
+            slots: BTreeMap::new(),
+            loaded: BTreeMap::new(),
+            snapshot: SnapshotKey::default(),
+            pending: None,
+            ops: BTreeMap::new(),
+            retry_at: None,
+            retry_ms: RETRY_MS,
+            next_batch: 1,
+            fault: None,
+        }
+    }
+
+    /// Sets a deliberate fault.
+    #[doc(hidden)]
+    pub fn set_fault(&mut self, fault: Option<Fault>) {
+        self.fault = fault;
+        self.state.set_fault(fault);
+    }
+
+    /// Returns the state as far as it has been read.
+    #[must_use]
+    pub fn state(&self) -> &ShardState {
+        &self.state
+    }
+
+    /// Returns whether the log has been read to its tail and takes entries.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.phase == Phase::Ready && self.pending.is_none() && self.retry_at.is_none()
+    }
+
+    /// Returns whether the log has been read at least once.
+    #[must_use]
+    pub fn is_loaded(&self) -> bool {
+        matches!(self.phase, Phase::Ready | Phase::Chasing)
+    }
+
+    /// Returns whether nothing was read or asked for.
+    #[must_use]
+    pub fn is_cold(&self) -> bool {
+        self.phase == Phase::Cold
+    }
+}
+
+/// Writing.
+impl ShardLog {
+    /// Starts to commit as many leading `entries` as fit in one batch and removes them. Does
+    /// nothing unless the log is ready.
+    pub fn commit(
+        &mut self,
+        now: Millis,
+        entries: &mut Vec<Entry>,
+        next_op: &mut OpId,
+        out: &mut Vec<StoreOp>,
+    ) {
+        if !self.is_ready() || entries.is_empty() {
+            return;
+        }
+        let fitting = count_fitting(entries);
+        let batch = Batch {
+            position: self.state.position(),
+            batch_id: EntryId(self.me, self.next_batch),
+            at: now,
+            entries: entries.drain(..fitting).collect(),
+        };
+        self.next_batch += 1;
+        self.pending = Some(PendingBatch {
+            value: to_cbor(&batch),
+            batch,
+            in_flight: false,
+        });
+        self.write(next_op, out);
+    }
+
+    /// Sends the pending batch if its ring key may be replaced, else reads or waits for what that
+    /// takes.
+    fn write(&mut self, next_op: &mut OpId, out: &mut Vec<StoreOp>) {
+        let position = self.state.position();
+        if position >= self.ring && self.snapshot.position <= position - self.ring {
+            self.write_snapshot(next_op, out);
+            return;
+        }
+        let replaced = position.checked_sub(self.ring);
+        let slot = self.slots.get(&(position % self.ring)).copied();
+        let checked = self.fault != Some(Fault::SkipRingCheck);
+        let Some(slot) = slot.filter(|s| s.position == replaced || !checked) else {
+            self.chase(next_op, out);
+            return;
+        };
+        let key = self.slot_key(position);
+        let Some(pending) = &mut self.pending else {
+            return;
+        };
+        pending.in_flight = true;
+        let request = StoreRequest::Cas {
+            key,
+            expected_revision: slot.revision,
+            value: pending.value.clone(),
+        };
+        self.send(Purpose::Write(position), request, next_op, out);
+    }
+
+    fn on_write(
+        &mut self,
+        now: Millis,
+        position: u64,
+        result: &StoreResult,
+        next_op: &mut OpId,
+        out: &mut Vec<StoreOp>,
+        events: &mut Vec<LogEvent>,
+    ) {
+        if let Some(pending) = &mut self.pending {
+            pending.in_flight = false;
+        }
+        match result {
+            StoreResult::Applied { revision } => {
+                self.on_committed(position, *revision, events);
+                self.refresh_snapshot(next_op, out);
+            }
+            StoreResult::Unavailable => {
+                events.push(LogEvent::Unreachable);
+                self.back_off(now);
+                self.displace(events);
+            }
+            StoreResult::Unknown => {
+                events.push(LogEvent::Unreachable);
+                self.back_off(now);
+                self.phase = Phase::Chasing;
+            }
+            _ => self.chase(next_op, out),
+        }
+    }
+
+    fn on_committed(&mut self, position: u64, revision: u64, events: &mut Vec<LogEvent>) {
+        let slot = Slot {
+            revision,
+            position: Some(position),
+        };
+        self.slots.insert(position % self.ring, slot);
+        self.retry_ms = RETRY_MS;
+        if let Some(pending) = self.pending.take() {
+            self.apply_own(&pending.batch, events);
+        }
+    }
+
+    fn apply_own(&mut self, batch: &Batch, events: &mut Vec<LogEvent>) {
+        match self.state.apply(batch) {
+            Ok(results) => {
+                let ids = batch.entries.iter().map(|e| e.id);
+                let results = ids.zip(results).collect();
+                events.push(LogEvent::Committed { results });
+            }
+            Err(e) => self.break_off(e.to_string(), events),
+        }
+    }
+
+    /// Gives the pending batch's entries back.
+    fn displace(&mut self, events: &mut Vec<LogEvent>) {
+        if let Some(pending) = self.pending.take() {
+            let entries = pending.batch.entries;
+            events.push(LogEvent::Displaced { entries });
+        }
+    }
+}
+
+/// Calls to the platform's service.
+impl ShardLog {
+    /// Takes the result of a call. Returns whether the call was this log's.
+    pub fn on_store(
+        &mut self,
+        now: Millis,
+        op: OpId,
+        result: &StoreResult,
+        next_op: &mut OpId,
+        out: &mut Vec<StoreOp>,
+        events: &mut Vec<LogEvent>,
+    ) -> bool {
+        let Some(purpose) = self.ops.remove(&op) else {
+            return false;
+        };
+        match purpose {
+            Purpose::LoadSnapshot => self.on_load_snapshot(now, result, next_op, out, events),
+            Purpose::LoadSlot(slot) => self.on_load_slot(now, slot, result, next_op, out, events),
+            Purpose::Chase(at) => self.on_chase(now, at, result, next_op, out, events),
+            Purpose::Write(at) => self.on_write(now, at, result, next_op, out, events),
+            Purpose::WriteSnapshot(at) => {
+                self.on_write_snapshot(now, at, result, next_op, out, events);
+            }
+            Purpose::ReadSnapshot => self.on_read_snapshot(now, result, next_op, out, events),
+        }
+        true
+    }
+
+    /// Retries calls whose pause is over.
+    pub fn tick(&mut self, now: Millis, next_op: &mut OpId, out: &mut Vec<StoreOp>) {
+        if self.retry_at.is_none_or(|at| now < at) {
+            return;
+        }
+        self.retry_at = None;
+        let chasing = self.ops.values().any(|p| matches!(p, Purpose::Chase(_)));
+        let waiting = self.pending.as_ref().is_some_and(|p| !p.in_flight);
+        match self.phase {
+            Phase::Cold => self.load(next_op, out),
+            Phase::Chasing if !chasing => self.chase(next_op, out),
+            Phase::Ready if waiting => self.write(next_op, out),
+            _ => {}
+        }
+    }
+
+    fn back_off(&mut self, now: Millis) {
+        self.retry_at = Some(now + Millis(self.retry_ms));
+        self.retry_ms = (self.retry_ms * 2).min(MAX_RETRY_MS);
+    }
+
+    fn send(
+        &mut self,
+        purpose: Purpose,
+        request: StoreRequest,
+        next_op: &mut OpId,
+        out: &mut Vec<StoreOp>,
+    ) {
+        *next_op += 1;
+        self.ops.insert(*next_op, purpose);
+        out.push(StoreOp {
+            op: *next_op,
+            request,
+        });
+    }
+
+    fn slot_key(&self, position: u64) -> StoreKey {
+        StoreKey::Slot {
+            shard: self.shard,
+            slot: u32::try_from(position % self.ring).unwrap_or_default(),
+        }
+    }
+
+    fn break_off(&mut self, detail: String, events: &mut Vec<LogEvent>) {
+        self.phase = Phase::Broken;
+        self.pending = None;
+        events.push(LogEvent::Broken { detail });
+    }
+}
+
+/// Returns how many leading entries fit in one batch; at least one.
+fn count_fitting(entries: &[Entry]) -> usize {
+    let mut bytes = 0;
+    let fits = |entry: &&Entry| {
+        bytes += to_cbor(*entry).len();
+        bytes <= MAX_BATCH_BYTES
+    };
+    entries.iter().take_while(fits).count().max(1)
+}
--- /dev/null
+++ b/toucanchute_core/src/ledger/store.rs
@@ -0,0 +1,98 @@
+use std::fmt;
+
+use toucanchute_proto::{Bytes, ShardId};
+
+/// A key of the platform's service that holds a part of the ledger.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum StoreKey {
+    /// Newest snapshot of a shard.
+    Snapshot {
+        /// The shard.
+        shard: ShardId,
+    },
+    /// One key of a shard's ring of batches.
+    Slot {
+        /// The shard.
+        shard: ShardId,
+        /// Index in the ring.
+        slot: u32,
+    },
+}
+
+impl StoreKey {
+    /// Returns the key's path in the platform's service.
+    ///
+    /// ```
+    /// use toucanchute_core::ledger::StoreKey;
+    /// use toucanchute_proto::ShardId;
+    ///
+    /// let key = StoreKey::Slot { shard: ShardId(2), slot: 7 };
+    /// assert_eq!(key.path(), "/toucanchute/ledger/2/ring/7");
+    /// ```
+    #[must_use]
+    pub fn path(&self) -> String {
+        self.to_string()
+    }
+}
+
+impl fmt::Display for StoreKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StoreKey::Snapshot { shard } => write!(f, "/toucanchute/ledger/{shard}/snapshot"),
+            StoreKey::Slot { shard, slot } => write!(f, "/toucanchute/ledger/{shard}/ring/{slot}"),
+        }
+    }
+}
+
+/// A call to the platform's service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreRequest {
+    /// Reads a key.
+    Get {
+        /// The key.
+        key: StoreKey,
+    },
+    /// Replaces a key's value if its revision is the one expected.
+    Cas {
+        /// The key.
+        key: StoreKey,
+        /// Revision at which the key was last modified; 0 if it is absent.
+        expected_revision: u64,
+        /// The new value.
+        value: Bytes,
+    },
+}
+
+/// A numbered call to the platform's service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreOp {
+    /// Number to give back with the result.
+    pub op: u64,
+    /// The call.
+    pub request: StoreRequest,
+}
+
+/// Result of a call to the platform's service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreResult {
+    /// The key that was read.
+    Value {
+        /// Revision at which the key was last modified.
+        revision: u64,
+        /// Its value.
+        value: Bytes,
+    },
+    /// The key that was read is absent.
+    Missing,
+    /// The value was replaced.
+    Applied {
+        /// The new revision.
+        revision: u64,
+    },
+    /// The key's revision is not the one expected; nothing was replaced.
+    Conflict,
+    /// No answer came; the call may have taken effect or may still do so.
+    Unknown,
+    /// The service cannot be reached or refused the call; it had and will have no effect.
+    Unavailable,
+}
--- /dev/null
+++ b/toucanchute_core/src/money.rs
@@ -0,0 +1,26 @@
+//! Money of one router: grants, reservations and bills, and its share of keeping the ledger.
+//!
+//! [`Money`] decides, its caller does: it is told events and answers with actions.
+
+mod action;
+mod admin;
+mod calls;
+mod event;
+mod holding;
+mod machine;
+mod outbox;
+mod reclaim;
+mod reserve;
+mod results;
+mod settings;
+mod settle;
+mod status;
+mod transfer;
+mod witness;
+mod writer;
+
+pub use action::{Action, Billing, RefusalReason};
+pub use event::{CallId, Event, Peer, PeerState};
+pub use machine::Money;
+pub use settings::Settings;
+pub use status::Status;
--- /dev/null
+++ b/toucanchute_core/src/money/calls.rs
@@ -0,0 +1,142 @@
+use toucanchute_proto::{
+    AttemptId, BudgetId, GrantId, Incarnation, Millis, RequestKey,
+    ledger::{Answer, EntryBody, Intent, IntentOutcome},
+};
+
+use super::{
+    Action, CallId, Money, RefusalReason, holding::Waiting, outbox::Purpose,
+    reserve::RETRY_AFTER_MS,
+};
+use crate::ledger::Fault;
+
+/// Longest time that a call waits for its intent to be committed, in milliseconds.
+const INTENT_WAIT_MS: u64 = 3_000;
+
+/// Largest body of an answer that the ledger records, in bytes; a larger one is recorded as
+/// unknown.
+const MAX_RECORDED_BYTES: usize = 64 * 1024;
+
+/// A non-idempotent call that was accepted and has not ended.
+#[derive(Clone, Debug)]
+pub(super) struct RunningCall {
+    pub(super) attempt: AttemptId,
+    pub(super) budget: BudgetId,
+    pub(super) expires: Millis,
+}
+
+/// Non-idempotent calls.
+impl Money {
+    pub(super) fn start_intent(
+        &mut self,
+        budget: BudgetId,
+        grant: GrantId,
+        waiting: &Waiting,
+        out: &mut Vec<Action>,
+    ) {
+        let (call, tokens) = (waiting.call, waiting.tokens);
+        let origin = self.grants.get(&grant).and_then(|g| g.origin.as_ref());
+        let after = origin.map(|o| o.id);
+        let attempt = self.new_attempt();
+        let body = Intent {
+            key: waiting.key,
+            digest: waiting.digest,
+            attempt,
+            grant,
+            tokens,
+            expires: waiting.expires,
+        };
+        if self.has_fault(Fault::SendBeforeCommit) {
+            self.accept(call, budget, &body, out);
+        }
+        let entry = self.new_entry(budget, EntryBody::Intent(body));
+        let deadline = waiting.deadline.min(self.now + Millis(INTENT_WAIT_MS));
+        let purpose = Purpose::Intent {
+            call,
+            grant,
+            tokens,
+            deadline,
+        };
+        self.propose(entry, purpose, after);
+    }
+
+    pub(super) fn accept(
+        &mut self,
+        call: CallId,
+        budget: BudgetId,
+        body: &Intent,
+        out: &mut Vec<Action>,
+    ) {
+        let running = RunningCall {
+            attempt: body.attempt,
+            budget,
+            expires: body.expires,
+        };
+        self.running.insert(body.key, running);
+        out.push(Action::Accepted { call });
+    }
+
+    pub(super) fn record(&mut self, key: RequestKey, answer: Answer) {
+        let Some(call) = self.running.remove(&key) else {
+            return;
+        };
+        let answer = match answer {
+            Answer::Recorded(body) if body.body.len() > MAX_RECORDED_BYTES => Answer::Unknown,
+            answer => answer,
+        };
+        self.propose_outcome(call.budget, key, call.attempt, call.expires, answer);
+    }
+
+    pub(super) fn propose_outcome(
+        &mut self,
+        budget: BudgetId,
+        key: RequestKey,
+        attempt: AttemptId,
+        expires: Millis,
+        answer: Answer,
+    ) {
+        let body = IntentOutcome {
+            key,
+            attempt,
+            expires,
+            answer,
+        };
+        let entry = self.new_entry(budget, EntryBody::Outcome(body));
+        self.propose(entry, Purpose::Outcome, None);
+    }
+
+    /// Records that a call is lost whose router is gone.
+    pub(super) fn end_lost_call(&mut self, budget: BudgetId, attempt: AttemptId, body: &Intent) {
+        let bound = Millis(self.cfg.ledger.reclaim_after_ms);
+        let AttemptId(sender, _): AttemptId = attempt;
+        let sender: Incarnation = sender;
+        if self.gone_for(sender).is_some_and(|gone| gone >= bound) {
+            self.propose_outcome(budget, body.key, attempt, body.expires, Answer::Unknown);
+        }
+    }
+
+    /// Refuses calls whose intent is not committed in time. They are never sent.
+    pub(super) fn tick_calls(&mut self, out: &mut Vec<Action>) {
+        let now = self.now;
+        for outgoing in self.outbox.values_mut() {
+            let Purpose::Intent {
+                call,
+                grant,
+                tokens,
+                deadline,
+            } = outgoing.purpose
+            else {
+                continue;
+            };
+            if now < deadline {
+                continue;
+            }
+            outgoing.purpose = Purpose::AbandonedIntent { grant, tokens };
+            out.push(Action::Refused {
+                call,
+                reason: RefusalReason::LedgerUnavailable,
+                retry_after: Some(Millis(RETRY_AFTER_MS)),
+                elsewhere: None,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/toucanchute_core/src/money/machine.rs
@@ -0,0 +1,308 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::{SeedableRng, rngs::SmallRng};
+use toucanchute_proto::{
+    AttemptId, BudgetId, EntryId, GrantId, Incarnation, Millis, RequestKey, ShardId,
+    ledger::{Backing, Entry, EntryBody},
+    money::MoneyMessage,
+};
+
+use super::{
+    Action, CallId, Event, Peer, PeerState, RefusalReason, Settings,
+    calls::RunningCall,
+    holding::{HeldGrant, Holding, Reservation},
+    outbox::Outgoing,
+    reclaim::Reclaiming,
+    transfer::{Ask, Given},
+    witness::Buffer,
+    writer::Writer,
+};
+use crate::ledger::Fault;
+
+/// The money machine of one router.
+///
+/// ```
+/// use toucanchute_core::money::{Action, CallId, Event, Money, Settings};
+/// use toucanchute_proto::{BudgetId, Incarnation, Millis};
+///
+/// let mut money = Money::new(Settings::new(Incarnation(1), "bilbao", 7));
+/// let (call, budget) = (CallId(1), BudgetId::from_name("north"));
+/// let event = Event::TopUp { call, id: "t-1".to_owned(), budget, tokens: 500 };
+/// let mut actions = Vec::new();
+/// money.handle(Millis(1), event, &mut actions);
+/// assert!(matches!(actions[0], Action::Store(_))); // reads the shard first
+/// ```
+#[derive(Debug)]
+pub struct Money {
+    pub(super) cfg: Settings,
+    pub(super) now: Millis,
+    pub(super) rng: SmallRng,
+    pub(super) next_id: u64,
+    pub(super) next_op: u64,
+    /// When each peer was last in its present state, and that state.
+    pub(super) peers: BTreeMap<Incarnation, (Peer, Millis)>,
+    /// When holders that are not among the peers were first missed.
+    pub(super) missing: BTreeMap<Incarnation, Millis>,
+    pub(super) holdings: BTreeMap<BudgetId, Holding>,
+    pub(super) grants: BTreeMap<GrantId, HeldGrant>,
+    pub(super) reservations: BTreeMap<CallId, Reservation>,
+    /// Non-idempotent calls that were accepted and not yet recorded.
+    pub(super) running: BTreeMap<RequestKey, RunningCall>,
+    /// Entries whose result is not known.
+    pub(super) outbox: BTreeMap<EntryId, Outgoing>,
+    /// Shards that have not committed an entry for longer than the outage bound.
+    pub(super) outages: BTreeSet<ShardId>,
+    /// Entries of the outbox that were never sent.
+    pub(super) unsent: BTreeSet<EntryId>,
+    pub(super) writers: BTreeMap<ShardId, Writer>,
+    pub(super) buffer: Buffer,
+    pub(super) reclaims: BTreeMap<GrantId, Reclaiming>,
+    /// Transfers asked of peers, by the grant that they would open.
+    pub(super) asks: BTreeMap<GrantId, Ask>,
+    /// Transfers given to peers, by the grant that they open.
+    pub(super) given: BTreeMap<GrantId, Given>,
+    /// Statements asked of a shard's writer, and when to give up.
+    pub(super) statements: BTreeMap<CallId, (BudgetId, Millis)>,
+    pub(super) draining: bool,
+    pub(super) drained: bool,
+}
+
+impl Money {
+    /// Creates the machine of a router that has just started.
+    #[must_use]
+    pub fn new(cfg: Settings) -> Money {
+        Money {
+            rng: SmallRng::seed_from_u64(cfg.seed),
+            cfg,
+            now: Millis(0),
+            next_id: 0,
+            next_op: 0,
+            peers: BTreeMap::new(),
+            missing: BTreeMap::new(),
+            holdings: BTreeMap::new(),
+            grants: BTreeMap::new(),
+            reservations: BTreeMap::new(),
+            running: BTreeMap::new(),
+            outbox: BTreeMap::new(),
+            outages: BTreeSet::new(),
+            unsent: BTreeSet::new(),
+            writers: BTreeMap::new(),
+            buffer: Buffer::default(),
+            reclaims: BTreeMap::new(),
+            asks: BTreeMap::new(),
+            given: BTreeMap::new(),
+            statements: BTreeMap::new(),
+            draining: false,
+            drained: false,
+        }
+    }
+
+    /// Takes an event and appends what is to be done to `out`.
+    pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        match event {
+            Event::Reserve { .. } | Event::Intend { .. } => self.ask_tokens(event, out),
+            Event::Settle { call, tokens } => self.settle(call, tokens, out),
+            Event::Release { call } => self.release(call, out),
+            Event::Record { key, answer } => self.record(key, answer),
+            Event::TopUp { .. } | Event::WriteOff { .. } => self.administer(event),
+            Event::Statement { call, budget } => self.ask_statement(call, budget, out),
+            Event::Peers(peers) => self.set_peers(peers),
+            Event::Message { from, message } => self.on_message(from, message, out),
+            Event::Store { op, result } => self.on_store(op, &result, out),
+            Event::Tick => self.tick(out),
+            Event::Drain => self.draining = true,
+        }
+        self.flush(out);
+        self.pump_writers(out);
+        self.finish_drain(out);
+    }
+
+    /// Returns the time by which the machine wants an [`Event::Tick`], beside regular ones.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<Millis> {
+        self.writers.values().filter_map(Writer::next_commit).min()
+    }
+
+    fn on_message(&mut self, from: Incarnation, message: MoneyMessage, out: &mut Vec<Action>) {
+        match message {
+            MoneyMessage::Propose(body) => self.on_propose(from, body, out),
+            MoneyMessage::Proposed(body) => self.on_proposed(body, out),
+            MoneyMessage::Hold(body) => self.on_hold(from, &body, out),
+            MoneyMessage::Held(body) => self.on_held(&body, out),
+            MoneyMessage::RefuseHold(_) => {}
+            MoneyMessage::Fence(body) => self.on_fence(from, &body, out),
+            MoneyMessage::Fenced(body) => self.on_fenced(body),
+            MoneyMessage::Forget(body) => self.buffer.forget(&body),
+            MoneyMessage::AskTransfer(body) => self.on_ask_transfer(from, body, out),
+            MoneyMessage::Give(body) => self.on_give(&body, out),
+            MoneyMessage::Decline(body) => self.on_decline(from, &body, out),
+            MoneyMessage::Closed(grant) => {
+                self.grants.remove(&grant);
+            }
+            MoneyMessage::AskStatement(body) => self.on_ask_statement(from, &body),
+            MoneyMessage::Statement(body) => self.on_statement(body, out),
+        }
+    }
+
+    fn tick(&mut self, out: &mut Vec<Action>) {
+        self.tick_waiting(out);
+        self.tick_outbox(out);
+        self.tick_witnesses(out);
+        self.tick_buffer();
+        self.tick_asks(out);
+        self.tick_calls(out);
+        self.tick_reclaims(out);
+        self.tick_writers(out);
+        self.tick_statements(out);
+        self.tick_idle();
+    }
+}
+
+/// Identifiers and peers.
+impl Money {
+    pub(super) fn me(&self) -> Incarnation {
+        self.cfg.incarnation
+    }
+
+    pub(super) fn has_fault(&self, fault: Fault) -> bool {
+        self.cfg.fault == Some(fault)
+    }
+
+    pub(super) fn shard(&self, budget: BudgetId) -> ShardId {
+        budget.shard(self.cfg.ledger.shards)
+    }
+
+    pub(super) fn horizon(&self) -> Millis {
+        Millis(self.cfg.ledger.grant_horizon_ms.max(1))
+    }
+
+    pub(super) fn outage_after(&self) -> Millis {
+        Millis(self.cfg.ledger.outage_after_ms)
+    }
+
+    fn new_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    pub(super) fn new_entry(&mut self, budget: BudgetId, body: EntryBody) -> Entry {
+        Entry {
+            id: EntryId(self.me(), self.new_id()),
+            budget,
+            body,
+        }
+    }
+
+    pub(super) fn new_grant_id(&mut self) -> GrantId {
+        GrantId(self.me(), self.new_id())
+    }
+
+    pub(super) fn new_attempt(&mut self) -> AttemptId {
+        AttemptId(self.me(), self.new_id())
+    }
+
+    fn set_peers(&mut self, peers: Vec<Peer>) {
+        let mut old = std::mem::take(&mut self.peers);
+        for peer in peers {
+            let id = peer.incarnation;
+            if id == self.me() {
+                continue;
+            }
+            let since = old.remove(&id).filter(|(o, _)| o.state == peer.state);
+            let since = since.map_or(self.now, |(_, since)| since);
+            self.peers.insert(id, (peer, since));
+        }
+        let known = &self.peers;
+        self.missing.retain(|id, _| !known.contains_key(id));
+    }
+
+    pub(super) fn is_alive(&self, id: Incarnation) -> bool {
+        let alive = |(p, _): &(Peer, Millis)| p.state == PeerState::Alive;
+        id == self.me() || self.peers.get(&id).is_some_and(alive)
+    }
+
+    /// Returns how long a router has been gone; `None` if it is not.
+    pub(super) fn gone_for(&mut self, id: Incarnation) -> Option<Millis> {
+        if id == self.me() {
+            return None;
+        }
+        let now = self.now;
+        match self.peers.get(&id) {
+            Some((peer, since)) => (peer.state == PeerState::Gone).then(|| now.since(*since)),
+            None => Some(now.since(*self.missing.entry(id).or_insert(now))),
+        }
+    }
+
+    pub(super) fn alive_peers(&self) -> Vec<Incarnation> {
+        self.peers
+            .keys()
+            .copied()
+            .filter(|&id| self.is_alive(id))
+            .collect()
+    }
+
+    /// Returns witnesses for a new grant: routers that answer, one of each other failure domain
+    /// before a second of any.
+    pub(super) fn choose_backing(&self) -> Backing {
+        let alive = self
+            .peers
+            .values()
+            .filter(|(p, _)| p.state == PeerState::Alive);
+        let other = alive.filter(|(p, _)| p.failure_domain != self.cfg.failure_domain);
+        let mut seen: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut ranked = Vec::new();
+        for (peer, _) in other {
+            let rank = seen.entry(&peer.failure_domain).or_default();
+            ranked.push((
+                *rank,
+                weight(self.me().0, peer.incarnation),
+                peer.incarnation,
+            ));
+            *rank += 1;
+        }
+        ranked.sort_unstable();
+        let wanted = usize::from(self.cfg.ledger.witnesses);
+        Backing {
+            witnesses: ranked
+                .into_iter()
+                .take(wanted)
+                .map(|(_, _, id)| id)
+                .collect(),
+            acks: self.cfg.ledger.acks.max(1),
+        }
+    }
+
+    /// Returns the router that writes a shard: the one of greatest weight that answers.
+    pub(super) fn writer_of(&self, shard: ShardId) -> Incarnation {
+        let alive = self.peers.keys().copied().filter(|&id| self.is_alive(id));
+        let all = alive.chain([self.me()]);
+        all.max_by_key(|&id| (weight(u64::from(shard.0), id), id))
+            .unwrap_or(self.me())
+    }
+
+    pub(super) fn refuse(
+        &self,
+        call: CallId,
+        reason: RefusalReason,
+        retry_after: Option<Millis>,
+        out: &mut Vec<Action>,
+    ) {
+        out.push(Action::Refused {
+            call,
+            reason,
+            retry_after,
+            elsewhere: None,
+        });
+    }
+}
+
+/// Weight of a router in rendezvous hashing.
+fn weight(subject: u64, id: Incarnation) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&subject.to_le_bytes());
+    hasher.update(&id.0.to_le_bytes());
+    let hash = hasher.finalize();
+    let (head, _) = hash.as_bytes().split_at(8);
+    head.iter().fold(0, |sum, &b| sum << 8 | u64::from(b))
+}
--- /dev/null
+++ b/toucanchute_core/src/money/outbox.rs
@@ -0,0 +1,236 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::seq::IndexedRandom;
+use toucanchute_proto::{
+    EntryId, GrantId, Incarnation, Millis, ShardId,
+    ledger::Entry,
+    money::{MoneyMessage, Propose, Proposed},
+};
+
+use super::{Action, CallId, Money, writer::Route};
+
+/// Pause before an entry without result is sent again, in milliseconds.
+const RESEND_MS: u64 = 200;
+
+/// Longest pause between two sends of an entry, in milliseconds.
+const MAX_RESEND_MS: u64 = 2_000;
+
+/// Sends to a shard's writer after which an entry goes by another peer as well.
+const RELAY_AFTER: u32 = 2;
+
+/// Age at which a router commits an entry itself, in milliseconds.
+const WRITE_SELF_MS: u64 = 900;
+
+/// An entry whose result is not known.
+#[derive(Debug)]
+pub(super) struct Outgoing {
+    pub(super) entry: Entry,
+    pub(super) purpose: Purpose,
+    pub(super) since: Millis,
+    /// Entry that has to have its result before this one is sent.
+    pub(super) after: Option<EntryId>,
+    pub(super) sent_at: Millis,
+    pub(super) sends: u32,
+    /// Witnesses that keep the entry.
+    pub(super) held_by: BTreeSet<Incarnation>,
+    pub(super) held_at: Option<Millis>,
+    /// Whether the entry's effect was released on the witnesses' acknowledgements.
+    pub(super) released: bool,
+}
+
+/// What an entry's result is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Purpose {
+    /// A bill of this router.
+    Settle {
+        call: CallId,
+        grant: GrantId,
+        tokens: u64,
+    },
+    /// A request for a grant.
+    Grant,
+    /// A return of tokens.
+    Return {
+        grant: GrantId,
+        tokens: u64,
+    },
+    /// A transfer to another router.
+    Give {
+        from: GrantId,
+        grant: GrantId,
+        tokens: u64,
+    },
+    /// The transfer that opened a grant of this router.
+    Origin {
+        grant: GrantId,
+    },
+    /// A non-idempotent call that waits to be sent.
+    Intent {
+        call: CallId,
+        grant: GrantId,
+        tokens: u64,
+        deadline: Millis,
+    },
+    /// A non-idempotent call that was refused before its intent was known to be committed.
+    AbandonedIntent {
+        grant: GrantId,
+        tokens: u64,
+    },
+    /// The outcome of a call; nobody waits for it.
+    Outcome,
+    TopUp {
+        call: CallId,
+    },
+    WriteOff {
+        call: CallId,
+    },
+    Reclaim {
+        grant: GrantId,
+    },
+    /// A debit that this router keeps as a witness.
+    Kept {
+        grant: GrantId,
+    },
+    /// A call that nobody waits for any more.
+    Unattended,
+}
+
+/// Getting entries committed.
+impl Money {
+    /// Queues an entry for its shard's log.
+    pub(super) fn propose(&mut self, entry: Entry, purpose: Purpose, after: Option<EntryId>) {
+        let id = entry.id;
+        if self.outbox.contains_key(&id) {
+            return;
+        }
+        let outgoing = Outgoing {
+            entry,
+            purpose,
+            since: self.now,
+            after: after.filter(|a| self.outbox.contains_key(a)),
+            sent_at: self.now,
+            sends: 0,
+            held_by: BTreeSet::new(),
+            held_at: None,
+            released: false,
+        };
+        self.outbox.insert(id, outgoing);
+        self.unsent.insert(id);
+    }
+
+    /// Sends entries that were never sent and wait for no other.
+    pub(super) fn flush(&mut self, out: &mut Vec<Action>) {
+        if self.unsent.is_empty() {
+            return;
+        }
+        let ready: Vec<_> = self
+            .unsent
+            .iter()
+            .copied()
+            .filter(|id| self.may_send(*id))
+            .collect();
+        for id in &ready {
+            self.unsent.remove(id);
+        }
+        self.send_entries(&ready, out);
+    }
+
+    pub(super) fn tick_outbox(&mut self, out: &mut Vec<Action>) {
+        let due: Vec<_> = self
+            .outbox
+            .keys()
+            .copied()
+            .filter(|id| self.is_due(*id))
+            .collect();
+        self.send_entries(&due, out);
+    }
+
+    fn may_send(&self, id: EntryId) -> bool {
+        let after = self.outbox.get(&id).and_then(|o| o.after);
+        after.is_none_or(|a| !self.outbox.contains_key(&a))
+    }
+
+    fn is_due(&self, id: EntryId) -> bool {
+        let Some(outgoing) = self.outbox.get(&id).filter(|o| o.sends > 0) else {
+            return false;
+        };
+        let pause = (RESEND_MS << outgoing.sends.min(8).saturating_sub(1)).min(MAX_RESEND_MS);
+        self.now >= outgoing.sent_at + Millis(pause)
+    }
+
+    fn send_entries(&mut self, ids: &[EntryId], out: &mut Vec<Action>) {
+        let mut by_shard: BTreeMap<ShardId, Batch> = BTreeMap::new();
+        for id in ids {
+            let shard = self.outbox.get(id).map(|o| self.shard(o.entry.budget));
+            let (Some(outgoing), Some(shard)) = (self.outbox.get_mut(id), shard) else {
+                continue;
+            };
+            outgoing.sends += 1;
+            outgoing.sent_at = self.now;
+            let batch = by_shard.entry(shard).or_default();
+            batch.sends = batch.sends.max(outgoing.sends);
+            batch.age = batch.age.max(self.now.since(outgoing.since));
+            batch.entries.push(outgoing.entry.clone());
+        }
+        for (shard, batch) in by_shard {
+            self.send_batch(shard, batch, out);
+        }
+    }
+
+    fn send_batch(&mut self, shard: ShardId, batch: Batch, out: &mut Vec<Action>) {
+        let writer = self.writer_of(shard);
+        let me = self.me();
+        let propose = |entries| Propose {
+            shard,
+            origin: me,
+            relayed: false,
+            entries,
+        };
+        if writer != me {
+            let message = MoneyMessage::Propose(propose(batch.entries.clone()));
+            out.push(Action::Send {
+                to: writer,
+                message,
+            });
+            if batch.sends > RELAY_AFTER {
+                self.relay(writer, propose(batch.entries.clone()), out);
+            }
+        }
+        if writer == me || batch.age >= Millis(WRITE_SELF_MS) {
+            let route = Route {
+                origin: me,
+                via: me,
+            };
+            self.enqueue(shard, batch.entries, route);
+        }
+    }
+
+    fn relay(&mut self, writer: Incarnation, body: Propose, out: &mut Vec<Action>) {
+        let mut peers = self.alive_peers();
+        peers.retain(|&id| id != writer);
+        if let Some(&to) = peers.choose(&mut self.rng) {
+            let message = MoneyMessage::Propose(body);
+            out.push(Action::Send { to, message });
+        }
+    }
+
+    /// Takes results of this router's entries, or passes on those of another's.
+    pub(super) fn on_proposed(&mut self, body: Proposed, out: &mut Vec<Action>) {
+        if body.origin != self.me() {
+            let to = body.origin;
+            let message = MoneyMessage::Proposed(body);
+            out.push(Action::Send { to, message });
+            return;
+        }
+        for result in body.results {
+            self.resolve(result.entry, result.result, out);
+        }
+    }
+}
+
+#[derive(Default)]
+struct Batch {
+    entries: Vec<Entry>,
+    sends: u32,
+    age: Millis,
+}
--- /dev/null
+++ b/toucanchute_core/src/money/reclaim.rs
@@ -0,0 +1,184 @@
+use std::collections::BTreeMap;
+
+use toucanchute_proto::{
+    BudgetId, EntryId, GrantId, Incarnation, Millis, ShardId,
+    ledger::{Entry, EntryBody, EntryResult, GrantRecord, Reclaim},
+    money::{Fence, Fenced, MoneyMessage},
+};
+
+use super::{Action, Money, outbox::Purpose};
+use crate::ledger::{Fault, fences_needed};
+
+/// Pause before a witness that does not answer is asked again to fence, in milliseconds.
+const FENCE_RESEND_MS: u64 = 500;
+
+/// A grant that this router takes back for its shard.
+#[derive(Debug)]
+pub(super) struct Reclaiming {
+    budget: BudgetId,
+    /// Witnesses that refuse further debits, and the debits that they handed over.
+    fenced: BTreeMap<Incarnation, Vec<Entry>>,
+    asked_at: Option<Millis>,
+    proposed: Option<EntryId>,
+}
+
+/// Reclaiming grants whose holder is gone.
+impl Money {
+    pub(super) fn tick_reclaims(&mut self, out: &mut Vec<Action>) {
+        let shards: Vec<_> = self.writers.keys().copied().collect();
+        let mut due = Vec::new();
+        for shard in shards {
+            if self.writer_of(shard) != self.me() || self.peers.is_empty() {
+                continue;
+            }
+            if let Some(writer) = self.writers.get(&shard).filter(|w| w.log.is_loaded()) {
+                due.extend(writer.log.state().grants().cloned().map(|g| (shard, g)));
+            }
+        }
+        for (shard, record) in due {
+            if self.is_abandoned(&record) {
+                self.reclaim_step(shard, &record, out);
+            }
+        }
+    }
+
+    fn is_abandoned(&mut self, record: &GrantRecord) -> bool {
+        let GrantId(holder, _) = record.grant;
+        let bound = Millis(self.cfg.ledger.reclaim_after_ms);
+        record.forfeited || self.gone_for(holder).is_some_and(|gone| gone >= bound)
+    }
+
+    fn reclaim_step(&mut self, shard: ShardId, record: &GrantRecord, out: &mut Vec<Action>) {
+        let id = record.grant;
+        let reclaim = self.reclaims.entry(id).or_insert_with(|| Reclaiming {
+            budget: record.budget,
+            fenced: BTreeMap::new(),
+            asked_at: None,
+            proposed: None,
+        });
+        if reclaim
+            .proposed
+            .is_some_and(|e| self.outbox.contains_key(&e))
+        {
+            return;
+        }
+        if self.has_fault(Fault::ReclaimWithoutFence) {
+            return self.reclaim_unfenced(record);
+        }
+        self.ask_fences(shard, record, out);
+        self.propose_reclaim(record);
+    }
+
+    fn ask_fences(&mut self, shard: ShardId, record: &GrantRecord, out: &mut Vec<Action>) {
+        let (now, me, grant) = (self.now, self.me(), record.grant);
+        let Some(reclaim) = self.reclaims.get_mut(&grant) else {
+            return;
+        };
+        let due = reclaim
+            .asked_at
+            .is_none_or(|at| now.since(at) >= Millis(FENCE_RESEND_MS));
+        if !due {
+            return;
+        }
+        reclaim.asked_at = Some(now);
+        for &witness in &record.backing.witnesses {
+            if reclaim.fenced.contains_key(&witness) {
+                continue;
+            }
+            if witness == me {
+                reclaim.fenced.insert(me, self.buffer.fence(grant));
+                continue;
+            }
+            let message = MoneyMessage::Fence(Fence {
+                witness,
+                grant,
+                shard,
+            });
+            out.push(Action::Send {
+                to: witness,
+                message,
+            });
+        }
+    }
+
+    pub(super) fn on_fenced(&mut self, body: Fenced) {
+        if let Some(reclaim) = self.reclaims.get_mut(&body.grant) {
+            reclaim.fenced.entry(body.witness).or_insert(body.debits);
+        }
+    }
+
+    /// Commits the reclaim once enough witnesses are fenced, or once the others are gone.
+    fn propose_reclaim(&mut self, record: &GrantRecord) {
+        let needed = fences_needed(&record.backing);
+        let waiting = self.waiting_fences(record);
+        let Some(reclaim) = self.reclaims.get(&record.grant) else {
+            return;
+        };
+        let news = reclaim.fenced.keys().any(|w| !record.fenced.contains(w));
+        let enough = reclaim.fenced.len() >= needed;
+        let hopeless = waiting == 0;
+        if !(enough || hopeless) || (record.forfeited && !news) {
+            return;
+        }
+        let body = Reclaim {
+            grant: record.grant,
+            debits: reclaim.fenced.values().flatten().cloned().collect(),
+            fenced: reclaim.fenced.keys().copied().collect(),
+        };
+        self.commit_reclaim(body, record.budget);
+    }
+
+    /// Returns how many witnesses may still answer.
+    fn waiting_fences(&mut self, record: &GrantRecord) -> usize {
+        let bound = Millis(self.cfg.ledger.reclaim_after_ms);
+        let mut waiting = 0;
+        for &witness in &record.backing.witnesses {
+            let reclaim = self.reclaims.get(&record.grant);
+            if reclaim.is_some_and(|r| r.fenced.contains_key(&witness)) {
+                continue;
+            }
+            let gone = self.gone_for(witness).is_some_and(|gone| gone >= bound);
+            waiting += usize::from(!gone);
+        }
+        waiting
+    }
+
+    fn reclaim_unfenced(&mut self, record: &GrantRecord) {
+        let body = Reclaim {
+            grant: record.grant,
+            debits: Vec::new(),
+            fenced: record.backing.witnesses.clone(),
+        };
+        self.commit_reclaim(body, record.budget);
+    }
+
+    fn commit_reclaim(&mut self, body: Reclaim, budget: BudgetId) {
+        let grant = body.grant;
+        let entry = self.new_entry(budget, EntryBody::Reclaim(body));
+        if let Some(reclaim) = self.reclaims.get_mut(&grant) {
+            reclaim.proposed = Some(entry.id);
+        }
+        self.propose(entry, Purpose::Reclaim { grant }, None);
+    }
+
+    pub(super) fn on_reclaimed(
+        &mut self,
+        grant: GrantId,
+        result: &EntryResult,
+        out: &mut Vec<Action>,
+    ) {
+        let GrantId(holder, _) = grant;
+        if *result != EntryResult::Reclaimed {
+            return;
+        }
+        let known = self.reclaims.remove(&grant);
+        if let Some(holding) = known.and_then(|r| self.holdings.get_mut(&r.budget)) {
+            holding.refused = None;
+        }
+        let message = MoneyMessage::Closed(grant);
+        out.push(Action::Send {
+            to: holder,
+            message,
+        });
+    }
+}
--- /dev/null
+++ b/toucanchute_core/src/money/settle.rs
@@ -0,0 +1,169 @@
+use toucanchute_proto::{
+    EntryId, GrantId, Millis,
+    ledger::{Backing, Bill, Entry, EntryBody},
+    money::{Forget, Held, Hold, MoneyMessage},
+};
+
+use super::{
+    Action, Billing, CallId, Money, RefusalReason, outbox::Purpose, reserve::RETRY_AFTER_MS,
+};
+use crate::ledger::Fault;
+
+/// Pause before a witness that does not answer is asked again, in milliseconds.
+const HOLD_RESEND_MS: u64 = 250;
+
+/// Billing.
+impl Money {
+    pub(super) fn settle(&mut self, call: CallId, tokens: u64, out: &mut Vec<Action>) {
+        let Some(res) = self.reservations.remove(&call) else {
+            let retry_after = Some(Millis(RETRY_AFTER_MS));
+            return self.refuse(call, RefusalReason::GrantReclaimed, retry_after, out);
+        };
+        let Some(grant) = self.grants.get(&res.grant) else {
+            let retry_after = Some(Millis(RETRY_AFTER_MS));
+            return self.refuse(call, RefusalReason::GrantReclaimed, retry_after, out);
+        };
+        let after = grant.origin.as_ref().map(|o| o.id);
+        let tokens = tokens.clamp(1, res.tokens);
+        self.unreserve(res.grant, res.tokens - tokens);
+        let bill = Bill {
+            key: res.key,
+            digest: res.digest,
+            grant: res.grant,
+            tokens,
+            expires: res.expires,
+        };
+        let entry = self.new_entry(res.budget, EntryBody::Settle(bill));
+        let id = entry.id;
+        let grant = res.grant;
+        self.propose(
+            entry,
+            Purpose::Settle {
+                call,
+                grant,
+                tokens,
+            },
+            after,
+        );
+        if self.has_fault(Fault::EndMarkEarly) {
+            self.release_debit(id, out);
+        }
+        self.hold_in_outage(id, out);
+        self.serve(res.budget, out);
+    }
+
+    /// Asks witnesses to keep a debit at once, if its shard is known to be out of reach.
+    pub(super) fn hold_in_outage(&mut self, id: EntryId, out: &mut Vec<Action>) {
+        let shard = self.outbox.get(&id).map(|o| self.shard(o.entry.budget));
+        if shard.is_some_and(|s| self.outages.contains(&s)) {
+            self.hold(id, out);
+        }
+    }
+
+    /// Turns to witnesses with debits that the ledger does not commit in time.
+    pub(super) fn tick_witnesses(&mut self, out: &mut Vec<Action>) {
+        let (now, bound) = (self.now, self.outage_after());
+        let late = self.outbox.values().filter(|o| now.since(o.since) >= bound);
+        let late: Vec<_> = late
+            .map(|o| (o.entry.id, self.shard(o.entry.budget)))
+            .collect();
+        for (id, shard) in late {
+            self.outages.insert(shard);
+            self.hold(id, out);
+        }
+    }
+
+    /// Asks witnesses that have not acknowledged a debit to keep it.
+    fn hold(&mut self, id: EntryId, out: &mut Vec<Action>) {
+        let Some((grant, backing, origin)) = self.debited_grant(id) else {
+            return;
+        };
+        let now = self.now;
+        let Some(outgoing) = self.outbox.get_mut(&id) else {
+            return;
+        };
+        let asked = outgoing
+            .held_at
+            .is_some_and(|at| now.since(at) < Millis(HOLD_RESEND_MS));
+        if outgoing.released || asked {
+            return;
+        }
+        outgoing.held_at = Some(now);
+        let debits: Vec<_> = origin.into_iter().chain([outgoing.entry.clone()]).collect();
+        for witness in backing.witnesses {
+            if outgoing.held_by.contains(&witness) {
+                continue;
+            }
+            let debits = debits.clone();
+            let message = MoneyMessage::Hold(Hold {
+                witness,
+                grant,
+                debits,
+            });
+            out.push(Action::Send {
+                to: witness,
+                message,
+            });
+        }
+    }
+
+    /// Returns the grant that an entry of the outbox debits, with its backing and origin.
+    fn debited_grant(&self, id: EntryId) -> Option<(GrantId, Backing, Option<Entry>)> {
+        let grant = match self.outbox.get(&id)?.purpose {
+            Purpose::Settle { grant, .. } => grant,
+            Purpose::Give { from, .. } => from,
+            _ => return None,
+        };
+        let held = self.grants.get(&grant)?;
+        Some((grant, held.backing.clone(), held.origin.clone()))
+    }
+
+    pub(super) fn on_held(&mut self, body: &Held, out: &mut Vec<Action>) {
+        let Some((grant, backing, _)) = self.debited_grant(body.entry) else {
+            return;
+        };
+        if grant != body.grant || !backing.witnesses.contains(&body.witness) {
+            return;
+        }
+        let Some(outgoing) = self.outbox.get_mut(&body.entry) else {
+            return;
+        };
+        outgoing.held_by.insert(body.witness);
+        if outgoing.held_by.len() >= usize::from(backing.acks.max(1)) {
+            self.release_debit(body.entry, out);
+        }
+    }
+
+    /// Releases the effect of a debit that is not committed yet.
+    fn release_debit(&mut self, id: EntryId, out: &mut Vec<Action>) {
+        let Some(outgoing) = self.outbox.get_mut(&id).filter(|o| !o.released) else {
+            return;
+        };
+        outgoing.released = true;
+        match outgoing.purpose {
+            Purpose::Settle { call, .. } => {
+                let billing = Billing::Billed;
+                out.push(Action::Settled { call, billing });
+            }
+            Purpose::Give { grant, .. } => self.send_give(grant, false, out),
+            _ => {}
+        }
+    }
+
+    /// Tells the witnesses of a debit that its result is known.
+    pub(super) fn forget_holds(&self, id: EntryId, purpose: &Purpose, out: &mut Vec<Action>) {
+        let grant = match *purpose {
+            Purpose::Settle { grant, .. } => grant,
+            Purpose::Give { from, .. } => from,
+            _ => return,
+        };
+        let Some(held) = self.grants.get(&grant) else {
+            return;
+        };
+        for &to in &held.backing.witnesses {
+            let entries = vec![id];
+            let message = MoneyMessage::Forget(Forget { grant, entries });
+            out.push(Action::Send { to, message });
+        }
+    }
+}
--- /dev/null
+++ b/toucanchute_core/src/money/writer.rs
@@ -0,0 +1,232 @@
+use std::collections::BTreeMap;
+
+use toucanchute_proto::{
+    BudgetId, EntryId, Incarnation, Millis, ShardId,
+    ledger::{Entry, EntryResult},
+    money::{MoneyMessage, Propose, Proposed, ProposedResult},
+};
+
+use super::{Action, CallId, Money};
+use crate::ledger::{LogEvent, ShardLog, StoreOp, StoreResult};
+
+/// Shortest time between the starts of two batches of a shard, in milliseconds. It keeps writes
+/// within the platform's rate.
+const MIN_COMMIT_INTERVAL_MS: u64 = 10;
+
+/// This router's part in writing one shard.
+#[derive(Debug)]
+pub(super) struct Writer {
+    pub(super) log: ShardLog,
+    /// Entries for the next batches, in order; each once.
+    queue: Vec<Entry>,
+    /// Who waits for the results of entries that are queued or in flight.
+    routes: BTreeMap<EntryId, Vec<Route>>,
+    last_commit: Option<Millis>,
+    /// Statements to answer once the log is known to be read to its tail.
+    statements: Vec<(Incarnation, CallId, BudgetId)>,
+    /// Whether a look for other writers' batches was begun for `statements`.
+    refreshing: bool,
+}
+
+/// Where results go: to `origin`, sent by way of `via`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Route {
+    pub(super) origin: Incarnation,
+    pub(super) via: Incarnation,
+}
+
+impl Writer {
+    pub(super) fn next_commit(&self) -> Option<Millis> {
+        let busy = !self.queue.is_empty() && self.log.is_ready();
+        let last = self.last_commit.filter(|_| busy)?;
+        Some(last + Millis(MIN_COMMIT_INTERVAL_MS))
+    }
+
+    pub(super) fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    fn may_commit(&self, now: Millis) -> bool {
+        let next = self
+            .last_commit
+            .map(|at| at + Millis(MIN_COMMIT_INTERVAL_MS));
+        self.log.is_ready() && next.is_none_or(|at| now >= at)
+    }
+}
+
+/// Writing shards.
+impl Money {
+    pub(super) fn writer(&mut self, shard: ShardId) -> &mut Writer {
+        let (me, ring, fault) = (self.me(), self.cfg.ledger.ring, self.cfg.fault);
+        self.writers.entry(shard).or_insert_with(|| {
+            let mut log = ShardLog::new(shard, ring, me);
+            log.set_fault(fault);
+            Writer {
+                log,
+                queue: Vec::new(),
+                routes: BTreeMap::new(),
+                last_commit: None,
+                statements: Vec::new(),
+                refreshing: false,
+            }
+        })
+    }
+
+    /// Queues entries for this router's own next batch.
+    pub(super) fn enqueue(&mut self, shard: ShardId, entries: Vec<Entry>, route: Route) {
+        let writer = self.writer(shard);
+        for entry in entries {
+            let known = writer.routes.contains_key(&entry.id);
+            let routes = writer.routes.entry(entry.id).or_default();
+            if !routes.contains(&route) {
+                routes.push(route);
+            }
+            if !known {
+                writer.queue.push(entry);
+            }
+        }
+    }
+
+    pub(super) fn on_propose(&mut self, from: Incarnation, body: Propose, out: &mut Vec<Action>) {
+        let to = self.writer_of(body.shard);
+        if to != self.me() && !body.relayed && to != from && to != body.origin {
+            let relayed = true;
+            let message = MoneyMessage::Propose(Propose { relayed, ..body });
+            out.push(Action::Send { to, message });
+            return;
+        }
+        let route = Route {
+            origin: body.origin,
+            via: from,
+        };
+        self.enqueue(body.shard, body.entries, route);
+    }
+
+    /// Starts what each shard can start: reading, or the next batch.
+    pub(super) fn pump_writers(&mut self, out: &mut Vec<Action>) {
+        let (now, mut next_op) = (self.now, self.next_op);
+        let mut ops = Vec::new();
+        for writer in self.writers.values_mut() {
+            let wanted = !writer.queue.is_empty() || !writer.statements.is_empty();
+            if wanted && writer.log.is_cold() {
+                writer.log.load(&mut next_op, &mut ops);
+            } else if !writer.statements.is_empty() && !writer.refreshing && writer.log.is_ready() {
+                writer.refreshing = true;
+                writer.log.refresh(&mut next_op, &mut ops);
+            } else if !writer.queue.is_empty() && writer.may_commit(now) {
+                writer.last_commit = Some(now);
+                writer
+                    .log
+                    .commit(now, &mut writer.queue, &mut next_op, &mut ops);
+            }
+        }
+        self.next_op = next_op;
+        out.extend(ops.into_iter().map(Action::Store));
+    }
+
+    pub(super) fn tick_writers(&mut self, out: &mut Vec<Action>) {
+        let shards: Vec<_> = (0..self.cfg.ledger.shards).map(ShardId).collect();
+        let (now, mut next_op) = (self.now, self.next_op);
+        let mut ops = Vec::new();
+        for shard in shards {
+            if self.writer_of(shard) == self.me() && !self.peers.is_empty() {
+                self.writer(shard).log.load(&mut next_op, &mut ops);
+            }
+            if let Some(writer) = self.writers.get_mut(&shard) {
+                writer.log.tick(now, &mut next_op, &mut ops);
+            }
+        }
+        self.next_op = next_op;
+        out.extend(ops.into_iter().map(Action::Store));
+    }
+
+    pub(super) fn on_store(&mut self, op: u64, result: &StoreResult, out: &mut Vec<Action>) {
+        let (now, mut next_op) = (self.now, self.next_op);
+        let mut ops: Vec<StoreOp> = Vec::new();
+        let mut events = Vec::new();
+        let mut found = None;
+        for (&shard, writer) in &mut self.writers {
+            if writer
+                .log
+                .on_store(now, op, result, &mut next_op, &mut ops, &mut events)
+            {
+                found = Some(shard);
+                break;
+            }
+        }
+        self.next_op = next_op;
+        out.extend(ops.into_iter().map(Action::Store));
+        if let Some(shard) = found {
+            for event in events {
+                self.on_log_event(shard, event, out);
+            }
+        }
+    }
+
+    fn on_log_event(&mut self, shard: ShardId, event: LogEvent, out: &mut Vec<Action>) {
+        match event {
+            LogEvent::Committed { results } => self.on_committed(shard, results, out),
+            LogEvent::Displaced { entries } => {
+                let writer = self.writer(shard);
+                writer.queue.splice(0..0, entries);
+            }
+            LogEvent::Ready => self.answer_statements(shard, out),
+            LogEvent::Unreachable | LogEvent::Broken { .. } => {}
+        }
+    }
+
+    fn on_committed(
+        &mut self,
+        shard: ShardId,
+        results: Vec<(EntryId, EntryResult)>,
+        out: &mut Vec<Action>,
+    ) {
+        let me = self.me();
+        let mut own = Vec::new();
+        let mut replies: BTreeMap<(Incarnation, Incarnation), Vec<ProposedResult>> =
+            BTreeMap::new();
+        let writer = self.writer(shard);
+        let at = writer.log.state().time();
+        for (entry, result) in results {
+            for route in writer.routes.remove(&entry).unwrap_or_default() {
+                if route.origin == me {
+                    own.push((entry, result.clone()));
+                    continue;
+                }
+                let result = result.clone();
+                let reply = replies.entry((route.via, route.origin)).or_default();
+                reply.push(ProposedResult { entry, result });
+            }
+        }
+        for ((to, origin), results) in replies {
+            let message = MoneyMessage::Proposed(Proposed {
+                origin,
+                at,
+                results,
+            });
+            out.push(Action::Send { to, message });
+        }
+        for (entry, result) in own {
+            self.resolve(entry, result, out);
+        }
+    }
+
+    /// Answers statements that wait for the log to be read to its tail.
+    fn answer_statements(&mut self, shard: ShardId, out: &mut Vec<Action>) {
+        let writer = self.writer(shard);
+        writer.refreshing = false;
+        for (asker, call, budget) in std::mem::take(&mut writer.statements) {
+            let statement = self.writer(shard).log.state().statement(budget);
+            self.reply_statement(asker, call, statement, out);
+        }
+    }
+
+    /// Queues a statement for when the shard's log has been read to its tail.
+    pub(super) fn queue_statement(&mut self, asker: Incarnation, call: CallId, budget: BudgetId) {
+        let shard = self.shard(budget);
+        let writer = self.writer(shard);
+        if !writer.statements.contains(&(asker, call, budget)) {
+            writer.statements.push((asker, call, budget));
+        }
+    }
+}
--- /dev/null
+++ b/toucanchute_core/tests/money_single.rs
@@ -0,0 +1,266 @@
+//! One router alone: the path of a request from top-up to statement.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use toucanchute_core::{
+    ledger::{StoreKey, StoreOp, StoreRequest, StoreResult},
+    money::{Action, Billing, CallId, Event, Money, RefusalReason, Settings},
+};
+use toucanchute_proto::{
+    BudgetId, Bytes, Digest, Incarnation, Millis, RequestKey,
+    ledger::{Answer, RecordedAnswer},
+};
+
+/// A router and a store that always answers.
+struct Alone {
+    money: Money,
+    now: Millis,
+    values: BTreeMap<StoreKey, (u64, Bytes)>,
+    revision: u64,
+    next_call: u64,
+}
+
+impl Alone {
+    fn new() -> Alone {
+        Alone {
+            money: Money::new(Settings::new(Incarnation(1), "bilbao", 7)),
+            now: Millis(1_000),
+            values: BTreeMap::new(),
+            revision: 0,
+            next_call: 0,
+        }
+    }
+
+    fn funded() -> Alone {
+        let mut alone = Alone::new();
+        let budget = budget();
+        let top_up = |call| Event::TopUp {
+            call,
+            id: "t-1".to_owned(),
+            budget,
+            tokens: 100,
+        };
+        assert!(matches!(alone.ask(top_up), Action::ToppedUp { .. }));
+        alone
+    }
+
+    /// Makes a call and returns its answer, letting time pass while there is none.
+    fn ask(&mut self, event: impl Fn(CallId) -> Event) -> Action {
+        self.next_call += 1;
+        let mut answers = self.tell(event(CallId(self.next_call)));
+        for _ in 0..1_000 {
+            if let Some(answer) = answers.pop() {
+                return answer;
+            }
+            self.now = self.now + Millis(10);
+            answers = self.tell(Event::Tick);
+        }
+        panic!("no answer");
+    }
+
+    /// Lets time pass for one batch.
+    fn pass(&mut self) {
+        self.now = self.now + Millis(10);
+        self.tell(Event::Tick);
+    }
+
+    /// Handles an event and all calls to the store that follow; returns the other actions.
+    fn tell(&mut self, event: Event) -> Vec<Action> {
+        let (mut answers, mut events) = (Vec::new(), VecDeque::from([event]));
+        while let Some(event) = events.pop_front() {
+            let mut out = Vec::new();
+            self.money.handle(self.now, event, &mut out);
+            for action in out {
+                match action {
+                    Action::Store(op) => events.push_back(self.store(op)),
+                    answer => answers.push(answer),
+                }
+            }
+        }
+        answers
+    }
+
+    fn store(&mut self, op: StoreOp) -> Event {
+        let result = match op.request {
+            StoreRequest::Get { key } => match self.values.get(&key) {
+                Some((revision, value)) => StoreResult::Value {
+                    revision: *revision,
+                    value: value.clone(),
+                },
+                None => StoreResult::Missing,
+            },
+            StoreRequest::Cas {
+                key,
+                expected_revision,
+                value,
+            } => {
+                let held = self.values.get(&key).map_or(0, |(revision, _)| *revision);
+                assert_eq!(held, expected_revision, "{key}");
+                self.revision += 1;
+                self.values.insert(key, (self.revision, value));
+                StoreResult::Applied {
+                    revision: self.revision,
+                }
+            }
+        };
+        Event::Store { op: op.op, result }
+    }
+
+    fn reserve(&mut self, key: u128, tokens: u64) -> Action {
+        let (key, digest) = (RequestKey(key), Digest(key));
+        let (budget, expires, deadline) = (budget(), Millis(90_000), self.now + Millis(5_000));
+        self.ask(|call| Event::Reserve {
+            call,
+            budget,
+            key,
+            digest,
+            tokens,
+            expires,
+            deadline,
+        })
+    }
+
+    fn intend(&mut self, key: u128, tokens: u64) -> Action {
+        let (key, digest) = (RequestKey(key), Digest(key));
+        let (budget, expires, deadline) = (budget(), Millis(90_000), self.now + Millis(5_000));
+        self.ask(|call| Event::Intend {
+            call,
+            budget,
+            key,
+            digest,
+            tokens,
+            expires,
+            deadline,
+        })
+    }
+
+    /// Reserves, settles and returns how the request was billed.
+    fn run(&mut self, key: u128, tokens: u64) -> Billing {
+        let Action::Reserved { call, .. } = self.reserve(key, tokens) else {
+            panic!("not reserved");
+        };
+        match self.ask(|_| Event::Settle { call, tokens }) {
+            Action::Settled { billing, .. } => billing,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn spent(&mut self) -> u64 {
+        let budget = budget();
+        match self.ask(|call| Event::Statement { call, budget }) {
+            Action::Statement { statement, .. } => statement.spent,
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+fn budget() -> BudgetId {
+    BudgetId::from_name("north")
+}
+
+fn answer() -> Answer {
+    let body = Bytes::from_static(b"van 7");
+    Answer::Recorded(RecordedAnswer {
+        status: 201,
+        content_type: String::new(),
+        body,
+    })
+}
+
+#[test]
+fn a_request_is_billed_once() {
+    let mut alone = Alone::funded();
+    assert_eq!(alone.run(1, 30), Billing::Billed);
+    assert_eq!(alone.run(1, 30), Billing::Duplicate);
+    assert_eq!(alone.spent(), 30);
+}
+
+#[test]
+fn a_top_up_counts_once() {
+    let mut alone = Alone::funded();
+    let budget = budget();
+    let again = |call| Event::TopUp {
+        call,
+        id: "t-1".to_owned(),
+        budget,
+        tokens: 100,
+    };
+    assert!(matches!(alone.ask(again), Action::ToppedUp { .. }));
+    let other = |call| Event::TopUp {
+        call,
+        id: "t-1".to_owned(),
+        budget,
+        tokens: 7,
+    };
+    let reason = RefusalReason::KeyReused;
+    assert!(matches!(alone.ask(other), Action::Refused { reason: r, .. } if r == reason));
+    assert_eq!(alone.run(1, 100), Billing::Billed);
+}
+
+#[test]
+fn the_last_tokens_are_reserved_in_part() {
+    let mut alone = Alone::funded();
+    assert_eq!(alone.run(1, 70), Billing::Billed);
+    assert!(matches!(
+        alone.reserve(2, 40),
+        Action::Reserved { tokens: 30, .. }
+    ));
+    let refused = alone.reserve(3, 40);
+    assert!(matches!(
+        refused,
+        Action::Refused {
+            reason: RefusalReason::BudgetExhausted,
+            ..
+        }
+    ));
+}
+
+#[test]
+fn a_released_reservation_is_free_again() {
+    let mut alone = Alone::funded();
+    let Action::Reserved { call, .. } = alone.reserve(1, 100) else {
+        panic!("not reserved");
+    };
+    alone.tell(Event::Release { call });
+    assert_eq!(alone.run(2, 100), Billing::Billed);
+}
+
+#[test]
+fn a_recorded_call_is_not_run_again() {
+    let mut alone = Alone::funded();
+    assert!(matches!(alone.intend(1, 20), Action::Accepted { .. }));
+    let pending = alone.intend(1, 20);
+    assert!(matches!(
+        pending,
+        Action::Refused {
+            reason: RefusalReason::InProgress,
+            ..
+        }
+    ));
+    alone.tell(Event::Record {
+        key: RequestKey(1),
+        answer: answer(),
+    });
+    assert!(matches!(alone.intend(1, 20), Action::Recorded { answer: a, .. } if a == answer()));
+    assert_eq!(alone.spent(), 20);
+}
+
+#[test]
+fn a_call_that_did_not_run_is_refunded_and_may_run_again() {
+    let mut alone = Alone::funded();
+    assert!(matches!(alone.intend(1, 20), Action::Accepted { .. }));
+    alone.tell(Event::Record {
+        key: RequestKey(1),
+        answer: Answer::NotRun,
+    });
+    alone.pass();
+    assert_eq!(alone.spent(), 0);
+    assert!(matches!(alone.intend(1, 20), Action::Accepted { .. }));
+}
+
+#[test]
+fn a_drained_router_has_nothing_left() {
+    let mut alone = Alone::funded();
+    assert_eq!(alone.run(1, 30), Billing::Billed);
+    assert_eq!(alone.ask(|_| Event::Drain), Action::Drained);
+}
