feat(money): prove grants, witnesses, transfers and reclaim by random walks

Cause: four routers under load with lost answers, late writes, lost, doubled and reordered messages, crashes, freezes, partitions and outages have to keep every budget.

The oracle follows the true log in the store and the answers that callers got, not the machines' own figures.

Found by the walk: results for a run that is gone were passed on to its host's next run without end; they are dropped now. It was seen once links led to hosts and not to runs.

--- a/toucanchute_core/src/money/outbox.rs
+++ b/toucanchute_core/src/money/outbox.rs
@@ -218,6 +218,9 @@
     pub(super) fn on_proposed(&mut self, body: Proposed, out: &mut Vec<Action>) {
         if body.origin != self.me() {
             let to = body.origin;
+            if !self.is_alive(to) {
+                return;
+            }
             let message = MoneyMessage::Proposed(body);
             out.push(Action::Send { to, message });
             return;
--- a/toucanchute_core/src/money/status.rs
+++ b/toucanchute_core/src/money/status.rs
@@ -1,4 +1,4 @@
-use toucanchute_proto::{BudgetId, Millis, ShardId};
+use toucanchute_proto::{BudgetId, GrantId, Millis, ShardId};
 
 use super::{Action, Money};
 
@@ -8,6 +8,8 @@
 pub struct Status {
     /// Tokens available in this router's grants, by budget.
     pub available: Vec<(BudgetId, u64)>,
+    /// Tokens available in each grant of this router.
+    pub grants: Vec<(GrantId, u64)>,
     /// Calls that wait for tokens.
     pub waiting: usize,
     /// Reservations that are neither billed nor given back.
@@ -35,6 +37,11 @@
         let shards = (0..self.cfg.ledger.shards).map(ShardId);
         Status {
             available: budgets.map(|&b| (b, self.available(b))).collect(),
+            grants: self
+                .grants
+                .iter()
+                .map(|(&id, g)| (id, g.available()))
+                .collect(),
             waiting: self.holdings.values().map(|h| h.waiting.len()).sum(),
             reservations: self.reservations.len(),
             entries: self.outbox.len(),
--- /dev/null
+++ b/toucanchute_core/tests/money_fuzz.rs
@@ -0,0 +1,74 @@
+//! Random walks of several routers under load and faults, against an oracle.
+//!
+//! `TOUCANCHUTE_FUZZ_RUNS` and `TOUCANCHUTE_FUZZ_STEPS` make it longer.
+
+use std::env;
+
+use toucanchute_core::ledger::Fault;
+
+#[path = "money_fuzz/oracle.rs"]
+mod oracle;
+#[path = "support/sim.rs"]
+mod sim;
+#[path = "money_fuzz/walk.rs"]
+mod walk;
+
+use walk::{Summary, Walk};
+
+/// First seed of the walks.
+const SEED: u64 = 20_261_204;
+
+fn setting(name: &str, default: u64) -> u64 {
+    env::var(name)
+        .ok()
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(default)
+}
+
+#[test]
+fn money_is_kept_under_faults() {
+    let runs = setting("TOUCANCHUTE_FUZZ_RUNS", 40);
+    let steps = setting("TOUCANCHUTE_FUZZ_STEPS", 400) as u32;
+    let first = setting("TOUCANCHUTE_FUZZ_SEED", SEED);
+    let mut sum = Summary::default();
+    for seed in first..first + runs {
+        let mut walk = Walk::new(seed, None);
+        if let Err(found) = walk.run(steps) {
+            panic!("seed {seed}, {steps} steps: {found}");
+        }
+        sum.add(&walk.summary);
+    }
+    println!("seeds {first}.. {runs} runs of {steps} steps: {sum:?}");
+    assert!(sum.complete > runs * 20, "too little ran: {sum:?}");
+    assert!(sum.transfers > runs, "too few transfers: {sum:?}");
+}
+
+/// Returns the first seed and the finding by which the oracle catches a fault.
+fn caught(fault: Fault) -> Option<(u64, String)> {
+    (SEED..SEED + 200).find_map(|seed| {
+        let found = Walk::new(seed, Some(fault)).run(400).err()?;
+        Some((seed, found))
+    })
+}
+
+macro_rules! caught {
+    ($($name:ident: $fault:ident),* $(,)?) => {$(
+        #[test]
+        fn $name() {
+            let found = caught(Fault::$fault);
+            println!("{}: {found:?}", stringify!($name));
+            assert!(found.is_some(), "the oracle missed it");
+        }
+    )*};
+}
+
+caught! {
+    catches_a_skipped_ring_check: SkipRingCheck,
+    catches_skipped_deduplication: SkipDeduplication,
+    catches_a_top_up_credited_again: RecreditTopUp,
+    catches_a_reclaim_without_fence: ReclaimWithoutFence,
+    catches_a_forgotten_witness_incarnation: ForgetWitnessIncarnation,
+    catches_an_early_end_mark: EndMarkEarly,
+    catches_a_call_sent_before_its_intent_is_committed: SendBeforeCommit,
+    catches_a_transfer_credited_twice: CreditTransferTwice,
+}
--- /dev/null
+++ b/toucanchute_core/tests/money_fuzz/walk.rs
@@ -0,0 +1,477 @@
+//! A random walk over routers under load and faults.
+
+use std::collections::BTreeMap;
+
+use rand::{Rng, seq::IteratorRandom};
+use toucanchute_core::{
+    ledger::Fault,
+    money::{Action, CallId, Event, Settings},
+};
+use toucanchute_proto::{
+    BudgetId, Bytes, Digest, Incarnation, Millis, RequestKey,
+    ledger::{Answer, RecordedAnswer},
+};
+
+use super::{
+    oracle::{Oracle, Verdict},
+    sim::{Faults, Sim, domain},
+};
+
+const SHARDS: u16 = 2;
+const HOSTS: usize = 4;
+
+/// Price of a booking, in tokens.
+const PRICE: u64 = 5;
+
+#[derive(Clone, Debug)]
+enum Call {
+    Reserve { budget: BudgetId, key: RequestKey },
+    Intend { key: RequestKey, refused: bool },
+    TopUp,
+    Statement { budget: BudgetId },
+}
+
+/// A request that is running on a backend server.
+struct Running {
+    host: usize,
+    incarnation: Incarnation,
+    done_at: Millis,
+    work: Work,
+}
+
+enum Work {
+    Stream { call: CallId, tokens: u64 },
+    Booking { key: RequestKey, answer: Answer },
+}
+
+pub(crate) struct Walk {
+    pub(crate) sim: Sim,
+    pub(crate) oracle: Oracle,
+    pub(crate) summary: Summary,
+    calls: BTreeMap<CallId, Call>,
+    /// Tokens told to [`Event::Settle`].
+    settling: BTreeMap<CallId, u64>,
+    running: Vec<Running>,
+    budgets: Vec<BudgetId>,
+    answers: BTreeMap<RequestKey, Answer>,
+    next_call: u64,
+    next_key: u128,
+    next_top_up: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Summary {
+    pub(crate) reserved: u64,
+    pub(crate) complete: u64,
+    pub(crate) refused: u64,
+    pub(crate) sent: u64,
+    pub(crate) crashes: u64,
+    pub(crate) forfeited: u64,
+    pub(crate) lost: u64,
+    pub(crate) entries: u64,
+    pub(crate) transfers: u64,
+}
+
+impl Summary {
+    pub(crate) fn add(&mut self, other: &Summary) {
+        self.reserved += other.reserved;
+        self.complete += other.complete;
+        self.refused += other.refused;
+        self.sent += other.sent;
+        self.crashes += other.crashes;
+        self.forfeited += other.forfeited;
+        self.lost += other.lost;
+        self.entries += other.entries;
+        self.transfers += other.transfers;
+    }
+}
+
+impl Walk {
+    pub(crate) fn new(seed: u64, fault: Option<Fault>) -> Walk {
+        let make = move |host: usize, incarnation: Incarnation| {
+            let mut cfg = Settings::new(incarnation, &domain(host), incarnation.0 ^ seed);
+            cfg.ledger.shards = SHARDS;
+            cfg.ledger.ring = 4;
+            cfg.ledger.outage_after_ms = 100;
+            cfg.ledger.reclaim_after_ms = 500;
+            cfg.ledger.grant_horizon_ms = 2_000;
+            (cfg.ledger.witnesses, cfg.ledger.acks) =
+                [(3, 2), (2, 1), (2, 2), (1, 1)][seed as usize % 4];
+            cfg.fault = fault;
+            cfg
+        };
+        Walk {
+            sim: Sim::new(seed, HOSTS, Millis(20), make),
+            oracle: Oracle::default(),
+            summary: Summary::default(),
+            calls: BTreeMap::new(),
+            settling: BTreeMap::new(),
+            running: Vec::new(),
+            budgets: ["north", "south"].map(BudgetId::from_name).to_vec(),
+            answers: BTreeMap::new(),
+            next_call: 0,
+            next_key: 0,
+            next_top_up: 0,
+        }
+    }
+
+    /// Walks `steps` steps, lets all faults heal and checks the end.
+    pub(crate) fn run(&mut self, steps: u32) -> Verdict {
+        for host in 0..2 {
+            self.top_up(host);
+        }
+        self.sim.run(Millis(300));
+        for _ in 0..steps {
+            self.step();
+            self.advance()?;
+        }
+        self.heal()?;
+        self.check_end()
+    }
+
+    fn advance(&mut self) -> Verdict {
+        let span = Millis(self.sim.rng.random_range(1..40));
+        self.sim.run(span);
+        self.finish_work();
+        self.absorb()
+    }
+
+    /// Takes what the machines answered and wrote.
+    fn absorb(&mut self) -> Verdict {
+        for (key, value) in std::mem::take(&mut self.sim.written) {
+            self.oracle.on_write(key, &value)?;
+        }
+        for (host, incarnation, action) in std::mem::take(&mut self.sim.answers) {
+            self.on_answer(host, incarnation, action)?;
+        }
+        for money in self.sim.hosts.iter().filter_map(|h| h.money.as_ref()) {
+            for (grant, available) in money.status().grants {
+                self.oracle.check_grant(grant, available)?;
+            }
+        }
+        self.oracle.check()
+    }
+
+    fn step(&mut self) {
+        let host = self.sim.rng.random_range(0..HOSTS);
+        match self.sim.rng.random_range(0..1000) {
+            0..620 => self.reserve(host),
+            620..760 => self.intend(host),
+            760..800 => self.top_up(host),
+            800..830 => self.crash(host),
+            830..870 => self.freeze(host),
+            870..900 => self.partition(),
+            900..930 => self.cut_store(host),
+            930..960 => self.change_faults(),
+            _ => self.mend(),
+        }
+    }
+
+    fn call(&mut self, call: Call) -> CallId {
+        self.next_call += 1;
+        self.calls.insert(CallId(self.next_call), call);
+        CallId(self.next_call)
+    }
+
+    /// Returns a fresh key or one used before; odd keys are bookings.
+    fn key(&mut self, booking: bool) -> (RequestKey, BudgetId) {
+        if self.next_key == 0 || self.sim.chance(600) {
+            self.next_key += 1;
+        }
+        let back = self.sim.rng.random_range(0..self.next_key.min(4));
+        let key = (self.next_key - back) * 2 + u128::from(booking);
+        let budget = self.budgets[key as usize / 2 % self.budgets.len()];
+        (RequestKey(key), budget)
+    }
+
+    fn reserve(&mut self, host: usize) {
+        let (key, budget) = self.key(false);
+        let call = self.call(Call::Reserve { budget, key });
+        let tokens = 2 + (key.0 as u64 * 7) % 30;
+        let (expires, deadline) = (self.sim.now + Millis(600_000), self.sim.now + Millis(2_000));
+        let digest = Digest(key.0);
+        let event = Event::Reserve {
+            call,
+            budget,
+            key,
+            digest,
+            tokens,
+            expires,
+            deadline,
+        };
+        self.sim.tell(host, event);
+    }
+
+    fn intend(&mut self, host: usize) {
+        let (key, budget) = self.key(true);
+        let call = self.call(Call::Intend {
+            key,
+            refused: false,
+        });
+        let (expires, deadline) = (self.sim.now + Millis(600_000), self.sim.now + Millis(2_000));
+        let (digest, tokens) = (Digest(key.0), PRICE);
+        let event = Event::Intend {
+            call,
+            budget,
+            key,
+            digest,
+            tokens,
+            expires,
+            deadline,
+        };
+        self.sim.tell(host, event);
+        if self.sim.chance(300) {
+            let other = self.sim.rng.random_range(0..HOSTS);
+            let call = self.call(Call::Intend {
+                key,
+                refused: false,
+            });
+            let event = Event::Intend {
+                call,
+                budget,
+                key,
+                digest,
+                tokens,
+                expires,
+                deadline,
+            };
+            self.sim.tell(other, event);
+        }
+    }
+
+    fn top_up(&mut self, host: usize) {
+        if self.next_top_up == 0 || self.sim.chance(600) {
+            self.next_top_up += 1;
+        }
+        let n = self.next_top_up;
+        let budget = self.budgets[n as usize % self.budgets.len()];
+        let (id, tokens) = (format!("t-{n}"), 100 + n * 13 % 200);
+        self.oracle.top_ups.insert(id.clone(), (budget, tokens));
+        let call = self.call(Call::TopUp);
+        self.sim.tell(
+            host,
+            Event::TopUp {
+                call,
+                id,
+                budget,
+                tokens,
+            },
+        );
+    }
+
+    fn crash(&mut self, host: usize) {
+        self.summary.crashes += 1;
+        self.sim.crash(host);
+        if self.sim.chance(700) {
+            self.sim.start(host);
+        }
+    }
+
+    fn freeze(&mut self, host: usize) {
+        let span = Millis(self.sim.rng.random_range(50..2_000));
+        self.sim.hosts[host].frozen_until = self.sim.now + span;
+    }
+
+    fn partition(&mut self) {
+        for host in 0..HOSTS {
+            self.sim.hosts[host].side = self.sim.rng.random_range(0..2);
+        }
+    }
+
+    fn cut_store(&mut self, host: usize) {
+        let all = self.sim.chance(500);
+        for other in 0..HOSTS {
+            if all || other == host {
+                self.sim.hosts[other].store_up = false;
+            }
+        }
+    }
+
+    fn change_faults(&mut self) {
+        let rng = &mut self.sim.rng;
+        let mut rate = |most: u32| {
+            if rng.random_bool(0.5) {
+                rng.random_range(0..most)
+            } else {
+                0
+            }
+        };
+        self.sim.faults = Faults {
+            lose: rate(300),
+            duplicate: rate(400),
+            reorder: rate(400),
+            lose_store_answer: rate(400),
+            delay_write: rate(300),
+            store_delay: Millis(u64::from(rate(250))),
+        };
+    }
+
+    fn mend(&mut self) {
+        self.sim.faults = Faults::default();
+        for host in 0..HOSTS {
+            let slot = &mut self.sim.hosts[host];
+            slot.side = 0;
+            slot.store_up = true;
+            slot.frozen_until = self.sim.now;
+            if slot.money.is_none() {
+                self.sim.start(host);
+            }
+        }
+    }
+
+    fn finish_work(&mut self) {
+        let now = self.sim.now;
+        let (done, rest) = std::mem::take(&mut self.running)
+            .into_iter()
+            .partition(|r| r.done_at <= now);
+        self.running = rest;
+        let done: Vec<Running> = done;
+        for work in done {
+            if self.sim.hosts[work.host].incarnation != work.incarnation
+                || self.sim.hosts[work.host].money.is_none()
+            {
+                continue;
+            }
+            let event = match work.work {
+                Work::Stream { call, .. } if self.sim.chance(100) => Event::Release { call },
+                Work::Stream { call, tokens } => {
+                    self.settling.insert(call, tokens);
+                    Event::Settle { call, tokens }
+                }
+                Work::Booking { key, answer } => {
+                    if answer == Answer::NotRun {
+                        self.oracle.sent.insert(key, 0);
+                    }
+                    Event::Record { key, answer }
+                }
+            };
+            self.sim.tell(work.host, event);
+        }
+    }
+
+    fn on_answer(&mut self, host: usize, incarnation: Incarnation, action: Action) -> Verdict {
+        match action {
+            Action::Reserved { call, tokens } => {
+                self.summary.reserved += 1;
+                let done_at = self.sim.now + Millis(self.sim.rng.random_range(1..400));
+                let work = Work::Stream { call, tokens };
+                self.running.push(Running {
+                    host,
+                    incarnation,
+                    done_at,
+                    work,
+                });
+            }
+            Action::Settled { call, .. } => self.on_settled(call),
+            Action::Accepted { call } => return self.on_accepted(host, incarnation, call),
+            Action::Recorded { call, answer } => return self.on_recorded(call, &answer),
+            Action::Refused { call, .. } => {
+                self.summary.refused += 1;
+                if let Some(Call::Intend { refused, .. }) = self.calls.get_mut(&call) {
+                    *refused = true;
+                }
+            }
+            Action::Statement { call, statement } => {
+                if let Some(&Call::Statement { budget }) = self.calls.get(&call) {
+                    return self.oracle.check_end(budget, SHARDS, &statement);
+                }
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn on_settled(&mut self, call: CallId) {
+        self.summary.complete += 1;
+        if let (Some(&Call::Reserve { budget, key }), Some(&tokens)) =
+            (self.calls.get(&call), self.settling.get(&call))
+        {
+            let least = self.oracle.complete.entry(key).or_insert((budget, tokens));
+            least.1 = least.1.min(tokens);
+        }
+    }
+
+    fn on_accepted(&mut self, host: usize, incarnation: Incarnation, call: CallId) -> Verdict {
+        let Some(&Call::Intend { key, refused }) = self.calls.get(&call) else {
+            return Ok(());
+        };
+        if refused {
+            return Err(format!("call {key} was sent after `not-run`"));
+        }
+        self.summary.sent += 1;
+        *self.oracle.sent.entry(key).or_default() += 1;
+        let body = Bytes::from(call.0.to_string());
+        let recorded = RecordedAnswer {
+            status: 200,
+            content_type: String::new(),
+            body,
+        };
+        let answer = match self.sim.rng.random_range(0..10) {
+            0..2 => Answer::NotRun,
+            2 => Answer::Unknown,
+            _ => Answer::Recorded(recorded),
+        };
+        self.answers.insert(key, answer.clone());
+        let done_at = self.sim.now + Millis(self.sim.rng.random_range(1..300));
+        let work = Work::Booking { key, answer };
+        self.running.push(Running {
+            host,
+            incarnation,
+            done_at,
+            work,
+        });
+        Ok(())
+    }
+
+    fn on_recorded(&mut self, call: CallId, answer: &Answer) -> Verdict {
+        let Some(Call::Intend { key, .. }) = self.calls.get(&call) else {
+            return Ok(());
+        };
+        match answer {
+            Answer::NotRun => Err(format!("call {key} is recorded as not run")),
+            Answer::Recorded(_) if self.answers.get(key) != Some(answer) => {
+                Err(format!("call {key} has another answer"))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn heal(&mut self) -> Verdict {
+        self.mend();
+        for _ in 0..400 {
+            self.sim.run(Millis(100));
+            self.finish_work();
+            self.absorb()?;
+        }
+        Ok(())
+    }
+
+    fn check_end(&mut self) -> Verdict {
+        for host in 0..HOSTS {
+            if let Some(money) = &self.sim.hosts[host].money {
+                let status = money.status();
+                if status.entries + status.waiting + status.kept_debits > 0 {
+                    return Err(format!("host {host} is stuck: {status:?}"));
+                }
+            }
+        }
+        let asker = (0..HOSTS).choose(&mut self.sim.rng).unwrap_or_default();
+        let mut open = Vec::new();
+        for budget in self.budgets.clone() {
+            let call = self.call(Call::Statement { budget });
+            open.push(call);
+            self.sim.tell(asker, Event::Statement { call, budget });
+            self.sim.run(Millis(2_000));
+            let answered = |(_, _, a): &(usize, Incarnation, Action)| matches!(a, Action::Statement { call: c, .. } if *c == call);
+            if !self.sim.answers.iter().any(answered) {
+                return Err(format!("no statement of {budget}"));
+            }
+            self.absorb()?;
+            self.summary.forfeited += self.oracle.statement(budget, SHARDS).forfeited;
+        }
+        self.summary.lost = self.oracle.lost();
+        self.summary.transfers = self.oracle.transfers;
+        self.summary.entries = self.oracle.committed;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/toucanchute_core/tests/support/sim.rs
@@ -0,0 +1,399 @@
+//! Several money machines, a network and a store, all in simulated time.
+
+use std::collections::BTreeMap;
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use toucanchute_core::{
+    ledger::{StoreKey, StoreOp, StoreRequest, StoreResult},
+    money::{Action, Event, Money, Peer, PeerState, Settings},
+};
+use toucanchute_proto::{Bytes, Incarnation, Millis, money::MoneyMessage};
+
+/// Time after which a call to the store has no answer.
+const STORE_TIMEOUT: Millis = Millis(200);
+
+/// Pause between two looks of a host at its peers.
+const PROBE: Millis = Millis(100);
+
+/// Rates of faults, in thousandths, and delays.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Faults {
+    pub(crate) lose: u32,
+    pub(crate) duplicate: u32,
+    pub(crate) reorder: u32,
+    pub(crate) lose_store_answer: u32,
+    pub(crate) delay_write: u32,
+    pub(crate) store_delay: Millis,
+}
+
+pub(crate) struct Host {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) money: Option<Money>,
+    pub(crate) frozen_until: Millis,
+    pub(crate) store_up: bool,
+    /// Side of the partition that the host is on.
+    pub(crate) side: u8,
+    /// Last run seen of each host, and when.
+    seen: Vec<(Incarnation, Millis)>,
+    told: Vec<Peer>,
+    wake: Option<Millis>,
+}
+
+enum Delivery {
+    Event {
+        host: usize,
+        incarnation: Incarnation,
+        event: Event,
+    },
+    Message {
+        from: usize,
+        sender: Incarnation,
+        to: Incarnation,
+        message: MoneyMessage,
+    },
+    Store {
+        host: usize,
+        incarnation: Incarnation,
+        sent: Millis,
+        op: StoreOp,
+    },
+    Tick {
+        host: usize,
+    },
+    Wake {
+        host: usize,
+        incarnation: Incarnation,
+    },
+    Probe,
+}
+
+pub(crate) struct Sim {
+    pub(crate) now: Millis,
+    pub(crate) rng: SmallRng,
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) faults: Faults,
+    /// Answers of machines, not taken yet: host, its run, action.
+    pub(crate) answers: Vec<(usize, Incarnation, Action)>,
+    /// Values that were written, in order.
+    pub(crate) written: Vec<(StoreKey, Bytes)>,
+    /// Calls to the store so far: reads and writes.
+    pub(crate) store_calls: (u64, u64),
+    pub(crate) gone_after: Millis,
+    tick: Millis,
+    make: Box<dyn Fn(usize, Incarnation) -> Settings>,
+    values: BTreeMap<StoreKey, (u64, Bytes)>,
+    revision: u64,
+    queue: BTreeMap<(Millis, u64), Delivery>,
+    sequence: u64,
+    /// Host of each run, by incarnation.
+    runs: BTreeMap<Incarnation, usize>,
+}
+
+pub(crate) fn domain(host: usize) -> String {
+    format!("domain-{}", host % 4)
+}
+
+impl Sim {
+    pub(crate) fn new(
+        seed: u64,
+        hosts: usize,
+        tick: Millis,
+        make: impl Fn(usize, Incarnation) -> Settings + 'static,
+    ) -> Sim {
+        let mut sim = Sim {
+            now: Millis(1_000_000),
+            rng: SmallRng::seed_from_u64(seed),
+            hosts: Vec::new(),
+            faults: Faults::default(),
+            answers: Vec::new(),
+            written: Vec::new(),
+            store_calls: (0, 0),
+            gone_after: Millis(300),
+            tick,
+            make: Box::new(make),
+            values: BTreeMap::new(),
+            revision: 0,
+            queue: BTreeMap::new(),
+            sequence: 0,
+            runs: BTreeMap::new(),
+        };
+        for host in 0..hosts {
+            sim.hosts.push(Host {
+                incarnation: Incarnation(0),
+                money: None,
+                frozen_until: Millis(0),
+                store_up: true,
+                side: 0,
+                seen: vec![(Incarnation(0), Millis(0)); hosts],
+                told: Vec::new(),
+                wake: None,
+            });
+            sim.start(host);
+            sim.push(sim.now, Delivery::Tick { host });
+        }
+        sim.push(sim.now, Delivery::Probe);
+        sim
+    }
+
+    /// Starts a host's router as a new run.
+    pub(crate) fn start(&mut self, host: usize) {
+        let incarnation = Incarnation(self.runs.len() as u64 + 1);
+        self.runs.insert(incarnation, host);
+        let money = Money::new((self.make)(host, incarnation));
+        let slot = &mut self.hosts[host];
+        slot.incarnation = incarnation;
+        slot.money = Some(money);
+        slot.told = Vec::new();
+        slot.wake = None;
+        slot.seen.fill((Incarnation(0), Millis(0)));
+    }
+
+    pub(crate) fn crash(&mut self, host: usize) {
+        self.hosts[host].money = None;
+    }
+
+    pub(crate) fn chance(&mut self, thousandths: u32) -> bool {
+        self.rng.random_range(0..1000) < thousandths
+    }
+
+    fn push(&mut self, at: Millis, delivery: Delivery) {
+        self.sequence += 1;
+        self.queue.insert((at, self.sequence), delivery);
+    }
+
+    /// Lets time pass and delivers what falls due.
+    pub(crate) fn run(&mut self, span: Millis) {
+        let until = self.now + span;
+        while let Some(entry) = self.queue.first_entry()
+            && entry.key().0 <= until
+        {
+            let ((at, _), delivery) = entry.remove_entry();
+            self.now = self.now.max(at);
+            self.deliver(delivery);
+        }
+        self.now = until;
+    }
+
+    /// Tells a host's router something, now or when it is no longer frozen.
+    pub(crate) fn tell(&mut self, host: usize, event: Event) {
+        let slot = &mut self.hosts[host];
+        let incarnation = slot.incarnation;
+        let Some(money) = &mut slot.money else {
+            return;
+        };
+        if slot.frozen_until > self.now {
+            let at = slot.frozen_until;
+            return self.push(
+                at,
+                Delivery::Event {
+                    host,
+                    incarnation,
+                    event,
+                },
+            );
+        }
+        let mut out = Vec::new();
+        money.handle(self.now, event, &mut out);
+        let wake = money.next_wake().filter(|at| *at > self.now);
+        if let Some(at) = wake
+            && slot.wake.is_none_or(|w| w <= self.now)
+        {
+            slot.wake = Some(at);
+            self.push(at, Delivery::Wake { host, incarnation });
+        }
+        for action in out {
+            self.act(host, incarnation, action);
+        }
+    }
+
+    fn act(&mut self, host: usize, incarnation: Incarnation, action: Action) {
+        match action {
+            Action::Send { to, message } => {
+                let copies = 1 + u32::from(self.chance(self.faults.duplicate));
+                for _ in 0..copies {
+                    let delay = self.delay();
+                    let (sender, message) = (incarnation, message.clone());
+                    let delivery = Delivery::Message {
+                        from: host,
+                        sender,
+                        to,
+                        message,
+                    };
+                    self.push(self.now + delay, delivery);
+                }
+            }
+            Action::Store(op) => {
+                let mut delay = Millis(self.rng.random_range(1..4)) + self.faults.store_delay;
+                if self.chance(self.faults.delay_write) {
+                    delay = delay + Millis(self.rng.random_range(100..1500));
+                }
+                let sent = self.now;
+                self.push(
+                    sent + delay,
+                    Delivery::Store {
+                        host,
+                        incarnation,
+                        sent,
+                        op,
+                    },
+                );
+            }
+            action => self.answers.push((host, incarnation, action)),
+        }
+    }
+
+    fn delay(&mut self) -> Millis {
+        let slow = self.chance(self.faults.reorder);
+        let most = if slow { 400 } else { 3 };
+        Millis(self.rng.random_range(1..=most))
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        match delivery {
+            Delivery::Event {
+                host,
+                incarnation,
+                event,
+            } => {
+                if self.hosts[host].incarnation == incarnation {
+                    self.tell(host, event);
+                }
+            }
+            Delivery::Message {
+                from,
+                sender,
+                to,
+                message,
+            } => {
+                // Links are between hosts: a message reaches the host's present run.
+                let host = self.runs[&to];
+                if self.linked(from, host) && !self.chance(self.faults.lose) {
+                    self.tell(
+                        host,
+                        Event::Message {
+                            from: sender,
+                            message,
+                        },
+                    );
+                }
+            }
+            Delivery::Store {
+                host,
+                incarnation,
+                sent,
+                op,
+            } => {
+                self.store(host, incarnation, sent, op);
+            }
+            Delivery::Tick { host } => {
+                if self.hosts[host].frozen_until <= self.now {
+                    self.tell(host, Event::Tick);
+                }
+                self.push(self.now + self.tick, Delivery::Tick { host });
+            }
+            Delivery::Wake { host, incarnation } => {
+                let slot = &self.hosts[host];
+                if slot.incarnation == incarnation && slot.frozen_until <= self.now {
+                    self.tell(host, Event::Tick);
+                }
+            }
+            Delivery::Probe => self.probe(),
+        }
+    }
+
+    pub(crate) fn linked(&self, a: usize, b: usize) -> bool {
+        self.hosts[a].side == self.hosts[b].side
+    }
+
+    fn store(&mut self, host: usize, incarnation: Incarnation, sent: Millis, op: StoreOp) {
+        let result = if self.hosts[host].store_up {
+            self.apply(op.request)
+        } else {
+            StoreResult::Unavailable
+        };
+        let back = Millis(self.rng.random_range(1..4));
+        let late = (self.now + back).since(sent) > STORE_TIMEOUT;
+        let lost = late || self.chance(self.faults.lose_store_answer);
+        let (at, result) = match lost {
+            true => (self.now.max(sent + STORE_TIMEOUT), StoreResult::Unknown),
+            false => (self.now + back, result),
+        };
+        let event = Event::Store { op: op.op, result };
+        self.push(
+            at,
+            Delivery::Event {
+                host,
+                incarnation,
+                event,
+            },
+        );
+    }
+
+    fn apply(&mut self, request: StoreRequest) -> StoreResult {
+        match request {
+            StoreRequest::Get { key } => {
+                self.store_calls.0 += 1;
+                match self.values.get(&key) {
+                    Some((revision, value)) => StoreResult::Value {
+                        revision: *revision,
+                        value: value.clone(),
+                    },
+                    None => StoreResult::Missing,
+                }
+            }
+            StoreRequest::Cas {
+                key,
+                expected_revision,
+                value,
+            } => {
+                self.store_calls.1 += 1;
+                if self.values.get(&key).map_or(0, |v| v.0) != expected_revision {
+                    return StoreResult::Conflict;
+                }
+                self.revision += 1;
+                self.written.push((key, value.clone()));
+                self.values.insert(key, (self.revision, value));
+                StoreResult::Applied {
+                    revision: self.revision,
+                }
+            }
+        }
+    }
+
+    fn probe(&mut self) {
+        for a in 0..self.hosts.len() {
+            for b in 0..self.hosts.len() {
+                let runs = self.hosts[b].money.is_some() && self.hosts[b].frozen_until <= self.now;
+                if a != b && runs && self.linked(a, b) {
+                    self.hosts[a].seen[b] = (self.hosts[b].incarnation, self.now);
+                }
+            }
+            self.tell_peers(a);
+        }
+        self.push(self.now + PROBE, Delivery::Probe);
+    }
+
+    fn tell_peers(&mut self, host: usize) {
+        let mut peers = Vec::new();
+        for (other, &(incarnation, at)) in self.hosts[host].seen.iter().enumerate() {
+            if incarnation == Incarnation(0) {
+                continue;
+            }
+            let unseen = self.now.since(at);
+            let state = match unseen {
+                Millis(0) => PeerState::Alive,
+                span if span < self.gone_after => PeerState::Suspect,
+                _ => PeerState::Gone,
+            };
+            peers.push(Peer {
+                incarnation,
+                failure_domain: domain(other),
+                state,
+            });
+        }
+        if self.hosts[host].told != peers && self.hosts[host].frozen_until <= self.now {
+            self.hosts[host].told.clone_from(&peers);
+            self.tell(host, Event::Peers(peers));
+        }
+    }
+}
