--- a/toucanchute_core/src/ledger/log.rs
+++ b/toucanchute_core/src/ledger/log.rs
@@ -21,12 +21,12 @@
 const MAX_BATCH_BYTES: usize = 512 * 1024;
 
 /// Number of a call to the platform's service.
-pub(crate) type OpId = u64;
+pub type OpId = u64;
 
 /// Reader and writer of one shard's log.
 ///
 /// Batch `n` replaces batch `n - ring` at key `n mod ring` by one compare-and-swap.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct ShardLog {
     shard: ShardId,
     /// Keys in the ring; at least 2.
@@ -99,7 +99,7 @@
     writing: bool,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct PendingBatch {
     batch: Batch,
     value: Bytes,
