--- /dev/null
+++ b/toucanchute_core/examples/money_balance.rs
@@ -0,0 +1,153 @@
+//! Measures overspend and false refusals as a budget runs from full to empty, and what the ledger
+//! costs. `cargo run --release -p toucanchute_core --example money_balance [SEED]`
+
+use std::{env, time::Instant};
+
+use toucanchute_core::ledger::ShardState;
+use toucanchute_proto::{
+    BudgetId, Digest, EntryId, GrantId, Incarnation, Millis, RequestKey,
+    ledger::{Backing, Batch, Bill, Entry, EntryBody, GrantRequest, TopUp},
+    to_cbor,
+};
+
+#[path = "money_balance/baseline.rs"]
+mod baseline;
+#[path = "money_balance/load.rs"]
+mod load;
+#[path = "money_balance/run.rs"]
+mod run;
+#[path = "../tests/support/sim.rs"]
+mod sim;
+
+use baseline::Baseline;
+use load::{Load, Scenario, Tally};
+use run::{Policy, run};
+
+const SEED: u64 = 20_261_204;
+
+fn main() {
+    let seed = env::args()
+        .nth(1)
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(SEED);
+    println!("seed {seed}\n");
+    balances(seed);
+    calls(seed);
+    replay();
+}
+
+fn balances(seed: u64) {
+    println!("| policy | scenario | {} |", Tally::HEADER);
+    println!("|---|---|{}", "---|".repeat(Tally::COLUMNS));
+    for scenario in Scenario::ALL {
+        let load = Load::new(seed, 7, 20.0, scenario);
+        for baseline in [Baseline::EqualSlices, Baseline::CentralDraw] {
+            let tally = baseline.run(&load);
+            println!("| {baseline:?} | {scenario:?} | {tally} |");
+        }
+        for policy in Policy::ALL {
+            let outcome = run(&load, policy);
+            println!("| {policy} | {scenario:?} | {} |", outcome.tally);
+        }
+    }
+}
+
+fn calls(seed: u64) {
+    println!("\n| routers | requests/s | writes/s | reads/s | ledger bytes/request |");
+    println!("|---|---|---|---|---|");
+    for (routers, rate) in [
+        (3, 20.0),
+        (7, 5.0),
+        (7, 20.0),
+        (7, 80.0),
+        (7, 320.0),
+        (14, 20.0),
+    ] {
+        let load = Load::new(seed, routers, rate, Scenario::Healthy);
+        let outcome = run(&load, Policy::DEFAULT);
+        let seconds = outcome.seconds;
+        let requests = outcome.tally.requests as f64;
+        println!(
+            "| {routers} | {rate} | {:.1} | {:.1} | {:.0} |",
+            outcome.writes as f64 / seconds,
+            outcome.reads as f64 / seconds,
+            outcome.bytes as f64 / requests,
+        );
+    }
+}
+
+/// Replays one shard's log with one bill an entry and 20 entries a batch.
+fn replay() {
+    const BATCHES: u64 = 2_500;
+    const PER_BATCH: u64 = 20;
+    let (budget, id) = (BudgetId(1), |n| EntryId(Incarnation(1), n));
+    let backing = Backing {
+        witnesses: vec![Incarnation(2), Incarnation(3), Incarnation(4)],
+        acks: 2,
+    };
+    let grant = GrantId(Incarnation(1), 1);
+    let tokens = u64::from(u32::MAX);
+    let request = GrantRequest {
+        grant,
+        want: tokens,
+        min: tokens,
+        least: 1,
+        divisor: 1,
+        backing,
+    };
+    let opening = [
+        EntryBody::TopUp(TopUp {
+            top_up: "t".to_owned(),
+            tokens,
+        }),
+        EntryBody::Grant(request),
+    ];
+    let opening = opening.into_iter().zip(0..);
+    let mut entries: Vec<_> = opening
+        .map(|(body, n)| Entry {
+            id: id(n),
+            budget,
+            body,
+        })
+        .collect();
+    let mut batches = Vec::new();
+    for position in 0..BATCHES {
+        batches.push(Batch {
+            position,
+            batch_id: id(position),
+            at: Millis(position),
+            entries,
+        });
+        let bill = |n: u64| Bill {
+            key: RequestKey(u128::from(n) << 64 | 0x5eed),
+            digest: Digest(u128::from(n) << 64 | 0xd16e),
+            grant,
+            tokens: 1,
+            expires: Millis(100_000_000),
+        };
+        let first = 10 + position * PER_BATCH;
+        let entry = |n| Entry {
+            id: id(n),
+            budget,
+            body: EntryBody::Settle(bill(n)),
+        };
+        entries = (first..first + PER_BATCH).map(entry).collect();
+    }
+    let started = Instant::now();
+    let mut state = ShardState::default();
+    for batch in &batches {
+        state.apply(batch).expect("parts add up");
+    }
+    let applied = started.elapsed();
+    let keys = state.keys().count();
+    let snapshot = to_cbor(&state.snapshot());
+    println!("\nreplay: {BATCHES} batches, {keys} bills in {applied:?}");
+    println!(
+        "snapshot: {} bytes, {} a key remembered",
+        snapshot.len(),
+        snapshot.len() / keys
+    );
+    let empty = ShardState::default().snapshot();
+    let budgets = to_cbor(&empty).len();
+    println!("snapshot of an empty shard: {budgets} bytes");
+}
--- a/toucanchute_core/src/ledger.rs
+++ b/toucanchute_core/src/ledger.rs
@@ -11,6 +11,6 @@
 pub use error::ApplyError;
 pub use fault::Fault;
 pub use grants::fences_needed;
-pub use log::{LogEvent, OpId, ShardLog};
+pub use log::{LogEvent, MAX_PART_BYTES, OpId, ShardLog};
 pub use state::{KEY_MARGIN, MAX_ENDED, MAX_RERUNS, ShardState};
 pub use store::{StoreKey, StoreOp, StoreRequest, StoreResult};
--- a/toucanchute_core/src/ledger/log.rs
+++ b/toucanchute_core/src/ledger/log.rs
@@ -11,6 +11,9 @@
 mod load;
 mod snapshot;
 
+pub use snapshot::MAX_PART_BYTES;
+use snapshot::Snapshots;
+
 /// Pause before the first retry of a call that the platform refused, in milliseconds.
 const RETRY_MS: u64 = 50;
 
@@ -31,6 +34,8 @@
     shard: ShardId,
     /// Keys in the ring; at least 2.
     ring: u64,
+    /// Most bytes of a snapshot's encoding in one value; at least 1.
+    part_bytes: usize,
     me: Incarnation,
     state: ShardState,
     phase: Phase,
@@ -38,7 +43,7 @@
     slots: BTreeMap<u64, Slot>,
     /// Batches read so far while the log is loading.
     loaded: BTreeMap<u64, Batch>,
-    snapshot: SnapshotKey,
+    snapshots: Snapshots,
     /// Batch being written. It keeps its position, identifier and bytes until it is known to be
     /// committed or its position to be taken by another batch.
     pending: Option<PendingBatch>,
@@ -91,14 +96,6 @@
     position: Option<u64>,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct SnapshotKey {
-    revision: u64,
-    /// First position that the stored snapshot does not cover.
-    position: u64,
-    writing: bool,
-}
-
 #[derive(Clone, Debug)]
 struct PendingBatch {
     batch: Batch,
@@ -109,12 +106,15 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Purpose {
-    LoadSnapshot,
+    LoadHead,
+    LoadChunk(u32),
     LoadSlot(u64),
     Chase(u64),
     Write(u64),
-    WriteSnapshot(u64),
-    ReadSnapshot,
+    ReadChunk { attempt: u64, chunk: u32 },
+    WriteChunk { attempt: u64 },
+    WriteHead(u64),
+    ReadHead,
 }
 
 impl ShardLog {
@@ -124,12 +124,13 @@
         ShardLog {
             shard,
             ring: u64::from(ring.max(2)),
+            part_bytes: MAX_PART_BYTES,
             me,
             state: ShardState::default(),
             phase: Phase::Cold,
             slots: BTreeMap::new(),
             loaded: BTreeMap::new(),
-            snapshot: SnapshotKey::default(),
+            snapshots: Snapshots::default(),
             pending: None,
             ops: BTreeMap::new(),
             retry_at: None,
@@ -139,6 +140,12 @@
         }
     }
 
+    /// Sets how many bytes of a snapshot go into one value of the platform's service. All writers
+    /// of a shard have to use the same.
+    pub fn set_part_bytes(&mut self, bytes: usize) {
+        self.part_bytes = bytes.max(1);
+    }
+
     /// Sets a deliberate fault.
     #[doc(hidden)]
     pub fn set_fault(&mut self, fault: Option<Fault>) {
@@ -205,7 +212,7 @@
     /// takes.
     fn write(&mut self, next_op: &mut OpId, out: &mut Vec<StoreOp>) {
         let position = self.state.position();
-        if position >= self.ring && self.snapshot.position <= position - self.ring {
+        if position >= self.ring && self.snapshots.position <= position - self.ring {
             self.write_snapshot(next_op, out);
             return;
         }
@@ -244,7 +251,7 @@
         match result {
             StoreResult::Applied { revision } => {
                 self.on_committed(position, *revision, events);
-                self.refresh_snapshot(next_op, out);
+                self.write_snapshot(next_op, out);
             }
             StoreResult::Unavailable => {
                 events.push(LogEvent::Unreachable);
@@ -275,6 +282,7 @@
     fn apply_own(&mut self, batch: &Batch, events: &mut Vec<LogEvent>) {
         match self.state.apply(batch) {
             Ok(results) => {
+                self.take_snapshot();
                 let ids = batch.entries.iter().map(|e| e.id);
                 let results = ids.zip(results).collect();
                 events.push(LogEvent::Committed { results });
@@ -308,14 +316,22 @@
             return false;
         };
         match purpose {
-            Purpose::LoadSnapshot => self.on_load_snapshot(now, result, next_op, out, events),
+            Purpose::LoadHead => self.on_load_head(now, result, next_op, out, events),
+            Purpose::LoadChunk(chunk) => {
+                self.on_load_chunk(now, chunk, result, next_op, out, events);
+            }
             Purpose::LoadSlot(slot) => self.on_load_slot(now, slot, result, next_op, out, events),
             Purpose::Chase(at) => self.on_chase(now, at, result, next_op, out, events),
             Purpose::Write(at) => self.on_write(now, at, result, next_op, out, events),
-            Purpose::WriteSnapshot(at) => {
-                self.on_write_snapshot(now, at, result, next_op, out, events);
+            Purpose::ReadChunk { attempt, chunk } => {
+                let chunk = (attempt, chunk);
+                self.on_read_chunk(now, chunk, result, next_op, out, events);
+            }
+            Purpose::WriteChunk { attempt } => {
+                self.on_write_chunk(now, attempt, result, next_op, out, events);
             }
-            Purpose::ReadSnapshot => self.on_read_snapshot(now, result, next_op, out, events),
+            Purpose::WriteHead(at) => self.on_write_head(now, at, result, next_op, out, events),
+            Purpose::ReadHead => self.on_read_head(now, result, next_op, out, events),
         }
         true
     }
--- a/toucanchute_core/src/ledger/log/load.rs
+++ b/toucanchute_core/src/ledger/log/load.rs
@@ -3,7 +3,7 @@
     ledger::{Batch, Snapshot},
 };
 
-use super::{LogEvent, OpId, Phase, Purpose, RETRY_MS, ShardLog, Slot, SnapshotKey};
+use super::{LogEvent, OpId, Phase, Purpose, RETRY_MS, ShardLog, Slot};
 use crate::ledger::{Fault, ShardState, StoreKey, StoreOp, StoreRequest, StoreResult};
 
 /// Reading.
@@ -15,12 +15,7 @@
         }
         self.phase = Phase::Loading;
         let key = StoreKey::Snapshot { shard: self.shard };
-        self.send(
-            Purpose::LoadSnapshot,
-            StoreRequest::Get { key },
-            next_op,
-            out,
-        );
+        self.send(Purpose::LoadHead, StoreRequest::Get { key }, next_op, out);
     }
 
     /// Starts to look for batches of other writers, if the log is ready.
@@ -30,22 +25,15 @@
         }
     }
 
-    pub(super) fn on_load_snapshot(
+    pub(super) fn start_from(
         &mut self,
-        now: Millis,
-        result: &StoreResult,
+        snapshot: Snapshot,
         next_op: &mut OpId,
         out: &mut Vec<StoreOp>,
-        events: &mut Vec<LogEvent>,
     ) {
-        match result {
-            StoreResult::Value { revision, value } => match from_cbor::<Snapshot>(value) {
-                Ok(snapshot) => self.start_from(snapshot, *revision),
-                Err(e) => return self.break_off(e.to_string(), events),
-            },
-            StoreResult::Missing => self.start_from(ShardState::default().snapshot(), 0),
-            _ => return self.fail_load(now, events),
-        }
+        self.state = ShardState::from_snapshot(snapshot);
+        self.state.set_fault(self.fault);
+        self.loaded.clear();
         self.slots.clear();
         for slot in 0..self.ring {
             let key = self.slot_key(slot);
@@ -58,17 +46,6 @@
         }
     }
 
-    fn start_from(&mut self, snapshot: Snapshot, revision: u64) {
-        self.snapshot = SnapshotKey {
-            revision,
-            position: snapshot.position,
-            writing: false,
-        };
-        self.state = ShardState::from_snapshot(snapshot);
-        self.state.set_fault(self.fault);
-        self.loaded.clear();
-    }
-
     pub(super) fn on_load_slot(
         &mut self,
         now: Millis,
@@ -97,10 +74,12 @@
     fn replay(&mut self, next_op: &mut OpId, out: &mut Vec<StoreOp>, events: &mut Vec<LogEvent>) {
         let loaded = std::mem::take(&mut self.loaded);
         for batch in loaded.values() {
-            if batch.position == self.state.position()
-                && let Err(e) = self.state.apply(batch)
-            {
-                return self.break_off(e.to_string(), events);
+            if batch.position != self.state.position() {
+                continue;
+            }
+            match self.state.apply(batch) {
+                Ok(_) => self.take_snapshot(),
+                Err(e) => return self.break_off(e.to_string(), events),
             }
         }
         self.retry_ms = RETRY_MS;
@@ -108,7 +87,7 @@
         self.chase(next_op, out);
     }
 
-    fn fail_load(&mut self, now: Millis, events: &mut Vec<LogEvent>) {
+    pub(super) fn fail_load(&mut self, now: Millis, events: &mut Vec<LogEvent>) {
         self.phase = Phase::Cold;
         self.ops.clear();
         self.back_off(now);
@@ -168,6 +147,7 @@
                 if let Err(e) = self.state.apply(batch) {
                     return self.break_off(e.to_string(), events);
                 }
+                self.take_snapshot();
                 self.displace(events);
             }
         }
--- a/toucanchute_core/src/ledger/store.rs
+++ b/toucanchute_core/src/ledger/store.rs
@@ -10,6 +10,15 @@
         /// The shard.
         shard: ShardId,
     },
+    /// A part of a snapshot that is too large for one value.
+    Chunk {
+        /// The shard.
+        shard: ShardId,
+        /// Snapshots have several sets of keys in turn.
+        generation: u8,
+        /// Index of the part.
+        chunk: u32,
+    },
     /// One key of a shard's ring of batches.
     Slot {
         /// The shard.
@@ -39,6 +48,11 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             StoreKey::Snapshot { shard } => write!(f, "/toucanchute/ledger/{shard}/snapshot"),
+            StoreKey::Chunk {
+                shard,
+                generation,
+                chunk,
+            } => write!(f, "/toucanchute/ledger/{shard}/chunk/{generation}/{chunk}"),
             StoreKey::Slot { shard, slot } => write!(f, "/toucanchute/ledger/{shard}/ring/{slot}"),
         }
     }
--- a/toucanchute_core/src/money/holding.rs
+++ b/toucanchute_core/src/money/holding.rs
@@ -7,6 +7,9 @@
 
 use super::CallId;
 
+/// Span over which a budget's draw rate is averaged.
+const RATE_WINDOW: Millis = Millis(10_000);
+
 /// A grant of this router.
 #[derive(Clone, Debug)]
 pub(super) struct HeldGrant {
@@ -33,7 +36,7 @@
 /// What this router holds and is asked for of one budget.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Holding {
-    /// Tokens reserved a millisecond, averaged over the grant horizon.
+    /// Tokens reserved a millisecond, averaged over [`RATE_WINDOW`].
     pub(super) rate: f64,
     /// Time to which `rate` has decayed.
     pub(super) rate_at: Millis,
@@ -42,6 +45,8 @@
     pub(super) waiting: VecDeque<Waiting>,
     /// Grant request in flight, and since when.
     pub(super) request: Option<(EntryId, Millis)>,
+    /// Time before which no grant is asked for in advance.
+    pub(super) next_advance: Millis,
     /// The last refusal of a grant: when, and the fewest tokens asked for.
     pub(super) refused: Option<(Millis, u64)>,
     /// Round of asking peers for transfers.
@@ -54,16 +59,16 @@
 
 impl Holding {
     /// Adds a draw to the rate.
-    pub(super) fn draw(&mut self, now: Millis, tokens: u64, horizon: Millis) {
-        self.decay(now, horizon);
-        self.rate += tokens as f64 / horizon.0.max(1) as f64;
+    pub(super) fn draw(&mut self, now: Millis, tokens: u64) {
+        self.decay(now);
+        self.rate += tokens as f64 / RATE_WINDOW.0 as f64;
         self.last_draw = now;
     }
 
     /// Lets the rate decay to `now`.
-    pub(super) fn decay(&mut self, now: Millis, horizon: Millis) {
+    pub(super) fn decay(&mut self, now: Millis) {
         let passed = now.since(self.rate_at).0 as f64;
-        self.rate *= (-passed / horizon.0.max(1) as f64).exp();
+        self.rate *= (-passed / RATE_WINDOW.0 as f64).exp();
         self.rate_at = now;
     }
 
--- a/toucanchute_core/src/money/machine.rs
+++ b/toucanchute_core/src/money/machine.rs
@@ -250,15 +250,14 @@
             .values()
             .filter(|(p, _)| p.state == PeerState::Alive);
         let other = alive.filter(|(p, _)| p.failure_domain != self.cfg.failure_domain);
+        let weighed = other.map(|(p, _)| (weight(self.me().0, p.incarnation), p));
+        let mut weighed: Vec<_> = weighed.collect();
+        weighed.sort_unstable_by_key(|(weight, _)| *weight);
         let mut seen: BTreeMap<&str, usize> = BTreeMap::new();
         let mut ranked = Vec::new();
-        for (peer, _) in other {
+        for (weight, peer) in weighed {
             let rank = seen.entry(&peer.failure_domain).or_default();
-            ranked.push((
-                *rank,
-                weight(self.me().0, peer.incarnation),
-                peer.incarnation,
-            ));
+            ranked.push((*rank, weight, peer.incarnation));
             *rank += 1;
         }
         ranked.sort_unstable();
--- a/toucanchute_core/src/money/reserve.rs
+++ b/toucanchute_core/src/money/reserve.rs
@@ -18,8 +18,8 @@
 /// A reservation may be cut to this part of what was asked for.
 const CUT_DIVISOR: u64 = 4;
 
-/// Grant horizons without a draw after which tokens are given back.
-const IDLE_HORIZONS: u64 = 3;
+/// Time without a draw after which tokens are given back, in milliseconds.
+const IDLE_MS: u64 = 60_000;
 
 /// Pause that a refused caller is told, in milliseconds.
 pub(super) const RETRY_AFTER_MS: u64 = 1_000;
@@ -39,9 +39,9 @@
         if waiting.kind == WaitingKind::Intend && waiting.tokens == 0 {
             return self.start_intent(budget, GrantId::default(), &waiting, out);
         }
-        let (now, horizon) = (self.now, self.horizon());
+        let now = self.now;
         let holding = self.holdings.entry(budget).or_default();
-        holding.draw(now, waiting.tokens, horizon);
+        holding.draw(now, waiting.tokens);
         holding.waiting.push_back(waiting);
         self.serve(budget, out);
         self.refill(budget, out);
@@ -177,10 +177,11 @@
         let Some(holding) = self.holdings.get_mut(&budget) else {
             return;
         };
-        holding.decay(now, horizon);
+        holding.decay(now);
         let need = holding.need();
         let target = holding.expected_draw(horizon);
-        if self.draining || holding.request.is_some() || (need == 0 && available >= target / 2) {
+        let ahead = available < target / 2 && now >= holding.next_advance;
+        if self.draining || holding.request.is_some() || (need == 0 && !ahead) {
             return;
         }
         let refused = holding.refused.filter(|(at, _)| refusal_holds(now, *at));
@@ -247,7 +248,6 @@
 
     /// Returns tokens of budgets that nobody draws on.
     pub(super) fn tick_idle(&mut self) {
-        let idle_after = Millis(self.horizon().0 * IDLE_HORIZONS);
         for id in self.grants.keys().copied().collect::<Vec<_>>() {
             let budget = self.grants[&id].budget;
             let last = self
@@ -255,7 +255,7 @@
                 .get(&budget)
                 .map(|h| h.last_draw)
                 .unwrap_or_default();
-            if self.draining || self.now.since(last) > idle_after {
+            if self.draining || self.now.since(last) > Millis(IDLE_MS) {
                 self.return_available(id);
             }
         }
--- a/toucanchute_core/src/money/results.rs
+++ b/toucanchute_core/src/money/results.rs
@@ -10,6 +10,15 @@
     reserve::RETRY_AFTER_MS,
 };
 
+/// Pause before the next grant is asked for in advance, in milliseconds.
+const ADVANCE_MS: u64 = 1_000;
+
+/// The same after a grant that was small beside what was held, in milliseconds.
+const SMALL_ADVANCE_MS: u64 = 5_000;
+
+/// A grant below this part of what was held is small.
+const SMALL_DIVISOR: u64 = 4;
+
 /// Results of this router's entries.
 impl Money {
     /// Takes the result of an entry; does nothing if it is known already.
@@ -141,7 +150,7 @@
         let EntryBody::Grant(body) = &entry.body else {
             return;
         };
-        let now = self.now;
+        let (now, held) = (self.now, self.available(budget));
         let holding = self.holdings.entry(budget).or_default();
         if holding.request.is_some_and(|(id, _)| id == entry.id) {
             holding.request = None;
@@ -149,11 +158,15 @@
         match result {
             EntryResult::Granted(tokens) => {
                 let last = *tokens < body.min;
+                let small = *tokens < held / SMALL_DIVISOR;
+                let pause = if small { SMALL_ADVANCE_MS } else { ADVANCE_MS };
+                holding.next_advance = now + Millis(pause);
                 holding.refused = last.then_some((now, body.min));
                 self.hold_grant(budget, body, *tokens);
             }
             EntryResult::Refused(EntryRefusal::Insufficient) => {
                 holding.refused = Some((now, body.least));
+                holding.next_advance = now + Millis(SMALL_ADVANCE_MS);
                 self.ask_peers(budget, out);
             }
             _ => {}
--- a/toucanchute_core/src/money/settings.rs
+++ b/toucanchute_core/src/money/settings.rs
@@ -1,6 +1,6 @@
 use toucanchute_proto::{Incarnation, config::Ledger};
 
-use crate::ledger::Fault;
+use crate::ledger::{Fault, MAX_PART_BYTES};
 
 /// Settings of a [`Money`](super::Money) machine.
 #[derive(Clone, Debug)]
@@ -13,6 +13,8 @@
     pub ledger: Ledger,
     /// Seed of the machine's random choices.
     pub seed: u64,
+    /// Most bytes of a snapshot in one value of the platform's service; the same on all routers.
+    pub part_bytes: usize,
     /// A deliberate fault, for tests of tests.
     #[doc(hidden)]
     pub fault: Option<Fault>,
@@ -27,6 +29,7 @@
             failure_domain: failure_domain.to_owned(),
             ledger: Ledger::default(),
             seed,
+            part_bytes: MAX_PART_BYTES,
             fault: None,
         }
     }
--- a/toucanchute_core/src/money/writer.rs
+++ b/toucanchute_core/src/money/writer.rs
@@ -58,9 +58,11 @@
 impl Money {
     pub(super) fn writer(&mut self, shard: ShardId) -> &mut Writer {
         let (me, ring, fault) = (self.me(), self.cfg.ledger.ring, self.cfg.fault);
+        let part_bytes = self.cfg.part_bytes;
         self.writers.entry(shard).or_insert_with(|| {
             let mut log = ShardLog::new(shard, ring, me);
             log.set_fault(fault);
+            log.set_part_bytes(part_bytes);
             Writer {
                 log,
                 queue: Vec::new(),
--- a/toucanchute_core/tests/ledger_search.rs
+++ b/toucanchute_core/tests/ledger_search.rs
@@ -13,7 +13,7 @@
 
 use reclaim::GrantWorld;
 use ring::RingWorld;
-use toucanchute_core::ledger::Fault;
+use toucanchute_core::ledger::{Fault, MAX_PART_BYTES};
 
 /// A world that a search walks through.
 trait World: Clone + Debug {
@@ -53,10 +53,10 @@
 const MOST_STATES: usize = 3_000_000;
 
 macro_rules! ring {
-    ($($name:ident: $batches:expr, $lost:expr, $crashes:expr;)*) => {$(
+    ($($name:ident: $batches:expr, $lost:expr, $crashes:expr, $part_bytes:expr;)*) => {$(
         #[test]
         fn $name() {
-            let states = search(RingWorld::new($batches, $lost, $crashes, None), MOST_STATES);
+            let states = search(RingWorld::new($batches, $lost, $crashes, $part_bytes, None), MOST_STATES);
             println!("{}: {states:?} states", stringify!($name));
             assert!(states.unwrap() > 100);
         }
@@ -64,15 +64,16 @@
 }
 
 ring! {
-    two_writers_without_faults: [2, 2], 0, 0;
-    two_writers_and_a_crash: [2, 1], 0, 1;
-    two_writers_and_a_lost_answer: [2, 1], 1, 0;
-    a_writer_alone_and_two_lost_answers: [2, 0], 2, 0;
+    two_writers_without_faults: [2, 2], 0, 0, MAX_PART_BYTES;
+    two_writers_and_a_crash: [2, 1], 0, 1, MAX_PART_BYTES;
+    two_writers_and_a_lost_answer: [2, 1], 1, 0, MAX_PART_BYTES;
+    a_writer_alone_and_two_lost_answers: [2, 0], 2, 0, MAX_PART_BYTES;
+    two_writers_of_snapshots_in_two_chunks: [2, 1], 0, 0, 150;
 }
 
 #[test]
 fn finds_a_skipped_ring_check() {
-    let world = RingWorld::new([1, 1], 0, 0, Some(Fault::SkipRingCheck));
+    let world = RingWorld::new([1, 1], 0, 0, MAX_PART_BYTES, Some(Fault::SkipRingCheck));
     let found = search(world, MOST_STATES);
     println!("skipped ring check: {found:?}");
     assert!(found.is_err_and(|e| e.contains("due")));
--- a/toucanchute_core/tests/ledger_search/ring.rs
+++ b/toucanchute_core/tests/ledger_search/ring.rs
@@ -36,6 +36,7 @@
     late: Vec<StoreRequest>,
     lost_left: u32,
     crashes_left: u32,
+    part_bytes: usize,
     fault: Option<Fault>,
 }
 
@@ -44,6 +45,7 @@
         batches: [u64; 2],
         lost_left: u32,
         crashes_left: u32,
+        part_bytes: usize,
         fault: Option<Fault>,
     ) -> RingWorld {
         let mut world = RingWorld {
@@ -55,6 +57,7 @@
             late: Vec::new(),
             lost_left,
             crashes_left,
+            part_bytes,
             fault,
         };
         for (batches, id) in batches.into_iter().zip(1..) {
@@ -68,6 +71,7 @@
     fn start(&self, id: u64, queue: Vec<Entry>) -> Writer {
         let mut log = ShardLog::new(ShardId(0), RING, Incarnation(id));
         log.set_fault(self.fault);
+        log.set_part_bytes(self.part_bytes);
         let (mut next_op, mut in_flight) = (0, Vec::new());
         log.load(&mut next_op, &mut in_flight);
         Writer {
--- a/toucanchute_core/tests/money_fuzz.rs
+++ b/toucanchute_core/tests/money_fuzz.rs
@@ -40,6 +40,7 @@
     }
     println!("seeds {first}.. {runs} runs of {steps} steps: {sum:?}");
     assert!(sum.complete > runs * 20, "too little ran: {sum:?}");
+    assert!(sum.chunks > runs, "too few chunks: {sum:?}");
     assert!(sum.transfers > runs, "too few transfers: {sum:?}");
 }
 
--- a/toucanchute_core/tests/money_fuzz/walk.rs
+++ b/toucanchute_core/tests/money_fuzz/walk.rs
@@ -4,7 +4,7 @@
 
 use rand::{Rng, seq::IteratorRandom};
 use toucanchute_core::{
-    ledger::Fault,
+    ledger::{Fault, StoreKey},
     money::{Action, CallId, Event, Settings},
 };
 use toucanchute_proto::{
@@ -70,6 +70,7 @@
     pub(crate) lost: u64,
     pub(crate) entries: u64,
     pub(crate) transfers: u64,
+    pub(crate) chunks: u64,
 }
 
 impl Summary {
@@ -83,6 +84,7 @@
         self.lost += other.lost;
         self.entries += other.entries;
         self.transfers += other.transfers;
+        self.chunks += other.chunks;
     }
 }
 
@@ -97,6 +99,11 @@
             cfg.ledger.grant_horizon_ms = 2_000;
             (cfg.ledger.witnesses, cfg.ledger.acks) =
                 [(3, 2), (2, 1), (2, 2), (1, 1)][seed as usize % 4];
+            cfg.part_bytes = if seed.is_multiple_of(3) {
+                1_000
+            } else {
+                cfg.part_bytes
+            };
             cfg.fault = fault;
             cfg
         };
@@ -139,6 +146,7 @@
     /// Takes what the machines answered and wrote.
     fn absorb(&mut self) -> Verdict {
         for (key, value) in std::mem::take(&mut self.sim.written) {
+            self.summary.chunks += u64::from(matches!(key, StoreKey::Chunk { .. }));
             self.oracle.on_write(key, &value)?;
         }
         for (host, incarnation, action) in std::mem::take(&mut self.sim.answers) {
@@ -261,7 +269,7 @@
 
     fn crash(&mut self, host: usize) {
         self.summary.crashes += 1;
-        self.sim.crash(host);
+        self.sim.hosts[host].money = None;
         if self.sim.chance(700) {
             self.sim.start(host);
         }
--- a/toucanchute_core/tests/support/sim.rs
+++ b/toucanchute_core/tests/support/sim.rs
@@ -148,10 +148,6 @@
         slot.seen.fill((Incarnation(0), Millis(0)));
     }
 
-    pub(crate) fn crash(&mut self, host: usize) {
-        self.hosts[host].money = None;
-    }
-
     pub(crate) fn chance(&mut self, thousandths: u32) -> bool {
         self.rng.random_range(0..1000) < thousandths
     }
