--- a/toucanchute_core/src/money/reserve.rs
+++ b/toucanchute_core/src/money/reserve.rs
@@ -13,7 +13,7 @@
 const TOKEN_WAIT_MS: u64 = 1_500;
 
 /// How long a refusal of a grant answers later calls as well, in milliseconds.
-const REFUSAL_HOLDS_MS: u64 = 500;
+const REFUSAL_HOLDS_MS: u64 = 200;
 
 /// A reservation may be cut to this part of what was asked for.
 const CUT_DIVISOR: u64 = 4;
