feat(router): links between routers

One WebSocket connection a pair with CBOR frames, a mutual proof of the shared secret, redial with jitter, bounded send queues. Sending and receiving halves run apart: in one loop two routers with full socket buffers would wait for each other. Measured: builds; frame tests pass; nothing uses it yet.

--- a/toucanchute_proto/src/lib.rs
+++ b/toucanchute_proto/src/lib.rs
@@ -16,5 +16,15 @@
 #[path = "generated/config.rs"]
 pub mod config;
 
+#[allow(
+    missing_docs,
+    clippy::all,
+    clippy::pedantic,
+    unused_qualifications,
+    unreachable_pub
+)]
+#[path = "generated/peer.rs"]
+pub mod peer;
+
 pub use id::{AttemptId, BudgetId, Digest, EntryId, GrantId, Incarnation, RequestKey, ShardId};
 pub use time::Millis;
--- /dev/null
+++ b/toucanchute_router/src/link.rs
@@ -0,0 +1,14 @@
+//! Links between routers: one duplex WebSocket connection a pair, opened by either side.
+//!
+//! A link may lose, duplicate and reorder messages over its reconnects; the state machines on both
+//! sides retry.
+
+mod connection;
+mod error;
+mod frame;
+mod handshake;
+mod mesh;
+
+pub(crate) use frame::{Frame, encode};
+pub(crate) use handshake::Identity;
+pub(crate) use mesh::{LinkEvent, Mesh, Peer};
--- /dev/null
+++ b/toucanchute_router/src/link/connection.rs
@@ -0,0 +1,115 @@
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use futures_util::{
+    SinkExt, StreamExt,
+    stream::{SplitSink, SplitStream},
+};
+use snafu::ResultExt;
+use tokio::net::TcpStream;
+use tokio_tungstenite::{WebSocketStream, tungstenite::Message};
+use toucanchute_proto::peer::FrameKind;
+
+use super::{
+    error::{self, LinkError},
+    frame::Frame,
+};
+
+/// Longest time to open a TCP connection and its WebSocket.
+const DIAL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// One WebSocket connection to another router.
+pub(super) struct Connection {
+    /// Sending half; independent of the other, so that two full routers do not block each other.
+    pub(super) writer: FrameWriter,
+    /// Receiving half.
+    pub(super) reader: FrameReader,
+}
+
+/// Sending half of a [`Connection`].
+pub(super) struct FrameWriter {
+    sink: SplitSink<WebSocketStream<TcpStream>, Message>,
+}
+
+/// Receiving half of a [`Connection`].
+pub(super) struct FrameReader {
+    stream: SplitStream<WebSocketStream<TcpStream>>,
+}
+
+impl Connection {
+    fn new(socket: WebSocketStream<TcpStream>) -> Connection {
+        let (sink, stream) = socket.split();
+        Connection {
+            writer: FrameWriter { sink },
+            reader: FrameReader { stream },
+        }
+    }
+
+    /// Opens a connection to the router at `address`.
+    pub(super) async fn dial(address: SocketAddr) -> Result<Connection, LinkError> {
+        let dial = async {
+            let stream = TcpStream::connect(address)
+                .await
+                .context(error::ConnectSnafu)?;
+            let _ = stream.set_nodelay(true);
+            let url = format!("ws://{address}/peer");
+            let opened = tokio_tungstenite::client_async(url, stream).await;
+            let (socket, _) = opened.context(error::SocketSnafu)?;
+            Ok(Connection::new(socket))
+        };
+        match tokio::time::timeout(DIAL_TIMEOUT, dial).await {
+            Ok(result) => result,
+            Err(_) => error::TimeoutSnafu.fail(),
+        }
+    }
+
+    /// Answers a connection that another router opened.
+    pub(super) async fn accept(stream: TcpStream) -> Result<Connection, LinkError> {
+        let _ = stream.set_nodelay(true);
+        let opening = tokio_tungstenite::accept_async(stream);
+        match tokio::time::timeout(DIAL_TIMEOUT, opening).await {
+            Ok(opened) => Ok(Connection::new(opened.context(error::SocketSnafu)?)),
+            Err(_) => error::TimeoutSnafu.fail(),
+        }
+    }
+}
+
+impl FrameWriter {
+    /// Sends one encoded frame.
+    pub(super) async fn send(&mut self, frame: Bytes) -> Result<(), LinkError> {
+        self.sink
+            .send(Message::Binary(frame))
+            .await
+            .context(error::SocketSnafu)
+    }
+}
+
+impl FrameReader {
+    /// Receives the next frame of a known kind.
+    pub(super) async fn receive(&mut self) -> Result<Frame, LinkError> {
+        loop {
+            let Some(message) = self.stream.next().await else {
+                return error::ClosedSnafu.fail();
+            };
+            match message.context(error::SocketSnafu)? {
+                Message::Binary(buf) => {
+                    if let Some(frame) = Frame::decode(buf)? {
+                        return Ok(frame);
+                    }
+                }
+                Message::Close(_) => return error::ClosedSnafu.fail(),
+                Message::Text(_) | Message::Ping(_) | Message::Pong(_) | Message::Frame(_) => {}
+            }
+        }
+    }
+
+    /// Receives the next frame, which has to be of `kind`.
+    pub(super) async fn receive_kind(&mut self, kind: FrameKind) -> Result<Frame, LinkError> {
+        let frame = self.receive().await?;
+        if frame.kind == kind {
+            Ok(frame)
+        } else {
+            error::HandshakeSnafu.fail()
+        }
+    }
+}
--- /dev/null
+++ b/toucanchute_router/src/link/frame.rs
@@ -0,0 +1,85 @@
+use bytes::Bytes;
+use serde::{Serialize, de::DeserializeOwned};
+use toucanchute_log::Stamp;
+use toucanchute_proto::{
+    Incarnation,
+    peer::{FrameHeader, FrameKind},
+};
+
+use super::error::LinkError;
+
+/// Version of the protocol between routers.
+pub(crate) const PROTOCOL_VERSION: u16 = 1;
+
+/// A received frame whose message is not decoded yet.
+#[derive(Clone, Debug)]
+pub(crate) struct Frame {
+    /// Sender.
+    pub(crate) from: Incarnation,
+    /// What [`Frame::body`] holds.
+    pub(crate) kind: FrameKind,
+    /// One CBOR item.
+    body: Bytes,
+}
+
+impl Frame {
+    /// Decodes a frame; `None` if its kind is of a later version.
+    pub(crate) fn decode(buf: Bytes) -> Result<Option<Frame>, LinkError> {
+        let mut rest = &buf[..];
+        let header: ciborium::Value = decode_item(&mut rest)?;
+        let header: FrameHeader = match header.deserialized() {
+            Ok(header) => header,
+            Err(_) if is_later_version(&header) => return Ok(None),
+            Err(e) => {
+                return Err(LinkError::Decode {
+                    detail: e.to_string(),
+                });
+            }
+        };
+        toucanchute_log::observe(Stamp(header.clock));
+        let body = buf.slice(buf.len() - rest.len()..);
+        Ok(Some(Frame {
+            from: header.from,
+            kind: header.kind,
+            body,
+        }))
+    }
+
+    /// Decodes the message.
+    pub(crate) fn message<M: DeserializeOwned>(&self) -> Result<M, LinkError> {
+        decode_item(&mut &self.body[..])
+    }
+}
+
+/// Encodes a frame that carries `message`.
+pub(crate) fn encode<M: Serialize>(from: Incarnation, kind: FrameKind, message: &M) -> Bytes {
+    let clock = toucanchute_log::now().0;
+    let header = FrameHeader {
+        version: PROTOCOL_VERSION,
+        clock,
+        from,
+        kind,
+    };
+    let mut buf = Vec::with_capacity(256);
+    let _ = ciborium::into_writer(&header, &mut buf);
+    let _ = ciborium::into_writer(message, &mut buf);
+    Bytes::from(buf)
+}
+
+fn decode_item<M: DeserializeOwned>(buf: &mut &[u8]) -> Result<M, LinkError> {
+    ciborium::from_reader(buf).map_err(|e| LinkError::Decode {
+        detail: e.to_string(),
+    })
+}
+
+fn is_later_version(header: &ciborium::Value) -> bool {
+    let field = |(key, value): &(ciborium::Value, ciborium::Value)| {
+        (key.as_text() == Some("version")).then(|| value.as_integer())
+    };
+    let version = header.as_map().and_then(|map| map.iter().find_map(field));
+    let version = version.flatten().and_then(|v| u64::try_from(v).ok());
+    version.is_some_and(|version| version > u64::from(PROTOCOL_VERSION))
+}
+
+#[cfg(test)]
+mod tests;
