--- /dev/null
+++ b/toucanchute_fakes/src/cli.rs
@@ -0,0 +1,266 @@
+//! Command lines of the stand-ins' binaries.
+
+use std::{
+    error::Error, fmt::Display, future::pending, io, net::SocketAddr, path::PathBuf,
+    process::ExitCode,
+};
+
+use clap::{Arg, ArgMatches, Command, builder::PossibleValuesParser, value_parser};
+use toucanchute_log::Setup;
+
+use crate::{
+    Engine, EngineOptions, Fencing, Platform, PlatformOptions, Service, ServiceOptions,
+    WeightOptions,
+};
+
+/// Exit code of a process that could not start.
+const EXIT_UNAVAILABLE: u8 = 1;
+
+/// Runs the stand-in platform's binary.
+#[must_use]
+pub fn platform_main() -> ExitCode {
+    let defaults = PlatformOptions::default();
+    let cmd = command("toucanchute-fake-platform", "platform")
+        .about("Stand-in for the platform's key-value service, host list and weight store")
+        .arg(number(
+            "max-value-bytes",
+            "Largest value",
+            defaults.max_value_bytes,
+        ))
+        .arg(number(
+            "host-lag-ms",
+            "Time until a change of the host list is seen",
+            defaults.host_lag_ms,
+        ))
+        .arg(number(
+            "writes-per-second",
+            "Limit on writes, 0 for none",
+            defaults.writes_per_second,
+        ))
+        .arg(number(
+            "reads-per-second",
+            "Limit on reads, 0 for none",
+            defaults.reads_per_second,
+        ));
+    let matches = cmd.get_matches();
+    let options = PlatformOptions {
+        max_value_bytes: get(&matches, "max-value-bytes", defaults.max_value_bytes as u64) as usize,
+        host_lag_ms: get(&matches, "host-lag-ms", defaults.host_lag_ms),
+        writes_per_second: get(
+            &matches,
+            "writes-per-second",
+            defaults.writes_per_second.into(),
+        ) as u32,
+        reads_per_second: get(
+            &matches,
+            "reads-per-second",
+            defaults.reads_per_second.into(),
+        ) as u32,
+        weights: WeightOptions::default(),
+    };
+    start(&matches, "fake-platform", async |address| {
+        let platform = Platform::bind(address, options).await?;
+        let address = platform.address();
+        Ok((platform, address))
+    })
+}
+
+/// Runs the stand-in engine's binary.
+#[must_use]
+pub fn engine_main() -> ExitCode {
+    let defaults = EngineOptions::default();
+    let cmd = command("toucanchute-fake-engine", "engine")
+        .about("Stand-in for a model engine")
+        .arg(
+            Arg::new("model")
+                .long("model")
+                .value_name("NAME")
+                .action(clap::ArgAction::Append)
+                .help("Model that is served; any if none is given"),
+        )
+        .arg(
+            Arg::new("fencing")
+                .long("fencing")
+                .value_parser(PossibleValuesParser::new(["checked", "ignored"]))
+                .default_value("checked")
+                .help("Whether orders with an old fencing number are refused"),
+        )
+        .arg(number(
+            "first-token-ms",
+            "Time to the first token",
+            defaults.first_token_ms,
+        ))
+        .arg(number(
+            "block-ms",
+            "Time added by each prompt block not cached",
+            defaults.block_ms,
+        ))
+        .arg(number("token-ms", "Time between tokens", defaults.token_ms))
+        .arg(number(
+            "capacity",
+            "Runs at the same time",
+            defaults.capacity,
+        ))
+        .arg(number("queue", "Runs that may wait", defaults.queue))
+        .arg(number("max-tokens", "Longest answer", defaults.max_tokens))
+        .arg(number(
+            "answer-tokens",
+            "Mean length of an answer",
+            defaults.answer_tokens,
+        ))
+        .arg(number(
+            "cache-blocks",
+            "Prompt blocks that the cache holds",
+            defaults.cache_blocks,
+        ))
+        .arg(number(
+            "load-lag-ms",
+            "Age of load reports",
+            defaults.load_lag_ms,
+        ))
+        .arg(number(
+            "event-lag-ms",
+            "Time until a cache event is seen",
+            defaults.event_lag_ms,
+        ))
+        .arg(number(
+            "event-gap",
+            "Loses each event of a multiple of this, 0 for none",
+            defaults.event_gap,
+        ));
+    let matches = cmd.get_matches();
+    let models = matches.get_many::<String>("model").into_iter().flatten();
+    let fencing = match matches.get_one::<String>("fencing").map(String::as_str) {
+        Some("ignored") => Fencing::Ignored,
+        _ => Fencing::Checked,
+    };
+    let options = EngineOptions {
+        name: name(&matches),
+        models: models.cloned().collect(),
+        first_token_ms: get(&matches, "first-token-ms", defaults.first_token_ms),
+        block_ms: get(&matches, "block-ms", defaults.block_ms),
+        token_ms: get(&matches, "token-ms", defaults.token_ms),
+        capacity: get(&matches, "capacity", defaults.capacity as u64) as usize,
+        queue: get(&matches, "queue", defaults.queue as u64) as usize,
+        max_tokens: get(&matches, "max-tokens", defaults.max_tokens),
+        answer_tokens: get(&matches, "answer-tokens", defaults.answer_tokens),
+        cache_blocks: get(&matches, "cache-blocks", defaults.cache_blocks as u64) as usize,
+        load_lag_ms: get(&matches, "load-lag-ms", defaults.load_lag_ms),
+        event_lag_ms: get(&matches, "event-lag-ms", defaults.event_lag_ms),
+        event_gap: get(&matches, "event-gap", defaults.event_gap),
+        fencing,
+    };
+    start(&matches, "fake-engine", async |address| {
+        let engine = Engine::bind(address, options).await?;
+        let address = engine.address();
+        Ok((engine, address))
+    })
+}
+
+/// Runs the stand-in plain service's binary.
+#[must_use]
+pub fn service_main() -> ExitCode {
+    let defaults = ServiceOptions::default();
+    let cmd = command("toucanchute-fake-service", "service")
+        .about("Stand-in for a plain service such as booking")
+        .arg(number(
+            "work-ms",
+            "Time that a call takes",
+            defaults.work_ms,
+        ));
+    let matches = cmd.get_matches();
+    let options = ServiceOptions {
+        name: name(&matches),
+        work_ms: get(&matches, "work-ms", defaults.work_ms),
+    };
+    start(&matches, "fake-service", async |address| {
+        let service = Service::bind(address, options).await?;
+        let address = service.address();
+        Ok((service, address))
+    })
+}
+
+fn command(command: &'static str, default_name: &'static str) -> Command {
+    Command::new(command)
+        .version(clap::crate_version!())
+        .after_help("Exit codes: 0 stopped, 1 could not start, 2 bad command line.")
+        .arg(
+            Arg::new("listen")
+                .long("listen")
+                .value_name("IP:PORT")
+                .value_parser(value_parser!(SocketAddr))
+                .required(true)
+                .help("Address to listen at; port 0 takes a free one"),
+        )
+        .arg(
+            Arg::new("name")
+                .long("name")
+                .value_name("NAME")
+                .default_value(default_name)
+                .help("Host name that log lines carry"),
+        )
+        .arg(
+            Arg::new("log-file")
+                .long("log-file")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Appends the event log to FILE instead of standard error"),
+        )
+}
+
+fn number(name: &'static str, help: &'static str, default: impl Display) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .value_parser(value_parser!(u64))
+        .help(format!("{help} [default: {default}]"))
+}
+
+fn get(matches: &ArgMatches, name: &str, default: u64) -> u64 {
+    matches.get_one(name).copied().unwrap_or(default)
+}
+
+fn name(matches: &ArgMatches) -> String {
+    matches.get_one("name").cloned().unwrap_or_default()
+}
+
+/// Installs the log, starts a server and runs until the process is ended.
+fn start<S>(
+    matches: &ArgMatches,
+    process: &str,
+    bind: impl AsyncFnOnce(SocketAddr) -> io::Result<(S, SocketAddr)>,
+) -> ExitCode {
+    match run(matches, process, bind) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("error: {e}");
+            ExitCode::from(EXIT_UNAVAILABLE)
+        }
+    }
+}
+
+fn run<S>(
+    matches: &ArgMatches,
+    process: &str,
+    bind: impl AsyncFnOnce(SocketAddr) -> io::Result<(S, SocketAddr)>,
+) -> Result<(), Box<dyn Error>> {
+    let mut setup = Setup::new(process).host(&name(matches));
+    if let Some(path) = matches.get_one::<PathBuf>("log-file") {
+        setup = setup.file(path);
+    }
+    setup.install()?;
+    let Some(&listen) = matches.get_one::<SocketAddr>("listen") else {
+        return Err("--listen is missing".into());
+    };
+    let rt = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()?;
+    rt.block_on(async {
+        let (_server, address) = bind(listen).await?;
+        println!("listening on {address}");
+        log::info!(address:% = address; "started");
+        pending::<()>().await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/toucanchute_fakes/src/engine/answer.rs
@@ -0,0 +1,143 @@
+//! Text of answers, which is a function of the prompt alone.
+
+use serde::Serialize;
+
+use super::request::Form;
+
+/// Bytes of a prompt that count as one token.
+const BYTES_PER_TOKEN: u64 = 4;
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Returns the text that marks each token of the answer to `prompt`: its 64-bit FNV-1a hash as 16
+/// hexadecimal digits.
+///
+/// The prompt of a chat is the contents of its messages, joined by line feeds.
+#[must_use]
+pub fn answer_tag(prompt: &str) -> String {
+    format!("{:016x}", hash(prompt))
+}
+
+/// Returns token `i` of the answer to `prompt`, counted from zero.
+///
+/// ```
+/// use toucanchute_fakes::answer_token;
+///
+/// assert_eq!(answer_token("a", 3), "af63dc4c8601ec8c.3 ");
+/// ```
+#[must_use]
+pub fn answer_token(prompt: &str, i: u64) -> String {
+    format!("{}.{i} ", answer_tag(prompt))
+}
+
+/// Returns the number of tokens that `prompt` counts as: one for each 4 bytes begun, at least one.
+#[must_use]
+pub fn prompt_tokens(prompt: &str) -> u64 {
+    (prompt.len() as u64).div_ceil(BYTES_PER_TOKEN).max(1)
+}
+
+/// Returns the length of the answer to `prompt` that is not cut, in tokens.
+pub(super) fn natural_tokens(prompt: &str, mean: u64) -> u64 {
+    let mean = mean.max(1);
+    mean.div_ceil(2) + hash(prompt) % mean
+}
+
+fn hash(prompt: &str) -> u64 {
+    let step = |hash: u64, &b: &u8| (hash ^ u64::from(b)).wrapping_mul(FNV_PRIME);
+    prompt.as_bytes().iter().fold(FNV_OFFSET, step)
+}
+
+/// Why an answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum FinishReason {
+    Stop,
+    Length,
+}
+
+/// Tokens of a whole answer.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(super) struct Usage {
+    pub(super) prompt_tokens: u64,
+    pub(super) completion_tokens: u64,
+    pub(super) total_tokens: u64,
+}
+
+/// A whole answer or a chunk of a streamed one.
+#[derive(Debug, Serialize)]
+pub(super) struct Message<'a> {
+    id: &'a str,
+    object: &'static str,
+    created: u64,
+    model: &'a str,
+    /// Tokens before the text.
+    offset: u64,
+    choices: [Choice<'a>; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<Usage>,
+}
+
+#[derive(Debug, Serialize)]
+struct Choice<'a> {
+    index: u32,
+    #[serde(flatten)]
+    text: Text<'a>,
+    finish_reason: Option<FinishReason>,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Text<'a> {
+    #[serde(rename = "text")]
+    Plain(&'a str),
+    Delta(Content<'a>),
+    Message(Content<'a>),
+}
+
+#[derive(Debug, Serialize)]
+struct Content<'a> {
+    role: &'static str,
+    content: &'a str,
+}
+
+impl<'a> Message<'a> {
+    /// Returns a part of an answer.
+    pub(super) fn new(
+        form: Form,
+        streamed: bool,
+        id: &'a str,
+        model: &'a str,
+        offset: u64,
+        text: &'a str,
+    ) -> Message<'a> {
+        let content = Content {
+            role: "assistant",
+            content: text,
+        };
+        let (object, text) = match (form, streamed) {
+            (Form::Plain, _) => ("text_completion", Text::Plain(text)),
+            (Form::Chat, true) => ("chat.completion.chunk", Text::Delta(content)),
+            (Form::Chat, false) => ("chat.completion", Text::Message(content)),
+        };
+        Message {
+            id,
+            object,
+            created: toucanchute_log::wall_clock_ms() / 1000,
+            model,
+            offset,
+            choices: [Choice {
+                index: 0,
+                text,
+                finish_reason: None,
+            }],
+            usage: None,
+        }
+    }
+
+    /// Marks the answer's end.
+    pub(super) fn finish(mut self, reason: FinishReason, usage: Usage) -> Message<'a> {
+        self.choices[0].finish_reason = Some(reason);
+        self.usage = Some(usage);
+        self
+    }
+}
--- /dev/null
+++ b/toucanchute_fakes/src/engine/cache.rs
@@ -0,0 +1,159 @@
+use std::collections::{BTreeMap, VecDeque};
+
+use bytes::Bytes;
+use serde::Serialize;
+
+/// Size of a block of a prompt, in bytes.
+const BLOCK_BYTES: usize = 256;
+/// Blocks of a prompt that are cached at most.
+const MAX_BLOCKS: usize = 32;
+/// Events kept for readers.
+const MAX_EVENTS: usize = 4096;
+
+/// Prompt prefixes in limited memory, and the events of their coming and going.
+#[derive(Debug)]
+pub(super) struct Cache {
+    limit: usize,
+    lag_ms: u64,
+    /// Each event whose number is a multiple of this is lost; zero for none.
+    gap: u64,
+    /// Counts uses, to find the prefix that was not used for longest.
+    uses: u64,
+    prefixes: BTreeMap<u64, Prefix>,
+    seq: u64,
+    events: VecDeque<Event>,
+}
+
+#[derive(Debug)]
+struct Prefix {
+    used: u64,
+    /// Imported contents; made up if empty.
+    contents: Bytes,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum EventKind {
+    Stored,
+    Evicted,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Event {
+    seq: u64,
+    kind: EventKind,
+    prefix: String,
+    #[serde(skip)]
+    visible_ms: u64,
+}
+
+/// Events as answered by `GET /v1/cache-events`.
+#[derive(Debug, Serialize)]
+pub(super) struct Page {
+    next: u64,
+    events: Vec<Event>,
+}
+
+impl Cache {
+    pub(super) fn new(limit: usize, lag_ms: u64, gap: u64) -> Cache {
+        Cache {
+            limit: limit.max(1),
+            lag_ms,
+            gap,
+            uses: 0,
+            prefixes: BTreeMap::new(),
+            seq: 0,
+            events: VecDeque::new(),
+        }
+    }
+
+    /// Returns the share of the memory that is in use.
+    pub(super) fn share_used(&self) -> f64 {
+        self.prefixes.len() as f64 / self.limit as f64
+    }
+
+    /// Caches a prompt's blocks and returns how many were not cached before.
+    pub(super) fn visit(&mut self, now_ms: u64, prompt: &str) -> usize {
+        let hashes = prefix_hashes(prompt.as_bytes());
+        let cached = hashes
+            .iter()
+            .take_while(|hash| self.prefixes.contains_key(hash));
+        let cached = cached.count();
+        for &hash in &hashes {
+            self.import(now_ms, hash, Bytes::new());
+        }
+        hashes.len() - cached
+    }
+
+    /// Returns the contents of a cached prefix.
+    pub(super) fn export(&mut self, prefix: u64) -> Option<Bytes> {
+        let found = self.prefixes.get(&prefix)?;
+        let made_up = || Bytes::from(format!("kv {prefix:016x}"));
+        Some(match found.contents.is_empty() {
+            true => made_up(),
+            false => found.contents.clone(),
+        })
+    }
+
+    /// Caches a prefix.
+    pub(super) fn import(&mut self, now_ms: u64, prefix: u64, contents: Bytes) {
+        self.uses += 1;
+        let used = self.uses;
+        if let Some(found) = self.prefixes.get_mut(&prefix) {
+            found.used = used;
+            return;
+        }
+        if self.prefixes.len() >= self.limit {
+            self.evict(now_ms);
+        }
+        self.prefixes.insert(prefix, Prefix { used, contents });
+        self.publish(now_ms, EventKind::Stored, prefix);
+    }
+
+    fn evict(&mut self, now_ms: u64) {
+        let oldest = self.prefixes.iter().min_by_key(|(_, prefix)| prefix.used);
+        if let Some((&prefix, _)) = oldest {
+            self.prefixes.remove(&prefix);
+            self.publish(now_ms, EventKind::Evicted, prefix);
+        }
+    }
+
+    fn publish(&mut self, now_ms: u64, kind: EventKind, prefix: u64) {
+        self.seq += 1;
+        if self.gap > 0 && self.seq.is_multiple_of(self.gap) {
+            return;
+        }
+        self.events.push_back(Event {
+            seq: self.seq,
+            kind,
+            prefix: format!("{prefix:016x}"),
+            visible_ms: now_ms + self.lag_ms,
+        });
+        if self.events.len() > MAX_EVENTS {
+            self.events.pop_front();
+        }
+    }
+
+    /// Returns the events after number `after` that can be seen.
+    pub(super) fn events(&self, now_ms: u64, after: u64) -> Page {
+        let visible = self.events.iter().filter(|e| e.visible_ms <= now_ms);
+        let events: Vec<Event> = visible.filter(|e| e.seq > after).cloned().collect();
+        let next = events.last().map_or(after, |e| e.seq);
+        Page { next, events }
+    }
+}
+
+/// Returns the chained hashes of a prompt's leading whole blocks.
+fn prefix_hashes(prompt: &[u8]) -> Vec<u64> {
+    let blocks = prompt.chunks_exact(BLOCK_BYTES).take(MAX_BLOCKS);
+    let chain = blocks.scan(0_u64, |previous, block| {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&previous.to_be_bytes());
+        hasher.update(block);
+        let hash = hasher.finalize();
+        let (head, _) = hash.as_bytes().split_at(8);
+        *previous = head.iter().fold(0, |sum, &b| sum << 8 | u64::from(b));
+        Some(*previous)
+    });
+    chain.collect()
+}
--- /dev/null
+++ b/toucanchute_fakes/src/engine/fault.rs
@@ -0,0 +1,73 @@
+use serde::Deserialize;
+
+/// How runs fail.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) enum Mode {
+    #[default]
+    Ok,
+    /// Each token takes longer.
+    Slow,
+    /// No token follows.
+    Hang,
+    /// The answer stops without its end mark.
+    Truncated,
+    /// A chunk is no JSON.
+    Malformed,
+    /// Chunks carry another attempt's identifier.
+    WrongAttempt,
+    /// Each chunk is sent twice.
+    Duplicated,
+    /// Two chunks swap places.
+    Reordered,
+    /// Runs are refused before they start.
+    Refuse,
+    /// The engine crashes at once.
+    Crash,
+    /// The engine crashes on a request whose body holds the marker.
+    CrashOn,
+}
+
+/// A fault as set by `POST /fault`.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(super) struct Fault {
+    pub(super) mode: Mode,
+    /// Delay or time until a crashed engine is back, in milliseconds.
+    pub(super) ms: u64,
+    /// Runs that fail; zero for all.
+    count: u64,
+    /// Only runs whose body holds this text fail; empty for all.
+    marker: String,
+    /// Tokens sent before the fault.
+    pub(super) after: u64,
+}
+
+/// The fault in force.
+#[derive(Debug, Default)]
+pub(super) struct Faults {
+    fault: Fault,
+    /// Runs that have failed by this fault.
+    used: u64,
+}
+
+impl Faults {
+    pub(super) fn set(&mut self, fault: Fault) {
+        self.fault = fault;
+        self.used = 0;
+    }
+
+    /// Returns the fault that a run with this body meets.
+    pub(super) fn judge(&mut self, body: &[u8]) -> Fault {
+        let spent = self.fault.count > 0 && self.used >= self.fault.count;
+        if spent || !contains(body, self.fault.marker.as_bytes()) {
+            return Fault::default();
+        }
+        self.used += 1;
+        self.fault.clone()
+    }
+}
+
+fn contains(body: &[u8], marker: &[u8]) -> bool {
+    marker.is_empty() || body.windows(marker.len()).any(|part| part == marker)
+}
--- /dev/null
+++ b/toucanchute_fakes/src/engine/orders.rs
@@ -0,0 +1,74 @@
+use http::StatusCode;
+use serde::Deserialize;
+
+use crate::reply::{self, Reply};
+
+/// Whether an engine checks the fencing numbers of orders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fencing {
+    /// Orders with an older number than the latest are refused.
+    Checked,
+    /// The number is ignored.
+    Ignored,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum Kind {
+    LoadModel,
+    ChangeRole,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Order {
+    kind: Kind,
+    model: String,
+    fence: u64,
+}
+
+/// Orders taken so far.
+#[derive(Debug)]
+pub(super) struct Orders {
+    fencing: Fencing,
+    /// Greatest fencing number of an order taken; it only rises.
+    fence: u64,
+    /// Models loaded; any is served if empty.
+    models: Vec<String>,
+}
+
+impl Orders {
+    pub(super) fn new(fencing: Fencing, models: Vec<String>) -> Orders {
+        Orders {
+            fencing,
+            fence: 0,
+            models,
+        }
+    }
+
+    pub(super) fn serves(&self, model: &str) -> bool {
+        self.models.is_empty() || self.models.iter().any(|loaded| loaded == model)
+    }
+
+    pub(super) fn models(&self) -> &[String] {
+        &self.models
+    }
+
+    /// Answers `POST /v1/orders`.
+    pub(super) fn take(&mut self, body: &[u8]) -> Reply {
+        let order: Order = match reply::parse(body) {
+            Ok(order) => order,
+            Err(refusal) => return *refusal,
+        };
+        if self.fencing == Fencing::Checked && order.fence < self.fence {
+            log::info!(fence = order.fence, latest = self.fence; "order-refused");
+            return reply::error(StatusCode::CONFLICT, "fencing number is old");
+        }
+        self.fence = self.fence.max(order.fence);
+        log::info!(kind:? = order.kind, model = order.model, fence = order.fence; "order-taken");
+        match order.kind {
+            Kind::LoadModel if !self.models.contains(&order.model) => self.models.push(order.model),
+            Kind::LoadModel | Kind::ChangeRole => {}
+        }
+        reply::json(StatusCode::OK, &serde_json::json!({}))
+    }
+}
--- /dev/null
+++ b/toucanchute_fakes/src/engine/request.rs
@@ -0,0 +1,73 @@
+use serde::Deserialize;
+
+/// Form of a completion.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Form {
+    Chat,
+    Plain,
+}
+
+/// A request for a completion.
+#[derive(Clone, Debug)]
+pub(super) struct Completion {
+    pub(super) form: Form,
+    pub(super) model: String,
+    pub(super) prompt: String,
+    /// Longest whole answer, in tokens.
+    pub(super) max_tokens: Option<u64>,
+    pub(super) stream: bool,
+    /// Tokens that the caller has already.
+    pub(super) resume: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Body {
+    #[serde(default)]
+    model: String,
+    prompt: Option<String>,
+    #[serde(default)]
+    messages: Vec<ChatMessage>,
+    #[serde(alias = "max_completion_tokens")]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    resume: Resume,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChatMessage {
+    content: String,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Resume {
+    tokens: u64,
+    text: String,
+}
+
+impl Completion {
+    pub(super) fn parse(form: Form, body: &[u8]) -> Result<Completion, String> {
+        let body: Body = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+        let contents = body.messages.into_iter().map(|message| message.content);
+        let prompt = match form {
+            Form::Chat => contents.collect::<Vec<_>>().join("\n"),
+            Form::Plain => body.prompt.unwrap_or_default(),
+        };
+        if prompt.is_empty() {
+            return Err("the prompt is empty".to_owned());
+        }
+        let sent = (0..body.resume.tokens).map(|i| super::answer_token(&prompt, i));
+        if sent.collect::<String>() != body.resume.text {
+            return Err("the text to resume is not of this prompt's answer".to_owned());
+        }
+        Ok(Completion {
+            form,
+            model: body.model,
+            prompt,
+            max_tokens: body.max_tokens,
+            stream: body.stream,
+            resume: body.resume.tokens,
+        })
+    }
+}
--- /dev/null
+++ b/toucanchute_fakes/src/platform.rs
@@ -0,0 +1,287 @@
+mod fault;
+mod hosts;
+mod stats;
+mod tree;
+mod watch;
+mod wire;
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::{sync::watch as channel, task::JoinHandle, time::sleep};
+use toucanchute_log::wall_clock_ms;
+
+use self::{
+    fault::{Fault, Faults, Verdict},
+    hosts::{HostList, Hosts},
+    stats::{Kind, Stats},
+    tree::{Rejection, Tree},
+};
+use crate::{
+    reply::{self, Abort, Reply},
+    server::{Crash, Handler, Server},
+    weights::{WeightOptions, Weights},
+};
+
+/// Pause between looks for lapsed leases.
+const EXPIRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Options of a stand-in platform.
+#[derive(Clone, Debug)]
+pub struct PlatformOptions {
+    /// Largest value, in bytes.
+    pub max_value_bytes: usize,
+    /// Time until a change of the host list is seen, in milliseconds.
+    pub host_lag_ms: u64,
+    /// Writes admitted in a second; zero for no limit.
+    pub writes_per_second: u32,
+    /// Reads admitted in a second; zero for no limit.
+    pub reads_per_second: u32,
+    /// The weight store that shares the platform's address.
+    pub weights: WeightOptions,
+}
+
+impl Default for PlatformOptions {
+    fn default() -> PlatformOptions {
+        PlatformOptions {
+            max_value_bytes: 1_000_000,
+            host_lag_ms: 500,
+            writes_per_second: 0,
+            reads_per_second: 0,
+            weights: WeightOptions::default(),
+        }
+    }
+}
+
+/// A stand-in for the platform: key-value service, host list and weight store.
+///
+/// It speaks etcd v3's JSON mapping under `/v3/`. The host list is read at `GET /v1/hosts` and set
+/// by an operator at `PUT /v1/hosts`. `POST /fault` takes
+/// `{"mode":"ok"|"down"|"slow"|"lose-answers"|"refuse","ms":N,"count":N,"path":"/v3/kv/put"}`: a
+/// fault of `count` requests (0: all), at paths that start with `path`. `GET /stats` counts calls.
+#[derive(Debug)]
+pub struct Platform {
+    server: Server,
+    expiry: JoinHandle<()>,
+}
+
+impl Platform {
+    /// Starts a platform that listens at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be listened at.
+    pub async fn bind(address: SocketAddr, options: PlatformOptions) -> io::Result<Platform> {
+        let shared = Arc::new(Shared::new(options));
+        let server = Server::bind(address, Arc::clone(&shared), Crash::new()).await?;
+        let expiry = tokio::spawn(expire_leases(shared));
+        Ok(Platform { server, expiry })
+    }
+
+    /// Returns the address that the platform listens at.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        self.expiry.abort();
+    }
+}
+
+/// What the connections share.
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    /// Revision of the tree's latest change.
+    revision: channel::Sender<i64>,
+    /// Number of outages so far; open watches end when it changes.
+    outages: channel::Sender<u64>,
+}
+
+#[derive(Debug)]
+struct State {
+    tree: Tree,
+    hosts: Hosts,
+    faults: Faults,
+    stats: Stats,
+    weights: Weights,
+}
+
+impl Shared {
+    fn new(options: PlatformOptions) -> Shared {
+        let tree = Tree::new(options.max_value_bytes);
+        let revision = channel::Sender::new(tree.revision());
+        let state = State {
+            tree,
+            hosts: Hosts::new(options.host_lag_ms),
+            faults: Faults::default(),
+            stats: Stats::new(options.writes_per_second, options.reads_per_second),
+            weights: Weights::new(options.weights),
+        };
+        Shared {
+            state: Mutex::new(state),
+            revision,
+            outages: channel::Sender::new(0),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Applies `f` to the tree and wakes the watches.
+    fn change<T>(&self, f: impl FnOnce(&mut Tree) -> T) -> T {
+        let mut state = self.state();
+        let result = f(&mut state.tree);
+        self.revision.send_replace(state.tree.revision());
+        result
+    }
+
+    fn set_fault(&self, body: &[u8]) -> Reply {
+        let fault: Fault = match reply::parse(body) {
+            Ok(fault) => fault,
+            Err(refusal) => return *refusal,
+        };
+        log::info!(fault:? = fault; "fault-set");
+        if fault.ends_watches() {
+            self.outages.send_modify(|count| *count += 1);
+        }
+        self.state().faults.set(fault);
+        reply::json(StatusCode::OK, &serde_json::json!({}))
+    }
+
+    fn run(self: &Arc<Self>, method: &Method, path: &str, body: &Bytes) -> Reply {
+        match path {
+            "/v3/kv/range" => call(body, |req| Ok(self.state().tree.range(&req))),
+            "/v3/kv/put" => call(body, |req| self.change(|tree| tree.put(req))),
+            "/v3/kv/txn" => call(body, |req| self.change(|tree| tree.txn(req))),
+            "/v3/kv/deleterange" => {
+                call(body, |req| Ok(self.change(|tree| tree.delete_range(&req))))
+            }
+            "/v3/lease/grant" => call(body, |req: wire::LeaseRequest| {
+                Ok(self.change(|tree| tree.grant(wall_clock_ms(), req.id.0, req.ttl.0)))
+            }),
+            "/v3/lease/keepalive" => call(body, |req: wire::LeaseRequest| {
+                let result = self.change(|tree| tree.keep_alive(wall_clock_ms(), req.id.0));
+                Ok(wire::Streamed { result })
+            }),
+            "/v3/lease/revoke" => call(body, |req: wire::LeaseRequest| {
+                self.change(|tree| tree.revoke(req.id.0))
+            }),
+            "/v3/watch" => watch::open(Arc::clone(self), body),
+            "/v1/hosts" if method == Method::PUT => self.put_hosts(body),
+            "/v1/hosts" => {
+                let mut state = self.state();
+                reply::json(StatusCode::OK, state.hosts.visible(wall_clock_ms()))
+            }
+            _ => match path.strip_prefix("/v1/weights/") {
+                Some(name) => self.state().weights.open(name),
+                None => reply::error(StatusCode::NOT_FOUND, "no such path"),
+            },
+        }
+    }
+
+    fn put_hosts(&self, body: &[u8]) -> Reply {
+        let list: HostList = match reply::parse(body) {
+            Ok(list) => list,
+            Err(refusal) => return *refusal,
+        };
+        log::info!(hosts = list.hosts.len(); "hosts-set");
+        self.state().hosts.set(wall_clock_ms(), list);
+        reply::json(StatusCode::OK, &serde_json::json!({}))
+    }
+}
+
+impl Handler for Shared {
+    async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Result<Reply, Abort> {
+        let method = req.method().clone();
+        let path = req.uri().path().to_owned();
+        let body = reply::read(req).await?;
+        match path.as_str() {
+            "/fault" => return Ok(self.set_fault(&body)),
+            "/stats" => return Ok(reply::json(StatusCode::OK, &self.state().stats.report())),
+            _ => {}
+        }
+        let kind = Kind::of(&method, &path);
+        if kind == Kind::OperatorWrite {
+            return Ok(self.run(&method, &path, &body));
+        }
+        let verdict = {
+            let mut state = self.state();
+            state.stats.count(kind, body.len());
+            state.faults.judge(&path)
+        };
+        match verdict {
+            Verdict::Pass => {}
+            Verdict::Hang(delay) => sleep(delay).await,
+            Verdict::Drop => return Err(Abort),
+            Verdict::Refuse => return Ok(refusal(StatusCode::TOO_MANY_REQUESTS, 8, "refused")),
+            Verdict::LoseAnswer => {
+                let _ = self.run(&method, &path, &body);
+                log::info!(path = path; "answer-lost");
+                return Err(Abort);
+            }
+        }
+        if !self.state().stats.admit(kind, wall_clock_ms()) {
+            return Ok(refusal(
+                StatusCode::TOO_MANY_REQUESTS,
+                8,
+                "too many requests",
+            ));
+        }
+        Ok(self.run(&method, &path, &body))
+    }
+}
+
+/// Parses a request, runs it and encodes its answer.
+fn call<Q: DeserializeOwned, A: Serialize>(
+    body: &[u8],
+    run: impl FnOnce(Q) -> Result<A, Rejection>,
+) -> Reply {
+    let req = match reply::parse(body) {
+        Ok(req) => req,
+        Err(refusal) => return *refusal,
+    };
+    match run(req) {
+        Ok(answer) => reply::json(StatusCode::OK, &answer),
+        Err(Rejection::ValueTooLarge) => refusal(
+            StatusCode::BAD_REQUEST,
+            3,
+            "etcdserver: request is too large",
+        ),
+        Err(Rejection::LeaseNotFound) => refusal(
+            StatusCode::NOT_FOUND,
+            5,
+            "etcdserver: requested lease not found",
+        ),
+        Err(Rejection::EmptyKey) => refusal(
+            StatusCode::BAD_REQUEST,
+            3,
+            "etcdserver: key is not provided",
+        ),
+    }
+}
+
+/// Returns an error in etcd's form; `code` is gRPC's.
+fn refusal(status: StatusCode, code: u32, message: &str) -> Reply {
+    let body = serde_json::json!({ "error": message, "code": code, "message": message });
+    reply::json(status, &body)
+}
+
+async fn expire_leases(shared: Arc<Shared>) {
+    loop {
+        sleep(EXPIRY_PAUSE).await;
+        shared.change(|tree| tree.expire(wall_clock_ms()));
+    }
+}
--- /dev/null
+++ b/toucanchute_fakes/src/platform/fault.rs
@@ -0,0 +1,79 @@
+use std::time::Duration;
+
+use serde::Deserialize;
+
+/// How requests fail.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum Mode {
+    #[default]
+    Ok,
+    /// Connections are closed before anything is applied.
+    Down,
+    /// Requests wait before they are applied.
+    Slow,
+    /// Requests are applied, then their connections are closed.
+    LoseAnswers,
+    /// Requests are refused before anything is applied.
+    Refuse,
+}
+
+/// A fault as set by `POST /fault`.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(crate) struct Fault {
+    mode: Mode,
+    /// Delay in milliseconds.
+    ms: u64,
+    /// Requests that fail; zero for all.
+    count: u64,
+    /// Start of the paths that fail; empty for all.
+    path: String,
+}
+
+impl Fault {
+    /// Whether open watches end when the fault is set.
+    pub(crate) fn ends_watches(&self) -> bool {
+        self.mode == Mode::Down && (self.path.is_empty() || "/v3/watch".starts_with(&self.path))
+    }
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Verdict {
+    Pass,
+    Hang(Duration),
+    Drop,
+    Refuse,
+    LoseAnswer,
+}
+
+/// The fault in force.
+#[derive(Debug, Default)]
+pub(crate) struct Faults {
+    fault: Fault,
+    /// Requests that have failed by this fault.
+    used: u64,
+}
+
+impl Faults {
+    pub(crate) fn set(&mut self, fault: Fault) {
+        self.fault = fault;
+        self.used = 0;
+    }
+
+    pub(crate) fn judge(&mut self, path: &str) -> Verdict {
+        let spent = self.fault.count > 0 && self.used >= self.fault.count;
+        if spent || !path.starts_with(&self.fault.path) {
+            return Verdict::Pass;
+        }
+        self.used += 1;
+        match self.fault.mode {
+            Mode::Ok => Verdict::Pass,
+            Mode::Down => Verdict::Drop,
+            Mode::Slow => Verdict::Hang(Duration::from_millis(self.fault.ms)),
+            Mode::LoseAnswers => Verdict::LoseAnswer,
+            Mode::Refuse => Verdict::Refuse,
+        }
+    }
+}
--- /dev/null
+++ b/toucanchute_fakes/src/platform/tree.rs
@@ -0,0 +1,327 @@
+use std::{
+    collections::{BTreeMap, VecDeque},
+    ops::{Bound, RangeBounds},
+};
+
+use super::wire::{
+    Blob, Compare, CompareResult, CompareTarget, DeleteRangeRequest, DeleteRangeResponse, Event,
+    EventKind, Header, KeyValue, LeaseResponse, Num, PutRequest, PutResponse, RangeRequest,
+    RangeResponse, RequestOp, ResponseOp, TxnRequest, TxnResponse,
+};
+
+/// Events kept for watches that start at an earlier revision.
+const MAX_HISTORY: usize = 20_000;
+
+/// Why a request changed nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Rejection {
+    ValueTooLarge,
+    LeaseNotFound,
+    EmptyKey,
+}
+
+/// Versioned keys and values, with leases.
+#[derive(Debug)]
+pub(crate) struct Tree {
+    kvs: BTreeMap<Vec<u8>, KeyValue>,
+    leases: BTreeMap<i64, Lease>,
+    /// Revision of the latest change; it only rises.
+    revision: i64,
+    /// Latest changes in ascending order of revision.
+    history: VecDeque<Event>,
+    /// Every event of a later revision is still in `history`.
+    compacted: i64,
+    next_lease: i64,
+    max_value_bytes: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    ttl_s: i64,
+    expires_ms: u64,
+}
+
+impl Tree {
+    pub(crate) fn new(max_value_bytes: usize) -> Tree {
+        Tree {
+            kvs: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            revision: 1,
+            history: VecDeque::new(),
+            compacted: 0,
+            next_lease: 1000,
+            max_value_bytes,
+        }
+    }
+
+    pub(crate) fn header(&self) -> Header {
+        Header {
+            cluster_id: Num(1),
+            member_id: Num(1),
+            revision: Num(self.revision),
+            raft_term: Num(1),
+        }
+    }
+
+    pub(crate) fn revision(&self) -> i64 {
+        self.revision
+    }
+
+    // Keys and values
+
+    pub(crate) fn range(&self, req: &RangeRequest) -> RangeResponse {
+        let limit = match usize::try_from(req.limit.0) {
+            Ok(0) | Err(_) => usize::MAX,
+            Ok(limit) => limit,
+        };
+        let found = self.kvs.range::<[u8], _>(bounds(&req.key, &req.range_end));
+        let found: Vec<&KeyValue> = found.map(|(_, kv)| kv).collect();
+        let kvs = found.iter().take(limit).map(|kv| KeyValue {
+            value: if req.keys_only {
+                Blob::default()
+            } else {
+                kv.value.clone()
+            },
+            ..(*kv).clone()
+        });
+        RangeResponse {
+            header: self.header(),
+            kvs: if req.count_only {
+                Vec::new()
+            } else {
+                kvs.collect()
+            },
+            more: found.len() > limit,
+            count: Num(found.len() as i64),
+        }
+    }
+
+    pub(crate) fn put(&mut self, req: PutRequest) -> Result<PutResponse, Rejection> {
+        self.check(&req)?;
+        self.revision += 1;
+        self.put_at(req);
+        Ok(PutResponse {
+            header: self.header(),
+        })
+    }
+
+    pub(crate) fn delete_range(&mut self, req: &DeleteRangeRequest) -> DeleteRangeResponse {
+        self.revision += 1;
+        let deleted = self.delete_at(req);
+        if deleted == 0 {
+            self.revision -= 1;
+        }
+        DeleteRangeResponse {
+            header: self.header(),
+            deleted: Num(deleted),
+        }
+    }
+
+    pub(crate) fn txn(&mut self, req: TxnRequest) -> Result<TxnResponse, Rejection> {
+        let succeeded = req.compare.iter().all(|compare| self.holds(compare));
+        let ops = if succeeded { req.success } else { req.failure };
+        for op in &ops {
+            if let RequestOp::Put(put) = op {
+                self.check(put)?;
+            }
+        }
+        let before = self.revision;
+        self.revision += 1;
+        let mut changed = false;
+        let mut responses = Vec::new();
+        for op in ops {
+            responses.push(match op {
+                RequestOp::Range(req) => ResponseOp::Range(self.range(&req)),
+                RequestOp::Put(req) => {
+                    changed = true;
+                    self.put_at(req);
+                    ResponseOp::Put(PutResponse {
+                        header: self.header(),
+                    })
+                }
+                RequestOp::DeleteRange(req) => {
+                    let deleted = self.delete_at(&req);
+                    changed |= deleted > 0;
+                    let deleted = Num(deleted);
+                    ResponseOp::DeleteRange(DeleteRangeResponse {
+                        header: self.header(),
+                        deleted,
+                    })
+                }
+            });
+        }
+        if !changed {
+            self.revision = before;
+        }
+        Ok(TxnResponse {
+            header: self.header(),
+            succeeded,
+            responses,
+        })
+    }
+
+    fn check(&self, req: &PutRequest) -> Result<(), Rejection> {
+        if req.key.0.is_empty() {
+            return Err(Rejection::EmptyKey);
+        }
+        if req.value.0.len() > self.max_value_bytes {
+            return Err(Rejection::ValueTooLarge);
+        }
+        if req.lease.0 != 0 && !self.leases.contains_key(&req.lease.0) {
+            return Err(Rejection::LeaseNotFound);
+        }
+        Ok(())
+    }
+
+    fn holds(&self, compare: &Compare) -> bool {
+        let absent = KeyValue::default();
+        let kv = self.kvs.get(&compare.key.0).unwrap_or(&absent);
+        let ordering = match compare.target {
+            CompareTarget::Version => kv.version.cmp(&compare.version),
+            CompareTarget::Create => kv.create_revision.cmp(&compare.create_revision),
+            CompareTarget::Mod => kv.mod_revision.cmp(&compare.mod_revision),
+            CompareTarget::Value => kv.value.cmp(&compare.value),
+            CompareTarget::Lease => kv.lease.cmp(&compare.lease),
+        };
+        match compare.result {
+            CompareResult::Equal => ordering.is_eq(),
+            CompareResult::Greater => ordering.is_gt(),
+            CompareResult::Less => ordering.is_lt(),
+            CompareResult::NotEqual => ordering.is_ne(),
+        }
+    }
+
+    fn put_at(&mut self, req: PutRequest) {
+        let old = self.kvs.get(&req.key.0);
+        let kv = KeyValue {
+            create_revision: old.map_or(Num(self.revision), |kv| kv.create_revision),
+            mod_revision: Num(self.revision),
+            version: Num(old.map_or(0, |kv| kv.version.0) + 1),
+            key: req.key,
+            value: req.value,
+            lease: req.lease,
+        };
+        self.kvs.insert(kv.key.0.clone(), kv.clone());
+        self.remember(Event {
+            kind: EventKind::Put,
+            kv,
+        });
+    }
+
+    fn delete_at(&mut self, req: &DeleteRangeRequest) -> i64 {
+        let found = self.kvs.range::<[u8], _>(bounds(&req.key, &req.range_end));
+        let keys: Vec<Vec<u8>> = found.map(|(key, _)| key.clone()).collect();
+        for key in &keys {
+            self.kvs.remove(key);
+            let kv = KeyValue {
+                key: Blob(key.clone()),
+                mod_revision: Num(self.revision),
+                ..KeyValue::default()
+            };
+            self.remember(Event {
+                kind: EventKind::Delete,
+                kv,
+            });
+        }
+        keys.len() as i64
+    }
+
+    // Watches
+
+    fn remember(&mut self, event: Event) {
+        self.history.push_back(event);
+        while self.history.len() > MAX_HISTORY {
+            if let Some(event) = self.history.pop_front() {
+                self.compacted = event.kv.mod_revision.0;
+            }
+        }
+    }
+
+    /// Returns the changes in a range of keys from revision `start` on, or the revision up to
+    /// which changes were forgotten.
+    pub(crate) fn events(&self, key: &Blob, end: &Blob, start: i64) -> Result<Vec<Event>, i64> {
+        if start <= self.compacted {
+            return Err(self.compacted);
+        }
+        let bounds = bounds(key, end);
+        let from = self
+            .history
+            .partition_point(|e| e.kv.mod_revision.0 < start);
+        let events = self.history.range(from..);
+        let wanted =
+            events.filter(|e| RangeBounds::<[u8]>::contains(&bounds, e.kv.key.0.as_slice()));
+        Ok(wanted.cloned().collect())
+    }
+
+    // Leases
+
+    pub(crate) fn grant(&mut self, now_ms: u64, id: i64, ttl_s: i64) -> LeaseResponse {
+        let id = if id == 0 { self.next_lease } else { id };
+        self.next_lease = self.next_lease.max(id) + 1;
+        let expires_ms = now_ms + ttl_s.max(1) as u64 * 1000;
+        self.leases.insert(id, Lease { ttl_s, expires_ms });
+        LeaseResponse {
+            header: self.header(),
+            id: Num(id),
+            ttl: Num(ttl_s),
+        }
+    }
+
+    /// Extends a lease; the answer's TTL is zero if it has lapsed.
+    pub(crate) fn keep_alive(&mut self, now_ms: u64, id: i64) -> LeaseResponse {
+        let lease = self.leases.get_mut(&id);
+        let ttl = lease.map_or(0, |lease| {
+            lease.expires_ms = now_ms + lease.ttl_s.max(1) as u64 * 1000;
+            lease.ttl_s
+        });
+        LeaseResponse {
+            header: self.header(),
+            id: Num(id),
+            ttl: Num(ttl),
+        }
+    }
+
+    /// Ends a lease and deletes its keys.
+    pub(crate) fn revoke(&mut self, id: i64) -> Result<LeaseResponse, Rejection> {
+        if self.leases.remove(&id).is_none() {
+            return Err(Rejection::LeaseNotFound);
+        }
+        let held = self.kvs.values().filter(|kv| kv.lease.0 == id);
+        let keys: Vec<Blob> = held.map(|kv| kv.key.clone()).collect();
+        for key in keys {
+            self.delete_range(&DeleteRangeRequest {
+                key,
+                range_end: Blob::default(),
+            });
+        }
+        Ok(LeaseResponse {
+            header: self.header(),
+            id: Num(id),
+            ttl: Num(0),
+        })
+    }
+
+    /// Ends the leases that have lapsed; returns whether there were any.
+    pub(crate) fn expire(&mut self, now_ms: u64) -> bool {
+        let lapsed = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.expires_ms <= now_ms);
+        let ids: Vec<i64> = lapsed.map(|(&id, _)| id).collect();
+        for &id in &ids {
+            let _ = self.revoke(id);
+        }
+        !ids.is_empty()
+    }
+}
+
+/// Returns the bounds of etcd's `key` and `range_end`.
+fn bounds<'a>(key: &'a Blob, end: &'a Blob) -> (Bound<&'a [u8]>, Bound<&'a [u8]>) {
+    let start = key.0.as_slice();
+    match end.0.as_slice() {
+        [] => (Bound::Included(start), Bound::Included(start)),
+        [0] => (Bound::Included(start), Bound::Unbounded),
+        end if end <= start => (Bound::Excluded(start), Bound::Included(start)),
+        end => (Bound::Included(start), Bound::Excluded(end)),
+    }
+}
--- /dev/null
+++ b/toucanchute_fakes/src/platform/wire.rs
@@ -0,0 +1,266 @@
+//! Messages of etcd v3's JSON mapping: bytes are base64, 64-bit numbers are strings.
+
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+
+/// Bytes, as base64 text.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Blob(pub(crate) Vec<u8>);
+
+impl Blob {
+    fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl Serialize for Blob {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&STANDARD.encode(&self.0))
+    }
+}
+
+impl<'de> Deserialize<'de> for Blob {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Blob, D::Error> {
+        let text = std::borrow::Cow::<str>::deserialize(deserializer)?;
+        let bytes = STANDARD
+            .decode(text.as_bytes())
+            .map_err(de::Error::custom)?;
+        Ok(Blob(bytes))
+    }
+}
+
+/// A 64-bit number, as text; a plain number is read as well.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Num(pub(crate) i64);
+
+impl Num {
+    fn is_zero(&self) -> bool {
+        self.0 == 0
+    }
+}
+
+impl Serialize for Num {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&self.0.to_string())
+    }
+}
+
+impl<'de> Deserialize<'de> for Num {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Num, D::Error> {
+        #[derive(Deserialize)]
+        #[serde(untagged)]
+        enum Either {
+            Number(i64),
+            Text(String),
+        }
+        match Either::deserialize(deserializer)? {
+            Either::Number(n) => Ok(Num(n)),
+            Either::Text(text) => text.parse().map(Num).map_err(de::Error::custom),
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct Header {
+    pub(crate) cluster_id: Num,
+    pub(crate) member_id: Num,
+    pub(crate) revision: Num,
+    pub(crate) raft_term: Num,
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct KeyValue {
+    pub(crate) key: Blob,
+    #[serde(skip_serializing_if = "Num::is_zero")]
+    pub(crate) create_revision: Num,
+    pub(crate) mod_revision: Num,
+    #[serde(skip_serializing_if = "Num::is_zero")]
+    pub(crate) version: Num,
+    #[serde(skip_serializing_if = "Blob::is_empty")]
+    pub(crate) value: Blob,
+    #[serde(skip_serializing_if = "Num::is_zero")]
+    pub(crate) lease: Num,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct RangeRequest {
+    pub(crate) key: Blob,
+    pub(crate) range_end: Blob,
+    pub(crate) limit: Num,
+    pub(crate) keys_only: bool,
+    pub(crate) count_only: bool,
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct RangeResponse {
+    pub(crate) header: Header,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub(crate) kvs: Vec<KeyValue>,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub(crate) more: bool,
+    pub(crate) count: Num,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct PutRequest {
+    pub(crate) key: Blob,
+    pub(crate) value: Blob,
+    pub(crate) lease: Num,
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct PutResponse {
+    pub(crate) header: Header,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct DeleteRangeRequest {
+    pub(crate) key: Blob,
+    pub(crate) range_end: Blob,
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct DeleteRangeResponse {
+    pub(crate) header: Header,
+    pub(crate) deleted: Num,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub(crate) enum CompareTarget {
+    #[default]
+    Version,
+    Create,
+    Mod,
+    Value,
+    Lease,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "SCREAMING_SNAKE_CASE")]
+pub(crate) enum CompareResult {
+    #[default]
+    Equal,
+    Greater,
+    Less,
+    NotEqual,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct Compare {
+    pub(crate) key: Blob,
+    pub(crate) target: CompareTarget,
+    pub(crate) result: CompareResult,
+    pub(crate) version: Num,
+    pub(crate) create_revision: Num,
+    pub(crate) mod_revision: Num,
+    pub(crate) value: Blob,
+    pub(crate) lease: Num,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub(crate) enum RequestOp {
+    #[serde(rename = "request_range", alias = "requestRange")]
+    Range(RangeRequest),
+    #[serde(rename = "request_put", alias = "requestPut")]
+    Put(PutRequest),
+    #[serde(rename = "request_delete_range", alias = "requestDeleteRange")]
+    DeleteRange(DeleteRangeRequest),
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub(crate) enum ResponseOp {
+    #[serde(rename = "response_range")]
+    Range(RangeResponse),
+    #[serde(rename = "response_put")]
+    Put(PutResponse),
+    #[serde(rename = "response_delete_range")]
+    DeleteRange(DeleteRangeResponse),
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct TxnRequest {
+    pub(crate) compare: Vec<Compare>,
+    pub(crate) success: Vec<RequestOp>,
+    pub(crate) failure: Vec<RequestOp>,
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct TxnResponse {
+    pub(crate) header: Header,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub(crate) succeeded: bool,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub(crate) responses: Vec<ResponseOp>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct LeaseRequest {
+    #[serde(rename = "ID")]
+    pub(crate) id: Num,
+    #[serde(rename = "TTL")]
+    pub(crate) ttl: Num,
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct LeaseResponse {
+    pub(crate) header: Header,
+    #[serde(rename = "ID")]
+    pub(crate) id: Num,
+    #[serde(rename = "TTL", skip_serializing_if = "Num::is_zero")]
+    pub(crate) ttl: Num,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct WatchRequest {
+    pub(crate) create_request: WatchCreate,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct WatchCreate {
+    pub(crate) key: Blob,
+    pub(crate) range_end: Blob,
+    pub(crate) start_revision: Num,
+    pub(crate) progress_notify: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub(crate) enum EventKind {
+    Put,
+    Delete,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Event {
+    #[serde(rename = "type")]
+    pub(crate) kind: EventKind,
+    pub(crate) kv: KeyValue,
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct WatchResponse {
+    pub(crate) header: Header,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub(crate) created: bool,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub(crate) canceled: bool,
+    #[serde(skip_serializing_if = "Num::is_zero")]
+    pub(crate) compact_revision: Num,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub(crate) events: Vec<Event>,
+}
+
+/// One line of a streamed answer.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Streamed<T> {
+    pub(crate) result: T,
+}
--- /dev/null
+++ b/toucanchute_fakes/src/server.rs
@@ -0,0 +1,152 @@
+use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use http::Request;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    sync::watch,
+    task::{JoinHandle, JoinSet},
+    time::sleep,
+};
+
+use crate::reply::{Abort, Reply};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// Pause between attempts to listen again at an address that is still taken.
+const REBIND_PAUSE: Duration = Duration::from_millis(20);
+
+/// Answers the requests of one stand-in.
+pub(crate) trait Handler: Send + Sync + 'static {
+    /// Answers `req`; the connection is closed without a reply on an error.
+    fn handle(
+        self: Arc<Self>,
+        req: Request<Incoming>,
+    ) -> impl Future<Output = Result<Reply, Abort>> + Send;
+}
+
+/// Crashes a server: closes each connection and listens again some time later.
+#[derive(Clone, Debug)]
+pub(crate) struct Crash(watch::Sender<Outage>);
+
+/// The latest crash that was asked for.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outage {
+    /// Number of crashes so far.
+    count: u64,
+    /// Time until the server listens again.
+    down: Duration,
+}
+
+impl Crash {
+    pub(crate) fn new() -> Crash {
+        Crash(watch::Sender::new(Outage::default()))
+    }
+
+    /// Closes each connection at once and refuses new ones for `down`.
+    pub(crate) fn now(&self, down: Duration) {
+        self.0.send_modify(|outage| {
+            outage.count += 1;
+            outage.down = down;
+        });
+    }
+}
+
+/// A running HTTP/1.1 server; dropping it closes its connections.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    pub(crate) async fn bind<H: Handler>(
+        address: SocketAddr,
+        handler: Arc<H>,
+        crash: Crash,
+    ) -> io::Result<Server> {
+        let listener = listen(address)?;
+        let address = listener.local_addr()?;
+        let task = tokio::spawn(run(address, listener, handler, crash));
+        Ok(Server { address, task })
+    }
+
+    /// Returns the address that the server listens at.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+async fn listen_again(address: SocketAddr) -> TcpListener {
+    loop {
+        match listen(address) {
+            Ok(listener) => return listener,
+            Err(_) => sleep(REBIND_PAUSE).await,
+        }
+    }
+}
+
+async fn run<H: Handler>(
+    address: SocketAddr,
+    mut listener: TcpListener,
+    handler: Arc<H>,
+    crash: Crash,
+) {
+    let mut outages = crash.0.subscribe();
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    connections.spawn(serve(stream, Arc::clone(&handler)));
+                }
+            }
+            Some(_) = connections.join_next() => {}
+            Ok(()) = outages.changed() => {
+                let down = outages.borrow_and_update().down;
+                drop(listener);
+                connections.shutdown().await;
+                sleep(down).await;
+                listener = listen_again(address).await;
+            }
+        }
+    }
+}
+
+async fn serve<H: Handler>(stream: TcpStream, handler: Arc<H>) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |req| {
+        observe_clock(&req);
+        Arc::clone(&handler).handle(req)
+    });
+    let mut http = http1::Builder::new();
+    http.timer(TokioTimer::new());
+    let _ = http.serve_connection(TokioIo::new(stream), service).await;
+}
+
+/// Raises the log's clock to the sender's, so that causes precede effects in a merged log.
+fn observe_clock(req: &Request<Incoming>) {
+    let stamp = req.headers().get(toucanchute_log::CLOCK_HEADER);
+    let stamp = stamp.and_then(|v| v.to_str().ok()?.parse().ok());
+    if let Some(stamp) = stamp {
+        toucanchute_log::observe(stamp);
+    }
+}
--- /dev/null
+++ b/toucanchute_fakes/src/weights.rs
@@ -0,0 +1,60 @@
+use std::{collections::BTreeMap, io, time::Duration};
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::StatusCode;
+use tokio::time::sleep;
+
+use crate::reply::{self, Reply};
+
+/// Size of one piece of an answer, in bytes.
+const PIECE_BYTES: u64 = 64 << 10;
+
+/// Options of a stand-in weight store.
+#[derive(Clone, Debug)]
+pub struct WeightOptions {
+    /// Sizes of the weights by name, in bytes.
+    pub sizes: BTreeMap<String, u64>,
+    /// Rate of each answer, in bytes a second.
+    pub bytes_per_second: u64,
+}
+
+impl Default for WeightOptions {
+    fn default() -> WeightOptions {
+        WeightOptions {
+            sizes: BTreeMap::new(),
+            bytes_per_second: 64 << 20,
+        }
+    }
+}
+
+/// A rate-limited store of model weights; contents are zeros.
+#[derive(Debug)]
+pub(crate) struct Weights {
+    options: WeightOptions,
+}
+
+impl Weights {
+    pub(crate) fn new(options: WeightOptions) -> Weights {
+        Weights { options }
+    }
+
+    /// Answers `GET /v1/weights/<name>`.
+    pub(crate) fn open(&self, name: &str) -> Reply {
+        let Some(&size) = self.options.sizes.get(name) else {
+            return reply::error(StatusCode::NOT_FOUND, "no such weights");
+        };
+        let rate = self.options.bytes_per_second.max(1);
+        let pause = Duration::from_secs_f64(PIECE_BYTES as f64 / rate as f64);
+        let pieces = stream::unfold(size, move |left| async move {
+            if left == 0 {
+                return None;
+            }
+            sleep(pause).await;
+            let len = left.min(PIECE_BYTES);
+            let piece = Bytes::from(vec![0; len as usize]);
+            Some((Ok::<_, io::Error>(piece), left - len))
+        });
+        reply::streamed("application/octet-stream", pieces)
+    }
+}
