feat(settings): router settings and operators' configuration from INI files

Routers, toucanctl and the quickstart need one reader of both kinds of file. rust-ini reads the pairs but knows no lines, so lines are checked and counted first and joined with its pairs in order; quotes and escapes are off, so a pair never spans lines. Every fault of all files is listed with file, line, section, key, value, what is allowed and a near spelling.

--- a/toucanchute_proto/src/lib.rs
+++ b/toucanchute_proto/src/lib.rs
@@ -16,5 +16,18 @@
 #[path = "generated/config.rs"]
 pub mod config;
 
+#[allow(
+    missing_docs,
+    clippy::all,
+    clippy::pedantic,
+    unused_qualifications,
+    unreachable_pub
+)]
+#[path = "generated/settings.rs"]
+pub mod settings;
+
 pub use id::{AttemptId, BudgetId, Digest, EntryId, GrantId, Incarnation, RequestKey, ShardId};
 pub use time::Millis;
+
+/// IP number and port, as the generated types name it.
+pub type SocketAddr = std::net::SocketAddr;
--- /dev/null
+++ b/toucanchute_settings/src/document.rs
@@ -0,0 +1,153 @@
+use std::{fs, path::Path};
+
+use ini::{Ini, ParseOption};
+
+use crate::fault::{Fault, FaultKind, Place};
+
+/// One INI file, with the place of each key.
+#[derive(Debug)]
+pub(crate) struct Document {
+    /// Sections in the order of the file.
+    pub(crate) sections: Vec<Section>,
+}
+
+/// One section of a file.
+#[derive(Debug)]
+pub(crate) struct Section {
+    /// Text between the brackets.
+    pub(crate) header: String,
+    /// Line of the header.
+    pub(crate) place: Place,
+    /// Keys in the order of the file.
+    pub(crate) entries: Vec<Entry>,
+}
+
+/// One `key = value` line.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) key: String,
+    pub(crate) value: String,
+    pub(crate) place: Place,
+}
+
+/// What a line of a file is.
+enum Line {
+    Blank,
+    Header,
+    Pair,
+    Bad(&'static str),
+}
+
+impl Document {
+    /// Reads the file at `path`.
+    pub(crate) fn read(path: &Path) -> Result<Document, Vec<Fault>> {
+        let fault = |kind| vec![Fault::new(Place::whole(path), kind)];
+        let buf = fs::read(path).map_err(|e| fault(FaultKind::Unreadable(e.to_string())))?;
+        let text = str::from_utf8(&buf).map_err(|_| fault(FaultKind::NotUtf8))?;
+        Document::parse(path, text)
+    }
+
+    /// Parses the text of the file at `path`.
+    pub(crate) fn parse(path: &Path, text: &str) -> Result<Document, Vec<Fault>> {
+        let text = text.strip_prefix('\u{feff}').unwrap_or(text);
+        let lines = check_lines(path, text)?;
+        let opt = ParseOption {
+            enabled_quote: false,
+            enabled_escape: false,
+            ..ParseOption::default()
+        };
+        let trimmed: Vec<&str> = text.lines().map(str::trim).collect();
+        let ini = Ini::load_from_str_opt(&trimmed.join("\n"), opt).map_err(|e| {
+            let place = place(path, e.line);
+            vec![Fault::new(place, FaultKind::Syntax(e.msg.into_owned()))]
+        })?;
+        Ok(Document::locate(path, &ini, &lines))
+    }
+
+    /// Joins the parsed pairs with their lines; both are in the order of the file.
+    fn locate(path: &Path, ini: &Ini, lines: &[usize]) -> Document {
+        let mut lines = lines.iter().map(|&line| place(path, line));
+        let mut next = || lines.next().unwrap_or_else(|| Place::whole(path));
+        let mut sections = Vec::new();
+        for (header, pairs) in ini.iter() {
+            let Some(header) = header else { continue };
+            let place = next();
+            let entry = |(key, value): (&str, &str)| Entry {
+                key: key.to_owned(),
+                value: value.to_owned(),
+                place: next(),
+            };
+            sections.push(Section {
+                header: header.split_whitespace().collect::<Vec<_>>().join(" "),
+                place,
+                entries: pairs.iter().map(entry).collect(),
+            });
+        }
+        Document { sections }
+    }
+}
+
+impl Section {
+    /// Returns the kind of the section: the first word of its header.
+    pub(crate) fn kind(&self) -> &str {
+        self.header.split(' ').next().unwrap_or_default()
+    }
+
+    /// Returns the name of the section: what follows its kind.
+    pub(crate) fn name(&self) -> &str {
+        self.header.split_once(' ').map_or("", |(_, name)| name)
+    }
+
+    /// Creates a fault of the section as a whole.
+    pub(crate) fn fault(&self, kind: FaultKind) -> Fault {
+        Fault::new(self.place.clone(), kind).section(&self.header)
+    }
+}
+
+/// Returns the numbers of the lines that hold a header or a pair.
+fn check_lines(path: &Path, text: &str) -> Result<Vec<usize>, Vec<Fault>> {
+    let mut used = Vec::new();
+    let mut faults = Vec::new();
+    for (i, line) in text.lines().enumerate() {
+        match classify(line.trim(), used.is_empty()) {
+            Line::Blank => {}
+            Line::Header | Line::Pair => used.push(i + 1),
+            Line::Bad(cause) => {
+                let kind = FaultKind::Syntax(cause.to_owned());
+                faults.push(Fault::new(place(path, i + 1), kind));
+            }
+        }
+    }
+    if faults.is_empty() {
+        Ok(used)
+    } else {
+        Err(faults)
+    }
+}
+
+fn classify(line: &str, first: bool) -> Line {
+    if line.is_empty() || line.starts_with([';', '#']) {
+        return Line::Blank;
+    }
+    if line.contains('\r') {
+        return Line::Bad("carriage return inside a line");
+    }
+    if let Some(rest) = line.strip_prefix('[') {
+        return match rest.strip_suffix(']') {
+            Some(name) if !name.trim().is_empty() && !name.contains(['[', ']']) => Line::Header,
+            _ => Line::Bad("expected a section header such as [router]"),
+        };
+    }
+    match line.split_once(['=', ':']) {
+        _ if first => Line::Bad("expected a section header before the first key"),
+        Some((key, _)) if !key.trim().is_empty() => Line::Pair,
+        _ => Line::Bad("expected `key = value`, a section header or a comment"),
+    }
+}
+
+fn place(path: &Path, line: usize) -> Place {
+    Place {
+        file: path.to_owned(),
+        line,
+    }
+}
--- /dev/null
+++ b/toucanchute_settings/src/folder/references.rs
@@ -0,0 +1,156 @@
+use std::collections::BTreeMap;
+
+use toucanchute_proto::{
+    BudgetId,
+    config::{Config, PoolKind},
+};
+
+use crate::{
+    document::Section,
+    fault::{Fault, FaultKind},
+    suggest,
+};
+
+/// Checks what sections say about each other.
+pub(super) fn check(cfg: &Config, sections: &[Section], faults: &mut Vec<Fault>) {
+    let mut cx = Checks { sections, faults };
+    cx.pools(cfg);
+    cx.budgets(cfg);
+    cx.unique(cfg);
+    cx.budget_ids(cfg);
+}
+
+struct Checks<'a> {
+    sections: &'a [Section],
+    faults: &'a mut Vec<Fault>,
+}
+
+impl Checks<'_> {
+    /// Each model, service and backend server names a pool of the right kind.
+    fn pools(&mut self, cfg: &Config) {
+        for model in &cfg.models {
+            self.pool(
+                cfg,
+                "model",
+                &model.name,
+                &model.pool,
+                Some(PoolKind::Engine),
+            );
+        }
+        for service in &cfg.services {
+            let kind = Some(PoolKind::Service);
+            self.pool(cfg, "service", &service.name, &service.pool, kind);
+        }
+        for backend in &cfg.backends {
+            self.pool(cfg, "backend", &backend.name, &backend.pool, None);
+        }
+    }
+
+    fn pool(&mut self, cfg: &Config, of: &str, name: &str, pool: &str, kind: Option<PoolKind>) {
+        let header = format!("{of} {name}");
+        match cfg.pools.iter().find(|p| p.name == pool) {
+            None if self.defined("pool", pool) => {}
+            None => self.unknown(&header, "pool", pool),
+            Some(found) => {
+                if let Some(kind) = kind.filter(|&k| k != found.kind) {
+                    let cause = format!("the pool's kind is {}, expected {kind}", found.kind);
+                    self.conflict(&header, "pool", pool, cause);
+                }
+            }
+        }
+    }
+
+    /// Each customer names a budget.
+    fn budgets(&mut self, cfg: &Config) {
+        for customer in &cfg.customers {
+            if !cfg.budgets.iter().any(|b| b.name == customer.budget) {
+                let header = format!("customer {}", customer.name);
+                self.unknown(&header, "budget", &customer.budget);
+            }
+        }
+    }
+
+    /// No two customers share a token, no two backend servers an address.
+    fn unique(&mut self, cfg: &Config) {
+        let mut tokens = BTreeMap::new();
+        for customer in &cfg.customers {
+            let header = format!("customer {}", customer.name);
+            if let Some(first) = tokens.insert(&customer.token_sha256, &customer.name) {
+                let cause = format!("customer {first} has the same token");
+                self.shared_token(&header, cause);
+            }
+        }
+        let mut addresses = BTreeMap::new();
+        for backend in &cfg.backends {
+            let header = format!("backend {}", backend.name);
+            if let Some(first) = addresses.insert(&backend.address, &backend.name) {
+                let cause = format!("backend {first} has the same address");
+                self.conflict(&header, "address", &backend.address, cause);
+            }
+        }
+    }
+
+    /// Reports a customer's token at the key that gave it, without its value.
+    fn shared_token(&mut self, header: &str, cause: String) {
+        let keys = ["token", "token_sha256"];
+        let key = keys.into_iter().find(|key| self.has(header, key));
+        let kind = FaultKind::Conflict(cause);
+        let mut fault = self.fault(header, key.unwrap_or("token"), "", kind);
+        fault.value = None;
+        self.faults.push(fault);
+    }
+
+    /// No two budgets have the same identifier.
+    fn budget_ids(&mut self, cfg: &Config) {
+        let mut ids = BTreeMap::new();
+        for budget in &cfg.budgets {
+            let id = BudgetId::from_name(&budget.name);
+            let first = ids.insert(id, &budget.name);
+            if let Some(first) = first.filter(|&first| *first != budget.name) {
+                let cause = format!("budget {first} has the same identifier; choose another name");
+                self.conflict(
+                    &format!("budget {}", budget.name),
+                    "name",
+                    &budget.name,
+                    cause,
+                );
+            }
+        }
+    }
+
+    /// Returns whether a section has a key.
+    fn has(&self, header: &str, key: &str) -> bool {
+        let mut sections = self.sections.iter().filter(|s| s.header == header);
+        sections.any(|s| s.entries.iter().any(|e| e.key == key))
+    }
+
+    /// Returns whether a section stands in a file, be it at fault.
+    fn defined(&self, kind: &str, name: &str) -> bool {
+        let mut sections = self.sections.iter();
+        sections.any(|s| s.kind() == kind && s.name() == name)
+    }
+
+    fn unknown(&mut self, header: &str, kind: &'static str, value: &str) {
+        let named = self.sections.iter().filter(|s| s.kind() == kind);
+        let near = suggest::closest(value, named.map(Section::name));
+        let fault = self.fault(header, kind, value, FaultKind::UnknownReference(kind));
+        self.faults.push(fault.suggestion(near));
+    }
+
+    fn conflict(&mut self, header: &str, key: &str, value: &str, cause: String) {
+        let fault = self.fault(header, key, value, FaultKind::Conflict(cause));
+        self.faults.push(fault);
+    }
+
+    fn fault(&self, header: &str, key: &str, value: &str, kind: FaultKind) -> Fault {
+        let Some(section) = self.sections.iter().find(|s| s.header == header) else {
+            return Fault::new(crate::Place::whole(""), kind).section(header);
+        };
+        let entry = section.entries.iter().find(|e| e.key == key);
+        let place = entry.map_or(&section.place, |e| &e.place).clone();
+        Fault::new(place, kind)
+            .section(header)
+            .key(key)
+            .value(value)
+    }
+}
--- /dev/null
+++ b/toucanchute_settings/src/format.rs
@@ -0,0 +1,161 @@
+use std::net::SocketAddr;
+
+use sha2::{Digest as _, Sha256};
+use toucanchute_proto::{
+    config::{Fencing, PoolKind},
+    settings::LogLevel,
+};
+
+/// Hexadecimal digits of a SHA-256 digest.
+const DIGEST_DIGITS: usize = 64;
+
+/// Shortest token or secret, in bytes.
+const MIN_SECRET_BYTES: usize = 8;
+
+/// Longest name, in bytes.
+const MAX_NAME_BYTES: usize = 64;
+
+/// What a value may be and how it is read.
+pub(crate) struct Format<T> {
+    /// What is allowed, for messages.
+    pub(crate) allowed: &'static str,
+    /// Every allowed value, if there are few.
+    pub(crate) choices: &'static [&'static str],
+    /// Whether the value is kept out of messages.
+    pub(crate) secret: bool,
+    /// Reads a value; `None` if it is not allowed.
+    pub(crate) parse: fn(&str) -> Option<T>,
+}
+
+impl<T> Format<T> {
+    const fn new(allowed: &'static str, parse: fn(&str) -> Option<T>) -> Format<T> {
+        Format {
+            allowed,
+            choices: &[],
+            secret: false,
+            parse,
+        }
+    }
+
+    const fn choices(mut self, choices: &'static [&'static str]) -> Format<T> {
+        self.choices = choices;
+        self
+    }
+
+    const fn secret(mut self) -> Format<T> {
+        self.secret = true;
+        self
+    }
+}
+
+pub(crate) const NAME: Format<String> = Format::new(
+    "a name of at most 64 letters, digits, `-`, `_`, `.` or `/`",
+    |s| is_name(s).then(|| s.to_owned()),
+);
+
+pub(crate) const ADDRESS: Format<SocketAddr> =
+    Format::new("an IP number and port such as 10.0.0.1:8080", address);
+
+pub(crate) const ADDRESSES: Format<Vec<SocketAddr>> =
+    Format::new("IP numbers and ports, separated by commas", |s| {
+        s.split(',').map(|part| address(part.trim())).collect()
+    });
+
+pub(crate) const DURATION: Format<u64> = Format::new(
+    "a duration of at least 1 ms with its unit, such as 500 ms, 10 s, 5 min or 24 h",
+    |s| {
+        scaled(
+            s,
+            &[("ms", 1), ("s", 1_000), ("min", 60_000), ("h", 3_600_000)],
+        )
+    },
+);
+
+pub(crate) const SIZE: Format<u64> = Format::new(
+    "a size with its unit, such as 512 B, 64 KiB or 1 MiB",
+    |s| scaled(s, &[("B", 1), ("KiB", 1 << 10), ("MiB", 1 << 20)]),
+);
+
+pub(crate) const TOKENS: Format<u64> = Format::new("a number of tokens", |s| s.parse().ok());
+
+pub(crate) const COUNT: Format<u32> = Format::new("a number of at least 1", |s| {
+    s.parse().ok().filter(|&n| n > 0)
+});
+
+pub(crate) const PERCENT: Format<u32> = Format::new("a number from 0 to 100, in percent", |s| {
+    s.parse().ok().filter(|&n| n <= 100)
+});
+
+pub(crate) const PRIORITY: Format<u8> = Format::new("a number from 0 to 255", |s| s.parse().ok());
+
+pub(crate) const SHARDS: Format<u16> = Format::new("a number from 1 to 1024", |s| {
+    s.parse().ok().filter(|n| (1..=1024).contains(n))
+});
+
+pub(crate) const RING: Format<u32> = Format::new("a number from 2 to 4096", |s| {
+    s.parse().ok().filter(|n| (2..=4096).contains(n))
+});
+
+pub(crate) const WITNESSES: Format<u8> = Format::new("a number from 1 to 7", |s| {
+    s.parse().ok().filter(|n| (1..=7).contains(n))
+});
+
+pub(crate) const BOOL: Format<bool> =
+    Format::new("true or false", |s| s.parse().ok()).choices(&["true", "false"]);
+
+pub(crate) const POOL_KIND: Format<PoolKind> =
+    Format::new("engine or service", |s| s.parse().ok()).choices(&["engine", "service"]);
+
+pub(crate) const FENCING: Format<Fencing> =
+    Format::new("checked or ignored", |s| s.parse().ok()).choices(&["checked", "ignored"]);
+
+pub(crate) const LOG_LEVEL: Format<LogLevel> =
+    Format::new("error, warn, info, debug or trace", |s| s.parse().ok())
+        .choices(&["error", "warn", "info", "debug", "trace"]);
+
+pub(crate) const PATH: Format<String> = Format::new("the path of a file", |s| {
+    (!s.is_empty()).then(|| s.to_owned())
+});
+
+pub(crate) const DIGEST: Format<String> = Format::new("64 lower-case hexadecimal digits", |s| {
+    is_digest(s).then(|| s.to_owned())
+});
+
+pub(crate) const SECRET: Format<String> =
+    Format::new("at least 8 printable characters without spaces", |s| {
+        is_secret(s).then(|| s.to_owned())
+    })
+    .secret();
+
+/// Returns the SHA-256 of `bytes` in lower-case hexadecimal digits.
+pub(crate) fn sha256_hex(bytes: &[u8]) -> String {
+    let digest = Sha256::digest(bytes);
+    digest.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+fn address(s: &str) -> Option<SocketAddr> {
+    s.parse().ok().filter(|a: &SocketAddr| a.port() != 0)
+}
+
+/// Reads a whole number followed by one of `units`.
+fn scaled(s: &str, units: &[(&str, u64)]) -> Option<u64> {
+    let digits = s.find(|c: char| !c.is_ascii_digit())?;
+    let (number, unit) = s.split_at(digits);
+    let (_, factor) = units.iter().find(|(name, _)| *name == unit.trim_start())?;
+    let number: u64 = number.parse().ok()?;
+    number.checked_mul(*factor).filter(|&n| n > 0)
+}
+
+fn is_name(s: &str) -> bool {
+    let fits = |b: u8| b.is_ascii_alphanumeric() || b"-_./".contains(&b);
+    !s.is_empty() && s.len() <= MAX_NAME_BYTES && s.bytes().all(fits)
+}
+
+fn is_digest(s: &str) -> bool {
+    let fits = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
+    s.len() == DIGEST_DIGITS && s.bytes().all(fits)
+}
+
+fn is_secret(s: &str) -> bool {
+    s.len() >= MIN_SECRET_BYTES && s.bytes().all(|b| b.is_ascii_graphic())
+}
--- a/toucanchute_settings/src/lib.rs
+++ b/toucanchute_settings/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder.
+//! INI settings of processes and the operators' configuration files.
+//!
+//! A file is checked as a whole: the error lists every [`Fault`] with its place, not just the first.
+
+mod document;
+mod error;
+mod fault;
+mod folder;
+mod format;
+mod packed;
+mod reader;
+mod router;
+mod suggest;
+
+pub use error::{AssembleError, SettingsError};
+pub use fault::{Fault, FaultKind, Place};
+pub use folder::load_folder;
+pub use packed::{Chunk, HEAD_KEY, MAX_CHUNK_BYTES, Packed, assemble, chunk_key};
+pub use router::load_router;
--- /dev/null
+++ b/toucanchute_settings/src/packed.rs
@@ -0,0 +1,113 @@
+use snafu::{OptionExt as _, ResultExt as _, ensure};
+use toucanchute_proto::config::{Config, Head};
+
+use crate::{
+    error::{AssembleError, ChunkSnafu, ContentSnafu, MismatchSnafu},
+    format::sha256_hex,
+};
+
+/// Key of the platform's service that holds the [`Head`] as JSON.
+pub const HEAD_KEY: &str = "/toucanchute/config/head";
+
+/// Largest chunk of a configuration, in bytes.
+pub const MAX_CHUNK_BYTES: usize = 256 << 10;
+
+/// A configuration in canonical form, cut into content-addressed chunks.
+///
+/// Two configurations have the same digest exactly if they say the same; neither the version nor
+/// the order of sections and files counts.
+///
+/// ```
+/// use toucanchute_settings::{Packed, assemble};
+/// # use toucanchute_proto::config::Config;
+///
+/// # let json = r#"{"version":0,"site":"north","routing":{},"ledger":{}}"#;
+/// # let cfg: Config = serde_json::from_str(json).unwrap();
+/// let packed = Packed::new(&cfg);
+/// let bodies: Vec<_> = packed.chunks.iter().map(|c| &c.body).collect();
+/// let head = packed.head(1, "ana");
+/// assert_eq!(assemble(&head, &bodies).unwrap().version, 1);
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Packed {
+    /// SHA-256 of the chunks together, in lower-case hexadecimal digits.
+    pub digest: String,
+    /// At least one chunk, in order.
+    pub chunks: Vec<Chunk>,
+}
+
+/// A part of a configuration's canonical JSON.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Chunk {
+    /// SHA-256 of the body, in lower-case hexadecimal digits.
+    pub digest: String,
+    /// At most [`MAX_CHUNK_BYTES`] bytes.
+    pub body: Vec<u8>,
+}
+
+impl Packed {
+    /// Packs a configuration; its version is left out.
+    #[must_use]
+    pub fn new(cfg: &Config) -> Packed {
+        let json = canonical_json(cfg);
+        let chunk = |body: &[u8]| Chunk {
+            digest: sha256_hex(body),
+            body: body.to_vec(),
+        };
+        Packed {
+            digest: sha256_hex(&json),
+            chunks: json.chunks(MAX_CHUNK_BYTES).map(chunk).collect(),
+        }
+    }
+
+    /// Returns the head that puts this configuration in force as `version`.
+    #[must_use]
+    pub fn head(&self, version: u64, author: &str) -> Head {
+        Head {
+            version,
+            digest: self.digest.clone(),
+            chunks: self.chunks.iter().map(|c| c.digest.clone()).collect(),
+            author: author.to_owned(),
+        }
+    }
+}
+
+/// Returns the key of the platform's service that holds the chunk with `digest`.
+#[must_use]
+pub fn chunk_key(digest: &str) -> String {
+    format!("/toucanchute/config/chunk/{digest}")
+}
+
+/// Puts the configuration of `head` together from the bodies of its chunks, in order.
+///
+/// # Errors
+///
+/// Fails if a chunk is missing or damaged, or if the result is no configuration.
+pub fn assemble<T: AsRef<[u8]>>(head: &Head, bodies: &[T]) -> Result<Config, AssembleError> {
+    let mut json = Vec::new();
+    for (i, digest) in head.chunks.iter().enumerate() {
+        let body = bodies.get(i).context(ChunkSnafu { digest })?.as_ref();
+        ensure!(sha256_hex(body) == *digest, ChunkSnafu { digest });
+        json.extend_from_slice(body);
+    }
+    let found = sha256_hex(&json);
+    let expected = &head.digest;
+    ensure!(found == *expected, MismatchSnafu { expected, found });
+    let mut cfg: Config =
+        serde_json::from_slice(&json).context(ContentSnafu { digest: expected })?;
+    cfg.version = head.version;
+    Ok(cfg)
+}
+
+/// Returns the JSON of a configuration with version 0 and every list in the order of names.
+fn canonical_json(cfg: &Config) -> Vec<u8> {
+    let mut cfg = cfg.clone();
+    cfg.version = 0;
+    cfg.models.sort_by(|a, b| a.name.cmp(&b.name));
+    cfg.services.sort_by(|a, b| a.name.cmp(&b.name));
+    cfg.pools.sort_by(|a, b| a.name.cmp(&b.name));
+    cfg.backends.sort_by(|a, b| a.name.cmp(&b.name));
+    cfg.budgets.sort_by(|a, b| a.name.cmp(&b.name));
+    cfg.customers.sort_by(|a, b| a.name.cmp(&b.name));
+    serde_json::to_vec(&cfg).unwrap_or_default()
+}
--- /dev/null
+++ b/toucanchute_settings/tests/settings/edges.rs
@@ -0,0 +1,73 @@
+use std::fs;
+
+use proptest::{collection::vec, prelude::*, sample::select, test_runner::RngSeed};
+use toucanchute_settings::{load_folder, load_router};
+
+use crate::files::Folder;
+
+/// Pieces of which the parser is fed arbitrary sequences.
+const PIECES: [&str; 24] = [
+    "[router]",
+    "[platform]",
+    "[",
+    "]",
+    "[]",
+    "\n",
+    "\r\n",
+    "\r",
+    "=",
+    ":",
+    " ",
+    "\t",
+    ";",
+    "#",
+    "host",
+    "listen",
+    "timeout",
+    "127.0.0.1:1",
+    "\"",
+    "'",
+    "\\",
+    "\u{feff}",
+    "\u{0}",
+    "é",
+];
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// Each fault but a missing section or a fault of the file as a whole names an existing line.
+fn check(bytes: &[u8]) {
+    let folder = Folder::with(&[]);
+    let path = folder.path().join("r.ini");
+    fs::write(&path, bytes).unwrap();
+    let lines = bytes.split(|&b| b == b'\n').count();
+    let faults = [
+        load_router(&path).map(|_| ()).unwrap_err().faults,
+        load_folder(folder.path()).map(|_| ()).unwrap_err().faults,
+    ];
+    for fault in faults.iter().flatten() {
+        assert!(fault.place.line <= lines, "{fault}");
+        assert!(!fault.to_string().is_empty());
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn arbitrary_bytes_give_faults(bytes in vec(any::<u8>(), 0..200)) {
+        check(&bytes);
+    }
+
+    #[test]
+    fn arbitrary_pieces_give_faults(pieces in vec(select(&PIECES[..]), 0..40)) {
+        check(pieces.concat().as_bytes());
+    }
+}
--- /dev/null
+++ b/toucanchute_settings/tests/settings/main.rs
@@ -0,0 +1,7 @@
+//! Tests of settings and configuration files, a module for each feature.
+
+mod edges;
+mod files;
+mod folder;
+mod packed;
+mod router;
