--- /dev/null
+++ b/toucanchute_proto/src/generated.rs
@@ -0,0 +1,11 @@
+#![allow(
+    missing_docs,
+    clippy::all,
+    clippy::pedantic,
+    unused_qualifications,
+    unreachable_pub
+)]
+
+pub mod config;
+pub mod peer;
+pub mod settings;
