--- /dev/null
+++ b/toucanchute_edge/src/attempt.rs
@@ -0,0 +1,113 @@
+use toucanchute_proto::AttemptId;
+
+use crate::control::{Assignment, Control, CrashKind, Report, Reservation, Settlement};
+use crate::problem::Problem;
+
+/// One attempt at a backend server, ended by exactly one report.
+pub(crate) struct Attempt<'a, C: Control> {
+    control: &'a C,
+    /// Name, address and attempt identifier.
+    pub(crate) assignment: Assignment,
+    /// Whether the end was reported; it is reported as cancelled on drop otherwise.
+    ended: bool,
+}
+
+impl<'a, C: Control> Attempt<'a, C> {
+    /// Starts an attempt.
+    pub(crate) fn new(control: &'a C, assignment: Assignment) -> Attempt<'a, C> {
+        Attempt {
+            control,
+            assignment,
+            ended: false,
+        }
+    }
+
+    /// Returns the attempt's identifier.
+    pub(crate) fn id(&self) -> AttemptId {
+        self.assignment.attempt
+    }
+
+    /// Reports that the answer begins.
+    pub(crate) fn report_first_token(&self) {
+        self.control.report(self.id(), Report::FirstToken);
+    }
+
+    /// Reports the end.
+    pub(crate) fn end(mut self, report: Report) {
+        self.ended = true;
+        self.control.report(self.id(), report);
+        let id = self.id();
+        log::info!(attempt:% = id, backend = self.assignment.backend, report = name(report); "attempt-ended");
+    }
+}
+
+impl<C: Control> Drop for Attempt<'_, C> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.control.report(self.id(), Report::Cancelled);
+        }
+    }
+}
+
+/// A reservation, settled or released exactly once.
+pub(crate) struct Held<'a, C: Control> {
+    control: &'a C,
+    /// `None` once it was settled.
+    reservation: Option<Reservation>,
+    /// Tokens reserved.
+    pub(crate) tokens: u64,
+}
+
+impl<'a, C: Control> Held<'a, C> {
+    /// Takes over a reservation.
+    pub(crate) fn new(control: &'a C, reservation: Reservation) -> Held<'a, C> {
+        Held {
+            control,
+            tokens: reservation.tokens,
+            reservation: Some(reservation),
+        }
+    }
+
+    /// Bills `tokens`, at most those reserved.
+    pub(crate) async fn settle(mut self, tokens: u64) -> Result<Settlement, Problem> {
+        let Some(reservation) = self.reservation.take() else {
+            return Ok(Settlement::Duplicate);
+        };
+        let key = reservation.key;
+        let tokens = tokens.min(self.tokens);
+        match self.control.settle(reservation, tokens).await {
+            Ok(settlement) => {
+                log::info!(request:% = key, tokens = tokens, settlement:? = settlement; "request-settled");
+                Ok(settlement)
+            }
+            Err(refusal) => {
+                log::warn!(request:% = key, tokens = tokens, reason:? = refusal.reason; "settle-refused");
+                Err(Problem::from(refusal).after_running())
+            }
+        }
+    }
+}
+
+impl<C: Control> Drop for Held<'_, C> {
+    fn drop(&mut self) {
+        if let Some(reservation) = self.reservation.take() {
+            self.control.release(reservation);
+        }
+    }
+}
+
+/// Returns a report's name in the event log.
+fn name(report: Report) -> &'static str {
+    match report {
+        Report::FirstToken => "first-token",
+        Report::Done { .. } => "done",
+        Report::Refused => "refused",
+        Report::Unsent => "unsent",
+        Report::Crashed { kind } => match kind {
+            CrashKind::Disconnected => "disconnected",
+            CrashKind::Malformed => "malformed",
+            CrashKind::TimedOut => "timed-out",
+        },
+        Report::Cancelled => "cancelled",
+    }
+}
--- /dev/null
+++ b/toucanchute_edge/src/backend.rs
@@ -0,0 +1,204 @@
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderName, Method, Request, Response, Uri, uri};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body as _, Incoming};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use snafu::Snafu;
+use toucanchute_proto::AttemptId;
+
+use crate::{
+    control::{CrashKind, Report},
+    settings::{EdgeSettings, duration},
+};
+
+/// Header that carries the attempt, echoed by model engines.
+pub(crate) const ATTEMPT: HeaderName = HeaderName::from_static("toucanchute-attempt");
+/// Header that carries the customer's priority.
+pub(crate) const PRIORITY: HeaderName = HeaderName::from_static("toucanchute-priority");
+
+/// Longest time that a cancel order may take.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time that idle connections are kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// An exchange with a backend server that failed.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+#[non_exhaustive]
+pub(crate) enum BackendError {
+    /// No connection could be made, so that no byte was sent.
+    #[snafu(display("no connection: {source}"))]
+    Connect {
+        /// Cause.
+        source: hyper_util::client::legacy::Error,
+    },
+    /// The connection broke off after bytes may have been sent.
+    #[snafu(display("the request broke off: {source}"))]
+    Send {
+        /// Cause.
+        source: hyper_util::client::legacy::Error,
+    },
+    /// The connection broke off within the answer.
+    #[snafu(display("the answer broke off: {source}"))]
+    Receive {
+        /// Cause.
+        source: hyper::Error,
+    },
+    /// The connection ended before the answer did.
+    #[snafu(display("the answer ended early"))]
+    Truncated,
+    /// The answer cannot be read.
+    #[snafu(display("the answer is malformed: {detail}"))]
+    Malformed {
+        /// What is wrong with it.
+        detail: String,
+    },
+    /// The answer is too large.
+    #[snafu(display("the answer is larger than {limit} bytes"))]
+    TooLarge {
+        /// Bytes allowed.
+        limit: usize,
+    },
+    /// No byte came within the time allowed.
+    #[snafu(display("no answer in time"))]
+    Timeout,
+    /// The backend server refused the work before it started.
+    #[snafu(display("refused with status {status}"))]
+    Refused {
+        /// Status of the refusal.
+        status: u16,
+    },
+}
+
+impl BackendError {
+    /// Returns whether the work provably did not start.
+    pub(crate) fn is_not_run(&self) -> bool {
+        matches!(
+            self,
+            BackendError::Connect { .. } | BackendError::Refused { .. }
+        )
+    }
+
+    /// Returns the report that ends the attempt.
+    pub(crate) fn report(&self) -> Report {
+        let kind = match self {
+            BackendError::Connect { .. } => return Report::Unsent,
+            BackendError::Refused { .. } => return Report::Refused,
+            BackendError::Send { .. } | BackendError::Receive { .. } | BackendError::Truncated => {
+                CrashKind::Disconnected
+            }
+            BackendError::Malformed { .. } | BackendError::TooLarge { .. } => CrashKind::Malformed,
+            BackendError::Timeout => CrashKind::TimedOut,
+        };
+        Report::Crashed { kind }
+    }
+}
+
+/// Client of all backend servers.
+#[derive(Clone, Debug)]
+pub(crate) struct BackendClient {
+    /// Keeps connections.
+    pooled: Client<HttpConnector, Full<Bytes>>,
+    /// Opens a connection for each request, so that a request never meets a connection that the
+    /// backend server is closing.
+    single: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl BackendClient {
+    /// Creates a client without connections.
+    pub(crate) fn new(settings: &EdgeSettings) -> BackendClient {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(duration(settings.connect_timeout)));
+        let build = |idle| {
+            Client::builder(TokioExecutor::new())
+                .pool_timer(TokioTimer::new())
+                .pool_idle_timeout(IDLE_TIMEOUT)
+                .pool_max_idle_per_host(idle)
+                .retry_canceled_requests(idle > 0)
+                .build(connector.clone())
+        };
+        BackendClient {
+            pooled: build(settings.max_idle_connections),
+            single: build(0),
+        }
+    }
+
+    /// Sends a request over a kept connection and returns the head of the answer.
+    pub(crate) async fn send(
+        &self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, BackendError> {
+        check_refused(self.pooled.request(req).await)
+    }
+
+    /// Sends a request over a connection of its own, once.
+    pub(crate) async fn send_once(
+        &self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, BackendError> {
+        check_refused(self.single.request(req).await)
+    }
+
+    /// Tells a model engine in the background that an attempt is no longer wanted.
+    pub(crate) fn cancel(&self, address: SocketAddr, attempt: AttemptId) {
+        let path = format!("/v1/attempts/{attempt}");
+        let Ok(uri) = target(address, &path) else {
+            return;
+        };
+        let mut req = Request::new(Full::default());
+        *req.method_mut() = Method::DELETE;
+        *req.uri_mut() = uri;
+        let sent = self.pooled.request(req);
+        tokio::spawn(tokio::time::timeout(CANCEL_TIMEOUT, sent));
+        log::info!(attempt:% = attempt; "attempt-cancelled");
+    }
+}
+
+/// Returns the URI of `path_and_query` at a backend server.
+pub(crate) fn target(address: SocketAddr, path_and_query: &str) -> Result<Uri, http::Error> {
+    uri::Builder::new()
+        .scheme("http")
+        .authority(address.to_string())
+        .path_and_query(path_and_query)
+        .build()
+}
+
+/// Reads a whole body of at most `limit` bytes.
+pub(crate) async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, BackendError> {
+    let hint = body.size_hint().lower();
+    let mut out = BytesMut::with_capacity(limit.min(usize::try_from(hint).unwrap_or(limit)));
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|source| BackendError::Receive { source })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if out.len() + data.len() > limit {
+            return Err(BackendError::TooLarge { limit });
+        }
+        out.extend_from_slice(&data);
+    }
+    Ok(out.freeze())
+}
+
+fn check_refused(
+    answer: Result<Response<Incoming>, hyper_util::client::legacy::Error>,
+) -> Result<Response<Incoming>, BackendError> {
+    let res = answer.map_err(|source| {
+        if source.is_connect() {
+            BackendError::Connect { source }
+        } else {
+            BackendError::Send { source }
+        }
+    })?;
+    let status = res.status().as_u16();
+    if matches!(status, 429 | 503) {
+        return Err(BackendError::Refused { status });
+    }
+    Ok(res)
+}
--- /dev/null
+++ b/toucanchute_edge/src/caller.rs
@@ -0,0 +1,128 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, header};
+use toucanchute_proto::{BudgetId, Digest, Millis, RequestKey, config::Customer};
+
+use crate::{
+    config_index::{ConfigIndex, CustomerKey},
+    error::RequestError,
+};
+
+/// Header of the caller's idempotency key.
+pub(crate) const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Header of the time at which the key expires, in milliseconds since the Unix epoch.
+pub(crate) const EXPIRES: HeaderName = HeaderName::from_static("idempotency-expires");
+/// Header of the span within which the answer has to begin, in milliseconds.
+pub(crate) const DEADLINE: HeaderName = HeaderName::from_static("toucanchute-deadline-ms");
+/// Longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 256;
+
+/// A caller's request whose customer, key and times are known.
+#[derive(Debug)]
+pub(crate) struct CallerRequest {
+    /// Tables of the configuration under which the request came.
+    pub(crate) index: Arc<ConfigIndex>,
+    /// The customer, a key into `index`.
+    pub(crate) customer: CustomerKey,
+    /// The caller's key, or a fresh one.
+    pub(crate) key: RequestKey,
+    /// Digest of target and body.
+    pub(crate) digest: Digest,
+    /// When the key is forgotten, since the Unix epoch.
+    pub(crate) expires: Millis,
+    /// When the answer must have begun, since the Unix epoch.
+    pub(crate) deadline: Millis,
+    /// Whole body.
+    pub(crate) body: Bytes,
+}
+
+impl CallerRequest {
+    /// Reads key and times from the headers of a request that came at `now`.
+    pub(crate) fn new(
+        index: Arc<ConfigIndex>,
+        customer: CustomerKey,
+        target: &str,
+        headers: &HeaderMap,
+        body: Bytes,
+        now: Millis,
+    ) -> Result<CallerRequest, RequestError> {
+        let routing = &index.config().routing;
+        let key = parse_key(&index.customer(customer).name, headers)?;
+        let expires = parse_expires(headers, now, Millis(routing.key_window_ms))?;
+        let span = parse_millis(headers, &DEADLINE)?.unwrap_or(Millis::MAX);
+        let span = span.min(Millis(routing.answer_timeout_ms));
+        Ok(CallerRequest {
+            key,
+            expires,
+            customer,
+            deadline: now + span,
+            digest: Digest::new(target, &body),
+            index,
+            body,
+        })
+    }
+
+    /// Returns the customer's entry in the configuration.
+    pub(crate) fn customer(&self) -> &Customer {
+        self.index.customer(self.customer)
+    }
+
+    /// Returns the budget that the customer draws from.
+    pub(crate) fn budget(&self) -> BudgetId {
+        self.index.budget(self.customer)
+    }
+}
+
+/// Returns the bearer token of a request.
+pub(crate) fn bearer_token(headers: &HeaderMap) -> Option<&[u8]> {
+    let value = headers.get(header::AUTHORIZATION)?.as_bytes();
+    let (scheme, token) = value.split_at_checked("Bearer ".len())?;
+    scheme.eq_ignore_ascii_case(b"Bearer ").then_some(token)
+}
+
+fn parse_key(customer: &str, headers: &HeaderMap) -> Result<RequestKey, RequestError> {
+    let bad = RequestError::BadHeader {
+        name: "Idempotency-Key",
+        expected: "one value of 1 to 256 bytes",
+    };
+    let mut values = headers.get_all(KEY).iter();
+    let Some(value) = values.next() else {
+        return Ok(RequestKey(rand_os::random()));
+    };
+    if values.next().is_some() || !(1..=MAX_KEY_BYTES).contains(&value.len()) {
+        return Err(bad);
+    }
+    Ok(RequestKey::new(customer, value.as_bytes()))
+}
+
+fn parse_expires(headers: &HeaderMap, now: Millis, window: Millis) -> Result<Millis, RequestError> {
+    let latest = now + window;
+    let expires = parse_millis(headers, &EXPIRES)?.unwrap_or(latest);
+    if expires <= now {
+        return Err(RequestError::KeyExpired);
+    }
+    if expires > latest {
+        return Err(RequestError::BadHeader {
+            name: "Idempotency-Expires",
+            expected: "a time within the window in which keys are remembered",
+        });
+    }
+    Ok(expires)
+}
+
+fn parse_millis(headers: &HeaderMap, name: &HeaderName) -> Result<Option<Millis>, RequestError> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default();
+    let bad = RequestError::BadHeader {
+        name: if *name == EXPIRES {
+            "Idempotency-Expires"
+        } else {
+            "toucanchute-deadline-ms"
+        },
+        expected: "a whole number of milliseconds",
+    };
+    text.parse().map(|ms| Some(Millis(ms))).map_err(|_| bad)
+}
--- /dev/null
+++ b/toucanchute_edge/src/completion.rs
@@ -0,0 +1,13 @@
+//! Completions: from a caller's request to its billed answer.
+
+mod chunk;
+mod progress;
+mod prompt;
+mod request;
+mod run;
+mod stream;
+mod whole;
+
+
+pub(crate) use request::{CompletionKind, CompletionRequest};
+pub(crate) use run::run;
--- /dev/null
+++ b/toucanchute_edge/src/completion/run.rs
@@ -0,0 +1,300 @@
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use super::{CompletionRequest, progress::Progress};
+use crate::{
+    attempt::{Attempt, Held},
+    backend::{self, ATTEMPT, BackendError, PRIORITY},
+    caller::CallerRequest,
+    control::{AssignRequest, Assignment, Control, Outcome, Report, ReserveRequest, Target},
+    edge::Shared,
+    error::RequestError,
+    problem::Problem,
+    reply::{CallerGone, Reply},
+    settings::{duration, now},
+};
+
+/// Bytes of a rejection that are told to the caller.
+const MAX_REJECTION_BYTES: usize = 1024;
+
+/// A completion in progress.
+pub(crate) struct Run<'a, C: Control> {
+    pub(crate) shared: &'a Shared<C>,
+    pub(crate) caller: &'a CallerRequest,
+    pub(crate) req: CompletionRequest,
+    pub(crate) reply: Reply,
+    /// How far the answer has come, over all attempts.
+    pub(crate) progress: Progress,
+    /// Longest answer, in tokens: what was asked for, cut to what was reserved.
+    max_tokens: u64,
+    /// Whether a model engine may have begun to work on the request.
+    touched: bool,
+}
+
+/// How an attempt ended.
+pub(crate) enum AttemptEnd {
+    /// The answer is whole but for its end mark.
+    Finished {
+        /// Tokens of prompt and answer.
+        tokens: u64,
+        /// What is sent once the answer is billed.
+        last: LastPart,
+    },
+    /// The model engine finds the request wrong; it did not run.
+    Rejected(RequestError),
+    /// The attempt failed; another model engine may serve the request.
+    Failed(BackendError),
+    /// The caller went away.
+    CallerGone,
+}
+
+/// The part of an answer that is held back until the answer is billed.
+pub(crate) enum LastPart {
+    /// Last chunk and end mark of a stream, and the rest of the engine's answer.
+    Stream(Bytes, Incoming),
+    /// The whole answer.
+    Whole(Response<crate::body::AnswerBody>),
+}
+
+/// Serves a completion to its end.
+pub(crate) async fn run<C: Control>(
+    shared: &Shared<C>,
+    caller: &CallerRequest,
+    req: CompletionRequest,
+    reply: Reply,
+) {
+    let customer = &caller.customer().name;
+    log::info!(request:% = caller.key, customer = customer, model = req.model; "request-started");
+    if let Some(refusal) = shared.control.unready() {
+        return fail(caller, reply, refusal.into()).await;
+    }
+    let reservation = match shared.control.reserve(reserve_request(caller, &req)).await {
+        Ok(reservation) => reservation,
+        Err(refusal) => return fail(caller, reply, refusal.into()).await,
+    };
+    let held = Held::new(&*shared.control, reservation);
+    let max_tokens = held.tokens.saturating_sub(req.prompt_tokens);
+    if max_tokens == 0 {
+        drop(held);
+        return fail(caller, reply, Problem::budget_exhausted()).await;
+    }
+    let run = Run {
+        max_tokens: max_tokens.min(req.max_tokens),
+        shared,
+        caller,
+        req,
+        reply,
+        progress: Progress::default(),
+        touched: false,
+    };
+    run.serve(held).await;
+}
+
+impl<C: Control> Run<'_, C> {
+    async fn serve(mut self, held: Held<'_, C>) {
+        let mut exclude = Vec::new();
+        loop {
+            let attempts = exclude.len() as u32;
+            if attempts >= self.shared.settings.max_attempts {
+                let problem = Problem::failed("every backend server tried failed", Outcome::Failed);
+                return self.fail(held, problem).await;
+            }
+            let req = self.assign_request(attempts, exclude.clone());
+            let assignment = match self.shared.control.assign(req).await {
+                Ok(assignment) => assignment,
+                Err(refusal) => return self.fail(held, refusal.into()).await,
+            };
+            let attempt = Attempt::new(&*self.shared.control, assignment);
+            if self.reply.is_gone() {
+                attempt.end(Report::Unsent);
+                return self.settle_partial(held).await;
+            }
+            match self.attempt(&attempt).await {
+                AttemptEnd::Finished { tokens, last } => {
+                    attempt.end(Report::Done { tokens });
+                    return self.finish(held, tokens, last).await;
+                }
+                AttemptEnd::Rejected(err) => {
+                    attempt.end(Report::Done { tokens: 0 });
+                    return self.fail(held, err.into()).await;
+                }
+                AttemptEnd::Failed(err) => {
+                    self.touched |= !err.is_not_run();
+                    exclude.push(attempt.assignment.backend.clone());
+                    log::warn!(request:% = self.caller.key, attempt:% = attempt.id(), error:% = err; "attempt-failed");
+                    attempt.end(err.report());
+                }
+                AttemptEnd::CallerGone => {
+                    let address = attempt.assignment.address;
+                    self.shared.backends.cancel(address, attempt.id());
+                    attempt.end(Report::Cancelled);
+                    return self.settle_partial(held).await;
+                }
+            }
+        }
+    }
+
+    // Ends
+
+    async fn finish(self, held: Held<'_, C>, tokens: u64, last: LastPart) {
+        if let Err(problem) = held.settle(tokens).await {
+            return fail(self.caller, self.reply, problem).await;
+        }
+        let mut reply = self.reply;
+        let delivered = match last {
+            LastPart::Whole(res) => reply.respond(res),
+            LastPart::Stream(event, rest) => {
+                let sent = reply.send(event).await;
+                drop(reply);
+                super::stream::drain(rest).await;
+                sent
+            }
+        };
+        let delivered = delivered != Err(CallerGone);
+        log::info!(request:% = self.caller.key, tokens = tokens, delivered = delivered; "request-ended");
+    }
+
+    /// Bills what a caller got who has gone away.
+    async fn settle_partial(self, held: Held<'_, C>) {
+        let answer = self.progress.tokens;
+        log::info!(request:% = self.caller.key, tokens = answer; "caller-gone");
+        if answer > 0 {
+            let _ = held.settle(self.req.prompt_tokens + answer).await;
+        }
+    }
+
+    async fn fail(self, held: Held<'_, C>, problem: Problem) {
+        drop(held);
+        let ran = self.touched || self.progress.tokens > 0;
+        let problem = if ran {
+            problem.after_running()
+        } else {
+            problem
+        };
+        fail(self.caller, self.reply, problem).await;
+    }
+
+    // One attempt
+
+    async fn attempt(&mut self, attempt: &Attempt<'_, C>) -> AttemptEnd {
+        let res = match self.send(&attempt.assignment).await {
+            Ok(Some(res)) => res,
+            Ok(None) => return AttemptEnd::CallerGone,
+            Err(err) => return AttemptEnd::Failed(err),
+        };
+        match self.check_head(res, attempt).await {
+            Ok(body) if self.req.stream => self.relay(attempt, body).await,
+            Ok(body) => self.collect(attempt, body).await,
+            Err(end) => end,
+        }
+    }
+
+    /// Sends the request; `None` if the caller went away meanwhile.
+    async fn send(
+        &mut self,
+        assignment: &Assignment,
+    ) -> Result<Option<Response<Incoming>>, BackendError> {
+        let req = self.backend_request(assignment)?;
+        let left = self.caller.deadline.since(now());
+        let sent = tokio::time::timeout(duration(left), self.shared.backends.send(req));
+        tokio::select! {
+            answer = sent => match answer {
+                Ok(res) => res.map(Some),
+                Err(_) => Err(BackendError::Timeout),
+            },
+            () = self.reply.gone() => {
+                self.touched = true;
+                Ok(None)
+            }
+        }
+    }
+
+    async fn check_head(
+        &self,
+        res: Response<Incoming>,
+        attempt: &Attempt<'_, C>,
+    ) -> Result<Incoming, AttemptEnd> {
+        let status = res.status();
+        let malformed = |detail| AttemptEnd::Failed(BackendError::Malformed { detail });
+        match status {
+            StatusCode::OK => {}
+            StatusCode::NOT_FOUND => {
+                let status = status.as_u16();
+                return Err(AttemptEnd::Failed(BackendError::Refused { status }));
+            }
+            _ if status.is_client_error() => return Err(reject(res).await),
+            _ => return Err(malformed(format!("status {status}"))),
+        }
+        let echoed = res.headers().get(ATTEMPT).map(HeaderValue::as_bytes);
+        if echoed != Some(attempt.id().to_string().as_bytes()) {
+            return Err(malformed("the answer is to another attempt".to_owned()));
+        }
+        Ok(res.into_body())
+    }
+
+    // Requests
+
+    fn backend_request(
+        &mut self,
+        assignment: &Assignment,
+    ) -> Result<Request<Full<Bytes>>, BackendError> {
+        let Progress { tokens, text, .. } = &self.progress;
+        let resume = (*tokens > 0).then_some((*tokens, text.as_str()));
+        let body = self.req.body_for(self.max_tokens, resume);
+        let malformed = |err: http::Error| BackendError::Malformed {
+            detail: err.to_string(),
+        };
+        let uri = backend::target(assignment.address, self.req.kind.path()).map_err(malformed)?;
+        Request::builder()
+            .method(Method::POST)
+            .uri(uri)
+            .header(header::CONTENT_TYPE, "application/json")
+            .header(ATTEMPT, assignment.attempt.to_string())
+            .header(
+                PRIORITY,
+                HeaderValue::from(u16::from(self.caller.customer().priority)),
+            )
+            .body(Full::new(body))
+            .map_err(malformed)
+    }
+
+    fn assign_request(&self, attempts: u32, exclude: Vec<String>) -> AssignRequest {
+        AssignRequest {
+            target: Target::Model(self.req.model.clone()),
+            customer: self.caller.customer().name.clone(),
+            priority: self.caller.customer().priority,
+            digest: self.caller.digest,
+            prefix: self.req.prefix.clone(),
+            tokens: self.req.prompt_tokens + self.max_tokens,
+            attempts,
+            exclude,
+            deadline: self.caller.deadline,
+        }
+    }
+}
+
+fn reserve_request(caller: &CallerRequest, req: &CompletionRequest) -> ReserveRequest {
+    ReserveRequest {
+        budget: caller.budget(),
+        key: caller.key,
+        digest: caller.digest,
+        tokens: req.worst_case(),
+        expires: caller.expires,
+        deadline: caller.deadline,
+    }
+}
+
+async fn reject(res: Response<Incoming>) -> AttemptEnd {
+    let status = res.status().as_u16();
+    let body = backend::collect(res.into_body(), MAX_REJECTION_BYTES).await;
+    let detail = String::from_utf8_lossy(&body.unwrap_or_default()).into_owned();
+    AttemptEnd::Rejected(RequestError::Rejected { status, detail })
+}
+
+async fn fail(caller: &CallerRequest, reply: Reply, problem: Problem) {
+    let outcome = problem.outcome.name();
+    log::info!(request:% = caller.key, reason = problem.reason, outcome = outcome; "request-failed");
+    reply.fail(problem).await;
+}
--- /dev/null
+++ b/toucanchute_edge/src/completion/stream.rs
@@ -0,0 +1,133 @@
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use super::{
+    chunk::DONE,
+    progress::LastChunk,
+    run::{AttemptEnd, LastPart, Run},
+};
+use crate::{
+    attempt::Attempt,
+    backend::BackendError,
+    control::Control,
+    settings::{duration, now},
+    sse::{SseParser, write_event},
+};
+
+/// Longest time to read the end of an answer whose last chunk has come.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What came out of one read.
+enum Step {
+    /// The answer goes on.
+    More,
+    /// The last chunk came.
+    Last(LastChunk),
+    /// The caller went away.
+    CallerGone,
+}
+
+impl<C: Control> Run<'_, C> {
+    /// Relays a model engine's stream up to its last chunk.
+    pub(crate) async fn relay(
+        &mut self,
+        attempt: &Attempt<'_, C>,
+        mut body: Incoming,
+    ) -> AttemptEnd {
+        let id = attempt.id().to_string();
+        let mut parser = SseParser::default();
+        let mut began = false;
+        loop {
+            let data = match self.read(&mut body, began).await {
+                Ok(Some(data)) => data,
+                Ok(None) => return AttemptEnd::CallerGone,
+                Err(err) => return AttemptEnd::Failed(err),
+            };
+            if !began {
+                began = true;
+                attempt.report_first_token();
+            }
+            parser.push(&data);
+            match self.step(&id, &mut parser).await {
+                Ok(Step::More) => {}
+                Ok(Step::Last(last)) => return self.finished(&last, body),
+                Ok(Step::CallerGone) => return AttemptEnd::CallerGone,
+                Err(err) => return AttemptEnd::Failed(err),
+            }
+        }
+    }
+
+    /// Reads the next bytes; `None` if the caller went away meanwhile.
+    async fn read(
+        &mut self,
+        body: &mut Incoming,
+        began: bool,
+    ) -> Result<Option<Bytes>, BackendError> {
+        let span = if began {
+            self.shared.settings.token_timeout
+        } else {
+            self.caller.deadline.since(now())
+        };
+        let frame = tokio::select! {
+            biased;
+            frame = tokio::time::timeout(duration(span), body.frame()) => frame,
+            () = self.reply.gone() => return Ok(None),
+        };
+        let frame = frame.map_err(|_| BackendError::Timeout)?;
+        let frame = frame.ok_or(BackendError::Truncated)?;
+        let frame = frame.map_err(|source| BackendError::Receive { source })?;
+        Ok(Some(frame.into_data().unwrap_or_default()))
+    }
+
+    /// Takes all whole events that were read and relays them in one piece.
+    async fn step(&mut self, id: &str, parser: &mut SseParser) -> Result<Step, BackendError> {
+        let mut out = BytesMut::new();
+        let end = self.take_events(id, parser, &mut out);
+        if !out.is_empty() && self.reply.send(out.freeze()).await.is_err() {
+            return Ok(Step::CallerGone);
+        }
+        Ok(end?.map_or(Step::More, Step::Last))
+    }
+
+    fn take_events(
+        &mut self,
+        id: &str,
+        parser: &mut SseParser,
+        out: &mut BytesMut,
+    ) -> Result<Option<LastChunk>, BackendError> {
+        loop {
+            let event = parser.next_event();
+            let event = event.map_err(|err| BackendError::Malformed {
+                detail: err.to_string(),
+            })?;
+            let Some(data) = event else {
+                return Ok(None);
+            };
+            if data == DONE {
+                return Err(BackendError::Truncated);
+            }
+            if let Some(last) = self.progress.accept(id, &data, out)? {
+                return Ok(Some(last));
+            }
+        }
+    }
+
+    fn finished(&self, last: &LastChunk, rest: Incoming) -> AttemptEnd {
+        let prompt = last.usage.prompt_tokens.min(self.req.prompt_tokens);
+        let mut tail = BytesMut::from(last.event.as_ref());
+        write_event(&mut tail, DONE);
+        AttemptEnd::Finished {
+            tokens: prompt + self.progress.tokens,
+            last: LastPart::Stream(tail.freeze(), rest),
+        }
+    }
+}
+
+/// Reads an answer to its end, so that its connection can be used again.
+pub(crate) async fn drain(mut rest: Incoming) {
+    let read = async { while let Some(Ok(_)) = rest.frame().await {} };
+    let _ = tokio::time::timeout(DRAIN_TIMEOUT, read).await;
+}
--- /dev/null
+++ b/toucanchute_edge/src/completion/whole.rs
@@ -0,0 +1,60 @@
+use bytes::Bytes;
+use http::{HeaderValue, Response, header};
+use hyper::body::Incoming;
+
+use super::{
+    chunk::{Usage, WholeAnswer},
+    run::{AttemptEnd, LastPart, Run},
+};
+use crate::{
+    attempt::Attempt,
+    backend::{self, BackendError},
+    body::AnswerBody,
+    control::Control,
+    settings::{duration, now},
+};
+
+impl<C: Control> Run<'_, C> {
+    /// Reads a model engine's whole answer.
+    pub(crate) async fn collect(&mut self, attempt: &Attempt<'_, C>, body: Incoming) -> AttemptEnd {
+        let limit = self.shared.settings.max_answer_bytes;
+        let span = self.caller.deadline.since(now());
+        let read = tokio::time::timeout(duration(span), backend::collect(body, limit));
+        let read = tokio::select! {
+            read = read => read,
+            () = self.reply.gone() => return AttemptEnd::CallerGone,
+        };
+        let checked = match read {
+            Ok(Ok(body)) => check(&attempt.id().to_string(), &body).map(|usage| (body, usage)),
+            Ok(Err(err)) => Err(err),
+            Err(_) => Err(BackendError::Timeout),
+        };
+        match checked {
+            Ok((body, usage)) => {
+                attempt.report_first_token();
+                AttemptEnd::Finished {
+                    tokens: usage.prompt_tokens.min(self.req.prompt_tokens)
+                        + usage.completion_tokens,
+                    last: LastPart::Whole(response(body)),
+                }
+            }
+            Err(err) => AttemptEnd::Failed(err),
+        }
+    }
+}
+
+fn check(id: &str, body: &[u8]) -> Result<Usage, BackendError> {
+    let malformed = |detail| Err(BackendError::Malformed { detail });
+    match serde_json::from_slice::<WholeAnswer<'_>>(body) {
+        Ok(answer) if answer.id == id => Ok(answer.usage),
+        Ok(answer) => malformed(format!("attempt {} answered attempt {id}", answer.id)),
+        Err(err) => malformed(err.to_string()),
+    }
+}
+
+fn response(body: Bytes) -> Response<AnswerBody> {
+    let mut res = Response::new(AnswerBody::Whole(Some(body)));
+    let kind = HeaderValue::from_static("application/json");
+    res.headers_mut().insert(header::CONTENT_TYPE, kind);
+    res
+}
--- a/toucanchute_edge/src/control.rs
+++ b/toucanchute_edge/src/control.rs
@@ -38,8 +38,8 @@
     fn intend(&self, req: IntentRequest)
     -> impl Future<Output = Result<Intention, Refusal>> + Send;
 
-    /// Records how a call ended whose intent was accepted; `None` if it provably did not run.
-    fn record(&self, key: RequestKey, answer: Option<ServiceAnswer>);
+    /// Records how a call ended whose intent was accepted.
+    fn record(&self, key: RequestKey, recorded: Recorded);
 
     /// Chooses a backend server; waits in the queue while the request can still start in time.
     fn assign(
@@ -133,7 +133,21 @@
     Recorded(ServiceAnswer),
 }
 
+/// How a call ended whose intent was accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Recorded {
+    /// It ran and gave this answer; later requests under its key get the answer again.
+    Answer(ServiceAnswer),
+    /// It provably did not run; its price is refunded and its key is free.
+    NotRun,
+    /// It may have run; later requests under its key are told so and never run it.
+    Unknown,
+}
+
 /// A plain service's answer.
+///
+/// The edge bounds a body that it records: of a larger one it records the status and a JSON
+/// document that names the body's size.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServiceAnswer {
     /// HTTP status.
--- /dev/null
+++ b/toucanchute_edge/src/edge.rs
@@ -0,0 +1,155 @@
+use std::{
+    convert::Infallible,
+    future::Future,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+};
+
+use crate::{
+    backend::BackendClient,
+    config_index::ConfigIndex,
+    control::Control,
+    handler::Handler,
+    settings::{EdgeSettings, duration},
+};
+
+/// Smallest read buffer that hyper takes, in bytes.
+const MIN_READ_BUFFER_BYTES: usize = 8 * 1024;
+/// Pause after the operating system refused a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The HTTP edge of a router.
+///
+/// Cloning it is cheap; clones share the connections to backend servers.
+///
+/// ```
+/// use std::sync::Arc;
+/// use toucanchute_edge::{Control, Edge, EdgeSettings};
+///
+/// async fn run<C: Control>(control: Arc<C>) -> std::io::Result<()> {
+///     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+///     let edge = Edge::new(control, EdgeSettings::default());
+///     edge.serve(listener, std::future::pending()).await;
+///     Ok(())
+/// }
+/// ```
+#[derive(Debug)]
+pub struct Edge<C: Control> {
+    shared: Arc<Shared<C>>,
+}
+
+impl<C: Control> Clone for Edge<C> {
+    fn clone(&self) -> Edge<C> {
+        Edge {
+            shared: Arc::clone(&self.shared),
+        }
+    }
+}
+
+impl<C: Control> Edge<C> {
+    /// Creates an edge that asks `control` for decisions.
+    #[must_use]
+    pub fn new(control: Arc<C>, settings: EdgeSettings) -> Edge<C> {
+        let index = ConfigIndex::new(control.config());
+        let shared = Shared {
+            backends: BackendClient::new(&settings),
+            index: Mutex::new(Arc::new(index)),
+            control,
+            settings,
+        };
+        Edge {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Accepts callers until `shutdown` resolves, then returns once every request in progress has
+    /// ended and every connection is closed.
+    pub async fn serve(&self, listener: TcpListener, shutdown: impl Future<Output = ()>) {
+        let connections = GracefulShutdown::new();
+        let (running, mut ended) = mpsc::channel::<Infallible>(1);
+        tokio::pin!(shutdown);
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = &mut shutdown => break,
+            };
+            match accepted {
+                Ok((stream, peer)) => {
+                    let handler = Handler::new(Arc::clone(&self.shared), running.clone());
+                    self.spawn_connection(handler, stream, peer, &connections);
+                }
+                Err(err) => {
+                    log::warn!(error:% = err; "accept-failed");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+        drop(listener);
+        drop(running);
+        connections.shutdown().await;
+        ended.recv().await;
+    }
+
+    fn spawn_connection(
+        &self,
+        handler: Handler<C>,
+        stream: TcpStream,
+        peer: SocketAddr,
+        connections: &GracefulShutdown,
+    ) {
+        let _ = stream.set_nodelay(true);
+        let settings = &self.shared.settings;
+        let service = service_fn(move |req| {
+            let handler = handler.clone();
+            async move { Ok::<_, Infallible>(handler.handle(req).await) }
+        });
+        let read_buffer = (2 * settings.max_header_bytes).max(MIN_READ_BUFFER_BYTES);
+        let conn = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(duration(settings.header_timeout))
+            .max_buf_size(read_buffer)
+            .serve_connection(TokioIo::new(stream), service);
+        let conn = connections.watch(conn);
+        tokio::spawn(async move {
+            if let Err(err) = conn.await {
+                log::debug!(peer:% = peer, error:% = err; "connection-failed");
+            }
+        });
+    }
+}
+
+/// What all requests of one edge share.
+#[derive(Debug)]
+pub(crate) struct Shared<C> {
+    /// The router's decisions.
+    pub(crate) control: Arc<C>,
+    /// Limits and timeouts.
+    pub(crate) settings: EdgeSettings,
+    /// Connections to backend servers.
+    pub(crate) backends: BackendClient,
+    /// Tables of the configuration that was in force last.
+    index: Mutex<Arc<ConfigIndex>>,
+}
+
+impl<C: Control> Shared<C> {
+    /// Returns the tables of the configuration in force; builds them when its version is new.
+    pub(crate) fn index(&self) -> Arc<ConfigIndex> {
+        let config = self.control.config();
+        let mut index = self.index.lock().unwrap_or_else(PoisonError::into_inner);
+        if index.config().version != config.version {
+            *index = Arc::new(ConfigIndex::new(config));
+        }
+        Arc::clone(&index)
+    }
+}
--- /dev/null
+++ b/toucanchute_edge/src/handler.rs
@@ -0,0 +1,253 @@
+use std::{convert::Infallible, sync::Arc};
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts};
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::{
+    body::AnswerBody,
+    caller::{self, CallerRequest},
+    completion::{self, CompletionKind},
+    config_index::{ConfigIndex, CustomerKey, parse_sha256, sha256},
+    control::Control,
+    edge::Shared,
+    error::RequestError,
+    problem::Problem,
+    reply::Reply,
+    route::Route,
+    service::{self, ServiceCall},
+    settings::{duration, now},
+};
+
+/// Header of the request's key, in hexadecimal digits, in every answer to a customer.
+const REQUEST: &str = "toucanchute-request";
+
+/// Answers the requests of one connection.
+pub(crate) struct Handler<C> {
+    shared: Arc<Shared<C>>,
+    /// Held by every connection and request; the edge has ended when the last one is dropped.
+    running: mpsc::Sender<Infallible>,
+}
+
+impl<C> Clone for Handler<C> {
+    fn clone(&self) -> Handler<C> {
+        Handler {
+            shared: Arc::clone(&self.shared),
+            running: self.running.clone(),
+        }
+    }
+}
+
+impl<C: Control> Handler<C> {
+    /// Creates a handler; `running` is held as long as a request runs.
+    pub(crate) fn new(shared: Arc<Shared<C>>, running: mpsc::Sender<Infallible>) -> Handler<C> {
+        Handler { shared, running }
+    }
+
+    /// Answers one request.
+    pub(crate) async fn handle(&self, req: Request<Incoming>) -> Response<AnswerBody> {
+        let (head, body) = req.into_parts();
+        match self.answer(&head, body).await {
+            Ok(res) => res,
+            Err(err) => {
+                let path = head.uri.path();
+                log::info!(path = path, error:% = err; "request-rejected");
+                Problem::from(err).into_response()
+            }
+        }
+    }
+
+    async fn answer(
+        &self,
+        head: &Parts,
+        body: Incoming,
+    ) -> Result<Response<AnswerBody>, RequestError> {
+        self.check_head(&head.headers)?;
+        match Route::parse(&head.method, head.uri.path())? {
+            Route::Addresses => Ok(self.addresses()),
+            Route::Health => Ok(json(StatusCode::OK, &serde_json::json!({"status": "ok"}))),
+            Route::Ready => Ok(self.ready()),
+            Route::ChatCompletion => self.complete(CompletionKind::Chat, head, body).await,
+            Route::TextCompletion => self.complete(CompletionKind::Text, head, body).await,
+            Route::Service { name, path } => self.call(name, path, head, body).await,
+            Route::Admin => self.admin(head, body).await,
+        }
+    }
+
+    // Checks
+
+    fn check_head(&self, headers: &HeaderMap) -> Result<(), RequestError> {
+        let limit = self.shared.settings.max_header_bytes;
+        let size = headers
+            .iter()
+            .map(|(name, value)| name.as_str().len() + value.len())
+            .sum();
+        if size > limit {
+            return Err(RequestError::HeadersTooLarge { size, limit });
+        }
+        Ok(())
+    }
+
+    fn authenticate(index: &ConfigIndex, headers: &HeaderMap) -> Result<CustomerKey, RequestError> {
+        caller::bearer_token(headers)
+            .and_then(|token| index.authenticate(token))
+            .ok_or(RequestError::Unauthorized)
+    }
+
+    async fn read_body(&self, body: Incoming, limit: u64) -> Result<Bytes, RequestError> {
+        let span = self.shared.settings.body_timeout;
+        tokio::time::timeout(duration(span), collect(body, limit))
+            .await
+            .map_err(|_| RequestError::BodyTimeout { limit_ms: span.0 })?
+    }
+
+    // Answers from this router
+
+    fn addresses(&self) -> Response<AnswerBody> {
+        let list = self.shared.control.addresses();
+        let document = serde_json::json!({
+            "addresses": list.addresses,
+            "max_age_ms": list.max_age.0,
+        });
+        json(StatusCode::OK, &document)
+    }
+
+    fn ready(&self) -> Response<AnswerBody> {
+        match self.shared.control.unready() {
+            None => json(StatusCode::OK, &serde_json::json!({"status": "ready"})),
+            Some(refusal) => Problem::from(refusal).into_response(),
+        }
+    }
+
+    async fn admin(
+        &self,
+        head: &Parts,
+        body: Incoming,
+    ) -> Result<Response<AnswerBody>, RequestError> {
+        let expected = parse_sha256(&self.shared.settings.operator_token_sha256);
+        let given = caller::bearer_token(&head.headers).map(sha256);
+        if expected.is_none() || given != expected {
+            return Err(RequestError::Unauthorized);
+        }
+        let limit = self.shared.index().config().routing.max_body_bytes;
+        let body = self.read_body(body, limit).await?;
+        let control = Arc::clone(&self.shared.control);
+        let (method, path) = (head.method.clone(), head.uri.path().to_owned());
+        let running = self.running.clone();
+        let answer = tokio::spawn(async move {
+            let answer = control.admin(method, path, body).await;
+            drop(running);
+            answer
+        });
+        Ok(match answer.await {
+            Ok((status, document)) => json(status, &document),
+            Err(_) => lost(),
+        })
+    }
+
+    // Answers from backend servers
+
+    async fn complete(
+        &self,
+        kind: CompletionKind,
+        head: &Parts,
+        body: Incoming,
+    ) -> Result<Response<AnswerBody>, RequestError> {
+        let caller = self.receive(kind.path(), head, body).await?;
+        let req = completion::CompletionRequest::parse(kind, &caller)?;
+        let key = caller.key;
+        let (tx, rx) = oneshot::channel();
+        let reply = Reply::new(tx, duration(self.shared.settings.caller_timeout));
+        let shared = Arc::clone(&self.shared);
+        let running = self.running.clone();
+        tokio::spawn(async move {
+            completion::run(&shared, &caller, req, reply).await;
+            drop(running);
+        });
+        Ok(with_key(rx.await.unwrap_or_else(|_| lost()), key))
+    }
+
+    async fn call(
+        &self,
+        name: &str,
+        path: &str,
+        head: &Parts,
+        body: Incoming,
+    ) -> Result<Response<AnswerBody>, RequestError> {
+        let target = head
+            .uri
+            .path_and_query()
+            .map_or("/", |target| target.as_str());
+        let target = format!("{} {target}", head.method);
+        let caller = self.receive(&target, head, body).await?;
+        let call = ServiceCall::new(name, path, head, &caller)?;
+        let key = caller.key;
+        let (tx, rx) = oneshot::channel();
+        let reply = Reply::new(tx, duration(self.shared.settings.caller_timeout));
+        let shared = Arc::clone(&self.shared);
+        let running = self.running.clone();
+        tokio::spawn(async move {
+            service::run(&shared, &caller, &call, reply).await;
+            drop(running);
+        });
+        Ok(with_key(rx.await.unwrap_or_else(|_| lost()), key))
+    }
+
+    async fn receive(
+        &self,
+        target: &str,
+        head: &Parts,
+        body: Incoming,
+    ) -> Result<CallerRequest, RequestError> {
+        let index = self.shared.index();
+        let customer = Self::authenticate(&index, &head.headers)?;
+        let limit = index.config().routing.max_body_bytes;
+        let body = self.read_body(body, limit).await?;
+        CallerRequest::new(index, customer, target, &head.headers, body, now())
+    }
+}
+
+async fn collect(mut body: Incoming, limit: u64) -> Result<Bytes, RequestError> {
+    if body.size_hint().lower() > limit {
+        return Err(RequestError::BodyTooLarge { limit });
+    }
+    let mut out = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|source| RequestError::BodyBroken { source })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if (out.len() + data.len()) as u64 > limit {
+            return Err(RequestError::BodyTooLarge { limit });
+        }
+        out.extend_from_slice(&data);
+    }
+    Ok(out.freeze())
+}
+
+fn json(status: StatusCode, document: &serde_json::Value) -> Response<AnswerBody> {
+    let body = Bytes::from(document.to_string());
+    let mut res = Response::new(AnswerBody::Whole(Some(body)));
+    *res.status_mut() = status;
+    let kind = HeaderValue::from_static("application/json");
+    res.headers_mut().insert(header::CONTENT_TYPE, kind);
+    res
+}
+
+fn lost() -> Response<AnswerBody> {
+    let mut problem = Problem::unknown("the router failed while the request ran");
+    problem.status = StatusCode::INTERNAL_SERVER_ERROR;
+    problem.into_response()
+}
+
+fn with_key(
+    mut res: Response<AnswerBody>,
+    key: toucanchute_proto::RequestKey,
+) -> Response<AnswerBody> {
+    if let Ok(value) = HeaderValue::try_from(key.to_string()) {
+        res.headers_mut().insert(REQUEST, value);
+    }
+    res
+}
--- /dev/null
+++ b/toucanchute_edge/src/problem.rs
@@ -0,0 +1,295 @@
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+use serde::Serialize;
+use toucanchute_proto::Millis;
+
+use crate::{
+    body::AnswerBody,
+    control::{Outcome, Refusal, RefusalReason},
+    error::RequestError,
+};
+
+/// An error as told to a caller, in the form of RFC 9457.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Problem {
+    /// HTTP status.
+    pub(crate) status: StatusCode,
+    /// Stable name of the reason, in kebab case.
+    pub(crate) reason: &'static str,
+    /// What is wrong and what to do about it.
+    pub(crate) detail: String,
+    /// What became of the request.
+    pub(crate) outcome: Outcome,
+    /// Whether sending the same request again may help.
+    pub(crate) retryable: bool,
+    /// When to send it again.
+    pub(crate) retry_after: Option<Millis>,
+    /// Address of a router that is more likely to serve it.
+    pub(crate) elsewhere: Option<SocketAddr>,
+}
+
+#[derive(Serialize)]
+struct Document<'a> {
+    r#type: String,
+    title: String,
+    status: u16,
+    detail: &'a str,
+    reason: &'a str,
+    outcome: &'a str,
+    retryable: bool,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    elsewhere: Option<SocketAddr>,
+}
+
+impl Problem {
+    /// The request may have run; it will not be run again.
+    pub(crate) fn unknown(detail: impl Into<String>) -> Problem {
+        Problem {
+            status: StatusCode::BAD_GATEWAY,
+            reason: "outcome-unknown",
+            detail: detail.into(),
+            outcome: Outcome::Unknown,
+            retryable: false,
+            retry_after: None,
+            elsewhere: None,
+        }
+    }
+
+    /// Backend servers were tried without success.
+    pub(crate) fn failed(detail: impl Into<String>, outcome: Outcome) -> Problem {
+        Problem {
+            status: StatusCode::BAD_GATEWAY,
+            reason: "backend-failed",
+            detail: detail.into(),
+            outcome,
+            retryable: true,
+            retry_after: None,
+            elsewhere: None,
+        }
+    }
+
+    /// The reservation is too small for the prompt and one token.
+    pub(crate) fn budget_exhausted() -> Problem {
+        Problem::from(Refusal {
+            reason: RefusalReason::BudgetExhausted,
+            outcome: Outcome::NotRun,
+            retry_after: None,
+            elsewhere: None,
+        })
+    }
+
+    /// Returns the problem of a request that ran at least in part.
+    pub(crate) fn after_running(mut self) -> Problem {
+        if self.outcome == Outcome::NotRun {
+            self.outcome = Outcome::Failed;
+        }
+        self
+    }
+
+    /// Returns the document's JSON text, in one line.
+    pub(crate) fn to_json(&self) -> Bytes {
+        let document = Document {
+            r#type: format!("urn:toucanchute:problem:{}", self.reason),
+            title: self.reason.replace('-', " "),
+            status: self.status.as_u16(),
+            detail: &self.detail,
+            reason: self.reason,
+            outcome: self.outcome.name(),
+            retryable: self.retryable,
+            retry_after_ms: self.retry_after.map(|span| span.0),
+            elsewhere: self.elsewhere,
+        };
+        serde_json::to_vec(&document).unwrap_or_default().into()
+    }
+
+    /// Returns the document as an event of a stream that has begun.
+    pub(crate) fn to_event(&self) -> Bytes {
+        let json = self.to_json();
+        [b"event: error\ndata: ", json.as_ref(), b"\n\n"]
+            .concat()
+            .into()
+    }
+
+    /// Returns the answer that carries the document.
+    pub(crate) fn into_response(self) -> Response<AnswerBody> {
+        let mut res = Response::new(AnswerBody::Whole(Some(self.to_json())));
+        *res.status_mut() = self.status;
+        let headers = res.headers_mut();
+        let kind = HeaderValue::from_static("application/problem+json");
+        headers.insert(header::CONTENT_TYPE, kind);
+        if let Some(span) = self.retry_after {
+            let seconds = span.0.div_ceil(1_000).max(1);
+            headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        if self.status == StatusCode::UNAUTHORIZED {
+            let scheme = HeaderValue::from_static("Bearer");
+            headers.insert(header::WWW_AUTHENTICATE, scheme);
+        }
+        res
+    }
+}
+
+impl Outcome {
+    /// Returns the name that callers see.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Outcome::NotRun => "not-run",
+            Outcome::Failed => "failed",
+            Outcome::Unknown => "unknown",
+        }
+    }
+}
+
+impl From<Refusal> for Problem {
+    fn from(refusal: Refusal) -> Problem {
+        let (status, reason, retryable, detail) = describe(refusal.reason);
+        Problem {
+            status,
+            reason,
+            detail: detail.to_owned(),
+            outcome: refusal.outcome,
+            retryable: retryable && refusal.outcome != Outcome::Unknown,
+            retry_after: refusal.retry_after,
+            elsewhere: refusal.elsewhere,
+        }
+    }
+}
+
+impl From<RequestError> for Problem {
+    fn from(err: RequestError) -> Problem {
+        let (status, reason) = classify(&err);
+        Problem {
+            status,
+            reason,
+            detail: err.to_string(),
+            outcome: Outcome::NotRun,
+            retryable: matches!(status, StatusCode::REQUEST_TIMEOUT),
+            retry_after: None,
+            elsewhere: None,
+        }
+    }
+}
+
+fn classify(err: &RequestError) -> (StatusCode, &'static str) {
+    match err {
+        RequestError::UnknownPath => (StatusCode::NOT_FOUND, "unknown-path"),
+        RequestError::MethodNotAllowed { .. } => {
+            (StatusCode::METHOD_NOT_ALLOWED, "method-not-allowed")
+        }
+        RequestError::Unauthorized => (StatusCode::UNAUTHORIZED, "unauthorized"),
+        RequestError::HeadersTooLarge { .. } => (
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "headers-too-large",
+        ),
+        RequestError::BadHeader { .. } => (StatusCode::BAD_REQUEST, "bad-header"),
+        RequestError::KeyExpired => (StatusCode::GONE, "key-expired"),
+        RequestError::BodyTooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
+        RequestError::BodyTimeout { .. } => (StatusCode::REQUEST_TIMEOUT, "body-timeout"),
+        RequestError::BodyBroken { .. } => (StatusCode::BAD_REQUEST, "body-broken"),
+        RequestError::BadJson { .. } => (StatusCode::BAD_REQUEST, "bad-json"),
+        RequestError::BadField { .. } => (StatusCode::BAD_REQUEST, "bad-field"),
+        RequestError::UnknownModel { .. } => (StatusCode::NOT_FOUND, "unknown-model"),
+        RequestError::UnknownService { .. } => (StatusCode::NOT_FOUND, "unknown-service"),
+        RequestError::Rejected { .. } => (StatusCode::UNPROCESSABLE_ENTITY, "rejected"),
+    }
+}
+
+fn describe(reason: RefusalReason) -> (StatusCode, &'static str, bool, &'static str) {
+    match reason {
+        RefusalReason::BudgetExhausted => (
+            StatusCode::PAYMENT_REQUIRED,
+            "budget-exhausted",
+            false,
+            "the budget has not enough tokens left; ask the operators for a top-up",
+        ),
+        RefusalReason::GrantUnavailable => (
+            StatusCode::TOO_MANY_REQUESTS,
+            "grant-unavailable",
+            true,
+            "tokens could not be granted in time; try again, or another address",
+        ),
+        RefusalReason::Overloaded => (
+            StatusCode::TOO_MANY_REQUESTS,
+            "overloaded",
+            true,
+            "the work cannot start in time; try again later",
+        ),
+        RefusalReason::NoBackend => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no-backend",
+            true,
+            "no backend server is fit to serve the request; try again later",
+        ),
+        RefusalReason::RetriesExhausted => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "retries-exhausted",
+            true,
+            "backend servers failed and the retry budget is used up; try again later",
+        ),
+        RefusalReason::Quarantined => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "quarantined",
+            false,
+            "this request crashed backend servers before; change it",
+        ),
+        RefusalReason::KeyReused => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "key-reused",
+            false,
+            "the key was used for another request; use a new key",
+        ),
+        RefusalReason::KeyExpired => (
+            StatusCode::GONE,
+            "key-expired",
+            false,
+            "the key has expired; use a new key",
+        ),
+        RefusalReason::InProgress => (
+            StatusCode::CONFLICT,
+            "in-progress",
+            true,
+            "a call under this key is still running; ask again later",
+        ),
+        RefusalReason::TooManyReruns => (
+            StatusCode::TOO_MANY_REQUESTS,
+            "too-many-reruns",
+            false,
+            "the key was billed and run again too often; use a new key",
+        ),
+        RefusalReason::LedgerUnavailable => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "ledger-unavailable",
+            true,
+            "the ledger could not be reached; try again later",
+        ),
+        RefusalReason::GrantReclaimed => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "grant-reclaimed",
+            true,
+            "the tokens were reclaimed before the bill was committed; try again",
+        ),
+        RefusalReason::StaleView => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "stale-view",
+            true,
+            "this router is cut off; use another address",
+        ),
+        RefusalReason::Draining => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "draining",
+            true,
+            "this router is leaving; use another address",
+        ),
+        RefusalReason::Starting => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "starting",
+            true,
+            "this router has no configuration yet; use another address",
+        ),
+    }
+}
--- /dev/null
+++ b/toucanchute_edge/src/service.rs
@@ -0,0 +1,7 @@
+//! Calls of plain services.
+
+mod call;
+mod run;
+
+pub(crate) use call::ServiceCall;
+pub(crate) use run::run;
--- /dev/null
+++ b/toucanchute_edge/src/settings.rs
@@ -0,0 +1,65 @@
+use std::time::Duration;
+
+use toucanchute_proto::Millis;
+
+/// Limits and timeouts of the HTTP edge; all times in milliseconds, all sizes in bytes.
+///
+/// ```
+/// use toucanchute_edge::EdgeSettings;
+///
+/// let settings = EdgeSettings { max_attempts: 2, ..EdgeSettings::default() };
+/// assert_eq!(settings.max_attempts, 2);
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EdgeSettings {
+    /// Longest time a caller may take to send the head of a request.
+    pub header_timeout: Millis,
+    /// Longest time a caller may take to send the body of a request.
+    pub body_timeout: Millis,
+    /// Longest time a caller may leave a streamed answer unread before it counts as gone.
+    pub caller_timeout: Millis,
+    /// Longest time to connect to a backend server.
+    pub connect_timeout: Millis,
+    /// Longest time between two tokens of a model engine.
+    pub token_timeout: Millis,
+    /// Largest head of a request.
+    pub max_header_bytes: usize,
+    /// Largest whole answer of a backend server.
+    pub max_answer_bytes: usize,
+    /// Largest body of a plain service's answer that is recorded under its key.
+    pub max_recorded_bytes: usize,
+    /// Most backend servers tried for one request.
+    pub max_attempts: u32,
+    /// Most idle connections kept to one backend server.
+    pub max_idle_connections: usize,
+    /// SHA-256 of the operators' bearer token, in hexadecimal digits; empty closes `/v1/admin/`.
+    pub operator_token_sha256: String,
+}
+
+impl Default for EdgeSettings {
+    fn default() -> EdgeSettings {
+        EdgeSettings {
+            header_timeout: Millis(10_000),
+            body_timeout: Millis(30_000),
+            caller_timeout: Millis(60_000),
+            connect_timeout: Millis(1_000),
+            token_timeout: Millis(10_000),
+            max_header_bytes: 16 * 1024,
+            max_answer_bytes: 4 * 1024 * 1024,
+            max_recorded_bytes: 64 * 1024,
+            max_attempts: 4,
+            max_idle_connections: 64,
+            operator_token_sha256: String::new(),
+        }
+    }
+}
+
+/// Converts a span of time to the standard library's type.
+pub(crate) fn duration(span: Millis) -> Duration {
+    Duration::from_millis(span.0)
+}
+
+/// Returns the wall clock.
+pub(crate) fn now() -> Millis {
+    Millis(toucanchute_log::wall_clock_ms())
+}
--- /dev/null
+++ b/toucanchute_edge/src/sse.rs
@@ -0,0 +1,98 @@
+use bytes::{Buf, Bytes, BytesMut};
+use snafu::Snafu;
+
+/// Largest event of a model engine, in bytes.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// A stream of server-sent events that cannot be read.
+#[derive(Debug, PartialEq, Eq, Snafu)]
+#[non_exhaustive]
+pub(crate) enum SseError {
+    /// An event is too large.
+    #[snafu(display("an event is larger than {MAX_EVENT_BYTES} bytes"))]
+    EventTooLarge,
+}
+
+/// Cuts a byte stream into the data of server-sent events.
+///
+/// Takes LF and CRLF line ends; drops comments and every field but `data`.
+#[derive(Debug, Default)]
+pub(crate) struct SseParser {
+    /// Bytes that came and are not part of an event given out.
+    buf: BytesMut,
+    /// Bytes at the head of `buf` that hold no line end.
+    scanned: usize,
+    /// Data of the event whose end has not come; `None` without a data line.
+    data: Option<BytesMut>,
+}
+
+impl SseParser {
+    /// Takes the next bytes of the stream.
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// Returns the data of the next whole event.
+    ///
+    /// # Errors
+    ///
+    /// Fails once an event without an end has grown too large.
+    pub(crate) fn next_event(&mut self) -> Result<Option<Bytes>, SseError> {
+        while let Some(line) = self.next_line() {
+            if line.is_empty() {
+                if let Some(data) = self.data.take() {
+                    return Ok(Some(data.freeze()));
+                }
+                continue;
+            }
+            self.take_field(line);
+        }
+        let held = self.buf.len() + self.data.as_ref().map_or(0, BytesMut::len);
+        if held > MAX_EVENT_BYTES {
+            return Err(SseError::EventTooLarge);
+        }
+        Ok(None)
+    }
+
+    fn next_line(&mut self) -> Option<BytesMut> {
+        let unseen = &self.buf[self.scanned..];
+        let Some(end) = unseen.iter().position(|&b| b == b'\n') else {
+            self.scanned = self.buf.len();
+            return None;
+        };
+        let mut line = self.buf.split_to(self.scanned + end);
+        self.buf.advance(1);
+        self.scanned = 0;
+        if line.last() == Some(&b'\r') {
+            line.truncate(line.len() - 1);
+        }
+        Some(line)
+    }
+
+    fn take_field(&mut self, mut line: BytesMut) {
+        if !line.starts_with(b"data:") {
+            return;
+        }
+        line.advance(b"data:".len());
+        if line.first() == Some(&b' ') {
+            line.advance(1);
+        }
+        match &mut self.data {
+            None => self.data = Some(line),
+            Some(data) => {
+                data.extend_from_slice(b"\n");
+                data.extend_from_slice(&line);
+            }
+        }
+    }
+}
+
+/// Appends an event with `data` to `out`.
+pub(crate) fn write_event(out: &mut BytesMut, data: &[u8]) {
+    for line in data.split(|&b| b == b'\n') {
+        out.extend_from_slice(b"data: ");
+        out.extend_from_slice(line);
+        out.extend_from_slice(b"\n");
+    }
+    out.extend_from_slice(b"\n");
+}
