feat(fleet): machines for membership and, thin, for routing

The router has to be wired while the policy is still being written, so the events and actions of both machines come first.

--- /dev/null
+++ b/toucanchute_core/src/fleet/action.rs
@@ -0,0 +1,75 @@
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
+
+use toucanchute_proto::{
+    Incarnation,
+    config::Config,
+    fleet::{FleetMessage, Load, MemberState, Verdict},
+};
+
+/// What a [`Fleet`](super::Fleet) wants done.
+#[derive(Clone, Debug)]
+#[non_exhaustive]
+pub enum Action {
+    /// Send this to a peer; dropped if there is no link.
+    Send {
+        /// The peer.
+        to: Incarnation,
+        /// The message.
+        message: Box<FleetMessage>,
+    },
+    /// Open a link to the router at this address, unless there is one.
+    Connect(SocketAddr),
+    /// Read the configuration at the platform's head.
+    FetchConfig,
+    /// This configuration is in force; versions rise strictly.
+    InForce(Arc<Config>),
+    /// These backend servers take no new work; replaces the set before.
+    Withdraw(BTreeSet<String>),
+    /// The other members as far as known; replaces the list before.
+    Members(Vec<MemberView>),
+    /// Whether new work may be taken, or why not.
+    Ready(Result<(), NotReady>),
+    /// Addresses for callers, best first; replaces the list before.
+    Addresses(Vec<SocketAddr>),
+    /// A backend server's load, from this router or another one.
+    Load(Load),
+    /// Another router's word about a request.
+    Verdict(Verdict),
+    /// Return all grants, then say [`Event::Drained`](super::Event::Drained).
+    ReturnGrants,
+    /// End the process with success.
+    Exit,
+}
+
+/// One member as other machines need it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberView {
+    /// The run of the router.
+    pub incarnation: Incarnation,
+    /// Its host.
+    pub host: String,
+    /// Failure domain of its host.
+    pub failure_domain: String,
+    /// Its address for routers.
+    pub peer_address: SocketAddr,
+    /// What is believed of it.
+    pub state: MemberState,
+}
+
+/// Why a router takes no new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum NotReady {
+    /// It has no configuration yet.
+    Starting,
+    /// Its view of configuration and withdrawals is too old.
+    StaleView {
+        /// Address for callers of a router that may serve them.
+        elsewhere: Option<SocketAddr>,
+    },
+    /// It is leaving.
+    Draining {
+        /// Address for callers of a router that may serve them.
+        elsewhere: Option<SocketAddr>,
+    },
+}
--- /dev/null
+++ b/toucanchute_core/src/fleet/links.rs
@@ -0,0 +1,244 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use rand::seq::IndexedRandom;
+use toucanchute_proto::{
+    Incarnation, Millis,
+    fleet::{FleetBody, Member, MemberState, Ping, Probe as ProbeBody},
+};
+
+use super::{Action, Fleet, hash};
+
+/// Fleet size up to which each router links to all others.
+const FULL_MESH: usize = 9;
+
+/// Links that a router opens in a larger fleet, besides those opened by others.
+const LINKS: usize = 4;
+
+/// Peers pinged each period.
+const FANOUT: usize = 2;
+
+/// Time between two rounds of pings.
+const GOSSIP_PERIOD: Millis = Millis(200);
+
+/// Time for an acknowledgement, after which others are asked to ping the member.
+const ACK_TIMEOUT: Millis = Millis(300);
+
+/// Peers asked to ping a member that does not answer.
+const HELPERS: usize = 2;
+
+/// Time a suspect has to speak up before it counts as gone.
+const SUSPECT_TIMEOUT: Millis = Millis(2_000);
+
+/// Time between two attempts to open missing links.
+const CONNECT_PERIOD: Millis = Millis(1_000);
+
+/// Unknown addresses tried in one attempt.
+const CONNECT_UNKNOWN: usize = 4;
+
+/// How long a member that is gone is remembered.
+const FORGET_AFTER: Millis = Millis(600_000);
+
+/// Links to peers, as opened by whichever side.
+#[derive(Debug, Default)]
+pub(super) struct Links {
+    pub(super) up: BTreeSet<Incarnation>,
+    /// When the whole table was last sent to a peer.
+    pub(super) synced: BTreeMap<Incarnation, Millis>,
+    /// What each peer had when it last spoke.
+    pub(super) known: BTreeMap<Incarnation, Known>,
+}
+
+/// Versions that a peer has in force.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Known {
+    pub(super) head: u64,
+    pub(super) hosts: u64,
+}
+
+/// A ping that waits for its acknowledgement.
+#[derive(Debug)]
+pub(super) struct Probe {
+    pub(super) target: Incarnation,
+    /// When the ping was sent.
+    pub(super) sent: Millis,
+    pub(super) stage: Stage,
+}
+
+/// On whose behalf a member is pinged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// On this router's own, directly.
+    Direct,
+    /// On this router's own, by others.
+    Indirect,
+    /// On another router's, under its number.
+    Relayed {
+        /// Who asked.
+        by: Incarnation,
+        /// Its number of the ping.
+        seq: u64,
+    },
+}
+
+impl Fleet {
+    pub(super) fn peer_up(&mut self, now: Millis, member: &Member, out: &mut Vec<Action>) {
+        self.links.up.insert(member.incarnation);
+        let fleet = self.known();
+        for id in self.members.supersede(now, member) {
+            self.rumors.member(id, fleet);
+        }
+        self.merge_member(now, member);
+        self.send_table(now, member.incarnation, out);
+    }
+
+    pub(super) fn peer_down(&mut self, now: Millis, id: Incarnation, out: &mut Vec<Action>) {
+        self.links.up.remove(&id);
+        self.links.synced.remove(&id);
+        self.links.known.remove(&id);
+        let known = self.members.get(id).map(|e| e.member.state);
+        if matches!(known, Some(MemberState::Alive | MemberState::Leaving)) {
+            let seq = self.next_seq();
+            self.ask_helpers(now, id, seq, out);
+        }
+    }
+
+    pub(super) fn tick(&mut self, now: Millis, out: &mut Vec<Action>) {
+        self.expire_probes(now, out);
+        self.expire_members(now);
+        self.rumors.forget_expired(now);
+        if now >= self.next_gossip {
+            self.next_gossip = now + GOSSIP_PERIOD;
+            self.ping_some(now, out);
+        }
+        if now >= self.next_connect {
+            self.next_connect = now + CONNECT_PERIOD;
+            self.connect_missing(out);
+        }
+    }
+
+    pub(super) fn next_seq(&mut self) -> u64 {
+        self.last_seq += 1;
+        self.last_seq
+    }
+
+    fn ping_some(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let peers: Vec<_> = self.links.up.iter().copied().collect();
+        let chosen: Vec<_> = peers
+            .choose_multiple(&mut self.rng, FANOUT)
+            .copied()
+            .collect();
+        for target in chosen {
+            self.ping(now, target, Stage::Direct, out);
+        }
+    }
+
+    pub(super) fn ping(
+        &mut self,
+        now: Millis,
+        target: Incarnation,
+        stage: Stage,
+        out: &mut Vec<Action>,
+    ) {
+        let seq = self.next_seq();
+        let probe = Probe {
+            target,
+            sent: now,
+            stage,
+        };
+        self.probes.insert(seq, probe);
+        let members = self.table_hash();
+        self.send(target, FleetBody::Ping(Ping { seq, members }), out);
+    }
+
+    fn ask_helpers(&mut self, now: Millis, target: Incarnation, seq: u64, out: &mut Vec<Action>) {
+        let probe = Probe {
+            target,
+            sent: now,
+            stage: Stage::Indirect,
+        };
+        self.probes.insert(seq, probe);
+        let peers: Vec<_> = self.links.up.iter().filter(|&&p| p != target).collect();
+        let helpers: Vec<_> = peers
+            .choose_multiple(&mut self.rng, HELPERS)
+            .map(|&&p| p)
+            .collect();
+        for helper in helpers {
+            self.send(helper, FleetBody::Probe(ProbeBody { target, seq }), out);
+        }
+    }
+
+    fn expire_probes(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let late = |p: &Probe| now.since(p.sent) >= ACK_TIMEOUT;
+        let seqs: Vec<_> = self
+            .probes
+            .iter()
+            .filter(|(_, p)| late(p))
+            .map(|(&seq, _)| seq)
+            .collect();
+        for seq in seqs {
+            let Some(probe) = self.probes.remove(&seq) else {
+                continue;
+            };
+            match probe.stage {
+                Stage::Direct => self.ask_helpers(now, probe.target, seq, out),
+                Stage::Indirect => self.degrade(now, probe.target, MemberState::Suspect),
+                Stage::Relayed { .. } => {}
+            }
+        }
+    }
+
+    fn expire_members(&mut self, now: Millis) {
+        let suspects = self
+            .members
+            .overdue(now, MemberState::Suspect, SUSPECT_TIMEOUT);
+        for id in suspects {
+            self.degrade(now, id, MemberState::Gone);
+        }
+        for id in self.members.overdue(now, MemberState::Gone, FORGET_AFTER) {
+            self.members.forget(id);
+        }
+    }
+
+    fn degrade(&mut self, now: Millis, id: Incarnation, state: MemberState) {
+        if self.members.degrade(now, id, state) {
+            let fleet = self.known();
+            self.rumors.member(id, fleet);
+        }
+    }
+
+    fn connect_missing(&mut self, out: &mut Vec<Action>) {
+        let known: BTreeSet<SocketAddr> = self
+            .members
+            .live()
+            .filter_map(|m| m.peer_address.parse().ok())
+            .collect();
+        let mut wanted = self.wanted_links();
+        let unknown = self.id.seeds.iter().chain(&self.hosts.routers);
+        let unknown: Vec<_> = unknown
+            .filter(|a| !known.contains(a) && **a != self.id.peer_address)
+            .copied()
+            .collect();
+        wanted.extend(unknown.choose_multiple(&mut self.rng, CONNECT_UNKNOWN));
+        out.extend(wanted.into_iter().map(Action::Connect));
+    }
+
+    /// Addresses of members that this router should have a link to and has none.
+    fn wanted_links(&self) -> Vec<SocketAddr> {
+        let me = self.id.incarnation;
+        let mut live: Vec<_> = self.members.live().collect();
+        if live.len() >= FULL_MESH {
+            let ring = |m: &&Member| m.incarnation.0.wrapping_sub(me.0);
+            let next = live.iter().copied().min_by_key(ring);
+            live.sort_by_key(|m| hash::mix(&[me.0, m.incarnation.0]));
+            live.truncate(LINKS - 1);
+            live.extend(next);
+        }
+        live.iter()
+            .filter(|m| !self.links.up.contains(&m.incarnation))
+            .filter_map(|m| m.peer_address.parse().ok())
+            .collect()
+    }
+}
--- /dev/null
+++ b/toucanchute_core/src/fleet/machine.rs
@@ -0,0 +1,270 @@
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use rand::{SeedableRng, rngs::SmallRng};
+use toucanchute_proto::{
+    Digest, Incarnation, Millis,
+    config::Config,
+    fleet::{Head, Member, MemberState},
+};
+
+use super::{
+    Action, Event,
+    drain::Drain,
+    hosts::Hosts,
+    links::{Links, Probe},
+    members::Members,
+    publish::Published,
+    rumors::Rumors,
+    view::View,
+};
+
+/// Who a router is and whom it asks first.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// This run of the router.
+    pub incarnation: Incarnation,
+    /// Name of its host.
+    pub host: String,
+    /// Failure domain of its host.
+    pub failure_domain: String,
+    /// Region of its host.
+    pub region: String,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for routers.
+    pub peer_address: SocketAddr,
+    /// Addresses of routers to ask for the others.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// Keeps one router's view of the fleet.
+///
+/// ```
+/// use toucanchute_core::fleet::{Action, Event, Fleet, Identity};
+/// use toucanchute_proto::{Digest, Incarnation, Millis, config::Config};
+///
+/// let mut fleet = Fleet::new(Identity {
+///     incarnation: Incarnation(1),
+///     host: "bilbao-1".to_owned(),
+///     failure_domain: "bilbao".to_owned(),
+///     region: "north".to_owned(),
+///     caller_address: "192.0.2.1:8000".parse().unwrap(),
+///     peer_address: "192.0.2.1:8001".parse().unwrap(),
+///     seeds: Vec::new(),
+/// }, 7);
+/// let mut out = Vec::new();
+/// fleet.handle(Millis(0), Event::HeadSeen { version: 1, digest: Digest(9) }, &mut out);
+/// assert!(out.iter().any(|a| matches!(a, Action::FetchConfig)));
+/// ```
+#[derive(Debug)]
+pub struct Fleet {
+    pub(super) id: Identity,
+    /// This router as the others see it; its update number only rises.
+    pub(super) me: Member,
+    pub(super) members: Members,
+    pub(super) links: Links,
+    /// Pings that are not yet acknowledged, by number.
+    pub(super) probes: BTreeMap<u64, Probe>,
+    pub(super) last_seq: u64,
+    pub(super) rumors: Rumors,
+    /// Configuration in force and its digest; versions rise strictly.
+    pub(super) config: Option<(Arc<Config>, Digest)>,
+    pub(super) hosts: Hosts,
+    pub(super) view: View,
+    pub(super) drain: Drain,
+    /// Requests in progress; none if not told since new work is refused.
+    pub(super) in_flight: Option<u64>,
+    pub(super) published: Published,
+    pub(super) next_gossip: Millis,
+    pub(super) next_connect: Millis,
+    pub(super) next_fetch: Millis,
+    pub(super) rng: SmallRng,
+}
+
+impl Fleet {
+    /// Longest time between two [`Event::Tick`].
+    pub const TICK: Millis = Millis(100);
+
+    /// How long a view counts as current after its last confirmation.
+    pub const VIEW_BOUND: Millis = Millis(2_500);
+
+    /// Creates the machine of one router.
+    #[must_use]
+    pub fn new(id: Identity, seed: u64) -> Fleet {
+        let me = Member {
+            incarnation: id.incarnation,
+            host: id.host.clone(),
+            failure_domain: id.failure_domain.clone(),
+            region: id.region.clone(),
+            caller_address: id.caller_address.to_string(),
+            peer_address: id.peer_address.to_string(),
+            state: MemberState::Alive,
+            update: 0,
+            outage: false,
+        };
+        Fleet {
+            id,
+            me,
+            members: Members::default(),
+            links: Links::default(),
+            probes: BTreeMap::new(),
+            last_seq: 0,
+            rumors: Rumors::default(),
+            config: None,
+            hosts: Hosts::default(),
+            view: View::default(),
+            drain: Drain::Running,
+            in_flight: None,
+            published: Published::default(),
+            next_gossip: Millis::default(),
+            next_connect: Millis::default(),
+            next_fetch: Millis::default(),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes in one event and pushes what has to be done.
+    pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        if self.drain == Drain::Exited {
+            return;
+        }
+        match event {
+            Event::PeerUp(member) => self.peer_up(now, &member, out),
+            Event::PeerDown(id) => self.peer_down(now, id, out),
+            Event::Message { from, message } => self.message(now, from, *message, out),
+            Event::Config { config, digest } => self.take_config(config, digest, out),
+            Event::HeadSeen { version, digest } => {
+                self.head_seen(now, Head { version, digest }, out);
+            }
+            Event::HostList { version, hosts } => self.host_list(now, version, &hosts, out),
+            Event::PlatformDown => self.platform_down(now),
+            Event::LoadReport(load) => self.take_load(load, out),
+            Event::Verdict(v) => self.tell_verdict(v, out),
+            Event::InFlight(count) => self.take_in_flight(count),
+            Event::Drain => self.start_drain(now, out),
+            Event::Drained => self.drained(out),
+            Event::Tick => self.tick(now, out),
+        }
+        self.advance_drain(now, out);
+        self.publish(now, out);
+    }
+
+    // Queries
+
+    /// Whether this router has to read head and host list from the platform itself, rather than
+    /// learn them from peers.
+    #[must_use]
+    pub fn watches(&self, now: Millis) -> bool {
+        let stale = self.view.age(now).is_none_or(|age| age > WATCH_AGE);
+        stale || self.view.down_since.is_some() || self.ranks(&self.id.failure_domain, true)
+    }
+
+    /// Whether this router has to ask the backend server `name` for its load.
+    #[must_use]
+    pub fn polls(&self, name: &str) -> bool {
+        self.ranks(name, false)
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Option<&Arc<Config>> {
+        self.config.as_ref().map(|(c, _)| c)
+    }
+
+    /// Members known besides this router, in whatever state.
+    #[must_use]
+    pub fn known(&self) -> usize {
+        self.members.iter().count()
+    }
+
+    /// Whether this router is among the first [`DUTY_SHARE`] live members by rendezvous hashing.
+    fn ranks(&self, name: &str, in_domain: bool) -> bool {
+        let mine = super::hash::weight(name, self.id.incarnation);
+        let fit = |m: &&Member| !in_domain || m.failure_domain == self.id.failure_domain;
+        let ahead = self
+            .members
+            .live()
+            .filter(|m| m.state != MemberState::Suspect)
+            .filter(fit)
+            .filter(|m| super::hash::weight(name, m.incarnation) > mine);
+        ahead.take(DUTY_SHARE).count() < DUTY_SHARE
+    }
+
+    // Configuration and platform
+
+    /// Puts a configuration in force unless the one in force is as new.
+    pub(super) fn take_config(
+        &mut self,
+        config: Arc<Config>,
+        digest: Digest,
+        out: &mut Vec<Action>,
+    ) {
+        if self.head().is_some_and(|h| h.version >= config.version) {
+            return;
+        }
+        self.config = Some((config.clone(), digest));
+        out.push(Action::InForce(config));
+        self.push_all(None, out);
+    }
+
+    pub(super) fn head(&self) -> Option<Head> {
+        self.config.as_ref().map(|(c, digest)| Head {
+            version: c.version,
+            digest: *digest,
+        })
+    }
+
+    fn head_seen(&mut self, now: Millis, head: Head, out: &mut Vec<Action>) {
+        let version = self.head().map(|h| h.version);
+        if version.is_none_or(|v| v < head.version) {
+            out.push(Action::FetchConfig);
+            self.view.down_since = None;
+        } else {
+            self.view.head_seen(now);
+        }
+        self.set_outage(false);
+    }
+
+    fn platform_down(&mut self, now: Millis) {
+        self.view.platform_down(now);
+        self.set_outage(true);
+    }
+
+    pub(super) fn set_outage(&mut self, outage: bool) {
+        if self.me.outage != outage {
+            self.me.outage = outage;
+            self.speak();
+        }
+    }
+
+    /// Tells the others anew about this router.
+    pub(super) fn speak(&mut self) {
+        self.me.update += 1;
+        let fleet = self.known();
+        self.rumors.member(self.me.incarnation, fleet);
+    }
+
+    fn take_in_flight(&mut self, count: u64) {
+        self.in_flight = self.published.refusing().then_some(count);
+    }
+
+    fn take_load(&mut self, load: toucanchute_proto::fleet::Load, out: &mut Vec<Action>) {
+        let fleet = self.known();
+        if self.rumors.load(&load, fleet) {
+            out.push(Action::Load(load));
+        }
+    }
+
+    fn tell_verdict(&mut self, v: toucanchute_proto::fleet::Verdict, out: &mut Vec<Action>) {
+        let fleet = self.known();
+        if self.rumors.verdict(v, fleet) {
+            self.push_all(None, out);
+        }
+    }
+}
+
+/// Routers that do one duty each.
+const DUTY_SHARE: usize = 2;
+
+/// Age of the view from which on a router asks the platform itself.
+const WATCH_AGE: Millis = Millis(1_000);
--- /dev/null
+++ b/toucanchute_core/src/fleet/members.rs
@@ -0,0 +1,129 @@
+use std::collections::BTreeMap;
+
+use toucanchute_proto::{
+    Incarnation, Millis,
+    fleet::{Member, MemberState},
+};
+
+use super::hash;
+
+/// What this router believes of all members but itself.
+#[derive(Debug, Default)]
+pub(super) struct Members {
+    entries: BTreeMap<Incarnation, Entry>,
+    /// Exclusive or of the hashes of all entries.
+    hash: u64,
+}
+
+/// One member and when it got into its state.
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub(super) member: Member,
+    /// When the member got into its state, by this router's clock.
+    pub(super) since: Millis,
+    /// Whether it is known to have ended, by its own word or because another run took its address.
+    pub(super) ended: bool,
+}
+
+impl Members {
+    pub(super) fn get(&self, id: Incarnation) -> Option<&Entry> {
+        self.entries.get(&id)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    /// Iterates over the members that may take work or do so soon.
+    pub(super) fn live(&self) -> impl Iterator<Item = &Member> {
+        self.iter()
+            .map(|e| &e.member)
+            .filter(|m| m.state != MemberState::Gone)
+    }
+
+    /// Hash of the whole table; equal tables have equal hashes.
+    pub(super) fn hash(&self) -> u64 {
+        self.hash
+    }
+
+    /// Takes in what somebody says about a member; returns whether it was news.
+    pub(super) fn merge(&mut self, now: Millis, member: &Member) -> bool {
+        let old = self.entries.get(&member.incarnation);
+        let rank = |m: &Member| (m.update, m.state);
+        if old.is_some_and(|e| rank(&e.member) >= rank(member)) {
+            return false;
+        }
+        let same_state = old.filter(|e| e.member.state == member.state);
+        let was_leaving = old.is_some_and(|e| e.member.state == MemberState::Leaving);
+        let entry = Entry {
+            since: same_state.map_or(now, |e| e.since),
+            ended: member.state == MemberState::Gone && was_leaving,
+            member: member.clone(),
+        };
+        self.replace(entry);
+        true
+    }
+
+    /// Moves a member to a worse state; returns whether that was news.
+    pub(super) fn degrade(&mut self, now: Millis, id: Incarnation, state: MemberState) -> bool {
+        let Some(entry) = self.entries.get(&id) else {
+            return false;
+        };
+        let mut member = entry.member.clone();
+        member.state = state;
+        self.merge(now, &member)
+    }
+
+    /// Marks all other runs at the address of `member` as ended; returns them.
+    pub(super) fn supersede(&mut self, now: Millis, member: &Member) -> Vec<Incarnation> {
+        let other = |m: &Member| {
+            m.peer_address == member.peer_address && m.incarnation != member.incarnation
+        };
+        let ids: Vec<_> = self
+            .live()
+            .filter(|m| other(m))
+            .map(|m| m.incarnation)
+            .collect();
+        for &id in &ids {
+            self.degrade(now, id, MemberState::Gone);
+            if let Some(e) = self.entries.get_mut(&id) {
+                e.ended = true;
+            }
+        }
+        ids
+    }
+
+    /// Returns the members that have been in `state` for `span` or longer.
+    pub(super) fn overdue(
+        &self,
+        now: Millis,
+        state: MemberState,
+        span: Millis,
+    ) -> Vec<Incarnation> {
+        let overdue = |e: &&Entry| e.member.state == state && now.since(e.since) >= span;
+        self.iter()
+            .filter(overdue)
+            .map(|e| e.member.incarnation)
+            .collect()
+    }
+
+    pub(super) fn forget(&mut self, id: Incarnation) {
+        if let Some(e) = self.entries.remove(&id) {
+            self.hash ^= entry_hash(&e.member);
+        }
+    }
+
+    fn replace(&mut self, entry: Entry) {
+        let id = entry.member.incarnation;
+        self.hash ^= entry_hash(&entry.member);
+        if let Some(old) = self.entries.insert(id, entry) {
+            self.hash ^= entry_hash(&old.member);
+        }
+    }
+}
+
+/// Hash of one member's state, for a table's hash.
+pub(super) fn entry_hash(m: &Member) -> u64 {
+    let state = [u64::from(m.state as u8), u64::from(m.outage)];
+    hash::mix(&[m.incarnation.0, m.update, state[0], state[1]])
+}
--- /dev/null
+++ b/toucanchute_core/src/fleet/publish.rs
@@ -0,0 +1,170 @@
+use std::net::SocketAddr;
+
+use rand::seq::SliceRandom;
+use toucanchute_proto::{
+    Millis,
+    fleet::{Member, MemberState},
+};
+
+use super::{Action, Fleet, MemberView, NotReady, hash, members::Entry};
+
+/// Most addresses in a list for callers.
+const MAX_ADDRESSES: usize = 16;
+
+/// Time after which the order of the addresses changes, to spread callers that keep them.
+const SHUFFLE_PERIOD: Millis = Millis(1_000);
+
+/// What was last told to the rest of the router, to tell changes only.
+#[derive(Debug, Default)]
+pub(super) struct Published {
+    ready: Option<Result<(), NotReady>>,
+    /// Whether the router was ready at some time.
+    was_ready: bool,
+    addresses: Vec<SocketAddr>,
+    next_shuffle: Millis,
+    /// Hash of the table of members that was told.
+    members: u64,
+}
+
+impl Published {
+    /// Whether an address list with this router may have been handed out.
+    pub(super) fn was_ready(&self) -> bool {
+        self.was_ready
+    }
+
+    /// Whether the router was told to refuse new work because it leaves.
+    pub(super) fn refusing(&self) -> bool {
+        matches!(self.ready, Some(Err(NotReady::Draining { .. })))
+    }
+}
+
+impl Fleet {
+    /// Tells what changed.
+    pub(super) fn publish(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let ready = self.ready(now);
+        if self.published.ready != Some(ready) {
+            self.published.ready = Some(ready);
+            self.published.was_ready |= ready.is_ok();
+            self.published.next_shuffle = now;
+            out.push(Action::Ready(ready));
+        }
+        let members = self.table_hash();
+        if self.published.members != members {
+            self.published.members = members;
+            self.published.next_shuffle = now;
+            out.push(Action::Members(self.views()));
+        }
+        if now >= self.published.next_shuffle {
+            self.published.next_shuffle = now + SHUFFLE_PERIOD;
+            self.publish_addresses(ready.is_ok(), out);
+        }
+    }
+
+    fn publish_addresses(&mut self, ready: bool, out: &mut Vec<Action>) {
+        let addresses = self.addresses(ready);
+        if self.published.addresses != addresses {
+            self.published.addresses.clone_from(&addresses);
+            out.push(Action::Addresses(addresses));
+        }
+    }
+
+    fn ready(&self, now: Millis) -> Result<(), NotReady> {
+        if self.drain.refuses() {
+            let elsewhere = self.elsewhere();
+            return Err(NotReady::Draining { elsewhere });
+        }
+        if self.config.is_none() {
+            return Err(NotReady::Starting);
+        }
+        let fresh = self
+            .view
+            .age(now)
+            .is_some_and(|age| age <= Fleet::VIEW_BOUND);
+        if fresh || self.outage_agreed(now) {
+            return Ok(());
+        }
+        match self.view.confirmed_at() {
+            None => Err(NotReady::Starting),
+            Some(_) => Err(NotReady::StaleView {
+                elsewhere: self.elsewhere(),
+            }),
+        }
+    }
+
+    /// Whether nobody can reach the platform, so that nothing newer can have been accepted.
+    ///
+    /// Each member that was there when the view was last confirmed has to have said so. Those that
+    /// were lost afterwards have to be a minority, for they may be on the platform's side of a
+    /// partition.
+    pub(super) fn outage_agreed(&self, now: Millis) -> bool {
+        if self.view.down_since.is_none() {
+            return false;
+        }
+        let Some(confirmed) = self.view.confirmed_at() else {
+            let told = self.view.peer_outage_at;
+            return told.is_some_and(|at| now.since(at) <= Fleet::VIEW_BOUND);
+        };
+        let (mut here, mut lost) = (1, 0);
+        for Entry {
+            member,
+            since,
+            ended,
+        } in self.members.iter()
+        {
+            let gone = member.state == MemberState::Gone;
+            match gone {
+                true if *ended || *since <= confirmed => {}
+                _ if !member.outage => return false,
+                true => lost += 1,
+                false => here += 1,
+            }
+        }
+        lost < here
+    }
+
+    fn views(&self) -> Vec<MemberView> {
+        let view = |m: &Member| {
+            Some(MemberView {
+                incarnation: m.incarnation,
+                host: m.host.clone(),
+                failure_domain: m.failure_domain.clone(),
+                peer_address: m.peer_address.parse().ok()?,
+                state: m.state,
+            })
+        };
+        self.members
+            .iter()
+            .filter_map(|e| view(&e.member))
+            .collect()
+    }
+
+    /// This router, its failure domain and then the rest, each in random order.
+    fn addresses(&mut self, ready: bool) -> Vec<SocketAddr> {
+        let alive = self
+            .members
+            .live()
+            .filter(|m| m.state == MemberState::Alive);
+        let (mut near, mut far): (Vec<&Member>, Vec<&Member>) =
+            alive.partition(|m| m.failure_domain == self.id.failure_domain);
+        let listed = ready && !self.drain.leaving();
+        let me = listed.then_some(&self.me);
+        near.extend(me);
+        near.shuffle(&mut self.rng);
+        far.shuffle(&mut self.rng);
+        let all = near.into_iter().chain(far);
+        all.filter_map(|m| m.caller_address.parse().ok())
+            .take(MAX_ADDRESSES)
+            .collect()
+    }
+
+    /// A router that is more likely to take work than this one.
+    fn elsewhere(&self) -> Option<SocketAddr> {
+        let order = |m: &&Member| {
+            let same = m.failure_domain == self.id.failure_domain;
+            let spread = hash::mix(&[self.id.incarnation.0, m.incarnation.0]);
+            (m.state, same, spread)
+        };
+        let other = self.members.iter().map(|e| &e.member).min_by_key(order)?;
+        other.caller_address.parse().ok()
+    }
+}
--- /dev/null
+++ b/toucanchute_core/src/fleet/rumors.rs
@@ -0,0 +1,105 @@
+use std::collections::BTreeMap;
+
+use toucanchute_proto::{
+    Digest, Incarnation, Millis,
+    fleet::{Load, Member, Verdict},
+};
+
+use super::members::Members;
+
+/// Messages that carry one rumor, besides one more for each doubling of the fleet.
+const BASE_COPIES: u32 = 4;
+
+/// Most member updates in one message.
+const MAX_MEMBERS: usize = 24;
+
+/// Most load reports in one message.
+const MAX_LOADS: usize = 64;
+
+/// News that still has to be told, each a limited number of times.
+#[derive(Debug, Default)]
+pub(super) struct Rumors {
+    members: BTreeMap<Incarnation, u32>,
+    verdicts: BTreeMap<Digest, (Verdict, u32)>,
+    loads: BTreeMap<String, (Load, u32)>,
+    /// Times of the newest load reports, to tell news from copies.
+    seen_loads: BTreeMap<String, Millis>,
+}
+
+impl Rumors {
+    pub(super) fn member(&mut self, id: Incarnation, fleet: usize) {
+        self.members.insert(id, copies(fleet));
+    }
+
+    /// Takes in a verdict; returns whether it is news.
+    pub(super) fn verdict(&mut self, v: Verdict, fleet: usize) -> bool {
+        let rank = |v: &Verdict| (v.until, v.standing);
+        if self
+            .verdicts
+            .get(&v.digest)
+            .is_some_and(|(old, _)| rank(old) >= rank(&v))
+        {
+            return false;
+        }
+        self.verdicts.insert(v.digest, (v, copies(fleet)));
+        true
+    }
+
+    /// Takes in a load report; returns whether it is news.
+    pub(super) fn load(&mut self, load: &Load, fleet: usize) -> bool {
+        let seen = self.seen_loads.get(&load.backend);
+        if seen.is_some_and(|&t| t >= load.as_of) {
+            return false;
+        }
+        self.seen_loads.insert(load.backend.clone(), load.as_of);
+        self.loads
+            .insert(load.backend.clone(), (load.clone(), copies(fleet)));
+        true
+    }
+
+    pub(super) fn forget_expired(&mut self, now: Millis) {
+        self.verdicts.retain(|_, (v, _)| v.until > now);
+    }
+
+    pub(super) fn take_members(&mut self, me: &Member, members: &Members) -> Vec<Member> {
+        let mut out = Vec::new();
+        for (id, left) in self.members.iter_mut().take(MAX_MEMBERS) {
+            *left -= 1;
+            if *id == me.incarnation {
+                out.push(me.clone());
+            } else {
+                out.extend(members.get(*id).map(|e| e.member.clone()));
+            }
+        }
+        self.members.retain(|_, left| *left > 0);
+        out
+    }
+
+    pub(super) fn take_verdicts(&mut self) -> Vec<Verdict> {
+        let mut out = Vec::new();
+        for (v, left) in self.verdicts.values_mut().filter(|(_, left)| *left > 0) {
+            *left -= 1;
+            out.push(*v);
+        }
+        out
+    }
+
+    pub(super) fn take_loads(&mut self) -> Vec<Load> {
+        let mut out = Vec::new();
+        for (load, left) in self.loads.values_mut().take(MAX_LOADS) {
+            *left -= 1;
+            out.push(load.clone());
+        }
+        self.loads.retain(|_, (_, left)| *left > 0);
+        out
+    }
+
+    /// All verdicts in force, for a new peer.
+    pub(super) fn all_verdicts(&self) -> Vec<Verdict> {
+        self.verdicts.values().map(|(v, _)| *v).collect()
+    }
+}
+
+fn copies(fleet: usize) -> u32 {
+    BASE_COPIES + fleet.max(1).ilog2()
+}
--- /dev/null
+++ b/toucanchute_core/src/fleet/view.rs
@@ -0,0 +1,53 @@
+use toucanchute_proto::Millis;
+
+/// When this router's view of configuration and withdrawals was last known to be current.
+#[derive(Debug, Default)]
+pub(super) struct View {
+    /// When the platform last answered with a head that is in force here.
+    head_at: Option<Millis>,
+    /// When the platform last answered with its host list.
+    hosts_at: Option<Millis>,
+    /// Latest time at which the view was current, by the platform or a peer; it only rises.
+    confirmed_at: Option<Millis>,
+    /// Since when the platform has not answered.
+    pub(super) down_since: Option<Millis>,
+    /// When a peer last said that the platform is down for all.
+    pub(super) peer_outage_at: Option<Millis>,
+}
+
+impl View {
+    pub(super) fn head_seen(&mut self, now: Millis) {
+        self.head_at = Some(now);
+        self.answered();
+    }
+
+    pub(super) fn hosts_seen(&mut self, now: Millis) {
+        self.hosts_at = Some(now);
+        self.answered();
+    }
+
+    /// Takes in that the view was current at `at`.
+    pub(super) fn confirm(&mut self, at: Millis) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+    }
+
+    pub(super) fn confirmed_at(&self) -> Option<Millis> {
+        self.confirmed_at
+    }
+
+    /// Time since the view was current.
+    pub(super) fn age(&self, now: Millis) -> Option<Millis> {
+        self.confirmed_at.map(|at| now.since(at))
+    }
+
+    pub(super) fn platform_down(&mut self, now: Millis) {
+        self.down_since.get_or_insert(now);
+    }
+
+    fn answered(&mut self) {
+        self.down_since = None;
+        if let (Some(head), Some(hosts)) = (self.head_at, self.hosts_at) {
+            self.confirm(head.min(hosts));
+        }
+    }
+}
--- a/toucanchute_core/src/lib.rs
+++ b/toucanchute_core/src/lib.rs
@@ -1,1 +1,7 @@
-//! Placeholder.
+//! The decisions of toucanchute as state machines without I/O, clock or global random source.
+//!
+//! A machine takes `(now, event)` and pushes actions into a `Vec` that its caller passes in. The
+//! same events give the same actions.
+
+pub mod fleet;
+pub mod routing;
