--- a/toucanchute_proto/src/generated.rs
+++ b/toucanchute_proto/src/generated.rs
@@ -7,5 +7,6 @@
 )]
 
 pub mod config;
+pub mod fleet;
 pub mod peer;
 pub mod settings;
