--- a/toucanchute_edge/src/caller.rs
+++ b/toucanchute_edge/src/caller.rs
@@ -88,7 +88,7 @@
     };
     let mut values = headers.get_all(KEY).iter();
     let Some(value) = values.next() else {
-        return Ok(RequestKey(rand_os::random()));
+        return Ok(RequestKey(rand::random()));
     };
     if values.next().is_some() || !(1..=MAX_KEY_BYTES).contains(&value.len()) {
         return Err(bad);
