--- /dev/null
+++ b/toucanchute_router/src/actor.rs
@@ -0,0 +1,12 @@
+//! Actors: each owns one state machine of `toucanchute_core`, feeds it events and carries out its
+//! actions.
+
+mod dispatch;
+mod fleet;
+mod money;
+mod post;
+
+pub(crate) use dispatch::{Assign, DispatchActor, DispatchInput};
+pub(crate) use fleet::{Duties, FleetActor, FleetInput, FleetParts, FleetPeers, Members};
+pub(crate) use money::{MoneyActor, MoneyCall, MoneyInput, MoneyParts, MoneyReply};
+pub(crate) use post::post;
--- /dev/null
+++ b/toucanchute_router/src/actor/dispatch.rs
@@ -0,0 +1,202 @@
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+};
+
+use tokio::sync::oneshot;
+use toucanchute_core::routing::{self, Action, Dispatcher, Event};
+use toucanchute_edge::{AssignRequest, Assignment, CrashKind, Outcome, Refusal, RefusalReason, Report, Target};
+use toucanchute_proto::{AttemptId, Millis, config::Config, fleet::{Load, Verdict}};
+use xtra::prelude::*;
+
+use super::{FleetActor, FleetInput, post};
+
+/// Owns the [`Dispatcher`] of this router.
+#[derive(xtra::Actor)]
+pub(crate) struct DispatchActor {
+    machine: Dispatcher,
+    fleet: Address<FleetActor>,
+    /// Callers that wait for a backend server, by call.
+    waiting: HashMap<u64, oneshot::Sender<Result<Assignment, Refusal>>>,
+    next_call: u64,
+    withdrawn: BTreeSet<String>,
+    config: Arc<Config>,
+    actions: Vec<Action>,
+}
+
+/// Asks for a backend server.
+pub(crate) struct Assign {
+    /// What is asked for.
+    pub(crate) req: AssignRequest,
+    /// The customer's share among customers of one priority.
+    pub(crate) weight: u32,
+    /// Where the answer goes.
+    pub(crate) reply: oneshot::Sender<Result<Assignment, Refusal>>,
+}
+
+/// Input other than requests.
+pub(crate) enum DispatchInput {
+    /// An attempt made progress or ended.
+    Report(AttemptId, Report),
+    /// Another configuration is in force.
+    Config(Arc<Config>),
+    /// These backend servers take no new work.
+    Withdraw(BTreeSet<String>),
+    /// A backend server reported its load.
+    Load(Load),
+    /// A backend server's prefix cache changed.
+    CacheEvents {
+        /// Name of the backend server.
+        backend: String,
+        /// Changes, oldest first.
+        events: Vec<routing::CacheEvent>,
+        /// Whether events before these were lost.
+        gap: bool,
+    },
+    /// Another router's word about a request.
+    Verdict(Verdict),
+    /// Time passed.
+    Tick,
+}
+
+impl DispatchActor {
+    /// Creates the actor; new verdicts go to `fleet`.
+    pub(crate) fn new(
+        machine: Dispatcher,
+        fleet: Address<FleetActor>,
+        config: Arc<Config>,
+    ) -> DispatchActor {
+        DispatchActor {
+            machine,
+            fleet,
+            waiting: HashMap::new(),
+            next_call: 0,
+            withdrawn: BTreeSet::new(),
+            config,
+            actions: Vec::new(),
+        }
+    }
+
+    fn feed(&mut self, event: Event) {
+        let now = Millis(toucanchute_log::wall_clock_ms());
+        let mut actions = std::mem::take(&mut self.actions);
+        self.machine.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.perform(action);
+        }
+        self.actions = actions;
+    }
+
+    fn perform(&mut self, action: Action) {
+        match action {
+            Action::Assigned { call, attempt, backend, address } => {
+                let assignment = Assignment { attempt, backend, address };
+                self.answer(call, Ok(assignment));
+            }
+            Action::Refused { call, reason, retry_after } => {
+                let refusal = Refusal {
+                    reason: refusal_reason(reason),
+                    outcome: Outcome::NotRun,
+                    retry_after,
+                    elsewhere: None,
+                };
+                self.answer(call, Err(refusal));
+            }
+            Action::Verdict(verdict) => post(&self.fleet, FleetInput::Verdict(verdict)),
+            _ => {}
+        }
+    }
+
+    /// Answers a caller; an assignment that nobody waits for any more is given back.
+    fn answer(&mut self, call: u64, answer: Result<Assignment, Refusal>) {
+        let Some(reply) = self.waiting.remove(&call) else { return };
+        if let Err(Ok(assignment)) = reply.send(answer) {
+            let attempt = assignment.attempt;
+            self.feed(Event::Report { attempt, report: routing::Report::Cancelled });
+        }
+    }
+
+    fn configure(&mut self) {
+        let config = Arc::clone(&self.config);
+        self.feed(Event::Configure { config, withdrawn: self.withdrawn.clone() });
+    }
+}
+
+impl Handler<Assign> for DispatchActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: Assign, _cx: &mut Context<Self>) {
+        let Assign { req, weight, reply } = message;
+        self.next_call += 1;
+        let call = self.next_call;
+        self.waiting.insert(call, reply);
+        self.feed(Event::Assign(routing::Assign {
+            call,
+            target: match req.target {
+                Target::Model(name) => routing::Target::Model(name),
+                Target::Service(name) => routing::Target::Service(name),
+            },
+            customer: req.customer,
+            weight,
+            priority: req.priority,
+            digest: req.digest,
+            prefix: req.prefix,
+            tokens: req.tokens,
+            attempts: req.attempts,
+            exclude: req.exclude,
+            deadline: req.deadline,
+        }));
+    }
+}
+
+impl Handler<DispatchInput> for DispatchActor {
+    type Return = ();
+
+    async fn handle(&mut self, input: DispatchInput, _cx: &mut Context<Self>) {
+        match input {
+            DispatchInput::Report(attempt, report) => {
+                self.feed(Event::Report { attempt, report: routing_report(report) });
+            }
+            DispatchInput::Config(config) => {
+                self.config = config;
+                self.configure();
+            }
+            DispatchInput::Withdraw(names) => {
+                self.withdrawn = names;
+                self.configure();
+            }
+            DispatchInput::Load(load) => self.feed(Event::Load(load)),
+            DispatchInput::CacheEvents { backend, events, gap } => {
+                self.feed(Event::CacheEvents { backend, events, gap });
+            }
+            DispatchInput::Verdict(verdict) => self.feed(Event::Verdict(verdict)),
+            DispatchInput::Tick => self.feed(Event::Tick),
+        }
+    }
+}
+
+fn refusal_reason(reason: routing::RefusalReason) -> RefusalReason {
+    match reason {
+        routing::RefusalReason::NoBackend => RefusalReason::NoBackend,
+        routing::RefusalReason::RetriesExhausted => RefusalReason::RetriesExhausted,
+        routing::RefusalReason::Quarantined => RefusalReason::Quarantined,
+        _ => RefusalReason::Overloaded,
+    }
+}
+
+fn routing_report(report: Report) -> routing::Report {
+    match report {
+        Report::FirstToken => routing::Report::FirstToken,
+        Report::Done { tokens } => routing::Report::Done { tokens },
+        Report::Refused => routing::Report::Refused,
+        Report::Unsent => routing::Report::Unsent,
+        Report::Crashed { kind } => routing::Report::Crashed {
+            kind: match kind {
+                CrashKind::Disconnected => routing::CrashKind::Disconnected,
+                CrashKind::Malformed => routing::CrashKind::Malformed,
+                CrashKind::TimedOut => routing::CrashKind::TimedOut,
+            },
+        },
+        Report::Cancelled => routing::Report::Cancelled,
+    }
+}
--- /dev/null
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -0,0 +1,250 @@
+use std::{net::SocketAddr, sync::Arc};
+
+use tokio::sync::watch;
+use toucanchute_core::{
+    fleet::{Action, Event, Fleet, HostEntry, MemberView, NotReady},
+    money,
+};
+use toucanchute_edge::{AddressList, Outcome, Refusal, RefusalReason};
+use toucanchute_proto::{
+    Digest, Incarnation, Millis,
+    config::Config,
+    fleet::{FleetMessage, Load, Member, MemberState, Verdict},
+    peer::FrameKind,
+};
+use xtra::prelude::*;
+
+use super::{DispatchActor, DispatchInput, MoneyActor, MoneyInput, post};
+use crate::{link::Mesh, platform::PlatformWatch, view::View};
+
+/// When to come back to a router that is starting or has lost touch.
+const UNREADY_RETRY_AFTER: Millis = Millis(1_000);
+
+/// Owns the [`Fleet`] of this router.
+#[derive(xtra::Actor)]
+pub(crate) struct FleetActor {
+    machine: Fleet,
+    mesh: Mesh,
+    view: Arc<View>,
+    peers: Option<FleetPeers>,
+    members: Vec<MemberView>,
+    actions: Vec<Action>,
+}
+
+/// What a [`FleetActor`] is made of.
+pub(crate) struct FleetParts {
+    /// The state machine.
+    pub(crate) machine: Fleet,
+    /// Links to other routers.
+    pub(crate) mesh: Mesh,
+    /// What the HTTP edge reads.
+    pub(crate) view: Arc<View>,
+}
+
+/// The actors and tasks that act on a [`FleetActor`]'s decisions.
+#[derive(Clone)]
+pub(crate) struct FleetPeers {
+    /// Owner of grants and ledger.
+    pub(crate) money: Address<MoneyActor>,
+    /// Owner of the choice of backend servers.
+    pub(crate) dispatch: Address<DispatchActor>,
+    /// Reader of the platform.
+    pub(crate) platform: PlatformWatch,
+    /// Set to true when the process has to end.
+    pub(crate) exit: watch::Sender<bool>,
+}
+
+/// Input of a [`FleetActor`].
+pub(crate) enum FleetInput {
+    /// The other actors are running; sent once, before all else.
+    Start(Box<FleetPeers>),
+    /// A link is up.
+    PeerUp(Member),
+    /// A link is down.
+    PeerDown(Incarnation),
+    /// A peer sent a message.
+    Message(Incarnation, Box<FleetMessage>),
+    /// The platform answered: version and digest of the configuration.
+    HeadSeen(u64, Digest),
+    /// The platform answered: its host list.
+    HostList(u64, Vec<HostEntry>),
+    /// A configuration was read from the platform.
+    Config(Arc<Config>, Digest),
+    /// The platform did not answer.
+    PlatformDown,
+    /// A backend server reported its load.
+    Load(Load),
+    /// This router's word about a request.
+    Verdict(Verdict),
+    /// Requests in progress.
+    InFlight(u64),
+    /// The process has to leave.
+    Drain,
+    /// All grants are returned.
+    Drained,
+    /// Time passed.
+    Tick,
+}
+
+/// Asks which of some backend servers this router polls, and whether it reads the platform.
+pub(crate) struct Duties {
+    /// Names of backend servers.
+    pub(crate) backends: Vec<String>,
+}
+
+impl FleetActor {
+    /// Creates the actor.
+    pub(crate) fn new(parts: FleetParts) -> FleetActor {
+        let FleetParts { machine, mesh, view } = parts;
+        FleetActor { machine, mesh, view, peers: None, members: Vec::new(), actions: Vec::new() }
+    }
+
+    fn feed(&mut self, event: Event) {
+        let now = Millis(toucanchute_log::wall_clock_ms());
+        let mut actions = std::mem::take(&mut self.actions);
+        self.machine.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.perform(action);
+        }
+        self.actions = actions;
+    }
+
+    fn perform(&mut self, action: Action) {
+        match action {
+            Action::Send { to, message } => self.mesh.send(to, FrameKind::Fleet, &message),
+            Action::Connect(address) => self.mesh.connect(address),
+            Action::InForce(config) => self.put_in_force(&config),
+            Action::Members(members) => self.set_members(members),
+            Action::Ready(ready) => self.set_ready(ready),
+            Action::Addresses(addresses) => self.set_addresses(addresses),
+            Action::FetchConfig => self.with_peers(|peers| peers.platform.fetch_config()),
+            Action::Withdraw(names) => {
+                log::info!(backends:? = names; "backends-withdrawn");
+                self.with_peers(|peers| post(&peers.dispatch, DispatchInput::Withdraw(names)));
+            }
+            Action::Load(load) => {
+                self.with_peers(|peers| post(&peers.dispatch, DispatchInput::Load(load)));
+            }
+            Action::Verdict(verdict) => {
+                self.with_peers(|peers| post(&peers.dispatch, DispatchInput::Verdict(verdict)));
+            }
+            Action::ReturnGrants => {
+                self.with_peers(|peers| post(&peers.money, MoneyInput::Drain));
+            }
+            Action::Exit => self.with_peers(|peers| {
+                peers.exit.send_replace(true);
+            }),
+            _ => {}
+        }
+    }
+
+    fn with_peers(&self, f: impl FnOnce(&FleetPeers)) {
+        if let Some(peers) = &self.peers {
+            f(peers);
+        }
+    }
+
+    fn put_in_force(&self, config: &Arc<Config>) {
+        log::info!(version = config.version; "config-in-force");
+        self.view.set_config(Arc::clone(config));
+        self.with_peers(|peers| {
+            post(&peers.dispatch, DispatchInput::Config(Arc::clone(config)));
+            post(&peers.money, MoneyInput::Config(Arc::clone(config)));
+        });
+    }
+
+    fn set_members(&mut self, members: Vec<MemberView>) {
+        let peers = members.iter().map(money_peer).collect();
+        self.with_peers(|actors| post(&actors.money, MoneyInput::Peers(peers)));
+        self.members = members;
+    }
+
+    fn set_ready(&self, ready: Result<(), NotReady>) {
+        log::info!(ready:? = ready; "readiness-changed");
+        self.view.set_unready(ready.err().map(unready_refusal));
+    }
+
+    fn set_addresses(&self, addresses: Vec<SocketAddr>) {
+        let max_age = Millis(self.view.config().routing.address_max_age_ms);
+        self.view.set_addresses(AddressList { addresses, max_age });
+    }
+}
+
+impl Handler<FleetInput> for FleetActor {
+    type Return = ();
+
+    async fn handle(&mut self, input: FleetInput, _cx: &mut Context<Self>) {
+        let event = match input {
+            FleetInput::Start(peers) => {
+                self.peers = Some(*peers);
+                return;
+            }
+            FleetInput::PeerUp(member) => Event::PeerUp(member),
+            FleetInput::PeerDown(from) => Event::PeerDown(from),
+            FleetInput::Message(from, message) => Event::Message { from, message },
+            FleetInput::HeadSeen(version, digest) => Event::HeadSeen { version, digest },
+            FleetInput::HostList(version, hosts) => Event::HostList { version, hosts },
+            FleetInput::Config(config, digest) => Event::Config { config, digest },
+            FleetInput::PlatformDown => Event::PlatformDown,
+            FleetInput::Load(load) => Event::LoadReport(load),
+            FleetInput::Verdict(verdict) => Event::Verdict(verdict),
+            FleetInput::InFlight(count) => Event::InFlight(count),
+            FleetInput::Drain => Event::Drain,
+            FleetInput::Drained => Event::Drained,
+            FleetInput::Tick => Event::Tick,
+        };
+        self.feed(event);
+    }
+}
+
+/// What this router has to do for the fleet.
+pub(crate) struct DutyList {
+    /// Whether it reads head and host list from the platform.
+    pub(crate) watches: bool,
+    /// Names of the backend servers that it polls.
+    pub(crate) polls: Vec<String>,
+}
+
+impl Handler<Duties> for FleetActor {
+    type Return = DutyList;
+
+    async fn handle(&mut self, message: Duties, _cx: &mut Context<Self>) -> DutyList {
+        let now = Millis(toucanchute_log::wall_clock_ms());
+        let mut polls = message.backends;
+        polls.retain(|name| self.machine.polls(name));
+        DutyList { watches: self.machine.watches(now), polls }
+    }
+}
+
+/// Asks for the members as last published.
+pub(crate) struct Members;
+
+impl Handler<Members> for FleetActor {
+    type Return = Vec<MemberView>;
+
+    async fn handle(&mut self, _message: Members, _cx: &mut Context<Self>) -> Vec<MemberView> {
+        self.members.clone()
+    }
+}
+
+fn money_peer(member: &MemberView) -> money::Peer {
+    money::Peer {
+        incarnation: member.incarnation,
+        failure_domain: member.failure_domain.clone(),
+        state: match member.state {
+            MemberState::Alive | MemberState::Leaving => money::PeerState::Alive,
+            MemberState::Suspect => money::PeerState::Suspect,
+            MemberState::Gone => money::PeerState::Gone,
+        },
+    }
+}
+
+fn unready_refusal(reason: NotReady) -> Refusal {
+    let (reason, elsewhere) = match reason {
+        NotReady::StaleView { elsewhere } => (RefusalReason::StaleView, elsewhere),
+        NotReady::Draining { elsewhere } => (RefusalReason::Draining, elsewhere),
+        _ => (RefusalReason::Starting, None),
+    };
+    let retry_after = Some(UNREADY_RETRY_AFTER);
+    Refusal { reason, outcome: Outcome::NotRun, retry_after, elsewhere }
+}
--- /dev/null
+++ b/toucanchute_router/src/actor/money.rs
@@ -0,0 +1,374 @@
+use std::{collections::HashMap, sync::Arc};
+
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+use toucanchute_core::{
+    ledger::StoreResult,
+    money::{self, Action, Billing, CallId, Event, Money, Peer},
+};
+use toucanchute_edge::{
+    IntentRequest, Outcome, Recorded, Refusal, RefusalReason, ReserveRequest, ServiceAnswer,
+    Settlement,
+};
+use toucanchute_proto::{
+    BudgetId, GrantId, Incarnation, Millis, RequestKey,
+    config::Config,
+    ledger::{Answer, RecordedAnswer, Statement},
+    money::MoneyMessage,
+    peer::FrameKind,
+};
+use xtra::prelude::*;
+
+use super::{FleetActor, FleetInput, post};
+use crate::{link::Mesh, platform::LedgerStore};
+
+/// Owns the [`Money`] machine of this router.
+#[derive(xtra::Actor)]
+pub(crate) struct MoneyActor {
+    /// Absent until a configuration is in force, because that fixes the ledger's layout.
+    machine: Option<Money>,
+    settings: money::Settings,
+    mesh: Mesh,
+    store: LedgerStore,
+    fleet: Address<FleetActor>,
+    /// The newest list of other routers, for a machine that starts later.
+    peers: Vec<Peer>,
+    /// Addresses of callers' sides, by run of the router.
+    waiting: HashMap<CallId, oneshot::Sender<Result<MoneyReply, Refusal>>>,
+    next_call: u64,
+    actions: Vec<Action>,
+}
+
+/// What a [`MoneyActor`] is made of.
+pub(crate) struct MoneyParts {
+    /// Settings of the machine; the ledger's layout comes with the configuration.
+    pub(crate) settings: money::Settings,
+    /// Links to other routers.
+    pub(crate) mesh: Mesh,
+    /// The platform's key-value service.
+    pub(crate) store: LedgerStore,
+    /// Told when all grants are returned.
+    pub(crate) fleet: Address<FleetActor>,
+}
+
+/// A question that is answered by one [`MoneyReply`] or refused.
+#[derive(Debug)]
+pub(crate) enum MoneyCall {
+    /// Reserves tokens.
+    Reserve(ReserveRequest),
+    /// Bills a reservation.
+    Settle {
+        /// The reservation.
+        id: u64,
+        /// Tokens used.
+        tokens: u64,
+    },
+    /// Commits an intent.
+    Intend(IntentRequest),
+    /// Adds tokens to a budget, once by `id`.
+    TopUp {
+        /// The operator's name for it.
+        id: String,
+        /// The budget.
+        budget: BudgetId,
+        /// Tokens to add.
+        tokens: u64,
+    },
+    /// Closes a forfeited grant.
+    WriteOff {
+        /// Budget of the grant.
+        budget: BudgetId,
+        /// The grant.
+        grant: GrantId,
+    },
+    /// Asks for the account of a budget.
+    Statement {
+        /// The budget.
+        budget: BudgetId,
+    },
+}
+
+/// Answer to a [`MoneyCall`].
+#[derive(Debug)]
+pub(crate) enum MoneyReply {
+    /// Tokens are set aside.
+    Reserved {
+        /// The reservation.
+        id: u64,
+        /// Tokens reserved.
+        tokens: u64,
+    },
+    /// The reservation is billed.
+    Settled(Settlement),
+    /// The intent is committed.
+    Accepted,
+    /// The call ran earlier.
+    Recorded(ServiceAnswer),
+    /// The top-up is committed.
+    ToppedUp,
+    /// The grant is closed.
+    WrittenOff,
+    /// The account, as a JSON document.
+    Statement(Value),
+}
+
+/// Input of a [`MoneyActor`].
+#[derive(Debug)]
+pub(crate) enum MoneyInput {
+    /// A question.
+    Call(MoneyCall, oneshot::Sender<Result<MoneyReply, Refusal>>),
+    /// A reservation is not billed.
+    Release {
+        /// The reservation.
+        id: u64,
+    },
+    /// An accepted call ended.
+    Record(RequestKey, Recorded),
+    /// Another configuration is in force.
+    Config(Arc<Config>),
+    /// The other routers.
+    Peers(Vec<Peer>),
+    /// A peer sent a message.
+    Message(Incarnation, Box<MoneyMessage>),
+    /// The platform answered a call.
+    Store {
+        /// Number of the call.
+        op: u64,
+        /// Its result.
+        result: StoreResult,
+    },
+    /// The process leaves: return all grants.
+    Drain,
+    /// Time passed.
+    Tick,
+}
+
+impl MoneyActor {
+    /// Creates the actor.
+    pub(crate) fn new(parts: MoneyParts) -> MoneyActor {
+        let MoneyParts { settings, mesh, store, fleet } = parts;
+        MoneyActor {
+            machine: None,
+            settings,
+            mesh,
+            store,
+            fleet,
+            peers: Vec::new(),
+            waiting: HashMap::new(),
+            next_call: 0,
+            actions: Vec::new(),
+        }
+    }
+
+    // --- machine
+
+    fn feed(&mut self, event: Event, cx: &Context<Self>) {
+        let Some(machine) = &mut self.machine else { return };
+        let now = Millis(toucanchute_log::wall_clock_ms());
+        let mut actions = std::mem::take(&mut self.actions);
+        machine.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.perform(action, cx);
+        }
+        self.actions = actions;
+    }
+
+    fn perform(&mut self, action: Action, cx: &Context<Self>) {
+        match action {
+            Action::Send { to, message } => self.mesh.send(to, FrameKind::Money, &message),
+            Action::Store(op) => {
+                let store = self.store.clone();
+                let own = cx.mailbox().address();
+                tokio::spawn(async move {
+                    let result = store.run(op.request).await;
+                    if let Some(own) = own.try_upgrade() {
+                        post(&own, MoneyInput::Store { op: op.op, result });
+                    }
+                });
+            }
+            Action::Drained => post(&self.fleet, FleetInput::Drained),
+            Action::Refused { call, reason, retry_after, elsewhere } => {
+                log::info!(call = call.0, reason:? = reason, router:? = elsewhere; "money-refused");
+                self.reply(call, Err(refusal(reason, retry_after)));
+            }
+            Action::Reserved { call, tokens } => {
+                self.reply(call, Ok(MoneyReply::Reserved { id: call.0, tokens }));
+            }
+            Action::Settled { call, billing } => self.reply(call, Ok(settled(billing))),
+            Action::Accepted { call } => self.reply(call, Ok(MoneyReply::Accepted)),
+            Action::Recorded { call, answer } => self.reply(call, recorded(answer)),
+            Action::ToppedUp { call } => self.reply(call, Ok(MoneyReply::ToppedUp)),
+            Action::WrittenOff { call } => self.reply(call, Ok(MoneyReply::WrittenOff)),
+            Action::Statement { call, statement } => {
+                self.reply(call, Ok(MoneyReply::Statement(document(&statement))));
+            }
+        }
+    }
+
+    fn reply(&mut self, call: CallId, reply: Result<MoneyReply, Refusal>) {
+        if let Some(tx) = self.waiting.remove(&call) {
+            let _ = tx.send(reply);
+        }
+    }
+
+    // --- inputs
+
+    fn call(
+        &mut self,
+        call: MoneyCall,
+        tx: oneshot::Sender<Result<MoneyReply, Refusal>>,
+        cx: &Context<Self>,
+    ) {
+        if self.machine.is_none() {
+            let refusal = refusal_of(RefusalReason::Starting, Some(Millis(1_000)));
+            let _ = tx.send(Err(refusal));
+            return;
+        }
+        let (id, event) = match call {
+            MoneyCall::Settle { id, tokens } => {
+                (CallId(id), Event::Settle { call: CallId(id), tokens })
+            }
+            other => {
+                self.next_call += 1;
+                let id = CallId(self.next_call);
+                (id, call_event(id, other))
+            }
+        };
+        self.waiting.insert(id, tx);
+        self.feed(event, cx);
+    }
+
+    fn configure(&mut self, config: &Config, cx: &Context<Self>) {
+        if self.machine.is_some() {
+            return;
+        }
+        self.settings.ledger = config.ledger.clone();
+        self.machine = Some(Money::new(self.settings.clone()));
+        self.feed(Event::Peers(self.peers.clone()), cx);
+    }
+}
+
+impl Handler<MoneyInput> for MoneyActor {
+    type Return = ();
+
+    async fn handle(&mut self, input: MoneyInput, cx: &mut Context<Self>) {
+        match input {
+            MoneyInput::Call(call, tx) => self.call(call, tx, cx),
+            MoneyInput::Release { id } => self.feed(Event::Release { call: CallId(id) }, cx),
+            MoneyInput::Record(key, recorded) => {
+                self.feed(Event::Record { key, answer: ledger_answer(recorded) }, cx);
+            }
+            MoneyInput::Config(config) => self.configure(&config, cx),
+            MoneyInput::Peers(peers) => {
+                self.peers.clone_from(&peers);
+                self.feed(Event::Peers(peers), cx);
+            }
+            MoneyInput::Message(from, message) => {
+                self.feed(Event::Message { from, message: *message }, cx);
+            }
+            MoneyInput::Store { op, result } => self.feed(Event::Store { op, result }, cx),
+            MoneyInput::Drain if self.machine.is_none() => post(&self.fleet, FleetInput::Drained),
+            MoneyInput::Drain => self.feed(Event::Drain, cx),
+            MoneyInput::Tick => self.feed(Event::Tick, cx),
+        }
+    }
+}
+
+fn call_event(call: CallId, request: MoneyCall) -> Event {
+    match request {
+        MoneyCall::Reserve(req) => Event::Reserve {
+            call,
+            budget: req.budget,
+            key: req.key,
+            digest: req.digest,
+            tokens: req.tokens,
+            expires: req.expires,
+            deadline: req.deadline,
+        },
+        MoneyCall::Intend(req) => Event::Intend {
+            call,
+            budget: req.budget,
+            key: req.key,
+            digest: req.digest,
+            tokens: req.tokens,
+            expires: req.expires,
+            deadline: req.deadline,
+        },
+        MoneyCall::Settle { tokens, .. } => Event::Settle { call, tokens },
+        MoneyCall::TopUp { id, budget, tokens } => Event::TopUp { call, id, budget, tokens },
+        MoneyCall::WriteOff { budget, grant } => Event::WriteOff { call, budget, grant },
+        MoneyCall::Statement { budget } => Event::Statement { call, budget },
+    }
+}
+
+fn settled(billing: Billing) -> MoneyReply {
+    MoneyReply::Settled(match billing {
+        Billing::Billed => Settlement::Billed,
+        Billing::Duplicate => Settlement::Duplicate,
+    })
+}
+
+fn recorded(answer: Answer) -> Result<MoneyReply, Refusal> {
+    match answer {
+        Answer::Recorded(answer) => Ok(MoneyReply::Recorded(ServiceAnswer {
+            status: answer.status,
+            content_type: answer.content_type,
+            body: answer.body.into(),
+        })),
+        Answer::NotRun => Err(refusal_of(RefusalReason::InProgress, Some(Millis(100)))),
+        Answer::Unknown => Err(unknown_outcome()),
+    }
+}
+
+fn ledger_answer(recorded: Recorded) -> Answer {
+    match recorded {
+        Recorded::Answer(answer) => Answer::Recorded(RecordedAnswer {
+            status: answer.status,
+            content_type: answer.content_type,
+            body: answer.body.into(),
+        }),
+        Recorded::NotRun => Answer::NotRun,
+        Recorded::Unknown => Answer::Unknown,
+    }
+}
+
+fn document(statement: &Statement) -> Value {
+    let grants: Vec<_> = statement.grants.iter().map(|grant| json!(grant)).collect();
+    json!({
+        "topped_up": statement.topped_up,
+        "free": statement.free,
+        "spent": statement.spent,
+        "granted": statement.granted,
+        "forfeited": statement.forfeited,
+        "written_off": statement.written_off,
+        "grants": grants,
+    })
+}
+
+fn refusal(reason: money::RefusalReason, retry_after: Option<Millis>) -> Refusal {
+    let reason = match reason {
+        money::RefusalReason::BudgetExhausted => RefusalReason::BudgetExhausted,
+        money::RefusalReason::GrantUnavailable => RefusalReason::GrantUnavailable,
+        money::RefusalReason::KeyReused => RefusalReason::KeyReused,
+        money::RefusalReason::KeyExpired => RefusalReason::KeyExpired,
+        money::RefusalReason::InProgress => RefusalReason::InProgress,
+        money::RefusalReason::TooManyReruns => RefusalReason::TooManyReruns,
+        money::RefusalReason::GrantReclaimed => RefusalReason::GrantReclaimed,
+        money::RefusalReason::Draining => RefusalReason::Draining,
+        _ => RefusalReason::LedgerUnavailable,
+    };
+    refusal_of(reason, retry_after)
+}
+
+fn refusal_of(reason: RefusalReason, retry_after: Option<Millis>) -> Refusal {
+    Refusal { reason, outcome: Outcome::NotRun, retry_after, elsewhere: None }
+}
+
+fn unknown_outcome() -> Refusal {
+    Refusal {
+        reason: RefusalReason::UnknownOutcome,
+        outcome: Outcome::Unknown,
+        retry_after: None,
+        elsewhere: None,
+    }
+}
--- /dev/null
+++ b/toucanchute_router/src/admin.rs
@@ -0,0 +1,223 @@
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use http::{Method, StatusCode};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+use toucanchute_edge::{Refusal, RefusalReason};
+use toucanchute_proto::{BudgetId, GrantId, Incarnation};
+use xtra::prelude::*;
+
+use crate::{
+    actor::{FleetActor, Members, MoneyActor, MoneyCall, MoneyInput, MoneyReply, post},
+    view::View,
+};
+
+/// Answers operators' requests under `/v1/admin/`.
+pub(crate) struct Admin {
+    /// This router's host, addresses and run.
+    pub(crate) own: OwnHost,
+    /// What the HTTP edge reads.
+    pub(crate) view: Arc<View>,
+    /// Owner of grants and ledger.
+    pub(crate) money: Address<MoneyActor>,
+    /// Owner of the membership.
+    pub(crate) fleet: Address<FleetActor>,
+    /// Number of requests in progress.
+    pub(crate) in_flight: Arc<AtomicU64>,
+}
+
+/// This router as it is told to operators.
+#[derive(Clone, Debug)]
+pub(crate) struct OwnHost {
+    /// Name of the host.
+    pub(crate) host: String,
+    /// Failure domain of the host.
+    pub(crate) failure_domain: String,
+    /// Address of the callers' side.
+    pub(crate) caller_address: SocketAddr,
+    /// Address of the peers' side.
+    pub(crate) peer_address: SocketAddr,
+    /// This run of the process.
+    pub(crate) incarnation: Incarnation,
+}
+
+/// Body of `POST /v1/admin/top-ups`.
+#[derive(Debug, Deserialize)]
+struct TopUpBody {
+    id: String,
+    budget: String,
+    tokens: u64,
+}
+
+/// Body of `POST /v1/admin/write-offs`.
+#[derive(Debug, Deserialize)]
+struct WriteOffBody {
+    budget: String,
+    grant: String,
+}
+
+type Answer = (StatusCode, Value);
+
+impl Admin {
+    /// Answers one request with a status and a JSON document.
+    pub(crate) async fn answer(&self, method: &Method, path: &str, body: &[u8]) -> Answer {
+        let path = path.strip_prefix("/v1/admin/").unwrap_or(path);
+        match (method, path.split_once('/')) {
+            (&Method::GET, Some(("statements", budget))) => self.statement(budget).await,
+            (&Method::GET, None) if path == "status" => self.status().await,
+            (&Method::GET, None) if path == "hosts" => self.hosts().await,
+            (&Method::POST, None) if path == "top-ups" => self.top_up(body).await,
+            (&Method::POST, None) if path == "write-offs" => self.write_off(body).await,
+            _ => problem(StatusCode::NOT_FOUND, "unknown-path", "no such operators' path"),
+        }
+    }
+
+    // --- money
+
+    async fn top_up(&self, body: &[u8]) -> Answer {
+        let body: TopUpBody = match serde_json::from_slice(body) {
+            Ok(body) => body,
+            Err(e) => return problem(StatusCode::BAD_REQUEST, "bad-body", &e.to_string()),
+        };
+        if !self.has_budget(&body.budget) {
+            return unknown_budget(&body.budget);
+        }
+        let TopUpBody { id, budget, tokens } = body;
+        log::info!(budget = budget, top_up = id, tokens = tokens; "top-up-received");
+        let call =
+            MoneyCall::TopUp { id: id.clone(), budget: BudgetId::from_name(&budget), tokens };
+        match self.ask(call).await {
+            Ok(MoneyReply::ToppedUp) => {
+                (StatusCode::OK, json!({"id": id, "budget": budget, "tokens": tokens}))
+            }
+            other => refused(other),
+        }
+    }
+
+    async fn statement(&self, budget: &str) -> Answer {
+        if !self.has_budget(budget) {
+            return unknown_budget(budget);
+        }
+        let call = MoneyCall::Statement { budget: BudgetId::from_name(budget) };
+        match self.ask(call).await {
+            Ok(MoneyReply::Statement(mut document)) => {
+                document["budget"] = json!(budget);
+                (StatusCode::OK, document)
+            }
+            other => refused(other),
+        }
+    }
+
+    async fn write_off(&self, body: &[u8]) -> Answer {
+        let body: WriteOffBody = match serde_json::from_slice(body) {
+            Ok(body) => body,
+            Err(e) => return problem(StatusCode::BAD_REQUEST, "bad-body", &e.to_string()),
+        };
+        if !self.has_budget(&body.budget) {
+            return unknown_budget(&body.budget);
+        }
+        let Some(grant) = grant_id(&body.grant) else {
+            let detail = "a grant is named as INCARNATION-NUMBER; see the statement";
+            return problem(StatusCode::BAD_REQUEST, "bad-body", detail);
+        };
+        let budget = BudgetId::from_name(&body.budget);
+        match self.ask(MoneyCall::WriteOff { budget, grant }).await {
+            Ok(MoneyReply::WrittenOff) => (StatusCode::OK, json!({"grant": body.grant})),
+            other => refused(other),
+        }
+    }
+
+    async fn ask(&self, call: MoneyCall) -> Result<MoneyReply, Refusal> {
+        let (reply, answer) = oneshot::channel();
+        post(&self.money, MoneyInput::Call(call, reply));
+        answer.await.unwrap_or_else(|_| {
+            let reason = RefusalReason::LedgerUnavailable;
+            let outcome = toucanchute_edge::Outcome::Unknown;
+            Err(Refusal { reason, outcome, retry_after: None, elsewhere: None })
+        })
+    }
+
+    fn has_budget(&self, name: &str) -> bool {
+        self.view.config().budgets.iter().any(|b| b.name == name)
+    }
+
+    // --- fleet
+
+    async fn status(&self) -> Answer {
+        let config = self.view.config();
+        let unready = self.view.unready().map(|refusal| format!("{:?}", refusal.reason));
+        let members = self.fleet.send(Members).await.unwrap_or_default();
+        let document = json!({
+            "host": self.own.host,
+            "failure_domain": self.own.failure_domain,
+            "incarnation": self.own.incarnation.to_string(),
+            "site": config.site,
+            "config_version": config.version,
+            "ready": unready.is_none(),
+            "unready_reason": unready,
+            "in_flight": self.in_flight.load(Ordering::Relaxed),
+            "members": members.len() + 1,
+        });
+        (StatusCode::OK, document)
+    }
+
+    async fn hosts(&self) -> Answer {
+        let members = self.fleet.send(Members).await.unwrap_or_default();
+        let mut hosts = vec![json!({
+            "host": self.own.host,
+            "failure_domain": self.own.failure_domain,
+            "incarnation": self.own.incarnation.to_string(),
+            "caller_address": self.own.caller_address,
+            "peer_address": self.own.peer_address,
+            "state": "self",
+        })];
+        hosts.extend(members.iter().map(|member| {
+            json!({
+                "host": member.host,
+                "failure_domain": member.failure_domain,
+                "incarnation": member.incarnation.to_string(),
+                "peer_address": member.peer_address,
+                "state": member.state.to_string(),
+            })
+        }));
+        (StatusCode::OK, json!({ "hosts": hosts }))
+    }
+}
+
+fn grant_id(text: &str) -> Option<GrantId> {
+    let (incarnation, number) = text.split_once('-')?;
+    let incarnation = u64::from_str_radix(incarnation, 16).ok()?;
+    Some(GrantId(Incarnation(incarnation), number.parse().ok()?))
+}
+
+fn unknown_budget(name: &str) -> Answer {
+    let detail = format!("no budget `{name}` in the configuration in force");
+    problem(StatusCode::NOT_FOUND, "unknown-budget", &detail)
+}
+
+fn refused(reply: Result<MoneyReply, Refusal>) -> Answer {
+    let reason = match reply {
+        Err(refusal) => format!("{:?}", refusal.reason),
+        Ok(_) => "unexpected reply".to_owned(),
+    };
+    problem(StatusCode::SERVICE_UNAVAILABLE, "ledger-unavailable", &reason)
+}
+
+fn problem(status: StatusCode, reason: &str, detail: &str) -> Answer {
+    let title = status.canonical_reason().unwrap_or_default();
+    let document = json!({
+        "type": "about:blank",
+        "title": title,
+        "status": status.as_u16(),
+        "reason": reason,
+        "detail": detail,
+    });
+    (status, document)
+}
--- /dev/null
+++ b/toucanchute_router/src/bin/toucanchute-router.rs
@@ -0,0 +1,14 @@
+//! The process of an entry host.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = toucanchute_router::command().get_matches();
+    match toucanchute_router::run(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("toucanchute-router: {e}");
+            e.exit_code()
+        }
+    }
+}
--- /dev/null
+++ b/toucanchute_router/src/control.rs
@@ -0,0 +1,179 @@
+use std::{
+    future::Future,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use tokio::sync::oneshot;
+use toucanchute_edge::{
+    AddressList, AssignRequest, Assignment, Control, IntentRequest, Intention, Outcome, Recorded,
+    Refusal, RefusalReason, Report, Reservation, ReserveRequest, Settlement,
+};
+use toucanchute_proto::{AttemptId, RequestKey, config::Config};
+use xtra::prelude::*;
+
+use crate::{
+    actor::{Assign, DispatchActor, DispatchInput, MoneyActor, MoneyCall, MoneyInput, MoneyReply, post},
+    admin::Admin,
+    metrics::Metrics,
+    view::View,
+};
+
+/// Answers the HTTP edge's questions by asking the actors.
+pub(crate) struct RouterControl {
+    view: Arc<View>,
+    money: Address<MoneyActor>,
+    dispatch: Address<DispatchActor>,
+    admin: Admin,
+    metrics: Metrics,
+    in_flight: Arc<AtomicU64>,
+}
+
+/// What a [`RouterControl`] is made of.
+pub(crate) struct ControlParts {
+    /// What the HTTP edge reads.
+    pub(crate) view: Arc<View>,
+    /// Owner of grants and ledger.
+    pub(crate) money: Address<MoneyActor>,
+    /// Owner of the choice of backend servers.
+    pub(crate) dispatch: Address<DispatchActor>,
+    /// Operators' requests.
+    pub(crate) admin: Admin,
+    /// Metrics of the process.
+    pub(crate) metrics: Metrics,
+    /// Number of reservations and calls that are not ended.
+    pub(crate) in_flight: Arc<AtomicU64>,
+}
+
+impl RouterControl {
+    /// Creates the control.
+    pub(crate) fn new(parts: ControlParts) -> RouterControl {
+        let ControlParts { view, money, dispatch, admin, metrics, in_flight } = parts;
+        RouterControl { view, money, dispatch, admin, metrics, in_flight }
+    }
+
+    async fn ask(&self, call: MoneyCall) -> Result<MoneyReply, Refusal> {
+        let (reply, answer) = oneshot::channel();
+        post(&self.money, MoneyInput::Call(call, reply));
+        answer.await.unwrap_or_else(|_| Err(stopped()))
+    }
+
+    fn started(&self) {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn ended(&self) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    fn count_refusal<T>(&self, result: Result<T, Refusal>) -> Result<T, Refusal> {
+        result.inspect_err(|refusal| self.metrics.refused(refusal.reason))
+    }
+
+    fn weight(&self, customer: &str) -> u32 {
+        let config = self.view.config();
+        let customers = &config.customers;
+        let found = customers.iter().find(|c| c.name == customer);
+        found.map_or(1, |c| c.weight)
+    }
+}
+
+impl Control for RouterControl {
+    fn config(&self) -> Arc<Config> {
+        self.view.config()
+    }
+
+    fn addresses(&self) -> AddressList {
+        self.view.addresses()
+    }
+
+    fn unready(&self) -> Option<Refusal> {
+        self.view.unready()
+    }
+
+    // --- money
+
+    async fn reserve(&self, req: ReserveRequest) -> Result<Reservation, Refusal> {
+        let key = req.key;
+        let reply = self.count_refusal(self.ask(MoneyCall::Reserve(req)).await)?;
+        match reply {
+            MoneyReply::Reserved { id, tokens } => {
+                self.started();
+                Ok(Reservation { key, id, tokens })
+            }
+            _ => Err(stopped()),
+        }
+    }
+
+    async fn settle(&self, reservation: Reservation, tokens: u64) -> Result<Settlement, Refusal> {
+        let id = reservation.id;
+        let result = self.count_refusal(self.ask(MoneyCall::Settle { id, tokens }).await);
+        self.ended();
+        match result? {
+            MoneyReply::Settled(settlement) => {
+                self.metrics.settled(tokens);
+                Ok(settlement)
+            }
+            _ => Err(stopped()),
+        }
+    }
+
+    fn release(&self, reservation: Reservation) {
+        post(&self.money, MoneyInput::Release { id: reservation.id });
+        self.ended();
+    }
+
+    async fn intend(&self, req: IntentRequest) -> Result<Intention, Refusal> {
+        match self.count_refusal(self.ask(MoneyCall::Intend(req)).await)? {
+            MoneyReply::Accepted => {
+                self.started();
+                Ok(Intention::Accepted)
+            }
+            MoneyReply::Recorded(answer) => Ok(Intention::Recorded(answer)),
+            _ => Err(stopped()),
+        }
+    }
+
+    fn record(&self, key: RequestKey, recorded: Recorded) {
+        post(&self.money, MoneyInput::Record(key, recorded));
+        self.ended();
+    }
+
+    // --- routing
+
+    fn assign(
+        &self,
+        req: AssignRequest,
+    ) -> impl Future<Output = Result<Assignment, Refusal>> + Send {
+        let (reply, answer) = oneshot::channel();
+        let weight = self.weight(&req.customer);
+        post(&self.dispatch, Assign { req, weight, reply });
+        async move { self.count_refusal(answer.await.unwrap_or_else(|_| Err(stopped()))) }
+    }
+
+    fn report(&self, attempt: AttemptId, report: Report) {
+        self.metrics.reported(report);
+        post(&self.dispatch, DispatchInput::Report(attempt, report));
+    }
+
+    // --- operators
+
+    async fn admin(
+        &self,
+        method: Method,
+        path: String,
+        body: Bytes,
+    ) -> (StatusCode, serde_json::Value) {
+        self.admin.answer(&method, &path, &body).await
+    }
+}
+
+/// The refusal of a request whose actor has stopped.
+fn stopped() -> Refusal {
+    let reason = RefusalReason::LedgerUnavailable;
+    Refusal { reason, outcome: Outcome::NotRun, retry_after: None, elsewhere: None }
+}
--- /dev/null
+++ b/toucanchute_router/src/metrics.rs
@@ -0,0 +1,65 @@
+use std::{
+    net::{SocketAddr, UdpSocket},
+    sync::Arc,
+};
+
+use cadence::{
+    Counted, CountedExt, Gauged, MetricError, NopMetricSink, QueuingMetricSink, StatsdClient,
+    UdpMetricSink,
+};
+use toucanchute_edge::{RefusalReason, Report};
+
+/// Prefix of all metric names.
+const PREFIX: &str = "toucanchute";
+
+/// Metrics of the process, sent by StatsD over UDP.
+#[derive(Clone, Debug)]
+pub(crate) struct Metrics {
+    client: Arc<StatsdClient>,
+}
+
+impl Metrics {
+    /// Creates metrics that are sent to `address`, or dropped if there is none.
+    pub(crate) fn new(address: Option<SocketAddr>, host: &str) -> Result<Metrics, MetricError> {
+        let builder = match address {
+            Some(address) => {
+                let socket = UdpSocket::bind("0.0.0.0:0")?;
+                socket.set_nonblocking(true)?;
+                let sink = UdpMetricSink::from(address, socket)?;
+                StatsdClient::builder(PREFIX, QueuingMetricSink::from(sink))
+            }
+            None => StatsdClient::builder(PREFIX, NopMetricSink),
+        };
+        Ok(Metrics { client: Arc::new(builder.with_tag("host", host).build()) })
+    }
+
+    /// Counts a refused request.
+    pub(crate) fn refused(&self, reason: RefusalReason) {
+        let reason = format!("{reason:?}");
+        self.client.count_with_tags("refused", 1).with_tag("reason", &reason).send();
+    }
+
+    /// Counts a billed answer and its tokens.
+    pub(crate) fn settled(&self, tokens: u64) {
+        let _ = self.client.incr("settled");
+        let _ = self.client.count("tokens", i64::try_from(tokens).unwrap_or(i64::MAX));
+    }
+
+    /// Counts an attempt's progress or end.
+    pub(crate) fn reported(&self, report: Report) {
+        let name = match report {
+            Report::FirstToken => "attempt.first_token",
+            Report::Done { .. } => "attempt.done",
+            Report::Refused => "attempt.refused",
+            Report::Unsent => "attempt.unsent",
+            Report::Crashed { .. } => "attempt.crashed",
+            Report::Cancelled => "attempt.cancelled",
+        };
+        let _ = self.client.incr(name);
+    }
+
+    /// Reports the number of requests in progress.
+    pub(crate) fn in_flight(&self, count: u64) {
+        let _ = self.client.gauge("in_flight", count);
+    }
+}
--- /dev/null
+++ b/toucanchute_router/src/platform/config.rs
@@ -0,0 +1,50 @@
+use std::sync::Arc;
+
+use snafu::{ResultExt, Snafu};
+use toucanchute_platform::{Client, Store, StoreError};
+use toucanchute_proto::{
+    Digest,
+    config::{Config, Head},
+};
+use toucanchute_settings::{AssembleError, HEAD_KEY, assemble, chunk_key};
+
+/// A configuration that could not be read from the platform.
+#[derive(Debug, Snafu)]
+#[non_exhaustive]
+pub(crate) enum FetchError {
+    /// A call failed.
+    #[snafu(display("{source}"), context(false))]
+    Store { source: StoreError },
+    /// The head is no JSON of a head.
+    #[snafu(display("the configuration's head is malformed: {source}"))]
+    Head { source: serde_json::Error },
+    /// A chunk is missing or damaged.
+    #[snafu(display("{source}"), context(false))]
+    Assemble { source: AssembleError },
+}
+
+/// Reads the head; `None` before the first apply.
+pub(super) async fn fetch_head(client: &Client) -> Result<Option<Head>, FetchError> {
+    let Some(entry) = client.get(HEAD_KEY).await? else { return Ok(None) };
+    serde_json::from_slice(&entry.value).map(Some).context(HeadSnafu)
+}
+
+/// Reads the configuration that the head names.
+pub(super) async fn fetch_config(
+    client: &Client,
+) -> Result<Option<(Arc<Config>, Digest)>, FetchError> {
+    let Some(head) = fetch_head(client).await? else { return Ok(None) };
+    let mut bodies = Vec::with_capacity(head.chunks.len());
+    for digest in &head.chunks {
+        if let Some(entry) = client.get(&chunk_key(digest)).await? {
+            bodies.push(entry.value);
+        }
+    }
+    let config = assemble(&head, &bodies)?;
+    Ok(Some((Arc::new(config), head_digest(&head))))
+}
+
+/// Returns the short digest by which routers name a configuration.
+pub(super) fn head_digest(head: &Head) -> Digest {
+    Digest::new("config", head.digest.as_bytes())
+}
--- /dev/null
+++ b/toucanchute_router/src/platform/ledger.rs
@@ -0,0 +1,53 @@
+use std::sync::Arc;
+
+use toucanchute_core::ledger::{StoreRequest, StoreResult};
+use toucanchute_platform::{Applied, Cas, Client, Revision, Store, StoreError};
+
+/// Carries out the ledger's calls to the platform's key-value service.
+#[derive(Clone, Debug)]
+pub(crate) struct LedgerStore {
+    client: Arc<Client>,
+}
+
+impl LedgerStore {
+    /// Creates a store on a client of the platform.
+    pub(crate) fn new(client: Arc<Client>) -> LedgerStore {
+        LedgerStore { client }
+    }
+
+    /// Makes one call.
+    pub(crate) async fn run(&self, request: StoreRequest) -> StoreResult {
+        let result = match request {
+            StoreRequest::Get { key } => self.get(&key.path()).await,
+            StoreRequest::Cas { key, expected_revision, value } => {
+                let expected = Revision(expected_revision);
+                let cas = self.client.cas(&key.path(), expected, value).await;
+                cas.map(cas_result)
+            }
+        };
+        result.unwrap_or_else(|e| failure(&e))
+    }
+
+    async fn get(&self, path: &str) -> Result<StoreResult, StoreError> {
+        let entry = self.client.get(path).await?;
+        Ok(entry.map_or(StoreResult::Missing, |entry| StoreResult::Value {
+            revision: entry.revision.0,
+            value: entry.value,
+        }))
+    }
+}
+
+fn cas_result(cas: Cas) -> StoreResult {
+    match cas {
+        Cas::Applied { revision } => StoreResult::Applied { revision: revision.0 },
+        Cas::Conflict { .. } => StoreResult::Conflict,
+    }
+}
+
+fn failure(error: &StoreError) -> StoreResult {
+    log::warn!(error:% = error; "platform-call-failed");
+    match error.applied() {
+        Applied::No => StoreResult::Unavailable,
+        Applied::Unknown => StoreResult::Unknown,
+    }
+}
--- /dev/null
+++ b/toucanchute_router/src/platform/watch.rs
@@ -0,0 +1,107 @@
+use std::{sync::Arc, time::Duration};
+
+use tokio::sync::Notify;
+use toucanchute_core::fleet::{HostEntry, HostRole, HostState};
+use toucanchute_platform::{self as platform, Client, HostListClient};
+use toucanchute_proto::Digest;
+use xtra::prelude::*;
+
+use super::config::{fetch_config, fetch_head, head_digest};
+use crate::actor::{Duties, FleetActor, FleetInput, post};
+
+/// Pause between two reads of head and host list by a router that reads them.
+const READ_PAUSE: Duration = Duration::from_millis(500);
+
+/// Reads the platform on behalf of the fleet: the configuration's head, the configuration when it
+/// is asked for, and the host list.
+#[derive(Clone, Debug)]
+pub(crate) struct PlatformWatch {
+    fetch: Arc<Notify>,
+}
+
+/// What a [`PlatformWatch`] is made of.
+pub(crate) struct PlatformParts {
+    /// Client of the key-value service.
+    pub(crate) client: Arc<Client>,
+    /// Client of the host list.
+    pub(crate) hosts: HostListClient,
+    /// Where results go.
+    pub(crate) fleet: Address<FleetActor>,
+}
+
+impl PlatformWatch {
+    /// Starts the tasks that read the platform.
+    pub(crate) fn start(parts: PlatformParts) -> PlatformWatch {
+        let fetch = Arc::new(Notify::new());
+        let PlatformParts { client, hosts, fleet } = parts;
+        tokio::spawn(fetch_configs(Arc::clone(&client), fleet.clone(), Arc::clone(&fetch)));
+        tokio::spawn(read_views(client, hosts, fleet));
+        PlatformWatch { fetch }
+    }
+
+    /// Asks for the configuration at the head.
+    pub(crate) fn fetch_config(&self) {
+        self.fetch.notify_one();
+    }
+}
+
+async fn fetch_configs(client: Arc<Client>, fleet: Address<FleetActor>, fetch: Arc<Notify>) {
+    loop {
+        fetch.notified().await;
+        match fetch_config(&client).await {
+            Ok(Some((config, digest))) => post(&fleet, FleetInput::Config(config, digest)),
+            Ok(None) => {}
+            Err(e) => log::warn!(error:% = e; "config-fetch-failed"),
+        }
+    }
+}
+
+async fn read_views(client: Arc<Client>, hosts: HostListClient, fleet: Address<FleetActor>) {
+    let mut pause = tokio::time::interval(READ_PAUSE);
+    pause.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        pause.tick().await;
+        let Ok(duties) = fleet.send(Duties { backends: Vec::new() }).await else { return };
+        if duties.watches {
+            read_head(&client, &fleet).await;
+            read_hosts(&hosts, &fleet).await;
+        }
+    }
+}
+
+async fn read_head(client: &Client, fleet: &Address<FleetActor>) {
+    let input = match fetch_head(client).await {
+        Ok(Some(head)) => FleetInput::HeadSeen(head.version, head_digest(&head)),
+        Ok(None) => FleetInput::HeadSeen(0, Digest::default()),
+        Err(e) => {
+            log::debug!(error:% = e; "config-head-unread");
+            FleetInput::PlatformDown
+        }
+    };
+    post(fleet, input);
+}
+
+async fn read_hosts(hosts: &HostListClient, fleet: &Address<FleetActor>) {
+    match hosts.get().await {
+        Ok(list) => {
+            let entries = list.hosts.iter().map(host_entry).collect();
+            post(fleet, FleetInput::HostList(list.version, entries));
+        }
+        Err(e) => log::debug!(error:% = e; "host-list-unread"),
+    }
+}
+
+fn host_entry(host: &platform::Host) -> HostEntry {
+    HostEntry {
+        name: host.name.clone(),
+        address: host.address,
+        role: match host.role {
+            platform::HostRole::Entry => HostRole::Entry,
+            _ => HostRole::Backend,
+        },
+        state: match host.state {
+            platform::HostState::Live => HostState::Live,
+            _ => HostState::Leaving,
+        },
+    }
+}
--- /dev/null
+++ b/toucanchute_router/src/run.rs
@@ -0,0 +1,54 @@
+use clap::ArgMatches;
+use snafu::ResultExt;
+use toucanchute_log::Setup;
+use toucanchute_proto::{
+    Incarnation,
+    settings::{LogLevel, RouterSettings},
+};
+use toucanchute_settings::load_router;
+
+use crate::{
+    cli,
+    output::{LogSnafu, RunError, RuntimeSnafu, SettingsSnafu},
+    server,
+};
+
+/// Runs the process as its command line says, until it has left gracefully.
+///
+/// # Errors
+///
+/// Fails if the settings are refused or the process cannot start.
+pub fn run(matches: &ArgMatches) -> Result<(), RunError> {
+    if let Some((cli::CHECK, matches)) = matches.subcommand() {
+        return check(matches);
+    }
+    let settings = load_router(&cli::settings_path(matches)).context(SettingsSnafu)?;
+    let incarnation = Incarnation(rand::random());
+    install_log(&settings, incarnation)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    runtime.context(RuntimeSnafu)?.block_on(server::serve(settings, incarnation))
+}
+
+fn check(matches: &ArgMatches) -> Result<(), RunError> {
+    let path = cli::settings_path(matches);
+    let settings = load_router(&path).context(SettingsSnafu)?;
+    println!("{}: settings of host {} are valid", path.display(), settings.router.host);
+    Ok(())
+}
+
+fn install_log(settings: &RouterSettings, incarnation: Incarnation) -> Result<(), RunError> {
+    let level = match settings.log.level {
+        LogLevel::Error => log::LevelFilter::Error,
+        LogLevel::Warn => log::LevelFilter::Warn,
+        LogLevel::Info => log::LevelFilter::Info,
+        LogLevel::Debug => log::LevelFilter::Debug,
+        LogLevel::Trace => log::LevelFilter::Trace,
+    };
+    let setup = Setup::new("router").host(&settings.router.host).incarnation(incarnation);
+    let setup = setup.level(level);
+    let setup = match &settings.log.file {
+        Some(file) => setup.file(file.as_ref()),
+        None => setup,
+    };
+    setup.install().context(LogSnafu)
+}
--- /dev/null
+++ b/toucanchute_router/src/server.rs
@@ -0,0 +1,306 @@
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicU64},
+    time::Duration,
+};
+
+use snafu::ResultExt;
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    sync::{mpsc, watch},
+};
+use toucanchute_core::{
+    fleet::{Fleet, Identity as FleetIdentity},
+    money,
+    routing::Dispatcher,
+};
+use toucanchute_edge::{Edge, EdgeSettings, Outcome, Refusal, RefusalReason};
+use toucanchute_platform::{Client, ClientSettings, HostListClient};
+use toucanchute_proto::{
+    Incarnation, Millis,
+    config::Config,
+    fleet::{Member, MemberState},
+    peer::{FrameKind, Hello},
+    settings::RouterSettings,
+};
+use xtra::{Mailbox, prelude::*};
+
+use crate::{
+    actor::{
+        DispatchActor, DispatchInput, FleetActor, FleetInput, FleetParts, FleetPeers, MoneyActor,
+        MoneyInput, MoneyParts, post,
+    },
+    admin::{Admin, OwnHost},
+    control::{ControlParts, RouterControl},
+    http_client::HttpClient,
+    link::{Identity, LinkEvent, Mesh, Peer},
+    metrics::Metrics,
+    output::{BindSnafu, MetricsSnafu, RunError, SignalSnafu},
+    platform::{LedgerStore, PlatformParts, PlatformWatch},
+    polls::Polls,
+    view::View,
+};
+
+/// Pause between two ticks of the money and dispatch machines.
+const FAST_TICK: Duration = Duration::from_millis(10);
+
+/// Pause between two ticks of the fleet machine.
+const FLEET_TICK: Duration = Duration::from_millis(Fleet::TICK.0);
+
+/// Runs a router until it has left gracefully.
+pub(crate) async fn serve(
+    settings: RouterSettings,
+    incarnation: Incarnation,
+) -> Result<(), RunError> {
+    let own = OwnHost {
+        host: settings.router.host.clone(),
+        failure_domain: settings.router.failure_domain.clone(),
+        caller_address: settings.router.advertise,
+        peer_address: settings.router.peer_advertise,
+        incarnation,
+    };
+    let metrics = Metrics::new(settings.metrics.statsd, &own.host).context(MetricsSnafu)?;
+    let callers = bind(settings.router.listen).await?;
+    let peers = bind(settings.router.peer_listen).await?;
+    let mut terminate = signal(SignalKind::terminate()).context(SignalSnafu)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(SignalSnafu)?;
+
+    let (exit, mut exited) = watch::channel(false);
+    let actors = Actors::start(&settings, &own, metrics.clone(), exit);
+    actors.mesh.listen(peers);
+    for address in &settings.peers.addresses {
+        if *address != own.peer_address {
+            actors.mesh.connect(*address);
+        }
+    }
+    log::info!(listen:% = settings.router.listen; "router-started");
+
+    let fleet = actors.fleet.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        log::info!("drain-requested");
+        post(&fleet, FleetInput::Drain);
+    });
+    let edge = Edge::new(Arc::new(actors.control), edge_settings(&settings));
+    let left = async move { drop(exited.wait_for(|left| *left).await) };
+    edge.serve(callers, left).await;
+    log::info!("router-left");
+    log::logger().flush();
+    Ok(())
+}
+
+/// The running actors and what talks to them.
+struct Actors {
+    mesh: Mesh,
+    fleet: Address<FleetActor>,
+    control: RouterControl,
+}
+
+impl Actors {
+    fn start(
+        settings: &RouterSettings,
+        own: &OwnHost,
+        metrics: Metrics,
+        exit: watch::Sender<bool>,
+    ) -> Actors {
+        let (events, links) = mpsc::unbounded_channel();
+        let mesh = Mesh::new(identity(settings, own), events);
+        let view = Arc::new(View::new(Arc::new(empty_config()), starting()));
+        let client = Arc::new(Client::new(client_settings(settings)));
+        let in_flight = Arc::new(AtomicU64::new(0));
+
+        let fleet = {
+            let machine = Fleet::new(fleet_identity(settings, own), own.incarnation.0);
+            let parts = FleetParts { machine, mesh: mesh.clone(), view: Arc::clone(&view) };
+            xtra::spawn_tokio(FleetActor::new(parts), Mailbox::unbounded())
+        };
+        let money = {
+            let seed = own.incarnation.0;
+            let parts = MoneyParts {
+                settings: money::Settings::new(own.incarnation, &own.failure_domain, seed),
+                mesh: mesh.clone(),
+                store: LedgerStore::new(Arc::clone(&client)),
+                fleet: fleet.clone(),
+            };
+            xtra::spawn_tokio(MoneyActor::new(parts), Mailbox::unbounded())
+        };
+        let dispatch = {
+            let machine =
+                Dispatcher::new(own.incarnation, &own.failure_domain, own.incarnation.0);
+            let actor = DispatchActor::new(machine, fleet.clone(), view.config());
+            xtra::spawn_tokio(actor, Mailbox::unbounded())
+        };
+        let timeout = Millis(settings.platform.timeout_ms);
+        let platform = PlatformWatch::start(PlatformParts {
+            client,
+            hosts: HostListClient::new(vec![settings.platform.hosts], timeout),
+            fleet: fleet.clone(),
+        });
+        let actors =
+            FleetPeers { money: money.clone(), dispatch: dispatch.clone(), platform, exit };
+        post(&fleet, FleetInput::Start(Box::new(actors)));
+
+        let polls = Polls {
+            view: Arc::clone(&view),
+            fleet: fleet.clone(),
+            dispatch: dispatch.clone(),
+            http: HttpClient::new(),
+        };
+        tokio::spawn(polls.run());
+        tokio::spawn(route_links(links, fleet.clone(), money.clone()));
+        tokio::spawn(tick_fast(money.clone(), dispatch.clone()));
+        tokio::spawn(tick_fleet(fleet.clone(), Arc::clone(&in_flight), metrics.clone()));
+
+        let admin = Admin {
+            own: own.clone(),
+            view: Arc::clone(&view),
+            money: money.clone(),
+            fleet: fleet.clone(),
+            in_flight: Arc::clone(&in_flight),
+        };
+        let parts = ControlParts { view, money, dispatch, admin, metrics, in_flight };
+        Actors { mesh, fleet, control: RouterControl::new(parts) }
+    }
+}
+
+// --- tasks
+
+async fn route_links(
+    mut links: mpsc::UnboundedReceiver<LinkEvent>,
+    fleet: Address<FleetActor>,
+    money: Address<MoneyActor>,
+) {
+    while let Some(event) = links.recv().await {
+        match event {
+            LinkEvent::Up(peer) => post(&fleet, FleetInput::PeerUp(member(peer))),
+            LinkEvent::Down(from) => post(&fleet, FleetInput::PeerDown(from)),
+            LinkEvent::Frame(frame) => match frame.kind {
+                FrameKind::Money => match frame.message() {
+                    Ok(message) => post(&money, MoneyInput::Message(frame.from, message)),
+                    Err(e) => log::warn!(peer:% = frame.from, error:% = e; "frame-malformed"),
+                },
+                FrameKind::Fleet => match frame.message() {
+                    Ok(message) => post(&fleet, FleetInput::Message(frame.from, message)),
+                    Err(e) => log::warn!(peer:% = frame.from, error:% = e; "frame-malformed"),
+                },
+                FrameKind::Hello | FrameKind::Proof => {}
+            },
+        }
+    }
+}
+
+async fn tick_fast(money: Address<MoneyActor>, dispatch: Address<DispatchActor>) {
+    let mut pause = tokio::time::interval(FAST_TICK);
+    pause.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        pause.tick().await;
+        if money.send(MoneyInput::Tick).await.is_err() {
+            return;
+        }
+        if dispatch.send(DispatchInput::Tick).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn tick_fleet(fleet: Address<FleetActor>, in_flight: Arc<AtomicU64>, metrics: Metrics) {
+    let mut pause = tokio::time::interval(FLEET_TICK);
+    pause.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        pause.tick().await;
+        let count = in_flight.load(std::sync::atomic::Ordering::Relaxed);
+        metrics.in_flight(count);
+        post(&fleet, FleetInput::InFlight(count));
+        if fleet.send(FleetInput::Tick).await.is_err() {
+            return;
+        }
+    }
+}
+
+// --- parts
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(address).await.context(BindSnafu { address })
+}
+
+fn identity(settings: &RouterSettings, own: &OwnHost) -> Identity {
+    let hello = Hello {
+        host: own.host.clone(),
+        failure_domain: own.failure_domain.clone(),
+        region: settings.router.region.clone(),
+        caller_address: own.caller_address.to_string(),
+        peer_address: own.peer_address.to_string(),
+        nonce: 0,
+    };
+    let secret = settings.router.peer_secret.clone();
+    Identity { incarnation: own.incarnation, hello, secret }
+}
+
+fn fleet_identity(settings: &RouterSettings, own: &OwnHost) -> FleetIdentity {
+    FleetIdentity {
+        incarnation: own.incarnation,
+        host: own.host.clone(),
+        failure_domain: own.failure_domain.clone(),
+        region: settings.router.region.clone(),
+        caller_address: own.caller_address,
+        peer_address: own.peer_address,
+    }
+}
+
+fn member(peer: Peer) -> Member {
+    Member {
+        incarnation: peer.incarnation,
+        host: peer.hello.host,
+        failure_domain: peer.hello.failure_domain,
+        region: peer.hello.region,
+        caller_address: peer.hello.caller_address,
+        peer_address: peer.hello.peer_address,
+        state: MemberState::Alive,
+        update: 0,
+        outage: false,
+    }
+}
+
+fn client_settings(settings: &RouterSettings) -> ClientSettings {
+    let mut client = ClientSettings::new(settings.platform.endpoints.clone());
+    client.call_timeout = Millis(settings.platform.timeout_ms);
+    client
+}
+
+fn edge_settings(settings: &RouterSettings) -> EdgeSettings {
+    EdgeSettings {
+        header_timeout: Millis(settings.limits.header_timeout_ms),
+        body_timeout: Millis(settings.limits.body_timeout_ms),
+        max_header_bytes: usize::try_from(settings.limits.max_header_bytes).unwrap_or(usize::MAX),
+        operator_token_sha256: settings.router.operator_token_sha256.clone(),
+        ..EdgeSettings::default()
+    }
+}
+
+fn empty_config() -> Config {
+    Config {
+        version: 0,
+        site: String::new(),
+        routing: toucanchute_proto::config::Routing::default(),
+        ledger: toucanchute_proto::config::Ledger::default(),
+        models: Vec::new(),
+        services: Vec::new(),
+        pools: Vec::new(),
+        backends: Vec::new(),
+        budgets: Vec::new(),
+        customers: Vec::new(),
+    }
+}
+
+fn starting() -> Refusal {
+    Refusal {
+        reason: RefusalReason::Starting,
+        outcome: Outcome::NotRun,
+        retry_after: Some(Millis(1_000)),
+        elsewhere: None,
+    }
+}
