feat(routing): choice by lagging load, fairness, limits, ejection and suspects

Least own load alone sends bursts to replicas that other routers already filled. The dispatcher now corrects reported load by own starts and ends since the report, takes the better of two random replicas and the one with the longest cached prefix, and refuses what cannot start in time.

--- a/toucanchute_core/src/routing.rs
+++ b/toucanchute_core/src/routing.rs
@@ -3,8 +3,19 @@
 //! [`Dispatcher`] is the machine; a router has one.
 
 mod action;
+mod attempts;
+mod cache;
+mod choose;
+mod configure;
 mod dispatcher;
 mod event;
+mod health;
+mod limit;
+mod pool;
+mod queue;
+mod replica;
+mod retry;
+mod suspects;
 
 pub use action::{Action, RefusalReason};
 pub use dispatcher::Dispatcher;
--- /dev/null
+++ b/toucanchute_core/src/routing/attempts.rs
@@ -0,0 +1,162 @@
+use toucanchute_proto::{AttemptId, Digest, Millis};
+
+use super::{
+    Action, Assign, CrashKind, Dispatcher, Report,
+    health::Failure,
+    pool::BackendKey,
+    suspects::{self, Permit},
+};
+
+/// One run of a request on a replica.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    replica: BackendKey,
+    key: Digest,
+    started: Millis,
+    first: Option<Millis>,
+    /// Whether it runs as a suspect.
+    suspect: bool,
+}
+
+impl Dispatcher {
+    /// Starts a call on a replica.
+    pub(super) fn start(
+        &mut self,
+        now: Millis,
+        req: &Assign,
+        permit: Permit,
+        replica: BackendKey,
+        out: &mut Vec<Action>,
+    ) {
+        let key = suspects::key(req);
+        let suspect = permit == Permit::Apart;
+        let r = &mut self.replicas[replica];
+        r.started(now);
+        r.cache.sent(now, &req.prefix);
+        if suspect {
+            r.suspects += 1;
+            self.suspects.started(key);
+        }
+        self.last_attempt += 1;
+        let attempt = AttemptId(self.incarnation, self.last_attempt);
+        out.push(Action::Assigned {
+            call: req.call,
+            attempt,
+            backend: r.name.clone(),
+            address: r.address,
+        });
+        let run = Attempt {
+            replica,
+            key,
+            started: now,
+            first: None,
+            suspect,
+        };
+        self.attempts.insert(attempt, run);
+    }
+
+    pub(super) fn report(
+        &mut self,
+        now: Millis,
+        attempt: AttemptId,
+        report: Report,
+        out: &mut Vec<Action>,
+    ) {
+        if report == Report::FirstToken {
+            self.first_token(now, attempt);
+            return;
+        }
+        let Some(run) = self.attempts.remove(&attempt) else {
+            return;
+        };
+        self.end(now, &run);
+        match report {
+            Report::FirstToken | Report::Cancelled => {}
+            Report::Done { tokens } => self.done(now, &run, tokens, out),
+            Report::Refused => self.refused(now, &run),
+            Report::Unsent => self.failed(now, &run, Failure::Hard),
+            Report::Crashed { kind } => self.crashed(now, &run, kind, out),
+        }
+        self.drop_if_done(run.replica);
+    }
+
+    fn first_token(&mut self, now: Millis, attempt: AttemptId) {
+        let Some(run) = self.attempts.get_mut(&attempt) else {
+            return;
+        };
+        if run.first.replace(now).is_some() {
+            return;
+        }
+        let (key, ms) = (run.replica, now.since(run.started).0 as f64);
+        let slow = self.pools[self.replicas[key].pool].first_token(ms);
+        self.progress(now, key, slow);
+    }
+
+    fn done(&mut self, now: Millis, run: &Attempt, tokens: u64, out: &mut Vec<Action>) {
+        let r = &mut self.replicas[run.replica];
+        r.health.finished();
+        let mut slow = false;
+        if let Some(first) = run.first
+            && tokens > 1
+        {
+            let ms = now.since(first).0 as f64 / (tokens - 1) as f64;
+            r.between_tokens(ms);
+            slow = self.pools[r.pool].between_tokens(ms);
+        }
+        self.progress(now, run.replica, slow);
+        let verdict = self.suspects.finished(now, run.key);
+        out.extend(verdict.map(Action::Verdict));
+    }
+
+    fn progress(&mut self, now: Millis, key: BackendKey, slow: bool) {
+        let r = &mut self.replicas[key];
+        let load = r.estimate(now);
+        r.limit.measured(now, slow, load);
+        if r.health.progressed() {
+            r.join(now);
+        }
+    }
+
+    fn refused(&mut self, now: Millis, run: &Attempt) {
+        self.replicas[run.replica].limit.cut(now);
+        self.failed(now, run, Failure::Soft);
+    }
+
+    fn failed(&mut self, now: Millis, run: &Attempt, failure: Failure) {
+        self.replicas[run.replica].health.failed(now, failure);
+    }
+
+    fn crashed(&mut self, now: Millis, run: &Attempt, kind: CrashKind, out: &mut Vec<Action>) {
+        if kind != CrashKind::Disconnected {
+            self.failed(now, run, Failure::Soft);
+            return;
+        }
+        self.failed(now, run, Failure::Hard);
+        let verdict = self
+            .suspects
+            .crashed(now, run.key, run.replica, run.started);
+        out.extend(verdict.map(Action::Verdict));
+        self.refuse_quarantined(now, out);
+    }
+
+    /// Takes an attempt off its replica.
+    fn end(&mut self, now: Millis, run: &Attempt) {
+        let r = &mut self.replicas[run.replica];
+        r.ended(now);
+        if run.suspect {
+            r.suspects -= 1;
+            self.suspects.stopped(run.key);
+        }
+    }
+
+    /// Forgets a replica that is not configured any more and has no work left.
+    pub(super) fn drop_if_done(&mut self, key: BackendKey) {
+        let r = &self.replicas[key];
+        let configured = self.pools[r.pool].members.contains(&key) && r.listed;
+        if !configured && r.in_flight == 0 && !self.withdrawn.contains(&r.name) {
+            self.names.remove(&r.name);
+            self.pools[r.pool].members.retain(|k| *k != key);
+            self.replicas.remove(key);
+        }
+    }
+}
--- /dev/null
+++ b/toucanchute_core/src/routing/cache.rs
@@ -0,0 +1,67 @@
+use std::num::NonZeroUsize;
+
+use lru::LruCache;
+use toucanchute_proto::Millis;
+
+use super::{CacheChange, CacheEvent};
+
+/// Prefixes remembered of one replica.
+const MAX_PREFIXES: NonZeroUsize = NonZeroUsize::new(8_192).unwrap();
+
+/// Worth of a prefix whose eviction may have been missed.
+const DOUBTFUL_WORTH: f64 = 0.5;
+
+/// Prefixes that a replica probably has in its cache.
+#[derive(Debug)]
+pub(super) struct PrefixCache {
+    /// When each prefix was last said to be stored.
+    stored: LruCache<u64, Millis>,
+    /// When events were last lost; what was stored before is doubtful.
+    gap_at: Option<Millis>,
+}
+
+impl PrefixCache {
+    pub(super) fn new() -> PrefixCache {
+        PrefixCache {
+            stored: LruCache::new(MAX_PREFIXES),
+            gap_at: None,
+        }
+    }
+
+    pub(super) fn apply(&mut self, now: Millis, events: &[CacheEvent], gap: bool) {
+        if gap {
+            self.gap_at = Some(now);
+        }
+        for event in events {
+            match event.change {
+                CacheChange::Stored => drop(self.stored.put(event.prefix, now)),
+                CacheChange::Evicted => drop(self.stored.pop(&event.prefix)),
+            }
+        }
+    }
+
+    /// Takes in that a prompt was sent to the replica.
+    pub(super) fn sent(&mut self, now: Millis, prefix: &[u64]) {
+        for &p in prefix {
+            self.stored.put(p, now);
+        }
+    }
+
+    /// Share of the prompt's blocks that are probably cached, from 0 to 1.
+    pub(super) fn share(&self, prefix: &[u64]) -> f64 {
+        let hit = |p: &u64| self.stored.peek(p).copied();
+        let Some((at, stored)) = prefix
+            .iter()
+            .enumerate()
+            .rev()
+            .find_map(|(i, p)| Some((i, hit(p)?)))
+        else {
+            return 0.0;
+        };
+        let share = (at + 1) as f64 / prefix.len() as f64;
+        match self.gap_at {
+            Some(gap) if stored <= gap => share * DOUBTFUL_WORTH,
+            _ => share,
+        }
+    }
+}
--- /dev/null
+++ b/toucanchute_core/src/routing/choose.rs
@@ -0,0 +1,94 @@
+use rand::{Rng, rngs::SmallRng};
+use slotmap::SlotMap;
+use toucanchute_proto::Millis;
+
+use super::{
+    Assign,
+    pool::{BackendKey, Pool},
+    replica::Replica,
+    suspects::Permit,
+};
+
+/// Worth of a wholly cached prompt, in shares of a replica's limit.
+const PREFIX_WORTH: f64 = 0.4;
+
+/// Cost of another failure domain, in shares of a replica's limit.
+const DISTANCE_COST: f64 = 0.05;
+
+/// Cost of a replica that runs a suspect, in shares of a replica's limit.
+const SUSPECT_COST: f64 = 1.0;
+
+/// A choice among the replicas of one pool.
+pub(super) struct Chooser<'a> {
+    pub(super) now: Millis,
+    pub(super) domain: &'a str,
+    pub(super) pool: &'a Pool,
+    pub(super) replicas: &'a SlotMap<BackendKey, Replica>,
+}
+
+impl Chooser<'_> {
+    /// Whether any replica has room.
+    pub(super) fn any_room(&self) -> bool {
+        self.fit().next().is_some()
+    }
+
+    /// Chooses by the better of two random replicas and the one with the longest cached prefix.
+    pub(super) fn choose(
+        &self,
+        req: &Assign,
+        permit: Permit,
+        rng: &mut SmallRng,
+    ) -> Option<BackendKey> {
+        let mut fit: Vec<BackendKey> = self.fit().collect();
+        if permit == Permit::Apart {
+            fit.retain(|&k| self.replicas[k].suspects == 0);
+        }
+        let fresh = |k: &BackendKey| !req.exclude.contains(&self.replicas[*k].name);
+        if fit.iter().any(fresh) {
+            fit.retain(fresh);
+        } else if self.others_later(req) {
+            return None;
+        }
+        let cached = |k: &BackendKey| self.replicas[*k].cache.share(&req.prefix);
+        let longest = fit
+            .iter()
+            .copied()
+            .max_by(|a, b| cached(a).total_cmp(&cached(b)));
+        let mut tries: Vec<BackendKey> = Vec::with_capacity(3);
+        tries.extend(longest.filter(|k| cached(k) > 0.0));
+        for _ in 0..2 {
+            if !fit.is_empty() {
+                tries.push(fit.swap_remove(rng.random_range(0..fit.len())));
+            }
+        }
+        tries
+            .into_iter()
+            .min_by(|&a, &b| self.cost(req, a).total_cmp(&self.cost(req, b)))
+    }
+
+    /// Whether a replica that did not fail this request takes work, if not just now.
+    fn others_later(&self, req: &Assign) -> bool {
+        self.pool.members.iter().any(|&k| {
+            let r = &self.replicas[k];
+            r.listed && r.health.cap().is_none() && !req.exclude.contains(&r.name)
+        })
+    }
+
+    fn fit(&self) -> impl Iterator<Item = BackendKey> {
+        let members = self.pool.members.iter().copied();
+        members.filter(|&k| self.replicas[k].has_room(self.now))
+    }
+
+    fn cost(&self, req: &Assign, key: BackendKey) -> f64 {
+        let r = &self.replicas[key];
+        let load = (r.estimate(self.now) + 1.0) / r.allowed(self.now);
+        let pace = r.pace(self.pool.token_time());
+        let distance = if r.domain == self.domain {
+            0.0
+        } else {
+            DISTANCE_COST
+        };
+        let suspects = f64::from(r.suspects) * SUSPECT_COST;
+        load * pace + distance + suspects - r.cache.share(&req.prefix) * PREFIX_WORTH
+    }
+}
--- /dev/null
+++ b/toucanchute_core/src/routing/configure.rs
@@ -0,0 +1,94 @@
+use std::collections::BTreeSet;
+
+use toucanchute_proto::{
+    Millis,
+    config::{self, Config},
+};
+
+use super::{
+    Dispatcher, Target,
+    health::Health,
+    pool::{Pool, PoolKey},
+    replica::Replica,
+};
+
+impl Dispatcher {
+    pub(super) fn configure(&mut self, now: Millis, config: &Config, withdrawn: &BTreeSet<String>) {
+        self.retries.set_percent(config.routing.retry_share_percent);
+        self.queue_limit = config.routing.queue_limit as usize;
+        self.set_pools(config);
+        self.set_targets(config);
+        let mut unlisted: BTreeSet<_> = self.replicas.keys().collect();
+        for b in &config.backends {
+            let listed = !withdrawn.contains(&b.name);
+            if let Some(key) = self.set_backend(now, b, listed) {
+                unlisted.remove(&key);
+            }
+        }
+        for key in unlisted {
+            self.replicas[key].listed = false;
+            self.drop_if_done(key);
+        }
+        self.configured = true;
+    }
+
+    fn set_pools(&mut self, config: &Config) {
+        for p in &config.pools {
+            let key = match self.pool_named(&p.name) {
+                Some(key) => key,
+                None => self.pools.insert(Pool::new(&p.name)),
+            };
+            self.pools[key].max_concurrency = p.max_concurrency;
+        }
+    }
+
+    fn set_targets(&mut self, config: &Config) {
+        let models = config.models.iter();
+        let models = models.map(|m| (Target::Model(m.name.clone()), &m.pool));
+        let services = config.services.iter();
+        let services = services.map(|s| (Target::Service(s.name.clone()), &s.pool));
+        let found = |(t, pool): (Target, &String)| Some((t, self.pool_named(pool)?));
+        self.targets = models.chain(services).filter_map(found).collect();
+    }
+
+    fn set_backend(
+        &mut self,
+        now: Millis,
+        b: &config::Backend,
+        listed: bool,
+    ) -> Option<super::pool::BackendKey> {
+        let address = b.address.parse().ok()?;
+        let pool = self.pool_named(&b.pool)?;
+        let key = match self.names.get(&b.name) {
+            Some(&key) => key,
+            None => {
+                let replica = Replica::new(&b.name, address, &b.failure_domain, pool);
+                let key = self.replicas.insert(replica);
+                self.names.insert(b.name.clone(), key);
+                key
+            }
+        };
+        let r = &mut self.replicas[key];
+        let joins = listed && !r.listed;
+        let moved = r.address != address;
+        if joins || moved {
+            r.health = Health::new();
+        }
+        if (joins || moved) && self.configured {
+            r.join(now);
+        }
+        let old = std::mem::replace(&mut r.pool, pool);
+        r.address = address;
+        r.domain.clone_from(&b.failure_domain);
+        r.listed = listed;
+        r.limit.set_max(self.pools[pool].max_concurrency);
+        self.pools[old].members.retain(|k| *k != key);
+        self.pools[pool].members.push(key);
+        Some(key)
+    }
+
+    fn pool_named(&self, name: &str) -> Option<PoolKey> {
+        let mut pools = self.pools.iter();
+        pools.find(|(_, p)| p.name == name).map(|(key, _)| key)
+    }
+}
--- a/toucanchute_core/src/routing/dispatcher.rs
+++ b/toucanchute_core/src/routing/dispatcher.rs
@@ -1,150 +1,279 @@
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-    sync::Arc,
-};
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::{SeedableRng, rngs::SmallRng};
+use slotmap::SlotMap;
+use toucanchute_proto::{AttemptId, Incarnation, Millis, fleet::Verdict};
 
-use toucanchute_proto::{AttemptId, Incarnation, Millis, config::Config};
+use super::{
+    Action, Assign, Event, RefusalReason, Target,
+    attempts::Attempt,
+    choose::Chooser,
+    pool::{BackendKey, Pool, PoolKey},
+    replica::Replica,
+    retry::RetryBudget,
+    suspects::{self, Permit, Suspects},
+};
 
-use super::{Action, Assign, Event, RefusalReason, Report, Target};
+/// Bounds of a refusal's time to come back.
+const RETRY_AFTER: (Millis, Millis) = (Millis(200), Millis(30_000));
 
 /// Chooses a backend server for each request of one router.
+///
+/// ```
+/// use toucanchute_core::routing::{Action, Dispatcher, Event};
+/// use toucanchute_proto::{Incarnation, Millis};
+///
+/// let mut dispatcher = Dispatcher::new(Incarnation(1), "bilbao", 7);
+/// let mut out: Vec<Action> = Vec::new();
+/// dispatcher.handle(Millis(0), Event::Tick, &mut out);
+/// assert!(out.is_empty());
+/// ```
 #[derive(Debug)]
 pub struct Dispatcher {
-    incarnation: Incarnation,
-    domain: String,
-    last_attempt: u64,
-    replicas: BTreeMap<String, Replica>,
-    pools: BTreeMap<Target, String>,
-    attempts: BTreeMap<AttemptId, String>,
-    waiting: Vec<Assign>,
-}
-
-#[derive(Debug)]
-struct Replica {
-    address: SocketAddr,
+    pub(super) incarnation: Incarnation,
     domain: String,
-    pool: String,
-    limit: u32,
-    running: u32,
-    usable: bool,
+    pub(super) last_attempt: u64,
+    /// Whether a configuration was taken in; replicas of later ones join slowly.
+    pub(super) configured: bool,
+    pub(super) queue_limit: usize,
+    pub(super) pools: SlotMap<PoolKey, Pool>,
+    pub(super) replicas: SlotMap<BackendKey, Replica>,
+    /// Replicas by name; each of `replicas` once.
+    pub(super) names: BTreeMap<String, BackendKey>,
+    pub(super) withdrawn: BTreeSet<String>,
+    pub(super) targets: BTreeMap<Target, PoolKey>,
+    pub(super) attempts: BTreeMap<AttemptId, Attempt>,
+    pub(super) suspects: Suspects,
+    pub(super) retries: RetryBudget,
+    rng: SmallRng,
 }
 
 impl Dispatcher {
     /// Creates a dispatcher of the router `incarnation` in failure domain `domain`.
     #[must_use]
-    pub fn new(incarnation: Incarnation, domain: &str, _seed: u64) -> Dispatcher {
+    pub fn new(incarnation: Incarnation, domain: &str, seed: u64) -> Dispatcher {
         Dispatcher {
             incarnation,
             domain: domain.to_owned(),
             last_attempt: 0,
-            replicas: BTreeMap::new(),
-            pools: BTreeMap::new(),
+            configured: false,
+            queue_limit: 0,
+            pools: SlotMap::with_key(),
+            replicas: SlotMap::with_key(),
+            names: BTreeMap::new(),
+            withdrawn: BTreeSet::new(),
+            targets: BTreeMap::new(),
             attempts: BTreeMap::new(),
-            waiting: Vec::new(),
+            suspects: Suspects::default(),
+            retries: RetryBudget::new(),
+            rng: SmallRng::seed_from_u64(seed),
         }
     }
 
     /// Takes in one event and pushes what has to be done.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         match event {
-            Event::Configure { config, withdrawn } => self.configure(&config, &withdrawn),
-            Event::Assign(req) => self.waiting.push(req),
-            Event::Abandon { call } => self.waiting.retain(|w| w.call != call),
-            Event::Report { attempt, report } => self.report(attempt, report),
-            Event::Load(_) | Event::CacheEvents { .. } | Event::Verdict(_) | Event::Tick => {}
+            Event::Configure { config, withdrawn } => {
+                self.withdrawn.clone_from(&withdrawn);
+                self.configure(now, &config, &withdrawn);
+                self.refuse_unservable(out);
+            }
+            Event::Assign(req) => self.admit(now, req, out),
+            Event::Abandon { call } => self.abandon(call),
+            Event::Report { attempt, report } => self.report(now, attempt, report, out),
+            Event::Load(load) => {
+                if let Some(&key) = self.names.get(&load.backend) {
+                    self.replicas[key].report(now, load);
+                }
+            }
+            Event::CacheEvents {
+                backend,
+                events,
+                gap,
+            } => {
+                if let Some(&key) = self.names.get(&backend) {
+                    self.replicas[key].cache.apply(now, &events, gap);
+                }
+            }
+            Event::Verdict(v) => self.told(now, v, out),
+            Event::Tick => self.expire(now, out),
         }
         self.dispatch(now, out);
     }
 
-    fn configure(&mut self, config: &Arc<Config>, withdrawn: &BTreeSet<String>) {
-        self.pools.clear();
-        for m in &config.models {
-            self.pools
-                .insert(Target::Model(m.name.clone()), m.pool.clone());
+    /// Calls that wait for a backend server.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.pools.values().map(|p| p.queue.len()).sum()
+    }
+
+    /// Attempts that have not ended.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.attempts.len()
+    }
+
+    // Admission
+
+    fn admit(&mut self, now: Millis, req: Assign, out: &mut Vec<Action>) {
+        let Some(key) = self.targets.get(&req.target).copied() else {
+            refuse(&req, RefusalReason::NoBackend, RETRY_AFTER.0, out);
+            return;
+        };
+        let suspect = suspects::key(&req);
+        if self.suspects.permit(now, suspect) == Permit::Never {
+            refuse_for_good(&req, RefusalReason::Quarantined, out);
+            return;
         }
-        for s in &config.services {
-            self.pools
-                .insert(Target::Service(s.name.clone()), s.pool.clone());
+        if !self.servable(key) {
+            refuse(&req, RefusalReason::NoBackend, Millis(1_000), out);
+            return;
         }
-        self.replicas.values_mut().for_each(|r| r.usable = false);
-        for b in &config.backends {
-            let Ok(address) = b.address.parse() else {
-                continue;
-            };
-            let pool = config.pools.iter().find(|p| p.name == b.pool);
-            let running = self.replicas.get(&b.name).map_or(0, |r| r.running);
-            let replica = Replica {
-                address,
-                domain: b.failure_domain.clone(),
-                pool: b.pool.clone(),
-                limit: pool.map_or(1, |p| p.max_concurrency),
-                running,
-                usable: !withdrawn.contains(&b.name),
-            };
-            self.replicas.insert(b.name.clone(), replica);
+        if req.attempts == 0 {
+            self.retries.fresh();
+        } else if !self.suspects.known(now, suspect) && !self.retries.take() {
+            refuse(&req, RefusalReason::RetriesExhausted, Millis(1_000), out);
+            return;
         }
+        self.enqueue(now, key, req, out);
     }
 
-    fn report(&mut self, attempt: AttemptId, report: Report) {
-        if report == Report::FirstToken {
+    fn enqueue(&mut self, now: Millis, key: PoolKey, req: Assign, out: &mut Vec<Action>) {
+        let pool = &mut self.pools[key];
+        let wait = pool.wait(pool.queue.ahead(&req));
+        if now + wait > pool.latest_start(req.deadline) {
+            refuse(&req, RefusalReason::Overloaded, wait, out);
             return;
         }
-        let Some(name) = self.attempts.remove(&attempt) else {
-            return;
-        };
-        if let Some(r) = self.replicas.get_mut(&name) {
-            r.running = r.running.saturating_sub(1);
+        let priority = req.priority;
+        pool.queue.push(req);
+        if pool.queue.len() > self.queue_limit.max(1)
+            && let Some(shed) = pool.queue.shed(priority)
+        {
+            refuse(&shed, RefusalReason::Overloaded, wait, out);
+        }
+    }
+
+    fn abandon(&mut self, call: u64) {
+        for pool in self.pools.values_mut() {
+            pool.queue.remove(call);
         }
     }
 
+    /// Whether a pool has any replica that is not withdrawn.
+    fn servable(&self, key: PoolKey) -> bool {
+        let members = &self.pools[key].members;
+        members.iter().any(|&k| self.replicas[k].listed)
+    }
+
+    fn refuse_unservable(&mut self, out: &mut Vec<Action>) {
+        let unservable = self.pools.keys().filter(|&k| !self.servable(k));
+        for key in unservable.collect::<Vec<PoolKey>>() {
+            for req in self.pools[key].queue.remove_if(|_| true) {
+                refuse(&req, RefusalReason::NoBackend, Millis(1_000), out);
+            }
+        }
+    }
+
+    /// Refuses waiting calls that cannot make it any more.
+    fn expire(&mut self, now: Millis, out: &mut Vec<Action>) {
+        self.suspects.forget_expired(now);
+        for pool in self.pools.values_mut().filter(|p| !p.queue.is_empty()) {
+            let late = |c: &Assign| pool.latest_start(c.deadline) < now;
+            let ids: Vec<u64> = pool
+                .queue
+                .calls()
+                .filter(|c| late(c))
+                .map(|c| c.call)
+                .collect();
+            let wait = pool.wait(pool.queue.len());
+            for id in ids {
+                let req = pool.queue.remove(id);
+                req.iter()
+                    .for_each(|r| refuse(r, RefusalReason::Overloaded, wait, out));
+            }
+        }
+    }
+
+    fn told(&mut self, now: Millis, verdict: Verdict, out: &mut Vec<Action>) {
+        self.suspects.told(now, verdict);
+        self.refuse_quarantined(now, out);
+    }
+
+    pub(super) fn refuse_quarantined(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let never = |c: &Assign| self.suspects.permit(now, suspects::key(c)) == Permit::Never;
+        for pool in self.pools.values_mut() {
+            for req in pool.queue.remove_if(never) {
+                refuse_for_good(&req, RefusalReason::Quarantined, out);
+            }
+        }
+    }
+
+    // Dispatch
+
     fn dispatch(&mut self, now: Millis, out: &mut Vec<Action>) {
-        for req in std::mem::take(&mut self.waiting) {
-            if !self.assign(&req, out) {
-                self.wait_or_refuse(now, req, out);
+        let keys: Vec<PoolKey> = self.pools.keys().collect();
+        for key in keys {
+            if self.pools[key].queue.is_empty() {
+                continue;
             }
+            for &member in &self.pools[key].members {
+                self.replicas[member].health.advance(now);
+            }
+            while self.dispatch_one(now, key, out) {}
         }
     }
 
-    fn assign(&mut self, req: &Assign, out: &mut Vec<Action>) -> bool {
-        let pool = self.pools.get(&req.target);
-        let fit = |(name, r): &(&String, &mut Replica)| {
-            r.usable && Some(&r.pool) == pool && r.running < r.limit && !req.exclude.contains(*name)
+    /// Starts the call whose turn it is; returns whether there was one that fits.
+    fn dispatch_one(&mut self, now: Millis, key: PoolKey, out: &mut Vec<Action>) -> bool {
+        let pool = &self.pools[key];
+        let chooser = Chooser {
+            now,
+            domain: &self.domain,
+            pool,
+            replicas: &self.replicas,
         };
-        let best = self
-            .replicas
-            .iter_mut()
-            .filter(fit)
-            .min_by_key(|(_, r)| (r.running, r.domain != self.domain));
-        let Some((name, replica)) = best else {
+        if pool.queue.is_empty() || !chooser.any_room() {
+            return false;
+        }
+        let mut found = None;
+        for req in pool.queue.next() {
+            let permit = self.suspects.permit(now, suspects::key(req));
+            if permit == Permit::Wait {
+                continue;
+            }
+            if let Some(replica) = chooser.choose(req, permit, &mut self.rng) {
+                found = Some((req.call, permit, replica));
+                break;
+            }
+        }
+        let Some((call, permit, replica)) = found else {
             return false;
         };
-        replica.running += 1;
-        self.last_attempt += 1;
-        let attempt = AttemptId(self.incarnation, self.last_attempt);
-        self.attempts.insert(attempt, name.clone());
-        out.push(Action::Assigned {
-            call: req.call,
-            attempt,
-            backend: name.clone(),
-            address: replica.address,
-        });
+        let pool = &mut self.pools[key];
+        let Some(req) = pool.queue.start(call) else {
+            return false;
+        };
+        let waiting = !pool.queue.is_empty();
+        pool.started(now, waiting);
+        self.start(now, &req, permit, replica, out);
         true
     }
+}
 
-    fn wait_or_refuse(&mut self, now: Millis, req: Assign, out: &mut Vec<Action>) {
-        let reason = match self.pools.contains_key(&req.target) {
-            false => RefusalReason::NoBackend,
-            true if now >= req.deadline => RefusalReason::Overloaded,
-            true => {
-                self.waiting.push(req);
-                return;
-            }
-        };
-        out.push(Action::Refused {
-            call: req.call,
-            reason,
-            retry_after: Some(Millis(1_000)),
-        });
-    }
+fn refuse(req: &Assign, reason: RefusalReason, after: Millis, out: &mut Vec<Action>) {
+    let after = after.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
+    out.push(Action::Refused {
+        call: req.call,
+        reason,
+        retry_after: Some(after),
+    });
+}
+
+fn refuse_for_good(req: &Assign, reason: RefusalReason, out: &mut Vec<Action>) {
+    out.push(Action::Refused {
+        call: req.call,
+        reason,
+        retry_after: None,
+    });
 }
--- /dev/null
+++ b/toucanchute_core/src/routing/limit.rs
@@ -0,0 +1,59 @@
+use toucanchute_proto::Millis;
+
+/// Factor of a cut.
+const CUT: f64 = 0.9;
+
+/// Shortest time between two cuts.
+const CUT_PERIOD: Millis = Millis(500);
+
+/// Use of the limit from which on it may rise.
+const BUSY: f64 = 0.8;
+
+/// How many requests a replica may have, adapted to measured latency.
+#[derive(Debug)]
+pub(super) struct Limit {
+    /// From 1 to `max`.
+    value: f64,
+    max: f64,
+    last_cut: Millis,
+}
+
+impl Limit {
+    pub(super) fn new(max: u32) -> Limit {
+        let max = f64::from(max.max(1));
+        Limit {
+            value: max,
+            max,
+            last_cut: Millis::default(),
+        }
+    }
+
+    pub(super) fn get(&self) -> f64 {
+        self.value
+    }
+
+    pub(super) fn set_max(&mut self, max: u32) {
+        let max = f64::from(max.max(1));
+        if self.value >= self.max {
+            self.value = max;
+        }
+        self.max = max;
+        self.value = self.value.min(max);
+    }
+
+    /// Takes in one measurement at a load of `load` requests.
+    pub(super) fn measured(&mut self, now: Millis, slow: bool, load: f64) {
+        if slow {
+            self.cut(now);
+        } else if load >= self.value * BUSY {
+            self.value = (self.value + 1.0 / self.value).min(self.max);
+        }
+    }
+
+    pub(super) fn cut(&mut self, now: Millis) {
+        if now.since(self.last_cut) >= CUT_PERIOD {
+            self.last_cut = now;
+            self.value = (self.value * CUT).max(1.0);
+        }
+    }
+}
