feat(ctl): check, diff, statement, top-up, hosts, status and write-off

Operators need to see faults of files before they are applied, and to reach whichever router answers. Every call to a router is idempotent (a top-up is named by --id), so any of them may go to the next router; a refusal is final. api.json describes the documents of the HTTP side that toucanctl and toucanchute-call read; readers ignore unknown fields.

--- /dev/null
+++ b/toucanchute_ctl/src/commands.rs
@@ -0,0 +1,9 @@
+mod budgets;
+mod check;
+mod compare;
+mod fleet;
+
+pub(crate) use budgets::{statement, top_up, write_off};
+pub(crate) use check::{check_folder, check_settings};
+pub(crate) use compare::compare;
+pub(crate) use fleet::{hosts, status};
--- /dev/null
+++ b/toucanchute_ctl/src/error.rs
@@ -0,0 +1,68 @@
+use std::{net::SocketAddr, process::ExitCode};
+
+use snafu::Snafu;
+use toucanchute_proto::api::Problem;
+use toucanchute_settings::SettingsError;
+
+/// Why a command failed.
+#[derive(Debug, Snafu)]
+#[non_exhaustive]
+#[snafu(visibility(pub(crate)))]
+pub(crate) enum Error {
+    /// Files are at fault.
+    #[snafu(display("{source}"))]
+    Files { source: SettingsError },
+    /// The command line or a file named on it is at fault.
+    #[snafu(display("{message}"))]
+    Usage { message: String },
+    /// A router refused the command.
+    #[snafu(display("refused by {address}: {}", describe(problem)))]
+    Refused {
+        address: SocketAddr,
+        problem: Box<Problem>,
+    },
+    /// No router answered.
+    #[snafu(display("no router answered; check --router and the network:\n{causes}"))]
+    Unreachable { causes: String },
+    /// A router's answer was not understood.
+    #[snafu(display("answer of {address} is not understood: {cause}"))]
+    Answer { address: SocketAddr, cause: String },
+    /// Standard output was closed.
+    #[snafu(display("cannot write to standard output: {source}"))]
+    Output { source: std::io::Error },
+}
+
+/// Exit codes of `toucanctl`, as its help lists them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Exit {
+    Refused = 1,
+    Usage = 2,
+    Unreachable = 3,
+}
+
+impl Error {
+    /// Returns the process's exit code.
+    pub(crate) fn exit(&self) -> Exit {
+        match self {
+            Error::Files { .. } | Error::Usage { .. } => Exit::Usage,
+            Error::Refused { .. } => Exit::Refused,
+            Error::Unreachable { .. } | Error::Answer { .. } | Error::Output { .. } => {
+                Exit::Unreachable
+            }
+        }
+    }
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> ExitCode {
+        ExitCode::from(exit as u8)
+    }
+}
+
+fn describe(problem: &Problem) -> String {
+    match (problem.detail.as_str(), problem.title.as_str()) {
+        ("", "") => format!("status {}", problem.status),
+        ("", title) => title.to_owned(),
+        (detail, _) => detail.to_owned(),
+    }
+}
--- /dev/null
+++ b/toucanchute_ctl/tests/toucanctl/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the `toucanctl` binary, a module for each group of commands.
+
+mod binary;
+mod files;
--- a/toucanchute_proto/src/lib.rs
+++ b/toucanchute_proto/src/lib.rs
@@ -6,6 +6,16 @@
 mod id;
 mod time;
 
+#[allow(
+    missing_docs,
+    clippy::all,
+    clippy::pedantic,
+    unused_qualifications,
+    unreachable_pub
+)]
+#[path = "generated/api.rs"]
+pub mod api;
+
 #[allow(
     missing_docs,
     clippy::all,
