feat(timeline): merge event logs into one causal time line

Logs of all processes are ordered by hybrid logical clock, then process and sequence number. Torn and invalid lines are counted and named, never guessed at: a last line without a line end is left out even if it parses, since its last value may be cut.

--- /dev/null
+++ b/toucanchute_timeline/src/bin/toucanchute-timeline.rs
@@ -0,0 +1,7 @@
+//! Merges the event logs of all processes into one time line.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    toucanchute_timeline::main()
+}
--- /dev/null
+++ b/toucanchute_timeline/src/filter.rs
@@ -0,0 +1,80 @@
+use std::collections::HashSet;
+
+use crate::event::Event;
+
+/// Which events are shown; all conditions have to hold.
+///
+/// ```
+/// use toucanchute_timeline::Filter;
+///
+/// let filter = Filter::default().request("4be1");
+/// # let _ = filter;
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[must_use]
+pub struct Filter {
+    request: Option<String>,
+    customer: Option<String>,
+    host: Option<String>,
+    name: Option<String>,
+}
+
+impl Filter {
+    /// Shows one request, by its key or the key's first digits, with its attempts at backend
+    /// servers.
+    pub fn request(mut self, key: &str) -> Filter {
+        self.request = Some(key.to_owned());
+        self
+    }
+
+    /// Shows the events that name one customer.
+    pub fn customer(mut self, name: &str) -> Filter {
+        self.customer = Some(name.to_owned());
+        self
+    }
+
+    /// Shows the events of one host.
+    pub fn host(mut self, name: &str) -> Filter {
+        self.host = Some(name.to_owned());
+        self
+    }
+
+    /// Shows the events of one name.
+    pub fn event(mut self, name: &str) -> Filter {
+        self.name = Some(name.to_owned());
+        self
+    }
+
+    /// Returns the events that pass, in the order given.
+    pub(crate) fn apply<'a>(&self, events: &'a [Event]) -> Vec<&'a Event> {
+        let attempts = self.attempts(events);
+        let passes = |e: &&Event| self.passes(e, &attempts);
+        events.iter().filter(passes).collect()
+    }
+
+    /// Returns the attempts of the request that is asked for; backend servers log only these.
+    fn attempts<'a>(&self, events: &'a [Event]) -> HashSet<&'a str> {
+        let of_request = events.iter().filter(|e| self.is_request(e));
+        of_request.filter_map(|e| e.field("attempt")).collect()
+    }
+
+    fn is_request(&self, event: &Event) -> bool {
+        match (&self.request, event.field("request")) {
+            (Some(asked), Some(key)) => key.starts_with(asked.as_str()),
+            _ => false,
+        }
+    }
+
+    fn passes(&self, event: &Event, attempts: &HashSet<&str>) -> bool {
+        let by_attempt = event.field("attempt").is_some_and(|a| attempts.contains(a));
+        let request = self.request.is_none() || self.is_request(event) || by_attempt;
+        let customer = is_or_unset(self.customer.as_deref(), event.field("customer"));
+        let host = is_or_unset(self.host.as_deref(), Some(&event.process.host));
+        let name = is_or_unset(self.name.as_deref(), Some(&event.name));
+        request && customer && host && name
+    }
+}
+
+fn is_or_unset(wanted: Option<&str>, found: Option<&str>) -> bool {
+    wanted.is_none() || wanted == found
+}
--- a/toucanchute_timeline/src/lib.rs
+++ b/toucanchute_timeline/src/lib.rs
@@ -1,1 +1,32 @@
-//! Placeholder.
+//! Merges the event logs of all processes into one causally ordered time line.
+//!
+//! Events are ordered by the hybrid logical clock that each line carries; a line that is torn or
+//! invalid is counted and left out.
+//!
+//! ```
+//! use toucanchute_timeline::{Filter, Timeline};
+//!
+//! let mut timeline = Timeline::new();
+//! timeline.add("a.log", b"hlc=7.0001 seq=0 process=router host=b event=request-settled\n");
+//! timeline.add("b.log", b"hlc=7.0000 seq=4 process=engine host=e event=run-ended\ntorn");
+//! let events = timeline.events(&Filter::default());
+//! assert_eq!(events[0].name, "run-ended");
+//! assert_eq!(timeline.skipped().len(), 1);
+//! ```
+
+mod cli;
+mod error;
+mod event;
+mod filter;
+mod html;
+mod line;
+mod merge;
+mod text;
+
+pub use cli::main;
+pub use event::{Event, Process};
+pub use filter::Filter;
+pub use html::to_html;
+pub use line::{LineError, parse_line};
+pub use merge::{Skipped, Timeline};
+pub use text::to_text;
--- /dev/null
+++ b/toucanchute_timeline/src/line.rs
@@ -0,0 +1,122 @@
+use std::{iter::Peekable, str::Chars};
+
+use snafu::{OptionExt as _, Snafu, ensure};
+use toucanchute_log::Stamp;
+
+use crate::event::{Event, Process};
+
+/// Why a line is no event.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[non_exhaustive]
+pub enum LineError {
+    /// The line is not UTF-8.
+    #[snafu(display("not UTF-8"))]
+    NotUtf8,
+    /// The line ends within a pair or has no line end.
+    #[snafu(display("torn"))]
+    Torn,
+    /// Something stands where a `key=value` pair is expected.
+    #[snafu(display("no key=value pair at column {column}"))]
+    NotPair {
+        /// Column of the bad pair, from 1, in characters.
+        column: usize,
+    },
+    /// A pair that each event has is missing or invalid.
+    #[snafu(display("{key} is missing or invalid"))]
+    Missing {
+        /// Key of the pair.
+        key: &'static str,
+    },
+}
+
+/// Parses one line of an event log, without its line end.
+///
+/// # Errors
+///
+/// Says why the line is no event.
+pub fn parse_line(line: &str) -> Result<Event, LineError> {
+    let mut pairs = parse_pairs(line)?;
+    let stamp = take(&mut pairs, "hlc")?;
+    let seq = take(&mut pairs, "seq")?;
+    Ok(Event {
+        stamp: parse_stamp(&stamp).context(MissingSnafu { key: "hlc" })?,
+        seq: seq.parse().ok().context(MissingSnafu { key: "seq" })?,
+        process: Process {
+            kind: take(&mut pairs, "process")?,
+            host: take(&mut pairs, "host")?,
+            incarnation: take(&mut pairs, "incarnation").unwrap_or_else(|_| "-".to_owned()),
+        },
+        level: take(&mut pairs, "level").unwrap_or_default(),
+        name: take(&mut pairs, "event")?,
+        fields: pairs,
+    })
+}
+
+/// Reads a stamp whose milliseconds fit into it.
+fn parse_stamp(text: &str) -> Option<Stamp> {
+    let stamp: Stamp = text.parse().ok()?;
+    let (ms, _) = text.split_once('.')?;
+    let parsed = stamp.to_string();
+    let (parsed_ms, _) = parsed.split_once('.')?;
+    (ms.parse::<u64>() == parsed_ms.parse::<u64>()).then_some(stamp)
+}
+
+/// Removes the first pair of `key` and returns its value.
+fn take(pairs: &mut Vec<(String, String)>, key: &'static str) -> Result<String, LineError> {
+    let index = pairs.iter().position(|(k, _)| k == key);
+    let index = index.context(MissingSnafu { key })?;
+    Ok(pairs.remove(index).1)
+}
+
+fn parse_pairs(line: &str) -> Result<Vec<(String, String)>, LineError> {
+    let mut chars = line.chars().peekable();
+    let mut pairs = Vec::new();
+    while chars.peek().is_some() {
+        let column = line.chars().count() - chars.clone().count() + 1;
+        let key = parse_key(&mut chars).context(NotPairSnafu { column })?;
+        let value = match chars.peek() {
+            Some('"') => parse_quoted(&mut chars)?,
+            _ => parse_bare(&mut chars),
+        };
+        pairs.push((key, value));
+        let end = chars.next().unwrap_or(' ');
+        ensure!(end == ' ', NotPairSnafu { column });
+    }
+    Ok(pairs)
+}
+
+/// Reads up to and including the equals sign.
+fn parse_key(chars: &mut Peekable<Chars<'_>>) -> Option<String> {
+    let mut key = String::new();
+    loop {
+        match chars.next()? {
+            '=' if key.is_empty() => return None,
+            '=' => return Some(key),
+            ' ' | '"' | '\\' => return None,
+            c => key.push(c),
+        }
+    }
+}
+
+fn parse_bare(chars: &mut Peekable<Chars<'_>>) -> String {
+    let mut value = String::new();
+    while let Some(c) = chars.next_if(|&c| c != ' ') {
+        value.push(c);
+    }
+    value
+}
+
+fn parse_quoted(chars: &mut Peekable<Chars<'_>>) -> Result<String, LineError> {
+    let mut value = String::new();
+    chars.next();
+    loop {
+        match chars.next().context(TornSnafu)? {
+            '"' => return Ok(value),
+            '\\' => match chars.next().context(TornSnafu)? {
+                'n' => value.push('\n'),
+                c => value.push(c),
+            },
+            c => value.push(c),
+        }
+    }
+}
--- /dev/null
+++ b/toucanchute_timeline/src/merge.rs
@@ -0,0 +1,96 @@
+use std::fmt;
+
+use crate::{
+    event::Event,
+    filter::Filter,
+    line::{LineError, parse_line},
+};
+
+/// Events of all logs, in causal order.
+#[derive(Clone, Debug, Default)]
+pub struct Timeline {
+    /// In the order in which logs were added.
+    events: Vec<Event>,
+    skipped: Vec<Skipped>,
+}
+
+/// A line that was left out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Skipped {
+    /// Name of the log.
+    pub log: String,
+    /// Line, from 1.
+    pub line: usize,
+    /// Why it is no event.
+    pub cause: LineError,
+}
+
+impl Timeline {
+    /// Creates an empty time line.
+    #[must_use]
+    pub fn new() -> Timeline {
+        Timeline::default()
+    }
+
+    /// Adds the content of one log. A last line without a line end counts as torn.
+    pub fn add(&mut self, log: &str, content: &[u8]) {
+        let (whole, torn) = match content.iter().rposition(|&b| b == b'\n') {
+            Some(end) => (&content[..end], &content[end + 1..]),
+            None => (&content[..0], content),
+        };
+        let mut count = 0;
+        if whole.len() < content.len() - torn.len() {
+            for line in whole.split(|&b| b == b'\n') {
+                count += 1;
+                self.add_line(log, count, line);
+            }
+        }
+        if !torn.is_empty() {
+            self.skip(log, count + 1, LineError::Torn);
+        }
+    }
+
+    /// Returns the lines that were left out.
+    #[must_use]
+    pub fn skipped(&self) -> &[Skipped] {
+        &self.skipped
+    }
+
+    /// Returns the events that pass `filter`, causes before effects.
+    #[must_use]
+    pub fn events(&self, filter: &Filter) -> Vec<&Event> {
+        let mut events = filter.apply(&self.events);
+        events.sort_by(|a, b| {
+            let by_stamp = a.stamp.cmp(&b.stamp);
+            let by_process = a.process.cmp(&b.process);
+            by_stamp.then(by_process).then(a.seq.cmp(&b.seq))
+        });
+        events
+    }
+
+    fn add_line(&mut self, log: &str, number: usize, line: &[u8]) {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        if line.is_empty() {
+            return;
+        }
+        let text = str::from_utf8(line).map_err(|_| LineError::NotUtf8);
+        match text.and_then(parse_line) {
+            Ok(event) => self.events.push(event),
+            Err(cause) => self.skip(log, number, cause),
+        }
+    }
+
+    fn skip(&mut self, log: &str, line: usize, cause: LineError) {
+        self.skipped.push(Skipped {
+            log: log.to_owned(),
+            line,
+            cause,
+        });
+    }
+}
+
+impl fmt::Display for Skipped {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: {}", self.log, self.line, self.cause)
+    }
+}
--- /dev/null
+++ b/toucanchute_timeline/tests/timeline/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the time line, a module for each feature.
+
+mod edges;
+mod lines;
+mod order;
