--- a/toucanchute_proto/src/generated.rs
+++ b/toucanchute_proto/src/generated.rs
@@ -6,6 +6,7 @@
     unreachable_pub
 )]
 
+pub mod api;
 pub mod config;
 pub mod fleet;
 pub mod peer;
--- a/toucanchute_proto/src/lib.rs
+++ b/toucanchute_proto/src/lib.rs
@@ -10,7 +10,7 @@
 
 /// Generated messages refer to the configuration by its place in the crate root.
 use config::Config;
-pub use generated::{config, fleet, peer, settings};
+pub use generated::{api, config, fleet, peer, settings};
 pub use id::{AttemptId, BudgetId, Digest, EntryId, GrantId, Incarnation, RequestKey, ShardId};
 pub use time::Millis;
 
