--- a/toucanchute_edge/src/backend.rs
+++ b/toucanchute_edge/src/backend.rs
@@ -1,7 +1,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderName, Method, Request, Response, Uri, uri};
+use http::{HeaderName, HeaderValue, Method, Request, Response, Uri, uri};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
 use hyper_util::{
@@ -9,6 +9,7 @@
     rt::{TokioExecutor, TokioTimer},
 };
 use snafu::Snafu;
+use toucanchute_log::CLOCK_HEADER;
 use toucanchute_proto::AttemptId;
 
 use crate::{
@@ -134,7 +135,7 @@
         &self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, BackendError> {
-        check_refused(self.pooled.request(req).await)
+        check_refused(self.pooled.request(stamped(req)).await)
     }
 
     /// Sends a request over a connection of its own, once.
@@ -142,7 +143,7 @@
         &self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, BackendError> {
-        check_refused(self.single.request(req).await)
+        check_refused(self.single.request(stamped(req)).await)
     }
 
     /// Tells a model engine in the background that an attempt is no longer wanted.
@@ -154,7 +155,7 @@
         let mut req = Request::new(Full::default());
         *req.method_mut() = Method::DELETE;
         *req.uri_mut() = uri;
-        let sent = self.pooled.request(req);
+        let sent = self.pooled.request(stamped(req));
         tokio::spawn(tokio::time::timeout(CANCEL_TIMEOUT, sent));
         log::info!(attempt:% = attempt; "attempt-cancelled");
     }
@@ -186,6 +187,14 @@
     Ok(out.freeze())
 }
 
+/// Adds the clock's stamp, so that a merged event log shows the request before its effects.
+fn stamped(mut req: Request<Full<Bytes>>) -> Request<Full<Bytes>> {
+    if let Ok(stamp) = HeaderValue::try_from(toucanchute_log::now().to_string()) {
+        req.headers_mut().insert(CLOCK_HEADER, stamp);
+    }
+    req
+}
+
 fn check_refused(
     answer: Result<Response<Incoming>, hyper_util::client::legacy::Error>,
 ) -> Result<Response<Incoming>, BackendError> {
--- a/toucanchute_edge/src/completion.rs
+++ b/toucanchute_edge/src/completion.rs
@@ -8,6 +8,5 @@
 mod stream;
 mod whole;
 
-
 pub(crate) use request::{CompletionKind, CompletionRequest};
 pub(crate) use run::run;
--- a/toucanchute_edge/src/handler.rs
+++ b/toucanchute_edge/src/handler.rs
@@ -5,6 +5,8 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use tokio::sync::{mpsc, oneshot};
+use toucanchute_log::{CLOCK_HEADER, Stamp};
+use toucanchute_proto::{Millis, RequestKey};
 
 use crate::{
     body::AnswerBody,
@@ -23,6 +25,11 @@
 
 /// Header of the request's key, in hexadecimal digits, in every answer to a customer.
 const REQUEST: &str = "toucanchute-request";
+/// How far a caller's clock may be ahead for its stamp to be taken.
+const MAX_CLOCK_LEAD: Millis = Millis(60_000);
+
+/// Bits of a stamp below its milliseconds.
+const STAMP_COUNTER_BITS: u32 = 16;
 
 /// Answers the requests of one connection.
 pub(crate) struct Handler<C> {
@@ -49,6 +56,7 @@
     /// Answers one request.
     pub(crate) async fn handle(&self, req: Request<Incoming>) -> Response<AnswerBody> {
         let (head, body) = req.into_parts();
+        observe_clock(&head.headers);
         match self.answer(&head, body).await {
             Ok(res) => res,
             Err(err) => {
@@ -209,6 +217,18 @@
     }
 }
 
+/// Raises the event log's clock to the caller's, unless that is far ahead.
+fn observe_clock(headers: &HeaderMap) {
+    let stamp = headers.get(CLOCK_HEADER).and_then(|v| v.to_str().ok());
+    let Some(stamp) = stamp.and_then(|text| text.parse::<Stamp>().ok()) else {
+        return;
+    };
+    let latest = now() + MAX_CLOCK_LEAD;
+    if stamp <= Stamp(latest.0 << STAMP_COUNTER_BITS) {
+        toucanchute_log::observe(stamp);
+    }
+}
+
 async fn collect(mut body: Incoming, limit: u64) -> Result<Bytes, RequestError> {
     if body.size_hint().lower() > limit {
         return Err(RequestError::BodyTooLarge { limit });
@@ -242,10 +262,7 @@
     problem.into_response()
 }
 
-fn with_key(
-    mut res: Response<AnswerBody>,
-    key: toucanchute_proto::RequestKey,
-) -> Response<AnswerBody> {
+fn with_key(mut res: Response<AnswerBody>, key: RequestKey) -> Response<AnswerBody> {
     if let Ok(value) = HeaderValue::try_from(key.to_string()) {
         res.headers_mut().insert(REQUEST, value);
     }
--- /dev/null
+++ b/toucanchute_edge/tests/edge/completions.rs
@@ -0,0 +1,207 @@
+use serde_json::{Value, json};
+use toucanchute_edge::RefusalReason;
+
+use crate::{
+    support::{Bench, Stream, answer, engines, json_of, request},
+    test_control::TestControl,
+};
+
+async fn bench(faults: &[Value]) -> (Bench, Vec<toucanchute_fakes::Engine>) {
+    let engines = engines(faults).await;
+    let addresses: Vec<_> = engines
+        .iter()
+        .map(toucanchute_fakes::Engine::address)
+        .collect();
+    (Bench::start(TestControl::new(&addresses)).await, engines)
+}
+
+/// The first of two engines has a fault; the caller gets the whole answer, billed once.
+macro_rules! fault_cases {
+    ($($name:ident: $stream:literal, $fault:tt, $reported:literal;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let (bench, _engines) = bench(&[json!($fault), json!({})]).await;
+            let res = bench.complete($stream).await;
+            assert_eq!(res.status(), 200);
+            let (text, tokens) = if $stream {
+                let stream = Stream::read(&mut res.into_body(), |_| false).await;
+                assert!(stream.done, "{stream:?}");
+                assert!(stream.ids.iter().all(|id| *id == stream.ids[0]));
+                (stream.text, stream.tokens)
+            } else {
+                let body = json_of(res).await;
+                let text = body["choices"][0]["message"]["content"].as_str().unwrap().to_owned();
+                (text, body["usage"]["completion_tokens"].as_u64().unwrap())
+            };
+            assert!(tokens >= 4);
+            assert_eq!(text, answer(tokens));
+            let billed = tokens + toucanchute_fakes::prompt_tokens(crate::support::PROMPT);
+            let mut expected = vec!["reserve".to_owned()];
+            if !$reported.is_empty() {
+                expected.push($reported.to_owned());
+            }
+            let end = [format!("done {billed}"), "settling".to_owned(), format!("settled {billed}")];
+            expected.extend(end);
+            assert_eq!(bench.control.noted(), expected);
+        }
+    )*};
+}
+
+fault_cases! {
+    stream_works: true, {}, "";
+    stream_drops_duplicates: true, {"mode": "duplicated"}, "";
+    stream_outlives_crash: true, {"mode": "crash-on", "after": 2}, "crashed Disconnected";
+    stream_outlives_early_crash: true, {"mode": "crash-on", "after": 0}, "crashed Disconnected";
+    stream_outlives_truncation: true, {"mode": "truncated", "after": 2}, "crashed Disconnected";
+    stream_outlives_garbage: true, {"mode": "malformed", "after": 2}, "crashed Malformed";
+    stream_outlives_foreign_chunk: true, {"mode": "wrong-attempt"}, "crashed Malformed";
+    stream_outlives_reordering: true, {"mode": "reordered"}, "crashed Malformed";
+    stream_outlives_stall: true, {"mode": "hang", "after": 2}, "crashed TimedOut";
+    stream_outlives_refusal: true, {"mode": "refuse"}, "refused";
+    whole_works: false, {}, "";
+    whole_outlives_crash: false, {"mode": "crash-on", "after": 2}, "crashed Disconnected";
+    whole_outlives_garbage: false, {"mode": "malformed"}, "crashed Malformed";
+    whole_outlives_foreign_answer: false, {"mode": "wrong-attempt"}, "crashed Malformed";
+    whole_outlives_refusal: false, {"mode": "refuse"}, "refused";
+}
+
+#[tokio::test]
+async fn end_waits_for_bill() {
+    let (bench, _engines) = bench(&[json!({})]).await;
+    bench.control.commits.send_replace(false);
+    let mut body = bench.complete(true).await.into_body();
+    bench.control.wait_for("settling").await;
+    let first = Stream::read(&mut body, |stream| stream.text == answer(4)).await;
+    assert!(!first.finished && !first.done);
+    bench.control.commits.send_replace(true);
+    let rest = http_body_util::BodyExt::collect(body).await.unwrap();
+    let rest = String::from_utf8(rest.to_bytes().into()).unwrap();
+    assert!(rest.contains("finish_reason\":\"stop"));
+    assert!(rest.ends_with("data: [DONE]\n\n"));
+}
+
+#[tokio::test]
+async fn whole_answer_waits_for_bill() {
+    let (bench, _engines) = bench(&[json!({})]).await;
+    bench.control.commits.send_replace(false);
+    let answered = bench.complete(false);
+    tokio::pin!(answered);
+    tokio::select! {
+        _ = &mut answered => panic!("answered before the bill"),
+        _ = bench.control.wait_for("settling") => {}
+    }
+    bench.control.commits.send_replace(true);
+    assert_eq!(answered.await.status(), 200);
+}
+
+#[tokio::test]
+async fn caller_who_leaves_is_billed_for_what_came() {
+    let (bench, engines) = bench(&[json!({"mode": "slow", "ms": 50})]).await;
+    let mut body = bench.complete(true).await.into_body();
+    Stream::read(&mut body, |stream| stream.tokens > 0).await;
+    drop(body);
+    let noted = bench.control.wait_for("settled").await;
+    assert_eq!(noted[1], "cancelled");
+    loop {
+        let stats = request(engines[0].address(), "GET", "/stats", &json!({})).await;
+        let runs = stats["runs_by_attempt"].as_object().unwrap();
+        if runs.values().all(|run| run["ended"] == "broken") {
+            return;
+        }
+    }
+}
+
+#[tokio::test]
+async fn caller_who_leaves_before_a_token_is_not_billed() {
+    let (bench, _engines) = bench(&[json!({"mode": "hang"})]).await;
+    tokio::select! {
+        _ = bench.complete(true) => panic!("answered"),
+        _ = bench.control.wait_for("reserve") => {}
+    }
+    let noted = bench.control.wait_for("release").await;
+    assert!(!noted.iter().any(|event| event.starts_with("settl")));
+}
+
+#[tokio::test]
+async fn caller_who_leaves_at_the_end_is_billed() {
+    let (bench, _engines) = bench(&[json!({})]).await;
+    bench.control.commits.send_replace(false);
+    let body = bench.complete(true).await.into_body();
+    bench.control.wait_for("settling").await;
+    drop(body);
+    bench.control.commits.send_replace(true);
+    bench.control.wait_for("settled").await;
+}
+
+#[tokio::test]
+async fn broken_stream_ends_with_an_error() {
+    let (bench, _engines) = bench(&[json!({"mode": "crash-on", "after": 2})]).await;
+    let mut body = bench.complete(true).await.into_body();
+    let stream = Stream::read(&mut body, |_| false).await;
+    let error = stream.error.unwrap();
+    assert!(!stream.done && !stream.finished);
+    assert_eq!(error["outcome"], "failed");
+    assert_eq!(error["reason"], "no-backend");
+    let noted = bench.control.noted();
+    assert_eq!(noted, ["reserve", "crashed Disconnected", "release"]);
+}
+
+#[tokio::test]
+async fn answer_is_cut_to_the_reservation() {
+    let engines = engines(&[json!({})]).await;
+    let mut control = TestControl::new(&[engines[0].address()]);
+    // 26 bytes of prompt are 13 + 8 tokens.
+    control.budget = 24;
+    let bench = Bench::start(control).await;
+    let body = json_of(bench.complete(false).await).await;
+    assert_eq!(body["usage"]["completion_tokens"], 3);
+    assert_eq!(body["choices"][0]["finish_reason"], "length");
+}
+
+#[tokio::test]
+async fn reservation_below_the_prompt_is_refused() {
+    let engines = engines(&[json!({})]).await;
+    let mut control = TestControl::new(&[engines[0].address()]);
+    control.budget = 21;
+    let bench = Bench::start(control).await;
+    let res = bench.complete(true).await;
+    assert_eq!(res.status(), 402);
+    assert_eq!(bench.control.noted(), ["reserve", "release"]);
+}
+
+#[tokio::test]
+async fn shutdown_waits_for_streams() {
+    let (bench, _engines) = bench(&[json!({"mode": "slow", "ms": 20})]).await;
+    let mut body = bench.complete(true).await.into_body();
+    Stream::read(&mut body, |stream| stream.tokens > 0).await;
+    bench.stop.send(()).unwrap();
+    let stream = http_body_util::BodyExt::collect(body).await.unwrap();
+    assert!(stream.to_bytes().ends_with(b"data: [DONE]\n\n"));
+    bench.served.await.unwrap();
+}
+
+/// A refused request is answered at once, with the status of its reason.
+#[yare::parameterized(
+    budget = { RefusalReason::BudgetExhausted, 402, "budget-exhausted", false },
+    overload = { RefusalReason::Overloaded, 429, "overloaded", true },
+    in_progress = { RefusalReason::InProgress, 409, "in-progress", true },
+    reused = { RefusalReason::KeyReused, 422, "key-reused", false },
+    quarantined = { RefusalReason::Quarantined, 422, "quarantined", false },
+    expired = { RefusalReason::KeyExpired, 410, "key-expired", false },
+    draining = { RefusalReason::Draining, 503, "draining", true },
+    stale = { RefusalReason::StaleView, 503, "stale-view", true },
+)]
+#[test_macro(tokio::test)]
+async fn refused(reason: RefusalReason, status: u16, name: &str, retryable: bool) {
+    let mut control = TestControl::new(&[]);
+    control.unready = Some(reason);
+    let bench = Bench::start(control).await;
+    let res = bench.complete(true).await;
+    assert_eq!(res.status(), status);
+    assert_eq!(res.headers()["content-type"], "application/problem+json");
+    assert_eq!(res.headers()["retry-after"], "2");
+    let problem = json_of(res).await;
+    assert_eq!(problem["reason"], name);
+    assert_eq!(problem["retryable"], retryable);
+    assert_eq!(problem["outcome"], "not-run");
+}
--- /dev/null
+++ b/toucanchute_edge/tests/edge/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the HTTP edge against stand-in backend servers and a control in memory.
+
+mod bad_input;
+mod completions;
+mod services;
+mod support;
+mod test_control;
--- /dev/null
+++ b/toucanchute_edge/tests/edge/test_control.rs
@@ -0,0 +1,168 @@
+//! A control in memory that notes what it is asked.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use bytes::Bytes;
+use http::StatusCode;
+use serde_json::{Value, json};
+use tokio::sync::watch;
+use toucanchute_edge::{
+    AddressList, AssignRequest, Assignment, Control, IntentRequest, Intention, Outcome, Recorded,
+    Refusal, RefusalReason, Report, Reservation, ReserveRequest, Settlement,
+};
+use toucanchute_proto::{AttemptId, Incarnation, Millis, RequestKey, config::Config};
+
+/// SHA-256 of "secret", the token of customer and operators.
+pub(crate) const TOKEN_SHA256: &str =
+    "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b";
+
+pub(crate) struct TestControl {
+    config: Arc<Config>,
+    backends: Vec<SocketAddr>,
+    attempts: AtomicU64,
+    /// Most tokens reserved for one request.
+    pub(crate) budget: u64,
+    pub(crate) unready: Option<RefusalReason>,
+    /// Bills are committed while this is true.
+    pub(crate) commits: watch::Sender<bool>,
+    noted: watch::Sender<Vec<String>>,
+    recorded: Mutex<Option<(RequestKey, Recorded)>>,
+}
+
+impl TestControl {
+    pub(crate) fn new(backends: &[SocketAddr]) -> TestControl {
+        let config = json!({
+            "site": "test", "version": 1, "ledger": {}, "routing": {"max_body_bytes": 4096},
+            "customers": [{"name": "gates", "budget": "north", "token_sha256": TOKEN_SHA256}],
+            "models": [{"name": "m", "pool": "p"}],
+            "services": [
+                {"name": "vans", "pool": "v", "price_tokens": 3, "timeout_ms": 1_000},
+                {"name": "weather", "pool": "v", "price_tokens": 2, "idempotent": true},
+            ],
+        });
+        TestControl {
+            config: Arc::new(serde_json::from_value(config).unwrap()),
+            backends: backends.to_vec(),
+            attempts: AtomicU64::new(1),
+            budget: 10_000,
+            unready: None,
+            commits: watch::Sender::new(true),
+            noted: watch::Sender::default(),
+            recorded: Mutex::default(),
+        }
+    }
+
+    /// Returns what was noted, without reports of a first token.
+    pub(crate) fn noted(&self) -> Vec<String> {
+        self.noted.borrow().clone()
+    }
+
+    /// Waits until an event that starts with `event` was noted, and returns all.
+    pub(crate) async fn wait_for(&self, event: &str) -> Vec<String> {
+        let mut noted = self.noted.subscribe();
+        let found = |noted: &Vec<String>| noted.iter().any(|e| e.starts_with(event));
+        noted.wait_for(found).await.unwrap().clone()
+    }
+
+    fn note(&self, event: impl Into<String>) {
+        self.noted.send_modify(|noted| noted.push(event.into()));
+    }
+}
+
+impl Control for TestControl {
+    fn config(&self) -> Arc<Config> {
+        Arc::clone(&self.config)
+    }
+
+    fn addresses(&self) -> AddressList {
+        AddressList {
+            addresses: self.backends.clone(),
+            max_age: Millis(500),
+        }
+    }
+
+    fn unready(&self) -> Option<Refusal> {
+        self.unready.map(refusal)
+    }
+
+    async fn reserve(&self, req: ReserveRequest) -> Result<Reservation, Refusal> {
+        self.note("reserve");
+        Ok(Reservation {
+            key: req.key,
+            id: 7,
+            tokens: req.tokens.min(self.budget),
+        })
+    }
+
+    async fn settle(&self, _: Reservation, tokens: u64) -> Result<Settlement, Refusal> {
+        self.note("settling");
+        let mut commits = self.commits.subscribe();
+        commits.wait_for(|commits| *commits).await.unwrap();
+        self.note(format!("settled {tokens}"));
+        Ok(Settlement::Billed)
+    }
+
+    fn release(&self, _: Reservation) {
+        self.note("release");
+    }
+
+    async fn intend(&self, req: IntentRequest) -> Result<Intention, Refusal> {
+        match &*self.recorded.lock().unwrap() {
+            Some((key, Recorded::Answer(answer))) if *key == req.key => {
+                Ok(Intention::Recorded(answer.clone()))
+            }
+            _ => Ok(Intention::Accepted),
+        }
+    }
+
+    fn record(&self, key: RequestKey, recorded: Recorded) {
+        self.note(match &recorded {
+            Recorded::Answer(answer) => format!("record {}", answer.status),
+            Recorded::NotRun => "record not-run".to_owned(),
+            Recorded::Unknown => "record unknown".to_owned(),
+        });
+        *self.recorded.lock().unwrap() = Some((key, recorded));
+    }
+
+    async fn assign(&self, req: AssignRequest) -> Result<Assignment, Refusal> {
+        let mut places = 0..self.backends.len();
+        let free = places.find(|i| !req.exclude.contains(&i.to_string()));
+        let i = free.ok_or_else(|| refusal(RefusalReason::NoBackend))?;
+        Ok(Assignment {
+            attempt: AttemptId(
+                Incarnation(5),
+                self.attempts.fetch_add(1, Ordering::Relaxed),
+            ),
+            backend: i.to_string(),
+            address: self.backends[i],
+        })
+    }
+
+    fn report(&self, _: AttemptId, report: Report) {
+        match report {
+            Report::FirstToken => {}
+            Report::Done { tokens } => self.note(format!("done {tokens}")),
+            Report::Crashed { kind } => self.note(format!("crashed {kind:?}")),
+            other => self.note(format!("{other:?}").to_lowercase()),
+        }
+    }
+
+    async fn admin(&self, _: http::Method, path: String, _: Bytes) -> (StatusCode, Value) {
+        (StatusCode::OK, json!({"path": path}))
+    }
+}
+
+fn refusal(reason: RefusalReason) -> Refusal {
+    Refusal {
+        reason,
+        outcome: Outcome::NotRun,
+        retry_after: Some(Millis(1_500)),
+        elsewhere: None,
+    }
+}
