fix(edge): not-run is said of a key only when this router can know it

Cause: a caller that sent a key to one router and asks another again could be told not-run by a router that is starting, leaving or cut off from the ledger, while the first sending ran. Now such a refusal says unknown and stays retryable, unless the caller says by toucanchute-retry: 0 that the key is fresh, or sends none. Also: a call whose intent is committed is not sent after its deadline (a frozen router would send it late).

--- a/toucanchute_edge/src/caller.rs
+++ b/toucanchute_edge/src/caller.rs
@@ -6,7 +6,9 @@
 
 use crate::{
     config_index::{ConfigIndex, CustomerKey},
+    control::Outcome,
     error::RequestError,
+    problem::{KEY_REUSED, Problem},
 };
 
 /// Header of the caller's idempotency key.
@@ -15,6 +17,8 @@
 pub(crate) const EXPIRES: HeaderName = HeaderName::from_static("idempotency-expires");
 /// Header of the span within which the answer has to begin, in milliseconds.
 pub(crate) const DEADLINE: HeaderName = HeaderName::from_static("toucanchute-deadline-ms");
+/// Header of the number of times that this request was sent before under its key.
+pub(crate) const RETRY: HeaderName = HeaderName::from_static("toucanchute-retry");
 /// Longest idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 
@@ -33,6 +37,8 @@
     pub(crate) expires: Millis,
     /// When the answer must have begun, since the Unix epoch.
     pub(crate) deadline: Millis,
+    /// Whether the request may have been sent before under its key, to any router.
+    pub(crate) may_be_retry: bool,
     /// Whole body.
     pub(crate) body: Bytes,
 }
@@ -53,6 +59,7 @@
         let span = parse_millis(headers, &DEADLINE)?.unwrap_or(Millis::MAX);
         let span = span.min(Millis(routing.answer_timeout_ms));
         Ok(CallerRequest {
+            may_be_retry: may_be_retry(headers)?,
             key,
             expires,
             customer,
@@ -63,6 +70,15 @@
         })
     }
 
+    /// Returns `problem` as it is true of the key: an earlier sending to another router may have
+    /// run, so that this router cannot say that the request did not.
+    pub(crate) fn qualify(&self, mut problem: Problem) -> Problem {
+        if self.may_be_retry && problem.outcome == Outcome::NotRun && problem.reason != KEY_REUSED {
+            problem.outcome = Outcome::Unknown;
+        }
+        problem
+    }
+
     /// Returns the customer's entry in the configuration.
     pub(crate) fn customer(&self) -> &Customer {
         self.index.customer(self.customer)
@@ -96,6 +112,25 @@
     Ok(RequestKey::new(customer, value.as_bytes()))
 }
 
+fn may_be_retry(headers: &HeaderMap) -> Result<bool, RequestError> {
+    if !headers.contains_key(KEY) {
+        return Ok(false);
+    }
+    let bad = RequestError::BadHeader {
+        name: "toucanchute-retry",
+        expected: "the number of earlier sendings under this key",
+    };
+    let Some(value) = headers.get(RETRY) else {
+        return Ok(true);
+    };
+    let count: u64 = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .ok_or(bad)?;
+    Ok(count > 0)
+}
+
 fn parse_expires(headers: &HeaderMap, now: Millis, window: Millis) -> Result<Millis, RequestError> {
     let latest = now + window;
     let expires = parse_millis(headers, &EXPIRES)?.unwrap_or(latest);
--- a/toucanchute_edge/src/completion/run.rs
+++ b/toucanchute_edge/src/completion/run.rs
@@ -264,6 +264,7 @@
         AssignRequest {
             target: Target::Model(self.req.model.clone()),
             customer: self.caller.customer().name.clone(),
+            weight: self.caller.customer().weight,
             priority: self.caller.customer().priority,
             digest: self.caller.digest,
             prefix: self.req.prefix.clone(),
@@ -294,6 +295,7 @@
 }
 
 async fn fail(caller: &CallerRequest, reply: Reply, problem: Problem) {
+    let problem = caller.qualify(problem);
     let outcome = problem.outcome.name();
     log::info!(request:% = caller.key, reason = problem.reason, outcome = outcome; "request-failed");
     reply.fail(problem).await;
--- a/toucanchute_edge/src/control.rs
+++ b/toucanchute_edge/src/control.rs
@@ -174,6 +174,8 @@
     pub target: Target,
     /// The customer's name, for fairness.
     pub customer: String,
+    /// The customer's share among customers of one priority.
+    pub weight: u32,
     /// Higher goes first.
     pub priority: u8,
     /// Digest of target and body, to recognize a request that crashes backend servers.
@@ -269,6 +271,8 @@
     KeyExpired,
     /// A call under this key is still running.
     InProgress,
+    /// A call under this key may have run and will not be run again.
+    UnknownOutcome,
     /// The key was billed and run again too often.
     TooManyReruns,
     /// The ledger could not be reached.
--- a/toucanchute_edge/src/problem.rs
+++ b/toucanchute_edge/src/problem.rs
@@ -11,6 +11,9 @@
     error::RequestError,
 };
 
+/// Reason of a request whose key was used for another one.
+pub(crate) const KEY_REUSED: &str = "key-reused";
+
 /// An error as told to a caller, in the form of RFC 9457.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Problem {
@@ -153,7 +156,7 @@
             reason,
             detail: detail.to_owned(),
             outcome: refusal.outcome,
-            retryable: retryable && refusal.outcome != Outcome::Unknown,
+            retryable,
             retry_after: refusal.retry_after,
             elsewhere: refusal.elsewhere,
         }
@@ -239,7 +242,7 @@
         ),
         RefusalReason::KeyReused => (
             StatusCode::UNPROCESSABLE_ENTITY,
-            "key-reused",
+            KEY_REUSED,
             false,
             "the key was used for another request; use a new key",
         ),
@@ -255,6 +258,12 @@
             true,
             "a call under this key is still running; ask again later",
         ),
+        RefusalReason::UnknownOutcome => (
+            StatusCode::CONFLICT,
+            "outcome-unknown",
+            false,
+            "the call under this key may have run and will not be run again",
+        ),
         RefusalReason::TooManyReruns => (
             StatusCode::TOO_MANY_REQUESTS,
             "too-many-reruns",
--- a/toucanchute_edge/src/service/run.rs
+++ b/toucanchute_edge/src/service/run.rs
@@ -13,7 +13,7 @@
     edge::Shared,
     problem::Problem,
     reply::Reply,
-    settings::duration,
+    settings::{duration, now},
 };
 
 /// Header of an answer that was recorded earlier.
@@ -34,7 +34,7 @@
         call,
     };
     let answer = match shared.control.unready() {
-        Some(refusal) => Err(refusal.into()),
+        Some(refusal) => Err(caller.qualify(refusal.into())),
         None if call.idempotent => run.serve_idempotent(&reply).await,
         None => run.serve_once().await,
     };
@@ -66,14 +66,20 @@
     // Idempotent calls
 
     async fn serve_idempotent(&self, reply: &Reply) -> Answer {
-        let reservation = self.shared.control.reserve(self.reserve_request()).await?;
+        let reservation = self.shared.control.reserve(self.reserve_request()).await;
+        let reservation = reservation.map_err(|refusal| self.caller.qualify(refusal.into()))?;
         let held = Held::new(&*self.shared.control, reservation);
         let mut exclude = Vec::new();
         let mut ran = false;
         loop {
             let assignment = self.assign(&exclude).await;
-            let assignment =
-                assignment.map_err(|err| if ran { err.after_running() } else { err })?;
+            let assignment = assignment.map_err(|err| {
+                if ran {
+                    err.after_running()
+                } else {
+                    self.caller.qualify(err)
+                }
+            })?;
             let attempt = Attempt::new(&*self.shared.control, assignment);
             if reply.is_gone() {
                 attempt.end(Report::Unsent);
@@ -99,7 +105,8 @@
 
     async fn serve_once(&self) -> Answer {
         let control = &self.shared.control;
-        match control.intend(self.intent_request()).await? {
+        let intention = control.intend(self.intent_request()).await;
+        match intention.map_err(|refusal| self.caller.qualify(refusal.into()))? {
             Intention::Recorded(answer) => {
                 log::info!(request:% = self.caller.key; "answer-replayed");
                 let mut res = answer.into_response();
@@ -124,6 +131,11 @@
                 Err(problem) => return (Recorded::NotRun, Err(problem)),
             };
             let attempt = Attempt::new(&*self.shared.control, assignment);
+            if now() >= self.caller.deadline {
+                attempt.end(Report::Unsent);
+                let problem = Problem::failed("the deadline has passed", Outcome::NotRun);
+                return (Recorded::NotRun, Err(problem));
+            }
             match self.exchange(&attempt.assignment).await {
                 Ok(answer) => {
                     attempt.end(Report::Done { tokens: 0 });
@@ -155,6 +167,7 @@
         let req = AssignRequest {
             target: Target::Service(self.call.service.clone()),
             customer: self.caller.customer().name.clone(),
+            weight: self.caller.customer().weight,
             priority: self.caller.customer().priority,
             digest: self.caller.digest,
             prefix: Vec::new(),
--- a/toucanchute_router/src/actor/dispatch.rs
+++ b/toucanchute_router/src/actor/dispatch.rs
@@ -5,8 +5,14 @@
 
 use tokio::sync::oneshot;
 use toucanchute_core::routing::{self, Action, Dispatcher, Event};
-use toucanchute_edge::{AssignRequest, Assignment, CrashKind, Outcome, Refusal, RefusalReason, Report, Target};
-use toucanchute_proto::{AttemptId, Millis, config::Config, fleet::{Load, Verdict}};
+use toucanchute_edge::{
+    AssignRequest, Assignment, CrashKind, Outcome, Refusal, RefusalReason, Report, Target,
+};
+use toucanchute_proto::{
+    AttemptId, Millis,
+    config::Config,
+    fleet::{Load, Verdict},
+};
 use xtra::prelude::*;
 
 use super::{FleetActor, FleetInput, post};
@@ -89,11 +95,24 @@
 
     fn perform(&mut self, action: Action) {
         match action {
-            Action::Assigned { call, attempt, backend, address } => {
-                let assignment = Assignment { attempt, backend, address };
+            Action::Assigned {
+                call,
+                attempt,
+                backend,
+                address,
+            } => {
+                let assignment = Assignment {
+                    attempt,
+                    backend,
+                    address,
+                };
                 self.answer(call, Ok(assignment));
             }
-            Action::Refused { call, reason, retry_after } => {
+            Action::Refused {
+                call,
+                reason,
+                retry_after,
+            } => {
                 let refusal = Refusal {
                     reason: refusal_reason(reason),
                     outcome: Outcome::NotRun,
@@ -109,16 +128,24 @@
 
     /// Answers a caller; an assignment that nobody waits for any more is given back.
     fn answer(&mut self, call: u64, answer: Result<Assignment, Refusal>) {
-        let Some(reply) = self.waiting.remove(&call) else { return };
+        let Some(reply) = self.waiting.remove(&call) else {
+            return;
+        };
         if let Err(Ok(assignment)) = reply.send(answer) {
             let attempt = assignment.attempt;
-            self.feed(Event::Report { attempt, report: routing::Report::Cancelled });
+            self.feed(Event::Report {
+                attempt,
+                report: routing::Report::Cancelled,
+            });
         }
     }
 
     fn configure(&mut self) {
         let config = Arc::clone(&self.config);
-        self.feed(Event::Configure { config, withdrawn: self.withdrawn.clone() });
+        self.feed(Event::Configure {
+            config,
+            withdrawn: self.withdrawn.clone(),
+        });
     }
 }
 
@@ -155,7 +182,10 @@
     async fn handle(&mut self, input: DispatchInput, _cx: &mut Context<Self>) {
         match input {
             DispatchInput::Report(attempt, report) => {
-                self.feed(Event::Report { attempt, report: routing_report(report) });
+                self.feed(Event::Report {
+                    attempt,
+                    report: routing_report(report),
+                });
             }
             DispatchInput::Config(config) => {
                 self.config = config;
@@ -166,8 +196,16 @@
                 self.configure();
             }
             DispatchInput::Load(load) => self.feed(Event::Load(load)),
-            DispatchInput::CacheEvents { backend, events, gap } => {
-                self.feed(Event::CacheEvents { backend, events, gap });
+            DispatchInput::CacheEvents {
+                backend,
+                events,
+                gap,
+            } => {
+                self.feed(Event::CacheEvents {
+                    backend,
+                    events,
+                    gap,
+                });
             }
             DispatchInput::Verdict(verdict) => self.feed(Event::Verdict(verdict)),
             DispatchInput::Tick => self.feed(Event::Tick),
--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -95,8 +95,19 @@
 impl FleetActor {
     /// Creates the actor.
     pub(crate) fn new(parts: FleetParts) -> FleetActor {
-        let FleetParts { machine, mesh, view } = parts;
-        FleetActor { machine, mesh, view, peers: None, members: Vec::new(), actions: Vec::new() }
+        let FleetParts {
+            machine,
+            mesh,
+            view,
+        } = parts;
+        FleetActor {
+            machine,
+            mesh,
+            view,
+            peers: None,
+            members: Vec::new(),
+            actions: Vec::new(),
+        }
     }
 
     fn feed(&mut self, event: Event) {
@@ -212,7 +223,10 @@
         let now = Millis(toucanchute_log::wall_clock_ms());
         let mut polls = message.backends;
         polls.retain(|name| self.machine.polls(name));
-        DutyList { watches: self.machine.watches(now), polls }
+        DutyList {
+            watches: self.machine.watches(now),
+            polls,
+        }
     }
 }
 
@@ -246,5 +260,10 @@
         _ => (RefusalReason::Starting, None),
     };
     let retry_after = Some(UNREADY_RETRY_AFTER);
-    Refusal { reason, outcome: Outcome::NotRun, retry_after, elsewhere }
+    Refusal {
+        reason,
+        outcome: Outcome::NotRun,
+        retry_after,
+        elsewhere,
+    }
 }
--- a/toucanchute_router/src/actor/money.rs
+++ b/toucanchute_router/src/actor/money.rs
@@ -146,7 +146,12 @@
 impl MoneyActor {
     /// Creates the actor.
     pub(crate) fn new(parts: MoneyParts) -> MoneyActor {
-        let MoneyParts { settings, mesh, store, fleet } = parts;
+        let MoneyParts {
+            settings,
+            mesh,
+            store,
+            fleet,
+        } = parts;
         MoneyActor {
             machine: None,
             settings,
@@ -163,7 +168,9 @@
     // --- machine
 
     fn feed(&mut self, event: Event, cx: &Context<Self>) {
-        let Some(machine) = &mut self.machine else { return };
+        let Some(machine) = &mut self.machine else {
+            return;
+        };
         let now = Millis(toucanchute_log::wall_clock_ms());
         let mut actions = std::mem::take(&mut self.actions);
         machine.handle(now, event, &mut actions);
@@ -187,7 +194,12 @@
                 });
             }
             Action::Drained => post(&self.fleet, FleetInput::Drained),
-            Action::Refused { call, reason, retry_after, elsewhere } => {
+            Action::Refused {
+                call,
+                reason,
+                retry_after,
+                elsewhere,
+            } => {
                 log::info!(call = call.0, reason:? = reason, router:? = elsewhere; "money-refused");
                 self.reply(call, Err(refusal(reason, retry_after)));
             }
@@ -225,9 +237,13 @@
             return;
         }
         let (id, event) = match call {
-            MoneyCall::Settle { id, tokens } => {
-                (CallId(id), Event::Settle { call: CallId(id), tokens })
-            }
+            MoneyCall::Settle { id, tokens } => (
+                CallId(id),
+                Event::Settle {
+                    call: CallId(id),
+                    tokens,
+                },
+            ),
             other => {
                 self.next_call += 1;
                 let id = CallId(self.next_call);
@@ -256,7 +272,13 @@
             MoneyInput::Call(call, tx) => self.call(call, tx, cx),
             MoneyInput::Release { id } => self.feed(Event::Release { call: CallId(id) }, cx),
             MoneyInput::Record(key, recorded) => {
-                self.feed(Event::Record { key, answer: ledger_answer(recorded) }, cx);
+                self.feed(
+                    Event::Record {
+                        key,
+                        answer: ledger_answer(recorded),
+                    },
+                    cx,
+                );
             }
             MoneyInput::Config(config) => self.configure(&config, cx),
             MoneyInput::Peers(peers) => {
@@ -264,7 +286,13 @@
                 self.feed(Event::Peers(peers), cx);
             }
             MoneyInput::Message(from, message) => {
-                self.feed(Event::Message { from, message: *message }, cx);
+                self.feed(
+                    Event::Message {
+                        from,
+                        message: *message,
+                    },
+                    cx,
+                );
             }
             MoneyInput::Store { op, result } => self.feed(Event::Store { op, result }, cx),
             MoneyInput::Drain if self.machine.is_none() => post(&self.fleet, FleetInput::Drained),
@@ -295,8 +323,17 @@
             deadline: req.deadline,
         },
         MoneyCall::Settle { tokens, .. } => Event::Settle { call, tokens },
-        MoneyCall::TopUp { id, budget, tokens } => Event::TopUp { call, id, budget, tokens },
-        MoneyCall::WriteOff { budget, grant } => Event::WriteOff { call, budget, grant },
+        MoneyCall::TopUp { id, budget, tokens } => Event::TopUp {
+            call,
+            id,
+            budget,
+            tokens,
+        },
+        MoneyCall::WriteOff { budget, grant } => Event::WriteOff {
+            call,
+            budget,
+            grant,
+        },
         MoneyCall::Statement { budget } => Event::Statement { call, budget },
     }
 }
@@ -361,7 +398,12 @@
 }
 
 fn refusal_of(reason: RefusalReason, retry_after: Option<Millis>) -> Refusal {
-    Refusal { reason, outcome: Outcome::NotRun, retry_after, elsewhere: None }
+    Refusal {
+        reason,
+        outcome: Outcome::NotRun,
+        retry_after,
+        elsewhere: None,
+    }
 }
 
 fn unknown_outcome() -> Refusal {
--- a/toucanchute_router/src/admin.rs
+++ b/toucanchute_router/src/admin.rs
@@ -75,7 +75,11 @@
             (&Method::GET, None) if path == "hosts" => self.hosts().await,
             (&Method::POST, None) if path == "top-ups" => self.top_up(body).await,
             (&Method::POST, None) if path == "write-offs" => self.write_off(body).await,
-            _ => problem(StatusCode::NOT_FOUND, "unknown-path", "no such operators' path"),
+            _ => problem(
+                StatusCode::NOT_FOUND,
+                "unknown-path",
+                "no such operators' path",
+            ),
         }
     }
 
@@ -91,12 +95,16 @@
         }
         let TopUpBody { id, budget, tokens } = body;
         log::info!(budget = budget, top_up = id, tokens = tokens; "top-up-received");
-        let call =
-            MoneyCall::TopUp { id: id.clone(), budget: BudgetId::from_name(&budget), tokens };
+        let call = MoneyCall::TopUp {
+            id: id.clone(),
+            budget: BudgetId::from_name(&budget),
+            tokens,
+        };
         match self.ask(call).await {
-            Ok(MoneyReply::ToppedUp) => {
-                (StatusCode::OK, json!({"id": id, "budget": budget, "tokens": tokens}))
-            }
+            Ok(MoneyReply::ToppedUp) => (
+                StatusCode::OK,
+                json!({"id": id, "budget": budget, "tokens": tokens}),
+            ),
             other => refused(other),
         }
     }
@@ -105,7 +113,9 @@
         if !self.has_budget(budget) {
             return unknown_budget(budget);
         }
-        let call = MoneyCall::Statement { budget: BudgetId::from_name(budget) };
+        let call = MoneyCall::Statement {
+            budget: BudgetId::from_name(budget),
+        };
         match self.ask(call).await {
             Ok(MoneyReply::Statement(mut document)) => {
                 document["budget"] = json!(budget);
@@ -140,7 +150,12 @@
         answer.await.unwrap_or_else(|_| {
             let reason = RefusalReason::LedgerUnavailable;
             let outcome = toucanchute_edge::Outcome::Unknown;
-            Err(Refusal { reason, outcome, retry_after: None, elsewhere: None })
+            Err(Refusal {
+                reason,
+                outcome,
+                retry_after: None,
+                elsewhere: None,
+            })
         })
     }
 
@@ -152,7 +167,10 @@
 
     async fn status(&self) -> Answer {
         let config = self.view.config();
-        let unready = self.view.unready().map(|refusal| format!("{:?}", refusal.reason));
+        let unready = self
+            .view
+            .unready()
+            .map(|refusal| format!("{:?}", refusal.reason));
         let members = self.fleet.send(Members).await.unwrap_or_default();
         let document = json!({
             "host": self.own.host,
@@ -207,7 +225,11 @@
         Err(refusal) => format!("{:?}", refusal.reason),
         Ok(_) => "unexpected reply".to_owned(),
     };
-    problem(StatusCode::SERVICE_UNAVAILABLE, "ledger-unavailable", &reason)
+    problem(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "ledger-unavailable",
+        &reason,
+    )
 }
 
 fn problem(status: StatusCode, reason: &str, detail: &str) -> Answer {
--- a/toucanchute_router/src/control.rs
+++ b/toucanchute_router/src/control.rs
@@ -17,7 +17,9 @@
 use xtra::prelude::*;
 
 use crate::{
-    actor::{Assign, DispatchActor, DispatchInput, MoneyActor, MoneyCall, MoneyInput, MoneyReply, post},
+    actor::{
+        Assign, DispatchActor, DispatchInput, MoneyActor, MoneyCall, MoneyInput, MoneyReply, post,
+    },
     admin::Admin,
     metrics::Metrics,
     view::View,
@@ -52,8 +54,22 @@
 impl RouterControl {
     /// Creates the control.
     pub(crate) fn new(parts: ControlParts) -> RouterControl {
-        let ControlParts { view, money, dispatch, admin, metrics, in_flight } = parts;
-        RouterControl { view, money, dispatch, admin, metrics, in_flight }
+        let ControlParts {
+            view,
+            money,
+            dispatch,
+            admin,
+            metrics,
+            in_flight,
+        } = parts;
+        RouterControl {
+            view,
+            money,
+            dispatch,
+            admin,
+            metrics,
+            in_flight,
+        }
     }
 
     async fn ask(&self, call: MoneyCall) -> Result<MoneyReply, Refusal> {
@@ -175,5 +191,10 @@
 /// The refusal of a request whose actor has stopped.
 fn stopped() -> Refusal {
     let reason = RefusalReason::LedgerUnavailable;
-    Refusal { reason, outcome: Outcome::NotRun, retry_after: None, elsewhere: None }
+    Refusal {
+        reason,
+        outcome: Outcome::NotRun,
+        retry_after: None,
+        elsewhere: None,
+    }
 }
--- a/toucanchute_router/src/http_client.rs
+++ b/toucanchute_router/src/http_client.rs
@@ -25,7 +25,9 @@
     Uri { source: http::uri::InvalidUri },
     /// The call did not complete.
     #[snafu(display("{source}"), context(false))]
-    Call { source: hyper_util::client::legacy::Error },
+    Call {
+        source: hyper_util::client::legacy::Error,
+    },
     /// The answer broke off or is too large.
     #[snafu(display("cannot read the answer: {detail}"))]
     Body { detail: String },
@@ -46,7 +48,9 @@
 impl HttpClient {
     /// Creates a client.
     pub(crate) fn new() -> HttpClient {
-        HttpClient { client: Client::builder(TokioExecutor::new()).build_http() }
+        HttpClient {
+            client: Client::builder(TokioExecutor::new()).build_http(),
+        }
     }
 
     /// Gets a JSON document.
@@ -64,9 +68,15 @@
     async fn get(&self, address: SocketAddr, path: &str) -> Result<Bytes, CallError> {
         let uri: Uri = format!("http://{address}{path}").parse()?;
         let res = self.client.get(uri).await?;
-        match Limited::new(res.into_body(), MAX_BODY_BYTES).collect().await {
+        match Limited::new(res.into_body(), MAX_BODY_BYTES)
+            .collect()
+            .await
+        {
             Ok(body) => Ok(body.to_bytes()),
-            Err(e) => BodySnafu { detail: e.to_string() }.fail(),
+            Err(e) => BodySnafu {
+                detail: e.to_string(),
+            }
+            .fail(),
         }
     }
 }
--- a/toucanchute_router/src/metrics.rs
+++ b/toucanchute_router/src/metrics.rs
@@ -30,19 +30,26 @@
             }
             None => StatsdClient::builder(PREFIX, NopMetricSink),
         };
-        Ok(Metrics { client: Arc::new(builder.with_tag("host", host).build()) })
+        Ok(Metrics {
+            client: Arc::new(builder.with_tag("host", host).build()),
+        })
     }
 
     /// Counts a refused request.
     pub(crate) fn refused(&self, reason: RefusalReason) {
         let reason = format!("{reason:?}");
-        self.client.count_with_tags("refused", 1).with_tag("reason", &reason).send();
+        self.client
+            .count_with_tags("refused", 1)
+            .with_tag("reason", &reason)
+            .send();
     }
 
     /// Counts a billed answer and its tokens.
     pub(crate) fn settled(&self, tokens: u64) {
         let _ = self.client.incr("settled");
-        let _ = self.client.count("tokens", i64::try_from(tokens).unwrap_or(i64::MAX));
+        let _ = self
+            .client
+            .count("tokens", i64::try_from(tokens).unwrap_or(i64::MAX));
     }
 
     /// Counts an attempt's progress or end.
--- a/toucanchute_router/src/output.rs
+++ b/toucanchute_router/src/output.rs
@@ -2,7 +2,7 @@
 
 mod error;
 
+pub use error::RunError;
 pub(crate) use error::{
     BindSnafu, LogSnafu, MetricsSnafu, RuntimeSnafu, SettingsSnafu, SignalSnafu,
 };
-pub use error::RunError;
--- a/toucanchute_router/src/platform/config.rs
+++ b/toucanchute_router/src/platform/config.rs
@@ -25,15 +25,21 @@
 
 /// Reads the head; `None` before the first apply.
 pub(super) async fn fetch_head(client: &Client) -> Result<Option<Head>, FetchError> {
-    let Some(entry) = client.get(HEAD_KEY).await? else { return Ok(None) };
-    serde_json::from_slice(&entry.value).map(Some).context(HeadSnafu)
+    let Some(entry) = client.get(HEAD_KEY).await? else {
+        return Ok(None);
+    };
+    serde_json::from_slice(&entry.value)
+        .map(Some)
+        .context(HeadSnafu)
 }
 
 /// Reads the configuration that the head names.
 pub(super) async fn fetch_config(
     client: &Client,
 ) -> Result<Option<(Arc<Config>, Digest)>, FetchError> {
-    let Some(head) = fetch_head(client).await? else { return Ok(None) };
+    let Some(head) = fetch_head(client).await? else {
+        return Ok(None);
+    };
     let mut bodies = Vec::with_capacity(head.chunks.len());
     for digest in &head.chunks {
         if let Some(entry) = client.get(&chunk_key(digest)).await? {
--- a/toucanchute_router/src/platform/ledger.rs
+++ b/toucanchute_router/src/platform/ledger.rs
@@ -19,7 +19,11 @@
     pub(crate) async fn run(&self, request: StoreRequest) -> StoreResult {
         let result = match request {
             StoreRequest::Get { key } => self.get(&key.path()).await,
-            StoreRequest::Cas { key, expected_revision, value } => {
+            StoreRequest::Cas {
+                key,
+                expected_revision,
+                value,
+            } => {
                 let expected = Revision(expected_revision);
                 let cas = self.client.cas(&key.path(), expected, value).await;
                 cas.map(cas_result)
@@ -30,16 +34,20 @@
 
     async fn get(&self, path: &str) -> Result<StoreResult, StoreError> {
         let entry = self.client.get(path).await?;
-        Ok(entry.map_or(StoreResult::Missing, |entry| StoreResult::Value {
-            revision: entry.revision.0,
-            value: entry.value,
-        }))
+        Ok(
+            entry.map_or(StoreResult::Missing, |entry| StoreResult::Value {
+                revision: entry.revision.0,
+                value: entry.value,
+            }),
+        )
     }
 }
 
 fn cas_result(cas: Cas) -> StoreResult {
     match cas {
-        Cas::Applied { revision } => StoreResult::Applied { revision: revision.0 },
+        Cas::Applied { revision } => StoreResult::Applied {
+            revision: revision.0,
+        },
         Cas::Conflict { .. } => StoreResult::Conflict,
     }
 }
--- a/toucanchute_router/src/platform/watch.rs
+++ b/toucanchute_router/src/platform/watch.rs
@@ -33,8 +33,16 @@
     /// Starts the tasks that read the platform.
     pub(crate) fn start(parts: PlatformParts) -> PlatformWatch {
         let fetch = Arc::new(Notify::new());
-        let PlatformParts { client, hosts, fleet } = parts;
-        tokio::spawn(fetch_configs(Arc::clone(&client), fleet.clone(), Arc::clone(&fetch)));
+        let PlatformParts {
+            client,
+            hosts,
+            fleet,
+        } = parts;
+        tokio::spawn(fetch_configs(
+            Arc::clone(&client),
+            fleet.clone(),
+            Arc::clone(&fetch),
+        ));
         tokio::spawn(read_views(client, hosts, fleet));
         PlatformWatch { fetch }
     }
@@ -61,7 +69,14 @@
     pause.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         pause.tick().await;
-        let Ok(duties) = fleet.send(Duties { backends: Vec::new() }).await else { return };
+        let Ok(duties) = fleet
+            .send(Duties {
+                backends: Vec::new(),
+            })
+            .await
+        else {
+            return;
+        };
         if duties.watches {
             read_head(&client, &fleet).await;
             read_hosts(&hosts, &fleet).await;
--- a/toucanchute_router/src/polls.rs
+++ b/toucanchute_router/src/polls.rs
@@ -67,7 +67,9 @@
             pause.tick().await;
             let engines = self.engines();
             let backends = engines.keys().cloned().collect();
-            let Ok(duties) = self.fleet.send(Duties { backends }).await else { return };
+            let Ok(duties) = self.fleet.send(Duties { backends }).await else {
+                return;
+            };
             cursors.retain(|name, _| engines.contains_key(name));
             let polls = duties.polls.into_iter().filter_map(|name| {
                 let address = *engines.get(&name)?;
@@ -82,15 +84,27 @@
 
     fn engines(&self) -> HashMap<String, SocketAddr> {
         let config = self.view.config();
-        let pools = config.pools.iter().filter(|pool| pool.kind == PoolKind::Engine);
+        let pools = config
+            .pools
+            .iter()
+            .filter(|pool| pool.kind == PoolKind::Engine);
         let pools: Vec<_> = pools.map(|pool| pool.name.as_str()).collect();
-        let engines = config.backends.iter().filter(|b| pools.contains(&b.pool.as_str()));
-        engines.filter_map(|b| Some((b.name.clone(), b.address.parse().ok()?))).collect()
+        let engines = config
+            .backends
+            .iter()
+            .filter(|b| pools.contains(&b.pool.as_str()));
+        engines
+            .filter_map(|b| Some((b.name.clone(), b.address.parse().ok()?)))
+            .collect()
     }
 
     /// Polls one engine; returns the next cache event's number.
     async fn poll(&self, backend: String, address: SocketAddr, after: u64) -> (String, u64) {
-        if let Ok(load) = self.http.get_json::<LoadDocument>(address, "/v1/load").await {
+        if let Ok(load) = self
+            .http
+            .get_json::<LoadDocument>(address, "/v1/load")
+            .await
+        {
             post(&self.fleet, FleetInput::Load(load_message(&backend, &load)));
         }
         let path = format!("/v1/cache-events?after={after}");
@@ -98,9 +112,19 @@
             return (backend, after);
         };
         let next = document.next;
-        let gap = document.events.first().is_some_and(|e| after > 0 && e.seq > after + 1);
+        let gap = document
+            .events
+            .first()
+            .is_some_and(|e| after > 0 && e.seq > after + 1);
         let events = document.events.iter().filter_map(cache_event).collect();
-        post(&self.dispatch, DispatchInput::CacheEvents { backend: backend.clone(), events, gap });
+        post(
+            &self.dispatch,
+            DispatchInput::CacheEvents {
+                backend: backend.clone(),
+                events,
+                gap,
+            },
+        );
         (backend, next)
     }
 }
--- a/toucanchute_router/src/run.rs
+++ b/toucanchute_router/src/run.rs
@@ -25,14 +25,22 @@
     let settings = load_router(&cli::settings_path(matches)).context(SettingsSnafu)?;
     let incarnation = Incarnation(rand::random());
     install_log(&settings, incarnation)?;
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
-    runtime.context(RuntimeSnafu)?.block_on(server::serve(settings, incarnation))
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    runtime
+        .context(RuntimeSnafu)?
+        .block_on(server::serve(settings, incarnation))
 }
 
 fn check(matches: &ArgMatches) -> Result<(), RunError> {
     let path = cli::settings_path(matches);
     let settings = load_router(&path).context(SettingsSnafu)?;
-    println!("{}: settings of host {} are valid", path.display(), settings.router.host);
+    println!(
+        "{}: settings of host {} are valid",
+        path.display(),
+        settings.router.host
+    );
     Ok(())
 }
 
@@ -44,7 +52,9 @@
         LogLevel::Debug => log::LevelFilter::Debug,
         LogLevel::Trace => log::LevelFilter::Trace,
     };
-    let setup = Setup::new("router").host(&settings.router.host).incarnation(incarnation);
+    let setup = Setup::new("router")
+        .host(&settings.router.host)
+        .incarnation(incarnation);
     let setup = setup.level(level);
     let setup = match &settings.log.file {
         Some(file) => setup.file(file.as_ref()),
--- a/toucanchute_router/src/server.rs
+++ b/toucanchute_router/src/server.rs
@@ -115,7 +115,11 @@
 
         let fleet = {
             let machine = Fleet::new(fleet_identity(settings, own), own.incarnation.0);
-            let parts = FleetParts { machine, mesh: mesh.clone(), view: Arc::clone(&view) };
+            let parts = FleetParts {
+                machine,
+                mesh: mesh.clone(),
+                view: Arc::clone(&view),
+            };
             xtra::spawn_tokio(FleetActor::new(parts), Mailbox::unbounded())
         };
         let money = {
@@ -129,8 +133,7 @@
             xtra::spawn_tokio(MoneyActor::new(parts), Mailbox::unbounded())
         };
         let dispatch = {
-            let machine =
-                Dispatcher::new(own.incarnation, &own.failure_domain, own.incarnation.0);
+            let machine = Dispatcher::new(own.incarnation, &own.failure_domain, own.incarnation.0);
             let actor = DispatchActor::new(machine, fleet.clone(), view.config());
             xtra::spawn_tokio(actor, Mailbox::unbounded())
         };
@@ -140,8 +143,12 @@
             hosts: HostListClient::new(vec![settings.platform.hosts], timeout),
             fleet: fleet.clone(),
         });
-        let actors =
-            FleetPeers { money: money.clone(), dispatch: dispatch.clone(), platform, exit };
+        let actors = FleetPeers {
+            money: money.clone(),
+            dispatch: dispatch.clone(),
+            platform,
+            exit,
+        };
         post(&fleet, FleetInput::Start(Box::new(actors)));
 
         let polls = Polls {
@@ -153,7 +160,11 @@
         tokio::spawn(polls.run());
         tokio::spawn(route_links(links, fleet.clone(), money.clone()));
         tokio::spawn(tick_fast(money.clone(), dispatch.clone()));
-        tokio::spawn(tick_fleet(fleet.clone(), Arc::clone(&in_flight), metrics.clone()));
+        tokio::spawn(tick_fleet(
+            fleet.clone(),
+            Arc::clone(&in_flight),
+            metrics.clone(),
+        ));
 
         let admin = Admin {
             own: own.clone(),
@@ -162,8 +173,19 @@
             fleet: fleet.clone(),
             in_flight: Arc::clone(&in_flight),
         };
-        let parts = ControlParts { view, money, dispatch, admin, metrics, in_flight };
-        Actors { mesh, fleet, control: RouterControl::new(parts) }
+        let parts = ControlParts {
+            view,
+            money,
+            dispatch,
+            admin,
+            metrics,
+            in_flight,
+        };
+        Actors {
+            mesh,
+            fleet,
+            control: RouterControl::new(parts),
+        }
     }
 }
 
@@ -224,7 +246,9 @@
 // --- parts
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, RunError> {
-    TcpListener::bind(address).await.context(BindSnafu { address })
+    TcpListener::bind(address)
+        .await
+        .context(BindSnafu { address })
 }
 
 fn identity(settings: &RouterSettings, own: &OwnHost) -> Identity {
@@ -237,7 +261,11 @@
         nonce: 0,
     };
     let secret = settings.router.peer_secret.clone();
-    Identity { incarnation: own.incarnation, hello, secret }
+    Identity {
+        incarnation: own.incarnation,
+        hello,
+        secret,
+    }
 }
 
 fn fleet_identity(settings: &RouterSettings, own: &OwnHost) -> FleetIdentity {
--- a/toucanchute_router/src/view.rs
+++ b/toucanchute_router/src/view.rs
@@ -21,7 +21,13 @@
     /// Creates the view of a router that takes no work for the reason given.
     pub(crate) fn new(config: Arc<Config>, unready: Refusal) -> View {
         let addresses = AddressList::default();
-        View { state: RwLock::new(State { config, addresses, unready: Some(unready) }) }
+        View {
+            state: RwLock::new(State {
+                config,
+                addresses,
+                unready: Some(unready),
+            }),
+        }
     }
 
     // --- reading
