--- a/toucanchute_edge/src/caller.rs
+++ b/toucanchute_edge/src/caller.rs
@@ -161,3 +161,6 @@
     };
     text.parse().map(|ms| Some(Millis(ms))).map_err(|_| bad)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/toucanchute_edge/src/caller/tests.rs
@@ -0,0 +1,85 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use toucanchute_proto::{
+    Millis,
+    config::{Budget, Config, Customer},
+};
+use yare::parameterized;
+
+use super::CallerRequest;
+use crate::{
+    config_index::{ConfigIndex, sha256},
+    control::{Outcome, Refusal, RefusalReason},
+    problem::Problem,
+};
+
+fn config() -> Config {
+    let token_sha256 = sha256(b"secret")
+        .iter()
+        .map(|b| format!("{b:02x}"))
+        .collect();
+    let customer = Customer {
+        name: "ana".to_owned(),
+        budget: "north".to_owned(),
+        token_sha256,
+        priority: 0,
+        weight: 1,
+    };
+    Config {
+        version: 1,
+        site: "test".to_owned(),
+        routing: toucanchute_proto::config::Routing::default(),
+        ledger: toucanchute_proto::config::Ledger::default(),
+        models: Vec::new(),
+        services: Vec::new(),
+        pools: Vec::new(),
+        backends: Vec::new(),
+        budgets: vec![Budget {
+            name: "north".to_owned(),
+        }],
+        customers: vec![customer],
+    }
+}
+
+fn refused(headers: &[(&'static str, &'static str)], reason: RefusalReason) -> Outcome {
+    let index = Arc::new(ConfigIndex::new(Arc::new(config())));
+    let customer = index.authenticate(b"secret").unwrap();
+    let mut map = HeaderMap::new();
+    for (name, value) in headers {
+        map.insert(*name, value.parse().unwrap());
+    }
+    let caller = CallerRequest::new(index, customer, "/", &map, Bytes::new(), Millis(1)).unwrap();
+    let refusal = Refusal {
+        reason,
+        outcome: Outcome::NotRun,
+        retry_after: None,
+        elsewhere: None,
+    };
+    caller.qualify(Problem::from(refusal)).outcome
+}
+
+/// What a refusal says of a request depends on whether it may have been sent before.
+#[parameterized(
+    no_key = { &[], RefusalReason::Draining, Outcome::NotRun },
+    key_alone = { &[("idempotency-key", "k")], RefusalReason::Draining, Outcome::Unknown },
+    fresh_key = {
+        &[("idempotency-key", "k"), ("toucanchute-retry", "0")],
+        RefusalReason::LedgerUnavailable,
+        Outcome::NotRun,
+    },
+    retried_key = {
+        &[("idempotency-key", "k"), ("toucanchute-retry", "2")],
+        RefusalReason::LedgerUnavailable,
+        Outcome::Unknown,
+    },
+    reused_key = { &[("idempotency-key", "k")], RefusalReason::KeyReused, Outcome::NotRun },
+)]
+fn outcome_of_refusal(
+    headers: &[(&'static str, &'static str)],
+    reason: RefusalReason,
+    expected: Outcome,
+) {
+    assert_eq!(refused(headers, reason), expected);
+}
