--- a/toucanchute_router/src/actor/money.rs
+++ b/toucanchute_router/src/actor/money.rs
@@ -350,7 +350,7 @@
         Answer::Recorded(answer) => Ok(MoneyReply::Recorded(ServiceAnswer {
             status: answer.status,
             content_type: answer.content_type,
-            body: answer.body.into(),
+            body: answer.body,
         })),
         Answer::NotRun => Err(refusal_of(RefusalReason::InProgress, Some(Millis(100)))),
         Answer::Unknown => Err(unknown_outcome()),
@@ -362,7 +362,7 @@
         Recorded::Answer(answer) => Answer::Recorded(RecordedAnswer {
             status: answer.status,
             content_type: answer.content_type,
-            body: answer.body.into(),
+            body: answer.body,
         }),
         Recorded::NotRun => Answer::NotRun,
         Recorded::Unknown => Answer::Unknown,
--- a/toucanchute_router/src/link.rs
+++ b/toucanchute_router/src/link.rs
@@ -9,6 +9,5 @@
 mod handshake;
 mod mesh;
 
-pub(crate) use frame::{Frame, encode};
 pub(crate) use handshake::Identity;
 pub(crate) use mesh::{LinkEvent, Mesh, Peer};
--- a/toucanchute_router/src/link/connection.rs
+++ b/toucanchute_router/src/link/connection.rs
@@ -93,7 +93,7 @@
             };
             match message.context(error::SocketSnafu)? {
                 Message::Binary(buf) => {
-                    if let Some(frame) = Frame::decode(buf)? {
+                    if let Some(frame) = Frame::decode(&buf)? {
                         return Ok(frame);
                     }
                 }
--- a/toucanchute_router/src/link/frame.rs
+++ b/toucanchute_router/src/link/frame.rs
@@ -24,7 +24,7 @@
 
 impl Frame {
     /// Decodes a frame; `None` if its kind is of a later version.
-    pub(crate) fn decode(buf: Bytes) -> Result<Option<Frame>, LinkError> {
+    pub(crate) fn decode(buf: &Bytes) -> Result<Option<Frame>, LinkError> {
         let mut rest = &buf[..];
         let header: ciborium::Value = decode_item(&mut rest)?;
         let header: FrameHeader = match header.deserialized() {
--- a/toucanchute_router/src/link/frame/tests.rs
+++ b/toucanchute_router/src/link/frame/tests.rs
@@ -25,7 +25,7 @@
 #[test]
 fn round_trip() {
     let buf = encode(Incarnation(3), FrameKind::Money, &"message");
-    let frame = Frame::decode(buf).unwrap().unwrap();
+    let frame = Frame::decode(&buf).unwrap().unwrap();
     assert_eq!((frame.from, frame.kind), (Incarnation(3), FrameKind::Money));
     assert_eq!(frame.message::<String>().unwrap(), "message");
 }
@@ -37,7 +37,7 @@
 )]
 fn later_versions_are_understood_or_ignored(version: u64, kind: &str, known: bool) {
     assert_eq!(
-        Frame::decode(header(version, kind)).unwrap().is_some(),
+        Frame::decode(&header(version, kind)).unwrap().is_some(),
         known
     );
 }
@@ -48,10 +48,10 @@
     not_a_map = { &[0x01, 0x01] },
 )]
 fn malformed_is_an_error(buf: &'static [u8]) {
-    assert!(Frame::decode(Bytes::from_static(buf)).is_err());
+    assert!(Frame::decode(&Bytes::from_static(buf)).is_err());
 }
 
 #[test]
 fn unknown_kind_of_this_version_is_an_error() {
-    assert!(Frame::decode(header(1, "quantum")).is_err());
+    assert!(Frame::decode(&header(1, "quantum")).is_err());
 }
--- a/toucanchute_router/src/platform/ledger.rs
+++ b/toucanchute_router/src/platform/ledger.rs
@@ -26,7 +26,7 @@
             } => {
                 let expected = Revision(expected_revision);
                 let cas = self.client.cas(&key.path(), expected, value).await;
-                cas.map(cas_result)
+                cas.map(|cas| cas_result(&cas))
             }
         };
         result.unwrap_or_else(|e| failure(&e))
@@ -43,7 +43,7 @@
     }
 }
 
-fn cas_result(cas: Cas) -> StoreResult {
+fn cas_result(cas: &Cas) -> StoreResult {
     match cas {
         Cas::Applied { revision } => StoreResult::Applied {
             revision: revision.0,
--- a/toucanchute_router/src/server.rs
+++ b/toucanchute_router/src/server.rs
@@ -276,6 +276,7 @@
         region: settings.router.region.clone(),
         caller_address: own.caller_address,
         peer_address: own.peer_address,
+        seeds: settings.peers.addresses.clone(),
     }
 }
 
@@ -295,7 +296,7 @@
 
 fn client_settings(settings: &RouterSettings) -> ClientSettings {
     let mut client = ClientSettings::new(settings.platform.endpoints.clone());
-    client.call_timeout = Millis(settings.platform.timeout_ms);
+    client.timeout = Millis(settings.platform.timeout_ms);
     client
 }
 
