fix(router): links survive simultaneous dials and partitions

Links are pinged each second and given up after 3 s of silence, since TCP's backoff would keep a healed partition cut; peers without a link are dialed when there is a message for them.

--- a/toucanchute_router/src/link/connection.rs
+++ b/toucanchute_router/src/link/connection.rs
@@ -82,34 +82,35 @@
             .await
             .context(error::SocketSnafu)
     }
+
+    /// Sends a keepalive.
+    pub(super) async fn ping(&mut self) -> Result<(), LinkError> {
+        let ping = Message::Ping(Bytes::new());
+        self.sink.send(ping).await.context(error::SocketSnafu)
+    }
 }
 
 impl FrameReader {
-    /// Receives the next frame of a known kind.
-    pub(super) async fn receive(&mut self) -> Result<Frame, LinkError> {
-        loop {
-            let Some(message) = self.stream.next().await else {
-                return error::ClosedSnafu.fail();
-            };
-            match message.context(error::SocketSnafu)? {
-                Message::Binary(buf) => {
-                    if let Some(frame) = Frame::decode(&buf)? {
-                        return Ok(frame);
-                    }
-                }
-                Message::Close(_) => return error::ClosedSnafu.fail(),
-                Message::Text(_) | Message::Ping(_) | Message::Pong(_) | Message::Frame(_) => {}
-            }
+    /// Receives the next message; `None` if it is a keepalive or a frame of an unknown kind.
+    pub(super) async fn receive(&mut self) -> Result<Option<Frame>, LinkError> {
+        let Some(message) = self.stream.next().await else {
+            return error::ClosedSnafu.fail();
+        };
+        match message.context(error::SocketSnafu)? {
+            Message::Binary(buf) => Frame::decode(&buf),
+            Message::Close(_) => error::ClosedSnafu.fail(),
+            Message::Text(_) | Message::Ping(_) | Message::Pong(_) | Message::Frame(_) => Ok(None),
         }
     }
 
     /// Receives the next frame, which has to be of `kind`.
     pub(super) async fn receive_kind(&mut self, kind: FrameKind) -> Result<Frame, LinkError> {
-        let frame = self.receive().await?;
-        if frame.kind == kind {
-            Ok(frame)
-        } else {
-            error::HandshakeSnafu.fail()
+        loop {
+            match self.receive().await? {
+                Some(frame) if frame.kind == kind => return Ok(frame),
+                Some(_) => return error::HandshakeSnafu.fail(),
+                None => {}
+            }
         }
     }
 }
--- a/toucanchute_router/src/link/mesh.rs
+++ b/toucanchute_router/src/link/mesh.rs
@@ -14,6 +14,7 @@
     net::{TcpListener, TcpStream},
     sync::mpsc,
     task::JoinHandle,
+    time::MissedTickBehavior,
 };
 use toucanchute_proto::{
     Incarnation,
@@ -36,6 +37,13 @@
 /// Longest pause before a failed dial is repeated.
 const REDIAL_MAX: Duration = Duration::from_secs(1);
 
+/// Pause between two pings that tell the other side of a link that this one lives.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// Longest silence on a link before it is given up; a link that a partition cut would otherwise
+/// hang until TCP sends again, long after the partition has healed.
+const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+
 /// Something that happened on a link.
 #[derive(Debug)]
 pub(crate) enum LinkEvent {
@@ -72,10 +80,15 @@
 
 #[derive(Debug, Default)]
 struct Links {
-    /// At most one link a peer; a newer one takes the place of an older.
-    open: BTreeMap<Incarnation, Link>,
+    /// Open links of each peer, oldest first; never an empty list. There are two for a while when
+    /// both sides dialed at once.
+    open: BTreeMap<Incarnation, Vec<Link>>,
     /// Addresses that have a dialing task; none has two.
     dialed: BTreeSet<SocketAddr>,
+    /// Where to dial a peer that has no link when a message is for it.
+    addresses: BTreeMap<Incarnation, SocketAddr>,
+    /// Addresses to be dialed whatever is known of the router there.
+    kept: BTreeSet<SocketAddr>,
 }
 
 #[derive(Debug)]
@@ -115,12 +128,24 @@
     }
 
     /// Keeps a link to the router at `address`, dialing again whenever it is gone.
+    pub(crate) fn keep(&self, address: SocketAddr) {
+        self.links().kept.insert(address);
+        self.connect(address);
+    }
+
+    /// Opens a link to the router at `address` and dials again as long as a live peer has it.
     pub(crate) fn connect(&self, address: SocketAddr) {
         if self.links().dialed.insert(address) {
-            drop(tokio::spawn(self.clone().dial_forever(address)));
+            drop(tokio::spawn(self.clone().dial(address)));
         }
     }
 
+    /// Replaces the addresses of live peers. A peer without a link is dialed when there is a
+    /// message for it.
+    pub(crate) fn set_addresses(&self, addresses: BTreeMap<Incarnation, SocketAddr>) {
+        self.links().addresses = addresses;
+    }
+
     async fn answer(self, stream: TcpStream) {
         let result = async {
             let conn = Connection::accept(stream).await?;
@@ -131,12 +156,12 @@
         }
     }
 
-    async fn dial_forever(self, address: SocketAddr) {
+    async fn dial(self, address: SocketAddr) {
         let mut pause = REDIAL_MIN;
-        loop {
+        while self.is_wanted(address) {
             let result = async { self.run(Connection::dial(address).await?, true).await };
             match result.await {
-                Err(LinkError::Own) => return,
+                Err(LinkError::Own) => break,
                 Err(e @ LinkError::Secret { .. }) => {
                     log::error!(address:% = address, error:% = e; "peer-link-refused");
                     pause = REDIAL_MAX;
@@ -150,6 +175,12 @@
             let jitter = Duration::from_millis(rand::random_range(0..50));
             tokio::time::sleep(pause + jitter).await;
         }
+        self.links().dialed.remove(&address);
+    }
+
+    fn is_wanted(&self, address: SocketAddr) -> bool {
+        let links = self.links();
+        links.kept.contains(&address) || links.addresses.values().any(|known| *known == address)
     }
 
     // --- running links
@@ -163,21 +194,13 @@
         }
         let (tx, rx) = mpsc::channel(SEND_QUEUE);
         let id = self.shared.next_link.fetch_add(1, Ordering::Relaxed);
-        self.links().open.insert(from, Link { id, tx });
-        log::info!(peer:% = from, peer_host = hello.host; "peer-link-up");
-        let _ = self.shared.events.send(LinkEvent::Up(Peer {
-            incarnation: from,
-            hello,
-        }));
+        self.add(from, hello, Link { id, tx });
         let Connection { writer, reader } = conn;
         let result = tokio::select! {
             result = write_frames(writer, rx) => result,
             result = self.read_frames(reader, from) => result,
         };
-        if self.remove(from, id) {
-            log::info!(peer:% = from; "peer-link-down");
-            let _ = self.shared.events.send(LinkEvent::Down(from));
-        }
+        self.remove(from, id);
         result
     }
 
@@ -187,14 +210,17 @@
         from: Incarnation,
     ) -> Result<(), LinkError> {
         loop {
-            let frame = reader.receive().await?;
+            let Ok(frame) = tokio::time::timeout(SILENCE_LIMIT, reader.receive()).await else {
+                return Err(LinkError::Timeout);
+            };
+            let Some(frame) = frame? else { continue };
             if frame.from == from {
                 let _ = self.shared.events.send(LinkEvent::Frame(frame));
             }
         }
     }
 
-    /// Of two links between a pair, the one that the lower incarnation opened stays.
+    /// A second link between a pair is not kept by the greater incarnation that dialed it.
     fn is_redundant(&self, peer: Incarnation) -> bool {
         peer < self.shared.identity.incarnation && self.links().open.contains_key(&peer)
     }
@@ -205,13 +231,30 @@
         }
     }
 
-    fn remove(&self, peer: Incarnation, id: u64) -> bool {
+    fn add(&self, from: Incarnation, hello: Hello, link: Link) {
         let mut links = self.links();
-        let current = links.open.get(&peer).is_some_and(|link| link.id == id);
-        if current {
-            links.open.remove(&peer);
+        let open = links.open.entry(from).or_default();
+        open.push(link);
+        if open.len() == 1 {
+            log::info!(peer:% = from, peer_host = hello.host; "peer-link-up");
+            let _ = self.shared.events.send(LinkEvent::Up(Peer {
+                incarnation: from,
+                hello,
+            }));
+        }
+    }
+
+    fn remove(&self, from: Incarnation, id: u64) {
+        let mut links = self.links();
+        let Some(open) = links.open.get_mut(&from) else {
+            return;
+        };
+        open.retain(|link| link.id != id);
+        if open.is_empty() {
+            links.open.remove(&from);
+            log::info!(peer:% = from; "peer-link-down");
+            let _ = self.shared.events.send(LinkEvent::Down(from));
         }
-        current
     }
 
     // --- sending
@@ -219,12 +262,17 @@
     /// Sends a message to a peer; it is dropped if there is no link or its queue is full.
     pub(crate) fn send<M: Serialize>(&self, to: Incarnation, kind: FrameKind, message: &M) {
         let links = self.links();
-        let Some(link) = links.open.get(&to) else {
+        if let Some(link) = links.open.get(&to).and_then(|open| open.first()) {
+            let _ = link
+                .tx
+                .try_send(encode(self.shared.identity.incarnation, kind, message));
             return;
-        };
-        let _ = link
-            .tx
-            .try_send(encode(self.shared.identity.incarnation, kind, message));
+        }
+        let address = links.addresses.get(&to).copied();
+        drop(links);
+        if let Some(address) = address {
+            self.connect(address);
+        }
     }
 
     fn links(&self) -> MutexGuard<'_, Links> {
@@ -239,8 +287,15 @@
     mut writer: FrameWriter,
     mut rx: mpsc::Receiver<Bytes>,
 ) -> Result<(), LinkError> {
-    while let Some(buf) = rx.recv().await {
-        writer.send(buf).await?;
+    let mut keepalive = tokio::time::interval(KEEPALIVE);
+    keepalive.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            buf = rx.recv() => match buf {
+                Some(buf) => writer.send(buf).await?,
+                None => return Ok(()),
+            },
+            _ = keepalive.tick() => writer.ping().await?,
+        }
     }
-    Ok(())
 }
--- a/toucanchute_router/src/server.rs
+++ b/toucanchute_router/src/server.rs
@@ -71,7 +71,7 @@
     actors.mesh.listen(peers);
     for address in &settings.peers.addresses {
         if *address != own.peer_address {
-            actors.mesh.connect(*address);
+            actors.mesh.keep(*address);
         }
     }
     log::info!(listen:% = settings.router.listen; "router-started");
