feat(platform): client of the key-value service and the host list

Cause: ledger, configuration and membership reach the platform through one trait, Store, which tests replace.

Weighed: on a failure, whether a write may have been applied decides what the ledger does next, so each error says it. Proven not applied: no connection came about, or the service refused with a client error. All else is unknown. Reads go on to the next endpoint; a write only if the last one provably did nothing.

A watch connects again from the revision after the last one told, reports a gap when the service has forgotten some, and does not take the revision of the stream's first line for progress: that lost the changes between the start revision and the present one (found by its test).

--- a/toucanchute_fakes/src/cli.rs
+++ b/toucanchute_fakes/src/cli.rs
@@ -45,6 +45,7 @@
     let matches = cmd.get_matches();
     let options = PlatformOptions {
         max_value_bytes: get(&matches, "max-value-bytes", defaults.max_value_bytes as u64) as usize,
+        history: defaults.history,
         host_lag_ms: get(&matches, "host-lag-ms", defaults.host_lag_ms),
         writes_per_second: get(
             &matches,
--- a/toucanchute_fakes/src/platform.rs
+++ b/toucanchute_fakes/src/platform.rs
@@ -39,6 +39,8 @@
 pub struct PlatformOptions {
     /// Largest value, in bytes.
     pub max_value_bytes: usize,
+    /// Changes that a watch can still be told of later.
+    pub history: usize,
     /// Time until a change of the host list is seen, in milliseconds.
     pub host_lag_ms: u64,
     /// Writes admitted in a second; zero for no limit.
@@ -53,6 +55,7 @@
     fn default() -> PlatformOptions {
         PlatformOptions {
             max_value_bytes: 1_000_000,
+            history: 20_000,
             host_lag_ms: 500,
             writes_per_second: 0,
             reads_per_second: 0,
@@ -120,7 +123,7 @@
 
 impl Shared {
     fn new(options: PlatformOptions) -> Shared {
-        let tree = Tree::new(options.max_value_bytes);
+        let tree = Tree::new(options.max_value_bytes, options.history);
         let revision = channel::Sender::new(tree.revision());
         let state = State {
             tree,
--- a/toucanchute_fakes/src/platform/tree.rs
+++ b/toucanchute_fakes/src/platform/tree.rs
@@ -9,9 +9,6 @@
     RangeResponse, RequestOp, ResponseOp, TxnRequest, TxnResponse,
 };
 
-/// Events kept for watches that start at an earlier revision.
-const MAX_HISTORY: usize = 20_000;
-
 /// Why a request changed nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Rejection {
@@ -33,6 +30,7 @@
     compacted: i64,
     next_lease: i64,
     max_value_bytes: usize,
+    max_history: usize,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -42,7 +40,7 @@
 }
 
 impl Tree {
-    pub(crate) fn new(max_value_bytes: usize) -> Tree {
+    pub(crate) fn new(max_value_bytes: usize, max_history: usize) -> Tree {
         Tree {
             kvs: BTreeMap::new(),
             leases: BTreeMap::new(),
@@ -51,6 +49,7 @@
             compacted: 0,
             next_lease: 1000,
             max_value_bytes,
+            max_history,
         }
     }
 
@@ -230,7 +229,7 @@
 
     fn remember(&mut self, event: Event) {
         self.history.push_back(event);
-        while self.history.len() > MAX_HISTORY {
+        while self.history.len() > self.max_history {
             if let Some(event) = self.history.pop_front() {
                 self.compacted = event.kv.mod_revision.0;
             }
--- a/toucanchute_fakes/src/server.rs
+++ b/toucanchute_fakes/src/server.rs
@@ -135,7 +135,8 @@
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |req| {
         observe_clock(&req);
-        Arc::clone(&handler).handle(req)
+        let reply = Arc::clone(&handler).handle(req);
+        async { reply.await.map(stamp_clock) }
     });
     let mut http = http1::Builder::new();
     http.timer(TokioTimer::new());
@@ -150,3 +151,12 @@
         toucanchute_log::observe(stamp);
     }
 }
+
+/// Stamps a reply by the log's clock.
+fn stamp_clock(mut reply: Reply) -> Reply {
+    if let Ok(stamp) = toucanchute_log::now().to_string().parse() {
+        let headers = reply.headers_mut();
+        headers.insert(toucanchute_log::CLOCK_HEADER, stamp);
+    }
+    reply
+}
--- /dev/null
+++ b/toucanchute_platform/src/client.rs
@@ -0,0 +1,189 @@
+mod connection;
+mod follow;
+mod wire;
+
+use std::{net::SocketAddr, sync::Arc};
+
+use bytes::Bytes;
+use serde::{Serialize, de::DeserializeOwned};
+use toucanchute_proto::Millis;
+
+pub(crate) use self::connection::Connection;
+use self::wire::{
+    Blob, DeleteRequest, DeleteResponse, LeaseRequest, LeaseResponse, Num, PutRequest, PutResponse,
+    RangeRequest, RangeResponse, ResponseOp, Streamed, TxnRequest, TxnResponse,
+};
+use crate::{
+    CallCounts, CallKind, Cas, Entry, LeaseId, Revision, Selection, Snapshot, Store, StoreError,
+    Watch,
+};
+
+/// Milliseconds in a second.
+const SECOND_MS: u64 = 1000;
+
+/// Settings of a [`Client`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClientSettings {
+    /// Endpoints of the key-value service, tried in turn.
+    pub endpoints: Vec<SocketAddr>,
+    /// Time allowed for one call at one endpoint.
+    pub timeout: Millis,
+    /// Pause before a watch connects again.
+    pub watch_pause: Millis,
+}
+
+impl ClientSettings {
+    /// Returns the settings of a client of `endpoints`, the rest at defaults.
+    #[must_use]
+    pub fn new(endpoints: Vec<SocketAddr>) -> ClientSettings {
+        ClientSettings {
+            endpoints,
+            timeout: Millis(1000),
+            watch_pause: Millis(200),
+        }
+    }
+}
+
+/// Client of a key-value service that speaks etcd v3's JSON mapping.
+///
+/// Cloning it is cheap; clones share their connections and counts. A read is tried at each
+/// endpoint; a write goes to the next endpoint only if it provably took no effect at the last.
+///
+/// ```
+/// use toucanchute_fakes::{Platform, PlatformOptions};
+/// use toucanchute_platform::{Cas, Client, ClientSettings, Revision, Store};
+///
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// let listen = "127.0.0.1:0".parse().unwrap();
+/// let platform = Platform::bind(listen, PlatformOptions::default()).await.unwrap();
+/// let client = Client::new(ClientSettings::new(vec![platform.address()]));
+///
+/// let cas = client.cas("/head", Revision::ABSENT, "one".into()).await.unwrap();
+/// assert!(matches!(cas, Cas::Applied { .. }));
+/// let cas = client.cas("/head", Revision::ABSENT, "two".into()).await.unwrap();
+/// assert!(matches!(cas, Cas::Conflict { current: Some(entry) } if entry.value == "one"));
+/// # });
+/// ```
+#[derive(Clone, Debug)]
+pub struct Client {
+    connection: Arc<Connection>,
+    watch_pause: Millis,
+}
+
+impl Client {
+    /// Creates a client; it connects when first used.
+    #[must_use]
+    pub fn new(settings: ClientSettings) -> Client {
+        Client {
+            connection: Arc::new(Connection::new(settings.endpoints, settings.timeout)),
+            watch_pause: settings.watch_pause,
+        }
+    }
+
+    /// Returns the numbers of calls so far.
+    #[must_use]
+    pub fn counts(&self) -> CallCounts {
+        self.connection.counters().read()
+    }
+
+    async fn call<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        kind: CallKind,
+        path: &str,
+        req: &Q,
+    ) -> Result<A, StoreError> {
+        self.connection.call(kind, path, req).await
+    }
+}
+
+impl Store for Client {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
+        let req = RangeRequest::key(key);
+        let res: RangeResponse = self.call(CallKind::Read, "/v3/kv/range", &req).await?;
+        Ok(res.kvs.into_iter().next().map(Entry::from))
+    }
+
+    async fn get_prefix(&self, prefix: &str) -> Result<Snapshot, StoreError> {
+        let req = RangeRequest::prefix(prefix);
+        let res: RangeResponse = self.call(CallKind::Read, "/v3/kv/range", &req).await?;
+        Ok(Snapshot {
+            revision: res.header.revision(),
+            entries: res.kvs.into_iter().map(Entry::from).collect(),
+        })
+    }
+
+    async fn cas(&self, key: &str, expected: Revision, value: Bytes) -> Result<Cas, StoreError> {
+        let req = TxnRequest::cas(key, expected, value);
+        let res: TxnResponse = self.call(CallKind::Write, "/v3/kv/txn", &req).await?;
+        if res.succeeded {
+            let revision = res.header.revision();
+            return Ok(Cas::Applied { revision });
+        }
+        let found = res.responses.into_iter().find_map(ResponseOp::into_range);
+        let current = found.and_then(|found| found.kvs.into_iter().next());
+        Ok(Cas::Conflict {
+            current: current.map(Entry::from),
+        })
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: Bytes,
+        lease: Option<LeaseId>,
+    ) -> Result<Revision, StoreError> {
+        let req = PutRequest {
+            key: Blob::from(key),
+            value: Blob(value),
+            lease: Num(lease.map_or(0, |lease| lease.0)),
+        };
+        let res: PutResponse = self.call(CallKind::Write, "/v3/kv/put", &req).await?;
+        Ok(res.header.revision())
+    }
+
+    async fn delete(&self, key: &str) -> Result<bool, StoreError> {
+        let key = Blob::from(key);
+        let req = DeleteRequest { key };
+        let path = "/v3/kv/deleterange";
+        let res: DeleteResponse = self.call(CallKind::Write, path, &req).await?;
+        Ok(res.deleted.0 > 0)
+    }
+
+    async fn grant_lease(&self, ttl: Millis) -> Result<LeaseId, StoreError> {
+        let seconds = ttl.0.div_ceil(SECOND_MS).max(1);
+        let req = LeaseRequest {
+            id: Num(0),
+            ttl: Num(i64::try_from(seconds).unwrap_or(i64::MAX)),
+        };
+        let res: LeaseResponse = self.call(CallKind::Lease, "/v3/lease/grant", &req).await?;
+        Ok(LeaseId(res.id.0))
+    }
+
+    async fn keep_alive(&self, lease: LeaseId) -> Result<Millis, StoreError> {
+        let req = LeaseRequest::of(lease);
+        let path = "/v3/lease/keepalive";
+        let res: Streamed<LeaseResponse> = self.call(CallKind::Lease, path, &req).await?;
+        let seconds = u64::try_from(res.result.ttl.0).unwrap_or(0);
+        Ok(Millis(seconds.saturating_mul(SECOND_MS)))
+    }
+
+    async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        let req = LeaseRequest::of(lease);
+        let path = "/v3/lease/revoke";
+        let _: LeaseResponse = self.call(CallKind::Lease, path, &req).await?;
+        Ok(())
+    }
+
+    fn watch(&self, selection: Selection, from: Revision) -> Watch {
+        let (tx, watch) = Watch::channel();
+        let connection = Arc::clone(&self.connection);
+        tokio::spawn(follow::follow(
+            connection,
+            selection,
+            from,
+            self.watch_pause,
+            tx,
+        ));
+        watch
+    }
+}
--- /dev/null
+++ b/toucanchute_platform/src/client/wire.rs
@@ -0,0 +1,327 @@
+//! Messages of etcd v3's JSON mapping: bytes are base64, 64-bit numbers are strings.
+
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+
+use crate::{Entry, LeaseId, Revision, Selection};
+
+/// Bytes, as base64 text.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Blob(pub(super) Bytes);
+
+impl From<&str> for Blob {
+    fn from(text: &str) -> Blob {
+        Blob(Bytes::copy_from_slice(text.as_bytes()))
+    }
+}
+
+impl Serialize for Blob {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&STANDARD.encode(&self.0))
+    }
+}
+
+impl<'de> Deserialize<'de> for Blob {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Blob, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        let bytes = STANDARD.decode(text).map_err(de::Error::custom)?;
+        Ok(Blob(bytes.into()))
+    }
+}
+
+/// A 64-bit number, as text.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Num(pub(super) i64);
+
+impl Num {
+    fn is_zero(&self) -> bool {
+        self.0 == 0
+    }
+}
+
+impl From<Revision> for Num {
+    fn from(revision: Revision) -> Num {
+        Num(i64::try_from(revision.0).unwrap_or(i64::MAX))
+    }
+}
+
+impl Serialize for Num {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&self.0.to_string())
+    }
+}
+
+impl<'de> Deserialize<'de> for Num {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Num, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        text.parse().map(Num).map_err(de::Error::custom)
+    }
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct Header {
+    revision: Num,
+}
+
+impl Header {
+    pub(super) fn revision(&self) -> Revision {
+        to_revision(self.revision)
+    }
+}
+
+/// Returns a revision; the service gives no negative one.
+pub(super) fn to_revision(number: Num) -> Revision {
+    Revision(u64::try_from(number.0).unwrap_or(0))
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct KeyValue {
+    pub(super) key: Blob,
+    pub(super) mod_revision: Num,
+    value: Blob,
+}
+
+impl KeyValue {
+    pub(super) fn key(&self) -> String {
+        String::from_utf8_lossy(&self.key.0).into_owned()
+    }
+}
+
+impl From<KeyValue> for Entry {
+    fn from(kv: KeyValue) -> Entry {
+        Entry {
+            key: kv.key(),
+            value: kv.value.0,
+            revision: to_revision(kv.mod_revision),
+        }
+    }
+}
+
+#[derive(Debug, Serialize)]
+pub(super) struct RangeRequest {
+    key: Blob,
+    range_end: Blob,
+}
+
+impl RangeRequest {
+    pub(super) fn key(key: &str) -> RangeRequest {
+        RangeRequest {
+            key: Blob::from(key),
+            range_end: Blob::default(),
+        }
+    }
+
+    pub(super) fn prefix(prefix: &str) -> RangeRequest {
+        RangeRequest {
+            key: Blob::from(prefix),
+            range_end: prefix_end(prefix),
+        }
+    }
+}
+
+/// Returns the first key after all that start with `prefix`.
+fn prefix_end(prefix: &str) -> Blob {
+    let mut end = prefix.as_bytes().to_vec();
+    while let Some(last) = end.pop() {
+        if last < u8::MAX {
+            end.push(last + 1);
+            return Blob(end.into());
+        }
+    }
+    Blob(Bytes::from_static(&[0]))
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct RangeResponse {
+    pub(super) header: Header,
+    pub(super) kvs: Vec<KeyValue>,
+}
+
+#[derive(Debug, Serialize)]
+pub(super) struct PutRequest {
+    pub(super) key: Blob,
+    pub(super) value: Blob,
+    #[serde(skip_serializing_if = "Num::is_zero")]
+    pub(super) lease: Num,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct PutResponse {
+    pub(super) header: Header,
+}
+
+#[derive(Debug, Serialize)]
+pub(super) struct DeleteRequest {
+    pub(super) key: Blob,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct DeleteResponse {
+    pub(super) deleted: Num,
+}
+
+#[derive(Debug, Serialize)]
+struct Compare {
+    key: Blob,
+    target: &'static str,
+    result: &'static str,
+    mod_revision: Num,
+}
+
+#[derive(Debug, Serialize)]
+enum RequestOp {
+    #[serde(rename = "request_range")]
+    Range(RangeRequest),
+    #[serde(rename = "request_put")]
+    Put(PutRequest),
+}
+
+#[derive(Debug, Serialize)]
+pub(super) struct TxnRequest {
+    compare: [Compare; 1],
+    success: [RequestOp; 1],
+    failure: [RequestOp; 1],
+}
+
+impl TxnRequest {
+    /// Returns a transaction that writes a key or, if that changed, reads it.
+    pub(super) fn cas(key: &str, expected: Revision, value: Bytes) -> TxnRequest {
+        let compare = Compare {
+            key: Blob::from(key),
+            target: "MOD",
+            result: "EQUAL",
+            mod_revision: expected.into(),
+        };
+        let put = PutRequest {
+            key: Blob::from(key),
+            value: Blob(value),
+            lease: Num(0),
+        };
+        TxnRequest {
+            compare: [compare],
+            success: [RequestOp::Put(put)],
+            failure: [RequestOp::Range(RangeRequest::key(key))],
+        }
+    }
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct TxnResponse {
+    pub(super) header: Header,
+    pub(super) succeeded: bool,
+    pub(super) responses: Vec<ResponseOp>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct ResponseOp {
+    response_range: Option<RangeResponse>,
+}
+
+impl ResponseOp {
+    pub(super) fn into_range(self) -> Option<RangeResponse> {
+        self.response_range
+    }
+}
+
+#[derive(Debug, Serialize)]
+pub(super) struct LeaseRequest {
+    #[serde(rename = "ID")]
+    pub(super) id: Num,
+    #[serde(rename = "TTL", skip_serializing_if = "Num::is_zero")]
+    pub(super) ttl: Num,
+}
+
+impl LeaseRequest {
+    pub(super) fn of(lease: LeaseId) -> LeaseRequest {
+        LeaseRequest {
+            id: Num(lease.0),
+            ttl: Num(0),
+        }
+    }
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct LeaseResponse {
+    #[serde(rename = "ID")]
+    pub(super) id: Num,
+    #[serde(rename = "TTL")]
+    pub(super) ttl: Num,
+}
+
+#[derive(Debug, Serialize)]
+pub(super) struct WatchRequest {
+    create_request: WatchCreate,
+}
+
+#[derive(Debug, Serialize)]
+struct WatchCreate {
+    key: Blob,
+    range_end: Blob,
+    start_revision: Num,
+    progress_notify: bool,
+}
+
+impl WatchRequest {
+    pub(super) fn new(selection: &Selection, from: Revision) -> WatchRequest {
+        let range = match selection {
+            Selection::Key(key) => RangeRequest::key(key),
+            Selection::Prefix(prefix) => RangeRequest::prefix(prefix),
+        };
+        WatchRequest {
+            create_request: WatchCreate {
+                key: range.key,
+                range_end: range.range_end,
+                start_revision: from.into(),
+                progress_notify: true,
+            },
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub(super) enum EventKind {
+    #[default]
+    Put,
+    Delete,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct Event {
+    #[serde(rename = "type")]
+    pub(super) kind: EventKind,
+    pub(super) kv: KeyValue,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct WatchResponse {
+    pub(super) header: Header,
+    pub(super) created: bool,
+    pub(super) canceled: bool,
+    pub(super) compact_revision: Num,
+    pub(super) events: Vec<Event>,
+}
+
+/// One line of a streamed answer.
+#[derive(Debug, Deserialize)]
+pub(super) struct Streamed<T> {
+    pub(super) result: T,
+}
+
+/// Body of an answer with an error status.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct ErrorBody {
+    pub(super) message: String,
+}
--- a/toucanchute_platform/src/lib.rs
+++ b/toucanchute_platform/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder.
+//! Client of the platform: its key-value service with compare-and-swap, leases and watches, and
+//! its list of hosts.
+//!
+//! The key-value service is reached through the [`Store`] trait, which tests replace; [`Client`]
+//! speaks etcd v3's JSON mapping over HTTP/1.1.
+
+mod client;
+mod counts;
+mod error;
+mod hosts;
+mod store;
+mod watch;
+
+pub use client::{Client, ClientSettings};
+pub use counts::{CallCounts, CallKind};
+pub use error::{Applied, StoreError};
+pub use hosts::{Host, HostList, HostListClient, HostRole, HostState};
+pub use store::{Cas, Entry, LeaseId, Revision, Selection, Snapshot, Store};
+pub use watch::{Update, Watch, WatchSender};
--- /dev/null
+++ b/toucanchute_platform/tests/support/rig.rs
@@ -0,0 +1,58 @@
+use std::net::{SocketAddr, TcpListener};
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use hyper_util::{client::legacy::Client as HttpClient, rt::TokioExecutor};
+use toucanchute_fakes::{Platform, PlatformOptions};
+use toucanchute_platform::{Client, ClientSettings};
+use toucanchute_proto::Millis;
+
+/// Time allowed for a call in tests that do not make one hang.
+const TIMEOUT: Millis = Millis(5_000);
+
+pub(crate) async fn platform() -> Platform {
+    let options = PlatformOptions {
+        host_lag_ms: 0,
+        ..PlatformOptions::default()
+    };
+    Platform::bind("127.0.0.1:0".parse().unwrap(), options)
+        .await
+        .unwrap()
+}
+
+pub(crate) fn client(endpoints: Vec<SocketAddr>) -> Client {
+    let settings = ClientSettings {
+        timeout: TIMEOUT,
+        ..ClientSettings::new(endpoints)
+    };
+    Client::new(ClientSettings {
+        watch_pause: Millis(10),
+        ..settings
+    })
+}
+
+/// Returns an address at which nothing listens.
+pub(crate) fn dead_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+pub(crate) async fn send(address: SocketAddr, method: &str, path: &str, body: &str) -> Bytes {
+    let http = HttpClient::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let req = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"));
+    let res = http
+        .request(req.body(Full::from(body.to_owned())).unwrap())
+        .await
+        .unwrap();
+    assert_eq!(res.status(), 200);
+    res.into_body().collect().await.unwrap().to_bytes()
+}
+
+pub(crate) async fn fault(platform: &Platform, body: &str) {
+    send(platform.address(), "POST", "/fault", body).await;
+}
--- /dev/null
+++ b/toucanchute_platform/tests/watch.rs
@@ -0,0 +1,100 @@
+//! Watches of the client against the stand-in platform.
+
+#[path = "support/rig.rs"]
+mod rig;
+
+use std::net::SocketAddr;
+
+use rig::{client, dead_address, fault, platform, send};
+use toucanchute_fakes::{Platform, PlatformOptions};
+use toucanchute_platform::{Entry, Revision, Selection, Store, Update, Watch};
+
+/// Returns the next update that is neither progress nor a broken connection.
+async fn change(watch: &mut Watch) -> Update {
+    loop {
+        match watch.next().await.unwrap() {
+            Update::Progress { .. } | Update::Disconnected => {}
+            update => return update,
+        }
+    }
+}
+
+async fn open_watches(platform: &Platform) -> u64 {
+    let stats = send(platform.address(), "GET", "/stats", "").await;
+    let stats: serde_json::Value = serde_json::from_slice(&stats).unwrap();
+    stats["open_watches"].as_u64().unwrap()
+}
+
+fn put(key: &str, value: &str, revision: Revision) -> Update {
+    let (key, value) = (key.to_owned(), value.to_owned().into());
+    Update::Put(Entry {
+        key,
+        value,
+        revision,
+    })
+}
+
+#[tokio::test]
+async fn tells_earlier_and_later_changes_of_a_prefix() {
+    let platform = platform().await;
+    let client = client(vec![platform.address()]);
+    let first = client.put("/a/1", "one".into(), None).await.unwrap();
+    client.put("/b", "other".into(), None).await.unwrap();
+    let mut watch = client.watch(Selection::Prefix("/a/".to_owned()), first);
+    assert_eq!(change(&mut watch).await, put("/a/1", "one", first));
+    let second = client.put("/a/2", "two".into(), None).await.unwrap();
+    assert_eq!(change(&mut watch).await, put("/a/2", "two", second));
+    client.delete("/a/1").await.unwrap();
+    let (key, revision) = ("/a/1".to_owned(), second.next());
+    assert_eq!(change(&mut watch).await, Update::Delete { key, revision });
+}
+
+#[tokio::test]
+async fn goes_on_without_a_gap_after_an_outage() {
+    let platform = platform().await;
+    let client = client(vec![dead_address(), platform.address()]);
+    let first = client.put("/k", "one".into(), None).await.unwrap();
+    let mut watch = client.watch(Selection::Key("/k".to_owned()), first);
+    assert_eq!(change(&mut watch).await, put("/k", "one", first));
+    fault(&platform, r#"{"mode":"down","path":"/v3/watch"}"#).await;
+    while watch.next().await.unwrap() != Update::Disconnected {}
+    let second = client.put("/k", "two".into(), None).await.unwrap();
+    let third = client.put("/k", "three".into(), None).await.unwrap();
+    fault(&platform, "{}").await;
+    assert_eq!(change(&mut watch).await, put("/k", "two", second));
+    assert_eq!(change(&mut watch).await, put("/k", "three", third));
+}
+
+#[tokio::test]
+async fn reports_a_gap_when_changes_are_forgotten() {
+    let listen: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    let options = PlatformOptions {
+        history: 2,
+        ..PlatformOptions::default()
+    };
+    let platform = Platform::bind(listen, options).await.unwrap();
+    let client = client(vec![platform.address()]);
+    let first = client.put("/k", "1".into(), None).await.unwrap();
+    for value in ["2", "3", "4"] {
+        client.put("/k", value.into(), None).await.unwrap();
+    }
+    let mut watch = client.watch(Selection::Key("/k".to_owned()), first);
+    let until = Revision(first.0 + 2);
+    assert_eq!(change(&mut watch).await, Update::Gap { from: first, until });
+    assert_eq!(change(&mut watch).await, put("/k", "3", until));
+}
+
+#[tokio::test]
+async fn ends_when_dropped() {
+    let platform = platform().await;
+    let client = client(vec![platform.address()]);
+    let first = client.put("/k", "v".into(), None).await.unwrap();
+    let mut watch = client.watch(Selection::Key("/k".to_owned()), first);
+    assert_eq!(change(&mut watch).await, put("/k", "v", first));
+    assert_eq!(open_watches(&platform).await, 1);
+    drop(watch);
+    while open_watches(&platform).await > 0 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(client.counts().watches, 1);
+}
