--- /dev/null
+++ b/toucanchute_core/src/routing.rs
@@ -0,0 +1,22 @@
+//! Chooses backend servers for requests and refuses work that cannot start in time.
+//!
+//! [`Dispatcher`] is the machine; a router has one.
+
+mod action;
+mod attempts;
+mod cache;
+mod choose;
+mod configure;
+mod dispatcher;
+mod event;
+mod health;
+mod limit;
+mod pool;
+mod queue;
+mod replica;
+mod retry;
+mod suspects;
+
+pub use action::{Action, RefusalReason};
+pub use dispatcher::Dispatcher;
+pub use event::{Assign, CacheChange, CacheEvent, CrashKind, Event, Report, Target};
