feat(call): reference caller and open-loop load tool

A caller keeps the address list for its max age and sends a request again under the same key at another address: after a broken connection, a stream without its end mark, or a refusal marked retryable, with Retry-After and elsewhere honoured. The load tool draws arrivals, mix, prompts and customers by seed and counts false refusals against the statement at that moment, overspend from statements, and answers that are foreign, not whole or run twice, by the stand-ins' answer rule. Latency counts from the time of arrival, so a slow start of a request is not left out.

--- /dev/null
+++ b/toucanchute_call/src/bin/toucanchute-call.rs
@@ -0,0 +1,7 @@
+//! Reference caller and load tool.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    toucanchute_call::main()
+}
--- /dev/null
+++ b/toucanchute_call/src/cli/commands.rs
@@ -0,0 +1,241 @@
+use std::{
+    env, fs,
+    io::{self, Write as _},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::ExitCode,
+    time::Duration,
+};
+
+use clap::ArgMatches;
+use serde_json::{Value, json};
+
+use crate::{
+    answer::Answer,
+    caller::{Caller, CallerOptions},
+    error::{CallError, LoadError},
+    load::{LoadCustomer, LoadOptions, run_load},
+    request::Request,
+};
+
+/// Environment variable that holds the bearer token.
+const TOKEN_VARIABLE: &str = "TOUCANCHUTE_TOKEN";
+
+/// Why a command failed.
+pub(crate) enum Failure {
+    /// The command line or a file that it names is bad.
+    Usage(String),
+    /// A request has no answer.
+    Call(CallError),
+    /// A load was not sound.
+    Unsound,
+}
+
+impl Failure {
+    /// Says on standard error why the command failed; as JSON also on standard output.
+    pub(crate) fn print(&self, json: bool) {
+        match self {
+            Failure::Usage(message) => eprintln!("error: {message}"),
+            Failure::Unsound => eprintln!("error: answers or budgets are not sound"),
+            Failure::Call(e) => {
+                eprintln!("error: {e}");
+                if json {
+                    println!("{}", refusal(e));
+                }
+            }
+        }
+    }
+
+    pub(crate) fn exit_code(&self) -> ExitCode {
+        ExitCode::from(match self {
+            Failure::Unsound | Failure::Call(CallError::Refused { .. }) => 1,
+            Failure::Usage(_) => 2,
+            Failure::Call(_) => 3,
+        })
+    }
+}
+
+/// Prints the address list.
+pub(crate) async fn addresses(args: &ArgMatches, json: bool) -> Result<(), Failure> {
+    let caller = Caller::new(routers(args), "", CallerOptions::default());
+    let list = caller.addresses().await.map_err(Failure::Call)?;
+    if json {
+        println!("{}", json!({ "addresses": list }));
+    } else {
+        list.iter().for_each(|address| println!("{address}"));
+    }
+    Ok(())
+}
+
+/// Sends one completion and prints its answer.
+pub(crate) async fn complete(args: &ArgMatches, json: bool) -> Result<(), Failure> {
+    let max_tokens = get(args, "max-tokens", 0_u64);
+    let mut req = Request::completion(text(args, "model"), text(args, "PROMPT"), max_tokens);
+    if args.get_flag("stream") {
+        req = req.streamed();
+    }
+    send(args, req, json).await
+}
+
+/// Calls a plain service once and prints its answer.
+pub(crate) async fn service(args: &ArgMatches, json: bool) -> Result<(), Failure> {
+    let path = format!("/{}", text(args, "PATH").trim_start_matches('/'));
+    let body = text(args, "BODY").to_owned();
+    let req = Request::service(text(args, "SERVICE"), &path, body);
+    send(args, req, json).await
+}
+
+/// Runs a load and prints its report.
+pub(crate) async fn load(args: &ArgMatches, json: bool) -> Result<(), Failure> {
+    let options = load_options(args)?;
+    let report = run_load(&options).await.map_err(load_failure)?;
+    if json {
+        println!("{}", serde_json::to_string(&report).unwrap_or_default());
+    } else {
+        print!("{report}");
+    }
+    match report.is_sound() {
+        true => Ok(()),
+        false => Err(Failure::Unsound),
+    }
+}
+
+fn load_failure(err: LoadError) -> Failure {
+    match err {
+        LoadError::Ask { source } => Failure::Call(source),
+        LoadError::Histogram { .. } => Failure::Usage(err.to_string()),
+    }
+}
+
+async fn send(args: &ArgMatches, mut req: Request, json: bool) -> Result<(), Failure> {
+    if let Some(&ms) = args.get_one("deadline-ms") {
+        req = req.deadline(ms);
+    }
+    let caller = Caller::new(routers(args), &token(args)?, caller_options(args));
+    let key = match args.get_one::<String>("key") {
+        Some(key) => key.clone(),
+        None => format!("{:032x}", rand::random::<u128>()),
+    };
+    let mut shown = |piece: &str| {
+        if !json {
+            print!("{piece}");
+            let _ = io::stdout().flush();
+        }
+    };
+    let answer = caller.send_with(&req, &key, &mut shown).await;
+    let answer = answer.map_err(Failure::Call)?;
+    if json {
+        println!("{}", document(&answer, &key));
+    } else {
+        println!();
+    }
+    Ok(())
+}
+
+fn document(answer: &Answer, key: &str) -> Value {
+    json!({
+        "status": answer.status,
+        "address": answer.address,
+        "key": key,
+        "request": answer.request,
+        "tries": answer.tries,
+        "text": answer.text,
+        "prompt_tokens": answer.prompt_tokens,
+        "completion_tokens": answer.completion_tokens,
+        "first_ms": answer.timing.first.as_secs_f64() * 1_000.0,
+        "whole_ms": answer.timing.whole.as_secs_f64() * 1_000.0,
+    })
+}
+
+fn refusal(err: &CallError) -> Value {
+    json!({
+        "error": err.to_string(),
+        "reason": err.reason(),
+        "outcome": err.outcome().to_string(),
+    })
+}
+
+// Arguments
+
+fn load_options(args: &ArgMatches) -> Result<LoadOptions, Failure> {
+    let operator_token = match args.get_one::<PathBuf>("operator-token-file") {
+        Some(file) => Some(read_token(file)?),
+        None => None,
+    };
+    let options = LoadOptions {
+        seeds: routers(args),
+        customers: texts(args, "customer")
+            .iter()
+            .map(|c| customer(c))
+            .collect(),
+        models: texts(args, "model"),
+        services: texts(args, "service"),
+        rate: get(args, "rate", 0.0),
+        duration: Duration::try_from_secs_f64(get(args, "seconds", 0.0)).unwrap_or_default(),
+        seed: get(args, "seed", 0),
+        run: rand::random(),
+        prompt_bytes: get(args, "prompt-bytes", 0_u64) as usize,
+        max_tokens: get(args, "max-tokens", 0),
+        stream_share: get(args, "stream-share", 0.0),
+        check: args.get_flag("check"),
+        caller: caller_options(args),
+        operator_token,
+    };
+    if options.models.is_empty() && options.services.is_empty() {
+        return Err(Failure::Usage("give --model or --service".to_owned()));
+    }
+    if options.rate <= 0.0 {
+        return Err(Failure::Usage("--rate has to be above 0".to_owned()));
+    }
+    Ok(options)
+}
+
+fn customer(text: &str) -> LoadCustomer {
+    let (token, budget) = text.split_once(':').unwrap_or((text, ""));
+    LoadCustomer {
+        token: token.to_owned(),
+        budget: budget.to_owned(),
+    }
+}
+
+fn caller_options(args: &ArgMatches) -> CallerOptions {
+    CallerOptions {
+        max_tries: get(args, "tries", 1),
+        ..CallerOptions::default()
+    }
+}
+
+fn token(args: &ArgMatches) -> Result<String, Failure> {
+    if let Some(file) = args.get_one::<PathBuf>("token-file") {
+        return read_token(file);
+    }
+    env::var(TOKEN_VARIABLE).map_err(|_| {
+        Failure::Usage(format!(
+            "no token; set {TOKEN_VARIABLE} or give --token-file"
+        ))
+    })
+}
+
+fn read_token(file: &Path) -> Result<String, Failure> {
+    let token = fs::read_to_string(file);
+    let token = token.map_err(|e| Failure::Usage(format!("{}: {e}", file.display())))?;
+    Ok(token.trim().to_owned())
+}
+
+fn routers(args: &ArgMatches) -> Vec<SocketAddr> {
+    let routers = args.get_many::<SocketAddr>("router");
+    routers.into_iter().flatten().copied().collect()
+}
+
+fn text<'a>(args: &'a ArgMatches, name: &str) -> &'a str {
+    args.get_one::<String>(name).map_or("", String::as_str)
+}
+
+fn texts(args: &ArgMatches, name: &str) -> Vec<String> {
+    let values = args.get_many::<String>(name);
+    values.into_iter().flatten().cloned().collect()
+}
+
+fn get<T: Copy + Send + Sync + 'static>(args: &ArgMatches, name: &str, default: T) -> T {
+    args.get_one(name).copied().unwrap_or(default)
+}
--- /dev/null
+++ b/toucanchute_call/src/exchange.rs
@@ -0,0 +1,263 @@
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, header};
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use toucanchute_proto::api::Problem;
+
+use crate::{
+    answer::{Completion, Usage},
+    request::{Request, Work},
+    sse::SseReader,
+};
+
+/// Longest time to connect.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Header of the request's key as event logs show it.
+const REQUEST_HEADER: &str = "toucanchute-request";
+
+/// Header of the time within which the answer has to begin.
+const DEADLINE_HEADER: &str = "toucanchute-deadline-ms";
+
+/// Connections of a caller.
+pub(crate) type Connections = Client<HttpConnector, Full<Bytes>>;
+
+/// What one try led to.
+#[derive(Debug)]
+pub(crate) enum TryEnd {
+    /// The whole answer came.
+    Complete(Received),
+    /// A router refused or gave up.
+    Problem {
+        problem: Box<Problem>,
+        retry_after: Option<Duration>,
+    },
+    /// The connection failed or broke off.
+    Broken { cause: String },
+}
+
+/// A whole answer of one try.
+#[derive(Debug, Default)]
+pub(crate) struct Received {
+    pub(crate) status: u16,
+    pub(crate) request: String,
+    pub(crate) text: String,
+    pub(crate) usage: Usage,
+    /// When each token or the first byte came.
+    pub(crate) arrivals: Vec<Instant>,
+}
+
+/// Creates the connections of a caller.
+pub(crate) fn connect() -> Connections {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new()).build(connector)
+}
+
+/// Reads a JSON document at `path`.
+pub(crate) async fn get(
+    conns: &Connections,
+    address: SocketAddr,
+    path: &str,
+    token: Option<&str>,
+) -> Result<(StatusCode, Bytes), String> {
+    let mut req = http::Request::builder()
+        .method(Method::GET)
+        .uri(format!("http://{address}{path}"));
+    if let Some(token) = token {
+        req = req.header(header::AUTHORIZATION, format!("Bearer {token}"));
+    }
+    let req = req.body(Full::default()).map_err(|e| e.to_string())?;
+    let res = conns.request(req).await.map_err(|e| describe(&e))?;
+    let status = res.status();
+    let body = res.into_body().collect().await.map_err(|e| describe(&e))?;
+    Ok((status, body.to_bytes()))
+}
+
+/// Sends a request once and reads its answer; `on_text` sees each piece of text as it comes.
+pub(crate) async fn exchange(
+    conns: &Connections,
+    address: SocketAddr,
+    token: &str,
+    key: &str,
+    req: &Request,
+    on_text: &mut (dyn FnMut(&str) + Send),
+) -> TryEnd {
+    match send(conns, address, token, key, req).await {
+        Err(cause) => TryEnd::Broken { cause },
+        Ok(res) if is_problem(&res) => read_problem(res).await,
+        Ok(res) => match &req.work {
+            Work::Completion { stream: true, .. } => read_stream(res, on_text).await,
+            work => read_whole(work, res, on_text).await,
+        },
+    }
+}
+
+async fn send(
+    conns: &Connections,
+    address: SocketAddr,
+    token: &str,
+    key: &str,
+    req: &Request,
+) -> Result<Response<Incoming>, String> {
+    let mut builder = http::Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://{address}{}", req.path()))
+        .header(header::AUTHORIZATION, format!("Bearer {token}"))
+        .header(header::CONTENT_TYPE, "application/json")
+        .header("idempotency-key", key);
+    if let Some(ms) = req.deadline_ms {
+        builder = builder.header(DEADLINE_HEADER, ms);
+    }
+    let http_req = builder.body(Full::new(req.body()));
+    let http_req = http_req.map_err(|e| e.to_string())?;
+    conns.request(http_req).await.map_err(|e| describe(&e))
+}
+
+// Answers
+
+async fn read_whole(
+    work: &Work,
+    res: Response<Incoming>,
+    on_text: &mut (dyn FnMut(&str) + Send),
+) -> TryEnd {
+    let mut received = Received::new(&res);
+    let body = match res.into_body().collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) => {
+            return TryEnd::Broken {
+                cause: describe(&e),
+            };
+        }
+    };
+    received.arrivals.push(Instant::now());
+    if let Work::Service { .. } = work {
+        received.text = String::from_utf8_lossy(&body).into_owned();
+    } else {
+        match serde_json::from_slice::<Completion>(&body) {
+            Ok(answer) if answer.is_finished() => {
+                answer.text().clone_into(&mut received.text);
+                received.usage = answer.usage.unwrap_or_default();
+            }
+            Ok(_) => return broken("the answer has no end"),
+            Err(e) => return broken(&e.to_string()),
+        }
+    }
+    on_text(&received.text);
+    TryEnd::Complete(received)
+}
+
+async fn read_stream(res: Response<Incoming>, on_text: &mut (dyn FnMut(&str) + Send)) -> TryEnd {
+    let mut received = Received::new(&res);
+    let mut body = res.into_body();
+    let mut reader = SseReader::default();
+    let mut finished = false;
+    while let Some(frame) = body.frame().await {
+        let data = match frame {
+            Ok(frame) => frame.into_data().unwrap_or_default(),
+            Err(e) => {
+                return TryEnd::Broken {
+                    cause: describe(&e),
+                };
+            }
+        };
+        reader.push(&data);
+        while let Some(event) = reader.next_event() {
+            if event.name == "error" {
+                return problem_end(&event.data, &HeaderMap::new(), StatusCode::BAD_GATEWAY);
+            }
+            if event.data == b"[DONE]" && finished {
+                return TryEnd::Complete(received);
+            }
+            match serde_json::from_slice::<Completion>(&event.data) {
+                Ok(chunk) => {
+                    finished |= chunk.is_finished();
+                    received.add(&chunk, on_text);
+                }
+                Err(e) => return broken(&e.to_string()),
+            }
+        }
+    }
+    broken("the stream ended before its end mark")
+}
+
+impl Received {
+    fn new(res: &Response<Incoming>) -> Received {
+        let request = res.headers().get(REQUEST_HEADER);
+        let request = request.and_then(|v| v.to_str().ok()).unwrap_or_default();
+        Received {
+            status: res.status().as_u16(),
+            request: request.to_owned(),
+            ..Received::default()
+        }
+    }
+
+    fn add(&mut self, chunk: &Completion, on_text: &mut (dyn FnMut(&str) + Send)) {
+        if let Some(usage) = chunk.usage {
+            self.usage = usage;
+        }
+        if !chunk.text().is_empty() {
+            self.arrivals.push(Instant::now());
+            self.text.push_str(chunk.text());
+            on_text(chunk.text());
+        }
+    }
+}
+
+// Problems
+
+fn is_problem(res: &Response<Incoming>) -> bool {
+    let kind = res.headers().get(header::CONTENT_TYPE);
+    kind.is_some_and(|kind| kind.as_bytes().starts_with(b"application/problem+json"))
+}
+
+async fn read_problem(res: Response<Incoming>) -> TryEnd {
+    let (head, body) = res.into_parts();
+    match body.collect().await {
+        Ok(body) => problem_end(&body.to_bytes(), &head.headers, head.status),
+        Err(e) => TryEnd::Broken {
+            cause: describe(&e),
+        },
+    }
+}
+
+fn problem_end(body: &[u8], headers: &HeaderMap, status: StatusCode) -> TryEnd {
+    let mut problem: Problem = serde_json::from_slice(body).unwrap_or_default();
+    problem.status = status.as_u16();
+    TryEnd::Problem {
+        problem: Box::new(problem),
+        retry_after: headers.get(header::RETRY_AFTER).and_then(seconds),
+    }
+}
+
+fn seconds(value: &HeaderValue) -> Option<Duration> {
+    let seconds = value.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_secs(seconds))
+}
+
+fn broken(cause: &str) -> TryEnd {
+    TryEnd::Broken {
+        cause: cause.to_owned(),
+    }
+}
+
+/// Returns an error's text with its causes.
+fn describe(err: &(dyn std::error::Error + 'static)) -> String {
+    let mut text = err.to_string();
+    let mut source = err.source();
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/toucanchute_call/src/load.rs
@@ -0,0 +1,106 @@
+//! Open-loop load: requests arrive at times drawn by seed, whether or not earlier ones have ended.
+
+mod budgets;
+mod options;
+mod report;
+mod schedule;
+mod tally;
+
+use std::{sync::Arc, time::Instant};
+
+use snafu::ResultExt as _;
+use tokio::task::JoinSet;
+
+pub use options::{LoadCustomer, LoadOptions};
+pub use report::{BudgetReport, Percentiles, Report};
+
+use crate::{
+    caller::Caller,
+    error::{AskSnafu, CallError, HistogramSnafu, LoadError},
+    request::{Request, Work},
+    verify::verify,
+};
+use budgets::Budgets;
+use schedule::{Arrival, Schedule};
+use tally::Tally;
+
+/// Runs a load and returns what came of it once every request has ended.
+///
+/// # Errors
+///
+/// Fails if no router gives its addresses at the start.
+pub async fn run_load(options: &LoadOptions) -> Result<Report, LoadError> {
+    let new =
+        |c: &LoadCustomer| Caller::new(options.seeds.clone(), &c.token, options.caller.clone());
+    let callers: Vec<Arc<Caller>> = options.customers.iter().map(|c| Arc::new(new(c))).collect();
+    if let Some(first) = callers.first() {
+        first.addresses().await.context(AskSnafu)?;
+    }
+    let budgets = Arc::new(Budgets::new(options));
+    let before = budgets.read_all().await;
+    let tally = Arc::new(Tally::new().context(HistogramSnafu)?);
+    let mut tasks = JoinSet::new();
+    let start = Instant::now();
+    for arrival in Schedule::new(options) {
+        let at = start + arrival.after;
+        tokio::time::sleep_until(at.into()).await;
+        let call = Call {
+            budget: options.customers[arrival.customer].budget.clone(),
+            caller: Arc::clone(&callers[arrival.customer]),
+            budgets: Arc::clone(&budgets),
+            tally: Arc::clone(&tally),
+            check: options.check,
+            late: at.elapsed(),
+            arrival,
+        };
+        tasks.spawn(call.run());
+    }
+    while tasks.join_next().await.is_some() {}
+    let elapsed = start.elapsed();
+    let after = budgets.read_all().await;
+    Ok(tally.report(options, elapsed, &before, &after))
+}
+
+/// One request of a load.
+struct Call {
+    arrival: Arrival,
+    caller: Arc<Caller>,
+    budget: String,
+    budgets: Arc<Budgets>,
+    tally: Arc<Tally>,
+    check: bool,
+    /// Time by which the request was sent later than it arrived; counts as latency.
+    late: std::time::Duration,
+}
+
+impl Call {
+    async fn run(self) {
+        let req = &self.arrival.req;
+        match self.caller.send(req, &self.arrival.key).await {
+            Ok(answer) => {
+                let verdict = self.check.then(|| verify(req, &answer));
+                self.tally.complete(&answer, self.late, verdict);
+            }
+            Err(e) => {
+                let wrong =
+                    is_budget(&e) && self.budgets.holds(&self.budget, worst_case(req)).await;
+                self.tally.refused(&e, wrong);
+            }
+        }
+    }
+}
+
+/// Returns whether a request was refused for want of tokens.
+fn is_budget(err: &CallError) -> bool {
+    matches!(err.reason(), "budget-exhausted" | "grant-unavailable")
+}
+
+/// Returns the most tokens that a completion may cost; 0 for a call whose price is not known.
+fn worst_case(req: &Request) -> u64 {
+    match &req.work {
+        Work::Completion {
+            prompt, max_tokens, ..
+        } => prompt.len() as u64 + max_tokens,
+        Work::Service { .. } => 0,
+    }
+}
--- /dev/null
+++ b/toucanchute_call/src/load/schedule.rs
@@ -0,0 +1,98 @@
+use std::time::Duration;
+
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+
+use super::options::LoadOptions;
+use crate::request::Request;
+
+/// Words that prompts are made of.
+const WORDS: [&str; 12] = [
+    "gate", "motor", "hinge", "relay", "wiring", "sensor", "gutter", "icicle", "roof", "ladder",
+    "lift", "crew",
+];
+
+/// One request of a load and when it arrives.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Arrival {
+    /// Time since the start.
+    pub(crate) after: Duration,
+    /// Index into the customers.
+    pub(crate) customer: usize,
+    /// Idempotency key.
+    pub(crate) key: String,
+    pub(crate) req: Request,
+}
+
+/// Arrivals of a Poisson process, drawn by seed.
+#[derive(Debug)]
+pub(crate) struct Schedule<'a> {
+    options: &'a LoadOptions,
+    rng: SmallRng,
+    after: Duration,
+    count: u64,
+}
+
+impl<'a> Schedule<'a> {
+    pub(crate) fn new(options: &'a LoadOptions) -> Schedule<'a> {
+        Schedule {
+            options,
+            rng: SmallRng::seed_from_u64(options.seed),
+            after: Duration::ZERO,
+            count: 0,
+        }
+    }
+
+    fn draw_request(&mut self) -> Option<Request> {
+        let options = self.options;
+        let kinds = options.models.len() + options.services.len();
+        if kinds == 0 {
+            return None;
+        }
+        let index = self.rng.random_range(0..kinds);
+        let Some(model) = options.models.get(index) else {
+            let service = &options.services[index - options.models.len()];
+            let path = format!("/load/{}/{}", options.seed, self.count);
+            return Some(Request::service(service, &path, "{}"));
+        };
+        let prompt = self.draw_prompt();
+        let req = Request::completion(model, &prompt, options.max_tokens);
+        let streamed = self.rng.random::<f64>() < options.stream_share;
+        Some(if streamed { req.streamed() } else { req })
+    }
+
+    /// Returns a prompt that no other request of this load has.
+    fn draw_prompt(&mut self) -> String {
+        let mut prompt = format!("load {} request {}:", self.options.seed, self.count);
+        while prompt.len() < self.options.prompt_bytes {
+            prompt.push(' ');
+            prompt.push_str(WORDS[self.rng.random_range(0..WORDS.len())]);
+        }
+        prompt
+    }
+}
+
+impl Iterator for Schedule<'_> {
+    type Item = Arrival;
+
+    fn next(&mut self) -> Option<Arrival> {
+        let uniform: f64 = self.rng.random();
+        let gap = -(1.0 - uniform).ln() / self.options.rate;
+        self.after += Duration::try_from_secs_f64(gap).ok()?;
+        if self.after >= self.options.duration || self.options.customers.is_empty() {
+            return None;
+        }
+        let customer = self.rng.random_range(0..self.options.customers.len());
+        let req = self.draw_request()?;
+        let arrival = Arrival {
+            after: self.after,
+            customer,
+            key: format!(
+                "load-{}-{}-{:016x}",
+                self.options.seed, self.count, self.options.run
+            ),
+            req,
+        };
+        self.count += 1;
+        Some(arrival)
+    }
+}
--- /dev/null
+++ b/toucanchute_call/src/load/tally.rs
@@ -0,0 +1,114 @@
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use hdrhistogram::{CreationError, Histogram};
+
+use super::{
+    options::{LoadBudget, LoadOptions},
+    report::{BudgetReport, Percentiles, Report},
+};
+use crate::{answer::Answer, error::CallError, verify::Verdict};
+
+/// Significant digits of histograms.
+const DIGITS: u8 = 3;
+
+/// Counts of a load while it runs.
+#[derive(Debug)]
+pub(crate) struct Tally(Mutex<Counts>);
+
+#[derive(Debug)]
+struct Counts {
+    report: Report,
+    first: Histogram<u64>,
+    gap: Histogram<u64>,
+    whole: Histogram<u64>,
+}
+
+impl Tally {
+    /// Creates empty counts.
+    pub(crate) fn new() -> Result<Tally, CreationError> {
+        let empty = Histogram::new(DIGITS)?;
+        Ok(Tally(Mutex::new(Counts {
+            report: Report::default(),
+            first: empty.clone(),
+            gap: empty.clone(),
+            whole: empty,
+        })))
+    }
+
+    /// Counts a complete answer.
+    pub(crate) fn complete(&self, answer: &Answer, late: Duration, verdict: Option<Verdict>) {
+        let mut counts = self.counts();
+        let report = &mut counts.report;
+        report.requests += 1;
+        report.complete += 1;
+        report.retries += u64::from(answer.tries - 1);
+        report.tokens += answer.prompt_tokens + answer.completion_tokens;
+        match verdict {
+            None | Some(Verdict::Own) => {}
+            Some(Verdict::Foreign) => report.not_own += 1,
+            Some(Verdict::NotWhole) => report.not_whole += 1,
+            Some(Verdict::Rerun) => report.run_twice += 1,
+        }
+        record(&mut counts.first, answer.timing.first + late);
+        record(&mut counts.whole, answer.timing.whole + late);
+        for gap in &answer.timing.gaps {
+            record(&mut counts.gap, *gap);
+        }
+    }
+
+    /// Counts a refusal, or a request without any answer.
+    pub(crate) fn refused(&self, err: &CallError, falsely: bool) {
+        let mut counts = self.counts();
+        let report = &mut counts.report;
+        report.requests += 1;
+        report.false_refusals += u64::from(falsely);
+        *report.refused.entry(err.reason().to_owned()).or_default() += 1;
+        *report
+            .outcomes
+            .entry(err.outcome().to_string())
+            .or_default() += 1;
+    }
+
+    /// Returns the report of a load that has ended.
+    pub(crate) fn report(
+        &self,
+        options: &LoadOptions,
+        elapsed: Duration,
+        before: &BTreeMap<String, LoadBudget>,
+        after: &BTreeMap<String, LoadBudget>,
+    ) -> Report {
+        let counts = self.counts();
+        let mut report = counts.report.clone();
+        report.seed = options.seed;
+        report.seconds = elapsed.as_secs_f64();
+        report.first_ms = Percentiles::of(&counts.first);
+        report.gap_ms = Percentiles::of(&counts.gap);
+        report.whole_ms = Percentiles::of(&counts.whole);
+        for (name, budget) in after {
+            let earlier = before.get(name).copied().unwrap_or_default();
+            let account = BudgetReport {
+                topped_up: budget.topped_up,
+                spent: budget.spent,
+                spent_by_load: budget.spent.saturating_sub(earlier.spent),
+                overspent: budget.spent.saturating_sub(budget.topped_up),
+            };
+            report.overspent += account.overspent;
+            report.budgets.insert(name.clone(), account);
+        }
+        report
+    }
+
+    fn counts(&self) -> MutexGuard<'_, Counts> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Records a span in microseconds.
+fn record(histogram: &mut Histogram<u64>, span: Duration) {
+    let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+    histogram.saturating_record(micros);
+}
--- /dev/null
+++ b/toucanchute_call/src/verify.rs
@@ -0,0 +1,72 @@
+use serde::Deserialize;
+
+use crate::{
+    answer::Answer,
+    request::{Request, Work},
+};
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Whether an answer of a stand-in is the whole answer to its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is.
+    Own,
+    /// It belongs to another request.
+    Foreign,
+    /// It is the request's, but with parts missing, doubled or out of order.
+    NotWhole,
+    /// The call ran more than once under its key.
+    Rerun,
+}
+
+/// Answer of the stand-in plain service.
+#[derive(Deserialize)]
+struct ServiceAnswer {
+    path: String,
+    run: u64,
+}
+
+/// Checks an answer of the stand-in engine or service, whose text is a function of the request.
+///
+/// Token `i` of the engine's answer is the 64-bit FNV-1a hash of the prompt in hexadecimal digits,
+/// a point, `i` and a space.
+#[must_use]
+pub fn verify(req: &Request, answer: &Answer) -> Verdict {
+    match &req.work {
+        Work::Completion { prompt, .. } => {
+            verify_text(prompt, &answer.text, answer.completion_tokens)
+        }
+        Work::Service { path, .. } => verify_call(path, &answer.text),
+    }
+}
+
+fn verify_text(prompt: &str, text: &str, tokens: u64) -> Verdict {
+    let tag = format!("{:016x}.", hash(prompt));
+    if text
+        .split_whitespace()
+        .any(|token| !token.starts_with(&tag))
+    {
+        return Verdict::Foreign;
+    }
+    let expected: String = (0..tokens).map(|i| format!("{tag}{i} ")).collect();
+    match text == expected && tokens > 0 {
+        true => Verdict::Own,
+        false => Verdict::NotWhole,
+    }
+}
+
+fn verify_call(path: &str, text: &str) -> Verdict {
+    match serde_json::from_str::<ServiceAnswer>(text) {
+        Err(_) => Verdict::NotWhole,
+        Ok(answer) if answer.path != path => Verdict::Foreign,
+        Ok(answer) if answer.run > 1 => Verdict::Rerun,
+        Ok(_) => Verdict::Own,
+    }
+}
+
+fn hash(prompt: &str) -> u64 {
+    let step = |hash: u64, &b: &u8| (hash ^ u64::from(b)).wrapping_mul(FNV_PRIME);
+    prompt.as_bytes().iter().fold(FNV_OFFSET, step)
+}
