feat(routing): suspects claim a replica that no other suspect of any router uses

A second crash quarantines, so a suspect that shared a replica with a poison request of another router would be quarantined with it.

--- a/toucanchute_core/src/fleet/machine.rs
+++ b/toucanchute_core/src/fleet/machine.rs
@@ -139,7 +139,7 @@
             Event::HostList { version, hosts } => self.host_list(now, version, &hosts, out),
             Event::PlatformDown => self.platform_down(now),
             Event::LoadReport(load) => self.take_load(load, out),
-            Event::Verdict(v) => self.tell_verdict(v, out),
+            Event::Verdict(v) => self.tell_verdict(&v, out),
             Event::InFlight(count) => self.take_in_flight(count),
             Event::Drain => self.start_drain(now, out),
             Event::Drained => self.drained(out),
@@ -255,7 +255,7 @@
         }
     }
 
-    fn tell_verdict(&mut self, v: toucanchute_proto::fleet::Verdict, out: &mut Vec<Action>) {
+    fn tell_verdict(&mut self, v: &toucanchute_proto::fleet::Verdict, out: &mut Vec<Action>) {
         let fleet = self.known();
         if self.rumors.verdict(v, fleet) {
             self.push_all(None, out);
--- a/toucanchute_core/src/fleet/messages.rs
+++ b/toucanchute_core/src/fleet/messages.rs
@@ -68,7 +68,7 @@
         let fleet = self.known();
         let mut urgent = false;
         for v in gossip.verdicts {
-            if v.until > now && self.rumors.verdict(v, fleet) {
+            if v.until > now && self.rumors.verdict(&v, fleet) {
                 urgent = true;
                 out.push(Action::Verdict(v));
             }
--- a/toucanchute_core/src/fleet/rumors.rs
+++ b/toucanchute_core/src/fleet/rumors.rs
@@ -32,16 +32,16 @@
     }
 
     /// Takes in a verdict; returns whether it is news.
-    pub(super) fn verdict(&mut self, v: Verdict, fleet: usize) -> bool {
+    pub(super) fn verdict(&mut self, v: &Verdict, fleet: usize) -> bool {
         let rank = |v: &Verdict| (v.until, v.standing);
         if self
             .verdicts
             .get(&v.digest)
-            .is_some_and(|(old, _)| rank(old) >= rank(&v))
+            .is_some_and(|(old, _)| rank(old) >= rank(v))
         {
             return false;
         }
-        self.verdicts.insert(v.digest, (v, copies(fleet)));
+        self.verdicts.insert(v.digest, (v.clone(), copies(fleet)));
         true
     }
 
@@ -79,7 +79,7 @@
         let mut out = Vec::new();
         for (v, left) in self.verdicts.values_mut().filter(|(_, left)| *left > 0) {
             *left -= 1;
-            out.push(*v);
+            out.push(v.clone());
         }
         out
     }
@@ -96,7 +96,7 @@
 
     /// All verdicts in force, for a new peer.
     pub(super) fn all_verdicts(&self) -> Vec<Verdict> {
-        self.verdicts.values().map(|(v, _)| *v).collect()
+        self.verdicts.values().map(|(v, _)| v.clone()).collect()
     }
 }
 
--- a/toucanchute_core/src/routing/attempts.rs
+++ b/toucanchute_core/src/routing/attempts.rs
@@ -1,10 +1,7 @@
 use toucanchute_proto::{AttemptId, Digest, Millis};
 
 use super::{
-    Action, Assign, CrashKind, Dispatcher, Report,
-    health::Failure,
-    pool::BackendKey,
-    suspects::{self, Permit},
+    Action, Assign, CrashKind, Dispatcher, Report, health::Failure, pool::BackendKey, suspects,
 };
 
 /// One run of a request on a replica.
@@ -24,17 +21,15 @@
         &mut self,
         now: Millis,
         req: &Assign,
-        permit: Permit,
+        suspect: bool,
         replica: BackendKey,
         out: &mut Vec<Action>,
     ) {
         let key = suspects::key(req);
-        let suspect = permit == Permit::Apart;
         let r = &mut self.replicas[replica];
         r.started(now);
         r.cache.sent(now, &req.prefix);
         if suspect {
-            r.suspects += 1;
             self.suspects.started(key);
         }
         self.last_attempt += 1;
@@ -69,7 +64,7 @@
         let Some(run) = self.attempts.remove(&attempt) else {
             return;
         };
-        self.end(now, &run);
+        self.replicas[run.replica].ended(now);
         match report {
             Report::FirstToken | Report::Cancelled => {}
             Report::Done { tokens } => self.done(now, &run, tokens, out),
@@ -77,6 +72,10 @@
             Report::Unsent => self.failed(now, &run, Failure::Hard),
             Report::Crashed { kind } => self.crashed(now, &run, kind, out),
         }
+        if run.suspect {
+            let verdict = self.suspects.stopped(now, run.key);
+            out.extend(verdict.map(Action::Verdict));
+        }
         self.drop_if_done(run.replica);
     }
 
@@ -139,16 +138,6 @@
         self.refuse_quarantined(now, out);
     }
 
-    /// Takes an attempt off its replica.
-    fn end(&mut self, now: Millis, run: &Attempt) {
-        let r = &mut self.replicas[run.replica];
-        r.ended(now);
-        if run.suspect {
-            r.suspects -= 1;
-            self.suspects.stopped(run.key);
-        }
-    }
-
     /// Forgets a replica that is not configured any more and has no work left.
     pub(super) fn drop_if_done(&mut self, key: BackendKey) {
         let r = &self.replicas[key];
--- a/toucanchute_core/src/routing/choose.rs
+++ b/toucanchute_core/src/routing/choose.rs
@@ -6,7 +6,7 @@
     Assign,
     pool::{BackendKey, Pool},
     replica::Replica,
-    suspects::Permit,
+    suspects::Suspects,
 };
 
 /// Worth of a wholly cached prompt, in shares of a replica's limit.
@@ -24,6 +24,7 @@
     pub(super) domain: &'a str,
     pub(super) pool: &'a Pool,
     pub(super) replicas: &'a SlotMap<BackendKey, Replica>,
+    pub(super) suspects: &'a Suspects,
 }
 
 impl Chooser<'_> {
@@ -32,16 +33,17 @@
         self.fit().next().is_some()
     }
 
-    /// Chooses by the better of two random replicas and the one with the longest cached prefix.
+    /// Chooses by the better of two random replicas and the one with the longest cached prefix;
+    /// `apart` from those that are claimed for a suspect.
     pub(super) fn choose(
         &self,
         req: &Assign,
-        permit: Permit,
+        apart: bool,
         rng: &mut SmallRng,
     ) -> Option<BackendKey> {
         let mut fit: Vec<BackendKey> = self.fit().collect();
-        if permit == Permit::Apart {
-            fit.retain(|&k| self.replicas[k].suspects == 0);
+        if apart {
+            fit.retain(|&k| !self.suspects.claimed(&self.replicas[k].name));
         }
         let fresh = |k: &BackendKey| !req.exclude.contains(&self.replicas[*k].name);
         if fit.iter().any(fresh) {
@@ -74,6 +76,11 @@
         })
     }
 
+    /// Whether the replica of that name has room.
+    pub(super) fn fits(&self, name: &str) -> Option<BackendKey> {
+        self.fit().find(|&k| self.replicas[k].name == name)
+    }
+
     fn fit(&self) -> impl Iterator<Item = BackendKey> {
         let members = self.pool.members.iter().copied();
         members.filter(|&k| self.replicas[k].has_room(self.now))
@@ -88,7 +95,11 @@
         } else {
             DISTANCE_COST
         };
-        let suspects = f64::from(r.suspects) * SUSPECT_COST;
+        let suspects = if self.suspects.claimed(&r.name) {
+            SUSPECT_COST
+        } else {
+            0.0
+        };
         load * pace + distance + suspects - r.cache.share(&req.prefix) * PREFIX_WORTH
     }
 }
--- a/toucanchute_core/src/routing/dispatcher.rs
+++ b/toucanchute_core/src/routing/dispatcher.rs
@@ -2,7 +2,7 @@
 
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SlotMap;
-use toucanchute_proto::{AttemptId, Incarnation, Millis, fleet::Verdict};
+use toucanchute_proto::{AttemptId, Digest, Incarnation, Millis, fleet::Verdict};
 
 use super::{
     Action, Assign, Event, RefusalReason, Target,
@@ -64,7 +64,7 @@
             withdrawn: BTreeSet::new(),
             targets: BTreeMap::new(),
             attempts: BTreeMap::new(),
-            suspects: Suspects::default(),
+            suspects: Suspects::new(incarnation),
             retries: RetryBudget::new(),
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -95,7 +95,7 @@
                     self.replicas[key].cache.apply(now, &events, gap);
                 }
             }
-            Event::Verdict(v) => self.told(now, v, out),
+            Event::Verdict(v) => self.told(now, &v, out),
             Event::Tick => self.expire(now, out),
         }
         self.dispatch(now, out);
@@ -177,7 +177,8 @@
 
     /// Refuses waiting calls that cannot make it any more.
     fn expire(&mut self, now: Millis, out: &mut Vec<Action>) {
-        self.suspects.forget_expired(now);
+        let verdicts = self.suspects.refresh(now);
+        out.extend(verdicts.into_iter().map(Action::Verdict));
         for pool in self.pools.values_mut().filter(|p| !p.queue.is_empty()) {
             let late = |c: &Assign| pool.latest_start(c.deadline) < now;
             let ids: Vec<u64> = pool
@@ -195,7 +196,7 @@
         }
     }
 
-    fn told(&mut self, now: Millis, verdict: Verdict, out: &mut Vec<Action>) {
+    fn told(&mut self, now: Millis, verdict: &Verdict, out: &mut Vec<Action>) {
         self.suspects.told(now, verdict);
         self.refuse_quarantined(now, out);
     }
@@ -226,41 +227,94 @@
 
     /// Starts the call whose turn it is; returns whether there was one that fits.
     fn dispatch_one(&mut self, now: Millis, key: PoolKey, out: &mut Vec<Action>) -> bool {
+        let Some((call, step)) = self.next_step(now, key) else {
+            return false;
+        };
+        match step {
+            Step::Run { replica, suspect } => {
+                let pool = &mut self.pools[key];
+                let Some(req) = pool.queue.start(call) else {
+                    return false;
+                };
+                let waiting = !pool.queue.is_empty();
+                pool.started(now, waiting);
+                self.start(now, &req, suspect, replica, out);
+            }
+            Step::Claim { replica, suspect } => {
+                let name = self.replicas[replica].name.clone();
+                let verdict = self.suspects.claim(now, suspect, &name);
+                out.extend(verdict.map(Action::Verdict));
+            }
+            Step::Unclaim { suspect } => {
+                let verdict = self.suspects.unclaim(now, suspect);
+                out.extend(verdict.map(Action::Verdict));
+            }
+        }
+        true
+    }
+
+    /// Finds the first call in turn for which something can be done.
+    fn next_step(&mut self, now: Millis, key: PoolKey) -> Option<(u64, Step)> {
         let pool = &self.pools[key];
         let chooser = Chooser {
             now,
             domain: &self.domain,
             pool,
             replicas: &self.replicas,
+            suspects: &self.suspects,
         };
         if pool.queue.is_empty() || !chooser.any_room() {
-            return false;
+            return None;
         }
-        let mut found = None;
-        for req in pool.queue.next() {
-            let permit = self.suspects.permit(now, suspects::key(req));
-            if permit == Permit::Wait {
-                continue;
-            }
-            if let Some(replica) = chooser.choose(req, permit, &mut self.rng) {
-                found = Some((req.call, permit, replica));
-                break;
+        let mut calls = pool.queue.next();
+        calls.sort_by_key(|c| c.attempts == 0);
+        for req in calls {
+            let suspect = suspects::key(req);
+            let step = match self.suspects.permit(now, suspect) {
+                Permit::Wait | Permit::Never => None,
+                Permit::Free => {
+                    chooser
+                        .choose(req, false, &mut self.rng)
+                        .map(|replica| Step::Run {
+                            replica,
+                            suspect: false,
+                        })
+                }
+                Permit::Claim => chooser
+                    .choose(req, true, &mut self.rng)
+                    .map(|replica| Step::Claim { replica, suspect }),
+                Permit::On(name) => Some(match chooser.fits(&name) {
+                    Some(replica) => Step::Run {
+                        replica,
+                        suspect: true,
+                    },
+                    None => Step::Unclaim { suspect },
+                }),
+            };
+            if let Some(step) = step {
+                return Some((req.call, step));
             }
         }
-        let Some((call, permit, replica)) = found else {
-            return false;
-        };
-        let pool = &mut self.pools[key];
-        let Some(req) = pool.queue.start(call) else {
-            return false;
-        };
-        let waiting = !pool.queue.is_empty();
-        pool.started(now, waiting);
-        self.start(now, &req, permit, replica, out);
-        true
+        None
     }
 }
 
+/// What can be done for a waiting call.
+enum Step {
+    Run {
+        replica: BackendKey,
+        /// Whether it runs as a suspect.
+        suspect: bool,
+    },
+    Claim {
+        replica: BackendKey,
+        suspect: Digest,
+    },
+    Unclaim {
+        suspect: Digest,
+    },
+}
+
 fn refuse(req: &Assign, reason: RefusalReason, after: Millis, out: &mut Vec<Action>) {
     let after = after.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
     out.push(Action::Refused {
--- a/toucanchute_core/src/routing/replica.rs
+++ b/toucanchute_core/src/routing/replica.rs
@@ -38,8 +38,6 @@
     pub(super) listed: bool,
     /// Own attempts that have not ended.
     pub(super) in_flight: u32,
-    /// Own attempts among them that are suspects; at most one.
-    pub(super) suspects: u32,
     pub(super) health: Health,
     pub(super) limit: Limit,
     pub(super) cache: PrefixCache,
@@ -61,7 +59,6 @@
             pool,
             listed: false,
             in_flight: 0,
-            suspects: 0,
             health: Health::new(),
             limit: Limit::new(1),
             cache: PrefixCache::new(),
