test(routing): fuzz of three dispatchers against an oracle

Ten deliberate faults, set by tests only, are each noticed by the promise that they break.

Found on the way: reordered words of another router could wipe a claim (words now carry a rising time), two claims made across a pause could both count (the earliest counts, and pending claims wait after a pause), and a call could start between its deadline and the next tick.

--- a/toucanchute_core/src/routing.rs
+++ b/toucanchute_core/src/routing.rs
@@ -9,6 +9,7 @@
 mod configure;
 mod dispatcher;
 mod event;
+mod fault;
 mod health;
 mod limit;
 mod pool;
@@ -16,6 +17,8 @@
 mod replica;
 mod retry;
 mod suspects;
+#[cfg(test)]
+mod tests;
 
 pub use action::{Action, RefusalReason};
 pub use dispatcher::Dispatcher;
--- a/toucanchute_core/src/routing/attempts.rs
+++ b/toucanchute_core/src/routing/attempts.rs
@@ -1,7 +1,8 @@
 use toucanchute_proto::{AttemptId, Digest, Millis};
 
 use super::{
-    Action, Assign, CrashKind, Dispatcher, Report, health::Failure, pool::BackendKey, suspects,
+    Action, Assign, CrashKind, Dispatcher, Report, fault::Fault, health::Failure, pool::BackendKey,
+    suspects,
 };
 
 /// One run of a request on a replica.
@@ -122,7 +123,9 @@
     }
 
     fn failed(&mut self, now: Millis, run: &Attempt, failure: Failure) {
-        self.replicas[run.replica].health.failed(now, failure);
+        if !self.has(Fault::NeverEject) {
+            self.replicas[run.replica].health.failed(now, failure);
+        }
     }
 
     fn crashed(&mut self, now: Millis, run: &Attempt, kind: CrashKind, out: &mut Vec<Action>) {
@@ -131,6 +134,9 @@
             return;
         }
         self.failed(now, run, Failure::Hard);
+        if self.has(Fault::NeverQuarantine) {
+            self.suspects.forget(run.key);
+        }
         let verdict = self
             .suspects
             .crashed(now, run.key, run.replica, run.started);
--- a/toucanchute_core/src/routing/configure.rs
+++ b/toucanchute_core/src/routing/configure.rs
@@ -7,6 +7,7 @@
 
 use super::{
     Dispatcher, Target,
+    fault::Fault,
     health::Health,
     pool::{Pool, PoolKey},
     replica::Replica,
@@ -20,7 +21,7 @@
         self.set_targets(config);
         let mut unlisted: BTreeSet<_> = self.replicas.keys().collect();
         for b in &config.backends {
-            let listed = !withdrawn.contains(&b.name);
+            let listed = !withdrawn.contains(&b.name) || self.has(Fault::UseWithdrawn);
             if let Some(key) = self.set_backend(now, b, listed) {
                 unlisted.remove(&key);
             }
@@ -38,7 +39,12 @@
                 Some(key) => key,
                 None => self.pools.insert(Pool::new(&p.name)),
             };
-            self.pools[key].max_concurrency = p.max_concurrency;
+            let factor = if self.has(Fault::ExceedConcurrency) {
+                4
+            } else {
+                1
+            };
+            self.pools[key].max_concurrency = p.max_concurrency * factor;
         }
     }
 
--- a/toucanchute_core/src/routing/dispatcher.rs
+++ b/toucanchute_core/src/routing/dispatcher.rs
@@ -8,6 +8,7 @@
     Action, Assign, Event, RefusalReason, Target,
     attempts::Attempt,
     choose::Chooser,
+    fault::Fault,
     pool::{BackendKey, Pool, PoolKey},
     replica::Replica,
     retry::RetryBudget,
@@ -46,6 +47,8 @@
     pub(super) suspects: Suspects,
     pub(super) retries: RetryBudget,
     rng: SmallRng,
+    #[cfg(test)]
+    pub(super) fault: Option<Fault>,
 }
 
 impl Dispatcher {
@@ -67,11 +70,14 @@
             suspects: Suspects::new(incarnation),
             retries: RetryBudget::new(),
             rng: SmallRng::seed_from_u64(seed),
+            #[cfg(test)]
+            fault: None,
         }
     }
 
     /// Takes in one event and pushes what has to be done.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        self.suspects.observe(now);
         match event {
             Event::Configure { config, withdrawn } => {
                 self.withdrawn.clone_from(&withdrawn);
@@ -99,6 +105,21 @@
             Event::Tick => self.expire(now, out),
         }
         self.dispatch(now, out);
+        self.mistell(out);
+    }
+
+    /// Says less to the other routers, under a deliberate fault.
+    fn mistell(&self, out: &mut Vec<Action>) {
+        if self.has(Fault::TellNobody) {
+            out.retain(|a| !matches!(a, Action::Verdict(_)));
+        }
+        if self.has(Fault::HideClaims) {
+            let verdicts = out.iter_mut().filter_map(|a| match a {
+                Action::Verdict(v) => Some(v),
+                _ => None,
+            });
+            verdicts.for_each(|v| v.claim = None);
+        }
     }
 
     /// Calls that wait for a backend server.
@@ -131,17 +152,22 @@
         }
         if req.attempts == 0 {
             self.retries.fresh();
-        } else if !self.suspects.known(now, suspect) && !self.retries.take() {
+        } else if !self.suspects.known(now, suspect) && !self.take_retry() {
             refuse(&req, RefusalReason::RetriesExhausted, Millis(1_000), out);
             return;
         }
         self.enqueue(now, key, req, out);
     }
 
+    fn take_retry(&mut self) -> bool {
+        self.retries.take() || self.has(Fault::FreeRetries)
+    }
+
     fn enqueue(&mut self, now: Millis, key: PoolKey, req: Assign, out: &mut Vec<Action>) {
+        let start_late = self.has(Fault::StartLate);
         let pool = &mut self.pools[key];
         let wait = pool.wait(pool.queue.ahead(&req));
-        if now + wait > pool.latest_start(req.deadline) {
+        if now + wait > pool.latest_start(req.deadline) && !start_late {
             refuse(&req, RefusalReason::Overloaded, wait, out);
             return;
         }
@@ -177,10 +203,11 @@
 
     /// Refuses waiting calls that cannot make it any more.
     fn expire(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let (keep, hush) = (self.has(Fault::StartLate), self.has(Fault::DropLate));
         let verdicts = self.suspects.refresh(now);
         out.extend(verdicts.into_iter().map(Action::Verdict));
         for pool in self.pools.values_mut().filter(|p| !p.queue.is_empty()) {
-            let late = |c: &Assign| pool.latest_start(c.deadline) < now;
+            let late = |c: &Assign| !keep && pool.latest_start(c.deadline) < now;
             let ids: Vec<u64> = pool
                 .queue
                 .calls()
@@ -189,7 +216,7 @@
                 .collect();
             let wait = pool.wait(pool.queue.len());
             for id in ids {
-                let req = pool.queue.remove(id);
+                let req = pool.queue.remove(id).filter(|_| !hush);
                 req.iter()
                     .for_each(|r| refuse(r, RefusalReason::Overloaded, wait, out));
             }
@@ -232,10 +259,14 @@
         };
         match step {
             Step::Run { replica, suspect } => {
+                let fair = !self.has(Fault::ServeUnfairly);
                 let pool = &mut self.pools[key];
-                let Some(req) = pool.queue.start(call) else {
+                let Some(req) = pool.queue.remove(call) else {
                     return false;
                 };
+                if fair {
+                    pool.queue.charge(&req);
+                }
                 let waiting = !pool.queue.is_empty();
                 pool.started(now, waiting);
                 self.start(now, &req, suspect, replica, out);
@@ -266,28 +297,23 @@
         if pool.queue.is_empty() || !chooser.any_room() {
             return None;
         }
+        let late = self.has(Fault::StartLate);
         let mut calls = pool.queue.next();
+        calls.retain(|c| c.deadline >= now || late);
         calls.sort_by_key(|c| c.attempts == 0);
         for req in calls {
             let suspect = suspects::key(req);
+            let run = |replica, suspect| Step::Run { replica, suspect };
             let step = match self.suspects.permit(now, suspect) {
                 Permit::Wait | Permit::Never => None,
-                Permit::Free => {
-                    chooser
-                        .choose(req, false, &mut self.rng)
-                        .map(|replica| Step::Run {
-                            replica,
-                            suspect: false,
-                        })
-                }
                 Permit::Claim => chooser
                     .choose(req, true, &mut self.rng)
                     .map(|replica| Step::Claim { replica, suspect }),
+                Permit::Free => chooser
+                    .choose(req, false, &mut self.rng)
+                    .map(|replica| run(replica, false)),
                 Permit::On(name) => Some(match chooser.fits(&name) {
-                    Some(replica) => Step::Run {
-                        replica,
-                        suspect: true,
-                    },
+                    Some(replica) => run(replica, true),
                     None => Step::Unclaim { suspect },
                 }),
             };
--- a/toucanchute_core/src/routing/health.rs
+++ b/toucanchute_core/src/routing/health.rs
@@ -72,7 +72,10 @@
     }
 
     pub(super) fn failed(&mut self, now: Millis, failure: Failure) {
-        if matches!(self.state, State::Ejected { .. }) {
+        if let State::Ejected { until, .. } = &mut self.state {
+            if failure == Failure::Hard {
+                *until = (*until).max(now + EJECT_BASE);
+            }
             return;
         }
         self.failures += 1;
--- a/toucanchute_core/src/routing/queue.rs
+++ b/toucanchute_core/src/routing/queue.rs
@@ -75,14 +75,16 @@
         next
     }
 
-    /// Takes out a call that starts and counts it against its customer.
-    pub(super) fn start(&mut self, call: u64) -> Option<Assign> {
-        let req = self.remove(call)?;
-        let lane = self.lanes.get_mut(&Reverse(req.priority))?;
-        let share = lane.customers.get_mut(&req.customer)?;
+    /// Counts a call that starts against its customer.
+    pub(super) fn charge(&mut self, req: &Assign) {
+        let Some(lane) = self.lanes.get_mut(&Reverse(req.priority)) else {
+            return;
+        };
+        let Some(share) = lane.customers.get_mut(&req.customer) else {
+            return;
+        };
         lane.clock = lane.clock.max(share.served);
         share.served += req.tokens.max(1) * TOKEN_SHARE / share.weight;
-        Some(req)
     }
 
     pub(super) fn remove(&mut self, call: u64) -> Option<Assign> {
--- a/toucanchute_core/src/routing/suspects.rs
+++ b/toucanchute_core/src/routing/suspects.rs
@@ -2,7 +2,7 @@
 
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
-    fleet::{Standing, Verdict},
+    fleet::{Claim, Standing, Verdict},
 };
 
 use super::{Assign, pool::BackendKey};
@@ -14,7 +14,10 @@
 const QUARANTINE_TIME: Millis = Millis(600_000);
 
 /// Time between a claim and the run, in which the other routers hear of it.
-const NEWS_TIME: Millis = Millis(50);
+const NEWS_TIME: Millis = Millis(80);
+
+/// Time without an event after which other routers' words may still wait to be read.
+const PAUSE: Millis = Millis(40);
 
 /// Time within which a claim has to be used.
 const CLAIM_TIME: Millis = Millis(1_000);
@@ -31,11 +34,13 @@
 pub(super) struct Suspects {
     router: Incarnation,
     entries: BTreeMap<Digest, Entry>,
+    /// Time of the last event.
+    last: Millis,
 }
 
 #[derive(Debug)]
 struct Entry {
-    quarantined: bool,
+    standing: Standing,
     /// Rises with every word about the request.
     until: Millis,
     /// Router that has to find out.
@@ -45,7 +50,7 @@
     /// Replica that crashed; none if another router said so.
     crashed: Option<BackendKey>,
     /// Replica that is claimed for it.
-    claim: Option<String>,
+    claim: Option<Claim>,
     /// When it may run next.
     ready_at: Millis,
     /// Whether a copy runs as a suspect at this router.
@@ -77,17 +82,30 @@
         Suspects {
             router,
             entries: BTreeMap::new(),
+            last: Millis::default(),
+        }
+    }
+
+    /// Takes in the time of an event. After a pause, claims wait until the words of other routers
+    /// that came meanwhile are read.
+    pub(super) fn observe(&mut self, now: Millis) {
+        let paused = now.since(self.last) >= PAUSE;
+        self.last = now;
+        let pending = |e: &&mut Entry| e.claim.is_some() && !e.running;
+        for e in self.entries.values_mut().filter(pending).filter(|_| paused) {
+            e.ready_at = e.ready_at.max(now + NEWS_TIME);
         }
     }
 
     pub(super) fn permit(&self, now: Millis, key: Digest) -> Permit {
         match self.entries.get(&key).filter(|e| e.until > now) {
             None => Permit::Free,
-            Some(e) if e.quarantined => Permit::Never,
+            Some(e) if e.standing == Standing::Quarantined => Permit::Never,
+            Some(e) if e.standing == Standing::Cleared => Permit::Free,
             Some(e) if e.running || now < e.ready_at => Permit::Wait,
             Some(Entry {
                 claim: Some(claim), ..
-            }) if self.holds(key, claim) => Permit::On(claim.clone()),
+            }) if self.holds(key, claim) => Permit::On(claim.replica.clone()),
             Some(_) => Permit::Claim,
         }
     }
@@ -105,7 +123,10 @@
     /// Claims a replica for a suspect that may run on it when all routers have heard.
     pub(super) fn claim(&mut self, now: Millis, key: Digest, replica: &str) -> Option<Verdict> {
         let e = self.entries.get_mut(&key)?;
-        e.claim = Some(replica.to_owned());
+        e.claim = Some(Claim {
+            replica: replica.to_owned(),
+            at: now,
+        });
         e.ready_at = now + NEWS_TIME;
         Some(self.say(now, key))
     }
@@ -139,66 +160,51 @@
         started: Millis,
     ) -> Option<Verdict> {
         let old = self.entries.get(&key).filter(|e| e.until > now);
-        let entry = match old {
+        let until = old.map_or(now, |e| e.until);
+        let entry = match old.filter(|e| e.standing != Standing::Cleared) {
             None => Entry {
                 crashed: Some(replica),
                 ready_at: now,
-                ..Entry::new(self.router, now, now + SUSPECT_TIME)
+                ..Entry::new(self.router, now, until)
             },
-            Some(e) if e.quarantined || e.same_crash(replica, started) => return None,
-            Some(e) => Entry {
-                quarantined: true,
-                ..Entry::new(self.router, now, e.until.max(now + QUARANTINE_TIME))
+            Some(e) if e.standing == Standing::Quarantined => return None,
+            Some(e) if e.same_crash(replica, started) => return None,
+            Some(_) => Entry {
+                standing: Standing::Quarantined,
+                ..Entry::new(self.router, now, until.max(now + QUARANTINE_TIME))
             },
         };
         self.entries.insert(key, entry);
         Some(self.say(now, key))
     }
 
+    pub(super) fn forget(&mut self, key: Digest) {
+        self.entries.remove(&key);
+    }
+
     /// Takes in that the request ran to its end.
     pub(super) fn finished(&mut self, now: Millis, key: Digest) -> Option<Verdict> {
-        let entry = self.entries.get(&key).filter(|e| e.until > now)?;
-        if entry.quarantined {
+        let entry = self.entries.get_mut(&key).filter(|e| e.until > now)?;
+        if entry.standing != Standing::Suspect {
             return None;
         }
-        let mut verdict = self.say(now, key);
-        verdict.standing = Standing::Cleared;
-        verdict.replica = None;
-        self.entries.remove(&key);
-        Some(verdict)
+        entry.standing = Standing::Cleared;
+        entry.claim = None;
+        Some(self.say(now, key))
     }
 
     /// Takes in another router's word.
     pub(super) fn told(&mut self, now: Millis, v: &Verdict) {
         let old = self.entries.get(&v.digest).filter(|e| e.until > now);
-        let stale = old.is_some_and(|e| e.quarantined || e.running);
-        if v.until <= now || stale && v.standing != Standing::Quarantined {
+        if v.until <= now || old.is_some_and(|e| !e.yields_to(v)) {
             return;
         }
-        match v.standing {
-            Standing::Cleared => {
-                self.entries.remove(&v.digest);
-            }
-            Standing::Quarantined => {
-                let entry = Entry::new(v.router, now, v.until);
-                let quarantined = true;
-                self.entries.insert(
-                    v.digest,
-                    Entry {
-                        quarantined,
-                        ..entry
-                    },
-                );
-            }
-            Standing::Suspect if old.is_some_and(|e| e.router < v.router) => {}
-            Standing::Suspect => {
-                let mut entry = Entry::new(v.router, now, v.until);
-                entry.claim.clone_from(&v.replica);
-                entry.since = old.map_or(now, |e| e.since);
-                entry.crashed = old.and_then(|e| e.crashed);
-                self.entries.insert(v.digest, entry);
-            }
-        }
+        let mut entry = Entry::new(v.router, now, v.until);
+        entry.standing = v.standing;
+        entry.claim.clone_from(&v.claim);
+        entry.since = old.map_or(now, |e| e.since);
+        entry.crashed = old.and_then(|e| e.crashed);
+        self.entries.insert(v.digest, entry);
     }
 
     /// Speaks again of suspects that still run and gives up claims that were not used.
@@ -219,16 +225,21 @@
         keys.into_iter().map(|key| self.say(now, key)).collect()
     }
 
-    /// Whether no suspect with a lesser digest claims the same replica.
-    fn holds(&self, key: Digest, replica: &str) -> bool {
+    /// Whether no other suspect claimed the same replica before.
+    fn holds(&self, key: Digest, claim: &Claim) -> bool {
         let ours = self.entries[&key].router == self.router;
-        ours && self.claims(replica).all(|other| other >= key)
+        let first = |(at, other): (Millis, Digest)| (claim.at, key) <= (at, other);
+        ours && self.claims(&claim.replica).all(first)
     }
 
-    fn claims(&self, replica: &str) -> impl Iterator<Item = Digest> {
-        let claimed = move |e: &Entry| e.claim.as_deref() == Some(replica);
-        let entries = self.entries.iter();
-        entries.filter(move |(_, e)| claimed(e)).map(|(&k, _)| k)
+    /// Claims of a replica: when and for which request.
+    fn claims(&self, replica: &str) -> impl Iterator<Item = (Millis, Digest)> {
+        let claims = self.entries.iter().filter_map(|(&key, e)| {
+            let claim = e.claim.as_ref()?;
+            Some((claim, key))
+        });
+        let same = claims.filter(move |(claim, _)| claim.replica == replica);
+        same.map(|(claim, key)| (claim.at, key))
     }
 
     /// Makes this router's newest word about a request.
@@ -240,12 +251,9 @@
         e.until = (e.until + Millis(1)).max(now + SUSPECT_TIME);
         Verdict {
             digest: key,
-            standing: match e.quarantined {
-                true => Standing::Quarantined,
-                false => Standing::Suspect,
-            },
+            standing: e.standing,
             router,
-            replica: e.claim.clone(),
+            claim: e.claim.clone(),
             until: e.until,
         }
     }
@@ -255,7 +263,7 @@
     /// A suspect that waits for what `router` finds out about it.
     fn new(router: Incarnation, now: Millis, until: Millis) -> Entry {
         Entry {
-            quarantined: false,
+            standing: Standing::Suspect,
             until,
             router,
             since: now,
@@ -266,6 +274,17 @@
         }
     }
 
+    /// Whether another router's word replaces what is known here.
+    fn yields_to(&self, v: &Verdict) -> bool {
+        match (self.standing, v.standing) {
+            (Standing::Quarantined, _) => false,
+            (_, Standing::Quarantined) => true,
+            _ if self.running => false,
+            (Standing::Suspect, _) if self.router < v.router => false,
+            _ => self.router != v.router || self.until < v.until,
+        }
+    }
+
     /// Whether the crash of another copy is the one that made this request a suspect.
     fn same_crash(&self, replica: BackendKey, started: Millis) -> bool {
         started <= self.since && self.crashed.is_none_or(|r| r == replica)
--- /dev/null
+++ b/toucanchute_core/src/routing/tests.rs
@@ -0,0 +1,6 @@
+//! Tests of the dispatcher.
+
+mod fairness;
+mod fuzz;
+mod oracle;
+mod world;
--- /dev/null
+++ b/toucanchute_core/src/routing/tests/fuzz.rs
@@ -0,0 +1,76 @@
+//! Fuzz of three dispatchers against the oracle.
+
+use proptest::test_runner::{Config, RngSeed, TestCaseError, TestError, TestRunner};
+use yare::parameterized;
+
+use super::world::{Step, World, steps};
+use crate::routing::fault::Fault;
+
+/// Cases of a run that has to find nothing.
+const CASES: u32 = 400;
+
+/// Cases in which a deliberate fault has to be found.
+const FAULT_CASES: u32 = 2_000;
+
+fn fuzz(seed: u64, cases: u32, fault: Option<Fault>) -> Result<(), TestError<Vec<Step>>> {
+    println!("seed={seed} cases={cases} fault={fault:?}");
+    let config = Config {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: 4_096,
+        ..Config::default()
+    };
+    TestRunner::new(config).run(&steps(), |steps| {
+        let result = World::new(seed, fault).run(&steps);
+        result.map(drop).map_err(TestCaseError::fail)
+    })
+}
+
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_3 = { 3 },
+)]
+fn keeps_its_promises(seed: u64) {
+    if let Err(e) = fuzz(seed, CASES, None) {
+        panic!("seed {seed}: {e}");
+    }
+}
+
+#[parameterized(
+    use_withdrawn = { Fault::UseWithdrawn, "a withdrawn replica gets no work" },
+    exceed_concurrency = { Fault::ExceedConcurrency, "concurrency stays within its limit" },
+    start_late = { Fault::StartLate, "no call starts after its deadline" },
+    drop_late = { Fault::DropLate, "every call is answered" },
+    hide_claims = { Fault::HideClaims, "suspects run apart" },
+    never_quarantine = { Fault::NeverQuarantine, "a poison request crashes at most two replicas" },
+    tell_nobody = { Fault::TellNobody, "a poison request crashes at most two replicas" },
+    free_retries = { Fault::FreeRetries, "retries stay within their budget" },
+    never_eject = { Fault::NeverEject, "an unreachable replica is left alone" },
+)]
+fn a_fault_is_noticed(fault: Fault, promise: &str) {
+    let found = (0..4).any(|seed| match fuzz(seed, FAULT_CASES, Some(fault)) {
+        Err(TestError::Fail(reason, _)) => {
+            println!("broken promise: {reason}");
+            reason.message() == promise
+        }
+        _ => false,
+    });
+    assert!(found, "{fault:?} breaks no promise that \"{promise}\"");
+}
+
+#[test]
+fn the_same_events_give_the_same_actions() {
+    let step = |i: u64| Step::Call {
+        router: 0,
+        customer: (i % 3) as u8,
+        tokens: i * 7 % 300,
+        patience: 500,
+    };
+    let steps: Vec<Step> = (0..200)
+        .flat_map(|i| [step(i), Step::Advance(i % 11)])
+        .collect();
+    let run = || World::new(5, None).run(&steps).unwrap();
+    assert_eq!(run(), run());
+}
--- /dev/null
+++ b/toucanchute_core/src/routing/tests/oracle.rs
@@ -0,0 +1,216 @@
+//! What must hold of the dispatchers, told without their state.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use toucanchute_proto::{Digest, Millis};
+
+use super::world::{CONCURRENCY, POISON, World, retry_refused};
+use crate::routing::{Assign, Event, RefusalReason, Report};
+
+/// Retries that each router may admit before any fresh work.
+const FREE_RETRIES: f64 = 10.0;
+
+/// Share of fresh work that may be admitted as retries.
+const RETRY_SHARE: f64 = 0.1;
+
+/// Replicas that one poison request may crash.
+const MAX_CRASHES: u32 = 2;
+
+/// Shortest ejection of a replica that took no byte.
+const EJECTION: Millis = Millis(1_000);
+
+/// Time by which a caller has its answer after the deadline.
+const ANSWER_SLACK: Millis = Millis(600);
+
+/// A broken promise.
+pub(super) type Violation = String;
+
+#[derive(Default)]
+pub(super) struct Oracle {
+    pub(super) poison_crashes: u32,
+    routers: BTreeMap<usize, Router>,
+    /// Router of each call.
+    sent_to: BTreeMap<u64, usize>,
+    /// Crashes that each request was in flight at.
+    exposures: BTreeMap<Digest, u32>,
+    /// Requests that did not run to their end since their last crash.
+    suspects: BTreeSet<Digest>,
+    /// Runs that started as suspects, by call.
+    runs_apart: BTreeMap<u64, usize>,
+}
+
+#[derive(Default)]
+struct Router {
+    withdrawn: BTreeSet<String>,
+    fresh: f64,
+    retries: f64,
+    /// When each replica was last found unreachable, unless it joined anew since.
+    unsent: BTreeMap<usize, Millis>,
+    attempts: BTreeMap<toucanchute_proto::AttemptId, usize>,
+}
+
+fn check(holds: bool, promise: &str) -> Result<(), Violation> {
+    if holds {
+        Ok(())
+    } else {
+        Err(promise.to_owned())
+    }
+}
+
+impl Oracle {
+    pub(super) fn sent(&mut self, call: u64, router: usize) {
+        self.sent_to.insert(call, router);
+    }
+
+    pub(super) fn router_of(&self, call: u64) -> usize {
+        self.sent_to[&call]
+    }
+
+    pub(super) fn exposed(&mut self, digest: Digest) {
+        *self.exposures.entry(digest).or_default() += 1;
+        self.suspects.insert(digest);
+    }
+
+    /// Takes in an event that a router is about to handle.
+    pub(super) fn event(
+        &mut self,
+        now: Millis,
+        router: usize,
+        event: &Event,
+    ) -> Result<(), Violation> {
+        check(
+            self.poison_crashes <= MAX_CRASHES,
+            "a poison request crashes at most two replicas",
+        )?;
+        let state = self.routers.entry(router).or_default();
+        match event {
+            Event::Configure { withdrawn, .. } => {
+                let back = state.withdrawn.difference(withdrawn);
+                for name in back {
+                    state.unsent.remove(&name[1..].parse().unwrap());
+                }
+                state.withdrawn.clone_from(withdrawn);
+            }
+            Event::Assign(req) => {
+                let suspect = self.suspects.contains(&req.digest);
+                match req.attempts {
+                    0 => state.fresh += 1.0,
+                    _ if !suspect => state.retries += 1.0,
+                    _ => {}
+                }
+            }
+            Event::Report {
+                attempt,
+                report: Report::Unsent,
+            } => {
+                if let Some(&replica) = state.attempts.get(attempt) {
+                    state.unsent.insert(replica, now);
+                }
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    pub(super) fn refused(
+        &mut self,
+        router: usize,
+        req: Option<&Assign>,
+        reason: RefusalReason,
+    ) -> Result<(), Violation> {
+        check(req.is_some(), "a call is answered once")?;
+        let req = req.unwrap();
+        let state = self.routers.get_mut(&router).unwrap();
+        if retry_refused(reason) {
+            state.retries -= 1.0;
+        }
+        let exposures = self.exposures.get(&req.digest).copied().unwrap_or(0);
+        check(
+            reason != RefusalReason::Quarantined || exposures >= 2,
+            "only what was in flight at two crashes is quarantined",
+        )
+    }
+}
+
+impl World {
+    fn suspects_on(&self, replica: usize) -> usize {
+        let apart = &self.oracle.runs_apart;
+        let runs = self.running.iter().filter(|r| r.replica == replica);
+        runs.filter(|r| apart.get(&r.call) == Some(&replica))
+            .count()
+    }
+}
+
+impl Oracle {
+    /// Checks that a call may start on a replica now.
+    pub(super) fn check_start(
+        world: &World,
+        router: usize,
+        call: u64,
+        replica: usize,
+    ) -> Result<(), Violation> {
+        let state = &world.oracle.routers[&router];
+        let Some(req) = world.calls.get(&call) else {
+            return check(false, "a call is answered once");
+        };
+        let answered = world.running.iter().any(|r| r.call == call);
+        check(!answered, "a call is answered once")?;
+        let name = format!("b{replica}");
+        check(
+            !state.withdrawn.contains(&name),
+            "a withdrawn replica gets no work",
+        )?;
+        check(
+            world.now <= req.deadline,
+            "no call starts after its deadline",
+        )?;
+        let mine = world
+            .running
+            .iter()
+            .filter(|r| r.replica == replica && r.router == router);
+        check(
+            (mine.count() as u32) < CONCURRENCY,
+            "concurrency stays within its limit",
+        )?;
+        let allowed = FREE_RETRIES + RETRY_SHARE * state.fresh;
+        check(state.retries <= allowed, "retries stay within their budget")?;
+        let ejected = state.unsent.get(&replica);
+        let over = ejected.is_none_or(|&at| world.now.since(at) >= EJECTION);
+        check(over, "an unreachable replica is left alone")?;
+        let suspect = world.oracle.suspects.contains(&req.digest);
+        let alone = !suspect || world.suspects_on(replica) == 0;
+        check(alone, "suspects run apart")
+    }
+
+    /// Records that a call started on a replica.
+    pub(super) fn started(
+        &mut self,
+        router: usize,
+        req: &Assign,
+        attempt: toucanchute_proto::AttemptId,
+        replica: usize,
+    ) {
+        if self.suspects.contains(&req.digest) {
+            self.runs_apart.insert(req.call, replica);
+        } else {
+            self.runs_apart.remove(&req.call);
+        }
+        let state = self.routers.get_mut(&router).unwrap();
+        state.attempts.insert(attempt, replica);
+    }
+
+    /// Records that a request ran to its end.
+    pub(super) fn finished(&mut self, digest: Digest) {
+        self.suspects.remove(&digest);
+    }
+
+    /// Checks the end, long after the last deadline.
+    pub(super) fn finish(
+        &self,
+        now: Millis,
+        calls: &BTreeMap<u64, Assign>,
+    ) -> Result<(), Violation> {
+        let late = |c: &&Assign| now > c.deadline + ANSWER_SLACK && c.digest != POISON;
+        check(!calls.values().any(|c| late(&c)), "every call is answered")
+    }
+}
--- /dev/null
+++ b/toucanchute_core/src/routing/tests/world.rs
@@ -0,0 +1,483 @@
+//! Routers, replicas and callers that the fuzz drives step by step.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use proptest::prelude::*;
+use toucanchute_proto::{
+    AttemptId, Digest, Incarnation, Millis,
+    config::{Backend, Config, Model, Pool, PoolKind},
+    fleet::Load,
+};
+
+use super::oracle::{Oracle, Violation};
+use crate::routing::{
+    Action, Assign, CrashKind, Dispatcher, Event, RefusalReason, Report, Target, fault::Fault,
+};
+
+pub(super) const ROUTERS: usize = 3;
+pub(super) const REPLICAS: usize = 5;
+pub(super) const CONCURRENCY: u32 = 4;
+
+/// Runs that an edge tries for one call.
+const MAX_ATTEMPTS: u32 = 4;
+
+/// Times that the caller of a poison request sends it.
+const POISON_SENDS: u32 = 5;
+
+/// Longest time that a verdict takes to another router, in milliseconds.
+const MAX_GOSSIP: u64 = 40;
+
+/// How long a crashed replica is down, in milliseconds.
+const RESTART: u64 = 300;
+
+/// One thing that the fuzz does.
+#[derive(Clone, Debug)]
+pub(super) enum Step {
+    Advance(u64),
+    Call {
+        router: usize,
+        customer: u8,
+        tokens: u64,
+        patience: u64,
+    },
+    Poison {
+        router: usize,
+    },
+    CrashReplica(usize),
+    Fail {
+        nth: usize,
+        how: usize,
+    },
+    Withdraw {
+        router: usize,
+        mask: u8,
+    },
+    Load {
+        replica: usize,
+        lag: u64,
+    },
+    Abandon {
+        nth: usize,
+    },
+    Freeze {
+        router: usize,
+        span: u64,
+    },
+}
+
+pub(super) fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        10 => (1u64..200).prop_map(Step::Advance),
+        20 => (0..ROUTERS, 0u8..4, 1u64..400, 50u64..4_000).prop_map(
+            |(router, customer, tokens, patience)| Step::Call { router, customer, tokens, patience }
+        ),
+        1 => (0..ROUTERS).prop_map(|router| Step::Poison { router }),
+        1 => (0..REPLICAS).prop_map(Step::CrashReplica),
+        15 => (0usize..64, 0usize..5).prop_map(|(nth, how)| Step::Fail { nth, how }),
+        2 => (0..ROUTERS, any::<u8>()).prop_map(|(router, mask)| Step::Withdraw { router, mask }),
+        4 => (0..REPLICAS, 0u64..1_000).prop_map(|(replica, lag)| Step::Load { replica, lag }),
+        1 => (0usize..16).prop_map(|nth| Step::Abandon { nth }),
+        1 => (0..ROUTERS, 1u64..500).prop_map(|(router, span)| Step::Freeze { router, span }),
+    ];
+    prop::collection::vec(step, 1..200)
+}
+
+/// A run of a request on a replica.
+pub(super) struct Run {
+    pub(super) router: usize,
+    attempt: AttemptId,
+    pub(super) call: u64,
+    pub(super) replica: usize,
+    ends: Millis,
+}
+
+/// The world that the dispatchers act in.
+pub(super) struct World {
+    pub(super) now: Millis,
+    routers: Vec<Dispatcher>,
+    frozen: Vec<Millis>,
+    /// Events on their way, by time of arrival.
+    inbox: BTreeMap<(Millis, u64), (usize, Event)>,
+    serial: u64,
+    pub(super) calls: BTreeMap<u64, Assign>,
+    pub(super) running: Vec<Run>,
+    down: [Millis; REPLICAS],
+    /// Sends of the poison request left, and where it was sent last.
+    poison: Option<(u32, usize)>,
+    poison_at: Option<Millis>,
+    pub(super) oracle: Oracle,
+    /// Calls whose caller went away while a router may still answer.
+    abandoned: BTreeSet<u64>,
+    pub(super) log: Vec<Action>,
+}
+
+pub(super) fn config(replicas: usize, concurrency: u32) -> Config {
+    let pool = "p".to_owned();
+    let text = format!(
+        r#"{{"version":1,"site":"s","routing":{{"queue_limit":64}},"ledger":{{}},
+        "pools":[{{"name":"p","kind":"engine","max_concurrency":{concurrency}}}]}}"#
+    );
+    let mut config: Config = serde_json::from_str(&text).unwrap();
+    config.models = vec![Model {
+        name: "m".to_owned(),
+        pool: pool.clone(),
+    }];
+    let backend = |i: usize| Backend {
+        name: format!("b{i}"),
+        pool: pool.clone(),
+        address: format!("192.0.2.{i}:80"),
+        failure_domain: format!("d{}", i % 2),
+    };
+    config.backends = (0..replicas).map(backend).collect();
+    assert_eq!(
+        config.pools[0],
+        Pool {
+            name: pool,
+            kind: PoolKind::Engine,
+            fencing: config.pools[0].fencing,
+            max_concurrency: concurrency,
+        }
+    );
+    config
+}
+
+pub(super) fn assign(call: u64, customer: u8, tokens: u64, deadline: Millis) -> Assign {
+    Assign {
+        call,
+        target: Target::Model("m".to_owned()),
+        customer: format!("c{customer}"),
+        weight: 1,
+        priority: 0,
+        digest: Digest(u128::from(call)),
+        prefix: vec![call % 7],
+        tokens,
+        attempts: 0,
+        exclude: Vec::new(),
+        deadline,
+    }
+}
+
+/// Digest of the poison request; every call with it crashes its replica.
+pub(super) const POISON: Digest = Digest(u128::MAX);
+
+impl World {
+    pub(super) fn new(seed: u64, fault: Option<Fault>) -> World {
+        let router = |i: usize| {
+            let mut d = Dispatcher::new(Incarnation(i as u64 + 1), "d0", seed + i as u64);
+            d.fault = fault;
+            d
+        };
+        let mut world = World {
+            now: Millis(1_000),
+            routers: (0..ROUTERS).map(router).collect(),
+            frozen: vec![Millis(0); ROUTERS],
+            inbox: BTreeMap::new(),
+            serial: 0,
+            calls: BTreeMap::new(),
+            running: Vec::new(),
+            down: [Millis(0); REPLICAS],
+            poison: None,
+            poison_at: None,
+            oracle: Oracle::default(),
+            abandoned: BTreeSet::new(),
+            log: Vec::new(),
+        };
+        (0..ROUTERS).for_each(|r| world.withdraw(r, 0));
+        world
+    }
+
+    pub(super) fn run(mut self, steps: &[Step]) -> Result<Vec<Action>, Violation> {
+        for step in steps {
+            self.step(step)?;
+        }
+        for r in 0..ROUTERS {
+            self.withdraw(r, 0);
+        }
+        self.advance(60_000)?;
+        self.oracle.finish(self.now, &self.calls)?;
+        Ok(self.log)
+    }
+
+    fn step(&mut self, step: &Step) -> Result<(), Violation> {
+        match *step {
+            Step::Advance(span) => return self.advance(span),
+            Step::Call {
+                router,
+                customer,
+                tokens,
+                patience,
+            } => {
+                let call = self.next();
+                let req = assign(call, customer, tokens, self.now + Millis(patience));
+                self.send(router, req);
+            }
+            Step::Poison { router } if self.poison.is_none() => {
+                self.poison = Some((POISON_SENDS, router));
+                self.poison_at = Some(self.now);
+            }
+            Step::CrashReplica(replica) => self.crash(replica),
+            Step::Fail { nth, how } => self.fail(nth, how),
+            Step::Withdraw { router, mask } => self.withdraw(router, mask & 0b1_1110),
+            Step::Load { replica, lag } => self.load(replica, lag),
+            Step::Abandon { nth } => {
+                let waiting = self.calls.iter().filter(|(_, c)| c.digest != POISON);
+                let nth = waiting.map(|(&c, _)| c).nth(nth);
+                if let Some(call) = nth.filter(|c| !self.running.iter().any(|r| r.call == *c)) {
+                    let router = self.oracle.router_of(call);
+                    self.calls.remove(&call);
+                    self.abandoned.insert(call);
+                    self.post(router, 0, Event::Abandon { call });
+                }
+            }
+            Step::Freeze { router, span } => self.frozen[router] = self.now + Millis(span),
+            Step::Poison { .. } => {}
+        }
+        self.deliver()
+    }
+
+    // Time
+
+    fn advance(&mut self, span: u64) -> Result<(), Violation> {
+        let until = self.now + Millis(span);
+        while self.now < until {
+            self.now = self.now + Millis(5);
+            self.end_runs();
+            self.send_poison();
+            if self.now.0.is_multiple_of(20) {
+                (0..ROUTERS).for_each(|r| self.post(r, 0, Event::Tick));
+            }
+            self.deliver()?;
+        }
+        Ok(())
+    }
+
+    fn next(&mut self) -> u64 {
+        self.serial += 1;
+        self.serial
+    }
+
+    fn post(&mut self, router: usize, delay: u64, event: Event) {
+        let at = self.now + Millis(delay);
+        let serial = self.next();
+        self.inbox.insert((at, serial), (router, event));
+    }
+
+    fn deliver(&mut self) -> Result<(), Violation> {
+        while let Some(entry) = self.inbox.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let ((at, _), (router, event)) = entry.remove_entry();
+            if self.frozen[router] > self.now {
+                let late = (self.frozen[router].max(at), self.next());
+                self.inbox.insert(late, (router, event));
+                continue;
+            }
+            self.oracle.event(self.now, router, &event)?;
+            let mut out = Vec::new();
+            self.routers[router].handle(self.now, event, &mut out);
+            for action in out {
+                self.act(router, action)?;
+            }
+        }
+        Ok(())
+    }
+
+    // Callers
+
+    fn send(&mut self, router: usize, req: Assign) {
+        self.oracle.sent(req.call, router);
+        self.calls.insert(req.call, req.clone());
+        self.post(router, 0, Event::Assign(req));
+    }
+
+    fn send_poison(&mut self) {
+        if self.poison_at.is_none_or(|at| at > self.now) {
+            return;
+        }
+        self.poison_at = None;
+        if let Some((left @ 1.., router)) = self.poison {
+            self.poison = Some((left - 1, (router + 1) % ROUTERS));
+            let call = self.next();
+            let mut req = assign(call, 0, 50, self.now + Millis(8_000));
+            req.digest = POISON;
+            self.send(router, req);
+        }
+    }
+
+    /// Ends a call; the poison request's caller sends it again at once, elsewhere.
+    fn answered(&mut self, call: u64) {
+        let req = self.calls.remove(&call);
+        if req.is_some_and(|r| r.digest == POISON) {
+            self.poison_at = Some(self.now + Millis(5));
+        }
+    }
+
+    // Actions
+
+    fn act(&mut self, router: usize, action: Action) -> Result<(), Violation> {
+        self.log.push(action.clone());
+        match action {
+            Action::Assigned { call, attempt, .. } if self.abandoned.contains(&call) => {
+                let report = Report::Cancelled;
+                self.post(router, 0, Event::Report { attempt, report });
+            }
+            Action::Refused { call, .. } if self.abandoned.contains(&call) => {}
+            Action::Assigned {
+                call,
+                attempt,
+                backend,
+                ..
+            } => {
+                let replica: usize = backend[1..].parse().unwrap();
+                Oracle::check_start(self, router, call, replica)?;
+                let req = &self.calls[&call];
+                self.oracle.started(router, req, attempt, replica);
+                self.begin(router, call, attempt, replica);
+            }
+            Action::Refused { call, reason, .. } => {
+                self.oracle.refused(router, self.calls.get(&call), reason)?;
+                self.answered(call);
+            }
+            Action::Verdict(v) => {
+                for peer in (0..ROUTERS).filter(|&p| p != router) {
+                    let delay = (self.serial * 7_919) % MAX_GOSSIP;
+                    self.post(peer, delay, Event::Verdict(v.clone()));
+                    self.post(peer, delay + 3, Event::Verdict(v.clone()));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn begin(&mut self, router: usize, call: u64, attempt: AttemptId, replica: usize) {
+        let req = &self.calls[&call];
+        let span = if req.digest == POISON {
+            15
+        } else {
+            20 + req.tokens
+        };
+        let run = Run {
+            router,
+            attempt,
+            call,
+            replica,
+            ends: self.now + Millis(span),
+        };
+        self.running.push(run);
+        if self.down[replica] > self.now {
+            self.end(self.running.len() - 1, Report::Unsent);
+        }
+    }
+
+    // Replicas
+
+    fn end_runs(&mut self) {
+        while let Some(at) = self.running.iter().position(|r| r.ends <= self.now) {
+            let run = &self.running[at];
+            if self
+                .calls
+                .get(&run.call)
+                .is_some_and(|c| c.digest == POISON)
+            {
+                self.oracle.poison_crashes += 1;
+                self.crash(run.replica);
+            } else {
+                self.end(at, Report::Done { tokens: 20 });
+            }
+        }
+    }
+
+    fn crash(&mut self, replica: usize) {
+        self.down[replica] = self.now + Millis(RESTART);
+        while let Some(at) = self.running.iter().position(|r| r.replica == replica) {
+            let call = self.running[at].call;
+            if let Some(req) = self.calls.get(&call) {
+                self.oracle.exposed(req.digest);
+            }
+            let kind = CrashKind::Disconnected;
+            self.end(at, Report::Crashed { kind });
+        }
+    }
+
+    fn fail(&mut self, nth: usize, how: usize) {
+        let innocent = |r: &Run| self.calls.get(&r.call).is_some_and(|c| c.digest != POISON);
+        let Some(at) = self.running.iter().position(innocent) else {
+            return;
+        };
+        let at = (at + nth) % self.running.len();
+        if !innocent(&self.running[at]) {
+            return;
+        }
+        let kind = CrashKind::TimedOut;
+        let reports = [
+            Report::Refused,
+            Report::Unsent,
+            Report::Crashed { kind },
+            Report::Cancelled,
+            Report::FirstToken,
+        ];
+        match reports[how] {
+            Report::FirstToken => {
+                let run = &self.running[at];
+                let (router, attempt) = (run.router, run.attempt);
+                let report = Report::FirstToken;
+                self.post(router, 0, Event::Report { attempt, report });
+            }
+            report => self.end(at, report),
+        }
+    }
+
+    /// Ends a run; the router's edge tries a failed one again.
+    fn end(&mut self, at: usize, report: Report) {
+        let Run {
+            router,
+            attempt,
+            call,
+            replica,
+            ..
+        } = self.running.remove(at);
+        self.post(router, 0, Event::Report { attempt, report });
+        let Some(req) = self.calls.get(&call) else {
+            return;
+        };
+        let mut req = req.clone();
+        if matches!(report, Report::Done { .. }) {
+            self.oracle.finished(req.digest);
+        }
+        req.attempts += 1;
+        req.exclude.push(format!("b{replica}"));
+        let over = matches!(report, Report::Done { .. } | Report::Cancelled);
+        if over || req.attempts >= MAX_ATTEMPTS {
+            self.answered(call);
+        } else {
+            req.deadline = req.deadline.max(self.now + Millis(5_000));
+            self.send(router, req);
+        }
+    }
+
+    fn load(&mut self, replica: usize, lag: u64) {
+        let running = self.running.iter().filter(|r| r.replica == replica).count() as u32;
+        let load = Load {
+            backend: format!("b{replica}"),
+            running,
+            waiting: 0,
+            capacity: CONCURRENCY,
+            kv_used: 0,
+            as_of: self.now,
+        };
+        (0..ROUTERS).for_each(|r| self.post(r, lag, Event::Load(load.clone())));
+    }
+
+    fn withdraw(&mut self, router: usize, mask: u8) {
+        let names = (0..REPLICAS).filter(|i| mask & (1 << i) != 0);
+        let withdrawn: BTreeSet<String> = names.map(|i| format!("b{i}")).collect();
+        let config = config(REPLICAS, CONCURRENCY).into();
+        self.post(router, 0, Event::Configure { config, withdrawn });
+    }
+}
+
+/// Whether a refusal is one that a retry meets.
+pub(super) fn retry_refused(reason: RefusalReason) -> bool {
+    reason == RefusalReason::RetriesExhausted
+}
