--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -168,7 +168,8 @@
         let peers = members.iter().map(money_peer).collect();
         self.with_peers(|actors| post(&actors.money, MoneyInput::Peers(peers)));
         let alive = members.iter().filter(|m| m.state != MemberState::Gone);
-        self.mesh.set_addresses(alive.map(|m| (m.incarnation, m.peer_address)).collect());
+        self.mesh
+            .set_addresses(alive.map(|m| (m.incarnation, m.peer_address)).collect());
         self.members = members;
     }
 
