--- a/toucanchute_edge/src/completion.rs
+++ b/toucanchute_edge/src/completion.rs
@@ -8,5 +8,7 @@
 mod stream;
 mod whole;
 
+#[cfg(test)]
+pub(crate) use progress::Progress;
 pub(crate) use request::{CompletionKind, CompletionRequest};
 pub(crate) use run::run;
--- a/toucanchute_edge/src/lib.rs
+++ b/toucanchute_edge/src/lib.rs
@@ -19,6 +19,8 @@
 mod service;
 mod settings;
 mod sse;
+#[cfg(test)]
+mod tests;
 
 pub use control::{
     AddressList, AssignRequest, Assignment, Control, CrashKind, IntentRequest, Intention, Outcome,
--- /dev/null
+++ b/toucanchute_edge/src/tests/answers.rs
@@ -0,0 +1,125 @@
+use bytes::BytesMut;
+use proptest::{collection::vec, prelude::*};
+use serde_json::{Value, json};
+use toucanchute_proto::Millis;
+
+use super::config;
+use crate::{
+    completion::Progress,
+    control::{Outcome, Refusal, RefusalReason, ServiceAnswer},
+    problem::Problem,
+};
+
+const ID: &str = "00000000000000a1-7";
+
+fn chunk(offset: usize, text: &str) -> Vec<u8> {
+    let chunk = json!({"choices": [{"delta": {"content": text}, "finish_reason": null}],
+        "id": ID, "offset": offset});
+    chunk.to_string().into_bytes()
+}
+
+#[test]
+fn resumed_stream_keeps_its_identifier() {
+    let mut progress = Progress::default();
+    let mut out = BytesMut::new();
+    progress
+        .accept(
+            "a-1",
+            br#"{"id":"a-1","offset":0,"choices":[{"text":"x"}]}"#,
+            &mut out,
+        )
+        .unwrap();
+    progress
+        .accept(
+            "b-22",
+            br#"{"id":"b-22","offset":1,"choices":[{"text":"y"}]}"#,
+            &mut out,
+        )
+        .unwrap();
+    let text = String::from_utf8(out.to_vec()).unwrap();
+    assert_eq!(text.matches("\"id\":\"a-1\"").count(), 2, "{text}");
+    assert!(!text.contains("b-22"), "{text}");
+}
+
+#[test]
+fn large_answer_is_recorded_by_status() {
+    let answer = ServiceAnswer {
+        status: 201,
+        content_type: "text/plain".to_owned(),
+        body: vec![b'x'; 11].into(),
+    };
+    assert_eq!(answer.bounded(11), answer);
+    let bounded = answer.bounded(10);
+    assert_eq!(bounded.status, 201);
+    let body: Value = serde_json::from_slice(&bounded.body).unwrap();
+    assert_eq!(body, json!({"recorded": "status", "answer_bytes": 11}));
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Whatever is repeated, the caller gets each token once and in order; a gap ends the attempt.
+    #[test]
+    fn offsets_are_checked(
+        texts in vec(".{1,8}", 1..20),
+        sent in vec(0..20_usize, 0..60),
+    ) {
+        let mut progress = Progress::default();
+        let mut out = BytesMut::new();
+        let mut next = 0;
+        for offset in sent {
+            let Some(text) = texts.get(offset) else {
+                continue;
+            };
+            let taken = progress.accept(ID, &chunk(offset, text), &mut out);
+            prop_assert_eq!(taken.is_err(), offset > next);
+            next += usize::from(offset == next);
+            prop_assert_eq!(progress.tokens, next as u64);
+            prop_assert_eq!(&progress.text, &texts[..next].concat());
+        }
+    }
+
+    #[test]
+    fn any_bytes_are_taken_as_chunk(data in vec(any::<u8>(), 0..80), at in 0..70_usize) {
+        let mut out = BytesMut::new();
+        let _ = Progress::default().accept(ID, &data, &mut out);
+        prop_assert!(out.is_empty());
+        let mut good = chunk(0, "é\"");
+        good.splice(at..(at + 3).min(good.len()), data);
+        let _ = Progress::default().accept(ID, &good, &mut out);
+    }
+
+    /// A token without text may or may not be counted by the model engine.
+    #[test]
+    fn empty_tokens_may_count(empty in vec(any::<bool>(), 0..20), counted: bool) {
+        let mut progress = Progress::default();
+        let mut out = BytesMut::new();
+        let mut offset = 0;
+        for empty in empty {
+            let text = if empty { "" } else { "x" };
+            prop_assert!(progress.accept(ID, &chunk(offset, text), &mut out).is_ok());
+            offset += usize::from(counted || !empty);
+        }
+    }
+
+    #[test]
+    fn problems_are_one_line_of_json(detail in ".{0,60}|[\n\r]{3}", ms in any::<u64>()) {
+        let mut problem = Problem::from(Refusal {
+            reason: RefusalReason::Overloaded,
+            outcome: Outcome::NotRun,
+            retry_after: Some(Millis(ms)),
+            elsewhere: Some(([127, 0, 0, 1], 9).into()),
+        });
+        problem.detail = detail;
+        let event = String::from_utf8(problem.to_event().to_vec()).unwrap();
+        let data = event.strip_prefix("event: error\ndata: ").unwrap();
+        let data = data.strip_suffix("\n\n").unwrap();
+        prop_assert!(!data.contains(['\n', '\r']));
+        let document: Value = serde_json::from_str(data).unwrap();
+        prop_assert_eq!(&document["detail"], &problem.detail);
+        prop_assert_eq!(&document["retry_after_ms"], ms);
+        let res = problem.into_response();
+        let after: u64 = res.headers()["retry-after"].to_str().unwrap().parse().unwrap();
+        prop_assert!(after >= 1 && after >= ms / 1_000);
+    }
+}
