--- /dev/null
+++ b/toucanchute_edge/examples/added_latency/control.rs
@@ -0,0 +1,91 @@
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use bytes::Bytes;
+use http::StatusCode;
+use serde_json::{Value, json};
+use toucanchute_edge::{
+    AddressList, AssignRequest, Assignment, Control, IntentRequest, Intention, Recorded, Refusal,
+    Report, Reservation, ReserveRequest, Settlement,
+};
+use toucanchute_proto::{AttemptId, Incarnation, RequestKey, config::Config};
+
+/// SHA-256 of "secret", the bench's token.
+const TOKEN_SHA256: &str = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b";
+
+/// A control that grants everything at once, so that only the edge is measured.
+pub(crate) struct FreeControl {
+    config: Arc<Config>,
+    engine: SocketAddr,
+    attempts: AtomicU64,
+}
+
+impl FreeControl {
+    /// Creates a control that sends everything to `engine`.
+    pub(crate) fn new(engine: SocketAddr) -> FreeControl {
+        let config = json!({
+            "site": "bench", "version": 1, "ledger": {}, "routing": {},
+            "customers": [{"name": "c", "budget": "b", "token_sha256": TOKEN_SHA256}],
+            "models": [{"name": "m", "pool": "p"}],
+        });
+        FreeControl {
+            config: Arc::new(serde_json::from_value(config).expect("a valid configuration")),
+            engine,
+            attempts: AtomicU64::new(1),
+        }
+    }
+}
+
+impl Control for FreeControl {
+    fn config(&self) -> Arc<Config> {
+        Arc::clone(&self.config)
+    }
+
+    fn addresses(&self) -> AddressList {
+        AddressList::default()
+    }
+
+    fn unready(&self) -> Option<Refusal> {
+        None
+    }
+
+    async fn reserve(&self, req: ReserveRequest) -> Result<Reservation, Refusal> {
+        Ok(Reservation {
+            key: req.key,
+            id: 0,
+            tokens: req.tokens,
+        })
+    }
+
+    async fn settle(&self, _: Reservation, _: u64) -> Result<Settlement, Refusal> {
+        Ok(Settlement::Billed)
+    }
+
+    fn release(&self, _: Reservation) {}
+
+    async fn intend(&self, _: IntentRequest) -> Result<Intention, Refusal> {
+        Ok(Intention::Accepted)
+    }
+
+    fn record(&self, _: RequestKey, _: Recorded) {}
+
+    async fn assign(&self, _: AssignRequest) -> Result<Assignment, Refusal> {
+        let number = self.attempts.fetch_add(1, Ordering::Relaxed);
+        Ok(Assignment {
+            attempt: AttemptId(Incarnation(1), number),
+            backend: "engine".to_owned(),
+            address: self.engine,
+        })
+    }
+
+    fn report(&self, _: AttemptId, _: Report) {}
+
+    async fn admin(&self, _: http::Method, _: String, _: Bytes) -> (StatusCode, Value) {
+        (StatusCode::NOT_FOUND, Value::Null)
+    }
+}
--- /dev/null
+++ b/toucanchute_edge/examples/added_latency/main.rs
@@ -0,0 +1,206 @@
+//! Measures what the edge adds to a direct connection to a stand-in model engine: latency of the
+//! first token and between tokens, CPU time a token, memory a stream.
+//!
+//! Run it in release mode; `scripts/bench` does. Engine, edge and callers have threads of their own
+//! in one process. Direct and routed rounds take turns, so that other work on the machine meets
+//! both.
+
+mod control;
+mod load;
+mod process;
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use tokio::{
+    net::TcpListener,
+    runtime::{Builder, Runtime},
+    task::JoinSet,
+};
+use toucanchute_edge::{Edge, EdgeSettings};
+use toucanchute_fakes::{Engine, EngineOptions};
+
+use self::{
+    control::FreeControl,
+    load::{Caller, Times, quantile},
+    process::{cpu_micros, resident_kb},
+};
+
+/// Worker threads of the edge.
+const EDGE_THREADS: usize = 2;
+/// Numbers of streams at the same time, each with its number of rounds.
+const STREAMS: [(usize, u64); 3] = [(1, 20), (32, 10), (256, 6)];
+/// Tokens of each answer.
+const TOKENS: u64 = 24;
+/// Streams at the same time when the throughput is measured.
+const THROUGHPUT_STREAMS: usize = 64;
+/// Tokens of each answer when the throughput is measured.
+const THROUGHPUT_TOKENS: u64 = 2_000;
+/// Streams at the same time when the memory is measured.
+const MEMORY_STREAMS: usize = 1_000;
+
+fn main() {
+    let engines = runtime("engine", 4);
+    let edges = runtime("edge", EDGE_THREADS);
+    let callers = runtime("caller", 3);
+    let bench = Bench { engines, edges };
+    callers.block_on(async {
+        bench.measure_latency().await;
+        bench.measure_throughput().await;
+        bench.measure_memory().await;
+    });
+    std::process::exit(0);
+}
+
+fn runtime(name: &str, threads: usize) -> Runtime {
+    let mut builder = Builder::new_multi_thread();
+    let builder = builder
+        .worker_threads(threads)
+        .thread_name(name)
+        .enable_all();
+    builder.build().expect("a runtime")
+}
+
+struct Bench {
+    engines: Runtime,
+    edges: Runtime,
+}
+
+impl Bench {
+    /// Starts an engine and an edge before it; returns their addresses, the engine's first.
+    async fn start(&self, token_ms: u64, tokens: u64) -> [SocketAddr; 2] {
+        let options = EngineOptions {
+            first_token_ms: token_ms,
+            token_ms,
+            capacity: 4_096,
+            // Answers are cut to the length that is asked for.
+            answer_tokens: 2 * tokens,
+            ..EngineOptions::default()
+        };
+        let bound = Engine::bind(([127, 0, 0, 1], 0).into(), options);
+        let engine = self.engines.spawn(bound).await.expect("a task");
+        let engine = engine.expect("an engine");
+        let direct = engine.address();
+        std::mem::forget(engine);
+        let settings = EdgeSettings {
+            max_idle_connections: 4_096,
+            ..EdgeSettings::default()
+        };
+        let edge = Edge::new(Arc::new(FreeControl::new(direct)), settings);
+        let routed = self.edges.spawn(async move {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("an address");
+            tokio::spawn(async move { edge.serve(listener, std::future::pending()).await });
+            address
+        });
+        [direct, routed.await.expect("a task")]
+    }
+
+    async fn measure_latency(&self) {
+        println!("latency in microseconds; the engine sends a token every 20 ms");
+        println!(
+            "streams  what            direct p50  routed p50  added p50  direct p99  routed p99"
+        );
+        for (streams, rounds) in STREAMS {
+            let addresses = self.start(20, TOKENS).await;
+            let mut times = [Times::default(), Times::default()];
+            let mut callers = [
+                connect(addresses[0], streams).await,
+                connect(addresses[1], streams).await,
+            ];
+            round(&mut callers[0], TOKENS).await;
+            round(&mut callers[1], TOKENS).await;
+            for _ in 0..rounds {
+                for (callers, times) in callers.iter_mut().zip(&mut times) {
+                    times.merge(round(callers, TOKENS).await);
+                }
+            }
+            let [direct, routed] = times;
+            print_row(streams, "first token", direct.first, routed.first);
+            print_row(streams, "between tokens", direct.between, routed.between);
+        }
+    }
+
+    async fn measure_throughput(&self) {
+        let addresses = self.start(0, THROUGHPUT_TOKENS).await;
+        for (name, address) in ["direct", "routed"].into_iter().zip(addresses) {
+            let mut callers = connect(address, THROUGHPUT_STREAMS).await;
+            let (cpu, start) = (cpu_micros("edge"), Instant::now());
+            let times = round(&mut callers, THROUGHPUT_TOKENS).await;
+            let wall = start.elapsed().as_secs_f64();
+            let cpu = (cpu_micros("edge") - cpu) as f64 / 1e6;
+            let rate = times.tokens as f64 / wall;
+            println!(
+                "throughput {name}: {} tokens, {rate:.0} tokens/s, edge CPU {cpu:.2} s",
+                times.tokens
+            );
+            if cpu > 0.0 {
+                println!(
+                    "throughput {name}: {:.0} tokens per CPU second",
+                    times.tokens as f64 / cpu
+                );
+            }
+        }
+    }
+
+    async fn measure_memory(&self) {
+        let mut slopes = Vec::new();
+        for (name, i) in [("direct", 0), ("routed", 1)] {
+            let address = self.start(400, TOKENS).await[i];
+            let before = resident_kb();
+            let mut callers = connect(address, MEMORY_STREAMS).await;
+            let running = round(&mut callers, TOKENS);
+            let during = async {
+                tokio::time::sleep(Duration::from_secs(4)).await;
+                resident_kb()
+            };
+            let (_, during) = tokio::join!(running, during);
+            let slope = during.saturating_sub(before) as f64 / MEMORY_STREAMS as f64;
+            println!(
+                "memory {name}: {before} kB before, {during} kB with {MEMORY_STREAMS} streams"
+            );
+            slopes.push(slope);
+        }
+        let edge = slopes[1] - slopes[0];
+        println!("memory of the edge: {edge:.1} kB a stream");
+    }
+}
+
+/// Opens connections.
+async fn connect(address: SocketAddr, streams: usize) -> Vec<Caller> {
+    let mut callers = Vec::with_capacity(streams);
+    for _ in 0..streams {
+        callers.push(Caller::connect(address).await);
+    }
+    callers
+}
+
+/// Streams one answer over each connection at the same time.
+async fn round(callers: &mut Vec<Caller>, tokens: u64) -> Times {
+    let mut running = JoinSet::new();
+    for (i, mut caller) in (0..).zip(callers.drain(..)) {
+        running.spawn(async move {
+            let times = caller.stream(i, tokens).await;
+            (caller, times)
+        });
+    }
+    let mut all = Times::default();
+    for (caller, times) in running.join_all().await {
+        callers.push(caller);
+        all.merge(times);
+    }
+    all
+}
+
+fn print_row(streams: usize, what: &str, mut direct: Vec<u64>, mut routed: Vec<u64>) {
+    let (direct_p50, routed_p50) = (quantile(&mut direct, 0.5), quantile(&mut routed, 0.5));
+    let (direct_p99, routed_p99) = (quantile(&mut direct, 0.99), quantile(&mut routed, 0.99));
+    let added = routed_p50 as i64 - direct_p50 as i64;
+    println!(
+        "{streams:>7}  {what:<14}  {direct_p50:>10}  {routed_p50:>10}  {added:>9}  \
+         {direct_p99:>10}  {routed_p99:>10}"
+    );
+}
