feat(edge): callers' own deadlines; time limit of whole answers

Now the caller's own deadline cancels the attempt (504 deadline-passed) and a whole answer has answer_timeout.

--- a/toucanchute_edge/src/caller.rs
+++ b/toucanchute_edge/src/caller.rs
@@ -37,6 +37,8 @@
     pub(crate) expires: Millis,
     /// When the answer must have begun, since the Unix epoch.
     pub(crate) deadline: Millis,
+    /// Whether the deadline is the caller's, shorter than that of the configuration.
+    pub(crate) own_deadline: bool,
     /// Whether the request may have been sent before under its key, to any router.
     pub(crate) may_be_retry: bool,
     /// Whole body.
@@ -56,14 +58,16 @@
         let routing = &index.config().routing;
         let key = parse_key(&index.customer(customer).name, headers)?;
         let expires = parse_expires(headers, now, Millis(routing.key_window_ms))?;
-        let span = parse_millis(headers, &DEADLINE)?.unwrap_or(Millis::MAX);
-        let span = span.min(Millis(routing.answer_timeout_ms));
+        let own = parse_millis(headers, &DEADLINE)?;
+        let longest = Millis(routing.answer_timeout_ms);
+        let span = own.unwrap_or(longest).min(longest);
         Ok(CallerRequest {
             may_be_retry: may_be_retry(headers)?,
             key,
             expires,
             customer,
             deadline: now + span,
+            own_deadline: own.is_some_and(|own| own < longest),
             digest: Digest::new(target, &body),
             index,
             body,
@@ -79,6 +83,21 @@
         problem
     }
 
+    /// Returns whether the caller's own deadline has passed, which says nothing against a backend
+    /// server.
+    pub(crate) fn gave_up(&self, now: Millis) -> bool {
+        self.own_deadline && now >= self.deadline
+    }
+
+    /// Returns how long a whole answer may take: to the caller's own deadline, else `longest`.
+    pub(crate) fn whole_answer_span(&self, now: Millis, longest: Millis) -> Millis {
+        if self.own_deadline {
+            self.deadline.since(now)
+        } else {
+            longest
+        }
+    }
+
     /// Returns the customer's entry in the configuration.
     pub(crate) fn customer(&self) -> &Customer {
         self.index.customer(self.customer)
--- a/toucanchute_edge/src/completion/run.rs
+++ b/toucanchute_edge/src/completion/run.rs
@@ -2,6 +2,7 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use toucanchute_proto::Millis;
 
 use super::{CompletionRequest, progress::Progress};
 use crate::{
@@ -120,6 +121,11 @@
                     attempt.end(Report::Done { tokens: 0 });
                     return self.fail(held, err.into()).await;
                 }
+                AttemptEnd::Failed(BackendError::Timeout) if self.caller.gave_up(now()) => {
+                    self.cancel(attempt);
+                    self.touched = true;
+                    return self.fail(held, Problem::deadline_passed()).await;
+                }
                 AttemptEnd::Failed(err) => {
                     self.touched |= !err.is_not_run();
                     exclude.push(attempt.assignment.backend.clone());
@@ -127,9 +133,7 @@
                     attempt.end(err.report());
                 }
                 AttemptEnd::CallerGone => {
-                    let address = attempt.assignment.address;
-                    self.shared.backends.cancel(address, attempt.id());
-                    attempt.end(Report::Cancelled);
+                    self.cancel(attempt);
                     return self.settle_partial(held).await;
                 }
             }
@@ -138,6 +142,12 @@
 
     // Ends
 
+    fn cancel(&self, attempt: Attempt<'_, C>) {
+        let address = attempt.assignment.address;
+        self.shared.backends.cancel(address, attempt.id());
+        attempt.end(Report::Cancelled);
+    }
+
     async fn finish(self, held: Held<'_, C>, tokens: u64, last: LastPart) {
         if let Err(problem) = held.settle(tokens).await {
             return fail(self.caller, self.reply, problem).await;
@@ -197,7 +207,7 @@
         assignment: &Assignment,
     ) -> Result<Option<Response<Incoming>>, BackendError> {
         let req = self.backend_request(assignment)?;
-        let left = self.caller.deadline.since(now());
+        let left = self.head_span();
         let sent = tokio::time::timeout(duration(left), self.shared.backends.send(req));
         tokio::select! {
             answer = sent => match answer {
@@ -211,6 +221,15 @@
         }
     }
 
+    /// Returns how long the head of the answer may take, which comes last if the answer is whole.
+    fn head_span(&self) -> Millis {
+        if self.req.stream {
+            return self.caller.deadline.since(now());
+        }
+        let longest = self.shared.settings.answer_timeout;
+        self.caller.whole_answer_span(now(), longest)
+    }
+
     async fn check_head(
         &self,
         res: Response<Incoming>,
--- a/toucanchute_edge/src/completion/whole.rs
+++ b/toucanchute_edge/src/completion/whole.rs
@@ -18,7 +18,8 @@
     /// Reads a model engine's whole answer.
     pub(crate) async fn collect(&mut self, attempt: &Attempt<'_, C>, body: Incoming) -> AttemptEnd {
         let limit = self.shared.settings.max_answer_bytes;
-        let span = self.caller.deadline.since(now());
+        let longest = self.shared.settings.answer_timeout;
+        let span = self.caller.whole_answer_span(now(), longest);
         let read = tokio::time::timeout(duration(span), backend::collect(body, limit));
         let read = tokio::select! {
             read = read => read,
--- a/toucanchute_edge/src/problem.rs
+++ b/toucanchute_edge/src/problem.rs
@@ -75,6 +75,18 @@
         }
     }
 
+    /// The caller's own deadline passed while a backend server was at work.
+    pub(crate) fn deadline_passed() -> Problem {
+        Problem {
+            status: StatusCode::GATEWAY_TIMEOUT,
+            reason: "deadline-passed",
+            ..Problem::failed(
+                "the answer did not begin before your deadline",
+                Outcome::Failed,
+            )
+        }
+    }
+
     /// The reservation is too small for the prompt and one token.
     pub(crate) fn budget_exhausted() -> Problem {
         Problem::from(Refusal {
--- a/toucanchute_edge/src/settings.rs
+++ b/toucanchute_edge/src/settings.rs
@@ -22,6 +22,8 @@
     pub connect_timeout: Millis,
     /// Longest time between two tokens of a model engine.
     pub token_timeout: Millis,
+    /// Longest time that a model engine may take for a whole answer.
+    pub answer_timeout: Millis,
     /// Largest head of a request.
     pub max_header_bytes: usize,
     /// Largest whole answer of a backend server.
@@ -44,6 +46,7 @@
             caller_timeout: Millis(60_000),
             connect_timeout: Millis(1_000),
             token_timeout: Millis(10_000),
+            answer_timeout: Millis(300_000),
             max_header_bytes: 16 * 1024,
             max_answer_bytes: 4 * 1024 * 1024,
             max_recorded_bytes: 64 * 1024,
--- a/toucanchute_edge/src/tests.rs
+++ b/toucanchute_edge/src/tests.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod parsers;
+mod reply;
 
 use proptest::test_runner::{Config, RngSeed};
 
--- a/toucanchute_edge/tests/edge/completions.rs
+++ b/toucanchute_edge/tests/edge/completions.rs
@@ -1,8 +1,15 @@
+use std::time::Duration;
+
+use http_body_util::BodyExt as _;
 use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpListener,
+};
 use toucanchute_edge::RefusalReason;
 
 use crate::{
-    support::{Bench, Stream, answer, engines, json_of, request},
+    support::{Bench, PROMPT, Stream, answer, engines, json_of, request},
     test_control::TestControl,
 };
 
@@ -35,7 +42,7 @@
             };
             assert!(tokens >= 4);
             assert_eq!(text, answer(tokens));
-            let billed = tokens + toucanchute_fakes::prompt_tokens(crate::support::PROMPT);
+            let billed = tokens + toucanchute_fakes::prompt_tokens(PROMPT);
             let mut expected = vec!["reserve".to_owned()];
             if !$reported.is_empty() {
                 expected.push($reported.to_owned());
@@ -70,16 +77,57 @@
     let (bench, _engines) = bench(&[json!({})]).await;
     bench.control.commits.send_replace(false);
     let mut body = bench.complete(true).await.into_body();
-    bench.control.wait_for("settling").await;
-    let first = Stream::read(&mut body, |stream| stream.text == answer(4)).await;
-    assert!(!first.finished && !first.done);
+    let noted = bench.control.wait_for("done").await;
+    let billed: u64 = noted[1].strip_prefix("done ").unwrap().parse().unwrap();
+    let tokens = billed - toucanchute_fakes::prompt_tokens(PROMPT);
+    let text = Stream::read(&mut body, |stream| stream.tokens == tokens).await;
+    assert!(!text.finished && !text.done);
+    let early = tokio::time::timeout(Duration::from_millis(100), body.frame()).await;
+    assert!(early.is_err(), "{early:?}");
     bench.control.commits.send_replace(true);
-    let rest = http_body_util::BodyExt::collect(body).await.unwrap();
-    let rest = String::from_utf8(rest.to_bytes().into()).unwrap();
+    let rest = body.collect().await.unwrap().to_bytes();
+    let rest = String::from_utf8(rest.into()).unwrap();
     assert!(rest.contains("finish_reason\":\"stop"));
     assert!(rest.ends_with("data: [DONE]\n\n"));
 }
 
+#[tokio::test]
+async fn stream_resumes_where_it_broke() {
+    let (bench, engines) = bench(&[json!({"mode": "truncated", "after": 2}), json!({})]).await;
+    let mut body = bench.complete(true).await.into_body();
+    Stream::read(&mut body, |_| false).await;
+    let stats = request(engines[1].address(), "GET", "/stats", &json!({})).await;
+    let runs = stats["runs_by_attempt"].as_object().unwrap();
+    assert_eq!(runs.len(), 1);
+    assert!(
+        runs.values().all(|run| run["resumed_from"] == 2),
+        "{runs:?}"
+    );
+}
+
+/// An answer whose head names another attempt is not delivered, whatever its body says.
+#[tokio::test]
+async fn head_of_another_attempt_is_refused() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let bench = Bench::start(TestControl::new(&[listener.local_addr().unwrap()])).await;
+    let engine = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let _ = stream.read(&mut [0; 4096]).await.unwrap();
+        let body =
+            r#"{"id":"0000000000000005-1","usage":{"prompt_tokens":1,"completion_tokens":1}}"#;
+        let head = format!(
+            "toucanchute-attempt: other\r\ncontent-length: {}",
+            body.len()
+        );
+        let answer = format!("HTTP/1.1 200 OK\r\n{head}\r\n\r\n{body}");
+        stream.write_all(answer.as_bytes()).await.unwrap();
+    };
+    let (res, ()) = tokio::join!(bench.complete(false), engine);
+    assert_eq!(res.status(), 503);
+    let noted = bench.control.noted();
+    assert_eq!(noted, ["reserve", "crashed Malformed", "release"]);
+}
+
 #[tokio::test]
 async fn whole_answer_waits_for_bill() {
     let (bench, _engines) = bench(&[json!({})]).await;
@@ -169,14 +217,48 @@
     assert_eq!(bench.control.noted(), ["reserve", "release"]);
 }
 
+#[tokio::test]
+async fn answer_without_bill_has_no_end() {
+    let engines = engines(&[json!({})]).await;
+    let mut control = TestControl::new(&[engines[0].address()]);
+    control.settle_refusal = Some(RefusalReason::GrantReclaimed);
+    let bench = Bench::start(control).await;
+    let mut body = bench.complete(true).await.into_body();
+    let stream = Stream::read(&mut body, |_| false).await;
+    let error = stream.error.unwrap();
+    assert!(!stream.done && !stream.finished);
+    assert_eq!(error["reason"], "grant-reclaimed");
+    assert_eq!(error["outcome"], "failed");
+    let res = bench.complete(false).await;
+    assert_eq!(res.status(), 503);
+    assert_eq!(json_of(res).await["outcome"], "failed");
+}
+
+/// A caller's own deadline cancels the work and counts against no engine.
+#[yare::parameterized(stream = { true }, whole = { false })]
+#[test_macro(tokio::test)]
+async fn own_deadline_passes(stream: bool) {
+    let (bench, _engines) = bench(&[json!({"mode": "hang"}), json!({})]).await;
+    let body = json!({"model": "m", "stream": stream, "prompt": "p"});
+    let headers = [("toucanchute-deadline-ms", "50")];
+    let res = bench.post_with("/v1/completions", &headers, &body).await;
+    assert_eq!(res.status(), 504);
+    assert_eq!(json_of(res).await["outcome"], "failed");
+    let noted = bench.control.noted();
+    assert_eq!(noted, ["reserve", "cancelled", "release"]);
+}
+
 #[tokio::test]
 async fn shutdown_waits_for_streams() {
     let (bench, _engines) = bench(&[json!({"mode": "slow", "ms": 20})]).await;
     let mut body = bench.complete(true).await.into_body();
     Stream::read(&mut body, |stream| stream.tokens > 0).await;
     bench.stop.send(()).unwrap();
-    let stream = http_body_util::BodyExt::collect(body).await.unwrap();
-    assert!(stream.to_bytes().ends_with(b"data: [DONE]\n\n"));
+    body.frame().await.unwrap().unwrap();
+    body.frame().await.unwrap().unwrap();
+    assert!(!bench.served.is_finished());
+    let rest = body.collect().await.unwrap().to_bytes();
+    assert!(rest.ends_with(b"data: [DONE]\n\n"));
     bench.served.await.unwrap();
 }
 
--- a/toucanchute_edge/tests/edge/support.rs
+++ b/toucanchute_edge/tests/edge/support.rs
@@ -61,11 +61,21 @@
         path: &str,
         key: Option<&str>,
         body: &Value,
+    ) -> Response<Incoming> {
+        let key = key.map(|key| ("idempotency-key", key));
+        self.post_with(path, key.as_slice(), body).await
+    }
+
+    pub(crate) async fn post_with(
+        &self,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &Value,
     ) -> Response<Incoming> {
         let mut req = Request::post(format!("http://{}{path}", self.address))
             .header("authorization", "Bearer secret");
-        if let Some(key) = key {
-            req = req.header("idempotency-key", key);
+        for (name, value) in headers {
+            req = req.header(*name, *value);
         }
         let req = req.body(Full::from(body.to_string())).unwrap();
         self.client.request(req).await.unwrap()
--- a/toucanchute_edge/tests/edge/test_control.rs
+++ b/toucanchute_edge/tests/edge/test_control.rs
@@ -29,6 +29,7 @@
     /// Most tokens reserved for one request.
     pub(crate) budget: u64,
     pub(crate) unready: Option<RefusalReason>,
+    pub(crate) settle_refusal: Option<RefusalReason>,
     /// Bills are committed while this is true.
     pub(crate) commits: watch::Sender<bool>,
     noted: watch::Sender<Vec<String>>,
@@ -52,6 +53,7 @@
             attempts: AtomicU64::new(1),
             budget: 10_000,
             unready: None,
+            settle_refusal: None,
             commits: watch::Sender::new(true),
             noted: watch::Sender::default(),
             recorded: Mutex::default(),
@@ -104,6 +106,9 @@
         self.note("settling");
         let mut commits = self.commits.subscribe();
         commits.wait_for(|commits| *commits).await.unwrap();
+        if let Some(reason) = self.settle_refusal {
+            return Err(refusal(reason));
+        }
         self.note(format!("settled {tokens}"));
         Ok(Settlement::Billed)
     }
