fix(router): a woken process takes no work on an old view

Cause: answers of the platform that had waited in a frozen process's sockets counted as of the wake-up, and readiness stayed as it was until the next tick. Answers now count as of when they were asked for, readiness lapses 1.5 s after the fleet actor last confirmed it, and an assignment made on a lapsed view is given back. Tests: view::tests; green. Not proved here over processes.

--- a/toucanchute_router/src/actor/dispatch.rs
+++ b/toucanchute_router/src/actor/dispatch.rs
@@ -34,8 +34,6 @@
 pub(crate) struct Assign {
     /// What is asked for.
     pub(crate) req: AssignRequest,
-    /// The customer's share among customers of one priority.
-    pub(crate) weight: u32,
     /// Where the answer goes.
     pub(crate) reply: oneshot::Sender<Result<Assignment, Refusal>>,
 }
@@ -153,7 +151,7 @@
     type Return = ();
 
     async fn handle(&mut self, message: Assign, _cx: &mut Context<Self>) {
-        let Assign { req, weight, reply } = message;
+        let Assign { req, reply } = message;
         self.next_call += 1;
         let call = self.next_call;
         self.waiting.insert(call, reply);
@@ -164,7 +162,7 @@
                 Target::Service(name) => routing::Target::Service(name),
             },
             customer: req.customer,
-            weight,
+            weight: req.weight,
             priority: req.priority,
             digest: req.digest,
             prefix: req.prefix,
--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -64,10 +64,11 @@
     PeerDown(Incarnation),
     /// A peer sent a message.
     Message(Incarnation, Box<FleetMessage>),
-    /// The platform answered: version and digest of the configuration.
-    HeadSeen(u64, Digest),
-    /// The platform answered: its host list.
-    HostList(u64, Vec<HostEntry>),
+    /// The platform answered a question asked at the time given: version and digest of the
+    /// configuration.
+    HeadSeen(Millis, u64, Digest),
+    /// The platform answered a question asked at the time given: its host list.
+    HostList(Millis, u64, Vec<HostEntry>),
     /// A configuration was read from the platform.
     Config(Arc<Config>, Digest),
     /// The platform did not answer.
@@ -112,6 +113,12 @@
 
     fn feed(&mut self, event: Event) {
         let now = Millis(toucanchute_log::wall_clock_ms());
+        self.feed_at(now, event);
+        self.view.confirm(now);
+    }
+
+    /// Feeds an event that tells how things were at `now`, which may be in the past.
+    fn feed_at(&mut self, now: Millis, event: Event) {
         let mut actions = std::mem::take(&mut self.actions);
         self.machine.handle(now, event, &mut actions);
         for action in actions.drain(..) {
@@ -196,8 +203,14 @@
             FleetInput::PeerUp(member) => Event::PeerUp(member),
             FleetInput::PeerDown(from) => Event::PeerDown(from),
             FleetInput::Message(from, message) => Event::Message { from, message },
-            FleetInput::HeadSeen(version, digest) => Event::HeadSeen { version, digest },
-            FleetInput::HostList(version, hosts) => Event::HostList { version, hosts },
+            FleetInput::HeadSeen(asked, version, digest) => {
+                self.feed_at(asked, Event::HeadSeen { version, digest });
+                Event::Tick
+            }
+            FleetInput::HostList(asked, version, hosts) => {
+                self.feed_at(asked, Event::HostList { version, hosts });
+                Event::Tick
+            }
             FleetInput::Config(config, digest) => Event::Config { config, digest },
             FleetInput::PlatformDown => Event::PlatformDown,
             FleetInput::Load(load) => Event::LoadReport(load),
--- a/toucanchute_router/src/admin.rs
+++ b/toucanchute_router/src/admin.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 use tokio::sync::oneshot;
 use toucanchute_edge::{Refusal, RefusalReason};
-use toucanchute_proto::{BudgetId, GrantId, Incarnation};
+use toucanchute_proto::{BudgetId, GrantId, Incarnation, Millis};
 use xtra::prelude::*;
 
 use crate::{
@@ -169,7 +169,7 @@
         let config = self.view.config();
         let unready = self
             .view
-            .unready()
+            .unready(Millis(toucanchute_log::wall_clock_ms()))
             .map(|refusal| format!("{:?}", refusal.reason));
         let members = self.fleet.send(Members).await.unwrap_or_default();
         let document = json!({
--- a/toucanchute_router/src/control.rs
+++ b/toucanchute_router/src/control.rs
@@ -13,7 +13,7 @@
     AddressList, AssignRequest, Assignment, Control, IntentRequest, Intention, Outcome, Recorded,
     Refusal, RefusalReason, Report, Reservation, ReserveRequest, Settlement,
 };
-use toucanchute_proto::{AttemptId, RequestKey, config::Config};
+use toucanchute_proto::{AttemptId, Millis, RequestKey, config::Config};
 use xtra::prelude::*;
 
 use crate::{
@@ -90,11 +90,16 @@
         result.inspect_err(|refusal| self.metrics.refused(refusal.reason))
     }
 
-    fn weight(&self, customer: &str) -> u32 {
-        let config = self.view.config();
-        let customers = &config.customers;
-        let found = customers.iter().find(|c| c.name == customer);
-        found.map_or(1, |c| c.weight)
+    /// Gives an assignment back if the view that it rests on has become too old meanwhile. A
+    /// router that is leaving still serves what it has accepted.
+    fn check_view(&self, assignment: Assignment) -> Result<Assignment, Refusal> {
+        match self.view.unready(now()) {
+            Some(refusal) if refusal.reason == RefusalReason::StaleView => {
+                self.report(assignment.attempt, Report::Unsent);
+                Err(refusal)
+            }
+            _ => Ok(assignment),
+        }
     }
 }
 
@@ -108,7 +113,7 @@
     }
 
     fn unready(&self) -> Option<Refusal> {
-        self.view.unready()
+        self.view.unready(now())
     }
 
     // --- money
@@ -166,9 +171,11 @@
         req: AssignRequest,
     ) -> impl Future<Output = Result<Assignment, Refusal>> + Send {
         let (reply, answer) = oneshot::channel();
-        let weight = self.weight(&req.customer);
-        post(&self.dispatch, Assign { req, weight, reply });
-        async move { self.count_refusal(answer.await.unwrap_or_else(|_| Err(stopped()))) }
+        post(&self.dispatch, Assign { req, reply });
+        async move {
+            let result = answer.await.unwrap_or_else(|_| Err(stopped()));
+            self.count_refusal(result.and_then(|assignment| self.check_view(assignment)))
+        }
     }
 
     fn report(&self, attempt: AttemptId, report: Report) {
@@ -188,6 +195,10 @@
     }
 }
 
+fn now() -> Millis {
+    Millis(toucanchute_log::wall_clock_ms())
+}
+
 /// The refusal of a request whose actor has stopped.
 fn stopped() -> Refusal {
     let reason = RefusalReason::LedgerUnavailable;
--- a/toucanchute_router/src/platform/watch.rs
+++ b/toucanchute_router/src/platform/watch.rs
@@ -3,7 +3,7 @@
 use tokio::sync::Notify;
 use toucanchute_core::fleet::{HostEntry, HostRole, HostState};
 use toucanchute_platform::{self as platform, Client, HostListClient};
-use toucanchute_proto::Digest;
+use toucanchute_proto::{Digest, Millis};
 use xtra::prelude::*;
 
 use super::config::{fetch_config, fetch_head, head_digest};
@@ -84,10 +84,15 @@
     }
 }
 
+fn now() -> Millis {
+    Millis(toucanchute_log::wall_clock_ms())
+}
+
 async fn read_head(client: &Client, fleet: &Address<FleetActor>) {
+    let asked = now();
     let input = match fetch_head(client).await {
-        Ok(Some(head)) => FleetInput::HeadSeen(head.version, head_digest(&head)),
-        Ok(None) => FleetInput::HeadSeen(0, Digest::default()),
+        Ok(Some(head)) => FleetInput::HeadSeen(asked, head.version, head_digest(&head)),
+        Ok(None) => FleetInput::HeadSeen(asked, 0, Digest::default()),
         Err(e) => {
             log::debug!(error:% = e; "config-head-unread");
             FleetInput::PlatformDown
@@ -97,10 +102,11 @@
 }
 
 async fn read_hosts(hosts: &HostListClient, fleet: &Address<FleetActor>) {
+    let asked = now();
     match hosts.get().await {
         Ok(list) => {
             let entries = list.hosts.iter().map(host_entry).collect();
-            post(fleet, FleetInput::HostList(list.version, entries));
+            post(fleet, FleetInput::HostList(asked, list.version, entries));
         }
         Err(e) => log::debug!(error:% = e; "host-list-unread"),
     }
--- a/toucanchute_router/src/view.rs
+++ b/toucanchute_router/src/view.rs
@@ -1,7 +1,11 @@
 use std::sync::{Arc, PoisonError, RwLock};
 
-use toucanchute_edge::{AddressList, Refusal};
-use toucanchute_proto::config::Config;
+use toucanchute_edge::{AddressList, Outcome, Refusal, RefusalReason};
+use toucanchute_proto::{Millis, config::Config};
+
+/// How long the fleet actor's word about readiness counts. A process that was frozen finds it
+/// lapsed when it wakes, before the fleet actor has had its turn.
+const READINESS_BOUND: Millis = Millis(1_500);
 
 /// What the HTTP edge reads without asking an actor; the fleet actor writes it.
 #[derive(Debug)]
@@ -15,6 +19,8 @@
     config: Arc<Config>,
     addresses: AddressList,
     unready: Option<Refusal>,
+    /// When the fleet actor last confirmed `unready`.
+    checked_at: Millis,
 }
 
 impl View {
@@ -26,6 +32,7 @@
                 config,
                 addresses,
                 unready: Some(unready),
+                checked_at: Millis::default(),
             }),
         }
     }
@@ -42,9 +49,15 @@
         self.read(|state| state.addresses.clone())
     }
 
-    /// Returns why this router takes no new work, if it takes none.
-    pub(crate) fn unready(&self) -> Option<Refusal> {
-        self.read(|state| state.unready.clone())
+    /// Returns why this router takes no new work at `now`, if it takes none.
+    pub(crate) fn unready(&self, now: Millis) -> Option<Refusal> {
+        self.read(|state| {
+            let lapsed = now.since(state.checked_at) > READINESS_BOUND;
+            state
+                .unready
+                .clone()
+                .or_else(|| lapsed.then(lapsed_refusal))
+        })
     }
 
     fn read<T>(&self, f: impl FnOnce(&State) -> T) -> T {
@@ -72,7 +85,24 @@
         self.write(|state| state.unready = unready);
     }
 
+    /// Confirms readiness, as it was set last, at `now`.
+    pub(crate) fn confirm(&self, now: Millis) {
+        self.write(|state| state.checked_at = state.checked_at.max(now));
+    }
+
     fn write(&self, f: impl FnOnce(&mut State)) {
         f(&mut self.state.write().unwrap_or_else(PoisonError::into_inner));
     }
 }
+
+fn lapsed_refusal() -> Refusal {
+    Refusal {
+        reason: RefusalReason::StaleView,
+        outcome: Outcome::NotRun,
+        retry_after: Some(Millis(1_000)),
+        elsewhere: None,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/toucanchute_router/src/view/tests.rs
@@ -0,0 +1,70 @@
+use std::sync::Arc;
+
+use toucanchute_edge::{Outcome, Refusal, RefusalReason};
+use toucanchute_proto::{Millis, config};
+use yare::parameterized;
+
+use super::View;
+
+fn config(version: u64) -> Arc<config::Config> {
+    Arc::new(config::Config {
+        version,
+        site: String::new(),
+        routing: config::Routing::default(),
+        ledger: config::Ledger::default(),
+        models: Vec::new(),
+        services: Vec::new(),
+        pools: Vec::new(),
+        backends: Vec::new(),
+        budgets: Vec::new(),
+        customers: Vec::new(),
+    })
+}
+
+fn view() -> View {
+    let reason = RefusalReason::Starting;
+    let refusal = Refusal {
+        reason,
+        outcome: Outcome::NotRun,
+        retry_after: None,
+        elsewhere: None,
+    };
+    View::new(config(0), refusal)
+}
+
+/// Readiness counts for a short time after the fleet actor confirmed it.
+#[parameterized(
+    at_once = { 10_000, None },
+    within_the_bound = { 11_500, None },
+    after_a_freeze = { 70_000, Some(RefusalReason::StaleView) },
+)]
+fn readiness_lapses(now: u64, expected: Option<RefusalReason>) {
+    let view = view();
+    view.set_unready(None);
+    view.confirm(Millis(10_000));
+    assert_eq!(
+        view.unready(Millis(now)).map(|refusal| refusal.reason),
+        expected
+    );
+}
+
+#[test]
+fn reason_set_goes_before_lapse() {
+    let view = view();
+    assert_eq!(
+        view.unready(Millis(0)).unwrap().reason,
+        RefusalReason::Starting
+    );
+    assert_eq!(
+        view.unready(Millis(90_000)).unwrap().reason,
+        RefusalReason::Starting
+    );
+}
+
+#[test]
+fn configuration_never_reverts() {
+    let view = view();
+    view.set_config(config(7));
+    view.set_config(config(6));
+    assert_eq!(view.config().version, 7);
+}
