fix(call): spans over 2 ms are kept

Cause: the histograms' range was fixed at creation and longer spans were cut to 2.047 ms, so that a trial load printed 0.00 ms everywhere. They grow now; the 95th percentile, which the target names, is printed too. Red before (3 of 4 cases), green after.

--- a/toucanchute_call/src/load/report.rs
+++ b/toucanchute_call/src/load/report.rs
@@ -68,6 +68,8 @@
     pub p50: f64,
     /// 90th percentile.
     pub p90: f64,
+    /// 95th percentile.
+    pub p95: f64,
     /// 99th percentile.
     pub p99: f64,
     /// Largest value.
@@ -90,6 +92,7 @@
             count: histogram.len(),
             p50: at(0.5),
             p90: at(0.9),
+            p95: at(0.95),
             p99: at(0.99),
             max: histogram.max() as f64 / MICROS,
         }
@@ -100,8 +103,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{:>8} values  p50 {:>9.2}  p90 {:>9.2}  p99 {:>9.2}  max {:>9.2} ms",
-            self.count, self.p50, self.p90, self.p99, self.max
+            "{:>8} values  p50 {:>9.2}  p90 {:>9.2}  p95 {:>9.2}  p99 {:>9.2}  max {:>9.2} ms",
+            self.count, self.p50, self.p90, self.p95, self.p99, self.max
         )
     }
 }
--- a/toucanchute_call/src/load/tally.rs
+++ b/toucanchute_call/src/load/tally.rs
@@ -110,5 +110,8 @@
 /// Records a span in microseconds.
 fn record(histogram: &mut Histogram<u64>, span: Duration) {
     let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
-    histogram.saturating_record(micros);
+    let _ = histogram.record(micros);
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/toucanchute_call/src/load/tally/tests.rs
@@ -0,0 +1,25 @@
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use yare::parameterized;
+
+use super::{DIGITS, record};
+use crate::load::report::Percentiles;
+
+/// A span is read back as it was recorded, to the histogram's precision.
+#[parameterized(
+    shortest = { 1 },
+    token = { 26_000 },
+    first_token = { 1_100_000 },
+    long_answer = { 300_000_000 },
+)]
+fn span_is_kept(micros: u64) {
+    let mut histogram = Histogram::new(DIGITS).unwrap();
+    record(&mut histogram, Duration::from_micros(micros));
+    let read = Percentiles::of(&histogram).p50;
+    let ms = micros as f64 / 1_000.0;
+    assert!(
+        (read - ms).abs() <= ms / 1_000.0,
+        "recorded {ms} ms, read {read} ms"
+    );
+}
