test(fleet): fuzz of five routers against an oracle, scenarios of outages

Found on the way and mended: a router that had just started un-withdrew backend servers that had left the list (routers now gossip the list, not what they make of it); a platform answer read after a pause confirmed the view anew (answers carry the time of asking); a router that lost its peers before the platform took that for an outage that all see (lost members now have to be a minority); a side of a partition without the platform stops within 2.5 s.

Event::HeadSeen and Event::HostList gain asked; Fleet::member is what a hello introduces.

--- a/toucanchute_core/src/fleet.rs
+++ b/toucanchute_core/src/fleet.rs
@@ -6,6 +6,7 @@
 mod action;
 mod drain;
 mod event;
+mod fault;
 mod hash;
 mod hosts;
 mod leave;
@@ -15,6 +16,8 @@
 mod messages;
 mod publish;
 mod rumors;
+#[cfg(test)]
+mod tests;
 mod view;
 
 pub use action::{Action, MemberView, NotReady};
--- a/toucanchute_core/src/fleet/event.rs
+++ b/toucanchute_core/src/fleet/event.rs
@@ -1,7 +1,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use toucanchute_proto::{
-    Digest, Incarnation,
+    Digest, Incarnation, Millis,
     config::Config,
     fleet::{FleetMessage, Load, Member, Verdict},
 };
@@ -34,6 +34,8 @@
         version: u64,
         /// Digest under which it is stored.
         digest: Digest,
+        /// When the platform was asked, or when a watch last showed that it is alive.
+        asked: Millis,
     },
     /// The platform answered: the host list is this.
     HostList {
@@ -41,6 +43,8 @@
         version: u64,
         /// All hosts in it.
         hosts: Vec<HostEntry>,
+        /// When the platform was asked.
+        asked: Millis,
     },
     /// The platform did not answer.
     PlatformDown,
--- a/toucanchute_core/src/fleet/hosts.rs
+++ b/toucanchute_core/src/fleet/hosts.rs
@@ -1,69 +1,76 @@
 use std::{collections::BTreeSet, net::SocketAddr};
 
-use toucanchute_proto::{Millis, fleet::Withdrawals};
+use toucanchute_proto::{Millis, fleet::BackendList};
 
-use super::{Action, Fleet, HostEntry, HostRole, HostState};
+use super::{Action, Fleet, HostEntry, HostRole, HostState, fault::Fault};
 
 /// What is known from the platform's host list.
 #[derive(Debug, Default)]
 pub(super) struct Hosts {
-    /// Withdrawn backend servers by the newest list known; versions only rise.
-    pub(super) withdrawals: Option<Withdrawals>,
+    /// Backend servers by the newest list known; versions only rise.
+    pub(super) backends: Option<BackendList>,
     /// Addresses of listed routers, for peers.
     pub(super) routers: BTreeSet<SocketAddr>,
-    /// Backend servers that were listed at some time.
-    listed: BTreeSet<String>,
+    /// Withdrawn backend servers as last told.
+    withdrawn: BTreeSet<String>,
 }
 
 impl Hosts {
     pub(super) fn version(&self) -> u64 {
-        self.withdrawals.as_ref().map_or(0, |w| w.version)
+        self.backends.as_ref().map_or(0, |b| b.version)
     }
 }
 
 impl Fleet {
     pub(super) fn host_list(
         &mut self,
-        now: Millis,
+        asked: Millis,
         version: u64,
         hosts: &[HostEntry],
         out: &mut Vec<Action>,
     ) {
-        let lagging = version < self.hosts.version();
-        if !lagging {
-            let names = self.withdrawn(hosts);
-            self.take_withdrawals(Withdrawals { version, names }, out);
-            self.view.hosts_seen(now);
+        let backends = || hosts.iter().filter(|h| h.role == HostRole::Backend);
+        let live = backends().filter(|h| h.state == HostState::Live);
+        let list = BackendList {
+            version,
+            live: live.map(|h| h.name.clone()).collect(),
+            listed: backends().next().is_some(),
+        };
+        if version >= self.hosts.version() {
+            self.take_backends(list, out);
+            self.view.hosts_seen(asked);
         }
         let routers = hosts.iter().filter(|h| h.role == HostRole::Entry);
         self.hosts.routers = routers.map(|h| h.address).collect();
         self.set_outage(false);
     }
 
-    /// Backend servers that leave, and those that are listed no more.
-    fn withdrawn(&mut self, hosts: &[HostEntry]) -> Vec<String> {
-        let backends = || hosts.iter().filter(|h| h.role == HostRole::Backend);
-        let live: BTreeSet<_> = backends()
-            .filter(|h| h.state == HostState::Live)
-            .map(|h| h.name.clone())
-            .collect();
-        self.hosts.listed.extend(backends().map(|h| h.name.clone()));
-        if let Some(w) = &self.hosts.withdrawals {
-            self.hosts.listed.extend(w.names.iter().cloned());
+    /// Puts a list in force unless the one in force is as new.
+    pub(super) fn take_backends(&mut self, mut list: BackendList, out: &mut Vec<Action>) {
+        if let Some(old) = &self.hosts.backends {
+            list.listed |= old.listed;
+            if old.version > list.version || *old == list {
+                return;
+            }
         }
-        self.hosts.listed.difference(&live).cloned().collect()
+        self.hosts.backends = Some(list);
+        self.tell_withdrawn(out);
+        self.push_all(None, out);
     }
 
-    /// Puts a set of withdrawals in force unless the one in force is as new.
-    pub(super) fn take_withdrawals(&mut self, w: Withdrawals, out: &mut Vec<Action>) {
-        let old = self.hosts.withdrawals.as_ref();
-        if old.is_some_and(|old| old.version >= w.version) {
+    /// Withdraws the backend servers that are configured but not listed as live, whether they
+    /// leave or have left. Where the platform never listed any, all are used.
+    pub(super) fn tell_withdrawn(&mut self, out: &mut Vec<Action>) {
+        let Some(list) = self.hosts.backends.as_ref().filter(|b| b.listed) else {
             return;
+        };
+        let config = self.config();
+        let configured = config.iter().flat_map(|c| &c.backends).map(|b| &b.name);
+        let gone = configured.filter(|name| !list.live.contains(name));
+        let withdrawn: BTreeSet<String> = gone.cloned().collect();
+        if withdrawn != self.hosts.withdrawn && !self.has(Fault::ForgetUnlisted) {
+            self.hosts.withdrawn.clone_from(&withdrawn);
+            out.push(Action::Withdraw(withdrawn));
         }
-        if old.is_none_or(|old| old.names != w.names) {
-            out.push(Action::Withdraw(w.names.iter().cloned().collect()));
-        }
-        self.hosts.withdrawals = Some(w);
-        self.push_all(None, out);
     }
 }
--- a/toucanchute_core/src/fleet/leave.rs
+++ b/toucanchute_core/src/fleet/leave.rs
@@ -1,6 +1,6 @@
 use toucanchute_proto::{Millis, fleet::MemberState};
 
-use super::{Action, Fleet, drain::Drain};
+use super::{Action, Fleet, drain::Drain, fault::Fault};
 
 /// How long other routers may take to learn that this one leaves.
 const NEWS_TIME: Millis = Millis(1_000);
@@ -11,7 +11,7 @@
             return;
         }
         let max_age = self.config().map_or(0, |c| c.routing.address_max_age_ms);
-        let listed = self.published.was_ready();
+        let listed = self.published.was_ready() && !self.has(Fault::RefuseEarly);
         let wait = if listed {
             Millis(max_age) + NEWS_TIME
         } else {
@@ -30,7 +30,8 @@
             self.drain = Drain::Finishing;
             self.in_flight = None;
         }
-        let idle = self.in_flight == Some(0) && self.published.refusing();
+        let busy = self.in_flight != Some(0) && !self.has(Fault::ExitBusy);
+        let idle = !busy && self.published.refusing();
         if self.drain == Drain::Finishing && idle {
             self.drain = Drain::Returning;
             out.push(Action::ReturnGrants);
--- a/toucanchute_core/src/fleet/machine.rs
+++ b/toucanchute_core/src/fleet/machine.rs
@@ -10,6 +10,7 @@
 use super::{
     Action, Event,
     drain::Drain,
+    fault::Fault,
     hosts::Hosts,
     links::{Links, Probe},
     members::Members,
@@ -53,7 +54,7 @@
 ///     seeds: Vec::new(),
 /// }, 7);
 /// let mut out = Vec::new();
-/// fleet.handle(Millis(0), Event::HeadSeen { version: 1, digest: Digest(9) }, &mut out);
+/// fleet.handle(Millis(0), Event::HeadSeen { version: 1, digest: Digest(9), asked: Millis(0) }, &mut out);
 /// assert!(out.iter().any(|a| matches!(a, Action::FetchConfig)));
 /// ```
 #[derive(Debug)]
@@ -79,6 +80,8 @@
     pub(super) next_connect: Millis,
     pub(super) next_fetch: Millis,
     pub(super) rng: SmallRng,
+    #[cfg(test)]
+    pub(super) fault: Option<Fault>,
 }
 
 impl Fleet {
@@ -120,6 +123,8 @@
             next_connect: Millis::default(),
             next_fetch: Millis::default(),
             rng: SmallRng::seed_from_u64(seed),
+            #[cfg(test)]
+            fault: None,
         }
     }
 
@@ -133,10 +138,16 @@
             Event::PeerDown(id) => self.peer_down(now, id, out),
             Event::Message { from, message } => self.message(now, from, *message, out),
             Event::Config { config, digest } => self.take_config(config, digest, out),
-            Event::HeadSeen { version, digest } => {
-                self.head_seen(now, Head { version, digest }, out);
-            }
-            Event::HostList { version, hosts } => self.host_list(now, version, &hosts, out),
+            Event::HeadSeen {
+                version,
+                digest,
+                asked,
+            } => self.head_seen(asked, Head { version, digest }, out),
+            Event::HostList {
+                version,
+                hosts,
+                asked,
+            } => self.host_list(asked, version, &hosts, out),
             Event::PlatformDown => self.platform_down(now),
             Event::LoadReport(load) => self.take_load(load, out),
             Event::Verdict(v) => self.tell_verdict(&v, out),
@@ -171,6 +182,12 @@
         self.config.as_ref().map(|(c, _)| c)
     }
 
+    /// This router as it introduces itself to a peer.
+    #[must_use]
+    pub fn member(&self) -> &Member {
+        &self.me
+    }
+
     /// Members known besides this router, in whatever state.
     #[must_use]
     pub fn known(&self) -> usize {
@@ -199,10 +216,12 @@
         digest: Digest,
         out: &mut Vec<Action>,
     ) {
-        if self.head().is_some_and(|h| h.version >= config.version) {
+        let old = self.head().is_some_and(|h| h.version >= config.version);
+        if old && !self.has(Fault::AcceptOlder) {
             return;
         }
         self.config = Some((config.clone(), digest));
+        self.tell_withdrawn(out);
         out.push(Action::InForce(config));
         self.push_all(None, out);
     }
@@ -214,13 +233,13 @@
         })
     }
 
-    fn head_seen(&mut self, now: Millis, head: Head, out: &mut Vec<Action>) {
+    fn head_seen(&mut self, asked: Millis, head: Head, out: &mut Vec<Action>) {
         let version = self.head().map(|h| h.version);
         if version.is_none_or(|v| v < head.version) {
             out.push(Action::FetchConfig);
             self.view.down_since = None;
         } else {
-            self.view.head_seen(now);
+            self.view.head_seen(asked);
         }
         self.set_outage(false);
     }
--- a/toucanchute_core/src/fleet/messages.rs
+++ b/toucanchute_core/src/fleet/messages.rs
@@ -11,6 +11,7 @@
 
 use super::{
     Action, Fleet,
+    fault::Fault,
     links::{Known, Probe, Stage},
     members::entry_hash,
 };
@@ -35,7 +36,7 @@
         self.take_gossip(now, from, gossip, out);
         match body {
             FleetBody::Ping(ping) => self.take_ping(now, from, ping, out),
-            FleetBody::Ack(ack) => self.take_ack(from, ack, out),
+            FleetBody::Ack(ack) => self.take_ack(now, from, ack, out),
             FleetBody::Probe(ProbeBody { target, seq }) => {
                 self.ping(now, target, Stage::Relayed { by: from, seq }, out);
             }
@@ -62,8 +63,8 @@
         for member in &gossip.members {
             self.merge_member(now, member);
         }
-        if let Some(w) = gossip.withdrawals {
-            self.take_withdrawals(w, out);
+        if let Some(list) = gossip.backends {
+            self.take_backends(list, out);
         }
         let fleet = self.known();
         let mut urgent = false;
@@ -97,6 +98,9 @@
 
     /// Contradicts word that this router is unreachable.
     fn refute(&mut self, said: &Member) {
+        if self.has(Fault::NeverRefute) {
+            return;
+        }
         let wrong = said.update > self.me.update
             || said.update == self.me.update && said.state > self.me.state;
         if wrong {
@@ -129,7 +133,7 @@
         self.send(from, FleetBody::Ack(ack), out);
     }
 
-    fn take_ack(&mut self, from: Incarnation, ack: Ack, out: &mut Vec<Action>) {
+    fn take_ack(&mut self, now: Millis, from: Incarnation, ack: Ack, out: &mut Vec<Action>) {
         let Some(Probe {
             target,
             sent,
@@ -154,9 +158,14 @@
             self.view.peer_outage_at = Some(sent);
         }
         if let Some(age) = ack.confirmed_age
-            && self.as_new_as(from)
+            && (self.as_new_as(from) || self.has(Fault::TrustAnyPeer))
         {
-            self.view.confirm(sent - age);
+            let since = if self.has(Fault::CountFromReceipt) {
+                now
+            } else {
+                sent
+            };
+            self.view.confirm(since - age);
         }
     }
 
@@ -195,6 +204,7 @@
         gossip.members = self.members.iter().map(|e| e.member.clone()).collect();
         gossip.members.push(self.me.clone());
         gossip.verdicts = self.rumors.all_verdicts();
+        gossip.backends.clone_from(&self.hosts.backends);
         let body = FleetBody::Push(Push { seq });
         let message = Box::new(FleetMessage { body, gossip });
         out.push(Action::Send { to, message });
@@ -216,15 +226,11 @@
             digest: Digest::default(),
         });
         let known = self.links.known.get(&to).map_or(0, |k| k.hosts);
-        let news = self
-            .hosts
-            .withdrawals
-            .as_ref()
-            .filter(|w| w.version > known);
+        let news = self.hosts.backends.as_ref().filter(|w| w.version > known);
         Gossip {
             head,
             hosts: self.hosts.version(),
-            withdrawals: news.cloned(),
+            backends: news.cloned(),
             members: self.rumors.take_members(&self.me, &self.members),
             verdicts: self.rumors.take_verdicts(),
             loads: self.rumors.take_loads(),
--- a/toucanchute_core/src/fleet/publish.rs
+++ b/toucanchute_core/src/fleet/publish.rs
@@ -6,7 +6,7 @@
     fleet::{Member, MemberState},
 };
 
-use super::{Action, Fleet, MemberView, NotReady, hash, members::Entry};
+use super::{Action, Fleet, MemberView, NotReady, fault::Fault, hash, members::Entry};
 
 /// Most addresses in a list for callers.
 const MAX_ADDRESSES: usize = 16;
@@ -79,7 +79,7 @@
         let fresh = self
             .view
             .age(now)
-            .is_some_and(|age| age <= Fleet::VIEW_BOUND);
+            .is_some_and(|age| age <= Fleet::VIEW_BOUND || self.has(Fault::IgnoreAge));
         if fresh || self.outage_agreed(now) {
             return Ok(());
         }
@@ -94,12 +94,14 @@
     /// Whether nobody can reach the platform, so that nothing newer can have been accepted.
     ///
     /// Each member that was there when the view was last confirmed has to have said so. Those that
-    /// were lost afterwards have to be a minority, for they may be on the platform's side of a
-    /// partition.
+    /// are lost have to be a minority, for they may be on the platform's side of a partition.
     pub(super) fn outage_agreed(&self, now: Millis) -> bool {
         if self.view.down_since.is_none() {
             return false;
         }
+        if self.has(Fault::OutageAlone) {
+            return true;
+        }
         let Some(confirmed) = self.view.confirmed_at() else {
             let told = self.view.peer_outage_at;
             return told.is_some_and(|at| now.since(at) <= Fleet::VIEW_BOUND);
@@ -113,7 +115,8 @@
         {
             let gone = member.state == MemberState::Gone;
             match gone {
-                true if *ended || *since <= confirmed => {}
+                true if *ended => {}
+                true if *since <= confirmed => lost += 1,
                 _ if !member.outage => return false,
                 true => lost += 1,
                 false => here += 1,
@@ -146,7 +149,8 @@
             .filter(|m| m.state == MemberState::Alive);
         let (mut near, mut far): (Vec<&Member>, Vec<&Member>) =
             alive.partition(|m| m.failure_domain == self.id.failure_domain);
-        let listed = ready && !self.drain.leaving();
+        let leaving = self.drain.leaving() && !self.has(Fault::StayListed);
+        let listed = ready && !leaving;
         let me = listed.then_some(&self.me);
         near.extend(me);
         near.shuffle(&mut self.rng);
--- /dev/null
+++ b/toucanchute_core/src/fleet/tests.rs
@@ -0,0 +1,6 @@
+//! Tests of the fleet's machines.
+
+mod fuzz;
+mod oracle;
+mod scenario;
+mod world;
--- /dev/null
+++ b/toucanchute_core/src/fleet/tests/world.rs
@@ -0,0 +1,501 @@
+//! Routers, links and a platform that the tests drive step by step.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use proptest::prelude::*;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use toucanchute_proto::{
+    Digest, Incarnation, Millis,
+    config::{self, Config},
+};
+
+use super::oracle::{Oracle, Violation};
+use crate::fleet::{
+    Action, Event, Fleet, HostEntry, HostRole, HostState, Identity, NotReady, fault::Fault,
+};
+
+pub(super) const ROUTERS: usize = 5;
+pub(super) const BACKENDS: usize = 3;
+
+/// Time between two reads of the platform.
+const POLL: u64 = 500;
+
+/// One thing that the fuzz does.
+#[derive(Clone, Debug)]
+pub(super) enum Step {
+    Advance(u64),
+    Apply,
+    List { backend: usize, listed: Listed },
+    Platform { up: bool },
+    CutPlatform { router: usize, cut: bool },
+    Partition(u8),
+    Restart(usize),
+    Freeze { router: usize, span: u64 },
+    Loss(u32),
+    Drain(usize),
+    Busy { router: usize, requests: u64 },
+    StaleConfig(usize),
+}
+
+/// How a backend server stands in the host list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Listed {
+    Live,
+    Leaving,
+    Absent,
+}
+
+pub(super) fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let listed = prop_oneof![
+        Just(Listed::Live),
+        Just(Listed::Leaving),
+        Just(Listed::Absent)
+    ];
+    let r = 0..ROUTERS;
+    let step = prop_oneof![
+        20 => (50u64..3_000).prop_map(Step::Advance),
+        2 => Just(Step::Apply),
+        4 => (0..BACKENDS, listed).prop_map(|(backend, listed)| Step::List { backend, listed }),
+        2 => any::<bool>().prop_map(|up| Step::Platform { up }),
+        3 => (r.clone(), any::<bool>()).prop_map(|(router, cut)| Step::CutPlatform { router, cut }),
+        3 => any::<u8>().prop_map(Step::Partition),
+        2 => Just(Step::Partition(0)),
+        1 => r.clone().prop_map(Step::Restart),
+        2 => (r.clone(), 100u64..6_000).prop_map(|(router, span)| Step::Freeze { router, span }),
+        1 => (0u32..30).prop_map(Step::Loss),
+        1 => r.clone().prop_map(Step::Drain),
+        2 => (r.clone(), 0u64..3).prop_map(|(router, requests)| Step::Busy { router, requests }),
+        1 => r.prop_map(Step::StaleConfig),
+    ];
+    prop::collection::vec(step, 1..60)
+}
+
+/// One router's place in the world.
+pub(super) struct Router {
+    pub(super) fleet: Fleet,
+    pub(super) frozen: Millis,
+    pub(super) cut: bool,
+    pub(super) side: bool,
+    pub(super) busy: u64,
+    pub(super) ready: Result<(), NotReady>,
+    pub(super) version: u64,
+    pub(super) withdrawn: BTreeSet<String>,
+    pub(super) addresses: Vec<std::net::SocketAddr>,
+    pub(super) exited: bool,
+    /// When most of the fleet with this router was last cut off from the platform.
+    pub(super) cut_off: Millis,
+    next_poll: Millis,
+}
+
+/// The world that the fleet acts in.
+pub(super) struct World {
+    pub(super) now: Millis,
+    pub(super) routers: Vec<Router>,
+    pub(super) up: bool,
+    pub(super) version: u64,
+    pub(super) hosts: u64,
+    pub(super) listed: [Listed; BACKENDS],
+    pub(super) oracle: Oracle,
+    /// Events on their way, by time of arrival.
+    inbox: BTreeMap<(Millis, u64), (Incarnation, Event)>,
+    links: BTreeSet<(Incarnation, Incarnation)>,
+    serial: u64,
+    runs: u64,
+    loss: u32,
+    fault: Option<Fault>,
+    rng: SmallRng,
+}
+
+fn config(version: u64) -> Arc<Config> {
+    let text = format!(
+        r#"{{"version":{version},"site":"s","routing":{{"address_max_age_ms":2000}},"ledger":{{}}}}"#
+    );
+    let mut config: Config = serde_json::from_str(&text).unwrap();
+    config.backends = (0..BACKENDS)
+        .map(|i| config::Backend {
+            name: backend(i),
+            pool: "p".to_owned(),
+            address: format!("192.0.2.{i}:90"),
+            failure_domain: "d0".to_owned(),
+        })
+        .collect();
+    Arc::new(config)
+}
+
+pub(super) fn backend(i: usize) -> String {
+    format!("b{i}")
+}
+
+impl World {
+    pub(super) fn new(seed: u64, fault: Option<Fault>) -> World {
+        let mut world = World {
+            now: Millis(10_000),
+            routers: Vec::new(),
+            up: true,
+            version: 1,
+            hosts: 1,
+            listed: [Listed::Live; BACKENDS],
+            oracle: Oracle::default(),
+            inbox: BTreeMap::new(),
+            links: BTreeSet::new(),
+            serial: 0,
+            runs: 0,
+            loss: 0,
+            fault,
+            rng: SmallRng::seed_from_u64(seed),
+        };
+        for i in 0..ROUTERS {
+            let router = world.start(i);
+            world.routers.push(router);
+        }
+        world
+    }
+
+    fn start(&mut self, i: usize) -> Router {
+        self.runs += 1;
+        let address = |port: u16| format!("192.0.2.{i}:{port}").parse().unwrap();
+        let id = Identity {
+            incarnation: Incarnation(self.runs * 100 + i as u64),
+            host: format!("h{i}"),
+            failure_domain: format!("d{}", i % 3),
+            region: "r".to_owned(),
+            caller_address: address(80),
+            peer_address: address(81),
+            seeds: (0..ROUTERS)
+                .map(|i| format!("192.0.2.{i}:81").parse().unwrap())
+                .collect(),
+        };
+        let mut fleet = Fleet::new(id, self.runs);
+        fleet.fault = self.fault;
+        Router {
+            fleet,
+            frozen: Millis(0),
+            cut: false,
+            side: false,
+            busy: 0,
+            ready: Err(NotReady::Starting),
+            version: 0,
+            withdrawn: BTreeSet::new(),
+            addresses: Vec::new(),
+            exited: false,
+            cut_off: Millis(0),
+            next_poll: self.now,
+        }
+    }
+
+    pub(super) fn step(&mut self, step: &Step) -> Result<(), Violation> {
+        match *step {
+            Step::Advance(span) => return self.advance(span),
+            Step::Apply if self.up => self.version += 1,
+            Step::List { backend, listed } if self.up => {
+                self.hosts += 1;
+                self.listed[backend] = listed;
+            }
+            Step::Platform { up } => self.up = up,
+            Step::CutPlatform { router, cut } => self.routers[router].cut = cut,
+            Step::Partition(mask) => {
+                let side = |(i, r): (usize, &mut Router)| r.side = mask & (1 << i) != 0;
+                self.routers.iter_mut().enumerate().for_each(side);
+            }
+            Step::Restart(router) => self.restart(router),
+            Step::Freeze { router, span } => self.routers[router].frozen = self.now + Millis(span),
+            Step::Loss(percent) => self.loss = percent,
+            Step::Drain(router) => {
+                self.oracle.draining(self.now, self.id(router));
+                self.post(self.id(router), 0, Event::Drain);
+            }
+            Step::Busy { router, requests } => {
+                let r = &mut self.routers[router];
+                if r.ready.is_ok() {
+                    r.busy = requests;
+                } else {
+                    r.busy = r.busy.min(requests);
+                }
+            }
+            Step::StaleConfig(router) => {
+                let version = self.version.saturating_sub(1).max(1);
+                let digest = Digest(version.into());
+                let config = config(version);
+                self.post(self.id(router), 0, Event::Config { config, digest });
+            }
+            Step::Apply | Step::List { .. } => {}
+        }
+        self.deliver()
+    }
+
+    pub(super) fn heal(&mut self) {
+        self.up = true;
+        self.loss = 0;
+        for r in &mut self.routers {
+            r.cut = false;
+            r.side = false;
+        }
+        for i in 0..ROUTERS {
+            if self.oracle.leaves(self.id(i)) {
+                self.restart(i);
+            }
+        }
+    }
+
+    pub(super) fn id(&self, router: usize) -> Incarnation {
+        self.routers[router].fleet.member().incarnation
+    }
+
+    fn index(&self, id: Incarnation) -> Option<usize> {
+        (0..ROUTERS).find(|&i| self.id(i) == id)
+    }
+
+    pub(super) fn restart(&mut self, router: usize) {
+        let id = self.id(router);
+        let linked: Vec<_> = self.links.iter().copied().collect();
+        for (a, b) in linked.into_iter().filter(|&(a, b)| a == id || b == id) {
+            self.drop_link(a, b);
+        }
+        let old = &self.routers[router];
+        let (cut, side) = (old.cut, old.side);
+        self.routers[router] = self.start(router);
+        self.routers[router].cut = cut;
+        self.routers[router].side = side;
+    }
+
+    // Time
+
+    pub(super) fn advance(&mut self, span: u64) -> Result<(), Violation> {
+        let until = self.now + Millis(span);
+        while self.now < until {
+            self.now = self.now + Millis(10);
+            self.drop_cut_links();
+            for i in 0..ROUTERS {
+                if self.majority_cut_off(i) {
+                    self.routers[i].cut_off = self.now;
+                }
+            }
+            for i in 0..ROUTERS {
+                self.poll(i);
+                if self.now.0.is_multiple_of(Fleet::TICK.0) {
+                    let busy = self.routers[i].busy;
+                    self.post(self.id(i), 0, Event::InFlight(busy));
+                    self.post(self.id(i), 0, Event::Tick);
+                }
+            }
+            self.deliver()?;
+            self.oracle.check(self)?;
+        }
+        Ok(())
+    }
+
+    fn post(&mut self, to: Incarnation, delay: u64, event: Event) {
+        self.serial += 1;
+        self.inbox
+            .insert((self.now + Millis(delay), self.serial), (to, event));
+    }
+
+    fn deliver(&mut self) -> Result<(), Violation> {
+        while let Some(entry) = self.inbox.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let ((at, _), (to, event)) = entry.remove_entry();
+            let Some(i) = self.index(to).filter(|&i| !self.routers[i].exited) else {
+                continue;
+            };
+            let frozen = self.routers[i].frozen;
+            if frozen > self.now {
+                self.serial += 1;
+                self.inbox
+                    .insert((frozen.max(at), self.serial), (to, event));
+                continue;
+            }
+            if matches!(event, Event::Drain) {
+                self.oracle.hears_drain(to);
+            }
+            let mut out = Vec::new();
+            self.routers[i].fleet.handle(self.now, event, &mut out);
+            for action in out {
+                self.act(i, action)?;
+            }
+        }
+        Ok(())
+    }
+
+    // Platform
+
+    pub(super) fn reaches_platform(&self, router: usize) -> bool {
+        self.up && !self.routers[router].cut
+    }
+
+    fn poll(&mut self, i: usize) {
+        let r = &mut self.routers[i];
+        let due = r.next_poll <= self.now && r.frozen <= self.now && !r.exited;
+        if !due || !r.fleet.watches(self.now) {
+            return;
+        }
+        r.next_poll = self.now + Millis(POLL);
+        let (id, asked) = (self.id(i), self.now);
+        if !self.reaches_platform(i) {
+            self.post(id, 50, Event::PlatformDown);
+            return;
+        }
+        self.oracle.read(self.now, self.version, &self.listed);
+        let version = self.version;
+        let digest = Digest(version.into());
+        self.post(
+            id,
+            5,
+            Event::HeadSeen {
+                version,
+                digest,
+                asked,
+            },
+        );
+        let version = self.hosts;
+        let hosts = self.host_entries();
+        self.post(
+            id,
+            7,
+            Event::HostList {
+                version,
+                hosts,
+                asked,
+            },
+        );
+    }
+
+    fn host_entries(&self) -> Vec<HostEntry> {
+        let entry = |(i, listed): (usize, &Listed)| {
+            let state = match listed {
+                Listed::Live => HostState::Live,
+                Listed::Leaving => HostState::Leaving,
+                Listed::Absent => return None,
+            };
+            Some(HostEntry {
+                name: backend(i),
+                address: "192.0.2.99:80".parse().unwrap(),
+                role: HostRole::Backend,
+                state,
+            })
+        };
+        self.listed.iter().enumerate().filter_map(entry).collect()
+    }
+
+    // Links
+
+    pub(super) fn connected(&self, a: usize, b: usize) -> bool {
+        self.routers[a].side == self.routers[b].side
+    }
+
+    /// Whether the router is with most of the fleet, none of which can reach the platform. Such a
+    /// side may go on after an outage that all saw.
+    fn majority_cut_off(&self, i: usize) -> bool {
+        let side: Vec<usize> = (0..ROUTERS).filter(|&j| self.connected(i, j)).collect();
+        let cut_off = !side.iter().any(|&j| self.reaches_platform(j));
+        cut_off && side.len() * 2 > ROUTERS
+    }
+
+    fn drop_cut_links(&mut self) {
+        let links: Vec<_> = self.links.iter().copied().collect();
+        for (a, b) in links {
+            let (Some(i), Some(j)) = (self.index(a), self.index(b)) else {
+                continue;
+            };
+            if !self.connected(i, j) && self.rng.random_ratio(1, 100) {
+                self.drop_link(a, b);
+            }
+        }
+    }
+
+    fn drop_link(&mut self, a: Incarnation, b: Incarnation) {
+        self.links.remove(&(a, b));
+        self.post(a, 1, Event::PeerDown(b));
+        self.post(b, 1, Event::PeerDown(a));
+    }
+
+    fn connect(&mut self, i: usize, address: std::net::SocketAddr) {
+        let port = |r: &Router| r.fleet.member().peer_address.parse() == Ok(address);
+        let Some(j) = self.routers.iter().position(port) else {
+            return;
+        };
+        let (a, b) = (self.id(i).min(self.id(j)), self.id(i).max(self.id(j)));
+        let reached = self.connected(i, j) && !self.routers[j].exited;
+        let awake = self.routers[j].frozen <= self.now;
+        if i == j || !reached || !awake || !self.links.insert((a, b)) {
+            return;
+        }
+        let (left, right) = (
+            self.routers[i].fleet.member(),
+            self.routers[j].fleet.member(),
+        );
+        let (left, right) = (left.clone(), right.clone());
+        self.post(right.incarnation, 2, Event::PeerUp(left.clone()));
+        self.post(left.incarnation, 2, Event::PeerUp(right));
+    }
+
+    fn send(
+        &mut self,
+        i: usize,
+        to: Incarnation,
+        message: &toucanchute_proto::fleet::FleetMessage,
+    ) {
+        let Some(j) = self.index(to) else {
+            return;
+        };
+        let link = (self.id(i).min(to), self.id(i).max(to));
+        let lost = self.rng.random_ratio(self.loss, 100);
+        if lost || !self.connected(i, j) || !self.links.contains(&link) {
+            return;
+        }
+        let from = self.id(i);
+        let copies = if self.rng.random_ratio(1, 50) { 2 } else { 1 };
+        for _ in 0..copies {
+            let delay = self.rng.random_range(1..25);
+            let message = Box::new(message.clone());
+            self.post(to, delay, Event::Message { from, message });
+        }
+    }
+
+    // Actions
+
+    fn act(&mut self, i: usize, action: Action) -> Result<(), Violation> {
+        let id = self.id(i);
+        match action {
+            Action::Send { to, message } => self.send(i, to, &message),
+            Action::Connect(address) => self.connect(i, address),
+            Action::FetchConfig if self.reaches_platform(i) => {
+                let digest = Digest(self.version.into());
+                let config = config(self.version);
+                self.post(id, 5, Event::Config { config, digest });
+            }
+            Action::InForce(config) => {
+                self.oracle
+                    .in_force(self.routers[i].version, config.version, self.version)?;
+                self.routers[i].version = config.version;
+            }
+            Action::Withdraw(names) => self.routers[i].withdrawn = names,
+            Action::Ready(ready) => {
+                self.oracle.ready(self.now, id, ready)?;
+                self.routers[i].ready = ready;
+            }
+            Action::Addresses(addresses) => {
+                let me = self.routers[i]
+                    .fleet
+                    .member()
+                    .caller_address
+                    .parse()
+                    .unwrap();
+                let listed = addresses.contains(&me);
+                self.oracle.listed(id, listed)?;
+                self.routers[i].addresses = addresses;
+            }
+            Action::ReturnGrants => {
+                self.oracle.returning(self.routers[i].busy)?;
+                self.post(id, 30, Event::Drained);
+            }
+            Action::Exit => self.routers[i].exited = true,
+            _ => {}
+        }
+        Ok(())
+    }
+}
--- a/toucanchute_core/src/fleet/view.rs
+++ b/toucanchute_core/src/fleet/view.rs
@@ -16,13 +16,15 @@
 }
 
 impl View {
-    pub(super) fn head_seen(&mut self, now: Millis) {
-        self.head_at = Some(now);
+    /// Takes in an answer to what the platform was asked at `asked`.
+    pub(super) fn head_seen(&mut self, asked: Millis) {
+        self.head_at = self.head_at.max(Some(asked));
         self.answered();
     }
 
-    pub(super) fn hosts_seen(&mut self, now: Millis) {
-        self.hosts_at = Some(now);
+    /// Takes in an answer to what the platform was asked at `asked`.
+    pub(super) fn hosts_seen(&mut self, asked: Millis) {
+        self.hosts_at = self.hosts_at.max(Some(asked));
         self.answered();
     }
 
