feat(fleet): orders to engines under a fenced lease

Where an engine ignores fencing numbers a new holder waits out the last one's lease and the longest time of an order.

--- a/toucanchute_core/src/fleet.rs
+++ b/toucanchute_core/src/fleet.rs
@@ -14,6 +14,7 @@
 mod machine;
 mod members;
 mod messages;
+pub mod orders;
 mod publish;
 mod rumors;
 #[cfg(test)]
--- /dev/null
+++ b/toucanchute_core/src/fleet/orders.rs
@@ -0,0 +1,211 @@
+//! Orders to engines: load a model, change role.
+//!
+//! Orders of one pool are sent by the holder of a lease in the platform's service and carry its
+//! fencing number. An engine that checks the number refuses an older holder's order. Where engines
+//! ignore it, a new holder first waits out the lease of the one before, so that an order which
+//! that one still sends cannot arrive after its own.
+
+use std::collections::VecDeque;
+
+use toucanchute_proto::{Millis, config::Fencing};
+
+#[cfg(test)]
+mod tests;
+
+/// Longest time that an order takes to arrive; a holder sends none when less of its lease is left.
+pub const ORDER_TIMEOUT: Millis = Millis(2_000);
+
+/// What happened, as told to [`Orders`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum Event {
+    /// An operator or policy wants this order sent.
+    Want(Order),
+    /// The lease was granted or renewed.
+    Held(Lease),
+    /// The lease is held by another router, or was lost.
+    NotHeld,
+    /// The order sent last was answered or timed out.
+    Answered(Answer),
+    /// Time passed.
+    Tick,
+}
+
+/// What [`Orders`] wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum Action {
+    /// Get or renew the lease; ask again on each of these.
+    Acquire,
+    /// Send this order with this fencing number. Drop it if it cannot be sent at once.
+    Send {
+        /// The order.
+        order: Order,
+        /// Rises with each holder of the lease.
+        fence: u64,
+    },
+    /// The order took effect or never will; tell who wanted it.
+    Ended {
+        /// The order.
+        order: Order,
+        /// How it ended.
+        answer: Answer,
+    },
+    /// Give the lease back: nothing is left to send and nothing is on its way.
+    Release,
+}
+
+/// One order to one engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// Name of the backend server.
+    pub backend: String,
+    /// What it has to do.
+    pub kind: OrderKind,
+    /// Name of the model.
+    pub model: String,
+}
+
+/// What an engine has to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderKind {
+    /// Load a model.
+    LoadModel,
+    /// Serve another model.
+    ChangeRole,
+}
+
+/// A lease on the orders of one pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lease {
+    /// Rises with each holder.
+    pub fence: u64,
+    /// When the platform was asked; the lease counts from there.
+    pub asked: Millis,
+    /// Time to live.
+    pub ttl: Millis,
+    /// Time to live of the lease before, unless it was given back.
+    pub last: Option<Millis>,
+}
+
+/// How an order ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It took effect.
+    Done,
+    /// The engine has seen a newer holder.
+    OldFence,
+    /// It failed or timed out; it may have taken effect.
+    Failed,
+}
+
+/// Sends the orders of one pool, one at a time.
+///
+/// ```
+/// use toucanchute_core::fleet::orders::{Action, Event, Lease, Order, OrderKind, Orders};
+/// use toucanchute_proto::{Millis, config::Fencing};
+///
+/// let mut orders = Orders::new(Fencing::Checked);
+/// let mut out = Vec::new();
+/// let order = Order {
+///     backend: "engine-1".to_owned(),
+///     kind: OrderKind::LoadModel,
+///     model: "gates".to_owned(),
+/// };
+/// orders.handle(Millis(0), Event::Want(order), &mut out);
+/// assert_eq!(out, [Action::Acquire]);
+/// let lease = Lease { fence: 3, asked: Millis(0), ttl: Millis(10_000), last: None };
+/// orders.handle(Millis(5), Event::Held(lease), &mut out);
+/// assert!(matches!(out[1], Action::Send { fence: 3, .. }));
+/// ```
+#[derive(Debug)]
+pub struct Orders {
+    fencing: Fencing,
+    wanted: VecDeque<Order>,
+    /// The order on its way, if any; it is none of `wanted`.
+    sent: Option<Order>,
+    holding: Option<Holding>,
+}
+
+/// A lease and from when on it may be used.
+#[derive(Clone, Copy, Debug)]
+struct Holding {
+    lease: Lease,
+    /// End of the wait for the holder before.
+    usable_from: Millis,
+}
+
+impl Orders {
+    /// Creates the machine of a pool whose engines check fencing numbers or ignore them.
+    #[must_use]
+    pub fn new(fencing: Fencing) -> Orders {
+        Orders {
+            fencing,
+            wanted: VecDeque::new(),
+            sent: None,
+            holding: None,
+        }
+    }
+
+    /// Takes in one event and pushes what has to be done.
+    pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Want(order) => self.wanted.push_back(order),
+            Event::Held(lease) => self.held(now, lease),
+            Event::NotHeld => self.holding = None,
+            Event::Answered(answer) => self.answered(answer, out),
+            Event::Tick => {}
+        }
+        self.advance(now, out);
+    }
+
+    fn held(&mut self, now: Millis, lease: Lease) {
+        let same = self.holding.filter(|h| h.lease.fence == lease.fence);
+        let wait = match self.fencing {
+            Fencing::Checked => Millis(0),
+            Fencing::Ignored => lease.last.map_or(Millis(0), |ttl| ttl + ORDER_TIMEOUT),
+        };
+        let usable_from = same.map_or(now + wait, |h| h.usable_from);
+        self.holding = Some(Holding { lease, usable_from });
+    }
+
+    fn answered(&mut self, answer: Answer, out: &mut Vec<Action>) {
+        let Some(order) = self.sent.take() else {
+            return;
+        };
+        if answer == Answer::OldFence {
+            self.holding = None;
+            self.wanted.push_front(order);
+        } else {
+            out.push(Action::Ended { order, answer });
+        }
+    }
+
+    fn advance(&mut self, now: Millis, out: &mut Vec<Action>) {
+        if self.sent.is_some() {
+            return;
+        }
+        let Some(Holding { lease, usable_from }) = self.holding else {
+            if !self.wanted.is_empty() {
+                out.push(Action::Acquire);
+            }
+            return;
+        };
+        if self.wanted.is_empty() {
+            self.holding = None;
+            out.push(Action::Release);
+        } else if now + ORDER_TIMEOUT > lease.asked + lease.ttl {
+            out.push(Action::Acquire);
+        } else if now >= usable_from {
+            self.send(lease.fence, out);
+        }
+    }
+
+    fn send(&mut self, fence: u64, out: &mut Vec<Action>) {
+        let Some(order) = self.wanted.pop_front() else {
+            return;
+        };
+        self.sent = Some(order.clone());
+        out.push(Action::Send { order, fence });
+    }
+}
--- /dev/null
+++ b/toucanchute_core/src/fleet/orders/tests.rs
@@ -0,0 +1,175 @@
+//! Two holders, one of which is paused, and an engine that checks fencing numbers or does not.
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use toucanchute_proto::{Millis, config::Fencing};
+use yare::parameterized;
+
+use super::{Action, Answer, Event, Lease, ORDER_TIMEOUT, Order, OrderKind, Orders};
+
+const TTL: Millis = Millis(10_000);
+
+/// A deliberate fault of the world.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    /// A new holder is told that the lease before was given back.
+    HidesLast,
+}
+
+/// Platform, engine and two routers that both want orders sent.
+struct World {
+    now: Millis,
+    rng: SmallRng,
+    machines: [Orders; 2],
+    /// Paused routers act on nothing until then.
+    paused: [Millis; 2],
+    /// Holder and end of the lease by the platform's clock.
+    holder: Option<(usize, Millis)>,
+    fence: u64,
+    released: bool,
+    /// Orders on their way: arrival, sender, fence.
+    wire: Vec<(Millis, usize, u64)>,
+    engine: Fencing,
+    /// Greatest fence that took effect.
+    newest: u64,
+    effects: u32,
+    /// Orders that took effect after one of a newer holder.
+    stale: u32,
+    fault: Fault,
+}
+
+impl World {
+    fn new(seed: u64, engine: Fencing, fault: Fault) -> World {
+        World {
+            now: Millis(0),
+            rng: SmallRng::seed_from_u64(seed),
+            machines: [Orders::new(engine), Orders::new(engine)],
+            paused: [Millis(0); 2],
+            holder: None,
+            fence: 0,
+            released: true,
+            wire: Vec::new(),
+            engine,
+            newest: 0,
+            effects: 0,
+            stale: 0,
+            fault,
+        }
+    }
+
+    fn run(mut self) -> World {
+        for _ in 0..4_000 {
+            self.now = self.now + Millis(100);
+            self.arrive();
+            for i in 0..2 {
+                if self.paused[i] > self.now {
+                    continue;
+                }
+                if self.rng.random_ratio(1, 200) {
+                    let span = self.rng.random_range(0..TTL.0 + 5_000);
+                    self.paused[i] = self.now + Millis(span);
+                }
+                let event = match self.rng.random_ratio(1, 10) {
+                    true => Event::Want(order()),
+                    false => Event::Tick,
+                };
+                self.step(i, event);
+            }
+        }
+        self
+    }
+
+    fn step(&mut self, i: usize, event: Event) {
+        let mut out = Vec::new();
+        self.machines[i].handle(self.now, event, &mut out);
+        for action in out {
+            match action {
+                Action::Acquire => self.acquire(i),
+                Action::Send { fence, .. } => {
+                    // A pause strikes between the decision and the sending.
+                    let left = self.paused[i].since(self.now).0.min(TTL.0);
+                    let way = self.rng.random_range(0..ORDER_TIMEOUT.0);
+                    self.wire.push((self.now + Millis(left + way), i, fence));
+                }
+                Action::Release if self.holder.is_some_and(|(h, _)| h == i) => {
+                    self.holder = None;
+                    self.released = true;
+                }
+                Action::Release | Action::Ended { .. } => {}
+            }
+        }
+    }
+
+    fn acquire(&mut self, i: usize) {
+        let free = self.holder.is_none_or(|(h, end)| h == i || end <= self.now);
+        if !free {
+            return;
+        }
+        let renewed = self.holder.is_some_and(|(h, end)| h == i && end > self.now);
+        let hidden = self.released || self.fault == Fault::HidesLast;
+        let last = (!renewed && !hidden).then_some(TTL);
+        if !renewed {
+            self.fence += 1;
+        }
+        self.released = false;
+        self.holder = Some((i, self.now + TTL));
+        let lease = Lease {
+            fence: self.fence,
+            asked: self.now,
+            ttl: TTL,
+            last,
+        };
+        self.step(i, Event::Held(lease));
+    }
+
+    fn arrive(&mut self) {
+        let (arrived, wire) = self.wire.iter().partition(|(at, ..)| *at <= self.now);
+        self.wire = wire;
+        let arrived: Vec<(Millis, usize, u64)> = arrived;
+        for (_, sender, fence) in arrived {
+            let old = fence < self.newest;
+            let refused = old && self.engine == Fencing::Checked;
+            if !refused {
+                self.effects += 1;
+                self.stale += u32::from(old);
+                self.newest = self.newest.max(fence);
+            }
+            let answer = if refused {
+                Answer::OldFence
+            } else {
+                Answer::Done
+            };
+            self.step(sender, Event::Answered(answer));
+        }
+    }
+}
+
+fn order() -> Order {
+    Order {
+        backend: "b".to_owned(),
+        kind: OrderKind::LoadModel,
+        model: "m".to_owned(),
+    }
+}
+
+fn total(engine: Fencing, fault: Fault) -> (u32, u32) {
+    let worlds = (1..=30).map(|seed| World::new(seed, engine, fault).run());
+    worlds.fold((0, 0), |(n, stale), w| (n + w.effects, stale + w.stale))
+}
+
+#[parameterized(
+    checked = { Fencing::Checked },
+    ignored = { Fencing::Ignored },
+)]
+fn no_older_holder_has_the_last_word(engine: Fencing) {
+    let (effects, stale) = total(engine, Fault::None);
+    println!("seeds=1..=30 effects={effects} stale={stale}");
+    assert!(effects > 1_000);
+    assert_eq!(stale, 0);
+}
+
+#[test]
+fn an_engine_that_ignores_numbers_needs_the_wait() {
+    let (_, stale) = total(Fencing::Ignored, Fault::HidesLast);
+    assert!(stale > 0);
+}
