--- a/toucanchute_edge/examples/added_latency/main.rs
+++ b/toucanchute_edge/examples/added_latency/main.rs
@@ -1,7 +1,9 @@
 //! Measures what the edge adds to a direct connection to a stand-in model engine: latency of the
-//! first token and between tokens, CPU time a token, memory a stream.
+//! first token and between tokens, CPU time a token and a request, memory a stream. Event logs are
+//! written to `/dev/null`.
 //!
-//! Run it in release mode; `scripts/bench` does. Engine, edge and callers have threads of their own
+//! Run it in release mode; `scripts/bench` does. An argument (`latency`, `throughput`, `requests` or
+//! `memory`) chooses one part. Engine, edge and callers have threads of their own
 //! in one process. Direct and routed rounds take turns, so that other work on the machine meets
 //! both.
 
@@ -11,6 +13,7 @@
 
 use std::{
     net::SocketAddr,
+    path::Path,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -22,6 +25,7 @@
 };
 use toucanchute_edge::{Edge, EdgeSettings};
 use toucanchute_fakes::{Engine, EngineOptions};
+use toucanchute_log::Setup;
 
 use self::{
     control::FreeControl,
@@ -33,24 +37,42 @@
 const EDGE_THREADS: usize = 2;
 /// Numbers of streams at the same time, each with its number of rounds.
 const STREAMS: [(usize, u64); 3] = [(1, 20), (32, 10), (256, 6)];
+/// Time between two tokens of the engine when the latency is measured; the streams of one round begin
+/// within this time.
+const TOKEN_SPAN: Duration = Duration::from_millis(20);
 /// Tokens of each answer.
 const TOKENS: u64 = 24;
 /// Streams at the same time when the throughput is measured.
 const THROUGHPUT_STREAMS: usize = 64;
 /// Tokens of each answer when the throughput is measured.
 const THROUGHPUT_TOKENS: u64 = 2_000;
+/// Requests of one token over each connection when the rate of requests is measured.
+const REQUESTS: u64 = 200;
 /// Streams at the same time when the memory is measured.
 const MEMORY_STREAMS: usize = 1_000;
 
 fn main() {
+    let log = Path::new("/dev/null");
+    Setup::new("bench").file(log).install().expect("a log");
     let engines = runtime("engine", 4);
     let edges = runtime("edge", EDGE_THREADS);
     let callers = runtime("caller", 3);
     let bench = Bench { engines, edges };
+    let only = std::env::args().nth(1);
+    let wanted = |part: &str| only.as_deref().is_none_or(|only| only == part);
     callers.block_on(async {
-        bench.measure_latency().await;
-        bench.measure_throughput().await;
-        bench.measure_memory().await;
+        if wanted("latency") {
+            bench.measure_latency().await;
+        }
+        if wanted("throughput") {
+            bench.measure_throughput().await;
+        }
+        if wanted("requests") {
+            bench.measure_requests().await;
+        }
+        if wanted("memory") {
+            bench.measure_memory().await;
+        }
     });
     std::process::exit(0);
 }
@@ -105,17 +127,17 @@
             "streams  what            direct p50  routed p50  added p50  direct p99  routed p99"
         );
         for (streams, rounds) in STREAMS {
-            let addresses = self.start(20, TOKENS).await;
+            let addresses = self.start(TOKEN_SPAN.as_millis() as u64, TOKENS).await;
             let mut times = [Times::default(), Times::default()];
             let mut callers = [
                 connect(addresses[0], streams).await,
                 connect(addresses[1], streams).await,
             ];
-            round(&mut callers[0], TOKENS).await;
-            round(&mut callers[1], TOKENS).await;
+            round(&mut callers[0], TOKENS, TOKEN_SPAN).await;
+            round(&mut callers[1], TOKENS, TOKEN_SPAN).await;
             for _ in 0..rounds {
                 for (callers, times) in callers.iter_mut().zip(&mut times) {
-                    times.merge(round(callers, TOKENS).await);
+                    times.merge(round(callers, TOKENS, TOKEN_SPAN).await);
                 }
             }
             let [direct, routed] = times;
@@ -129,7 +151,7 @@
         for (name, address) in ["direct", "routed"].into_iter().zip(addresses) {
             let mut callers = connect(address, THROUGHPUT_STREAMS).await;
             let (cpu, start) = (cpu_micros("edge"), Instant::now());
-            let times = round(&mut callers, THROUGHPUT_TOKENS).await;
+            let times = round(&mut callers, THROUGHPUT_TOKENS, Duration::ZERO).await;
             let wall = start.elapsed().as_secs_f64();
             let cpu = (cpu_micros("edge") - cpu) as f64 / 1e6;
             let rate = times.tokens as f64 / wall;
@@ -146,13 +168,32 @@
         }
     }
 
+    async fn measure_requests(&self) {
+        let addresses = self.start(0, 1).await;
+        for (name, address) in ["direct", "routed"].into_iter().zip(addresses) {
+            let mut callers = connect(address, THROUGHPUT_STREAMS).await;
+            let (cpu, start) = (cpu_micros("edge"), Instant::now());
+            for _ in 0..REQUESTS {
+                round(&mut callers, 1, Duration::ZERO).await;
+            }
+            let wall = start.elapsed().as_secs_f64();
+            let cpu = cpu_micros("edge") - cpu;
+            let requests = REQUESTS * THROUGHPUT_STREAMS as u64;
+            println!(
+                "requests {name}: {:.0} requests/s, edge CPU {} us a request",
+                requests as f64 / wall,
+                cpu / requests
+            );
+        }
+    }
+
     async fn measure_memory(&self) {
         let mut slopes = Vec::new();
         for (name, i) in [("direct", 0), ("routed", 1)] {
             let address = self.start(400, TOKENS).await[i];
             let before = resident_kb();
             let mut callers = connect(address, MEMORY_STREAMS).await;
-            let running = round(&mut callers, TOKENS);
+            let running = round(&mut callers, TOKENS, Duration::ZERO);
             let during = async {
                 tokio::time::sleep(Duration::from_secs(4)).await;
                 resident_kb()
@@ -178,11 +219,13 @@
     callers
 }
 
-/// Streams one answer over each connection at the same time.
-async fn round(callers: &mut Vec<Caller>, tokens: u64) -> Times {
+/// Streams one answer over each connection; the streams begin within `spread`.
+async fn round(callers: &mut Vec<Caller>, tokens: u64, spread: Duration) -> Times {
+    let stagger = spread / callers.len() as u32;
     let mut running = JoinSet::new();
     for (i, mut caller) in (0..).zip(callers.drain(..)) {
         running.spawn(async move {
+            tokio::time::sleep(stagger * i as u32).await;
             let times = caller.stream(i, tokens).await;
             (caller, times)
         });
