--- a/toucanchute_core/src/routing/dispatcher.rs
+++ b/toucanchute_core/src/routing/dispatcher.rs
@@ -2,12 +2,13 @@
 
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SlotMap;
-use toucanchute_proto::{AttemptId, Incarnation, Millis, fleet::Verdict};
+use toucanchute_proto::{AttemptId, Digest, Incarnation, Millis, fleet::Verdict};
 
 use super::{
     Action, Assign, Event, RefusalReason, Target,
     attempts::Attempt,
     choose::Chooser,
+    fault::Fault,
     pool::{BackendKey, Pool, PoolKey},
     replica::Replica,
     retry::RetryBudget,
@@ -46,6 +47,8 @@
     pub(super) suspects: Suspects,
     pub(super) retries: RetryBudget,
     rng: SmallRng,
+    #[cfg(test)]
+    pub(super) fault: Option<Fault>,
 }
 
 impl Dispatcher {
@@ -64,14 +67,17 @@
             withdrawn: BTreeSet::new(),
             targets: BTreeMap::new(),
             attempts: BTreeMap::new(),
-            suspects: Suspects::default(),
+            suspects: Suspects::new(incarnation),
             retries: RetryBudget::new(),
             rng: SmallRng::seed_from_u64(seed),
+            #[cfg(test)]
+            fault: None,
         }
     }
 
     /// Takes in one event and pushes what has to be done.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        self.suspects.observe(now);
         match event {
             Event::Configure { config, withdrawn } => {
                 self.withdrawn.clone_from(&withdrawn);
@@ -95,10 +101,25 @@
                     self.replicas[key].cache.apply(now, &events, gap);
                 }
             }
-            Event::Verdict(v) => self.told(now, v, out),
+            Event::Verdict(v) => self.told(now, &v, out),
             Event::Tick => self.expire(now, out),
         }
         self.dispatch(now, out);
+        self.mistell(out);
+    }
+
+    /// Says less to the other routers, under a deliberate fault.
+    fn mistell(&self, out: &mut Vec<Action>) {
+        if self.has(Fault::TellNobody) {
+            out.retain(|a| !matches!(a, Action::Verdict(_)));
+        }
+        if self.has(Fault::HideClaims) {
+            let verdicts = out.iter_mut().filter_map(|a| match a {
+                Action::Verdict(v) => Some(v),
+                _ => None,
+            });
+            verdicts.for_each(|v| v.claim = None);
+        }
     }
 
     /// Calls that wait for a backend server.
@@ -131,17 +152,22 @@
         }
         if req.attempts == 0 {
             self.retries.fresh();
-        } else if !self.suspects.known(now, suspect) && !self.retries.take() {
+        } else if !self.suspects.known(now, suspect) && !self.take_retry() {
             refuse(&req, RefusalReason::RetriesExhausted, Millis(1_000), out);
             return;
         }
         self.enqueue(now, key, req, out);
     }
 
+    fn take_retry(&mut self) -> bool {
+        self.retries.take() || self.has(Fault::FreeRetries)
+    }
+
     fn enqueue(&mut self, now: Millis, key: PoolKey, req: Assign, out: &mut Vec<Action>) {
+        let start_late = self.has(Fault::StartLate);
         let pool = &mut self.pools[key];
         let wait = pool.wait(pool.queue.ahead(&req));
-        if now + wait > pool.latest_start(req.deadline) {
+        if now + wait > pool.latest_start(req.deadline) && !start_late {
             refuse(&req, RefusalReason::Overloaded, wait, out);
             return;
         }
@@ -177,9 +203,11 @@
 
     /// Refuses waiting calls that cannot make it any more.
     fn expire(&mut self, now: Millis, out: &mut Vec<Action>) {
-        self.suspects.forget_expired(now);
+        let (keep, hush) = (self.has(Fault::StartLate), self.has(Fault::DropLate));
+        let verdicts = self.suspects.refresh(now);
+        out.extend(verdicts.into_iter().map(Action::Verdict));
         for pool in self.pools.values_mut().filter(|p| !p.queue.is_empty()) {
-            let late = |c: &Assign| pool.latest_start(c.deadline) < now;
+            let late = |c: &Assign| !keep && pool.latest_start(c.deadline) < now;
             let ids: Vec<u64> = pool
                 .queue
                 .calls()
@@ -188,14 +216,14 @@
                 .collect();
             let wait = pool.wait(pool.queue.len());
             for id in ids {
-                let req = pool.queue.remove(id);
+                let req = pool.queue.remove(id).filter(|_| !hush);
                 req.iter()
                     .for_each(|r| refuse(r, RefusalReason::Overloaded, wait, out));
             }
         }
     }
 
-    fn told(&mut self, now: Millis, verdict: Verdict, out: &mut Vec<Action>) {
+    fn told(&mut self, now: Millis, verdict: &Verdict, out: &mut Vec<Action>) {
         self.suspects.told(now, verdict);
         self.refuse_quarantined(now, out);
     }
@@ -226,41 +254,93 @@
 
     /// Starts the call whose turn it is; returns whether there was one that fits.
     fn dispatch_one(&mut self, now: Millis, key: PoolKey, out: &mut Vec<Action>) -> bool {
+        let Some((call, step)) = self.next_step(now, key) else {
+            return false;
+        };
+        match step {
+            Step::Run { replica, suspect } => {
+                let fair = !self.has(Fault::ServeUnfairly);
+                let pool = &mut self.pools[key];
+                let Some(req) = pool.queue.remove(call) else {
+                    return false;
+                };
+                if fair {
+                    pool.queue.charge(&req);
+                }
+                let waiting = !pool.queue.is_empty();
+                pool.started(now, waiting);
+                self.start(now, &req, suspect, replica, out);
+            }
+            Step::Claim { replica, suspect } => {
+                let name = self.replicas[replica].name.clone();
+                let verdict = self.suspects.claim(now, suspect, &name);
+                out.extend(verdict.map(Action::Verdict));
+            }
+            Step::Unclaim { suspect } => {
+                let verdict = self.suspects.unclaim(now, suspect);
+                out.extend(verdict.map(Action::Verdict));
+            }
+        }
+        true
+    }
+
+    /// Finds the first call in turn for which something can be done.
+    fn next_step(&mut self, now: Millis, key: PoolKey) -> Option<(u64, Step)> {
         let pool = &self.pools[key];
         let chooser = Chooser {
             now,
             domain: &self.domain,
             pool,
             replicas: &self.replicas,
+            suspects: &self.suspects,
         };
         if pool.queue.is_empty() || !chooser.any_room() {
-            return false;
+            return None;
         }
-        let mut found = None;
-        for req in pool.queue.next() {
-            let permit = self.suspects.permit(now, suspects::key(req));
-            if permit == Permit::Wait {
-                continue;
-            }
-            if let Some(replica) = chooser.choose(req, permit, &mut self.rng) {
-                found = Some((req.call, permit, replica));
-                break;
+        let late = self.has(Fault::StartLate);
+        let mut calls = pool.queue.next();
+        calls.retain(|c| c.deadline >= now || late);
+        calls.sort_by_key(|c| c.attempts == 0);
+        for req in calls {
+            let suspect = suspects::key(req);
+            let run = |replica, suspect| Step::Run { replica, suspect };
+            let step = match self.suspects.permit(now, suspect) {
+                Permit::Wait | Permit::Never => None,
+                Permit::Claim => chooser
+                    .choose(req, true, &mut self.rng)
+                    .map(|replica| Step::Claim { replica, suspect }),
+                Permit::Free => chooser
+                    .choose(req, false, &mut self.rng)
+                    .map(|replica| run(replica, false)),
+                Permit::On(name) => Some(match chooser.fits(&name) {
+                    Some(replica) => run(replica, true),
+                    None => Step::Unclaim { suspect },
+                }),
+            };
+            if let Some(step) = step {
+                return Some((req.call, step));
             }
         }
-        let Some((call, permit, replica)) = found else {
-            return false;
-        };
-        let pool = &mut self.pools[key];
-        let Some(req) = pool.queue.start(call) else {
-            return false;
-        };
-        let waiting = !pool.queue.is_empty();
-        pool.started(now, waiting);
-        self.start(now, &req, permit, replica, out);
-        true
+        None
     }
 }
 
+/// What can be done for a waiting call.
+enum Step {
+    Run {
+        replica: BackendKey,
+        /// Whether it runs as a suspect.
+        suspect: bool,
+    },
+    Claim {
+        replica: BackendKey,
+        suspect: Digest,
+    },
+    Unclaim {
+        suspect: Digest,
+    },
+}
+
 fn refuse(req: &Assign, reason: RefusalReason, after: Millis, out: &mut Vec<Action>) {
     let after = after.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
     out.push(Action::Refused {
