feat(router): operators' orders to engines under a fenced lease

The lease is a key replaced by compare-and-swap with times counted by each side's clock; the platform's own leases were weighed and left out: they lapse during its outages. Fault found on the way: a holder that missed the answer to its first call forgot to wait for the one before; the wait now stands in the lease itself (lost_answer_does_not_shorten_the_wait: red before, green after).

--- a/toucanchute_router/src/actor.rs
+++ b/toucanchute_router/src/actor.rs
@@ -4,9 +4,11 @@
 mod dispatch;
 mod fleet;
 mod money;
+mod orders;
 mod post;
 
 pub(crate) use dispatch::{Assign, DispatchActor, DispatchInput};
 pub(crate) use fleet::{Duties, FleetActor, FleetInput, FleetParts, FleetPeers, Members};
 pub(crate) use money::{MoneyActor, MoneyCall, MoneyInput, MoneyParts, MoneyReply};
+pub(crate) use orders::{OrderError, OrdersActor, OrdersInput, WantOrder};
 pub(crate) use post::post;
--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -113,18 +113,13 @@
 
     fn feed(&mut self, event: Event) {
         let now = Millis(toucanchute_log::wall_clock_ms());
-        self.feed_at(now, event);
-        self.view.confirm(now);
-    }
-
-    /// Feeds an event that tells how things were at `now`, which may be in the past.
-    fn feed_at(&mut self, now: Millis, event: Event) {
         let mut actions = std::mem::take(&mut self.actions);
         self.machine.handle(now, event, &mut actions);
         for action in actions.drain(..) {
             self.perform(action);
         }
         self.actions = actions;
+        self.view.confirm(now);
     }
 
     fn perform(&mut self, action: Action) {
@@ -203,14 +198,16 @@
             FleetInput::PeerUp(member) => Event::PeerUp(member),
             FleetInput::PeerDown(from) => Event::PeerDown(from),
             FleetInput::Message(from, message) => Event::Message { from, message },
-            FleetInput::HeadSeen(asked, version, digest) => {
-                self.feed_at(asked, Event::HeadSeen { version, digest });
-                Event::Tick
-            }
-            FleetInput::HostList(asked, version, hosts) => {
-                self.feed_at(asked, Event::HostList { version, hosts });
-                Event::Tick
-            }
+            FleetInput::HeadSeen(asked, version, digest) => Event::HeadSeen {
+                version,
+                digest,
+                asked,
+            },
+            FleetInput::HostList(asked, version, hosts) => Event::HostList {
+                version,
+                hosts,
+                asked,
+            },
             FleetInput::Config(config, digest) => Event::Config { config, digest },
             FleetInput::PlatformDown => Event::PlatformDown,
             FleetInput::Load(load) => Event::LoadReport(load),
--- a/toucanchute_router/src/admin.rs
+++ b/toucanchute_router/src/admin.rs
@@ -10,12 +10,16 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::sync::oneshot;
+use toucanchute_core::fleet::orders::{self, Order, OrderKind};
 use toucanchute_edge::{Refusal, RefusalReason};
 use toucanchute_proto::{BudgetId, GrantId, Incarnation, Millis};
 use xtra::prelude::*;
 
 use crate::{
-    actor::{FleetActor, Members, MoneyActor, MoneyCall, MoneyInput, MoneyReply, post},
+    actor::{
+        FleetActor, Members, MoneyActor, MoneyCall, MoneyInput, MoneyReply, OrderError,
+        OrdersActor, WantOrder, post,
+    },
     view::View,
 };
 
@@ -29,6 +33,8 @@
     pub(crate) money: Address<MoneyActor>,
     /// Owner of the membership.
     pub(crate) fleet: Address<FleetActor>,
+    /// Owner of the orders to engines.
+    pub(crate) orders: Address<OrdersActor>,
     /// Number of requests in progress.
     pub(crate) in_flight: Arc<AtomicU64>,
 }
@@ -63,6 +69,21 @@
     grant: String,
 }
 
+/// Body of `POST /v1/admin/orders`.
+#[derive(Debug, Deserialize)]
+struct OrderBody {
+    backend: String,
+    kind: OrderBodyKind,
+    model: String,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum OrderBodyKind {
+    LoadModel,
+    ChangeRole,
+}
+
 type Answer = (StatusCode, Value);
 
 impl Admin {
@@ -74,6 +95,7 @@
             (&Method::GET, None) if path == "status" => self.status().await,
             (&Method::GET, None) if path == "hosts" => self.hosts().await,
             (&Method::POST, None) if path == "top-ups" => self.top_up(body).await,
+            (&Method::POST, None) if path == "orders" => self.order(body).await,
             (&Method::POST, None) if path == "write-offs" => self.write_off(body).await,
             _ => problem(
                 StatusCode::NOT_FOUND,
@@ -163,6 +185,38 @@
         self.view.config().budgets.iter().any(|b| b.name == name)
     }
 
+    // --- engines
+
+    async fn order(&self, body: &[u8]) -> Answer {
+        let body: OrderBody = match serde_json::from_slice(body) {
+            Ok(body) => body,
+            Err(e) => return problem(StatusCode::BAD_REQUEST, "bad-body", &e.to_string()),
+        };
+        let kind = match body.kind {
+            OrderBodyKind::LoadModel => OrderKind::LoadModel,
+            OrderBodyKind::ChangeRole => OrderKind::ChangeRole,
+        };
+        let (reply, answer) = oneshot::channel();
+        let OrderBody { backend, model, .. } = body;
+        let order = Order {
+            backend: backend.clone(),
+            kind,
+            model,
+        };
+        post(&self.orders, WantOrder { order, reply });
+        match answer.await {
+            Ok(Ok(orders::Answer::Done)) => (StatusCode::OK, json!({"backend": backend})),
+            Ok(Err(OrderError::UnknownBackend)) => {
+                let detail = format!("no backend server `{backend}` in the configuration in force");
+                problem(StatusCode::NOT_FOUND, "unknown-backend", &detail)
+            }
+            _ => {
+                let detail = "the order failed or timed out; it may have taken effect";
+                problem(StatusCode::BAD_GATEWAY, "order-failed", detail)
+            }
+        }
+    }
+
     // --- fleet
 
     async fn status(&self) -> Answer {
--- a/toucanchute_router/src/http_client.rs
+++ b/toucanchute_router/src/http_client.rs
@@ -1,7 +1,8 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::Uri;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -23,6 +24,9 @@
     /// The address and path make no URI.
     #[snafu(display("{source}"), context(false))]
     Uri { source: http::uri::InvalidUri },
+    /// The call could not be built.
+    #[snafu(display("{source}"), context(false))]
+    Build { source: http::Error },
     /// The call did not complete.
     #[snafu(display("{source}"), context(false))]
     Call {
@@ -42,7 +46,7 @@
 /// Small client for documents that backend servers publish beside their work.
 #[derive(Clone, Debug)]
 pub(crate) struct HttpClient {
-    client: Client<HttpConnector, Empty<Bytes>>,
+    client: Client<HttpConnector, Full<Bytes>>,
 }
 
 impl HttpClient {
@@ -65,6 +69,22 @@
         }
     }
 
+    /// Posts a JSON document; returns the answer's status.
+    pub(crate) async fn post_json(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        document: &serde_json::Value,
+    ) -> Result<StatusCode, CallError> {
+        let req = Request::post(format!("http://{address}{path}"))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::from(document.to_string()))?;
+        match tokio::time::timeout(TIMEOUT, self.client.request(req)).await {
+            Ok(res) => Ok(res?.status()),
+            Err(_) => TimeoutSnafu.fail(),
+        }
+    }
+
     async fn get(&self, address: SocketAddr, path: &str) -> Result<Bytes, CallError> {
         let uri: Uri = format!("http://{address}{path}").parse()?;
         let res = self.client.get(uri).await?;
--- a/toucanchute_router/src/platform.rs
+++ b/toucanchute_router/src/platform.rs
@@ -1,8 +1,10 @@
 //! Reads the platform's configuration head and host list, and carries out the ledger's calls.
 
 mod config;
+mod lease;
 mod ledger;
 mod watch;
 
+pub(crate) use lease::LeaseStore;
 pub(crate) use ledger::LedgerStore;
 pub(crate) use watch::{PlatformParts, PlatformWatch};
--- /dev/null
+++ b/toucanchute_router/src/platform/lease/tests.rs
@@ -0,0 +1,67 @@
+use std::sync::Arc;
+
+use toucanchute_fakes::{Platform, PlatformOptions};
+use toucanchute_platform::{Client, ClientSettings};
+use toucanchute_proto::Incarnation;
+
+use super::{LEASE_TTL, LeaseStore};
+
+/// Two routers on one stand-in platform.
+async fn routers() -> (Platform, LeaseStore, LeaseStore) {
+    let address = "127.0.0.1:0".parse().unwrap();
+    let platform = Platform::bind(address, PlatformOptions::default())
+        .await
+        .unwrap();
+    let client = Arc::new(Client::new(ClientSettings::new(vec![platform.address()])));
+    let first = LeaseStore::new(Arc::clone(&client), Incarnation(1));
+    let second = LeaseStore::new(client, Incarnation(2));
+    (platform, first, second)
+}
+
+#[tokio::test]
+async fn renewal_keeps_the_fencing_number() {
+    let (_platform, first, _) = routers().await;
+    let taken = first.acquire("assistants").await.unwrap();
+    let renewed = first.acquire("assistants").await.unwrap();
+    assert_eq!((taken.fence, renewed.fence), (1, 1));
+    assert_eq!((taken.last, renewed.last), (None, None));
+}
+
+#[tokio::test]
+async fn next_holder_hears_of_a_lease_that_was_not_given_back() {
+    let (_platform, first, second) = routers().await;
+    let _ = first.acquire("assistants").await.unwrap();
+    let lease = second.acquire("assistants").await.unwrap();
+    assert_eq!((lease.fence, lease.last), (2, Some(LEASE_TTL)));
+    let back = first.acquire("assistants").await.unwrap();
+    assert_eq!((back.fence, back.last), (3, Some(LEASE_TTL)));
+}
+
+#[tokio::test]
+async fn next_holder_need_not_wait_for_a_lease_given_back() {
+    let (_platform, first, second) = routers().await;
+    let _ = first.acquire("assistants").await.unwrap();
+    first.release("assistants").await.unwrap();
+    let lease = second.acquire("assistants").await.unwrap();
+    assert_eq!((lease.fence, lease.last), (2, None));
+}
+
+#[tokio::test]
+async fn release_by_an_old_holder_changes_nothing() {
+    let (_platform, first, second) = routers().await;
+    let _ = first.acquire("assistants").await.unwrap();
+    let _ = second.acquire("assistants").await.unwrap();
+    first.release("assistants").await.unwrap();
+    let lease = second.acquire("assistants").await.unwrap();
+    assert_eq!((lease.fence, lease.last), (2, Some(LEASE_TTL)));
+}
+
+/// The platform took the lease's change but its answer was lost: the router asks again.
+#[tokio::test]
+async fn lost_answer_does_not_shorten_the_wait() {
+    let (_platform, first, second) = routers().await;
+    let _ = first.acquire("assistants").await.unwrap();
+    let _lost = second.acquire("assistants").await.unwrap();
+    let lease = second.acquire("assistants").await.unwrap();
+    assert_eq!((lease.fence, lease.last), (2, Some(LEASE_TTL)));
+}
--- a/toucanchute_router/src/server.rs
+++ b/toucanchute_router/src/server.rs
@@ -29,7 +29,7 @@
 use crate::{
     actor::{
         DispatchActor, DispatchInput, FleetActor, FleetInput, FleetParts, FleetPeers, MoneyActor,
-        MoneyInput, MoneyParts, post,
+        MoneyInput, MoneyParts, OrdersActor, OrdersInput, post,
     },
     admin::{Admin, OwnHost},
     control::{ControlParts, RouterControl},
@@ -37,7 +37,7 @@
     link::{Identity, LinkEvent, Mesh, Peer},
     metrics::Metrics,
     output::{BindSnafu, MetricsSnafu, RunError, SignalSnafu},
-    platform::{LedgerStore, PlatformParts, PlatformWatch},
+    platform::{LeaseStore, LedgerStore, PlatformParts, PlatformWatch},
     polls::Polls,
     view::View,
 };
@@ -45,6 +45,9 @@
 /// Pause between two ticks of the money and dispatch machines.
 const FAST_TICK: Duration = Duration::from_millis(10);
 
+/// Pause between two ticks of the machines for orders.
+const ORDERS_TICK: Duration = Duration::from_millis(500);
+
 /// Pause between two ticks of the fleet machine.
 const FLEET_TICK: Duration = Duration::from_millis(Fleet::TICK.0);
 
@@ -137,6 +140,11 @@
             let actor = DispatchActor::new(machine, fleet.clone(), view.config());
             xtra::spawn_tokio(actor, Mailbox::unbounded())
         };
+        let orders = {
+            let leases = LeaseStore::new(Arc::clone(&client), own.incarnation);
+            let actor = OrdersActor::new(Arc::clone(&view), leases, HttpClient::new());
+            xtra::spawn_tokio(actor, Mailbox::unbounded())
+        };
         let timeout = Millis(settings.platform.timeout_ms);
         let platform = PlatformWatch::start(PlatformParts {
             client,
@@ -166,7 +174,10 @@
             metrics.clone(),
         ));
 
+        tokio::spawn(tick_orders(orders.clone()));
+
         let admin = Admin {
+            orders,
             own: own.clone(),
             view: Arc::clone(&view),
             money: money.clone(),
@@ -229,6 +240,17 @@
     }
 }
 
+async fn tick_orders(orders: Address<OrdersActor>) {
+    let mut pause = tokio::time::interval(ORDERS_TICK);
+    pause.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        pause.tick().await;
+        if orders.send(OrdersInput::Tick).await.is_err() {
+            return;
+        }
+    }
+}
+
 async fn tick_fleet(fleet: Address<FleetActor>, in_flight: Arc<AtomicU64>, metrics: Metrics) {
     let mut pause = tokio::time::interval(FLEET_TICK);
     pause.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
