--- a/toucanchute_ctl/src/cli.rs
+++ b/toucanchute_ctl/src/cli.rs
@@ -59,7 +59,13 @@
     };
     match name {
         "check" => check(args, out),
-        "diff" => commands::compare(path(args, "FOLDER"), path(args, "OTHER"), out),
+        "diff" => compare(args, out).await,
+        "apply" => {
+            let author = author(args);
+            let expected = args.get_one("expect").copied();
+            let platform = addresses(args, "platform");
+            commands::apply_folder(path(args, "FOLDER"), platform, &author, expected, out).await
+        }
         "status" => commands::status(&routers(args)?, out).await,
         "hosts" => commands::hosts(&routers(args)?, out).await,
         "statement" => commands::statement(&routers(args)?, text(args, "BUDGET"), out).await,
@@ -86,8 +92,26 @@
     }
 }
 
+async fn compare(args: &ArgMatches, out: Output) -> Result<(), Error> {
+    let folder = path(args, "FOLDER");
+    match args.get_one::<PathBuf>("OTHER") {
+        Some(other) => commands::compare(folder, other, out),
+        None => commands::diff_platform(folder, addresses(args, "platform"), out).await,
+    }
+}
+
+fn author(args: &ArgMatches) -> String {
+    let given = args.get_one::<String>("author").cloned();
+    let user = given.or_else(|| env::var("USER").ok());
+    user.unwrap_or_else(|| "unknown".to_owned())
+}
+
+fn addresses(args: &ArgMatches, name: &str) -> Vec<SocketAddr> {
+    let addresses = args.get_many::<SocketAddr>(name);
+    addresses.into_iter().flatten().copied().collect()
+}
+
 fn routers(args: &ArgMatches) -> Result<Routers, Error> {
-    let addresses = args.get_many::<SocketAddr>("router").into_iter().flatten();
     let token = match args.get_one::<PathBuf>("token-file") {
         None => env::var(TOKEN_VARIABLE).unwrap_or_default(),
         Some(file) => read_token(file)?,
@@ -95,7 +119,7 @@
     let message = format!("no operators' token; set {TOKEN_VARIABLE} or give --token-file");
     snafu::ensure!(!token.is_empty(), UsageSnafu { message });
     Ok(Routers {
-        addresses: addresses.copied().collect(),
+        addresses: addresses(args, "router"),
         token,
     })
 }
@@ -135,12 +159,8 @@
         .arg_required_else_help(true)
         .arg(json)
         .subcommand(check_command())
-        .subcommand(
-            Command::new("diff")
-                .about("Lists what differs between the configurations of two folders")
-                .arg(folder("FOLDER").required(true))
-                .arg(folder("OTHER").required(true)),
-        )
+        .subcommand(diff_command())
+        .subcommand(apply_command())
         .subcommand(router_command("status", "Prints the state of a router"))
         .subcommand(router_command("hosts", "Prints the known hosts"))
         .subcommand(
@@ -166,6 +186,41 @@
         .arg(settings)
 }
 
+fn diff_command() -> Command {
+    Command::new("diff")
+        .about("Lists what differs from the configuration in force to a folder, or of two folders")
+        .arg(folder("FOLDER").required(true))
+        .arg(folder("OTHER").required_unless_present("platform"))
+        .arg(platform().conflicts_with("OTHER"))
+}
+
+fn apply_command() -> Command {
+    let author = Arg::new("author")
+        .long("author")
+        .help("Who applies it, told to the loser of a race [default: USER]");
+    let expect = Arg::new("expect")
+        .long("expect")
+        .value_name("VERSION")
+        .value_parser(value_parser!(u64))
+        .help("Accept it only over this version; 0 for none");
+    Command::new("apply")
+        .about("Puts all files of a folder in force as a whole, or none of them")
+        .arg(folder("FOLDER").required(true))
+        .arg(platform().required(true))
+        .arg(author)
+        .arg(expect)
+}
+
+fn platform() -> Arg {
+    Arg::new("platform")
+        .long("platform")
+        .value_name("IP:PORT")
+        .action(ArgAction::Append)
+        .value_delimiter(',')
+        .value_parser(value_parser!(SocketAddr))
+        .help("Endpoint of the platform's key-value service; several are tried in turn")
+}
+
 fn top_up_command() -> Command {
     let tokens = Arg::new("TOKENS")
         .required(true)
--- a/toucanchute_ctl/src/error.rs
+++ b/toucanchute_ctl/src/error.rs
@@ -4,6 +4,8 @@
 use toucanchute_proto::api::Problem;
 use toucanchute_settings::SettingsError;
 
+use crate::apply::ApplyError;
+
 /// Why a command failed.
 #[derive(Debug, Snafu)]
 #[non_exhaustive]
@@ -21,6 +23,9 @@
         address: SocketAddr,
         problem: Box<Problem>,
     },
+    /// The configuration was not accepted.
+    #[snafu(display("{source}"))]
+    Apply { source: ApplyError },
     /// No router answered.
     #[snafu(display("no router answered; check --router and the network:\n{causes}"))]
     Unreachable { causes: String },
@@ -38,6 +43,7 @@
     Refused = 1,
     Usage = 2,
     Unreachable = 3,
+    LostRace = 4,
 }
 
 impl Error {
@@ -46,6 +52,7 @@
         match self {
             Error::Files { .. } | Error::Usage { .. } => Exit::Usage,
             Error::Refused { .. } => Exit::Refused,
+            Error::Apply { source } => apply_exit(source),
             Error::Unreachable { .. } | Error::Answer { .. } | Error::Output { .. } => {
                 Exit::Unreachable
             }
@@ -59,6 +66,14 @@
     }
 }
 
+fn apply_exit(err: &ApplyError) -> Exit {
+    match err {
+        ApplyError::LostRace { .. } | ApplyError::Unexpected { .. } => Exit::LostRace,
+        ApplyError::Unreachable { .. } => Exit::Unreachable,
+        _ => Exit::Refused,
+    }
+}
+
 fn describe(problem: &Problem) -> String {
     match (problem.detail.as_str(), problem.title.as_str()) {
         ("", "") => format!("status {}", problem.status),
--- a/toucanchute_ctl/src/lib.rs
+++ b/toucanchute_ctl/src/lib.rs
@@ -1,13 +1,17 @@
 //! Operators' command line: checks and applies configuration files, asks routers for statements and
 //! tops budgets up.
 
+mod apply;
 mod cli;
 mod commands;
+mod current;
 mod diff;
 mod error;
 mod http;
 mod output;
 mod routers;
 
+pub use apply::{Accepted, ApplyError, apply};
 pub use cli::main;
+pub use current::Current;
 pub use diff::{Change, diff};
--- a/toucanchute_ctl/tests/toucanctl/binary.rs
+++ b/toucanchute_ctl/tests/toucanctl/binary.rs
@@ -1,4 +1,6 @@
 use std::{
+    io::{Read as _, Write as _},
+    net::{SocketAddr, TcpStream},
     path::PathBuf,
     process::{Command, Output},
 };
@@ -26,3 +28,17 @@
         .iter()
         .collect()
 }
+
+/// Tells a stand-in how to fail.
+pub(crate) fn fault(address: SocketAddr, body: &str) {
+    let mut stream = TcpStream::connect(address).unwrap();
+    let len = body.len();
+    let head =
+        format!("POST /fault HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {len}");
+    stream
+        .write_all(format!("{head}\r\n\r\n{body}").as_bytes())
+        .unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
--- a/toucanchute_ctl/tests/toucanctl/main.rs
+++ b/toucanchute_ctl/tests/toucanctl/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the `toucanctl` binary, a module for each group of commands.
 
+mod apply;
 mod binary;
 mod files;
