--- a/toucanchute_core/src/fleet.rs
+++ b/toucanchute_core/src/fleet.rs
@@ -6,6 +6,7 @@
 mod action;
 mod drain;
 mod event;
+mod fault;
 mod hash;
 mod hosts;
 mod leave;
@@ -13,8 +14,11 @@
 mod machine;
 mod members;
 mod messages;
+pub mod orders;
 mod publish;
 mod rumors;
+#[cfg(test)]
+mod tests;
 mod view;
 
 pub use action::{Action, MemberView, NotReady};
--- a/toucanchute_core/src/routing.rs
+++ b/toucanchute_core/src/routing.rs
@@ -3,8 +3,22 @@
 //! [`Dispatcher`] is the machine; a router has one.
 
 mod action;
+mod attempts;
+mod cache;
+mod choose;
+mod configure;
 mod dispatcher;
 mod event;
+mod fault;
+mod health;
+mod limit;
+mod pool;
+mod queue;
+mod replica;
+mod retry;
+mod suspects;
+#[cfg(test)]
+mod tests;
 
 pub use action::{Action, RefusalReason};
 pub use dispatcher::Dispatcher;
--- a/toucanchute_edge/src/caller.rs
+++ b/toucanchute_edge/src/caller.rs
@@ -6,7 +6,9 @@
 
 use crate::{
     config_index::{ConfigIndex, CustomerKey},
+    control::Outcome,
     error::RequestError,
+    problem::{KEY_REUSED, Problem},
 };
 
 /// Header of the caller's idempotency key.
@@ -15,6 +17,8 @@
 pub(crate) const EXPIRES: HeaderName = HeaderName::from_static("idempotency-expires");
 /// Header of the span within which the answer has to begin, in milliseconds.
 pub(crate) const DEADLINE: HeaderName = HeaderName::from_static("toucanchute-deadline-ms");
+/// Header of the number of times that this request was sent before under its key.
+pub(crate) const RETRY: HeaderName = HeaderName::from_static("toucanchute-retry");
 /// Longest idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 
@@ -33,6 +37,10 @@
     pub(crate) expires: Millis,
     /// When the answer must have begun, since the Unix epoch.
     pub(crate) deadline: Millis,
+    /// Whether the deadline is the caller's, shorter than that of the configuration.
+    pub(crate) own_deadline: bool,
+    /// Whether the request may have been sent before under its key, to any router.
+    pub(crate) may_be_retry: bool,
     /// Whole body.
     pub(crate) body: Bytes,
 }
@@ -50,19 +58,46 @@
         let routing = &index.config().routing;
         let key = parse_key(&index.customer(customer).name, headers)?;
         let expires = parse_expires(headers, now, Millis(routing.key_window_ms))?;
-        let span = parse_millis(headers, &DEADLINE)?.unwrap_or(Millis::MAX);
-        let span = span.min(Millis(routing.answer_timeout_ms));
+        let own = parse_millis(headers, &DEADLINE)?;
+        let longest = Millis(routing.answer_timeout_ms);
+        let span = own.unwrap_or(longest).min(longest);
         Ok(CallerRequest {
+            may_be_retry: may_be_retry(headers)?,
             key,
             expires,
             customer,
             deadline: now + span,
+            own_deadline: own.is_some_and(|own| own < longest),
             digest: Digest::new(target, &body),
             index,
             body,
         })
     }
 
+    /// Returns `problem` as it is true of the key: an earlier sending to another router may have
+    /// run, so that this router cannot say that the request did not.
+    pub(crate) fn qualify(&self, mut problem: Problem) -> Problem {
+        if self.may_be_retry && problem.outcome == Outcome::NotRun && problem.reason != KEY_REUSED {
+            problem.outcome = Outcome::Unknown;
+        }
+        problem
+    }
+
+    /// Returns whether the caller's own deadline has passed, which says nothing against a backend
+    /// server.
+    pub(crate) fn gave_up(&self, now: Millis) -> bool {
+        self.own_deadline && now >= self.deadline
+    }
+
+    /// Returns how long a whole answer may take: to the caller's own deadline, else `longest`.
+    pub(crate) fn whole_answer_span(&self, now: Millis, longest: Millis) -> Millis {
+        if self.own_deadline {
+            self.deadline.since(now)
+        } else {
+            longest
+        }
+    }
+
     /// Returns the customer's entry in the configuration.
     pub(crate) fn customer(&self) -> &Customer {
         self.index.customer(self.customer)
@@ -96,6 +131,25 @@
     Ok(RequestKey::new(customer, value.as_bytes()))
 }
 
+fn may_be_retry(headers: &HeaderMap) -> Result<bool, RequestError> {
+    if !headers.contains_key(KEY) {
+        return Ok(false);
+    }
+    let bad = RequestError::BadHeader {
+        name: "toucanchute-retry",
+        expected: "the number of earlier sendings under this key",
+    };
+    let Some(value) = headers.get(RETRY) else {
+        return Ok(true);
+    };
+    let count: u64 = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .ok_or(bad)?;
+    Ok(count > 0)
+}
+
 fn parse_expires(headers: &HeaderMap, now: Millis, window: Millis) -> Result<Millis, RequestError> {
     let latest = now + window;
     let expires = parse_millis(headers, &EXPIRES)?.unwrap_or(latest);
@@ -126,3 +180,6 @@
     };
     text.parse().map(|ms| Some(Millis(ms))).map_err(|_| bad)
 }
+
+#[cfg(test)]
+mod tests;
--- a/toucanchute_edge/src/problem.rs
+++ b/toucanchute_edge/src/problem.rs
@@ -11,6 +11,9 @@
     error::RequestError,
 };
 
+/// Reason of a request whose key was used for another one.
+pub(crate) const KEY_REUSED: &str = "key-reused";
+
 /// An error as told to a caller, in the form of RFC 9457.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Problem {
@@ -72,6 +75,18 @@
         }
     }
 
+    /// The caller's own deadline passed while a backend server was at work.
+    pub(crate) fn deadline_passed() -> Problem {
+        Problem {
+            status: StatusCode::GATEWAY_TIMEOUT,
+            reason: "deadline-passed",
+            ..Problem::failed(
+                "the answer did not begin before your deadline",
+                Outcome::Failed,
+            )
+        }
+    }
+
     /// The reservation is too small for the prompt and one token.
     pub(crate) fn budget_exhausted() -> Problem {
         Problem::from(Refusal {
@@ -153,7 +168,7 @@
             reason,
             detail: detail.to_owned(),
             outcome: refusal.outcome,
-            retryable: retryable && refusal.outcome != Outcome::Unknown,
+            retryable,
             retry_after: refusal.retry_after,
             elsewhere: refusal.elsewhere,
         }
@@ -239,7 +254,7 @@
         ),
         RefusalReason::KeyReused => (
             StatusCode::UNPROCESSABLE_ENTITY,
-            "key-reused",
+            KEY_REUSED,
             false,
             "the key was used for another request; use a new key",
         ),
@@ -255,6 +270,12 @@
             true,
             "a call under this key is still running; ask again later",
         ),
+        RefusalReason::UnknownOutcome => (
+            StatusCode::CONFLICT,
+            "outcome-unknown",
+            false,
+            "the call under this key may have run and will not be run again",
+        ),
         RefusalReason::TooManyReruns => (
             StatusCode::TOO_MANY_REQUESTS,
             "too-many-reruns",
--- a/toucanchute_proto/src/generated.rs
+++ b/toucanchute_proto/src/generated.rs
@@ -9,5 +9,7 @@
 pub mod api;
 pub mod config;
 pub mod fleet;
+pub mod ledger;
+pub mod money;
 pub mod peer;
 pub mod settings;
--- a/toucanchute_proto/src/lib.rs
+++ b/toucanchute_proto/src/lib.rs
@@ -3,16 +3,21 @@
 //! The modules in [`config`] and its siblings are generated from the JSON Schemas in `schema/`; the
 //! identifiers are written by hand because they are small `Copy` keys.
 
+mod codec;
 mod config_eq;
 mod generated;
 mod id;
 mod time;
 
-/// Generated messages refer to the configuration by its place in the crate root.
-use config::Config;
-pub use generated::{api, config, fleet, peer, settings};
+pub use bytes::Bytes;
+pub use codec::{DecodeError, from_cbor, to_cbor};
+pub use generated::{api, config, fleet, ledger, money, peer, settings};
 pub use id::{AttemptId, BudgetId, Digest, EntryId, GrantId, Incarnation, RequestKey, ShardId};
 pub use time::Millis;
 
 /// IP number and port, as the generated types name it.
 pub type SocketAddr = std::net::SocketAddr;
+
+/// Generated messages refer to types of other schemas by their place in the crate root.
+use config::Config;
+use ledger::{Backing, Entry, EntryResult, Statement};
