feat(scenario): harness that starts the real processes and runs scenarios on them

Cause: faults of whole processes (kill, stop, cut links) are out of reach of in-process tests.

Weighed: links between routers are learned by gossip, so a forwarder a pair cannot be set up by addresses alone; the forwarder before a router reads the dialing host's name from the first frame of its link instead.

--- /dev/null
+++ b/toucanchute_scenario/src/answer.rs
@@ -0,0 +1,87 @@
+use std::fmt;
+
+use serde::Deserialize;
+use toucanchute_fakes::answer_token;
+
+/// How a request ended for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Ended {
+    /// An answer with its end mark came.
+    Answered(Answer),
+    /// The system refused or gave up.
+    Refused(Refused),
+    /// The connection failed or broke off.
+    Broken(String),
+}
+
+/// An answer as its caller sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Answer {
+    pub(crate) verdict: Verdict,
+    /// Tokens that it is expected to be billed.
+    pub(crate) tokens: u64,
+}
+
+/// Whether an answer is the whole answer to its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    Own,
+    Foreign,
+    NotWhole,
+    /// The call ran more than once under its key.
+    Rerun,
+}
+
+/// A problem document.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub(crate) struct Refused {
+    pub(crate) status: u16,
+    pub(crate) reason: String,
+    pub(crate) outcome: String,
+    pub(crate) retryable: bool,
+}
+
+impl Ended {
+    /// Returns whether the answer is whole and the caller's own.
+    pub(crate) fn is_own(&self) -> bool {
+        matches!(
+            self,
+            Ended::Answered(Answer {
+                verdict: Verdict::Own,
+                ..
+            })
+        )
+    }
+}
+
+/// Compares the text of an engine's answer with the one that its prompt leads to.
+pub(crate) fn judge(prompt: &str, text: &str, tokens: u64) -> Verdict {
+    let expected = (0..tokens).map(|i| answer_token(prompt, i));
+    if text == expected.collect::<String>() && tokens > 0 {
+        return Verdict::Own;
+    }
+    let start = answer_token(prompt, 0);
+    let tag = start.split('.').next().unwrap_or_default();
+    match text.split_whitespace().all(|token| token.starts_with(tag)) {
+        true => Verdict::NotWhole,
+        false => Verdict::Foreign,
+    }
+}
+
+impl fmt::Display for Ended {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Ended::Answered(answer) => match answer.verdict {
+                Verdict::Own => f.write_str("whole"),
+                Verdict::Foreign => f.write_str("another's answer"),
+                Verdict::NotWhole => f.write_str("not whole"),
+                Verdict::Rerun => f.write_str("ran again"),
+            },
+            Ended::Refused(refused) => {
+                write!(f, "{} {}", refused.reason, refused.outcome)
+            }
+            Ended::Broken(_) => f.write_str("broken off"),
+        }
+    }
+}
--- /dev/null
+++ b/toucanchute_scenario/src/cluster.rs
@@ -0,0 +1,340 @@
+mod files;
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use http::Method;
+use serde_json::Value;
+use snafu::ResultExt;
+use tokio::time::{Instant, sleep};
+
+use self::files::RouterFile;
+use crate::{
+    audit::Statement,
+    error::{IoSnafu, ScenarioError, TimedOutSnafu, UnknownSnafu},
+    http_client::document,
+    link::{Dialer, Links, forward},
+    ports::free_address,
+    process::{Process, run_ok},
+};
+
+/// Longest wait for a condition, in seconds.
+const BOUND_S: u64 = 60;
+/// Pause between looks at a condition.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+/// Token of the customer that all requests are sent for.
+pub(crate) const CUSTOMER_TOKEN: &str = "scenario-customer";
+/// Token of the operators.
+pub(crate) const OPERATOR_TOKEN: &str = "scenario-operator";
+/// Name of the platform's process.
+pub(crate) const PLATFORM: &str = "platform";
+
+/// Sizes and timing of a cluster.
+#[derive(Clone, Debug)]
+pub(crate) struct ClusterOptions {
+    pub(crate) routers: usize,
+    pub(crate) engines: usize,
+    pub(crate) services: usize,
+    /// Further options of the stand-in engines.
+    pub(crate) engine_args: Vec<String>,
+    /// Further lines of the section `[ledger]`.
+    pub(crate) ledger: String,
+}
+
+/// One process of a cluster.
+#[derive(Debug)]
+struct Node {
+    binary: &'static str,
+    args: Vec<String>,
+    address: SocketAddr,
+    /// Nothing while it is not running.
+    process: Option<Process>,
+}
+
+/// Processes on loopback, and the links between them.
+#[derive(Debug)]
+pub(crate) struct Cluster {
+    folder: PathBuf,
+    nodes: BTreeMap<String, Node>,
+    links: Links,
+}
+
+impl Cluster {
+    /// Starts the processes, applies a configuration and waits until each router is ready.
+    pub(crate) async fn start(
+        folder: &Path,
+        options: &ClusterOptions,
+    ) -> Result<Cluster, ScenarioError> {
+        let _ = fs::remove_dir_all(folder);
+        fs::create_dir_all(folder).context(IoSnafu {
+            action: "create a folder",
+        })?;
+        let mut cluster = Cluster {
+            folder: folder.to_owned(),
+            nodes: BTreeMap::new(),
+            links: Links::new(),
+        };
+        cluster.start_fakes(options).await?;
+        let config = cluster.write_config("config", &options.ledger, &[])?;
+        cluster.apply(&config, "scenario").await?;
+        cluster.start_routers(options.routers).await?;
+        for name in cluster.names("router") {
+            cluster.wait_ready(&name).await?;
+        }
+        Ok(cluster)
+    }
+
+    async fn start_fakes(&mut self, options: &ClusterOptions) -> Result<(), ScenarioError> {
+        self.add(PLATFORM, "toucanchute-fake-platform", &[]).await?;
+        for i in 1..=options.engines {
+            let name = format!("engine-{i}");
+            let binary = "toucanchute-fake-engine";
+            self.add(&name, binary, &options.engine_args).await?;
+        }
+        for i in 1..=options.services {
+            let name = format!("service-{i}");
+            self.add(&name, "toucanchute-fake-service", &[]).await?;
+        }
+        Ok(())
+    }
+
+    async fn add(
+        &mut self,
+        name: &str,
+        binary: &'static str,
+        args: &[String],
+    ) -> Result<(), ScenarioError> {
+        let address = free_address();
+        let mut all = vec![format!("--listen={address}"), format!("--name={name}")];
+        all.extend_from_slice(args);
+        self.insert(name, binary, all, address);
+        self.start_process(name)?;
+        self.wait_until(&format!("{name} listening"), async |cluster| {
+            let stats = cluster.stats(name).await;
+            stats.map(drop).map_err(|e| e.to_string())
+        })
+        .await
+    }
+
+    fn insert(&mut self, name: &str, binary: &'static str, args: Vec<String>, address: SocketAddr) {
+        let node = Node {
+            binary,
+            args,
+            address,
+            process: None,
+        };
+        self.nodes.insert(name.to_owned(), node);
+    }
+
+    async fn start_routers(&mut self, count: usize) -> Result<(), ScenarioError> {
+        let names: Vec<String> = (1..=count).map(|i| format!("router-{i}")).collect();
+        let mut files = Vec::new();
+        for (i, name) in names.iter().enumerate() {
+            files.push(self.plan_router(i, name, &names).await?);
+        }
+        let peers: Vec<SocketAddr> = files.iter().map(|file| file.peer_advertise).collect();
+        for file in files {
+            let path = self.folder.join(format!("{}.ini", file.name));
+            let text = file.text(&peers);
+            fs::write(&path, text).context(IoSnafu {
+                action: "write settings",
+            })?;
+            let args = vec![format!("--settings={}", path.display())];
+            self.insert(&file.name, "toucanchute-router", args, file.listen);
+            self.start_process(&file.name)?;
+        }
+        Ok(())
+    }
+
+    /// Chooses a router's addresses and starts the forwarders of its links.
+    async fn plan_router(
+        &self,
+        index: usize,
+        name: &str,
+        names: &[String],
+    ) -> Result<RouterFile, ScenarioError> {
+        let action = "start a forwarder";
+        let peer_listen = free_address();
+        let dialer = Dialer::Peer(names.to_vec());
+        let peer_advertise = forward(&self.links, dialer, name, peer_listen).await;
+        let dialer = Dialer::Known(name.to_owned());
+        let platform = self.address(PLATFORM)?;
+        let platform = forward(&self.links, dialer, PLATFORM, platform).await;
+        Ok(RouterFile {
+            name: name.to_owned(),
+            index,
+            listen: free_address(),
+            peer_listen,
+            peer_advertise: peer_advertise.context(IoSnafu { action })?,
+            platform: platform.context(IoSnafu { action })?,
+        })
+    }
+
+    // Processes
+
+    /// Starts a process that is not running.
+    pub(crate) fn start_process(&mut self, name: &str) -> Result<(), ScenarioError> {
+        let log = self.folder.join(format!("{name}.log"));
+        let node = self.node_mut(name)?;
+        node.process = Some(Process::start(name, node.binary, &node.args, &log)?);
+        Ok(())
+    }
+
+    /// Returns a running process.
+    pub(crate) fn process(&mut self, name: &str) -> Result<&mut Process, ScenarioError> {
+        let node = self.node_mut(name)?;
+        let kind = "running process";
+        node.process
+            .as_mut()
+            .ok_or_else(|| UnknownSnafu { kind, name }.build())
+    }
+
+    /// Forgets a process that has ended.
+    pub(crate) fn forget(&mut self, name: &str) -> Result<(), ScenarioError> {
+        self.node_mut(name)?.process = None;
+        Ok(())
+    }
+
+    pub(crate) fn address(&self, name: &str) -> Result<SocketAddr, ScenarioError> {
+        let node = self.nodes.get(name);
+        let kind = "process";
+        node.map(|node| node.address)
+            .ok_or_else(|| UnknownSnafu { kind, name }.build())
+    }
+
+    fn node_mut(&mut self, name: &str) -> Result<&mut Node, ScenarioError> {
+        let kind = "process";
+        self.nodes
+            .get_mut(name)
+            .ok_or_else(|| UnknownSnafu { kind, name }.build())
+    }
+
+    /// Returns the names of the processes of one kind.
+    pub(crate) fn names(&self, kind: &str) -> Vec<String> {
+        let names = self.nodes.keys();
+        names
+            .filter(|name| name.starts_with(kind))
+            .cloned()
+            .collect()
+    }
+
+    pub(crate) fn links(&self) -> &Links {
+        &self.links
+    }
+
+    // Configuration
+
+    /// Writes a folder of configuration files; the backend servers in `without` are left out.
+    pub(crate) fn write_config(
+        &self,
+        name: &str,
+        ledger: &str,
+        without: &[String],
+    ) -> Result<PathBuf, ScenarioError> {
+        let folder = self.folder.join(name);
+        let action = "write a configuration";
+        fs::create_dir_all(&folder).context(IoSnafu { action })?;
+        let mut text = files::site(ledger);
+        for kind in ["engine", "service"] {
+            let names = self.names(kind).into_iter();
+            for (i, name) in names
+                .enumerate()
+                .filter(|(_, name)| !without.contains(name))
+            {
+                text.push_str(&files::backend(&name, kind, self.address(&name)?, i));
+            }
+        }
+        fs::write(folder.join("site.ini"), text).context(IoSnafu { action })?;
+        Ok(folder)
+    }
+
+    /// Applies a folder of configuration files.
+    pub(crate) async fn apply(&self, folder: &Path, author: &str) -> Result<String, ScenarioError> {
+        let args = self.apply_args(folder, author)?;
+        run_ok("toucanctl", &args, &[]).await
+    }
+
+    pub(crate) fn apply_args(
+        &self,
+        folder: &Path,
+        author: &str,
+    ) -> Result<Vec<String>, ScenarioError> {
+        Ok(vec![
+            "apply".to_owned(),
+            folder.display().to_string(),
+            format!("--platform={}", self.address(PLATFORM)?),
+            format!("--author={author}"),
+        ])
+    }
+
+    // What the processes say
+
+    /// Returns a stand-in's counts.
+    pub(crate) async fn stats(&self, name: &str) -> Result<Value, ScenarioError> {
+        document(self.address(name)?, Method::GET, "/stats", &[], "").await
+    }
+
+    /// Sets a stand-in's fault.
+    pub(crate) async fn fault(&self, name: &str, body: &str) -> Result<(), ScenarioError> {
+        document(self.address(name)?, Method::POST, "/fault", &[], body).await?;
+        Ok(())
+    }
+
+    /// Reads an operators' document of a router.
+    pub(crate) async fn admin(&self, router: &str, path: &str) -> Result<Value, ScenarioError> {
+        let bearer = format!("Bearer {OPERATOR_TOKEN}");
+        let headers = [("authorization", bearer.as_str())];
+        let path = format!("/v1/admin/{path}");
+        document(self.address(router)?, Method::GET, &path, &headers, "").await
+    }
+
+    /// Reads the statement of the only budget.
+    pub(crate) async fn statement(&self, router: &str) -> Result<Statement, ScenarioError> {
+        let statement = self.admin(router, "statements/budget").await?;
+        Ok(serde_json::from_value(statement).unwrap_or_default())
+    }
+
+    // Waiting
+
+    pub(crate) async fn wait_ready(&self, router: &str) -> Result<(), ScenarioError> {
+        let members = self.names("router").len() as u64;
+        self.wait_until(&format!("{router} ready"), async |cluster| {
+            let status = cluster
+                .admin(router, "status")
+                .await
+                .map_err(|e| e.to_string())?;
+            let ready = status["ready"] == true && status["members"].as_u64() >= Some(members);
+            ready.then_some(()).ok_or(status.to_string())
+        })
+        .await
+    }
+
+    /// Looks at a condition until it is true; it returns what it saw while it is not.
+    pub(crate) async fn wait_until(
+        &self,
+        what: &str,
+        condition: impl AsyncFn(&Cluster) -> Result<(), String>,
+    ) -> Result<(), ScenarioError> {
+        let end = Instant::now() + Duration::from_secs(BOUND_S);
+        loop {
+            let Err(seen) = condition(self).await else {
+                return Ok(());
+            };
+            if Instant::now() > end {
+                let seconds = BOUND_S;
+                return TimedOutSnafu {
+                    what,
+                    seconds,
+                    seen,
+                }
+                .fail();
+            }
+            sleep(LOOK_PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/toucanchute_scenario/src/cluster/files.rs
@@ -0,0 +1,103 @@
+//! Settings and configuration files of a cluster.
+
+use std::net::SocketAddr;
+
+use sha2::{Digest as _, Sha256};
+
+use super::{CUSTOMER_TOKEN, OPERATOR_TOKEN};
+
+/// Failure domains, over which hosts are spread in turn.
+const DOMAINS: [&str; 4] = ["alpha", "beta", "gamma", "delta"];
+
+fn domain(index: usize) -> &'static str {
+    DOMAINS[index % DOMAINS.len()]
+}
+
+/// What the settings file of a router holds.
+#[derive(Debug)]
+pub(super) struct RouterFile {
+    pub(super) name: String,
+    pub(super) index: usize,
+    pub(super) listen: SocketAddr,
+    pub(super) peer_listen: SocketAddr,
+    pub(super) peer_advertise: SocketAddr,
+    pub(super) platform: SocketAddr,
+}
+
+impl RouterFile {
+    pub(super) fn text(&self, peers: &[SocketAddr]) -> String {
+        let digest: String = Sha256::digest(OPERATOR_TOKEN)
+            .iter()
+            .map(|b| format!("{b:02x}"))
+            .collect();
+        let peers: Vec<String> = peers.iter().map(ToString::to_string).collect();
+        format!(
+            "[router]\n\
+             host = {}\n\
+             failure_domain = {}\n\
+             region = north\n\
+             listen = {}\n\
+             peer_listen = {}\n\
+             peer_advertise = {}\n\
+             operator_token_sha256 = {digest}\n\
+             peer_secret = scenario-peers\n\
+             [peers]\n\
+             addresses = {}\n\
+             [platform]\n\
+             endpoints = {}\n\
+             hosts = {}\n\
+             timeout = 500 ms\n",
+            self.name,
+            domain(self.index),
+            self.listen,
+            self.peer_listen,
+            self.peer_advertise,
+            peers.join(", "),
+            self.platform,
+            self.platform,
+        )
+    }
+}
+
+/// Returns the configuration but for the backend servers.
+pub(super) fn site(ledger: &str) -> String {
+    format!(
+        "[site]\n\
+         name = scenario\n\
+         [routing]\n\
+         answer_timeout = 20 s\n\
+         address_max_age = 1 s\n\
+         retry_share = 100\n\
+         [ledger]\n\
+         shards = 2\n\
+         ring = 8\n\
+         {ledger}\n\
+         [pool engine]\n\
+         kind = engine\n\
+         fencing = checked\n\
+         [pool service]\n\
+         kind = service\n\
+         [model assistant]\n\
+         pool = engine\n\
+         [service booking]\n\
+         pool = service\n\
+         idempotent = false\n\
+         price = 20\n\
+         timeout = 5 s\n\
+         [service lookup]\n\
+         pool = service\n\
+         idempotent = true\n\
+         price = 5\n\
+         timeout = 5 s\n\
+         [budget budget]\n\
+         [customer customer]\n\
+         budget = budget\n\
+         token = {CUSTOMER_TOKEN}\n"
+    )
+}
+
+/// Returns the section of a backend server.
+pub(super) fn backend(name: &str, pool: &str, address: SocketAddr, index: usize) -> String {
+    let domain = domain(index);
+    format!("[backend {name}]\npool = {pool}\naddress = {address}\nfailure_domain = {domain}\n")
+}
--- /dev/null
+++ b/toucanchute_scenario/src/link.rs
@@ -0,0 +1,188 @@
+//! TCP forwarders between processes, whose links can be cut, held and healed.
+
+mod introduction;
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::watch,
+};
+
+/// Bytes forwarded at once.
+const PIECE_BYTES: usize = 16 << 10;
+
+/// State of the link between two processes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum LinkState {
+    /// Bytes pass.
+    #[default]
+    Open,
+    /// Connections are closed and new ones fail.
+    Cut,
+    /// Connections stay and nothing passes.
+    Held,
+}
+
+type States = BTreeMap<(String, String), LinkState>;
+
+/// States of all links, by the names of their ends.
+#[derive(Clone, Debug)]
+pub(crate) struct Links(Arc<watch::Sender<States>>);
+
+impl Links {
+    pub(crate) fn new() -> Links {
+        Links(Arc::new(watch::Sender::new(States::new())))
+    }
+
+    /// Sets the state of the link between two processes, whichever end opened it.
+    pub(crate) fn set(&self, one: &str, other: &str, state: LinkState) {
+        self.0.send_modify(|states| {
+            states.insert(pair(one, other), state);
+        });
+    }
+
+    /// Opens all links.
+    pub(crate) fn heal(&self) {
+        self.0.send_modify(States::clear);
+    }
+}
+
+fn pair(one: &str, other: &str) -> (String, String) {
+    let (low, high) = if one < other {
+        (one, other)
+    } else {
+        (other, one)
+    };
+    (low.to_owned(), high.to_owned())
+}
+
+/// Who opens the connections through a forwarder.
+#[derive(Clone, Debug)]
+pub(crate) enum Dialer {
+    /// One process.
+    Known(String),
+    /// One of these routers; the introduction on the link says which.
+    Peer(Vec<String>),
+}
+
+/// Starts a forwarder to `target`, which is called `name`, and returns its address.
+pub(crate) async fn forward(
+    links: &Links,
+    dialer: Dialer,
+    name: &str,
+    target: SocketAddr,
+) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    let address = listener.local_addr()?;
+    let (links, name) = (links.clone(), name.to_owned());
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let links = links.clone();
+            let (dialer, name) = (dialer.clone(), name.clone());
+            tokio::spawn(async move { connect(links, dialer, name, stream, target).await });
+        }
+    });
+    Ok(address)
+}
+
+/// Forwards one connection until an end closes it or its link is cut.
+async fn connect(
+    links: Links,
+    dialer: Dialer,
+    name: String,
+    stream: TcpStream,
+    target: SocketAddr,
+) -> io::Result<()> {
+    let server = TcpStream::connect(target).await?;
+    stream.set_nodelay(true)?;
+    server.set_nodelay(true)?;
+    let (mut from_dialer, mut to_dialer) = stream.into_split();
+    let (mut from_server, mut to_server) = server.into_split();
+    let dialer = match dialer {
+        Dialer::Known(dialer) => dialer,
+        Dialer::Peer(peers) => {
+            let opening = introduction::read(
+                &mut from_dialer,
+                &mut to_dialer,
+                &mut from_server,
+                &mut to_server,
+                &peers,
+            );
+            let (dialer, rest) = opening.await?;
+            let mut gate = Gate::new(&links, &dialer, &name);
+            gate.pass().await?;
+            to_server.write_all(&rest).await?;
+            dialer
+        }
+    };
+    let there = copy(from_dialer, to_server, Gate::new(&links, &dialer, &name));
+    let back = copy(from_server, to_dialer, Gate::new(&links, &dialer, &name));
+    tokio::select! {
+        result = there => result,
+        result = back => result,
+    }
+}
+
+/// Lets bytes of one link pass while it is open.
+struct Gate {
+    states: watch::Receiver<States>,
+    pair: (String, String),
+}
+
+impl Gate {
+    fn new(links: &Links, one: &str, other: &str) -> Gate {
+        Gate {
+            states: links.0.subscribe(),
+            pair: pair(one, other),
+        }
+    }
+
+    fn state(&mut self) -> LinkState {
+        let states = self.states.borrow_and_update();
+        states.get(&self.pair).copied().unwrap_or_default()
+    }
+
+    /// Waits while the link is held; fails if it is cut.
+    async fn pass(&mut self) -> io::Result<()> {
+        loop {
+            match self.state() {
+                LinkState::Open => return Ok(()),
+                LinkState::Cut => return Err(io::ErrorKind::ConnectionReset.into()),
+                LinkState::Held => self.changed().await,
+            }
+        }
+    }
+
+    /// Waits for the state of any link to change.
+    async fn changed(&mut self) {
+        if self.states.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut gate: Gate) -> io::Result<()> {
+    let mut buf = vec![0; PIECE_BYTES];
+    loop {
+        gate.pass().await?;
+        let len = tokio::select! {
+            len = from.read(&mut buf) => len?,
+            () = gate.changed() => continue,
+        };
+        if len == 0 {
+            return Ok(());
+        }
+        gate.pass().await?;
+        to.write_all(&buf[..len]).await?;
+    }
+}
--- /dev/null
+++ b/toucanchute_scenario/src/link/introduction.rs
@@ -0,0 +1,87 @@
+//! The opening of a link between routers: a WebSocket whose first frame names the dialing host.
+
+use std::io;
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::tcp::{OwnedReadHalf, OwnedWriteHalf},
+};
+
+/// Bytes read at once.
+const PIECE_BYTES: usize = 4 << 10;
+/// End of the head of an HTTP message.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+/// Bytes of the key by which a client's frame is masked.
+const MASK_BYTES: usize = 4;
+
+/// Passes on the opening of a WebSocket and returns which of `peers` dialed, with the bytes that
+/// have not been passed on.
+pub(super) async fn read(
+    from_dialer: &mut OwnedReadHalf,
+    to_dialer: &mut OwnedWriteHalf,
+    from_server: &mut OwnedReadHalf,
+    to_server: &mut OwnedWriteHalf,
+    peers: &[String],
+) -> io::Result<(String, Vec<u8>)> {
+    let (head, _) = read_head(from_dialer).await?;
+    to_server.write_all(&head).await?;
+    let (head, rest) = read_head(from_server).await?;
+    to_dialer.write_all(&head).await?;
+    to_dialer.write_all(&rest).await?;
+    let mut frame = Vec::new();
+    loop {
+        if let Some(payload) = unmask(&frame) {
+            let named = |peer: &&String| contains(&payload, peer.as_bytes());
+            let peer = peers.iter().find(named).cloned();
+            let peer = peer.ok_or(io::ErrorKind::InvalidData)?;
+            return Ok((peer, frame));
+        }
+        read_more(from_dialer, &mut frame).await?;
+    }
+}
+
+/// Reads an HTTP head; returns it and the bytes after it.
+async fn read_head(from: &mut OwnedReadHalf) -> io::Result<(Vec<u8>, Vec<u8>)> {
+    let mut buf = Vec::new();
+    loop {
+        if let Some(end) = position(&buf, HEAD_END) {
+            let rest = buf.split_off(end + HEAD_END.len());
+            return Ok((buf, rest));
+        }
+        read_more(from, &mut buf).await?;
+    }
+}
+
+async fn read_more(from: &mut OwnedReadHalf, buf: &mut Vec<u8>) -> io::Result<()> {
+    let mut piece = [0; PIECE_BYTES];
+    let len = from.read(&mut piece).await?;
+    if len == 0 {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    buf.extend_from_slice(&piece[..len]);
+    Ok(())
+}
+
+/// Returns the payload of a masked frame of less than 64 KiB once it is whole.
+fn unmask(frame: &[u8]) -> Option<Vec<u8>> {
+    let short = usize::from(*frame.get(1)? & 0x7f);
+    let (len, start) = match short {
+        126 => (
+            usize::from(u16::from_be_bytes([*frame.get(2)?, *frame.get(3)?])),
+            4,
+        ),
+        len => (len, 2),
+    };
+    let mask = frame.get(start..start + MASK_BYTES)?;
+    let payload = frame.get(start + MASK_BYTES..start + MASK_BYTES + len)?;
+    let bytes = payload.iter().zip(mask.iter().cycle());
+    Some(bytes.map(|(b, m)| b ^ m).collect())
+}
+
+fn contains(bytes: &[u8], part: &[u8]) -> bool {
+    position(bytes, part).is_some()
+}
+
+fn position(bytes: &[u8], part: &[u8]) -> Option<usize> {
+    bytes.windows(part.len()).position(|window| window == part)
+}
--- /dev/null
+++ b/toucanchute_scenario/src/process.rs
@@ -0,0 +1,151 @@
+use std::{
+    env,
+    path::{Path, PathBuf},
+    process::Stdio,
+};
+
+use snafu::{ResultExt, ensure};
+use tokio::process::{Child, Command};
+
+use crate::error::{CommandSnafu, NoBinarySnafu, ProcessSnafu, ScenarioError};
+
+/// Signals that a scenario sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Signal {
+    Kill,
+    Terminate,
+    Stop,
+    Continue,
+}
+
+impl Signal {
+    fn option(self) -> &'static str {
+        match self {
+            Signal::Kill => "-KILL",
+            Signal::Terminate => "-TERM",
+            Signal::Stop => "-STOP",
+            Signal::Continue => "-CONT",
+        }
+    }
+}
+
+/// A process that a scenario started; dropping it kills it.
+#[derive(Debug)]
+pub(crate) struct Process {
+    name: String,
+    child: Child,
+}
+
+impl Process {
+    /// Starts `binary`; its output goes to the file `log`.
+    pub(crate) fn start(
+        name: &str,
+        binary: &str,
+        args: &[String],
+        log: &Path,
+    ) -> Result<Process, ScenarioError> {
+        let action = "start";
+        let out = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(log);
+        let out = out.context(ProcessSnafu { action, name })?;
+        let err = out.try_clone().context(ProcessSnafu { action, name })?;
+        let child = Command::new(binary_path(binary)?)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(out)
+            .stderr(err)
+            .kill_on_drop(true)
+            .spawn()
+            .context(ProcessSnafu { action, name })?;
+        let name = name.to_owned();
+        Ok(Process { name, child })
+    }
+
+    /// Sends a signal to this process alone.
+    pub(crate) async fn signal(&self, signal: Signal) -> Result<(), ScenarioError> {
+        let Some(pid) = self.child.id() else {
+            return Ok(());
+        };
+        let pid = pid.to_string();
+        let status = Command::new("kill")
+            .args([signal.option(), &pid])
+            .status()
+            .await;
+        let action = "signal";
+        status.context(ProcessSnafu {
+            action,
+            name: &self.name,
+        })?;
+        Ok(())
+    }
+
+    /// Waits for the end and returns the exit code, none if a signal ended it.
+    pub(crate) async fn wait(&mut self) -> Result<Option<i32>, ScenarioError> {
+        let status = self.child.wait().await;
+        let action = "wait for";
+        let status = status.context(ProcessSnafu {
+            action,
+            name: &self.name,
+        })?;
+        Ok(status.code())
+    }
+}
+
+/// What a command that ran to its end left behind.
+#[derive(Debug)]
+pub(crate) struct Ran {
+    pub(crate) code: Option<i32>,
+    pub(crate) stdout: String,
+    pub(crate) stderr: String,
+}
+
+/// Runs `binary` to its end.
+pub(crate) async fn run(
+    binary: &str,
+    args: &[String],
+    vars: &[(&str, &str)],
+) -> Result<Ran, ScenarioError> {
+    let output = Command::new(binary_path(binary)?)
+        .args(args)
+        .envs(vars.iter().copied())
+        .stdin(Stdio::null())
+        .kill_on_drop(true)
+        .output()
+        .await;
+    let action = "run";
+    let output = output.context(ProcessSnafu {
+        action,
+        name: binary,
+    })?;
+    Ok(Ran {
+        code: output.status.code(),
+        stdout: String::from_utf8_lossy(&output.stdout).into_owned(),
+        stderr: String::from_utf8_lossy(&output.stderr).into_owned(),
+    })
+}
+
+/// Runs `binary` to its end and returns what it wrote.
+pub(crate) async fn run_ok(
+    binary: &str,
+    args: &[String],
+    vars: &[(&str, &str)],
+) -> Result<String, ScenarioError> {
+    let ran = run(binary, args, vars).await?;
+    let (name, code, output) = (binary, ran.code, ran.stderr);
+    ensure!(code == Some(0), CommandSnafu { name, code, output });
+    Ok(ran.stdout)
+}
+
+/// Returns the path of a binary of the workspace, which lies beside the test executable's folder.
+fn binary_path(binary: &str) -> Result<PathBuf, ScenarioError> {
+    let exe = env::current_exe().unwrap_or_default();
+    let folder = exe
+        .parent()
+        .and_then(Path::parent)
+        .unwrap_or(Path::new("."));
+    let path = folder.join(binary);
+    ensure!(path.is_file(), NoBinarySnafu { path });
+    Ok(path)
+}
--- /dev/null
+++ b/toucanchute_scenario/src/runner.rs
@@ -0,0 +1,173 @@
+mod args;
+mod asks;
+mod control;
+mod facts;
+
+use std::{collections::BTreeMap, path::Path, path::PathBuf};
+
+use datadriven::TestCase;
+use tokio::{runtime::Runtime, sync::watch, task::JoinHandle};
+
+use self::args::Args;
+use crate::{
+    answer::Ended,
+    caller::Request,
+    cluster::{Cluster, ClusterOptions},
+    error::{ArgumentSnafu, EarlierSnafu, IoSnafu, ScenarioError, UnknownSnafu},
+    load::{Load, Record},
+};
+
+/// Runs the directives of one scenario.
+#[derive(Debug)]
+pub struct Runner {
+    rt: Runtime,
+    /// Folder of settings, configuration and logs.
+    folder: PathBuf,
+    cluster: Option<Cluster>,
+    asks: BTreeMap<String, Ask>,
+    loads: BTreeMap<String, Load>,
+    /// Requests that have ended.
+    records: Vec<Record>,
+    /// Why an earlier directive failed; nothing is run after it.
+    failure: Option<String>,
+}
+
+/// A request in progress.
+#[derive(Debug)]
+struct Ask {
+    request: Request,
+    task: JoinHandle<Ended>,
+    /// Number of tokens that came.
+    came: watch::Receiver<u64>,
+}
+
+impl Runner {
+    /// Creates a runner whose files go to `folder`, which is emptied.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system gives no threads.
+    pub fn new(folder: &Path) -> Result<Runner, ScenarioError> {
+        let rt = Runtime::new();
+        let rt = snafu::ResultExt::context(
+            rt,
+            IoSnafu {
+                action: "start a runtime",
+            },
+        )?;
+        Ok(Runner {
+            rt,
+            folder: folder.to_owned(),
+            cluster: None,
+            asks: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            records: Vec::new(),
+            failure: None,
+        })
+    }
+
+    /// Runs one directive and returns the facts that it prints.
+    ///
+    /// | directive | effect |
+    /// |---|---|
+    /// | `cluster routers engines services` | starts processes; input: lines of `[ledger]` and `engine --option=N` |
+    /// | `top-up at tokens id` | adds tokens to the budget |
+    /// | `ask at key [name] [max-tokens]` | streams a completion; with a name in the background |
+    /// | `book at key [name]`, `look-up at key` | calls a plain service |
+    /// | `await name tokens` | waits until so many tokens of a background request came |
+    /// | `join name` | waits for the end of a background request or load |
+    /// | `load name at workers [work]` | sends requests until it is joined |
+    /// | `until name requests` | waits until so many requests of a load have ended |
+    /// | `kill`, `stop`, `continue`, `terminate`, `start`, with `process` | acts on processes |
+    /// | `cut`, `hold` with `from to`; `heal` | acts on links |
+    /// | `fault at`, input: JSON | sets a stand-in's fault |
+    /// | `withdraw host` | lists backend servers as leaving |
+    /// | `apply without`, `race` | applies one or two configurations |
+    /// | `version at is` | waits for a version of the configuration |
+    /// | `pass ms` | lets time go by |
+    /// | `count at of` | prints one of a stand-in's counts |
+    /// | `audit at` | compares the statement with what callers and stand-ins saw |
+    ///
+    /// # Errors
+    ///
+    /// Fails if the directive cannot be carried out or its condition does not come true in time.
+    pub fn run(&mut self, case: &mut TestCase) -> Result<String, ScenarioError> {
+        if let Some(cause) = &self.failure {
+            return EarlierSnafu { cause }.fail();
+        }
+        let result = self.run_case(case);
+        if let Err(e) = &result {
+            self.failure = Some(e.to_string());
+        }
+        result
+    }
+
+    fn run_case(&mut self, case: &mut TestCase) -> Result<String, ScenarioError> {
+        let handle = self.rt.handle().clone();
+        let mut args = Args::new(case);
+        let facts = handle.block_on(self.dispatch(&mut args))?;
+        args.finish()?;
+        Ok(format!("{}\n", facts.trim_end()))
+    }
+
+    async fn dispatch(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
+        match args.directive().as_str() {
+            "cluster" => self.start_cluster(args).await,
+            "ask" | "book" | "look-up" => self.ask(args).await,
+            "await" => self.await_tokens(args).await,
+            "join" => self.join(args).await,
+            "load" => self.start_load(args),
+            "until" => self.until(args).await,
+            "top-up" => self.top_up(args).await,
+            "kill" | "stop" | "continue" | "terminate" | "start" => self.signal(args).await,
+            "cut" | "hold" => self.break_link(args),
+            "heal" => self.heal(),
+            "fault" => self.fault(args).await,
+            "withdraw" => self.withdraw(args).await,
+            "apply" => self.apply(args).await,
+            "race" => self.race().await,
+            "version" => self.version(args).await,
+            "pass" => self.pass(args).await,
+            "count" => self.count(args).await,
+            "audit" => self.audit(args).await,
+            name => UnknownSnafu {
+                kind: "directive",
+                name,
+            }
+            .fail(),
+        }
+    }
+
+    async fn start_cluster(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
+        let input = args.input();
+        let (engine_args, ledger): (Vec<&str>, Vec<&str>) =
+            input.lines().partition(|line| line.starts_with("engine "));
+        let engine_args = engine_args
+            .iter()
+            .filter_map(|line| line.strip_prefix("engine "));
+        let options = ClusterOptions {
+            routers: args.number("routers")?,
+            engines: args.number("engines")?,
+            services: args.number_or("services", 0)?,
+            engine_args: engine_args.map(str::to_owned).collect(),
+            ledger: ledger.join("\n"),
+        };
+        self.cluster = Some(Cluster::start(&self.folder, &options).await?);
+        Ok("ready".to_owned())
+    }
+
+    fn cluster(&self) -> Result<&Cluster, ScenarioError> {
+        let kind = "cluster";
+        let name = "started before";
+        self.cluster
+            .as_ref()
+            .ok_or_else(|| UnknownSnafu { kind, name }.build())
+    }
+
+    fn cluster_mut(&mut self) -> Result<&mut Cluster, ScenarioError> {
+        let message = "no cluster has been started";
+        self.cluster
+            .as_mut()
+            .ok_or_else(|| ArgumentSnafu { message }.build())
+    }
+}
--- /dev/null
+++ b/toucanchute_scenario/src/runner/args.rs
@@ -0,0 +1,68 @@
+use std::str::FromStr;
+
+use datadriven::TestCase;
+
+use crate::error::{ArgumentSnafu, ScenarioError};
+
+/// Arguments of a directive.
+#[derive(Debug)]
+pub(super) struct Args<'a> {
+    case: &'a mut TestCase,
+}
+
+impl<'a> Args<'a> {
+    pub(super) fn new(case: &'a mut TestCase) -> Args<'a> {
+        Args { case }
+    }
+
+    pub(super) fn directive(&self) -> String {
+        self.case.directive.clone()
+    }
+
+    pub(super) fn input(&self) -> String {
+        self.case.input.clone()
+    }
+
+    /// Returns all values of an argument, none if it is missing.
+    pub(super) fn list(&mut self, name: &str) -> Vec<String> {
+        self.case.args.remove(name).unwrap_or_default()
+    }
+
+    pub(super) fn optional(&mut self, name: &str) -> Option<String> {
+        self.list(name).into_iter().next()
+    }
+
+    pub(super) fn text(&mut self, name: &str) -> Result<String, ScenarioError> {
+        let message = format!("`{name}` is missing");
+        self.optional(name)
+            .ok_or_else(|| ArgumentSnafu { message }.build())
+    }
+
+    pub(super) fn number<T: FromStr>(&mut self, name: &str) -> Result<T, ScenarioError> {
+        let text = self.text(name)?;
+        let message = format!("`{name}` is no number");
+        text.parse().map_err(|_| ArgumentSnafu { message }.build())
+    }
+
+    pub(super) fn number_or<T: FromStr>(
+        &mut self,
+        name: &str,
+        default: T,
+    ) -> Result<T, ScenarioError> {
+        match self.case.args.contains_key(name) {
+            true => self.number(name),
+            false => Ok(default),
+        }
+    }
+
+    /// Checks that each argument has been used.
+    pub(super) fn finish(self) -> Result<(), ScenarioError> {
+        let unused = self.case.expect_empty();
+        unused.map_err(|e| {
+            ArgumentSnafu {
+                message: e.to_string(),
+            }
+            .build()
+        })
+    }
+}
--- /dev/null
+++ b/toucanchute_scenario/src/runner/asks.rs
@@ -0,0 +1,189 @@
+//! Directives of callers.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use tokio::sync::watch;
+
+use super::{Args, Ask, Runner};
+use crate::{
+    caller::{Request, Work},
+    cluster::CUSTOMER_TOKEN,
+    error::{ArgumentSnafu, ScenarioError, TimedOutSnafu, UnknownSnafu},
+    load::{Load, LoadOptions, Record},
+};
+
+/// Longest answer unless the scenario says otherwise, in tokens.
+const MAX_TOKENS: u64 = 64;
+/// Price of a booking as configured, in tokens.
+const BOOKING_PRICE: u64 = 20;
+/// Price of a look-up as configured, in tokens.
+const LOOK_UP_PRICE: u64 = 5;
+/// Longest wait for progress, in seconds.
+const BOUND_S: u64 = 60;
+/// Pause between looks at a load's progress.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
+impl Runner {
+    /// Sends one request; in the background if it has a name.
+    pub(super) async fn ask(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
+        let key = args.text("key")?;
+        let address = self.cluster()?.address(&args.text("at")?)?;
+        let work = match args.directive().as_str() {
+            "ask" => Work::Completion {
+                prompt: args
+                    .optional("prompt")
+                    .unwrap_or_else(|| format!("prompt of {key}")),
+                max_tokens: args.number_or("max-tokens", MAX_TOKENS)?,
+            },
+            directive => service(directive),
+        };
+        let request = Request { key, work };
+        let name = args.optional("name");
+        let (came, rx) = watch::channel(0);
+        let sent = request.clone();
+        let task = tokio::spawn(async move { sent.send(address, CUSTOMER_TOKEN, &came).await });
+        let ask = Ask {
+            request,
+            task,
+            came: rx,
+        };
+        match name {
+            None => self.end(ask).await,
+            Some(name) => {
+                self.asks.insert(name, ask);
+                Ok("sent".to_owned())
+            }
+        }
+    }
+
+    async fn end(&mut self, ask: Ask) -> Result<String, ScenarioError> {
+        let ended = ask.task.await;
+        let ended = ended.map_err(|e| {
+            ArgumentSnafu {
+                message: e.to_string(),
+            }
+            .build()
+        })?;
+        let facts = ended.to_string();
+        let request = ask.request;
+        self.records.push(Record { request, ended });
+        Ok(facts)
+    }
+
+    /// Waits until a number of tokens of a background request came.
+    pub(super) async fn await_tokens(
+        &mut self,
+        args: &mut Args<'_>,
+    ) -> Result<String, ScenarioError> {
+        let name = args.text("name")?;
+        let tokens: u64 = args.number("tokens")?;
+        let kind = "request in progress";
+        let ask = self.asks.get_mut(&name);
+        let ask = ask.ok_or_else(|| UnknownSnafu { kind, name: &name }.build())?;
+        let arrival = ask.came.wait_for(|&came| came >= tokens);
+        let arrival = tokio::time::timeout(Duration::from_secs(BOUND_S), arrival);
+        match arrival.await {
+            Ok(Ok(_)) => Ok("came".to_owned()),
+            Ok(Err(_)) => Ok("ended before".to_owned()),
+            Err(_) => {
+                let what = format!("{tokens} tokens of {name}");
+                let (seconds, seen) = (BOUND_S, "fewer");
+                TimedOutSnafu {
+                    what,
+                    seconds,
+                    seen,
+                }
+                .fail()
+            }
+        }
+    }
+
+    /// Waits for the end of a background request or load.
+    pub(super) async fn join(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
+        let name = args.text("name")?;
+        if let Some(ask) = self.asks.remove(&name) {
+            return self.end(ask).await;
+        }
+        let kind = "request or load in progress";
+        let load = self.loads.remove(&name);
+        let load = load.ok_or_else(|| UnknownSnafu { kind, name }.build())?;
+        let records = load.finish().await;
+        let facts = summary(&records);
+        self.records.extend(records);
+        Ok(facts)
+    }
+
+    pub(super) fn start_load(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
+        let name = args.text("name")?;
+        let cluster = self.cluster()?;
+        let at = args.list("at");
+        let addresses: Result<Vec<SocketAddr>, _> =
+            at.iter().map(|at| cluster.address(at)).collect();
+        let work = match args.optional("work") {
+            Some(directive) => service(&directive),
+            None => Work::Completion {
+                prompt: "prompt of".to_owned(),
+                max_tokens: args.number_or("max-tokens", MAX_TOKENS)?,
+            },
+        };
+        let options = LoadOptions {
+            name: name.clone(),
+            addresses: addresses?,
+            token: CUSTOMER_TOKEN.to_owned(),
+            workers: args.number("workers")?,
+            pause: Duration::from_millis(args.number_or("pause-ms", 0)?),
+            work,
+        };
+        self.loads.insert(name, Load::start(&options));
+        Ok("started".to_owned())
+    }
+
+    /// Waits until a number of requests of a load have ended.
+    pub(super) async fn until(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
+        let name = args.text("name")?;
+        let requests: usize = args.number("requests")?;
+        let kind = "load in progress";
+        let load = self.loads.get(&name);
+        let load = load.ok_or_else(|| UnknownSnafu { kind, name: &name }.build())?;
+        let target = load.count() + requests;
+        self.cluster()?
+            .wait_until(&format!("{requests} requests of {name}"), async |_| {
+                let count = load.count();
+                (count >= target)
+                    .then_some(())
+                    .ok_or(format!("{count} of {target}"))
+            })
+            .await?;
+        tokio::time::sleep(LOOK_PAUSE).await;
+        Ok("ended".to_owned())
+    }
+}
+
+fn service(directive: &str) -> Work {
+    let (service, price) = match directive {
+        "book" => ("booking", BOOKING_PRICE),
+        _ => ("lookup", LOOK_UP_PRICE),
+    };
+    Work::Service {
+        service: service.to_owned(),
+        price,
+    }
+}
+
+/// Returns how requests ended, without numbers if all got their whole answers.
+fn summary(records: &[Record]) -> String {
+    if records.is_empty() {
+        return "no request ended".to_owned();
+    }
+    if records.iter().all(|record| record.ended.is_own()) {
+        return "all whole".to_owned();
+    }
+    let mut counts: BTreeMap<String, u64> = BTreeMap::new();
+    for record in records {
+        *counts.entry(record.ended.to_string()).or_default() += 1;
+    }
+    let lines = counts
+        .iter()
+        .map(|(ended, count)| format!("{ended}: {count}\n"));
+    lines.collect()
+}
--- /dev/null
+++ b/toucanchute_scenario/tests/scenarios.rs
@@ -0,0 +1,57 @@
+//! Runs the scenarios in `tests/scenarios/`, each over processes of its own.
+
+use std::{
+    path::Path,
+    sync::{Condvar, Mutex},
+};
+
+use toucanchute_scenario::Runner;
+
+/// Scenarios that run at the same time.
+const MAX_RUNNING: usize = 3;
+
+static RUNNING: Mutex<usize> = Mutex::new(0);
+static ENDED: Condvar = Condvar::new();
+
+/// A place among the scenarios that run.
+struct Place;
+
+impl Place {
+    fn take() -> Place {
+        let running = RUNNING.lock().unwrap();
+        *ENDED
+            .wait_while(running, |running| *running >= MAX_RUNNING)
+            .unwrap() += 1;
+        Place
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        *RUNNING
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner) -= 1;
+        ENDED.notify_one();
+    }
+}
+
+fn run(name: &str) {
+    let _place = Place::take();
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let mut runner = Runner::new(&folder).unwrap();
+    let file = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
+    datadriven::walk(&file, |file| file.run(|case| runner.run(case)));
+}
+
+macro_rules! scenarios {
+    ($($name:ident,)*) => {$(
+        #[test]
+        fn $name() {
+            run(stringify!($name));
+        }
+    )*};
+}
+
+scenarios! {
+    whole_path,
+}
