--- a/toucanchute_scenario/src/runner/control.rs
+++ b/toucanchute_scenario/src/runner/control.rs
@@ -138,7 +138,7 @@
     pub(super) async fn apply(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         let without = args.list("without");
         let cluster = self.cluster()?;
-        let folder = cluster.write_config("changed", "", &without)?;
+        let folder = cluster.write_config("changed", &without)?;
         cluster.apply(&folder, "scenario").await?;
         Ok("applied".to_owned())
     }
@@ -147,8 +147,8 @@
     pub(super) async fn race(&mut self) -> Result<String, ScenarioError> {
         let cluster = self.cluster()?;
         let engines = cluster.names("engine");
-        let first = cluster.write_config("first", "", &engines[..1])?;
-        let second = cluster.write_config("second", "", &engines[1..2])?;
+        let first = cluster.write_config("first", &engines[..1])?;
+        let second = cluster.write_config("second", &engines[1..2])?;
         let first = cluster.apply_args(&first, "ana")?;
         let second = cluster.apply_args(&second, "ben")?;
         let (first, second) = tokio::join!(
