--- a/toucanchute_fakes/src/service.rs
+++ b/toucanchute_fakes/src/service.rs
@@ -39,7 +39,7 @@
 ///
 /// It runs a call at any path and answers `{"service","path","key","attempt","run"}`, `run` being
 /// the number of the run under that idempotency key. `POST /fault` takes
-/// `{"mode":"ok"|"slow"|"lose-answers"|"refuse"|"crash"|"crash-before","ms":N,"count":N}`.
+/// `{"mode":"ok"|"slow"|"slow-after"|"lose-answers"|"refuse"|"crash"|"crash-before","ms":N,"count":N}`.
 /// `GET /stats` counts runs by key and by attempt.
 #[derive(Debug)]
 pub struct Service {
@@ -78,6 +78,8 @@
     Ok,
     /// Calls wait before they run.
     Slow,
+    /// Calls run and are answered late.
+    SlowAfter,
     /// Calls run, then their connections are closed.
     LoseAnswers,
     /// Calls are refused before they run.
@@ -188,12 +190,13 @@
             }
             Mode::CrashBefore => return Err(self.crash(fault.ms)),
             Mode::Slow => sleep(Duration::from_millis(fault.ms)).await,
-            Mode::Ok | Mode::LoseAnswers | Mode::Crash => {}
+            Mode::Ok | Mode::SlowAfter | Mode::LoseAnswers | Mode::Crash => {}
         }
         let run = self.run(key, attempt);
         log::info!(path, request = key, attempt, run; "service-ran");
         sleep(Duration::from_millis(self.options.work_ms)).await;
         match fault.mode {
+            Mode::SlowAfter => sleep(Duration::from_millis(fault.ms)).await,
             Mode::LoseAnswers => return Err(Abort),
             Mode::Crash => return Err(self.crash(fault.ms)),
             _ => {}
--- a/toucanchute_scenario/src/audit.rs
+++ b/toucanchute_scenario/src/audit.rs
@@ -10,7 +10,7 @@
 /// A budget's statement.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub(crate) struct Statement {
-    topped_up: u64,
+    pub(crate) topped_up: u64,
     free: u64,
     pub(crate) spent: u64,
     granted: u64,
--- a/toucanchute_scenario/src/runner.rs
+++ b/toucanchute_scenario/src/runner.rs
@@ -73,7 +73,7 @@
     /// | `cluster routers engines services` | starts processes; input: lines of `[ledger]` and `engine --option=N` |
     /// | `top-up at tokens id` | adds tokens to the budget |
     /// | `ask at key [name] [max-tokens]` | streams a completion; with a name in the background |
-    /// | `book at key [name]`, `look-up at key` | calls a plain service |
+    /// | `book at key [name]`, `look-up at key` | calls a plain service; with several routers at all of them at once |
     /// | `await name tokens` | waits until so many tokens of a background request came |
     /// | `join name` | waits for the end of a background request or load |
     /// | `load name at workers [work]` | sends requests until it is joined |
@@ -85,8 +85,10 @@
     /// | `apply without`, `race` | applies one or two configurations |
     /// | `version at is` | waits for a version of the configuration |
     /// | `pass ms` | lets time go by |
-    /// | `count at of` | prints one of a stand-in's counts |
-    /// | `audit at` | compares the statement with what callers and stand-ins saw |
+    /// | `count at of` | prints one of the stand-ins' counts, added up |
+    /// | `reach at of least` | waits until that count has reached a number |
+    /// | `rise at of ms` | prints by how much that count rises within a time |
+    /// | `audit at [topped-up]` | compares the statement with what callers and stand-ins saw |
     ///
     /// # Errors
     ///
@@ -129,6 +131,8 @@
             "version" => self.version(args).await,
             "pass" => self.pass(args).await,
             "count" => self.count(args).await,
+            "reach" => self.reach(args).await,
+            "rise" => self.rise(args).await,
             "audit" => self.audit(args).await,
             name => UnknownSnafu {
                 kind: "directive",
--- a/toucanchute_scenario/src/runner/asks.rs
+++ b/toucanchute_scenario/src/runner/asks.rs
@@ -1,15 +1,19 @@
 //! Directives of callers.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
-use tokio::sync::watch;
+use tokio::{sync::watch, task::JoinSet};
 
 use super::{Args, Ask, Runner};
 use crate::{
     caller::{Request, Work},
     cluster::CUSTOMER_TOKEN,
     error::{ArgumentSnafu, ScenarioError, TimedOutSnafu, UnknownSnafu},
-    load::{Load, LoadOptions, Record},
+    load::{Load, LoadOptions, Record, persist},
 };
 
 /// Longest answer unless the scenario says otherwise, in tokens.
@@ -27,7 +31,7 @@
     /// Sends one request; in the background if it has a name.
     pub(super) async fn ask(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         let key = args.text("key")?;
-        let address = self.cluster()?.address(&args.text("at")?)?;
+        let addresses = self.addresses(args)?;
         let work = match args.directive().as_str() {
             "ask" => Work::Completion {
                 prompt: args
@@ -38,6 +42,15 @@
             directive => service(directive),
         };
         let request = Request { key, work };
+        if addresses.len() > 1 {
+            return self.ask_each(request, &addresses).await;
+        }
+        let Some(&address) = addresses.first() else {
+            return ArgumentSnafu {
+                message: "`at` is missing",
+            }
+            .fail();
+        };
         let name = args.optional("name");
         let (came, rx) = watch::channel(0);
         let sent = request.clone();
@@ -56,6 +69,33 @@
         }
     }
 
+    fn addresses(&self, args: &mut Args<'_>) -> Result<Vec<SocketAddr>, ScenarioError> {
+        let cluster = self.cluster()?;
+        let at = args.list("at");
+        at.iter().map(|at| cluster.address(at)).collect()
+    }
+
+    /// Sends a request at several routers at once, at each again until its outcome is final.
+    async fn ask_each(
+        &mut self,
+        request: Request,
+        addresses: &[SocketAddr],
+    ) -> Result<String, ScenarioError> {
+        let mut tries = JoinSet::new();
+        for &address in addresses {
+            let request = request.clone();
+            tries.spawn(async move { persist(&request, &[address], 0, CUSTOMER_TOKEN).await });
+        }
+        let mut facts = BTreeSet::new();
+        for ended in tries.join_all().await {
+            facts.insert(ended.to_string());
+            let request = request.clone();
+            self.records.push(Record { request, ended });
+        }
+        let facts: Vec<String> = facts.into_iter().collect();
+        Ok(facts.join(", "))
+    }
+
     async fn end(&mut self, ask: Ask) -> Result<String, ScenarioError> {
         let ended = ask.task.await;
         let ended = ended.map_err(|e| {
@@ -115,10 +155,7 @@
 
     pub(super) fn start_load(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         let name = args.text("name")?;
-        let cluster = self.cluster()?;
-        let at = args.list("at");
-        let addresses: Result<Vec<SocketAddr>, _> =
-            at.iter().map(|at| cluster.address(at)).collect();
+        let addresses = self.addresses(args)?;
         let work = match args.optional("work") {
             Some(directive) => service(&directive),
             None => Work::Completion {
@@ -128,7 +165,7 @@
         };
         let options = LoadOptions {
             name: name.clone(),
-            addresses: addresses?,
+            addresses,
             token: CUSTOMER_TOKEN.to_owned(),
             workers: args.number("workers")?,
             pause: Duration::from_millis(args.number_or("pause-ms", 0)?),
--- a/toucanchute_scenario/tests/scenarios.rs
+++ b/toucanchute_scenario/tests/scenarios.rs
@@ -53,5 +53,19 @@
 }
 
 scenarios! {
+    booking_once,
+    lost_answers,
+    partition_with_top_up,
+    platform_out,
+    platform_slow,
+    poison,
+    replica_crash,
+    rolling_restart,
+    router_killed_mid_stream,
+    routers_killed_under_load,
+    two_operators,
     whole_path,
+    withdrawal,
+    writer_paused,
+    wrong_answers,
 }
