--- a/toucanchute_edge/src/completion/progress.rs
+++ b/toucanchute_edge/src/completion/progress.rs
@@ -10,6 +10,8 @@
     pub(crate) tokens: u64,
     /// Text of these tokens, from which another model engine can go on.
     pub(crate) text: String,
+    /// Longest answer, in tokens; `tokens` never exceeds it.
+    limit: u64,
     /// Identifier in every chunk that the caller sees: that of the first attempt.
     shown_id: Option<String>,
     /// Whether the last chunk had no text, so that it may or may not count as a token.
@@ -26,13 +28,22 @@
 }
 
 impl Progress {
+    /// Starts an answer of at most `limit` tokens.
+    pub(crate) fn new(limit: u64) -> Progress {
+        Progress {
+            limit,
+            ..Progress::default()
+        }
+    }
+
     /// Takes one chunk of the attempt `id`: appends it to `out`, or returns it if it is the last.
     ///
     /// A chunk that was relayed before is dropped.
     ///
     /// # Errors
     ///
-    /// Fails if the chunk is malformed, belongs to another attempt or leaves tokens out.
+    /// Fails if the chunk is malformed, belongs to another attempt, leaves tokens out or goes beyond
+    /// the longest answer.
     pub(crate) fn accept(
         &mut self,
         id: &str,
@@ -48,7 +59,7 @@
             log::warn!(attempt = id, offset = chunk.offset; "duplicate-chunk-dropped");
             return Ok(None);
         }
-        self.advance(&chunk);
+        self.advance(&chunk)?;
         let is_last = chunk.is_last();
         let usage = chunk.usage.unwrap_or_default();
         let shown = self.shown(id, &chunk, data);
@@ -79,13 +90,19 @@
         Ok(offset == self.tokens)
     }
 
-    fn advance(&mut self, chunk: &Chunk<'_>) {
+    fn advance(&mut self, chunk: &Chunk<'_>) -> Result<(), BackendError> {
         let text = chunk.text();
         self.maybe_token = text.is_empty();
-        if !text.is_empty() {
-            self.tokens += 1;
-            self.text.push_str(text);
+        if text.is_empty() {
+            return Ok(());
+        }
+        if self.tokens >= self.limit {
+            let limit = self.limit;
+            return Err(malformed(format!("more than {limit} tokens came")));
         }
+        self.tokens += 1;
+        self.text.push_str(text);
+        Ok(())
     }
 
     /// Returns the chunk with the identifier of the first attempt, if that is another.
--- a/toucanchute_edge/src/completion/run.rs
+++ b/toucanchute_edge/src/completion/run.rs
@@ -81,13 +81,14 @@
         drop(held);
         return fail(caller, reply, Problem::budget_exhausted()).await;
     }
+    let max_tokens = max_tokens.min(req.max_tokens);
     let run = Run {
-        max_tokens: max_tokens.min(req.max_tokens),
+        max_tokens,
         shared,
         caller,
         req,
         reply,
-        progress: Progress::default(),
+        progress: Progress::new(max_tokens),
         touched: false,
     };
     run.serve(held).await;
--- a/toucanchute_edge/src/edge.rs
+++ b/toucanchute_edge/src/edge.rs
@@ -1,6 +1,7 @@
 use std::{
     convert::Infallible,
     future::Future,
+    io,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -13,7 +14,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::mpsc,
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc},
 };
 
 use crate::{
@@ -78,16 +79,17 @@
     pub async fn serve(&self, listener: TcpListener, shutdown: impl Future<Output = ()>) {
         let connections = GracefulShutdown::new();
         let (running, mut ended) = mpsc::channel::<Infallible>(1);
+        let places = Arc::new(Semaphore::new(self.shared.settings.max_connections));
         tokio::pin!(shutdown);
         loop {
             let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
+                accepted = accept(&listener, &places) => accepted,
                 () = &mut shutdown => break,
             };
             match accepted {
-                Ok((stream, peer)) => {
+                Ok(accepted) => {
                     let handler = Handler::new(Arc::clone(&self.shared), running.clone());
-                    self.spawn_connection(handler, stream, peer, &connections);
+                    self.spawn_connection(handler, accepted, &connections);
                 }
                 Err(err) => {
                     log::warn!(error:% = err; "accept-failed");
@@ -104,10 +106,14 @@
     fn spawn_connection(
         &self,
         handler: Handler<C>,
-        stream: TcpStream,
-        peer: SocketAddr,
+        accepted: Accepted,
         connections: &GracefulShutdown,
     ) {
+        let Accepted {
+            stream,
+            peer,
+            place,
+        } = accepted;
         let _ = stream.set_nodelay(true);
         let settings = &self.shared.settings;
         let service = service_fn(move |req| {
@@ -125,10 +131,30 @@
             if let Err(err) = conn.await {
                 log::debug!(peer:% = peer, error:% = err; "connection-failed");
             }
+            drop(place);
         });
     }
 }
 
+/// A connection of a caller.
+struct Accepted {
+    stream: TcpStream,
+    peer: SocketAddr,
+    /// Given back when the connection is closed.
+    place: Option<OwnedSemaphorePermit>,
+}
+
+/// Waits for a place and then for a connection to fill it.
+async fn accept(listener: &TcpListener, places: &Arc<Semaphore>) -> io::Result<Accepted> {
+    let place = Arc::clone(places).acquire_owned().await.ok();
+    let (stream, peer) = listener.accept().await?;
+    Ok(Accepted {
+        stream,
+        peer,
+        place,
+    })
+}
+
 /// What all requests of one edge share.
 #[derive(Debug)]
 pub(crate) struct Shared<C> {
--- a/toucanchute_edge/src/settings.rs
+++ b/toucanchute_edge/src/settings.rs
@@ -32,6 +32,8 @@
     pub max_recorded_bytes: usize,
     /// Most backend servers tried for one request.
     pub max_attempts: u32,
+    /// Most connections of callers at the same time; further ones wait to be accepted.
+    pub max_connections: usize,
     /// Most idle connections kept to one backend server.
     pub max_idle_connections: usize,
     /// SHA-256 of the operators' bearer token, in hexadecimal digits; empty closes `/v1/admin/`.
@@ -51,6 +53,7 @@
             max_answer_bytes: 4 * 1024 * 1024,
             max_recorded_bytes: 64 * 1024,
             max_attempts: 4,
+            max_connections: 4_096,
             max_idle_connections: 64,
             operator_token_sha256: String::new(),
         }
--- a/toucanchute_edge/src/tests/answers.rs
+++ b/toucanchute_edge/src/tests/answers.rs
@@ -20,7 +20,7 @@
 
 #[test]
 fn resumed_stream_keeps_its_identifier() {
-    let mut progress = Progress::default();
+    let mut progress = Progress::new(100);
     let mut out = BytesMut::new();
     progress
         .accept(
@@ -41,6 +41,16 @@
     assert!(!text.contains("b-22"), "{text}");
 }
 
+#[test]
+fn answer_beyond_its_limit_is_cut_off() {
+    let mut progress = Progress::new(1);
+    let mut out = BytesMut::new();
+    progress.accept(ID, &chunk(0, "x"), &mut out).unwrap();
+    let relayed = out.len();
+    assert!(progress.accept(ID, &chunk(1, "y"), &mut out).is_err());
+    assert_eq!((progress.tokens, out.len()), (1, relayed));
+}
+
 #[test]
 fn large_answer_is_recorded_by_status() {
     let answer = ServiceAnswer {
@@ -64,7 +74,7 @@
         texts in vec(".{1,8}", 1..20),
         sent in vec(0..20_usize, 0..60),
     ) {
-        let mut progress = Progress::default();
+        let mut progress = Progress::new(100);
         let mut out = BytesMut::new();
         let mut next = 0;
         for offset in sent {
@@ -82,17 +92,17 @@
     #[test]
     fn any_bytes_are_taken_as_chunk(data in vec(any::<u8>(), 0..80), at in 0..70_usize) {
         let mut out = BytesMut::new();
-        let _ = Progress::default().accept(ID, &data, &mut out);
+        let _ = Progress::new(100).accept(ID, &data, &mut out);
         prop_assert!(out.is_empty());
         let mut good = chunk(0, "é\"");
         good.splice(at..(at + 3).min(good.len()), data);
-        let _ = Progress::default().accept(ID, &good, &mut out);
+        let _ = Progress::new(100).accept(ID, &good, &mut out);
     }
 
     /// A token without text may or may not be counted by the model engine.
     #[test]
     fn empty_tokens_may_count(empty in vec(any::<bool>(), 0..20), counted: bool) {
-        let mut progress = Progress::default();
+        let mut progress = Progress::new(100);
         let mut out = BytesMut::new();
         let mut offset = 0;
         for empty in empty {
--- a/toucanchute_edge/tests/edge/bad_input.rs
+++ b/toucanchute_edge/tests/edge/bad_input.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -89,6 +91,21 @@
     );
 }
 
+#[tokio::test]
+async fn connections_beyond_the_limit_wait() {
+    let bench = Bench::start(TestControl::new(&[])).await;
+    let first = TcpStream::connect(bench.address).await.unwrap();
+    let second = TcpStream::connect(bench.address).await.unwrap();
+    let req = b"GET /healthz HTTP/1.1\r\nconnection: close\r\n\r\n";
+    let third = exchange(&bench, req);
+    tokio::pin!(third);
+    let early = tokio::time::timeout(Duration::from_millis(100), &mut third).await;
+    assert!(early.is_err(), "{early:?}");
+    drop(first);
+    assert!(third.await.starts_with("HTTP/1.1 200"));
+    drop(second);
+}
+
 #[tokio::test]
 async fn admin_and_health_answer() {
     let bench = Bench::start(TestControl::new(&[])).await;
--- a/toucanchute_edge/tests/edge/support.rs
+++ b/toucanchute_edge/tests/edge/support.rs
@@ -39,6 +39,7 @@
             body_timeout: Millis(1_000),
             token_timeout: Millis(1_000),
             max_header_bytes: 2048,
+            max_connections: 2,
             operator_token_sha256: TOKEN_SHA256.to_owned(),
             ..EdgeSettings::default()
         };
