--- a/toucanchute_router/src/admin.rs
+++ b/toucanchute_router/src/admin.rs
@@ -12,6 +12,7 @@
 use tokio::sync::oneshot;
 use toucanchute_core::fleet::orders::{self, Order, OrderKind};
 use toucanchute_edge::{Refusal, RefusalReason};
+use toucanchute_platform::{Client, HostListClient};
 use toucanchute_proto::{BudgetId, GrantId, Incarnation, Millis};
 use xtra::prelude::*;
 
@@ -20,6 +21,7 @@
         FleetActor, Members, MoneyActor, MoneyCall, MoneyInput, MoneyReply, OrderError,
         OrdersActor, WantOrder, post,
     },
+    link::{LinkCounts, Mesh},
     view::View,
 };
 
@@ -33,12 +35,47 @@
     pub(crate) money: Address<MoneyActor>,
     /// Owner of the membership.
     pub(crate) fleet: Address<FleetActor>,
+    /// Counters of links and of calls to the platform.
+    pub(crate) counters: Counters,
     /// Owner of the orders to engines.
     pub(crate) orders: Address<OrdersActor>,
     /// Number of requests in progress.
     pub(crate) in_flight: Arc<AtomicU64>,
 }
 
+/// What counts messages and calls since the start.
+pub(crate) struct Counters {
+    /// Links to other routers.
+    pub(crate) mesh: Mesh,
+    /// Client of the key-value service.
+    pub(crate) client: Arc<Client>,
+    /// Client of the host list.
+    pub(crate) hosts: Arc<HostListClient>,
+}
+
+impl Counters {
+    fn document(&self) -> Value {
+        let LinkCounts {
+            peers,
+            sent,
+            received,
+        } = self.mesh.counts();
+        let calls = self.client.counts();
+        json!({
+            "linked_peers": peers,
+            "frames_sent": sent.0,
+            "frame_bytes_sent": sent.1,
+            "frames_received": received.0,
+            "frame_bytes_received": received.1,
+            "platform_reads": calls.reads,
+            "platform_writes": calls.writes,
+            "platform_unknown": calls.unknown,
+            "platform_not_applied": calls.not_applied,
+            "host_list_reads": self.hosts.counts().hosts,
+        })
+    }
+}
+
 /// This router as it is told to operators.
 #[derive(Clone, Debug)]
 pub(crate) struct OwnHost {
@@ -236,6 +273,7 @@
             "unready_reason": unready,
             "in_flight": self.in_flight.load(Ordering::Relaxed),
             "members": members.len() + 1,
+            "counters": self.counters.document(),
         });
         (StatusCode::OK, document)
     }
--- a/toucanchute_router/src/link.rs
+++ b/toucanchute_router/src/link.rs
@@ -10,4 +10,4 @@
 mod mesh;
 
 pub(crate) use handshake::Identity;
-pub(crate) use mesh::{LinkEvent, Mesh, Peer};
+pub(crate) use mesh::{LinkCounts, LinkEvent, Mesh, Peer};
--- a/toucanchute_router/src/link/frame.rs
+++ b/toucanchute_router/src/link/frame.rs
@@ -45,6 +45,11 @@
         }))
     }
 
+    /// Returns the length of the message, in bytes.
+    pub(crate) fn len(&self) -> usize {
+        self.body.len()
+    }
+
     /// Decodes the message.
     pub(crate) fn message<M: DeserializeOwned>(&self) -> Result<M, LinkError> {
         decode_item(&mut &self.body[..])
--- a/toucanchute_router/src/link/mesh.rs
+++ b/toucanchute_router/src/link/mesh.rs
@@ -75,9 +75,43 @@
     identity: Identity,
     links: Mutex<Links>,
     next_link: AtomicU64,
+    sent: Traffic,
+    received: Traffic,
     events: mpsc::UnboundedSender<LinkEvent>,
 }
 
+/// Frames and bytes on all links since the start, without the framing of the layers below.
+#[derive(Debug, Default)]
+struct Traffic {
+    frames: AtomicU64,
+    bytes: AtomicU64,
+}
+
+impl Traffic {
+    fn count(&self, len: usize) {
+        self.frames.fetch_add(1, Ordering::Relaxed);
+        self.bytes.fetch_add(len as u64, Ordering::Relaxed);
+    }
+
+    fn read(&self) -> (u64, u64) {
+        (
+            self.frames.load(Ordering::Relaxed),
+            self.bytes.load(Ordering::Relaxed),
+        )
+    }
+}
+
+/// What all links carried since the start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct LinkCounts {
+    /// Peers with an open link.
+    pub(crate) peers: usize,
+    /// Frames sent and their bytes.
+    pub(crate) sent: (u64, u64),
+    /// Frames received and their bytes.
+    pub(crate) received: (u64, u64),
+}
+
 #[derive(Debug, Default)]
 struct Links {
     /// Open links of each peer, oldest first; never an empty list. There are two for a while when
@@ -107,6 +141,8 @@
                 identity,
                 links,
                 next_link,
+                sent: Traffic::default(),
+                received: Traffic::default(),
                 events,
             }),
         }
@@ -215,6 +251,7 @@
             };
             let Some(frame) = frame? else { continue };
             if frame.from == from {
+                self.shared.received.count(frame.len());
                 let _ = self.shared.events.send(LinkEvent::Frame(frame));
             }
         }
@@ -263,9 +300,9 @@
     pub(crate) fn send<M: Serialize>(&self, to: Incarnation, kind: FrameKind, message: &M) {
         let links = self.links();
         if let Some(link) = links.open.get(&to).and_then(|open| open.first()) {
-            let _ = link
-                .tx
-                .try_send(encode(self.shared.identity.incarnation, kind, message));
+            let frame = encode(self.shared.identity.incarnation, kind, message);
+            self.shared.sent.count(frame.len());
+            let _ = link.tx.try_send(frame);
             return;
         }
         let address = links.addresses.get(&to).copied();
@@ -275,6 +312,15 @@
         }
     }
 
+    /// Returns what all links carried since the start.
+    pub(crate) fn counts(&self) -> LinkCounts {
+        LinkCounts {
+            peers: self.links().open.len(),
+            sent: self.shared.sent.read(),
+            received: self.shared.received.read(),
+        }
+    }
+
     fn links(&self) -> MutexGuard<'_, Links> {
         self.shared
             .links
--- a/toucanchute_router/src/platform/watch.rs
+++ b/toucanchute_router/src/platform/watch.rs
@@ -24,7 +24,7 @@
     /// Client of the key-value service.
     pub(crate) client: Arc<Client>,
     /// Client of the host list.
-    pub(crate) hosts: HostListClient,
+    pub(crate) hosts: Arc<HostListClient>,
     /// Where results go.
     pub(crate) fleet: Address<FleetActor>,
 }
@@ -64,7 +64,7 @@
     }
 }
 
-async fn read_views(client: Arc<Client>, hosts: HostListClient, fleet: Address<FleetActor>) {
+async fn read_views(client: Arc<Client>, hosts: Arc<HostListClient>, fleet: Address<FleetActor>) {
     let mut pause = tokio::time::interval(READ_PAUSE);
     pause.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
--- a/toucanchute_router/src/server.rs
+++ b/toucanchute_router/src/server.rs
@@ -31,7 +31,7 @@
         DispatchActor, DispatchInput, FleetActor, FleetInput, FleetParts, FleetPeers, MoneyActor,
         MoneyInput, MoneyParts, OrdersActor, OrdersInput, post,
     },
-    admin::{Admin, OwnHost},
+    admin::{Admin, Counters, OwnHost},
     control::{ControlParts, RouterControl},
     http_client::HttpClient,
     link::{Identity, LinkEvent, Mesh, Peer},
@@ -146,9 +146,15 @@
             xtra::spawn_tokio(actor, Mailbox::unbounded())
         };
         let timeout = Millis(settings.platform.timeout_ms);
+        let hosts = Arc::new(HostListClient::new(vec![settings.platform.hosts], timeout));
+        let counters = Counters {
+            mesh: mesh.clone(),
+            client: Arc::clone(&client),
+            hosts: Arc::clone(&hosts),
+        };
         let platform = PlatformWatch::start(PlatformParts {
             client,
-            hosts: HostListClient::new(vec![settings.platform.hosts], timeout),
+            hosts,
             fleet: fleet.clone(),
         });
         let actors = FleetPeers {
@@ -177,6 +183,7 @@
         tokio::spawn(tick_orders(orders.clone()));
 
         let admin = Admin {
+            counters,
             orders,
             own: own.clone(),
             view: Arc::clone(&view),
