--- a/toucanchute_ctl/src/cli.rs
+++ b/toucanchute_ctl/src/cli.rs
@@ -6,7 +6,7 @@
 };
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use toucanchute_proto::api::TopUp;
+use toucanchute_proto::api::{TopUp, WriteOff};
 
 use crate::{
     commands,
@@ -77,7 +77,13 @@
             };
             commands::top_up(&routers(args)?, &top_up, out).await
         }
-        "write-off" => commands::write_off(&routers(args)?, text(args, "GRANT"), out).await,
+        "write-off" => {
+            let write_off = WriteOff {
+                budget: text(args, "BUDGET").to_owned(),
+                grant: text(args, "GRANT").to_owned(),
+            };
+            commands::write_off(&routers(args)?, &write_off, out).await
+        }
         _ => Ok(()),
     }
 }
@@ -170,6 +176,7 @@
         .subcommand(top_up_command())
         .subcommand(
             router_command("write-off", "Closes a forfeited grant as spent")
+                .arg(name("BUDGET", "Name of the budget"))
                 .arg(name("GRANT", "Identifier of the grant, from the statement")),
         )
 }
--- a/toucanchute_ctl/src/commands/budgets.rs
+++ b/toucanchute_ctl/src/commands/budgets.rs
@@ -26,11 +26,13 @@
 }
 
 /// Closes a forfeited grant; its remainder counts as spent.
-pub(crate) async fn write_off(routers: &Routers, grant: &str, out: Output) -> Result<(), Error> {
-    let body = WriteOff {
-        grant: grant.to_owned(),
-    };
-    let body = serde_json::to_vec(&body).unwrap_or_default();
+pub(crate) async fn write_off(
+    routers: &Routers,
+    body: &WriteOff,
+    out: Output,
+) -> Result<(), Error> {
+    let grant = &body.grant;
+    let body = serde_json::to_vec(body).unwrap_or_default();
     let call = Call::post("/v1/admin/write-offs", body);
     let value: Value = routers.call(&call).await?;
     out.write(&value, &format!("grant {grant} written off"))
