--- a/toucanchute_router/src/admin.rs
+++ b/toucanchute_router/src/admin.rs
@@ -10,12 +10,18 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::sync::oneshot;
+use toucanchute_core::fleet::orders::{self, Order, OrderKind};
 use toucanchute_edge::{Refusal, RefusalReason};
+use toucanchute_platform::{Client, HostListClient};
 use toucanchute_proto::{BudgetId, GrantId, Incarnation, Millis};
 use xtra::prelude::*;
 
 use crate::{
-    actor::{FleetActor, Members, MoneyActor, MoneyCall, MoneyInput, MoneyReply, post},
+    actor::{
+        FleetActor, Members, MoneyActor, MoneyCall, MoneyInput, MoneyReply, OrderError,
+        OrdersActor, WantOrder, post,
+    },
+    link::{LinkCounts, Mesh},
     view::View,
 };
 
@@ -29,10 +35,47 @@
     pub(crate) money: Address<MoneyActor>,
     /// Owner of the membership.
     pub(crate) fleet: Address<FleetActor>,
+    /// Counters of links and of calls to the platform.
+    pub(crate) counters: Counters,
+    /// Owner of the orders to engines.
+    pub(crate) orders: Address<OrdersActor>,
     /// Number of requests in progress.
     pub(crate) in_flight: Arc<AtomicU64>,
 }
 
+/// What counts messages and calls since the start.
+pub(crate) struct Counters {
+    /// Links to other routers.
+    pub(crate) mesh: Mesh,
+    /// Client of the key-value service.
+    pub(crate) client: Arc<Client>,
+    /// Client of the host list.
+    pub(crate) hosts: Arc<HostListClient>,
+}
+
+impl Counters {
+    fn document(&self) -> Value {
+        let LinkCounts {
+            peers,
+            sent,
+            received,
+        } = self.mesh.counts();
+        let calls = self.client.counts();
+        json!({
+            "linked_peers": peers,
+            "frames_sent": sent.0,
+            "frame_bytes_sent": sent.1,
+            "frames_received": received.0,
+            "frame_bytes_received": received.1,
+            "platform_reads": calls.reads,
+            "platform_writes": calls.writes,
+            "platform_unknown": calls.unknown,
+            "platform_not_applied": calls.not_applied,
+            "host_list_reads": self.hosts.counts().hosts,
+        })
+    }
+}
+
 /// This router as it is told to operators.
 #[derive(Clone, Debug)]
 pub(crate) struct OwnHost {
@@ -63,6 +106,21 @@
     grant: String,
 }
 
+/// Body of `POST /v1/admin/orders`.
+#[derive(Debug, Deserialize)]
+struct OrderBody {
+    backend: String,
+    kind: OrderBodyKind,
+    model: String,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum OrderBodyKind {
+    LoadModel,
+    ChangeRole,
+}
+
 type Answer = (StatusCode, Value);
 
 impl Admin {
@@ -74,6 +132,7 @@
             (&Method::GET, None) if path == "status" => self.status().await,
             (&Method::GET, None) if path == "hosts" => self.hosts().await,
             (&Method::POST, None) if path == "top-ups" => self.top_up(body).await,
+            (&Method::POST, None) if path == "orders" => self.order(body).await,
             (&Method::POST, None) if path == "write-offs" => self.write_off(body).await,
             _ => problem(
                 StatusCode::NOT_FOUND,
@@ -163,6 +222,38 @@
         self.view.config().budgets.iter().any(|b| b.name == name)
     }
 
+    // --- engines
+
+    async fn order(&self, body: &[u8]) -> Answer {
+        let body: OrderBody = match serde_json::from_slice(body) {
+            Ok(body) => body,
+            Err(e) => return problem(StatusCode::BAD_REQUEST, "bad-body", &e.to_string()),
+        };
+        let kind = match body.kind {
+            OrderBodyKind::LoadModel => OrderKind::LoadModel,
+            OrderBodyKind::ChangeRole => OrderKind::ChangeRole,
+        };
+        let (reply, answer) = oneshot::channel();
+        let OrderBody { backend, model, .. } = body;
+        let order = Order {
+            backend: backend.clone(),
+            kind,
+            model,
+        };
+        post(&self.orders, WantOrder { order, reply });
+        match answer.await {
+            Ok(Ok(orders::Answer::Done)) => (StatusCode::OK, json!({"backend": backend})),
+            Ok(Err(OrderError::UnknownBackend)) => {
+                let detail = format!("no backend server `{backend}` in the configuration in force");
+                problem(StatusCode::NOT_FOUND, "unknown-backend", &detail)
+            }
+            _ => {
+                let detail = "the order failed or timed out; it may have taken effect";
+                problem(StatusCode::BAD_GATEWAY, "order-failed", detail)
+            }
+        }
+    }
+
     // --- fleet
 
     async fn status(&self) -> Answer {
@@ -182,6 +273,7 @@
             "unready_reason": unready,
             "in_flight": self.in_flight.load(Ordering::Relaxed),
             "members": members.len() + 1,
+            "counters": self.counters.document(),
         });
         (StatusCode::OK, document)
     }
