--- a/toucanchute_scenario/src/cluster.rs
+++ b/toucanchute_scenario/src/cluster.rs
@@ -1,5 +1,4 @@
 mod files;
-mod publish;
 
 use std::{
     collections::BTreeMap,
@@ -21,7 +20,7 @@
     http_client::document,
     link::{Dialer, Links, forward},
     ports::free_address,
-    process::Process,
+    process::{Process, run_ok},
 };
 
 /// Longest wait for a condition, in seconds.
@@ -258,7 +257,8 @@
 
     /// Applies a folder of configuration files.
     pub(crate) async fn apply(&self, folder: &Path, author: &str) -> Result<String, ScenarioError> {
-        publish::publish(self.address(PLATFORM)?, folder, author).await
+        let args = self.apply_args(folder, author)?;
+        run_ok("toucanctl", &args, &[]).await
     }
 
     pub(crate) fn apply_args(
