--- /dev/null
+++ b/toucanchute_core/examples/routing_load/report.rs
@@ -0,0 +1,92 @@
+//! What a run measured.
+
+use hdrhistogram::Histogram;
+
+use crate::policy::Kind;
+
+/// First token within which the fleet counts as recovered, in microseconds.
+const RECOVERED: u64 = 1_100_000;
+
+/// Longest time recorded, in microseconds.
+const MAX: u64 = 1_000_000_000;
+
+/// Start of the window that goodput is measured in, in seconds.
+pub(crate) const WARM_UP: u64 = 20;
+
+pub(crate) struct Report {
+    /// First tokens, in microseconds since arrival.
+    pub(crate) first: Histogram<u64>,
+    /// Between tokens, in microseconds.
+    pub(crate) between: Histogram<u64>,
+    pub(crate) arrived: u64,
+    /// Requests told at once or in the queue that they do not run.
+    pub(crate) refused: u64,
+    /// Requests that were sent and got no first token in time.
+    pub(crate) late: u64,
+    /// Whole answers within the window.
+    pub(crate) whole: u64,
+    /// Length of the window, in seconds.
+    pub(crate) window: u64,
+    /// Worst first token by second of arrival; `u64::MAX` for one that got none.
+    pub(crate) seconds: Vec<Vec<u64>>,
+    pub(crate) burst_end: u64,
+}
+
+impl Report {
+    pub(crate) const HEADER: &str = "| scenario | policy | first token p50/p95/p99 ms | between \
+        tokens p50/p95/p99 ms | goodput/s | of capacity | refused | no answer in time | recovery s |\n\
+        |---|---|---|---|---|---|---|---|---|";
+
+    pub(crate) fn new(duration: u64, burst_end: u64) -> Report {
+        let histogram = || Histogram::new_with_max(MAX, 3).expect("three digits");
+        Report {
+            first: histogram(),
+            between: histogram(),
+            arrived: 0,
+            refused: 0,
+            late: 0,
+            whole: 0,
+            window: duration - WARM_UP,
+            seconds: vec![Vec::new(); duration as usize + 1],
+            burst_end,
+        }
+    }
+
+    pub(crate) fn goodput(&self) -> f64 {
+        self.whole as f64 / self.window as f64
+    }
+
+    pub(crate) fn row(&self, scenario: &str, kind: Kind, capacity: f64) -> String {
+        let percent = |n: u64| n as f64 * 100.0 / self.arrived as f64;
+        format!(
+            "| {scenario} | {kind:?} | {} | {} | {:.1} | {:.0}% | {:.1}% | {:.1}% | {} |",
+            quantiles(&self.first),
+            quantiles(&self.between),
+            self.goodput(),
+            self.goodput() * 100.0 / capacity,
+            percent(self.refused),
+            percent(self.late),
+            self.recovery(),
+        )
+    }
+
+    /// Seconds from the burst's end until 95% of the requests of five seconds are served in time.
+    fn recovery(&self) -> String {
+        if self.burst_end == 0 {
+            return "-".to_owned();
+        }
+        let after = &self.seconds[self.burst_end as usize..];
+        let fit = |seconds: &[Vec<u64>]| {
+            let firsts = seconds.iter().flatten();
+            let late = firsts.clone().filter(|&&f| f > RECOVERED).count();
+            late * 20 <= firsts.count()
+        };
+        let at = after.windows(5).position(fit);
+        at.map_or("none".to_owned(), |s| s.to_string())
+    }
+}
+
+fn quantiles(h: &Histogram<u64>) -> String {
+    let ms = |q| h.value_at_quantile(q) as f64 / 1_000.0;
+    format!("{:.0}/{:.0}/{:.0}", ms(0.5), ms(0.95), ms(0.99))
+}
--- /dev/null
+++ b/toucanchute_core/examples/routing_load/workload.rs
@@ -0,0 +1,85 @@
+//! Requests and when they come.
+
+use rand::{Rng, rngs::SmallRng};
+
+/// Sites whose histories are the shared prefixes of prompts.
+const SITES: u64 = 60;
+
+/// Tokens of one block of a prompt.
+pub(crate) const BLOCK: u64 = 64;
+
+/// Rates of requests over time.
+#[derive(Clone, Debug)]
+pub(crate) struct Workload {
+    /// Requests a second.
+    base: f64,
+    peak: f64,
+    /// Start and end of the peak, in seconds.
+    pub(crate) burst: (u64, u64),
+    /// In seconds.
+    pub(crate) duration: u64,
+}
+
+/// One request's work.
+#[derive(Clone, Debug)]
+pub(crate) struct Work {
+    pub(crate) customer: usize,
+    pub(crate) prompt: u64,
+    pub(crate) output: u64,
+    pub(crate) prefix: Vec<u64>,
+}
+
+impl Workload {
+    pub(crate) fn steady(rate: f64, duration: u64) -> Workload {
+        Workload {
+            base: rate,
+            peak: rate,
+            burst: (0, 0),
+            duration,
+        }
+    }
+
+    pub(crate) fn burst(base: f64, peak: f64, duration: u64) -> Workload {
+        Workload {
+            base,
+            peak,
+            burst: (40, 50),
+            duration,
+        }
+    }
+
+    /// Time to the next request, in microseconds.
+    pub(crate) fn gap(&self, now: u64, rng: &mut SmallRng) -> u64 {
+        let second = now / 1_000_000;
+        let bursts = (self.burst.0..self.burst.1).contains(&second);
+        let rate = if bursts { self.peak } else { self.base };
+        let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
+        (-uniform.ln() / rate * 1e6) as u64
+    }
+
+    /// Half hazard tags, three in ten briefings, two in ten reports over a long site history.
+    pub(crate) fn work(&self, rng: &mut SmallRng) -> Work {
+        let (prompt, output) = match rng.random_range(0..10) {
+            0..5 => (256, 20),
+            5..8 => (768, 120),
+            _ => (6_016, 300),
+        };
+        let site = rng.random_range(0..SITES).min(rng.random_range(0..SITES));
+        let blocks = prompt / BLOCK;
+        let shared = blocks * 8 / 10;
+        let own: u64 = rng.random();
+        let block = |i| {
+            if i < shared {
+                (site << 32) | (i + 1)
+            } else {
+                (own | (1 << 63)) ^ i
+            }
+        };
+        Work {
+            customer: rng.random_range(0..10usize).min(rng.random_range(0..10)),
+            prompt,
+            output,
+            prefix: (0..blocks).map(block).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/toucanchute_core/examples/routing_load/world.rs
@@ -0,0 +1,374 @@
+//! Event queue: arrivals, engines, lagging load reports, late and gappy cache events.
+
+use std::{cmp::Reverse, collections::BinaryHeap};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use toucanchute_core::routing::{Action, Assign, CacheEvent, Event, Report as Progress, Target};
+use toucanchute_proto::{AttemptId, Digest, Millis, fleet::Load};
+
+use crate::{
+    engine::{Engine, SLOTS},
+    policy::{Kind, Policy},
+    report::{Report, WARM_UP},
+    workload::{Work, Workload},
+};
+
+const ROUTERS: usize = 7;
+const REPLICAS: usize = 12;
+
+/// Time between two load reports of a replica, in microseconds.
+const LOAD_PERIOD: u64 = 500_000;
+
+/// Time that a load report takes to the routers, in microseconds.
+const LOAD_LAG: u64 = 300_000;
+
+/// Time between two batches of cache events, in microseconds.
+const CACHE_PERIOD: u64 = 1_000_000;
+
+/// Share of cache events that are lost, in percent.
+const CACHE_LOSS: u32 = 20;
+
+/// Time between two ticks of a router, in microseconds.
+const TICK: u64 = 20_000;
+
+/// Time after the last arrival until the run ends, in microseconds.
+const DRAIN: u64 = 30_000_000;
+
+/// What a run is made of.
+#[derive(Clone, Debug)]
+pub(crate) struct Setup {
+    pub(crate) workload: Workload,
+    /// Time that callers wait for the first token, in microseconds.
+    pub(crate) patience: u64,
+    pub(crate) queue_limit: u32,
+    /// Factor by which one replica is slower.
+    pub(crate) slow: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Happening {
+    Arrive,
+    Token {
+        req: usize,
+    },
+    Impatient {
+        req: usize,
+    },
+    Tick,
+    Report {
+        replica: usize,
+    },
+    Loads {
+        replica: usize,
+        running: u32,
+        waiting: u32,
+        as_of: u64,
+    },
+    Cache {
+        replica: usize,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Queued,
+    Waiting,
+    Running,
+    Ended,
+}
+
+struct Request {
+    work: Work,
+    router: usize,
+    arrived: u64,
+    attempt: Option<AttemptId>,
+    replica: usize,
+    state: State,
+    tokens: u64,
+    last_token: u64,
+}
+
+pub(crate) struct World {
+    now: u64,
+    serial: u64,
+    queue: BinaryHeap<Reverse<(u64, u64, Happening)>>,
+    rng: SmallRng,
+    setup: Setup,
+    routers: Vec<Policy>,
+    engines: Vec<Engine>,
+    requests: Vec<Request>,
+    report: Report,
+}
+
+impl World {
+    pub(crate) fn new(seed: u64, kind: Kind, setup: Setup) -> World {
+        let router = |r| Policy::new(kind, r, REPLICAS, setup.queue_limit, seed);
+        let slow = |i: usize| setup.slow.filter(|_| i == 0).unwrap_or(1.0);
+        let mut world = World {
+            now: 0,
+            serial: 0,
+            queue: BinaryHeap::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            routers: (0..ROUTERS).map(router).collect(),
+            engines: (0..REPLICAS).map(|i| Engine::new(slow(i))).collect(),
+            requests: Vec::new(),
+            report: Report::new(setup.workload.duration, setup.workload.burst.1),
+            setup,
+        };
+        world.later(0, Happening::Arrive);
+        world.later(0, Happening::Tick);
+        for replica in 0..REPLICAS {
+            let phase = replica as u64 * LOAD_PERIOD / REPLICAS as u64;
+            world.later(phase, Happening::Report { replica });
+            world.later(phase, Happening::Cache { replica });
+        }
+        world
+    }
+
+    pub(crate) fn run(mut self) -> Report {
+        let end = self.setup.workload.duration * 1_000_000 + DRAIN;
+        while let Some(Reverse((at, _, what))) = self.queue.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            self.happen(what);
+        }
+        self.report
+    }
+
+    fn later(&mut self, delay: u64, what: Happening) {
+        self.serial += 1;
+        self.queue
+            .push(Reverse((self.now + delay, self.serial, what)));
+    }
+
+    fn happen(&mut self, what: Happening) {
+        match what {
+            Happening::Arrive => self.arrive(),
+            Happening::Token { req } => self.token(req),
+            Happening::Impatient { req } => self.impatient(req),
+            Happening::Tick => {
+                (0..ROUTERS).for_each(|r| self.tell(r, Event::Tick));
+                self.later(TICK, Happening::Tick);
+            }
+            Happening::Report { replica } => {
+                let engine = &self.engines[replica];
+                let (running, waiting) = (engine.running as u32, engine.waiting.len() as u32);
+                let as_of = self.now;
+                let loads = Happening::Loads {
+                    replica,
+                    running,
+                    waiting,
+                    as_of,
+                };
+                self.later(LOAD_LAG, loads);
+                self.later(LOAD_PERIOD, Happening::Report { replica });
+            }
+            Happening::Loads {
+                replica,
+                running,
+                waiting,
+                as_of,
+            } => {
+                let load = Load {
+                    backend: format!("b{replica}"),
+                    running,
+                    waiting,
+                    capacity: SLOTS as u32,
+                    kv_used: 0,
+                    as_of: Millis(as_of / 1_000),
+                };
+                (0..ROUTERS).for_each(|r| self.tell(r, Event::Load(load.clone())));
+            }
+            Happening::Cache { replica } => self.cache_events(replica),
+        }
+    }
+
+    fn cache_events(&mut self, replica: usize) {
+        let mut events: Vec<CacheEvent> = self.engines[replica].changes.drain(..).collect();
+        let rng = &mut self.rng;
+        events.retain(|_| !rng.random_ratio(CACHE_LOSS, 100));
+        for r in 0..ROUTERS {
+            let (backend, events) = (format!("b{replica}"), events.clone());
+            let gap = false;
+            self.tell(
+                r,
+                Event::CacheEvents {
+                    backend,
+                    events,
+                    gap,
+                },
+            );
+        }
+        self.later(CACHE_PERIOD, Happening::Cache { replica });
+    }
+
+    // Requests
+
+    fn arrive(&mut self) {
+        if self.now >= self.setup.workload.duration * 1_000_000 {
+            return;
+        }
+        let gap = self.setup.workload.gap(self.now, &mut self.rng);
+        self.later(gap, Happening::Arrive);
+        let work = self.setup.workload.work(&mut self.rng);
+        let (req, router) = (self.requests.len(), self.rng.random_range(0..ROUTERS));
+        let assign = self.assign(req, &work);
+        self.requests.push(Request {
+            work,
+            router,
+            arrived: self.now,
+            attempt: None,
+            replica: 0,
+            state: State::Queued,
+            tokens: 0,
+            last_token: 0,
+        });
+        self.report.arrived += 1;
+        self.later(self.setup.patience, Happening::Impatient { req });
+        self.tell(router, Event::Assign(assign));
+    }
+
+    fn assign(&self, req: usize, work: &Work) -> Assign {
+        Assign {
+            call: req as u64,
+            target: Target::Model("m".to_owned()),
+            customer: format!("c{}", work.customer),
+            weight: 1,
+            priority: 0,
+            digest: Digest(req as u128),
+            prefix: work.prefix.clone(),
+            tokens: work.prompt / 10 + work.output,
+            attempts: 0,
+            exclude: Vec::new(),
+            deadline: Millis((self.now + self.setup.patience) / 1_000),
+        }
+    }
+
+    fn tell(&mut self, router: usize, event: Event) {
+        let mut out = Vec::new();
+        let now = Millis(self.now / 1_000);
+        self.routers[router].handle(now, event, &mut out);
+        for action in out {
+            match action {
+                Action::Assigned {
+                    call,
+                    attempt,
+                    backend,
+                    ..
+                } => {
+                    let replica = backend[1..].parse().unwrap_or(0);
+                    self.send(call as usize, attempt, replica);
+                }
+                Action::Refused { call, .. } => self.refused(call as usize),
+                _ => {}
+            }
+        }
+    }
+
+    fn refused(&mut self, req: usize) {
+        self.requests[req].state = State::Ended;
+        self.report.refused += 1;
+        self.note_first(req, u64::MAX);
+    }
+
+    fn send(&mut self, req: usize, attempt: AttemptId, replica: usize) {
+        let r = &mut self.requests[req];
+        r.attempt = Some(attempt);
+        r.replica = replica;
+        r.state = State::Waiting;
+        self.engines[replica].waiting.push_back(req);
+        self.fill(replica);
+    }
+
+    /// Starts waiting requests in free slots.
+    fn fill(&mut self, replica: usize) {
+        while self.engines[replica].running < SLOTS {
+            let Some(req) = self.engines[replica].waiting.pop_front() else {
+                return;
+            };
+            let work = &self.requests[req].work;
+            let first = self.engines[replica].prefill(self.now, work);
+            self.requests[req].state = State::Running;
+            self.later(first - self.now, Happening::Token { req });
+        }
+    }
+
+    fn token(&mut self, req: usize) {
+        let r = &mut self.requests[req];
+        if r.state != State::Running {
+            return;
+        }
+        r.tokens += 1;
+        let since = self.now - r.last_token;
+        r.last_token = self.now;
+        if r.tokens == 1 {
+            let first = self.now - r.arrived;
+            self.report.first.saturating_record(first);
+            self.note_first(req, first);
+            self.progress(req, Progress::FirstToken);
+        } else {
+            self.report.between.saturating_record(since);
+        }
+        let r = &self.requests[req];
+        if r.tokens == r.work.output {
+            self.whole(req);
+        } else {
+            let step = self.engines[r.replica].step();
+            self.later(step, Happening::Token { req });
+        }
+    }
+
+    fn whole(&mut self, req: usize) {
+        let second = self.now / 1_000_000;
+        if (WARM_UP..self.setup.workload.duration).contains(&second) {
+            self.report.whole += 1;
+        }
+        let tokens = self.requests[req].tokens;
+        self.end(req, Progress::Done { tokens });
+    }
+
+    fn impatient(&mut self, req: usize) {
+        let r = &self.requests[req];
+        let (state, router) = (r.state, r.router);
+        if state == State::Ended || r.tokens > 0 {
+            return;
+        }
+        self.report.late += 1;
+        self.note_first(req, u64::MAX);
+        if state == State::Queued {
+            self.requests[req].state = State::Ended;
+            self.tell(router, Event::Abandon { call: req as u64 });
+        } else {
+            self.end(req, Progress::Cancelled);
+        }
+    }
+
+    /// Takes a request off its replica.
+    fn end(&mut self, req: usize, progress: Progress) {
+        let r = &mut self.requests[req];
+        let replica = r.replica;
+        let engine = &mut self.engines[replica];
+        match r.state {
+            State::Running => engine.running -= 1,
+            _ => engine.waiting.retain(|w| *w != req),
+        }
+        r.state = State::Ended;
+        self.fill(replica);
+        self.progress(req, progress);
+    }
+
+    fn progress(&mut self, req: usize, report: Progress) {
+        let r = &self.requests[req];
+        if let Some(attempt) = r.attempt {
+            let router = r.router;
+            self.tell(router, Event::Report { attempt, report });
+        }
+    }
+
+    fn note_first(&mut self, req: usize, first: u64) {
+        let second = self.requests[req].arrived / 1_000_000;
+        self.report.seconds[second as usize].push(first);
+    }
+}
--- a/toucanchute_core/src/routing/cache.rs
+++ b/toucanchute_core/src/routing/cache.rs
@@ -8,6 +8,9 @@
 /// Prefixes remembered of one replica.
 const MAX_PREFIXES: NonZeroUsize = NonZeroUsize::new(8_192).unwrap();
 
+/// Cached blocks beyond which more make no difference to the choice.
+const MANY_BLOCKS: f64 = 32.0;
+
 /// Worth of a prefix whose eviction may have been missed.
 const DOUBTFUL_WORTH: f64 = 0.5;
 
@@ -47,7 +50,7 @@
         }
     }
 
-    /// Share of the prompt's blocks that are probably cached, from 0 to 1.
+    /// Blocks of the prompt that are probably cached, as a share of [`MANY_BLOCKS`] up to 1.
     pub(super) fn share(&self, prefix: &[u64]) -> f64 {
         let hit = |p: &u64| self.stored.peek(p).copied();
         let Some((at, stored)) = prefix
@@ -58,7 +61,7 @@
         else {
             return 0.0;
         };
-        let share = (at + 1) as f64 / prefix.len() as f64;
+        let share = ((at + 1) as f64 / MANY_BLOCKS).min(1.0);
         match self.gap_at {
             Some(gap) if stored <= gap => share * DOUBTFUL_WORTH,
             _ => share,
--- a/toucanchute_core/src/routing/choose.rs
+++ b/toucanchute_core/src/routing/choose.rs
@@ -9,8 +9,8 @@
     suspects::Suspects,
 };
 
-/// Worth of a wholly cached prompt, in shares of a replica's limit.
-const PREFIX_WORTH: f64 = 0.4;
+/// Worth of a long cached prefix, in shares of a replica's limit.
+const PREFIX_WORTH: f64 = 0.8;
 
 /// Cost of another failure domain, in shares of a replica's limit.
 const DISTANCE_COST: f64 = 0.05;
--- a/toucanchute_core/src/routing/dispatcher.rs
+++ b/toucanchute_core/src/routing/dispatcher.rs
@@ -167,7 +167,9 @@
         let start_late = self.has(Fault::StartLate);
         let pool = &mut self.pools[key];
         let wait = pool.wait(pool.queue.ahead(&req));
-        if now + wait > pool.latest_start(req.deadline) && !start_late {
+        let late = now + wait > pool.latest_start(req.deadline);
+        let long = wait > pool.longest_wait(now);
+        if (late || long) && !start_late {
             refuse(&req, RefusalReason::Overloaded, wait, out);
             return;
         }
@@ -243,12 +245,14 @@
         let keys: Vec<PoolKey> = self.pools.keys().collect();
         for key in keys {
             if self.pools[key].queue.is_empty() {
+                self.pools[key].observe(now);
                 continue;
             }
             for &member in &self.pools[key].members {
                 self.replicas[member].health.advance(now);
             }
             while self.dispatch_one(now, key, out) {}
+            self.pools[key].observe(now);
         }
     }
 
--- a/toucanchute_core/src/routing/pool.rs
+++ b/toucanchute_core/src/routing/pool.rs
@@ -22,6 +22,15 @@
 /// First-token time beyond twice the pool's average that is taken for slow, in milliseconds.
 const FIRST_SLACK: f64 = 100.0;
 
+/// Spreads beyond the average first-token time that a call's deadline has to leave.
+const SPREADS: f64 = 2.0;
+
+/// Time for which calls may wait without a break before it counts as overload.
+const BURST: Millis = Millis(2_000);
+
+/// Longest predicted wait of a call that is admitted in overload.
+const STANDING_WAIT: Millis = Millis(1_000);
+
 /// Time between tokens, as a multiple of the pool's average, that is taken for slow.
 const TOKEN_SLACK: f64 = 1.5;
 
@@ -34,11 +43,15 @@
     pub(super) queue: Queue,
     /// Average time to the first token, in milliseconds.
     first: Average,
+    /// Average distance of first-token times from their average, in milliseconds.
+    first_spread: Average,
     /// Average time between tokens, in milliseconds.
     token: Average,
     /// Average time between starts while calls wait, in milliseconds.
     interval: Average,
     last_start: Option<Millis>,
+    /// Since when calls have waited without a break.
+    waiting_since: Option<Millis>,
 }
 
 /// An exponentially weighted average.
@@ -69,9 +82,11 @@
             members: Vec::new(),
             queue: Queue::default(),
             first: Average::default(),
+            first_spread: Average::default(),
             token: Average::default(),
             interval: Average::default(),
             last_start: None,
+            waiting_since: None,
         }
     }
 
@@ -83,6 +98,9 @@
             .first
             .get()
             .is_some_and(|avg| ms > 2.0 * avg + FIRST_SLACK);
+        if let Some(avg) = self.first.get() {
+            self.first_spread.add((ms - avg).abs(), WEIGHT);
+        }
         self.first.add(ms, WEIGHT);
         slow
     }
@@ -101,7 +119,9 @@
 
     /// Latest time at which a call may start and still have its first byte by `deadline`.
     pub(super) fn latest_start(&self, deadline: Millis) -> Millis {
-        deadline - Millis(self.first.get().unwrap_or(0.0) as u64)
+        let average = self.first.get().unwrap_or(0.0);
+        let spread = self.first_spread.get().unwrap_or(0.0);
+        deadline - Millis((average + SPREADS * spread) as u64)
     }
 
     // Waiting
@@ -114,6 +134,24 @@
         self.last_start = waiting.then_some(now);
     }
 
+    /// Takes in whether calls wait now.
+    pub(super) fn observe(&mut self, now: Millis) {
+        match self.queue.is_empty() {
+            true => self.waiting_since = None,
+            false => _ = self.waiting_since.get_or_insert(now),
+        }
+    }
+
+    /// Longest wait that a new call is admitted to, besides its deadline. A short burst may fill
+    /// the queue; a lasting one is cut to what drains fast, since a longer queue serves no more.
+    pub(super) fn longest_wait(&self, now: Millis) -> Millis {
+        let since = self.waiting_since;
+        match since.is_some_and(|at| now.since(at) >= BURST) {
+            true => STANDING_WAIT,
+            false => Millis::MAX,
+        }
+    }
+
     /// Predicts how long a call waits that has `ahead` calls before it.
     pub(super) fn wait(&self, ahead: usize) -> Millis {
         if self.interval.count < MIN_STARTS {
