--- /dev/null
+++ b/toucanchute_core/src/routing/dispatcher.rs
@@ -0,0 +1,363 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::{SeedableRng, rngs::SmallRng};
+use slotmap::SlotMap;
+use toucanchute_proto::{AttemptId, Digest, Incarnation, Millis, fleet::Verdict};
+
+use super::{
+    Action, Assign, Event, RefusalReason, Target,
+    attempts::Attempt,
+    choose::Chooser,
+    fault::Fault,
+    pool::{BackendKey, Pool, PoolKey},
+    replica::Replica,
+    retry::RetryBudget,
+    suspects::{self, Permit, Suspects},
+};
+
+/// Bounds of a refusal's time to come back.
+const RETRY_AFTER: (Millis, Millis) = (Millis(200), Millis(30_000));
+
+/// Chooses a backend server for each request of one router.
+///
+/// ```
+/// use toucanchute_core::routing::{Action, Dispatcher, Event};
+/// use toucanchute_proto::{Incarnation, Millis};
+///
+/// let mut dispatcher = Dispatcher::new(Incarnation(1), "bilbao", 7);
+/// let mut out: Vec<Action> = Vec::new();
+/// dispatcher.handle(Millis(0), Event::Tick, &mut out);
+/// assert!(out.is_empty());
+/// ```
+#[derive(Debug)]
+pub struct Dispatcher {
+    pub(super) incarnation: Incarnation,
+    domain: String,
+    pub(super) last_attempt: u64,
+    /// Whether a configuration was taken in; replicas of later ones join slowly.
+    pub(super) configured: bool,
+    pub(super) queue_limit: usize,
+    pub(super) pools: SlotMap<PoolKey, Pool>,
+    pub(super) replicas: SlotMap<BackendKey, Replica>,
+    /// Replicas by name; each of `replicas` once.
+    pub(super) names: BTreeMap<String, BackendKey>,
+    pub(super) withdrawn: BTreeSet<String>,
+    pub(super) targets: BTreeMap<Target, PoolKey>,
+    pub(super) attempts: BTreeMap<AttemptId, Attempt>,
+    pub(super) suspects: Suspects,
+    pub(super) retries: RetryBudget,
+    rng: SmallRng,
+    #[cfg(test)]
+    pub(super) fault: Option<Fault>,
+}
+
+impl Dispatcher {
+    /// Creates a dispatcher of the router `incarnation` in failure domain `domain`.
+    #[must_use]
+    pub fn new(incarnation: Incarnation, domain: &str, seed: u64) -> Dispatcher {
+        Dispatcher {
+            incarnation,
+            domain: domain.to_owned(),
+            last_attempt: 0,
+            configured: false,
+            queue_limit: 0,
+            pools: SlotMap::with_key(),
+            replicas: SlotMap::with_key(),
+            names: BTreeMap::new(),
+            withdrawn: BTreeSet::new(),
+            targets: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            suspects: Suspects::new(incarnation),
+            retries: RetryBudget::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            #[cfg(test)]
+            fault: None,
+        }
+    }
+
+    /// Takes in one event and pushes what has to be done.
+    pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        self.suspects.observe(now);
+        match event {
+            Event::Configure { config, withdrawn } => {
+                self.withdrawn.clone_from(&withdrawn);
+                self.configure(now, &config, &withdrawn);
+                self.refuse_unservable(out);
+            }
+            Event::Assign(req) => self.admit(now, req, out),
+            Event::Abandon { call } => self.abandon(call),
+            Event::Report { attempt, report } => self.report(now, attempt, report, out),
+            Event::Load(load) => {
+                if let Some(&key) = self.names.get(&load.backend) {
+                    self.replicas[key].report(now, load);
+                }
+            }
+            Event::CacheEvents {
+                backend,
+                events,
+                gap,
+            } => {
+                if let Some(&key) = self.names.get(&backend) {
+                    self.replicas[key].cache.apply(now, &events, gap);
+                }
+            }
+            Event::Verdict(v) => self.told(now, &v, out),
+            Event::Tick => self.expire(now, out),
+        }
+        self.dispatch(now, out);
+        self.mistell(out);
+    }
+
+    /// Says less to the other routers, under a deliberate fault.
+    fn mistell(&self, out: &mut Vec<Action>) {
+        if self.has(Fault::TellNobody) {
+            out.retain(|a| !matches!(a, Action::Verdict(_)));
+        }
+        if self.has(Fault::HideClaims) {
+            let verdicts = out.iter_mut().filter_map(|a| match a {
+                Action::Verdict(v) => Some(v),
+                _ => None,
+            });
+            verdicts.for_each(|v| v.claim = None);
+        }
+    }
+
+    /// Calls that wait for a backend server.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.pools.values().map(|p| p.queue.len()).sum()
+    }
+
+    /// Attempts that have not ended.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.attempts.len()
+    }
+
+    // Admission
+
+    fn admit(&mut self, now: Millis, req: Assign, out: &mut Vec<Action>) {
+        let Some(key) = self.targets.get(&req.target).copied() else {
+            refuse(&req, RefusalReason::NoBackend, RETRY_AFTER.0, out);
+            return;
+        };
+        let suspect = suspects::key(&req);
+        if self.suspects.permit(now, suspect) == Permit::Never {
+            refuse_for_good(&req, RefusalReason::Quarantined, out);
+            return;
+        }
+        if !self.servable(key) {
+            refuse(&req, RefusalReason::NoBackend, Millis(1_000), out);
+            return;
+        }
+        if req.attempts == 0 {
+            self.retries.fresh();
+        } else if !self.suspects.known(now, suspect) && !self.take_retry() {
+            refuse(&req, RefusalReason::RetriesExhausted, Millis(1_000), out);
+            return;
+        }
+        self.enqueue(now, key, req, out);
+    }
+
+    fn take_retry(&mut self) -> bool {
+        self.retries.take() || self.has(Fault::FreeRetries)
+    }
+
+    fn enqueue(&mut self, now: Millis, key: PoolKey, req: Assign, out: &mut Vec<Action>) {
+        let start_late = self.has(Fault::StartLate);
+        let pool = &mut self.pools[key];
+        let wait = pool.wait(pool.queue.ahead(&req));
+        let late = now + wait > pool.latest_start(req.deadline);
+        let long = wait > pool.longest_wait(now);
+        if (late || long) && !start_late {
+            refuse(&req, RefusalReason::Overloaded, wait, out);
+            return;
+        }
+        let priority = req.priority;
+        pool.queue.push(req);
+        if pool.queue.len() > self.queue_limit.max(1)
+            && let Some(shed) = pool.queue.shed(priority)
+        {
+            refuse(&shed, RefusalReason::Overloaded, wait, out);
+        }
+    }
+
+    fn abandon(&mut self, call: u64) {
+        for pool in self.pools.values_mut() {
+            pool.queue.remove(call);
+        }
+    }
+
+    /// Whether a pool has any replica that is not withdrawn.
+    fn servable(&self, key: PoolKey) -> bool {
+        let members = &self.pools[key].members;
+        members.iter().any(|&k| self.replicas[k].listed)
+    }
+
+    fn refuse_unservable(&mut self, out: &mut Vec<Action>) {
+        let unservable = self.pools.keys().filter(|&k| !self.servable(k));
+        for key in unservable.collect::<Vec<PoolKey>>() {
+            for req in self.pools[key].queue.remove_if(|_| true) {
+                refuse(&req, RefusalReason::NoBackend, Millis(1_000), out);
+            }
+        }
+    }
+
+    /// Refuses waiting calls that cannot make it any more.
+    fn expire(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let (keep, hush) = (self.has(Fault::StartLate), self.has(Fault::DropLate));
+        let verdicts = self.suspects.refresh(now);
+        out.extend(verdicts.into_iter().map(Action::Verdict));
+        for pool in self.pools.values_mut().filter(|p| !p.queue.is_empty()) {
+            let late = |c: &Assign| !keep && pool.latest_start(c.deadline) < now;
+            let ids: Vec<u64> = pool
+                .queue
+                .calls()
+                .filter(|c| late(c))
+                .map(|c| c.call)
+                .collect();
+            let wait = pool.wait(pool.queue.len());
+            for id in ids {
+                let req = pool.queue.remove(id).filter(|_| !hush);
+                req.iter()
+                    .for_each(|r| refuse(r, RefusalReason::Overloaded, wait, out));
+            }
+        }
+    }
+
+    fn told(&mut self, now: Millis, verdict: &Verdict, out: &mut Vec<Action>) {
+        self.suspects.told(now, verdict);
+        self.refuse_quarantined(now, out);
+    }
+
+    pub(super) fn refuse_quarantined(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let never = |c: &Assign| self.suspects.permit(now, suspects::key(c)) == Permit::Never;
+        for pool in self.pools.values_mut() {
+            for req in pool.queue.remove_if(never) {
+                refuse_for_good(&req, RefusalReason::Quarantined, out);
+            }
+        }
+    }
+
+    // Dispatch
+
+    fn dispatch(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let keys: Vec<PoolKey> = self.pools.keys().collect();
+        for key in keys {
+            if self.pools[key].queue.is_empty() {
+                self.pools[key].observe(now);
+                continue;
+            }
+            for &member in &self.pools[key].members {
+                self.replicas[member].health.advance(now);
+            }
+            while self.dispatch_one(now, key, out) {}
+            self.pools[key].observe(now);
+        }
+    }
+
+    /// Starts the call whose turn it is; returns whether there was one that fits.
+    fn dispatch_one(&mut self, now: Millis, key: PoolKey, out: &mut Vec<Action>) -> bool {
+        let Some((call, step)) = self.next_step(now, key) else {
+            return false;
+        };
+        match step {
+            Step::Run { replica, suspect } => {
+                let fair = !self.has(Fault::ServeUnfairly);
+                let pool = &mut self.pools[key];
+                let Some(req) = pool.queue.remove(call) else {
+                    return false;
+                };
+                if fair {
+                    pool.queue.charge(&req);
+                }
+                let waiting = !pool.queue.is_empty();
+                pool.started(now, waiting);
+                self.start(now, &req, suspect, replica, out);
+            }
+            Step::Claim { replica, suspect } => {
+                let name = self.replicas[replica].name.clone();
+                let verdict = self.suspects.claim(now, suspect, &name);
+                out.extend(verdict.map(Action::Verdict));
+            }
+            Step::Unclaim { suspect } => {
+                let verdict = self.suspects.unclaim(now, suspect);
+                out.extend(verdict.map(Action::Verdict));
+            }
+        }
+        true
+    }
+
+    /// Finds the first call in turn for which something can be done.
+    fn next_step(&mut self, now: Millis, key: PoolKey) -> Option<(u64, Step)> {
+        let pool = &self.pools[key];
+        let chooser = Chooser {
+            now,
+            domain: &self.domain,
+            pool,
+            replicas: &self.replicas,
+            suspects: &self.suspects,
+        };
+        if pool.queue.is_empty() || !chooser.any_room() {
+            return None;
+        }
+        let late = self.has(Fault::StartLate);
+        let mut calls = pool.queue.next();
+        calls.retain(|c| c.deadline >= now || late);
+        calls.sort_by_key(|c| c.attempts == 0);
+        for req in calls {
+            let suspect = suspects::key(req);
+            let run = |replica, suspect| Step::Run { replica, suspect };
+            let step = match self.suspects.permit(now, suspect) {
+                Permit::Wait | Permit::Never => None,
+                Permit::Claim => chooser
+                    .choose(req, true, &mut self.rng)
+                    .map(|replica| Step::Claim { replica, suspect }),
+                Permit::Free => chooser
+                    .choose(req, false, &mut self.rng)
+                    .map(|replica| run(replica, false)),
+                Permit::On(name) => Some(match chooser.fits(&name) {
+                    Some(replica) => run(replica, true),
+                    None => Step::Unclaim { suspect },
+                }),
+            };
+            if let Some(step) = step {
+                return Some((req.call, step));
+            }
+        }
+        None
+    }
+}
+
+/// What can be done for a waiting call.
+enum Step {
+    Run {
+        replica: BackendKey,
+        /// Whether it runs as a suspect.
+        suspect: bool,
+    },
+    Claim {
+        replica: BackendKey,
+        suspect: Digest,
+    },
+    Unclaim {
+        suspect: Digest,
+    },
+}
+
+fn refuse(req: &Assign, reason: RefusalReason, after: Millis, out: &mut Vec<Action>) {
+    let after = after.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
+    out.push(Action::Refused {
+        call: req.call,
+        reason,
+        retry_after: Some(after),
+    });
+}
+
+fn refuse_for_good(req: &Assign, reason: RefusalReason, out: &mut Vec<Action>) {
+    out.push(Action::Refused {
+        call: req.call,
+        reason,
+        retry_after: None,
+    });
+}
--- /dev/null
+++ b/toucanchute_core/src/routing/suspects.rs
@@ -0,0 +1,292 @@
+use std::collections::BTreeMap;
+
+use toucanchute_proto::{
+    Digest, Incarnation, Millis,
+    fleet::{Claim, Standing, Verdict},
+};
+
+use super::{Assign, pool::BackendKey};
+
+/// How long a suspect is remembered.
+const SUSPECT_TIME: Millis = Millis(60_000);
+
+/// How long a quarantine lasts.
+const QUARANTINE_TIME: Millis = Millis(600_000);
+
+/// Time between a claim and the run, in which the other routers hear of it.
+const NEWS_TIME: Millis = Millis(80);
+
+/// Time without an event after which other routers' words may still wait to be read.
+const PAUSE: Millis = Millis(40);
+
+/// Time within which a claim has to be used.
+const CLAIM_TIME: Millis = Millis(1_000);
+
+/// How long a request waits for what another router finds out about it.
+const FOREIGN_TIME: Millis = Millis(5_000);
+
+/// Requests that may crash the replica that runs them.
+///
+/// A request that was in flight on a crashed replica is a suspect until it runs to its end. While
+/// it is one, one copy of it runs at a time, on a replica that its router claims for it and on
+/// which no router runs another suspect. A second crash puts it in quarantine.
+#[derive(Debug)]
+pub(super) struct Suspects {
+    router: Incarnation,
+    entries: BTreeMap<Digest, Entry>,
+    /// Time of the last event.
+    last: Millis,
+}
+
+#[derive(Debug)]
+struct Entry {
+    standing: Standing,
+    /// Rises with every word about the request.
+    until: Millis,
+    /// Router that has to find out.
+    router: Incarnation,
+    /// When it became a suspect.
+    since: Millis,
+    /// Replica that crashed; none if another router said so.
+    crashed: Option<BackendKey>,
+    /// Replica that is claimed for it.
+    claim: Option<Claim>,
+    /// When it may run next.
+    ready_at: Millis,
+    /// Whether a copy runs as a suspect at this router.
+    running: bool,
+}
+
+/// Whether a request may run now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Permit {
+    /// It may, like any other.
+    Free,
+    /// A replica has to be claimed for it.
+    Claim,
+    /// It may, on this replica.
+    On(String),
+    /// It may later.
+    Wait,
+    /// It may not.
+    Never,
+}
+
+/// Identifies a request of one customer.
+pub(super) fn key(req: &Assign) -> Digest {
+    Digest::new(&req.customer, &req.digest.0.to_le_bytes())
+}
+
+impl Suspects {
+    pub(super) fn new(router: Incarnation) -> Suspects {
+        Suspects {
+            router,
+            entries: BTreeMap::new(),
+            last: Millis::default(),
+        }
+    }
+
+    /// Takes in the time of an event. After a pause, claims wait until the words of other routers
+    /// that came meanwhile are read.
+    pub(super) fn observe(&mut self, now: Millis) {
+        let paused = now.since(self.last) >= PAUSE;
+        self.last = now;
+        let pending = |e: &&mut Entry| e.claim.is_some() && !e.running;
+        for e in self.entries.values_mut().filter(pending).filter(|_| paused) {
+            e.ready_at = e.ready_at.max(now + NEWS_TIME);
+        }
+    }
+
+    pub(super) fn permit(&self, now: Millis, key: Digest) -> Permit {
+        match self.entries.get(&key).filter(|e| e.until > now) {
+            None => Permit::Free,
+            Some(e) if e.standing == Standing::Quarantined => Permit::Never,
+            Some(e) if e.standing == Standing::Cleared => Permit::Free,
+            Some(e) if e.running || now < e.ready_at => Permit::Wait,
+            Some(Entry {
+                claim: Some(claim), ..
+            }) if self.holds(key, claim) => Permit::On(claim.replica.clone()),
+            Some(_) => Permit::Claim,
+        }
+    }
+
+    /// Whether the request is a suspect or in quarantine.
+    pub(super) fn known(&self, now: Millis, key: Digest) -> bool {
+        self.permit(now, key) != Permit::Free
+    }
+
+    /// Whether a replica is claimed for any suspect.
+    pub(super) fn claimed(&self, replica: &str) -> bool {
+        self.claims(replica).next().is_some()
+    }
+
+    /// Claims a replica for a suspect that may run on it when all routers have heard.
+    pub(super) fn claim(&mut self, now: Millis, key: Digest, replica: &str) -> Option<Verdict> {
+        let e = self.entries.get_mut(&key)?;
+        e.claim = Some(Claim {
+            replica: replica.to_owned(),
+            at: now,
+        });
+        e.ready_at = now + NEWS_TIME;
+        Some(self.say(now, key))
+    }
+
+    /// Gives up a claim that can't be used.
+    pub(super) fn unclaim(&mut self, now: Millis, key: Digest) -> Option<Verdict> {
+        let e = self.entries.get_mut(&key)?;
+        e.claim.take()?;
+        Some(self.say(now, key))
+    }
+
+    pub(super) fn started(&mut self, key: Digest) {
+        if let Some(e) = self.entries.get_mut(&key) {
+            e.running = true;
+        }
+    }
+
+    /// Takes in that a run as a suspect ended; its claim is void.
+    pub(super) fn stopped(&mut self, now: Millis, key: Digest) -> Option<Verdict> {
+        let e = self.entries.get_mut(&key)?;
+        e.running = false;
+        self.unclaim(now, key)
+    }
+
+    /// Takes in that a run started at `started` ended by the crash of `replica`.
+    pub(super) fn crashed(
+        &mut self,
+        now: Millis,
+        key: Digest,
+        replica: BackendKey,
+        started: Millis,
+    ) -> Option<Verdict> {
+        let old = self.entries.get(&key).filter(|e| e.until > now);
+        let until = old.map_or(now, |e| e.until);
+        let entry = match old.filter(|e| e.standing != Standing::Cleared) {
+            None => Entry {
+                crashed: Some(replica),
+                ready_at: now,
+                ..Entry::new(self.router, now, until)
+            },
+            Some(e) if e.standing == Standing::Quarantined => return None,
+            Some(e) if e.same_crash(replica, started) => return None,
+            Some(_) => Entry {
+                standing: Standing::Quarantined,
+                ..Entry::new(self.router, now, until.max(now + QUARANTINE_TIME))
+            },
+        };
+        self.entries.insert(key, entry);
+        Some(self.say(now, key))
+    }
+
+    pub(super) fn forget(&mut self, key: Digest) {
+        self.entries.remove(&key);
+    }
+
+    /// Takes in that the request ran to its end.
+    pub(super) fn finished(&mut self, now: Millis, key: Digest) -> Option<Verdict> {
+        let entry = self.entries.get_mut(&key).filter(|e| e.until > now)?;
+        if entry.standing != Standing::Suspect {
+            return None;
+        }
+        entry.standing = Standing::Cleared;
+        entry.claim = None;
+        Some(self.say(now, key))
+    }
+
+    /// Takes in another router's word.
+    pub(super) fn told(&mut self, now: Millis, v: &Verdict) {
+        let old = self.entries.get(&v.digest).filter(|e| e.until > now);
+        if v.until <= now || old.is_some_and(|e| !e.yields_to(v)) {
+            return;
+        }
+        let mut entry = Entry::new(v.router, now, v.until);
+        entry.standing = v.standing;
+        entry.claim.clone_from(&v.claim);
+        entry.since = old.map_or(now, |e| e.since);
+        entry.crashed = old.and_then(|e| e.crashed);
+        self.entries.insert(v.digest, entry);
+    }
+
+    /// Speaks again of suspects that still run and gives up claims that were not used.
+    pub(super) fn refresh(&mut self, now: Millis) -> Vec<Verdict> {
+        self.entries.retain(|_, e| e.until > now || e.running);
+        let mine = self.entries.iter().filter(|(_, e)| e.router == self.router);
+        let fading = |e: &Entry| e.running && e.until < now + Millis(SUSPECT_TIME.0 / 2);
+        let unused = |e: &Entry| !e.running && now > e.ready_at + CLAIM_TIME;
+        let keys: Vec<Digest> = mine
+            .filter(|(_, e)| fading(e) || e.claim.is_some() && unused(e))
+            .map(|(&key, _)| key)
+            .collect();
+        for key in &keys {
+            if let Some(e) = self.entries.get_mut(key).filter(|e| !e.running) {
+                e.claim = None;
+            }
+        }
+        keys.into_iter().map(|key| self.say(now, key)).collect()
+    }
+
+    /// Whether no other suspect claimed the same replica before.
+    fn holds(&self, key: Digest, claim: &Claim) -> bool {
+        let ours = self.entries[&key].router == self.router;
+        let first = |(at, other): (Millis, Digest)| (claim.at, key) <= (at, other);
+        ours && self.claims(&claim.replica).all(first)
+    }
+
+    /// Claims of a replica: when and for which request.
+    fn claims(&self, replica: &str) -> impl Iterator<Item = (Millis, Digest)> {
+        let claims = self.entries.iter().filter_map(|(&key, e)| {
+            let claim = e.claim.as_ref()?;
+            Some((claim, key))
+        });
+        let same = claims.filter(move |(claim, _)| claim.replica == replica);
+        same.map(|(claim, key)| (claim.at, key))
+    }
+
+    /// Makes this router's newest word about a request.
+    fn say(&mut self, now: Millis, key: Digest) -> Verdict {
+        let router = self.router;
+        let entry = self.entries.entry(key);
+        let e = entry.or_insert_with(|| Entry::new(router, now, now));
+        e.router = router;
+        e.until = (e.until + Millis(1)).max(now + SUSPECT_TIME);
+        Verdict {
+            digest: key,
+            standing: e.standing,
+            router,
+            claim: e.claim.clone(),
+            until: e.until,
+        }
+    }
+}
+
+impl Entry {
+    /// A suspect that waits for what `router` finds out about it.
+    fn new(router: Incarnation, now: Millis, until: Millis) -> Entry {
+        Entry {
+            standing: Standing::Suspect,
+            until,
+            router,
+            since: now,
+            crashed: None,
+            claim: None,
+            ready_at: now + FOREIGN_TIME,
+            running: false,
+        }
+    }
+
+    /// Whether another router's word replaces what is known here.
+    fn yields_to(&self, v: &Verdict) -> bool {
+        match (self.standing, v.standing) {
+            (Standing::Quarantined, _) => false,
+            (_, Standing::Quarantined) => true,
+            _ if self.running => false,
+            (Standing::Suspect, _) if self.router < v.router => false,
+            _ => self.router != v.router || self.until < v.until,
+        }
+    }
+
+    /// Whether the crash of another copy is the one that made this request a suspect.
+    fn same_crash(&self, replica: BackendKey, started: Millis) -> bool {
+        started <= self.since && self.crashed.is_none_or(|r| r == replica)
+    }
+}
--- /dev/null
+++ b/toucanchute_proto/src/generated.rs
@@ -0,0 +1,15 @@
+#![allow(
+    missing_docs,
+    clippy::all,
+    clippy::pedantic,
+    unused_qualifications,
+    unreachable_pub
+)]
+
+pub mod api;
+pub mod config;
+pub mod fleet;
+pub mod ledger;
+pub mod money;
+pub mod peer;
+pub mod settings;
--- a/toucanchute_proto/src/lib.rs
+++ b/toucanchute_proto/src/lib.rs
@@ -4,42 +4,20 @@
 //! identifiers are written by hand because they are small `Copy` keys.
 
 mod codec;
+mod config_eq;
+mod generated;
 mod id;
 mod time;
 
-#[allow(
-    missing_docs,
-    clippy::all,
-    clippy::pedantic,
-    unused_qualifications,
-    unreachable_pub
-)]
-#[path = "generated/config.rs"]
-pub mod config;
-
-#[allow(
-    missing_docs,
-    clippy::all,
-    clippy::pedantic,
-    unused_qualifications,
-    unreachable_pub
-)]
-#[path = "generated/ledger.rs"]
-pub mod ledger;
-
-#[allow(
-    missing_docs,
-    clippy::all,
-    clippy::pedantic,
-    unused_qualifications,
-    unreachable_pub
-)]
-#[path = "generated/money.rs"]
-pub mod money;
-
 pub use bytes::Bytes;
 pub use codec::{DecodeError, from_cbor, to_cbor};
+pub use generated::{api, config, fleet, ledger, money, peer, settings};
 pub use id::{AttemptId, BudgetId, Digest, EntryId, GrantId, Incarnation, RequestKey, ShardId};
 pub use time::Millis;
 
+/// IP number and port, as the generated types name it.
+pub type SocketAddr = std::net::SocketAddr;
+
+/// Generated messages refer to types of other schemas by their place in the crate root.
+use config::Config;
 use ledger::{Backing, Entry, EntryResult, Statement};
