--- a/toucanchute_core/src/fleet/machine.rs
+++ b/toucanchute_core/src/fleet/machine.rs
@@ -234,6 +234,7 @@
     }
 
     fn head_seen(&mut self, asked: Millis, head: Head, out: &mut Vec<Action>) {
+        self.view.told(head.version, 0);
         let version = self.head().map(|h| h.version);
         if version.is_none_or(|v| v < head.version) {
             out.push(Action::FetchConfig);
--- a/toucanchute_core/src/fleet/messages.rs
+++ b/toucanchute_core/src/fleet/messages.rs
@@ -60,6 +60,7 @@
             hosts: gossip.hosts,
         };
         self.links.known.insert(from, known);
+        self.view.told(known.head, known.hosts);
         for member in &gossip.members {
             self.merge_member(now, member);
         }
@@ -154,6 +155,7 @@
         if target != from || stage != Stage::Direct {
             return;
         }
+        self.view.heard_at = self.view.heard_at.max(Some(sent));
         if ack.outage {
             self.view.peer_outage_at = Some(sent);
         }
--- a/toucanchute_core/src/fleet/publish.rs
+++ b/toucanchute_core/src/fleet/publish.rs
@@ -96,7 +96,12 @@
     /// Each member that was there when the view was last confirmed has to have said so. Those that
     /// are lost have to be a minority, for they may be on the platform's side of a partition.
     pub(super) fn outage_agreed(&self, now: Millis) -> bool {
-        if self.view.down_since.is_none() {
+        let head = self.head().map_or(0, |h| h.version);
+        let behind = self.view.newest_head > head || self.view.newest_hosts > self.hosts.version();
+        let heard = self.view.heard_at;
+        let lately = heard.is_some_and(|at| now.since(at) <= Fleet::VIEW_BOUND);
+        let alone = self.members.live().next().is_none();
+        if self.view.down_since.is_none() || behind || !(lately || alone) {
             return false;
         }
         if self.has(Fault::OutageAlone) {
--- a/toucanchute_core/src/fleet/tests/world.rs
+++ b/toucanchute_core/src/fleet/tests/world.rs
@@ -77,6 +77,8 @@
 pub(super) struct Router {
     pub(super) fleet: Fleet,
     pub(super) frozen: Millis,
+    /// Events that arrived while it was frozen.
+    held: Vec<Event>,
     pub(super) cut: bool,
     pub(super) side: bool,
     pub(super) busy: u64,
@@ -173,6 +175,7 @@
         Router {
             fleet,
             frozen: Millis(0),
+            held: Vec::new(),
             cut: false,
             side: false,
             busy: 0,
@@ -201,7 +204,10 @@
                 self.routers.iter_mut().enumerate().for_each(side);
             }
             Step::Restart(router) => self.restart(router),
-            Step::Freeze { router, span } => self.routers[router].frozen = self.now + Millis(span),
+            Step::Freeze { router, span } => {
+                let r = &mut self.routers[router];
+                r.frozen = r.frozen.max(self.now + Millis(span));
+            }
             Step::Loss(percent) => self.loss = percent,
             Step::Drain(router) => {
                 self.oracle.draining(self.now, self.id(router));
@@ -209,6 +215,9 @@
             }
             Step::Busy { router, requests } => {
                 let r = &mut self.routers[router];
+                if r.frozen > self.now {
+                    return Ok(());
+                }
                 if r.ready.is_ok() {
                     r.busy = requests;
                 } else {
@@ -276,8 +285,10 @@
             for i in 0..ROUTERS {
                 self.poll(i);
                 if self.now.0.is_multiple_of(Fleet::TICK.0) {
-                    let busy = self.routers[i].busy;
-                    self.post(self.id(i), 0, Event::InFlight(busy));
+                    let r = &self.routers[i];
+                    if r.frozen <= self.now {
+                        self.post(self.id(i), 0, Event::InFlight(r.busy));
+                    }
                     self.post(self.id(i), 0, Event::Tick);
                 }
             }
@@ -294,33 +305,42 @@
     }
 
     fn deliver(&mut self) -> Result<(), Violation> {
+        for i in 0..ROUTERS {
+            if self.routers[i].frozen <= self.now {
+                for event in std::mem::take(&mut self.routers[i].held) {
+                    self.handle(i, event)?;
+                }
+            }
+        }
         while let Some(entry) = self.inbox.first_entry() {
             if entry.key().0 > self.now {
                 break;
             }
-            let ((at, _), (to, event)) = entry.remove_entry();
-            let Some(i) = self.index(to).filter(|&i| !self.routers[i].exited) else {
+            let (to, event) = entry.remove();
+            let Some(i) = self.index(to) else {
                 continue;
             };
-            let frozen = self.routers[i].frozen;
-            if frozen > self.now {
-                self.serial += 1;
-                self.inbox
-                    .insert((frozen.max(at), self.serial), (to, event));
-                continue;
-            }
-            if matches!(event, Event::Drain) {
-                self.oracle.hears_drain(to);
-            }
-            let mut out = Vec::new();
-            self.routers[i].fleet.handle(self.now, event, &mut out);
-            for action in out {
-                self.act(i, action)?;
+            if self.routers[i].frozen > self.now {
+                self.routers[i].held.push(event);
+            } else {
+                self.handle(i, event)?;
             }
         }
         Ok(())
     }
 
+    fn handle(&mut self, i: usize, event: Event) -> Result<(), Violation> {
+        if self.routers[i].exited {
+            return Ok(());
+        }
+        if matches!(event, Event::Drain) {
+            self.oracle.hears_drain(self.id(i));
+        }
+        let mut out = Vec::new();
+        self.routers[i].fleet.handle(self.now, event, &mut out);
+        out.into_iter().try_for_each(|a| self.act(i, a))
+    }
+
     // Platform
 
     pub(super) fn reaches_platform(&self, router: usize) -> bool {
--- a/toucanchute_core/src/fleet/view.rs
+++ b/toucanchute_core/src/fleet/view.rs
@@ -9,8 +9,14 @@
     hosts_at: Option<Millis>,
     /// Latest time at which the view was current, by the platform or a peer; it only rises.
     confirmed_at: Option<Millis>,
+    /// Greatest version of the configuration that anybody told of.
+    pub(super) newest_head: u64,
+    /// Greatest version of the host list that anybody told of.
+    pub(super) newest_hosts: u64,
     /// Since when the platform has not answered.
     pub(super) down_since: Option<Millis>,
+    /// When a ping was sent that a peer acknowledged.
+    pub(super) heard_at: Option<Millis>,
     /// When a peer last said that the platform is down for all.
     pub(super) peer_outage_at: Option<Millis>,
 }
@@ -28,6 +34,12 @@
         self.answered();
     }
 
+    /// Takes in that these versions exist.
+    pub(super) fn told(&mut self, head: u64, hosts: u64) {
+        self.newest_head = self.newest_head.max(head);
+        self.newest_hosts = self.newest_hosts.max(hosts);
+    }
+
     /// Takes in that the view was current at `at`.
     pub(super) fn confirm(&mut self, at: Millis) {
         self.confirmed_at = self.confirmed_at.max(Some(at));
--- a/toucanchute_core/src/routing/attempts.rs
+++ b/toucanchute_core/src/routing/attempts.rs
@@ -137,9 +137,9 @@
         if self.has(Fault::NeverQuarantine) {
             self.suspects.forget(run.key);
         }
-        let verdict = self
-            .suspects
-            .crashed(now, run.key, run.replica, run.started);
+        let verdict =
+            self.suspects
+                .crashed(now, run.key, &self.replicas[run.replica].name, run.started);
         out.extend(verdict.map(Action::Verdict));
         self.refuse_quarantined(now, out);
     }
--- a/toucanchute_core/src/routing/dispatcher.rs
+++ b/toucanchute_core/src/routing/dispatcher.rs
@@ -165,17 +165,19 @@
 
     fn enqueue(&mut self, now: Millis, key: PoolKey, req: Assign, out: &mut Vec<Action>) {
         let start_late = self.has(Fault::StartLate);
+        let settling = self.suspects.settling(now, suspects::key(&req));
         let pool = &mut self.pools[key];
         let wait = pool.wait(pool.queue.ahead(&req));
         let late = now + wait > pool.latest_start(req.deadline);
         let long = wait > pool.longest_wait(now);
-        if (late || long) && !start_late {
+        if (late || long) && !start_late && !settling {
             refuse(&req, RefusalReason::Overloaded, wait, out);
             return;
         }
         let priority = req.priority;
         pool.queue.push(req);
         if pool.queue.len() > self.queue_limit.max(1)
+            && !settling
             && let Some(shed) = pool.queue.shed(priority)
         {
             refuse(&shed, RefusalReason::Overloaded, wait, out);
@@ -209,7 +211,8 @@
         let verdicts = self.suspects.refresh(now);
         out.extend(verdicts.into_iter().map(Action::Verdict));
         for pool in self.pools.values_mut().filter(|p| !p.queue.is_empty()) {
-            let late = |c: &Assign| !keep && pool.latest_start(c.deadline) < now;
+            let settling = |c: &Assign| self.suspects.settling(now, suspects::key(c));
+            let late = |c: &Assign| pool.latest_start(c.deadline) < now && !keep && !settling(c);
             let ids: Vec<u64> = pool
                 .queue
                 .calls()
@@ -226,7 +229,8 @@
     }
 
     fn told(&mut self, now: Millis, verdict: &Verdict, out: &mut Vec<Action>) {
-        self.suspects.told(now, verdict);
+        let own = self.suspects.told(now, verdict);
+        out.extend(own.map(Action::Verdict));
         self.refuse_quarantined(now, out);
     }
 
--- a/toucanchute_core/src/routing/health.rs
+++ b/toucanchute_core/src/routing/health.rs
@@ -72,8 +72,9 @@
     }
 
     pub(super) fn failed(&mut self, now: Millis, failure: Failure) {
-        if let State::Ejected { until, .. } = &mut self.state {
+        if let State::Ejected { since, until } = &mut self.state {
             if failure == Failure::Hard {
+                *since = now;
                 *until = (*until).max(now + EJECT_BASE);
             }
             return;
--- a/toucanchute_core/src/routing/queue.rs
+++ b/toucanchute_core/src/routing/queue.rs
@@ -108,8 +108,11 @@
         ids.into_iter().filter_map(|id| self.remove(id)).collect()
     }
 
-    /// Number of waiting calls that start before a new one like `req`.
+    /// Number of waiting calls that start before a new one like `req`; none before one that ran.
     pub(super) fn ahead(&self, req: &Assign) -> usize {
+        if req.attempts > 0 {
+            return 0;
+        }
         let higher = self.lanes.range(..Reverse(req.priority));
         let higher: usize = higher.map(|(_, lane)| lane.len()).sum();
         let Some(lane) = self.lanes.get(&Reverse(req.priority)) else {
--- a/toucanchute_core/src/routing/suspects.rs
+++ b/toucanchute_core/src/routing/suspects.rs
@@ -2,10 +2,10 @@
 
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
-    fleet::{Claim, Standing, Verdict},
+    fleet::{Claim, Crash, Standing, Verdict},
 };
 
-use super::{Assign, pool::BackendKey};
+use super::Assign;
 
 /// How long a suspect is remembered.
 const SUSPECT_TIME: Millis = Millis(60_000);
@@ -16,6 +16,9 @@
 /// Time between a claim and the run, in which the other routers hear of it.
 const NEWS_TIME: Millis = Millis(80);
 
+/// Time within which two routers see the same crash.
+const SAME_CRASH: Millis = Millis(1_000);
+
 /// Time without an event after which other routers' words may still wait to be read.
 const PAUSE: Millis = Millis(40);
 
@@ -47,8 +50,8 @@
     router: Incarnation,
     /// When it became a suspect.
     since: Millis,
-    /// Replica that crashed; none if another router said so.
-    crashed: Option<BackendKey>,
+    /// Crash that made it a suspect.
+    crash: Option<Crash>,
     /// Replica that is claimed for it.
     claim: Option<Claim>,
     /// When it may run next.
@@ -156,28 +159,45 @@
         &mut self,
         now: Millis,
         key: Digest,
-        replica: BackendKey,
+        replica: &str,
         started: Millis,
     ) -> Option<Verdict> {
         let old = self.entries.get(&key).filter(|e| e.until > now);
         let until = old.map_or(now, |e| e.until);
         let entry = match old.filter(|e| e.standing != Standing::Cleared) {
             None => Entry {
-                crashed: Some(replica),
+                crash: Some(Crash {
+                    replica: replica.to_owned(),
+                    at: now,
+                }),
                 ready_at: now,
                 ..Entry::new(self.router, now, until)
             },
             Some(e) if e.standing == Standing::Quarantined => return None,
             Some(e) if e.same_crash(replica, started) => return None,
-            Some(_) => Entry {
-                standing: Standing::Quarantined,
-                ..Entry::new(self.router, now, until.max(now + QUARANTINE_TIME))
-            },
+            Some(_) => return Some(self.quarantine(now, key)),
         };
         self.entries.insert(key, entry);
         Some(self.say(now, key))
     }
 
+    fn quarantine(&mut self, now: Millis, key: Digest) -> Verdict {
+        let until = self.entries.get(&key).map_or(now, |e| e.until);
+        let entry = Entry {
+            standing: Standing::Quarantined,
+            ..Entry::new(self.router, now, until.max(now + QUARANTINE_TIME))
+        };
+        self.entries.insert(key, entry);
+        self.say(now, key)
+    }
+
+    /// Whether it became a suspect so lately that the other routers may not have heard. Until then
+    /// its caller gets no answer, since it might send it again elsewhere.
+    pub(super) fn settling(&self, now: Millis, key: Digest) -> bool {
+        let entry = self.entries.get(&key);
+        entry.is_some_and(|e| e.standing == Standing::Suspect && now < e.since + NEWS_TIME)
+    }
+
     pub(super) fn forget(&mut self, key: Digest) {
         self.entries.remove(&key);
     }
@@ -193,18 +213,28 @@
         Some(self.say(now, key))
     }
 
-    /// Takes in another router's word.
-    pub(super) fn told(&mut self, now: Millis, v: &Verdict) {
+    /// Takes in another router's word. Two different crashes put the request in quarantine.
+    pub(super) fn told(&mut self, now: Millis, v: &Verdict) -> Option<Verdict> {
         let old = self.entries.get(&v.digest).filter(|e| e.until > now);
-        if v.until <= now || old.is_some_and(|e| !e.yields_to(v)) {
-            return;
+        if v.until <= now {
+            return None;
+        }
+        if old.is_some_and(|e| e.other_crash(v)) {
+            return Some(self.quarantine(now, v.digest));
+        }
+        if old.is_some_and(|e| !e.yields_to(v)) {
+            return None;
         }
         let mut entry = Entry::new(v.router, now, v.until);
         entry.standing = v.standing;
         entry.claim.clone_from(&v.claim);
         entry.since = old.map_or(now, |e| e.since);
-        entry.crashed = old.and_then(|e| e.crashed);
+        entry.crash = v
+            .crash
+            .clone()
+            .or_else(|| old.and_then(|e| e.crash.clone()));
         self.entries.insert(v.digest, entry);
+        None
     }
 
     /// Speaks again of suspects that still run and gives up claims that were not used.
@@ -253,6 +283,7 @@
             digest: key,
             standing: e.standing,
             router,
+            crash: e.crash.clone(),
             claim: e.claim.clone(),
             until: e.until,
         }
@@ -267,7 +298,7 @@
             until,
             router,
             since: now,
-            crashed: None,
+            crash: None,
             claim: None,
             ready_at: now + FOREIGN_TIME,
             running: false,
@@ -285,8 +316,19 @@
         }
     }
 
+    /// Whether another router saw a different crash than the one known here.
+    fn other_crash(&self, v: &Verdict) -> bool {
+        let (Some(own), Some(other)) = (&self.crash, &v.crash) else {
+            return false;
+        };
+        let both = self.standing == Standing::Suspect && v.standing == Standing::Suspect;
+        let apart = own.at.since(other.at).max(other.at.since(own.at)) > SAME_CRASH;
+        both && (own.replica != other.replica || apart)
+    }
+
     /// Whether the crash of another copy is the one that made this request a suspect.
-    fn same_crash(&self, replica: BackendKey, started: Millis) -> bool {
-        started <= self.since && self.crashed.is_none_or(|r| r == replica)
+    fn same_crash(&self, replica: &str, started: Millis) -> bool {
+        let same = |c: &Crash| c.replica == replica;
+        started <= self.since && self.crash.as_ref().is_none_or(same)
     }
 }
--- a/toucanchute_core/src/routing/tests/oracle.rs
+++ b/toucanchute_core/src/routing/tests/oracle.rs
@@ -4,7 +4,7 @@
 
 use toucanchute_proto::{Digest, Millis};
 
-use super::world::{CONCURRENCY, POISON, World, retry_refused};
+use super::world::{CONCURRENCY, POISON, World};
 use crate::routing::{Assign, Event, RefusalReason, Report};
 
 /// Retries that each router may admit before any fresh work.
@@ -92,12 +92,7 @@
                 state.withdrawn.clone_from(withdrawn);
             }
             Event::Assign(req) => {
-                let suspect = self.suspects.contains(&req.digest);
-                match req.attempts {
-                    0 => state.fresh += 1.0,
-                    _ if !suspect => state.retries += 1.0,
-                    _ => {}
-                }
+                state.fresh += f64::from(u8::from(req.attempts == 0));
             }
             Event::Report {
                 attempt,
@@ -114,16 +109,11 @@
 
     pub(super) fn refused(
         &mut self,
-        router: usize,
         req: Option<&Assign>,
         reason: RefusalReason,
     ) -> Result<(), Violation> {
         check(req.is_some(), "a call is answered once")?;
         let req = req.unwrap();
-        let state = self.routers.get_mut(&router).unwrap();
-        if retry_refused(reason) {
-            state.retries -= 1.0;
-        }
         let exposures = self.exposures.get(&req.digest).copied().unwrap_or(0);
         check(
             reason != RefusalReason::Quarantined || exposures >= 2,
@@ -173,7 +163,11 @@
             "concurrency stays within its limit",
         )?;
         let allowed = FREE_RETRIES + RETRY_SHARE * state.fresh;
-        check(state.retries <= allowed, "retries stay within their budget")?;
+        let retry = req.attempts > 0 && !world.oracle.suspects.contains(&req.digest);
+        check(
+            !retry || state.retries + 1.0 <= allowed,
+            "retries stay within their budget",
+        )?;
         let ejected = state.unsent.get(&replica);
         let over = ejected.is_none_or(|&at| world.now.since(at) >= EJECTION);
         check(over, "an unreachable replica is left alone")?;
@@ -196,6 +190,9 @@
             self.runs_apart.remove(&req.call);
         }
         let state = self.routers.get_mut(&router).unwrap();
+        if req.attempts > 0 && !self.suspects.contains(&req.digest) {
+            state.retries += 1.0;
+        }
         state.attempts.insert(attempt, replica);
     }
 
--- a/toucanchute_core/src/routing/tests/world.rs
+++ b/toucanchute_core/src/routing/tests/world.rs
@@ -10,9 +10,7 @@
 };
 
 use super::oracle::{Oracle, Violation};
-use crate::routing::{
-    Action, Assign, CrashKind, Dispatcher, Event, RefusalReason, Report, Target, fault::Fault,
-};
+use crate::routing::{Action, Assign, CrashKind, Dispatcher, Event, Report, Target, fault::Fault};
 
 pub(super) const ROUTERS: usize = 3;
 pub(super) const REPLICAS: usize = 5;
@@ -96,6 +94,8 @@
     pub(super) now: Millis,
     routers: Vec<Dispatcher>,
     frozen: Vec<Millis>,
+    /// Events that arrived at a frozen router.
+    held: Vec<Vec<Event>>,
     /// Events on their way, by time of arrival.
     inbox: BTreeMap<(Millis, u64), (usize, Event)>,
     serial: u64,
@@ -171,6 +171,7 @@
             now: Millis(1_000),
             routers: (0..ROUTERS).map(router).collect(),
             frozen: vec![Millis(0); ROUTERS],
+            held: vec![Vec::new(); ROUTERS],
             inbox: BTreeMap::new(),
             serial: 0,
             calls: BTreeMap::new(),
@@ -229,7 +230,10 @@
                     self.post(router, 0, Event::Abandon { call });
                 }
             }
-            Step::Freeze { router, span } => self.frozen[router] = self.now + Millis(span),
+            Step::Freeze { router, span } => {
+                let until = self.now + Millis(span);
+                self.frozen[router] = self.frozen[router].max(until);
+            }
             Step::Poison { .. } => {}
         }
         self.deliver()
@@ -263,26 +267,34 @@
     }
 
     fn deliver(&mut self) -> Result<(), Violation> {
+        for router in 0..ROUTERS {
+            if self.frozen[router] <= self.now {
+                for event in std::mem::take(&mut self.held[router]) {
+                    self.handle(router, event)?;
+                }
+            }
+        }
         while let Some(entry) = self.inbox.first_entry() {
             if entry.key().0 > self.now {
                 break;
             }
-            let ((at, _), (router, event)) = entry.remove_entry();
+            let (router, event) = entry.remove();
             if self.frozen[router] > self.now {
-                let late = (self.frozen[router].max(at), self.next());
-                self.inbox.insert(late, (router, event));
-                continue;
-            }
-            self.oracle.event(self.now, router, &event)?;
-            let mut out = Vec::new();
-            self.routers[router].handle(self.now, event, &mut out);
-            for action in out {
-                self.act(router, action)?;
+                self.held[router].push(event);
+            } else {
+                self.handle(router, event)?;
             }
         }
         Ok(())
     }
 
+    fn handle(&mut self, router: usize, event: Event) -> Result<(), Violation> {
+        self.oracle.event(self.now, router, &event)?;
+        let mut out = Vec::new();
+        self.routers[router].handle(self.now, event, &mut out);
+        out.into_iter().try_for_each(|a| self.act(router, a))
+    }
+
     // Callers
 
     fn send(&mut self, router: usize, req: Assign) {
@@ -336,7 +348,7 @@
                 self.begin(router, call, attempt, replica);
             }
             Action::Refused { call, reason, .. } => {
-                self.oracle.refused(router, self.calls.get(&call), reason)?;
+                self.oracle.refused(self.calls.get(&call), reason)?;
                 self.answered(call);
             }
             Action::Verdict(v) => {
@@ -476,8 +488,3 @@
         self.post(router, 0, Event::Configure { config, withdrawn });
     }
 }
-
-/// Whether a refusal is one that a retry meets.
-pub(super) fn retry_refused(reason: RefusalReason) -> bool {
-    reason == RefusalReason::RetriesExhausted
-}
