--- a/toucanchute_edge/tests/edge/bad_input.rs
+++ b/toucanchute_edge/tests/edge/bad_input.rs
@@ -5,7 +5,10 @@
     net::TcpStream,
 };
 
-use crate::{support::Bench, test_control::TestControl};
+use crate::{
+    support::{Bench, MAX_CONNECTIONS},
+    test_control::TestControl,
+};
 
 /// Sends raw bytes and returns all that comes back.
 async fn exchange(bench: &Bench, bytes: &[u8]) -> String {
@@ -94,16 +97,17 @@
 #[tokio::test]
 async fn connections_beyond_the_limit_wait() {
     let bench = Bench::start(TestControl::new(&[])).await;
-    let first = TcpStream::connect(bench.address).await.unwrap();
-    let second = TcpStream::connect(bench.address).await.unwrap();
+    let mut held = Vec::new();
+    for _ in 0..MAX_CONNECTIONS {
+        held.push(TcpStream::connect(bench.address).await.unwrap());
+    }
     let req = b"GET /healthz HTTP/1.1\r\nconnection: close\r\n\r\n";
     let third = exchange(&bench, req);
     tokio::pin!(third);
     let early = tokio::time::timeout(Duration::from_millis(100), &mut third).await;
     assert!(early.is_err(), "{early:?}");
-    drop(first);
+    held.pop();
     assert!(third.await.starts_with("HTTP/1.1 200"));
-    drop(second);
 }
 
 #[tokio::test]
--- a/toucanchute_edge/tests/edge/main.rs
+++ b/toucanchute_edge/tests/edge/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the HTTP edge against stand-in backend servers and a control in memory.
 
 mod bad_input;
+mod churn;
 mod completions;
 mod services;
 mod support;
--- a/toucanchute_edge/tests/edge/support.rs
+++ b/toucanchute_edge/tests/edge/support.rs
@@ -18,7 +18,9 @@
 
 use crate::test_control::{TOKEN_SHA256, TestControl};
 
-/// Prompt of all completions.
+/// Most connections of callers.
+pub(crate) const MAX_CONNECTIONS: usize = 16;
+/// Prompt of most completions.
 pub(crate) const PROMPT: &str = "why does the \"gate\" stick?";
 
 pub(crate) struct Bench {
@@ -39,7 +41,7 @@
             body_timeout: Millis(1_000),
             token_timeout: Millis(1_000),
             max_header_bytes: 2048,
-            max_connections: 2,
+            max_connections: MAX_CONNECTIONS,
             operator_token_sha256: TOKEN_SHA256.to_owned(),
             ..EdgeSettings::default()
         };
@@ -144,7 +146,12 @@
 
 /// Returns the text of the first `tokens` tokens of the answer to [`PROMPT`].
 pub(crate) fn answer(tokens: u64) -> String {
-    (0..tokens).map(|i| answer_token(PROMPT, i)).collect()
+    answer_to(PROMPT, tokens)
+}
+
+/// Returns the text of the first `tokens` tokens of the answer to `prompt`.
+pub(crate) fn answer_to(prompt: &str, tokens: u64) -> String {
+    (0..tokens).map(|i| answer_token(prompt, i)).collect()
 }
 
 /// A stream as its caller sees it.
--- a/toucanchute_edge/tests/edge/test_control.rs
+++ b/toucanchute_edge/tests/edge/test_control.rs
@@ -72,6 +72,22 @@
         noted.wait_for(found).await.unwrap().clone()
     }
 
+    /// Returns how many events that start with one of `events` were noted.
+    pub(crate) fn count(&self, events: &[&str]) -> u64 {
+        let noted = self.noted.borrow();
+        let counted = noted
+            .iter()
+            .filter(|e| events.iter().any(|event| e.starts_with(event)));
+        counted.count() as u64
+    }
+
+    /// Returns whether every reservation was settled or released and every attempt ended.
+    pub(crate) fn is_balanced(&self) -> bool {
+        let ended = self.count(&["done", "crashed", "refused", "unsent", "cancelled"]);
+        self.count(&["reserve"]) == self.count(&["settled", "release"])
+            && self.attempts.load(Ordering::Relaxed) == ended + 1
+    }
+
     fn note(&self, event: impl Into<String>) {
         self.noted.send_modify(|noted| noted.push(event.into()));
     }
