perf(router): ticks only where they are needed

Cause: two actors were ticked each 10 ms whether or not anything waited. Money is ticked each 50 ms and woken when its writer asks; the dispatch machine gets one tick in five while no request waits.

--- a/toucanchute_router/src/actor/dispatch.rs
+++ b/toucanchute_router/src/actor/dispatch.rs
@@ -17,6 +17,9 @@
 
 use super::{FleetActor, FleetInput, post};
 
+/// Ticks of which one is passed on while no request waits.
+const IDLE_TICKS: u64 = 5;
+
 /// Owns the [`Dispatcher`] of this router.
 #[derive(xtra::Actor)]
 pub(crate) struct DispatchActor {
@@ -25,6 +28,8 @@
     /// Callers that wait for a backend server, by call.
     waiting: HashMap<u64, oneshot::Sender<Result<Assignment, Refusal>>>,
     next_call: u64,
+    /// Ticks so far.
+    ticks: u64,
     withdrawn: BTreeSet<String>,
     config: Arc<Config>,
     actions: Vec<Action>,
@@ -75,6 +80,7 @@
             fleet,
             waiting: HashMap::new(),
             next_call: 0,
+            ticks: 0,
             withdrawn: BTreeSet::new(),
             config,
             actions: Vec::new(),
@@ -138,6 +144,14 @@
         }
     }
 
+    /// Passes on every tick while requests wait, otherwise one in [`IDLE_TICKS`].
+    fn tick(&mut self) {
+        self.ticks += 1;
+        if !self.waiting.is_empty() || self.ticks.is_multiple_of(IDLE_TICKS) {
+            self.feed(Event::Tick);
+        }
+    }
+
     fn configure(&mut self) {
         let config = Arc::clone(&self.config);
         self.feed(Event::Configure {
@@ -206,7 +220,7 @@
                 });
             }
             DispatchInput::Verdict(verdict) => self.feed(Event::Verdict(verdict)),
-            DispatchInput::Tick => self.feed(Event::Tick),
+            DispatchInput::Tick => self.tick(),
         }
     }
 }
--- a/toucanchute_router/src/actor/money.rs
+++ b/toucanchute_router/src/actor/money.rs
@@ -1,4 +1,4 @@
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use serde_json::{Value, json};
 use tokio::sync::oneshot;
@@ -22,6 +22,9 @@
 use super::{FleetActor, FleetInput, post};
 use crate::{link::Mesh, platform::LedgerStore};
 
+/// Shortest pause before a tick that the machine asked for.
+const MIN_WAKE_PAUSE: Duration = Duration::from_millis(2);
+
 /// Owns the [`Money`] machine of this router.
 #[derive(xtra::Actor)]
 pub(crate) struct MoneyActor {
@@ -36,6 +39,8 @@
     /// Addresses of callers' sides, by run of the router.
     waiting: HashMap<CallId, oneshot::Sender<Result<MoneyReply, Refusal>>>,
     next_call: u64,
+    /// When a tick is due that the machine asked for; none is under way if absent.
+    wake_at: Option<Millis>,
     actions: Vec<Action>,
 }
 
@@ -139,6 +144,8 @@
     },
     /// The process leaves: return all grants.
     Drain,
+    /// The time has come for which the machine asked.
+    Wake(Millis),
     /// Time passed.
     Tick,
 }
@@ -161,6 +168,7 @@
             peers: Vec::new(),
             waiting: HashMap::new(),
             next_call: 0,
+            wake_at: None,
             actions: Vec::new(),
         }
     }
@@ -178,6 +186,25 @@
             self.perform(action, cx);
         }
         self.actions = actions;
+        self.schedule_wake(now, cx);
+    }
+
+    /// Sees to it that the machine gets a tick when it wants one before the next regular one.
+    fn schedule_wake(&mut self, now: Millis, cx: &Context<Self>) {
+        let Some(at) = self.machine.as_ref().and_then(Money::next_wake) else {
+            return;
+        };
+        if self.wake_at.is_some_and(|wake_at| wake_at <= at) {
+            return;
+        }
+        self.wake_at = Some(at);
+        let own = cx.mailbox().address();
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(at.since(now).0).max(MIN_WAKE_PAUSE)).await;
+            if let Some(own) = own.try_upgrade() {
+                post(&own, MoneyInput::Wake(at));
+            }
+        });
     }
 
     fn perform(&mut self, action: Action, cx: &Context<Self>) {
@@ -297,6 +324,12 @@
             MoneyInput::Store { op, result } => self.feed(Event::Store { op, result }, cx),
             MoneyInput::Drain if self.machine.is_none() => post(&self.fleet, FleetInput::Drained),
             MoneyInput::Drain => self.feed(Event::Drain, cx),
+            MoneyInput::Wake(at) => {
+                if self.wake_at == Some(at) {
+                    self.wake_at = None;
+                }
+                self.feed(Event::Tick, cx);
+            }
             MoneyInput::Tick => self.feed(Event::Tick, cx),
         }
     }
--- a/toucanchute_router/src/server.rs
+++ b/toucanchute_router/src/server.rs
@@ -9,6 +9,7 @@
     net::TcpListener,
     signal::unix::{SignalKind, signal},
     sync::{mpsc, watch},
+    time::MissedTickBehavior,
 };
 use toucanchute_core::{
     fleet::{Fleet, Identity as FleetIdentity},
@@ -42,8 +43,11 @@
     view::View,
 };
 
-/// Pause between two ticks of the money and dispatch machines.
-const FAST_TICK: Duration = Duration::from_millis(10);
+/// Pause between two ticks of the money machine; it is woken earlier when it asks for that.
+const MONEY_TICK: Duration = Duration::from_millis(50);
+
+/// Pause between two ticks of the dispatch machine, which does nothing in most of them.
+const DISPATCH_TICK: Duration = Duration::from_millis(20);
 
 /// Pause between two ticks of the machines for orders.
 const ORDERS_TICK: Duration = Duration::from_millis(500);
@@ -173,14 +177,17 @@
         };
         tokio::spawn(polls.run());
         tokio::spawn(route_links(links, fleet.clone(), money.clone()));
-        tokio::spawn(tick_fast(money.clone(), dispatch.clone()));
+        tokio::spawn(tick(MONEY_TICK, money.clone(), || MoneyInput::Tick));
+        tokio::spawn(tick(DISPATCH_TICK, dispatch.clone(), || {
+            DispatchInput::Tick
+        }));
         tokio::spawn(tick_fleet(
             fleet.clone(),
             Arc::clone(&in_flight),
             metrics.clone(),
         ));
 
-        tokio::spawn(tick_orders(orders.clone()));
+        tokio::spawn(tick(ORDERS_TICK, orders.clone(), || OrdersInput::Tick));
 
         let admin = Admin {
             counters,
@@ -233,26 +240,17 @@
     }
 }
 
-async fn tick_fast(money: Address<MoneyActor>, dispatch: Address<DispatchActor>) {
-    let mut pause = tokio::time::interval(FAST_TICK);
-    pause.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
-        pause.tick().await;
-        if money.send(MoneyInput::Tick).await.is_err() {
-            return;
-        }
-        if dispatch.send(DispatchInput::Tick).await.is_err() {
-            return;
-        }
-    }
-}
-
-async fn tick_orders(orders: Address<OrdersActor>) {
-    let mut pause = tokio::time::interval(ORDERS_TICK);
-    pause.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+/// Posts a tick to an actor at each pause, never before it has handled the one before.
+async fn tick<A, M>(pause: Duration, actor: Address<A>, message: fn() -> M)
+where
+    A: Handler<M>,
+    M: Send + 'static,
+{
+    let mut pause = tokio::time::interval(pause);
+    pause.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         pause.tick().await;
-        if orders.send(OrdersInput::Tick).await.is_err() {
+        if actor.send(message()).await.is_err() {
             return;
         }
     }
@@ -260,7 +258,7 @@
 
 async fn tick_fleet(fleet: Address<FleetActor>, in_flight: Arc<AtomicU64>, metrics: Metrics) {
     let mut pause = tokio::time::interval(FLEET_TICK);
-    pause.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    pause.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         pause.tick().await;
         let count = in_flight.load(std::sync::atomic::Ordering::Relaxed);
