feat(money): writers look for batches of others; cheaper ticks; transfers are forgotten

Cause: a shard's writer that had nothing to commit did not see grants that another writer had given, so they were not reclaimed until the next commit; each tick copied all grants of all shards; a router that knew no peer yet could have forfeited every grant.

Weighed: reading one key a shard every 5 s against gossip of positions; the read does not grow with the fleet. A forfeited grant whose holder answers again is left to it. Without peers only grants without witnesses are reclaimed, as a single router's restart needs.

--- a/toucanchute_core/src/money/machine.rs
+++ b/toucanchute_core/src/money/machine.rs
@@ -19,6 +19,9 @@
 };
 use crate::ledger::Fault;
 
+/// Pause between two looks at what is not urgent, in milliseconds.
+const SLOW_TICK_MS: u64 = 100;
+
 /// The money machine of one router.
 ///
 /// ```
@@ -63,6 +66,9 @@
     pub(super) given: BTreeMap<GrantId, Given>,
     /// Statements asked of a shard's writer, and when to give up.
     pub(super) statements: BTreeMap<CallId, (BudgetId, Millis)>,
+    /// Router that writes each shard, by shard.
+    shard_writers: Vec<Incarnation>,
+    slow_tick_at: Millis,
     pub(super) draining: bool,
     pub(super) drained: bool,
 }
@@ -92,6 +98,8 @@
             asks: BTreeMap::new(),
             given: BTreeMap::new(),
             statements: BTreeMap::new(),
+            shard_writers: Vec::new(),
+            slow_tick_at: Millis(0),
             draining: false,
             drained: false,
         }
@@ -149,11 +157,16 @@
         self.tick_waiting(out);
         self.tick_outbox(out);
         self.tick_witnesses(out);
+        self.tick_calls(out);
+        self.tick_writers(out);
+        if self.now.since(self.slow_tick_at) < Millis(SLOW_TICK_MS) {
+            return;
+        }
+        self.slow_tick_at = self.now;
         self.tick_buffer();
         self.tick_asks(out);
-        self.tick_calls(out);
+        self.tick_given();
         self.tick_reclaims(out);
-        self.tick_writers(out);
         self.tick_statements(out);
         self.tick_idle();
     }
@@ -213,6 +226,8 @@
             let since = since.map_or(self.now, |(_, since)| since);
             self.peers.insert(id, (peer, since));
         }
+        let shards = (0..self.cfg.ledger.shards).map(ShardId);
+        self.shard_writers = shards.map(|s| self.choose_writer(s)).collect();
         let known = &self.peers;
         self.missing.retain(|id, _| !known.contains_key(id));
     }
@@ -272,8 +287,14 @@
         }
     }
 
-    /// Returns the router that writes a shard: the one of greatest weight that answers.
+    /// Returns the router that writes a shard.
     pub(super) fn writer_of(&self, shard: ShardId) -> Incarnation {
+        let chosen = self.shard_writers.get(usize::from(shard.0));
+        chosen.copied().unwrap_or(self.me())
+    }
+
+    /// Returns the router of greatest weight for a shard, out of those that answer.
+    fn choose_writer(&self, shard: ShardId) -> Incarnation {
         let alive = self.peers.keys().copied().filter(|&id| self.is_alive(id));
         let all = alive.chain([self.me()]);
         all.max_by_key(|&id| (weight(u64::from(shard.0), id), id))
--- a/toucanchute_core/src/money/reclaim.rs
+++ b/toucanchute_core/src/money/reclaim.rs
@@ -28,11 +28,12 @@
         let shards: Vec<_> = self.writers.keys().copied().collect();
         let mut due = Vec::new();
         for shard in shards {
-            if self.writer_of(shard) != self.me() || self.peers.is_empty() {
+            if self.writer_of(shard) != self.me() {
                 continue;
             }
             if let Some(writer) = self.writers.get(&shard).filter(|w| w.log.is_loaded()) {
-                due.extend(writer.log.state().grants().cloned().map(|g| (shard, g)));
+                let grants = writer.log.state().grants().cloned();
+                due.extend(grants.map(|g| (shard, g)));
             }
         }
         for (shard, record) in due {
@@ -45,7 +46,9 @@
     fn is_abandoned(&mut self, record: &GrantRecord) -> bool {
         let GrantId(holder, _) = record.grant;
         let bound = Millis(self.cfg.ledger.reclaim_after_ms);
-        record.forfeited || self.gone_for(holder).is_some_and(|gone| gone >= bound)
+        // A router that knows of no peer may have started a moment ago.
+        let alone = self.peers.is_empty() && !record.backing.witnesses.is_empty();
+        !alone && self.gone_for(holder).is_some_and(|gone| gone >= bound)
     }
 
     fn reclaim_step(&mut self, shard: ShardId, record: &GrantRecord, out: &mut Vec<Action>) {
--- a/toucanchute_core/src/money/transfer.rs
+++ b/toucanchute_core/src/money/transfer.rs
@@ -25,6 +25,10 @@
 /// Draw that a transfer should last for, and that a giver keeps, in milliseconds.
 const TRANSFER_SPAN_MS: u64 = 1_000;
 
+/// Time for which a finished transfer is remembered, and an unanswered one of a peer that is gone,
+/// in milliseconds.
+const REMEMBER_MS: u64 = 600_000;
+
 /// A transfer asked of a peer. It stays until it is answered: the answer may come late.
 #[derive(Clone, Debug)]
 pub(super) struct Ask {
@@ -40,6 +44,7 @@
     pub(super) transfer: Entry,
     /// Whether the receiver may spend it, and if so whether it is known to be committed.
     pub(super) released: Option<bool>,
+    given_at: Millis,
 }
 
 /// Asking for transfers.
@@ -295,6 +300,7 @@
             to,
             transfer: transfer.clone(),
             released: None,
+            given_at: self.now,
         };
         self.given.insert(grant, given);
         self.propose(
@@ -323,6 +329,15 @@
         out.push(Action::Send { to, message });
     }
 
+    /// Forgets transfers that nobody will ask for again.
+    pub(super) fn tick_given(&mut self) {
+        let now = self.now;
+        let old = |at: Millis| now.since(at) >= Millis(REMEMBER_MS);
+        self.given
+            .retain(|_, g| g.released != Some(true) || !old(g.given_at));
+        self.asks.retain(|_, a| !old(a.sent_at));
+    }
+
     fn decline(&self, to: Incarnation, grant: GrantId, budget: BudgetId, out: &mut Vec<Action>) {
         let idle = self.available(budget);
         let message = MoneyMessage::Decline(Decline {
--- a/toucanchute_core/src/money/writer.rs
+++ b/toucanchute_core/src/money/writer.rs
@@ -13,6 +13,10 @@
 /// within the platform's rate.
 const MIN_COMMIT_INTERVAL_MS: u64 = 10;
 
+/// Pause between two looks of a shard's writer for batches of others, in milliseconds. Grants that
+/// they gave have to be reclaimed as well.
+const REFRESH_MS: u64 = 5_000;
+
 /// This router's part in writing one shard.
 #[derive(Debug)]
 pub(super) struct Writer {
@@ -24,6 +28,8 @@
     last_commit: Option<Millis>,
     /// Statements to answer once the log is known to be read to its tail.
     statements: Vec<(Incarnation, CallId, BudgetId)>,
+    /// When the log was last looked at for batches of other writers.
+    refreshed_at: Millis,
     /// Whether a look for other writers' batches was begun for `statements`.
     refreshing: bool,
 }
@@ -69,6 +75,7 @@
                 routes: BTreeMap::new(),
                 last_commit: None,
                 statements: Vec::new(),
+                refreshed_at: Millis(0),
                 refreshing: false,
             }
         })
@@ -131,8 +138,13 @@
         let (now, mut next_op) = (self.now, self.next_op);
         let mut ops = Vec::new();
         for shard in shards {
-            if self.writer_of(shard) == self.me() && !self.peers.is_empty() {
-                self.writer(shard).log.load(&mut next_op, &mut ops);
+            if self.writer_of(shard) == self.me() {
+                let writer = self.writer(shard);
+                writer.log.load(&mut next_op, &mut ops);
+                if now.since(writer.refreshed_at) >= Millis(REFRESH_MS) {
+                    writer.refreshed_at = now;
+                    writer.log.refresh(&mut next_op, &mut ops);
+                }
             }
             if let Some(writer) = self.writers.get_mut(&shard) {
                 writer.log.tick(now, &mut next_op, &mut ops);
