--- a/toucanchute_core/examples/money_balance.rs
+++ b/toucanchute_core/examples/money_balance.rs
@@ -93,7 +93,7 @@
         min: tokens,
         least: 1,
         divisor: 1,
-        backing,
+        backing: backing.clone(),
     };
     let opening = [
         EntryBody::TopUp(TopUp {
@@ -147,7 +147,43 @@
         snapshot.len(),
         snapshot.len() / keys
     );
-    let empty = ShardState::default().snapshot();
-    let budgets = to_cbor(&empty).len();
-    println!("snapshot of an empty shard: {budgets} bytes");
+    let one = |n: u64| {
+        let mut state = ShardState::default();
+        let grants = (1..=n).map(|holder| {
+            EntryBody::Grant(GrantRequest {
+                grant: GrantId(Incarnation(u64::MAX - holder), 1),
+                want: 1_000_000,
+                min: 1_000_000,
+                least: 1,
+                divisor: 1,
+                backing: backing.clone(),
+            })
+        });
+        let top_up = EntryBody::TopUp(TopUp {
+            top_up: "2026-12-04".to_owned(),
+            tokens,
+        });
+        let bodies = [top_up].into_iter().chain(grants);
+        let entries = bodies
+            .zip(0..)
+            .map(|(body, n)| Entry {
+                id: id(n),
+                budget,
+                body,
+            })
+            .collect();
+        let batch = Batch {
+            position: 0,
+            batch_id: id(0),
+            at: Millis(1 << 40),
+            entries,
+        };
+        state.apply(&batch).expect("parts add up");
+        to_cbor(&state.snapshot()).len()
+    };
+    println!(
+        "snapshot of one budget: {} bytes, with 7 grants {}",
+        one(0),
+        one(7)
+    );
 }
--- a/toucanchute_core/src/money/machine.rs
+++ b/toucanchute_core/src/money/machine.rs
@@ -69,6 +69,8 @@
     /// Router that writes each shard, by shard.
     shard_writers: Vec<Incarnation>,
     slow_tick_at: Millis,
+    /// Time of the first event.
+    pub(super) started_at: Option<Millis>,
     pub(super) draining: bool,
     pub(super) drained: bool,
 }
@@ -100,6 +102,7 @@
             statements: BTreeMap::new(),
             shard_writers: Vec::new(),
             slow_tick_at: Millis(0),
+            started_at: None,
             draining: false,
             drained: false,
         }
@@ -108,6 +111,7 @@
     /// Takes an event and appends what is to be done to `out`.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
+        self.started_at.get_or_insert(now);
         match event {
             Event::Reserve { .. } | Event::Intend { .. } => self.ask_tokens(event, out),
             Event::Settle { call, tokens } => self.settle(call, tokens, out),
--- a/toucanchute_core/src/money/writer.rs
+++ b/toucanchute_core/src/money/writer.rs
@@ -17,6 +17,9 @@
 /// they gave have to be reclaimed as well.
 const REFRESH_MS: u64 = 5_000;
 
+/// Time after the start by which a router that knows no peer is taken to be alone, in milliseconds.
+const PEERS_KNOWN_MS: u64 = 5_000;
+
 /// This router's part in writing one shard.
 #[derive(Debug)]
 pub(super) struct Writer {
@@ -137,8 +140,10 @@
         let shards: Vec<_> = (0..self.cfg.ledger.shards).map(ShardId).collect();
         let (now, mut next_op) = (self.now, self.next_op);
         let mut ops = Vec::new();
+        let running = now.since(self.started_at.unwrap_or(now));
+        let settled = !self.peers.is_empty() || running >= Millis(PEERS_KNOWN_MS);
         for shard in shards {
-            if self.writer_of(shard) == self.me() {
+            if settled && self.writer_of(shard) == self.me() {
                 let writer = self.writer(shard);
                 writer.log.load(&mut next_op, &mut ops);
                 if now.since(writer.refreshed_at) >= Millis(REFRESH_MS) {
--- a/toucanchute_core/tests/money_fuzz.rs
+++ b/toucanchute_core/tests/money_fuzz.rs
@@ -2,18 +2,25 @@
 //!
 //! `TOUCANCHUTE_FUZZ_RUNS` and `TOUCANCHUTE_FUZZ_STEPS` make it longer.
 
-use std::env;
+use std::{collections::BTreeMap, env};
 
 use toucanchute_core::ledger::Fault;
 
+#[path = "money_fuzz/disturb.rs"]
+mod disturb;
 #[path = "money_fuzz/oracle.rs"]
 mod oracle;
 #[path = "support/sim.rs"]
 mod sim;
+#[path = "money_fuzz/summary.rs"]
+mod summary;
 #[path = "money_fuzz/walk.rs"]
 mod walk;
+#[path = "money_fuzz/work.rs"]
+mod work;
 
-use walk::{Summary, Walk};
+use summary::Summary;
+use walk::{Walk, backing};
 
 /// First seed of the walks.
 const SEED: u64 = 20_261_204;
@@ -31,12 +38,20 @@
     let steps = setting("TOUCANCHUTE_FUZZ_STEPS", 400) as u32;
     let first = setting("TOUCANCHUTE_FUZZ_SEED", SEED);
     let mut sum = Summary::default();
+    let mut by_backing: BTreeMap<(u8, u8), Summary> = BTreeMap::new();
     for seed in first..first + runs {
         let mut walk = Walk::new(seed, None);
         if let Err(found) = walk.run(steps) {
             panic!("seed {seed}, {steps} steps: {found}");
         }
         sum.add(&walk.summary);
+        by_backing
+            .entry(backing(seed))
+            .or_default()
+            .add(&walk.summary);
+    }
+    for ((witnesses, acks), part) in by_backing {
+        println!("{acks} of {witnesses} witnesses: {part:?}");
     }
     println!("seeds {first}.. {runs} runs of {steps} steps: {sum:?}");
     assert!(sum.complete > runs * 20, "too little ran: {sum:?}");
--- a/toucanchute_core/tests/money_fuzz/walk.rs
+++ b/toucanchute_core/tests/money_fuzz/walk.rs
@@ -14,11 +14,13 @@
 
 use super::{
     oracle::{Oracle, Verdict},
-    sim::{Faults, Sim, domain},
+    sim::{Sim, domain},
+    summary::Summary,
+    work::{Call, Running, Work},
 };
 
 const SHARDS: u16 = 2;
-const HOSTS: usize = 4;
+pub(crate) const HOSTS: usize = 4;
 
 /// A long quiet time, after which keys are forgotten.
 const LEAP: Millis = Millis(70_000);
@@ -26,25 +28,9 @@
 /// Price of a booking, in tokens.
 const PRICE: u64 = 5;
 
-#[derive(Clone, Debug)]
-enum Call {
-    Reserve { budget: BudgetId, key: RequestKey },
-    Intend { key: RequestKey, refused: bool },
-    TopUp,
-    Statement { budget: BudgetId },
-}
-
-/// A request that is running on a backend server.
-struct Running {
-    host: usize,
-    incarnation: Incarnation,
-    done_at: Millis,
-    work: Work,
-}
-
-enum Work {
-    Stream { call: CallId, tokens: u64 },
-    Booking { key: RequestKey, answer: Answer },
+/// Returns the witnesses and acknowledgements of a walk's grants.
+pub(crate) fn backing(seed: u64) -> (u8, u8) {
+    [(3, 2), (2, 1), (2, 2), (1, 1)][seed as usize % 4]
 }
 
 pub(crate) struct Walk {
@@ -63,35 +49,6 @@
     next_top_up: u64,
 }
 
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Summary {
-    pub(crate) reserved: u64,
-    pub(crate) complete: u64,
-    pub(crate) refused: u64,
-    pub(crate) sent: u64,
-    pub(crate) crashes: u64,
-    pub(crate) forfeited: u64,
-    pub(crate) lost: u64,
-    pub(crate) entries: u64,
-    pub(crate) transfers: u64,
-    pub(crate) chunks: u64,
-}
-
-impl Summary {
-    pub(crate) fn add(&mut self, other: &Summary) {
-        self.reserved += other.reserved;
-        self.complete += other.complete;
-        self.refused += other.refused;
-        self.sent += other.sent;
-        self.crashes += other.crashes;
-        self.forfeited += other.forfeited;
-        self.lost += other.lost;
-        self.entries += other.entries;
-        self.transfers += other.transfers;
-        self.chunks += other.chunks;
-    }
-}
-
 impl Walk {
     pub(crate) fn new(seed: u64, fault: Option<Fault>) -> Walk {
         let make = move |host: usize, incarnation: Incarnation| {
@@ -101,8 +58,7 @@
             cfg.ledger.outage_after_ms = 100;
             cfg.ledger.reclaim_after_ms = 500;
             cfg.ledger.grant_horizon_ms = 2_000;
-            (cfg.ledger.witnesses, cfg.ledger.acks) =
-                [(3, 2), (2, 1), (2, 2), (1, 1)][seed as usize % 4];
+            (cfg.ledger.witnesses, cfg.ledger.acks) = backing(seed);
             cfg.part_bytes = if seed.is_multiple_of(3) {
                 1_000
             } else {
@@ -282,66 +238,6 @@
         );
     }
 
-    fn crash(&mut self, host: usize) {
-        self.summary.crashes += 1;
-        self.sim.hosts[host].money = None;
-        if self.sim.chance(700) {
-            self.sim.start(host);
-        }
-    }
-
-    fn freeze(&mut self, host: usize) {
-        let span = Millis(self.sim.rng.random_range(50..2_000));
-        self.sim.hosts[host].frozen_until = self.sim.now + span;
-    }
-
-    fn partition(&mut self) {
-        for host in 0..HOSTS {
-            self.sim.hosts[host].side = self.sim.rng.random_range(0..2);
-        }
-    }
-
-    fn cut_store(&mut self, host: usize) {
-        let all = self.sim.chance(500);
-        for other in 0..HOSTS {
-            if all || other == host {
-                self.sim.hosts[other].store_up = false;
-            }
-        }
-    }
-
-    fn change_faults(&mut self) {
-        let rng = &mut self.sim.rng;
-        let mut rate = |most: u32| {
-            if rng.random_bool(0.5) {
-                rng.random_range(0..most)
-            } else {
-                0
-            }
-        };
-        self.sim.faults = Faults {
-            lose: rate(300),
-            duplicate: rate(400),
-            reorder: rate(400),
-            lose_store_answer: rate(400),
-            delay_write: rate(300),
-            store_delay: Millis(u64::from(rate(250))),
-        };
-    }
-
-    fn mend(&mut self) {
-        self.sim.faults = Faults::default();
-        for host in 0..HOSTS {
-            let slot = &mut self.sim.hosts[host];
-            slot.side = 0;
-            slot.store_up = true;
-            slot.frozen_until = self.sim.now;
-            if slot.money.is_none() {
-                self.sim.start(host);
-            }
-        }
-    }
-
     fn finish_work(&mut self) {
         let now = self.sim.now;
         let (done, rest) = std::mem::take(&mut self.running)
