fix(money): a call that another router gave up is deducted from its grant

Cause: router A announces a call and the answer is lost; router B takes A for gone and records the call as unknown; A's entry, sent again, got the recorded outcome and A put the price back into its grant, though the ledger had taken it. A could then promise tokens that are spent: a bill held by witnesses would have been refused by the ledger later.

Weighed: a second refund in the ledger against telling A; the caller was told `unknown`, so the price stays billed, and A learns by the result `ended`.

--- a/toucanchute_core/src/ledger/keys.rs
+++ b/toucanchute_core/src/ledger/keys.rs
@@ -169,6 +169,8 @@
         return Some(Err(EntryRefusal::KeyReused));
     };
     let result = match &call.answer {
+        // Another router gave the call up. It is billed, so its sender has to know.
+        Some(answer) if call.attempt == body.attempt => EntryResult::Ended(answer.clone()),
         Some(answer) => EntryResult::Recorded(answer.clone()),
         None if call.attempt == body.attempt => EntryResult::Accepted,
         None => EntryResult::Pending(call.attempt),
--- a/toucanchute_core/src/money/results.rs
+++ b/toucanchute_core/src/money/results.rs
@@ -228,6 +228,10 @@
                 self.deduct(grant, tokens);
                 self.accept(call, entry.budget, body, out);
             }
+            EntryResult::Ended(answer) => {
+                self.deduct(grant, tokens);
+                out.push(Action::Recorded { call, answer });
+            }
             EntryResult::Recorded(answer) => {
                 self.unreserve(grant, tokens);
                 out.push(Action::Recorded { call, answer });
@@ -262,6 +266,7 @@
                 let (key, attempt) = (body.key, body.attempt);
                 self.propose_outcome(entry.budget, key, attempt, body.expires, Answer::NotRun);
             }
+            EntryResult::Ended(_) => self.deduct(grant, tokens),
             EntryResult::Refused(refusal) => {
                 self.on_refused_debit(grant, tokens, *refusal);
             }
--- a/toucanchute_core/tests/ledger_state.rs
+++ b/toucanchute_core/tests/ledger_state.rs
@@ -260,6 +260,14 @@
     assert_eq!(shard.intend(6), EntryResult::Recorded(Answer::Unknown));
 }
 
+#[test]
+fn an_attempt_that_was_given_up_learns_that_it_is_billed() {
+    let mut shard = Shard::new();
+    assert_eq!(shard.intend(5), EntryResult::Accepted);
+    assert_eq!(shard.end(5, Answer::Unknown), EntryResult::Done);
+    assert_eq!(shard.intend(5), EntryResult::Ended(Answer::Unknown));
+}
+
 #[test]
 fn a_snapshot_holds_all_of_the_state() {
     let mut shard = Shard::new();
