fix(money): a call is not sent after its deadline, though its intent is committed

Cause: a router that was paused may learn late that an intent is committed; the caller has gone by then, and another router may have told it `unknown`. The call is refused and the price refunded.

Also: at most 256 entries are sent again at once, so that a long outage does not repeat thousands.

Measured: the case `a_call_whose_intent_is_committed_too_late_is_not_sent` is red without the check and green with it.

--- a/toucanchute_core/src/money/outbox.rs
+++ b/toucanchute_core/src/money/outbox.rs
@@ -21,6 +21,9 @@
 /// Age at which a router commits an entry itself, in milliseconds.
 const WRITE_SELF_MS: u64 = 900;
 
+/// Most entries that are sent again at once.
+const MAX_RESENT: usize = 256;
+
 /// An entry whose result is not known.
 #[derive(Debug)]
 pub(super) struct Outgoing {
@@ -141,6 +144,7 @@
             .keys()
             .copied()
             .filter(|id| self.is_due(*id))
+            .take(MAX_RESENT)
             .collect();
         self.send_entries(&due, out);
     }
--- a/toucanchute_core/src/money/results.rs
+++ b/toucanchute_core/src/money/results.rs
@@ -63,13 +63,8 @@
                 self.on_given(from, grant, tokens, &result, released, out);
             }
             Purpose::Origin { grant } => self.on_origin(grant, &result),
-            Purpose::Intent {
-                call,
-                grant,
-                tokens,
-                ..
-            } => {
-                self.on_intent(call, grant, tokens, &entry, result, out);
+            Purpose::Intent { call, deadline, .. } => {
+                self.on_intent(call, deadline, &entry, result, out);
             }
             Purpose::AbandonedIntent { grant, tokens } => {
                 self.on_abandoned_intent(grant, tokens, &entry, &result);
@@ -214,8 +209,7 @@
     fn on_intent(
         &mut self,
         call: CallId,
-        grant: GrantId,
-        tokens: u64,
+        deadline: Millis,
         entry: &Entry,
         result: EntryResult,
         out: &mut Vec<Action>,
@@ -223,7 +217,14 @@
         let EntryBody::Intent(body) = &entry.body else {
             return;
         };
+        let (grant, tokens) = (body.grant, body.tokens);
         match result {
+            EntryResult::Accepted if self.now >= deadline => {
+                // The process was paused: the caller has gone.
+                self.on_abandoned_intent(grant, tokens, entry, &EntryResult::Accepted);
+                let retry_after = Some(Millis(RETRY_AFTER_MS));
+                self.refuse(call, RefusalReason::LedgerUnavailable, retry_after, out);
+            }
             EntryResult::Accepted => {
                 self.deduct(grant, tokens);
                 self.accept(call, entry.budget, body, out);
--- a/toucanchute_core/tests/money_single.rs
+++ b/toucanchute_core/tests/money_single.rs
@@ -18,6 +18,8 @@
     values: BTreeMap<StoreKey, (u64, Bytes)>,
     revision: u64,
     next_call: u64,
+    /// Time that passes before a call to the store is answered.
+    slow: Millis,
 }
 
 impl Alone {
@@ -28,6 +30,7 @@
             values: BTreeMap::new(),
             revision: 0,
             next_call: 0,
+            slow: Millis(0),
         }
     }
 
@@ -81,6 +84,7 @@
     }
 
     fn store(&mut self, op: StoreOp) -> Event {
+        self.now = self.now + self.slow;
         let result = match op.request {
             StoreRequest::Get { key } => match self.values.get(&key) {
                 Some((revision, value)) => StoreResult::Value {
@@ -258,6 +262,19 @@
     assert!(matches!(alone.intend(1, 20), Action::Accepted { .. }));
 }
 
+#[test]
+fn a_call_whose_intent_is_committed_too_late_is_not_sent() {
+    let mut alone = Alone::funded();
+    assert_eq!(alone.run(1, 10), Billing::Billed);
+    alone.slow = Millis(6_000);
+    let late = alone.intend(2, 20);
+    let reason = RefusalReason::LedgerUnavailable;
+    assert!(matches!(late, Action::Refused { reason: r, .. } if r == reason));
+    alone.slow = Millis(0);
+    alone.pass();
+    assert_eq!(alone.spent(), 10);
+}
+
 #[test]
 fn a_drained_router_has_nothing_left() {
     let mut alone = Alone::funded();
