--- a/toucanchute_core/src/fleet/publish.rs
+++ b/toucanchute_core/src/fleet/publish.rs
@@ -112,19 +112,14 @@
             return told.is_some_and(|at| now.since(at) <= Fleet::VIEW_BOUND);
         };
         let (mut here, mut lost) = (1, 0);
-        for Entry {
-            member,
-            since,
-            ended,
-        } in self.members.iter()
-        {
-            let gone = member.state == MemberState::Gone;
-            match gone {
-                true if *ended => {}
-                true if *since <= confirmed => lost += 1,
-                _ if !member.outage => return false,
-                true => lost += 1,
-                false => here += 1,
+        for Entry { member, since, .. } in self.members.iter().filter(|e| !e.ended) {
+            let gone_before = member.state == MemberState::Gone && *since <= confirmed;
+            if !member.outage && !gone_before {
+                return false;
+            }
+            match member.state {
+                MemberState::Alive | MemberState::Leaving => here += 1,
+                MemberState::Suspect | MemberState::Gone => lost += 1,
             }
         }
         lost < here
