--- a/toucanchute_core/src/routing/tests.rs
+++ b/toucanchute_core/src/routing/tests.rs
@@ -3,4 +3,5 @@
 mod fairness;
 mod fuzz;
 mod oracle;
+mod policy;
 mod world;
--- /dev/null
+++ b/toucanchute_core/src/routing/tests/policy.rs
@@ -0,0 +1,249 @@
+//! Single decisions of one dispatcher.
+
+use std::collections::BTreeSet;
+
+use toucanchute_proto::{
+    AttemptId, Incarnation, Millis,
+    fleet::{Load, Standing, Verdict},
+};
+use yare::parameterized;
+
+use super::world::{assign, config};
+use crate::routing::{
+    Action, Assign, CacheChange, CacheEvent, Dispatcher, Event, RefusalReason, Report,
+    suspects::key,
+};
+
+/// A dispatcher in failure domain d0 and what it wants done.
+struct Bench {
+    dispatcher: Dispatcher,
+    out: Vec<Action>,
+}
+
+/// A deadline that no test reaches.
+const NEVER: Millis = Millis(1_000_000);
+
+impl Bench {
+    fn new(replicas: usize, concurrency: u32) -> Bench {
+        let dispatcher = Dispatcher::new(Incarnation(1), "d0", 1);
+        let mut bench = Bench {
+            dispatcher,
+            out: Vec::new(),
+        };
+        bench.configure(0, replicas, concurrency, &[]);
+        bench
+    }
+
+    fn configure(&mut self, now: u64, replicas: usize, concurrency: u32, withdrawn: &[&str]) {
+        let config = config(replicas, concurrency).into();
+        let withdrawn: BTreeSet<String> = withdrawn.iter().map(|&n| n.to_owned()).collect();
+        self.tell(now, Event::Configure { config, withdrawn });
+    }
+
+    fn tell(&mut self, now: u64, event: Event) {
+        self.dispatcher.handle(Millis(now), event, &mut self.out);
+    }
+
+    fn report(&mut self, now: u64, attempt: AttemptId, report: Report) {
+        self.tell(now, Event::Report { attempt, report });
+    }
+
+    /// Sends a call; returns its attempt and replica if it starts at once.
+    fn call(&mut self, now: u64, req: Assign) -> Option<(AttemptId, String)> {
+        self.out.clear();
+        self.tell(now, Event::Assign(req));
+        self.started()
+            .pop()
+            .map(|(_, attempt, backend)| (attempt, backend))
+    }
+
+    fn started(&self) -> Vec<(u64, AttemptId, String)> {
+        let started = self.out.iter().filter_map(|a| match a {
+            Action::Assigned {
+                call,
+                attempt,
+                backend,
+                ..
+            } => Some((*call, *attempt, backend.clone())),
+            _ => None,
+        });
+        started.collect()
+    }
+
+    fn refused(&self) -> Option<RefusalReason> {
+        self.out.iter().find_map(|a| match a {
+            Action::Refused { reason, .. } => Some(*reason),
+            _ => None,
+        })
+    }
+
+    fn load(&mut self, now: u64, backend: &str, running: u32) {
+        let backend = backend.to_owned();
+        let (waiting, capacity, kv_used, as_of) = (0, 16, 0, Millis(now));
+        let load = Load {
+            backend,
+            running,
+            waiting,
+            capacity,
+            kv_used,
+            as_of,
+        };
+        self.tell(now, Event::Load(load));
+    }
+}
+
+fn plain(call: u64) -> Assign {
+    Assign {
+        prefix: Vec::new(),
+        ..assign(call, 0, 10, NEVER)
+    }
+}
+
+#[test]
+fn own_work_corrects_the_reported_load() {
+    let mut bench = Bench::new(2, 16);
+    bench.load(0, "b0", 6);
+    bench.load(0, "b1", 10);
+    let chosen: Vec<_> = (0..8).map(|n| bench.call(1, plain(n)).unwrap().1).collect();
+    let first = chosen.iter().filter(|b| *b == "b0").count();
+    assert!((5..=7).contains(&first), "{chosen:?}");
+}
+
+#[test]
+fn an_idle_replica_nearby_is_preferred() {
+    let mut bench = Bench::new(2, 16);
+    assert_eq!(bench.call(1, plain(1)).unwrap().1, "b0");
+}
+
+#[parameterized(
+    stored = { &[CacheChange::Stored], "b1" },
+    evicted = { &[CacheChange::Stored, CacheChange::Evicted], "b0" },
+)]
+fn a_long_cached_prefix_outweighs_nearness(changes: &[CacheChange], chosen: &str) {
+    let mut bench = Bench::new(2, 16);
+    let prefix: Vec<u64> = (1..=16).collect();
+    for &change in changes {
+        let events = prefix
+            .iter()
+            .map(|&prefix| CacheEvent { prefix, change })
+            .collect();
+        let (backend, gap) = ("b1".to_owned(), false);
+        bench.tell(
+            1,
+            Event::CacheEvents {
+                backend,
+                events,
+                gap,
+            },
+        );
+    }
+    let req = Assign { prefix, ..plain(1) };
+    assert_eq!(bench.call(2, req).unwrap().1, chosen);
+}
+
+#[test]
+fn higher_priority_goes_first() {
+    let mut bench = Bench::new(1, 1);
+    let (attempt, _) = bench.call(1, plain(1)).unwrap();
+    for (call, priority) in [(2, 0), (3, 9), (4, 5)] {
+        assert!(
+            bench
+                .call(
+                    1,
+                    Assign {
+                        priority,
+                        ..plain(call)
+                    }
+                )
+                .is_none()
+        );
+    }
+    bench.report(2, attempt, Report::Done { tokens: 1 });
+    assert_eq!(bench.started()[0].0, 3);
+}
+
+#[test]
+fn a_joining_replica_starts_slowly() {
+    let mut bench = Bench::new(1, 20);
+    bench.configure(1_000, 2, 20, &["b0"]);
+    let at = |bench: &mut Bench, now: u64, base: u64| {
+        (0..30)
+            .filter(|n| bench.call(now, plain(base + n)).is_some())
+            .count()
+    };
+    assert_eq!(at(&mut bench, 1_001, 0), 2);
+    bench.tell(11_000, Event::Tick);
+    assert_eq!(bench.dispatcher.in_flight(), 20);
+}
+
+#[test]
+fn an_ejected_replica_is_probed_with_one_request() {
+    let mut bench = Bench::new(1, 8);
+    let (attempt, _) = bench.call(1, plain(1)).unwrap();
+    bench.report(2, attempt, Report::Unsent);
+    for call in 2..6 {
+        assert!(bench.call(3, plain(call)).is_none());
+    }
+    bench.out.clear();
+    bench.tell(1_002, Event::Tick);
+    let probes = bench.started();
+    assert_eq!(probes.len(), 1);
+    bench.report(1_010, probes[0].1, Report::Done { tokens: 1 });
+    assert!(bench.started().len() > 1);
+}
+
+#[test]
+fn what_runs_on_a_withdrawn_replica_goes_on() {
+    let mut bench = Bench::new(1, 4);
+    let (attempt, _) = bench.call(1, plain(1)).unwrap();
+    bench.configure(2, 1, 4, &["b0"]);
+    assert!(bench.call(3, plain(2)).is_none());
+    assert_eq!(bench.refused(), Some(RefusalReason::NoBackend));
+    assert_eq!(bench.dispatcher.in_flight(), 1);
+    bench.report(4, attempt, Report::Done { tokens: 1 });
+    assert_eq!(bench.dispatcher.in_flight(), 0);
+}
+
+#[test]
+fn what_cannot_start_in_time_is_refused_at_once() {
+    let mut bench = Bench::new(1, 1);
+    let mut running = bench.call(0, plain(0)).unwrap().0;
+    (1..40).for_each(|call| assert!(bench.call(0, plain(call)).is_none()));
+    for n in 1..=20 {
+        bench.out.clear();
+        bench.report(n * 100, running, Report::Done { tokens: 1 });
+        running = bench.started()[0].1;
+    }
+    let deadline = Millis(2_500);
+    assert!(
+        bench
+            .call(
+                2_001,
+                Assign {
+                    deadline,
+                    ..plain(99)
+                }
+            )
+            .is_none()
+    );
+    assert_eq!(bench.refused(), Some(RefusalReason::Overloaded));
+}
+
+#[test]
+fn another_routers_quarantine_ends_the_wait() {
+    let mut bench = Bench::new(1, 1);
+    assert!(bench.call(1, plain(1)).is_some());
+    let req = plain(2);
+    let digest = key(&req);
+    assert!(bench.call(1, req).is_none());
+    let verdict = Verdict {
+        digest,
+        standing: Standing::Quarantined,
+        router: Incarnation(2),
+        crash: None,
+        claim: None,
+        until: Millis(10_000),
+    };
+    bench.tell(2, Event::Verdict(verdict));
+    assert_eq!(bench.refused(), Some(RefusalReason::Quarantined));
+}
