--- a/toucanchute_core/src/fleet/tests.rs
+++ b/toucanchute_core/src/fleet/tests.rs
@@ -3,4 +3,5 @@
 mod fuzz;
 mod oracle;
 mod scenario;
+mod steps;
 mod world;
--- a/toucanchute_core/src/fleet/tests/fuzz.rs
+++ b/toucanchute_core/src/fleet/tests/fuzz.rs
@@ -5,7 +5,8 @@
 
 use super::{
     oracle::{Oracle, Violation},
-    world::{Listed, Step, World, steps},
+    steps::{Listed, Step, steps},
+    world::World,
 };
 use crate::fleet::fault::Fault;
 
--- a/toucanchute_core/src/fleet/tests/oracle.rs
+++ b/toucanchute_core/src/fleet/tests/oracle.rs
@@ -4,7 +4,10 @@
 
 use toucanchute_proto::{Incarnation, Millis};
 
-use super::world::{BACKENDS, Listed, ROUTERS, Router, World, backend};
+use super::{
+    steps::Listed,
+    world::{BACKENDS, ROUTERS, Router, World, backend},
+};
 use crate::fleet::NotReady;
 
 /// Time by which a withdrawal is in force on every router that takes work.
--- a/toucanchute_core/src/fleet/tests/scenario.rs
+++ b/toucanchute_core/src/fleet/tests/scenario.rs
@@ -2,7 +2,10 @@
 
 use yare::parameterized;
 
-use super::world::{ROUTERS, Step, World};
+use super::{
+    steps::Step,
+    world::{ROUTERS, World},
+};
 use crate::fleet::{NotReady, fault::Fault};
 
 /// A world of five routers that have met.
--- a/toucanchute_core/src/fleet/tests/world.rs
+++ b/toucanchute_core/src/fleet/tests/world.rs
@@ -1,21 +1,23 @@
 //! Routers, links and a platform that the tests drive step by step.
 
+mod network;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
 };
 
-use proptest::prelude::*;
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rand::{SeedableRng, rngs::SmallRng};
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
     config::{self, Config},
 };
 
-use super::oracle::{Oracle, Violation};
-use crate::fleet::{
-    Action, Event, Fleet, HostEntry, HostRole, HostState, Identity, NotReady, fault::Fault,
+use super::{
+    oracle::{Oracle, Violation},
+    steps::{Listed, Step},
 };
+use crate::fleet::{Action, Event, Fleet, Identity, NotReady, fault::Fault};
 
 pub(super) const ROUTERS: usize = 5;
 pub(super) const BACKENDS: usize = 3;
@@ -23,56 +25,6 @@
 /// Time between two reads of the platform.
 const POLL: u64 = 500;
 
-/// One thing that the fuzz does.
-#[derive(Clone, Debug)]
-pub(super) enum Step {
-    Advance(u64),
-    Apply,
-    List { backend: usize, listed: Listed },
-    Platform { up: bool },
-    CutPlatform { router: usize, cut: bool },
-    Partition(u8),
-    Restart(usize),
-    Freeze { router: usize, span: u64 },
-    Loss(u32),
-    Drain(usize),
-    Busy { router: usize, requests: u64 },
-    StaleConfig(usize),
-}
-
-/// How a backend server stands in the host list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Listed {
-    Live,
-    Leaving,
-    Absent,
-}
-
-pub(super) fn steps() -> impl Strategy<Value = Vec<Step>> {
-    let listed = prop_oneof![
-        Just(Listed::Live),
-        Just(Listed::Leaving),
-        Just(Listed::Absent)
-    ];
-    let r = 0..ROUTERS;
-    let step = prop_oneof![
-        20 => (50u64..3_000).prop_map(Step::Advance),
-        2 => Just(Step::Apply),
-        4 => (0..BACKENDS, listed).prop_map(|(backend, listed)| Step::List { backend, listed }),
-        2 => any::<bool>().prop_map(|up| Step::Platform { up }),
-        3 => (r.clone(), any::<bool>()).prop_map(|(router, cut)| Step::CutPlatform { router, cut }),
-        3 => any::<u8>().prop_map(Step::Partition),
-        2 => Just(Step::Partition(0)),
-        1 => r.clone().prop_map(Step::Restart),
-        2 => (r.clone(), 100u64..6_000).prop_map(|(router, span)| Step::Freeze { router, span }),
-        1 => (0u32..30).prop_map(Step::Loss),
-        1 => r.clone().prop_map(Step::Drain),
-        2 => (r.clone(), 0u64..3).prop_map(|(router, requests)| Step::Busy { router, requests }),
-        1 => r.prop_map(Step::StaleConfig),
-    ];
-    prop::collection::vec(step, 1..60)
-}
-
 /// One router's place in the world.
 pub(super) struct Router {
     pub(super) fleet: Fleet,
@@ -341,141 +293,6 @@
         out.into_iter().try_for_each(|a| self.act(i, a))
     }
 
-    // Platform
-
-    pub(super) fn reaches_platform(&self, router: usize) -> bool {
-        self.up && !self.routers[router].cut
-    }
-
-    fn poll(&mut self, i: usize) {
-        let r = &mut self.routers[i];
-        let due = r.next_poll <= self.now && r.frozen <= self.now && !r.exited;
-        if !due || !r.fleet.watches(self.now) {
-            return;
-        }
-        r.next_poll = self.now + Millis(POLL);
-        let (id, asked) = (self.id(i), self.now);
-        if !self.reaches_platform(i) {
-            self.post(id, 50, Event::PlatformDown);
-            return;
-        }
-        self.oracle.read(self.now, self.version, &self.listed);
-        let version = self.version;
-        let digest = Digest(version.into());
-        self.post(
-            id,
-            5,
-            Event::HeadSeen {
-                version,
-                digest,
-                asked,
-            },
-        );
-        let version = self.hosts;
-        let hosts = self.host_entries();
-        self.post(
-            id,
-            7,
-            Event::HostList {
-                version,
-                hosts,
-                asked,
-            },
-        );
-    }
-
-    fn host_entries(&self) -> Vec<HostEntry> {
-        let entry = |(i, listed): (usize, &Listed)| {
-            let state = match listed {
-                Listed::Live => HostState::Live,
-                Listed::Leaving => HostState::Leaving,
-                Listed::Absent => return None,
-            };
-            Some(HostEntry {
-                name: backend(i),
-                address: "192.0.2.99:80".parse().unwrap(),
-                role: HostRole::Backend,
-                state,
-            })
-        };
-        self.listed.iter().enumerate().filter_map(entry).collect()
-    }
-
-    // Links
-
-    pub(super) fn connected(&self, a: usize, b: usize) -> bool {
-        self.routers[a].side == self.routers[b].side
-    }
-
-    /// Whether the router is with most of the fleet, none of which can reach the platform. Such a
-    /// side may go on after an outage that all saw.
-    fn majority_cut_off(&self, i: usize) -> bool {
-        let side: Vec<usize> = (0..ROUTERS).filter(|&j| self.connected(i, j)).collect();
-        let cut_off = !side.iter().any(|&j| self.reaches_platform(j));
-        cut_off && side.len() * 2 > ROUTERS
-    }
-
-    fn drop_cut_links(&mut self) {
-        let links: Vec<_> = self.links.iter().copied().collect();
-        for (a, b) in links {
-            let (Some(i), Some(j)) = (self.index(a), self.index(b)) else {
-                continue;
-            };
-            if !self.connected(i, j) && self.rng.random_ratio(1, 100) {
-                self.drop_link(a, b);
-            }
-        }
-    }
-
-    fn drop_link(&mut self, a: Incarnation, b: Incarnation) {
-        self.links.remove(&(a, b));
-        self.post(a, 1, Event::PeerDown(b));
-        self.post(b, 1, Event::PeerDown(a));
-    }
-
-    fn connect(&mut self, i: usize, address: std::net::SocketAddr) {
-        let port = |r: &Router| r.fleet.member().peer_address.parse() == Ok(address);
-        let Some(j) = self.routers.iter().position(port) else {
-            return;
-        };
-        let (a, b) = (self.id(i).min(self.id(j)), self.id(i).max(self.id(j)));
-        let reached = self.connected(i, j) && !self.routers[j].exited;
-        let awake = self.routers[j].frozen <= self.now;
-        if i == j || !reached || !awake || !self.links.insert((a, b)) {
-            return;
-        }
-        let (left, right) = (
-            self.routers[i].fleet.member(),
-            self.routers[j].fleet.member(),
-        );
-        let (left, right) = (left.clone(), right.clone());
-        self.post(right.incarnation, 2, Event::PeerUp(left.clone()));
-        self.post(left.incarnation, 2, Event::PeerUp(right));
-    }
-
-    fn send(
-        &mut self,
-        i: usize,
-        to: Incarnation,
-        message: &toucanchute_proto::fleet::FleetMessage,
-    ) {
-        let Some(j) = self.index(to) else {
-            return;
-        };
-        let link = (self.id(i).min(to), self.id(i).max(to));
-        let lost = self.rng.random_ratio(self.loss, 100);
-        if lost || !self.connected(i, j) || !self.links.contains(&link) {
-            return;
-        }
-        let from = self.id(i);
-        let copies = if self.rng.random_ratio(1, 50) { 2 } else { 1 };
-        for _ in 0..copies {
-            let delay = self.rng.random_range(1..25);
-            let message = Box::new(message.clone());
-            self.post(to, delay, Event::Message { from, message });
-        }
-    }
-
     // Actions
 
     fn act(&mut self, i: usize, action: Action) -> Result<(), Violation> {
--- a/toucanchute_core/src/routing/tests.rs
+++ b/toucanchute_core/src/routing/tests.rs
@@ -4,4 +4,5 @@
 mod fuzz;
 mod oracle;
 mod policy;
+mod steps;
 mod world;
--- a/toucanchute_core/src/routing/tests/fuzz.rs
+++ b/toucanchute_core/src/routing/tests/fuzz.rs
@@ -3,7 +3,10 @@
 use proptest::test_runner::{Config, RngSeed, TestCaseError, TestError, TestRunner};
 use yare::parameterized;
 
-use super::world::{Step, World, steps};
+use super::{
+    steps::{Step, steps},
+    world::World,
+};
 use crate::routing::fault::Fault;
 
 /// Cases of a run that has to find nothing.
--- /dev/null
+++ b/toucanchute_core/src/routing/tests/steps.rs
@@ -0,0 +1,57 @@
+//! What the fuzz of the dispatchers does.
+
+use proptest::prelude::*;
+
+use super::world::{REPLICAS, ROUTERS};
+
+/// One thing that the fuzz does.
+#[derive(Clone, Debug)]
+pub(super) enum Step {
+    Advance(u64),
+    Call {
+        router: usize,
+        customer: u8,
+        tokens: u64,
+        patience: u64,
+    },
+    Poison {
+        router: usize,
+    },
+    CrashReplica(usize),
+    Fail {
+        nth: usize,
+        how: usize,
+    },
+    Withdraw {
+        router: usize,
+        mask: u8,
+    },
+    Load {
+        replica: usize,
+        lag: u64,
+    },
+    Abandon {
+        nth: usize,
+    },
+    Freeze {
+        router: usize,
+        span: u64,
+    },
+}
+
+pub(super) fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        10 => (1u64..200).prop_map(Step::Advance),
+        20 => (0..ROUTERS, 0u8..4, 1u64..400, 50u64..4_000).prop_map(
+            |(router, customer, tokens, patience)| Step::Call { router, customer, tokens, patience }
+        ),
+        1 => (0..ROUTERS).prop_map(|router| Step::Poison { router }),
+        1 => (0..REPLICAS).prop_map(Step::CrashReplica),
+        15 => (0usize..64, 0usize..5).prop_map(|(nth, how)| Step::Fail { nth, how }),
+        2 => (0..ROUTERS, any::<u8>()).prop_map(|(router, mask)| Step::Withdraw { router, mask }),
+        4 => (0..REPLICAS, 0u64..1_000).prop_map(|(replica, lag)| Step::Load { replica, lag }),
+        1 => (0usize..16).prop_map(|nth| Step::Abandon { nth }),
+        1 => (0..ROUTERS, 1u64..500).prop_map(|(router, span)| Step::Freeze { router, span }),
+    ];
+    prop::collection::vec(step, 1..200)
+}
--- a/toucanchute_core/src/routing/tests/world.rs
+++ b/toucanchute_core/src/routing/tests/world.rs
@@ -1,16 +1,19 @@
 //! Routers, replicas and callers that the fuzz drives step by step.
 
+mod replicas;
+
 use std::collections::{BTreeMap, BTreeSet};
 
-use proptest::prelude::*;
 use toucanchute_proto::{
     AttemptId, Digest, Incarnation, Millis,
     config::{Backend, Config, Model, Pool, PoolKind},
-    fleet::Load,
 };
 
-use super::oracle::{Oracle, Violation};
-use crate::routing::{Action, Assign, CrashKind, Dispatcher, Event, Report, Target, fault::Fault};
+use super::{
+    oracle::{Oracle, Violation},
+    steps::Step,
+};
+use crate::routing::{Action, Assign, Dispatcher, Event, Report, Target, fault::Fault};
 
 pub(super) const ROUTERS: usize = 3;
 pub(super) const REPLICAS: usize = 5;
@@ -28,58 +31,6 @@
 /// How long a crashed replica is down, in milliseconds.
 const RESTART: u64 = 300;
 
-/// One thing that the fuzz does.
-#[derive(Clone, Debug)]
-pub(super) enum Step {
-    Advance(u64),
-    Call {
-        router: usize,
-        customer: u8,
-        tokens: u64,
-        patience: u64,
-    },
-    Poison {
-        router: usize,
-    },
-    CrashReplica(usize),
-    Fail {
-        nth: usize,
-        how: usize,
-    },
-    Withdraw {
-        router: usize,
-        mask: u8,
-    },
-    Load {
-        replica: usize,
-        lag: u64,
-    },
-    Abandon {
-        nth: usize,
-    },
-    Freeze {
-        router: usize,
-        span: u64,
-    },
-}
-
-pub(super) fn steps() -> impl Strategy<Value = Vec<Step>> {
-    let step = prop_oneof![
-        10 => (1u64..200).prop_map(Step::Advance),
-        20 => (0..ROUTERS, 0u8..4, 1u64..400, 50u64..4_000).prop_map(
-            |(router, customer, tokens, patience)| Step::Call { router, customer, tokens, patience }
-        ),
-        1 => (0..ROUTERS).prop_map(|router| Step::Poison { router }),
-        1 => (0..REPLICAS).prop_map(Step::CrashReplica),
-        15 => (0usize..64, 0usize..5).prop_map(|(nth, how)| Step::Fail { nth, how }),
-        2 => (0..ROUTERS, any::<u8>()).prop_map(|(router, mask)| Step::Withdraw { router, mask }),
-        4 => (0..REPLICAS, 0u64..1_000).prop_map(|(replica, lag)| Step::Load { replica, lag }),
-        1 => (0usize..16).prop_map(|nth| Step::Abandon { nth }),
-        1 => (0..ROUTERS, 1u64..500).prop_map(|(router, span)| Step::Freeze { router, span }),
-    ];
-    prop::collection::vec(step, 1..200)
-}
-
 /// A run of a request on a replica.
 pub(super) struct Run {
     pub(super) router: usize,
@@ -381,110 +332,4 @@
             self.end(self.running.len() - 1, Report::Unsent);
         }
     }
-
-    // Replicas
-
-    fn end_runs(&mut self) {
-        while let Some(at) = self.running.iter().position(|r| r.ends <= self.now) {
-            let run = &self.running[at];
-            if self
-                .calls
-                .get(&run.call)
-                .is_some_and(|c| c.digest == POISON)
-            {
-                self.oracle.poison_crashes += 1;
-                self.crash(run.replica);
-            } else {
-                self.end(at, Report::Done { tokens: 20 });
-            }
-        }
-    }
-
-    fn crash(&mut self, replica: usize) {
-        self.down[replica] = self.now + Millis(RESTART);
-        while let Some(at) = self.running.iter().position(|r| r.replica == replica) {
-            let call = self.running[at].call;
-            if let Some(req) = self.calls.get(&call) {
-                self.oracle.exposed(req.digest);
-            }
-            let kind = CrashKind::Disconnected;
-            self.end(at, Report::Crashed { kind });
-        }
-    }
-
-    fn fail(&mut self, nth: usize, how: usize) {
-        let innocent = |r: &Run| self.calls.get(&r.call).is_some_and(|c| c.digest != POISON);
-        let Some(at) = self.running.iter().position(innocent) else {
-            return;
-        };
-        let at = (at + nth) % self.running.len();
-        if !innocent(&self.running[at]) {
-            return;
-        }
-        let kind = CrashKind::TimedOut;
-        let reports = [
-            Report::Refused,
-            Report::Unsent,
-            Report::Crashed { kind },
-            Report::Cancelled,
-            Report::FirstToken,
-        ];
-        match reports[how] {
-            Report::FirstToken => {
-                let run = &self.running[at];
-                let (router, attempt) = (run.router, run.attempt);
-                let report = Report::FirstToken;
-                self.post(router, 0, Event::Report { attempt, report });
-            }
-            report => self.end(at, report),
-        }
-    }
-
-    /// Ends a run; the router's edge tries a failed one again.
-    fn end(&mut self, at: usize, report: Report) {
-        let Run {
-            router,
-            attempt,
-            call,
-            replica,
-            ..
-        } = self.running.remove(at);
-        self.post(router, 0, Event::Report { attempt, report });
-        let Some(req) = self.calls.get(&call) else {
-            return;
-        };
-        let mut req = req.clone();
-        if matches!(report, Report::Done { .. }) {
-            self.oracle.finished(req.digest);
-        }
-        req.attempts += 1;
-        req.exclude.push(format!("b{replica}"));
-        let over = matches!(report, Report::Done { .. } | Report::Cancelled);
-        if over || req.attempts >= MAX_ATTEMPTS {
-            self.answered(call);
-        } else {
-            req.deadline = req.deadline.max(self.now + Millis(5_000));
-            self.send(router, req);
-        }
-    }
-
-    fn load(&mut self, replica: usize, lag: u64) {
-        let running = self.running.iter().filter(|r| r.replica == replica).count() as u32;
-        let load = Load {
-            backend: format!("b{replica}"),
-            running,
-            waiting: 0,
-            capacity: CONCURRENCY,
-            kv_used: 0,
-            as_of: self.now,
-        };
-        (0..ROUTERS).for_each(|r| self.post(r, lag, Event::Load(load.clone())));
-    }
-
-    fn withdraw(&mut self, router: usize, mask: u8) {
-        let names = (0..REPLICAS).filter(|i| mask & (1 << i) != 0);
-        let withdrawn: BTreeSet<String> = names.map(|i| format!("b{i}")).collect();
-        let config = config(REPLICAS, CONCURRENCY).into();
-        self.post(router, 0, Event::Configure { config, withdrawn });
-    }
 }
--- /dev/null
+++ b/toucanchute_core/src/routing/tests/world/replicas.rs
@@ -0,0 +1,116 @@
+//! The replicas that run what is sent.
+
+use std::collections::BTreeSet;
+
+use toucanchute_proto::{Millis, fleet::Load};
+
+use super::{CONCURRENCY, MAX_ATTEMPTS, POISON, REPLICAS, RESTART, ROUTERS, Run, World, config};
+use crate::routing::{CrashKind, Event, Report};
+
+impl World {
+    // Replicas
+
+    pub(super) fn end_runs(&mut self) {
+        while let Some(at) = self.running.iter().position(|r| r.ends <= self.now) {
+            let run = &self.running[at];
+            if self
+                .calls
+                .get(&run.call)
+                .is_some_and(|c| c.digest == POISON)
+            {
+                self.oracle.poison_crashes += 1;
+                self.crash(run.replica);
+            } else {
+                self.end(at, Report::Done { tokens: 20 });
+            }
+        }
+    }
+
+    pub(super) fn crash(&mut self, replica: usize) {
+        self.down[replica] = self.now + Millis(RESTART);
+        while let Some(at) = self.running.iter().position(|r| r.replica == replica) {
+            let call = self.running[at].call;
+            if let Some(req) = self.calls.get(&call) {
+                self.oracle.exposed(req.digest);
+            }
+            let kind = CrashKind::Disconnected;
+            self.end(at, Report::Crashed { kind });
+        }
+    }
+
+    pub(super) fn fail(&mut self, nth: usize, how: usize) {
+        let innocent = |r: &Run| self.calls.get(&r.call).is_some_and(|c| c.digest != POISON);
+        let Some(at) = self.running.iter().position(innocent) else {
+            return;
+        };
+        let at = (at + nth) % self.running.len();
+        if !innocent(&self.running[at]) {
+            return;
+        }
+        let kind = CrashKind::TimedOut;
+        let reports = [
+            Report::Refused,
+            Report::Unsent,
+            Report::Crashed { kind },
+            Report::Cancelled,
+            Report::FirstToken,
+        ];
+        match reports[how] {
+            Report::FirstToken => {
+                let run = &self.running[at];
+                let (router, attempt) = (run.router, run.attempt);
+                let report = Report::FirstToken;
+                self.post(router, 0, Event::Report { attempt, report });
+            }
+            report => self.end(at, report),
+        }
+    }
+
+    /// Ends a run; the router's edge tries a failed one again.
+    pub(super) fn end(&mut self, at: usize, report: Report) {
+        let Run {
+            router,
+            attempt,
+            call,
+            replica,
+            ..
+        } = self.running.remove(at);
+        self.post(router, 0, Event::Report { attempt, report });
+        let Some(req) = self.calls.get(&call) else {
+            return;
+        };
+        let mut req = req.clone();
+        if matches!(report, Report::Done { .. }) {
+            self.oracle.finished(req.digest);
+        }
+        req.attempts += 1;
+        req.exclude.push(format!("b{replica}"));
+        let over = matches!(report, Report::Done { .. } | Report::Cancelled);
+        if over || req.attempts >= MAX_ATTEMPTS {
+            self.answered(call);
+        } else {
+            req.deadline = req.deadline.max(self.now + Millis(5_000));
+            self.send(router, req);
+        }
+    }
+
+    pub(super) fn load(&mut self, replica: usize, lag: u64) {
+        let running = self.running.iter().filter(|r| r.replica == replica).count() as u32;
+        let load = Load {
+            backend: format!("b{replica}"),
+            running,
+            waiting: 0,
+            capacity: CONCURRENCY,
+            kv_used: 0,
+            as_of: self.now,
+        };
+        (0..ROUTERS).for_each(|r| self.post(r, lag, Event::Load(load.clone())));
+    }
+
+    pub(super) fn withdraw(&mut self, router: usize, mask: u8) {
+        let names = (0..REPLICAS).filter(|i| mask & (1 << i) != 0);
+        let withdrawn: BTreeSet<String> = names.map(|i| format!("b{i}")).collect();
+        let config = config(REPLICAS, CONCURRENCY).into();
+        self.post(router, 0, Event::Configure { config, withdrawn });
+    }
+}
