--- a/toucanchute_core/src/lib.rs
+++ b/toucanchute_core/src/lib.rs
@@ -1,7 +1,9 @@
 //! The decisions of toucanchute as state machines without I/O, clock or global random source.
 //!
-//! A machine takes `(now, event)` and pushes actions into a `Vec` that its caller passes in. The
-//! same events give the same actions.
+//! A machine takes `(now: Millis, event)` and pushes actions into a vector that its caller passes
+//! in. The same events give the same actions.
 
 pub mod fleet;
+pub mod ledger;
+pub mod money;
 pub mod routing;
--- /dev/null
+++ b/toucanchute_router/src/link/mesh.rs
@@ -0,0 +1,347 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use serde::Serialize;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    task::JoinHandle,
+    time::MissedTickBehavior,
+};
+use toucanchute_proto::{
+    Incarnation,
+    peer::{FrameKind, Hello},
+};
+
+use super::{
+    connection::{Connection, FrameReader, FrameWriter},
+    error::LinkError,
+    frame::{Frame, encode},
+    handshake::{self, Identity},
+};
+
+/// Frames waiting to be sent on one link; further ones are dropped.
+const SEND_QUEUE: usize = 4_096;
+
+/// Shortest pause before a failed dial is repeated.
+const REDIAL_MIN: Duration = Duration::from_millis(100);
+
+/// Longest pause before a failed dial is repeated.
+const REDIAL_MAX: Duration = Duration::from_secs(1);
+
+/// Pause between two pings that tell the other side of a link that this one lives.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// Longest silence on a link before it is given up; a link that a partition cut would otherwise
+/// hang until TCP sends again, long after the partition has healed.
+const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+
+/// Something that happened on a link.
+#[derive(Debug)]
+pub(crate) enum LinkEvent {
+    /// A link to a peer is open.
+    Up(Peer),
+    /// The last link to a peer is gone.
+    Down(Incarnation),
+    /// A peer sent a message.
+    Frame(Frame),
+}
+
+/// A router at the other end of a link.
+#[derive(Clone, Debug)]
+pub(crate) struct Peer {
+    /// The run of its process.
+    pub(crate) incarnation: Incarnation,
+    /// Its introduction.
+    pub(crate) hello: Hello,
+}
+
+/// All links of this router.
+#[derive(Clone, Debug)]
+pub(crate) struct Mesh {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    identity: Identity,
+    links: Mutex<Links>,
+    next_link: AtomicU64,
+    sent: Traffic,
+    received: Traffic,
+    events: mpsc::UnboundedSender<LinkEvent>,
+}
+
+/// Frames and bytes on all links since the start, without the framing of the layers below.
+#[derive(Debug, Default)]
+struct Traffic {
+    frames: AtomicU64,
+    bytes: AtomicU64,
+}
+
+impl Traffic {
+    fn count(&self, len: usize) {
+        self.frames.fetch_add(1, Ordering::Relaxed);
+        self.bytes.fetch_add(len as u64, Ordering::Relaxed);
+    }
+
+    fn read(&self) -> (u64, u64) {
+        (
+            self.frames.load(Ordering::Relaxed),
+            self.bytes.load(Ordering::Relaxed),
+        )
+    }
+}
+
+/// What all links carried since the start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct LinkCounts {
+    /// Peers with an open link.
+    pub(crate) peers: usize,
+    /// Frames sent and their bytes.
+    pub(crate) sent: (u64, u64),
+    /// Frames received and their bytes.
+    pub(crate) received: (u64, u64),
+}
+
+#[derive(Debug, Default)]
+struct Links {
+    /// Open links of each peer, oldest first; never an empty list. There are two for a while when
+    /// both sides dialed at once.
+    open: BTreeMap<Incarnation, Vec<Link>>,
+    /// Addresses that have a dialing task; none has two.
+    dialed: BTreeSet<SocketAddr>,
+    /// Where to dial a peer that has no link when a message is for it.
+    addresses: BTreeMap<Incarnation, SocketAddr>,
+    /// Addresses to be dialed whatever is known of the router there.
+    kept: BTreeSet<SocketAddr>,
+}
+
+#[derive(Debug)]
+struct Link {
+    id: u64,
+    tx: mpsc::Sender<Bytes>,
+}
+
+impl Mesh {
+    /// Creates a mesh without links; its events go to `events`.
+    pub(crate) fn new(identity: Identity, events: mpsc::UnboundedSender<LinkEvent>) -> Mesh {
+        let links = Mutex::default();
+        let next_link = AtomicU64::new(0);
+        Mesh {
+            shared: Arc::new(Shared {
+                identity,
+                links,
+                next_link,
+                sent: Traffic::default(),
+                received: Traffic::default(),
+                events,
+            }),
+        }
+    }
+
+    // --- opening links
+
+    /// Answers connections of other routers until the returned task is aborted.
+    pub(crate) fn listen(&self, listener: TcpListener) -> JoinHandle<()> {
+        let mesh = self.clone();
+        tokio::spawn(async move {
+            loop {
+                match listener.accept().await {
+                    Ok((stream, _)) => drop(tokio::spawn(mesh.clone().answer(stream))),
+                    Err(_) => tokio::time::sleep(REDIAL_MIN).await,
+                }
+            }
+        })
+    }
+
+    /// Keeps a link to the router at `address`, dialing again whenever it is gone.
+    pub(crate) fn keep(&self, address: SocketAddr) {
+        self.links().kept.insert(address);
+        self.connect(address);
+    }
+
+    /// Opens a link to the router at `address` and dials again as long as a live peer has it.
+    pub(crate) fn connect(&self, address: SocketAddr) {
+        if self.links().dialed.insert(address) {
+            drop(tokio::spawn(self.clone().dial(address)));
+        }
+    }
+
+    /// Replaces the addresses of live peers. A peer without a link is dialed when there is a
+    /// message for it.
+    pub(crate) fn set_addresses(&self, addresses: BTreeMap<Incarnation, SocketAddr>) {
+        self.links().addresses = addresses;
+    }
+
+    async fn answer(self, stream: TcpStream) {
+        let result = async {
+            let conn = Connection::accept(stream).await?;
+            self.run(conn, false).await
+        };
+        if let Err(e) = result.await {
+            log::debug!(error:% = e; "peer-link-failed");
+        }
+    }
+
+    async fn dial(self, address: SocketAddr) {
+        let mut pause = REDIAL_MIN;
+        while self.is_wanted(address) {
+            let result = async { self.run(Connection::dial(address).await?, true).await };
+            match result.await {
+                Err(LinkError::Own) => break,
+                Err(e @ LinkError::Secret { .. }) => {
+                    log::error!(address:% = address, error:% = e; "peer-link-refused");
+                    pause = REDIAL_MAX;
+                }
+                Err(e) => {
+                    log::debug!(address:% = address, error:% = e; "peer-link-failed");
+                    pause = (pause * 2).min(REDIAL_MAX);
+                }
+                Ok(()) => pause = REDIAL_MIN,
+            }
+            let jitter = Duration::from_millis(rand::random_range(0..50));
+            tokio::time::sleep(pause + jitter).await;
+        }
+        self.links().dialed.remove(&address);
+    }
+
+    fn is_wanted(&self, address: SocketAddr) -> bool {
+        let links = self.links();
+        links.kept.contains(&address) || links.addresses.values().any(|known| *known == address)
+    }
+
+    // --- running links
+
+    async fn run(&self, mut conn: Connection, dialed: bool) -> Result<(), LinkError> {
+        let (from, hello) = handshake::shake(&mut conn, &self.shared.identity).await?;
+        if dialed && self.is_redundant(from) {
+            drop(conn);
+            self.wait_until_down(from).await;
+            return Ok(());
+        }
+        let (tx, rx) = mpsc::channel(SEND_QUEUE);
+        let id = self.shared.next_link.fetch_add(1, Ordering::Relaxed);
+        self.add(from, hello, Link { id, tx });
+        let Connection { writer, reader } = conn;
+        let result = tokio::select! {
+            result = write_frames(writer, rx) => result,
+            result = self.read_frames(reader, from) => result,
+        };
+        self.remove(from, id);
+        result
+    }
+
+    async fn read_frames(
+        &self,
+        mut reader: FrameReader,
+        from: Incarnation,
+    ) -> Result<(), LinkError> {
+        loop {
+            let Ok(frame) = tokio::time::timeout(SILENCE_LIMIT, reader.receive()).await else {
+                return Err(LinkError::Timeout);
+            };
+            let Some(frame) = frame? else { continue };
+            if frame.from == from {
+                self.shared.received.count(frame.len());
+                let _ = self.shared.events.send(LinkEvent::Frame(frame));
+            }
+        }
+    }
+
+    /// A second link between a pair is not kept by the greater incarnation that dialed it.
+    fn is_redundant(&self, peer: Incarnation) -> bool {
+        peer < self.shared.identity.incarnation && self.links().open.contains_key(&peer)
+    }
+
+    async fn wait_until_down(&self, peer: Incarnation) {
+        while self.links().open.contains_key(&peer) {
+            tokio::time::sleep(REDIAL_MAX).await;
+        }
+    }
+
+    fn add(&self, from: Incarnation, hello: Hello, link: Link) {
+        let mut links = self.links();
+        let open = links.open.entry(from).or_default();
+        open.push(link);
+        if open.len() == 1 {
+            log::info!(peer:% = from, peer_host = hello.host; "peer-link-up");
+            let _ = self.shared.events.send(LinkEvent::Up(Peer {
+                incarnation: from,
+                hello,
+            }));
+        }
+    }
+
+    fn remove(&self, from: Incarnation, id: u64) {
+        let mut links = self.links();
+        let Some(open) = links.open.get_mut(&from) else {
+            return;
+        };
+        open.retain(|link| link.id != id);
+        if open.is_empty() {
+            links.open.remove(&from);
+            log::info!(peer:% = from; "peer-link-down");
+            let _ = self.shared.events.send(LinkEvent::Down(from));
+        }
+    }
+
+    // --- sending
+
+    /// Sends a message to a peer; it is dropped if there is no link or its queue is full.
+    pub(crate) fn send<M: Serialize>(&self, to: Incarnation, kind: FrameKind, message: &M) {
+        let links = self.links();
+        if let Some(link) = links.open.get(&to).and_then(|open| open.first()) {
+            let frame = encode(self.shared.identity.incarnation, kind, message);
+            self.shared.sent.count(frame.len());
+            let _ = link.tx.try_send(frame);
+            return;
+        }
+        let address = links.addresses.get(&to).copied();
+        drop(links);
+        if let Some(address) = address {
+            self.connect(address);
+        }
+    }
+
+    /// Returns what all links carried since the start.
+    pub(crate) fn counts(&self) -> LinkCounts {
+        LinkCounts {
+            peers: self.links().open.len(),
+            sent: self.shared.sent.read(),
+            received: self.shared.received.read(),
+        }
+    }
+
+    fn links(&self) -> MutexGuard<'_, Links> {
+        self.shared
+            .links
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn write_frames(
+    mut writer: FrameWriter,
+    mut rx: mpsc::Receiver<Bytes>,
+) -> Result<(), LinkError> {
+    let mut keepalive = tokio::time::interval(KEEPALIVE);
+    keepalive.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            buf = rx.recv() => match buf {
+                Some(buf) => writer.send(buf).await?,
+                None => return Ok(()),
+            },
+            _ = keepalive.tick() => writer.ping().await?,
+        }
+    }
+}
--- /dev/null
+++ b/toucanchute_router/src/view.rs
@@ -0,0 +1,108 @@
+use std::sync::{Arc, PoisonError, RwLock};
+
+use toucanchute_edge::{AddressList, Outcome, Refusal, RefusalReason};
+use toucanchute_proto::{Millis, config::Config};
+
+/// How long the fleet actor's word about readiness counts. A process that was frozen finds it
+/// lapsed when it wakes, before the fleet actor has had its turn.
+const READINESS_BOUND: Millis = Millis(1_500);
+
+/// What the HTTP edge reads without asking an actor; the fleet actor writes it.
+#[derive(Debug)]
+pub(crate) struct View {
+    state: RwLock<State>,
+}
+
+#[derive(Clone, Debug)]
+struct State {
+    /// Configuration in force; versions only rise.
+    config: Arc<Config>,
+    addresses: AddressList,
+    unready: Option<Refusal>,
+    /// When the fleet actor last confirmed `unready`.
+    checked_at: Millis,
+}
+
+impl View {
+    /// Creates the view of a router that takes no work for the reason given.
+    pub(crate) fn new(config: Arc<Config>, unready: Refusal) -> View {
+        let addresses = AddressList::default();
+        View {
+            state: RwLock::new(State {
+                config,
+                addresses,
+                unready: Some(unready),
+                checked_at: Millis::default(),
+            }),
+        }
+    }
+
+    // --- reading
+
+    /// Returns the configuration in force.
+    pub(crate) fn config(&self) -> Arc<Config> {
+        self.read(|state| Arc::clone(&state.config))
+    }
+
+    /// Returns the addresses that callers may use now.
+    pub(crate) fn addresses(&self) -> AddressList {
+        self.read(|state| state.addresses.clone())
+    }
+
+    /// Returns why this router takes no new work at `now`, if it takes none.
+    pub(crate) fn unready(&self, now: Millis) -> Option<Refusal> {
+        self.read(|state| {
+            let lapsed = now.since(state.checked_at) > READINESS_BOUND;
+            state
+                .unready
+                .clone()
+                .or_else(|| lapsed.then(lapsed_refusal))
+        })
+    }
+
+    fn read<T>(&self, f: impl FnOnce(&State) -> T) -> T {
+        f(&self.state.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    // --- writing
+
+    /// Puts a newer configuration into force; an older one changes nothing.
+    pub(crate) fn set_config(&self, config: Arc<Config>) {
+        self.write(|state| {
+            if config.version >= state.config.version {
+                state.config = config;
+            }
+        });
+    }
+
+    /// Replaces the addresses for callers.
+    pub(crate) fn set_addresses(&self, addresses: AddressList) {
+        self.write(|state| state.addresses = addresses);
+    }
+
+    /// Sets or clears the reason why this router takes no new work.
+    pub(crate) fn set_unready(&self, unready: Option<Refusal>) {
+        self.write(|state| state.unready = unready);
+    }
+
+    /// Confirms readiness, as it was set last, at `now`.
+    pub(crate) fn confirm(&self, now: Millis) {
+        self.write(|state| state.checked_at = state.checked_at.max(now));
+    }
+
+    fn write(&self, f: impl FnOnce(&mut State)) {
+        f(&mut self.state.write().unwrap_or_else(PoisonError::into_inner));
+    }
+}
+
+fn lapsed_refusal() -> Refusal {
+    Refusal {
+        reason: RefusalReason::StaleView,
+        outcome: Outcome::NotRun,
+        retry_after: Some(Millis(1_000)),
+        elsewhere: None,
+    }
+}
+
+#[cfg(test)]
+mod tests;
