fix(fleet): an outage of the host list alone is weighed like one of the platform

Heads that were still read hid it, so every router stopped 2.5 s after the list went. Service and host list each have to answer to end an outage; PlatformDown stands for either.

--- a/toucanchute_core/src/fleet/event.rs
+++ b/toucanchute_core/src/fleet/event.rs
@@ -46,7 +46,7 @@
         /// When the platform was asked.
         asked: Millis,
     },
-    /// The platform did not answer.
+    /// The platform's service or its host list did not answer.
     PlatformDown,
     /// A backend server that this router polls reported its load.
     LoadReport(Load),
--- a/toucanchute_core/src/fleet/hosts.rs
+++ b/toucanchute_core/src/fleet/hosts.rs
@@ -36,13 +36,14 @@
             live: live.map(|h| h.name.clone()).collect(),
             listed: backends().next().is_some(),
         };
+        self.view.hosts_answered();
         if version >= self.hosts.version() {
             self.take_backends(list, out);
             self.view.hosts_seen(asked);
         }
         let routers = hosts.iter().filter(|h| h.role == HostRole::Entry);
         self.hosts.routers = routers.map(|h| h.address).collect();
-        self.set_outage(false);
+        self.set_outage(self.view.down());
     }
 
     /// Puts a list in force unless the one in force is as new.
--- a/toucanchute_core/src/fleet/machine.rs
+++ b/toucanchute_core/src/fleet/machine.rs
@@ -148,7 +148,7 @@
                 hosts,
                 asked,
             } => self.host_list(asked, version, &hosts, out),
-            Event::PlatformDown => self.platform_down(now),
+            Event::PlatformDown => self.platform_down(),
             Event::LoadReport(load) => self.take_load(load, out),
             Event::Verdict(v) => self.tell_verdict(&v, out),
             Event::InFlight(count) => self.take_in_flight(count),
@@ -167,7 +167,7 @@
     #[must_use]
     pub fn watches(&self, now: Millis) -> bool {
         let stale = self.view.age(now).is_none_or(|age| age > WATCH_AGE);
-        stale || self.view.down_since.is_some() || self.ranks(&self.id.failure_domain, true)
+        stale || self.view.down() || self.ranks(&self.id.failure_domain, true)
     }
 
     /// Whether this router has to ask the backend server `name` for its load.
@@ -238,15 +238,15 @@
         let version = self.head().map(|h| h.version);
         if version.is_none_or(|v| v < head.version) {
             out.push(Action::FetchConfig);
-            self.view.down_since = None;
+            self.view.head_answered();
         } else {
             self.view.head_seen(asked);
         }
-        self.set_outage(false);
+        self.set_outage(self.view.down());
     }
 
-    fn platform_down(&mut self, now: Millis) {
-        self.view.platform_down(now);
+    fn platform_down(&mut self) {
+        self.view.platform_down();
         self.set_outage(true);
     }
 
--- a/toucanchute_core/src/fleet/publish.rs
+++ b/toucanchute_core/src/fleet/publish.rs
@@ -101,7 +101,7 @@
         let heard = self.view.heard_at;
         let lately = heard.is_some_and(|at| now.since(at) <= Fleet::VIEW_BOUND);
         let alone = self.members.live().next().is_none();
-        if self.view.down_since.is_none() || behind || !(lately || alone) {
+        if !self.view.down() || behind || !(lately || alone) {
             return false;
         }
         if self.has(Fault::OutageAlone) {
--- a/toucanchute_core/src/fleet/tests/scenario.rs
+++ b/toucanchute_core/src/fleet/tests/scenario.rs
@@ -29,6 +29,20 @@
     }
 }
 
+#[test]
+fn an_outage_of_the_host_list_stops_nobody() {
+    let mut world = settled(None);
+    world.step(&Step::HostList { up: false }).unwrap();
+    for n in 0..30 {
+        if n == 10 {
+            world.step(&Step::Apply).unwrap();
+        }
+        world.advance(1_000).unwrap();
+        assert_eq!(ready(&world), [true; ROUTERS]);
+    }
+    assert!(world.routers.iter().all(|r| r.version == 2));
+}
+
 #[test]
 fn a_router_that_dies_in_an_outage_stops_nobody_else() {
     let mut world = settled(None);
--- a/toucanchute_core/src/fleet/view.rs
+++ b/toucanchute_core/src/fleet/view.rs
@@ -13,8 +13,10 @@
     pub(super) newest_head: u64,
     /// Greatest version of the host list that anybody told of.
     pub(super) newest_hosts: u64,
-    /// Since when the platform has not answered.
-    pub(super) down_since: Option<Millis>,
+    /// Whether the platform's service did not answer when last asked.
+    head_down: bool,
+    /// Whether the platform's host list did not answer when last asked.
+    hosts_down: bool,
     /// When a ping was sent that a peer acknowledged.
     pub(super) heard_at: Option<Millis>,
     /// When a peer last said that the platform is down for all.
@@ -25,12 +27,14 @@
     /// Takes in an answer to what the platform was asked at `asked`.
     pub(super) fn head_seen(&mut self, asked: Millis) {
         self.head_at = self.head_at.max(Some(asked));
+        self.head_down = false;
         self.answered();
     }
 
     /// Takes in an answer to what the platform was asked at `asked`.
     pub(super) fn hosts_seen(&mut self, asked: Millis) {
         self.hosts_at = self.hosts_at.max(Some(asked));
+        self.hosts_down = false;
         self.answered();
     }
 
@@ -54,12 +58,28 @@
         self.confirmed_at.map(|at| now.since(at))
     }
 
-    pub(super) fn platform_down(&mut self, now: Millis) {
-        self.down_since.get_or_insert(now);
+    /// Takes in that service or host list did not answer. Each has to answer to end that.
+    pub(super) fn platform_down(&mut self) {
+        self.head_down = true;
+        self.hosts_down = true;
+    }
+
+    /// Takes in that the service answered with a head that is not in force here yet.
+    pub(super) fn head_answered(&mut self) {
+        self.head_down = false;
+    }
+
+    /// Takes in that the host list answered with a version older than one known here.
+    pub(super) fn hosts_answered(&mut self) {
+        self.hosts_down = false;
+    }
+
+    /// Whether service or host list does not answer.
+    pub(super) fn down(&self) -> bool {
+        self.head_down || self.hosts_down
     }
 
     fn answered(&mut self) {
-        self.down_since = None;
         if let (Some(head), Some(hosts)) = (self.head_at, self.hosts_at) {
             self.confirm(head.min(hosts));
         }
