--- a/toucanchute_core/src/routing/tests.rs
+++ b/toucanchute_core/src/routing/tests.rs
@@ -3,4 +3,6 @@
 mod fairness;
 mod fuzz;
 mod oracle;
+mod policy;
+mod steps;
 mod world;
