--- a/toucanchute_fakes/src/engine/fault.rs
+++ b/toucanchute_fakes/src/engine/fault.rs
@@ -14,7 +14,7 @@
     Truncated,
     /// A chunk is no JSON.
     Malformed,
-    /// Chunks carry another attempt's identifier.
+    /// Chunks are of another attempt, identifier and text.
     WrongAttempt,
     /// Each chunk is sent twice.
     Duplicated,
--- a/toucanchute_fakes/src/engine/run.rs
+++ b/toucanchute_fakes/src/engine/run.rs
@@ -22,6 +22,8 @@
 
 /// Identifier that chunks carry in place of their attempt's.
 const FOREIGN_ATTEMPT: &str = "0000000000000000-0";
+/// Mark of tokens that belong to another prompt's answer.
+const FOREIGN_TAG: &str = "ffffffffffffffff";
 
 /// One run of a completion, from its place in the batch to its end.
 pub(super) struct Run {
@@ -200,7 +202,11 @@
         }
         let pause = Duration::from_millis(self.shared.options.token_ms);
         self.ready = (self.ready + pause).max(Instant::now());
-        let token = format!("{}.{} ", self.tag, self.next);
+        let tag = match self.fault.mode {
+            Mode::WrongAttempt => FOREIGN_TAG,
+            _ => &self.tag,
+        };
+        let token = format!("{tag}.{} ", self.next);
         self.next += 1;
         Ok(token)
     }
