--- a/toucanchute_scenario/src/runner.rs
+++ b/toucanchute_scenario/src/runner.rs
@@ -2,6 +2,7 @@
 mod asks;
 mod control;
 mod facts;
+mod storm;
 
 use std::{collections::BTreeMap, path::Path, path::PathBuf};
 
@@ -78,11 +79,12 @@
     /// | `ask at key [name] [max-tokens]` | streams a completion; with a name in the background |
     /// | `book at key [name]`, `look-up at key` | calls a plain service; with several routers at all of them at once |
     /// | `await name tokens` | waits until so many tokens of a background request came |
-    /// | `join name` | waits for the end of a background request or load |
+    /// | `join name [any]` | waits for the end of a background request or load; with `any` prints no outcomes |
     /// | `load name at workers [work]` | sends requests until it is joined |
     /// | `until name requests` | waits until so many requests of a load have ended |
     /// | `kill`, `stop`, `continue`, `terminate`, `start`, with `process` | acts on processes |
     /// | `cut`, `hold` with `from to`; `heal` | acts on links |
+    /// | `storm seed steps` | hurts processes, links and the platform at random, then mends all |
     /// | `fault at`, input: JSON | sets a stand-in's fault |
     /// | `withdraw host` | lists backend servers as leaving |
     /// | `apply without`, `race` | applies one or two configurations |
@@ -127,6 +129,7 @@
             "kill" | "stop" | "continue" | "terminate" | "start" => self.signal(args).await,
             "cut" | "hold" => self.break_link(args),
             "heal" => self.heal(),
+            "storm" => self.storm(args).await,
             "fault" => self.fault(args).await,
             "withdraw" => self.withdraw(args).await,
             "apply" => self.apply(args).await,
--- a/toucanchute_scenario/src/runner/args.rs
+++ b/toucanchute_scenario/src/runner/args.rs
@@ -28,6 +28,11 @@
         self.case.args.remove(name).unwrap_or_default()
     }
 
+    /// Returns whether an argument without a value is there.
+    pub(super) fn flag(&mut self, name: &str) -> bool {
+        self.case.args.remove(name).is_some()
+    }
+
     pub(super) fn optional(&mut self, name: &str) -> Option<String> {
         self.list(name).into_iter().next()
     }
--- a/toucanchute_scenario/src/runner/asks.rs
+++ b/toucanchute_scenario/src/runner/asks.rs
@@ -148,7 +148,10 @@
         let load = self.loads.remove(&name);
         let load = load.ok_or_else(|| UnknownSnafu { kind, name }.build())?;
         let records = load.finish().await;
-        let facts = summary(&records);
+        let facts = match args.flag("any") {
+            true => "ended".to_owned(),
+            false => summary(&records),
+        };
         self.records.extend(records);
         Ok(facts)
     }
--- a/toucanchute_scenario/src/runner/control.rs
+++ b/toucanchute_scenario/src/runner/control.rs
@@ -68,11 +68,15 @@
         })
     }
 
-    async fn send_signal(&mut self, name: &str, signal: Signal) -> Result<(), ScenarioError> {
+    pub(super) async fn send_signal(
+        &mut self,
+        name: &str,
+        signal: Signal,
+    ) -> Result<(), ScenarioError> {
         self.cluster_mut()?.process(name)?.signal(signal).await
     }
 
-    async fn ended(&mut self, name: &str) -> Result<Option<i32>, ScenarioError> {
+    pub(super) async fn ended(&mut self, name: &str) -> Result<Option<i32>, ScenarioError> {
         let cluster = self.cluster_mut()?;
         let code = cluster.process(name)?.wait().await?;
         cluster.forget(name)?;
--- a/toucanchute_scenario/tests/scenarios.rs
+++ b/toucanchute_scenario/tests/scenarios.rs
@@ -69,6 +69,7 @@
     rolling_restart,
     router_killed_mid_stream,
     routers_killed_under_load,
+    storm,
     two_operators,
     two_writers,
     whole_path,
