--- a/toucanchute_scenario/src/cluster.rs
+++ b/toucanchute_scenario/src/cluster.rs
@@ -1,5 +1,4 @@
 mod files;
-mod publish;
 
 use std::{
     collections::BTreeMap,
@@ -21,13 +20,15 @@
     http_client::document,
     link::{Dialer, Links, forward},
     ports::free_address,
-    process::Process,
+    process::{Process, run_ok},
 };
 
 /// Longest wait for a condition, in seconds.
 const BOUND_S: u64 = 60;
 /// Pause between looks at a condition.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
+/// Name of the only customer.
+pub(crate) const CUSTOMER: &str = "customer";
 /// Token of the customer that all requests are sent for.
 pub(crate) const CUSTOMER_TOKEN: &str = "scenario-customer";
 /// Token of the operators.
@@ -258,7 +259,8 @@
 
     /// Applies a folder of configuration files.
     pub(crate) async fn apply(&self, folder: &Path, author: &str) -> Result<String, ScenarioError> {
-        publish::publish(self.address(PLATFORM)?, folder, author).await
+        let args = self.apply_args(folder, author)?;
+        run_ok("toucanctl", &args, &[]).await
     }
 
     pub(crate) fn apply_args(
