feat(call): callers say that a key is fresh; prices of services

A refusal under a key is told as unknown unless toucanchute-retry: 0 says that the key was never sent before, so a load under its own keys counted every refusal as unknown (101 of 101). The caller sends the number of its earlier tries where the key is declared fresh. False refusals counted calls whose price was not known as affordable with one token left (39 counted); services of a load carry their price now.

--- a/toucanchute_call/src/caller.rs
+++ b/toucanchute_call/src/caller.rs
@@ -11,7 +11,7 @@
     address_list::KeptAddresses,
     answer::{Answer, Timing},
     error::{AddressesSnafu, CallError, RefusedSnafu, UnreachableSnafu},
-    exchange::{self, Connections, Received, TryEnd},
+    exchange::{self, Connections, Received, Try, TryEnd},
     request::Request,
 };
 
@@ -133,7 +133,7 @@
                 Some(address) => address,
                 None => self.pick(key, tries).await?,
             };
-            let end = self.try_once(address, req, key, on_text).await;
+            let end = self.try_once(address, req, key, tries - 1, on_text).await;
             let pause = match end {
                 TryEnd::Complete(received) => return Ok(answer(received, address, tries, start)),
                 TryEnd::Broken { cause } => {
@@ -171,9 +171,17 @@
         address: SocketAddr,
         req: &Request,
         key: &str,
+        earlier: u32,
         on_text: &mut (dyn FnMut(&str) + Send),
     ) -> TryEnd {
-        let exchange = exchange::exchange(&self.conns, address, &self.token, key, req, on_text);
+        let attempt = Try {
+            address,
+            token: &self.token,
+            key,
+            req,
+            earlier,
+        };
+        let exchange = exchange::exchange(&self.conns, attempt, on_text);
         let end = tokio::time::timeout(self.options.try_timeout, exchange).await;
         end.unwrap_or_else(|_| TryEnd::Broken {
             cause: "no answer in time".to_owned(),
--- a/toucanchute_call/src/cli/commands.rs
+++ b/toucanchute_call/src/cli/commands.rs
@@ -14,7 +14,7 @@
     answer::Answer,
     caller::{Caller, CallerOptions},
     error::{CallError, LoadError},
-    load::{LoadCustomer, LoadOptions, run_load},
+    load::{LoadCustomer, LoadOptions, LoadService, run_load},
     request::Request,
 };
 
@@ -114,7 +114,10 @@
     let caller = Caller::new(routers(args), &token(args)?, caller_options(args));
     let key = match args.get_one::<String>("key") {
         Some(key) => key.clone(),
-        None => format!("{:032x}", rand::random::<u128>()),
+        None => {
+            req = req.fresh_key();
+            format!("{:032x}", rand::random::<u128>())
+        }
     };
     let mut shown = |piece: &str| {
         if !json {
@@ -169,7 +172,7 @@
             .map(|c| customer(c))
             .collect(),
         models: texts(args, "model"),
-        services: texts(args, "service"),
+        services: services(args)?,
         rate: get(args, "rate", 0.0),
         duration: Duration::try_from_secs_f64(get(args, "seconds", 0.0)).unwrap_or_default(),
         seed: get(args, "seed", 0),
@@ -190,6 +193,18 @@
     Ok(options)
 }
 
+fn services(args: &ArgMatches) -> Result<Vec<LoadService>, Failure> {
+    let service = |text: &String| {
+        let (name, price) = text.split_once(':').unwrap_or((text, "0"));
+        let bad = |_| Failure::Usage(format!("--service {text}: expected NAME or NAME:PRICE"));
+        Ok(LoadService {
+            name: name.to_owned(),
+            price: price.parse().map_err(bad)?,
+        })
+    };
+    texts(args, "service").iter().map(service).collect()
+}
+
 fn customer(text: &str) -> LoadCustomer {
     let (token, budget) = text.split_once(':').unwrap_or((text, ""));
     LoadCustomer {
--- a/toucanchute_call/src/cli/options.rs
+++ b/toucanchute_call/src/cli/options.rs
@@ -57,8 +57,8 @@
         .arg(many("model", "NAME", "Model to ask; several draw evenly"))
         .arg(many(
             "service",
-            "NAME",
-            "Plain service to call; several draw evenly",
+            "NAME[:PRICE]",
+            "Plain service to call, with its price in tokens",
         ))
         .arg(float("rate", "Mean arrivals a second", "10"))
         .arg(float("seconds", "Time in which requests arrive", "10"))
--- a/toucanchute_call/src/exchange.rs
+++ b/toucanchute_call/src/exchange.rs
@@ -28,6 +28,9 @@
 /// Header of the time within which the answer has to begin.
 const DEADLINE_HEADER: &str = "toucanchute-deadline-ms";
 
+/// Header of the number of earlier tries under the key.
+const RETRY_HEADER: &str = "toucanchute-retry";
+
 /// Connections of a caller.
 pub(crate) type Connections = Client<HttpConnector, Full<Bytes>>;
 
@@ -84,32 +87,41 @@
     Ok((status, body.to_bytes()))
 }
 
+/// One try of a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Try<'a> {
+    pub(crate) address: SocketAddr,
+    pub(crate) token: &'a str,
+    pub(crate) key: &'a str,
+    pub(crate) req: &'a Request,
+    /// Number of earlier tries by this caller.
+    pub(crate) earlier: u32,
+}
+
 /// Sends a request once and reads its answer; `on_text` sees each piece of text as it comes.
 pub(crate) async fn exchange(
     conns: &Connections,
-    address: SocketAddr,
-    token: &str,
-    key: &str,
-    req: &Request,
+    attempt: Try<'_>,
     on_text: &mut (dyn FnMut(&str) + Send),
 ) -> TryEnd {
-    match send(conns, address, token, key, req).await {
+    match send(conns, attempt).await {
         Err(cause) => TryEnd::Broken { cause },
         Ok(res) if is_problem(&res) => read_problem(res).await,
-        Ok(res) => match &req.work {
+        Ok(res) => match &attempt.req.work {
             Work::Completion { stream: true, .. } => read_stream(res, on_text).await,
             work => read_whole(work, res, on_text).await,
         },
     }
 }
 
-async fn send(
-    conns: &Connections,
-    address: SocketAddr,
-    token: &str,
-    key: &str,
-    req: &Request,
-) -> Result<Response<Incoming>, String> {
+async fn send(conns: &Connections, attempt: Try<'_>) -> Result<Response<Incoming>, String> {
+    let Try {
+        address,
+        token,
+        key,
+        req,
+        earlier,
+    } = attempt;
     let mut builder = http::Request::builder()
         .method(Method::POST)
         .uri(format!("http://{address}{}", req.path()))
@@ -119,6 +131,9 @@
     if let Some(ms) = req.deadline_ms {
         builder = builder.header(DEADLINE_HEADER, ms);
     }
+    if req.fresh_key {
+        builder = builder.header(RETRY_HEADER, earlier);
+    }
     let http_req = builder.body(Full::new(req.body()));
     let http_req = http_req.map_err(|e| e.to_string())?;
     conns.request(http_req).await.map_err(|e| describe(&e))
--- a/toucanchute_call/src/lib.rs
+++ b/toucanchute_call/src/lib.rs
@@ -31,6 +31,8 @@
 pub use caller::{Caller, CallerOptions};
 pub use cli::main;
 pub use error::{CallError, LoadError};
-pub use load::{BudgetReport, LoadCustomer, LoadOptions, Percentiles, Report, run_load};
+pub use load::{
+    BudgetReport, LoadCustomer, LoadOptions, LoadService, Percentiles, Report, run_load,
+};
 pub use request::{Request, Work};
 pub use verify::{Verdict, verify};
--- a/toucanchute_call/src/load.rs
+++ b/toucanchute_call/src/load.rs
@@ -11,13 +11,13 @@
 use snafu::ResultExt as _;
 use tokio::task::JoinSet;
 
-pub use options::{LoadCustomer, LoadOptions};
+pub use options::{LoadCustomer, LoadOptions, LoadService};
 pub use report::{BudgetReport, Percentiles, Report};
 
 use crate::{
     caller::Caller,
     error::{AskSnafu, CallError, HistogramSnafu, LoadError},
-    request::{Request, Work},
+    request::Work,
     verify::verify,
 };
 use budgets::Budgets;
@@ -40,6 +40,7 @@
     let before = budgets.read_all().await;
     let tally = Arc::new(Tally::new().context(HistogramSnafu)?);
     let mut tasks = JoinSet::new();
+    let services: Arc<[LoadService]> = options.services.clone().into();
     let start = Instant::now();
     for arrival in Schedule::new(options) {
         let at = start + arrival.after;
@@ -49,6 +50,7 @@
             caller: Arc::clone(&callers[arrival.customer]),
             budgets: Arc::clone(&budgets),
             tally: Arc::clone(&tally),
+            services: Arc::clone(&services),
             check: options.check,
             late: at.elapsed(),
             arrival,
@@ -68,6 +70,7 @@
     budget: String,
     budgets: Arc<Budgets>,
     tally: Arc<Tally>,
+    services: Arc<[LoadService]>,
     check: bool,
     /// Time by which the request was sent later than it arrived; counts as latency.
     late: std::time::Duration,
@@ -83,24 +86,30 @@
             }
             Err(e) => {
                 let wrong =
-                    is_budget(&e) && self.budgets.holds(&self.budget, worst_case(req)).await;
+                    is_budget(&e) && self.budgets.holds(&self.budget, self.worst_case()).await;
                 self.tally.refused(&e, wrong);
             }
         }
     }
 }
 
+impl Call {
+    /// Returns the most tokens that the request may cost.
+    fn worst_case(&self) -> u64 {
+        match &self.arrival.req.work {
+            Work::Completion {
+                prompt, max_tokens, ..
+            } => prompt.len() as u64 + max_tokens,
+            Work::Service { service, .. } => {
+                let mut services = self.services.iter();
+                let service = services.find(|s| s.name == *service);
+                service.map_or(0, |s| s.price)
+            }
+        }
+    }
+}
+
 /// Returns whether a request was refused for want of tokens.
 fn is_budget(err: &CallError) -> bool {
     matches!(err.reason(), "budget-exhausted" | "grant-unavailable")
 }
-
-/// Returns the most tokens that a completion may cost; 0 for a call whose price is not known.
-fn worst_case(req: &Request) -> u64 {
-    match &req.work {
-        Work::Completion {
-            prompt, max_tokens, ..
-        } => prompt.len() as u64 + max_tokens,
-        Work::Service { .. } => 0,
-    }
-}
--- a/toucanchute_call/src/load/options.rs
+++ b/toucanchute_call/src/load/options.rs
@@ -12,7 +12,7 @@
     /// Models, each as likely as the others and as each service.
     pub models: Vec<String>,
     /// Plain services.
-    pub services: Vec<String>,
+    pub services: Vec<LoadService>,
     /// Mean arrivals a second.
     pub rate: f64,
     /// Time in which requests arrive.
@@ -44,6 +44,15 @@
     pub budget: String,
 }
 
+/// A plain service of a load.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadService {
+    /// Name.
+    pub name: String,
+    /// Price of one call, in tokens.
+    pub price: u64,
+}
+
 /// Account of one budget, in tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct LoadBudget {
--- a/toucanchute_call/src/load/schedule.rs
+++ b/toucanchute_call/src/load/schedule.rs
@@ -50,7 +50,7 @@
         }
         let index = self.rng.random_range(0..kinds);
         let Some(model) = options.models.get(index) else {
-            let service = &options.services[index - options.models.len()];
+            let service = &options.services[index - options.models.len()].name;
             let path = format!("/load/{}/{}", options.seed, self.count);
             return Some(Request::service(service, &path, "{}"));
         };
@@ -90,7 +90,7 @@
                 "load-{}-{}-{:016x}",
                 self.options.seed, self.count, self.options.run
             ),
-            req,
+            req: req.fresh_key(),
         };
         self.count += 1;
         Some(arrival)
--- a/toucanchute_call/src/request.rs
+++ b/toucanchute_call/src/request.rs
@@ -9,6 +9,8 @@
     pub work: Work,
     /// Time within which the answer has to begin, in milliseconds, if the caller has a limit.
     pub deadline_ms: Option<u64>,
+    /// Whether the key was never sent before, so that a refusal of the first try can say `not-run`.
+    pub fresh_key: bool,
 }
 
 /// What a request asks for.
@@ -85,10 +87,17 @@
         self
     }
 
+    /// Declares that the key was never sent before this call of [`Caller::send`](crate::Caller::send).
+    pub fn fresh_key(mut self) -> Request {
+        self.fresh_key = true;
+        self
+    }
+
     fn new(work: Work) -> Request {
         Request {
             work,
             deadline_ms: None,
+            fresh_key: false,
         }
     }
 
--- a/toucanchute_call/tests/call/answers.rs
+++ b/toucanchute_call/tests/call/answers.rs
@@ -17,7 +17,7 @@
 #[tokio::test]
 async fn request_carries_token_key_and_deadline() {
     let router = Router::start(&[&whole_answer("hello")]);
-    let req = Request::completion("m", "p", 9).deadline(700);
+    let req = Request::completion("m", "p", 9).deadline(700).fresh_key();
     let answer = caller(&router).send(&req, "k-1").await.unwrap();
     assert_eq!((answer.text.as_str(), answer.tries), ("hello", 1));
     assert_eq!((answer.prompt_tokens, answer.completion_tokens), (2, 3));
@@ -28,6 +28,7 @@
         "authorization: Bearer desk-token\r\n",
         "idempotency-key: k-1\r\n",
         "toucanchute-deadline-ms: 700\r\n",
+        "toucanchute-retry: 0\r\n",
         "\"max_tokens\":9,\"stream\":false}",
     ] {
         assert!(sent.contains(part), "{part} in {sent}");
--- a/toucanchute_call/tests/call/retries.rs
+++ b/toucanchute_call/tests/call/retries.rs
@@ -31,11 +31,14 @@
             let replies: Vec<&str> = replies.iter().map(String::as_str).collect();
             let router = Router::start(&replies);
             let caller = Caller::new(vec![router.address], "t", options());
-            let result = caller.send(&request().streamed(), "k").await;
+            let result = caller.send(&request().streamed().fresh_key(), "k").await;
             let check: fn(Result<_, CallError>) = $check;
             check(result);
             let keys = router.requests().iter().filter(|r| r.contains("idempotency-key: k\r\n")).count();
             assert_eq!(keys, replies.len());
+            for (earlier, sent) in router.requests().iter().enumerate() {
+                assert!(sent.contains(&format!("toucanchute-retry: {earlier}\r\n")), "{sent}");
+            }
         }
     )*};
 }
@@ -106,6 +109,7 @@
     let router = Router::start(&[&problem("429 Too Many Requests", "", &body)]);
     let caller = Caller::new(vec![router.address], "t", options());
     let answer = caller.send(&request(), "k").await.unwrap();
+    assert!(!other.requests()[0].contains("toucanchute-retry"));
     assert_eq!(answer.address, other.address);
     assert_eq!(answer.text, "from the other");
 }
