--- a/toucanchute_ctl/src/cli.rs
+++ b/toucanchute_ctl/src/cli.rs
@@ -204,6 +204,7 @@
 fn apply_command() -> Command {
     let author = Arg::new("author")
         .long("author")
+        .value_name("NAME")
         .help("Who applies it, told to the loser of a race [default: USER]");
     let expect = Arg::new("expect")
         .long("expect")
@@ -235,6 +236,7 @@
         .help("Tokens to add");
     let id = Arg::new("id")
         .long("id")
+        .value_name("ID")
         .required(true)
         .help("Names the top-up; sent again, the same one counts once");
     router_command("top-up", "Adds prepaid tokens to a budget")
