feat: quickstart sends the booking again to another router

The second sending went to the same router, since a caller spreads keys over the list. --at names the address of the first try, so the recorded answer now comes from a router that did not run the call.

--- a/toucanchute_call/src/caller.rs
+++ b/toucanchute_call/src/caller.rs
@@ -26,6 +26,8 @@
     pub max_pause: Duration,
     /// Longest time of one try.
     pub try_timeout: Duration,
+    /// Address of each request's first try, in place of one of the list.
+    pub first: Option<SocketAddr>,
 }
 
 /// A caller of the fleet: keeps the address list and tries again under the same key.
@@ -44,6 +46,7 @@
             pause: Duration::from_millis(50),
             max_pause: Duration::from_secs(5),
             try_timeout: Duration::from_secs(60),
+            first: None,
         }
     }
 }
@@ -126,7 +129,7 @@
         on_text: &mut (dyn FnMut(&str) + Send),
     ) -> Result<Answer, CallError> {
         let start = Instant::now();
-        let mut elsewhere = None;
+        let mut elsewhere = self.options.first;
         let mut last = AddressesSnafu { cause: "not asked" }.fail();
         for tries in 1..=self.options.max_tries {
             let address = match elsewhere.take() {
--- a/toucanchute_call/src/cli/commands.rs
+++ b/toucanchute_call/src/cli/commands.rs
@@ -216,6 +216,7 @@
 fn caller_options(args: &ArgMatches) -> CallerOptions {
     CallerOptions {
         max_tries: get(args, "tries", 1),
+        first: args.try_get_one("at").ok().flatten().copied(),
         ..CallerOptions::default()
     }
 }
--- a/toucanchute_call/src/cli/options.rs
+++ b/toucanchute_call/src/cli/options.rs
@@ -85,6 +85,14 @@
 fn caller(command: Command) -> Command {
     tries(command)
         .arg(router())
+        .arg(
+            option(
+                "at",
+                "IP:PORT",
+                "Address of the first try, in place of one of the list",
+            )
+            .value_parser(value_parser!(SocketAddr)),
+        )
         .arg(option(
             "key",
             "KEY",
--- a/toucanchute_call/tests/call/retries.rs
+++ b/toucanchute_call/tests/call/retries.rs
@@ -15,6 +15,7 @@
         pause: Duration::from_millis(1),
         max_pause: Duration::from_millis(5),
         try_timeout: Duration::from_secs(20),
+        first: None,
     }
 }
 
@@ -99,6 +100,19 @@
     assert_eq!(a.tries + b.tries, 3);
 }
 
+#[tokio::test]
+async fn first_address_is_tried_first() {
+    let (first, other) = (Router::start(&[""]), Router::start(&[&whole_answer("x")]));
+    let options = CallerOptions {
+        first: Some(first.address),
+        ..options()
+    };
+    let caller = Caller::new(vec![other.address], "t", options);
+    let answer = caller.send(&request(), "k").await.unwrap();
+    assert_eq!((answer.address, answer.tries), (other.address, 2));
+    assert_eq!(first.requests().len(), 1);
+}
+
 #[tokio::test]
 async fn elsewhere_is_asked_next() {
     let other = Router::start(&[&whole_answer("from the other")]);
