--- a/toucanchute_call/src/cli/options.rs
+++ b/toucanchute_call/src/cli/options.rs
@@ -57,8 +57,8 @@
         .arg(many("model", "NAME", "Model to ask; several draw evenly"))
         .arg(many(
             "service",
-            "NAME",
-            "Plain service to call; several draw evenly",
+            "NAME[:PRICE]",
+            "Plain service to call, with its price in tokens",
         ))
         .arg(float("rate", "Mean arrivals a second", "10"))
         .arg(float("seconds", "Time in which requests arrive", "10"))
@@ -85,6 +85,14 @@
 fn caller(command: Command) -> Command {
     tries(command)
         .arg(router())
+        .arg(
+            option(
+                "at",
+                "IP:PORT",
+                "Address of the first try, in place of one of the list",
+            )
+            .value_parser(value_parser!(SocketAddr)),
+        )
         .arg(option(
             "key",
             "KEY",
