--- a/toucanchute_edge/tests/edge/churn.rs
+++ b/toucanchute_edge/tests/edge/churn.rs
@@ -14,6 +14,8 @@
     test_control::TestControl,
 };
 
+/// Time after which a caller without patience leaves.
+const IMPATIENT: Duration = Duration::from_millis(2);
 const FAULTS: [&str; 9] = [
     "ok",
     "ok",
@@ -29,7 +31,15 @@
 async fn call(bench: Arc<Bench>, prompt: String, stream: bool, patience: u64) -> bool {
     let body = json!({"model": "m", "stream": stream, "max_tokens": 50,
         "messages": [{"role": "user", "content": prompt}]});
-    let res = bench.post("/v1/chat/completions", None, &body).await;
+    let answered = bench.post("/v1/chat/completions", None, &body);
+    let longest = if patience == 0 {
+        IMPATIENT
+    } else {
+        Duration::MAX
+    };
+    let Ok(res) = tokio::time::timeout(longest, answered).await else {
+        return false;
+    };
     if res.status() != 200 {
         let body = res.into_body().collect().await.unwrap().to_bytes();
         let problem: Value = serde_json::from_slice(&body).unwrap();
@@ -80,7 +90,7 @@
             let patience = if rng.random() {
                 u64::MAX
             } else {
-                rng.random_range(1..6)
+                rng.random_range(0..6)
             };
             tokio::spawn(call(Arc::clone(&bench), prompt, rng.random(), patience))
         });
--- a/toucanchute_edge/tests/edge/test_control.rs
+++ b/toucanchute_edge/tests/edge/test_control.rs
@@ -6,6 +6,7 @@
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -22,6 +23,9 @@
 pub(crate) const TOKEN_SHA256: &str =
     "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b";
 
+/// Longest wait for an event.
+const PATIENCE: Duration = Duration::from_secs(10);
+
 pub(crate) struct TestControl {
     config: Arc<Config>,
     backends: Vec<SocketAddr>,
@@ -69,7 +73,8 @@
     pub(crate) async fn wait_for(&self, event: &str) -> Vec<String> {
         let mut noted = self.noted.subscribe();
         let found = |noted: &Vec<String>| noted.iter().any(|e| e.starts_with(event));
-        noted.wait_for(found).await.unwrap().clone()
+        let waited = tokio::time::timeout(PATIENCE, noted.wait_for(found)).await;
+        waited.expect(event).unwrap().clone()
     }
 
     /// Returns how many events that start with one of `events` were noted.
