fix(edge): not-run where every attempt was refused; no attempt after the deadline

Cause: a completion that four engines refused was told failed (502) although it provably did not run, and work assigned after its deadline was sent and counted as the engine's timeout. Now 503 attempts-exhausted with Retry-After and 504 deadline-passed, both not-run if no attempt was sent.

--- a/toucanchute_edge/src/completion/run.rs
+++ b/toucanchute_edge/src/completion/run.rs
@@ -9,7 +9,7 @@
     attempt::{Attempt, Held},
     backend::{self, ATTEMPT, BackendError, PRIORITY},
     caller::CallerRequest,
-    control::{AssignRequest, Assignment, Control, Outcome, Report, ReserveRequest, Target},
+    control::{AssignRequest, Assignment, Control, Report, ReserveRequest, Target},
     edge::Shared,
     error::RequestError,
     problem::Problem,
@@ -100,8 +100,7 @@
         loop {
             let attempts = exclude.len() as u32;
             if attempts >= self.shared.settings.max_attempts {
-                let problem = Problem::failed("every backend server tried failed", Outcome::Failed);
-                return self.fail(held, problem).await;
+                return self.fail(held, Problem::attempts_exhausted()).await;
             }
             let req = self.assign_request(attempts, exclude.clone());
             let assignment = match self.shared.control.assign(req).await {
@@ -113,6 +112,10 @@
                 attempt.end(Report::Unsent);
                 return self.settle_partial(held).await;
             }
+            if now() >= self.caller.deadline {
+                attempt.end(Report::Unsent);
+                return self.fail(held, Problem::deadline_passed()).await;
+            }
             match self.attempt(&attempt).await {
                 AttemptEnd::Finished { tokens, last } => {
                     attempt.end(Report::Done { tokens });
--- a/toucanchute_edge/src/problem.rs
+++ b/toucanchute_edge/src/problem.rs
@@ -14,6 +14,9 @@
 /// Reason of a request whose key was used for another one.
 pub(crate) const KEY_REUSED: &str = "key-reused";
 
+/// Time after which a request may be sent again that every backend server tried refused.
+const ATTEMPTS_PAUSE: Millis = Millis(1_000);
+
 /// An error as told to a caller, in the form of RFC 9457.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Problem {
@@ -75,14 +78,27 @@
         }
     }
 
-    /// The caller's own deadline passed while a backend server was at work.
+    /// The deadline passed before the answer began.
     pub(crate) fn deadline_passed() -> Problem {
         Problem {
             status: StatusCode::GATEWAY_TIMEOUT,
             reason: "deadline-passed",
             ..Problem::failed(
-                "the answer did not begin before your deadline",
-                Outcome::Failed,
+                "the deadline passed before the answer began",
+                Outcome::NotRun,
+            )
+        }
+    }
+
+    /// Every backend server that may be tried refused or failed.
+    pub(crate) fn attempts_exhausted() -> Problem {
+        Problem {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason: "attempts-exhausted",
+            retry_after: Some(ATTEMPTS_PAUSE),
+            ..Problem::failed(
+                "every backend server tried refused or failed",
+                Outcome::NotRun,
             )
         }
     }
--- a/toucanchute_edge/src/service/run.rs
+++ b/toucanchute_edge/src/service/run.rs
@@ -133,8 +133,7 @@
             let attempt = Attempt::new(&*self.shared.control, assignment);
             if now() >= self.caller.deadline {
                 attempt.end(Report::Unsent);
-                let problem = Problem::failed("the deadline has passed", Outcome::NotRun);
-                return (Recorded::NotRun, Err(problem));
+                return (Recorded::NotRun, Err(Problem::deadline_passed()));
             }
             match self.exchange(&attempt.assignment).await {
                 Ok(answer) => {
@@ -161,8 +160,7 @@
     async fn assign(&self, exclude: &[String]) -> Result<Assignment, Problem> {
         let attempts = exclude.len() as u32;
         if attempts >= self.shared.settings.max_attempts {
-            let detail = "every backend server tried failed";
-            return Err(Problem::failed(detail, Outcome::NotRun));
+            return Err(Problem::attempts_exhausted());
         }
         let req = AssignRequest {
             target: Target::Service(self.call.service.clone()),
--- a/toucanchute_edge/tests/edge/completions.rs
+++ b/toucanchute_edge/tests/edge/completions.rs
@@ -194,6 +194,30 @@
     assert_eq!(noted, ["reserve", "crashed Disconnected", "release"]);
 }
 
+#[tokio::test]
+async fn refusals_by_all_tried_are_not_run() {
+    let (bench, _engines) = bench(&vec![json!({"mode": "refuse"}); 5]).await;
+    let res = bench.complete(true).await;
+    assert_eq!(res.status(), 503);
+    assert_eq!(res.headers()["retry-after"], "1");
+    let problem = json_of(res).await;
+    assert_eq!(problem["reason"], "attempts-exhausted");
+    assert_eq!(problem["outcome"], "not-run");
+    assert_eq!(bench.control.count(&["refused"]), 4);
+}
+
+/// Work that is assigned too late is not sent.
+#[tokio::test]
+async fn late_assignment_is_not_used() {
+    let (bench, _engines) = bench(&[json!({})]).await;
+    let body = json!({"model": "m", "prompt": "p"});
+    let headers = [("toucanchute-deadline-ms", "0")];
+    let res = bench.post_with("/v1/completions", &headers, &body).await;
+    assert_eq!(res.status(), 504);
+    assert_eq!(json_of(res).await["outcome"], "not-run");
+    assert_eq!(bench.control.noted(), ["reserve", "unsent", "release"]);
+}
+
 #[tokio::test]
 async fn answer_is_cut_to_the_reservation() {
     let engines = engines(&[json!({})]).await;
