--- a/toucanchute_edge/src/problem.rs
+++ b/toucanchute_edge/src/problem.rs
@@ -94,7 +94,6 @@
     pub(crate) fn attempts_exhausted() -> Problem {
         Problem {
             status: StatusCode::SERVICE_UNAVAILABLE,
-            reason: "attempts-exhausted",
             retry_after: Some(ATTEMPTS_PAUSE),
             ..Problem::failed(
                 "every backend server tried refused or failed",
