fix: attempts on the time line, callers' retry count, limit of connections

An attempt-started event carries both names; toucanchute-retry counts only tries that may have run (red before in retryable_refusal_is_tried_again, green after); the limit reaches the edge.

--- a/toucanchute_call/src/caller.rs
+++ b/toucanchute_call/src/caller.rs
@@ -130,13 +130,16 @@
     ) -> Result<Answer, CallError> {
         let start = Instant::now();
         let mut elsewhere = self.options.first;
+        // Tries that may have run; one that was told `not-run` is none of them.
+        let mut doubtful = 0;
         let mut last = AddressesSnafu { cause: "not asked" }.fail();
         for tries in 1..=self.options.max_tries {
             let address = match elsewhere.take() {
                 Some(address) => address,
                 None => self.pick(key, tries).await?,
             };
-            let end = self.try_once(address, req, key, tries - 1, on_text).await;
+            let end = self.try_once(address, req, key, doubtful, on_text).await;
+            doubtful += u32::from(!end.is_not_run());
             let pause = match end {
                 TryEnd::Complete(received) => return Ok(answer(received, address, tries, start)),
                 TryEnd::Broken { cause } => {
--- a/toucanchute_call/src/exchange.rs
+++ b/toucanchute_call/src/exchange.rs
@@ -11,7 +11,7 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use toucanchute_proto::api::Problem;
+use toucanchute_proto::api::{Outcome, Problem};
 
 use crate::{
     answer::{Completion, Usage},
@@ -48,6 +48,16 @@
     Broken { cause: String },
 }
 
+impl TryEnd {
+    /// Returns whether the request provably did not run, by this try or one before.
+    pub(crate) fn is_not_run(&self) -> bool {
+        match self {
+            TryEnd::Problem { problem, .. } => problem.outcome == Some(Outcome::NotRun),
+            TryEnd::Complete(_) | TryEnd::Broken { .. } => false,
+        }
+    }
+}
+
 /// A whole answer of one try.
 #[derive(Debug, Default)]
 pub(crate) struct Received {
--- a/toucanchute_edge/src/attempt.rs
+++ b/toucanchute_edge/src/attempt.rs
@@ -1,4 +1,4 @@
-use toucanchute_proto::AttemptId;
+use toucanchute_proto::{AttemptId, RequestKey};
 
 use crate::control::{Assignment, Control, CrashKind, Report, Reservation, Settlement};
 use crate::problem::Problem;
@@ -13,8 +13,10 @@
 }
 
 impl<'a, C: Control> Attempt<'a, C> {
-    /// Starts an attempt.
-    pub(crate) fn new(control: &'a C, assignment: Assignment) -> Attempt<'a, C> {
+    /// Starts an attempt of the request with `key`.
+    pub(crate) fn new(control: &'a C, key: RequestKey, assignment: Assignment) -> Attempt<'a, C> {
+        let id = assignment.attempt;
+        log::info!(request:% = key, attempt:% = id, backend = assignment.backend; "attempt-started");
         Attempt {
             control,
             assignment,
--- a/toucanchute_edge/src/completion/run.rs
+++ b/toucanchute_edge/src/completion/run.rs
@@ -107,7 +107,7 @@
                 Ok(assignment) => assignment,
                 Err(refusal) => return self.fail(held, refusal.into()).await,
             };
-            let attempt = Attempt::new(&*self.shared.control, assignment);
+            let attempt = Attempt::new(&*self.shared.control, self.caller.key, assignment);
             if self.reply.is_gone() {
                 attempt.end(Report::Unsent);
                 return self.settle_partial(held).await;
--- a/toucanchute_edge/src/service/run.rs
+++ b/toucanchute_edge/src/service/run.rs
@@ -80,7 +80,7 @@
                     self.caller.qualify(err)
                 }
             })?;
-            let attempt = Attempt::new(&*self.shared.control, assignment);
+            let attempt = Attempt::new(&*self.shared.control, self.caller.key, assignment);
             if reply.is_gone() {
                 attempt.end(Report::Unsent);
                 return Err(Problem::failed("the caller went away", Outcome::NotRun));
@@ -130,7 +130,7 @@
                 Ok(assignment) => assignment,
                 Err(problem) => return (Recorded::NotRun, Err(problem)),
             };
-            let attempt = Attempt::new(&*self.shared.control, assignment);
+            let attempt = Attempt::new(&*self.shared.control, self.caller.key, assignment);
             if now() >= self.caller.deadline {
                 attempt.end(Report::Unsent);
                 return (Recorded::NotRun, Err(Problem::deadline_passed()));
--- a/toucanchute_router/src/server.rs
+++ b/toucanchute_router/src/server.rs
@@ -332,6 +332,7 @@
         header_timeout: Millis(settings.limits.header_timeout_ms),
         body_timeout: Millis(settings.limits.body_timeout_ms),
         max_header_bytes: usize::try_from(settings.limits.max_header_bytes).unwrap_or(usize::MAX),
+        max_connections: usize::try_from(settings.limits.connections).unwrap_or(usize::MAX),
         operator_token_sha256: settings.router.operator_token_sha256.clone(),
         ..EdgeSettings::default()
     }
