fix(money): no grant is unknown to its holder, and a drained router stays drained

Weighed: remembering declines at the giver against remembering questions at the asker; the asker knows best that it was never credited. The shard's writer tells holders every 10 s of grants that are untouched, so a lost `give` is found without its giver.

--- a/toucanchute_core/examples/money_balance.rs
+++ b/toucanchute_core/examples/money_balance.rs
@@ -53,8 +53,10 @@
 }
 
 fn calls(seed: u64) {
-    println!("\n| routers | requests/s | writes/s | reads/s | ledger bytes/request |");
-    println!("|---|---|---|---|---|");
+    println!(
+        "\n| routers | requests/s | writes/s | reads/s | ledger bytes/request | commit wait, p50 and p99, ms |"
+    );
+    println!("|---|---|---|---|---|---|");
     for (routers, rate) in [
         (3, 20.0),
         (7, 5.0),
@@ -68,10 +70,12 @@
         let seconds = outcome.seconds;
         let requests = outcome.tally.requests as f64;
         println!(
-            "| {routers} | {rate} | {:.1} | {:.1} | {:.0} |",
+            "| {routers} | {rate} | {:.1} | {:.1} | {:.0} | {}, {} |",
             outcome.writes as f64 / seconds,
             outcome.reads as f64 / seconds,
             outcome.bytes as f64 / requests,
+            outcome.wait(50),
+            outcome.wait(99),
         );
     }
 }
--- a/toucanchute_core/examples/money_balance/run.rs
+++ b/toucanchute_core/examples/money_balance/run.rs
@@ -60,10 +60,20 @@
     pub(crate) seconds: f64,
     pub(crate) reads: u64,
     pub(crate) writes: u64,
+    /// Time from a request's end to its commit, for each answer, rising.
+    pub(crate) waits: Vec<Millis>,
     /// Bytes written to the ledger.
     pub(crate) bytes: u64,
 }
 
+impl Outcome {
+    /// Returns a percentile of the waits.
+    pub(crate) fn wait(&self, percent: usize) -> Millis {
+        let index = self.waits.len() * percent / 100;
+        self.waits.get(index).copied().unwrap_or_default()
+    }
+}
+
 struct Run<'a> {
     load: &'a Load,
     sim: Sim,
@@ -75,6 +85,7 @@
     /// Requests whose bill is on its way, and since when.
     settling: BTreeMap<CallId, (u64, Millis)>,
     spent: u64,
+    waits: Vec<Millis>,
 }
 
 pub(crate) fn run(load: &Load, policy: Policy) -> Outcome {
@@ -97,6 +108,7 @@
         running: BTreeMap::new(),
         settling: BTreeMap::new(),
         spent: 0,
+        waits: Vec::new(),
     };
     run.sim.run(Millis(500));
     let (budget, tokens) = (run.budget, load.balance);
@@ -120,6 +132,7 @@
     run.until(start, end + Millis(10_000));
     run.tally.stalled += run.settling.len() as u64;
     run.tally.overspent = run.spent.saturating_sub(load.balance);
+    run.waits.sort_unstable();
     let bytes = run
         .sim
         .written
@@ -129,6 +142,7 @@
     let (reads, writes) = run.sim.store_calls;
     Outcome {
         tally: run.tally,
+        waits: run.waits,
         seconds: (end.0 as f64) / 1_000.0,
         reads,
         writes,
@@ -146,7 +160,7 @@
                 slot.store_up = self.load.scenario.reaches_platform(host, since);
                 slot.side = self.load.scenario.side(host, since);
             }
-            self.sim.run(left.min(Millis(5)));
+            self.sim.run(left.min(Millis(1)));
             self.absorb();
             self.finish();
         }
@@ -196,6 +210,7 @@
                 Action::Settled { call, .. } => {
                     if let Some((tokens, since)) = self.settling.remove(&call) {
                         self.spent += tokens;
+                        self.waits.push(self.sim.now.since(since));
                         self.tally.stalled += u64::from(self.sim.now.since(since) > STALLED);
                     }
                 }
--- a/toucanchute_core/src/money/machine.rs
+++ b/toucanchute_core/src/money/machine.rs
@@ -69,6 +69,8 @@
     /// Router that writes each shard, by shard.
     shard_writers: Vec<Incarnation>,
     slow_tick_at: Millis,
+    /// When holders were last told of grants that they may not know of.
+    pub(super) unclaimed_at: Millis,
     /// Time of the first event.
     pub(super) started_at: Option<Millis>,
     pub(super) draining: bool,
@@ -102,6 +104,7 @@
             statements: BTreeMap::new(),
             shard_writers: Vec::new(),
             slow_tick_at: Millis(0),
+            unclaimed_at: Millis(0),
             started_at: None,
             draining: false,
             drained: false,
@@ -117,6 +120,9 @@
             Event::Settle { call, tokens } => self.settle(call, tokens, out),
             Event::Release { call } => self.release(call, out),
             Event::Record { key, answer } => self.record(key, answer),
+            Event::TopUp { call, .. } | Event::WriteOff { call, .. } if self.drained => {
+                self.refuse(call, RefusalReason::Draining, None, out);
+            }
             Event::TopUp { .. } | Event::WriteOff { .. } => self.administer(event),
             Event::Statement { call, budget } => self.ask_statement(call, budget, out),
             Event::Peers(peers) => self.set_peers(peers),
@@ -152,6 +158,7 @@
             MoneyMessage::Closed(grant) => {
                 self.grants.remove(&grant);
             }
+            MoneyMessage::Unclaimed(record) => self.on_unclaimed(&record, out),
             MoneyMessage::AskStatement(body) => self.on_ask_statement(from, &body),
             MoneyMessage::Statement(body) => self.on_statement(body, out),
         }
@@ -171,6 +178,7 @@
         self.tick_asks(out);
         self.tick_given();
         self.tick_reclaims(out);
+        self.tick_unclaimed(out);
         self.tick_statements(out);
         self.tick_idle();
     }
--- a/toucanchute_core/src/money/reclaim.rs
+++ b/toucanchute_core/src/money/reclaim.rs
@@ -25,6 +25,9 @@
 /// Reclaiming grants whose holder is gone.
 impl Money {
     pub(super) fn tick_reclaims(&mut self, out: &mut Vec<Action>) {
+        if self.draining {
+            return;
+        }
         let shards: Vec<_> = self.writers.keys().copied().collect();
         let mut due = Vec::new();
         for shard in shards {
--- a/toucanchute_core/src/money/status.rs
+++ b/toucanchute_core/src/money/status.rs
@@ -64,9 +64,15 @@
             || !self.outbox.is_empty()
             || !self.grants.is_empty()
             || self.buffer.len() > 0
+            || self
+                .asks
+                .values()
+                .any(|a| !a.declined && self.is_alive(a.peer))
             || self.holdings.values().any(|h| !h.waiting.is_empty());
         if self.draining && !self.drained && !busy {
             self.drained = true;
+            // A transfer that comes now is reclaimed when the process has ended.
+            self.asks.clear();
             out.push(Action::Drained);
         }
     }
--- a/toucanchute_core/src/money/transfer.rs
+++ b/toucanchute_core/src/money/transfer.rs
@@ -1,7 +1,7 @@
 use rand::seq::SliceRandom;
 use toucanchute_proto::{
     BudgetId, GrantId, Incarnation, Millis,
-    ledger::{Backing, Entry, EntryBody, EntryResult, Transfer},
+    ledger::{Backing, Entry, EntryBody, EntryResult, GrantRecord, Transfer},
     money::{AskTransfer, Decline, Give, MoneyMessage},
 };
 
@@ -25,9 +25,11 @@
 /// Draw that a transfer should last for, and that a giver keeps, in milliseconds.
 const TRANSFER_SPAN_MS: u64 = 1_000;
 
-/// Time for which a finished transfer is remembered, and an unanswered one of a peer that is gone,
-/// in milliseconds.
-const REMEMBER_MS: u64 = 600_000;
+/// Pause between two looks for grants that their holders may not know of, in milliseconds.
+const UNCLAIMED_MS: u64 = 10_000;
+
+/// Time for which a finished or declined transfer is remembered, in milliseconds.
+const REMEMBER_MS: u64 = 300_000;
 
 /// A transfer asked of a peer. It stays until it is answered: the answer may come late.
 #[derive(Clone, Debug)]
@@ -35,6 +37,8 @@
     pub(super) peer: Incarnation,
     pub(super) sent_at: Millis,
     pub(super) body: AskTransfer,
+    /// Whether the peer had nothing to give. A copy of the question may still make it give.
+    pub(super) declined: bool,
 }
 
 /// A transfer that this router gives.
@@ -124,6 +128,7 @@
                 peer,
                 sent_at,
                 body,
+                declined: false,
             },
         );
         let round = self
@@ -190,9 +195,11 @@
     }
 
     pub(super) fn on_decline(&mut self, from: Incarnation, body: &Decline, out: &mut Vec<Action>) {
-        if self.asks.remove(&body.grant).is_none() {
+        let ask = self.asks.get_mut(&body.grant).filter(|a| !a.declined);
+        let Some(ask) = ask else {
             return;
-        }
+        };
+        ask.declined = true;
         if let Some(holding) = self.holdings.get_mut(&body.budget) {
             let best = holding.best_peer.map_or(0, |(idle, _)| idle);
             if body.idle > best {
@@ -219,7 +226,7 @@
         let alive: Vec<_> = self.alive_peers();
         for ask in self.asks.values_mut() {
             let due = now.since(ask.sent_at) >= Millis(ASK_RESEND_MS);
-            if due && alive.contains(&ask.peer) {
+            if due && !ask.declined && alive.contains(&ask.peer) {
                 ask.sent_at = now;
                 let message = MoneyMessage::AskTransfer(ask.body.clone());
                 out.push(Action::Send {
@@ -242,6 +249,48 @@
     }
 }
 
+/// Transfers that are committed and whose giver left before it could say so.
+impl Money {
+    /// Tells holders of grants that they have not touched for long.
+    pub(super) fn tick_unclaimed(&mut self, out: &mut Vec<Action>) {
+        if self.now.since(self.unclaimed_at) < Millis(UNCLAIMED_MS) {
+            return;
+        }
+        self.unclaimed_at = self.now;
+        let limit = self.now - Millis(UNCLAIMED_MS);
+        for (&shard, writer) in &self.writers {
+            if self.writer_of(shard) != self.me() {
+                continue;
+            }
+            let untouched = |g: &&GrantRecord| g.remainder == g.granted && g.opened_at < limit;
+            for record in writer.log.state().grants().filter(untouched) {
+                let GrantId(to, _) = record.grant;
+                let message = MoneyMessage::Unclaimed(record.clone());
+                out.push(Action::Send { to, message });
+            }
+        }
+    }
+
+    pub(super) fn on_unclaimed(&mut self, record: &GrantRecord, out: &mut Vec<Action>) {
+        if self.asks.remove(&record.grant).is_none() {
+            return;
+        }
+        let grant = HeldGrant {
+            budget: record.budget,
+            remainder: record.remainder,
+            reserved: 0,
+            backing: record.backing.clone(),
+            returns: record.returns,
+            returning: false,
+            origin: None,
+        };
+        self.grants.insert(record.grant, grant);
+        self.close_ask(record.budget, record.grant);
+        self.serve(record.budget, out);
+        self.continue_round(record.budget, out);
+    }
+}
+
 /// Giving.
 impl Money {
     pub(super) fn on_ask_transfer(
@@ -333,9 +382,9 @@
     pub(super) fn tick_given(&mut self) {
         let now = self.now;
         let old = |at: Millis| now.since(at) >= Millis(REMEMBER_MS);
+        self.asks.retain(|_, a| !a.declined || !old(a.sent_at));
         self.given
             .retain(|_, g| g.released != Some(true) || !old(g.given_at));
-        self.asks.retain(|_, a| !old(a.sent_at));
     }
 
     fn decline(&self, to: Incarnation, grant: GrantId, budget: BudgetId, out: &mut Vec<Action>) {
--- a/toucanchute_core/src/money/witness.rs
+++ b/toucanchute_core/src/money/witness.rs
@@ -91,7 +91,8 @@
             grant: body.grant,
             entry,
         };
-        let message = match self.buffer.keep(self.now, body) {
+        let kept = !self.drained && self.buffer.keep(self.now, body);
+        let message = match kept {
             true => MoneyMessage::Held(held),
             false => MoneyMessage::RefuseHold(held),
         };
--- a/toucanchute_core/tests/money_fuzz/disturb.rs
+++ b/toucanchute_core/tests/money_fuzz/disturb.rs
@@ -1,9 +1,11 @@
 //! Faults of hosts, the network and the store.
 
 use rand::Rng;
+use toucanchute_core::money::Money;
 use toucanchute_proto::Millis;
 
 use super::{
+    oracle::Verdict,
     sim::Faults,
     walk::{HOSTS, Walk},
 };
@@ -17,6 +19,18 @@
         }
     }
 
+    /// Replaces a router that has given everything back.
+    pub(crate) fn on_drained(&mut self, host: usize) -> Verdict {
+        self.summary.drained += 1;
+        let money = self.sim.hosts[host].money.as_ref();
+        let status = money.map(Money::status).unwrap_or_default();
+        self.sim.start(host);
+        match status.grants.is_empty() && status.entries == 0 && status.kept_debits == 0 {
+            true => Ok(()),
+            false => Err(format!("host {host} left with {status:?}")),
+        }
+    }
+
     pub(crate) fn freeze(&mut self, host: usize) {
         let span = Millis(self.sim.rng.random_range(50..2_000));
         self.sim.hosts[host].frozen_until = self.sim.now + span;
--- a/toucanchute_core/tests/money_fuzz/oracle.rs
+++ b/toucanchute_core/tests/money_fuzz/oracle.rs
@@ -4,7 +4,7 @@
 
 use toucanchute_core::ledger::{KEY_MARGIN, ShardState, StoreKey};
 use toucanchute_proto::{
-    BudgetId, Bytes, EntryId, GrantId, RequestKey, ShardId, from_cbor,
+    BudgetId, Bytes, EntryId, GrantId, Incarnation, RequestKey, ShardId, from_cbor,
     ledger::{Batch, Entry, EntryBody, Intent, IntentOutcome, KeyState, Statement},
 };
 
@@ -180,6 +180,12 @@
         }
     }
 
+    /// Returns the grants that the ledger has of a run.
+    pub(crate) fn grants_of(&self, holder: Incarnation) -> Vec<GrantId> {
+        let grants = self.shards.values().flat_map(ShardState::grants);
+        grants.map(|g| g.grant).filter(|g| g.0 == holder).collect()
+    }
+
     fn bought(&self, budget: BudgetId) -> u64 {
         self.top_ups
             .values()
--- a/toucanchute_core/tests/money_fuzz/summary.rs
+++ b/toucanchute_core/tests/money_fuzz/summary.rs
@@ -13,6 +13,7 @@
     pub(crate) entries: u64,
     pub(crate) transfers: u64,
     pub(crate) chunks: u64,
+    pub(crate) drained: u64,
 }
 
 impl Summary {
@@ -27,5 +28,6 @@
         self.entries += other.entries;
         self.transfers += other.transfers;
         self.chunks += other.chunks;
+        self.drained += other.drained;
     }
 }
--- a/toucanchute_core/tests/money_fuzz/walk.rs
+++ b/toucanchute_core/tests/money_fuzz/walk.rs
@@ -8,7 +8,7 @@
     money::{Action, CallId, Event, Settings},
 };
 use toucanchute_proto::{
-    BudgetId, Bytes, Digest, Incarnation, Millis, RequestKey,
+    BudgetId, Bytes, Digest, GrantId, Incarnation, Millis, RequestKey,
     ledger::{Answer, RecordedAnswer},
 };
 
@@ -127,7 +127,8 @@
             0..620 => self.reserve(host),
             620..760 => self.intend(host),
             760..800 => self.top_up(host),
-            800..830 => self.crash(host),
+            800..820 => self.crash(host),
+            820..830 => self.sim.tell(host, Event::Drain),
             830..870 => self.freeze(host),
             870..900 => self.partition(),
             900..930 => self.cut_store(host),
@@ -290,6 +291,7 @@
                     *refused = true;
                 }
             }
+            Action::Drained => return self.on_drained(host),
             Action::Statement { call, statement } => {
                 if let Some(&Call::Statement { budget }) = self.calls.get(&call) {
                     return self.oracle.check_end(budget, SHARDS, &statement);
@@ -369,9 +371,14 @@
         for host in 0..HOSTS {
             if let Some(money) = &self.sim.hosts[host].money {
                 let status = money.status();
-                if status.entries + status.waiting + status.kept_debits > 0 {
+                if status.draining || status.entries + status.waiting + status.kept_debits > 0 {
                     return Err(format!("host {host} is stuck: {status:?}"));
                 }
+                let known = |id: &GrantId| status.grants.iter().any(|(g, _)| g == id);
+                let grants = self.oracle.grants_of(self.sim.hosts[host].incarnation);
+                if let Some(grant) = grants.iter().find(|g| !known(g)) {
+                    return Err(format!("host {host} does not know of its grant {grant}"));
+                }
             }
         }
         let asker = (0..HOSTS).choose(&mut self.sim.rng).unwrap_or_default();
--- a/toucanchute_proto/src/lib.rs
+++ b/toucanchute_proto/src/lib.rs
@@ -20,4 +20,4 @@
 
 /// Generated messages refer to types of other schemas by their place in the crate root.
 use config::Config;
-use ledger::{Backing, Entry, EntryResult, Statement};
+use ledger::{Backing, Entry, EntryResult, GrantRecord, Statement};
