--- a/toucanchute_edge/examples/added_latency/control.rs
+++ b/toucanchute_edge/examples/added_latency/control.rs
@@ -15,8 +15,8 @@
 };
 use toucanchute_proto::{AttemptId, Incarnation, RequestKey, config::Config};
 
-/// SHA-256 of "secret", the bench's token.
-const TOKEN_SHA256: &str = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b";
+/// SHA-256 of "bench-secret", the bench's token.
+const TOKEN_SHA256: &str = "0159438a9235d6abde38e49fb98944660d067d6b9b03d8a8f4ee4e522feb62cb";
 
 /// A control that grants everything at once, so that only the edge is measured.
 pub(crate) struct FreeControl {
--- a/toucanchute_edge/examples/added_latency/load.rs
+++ b/toucanchute_edge/examples/added_latency/load.rs
@@ -16,6 +16,8 @@
     pub(crate) between: Vec<u64>,
     /// Number of tokens.
     pub(crate) tokens: u64,
+    /// Number of requests that got no token.
+    pub(crate) refused: u64,
 }
 
 impl Times {
@@ -24,6 +26,7 @@
         self.first.extend(other.first);
         self.between.extend(other.between);
         self.tokens += other.tokens;
+        self.refused += other.refused;
     }
 }
 
@@ -61,7 +64,7 @@
         );
         let req = Request::post("/v1/completions")
             .header("host", "bench")
-            .header("authorization", "Bearer secret")
+            .header("authorization", "Bearer bench-secret")
             .header("toucanchute-attempt", format!("0000000000000002-{attempt}"))
             .body(Full::from(body))
             .expect("a request");
@@ -93,6 +96,7 @@
             times.tokens += tokens;
             last = now;
         }
+        times.refused = u64::from(times.tokens == 0);
         times
     }
 }
--- a/toucanchute_edge/examples/added_latency/main.rs
+++ b/toucanchute_edge/examples/added_latency/main.rs
@@ -3,7 +3,8 @@
 //! written to `/dev/null`.
 //!
 //! Run it in release mode; `scripts/bench` does. An argument (`latency`, `throughput`, `requests` or
-//! `memory`) chooses one part. Engine, edge and callers have threads of their own
+//! `memory`) chooses one part. Two more, the addresses of an engine and of a router before it, measure
+//! these instead; the engine serves the model `m`. Engine, edge and callers have threads of their own
 //! in one process. Direct and routed rounds take turns, so that other work on the machine meets
 //! both.
 
@@ -57,8 +58,14 @@
     let engines = runtime("engine", 4);
     let edges = runtime("edge", EDGE_THREADS);
     let callers = runtime("caller", 3);
-    let bench = Bench { engines, edges };
-    let only = std::env::args().nth(1);
+    let mut args = std::env::args().skip(1);
+    let only = args.next();
+    let running: Vec<SocketAddr> = args.map(|arg| arg.parse().expect("an address")).collect();
+    let bench = Bench {
+        engines,
+        edges,
+        running: running.try_into().ok(),
+    };
     let wanted = |part: &str| only.as_deref().is_none_or(|only| only == part);
     callers.block_on(async {
         if wanted("latency") {
@@ -89,11 +96,16 @@
 struct Bench {
     engines: Runtime,
     edges: Runtime,
+    /// Addresses of a running engine and of a running router before it.
+    running: Option<[SocketAddr; 2]>,
 }
 
 impl Bench {
     /// Starts an engine and an edge before it; returns their addresses, the engine's first.
     async fn start(&self, token_ms: u64, tokens: u64) -> [SocketAddr; 2] {
+        if let Some(running) = self.running {
+            return running;
+        }
         let options = EngineOptions {
             first_token_ms: token_ms,
             token_ms,
@@ -141,6 +153,9 @@
                 }
             }
             let [direct, routed] = times;
+            if routed.refused > 0 {
+                println!("{streams:>7}  {} streams were refused", routed.refused);
+            }
             print_row(streams, "first token", direct.first, routed.first);
             print_row(streams, "between tokens", direct.between, routed.between);
         }
