--- a/toucanchute_call/src/caller.rs
+++ b/toucanchute_call/src/caller.rs
@@ -11,7 +11,7 @@
     address_list::KeptAddresses,
     answer::{Answer, Timing},
     error::{AddressesSnafu, CallError, RefusedSnafu, UnreachableSnafu},
-    exchange::{self, Connections, Received, TryEnd},
+    exchange::{self, Connections, Received, Try, TryEnd},
     request::Request,
 };
 
@@ -26,6 +26,8 @@
     pub max_pause: Duration,
     /// Longest time of one try.
     pub try_timeout: Duration,
+    /// Address of each request's first try, in place of one of the list.
+    pub first: Option<SocketAddr>,
 }
 
 /// A caller of the fleet: keeps the address list and tries again under the same key.
@@ -44,6 +46,7 @@
             pause: Duration::from_millis(50),
             max_pause: Duration::from_secs(5),
             try_timeout: Duration::from_secs(60),
+            first: None,
         }
     }
 }
@@ -126,14 +129,14 @@
         on_text: &mut (dyn FnMut(&str) + Send),
     ) -> Result<Answer, CallError> {
         let start = Instant::now();
-        let mut elsewhere = None;
+        let mut elsewhere = self.options.first;
         let mut last = AddressesSnafu { cause: "not asked" }.fail();
         for tries in 1..=self.options.max_tries {
             let address = match elsewhere.take() {
                 Some(address) => address,
                 None => self.pick(key, tries).await?,
             };
-            let end = self.try_once(address, req, key, on_text).await;
+            let end = self.try_once(address, req, key, tries - 1, on_text).await;
             let pause = match end {
                 TryEnd::Complete(received) => return Ok(answer(received, address, tries, start)),
                 TryEnd::Broken { cause } => {
@@ -171,9 +174,17 @@
         address: SocketAddr,
         req: &Request,
         key: &str,
+        earlier: u32,
         on_text: &mut (dyn FnMut(&str) + Send),
     ) -> TryEnd {
-        let exchange = exchange::exchange(&self.conns, address, &self.token, key, req, on_text);
+        let attempt = Try {
+            address,
+            token: &self.token,
+            key,
+            req,
+            earlier,
+        };
+        let exchange = exchange::exchange(&self.conns, attempt, on_text);
         let end = tokio::time::timeout(self.options.try_timeout, exchange).await;
         end.unwrap_or_else(|_| TryEnd::Broken {
             cause: "no answer in time".to_owned(),
