--- a/toucanchute_core/examples/money_balance.rs
+++ b/toucanchute_core/examples/money_balance.rs
@@ -96,6 +96,7 @@
         want: tokens,
         min: tokens,
         least: 1,
+        floor_divisor: 0,
         divisor: 1,
         backing: backing.clone(),
     };
@@ -159,6 +160,7 @@
                 want: 1_000_000,
                 min: 1_000_000,
                 least: 1,
+                floor_divisor: 0,
                 divisor: 1,
                 backing: backing.clone(),
             })
--- a/toucanchute_core/src/ledger/grants.rs
+++ b/toucanchute_core/src/ledger/grants.rs
@@ -1,8 +1,8 @@
 use toucanchute_proto::{
     BudgetId, GrantId,
     ledger::{
-        Backing, EntryRefusal, EntryResult, GrantRecord, GrantRequest, GrantReturn, Reclaim,
-        Transfer,
+        Backing, EntryRefusal, EntryResult, GrantRecord, GrantRequest, GrantReturn, HolderRecord,
+        Reclaim, Transfer,
     },
 };
 
@@ -17,11 +17,17 @@
             return Ok(EntryResult::Granted(record.granted));
         }
         let GrantId(holder, number) = body.grant;
-        let newest = self.holders.entry(holder).or_default();
-        if number <= *newest {
+        let heard = self.time;
+        let record = self.holders.entry(holder).or_insert(HolderRecord {
+            holder,
+            newest: 0,
+            heard,
+        });
+        if number <= record.newest {
             return Err(EntryRefusal::StaleGrant);
         }
-        *newest = number;
+        record.newest = number;
+        record.heard = heard;
         let totals = self
             .budgets
             .get_mut(&budget)
@@ -30,7 +36,8 @@
             return Err(EntryRefusal::Insufficient);
         }
         let share = (totals.free / body.divisor.max(1)).max(body.min.max(1));
-        let tokens = body.want.max(1).min(share).min(totals.free);
+        let floor = totals.free.checked_div(body.floor_divisor).unwrap_or(0);
+        let tokens = body.want.max(floor).max(1).min(share).min(totals.free);
         totals.free -= tokens;
         let record = self.new_grant(body.grant, budget, tokens, &body.backing);
         self.grants.insert(body.grant, record);
--- a/toucanchute_core/src/ledger/state.rs
+++ b/toucanchute_core/src/ledger/state.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use toucanchute_proto::{
-    BudgetId, GrantId, Incarnation, Millis, RequestKey,
+    BudgetId, EntryId, GrantId, Incarnation, Millis, RequestKey,
     ledger::{
         Batch, BudgetRecord, Entry, EntryBody, EntryRefusal, EntryResult, GrantRecord,
         HolderRecord, KeyRecord, Snapshot, Statement, TopUp, TopUpRecord,
@@ -48,7 +48,7 @@
     /// The same keys in the order in which they expire.
     pub(super) expiry: BTreeSet<(Millis, RequestKey)>,
     /// Newest grant asked for by each holder; older ones are never opened again.
-    pub(super) holders: BTreeMap<Incarnation, u64>,
+    pub(super) holders: BTreeMap<Incarnation, HolderRecord>,
     pub(super) top_ups: BTreeMap<String, TopUpRecord>,
     pub(super) fault: Option<Fault>,
 }
@@ -65,11 +65,7 @@
             grants: index(snapshot.grants, |g| g.grant),
             keys: index(snapshot.keys, |k| k.key),
             expiry,
-            holders: snapshot
-                .holders
-                .iter()
-                .map(|h| (h.holder, h.newest))
-                .collect(),
+            holders: index(snapshot.holders, |h| h.holder),
             top_ups: index(snapshot.top_ups, |t| t.top_up.clone()),
             fault: None,
         }
@@ -96,6 +92,12 @@
         self.time
     }
 
+    /// Returns the ledger time of the last entry of `router`, if it ever held a grant.
+    #[must_use]
+    pub fn heard(&self, router: Incarnation) -> Option<Millis> {
+        self.holders.get(&router).map(|holder| holder.heard)
+    }
+
     /// Iterates over the grants that are open or forfeited.
     pub fn grants(&self) -> impl Iterator<Item = &GrantRecord> {
         self.grants.values()
@@ -156,14 +158,13 @@
     /// Returns a snapshot from which [`ShardState::from_snapshot`] makes an equal state.
     #[must_use]
     pub fn snapshot(&self) -> Snapshot {
-        let holder = |(&holder, &newest): (&Incarnation, &u64)| HolderRecord { holder, newest };
         Snapshot {
             position: self.position,
             time: self.time,
             budgets: self.budgets.values().cloned().collect(),
             grants: self.grants.values().cloned().collect(),
             keys: self.keys.values().cloned().collect(),
-            holders: self.holders.iter().map(holder).collect(),
+            holders: self.holders.values().cloned().collect(),
             top_ups: self.top_ups.values().cloned().collect(),
         }
     }
@@ -184,6 +185,12 @@
             });
         }
         self.time = self.time.max(batch.at);
+        for entry in &batch.entries {
+            let EntryId(origin, _) = entry.id;
+            if let Some(holder) = self.holders.get_mut(&origin) {
+                holder.heard = self.time;
+            }
+        }
         let results = batch.entries.iter().map(|e| self.apply_entry(e)).collect();
         self.position += 1;
         self.forget_keys();
--- a/toucanchute_core/src/money/reclaim.rs
+++ b/toucanchute_core/src/money/reclaim.rs
@@ -40,18 +40,24 @@
             }
         }
         for (shard, record) in due {
-            if self.is_abandoned(&record) {
+            if self.is_abandoned(shard, &record) {
                 self.reclaim_step(shard, &record, out);
             }
         }
     }
 
-    fn is_abandoned(&mut self, record: &GrantRecord) -> bool {
+    /// Whether the grant's holder has been out of reach for long and has not been heard of by the
+    /// ledger either: a holder behind a partition that still commits is alive.
+    fn is_abandoned(&mut self, shard: ShardId, record: &GrantRecord) -> bool {
         let GrantId(holder, _) = record.grant;
         let bound = Millis(self.cfg.ledger.reclaim_after_ms);
         // A router that knows of no peer may have started a moment ago.
         let alone = self.peers.is_empty() && !record.backing.witnesses.is_empty();
-        !alone && self.gone_for(holder).is_some_and(|gone| gone >= bound)
+        let state = self.writers.get(&shard).map(|w| w.log.state());
+        let heard = state.and_then(|s| s.heard(holder)).unwrap_or_default();
+        let heard = heard.max(record.opened_at);
+        let silent = self.now.since(heard) >= bound;
+        !alone && silent && self.gone_for(holder).is_some_and(|gone| gone >= bound)
     }
 
     fn reclaim_step(&mut self, shard: ShardId, record: &GrantRecord, out: &mut Vec<Action>) {
--- a/toucanchute_core/src/money/reserve.rs
+++ b/toucanchute_core/src/money/reserve.rs
@@ -10,7 +10,7 @@
 };
 
 /// Longest time that a call waits for tokens, in milliseconds.
-const TOKEN_WAIT_MS: u64 = 1_500;
+pub(super) const TOKEN_WAIT_MS: u64 = 1_500;
 
 /// How long a refusal of a grant answers later calls as well, in milliseconds.
 const REFUSAL_HOLDS_MS: u64 = 200;
@@ -21,6 +21,10 @@
 /// Time without a draw after which tokens are given back, in milliseconds.
 const IDLE_MS: u64 = 60_000;
 
+/// A grant is at least the free balance divided by this and by the number of routers, so that a
+/// budget that was drawn on little so far outlasts an outage as well.
+const FLOOR_SHARES: u64 = 8;
+
 /// Pause that a refused caller is told, in milliseconds.
 pub(super) const RETRY_AFTER_MS: u64 = 1_000;
 
@@ -201,6 +205,7 @@
             min,
             least: least_cut(min),
             divisor: divisor + 1,
+            floor_divisor: divisor * FLOOR_SHARES,
             backing: self.choose_backing(),
         };
         let entry = self.new_entry(budget, EntryBody::Grant(body));
--- a/toucanchute_core/src/money/transfer.rs
+++ b/toucanchute_core/src/money/transfer.rs
@@ -9,7 +9,7 @@
     Action, Money,
     holding::{HeldGrant, Holding, Round},
     outbox::Purpose,
-    reserve::refusal_holds,
+    reserve::{TOKEN_WAIT_MS, refusal_holds},
 };
 use crate::ledger::Fault;
 
@@ -152,7 +152,11 @@
         let refused = holding
             .refused
             .is_some_and(|(at, _)| refusal_holds(now, at));
-        if refused || self.outages.contains(&self.shard(budget)) {
+        // A slow commit may be no more than a change of the shard's writer.
+        let hopeless = holding
+            .request
+            .is_some_and(|(_, at)| now.since(at) >= Millis(TOKEN_WAIT_MS));
+        if refused || hopeless {
             self.refuse_all(budget, out);
         }
     }
--- a/toucanchute_core/tests/ledger_search/reclaim.rs
+++ b/toucanchute_core/tests/ledger_search/reclaim.rs
@@ -71,6 +71,7 @@
             want: tokens,
             min: tokens,
             least: 1,
+            floor_divisor: 0,
             divisor: 1,
             backing,
         };
--- a/toucanchute_core/tests/ledger_state.rs
+++ b/toucanchute_core/tests/ledger_state.rs
@@ -65,6 +65,7 @@
             want: tokens,
             min: tokens,
             least: tokens,
+            floor_divisor: 0,
             divisor: 1,
             backing: backing(),
         }))
--- a/toucanchute_router/src/platform/watch.rs
+++ b/toucanchute_router/src/platform/watch.rs
@@ -108,7 +108,10 @@
             let entries = list.hosts.iter().map(host_entry).collect();
             post(fleet, FleetInput::HostList(asked, list.version, entries));
         }
-        Err(e) => log::debug!(error:% = e; "host-list-unread"),
+        Err(e) => {
+            log::debug!(error:% = e; "host-list-unread");
+            post(fleet, FleetInput::PlatformDown);
+        }
     }
 }
 
