--- a/toucanchute_core/src/fleet/publish.rs
+++ b/toucanchute_core/src/fleet/publish.rs
@@ -14,6 +14,9 @@
 /// Time after which the order of the addresses changes, to spread callers that keep them.
 const SHUFFLE_PERIOD: Millis = Millis(1_000);
 
+/// Time that an outage has to be agreed before a router that had stopped goes on.
+const REJOIN_TIME: Millis = Millis(1_000);
+
 /// What was last told to the rest of the router, to tell changes only.
 #[derive(Debug, Default)]
 pub(super) struct Published {
@@ -43,6 +46,7 @@
     pub(super) fn publish(&mut self, now: Millis, out: &mut Vec<Action>) {
         let head = self.head().map_or(0, |h| h.version);
         self.view.observe(now, head, self.hosts.version());
+        self.observe_outage(now);
         let ready = self.ready(now);
         if self.published.ready != Some(ready) {
             self.published.ready = Some(ready);
@@ -82,7 +86,7 @@
             .view
             .age(now)
             .is_some_and(|age| age <= Fleet::VIEW_BOUND || self.has(Fault::IgnoreAge));
-        if fresh || self.outage_agreed(now) {
+        if fresh || self.goes_on(now) {
             return Ok(());
         }
         match self.view.confirmed_at() {
@@ -93,6 +97,21 @@
         }
     }
 
+    fn observe_outage(&mut self, now: Millis) {
+        match self.outage_agreed(now) {
+            true => _ = self.view.agreed_since.get_or_insert(now),
+            false => self.view.agreed_since = None,
+        }
+    }
+
+    /// Whether an agreed outage lets this router take work. One that had stopped first gives its
+    /// peers time to tell what it missed.
+    fn goes_on(&self, now: Millis) -> bool {
+        let ready = self.published.ready == Some(Ok(()));
+        let agreed = self.view.agreed_since;
+        agreed.is_some_and(|at| ready || now.since(at) >= REJOIN_TIME)
+    }
+
     /// Whether nobody can reach the platform, so that nothing newer can have been accepted.
     ///
     /// Each member that was there when the view was last confirmed has to have said so. Those that
--- a/toucanchute_core/src/fleet/view.rs
+++ b/toucanchute_core/src/fleet/view.rs
@@ -16,6 +16,8 @@
     pub(super) newest_head: u64,
     /// Greatest version of the host list that anybody told of.
     pub(super) newest_hosts: u64,
+    /// Since when peers have agreed that the platform is down for all.
+    pub(super) agreed_since: Option<Millis>,
     /// Since when something newer has been known than is in force.
     behind_since: Option<Millis>,
     /// Whether the platform's service did not answer when last asked.
