--- a/toucanchute_call/tests/call/retries.rs
+++ b/toucanchute_call/tests/call/retries.rs
@@ -15,6 +15,7 @@
         pause: Duration::from_millis(1),
         max_pause: Duration::from_millis(5),
         try_timeout: Duration::from_secs(20),
+        first: None,
     }
 }
 
@@ -31,11 +32,17 @@
             let replies: Vec<&str> = replies.iter().map(String::as_str).collect();
             let router = Router::start(&replies);
             let caller = Caller::new(vec![router.address], "t", options());
-            let result = caller.send(&request().streamed(), "k").await;
+            let result = caller.send(&request().streamed().fresh_key(), "k").await;
             let check: fn(Result<_, CallError>) = $check;
             check(result);
             let keys = router.requests().iter().filter(|r| r.contains("idempotency-key: k\r\n")).count();
             assert_eq!(keys, replies.len());
+            for (i, sent) in router.requests().iter().enumerate() {
+                // A try that was told `not-run` does not make the key doubtful.
+                let told = |reply: &&&str| reply.contains("\"outcome\":\"not-run\"");
+                let earlier = i - replies[..i].iter().filter(told).count();
+                assert!(sent.contains(&format!("toucanchute-retry: {earlier}\r\n")), "{sent}");
+            }
         }
     )*};
 }
@@ -96,6 +103,19 @@
     assert_eq!(a.tries + b.tries, 3);
 }
 
+#[tokio::test]
+async fn first_address_is_tried_first() {
+    let (first, other) = (Router::start(&[""]), Router::start(&[&whole_answer("x")]));
+    let options = CallerOptions {
+        first: Some(first.address),
+        ..options()
+    };
+    let caller = Caller::new(vec![other.address], "t", options);
+    let answer = caller.send(&request(), "k").await.unwrap();
+    assert_eq!((answer.address, answer.tries), (other.address, 2));
+    assert_eq!(first.requests().len(), 1);
+}
+
 #[tokio::test]
 async fn elsewhere_is_asked_next() {
     let other = Router::start(&[&whole_answer("from the other")]);
@@ -106,6 +126,7 @@
     let router = Router::start(&[&problem("429 Too Many Requests", "", &body)]);
     let caller = Caller::new(vec![router.address], "t", options());
     let answer = caller.send(&request(), "k").await.unwrap();
+    assert!(!other.requests()[0].contains("toucanchute-retry"));
     assert_eq!(answer.address, other.address);
     assert_eq!(answer.text, "from the other");
 }
