--- a/toucanchute_core/src/fleet/publish.rs
+++ b/toucanchute_core/src/fleet/publish.rs
@@ -14,6 +14,9 @@
 /// Time after which the order of the addresses changes, to spread callers that keep them.
 const SHUFFLE_PERIOD: Millis = Millis(1_000);
 
+/// Time that an outage has to be agreed before a router that had stopped goes on.
+const REJOIN_TIME: Millis = Millis(1_000);
+
 /// What was last told to the rest of the router, to tell changes only.
 #[derive(Debug, Default)]
 pub(super) struct Published {
@@ -41,6 +44,9 @@
 impl Fleet {
     /// Tells what changed.
     pub(super) fn publish(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let head = self.head().map_or(0, |h| h.version);
+        self.view.observe(now, head, self.hosts.version());
+        self.observe_outage(now);
         let ready = self.ready(now);
         if self.published.ready != Some(ready) {
             self.published.ready = Some(ready);
@@ -80,7 +86,7 @@
             .view
             .age(now)
             .is_some_and(|age| age <= Fleet::VIEW_BOUND || self.has(Fault::IgnoreAge));
-        if fresh || self.outage_agreed(now) {
+        if fresh || self.goes_on(now) {
             return Ok(());
         }
         match self.view.confirmed_at() {
@@ -91,17 +97,30 @@
         }
     }
 
+    fn observe_outage(&mut self, now: Millis) {
+        match self.outage_agreed(now) {
+            true => _ = self.view.agreed_since.get_or_insert(now),
+            false => self.view.agreed_since = None,
+        }
+    }
+
+    /// Whether an agreed outage lets this router take work. One that had stopped first gives its
+    /// peers time to tell what it missed.
+    fn goes_on(&self, now: Millis) -> bool {
+        let ready = self.published.ready == Some(Ok(()));
+        let agreed = self.view.agreed_since;
+        agreed.is_some_and(|at| ready || now.since(at) >= REJOIN_TIME)
+    }
+
     /// Whether nobody can reach the platform, so that nothing newer can have been accepted.
     ///
     /// Each member that was there when the view was last confirmed has to have said so. Those that
     /// are lost have to be a minority, for they may be on the platform's side of a partition.
     pub(super) fn outage_agreed(&self, now: Millis) -> bool {
-        let head = self.head().map_or(0, |h| h.version);
-        let behind = self.view.newest_head > head || self.view.newest_hosts > self.hosts.version();
         let heard = self.view.heard_at;
         let lately = heard.is_some_and(|at| now.since(at) <= Fleet::VIEW_BOUND);
         let alone = self.members.live().next().is_none();
-        if !self.view.down() || behind || !(lately || alone) {
+        if !self.view.down() || self.view.behind(now) || !(lately || alone) {
             return false;
         }
         if self.has(Fault::OutageAlone) {
