--- a/toucanchute_scenario/tests/scenarios.rs
+++ b/toucanchute_scenario/tests/scenarios.rs
@@ -74,6 +74,7 @@
     two_writers,
     whole_path,
     withdrawal,
+    writer_killed,
     writer_paused,
     wrong_answers,
 }
