--- a/toucanchute_fakes/tests/engine.rs
+++ b/toucanchute_fakes/tests/engine.rs
@@ -12,13 +12,17 @@
 const TOKENS: u64 = 6;
 
 async fn engine() -> Engine {
+    engine_with_queue(1).await
+}
+
+async fn engine_with_queue(queue: usize) -> Engine {
     let options = EngineOptions {
         first_token_ms: 0,
         token_ms: 0,
         load_lag_ms: 0,
         event_lag_ms: 0,
         capacity: 1,
-        queue: 1,
+        queue,
         ..EngineOptions::default()
     };
     Engine::bind("127.0.0.1:0".parse().unwrap(), options)
@@ -46,6 +50,13 @@
     assert_eq!(post(engine.address(), "/fault", body).await.unwrap().0, 200);
 }
 
+/// Waits until the load report says so.
+async fn wait_for(engine: &Engine, what: &str, count: u64) {
+    while get_json(engine.address(), "/v1/load").await[what] != count {
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+}
+
 fn text(from: u64, to: u64) -> String {
     (from..to).map(|i| answer_token(PROMPT, i)).collect()
 }
@@ -203,3 +214,29 @@
         200
     );
 }
+
+/// The run of lower priority hangs once it has started, so that the other one has to go first.
+#[tokio::test]
+async fn waiting_runs_start_by_priority() {
+    let engine = engine_with_queue(2).await;
+    let address = engine.address();
+    let run = |name: &'static str, priority: &'static str| async move {
+        let headers = [
+            ("toucanchute-attempt", name),
+            ("toucanchute-priority", priority),
+        ];
+        let body = format!(r#"{{"model":"m","prompt":"{name}","max_tokens":1}}"#);
+        send(address, Method::POST, "/v1/completions", &headers, &body).await
+    };
+    fault(&engine, r#"{"mode":"hang","marker":"first"}"#).await;
+    let first = tokio::spawn(run("first", "0"));
+    wait_for(&engine, "running", 1).await;
+    fault(&engine, r#"{"mode":"hang","marker":"low"}"#).await;
+    let _low = tokio::spawn(run("low", "1"));
+    wait_for(&engine, "waiting", 1).await;
+    let high = tokio::spawn(run("high", "9"));
+    wait_for(&engine, "waiting", 2).await;
+    first.abort();
+    let high = tokio::time::timeout(std::time::Duration::from_secs(20), high);
+    assert_eq!(high.await.unwrap().unwrap().unwrap().0, 200);
+}
--- a/toucanchute_fakes/tests/platform.rs
+++ b/toucanchute_fakes/tests/platform.rs
@@ -6,7 +6,7 @@
 use http::Method;
 use http_client::{get_json, post, send};
 use serde_json::{Value, json};
-use toucanchute_fakes::{Platform, PlatformOptions};
+use toucanchute_fakes::{Platform, PlatformOptions, WeightOptions};
 use yare::parameterized;
 
 /// `key` and `value` in base64.
@@ -146,3 +146,42 @@
         version
     );
 }
+
+#[tokio::test]
+async fn weights_have_their_size() {
+    let sizes = [("m".to_owned(), 100_000)].into();
+    let weights = WeightOptions {
+        sizes,
+        ..WeightOptions::default()
+    };
+    let platform = platform(PlatformOptions {
+        weights,
+        ..PlatformOptions::default()
+    })
+    .await;
+    let get = |path| send(platform.address(), Method::GET, path, &[], "");
+    assert_eq!(get("/v1/weights/m").await.unwrap().1.len(), 100_000);
+    assert_eq!(get("/v1/weights/n").await.unwrap().0, 404);
+}
+
+#[tokio::test]
+async fn writes_beyond_the_rate_are_refused() {
+    let platform = platform(PlatformOptions {
+        writes_per_second: 1,
+        ..PlatformOptions::default()
+    })
+    .await;
+    let put = json!({"key": KEY, "value": VALUE}).to_string();
+    let mut statuses = Vec::new();
+    for _ in 0..3 {
+        statuses.push(
+            post(platform.address(), "/v3/kv/put", &put)
+                .await
+                .unwrap()
+                .0,
+        );
+    }
+    // Three writes fall into two seconds at most.
+    assert!(statuses.contains(&429), "{statuses:?}");
+    assert_eq!(statuses[0], 200);
+}
