fix(money): a planned stop in an outage does not wait for idle grants for ever

Cause (seen by three of us): after SIGTERM with the platform gone a router ran on until it was killed, since a drain waited until every grant was given back. It waits 5 s for that now, the rest is reclaimed; bills and what is kept for other routers are still waited for. Red with the bound out of reach, green with it (money_single, two cases).

--- a/toucanchute_core/src/fleet/action.rs
+++ b/toucanchute_core/src/fleet/action.rs
@@ -50,6 +50,8 @@
     pub host: String,
     /// Failure domain of its host.
     pub failure_domain: String,
+    /// Its address for callers.
+    pub caller_address: SocketAddr,
     /// Its address for routers.
     pub peer_address: SocketAddr,
     /// What is believed of it.
--- a/toucanchute_core/src/fleet/publish.rs
+++ b/toucanchute_core/src/fleet/publish.rs
@@ -150,6 +150,7 @@
                 incarnation: m.incarnation,
                 host: m.host.clone(),
                 failure_domain: m.failure_domain.clone(),
+                caller_address: m.caller_address.parse().ok()?,
                 peer_address: m.peer_address.parse().ok()?,
                 state: m.state,
             })
--- a/toucanchute_core/src/money/machine.rs
+++ b/toucanchute_core/src/money/machine.rs
@@ -74,6 +74,8 @@
     /// Time of the first event.
     pub(super) started_at: Option<Millis>,
     pub(super) draining: bool,
+    /// When the router began to give everything back.
+    pub(super) drain_since: Option<Millis>,
     pub(super) drained: bool,
 }
 
@@ -107,6 +109,7 @@
             unclaimed_at: Millis(0),
             started_at: None,
             draining: false,
+            drain_since: None,
             drained: false,
         }
     }
@@ -129,7 +132,10 @@
             Event::Message { from, message } => self.on_message(from, message, out),
             Event::Store { op, result } => self.on_store(op, &result, out),
             Event::Tick => self.tick(out),
-            Event::Drain => self.draining = true,
+            Event::Drain => {
+                self.draining = true;
+                self.drain_since.get_or_insert(self.now);
+            }
         }
         self.flush(out);
         self.pump_writers(out);
--- a/toucanchute_core/src/money/status.rs
+++ b/toucanchute_core/src/money/status.rs
@@ -1,6 +1,9 @@
 use toucanchute_proto::{BudgetId, GrantId, Millis, ShardId};
 
-use super::{Action, Money};
+use super::{Action, Money, outbox::Purpose};
+
+/// Longest time that a drain waits until grants are given back, in milliseconds.
+const GRANTS_WAIT_MS: u64 = 5_000;
 
 /// What operators see of a [`Money`] machine.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -57,12 +60,24 @@
         }
     }
 
+    /// Whether grants have been given back for as long as a drain waits for that. What is not given
+    /// back by then is reclaimed; bills and what is kept for others are waited for.
+    fn grants_are_left(&self) -> bool {
+        let since = self.drain_since.map(|at| self.now.since(at));
+        since.is_some_and(|waited| waited >= Millis(GRANTS_WAIT_MS))
+    }
+
     /// Reports once that nothing is left to give back.
     pub(super) fn finish_drain(&mut self, out: &mut Vec<Action>) {
+        let leave_grants = self.grants_are_left();
+        let about_grants = |p: &Purpose| matches!(p, Purpose::Grant | Purpose::Return { .. });
         let busy = !self.reservations.is_empty()
             || !self.running.is_empty()
-            || !self.outbox.is_empty()
-            || !self.grants.is_empty()
+            || self
+                .outbox
+                .values()
+                .any(|o| !(leave_grants && about_grants(&o.purpose)))
+            || !(leave_grants || self.grants.is_empty())
             || self.buffer.len() > 0
             || self
                 .asks
--- a/toucanchute_core/tests/money_single.rs
+++ b/toucanchute_core/tests/money_single.rs
@@ -20,6 +20,8 @@
     next_call: u64,
     /// Time that passes before a call to the store is answered.
     slow: Millis,
+    /// Whether the store cannot be reached.
+    out: bool,
 }
 
 impl Alone {
@@ -31,6 +33,7 @@
             revision: 0,
             next_call: 0,
             slow: Millis(0),
+            out: false,
         }
     }
 
@@ -86,6 +89,7 @@
     fn store(&mut self, op: StoreOp) -> Event {
         self.now = self.now + self.slow;
         let result = match op.request {
+            _ if self.out => StoreResult::Unavailable,
             StoreRequest::Get { key } => match self.values.get(&key) {
                 Some((revision, value)) => StoreResult::Value {
                     revision: *revision,
@@ -281,3 +285,40 @@
     assert_eq!(alone.run(1, 30), Billing::Billed);
     assert_eq!(alone.ask(|_| Event::Drain), Action::Drained);
 }
+
+/// Lets 20 s pass and returns what the router answered.
+fn wait(alone: &mut Alone) -> Vec<Action> {
+    let mut answers = Vec::new();
+    for _ in 0..2_000 {
+        alone.now = alone.now + Millis(10);
+        answers.extend(alone.tell(Event::Tick));
+    }
+    answers
+}
+
+#[test]
+fn grants_do_not_keep_a_router_from_leaving_in_an_outage() {
+    let mut alone = Alone::funded();
+    assert_eq!(alone.run(1, 30), Billing::Billed);
+    alone.out = true;
+    assert_eq!(alone.tell(Event::Drain), []);
+    assert_eq!(wait(&mut alone), [Action::Drained]);
+}
+
+#[test]
+fn a_bill_keeps_a_router_from_leaving_in_an_outage() {
+    let mut alone = Alone::funded();
+    let Action::Reserved { call, .. } = alone.reserve(1, 30) else {
+        panic!("not reserved");
+    };
+    alone.out = true;
+    assert_eq!(alone.tell(Event::Settle { call, tokens: 30 }), []);
+    assert_eq!(alone.tell(Event::Drain), []);
+    assert_eq!(wait(&mut alone), []);
+    alone.out = false;
+    let billing = Billing::Billed;
+    assert_eq!(
+        wait(&mut alone),
+        [Action::Settled { call, billing }, Action::Drained]
+    );
+}
--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -168,7 +168,11 @@
 
     fn set_members(&mut self, members: Vec<MemberView>) {
         let peers = members.iter().map(money_peer).collect();
-        self.with_peers(|actors| post(&actors.money, MoneyInput::Peers(peers)));
+        let addresses = members
+            .iter()
+            .map(|m| (m.incarnation, m.caller_address))
+            .collect();
+        self.with_peers(|actors| post(&actors.money, MoneyInput::Peers(peers, addresses)));
         let alive = members.iter().filter(|m| m.state != MemberState::Gone);
         self.mesh
             .set_addresses(alive.map(|m| (m.incarnation, m.peer_address)).collect());
--- a/toucanchute_router/src/actor/money.rs
+++ b/toucanchute_router/src/actor/money.rs
@@ -1,4 +1,4 @@
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use serde_json::{Value, json};
 use tokio::sync::oneshot;
@@ -37,6 +37,8 @@
     /// The newest list of other routers, for a machine that starts later.
     peers: Vec<Peer>,
     /// Addresses of callers' sides, by run of the router.
+    addresses: HashMap<Incarnation, SocketAddr>,
+    /// Those who wait for an answer.
     waiting: HashMap<CallId, oneshot::Sender<Result<MoneyReply, Refusal>>>,
     next_call: u64,
     /// When a tick is due that the machine asked for; none is under way if absent.
@@ -131,8 +133,8 @@
     Record(RequestKey, Recorded),
     /// Another configuration is in force.
     Config(Arc<Config>),
-    /// The other routers.
-    Peers(Vec<Peer>),
+    /// The other routers and the addresses of their callers' sides.
+    Peers(Vec<Peer>, HashMap<Incarnation, SocketAddr>),
     /// A peer sent a message.
     Message(Incarnation, Box<MoneyMessage>),
     /// The platform answered a call.
@@ -166,6 +168,7 @@
             store,
             fleet,
             peers: Vec::new(),
+            addresses: HashMap::new(),
             waiting: HashMap::new(),
             next_call: 0,
             wake_at: None,
@@ -228,7 +231,12 @@
                 elsewhere,
             } => {
                 log::info!(call = call.0, reason:? = reason, router:? = elsewhere; "money-refused");
-                self.reply(call, Err(refusal(reason, retry_after)));
+                let elsewhere = elsewhere.and_then(|id| self.addresses.get(&id).copied());
+                let refusal = Refusal {
+                    elsewhere,
+                    ..refusal(reason, retry_after)
+                };
+                self.reply(call, Err(refusal));
             }
             Action::Reserved { call, tokens } => {
                 self.reply(call, Ok(MoneyReply::Reserved { id: call.0, tokens }));
@@ -308,7 +316,8 @@
                 );
             }
             MoneyInput::Config(config) => self.configure(&config, cx),
-            MoneyInput::Peers(peers) => {
+            MoneyInput::Peers(peers, addresses) => {
+                self.addresses = addresses;
                 self.peers.clone_from(&peers);
                 self.feed(Event::Peers(peers), cx);
             }
@@ -431,9 +440,15 @@
 }
 
 fn refusal_of(reason: RefusalReason, retry_after: Option<Millis>) -> Refusal {
+    let outcome = match reason {
+        // The call that this key stands for is running at this moment or may be.
+        RefusalReason::InProgress => Outcome::Unknown,
+        RefusalReason::GrantReclaimed | RefusalReason::TooManyReruns => Outcome::Failed,
+        _ => Outcome::NotRun,
+    };
     Refusal {
         reason,
-        outcome: Outcome::NotRun,
+        outcome,
         retry_after,
         elsewhere: None,
     }
--- a/toucanchute_settings/tests/settings/folder.rs
+++ b/toucanchute_settings/tests/settings/folder.rs
@@ -80,9 +80,9 @@
     shared_address: "[backend b]\npool = bookings\naddress = 127.0.0.1:7301\nfailure_domain = b\n" =>
         "d.ini:3: [backend b] address = \"127.0.0.1:7301\": backend assistant-1 has the same \
          address";
-    more_acks_than_witnesses: "[ledger]\nacks = 4\n" =>
+    more_acks_than_witnesses: "[ledger]\nacks = 6\n" =>
         "d.ini:1: [ledger] section stands already at a.ini:3\n\
-         d.ini:2: [ledger] acks = \"4\": more than the 3 witnesses of a grant";
+         d.ini:2: [ledger] acks = \"6\": more than the 5 witnesses of a grant";
     broken_pool_gives_one_fault: "[pool p]\nkind = engines\n[model m]\npool = p\n" =>
         "d.ini:2: [pool p] kind = \"engines\": expected engine or service; did you mean `engine`?";
 }
