--- a/toucanchute_core/src/money/status.rs
+++ b/toucanchute_core/src/money/status.rs
@@ -3,7 +3,7 @@
 use super::{Action, Money, outbox::Purpose};
 
 /// Longest time that a drain waits until grants are given back, in milliseconds.
-const GRANTS_WAIT_MS: u64 = 5_000;
+pub const GRANTS_WAIT_MS: u64 = 5_000;
 
 /// What operators see of a [`Money`] machine.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -27,8 +27,10 @@
     pub kept_debits: usize,
     /// Shards that this router writes.
     pub shards: Vec<ShardId>,
-    /// Whether the router is giving everything back.
-    pub draining: bool,
+    /// Those of the entries that are not about getting or returning tokens.
+    pub owed_entries: usize,
+    /// How long the router has been giving everything back, if it does.
+    pub draining_for: Option<Millis>,
 }
 
 impl Money {
@@ -56,7 +58,12 @@
                 .sum(),
             kept_debits: self.buffer.len(),
             shards: shards.filter(|&s| self.writer_of(s) == self.me()).collect(),
-            draining: self.draining,
+            owed_entries: self
+                .outbox
+                .values()
+                .filter(|o| !is_about_grants(&o.purpose))
+                .count(),
+            draining_for: self.drain_since.map(|at| self.now.since(at)),
         }
     }
 
@@ -70,13 +77,12 @@
     /// Reports once that nothing is left to give back.
     pub(super) fn finish_drain(&mut self, out: &mut Vec<Action>) {
         let leave_grants = self.grants_are_left();
-        let about_grants = |p: &Purpose| matches!(p, Purpose::Grant | Purpose::Return { .. });
         let busy = !self.reservations.is_empty()
             || !self.running.is_empty()
             || self
                 .outbox
                 .values()
-                .any(|o| !(leave_grants && about_grants(&o.purpose)))
+                .any(|o| !(leave_grants && is_about_grants(&o.purpose)))
             || !(leave_grants || self.grants.is_empty())
             || self.buffer.len() > 0
             || self
@@ -92,3 +98,7 @@
         }
     }
 }
+
+fn is_about_grants(purpose: &Purpose) -> bool {
+    matches!(purpose, Purpose::Grant | Purpose::Return { .. })
+}
