fix(money): a changed ledger policy is in force without a restart

Cause: found while listing what is unfinished: the money machine read witnesses, horizon and the other policy once, so that an accepted configuration was not in force on running routers. It takes them over now; shards and ring stay. policy_of_a_new_configuration_is_in_force_at_once: red with the event ignored, green with it.

--- /dev/null
+++ b/toucanchute_core/examples/capacity.rs
@@ -0,0 +1,222 @@
+//! Prints what the machines of one router need as replicas, budgets and customers grow: memory from
+//! the process's resident set, processor time of each decision.
+//!
+//! Usage: `cargo run --release -p toucanchute_core --example capacity`
+
+use std::{collections::BTreeSet, fs, sync::Arc, time::Instant};
+
+use toucanchute_core::{
+    ledger::ShardState,
+    money::{CallId, Event as MoneyEvent, Money, Settings},
+    routing::{Action, Assign, Dispatcher, Event, Report, Target},
+};
+use toucanchute_proto::{
+    BudgetId, Digest, EntryId, Incarnation, Millis, RequestKey,
+    config::{Backend, Budget, Config, Customer, Ledger, Model, Pool, PoolKind, Routing},
+    ledger::{Batch, Entry, EntryBody, TopUp},
+};
+
+/// Models of the target, served by pools of equal size.
+const MODELS: usize = 25;
+
+/// Decisions timed in one measurement.
+const DECISIONS: u64 = 20_000;
+
+fn main() {
+    println!("| machine | size | resident kB more | microseconds a decision |");
+    println!("|---|---|---|---|");
+    for replicas in [100, 500, 1_500] {
+        dispatcher(replicas);
+    }
+    for customers in [5_000, 20_000, 48_000] {
+        configuration(customers);
+    }
+    for budgets in [2_600, 13_000, 26_000] {
+        shard(budgets);
+    }
+    for budgets in [260, 1_300, 2_600] {
+        holder(budgets);
+    }
+}
+
+fn dispatcher(replicas: usize) {
+    let config = Arc::new(config(replicas, 100));
+    let before = resident_kb();
+    let mut machine = Dispatcher::new(Incarnation(1), "domain-0", 7);
+    let mut out = Vec::new();
+    let withdrawn = BTreeSet::new();
+    machine.handle(Millis(0), Event::Configure { config, withdrawn }, &mut out);
+    let start = Instant::now();
+    for call in 0..DECISIONS {
+        let now = Millis(1_000 + call);
+        machine.handle(now, Event::Assign(assign(call, now)), &mut out);
+        for action in out.split_off(0) {
+            if let Action::Assigned { attempt, .. } = action {
+                let report = Report::Done { tokens: 20 };
+                machine.handle(now, Event::Report { attempt, report }, &mut out);
+            }
+        }
+    }
+    let memory = resident_kb().saturating_sub(before);
+    print(
+        "dispatcher, assign and report",
+        &format!("{replicas} replicas"),
+        memory,
+        start,
+        DECISIONS,
+    );
+}
+
+fn assign(call: u64, now: Millis) -> Assign {
+    Assign {
+        call,
+        target: Target::Model(format!("model-{}", call as usize % MODELS)),
+        customer: format!("customer-{}", call % 100),
+        weight: 1,
+        priority: 0,
+        digest: Digest(u128::from(call)),
+        prefix: vec![call % 500, call],
+        tokens: 200,
+        attempts: 0,
+        exclude: Vec::new(),
+        deadline: now + Millis(10_000),
+    }
+}
+
+fn configuration(customers: usize) {
+    let before = resident_kb();
+    let config = config(1_500, customers);
+    let json = serde_json_len(&config);
+    let memory = resident_kb().saturating_sub(before);
+    let start = Instant::now();
+    let copy = config.clone();
+    let size = format!("{customers} customers, {} kB of CBOR", json / 1_024);
+    print("configuration, one copy", &size, memory, start, 1);
+    drop(copy);
+}
+
+fn serde_json_len(config: &Config) -> usize {
+    toucanchute_proto::to_cbor(config).len()
+}
+
+fn shard(budgets: u64) {
+    let before = resident_kb();
+    let mut state = ShardState::default();
+    let start = Instant::now();
+    for n in 0..budgets {
+        let body = EntryBody::TopUp(TopUp {
+            top_up: format!("t-{n}"),
+            tokens: 1_000_000,
+        });
+        let id = EntryId(Incarnation(1), n + 1);
+        let entry = Entry {
+            id,
+            budget: BudgetId(n),
+            body,
+        };
+        let batch = Batch {
+            position: n,
+            batch_id: id,
+            at: Millis(n),
+            entries: vec![entry],
+        };
+        assert!(state.apply(&batch).is_ok());
+    }
+    let memory = resident_kb().saturating_sub(before);
+    print(
+        "ledger writer, top-up",
+        &format!("{budgets} budgets"),
+        memory,
+        start,
+        budgets,
+    );
+}
+
+fn holder(budgets: u64) {
+    let before = resident_kb();
+    let mut money = Money::new(Settings::new(Incarnation(1), "domain-0", 7));
+    let mut out = Vec::new();
+    let start = Instant::now();
+    for n in 0..budgets {
+        let now = Millis(1_000 + n);
+        let event = MoneyEvent::Reserve {
+            call: CallId(n + 1),
+            budget: BudgetId(n),
+            key: RequestKey(u128::from(n)),
+            digest: Digest(u128::from(n)),
+            tokens: 200,
+            expires: Millis(90_000_000),
+            deadline: now + Millis(60_000),
+        };
+        money.handle(now, event, &mut out);
+        out.clear();
+    }
+    let memory = resident_kb().saturating_sub(before);
+    print(
+        "grant holder, reserve",
+        &format!("{budgets} budgets drawn on"),
+        memory,
+        start,
+        budgets,
+    );
+}
+
+fn config(replicas: usize, customers: usize) -> Config {
+    let pool = |n: usize| format!("pool-{}", n % MODELS);
+    let backend = |n: usize| Backend {
+        name: format!("replica-{n}"),
+        pool: pool(n),
+        address: format!("192.0.2.{}:{}", n % 250, 10_000 + n / 250),
+        failure_domain: format!("domain-{}", n % 17),
+    };
+    let customer = |n: usize| Customer {
+        name: format!("customer-{n}"),
+        budget: format!("budget-{}", n % 26_000),
+        token_sha256: format!("{n:064x}"),
+        priority: 0,
+        weight: 1,
+    };
+    Config {
+        version: 1,
+        site: "target".to_owned(),
+        routing: Routing::default(),
+        ledger: Ledger::default(),
+        models: (0..MODELS)
+            .map(|n| Model {
+                name: format!("model-{n}"),
+                pool: pool(n),
+            })
+            .collect(),
+        services: Vec::new(),
+        pools: (0..MODELS).map(engine_pool).collect(),
+        backends: (0..replicas).map(backend).collect(),
+        budgets: (0..customers.min(26_000))
+            .map(|n| Budget {
+                name: format!("budget-{n}"),
+            })
+            .collect(),
+        customers: (0..customers).map(customer).collect(),
+    }
+}
+
+fn engine_pool(n: usize) -> Pool {
+    Pool {
+        name: format!("pool-{n}"),
+        kind: PoolKind::Engine,
+        fencing: None,
+        max_concurrency: 64,
+    }
+}
+
+fn print(machine: &str, size: &str, memory_kb: u64, start: Instant, decisions: u64) {
+    let micros = start.elapsed().as_micros() as f64 / decisions as f64;
+    println!("| {machine} | {size} | {memory_kb} | {micros:.1} |");
+}
+
+/// Returns the resident set of this process, in kB.
+fn resident_kb() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS"));
+    let field = line.and_then(|line| line.split_whitespace().nth(1));
+    field.and_then(|kb| kb.parse().ok()).unwrap_or(0)
+}
--- a/toucanchute_core/src/fleet/rumors.rs
+++ b/toucanchute_core/src/fleet/rumors.rs
@@ -14,7 +14,7 @@
 const MAX_MEMBERS: usize = 24;
 
 /// Most load reports in one message.
-const MAX_LOADS: usize = 64;
+const MAX_LOADS: usize = 8;
 
 /// News that still has to be told, each a limited number of times.
 #[derive(Debug, Default)]
--- a/toucanchute_core/src/money/event.rs
+++ b/toucanchute_core/src/money/event.rs
@@ -1,5 +1,6 @@
 use toucanchute_proto::{
-    BudgetId, Digest, GrantId, Incarnation, Millis, RequestKey, ledger::Answer, money::MoneyMessage,
+    BudgetId, Digest, GrantId, Incarnation, Millis, RequestKey, config::Ledger, ledger::Answer,
+    money::MoneyMessage,
 };
 
 use crate::ledger::StoreResult;
@@ -98,6 +99,9 @@
         /// The budget.
         budget: BudgetId,
     },
+    /// Another configuration is in force: its policy of grants, witnesses and reclaim counts from
+    /// now on. Shards and ring stay as they were when the machine was created.
+    Configure(Ledger),
     /// The other routers, as far as they are known. One that is missing counts as gone.
     Peers(Vec<Peer>),
     /// A message from another router.
--- a/toucanchute_core/src/money/machine.rs
+++ b/toucanchute_core/src/money/machine.rs
@@ -3,6 +3,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use toucanchute_proto::{
     AttemptId, BudgetId, EntryId, GrantId, Incarnation, Millis, RequestKey, ShardId,
+    config::Ledger,
     ledger::{Backing, Entry, EntryBody},
     money::MoneyMessage,
 };
@@ -128,6 +129,7 @@
             }
             Event::TopUp { .. } | Event::WriteOff { .. } => self.administer(event),
             Event::Statement { call, budget } => self.ask_statement(call, budget, out),
+            Event::Configure(ledger) => self.configure(ledger),
             Event::Peers(peers) => self.set_peers(peers),
             Event::Message { from, message } => self.on_message(from, message, out),
             Event::Store { op, result } => self.on_store(op, &result, out),
@@ -148,6 +150,15 @@
         self.writers.values().filter_map(Writer::next_commit).min()
     }
 
+    fn configure(&mut self, ledger: Ledger) {
+        let Ledger { shards, ring, .. } = self.cfg.ledger;
+        self.cfg.ledger = Ledger {
+            shards,
+            ring,
+            ..ledger
+        };
+    }
+
     fn on_message(&mut self, from: Incarnation, message: MoneyMessage, out: &mut Vec<Action>) {
         match message {
             MoneyMessage::Propose(body) => self.on_propose(from, body, out),
--- a/toucanchute_core/tests/money_single.rs
+++ b/toucanchute_core/tests/money_single.rs
@@ -8,6 +8,7 @@
 };
 use toucanchute_proto::{
     BudgetId, Bytes, Digest, Incarnation, Millis, RequestKey,
+    config::Ledger,
     ledger::{Answer, RecordedAnswer},
 };
 
@@ -323,3 +324,31 @@
         [Action::Settled { call, billing }, Action::Drained]
     );
 }
+
+/// A shorter horizon comes into force while the router runs: the next grant is smaller.
+#[test]
+fn policy_of_a_new_configuration_is_in_force_at_once() {
+    let granted = |horizon_ms| {
+        let mut alone = Alone::funded();
+        let ledger = Ledger {
+            grant_horizon_ms: horizon_ms,
+            ..Ledger::default()
+        };
+        alone.tell(Event::Configure(ledger));
+        assert_eq!(alone.run(1, 2), Billing::Billed);
+        assert_eq!(alone.run(2, 2), Billing::Billed);
+        alone
+            .money
+            .status()
+            .available
+            .iter()
+            .map(|(_, tokens)| tokens)
+            .sum::<u64>()
+    };
+    assert!(
+        granted(1) < granted(600_000),
+        "{} and {}",
+        granted(1),
+        granted(600_000)
+    );
+}
--- a/toucanchute_router/src/actor/money.rs
+++ b/toucanchute_router/src/actor/money.rs
@@ -291,7 +291,7 @@
 
     fn configure(&mut self, config: &Config, cx: &Context<Self>) {
         if self.machine.is_some() {
-            return;
+            return self.feed(Event::Configure(config.ledger.clone()), cx);
         }
         self.settings.ledger = config.ledger.clone();
         self.machine = Some(Money::new(self.settings.clone()));
