--- a/toucanchute_core/src/money/machine.rs
+++ b/toucanchute_core/src/money/machine.rs
@@ -129,7 +129,7 @@
             }
             Event::TopUp { .. } | Event::WriteOff { .. } => self.administer(event),
             Event::Statement { call, budget } => self.ask_statement(call, budget, out),
-            Event::Configure(ledger) => self.configure(ledger),
+            Event::Configure(ledger) => self.configure(&ledger),
             Event::Peers(peers) => self.set_peers(peers),
             Event::Message { from, message } => self.on_message(from, message, out),
             Event::Store { op, result } => self.on_store(op, &result, out),
@@ -150,12 +150,12 @@
         self.writers.values().filter_map(Writer::next_commit).min()
     }
 
-    fn configure(&mut self, ledger: Ledger) {
+    fn configure(&mut self, ledger: &Ledger) {
         let Ledger { shards, ring, .. } = self.cfg.ledger;
         self.cfg.ledger = Ledger {
             shards,
             ring,
-            ..ledger
+            ..ledger.clone()
         };
     }
 
