perf(routing): memory of prefix caches follows use, with one bound for all replicas

Cause: each replica's cache was allocated for 8,192 prefixes at once; measured by scripts/measure-machines (20,000 decisions): 25, 46 and 79 MB for 100, 500 and 1,500 replicas, over the 64 MB a node for control. Ruled out: the replicas themselves (1.3 MB once configured).

--- a/toucanchute_core/examples/capacity.rs
+++ b/toucanchute_core/examples/capacity.rs
@@ -1,9 +1,9 @@
-//! Prints what the machines of one router need as replicas, budgets and customers grow: memory from
-//! the process's resident set, processor time of each decision.
+//! Prints what a machine of one router needs as replicas, budgets or customers grow: memory from the
+//! process's resident set, processor time of each decision.
 //!
-//! Usage: `cargo run --release -p toucanchute_core --example capacity`
+//! Usage: `scripts/measure-machines`, which runs each size in a process of its own.
 
-use std::{collections::BTreeSet, fs, sync::Arc, time::Instant};
+use std::{collections::BTreeSet, env, fs, process::ExitCode, sync::Arc, time::Instant};
 
 use toucanchute_core::{
     ledger::ShardState,
@@ -22,21 +22,21 @@
 /// Decisions timed in one measurement.
 const DECISIONS: u64 = 20_000;
 
-fn main() {
-    println!("| machine | size | resident kB more | microseconds a decision |");
-    println!("|---|---|---|---|");
-    for replicas in [100, 500, 1_500] {
-        dispatcher(replicas);
-    }
-    for customers in [5_000, 20_000, 48_000] {
-        configuration(customers);
-    }
-    for budgets in [2_600, 13_000, 26_000] {
-        shard(budgets);
-    }
-    for budgets in [260, 1_300, 2_600] {
-        holder(budgets);
+fn main() -> ExitCode {
+    let args: Vec<_> = env::args().skip(1).collect();
+    let size = args.get(1).and_then(|size| size.parse().ok());
+    let (Some(machine), Some(size)) = (args.first(), size) else {
+        eprintln!("usage: capacity dispatcher|configuration|shard|holder SIZE");
+        return ExitCode::from(2);
+    };
+    match machine.as_str() {
+        "dispatcher" => dispatcher(size),
+        "configuration" => configuration(size),
+        "shard" => shard(size as u64),
+        "holder" => holder(size as u64),
+        _ => return ExitCode::from(2),
     }
+    ExitCode::SUCCESS
 }
 
 fn dispatcher(replicas: usize) {
@@ -46,6 +46,7 @@
     let mut out = Vec::new();
     let withdrawn = BTreeSet::new();
     machine.handle(Millis(0), Event::Configure { config, withdrawn }, &mut out);
+    let configured = resident_kb().saturating_sub(before);
     let start = Instant::now();
     for call in 0..DECISIONS {
         let now = Millis(1_000 + call);
@@ -58,9 +59,10 @@
         }
     }
     let memory = resident_kb().saturating_sub(before);
+    let size = format!("{replicas} replicas ({configured} kB once configured)");
     print(
         "dispatcher, assign and report",
-        &format!("{replicas} replicas"),
+        &size,
         memory,
         start,
         DECISIONS,
@@ -86,19 +88,15 @@
 fn configuration(customers: usize) {
     let before = resident_kb();
     let config = config(1_500, customers);
-    let json = serde_json_len(&config);
+    let bytes = toucanchute_proto::to_cbor(&config).len();
     let memory = resident_kb().saturating_sub(before);
     let start = Instant::now();
     let copy = config.clone();
-    let size = format!("{customers} customers, {} kB of CBOR", json / 1_024);
+    let size = format!("{customers} customers, {} kB of CBOR", bytes / 1_024);
     print("configuration, one copy", &size, memory, start, 1);
     drop(copy);
 }
 
-fn serde_json_len(config: &Config) -> usize {
-    toucanchute_proto::to_cbor(config).len()
-}
-
 fn shard(budgets: u64) {
     let before = resident_kb();
     let mut state = ShardState::default();
--- a/toucanchute_core/src/routing/cache.rs
+++ b/toucanchute_core/src/routing/cache.rs
@@ -1,12 +1,15 @@
-use std::num::NonZeroUsize;
+use std::ops::RangeInclusive;
 
 use lru::LruCache;
 use toucanchute_proto::Millis;
 
 use super::{CacheChange, CacheEvent};
 
-/// Prefixes remembered of one replica.
-const MAX_PREFIXES: NonZeroUsize = NonZeroUsize::new(8_192).unwrap();
+/// Prefixes remembered of all replicas together.
+const MAX_PREFIXES: usize = 131_072;
+
+/// Most and fewest prefixes remembered of one replica.
+const PREFIXES_OF_ONE: RangeInclusive<usize> = 64..=8_192;
 
 /// Cached blocks beyond which more make no difference to the choice.
 const MANY_BLOCKS: f64 = 32.0;
@@ -19,6 +22,8 @@
 pub(super) struct PrefixCache {
     /// When each prefix was last said to be stored.
     stored: LruCache<u64, Millis>,
+    /// Most prefixes stored.
+    limit: usize,
     /// When events were last lost; what was stored before is doubtful.
     gap_at: Option<Millis>,
 }
@@ -26,18 +31,32 @@
 impl PrefixCache {
     pub(super) fn new() -> PrefixCache {
         PrefixCache {
-            stored: LruCache::new(MAX_PREFIXES),
+            stored: LruCache::unbounded(),
+            limit: *PREFIXES_OF_ONE.end(),
             gap_at: None,
         }
     }
 
+    /// Sets the share of this replica in a fleet of `replicas`.
+    pub(super) fn set_share(&mut self, replicas: usize) {
+        let share = MAX_PREFIXES / replicas.max(1);
+        self.limit = share.clamp(*PREFIXES_OF_ONE.start(), *PREFIXES_OF_ONE.end());
+    }
+
+    fn put(&mut self, now: Millis, prefix: u64) {
+        self.stored.put(prefix, now);
+        while self.stored.len() > self.limit {
+            self.stored.pop_lru();
+        }
+    }
+
     pub(super) fn apply(&mut self, now: Millis, events: &[CacheEvent], gap: bool) {
         if gap {
             self.gap_at = Some(now);
         }
         for event in events {
             match event.change {
-                CacheChange::Stored => drop(self.stored.put(event.prefix, now)),
+                CacheChange::Stored => self.put(now, event.prefix),
                 CacheChange::Evicted => drop(self.stored.pop(&event.prefix)),
             }
         }
@@ -46,7 +65,7 @@
     /// Takes in that a prompt was sent to the replica.
     pub(super) fn sent(&mut self, now: Millis, prefix: &[u64]) {
         for &p in prefix {
-            self.stored.put(p, now);
+            self.put(now, p);
         }
     }
 
--- a/toucanchute_core/src/routing/configure.rs
+++ b/toucanchute_core/src/routing/configure.rs
@@ -20,10 +20,12 @@
         self.set_pools(config);
         self.set_targets(config);
         let mut unlisted: BTreeSet<_> = self.replicas.keys().collect();
+        let replicas = config.backends.len();
         for b in &config.backends {
             let listed = !withdrawn.contains(&b.name) || self.has(Fault::UseWithdrawn);
             if let Some(key) = self.set_backend(now, b, listed) {
                 unlisted.remove(&key);
+                self.replicas[key].cache.set_share(replicas);
             }
         }
         for key in unlisted {
