--- a/toucanchute_edge/src/caller/tests.rs
+++ b/toucanchute_edge/src/caller/tests.rs
@@ -27,19 +27,14 @@
         priority: 0,
         weight: 1,
     };
+    let budget = Budget {
+        name: "north".to_owned(),
+    };
     Config {
         version: 1,
-        site: "test".to_owned(),
-        routing: toucanchute_proto::config::Routing::default(),
-        ledger: toucanchute_proto::config::Ledger::default(),
-        models: Vec::new(),
-        services: Vec::new(),
-        pools: Vec::new(),
-        backends: Vec::new(),
-        budgets: vec![Budget {
-            name: "north".to_owned(),
-        }],
+        budgets: vec![budget],
         customers: vec![customer],
+        ..Config::default()
     }
 }
 
--- a/toucanchute_proto/src/config_eq.rs
+++ b/toucanchute_proto/src/config_traits.rs
@@ -1,4 +1,4 @@
-use crate::config::Config;
+use crate::config::{Config, Ledger, Routing};
 
 /// The generator derives no comparison for a schema's root type.
 impl PartialEq for Config {
@@ -15,3 +15,21 @@
             && self.customers == rhs.customers
     }
 }
+
+/// The configuration before the first apply: version 0, nothing in it.
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            version: 0,
+            site: String::new(),
+            routing: Routing::default(),
+            ledger: Ledger::default(),
+            models: Vec::new(),
+            services: Vec::new(),
+            pools: Vec::new(),
+            backends: Vec::new(),
+            budgets: Vec::new(),
+            customers: Vec::new(),
+        }
+    }
+}
--- a/toucanchute_proto/src/lib.rs
+++ b/toucanchute_proto/src/lib.rs
@@ -4,7 +4,7 @@
 //! identifiers are written by hand because they are small `Copy` keys.
 
 mod codec;
-mod config_eq;
+mod config_traits;
 mod generated;
 mod id;
 mod time;
--- a/toucanchute_router/src/actor/dispatch.rs
+++ b/toucanchute_router/src/actor/dispatch.rs
@@ -9,13 +9,14 @@
     AssignRequest, Assignment, CrashKind, Outcome, Refusal, RefusalReason, Report, Target,
 };
 use toucanchute_proto::{
-    AttemptId, Millis,
+    AttemptId,
     config::Config,
     fleet::{Load, Verdict},
 };
 use xtra::prelude::*;
 
 use super::{FleetActor, FleetInput, post};
+use crate::clock;
 
 /// Ticks of which one is passed on while no request waits.
 const IDLE_TICKS: u64 = 5;
@@ -88,7 +89,7 @@
     }
 
     fn feed(&mut self, event: Event) {
-        let now = Millis(toucanchute_log::wall_clock_ms());
+        let now = clock::now();
         let mut actions = std::mem::take(&mut self.actions);
         self.machine.handle(now, event, &mut actions);
         for action in actions.drain(..) {
--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -15,7 +15,7 @@
 use xtra::prelude::*;
 
 use super::{DispatchActor, DispatchInput, MoneyActor, MoneyInput, post};
-use crate::{link::Mesh, platform::PlatformWatch, view::View};
+use crate::{clock, link::Mesh, platform::PlatformWatch, view::View};
 
 /// When to come back to a router that is starting or has lost touch.
 const UNREADY_RETRY_AFTER: Millis = Millis(1_000);
@@ -112,7 +112,7 @@
     }
 
     fn feed(&mut self, event: Event) {
-        let now = Millis(toucanchute_log::wall_clock_ms());
+        let now = clock::now();
         let mut actions = std::mem::take(&mut self.actions);
         self.machine.handle(now, event, &mut actions);
         for action in actions.drain(..) {
@@ -237,7 +237,7 @@
     type Return = DutyList;
 
     async fn handle(&mut self, message: Duties, _cx: &mut Context<Self>) -> DutyList {
-        let now = Millis(toucanchute_log::wall_clock_ms());
+        let now = clock::now();
         let mut polls = message.backends;
         polls.retain(|name| self.machine.polls(name));
         DutyList {
--- a/toucanchute_router/src/actor/money.rs
+++ b/toucanchute_router/src/actor/money.rs
@@ -1,26 +1,19 @@
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use serde_json::{Value, json};
 use tokio::sync::oneshot;
-use toucanchute_core::{
-    ledger::StoreResult,
-    money::{self, Action, Billing, CallId, Event, Money, Peer},
-};
-use toucanchute_edge::{
-    IntentRequest, Outcome, Recorded, Refusal, RefusalReason, ReserveRequest, ServiceAnswer,
-    Settlement,
-};
-use toucanchute_proto::{
-    BudgetId, GrantId, Incarnation, Millis, RequestKey,
-    config::Config,
-    ledger::{Answer, RecordedAnswer, Statement},
-    money::MoneyMessage,
-    peer::FrameKind,
-};
+use toucanchute_core::money::{self, Action, CallId, Event, Money, Peer};
+use toucanchute_edge::{Refusal, RefusalReason};
+use toucanchute_proto::{Incarnation, Millis, config::Config, peer::FrameKind};
 use xtra::prelude::*;
 
+use self::convert::{call_event, document, ledger_answer, recorded, refusal, refusal_of, settled};
 use super::{FleetActor, FleetInput, post};
-use crate::{link::Mesh, platform::LedgerStore};
+use crate::{clock, link::Mesh, platform::LedgerStore};
+
+mod convert;
+mod input;
+
+pub(crate) use input::{MoneyCall, MoneyInput, MoneyReply};
 
 /// Shortest pause before a tick that the machine asked for.
 const MIN_WAKE_PAUSE: Duration = Duration::from_millis(2);
@@ -58,100 +51,6 @@
     pub(crate) fleet: Address<FleetActor>,
 }
 
-/// A question that is answered by one [`MoneyReply`] or refused.
-#[derive(Debug)]
-pub(crate) enum MoneyCall {
-    /// Reserves tokens.
-    Reserve(ReserveRequest),
-    /// Bills a reservation.
-    Settle {
-        /// The reservation.
-        id: u64,
-        /// Tokens used.
-        tokens: u64,
-    },
-    /// Commits an intent.
-    Intend(IntentRequest),
-    /// Adds tokens to a budget, once by `id`.
-    TopUp {
-        /// The operator's name for it.
-        id: String,
-        /// The budget.
-        budget: BudgetId,
-        /// Tokens to add.
-        tokens: u64,
-    },
-    /// Closes a forfeited grant.
-    WriteOff {
-        /// Budget of the grant.
-        budget: BudgetId,
-        /// The grant.
-        grant: GrantId,
-    },
-    /// Asks for the account of a budget.
-    Statement {
-        /// The budget.
-        budget: BudgetId,
-    },
-}
-
-/// Answer to a [`MoneyCall`].
-#[derive(Debug)]
-pub(crate) enum MoneyReply {
-    /// Tokens are set aside.
-    Reserved {
-        /// The reservation.
-        id: u64,
-        /// Tokens reserved.
-        tokens: u64,
-    },
-    /// The reservation is billed.
-    Settled(Settlement),
-    /// The intent is committed.
-    Accepted,
-    /// The call ran earlier.
-    Recorded(ServiceAnswer),
-    /// The top-up is committed.
-    ToppedUp,
-    /// The grant is closed.
-    WrittenOff,
-    /// The account, as a JSON document.
-    Statement(Value),
-}
-
-/// Input of a [`MoneyActor`].
-#[derive(Debug)]
-pub(crate) enum MoneyInput {
-    /// A question.
-    Call(MoneyCall, oneshot::Sender<Result<MoneyReply, Refusal>>),
-    /// A reservation is not billed.
-    Release {
-        /// The reservation.
-        id: u64,
-    },
-    /// An accepted call ended.
-    Record(RequestKey, Recorded),
-    /// Another configuration is in force.
-    Config(Arc<Config>),
-    /// The other routers and the addresses of their callers' sides.
-    Peers(Vec<Peer>, HashMap<Incarnation, SocketAddr>),
-    /// A peer sent a message.
-    Message(Incarnation, Box<MoneyMessage>),
-    /// The platform answered a call.
-    Store {
-        /// Number of the call.
-        op: u64,
-        /// Its result.
-        result: StoreResult,
-    },
-    /// The process leaves: return all grants.
-    Drain,
-    /// The time has come for which the machine asked.
-    Wake(Millis),
-    /// Time passed.
-    Tick,
-}
-
 impl MoneyActor {
     /// Creates the actor.
     pub(crate) fn new(parts: MoneyParts) -> MoneyActor {
@@ -182,7 +81,7 @@
         let Some(machine) = &mut self.machine else {
             return;
         };
-        let now = Millis(toucanchute_log::wall_clock_ms());
+        let now = clock::now();
         let mut actions = std::mem::take(&mut self.actions);
         machine.handle(now, event, &mut actions);
         for action in actions.drain(..) {
@@ -343,122 +242,3 @@
         }
     }
 }
-
-fn call_event(call: CallId, request: MoneyCall) -> Event {
-    match request {
-        MoneyCall::Reserve(req) => Event::Reserve {
-            call,
-            budget: req.budget,
-            key: req.key,
-            digest: req.digest,
-            tokens: req.tokens,
-            expires: req.expires,
-            deadline: req.deadline,
-        },
-        MoneyCall::Intend(req) => Event::Intend {
-            call,
-            budget: req.budget,
-            key: req.key,
-            digest: req.digest,
-            tokens: req.tokens,
-            expires: req.expires,
-            deadline: req.deadline,
-        },
-        MoneyCall::Settle { tokens, .. } => Event::Settle { call, tokens },
-        MoneyCall::TopUp { id, budget, tokens } => Event::TopUp {
-            call,
-            id,
-            budget,
-            tokens,
-        },
-        MoneyCall::WriteOff { budget, grant } => Event::WriteOff {
-            call,
-            budget,
-            grant,
-        },
-        MoneyCall::Statement { budget } => Event::Statement { call, budget },
-    }
-}
-
-fn settled(billing: Billing) -> MoneyReply {
-    MoneyReply::Settled(match billing {
-        Billing::Billed => Settlement::Billed,
-        Billing::Duplicate => Settlement::Duplicate,
-    })
-}
-
-fn recorded(answer: Answer) -> Result<MoneyReply, Refusal> {
-    match answer {
-        Answer::Recorded(answer) => Ok(MoneyReply::Recorded(ServiceAnswer {
-            status: answer.status,
-            content_type: answer.content_type,
-            body: answer.body,
-        })),
-        Answer::NotRun => Err(refusal_of(RefusalReason::InProgress, Some(Millis(100)))),
-        Answer::Unknown => Err(unknown_outcome()),
-    }
-}
-
-fn ledger_answer(recorded: Recorded) -> Answer {
-    match recorded {
-        Recorded::Answer(answer) => Answer::Recorded(RecordedAnswer {
-            status: answer.status,
-            content_type: answer.content_type,
-            body: answer.body,
-        }),
-        Recorded::NotRun => Answer::NotRun,
-        Recorded::Unknown => Answer::Unknown,
-    }
-}
-
-fn document(statement: &Statement) -> Value {
-    let grants: Vec<_> = statement.grants.iter().map(|grant| json!(grant)).collect();
-    json!({
-        "topped_up": statement.topped_up,
-        "free": statement.free,
-        "spent": statement.spent,
-        "granted": statement.granted,
-        "forfeited": statement.forfeited,
-        "written_off": statement.written_off,
-        "grants": grants,
-    })
-}
-
-fn refusal(reason: money::RefusalReason, retry_after: Option<Millis>) -> Refusal {
-    let reason = match reason {
-        money::RefusalReason::BudgetExhausted => RefusalReason::BudgetExhausted,
-        money::RefusalReason::GrantUnavailable => RefusalReason::GrantUnavailable,
-        money::RefusalReason::KeyReused => RefusalReason::KeyReused,
-        money::RefusalReason::KeyExpired => RefusalReason::KeyExpired,
-        money::RefusalReason::InProgress => RefusalReason::InProgress,
-        money::RefusalReason::TooManyReruns => RefusalReason::TooManyReruns,
-        money::RefusalReason::GrantReclaimed => RefusalReason::GrantReclaimed,
-        money::RefusalReason::Draining => RefusalReason::Draining,
-        _ => RefusalReason::LedgerUnavailable,
-    };
-    refusal_of(reason, retry_after)
-}
-
-fn refusal_of(reason: RefusalReason, retry_after: Option<Millis>) -> Refusal {
-    let outcome = match reason {
-        // The call that this key stands for is running at this moment or may be.
-        RefusalReason::InProgress => Outcome::Unknown,
-        RefusalReason::GrantReclaimed | RefusalReason::TooManyReruns => Outcome::Failed,
-        _ => Outcome::NotRun,
-    };
-    Refusal {
-        reason,
-        outcome,
-        retry_after,
-        elsewhere: None,
-    }
-}
-
-fn unknown_outcome() -> Refusal {
-    Refusal {
-        reason: RefusalReason::UnknownOutcome,
-        outcome: Outcome::Unknown,
-        retry_after: None,
-        elsewhere: None,
-    }
-}
--- a/toucanchute_router/src/actor/orders.rs
+++ b/toucanchute_router/src/actor/orders.rs
@@ -3,14 +3,11 @@
 use serde_json::json;
 use tokio::sync::oneshot;
 use toucanchute_core::fleet::orders::{Action, Answer, Event, Lease, Order, OrderKind, Orders};
-use toucanchute_proto::{
-    Millis,
-    config::{Config, Fencing},
-};
+use toucanchute_proto::config::{Config, Fencing};
 use xtra::prelude::*;
 
 use super::post;
-use crate::{http_client::HttpClient, platform::LeaseStore, view::View};
+use crate::{clock, http_client::HttpClient, platform::LeaseStore, view::View};
 
 /// Owns the [`Orders`] machines of this router, one a pool that it has orders for.
 #[derive(xtra::Actor)]
@@ -71,7 +68,7 @@
         let Some(pool) = self.machines.get_mut(name) else {
             return;
         };
-        let now = Millis(toucanchute_log::wall_clock_ms());
+        let now = clock::now();
         let mut actions = std::mem::take(&mut self.actions);
         pool.machine.handle(now, event, &mut actions);
         for action in actions.drain(..) {
--- a/toucanchute_router/src/admin.rs
+++ b/toucanchute_router/src/admin.rs
@@ -13,7 +13,7 @@
 use toucanchute_core::fleet::orders::{self, Order, OrderKind};
 use toucanchute_edge::{Refusal, RefusalReason};
 use toucanchute_platform::{Client, HostListClient};
-use toucanchute_proto::{BudgetId, GrantId, Incarnation, Millis};
+use toucanchute_proto::{BudgetId, GrantId, Incarnation};
 use xtra::prelude::*;
 
 use crate::{
@@ -21,6 +21,7 @@
         FleetActor, Members, MoneyActor, MoneyCall, MoneyInput, MoneyReply, OrderError,
         OrdersActor, WantOrder, post,
     },
+    clock,
     link::{LinkCounts, Mesh},
     view::View,
 };
@@ -260,7 +261,7 @@
         let config = self.view.config();
         let unready = self
             .view
-            .unready(Millis(toucanchute_log::wall_clock_ms()))
+            .unready(clock::now())
             .map(|refusal| format!("{:?}", refusal.reason));
         let members = self.fleet.send(Members).await.unwrap_or_default();
         let document = json!({
@@ -335,3 +336,6 @@
     });
     (status, document)
 }
+
+#[cfg(test)]
+mod tests;
--- a/toucanchute_router/src/control.rs
+++ b/toucanchute_router/src/control.rs
@@ -13,7 +13,7 @@
     AddressList, AssignRequest, Assignment, Control, IntentRequest, Intention, Outcome, Recorded,
     Refusal, RefusalReason, Report, Reservation, ReserveRequest, Settlement,
 };
-use toucanchute_proto::{AttemptId, Millis, RequestKey, config::Config};
+use toucanchute_proto::{AttemptId, RequestKey, config::Config};
 use xtra::prelude::*;
 
 use crate::{
@@ -21,6 +21,7 @@
         Assign, DispatchActor, DispatchInput, MoneyActor, MoneyCall, MoneyInput, MoneyReply, post,
     },
     admin::Admin,
+    clock,
     metrics::Metrics,
     view::View,
 };
@@ -93,7 +94,7 @@
     /// Gives an assignment back if the view that it rests on has become too old meanwhile. A
     /// router that is leaving still serves what it has accepted.
     fn check_view(&self, assignment: Assignment) -> Result<Assignment, Refusal> {
-        match self.view.unready(now()) {
+        match self.view.unready(clock::now()) {
             Some(refusal) if refusal.reason == RefusalReason::StaleView => {
                 self.report(assignment.attempt, Report::Unsent);
                 Err(refusal)
@@ -113,7 +114,7 @@
     }
 
     fn unready(&self) -> Option<Refusal> {
-        self.view.unready(now())
+        self.view.unready(clock::now())
     }
 
     // --- money
@@ -195,10 +196,6 @@
     }
 }
 
-fn now() -> Millis {
-    Millis(toucanchute_log::wall_clock_ms())
-}
-
 /// The refusal of a request whose actor has stopped.
 fn stopped() -> Refusal {
     let reason = RefusalReason::LedgerUnavailable;
--- a/toucanchute_router/src/lib.rs
+++ b/toucanchute_router/src/lib.rs
@@ -4,6 +4,7 @@
 mod actor;
 mod admin;
 mod cli;
+mod clock;
 mod control;
 mod http_client;
 mod link;
--- a/toucanchute_router/src/platform/lease.rs
+++ b/toucanchute_router/src/platform/lease.rs
@@ -6,6 +6,8 @@
 use toucanchute_platform::{Cas, Client, Revision, Store, StoreError};
 use toucanchute_proto::{Incarnation, Millis};
 
+use crate::clock;
+
 /// Time to live of a lease on the orders of one pool.
 const LEASE_TTL: Millis = Millis(10_000);
 
@@ -59,7 +61,7 @@
 
     /// Takes the lease of `pool` or renews it.
     pub(crate) async fn acquire(&self, pool: &str) -> Result<Lease, LeaseError> {
-        let asked = Millis(toucanchute_log::wall_clock_ms());
+        let asked = clock::now();
         let (revision, last) = self.read(pool).await?;
         let holder = match last {
             Some(last) if last.incarnation == self.own && !last.released => last,
--- a/toucanchute_router/src/platform/watch.rs
+++ b/toucanchute_router/src/platform/watch.rs
@@ -3,11 +3,12 @@
 use tokio::sync::Notify;
 use toucanchute_core::fleet::{HostEntry, HostRole, HostState};
 use toucanchute_platform::{self as platform, Client, HostListClient};
-use toucanchute_proto::{Digest, Millis};
+use toucanchute_proto::Digest;
 use xtra::prelude::*;
 
 use super::config::{fetch_config, fetch_head, head_digest};
 use crate::actor::{Duties, FleetActor, FleetInput, post};
+use crate::clock;
 
 /// Pause between two reads of head and host list by a router that reads them.
 const READ_PAUSE: Duration = Duration::from_millis(500);
@@ -84,12 +85,8 @@
     }
 }
 
-fn now() -> Millis {
-    Millis(toucanchute_log::wall_clock_ms())
-}
-
 async fn read_head(client: &Client, fleet: &Address<FleetActor>) {
-    let asked = now();
+    let asked = clock::now();
     let input = match fetch_head(client).await {
         Ok(Some(head)) => FleetInput::HeadSeen(asked, head.version, head_digest(&head)),
         Ok(None) => FleetInput::HeadSeen(asked, 0, Digest::default()),
@@ -102,7 +99,7 @@
 }
 
 async fn read_hosts(hosts: &HostListClient, fleet: &Address<FleetActor>) {
-    let asked = now();
+    let asked = clock::now();
     match hosts.get().await {
         Ok(list) => {
             let entries = list.hosts.iter().map(host_entry).collect();
--- a/toucanchute_router/src/server.rs
+++ b/toucanchute_router/src/server.rs
@@ -116,7 +116,7 @@
     ) -> Actors {
         let (events, links) = mpsc::unbounded_channel();
         let mesh = Mesh::new(identity(settings, own), events);
-        let view = Arc::new(View::new(Arc::new(empty_config()), starting()));
+        let view = Arc::new(View::new(Arc::new(Config::default()), starting()));
         let client = Arc::new(Client::new(client_settings(settings)));
         let in_flight = Arc::new(AtomicU64::new(0));
 
@@ -338,21 +338,6 @@
     }
 }
 
-fn empty_config() -> Config {
-    Config {
-        version: 0,
-        site: String::new(),
-        routing: toucanchute_proto::config::Routing::default(),
-        ledger: toucanchute_proto::config::Ledger::default(),
-        models: Vec::new(),
-        services: Vec::new(),
-        pools: Vec::new(),
-        backends: Vec::new(),
-        budgets: Vec::new(),
-        customers: Vec::new(),
-    }
-}
-
 fn starting() -> Refusal {
     Refusal {
         reason: RefusalReason::Starting,
--- a/toucanchute_router/src/view/tests.rs
+++ b/toucanchute_router/src/view/tests.rs
@@ -1,23 +1,15 @@
 use std::sync::Arc;
 
 use toucanchute_edge::{Outcome, Refusal, RefusalReason};
-use toucanchute_proto::{Millis, config};
+use toucanchute_proto::{Millis, config::Config};
 use yare::parameterized;
 
 use super::View;
 
-fn config(version: u64) -> Arc<config::Config> {
-    Arc::new(config::Config {
+fn config(version: u64) -> Arc<Config> {
+    Arc::new(Config {
         version,
-        site: String::new(),
-        routing: config::Routing::default(),
-        ledger: config::Ledger::default(),
-        models: Vec::new(),
-        services: Vec::new(),
-        pools: Vec::new(),
-        backends: Vec::new(),
-        budgets: Vec::new(),
-        customers: Vec::new(),
+        ..Config::default()
     })
 }
 
