--- a/toucanchute_ctl/src/cli.rs
+++ b/toucanchute_ctl/src/cli.rs
@@ -6,7 +6,7 @@
 };
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use toucanchute_proto::api::{TopUp, WriteOff};
+use toucanchute_proto::api::{EngineOrder, EngineOrderKind, TopUp, WriteOff};
 
 use crate::{
     commands,
@@ -15,6 +15,12 @@
     routers::Routers,
 };
 
+/// Order to load a model.
+const LOAD_MODEL: &str = "load-model";
+
+/// Order to serve another model.
+const CHANGE_ROLE: &str = "change-role";
+
 /// Environment variable that holds the operators' token.
 const TOKEN_VARIABLE: &str = "TOUCANCTL_TOKEN";
 
@@ -84,6 +90,17 @@
             };
             commands::write_off(&routers(args)?, &write_off, out).await
         }
+        "order" => {
+            let order = EngineOrder {
+                backend: text(args, "BACKEND").to_owned(),
+                kind: match text(args, "KIND") {
+                    LOAD_MODEL => EngineOrderKind::LoadModel,
+                    _ => EngineOrderKind::ChangeRole,
+                },
+                model: text(args, "MODEL").to_owned(),
+            };
+            commands::order(&routers(args)?, &order, out).await
+        }
         _ => Ok(()),
     }
 }
@@ -179,6 +196,15 @@
                 .arg(name("BUDGET", "Name of the budget"))
                 .arg(name("GRANT", "Identifier of the grant, from the statement")),
         )
+        .subcommand(order_command())
+}
+
+fn order_command() -> Command {
+    let kind = name("KIND", "What the engine has to do").value_parser([LOAD_MODEL, CHANGE_ROLE]);
+    router_command("order", "Sends an order to a model engine")
+        .arg(name("BACKEND", "Name of the backend server"))
+        .arg(kind)
+        .arg(name("MODEL", "Name of the model"))
 }
 
 fn check_command() -> Command {
--- a/toucanchute_ctl/src/commands/fleet.rs
+++ b/toucanchute_ctl/src/commands/fleet.rs
@@ -1,3 +1,6 @@
+use serde_json::Value;
+use toucanchute_proto::api::EngineOrder;
+
 use crate::{error::Error, http::Call, output::Output, routers::Routers};
 
 /// Prints the state of the first router that answers.
@@ -9,3 +12,18 @@
 pub(crate) async fn hosts(routers: &Routers, out: Output) -> Result<(), Error> {
     out.write_value(&routers.call(&Call::get("/v1/admin/hosts")).await?)
 }
+
+/// Sends an order to the engine of one backend server and waits for its end.
+pub(crate) async fn order(
+    routers: &Routers,
+    order: &EngineOrder,
+    out: Output,
+) -> Result<(), Error> {
+    let body = serde_json::to_vec(order).unwrap_or_default();
+    let value: Value = routers.call(&Call::post("/v1/admin/orders", body)).await?;
+    let text = format!(
+        "backend server {} carried out {}",
+        order.backend, order.kind
+    );
+    out.write(&value, &text)
+}
--- a/toucanchute_ctl/tests/toucanctl/routers.rs
+++ b/toucanchute_ctl/tests/toucanctl/routers.rs
@@ -93,6 +93,12 @@
         => 0, "under t-1", "{\"budget\":\"desk\",\"id\":\"t-1\",\"tokens\":5}";
     write_off: "write-off desk 7f-1", [("200 OK", "{}")]
         => 0, "grant 7f-1 written off", "{\"budget\":\"desk\",\"grant\":\"7f-1\"}";
+    order: "order gate-1 load-model gates", [("200 OK", "{}")]
+        => 0, "backend server gate-1 carried out load-model",
+        "{\"backend\":\"gate-1\",\"kind\":\"load-model\",\"model\":\"gates\"}";
+    order_failed: "order gate-1 change-role gates",
+        [("502 Bad Gateway", "{\"reason\":\"order-failed\",\"detail\":\"it may have taken effect\"}")]
+        => 1, "", "{\"backend\":\"gate-1\",\"kind\":\"change-role\",\"model\":\"gates\"}";
     status_is_indented: "status", [("200 OK", "{\"a\":{\"b\":[1,\"c\"]}}")]
         => 0, "a:\n  b:\n    - 1\n    - c\n", "GET /v1/admin/status ";
 }
--- a/toucanchute_router/src/admin.rs
+++ b/toucanchute_router/src/admin.rs
@@ -7,13 +7,15 @@
 };
 
 use http::{Method, StatusCode};
-use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::sync::oneshot;
 use toucanchute_core::fleet::orders::{self, Order, OrderKind};
 use toucanchute_edge::{Refusal, RefusalReason};
 use toucanchute_platform::{Client, HostListClient};
-use toucanchute_proto::{BudgetId, GrantId, Incarnation};
+use toucanchute_proto::{
+    BudgetId, GrantId, Incarnation,
+    api::{EngineOrder, EngineOrderKind, TopUp, WriteOff},
+};
 use xtra::prelude::*;
 
 use crate::{
@@ -92,36 +94,6 @@
     pub(crate) incarnation: Incarnation,
 }
 
-/// Body of `POST /v1/admin/top-ups`.
-#[derive(Debug, Deserialize)]
-struct TopUpBody {
-    id: String,
-    budget: String,
-    tokens: u64,
-}
-
-/// Body of `POST /v1/admin/write-offs`.
-#[derive(Debug, Deserialize)]
-struct WriteOffBody {
-    budget: String,
-    grant: String,
-}
-
-/// Body of `POST /v1/admin/orders`.
-#[derive(Debug, Deserialize)]
-struct OrderBody {
-    backend: String,
-    kind: OrderBodyKind,
-    model: String,
-}
-
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-enum OrderBodyKind {
-    LoadModel,
-    ChangeRole,
-}
-
 type Answer = (StatusCode, Value);
 
 impl Admin {
@@ -146,14 +118,14 @@
     // --- money
 
     async fn top_up(&self, body: &[u8]) -> Answer {
-        let body: TopUpBody = match serde_json::from_slice(body) {
+        let body: TopUp = match serde_json::from_slice(body) {
             Ok(body) => body,
             Err(e) => return problem(StatusCode::BAD_REQUEST, "bad-body", &e.to_string()),
         };
         if !self.has_budget(&body.budget) {
             return unknown_budget(&body.budget);
         }
-        let TopUpBody { id, budget, tokens } = body;
+        let TopUp { id, budget, tokens } = body;
         log::info!(budget = budget, top_up = id, tokens = tokens; "top-up-received");
         let call = MoneyCall::TopUp {
             id: id.clone(),
@@ -186,7 +158,7 @@
     }
 
     async fn write_off(&self, body: &[u8]) -> Answer {
-        let body: WriteOffBody = match serde_json::from_slice(body) {
+        let body: WriteOff = match serde_json::from_slice(body) {
             Ok(body) => body,
             Err(e) => return problem(StatusCode::BAD_REQUEST, "bad-body", &e.to_string()),
         };
@@ -226,16 +198,16 @@
     // --- engines
 
     async fn order(&self, body: &[u8]) -> Answer {
-        let body: OrderBody = match serde_json::from_slice(body) {
+        let body: EngineOrder = match serde_json::from_slice(body) {
             Ok(body) => body,
             Err(e) => return problem(StatusCode::BAD_REQUEST, "bad-body", &e.to_string()),
         };
         let kind = match body.kind {
-            OrderBodyKind::LoadModel => OrderKind::LoadModel,
-            OrderBodyKind::ChangeRole => OrderKind::ChangeRole,
+            EngineOrderKind::LoadModel => OrderKind::LoadModel,
+            EngineOrderKind::ChangeRole => OrderKind::ChangeRole,
         };
         let (reply, answer) = oneshot::channel();
-        let OrderBody { backend, model, .. } = body;
+        let EngineOrder { backend, model, .. } = body;
         let order = Order {
             backend: backend.clone(),
             kind,
