--- a/toucanchute_ctl/tests/toucanctl/apply.rs
+++ b/toucanchute_ctl/tests/toucanctl/apply.rs
@@ -1,7 +1,7 @@
 use toucanchute_ctl::{Accepted, ApplyError, Current, apply};
 use toucanchute_fakes::{Platform, PlatformOptions};
 use toucanchute_platform::{Client, ClientSettings, Store};
-use toucanchute_proto::config::{Config, Ledger, Routing};
+use toucanchute_proto::config::Config;
 use toucanchute_settings::{HEAD_KEY, Packed, chunk_key};
 use yare::parameterized;
 
@@ -18,16 +18,8 @@
 
 fn config(site: &str) -> Config {
     Config {
-        version: 0,
         site: site.to_owned(),
-        routing: Routing::default(),
-        ledger: Ledger::default(),
-        models: Vec::new(),
-        services: Vec::new(),
-        pools: Vec::new(),
-        backends: Vec::new(),
-        budgets: Vec::new(),
-        customers: Vec::new(),
+        ..Config::default()
     }
 }
 
--- a/toucanchute_edge/src/attempt.rs
+++ b/toucanchute_edge/src/attempt.rs
@@ -1,6 +1,8 @@
 use toucanchute_proto::{AttemptId, RequestKey};
 
-use crate::control::{Assignment, Control, CrashKind, Report, Reservation, Settlement};
+use toucanchute_core::routing::{CrashKind, Report};
+
+use crate::control::{Assignment, Control, Reservation, Settlement};
 use crate::problem::Problem;
 
 /// One attempt at a backend server, ended by exactly one report.
--- a/toucanchute_edge/src/backend.rs
+++ b/toucanchute_edge/src/backend.rs
@@ -12,10 +12,9 @@
 use toucanchute_log::CLOCK_HEADER;
 use toucanchute_proto::AttemptId;
 
-use crate::{
-    control::{CrashKind, Report},
-    settings::{EdgeSettings, duration},
-};
+use toucanchute_core::routing::{CrashKind, Report};
+
+use crate::settings::{EdgeSettings, duration};
 
 /// Header that carries the attempt, echoed by model engines.
 pub(crate) const ATTEMPT: HeaderName = HeaderName::from_static("toucanchute-attempt");
--- a/toucanchute_edge/src/completion/run.rs
+++ b/toucanchute_edge/src/completion/run.rs
@@ -5,11 +5,13 @@
 use toucanchute_proto::Millis;
 
 use super::{CompletionRequest, progress::Progress};
+use toucanchute_core::routing::{Report, Target};
+
 use crate::{
     attempt::{Attempt, Held},
     backend::{self, ATTEMPT, BackendError, PRIORITY},
     caller::CallerRequest,
-    control::{AssignRequest, Assignment, Control, Report, ReserveRequest, Target},
+    control::{AssignRequest, Assignment, Control, ReserveRequest},
     edge::Shared,
     error::RequestError,
     problem::Problem,
--- a/toucanchute_edge/src/control.rs
+++ b/toucanchute_edge/src/control.rs
@@ -1,6 +1,7 @@
 use std::{future::Future, net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
+use toucanchute_core::routing::{Report, Target};
 use toucanchute_proto::{AttemptId, BudgetId, Digest, Millis, RequestKey, config::Config};
 
 /// The router's decisions, as the HTTP edge asks for them.
@@ -158,15 +159,6 @@
     pub body: Bytes,
 }
 
-/// What a request wants from a backend server.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Target {
-    /// A model by name.
-    Model(String),
-    /// A plain service by name.
-    Service(String),
-}
-
 /// A request for a backend server.
 #[derive(Clone, Debug)]
 pub struct AssignRequest {
@@ -204,40 +196,6 @@
     pub address: SocketAddr,
 }
 
-/// Progress or end of an attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Report {
-    /// The first token or byte of the answer arrived.
-    FirstToken,
-    /// The answer ended; `tokens` were generated.
-    Done {
-        /// Tokens generated.
-        tokens: u64,
-    },
-    /// The backend server refused the work; it did not run.
-    Refused,
-    /// No byte reached the backend server; it did not run.
-    Unsent,
-    /// The attempt broke off.
-    Crashed {
-        /// How it broke off.
-        kind: CrashKind,
-    },
-    /// The caller went away or its deadline passed.
-    Cancelled,
-}
-
-/// How an attempt broke off.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CrashKind {
-    /// The connection was reset or closed before the answer's end.
-    Disconnected,
-    /// The answer was malformed or belonged to another attempt.
-    Malformed,
-    /// No byte came within the time allowed.
-    TimedOut,
-}
-
 /// What became of a request, as told to its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/toucanchute_edge/src/lib.rs
+++ b/toucanchute_edge/src/lib.rs
@@ -23,9 +23,9 @@
 mod tests;
 
 pub use control::{
-    AddressList, AssignRequest, Assignment, Control, CrashKind, IntentRequest, Intention, Outcome,
-    Recorded, Refusal, RefusalReason, Report, Reservation, ReserveRequest, ServiceAnswer,
-    Settlement, Target,
+    AddressList, AssignRequest, Assignment, Control, IntentRequest, Intention, Outcome, Recorded,
+    Refusal, RefusalReason, Reservation, ReserveRequest, ServiceAnswer, Settlement,
 };
 pub use edge::Edge;
 pub use settings::EdgeSettings;
+pub use toucanchute_core::routing::{CrashKind, Report, Target};
--- a/toucanchute_edge/src/service/run.rs
+++ b/toucanchute_edge/src/service/run.rs
@@ -2,13 +2,15 @@
 use hyper::body::Incoming;
 
 use super::ServiceCall;
+use toucanchute_core::routing::{Report, Target};
+
 use crate::{
     attempt::{Attempt, Held},
     backend::{self, BackendError},
     caller::CallerRequest,
     control::{
-        AssignRequest, Assignment, Control, IntentRequest, Intention, Outcome, Recorded, Report,
-        ReserveRequest, ServiceAnswer, Target,
+        AssignRequest, Assignment, Control, IntentRequest, Intention, Outcome, Recorded,
+        ReserveRequest, ServiceAnswer,
     },
     edge::Shared,
     problem::Problem,
--- a/toucanchute_router/src/actor/dispatch.rs
+++ b/toucanchute_router/src/actor/dispatch.rs
@@ -5,9 +5,7 @@
 
 use tokio::sync::oneshot;
 use toucanchute_core::routing::{self, Action, Dispatcher, Event};
-use toucanchute_edge::{
-    AssignRequest, Assignment, CrashKind, Outcome, Refusal, RefusalReason, Report, Target,
-};
+use toucanchute_edge::{AssignRequest, Assignment, Outcome, Refusal, RefusalReason, Report};
 use toucanchute_proto::{
     AttemptId,
     config::Config,
@@ -140,7 +138,7 @@
             let attempt = assignment.attempt;
             self.feed(Event::Report {
                 attempt,
-                report: routing::Report::Cancelled,
+                report: Report::Cancelled,
             });
         }
     }
@@ -172,10 +170,7 @@
         self.waiting.insert(call, reply);
         self.feed(Event::Assign(routing::Assign {
             call,
-            target: match req.target {
-                Target::Model(name) => routing::Target::Model(name),
-                Target::Service(name) => routing::Target::Service(name),
-            },
+            target: req.target,
             customer: req.customer,
             weight: req.weight,
             priority: req.priority,
@@ -195,10 +190,7 @@
     async fn handle(&mut self, input: DispatchInput, _cx: &mut Context<Self>) {
         match input {
             DispatchInput::Report(attempt, report) => {
-                self.feed(Event::Report {
-                    attempt,
-                    report: routing_report(report),
-                });
+                self.feed(Event::Report { attempt, report });
             }
             DispatchInput::Config(config) => {
                 self.config = config;
@@ -234,20 +226,3 @@
         _ => RefusalReason::Overloaded,
     }
 }
-
-fn routing_report(report: Report) -> routing::Report {
-    match report {
-        Report::FirstToken => routing::Report::FirstToken,
-        Report::Done { tokens } => routing::Report::Done { tokens },
-        Report::Refused => routing::Report::Refused,
-        Report::Unsent => routing::Report::Unsent,
-        Report::Crashed { kind } => routing::Report::Crashed {
-            kind: match kind {
-                CrashKind::Disconnected => routing::CrashKind::Disconnected,
-                CrashKind::Malformed => routing::CrashKind::Malformed,
-                CrashKind::TimedOut => routing::CrashKind::TimedOut,
-            },
-        },
-        Report::Cancelled => routing::Report::Cancelled,
-    }
-}
--- a/toucanchute_settings/src/folder.rs
+++ b/toucanchute_settings/src/folder.rs
@@ -3,7 +3,7 @@
     path::{Path, PathBuf},
 };
 
-use toucanchute_proto::config::{Config, Ledger, Routing};
+use toucanchute_proto::config::Config;
 
 use crate::{
     document::{Document, Section},
@@ -32,18 +32,7 @@
     let mut faults = Vec::new();
     let sections = read_sections(path, &mut faults);
     check_headers(&sections, &mut faults);
-    let mut cfg = Config {
-        version: 0,
-        site: String::new(),
-        routing: Routing::default(),
-        ledger: Ledger::default(),
-        models: Vec::new(),
-        services: Vec::new(),
-        pools: Vec::new(),
-        backends: Vec::new(),
-        budgets: Vec::new(),
-        customers: Vec::new(),
-    };
+    let mut cfg = Config::default();
     for section in &sections {
         sections::read(section, &mut cfg, &mut faults);
     }
