test(scenario): orders to engines over processes; shorter lease

Cause: orders had no proof over the real programs. The scenario goes through three routers, a lost answer of the platform and an engine that is paused; red with a fencing number that does not rise (1 where 2 was due), green with it. The lease on orders is 5 s instead of 10: with 10 a takeover took longer (12 s) than toucanctl waits for an answer (10 s).

--- a/toucanchute_fakes/src/engine.rs
+++ b/toucanchute_fakes/src/engine.rs
@@ -153,6 +153,14 @@
     stats: Stats,
 }
 
+impl State {
+    fn take_order(&mut self, body: &[u8]) -> Reply {
+        let reply = self.orders.take(body);
+        self.stats.fence = self.orders.fence();
+        reply
+    }
+}
+
 impl Shared {
     fn new(options: EngineOptions, crash: Crash) -> Shared {
         let state = State {
@@ -283,7 +291,7 @@
             "/v1/models" => self.models(),
             "/v1/load" => reply::json(StatusCode::OK, &self.state().load.report(wall_clock_ms())),
             "/v1/cache-events" => self.cache_events(query),
-            "/v1/orders" => self.state().orders.take(body),
+            "/v1/orders" => self.state().take_order(body),
             "/stats" => reply::json(StatusCode::OK, &self.state().stats),
             _ => match (
                 path.strip_prefix("/v1/kv/"),
--- a/toucanchute_fakes/src/engine/orders.rs
+++ b/toucanchute_fakes/src/engine/orders.rs
@@ -53,6 +53,11 @@
         &self.models
     }
 
+    /// Returns the greatest fencing number of an order taken.
+    pub(super) fn fence(&self) -> u64 {
+        self.fence
+    }
+
     /// Answers `POST /v1/orders`.
     pub(super) fn take(&mut self, body: &[u8]) -> Reply {
         let order: Order = match reply::parse(body) {
--- a/toucanchute_router/src/platform/lease.rs
+++ b/toucanchute_router/src/platform/lease.rs
@@ -9,7 +9,7 @@
 use crate::clock;
 
 /// Time to live of a lease on the orders of one pool.
-const LEASE_TTL: Millis = Millis(10_000);
+const LEASE_TTL: Millis = Millis(5_000);
 
 /// Who may send orders to the engines of one pool; the value of one key of the platform's service.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
--- a/toucanchute_scenario/src/runner.rs
+++ b/toucanchute_scenario/src/runner.rs
@@ -89,6 +89,7 @@
     /// | `withdraw host` | lists backend servers as leaving |
     /// | `apply without`, `race` | applies one or two configurations |
     /// | `version at is` | waits for a version of the configuration |
+    /// | `order at backend` | orders an engine to load a model; prints whether it did |
     /// | `pass ms` | lets time go by |
     /// | `count at of` | prints one of the stand-ins' counts, added up |
     /// | `reach at of least` | waits until that count has reached a number |
@@ -135,6 +136,7 @@
             "apply" => self.apply(args).await,
             "race" => self.race().await,
             "version" => self.version(args).await,
+            "order" => self.order(args).await,
             "pass" => self.pass(args).await,
             "count" => self.count(args).await,
             "reach" => self.reach(args).await,
--- a/toucanchute_scenario/src/runner/control.rs
+++ b/toucanchute_scenario/src/runner/control.rs
@@ -186,6 +186,25 @@
         Ok("in force".to_owned())
     }
 
+    /// Orders an engine to load a model by one router.
+    pub(super) async fn order(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
+        let router = self.cluster()?.address(&args.text("at")?)?;
+        let command = [
+            "order".to_owned(),
+            args.text("backend")?,
+            "load-model".to_owned(),
+            "assistant".to_owned(),
+            format!("--router={router}"),
+        ];
+        let vars = [("TOUCANCTL_TOKEN", OPERATOR_TOKEN)];
+        let ran = run("toucanctl", &command, &vars).await?;
+        Ok(match ran.code {
+            Some(0) => "carried out",
+            _ => "failed",
+        }
+        .to_owned())
+    }
+
     pub(super) async fn pass(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         let ms = args.number("ms")?;
         tokio::time::sleep(Duration::from_millis(ms)).await;
--- a/toucanchute_scenario/tests/scenarios.rs
+++ b/toucanchute_scenario/tests/scenarios.rs
@@ -58,6 +58,7 @@
     budget_runs_out_in_partition,
     lost_answers,
     no_witness,
+    orders,
     partition_with_top_up,
     platform_out,
     platform_out_light_load,
