refactor(store): the client crate is toucanchute_store

Cause: the crate that translates to the users' platform is going to be `platform/`; the client of the key-value service with the Store trait would be confused with it. Names only, no change of behaviour.

--- a/toucanchute_ctl/src/apply.rs
+++ b/toucanchute_ctl/src/apply.rs
@@ -1,9 +1,9 @@
 use std::{future::Future, time::Duration};
 
 use snafu::{OptionExt as _, ResultExt as _, Snafu, ensure};
-use toucanchute_platform::{Applied, Cas, Entry, Revision, Store, StoreError};
 use toucanchute_proto::config::{Config, Head};
 use toucanchute_settings::{AssembleError, Chunk, HEAD_KEY, Packed, chunk_key};
+use toucanchute_store::{Applied, Cas, Entry, Revision, Store, StoreError};
 
 use crate::{
     current::Current,
--- a/toucanchute_ctl/src/commands/configuration.rs
+++ b/toucanchute_ctl/src/commands/configuration.rs
@@ -2,8 +2,8 @@
 
 use serde::Serialize;
 use snafu::ResultExt as _;
-use toucanchute_platform::{Client, ClientSettings};
 use toucanchute_settings::load_folder;
+use toucanchute_store::{Client, ClientSettings};
 
 use super::compare::list;
 use crate::{
--- a/toucanchute_ctl/src/current.rs
+++ b/toucanchute_ctl/src/current.rs
@@ -1,8 +1,8 @@
 use bytes::Bytes;
 use snafu::{OptionExt as _, ResultExt as _};
-use toucanchute_platform::{Entry, Revision, Store, StoreError};
 use toucanchute_proto::config::{Config, Head};
 use toucanchute_settings::{HEAD_KEY, assemble, chunk_key};
+use toucanchute_store::{Entry, Revision, Store, StoreError};
 
 use crate::apply::{
     ApplyError, AssembleSnafu, BrokenHeadSnafu, LostChunkSnafu, UnreachableSnafu, retry,
--- a/toucanchute_ctl/tests/toucanctl/apply.rs
+++ b/toucanchute_ctl/tests/toucanctl/apply.rs
@@ -1,8 +1,8 @@
 use toucanchute_ctl::{Accepted, ApplyError, Current, apply};
 use toucanchute_fakes::{Platform, PlatformOptions};
-use toucanchute_platform::{Client, ClientSettings, Store};
 use toucanchute_proto::config::Config;
 use toucanchute_settings::{HEAD_KEY, Packed, chunk_key};
+use toucanchute_store::{Client, ClientSettings, Store};
 use yare::parameterized;
 
 use crate::binary::{fault, stderr, stdout, toucanctl};
--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -15,7 +15,7 @@
 use xtra::prelude::*;
 
 use super::{DispatchActor, DispatchInput, MoneyActor, MoneyInput, post};
-use crate::{clock, link::Mesh, platform::PlatformWatch, view::View};
+use crate::{clock, keyvalue::PlatformWatch, link::Mesh, view::View};
 
 /// When to come back to a router that is starting or has lost touch.
 const UNREADY_RETRY_AFTER: Millis = Millis(1_000);
--- a/toucanchute_router/src/actor/money.rs
+++ b/toucanchute_router/src/actor/money.rs
@@ -8,7 +8,7 @@
 
 use self::convert::{call_event, document, ledger_answer, recorded, refusal, refusal_of, settled};
 use super::{FleetActor, FleetInput, post};
-use crate::{clock, link::Mesh, platform::LedgerStore};
+use crate::{clock, keyvalue::LedgerStore, link::Mesh};
 
 mod convert;
 mod input;
--- a/toucanchute_router/src/actor/orders.rs
+++ b/toucanchute_router/src/actor/orders.rs
@@ -7,7 +7,7 @@
 use xtra::prelude::*;
 
 use super::post;
-use crate::{clock, http_client::HttpClient, platform::LeaseStore, view::View};
+use crate::{clock, http_client::HttpClient, keyvalue::LeaseStore, view::View};
 
 /// Owns the [`Orders`] machines of this router, one a pool that it has orders for.
 #[derive(xtra::Actor)]
--- a/toucanchute_router/src/admin.rs
+++ b/toucanchute_router/src/admin.rs
@@ -11,11 +11,11 @@
 use tokio::sync::oneshot;
 use toucanchute_core::fleet::orders::{self, Order, OrderKind};
 use toucanchute_edge::{Refusal, RefusalReason};
-use toucanchute_platform::{Client, HostListClient};
 use toucanchute_proto::{
     BudgetId, GrantId, Incarnation,
     api::{EngineOrder, EngineOrderKind, TopUp, WriteOff},
 };
+use toucanchute_store::{Client, HostListClient};
 use xtra::prelude::*;
 
 use crate::{
--- a/toucanchute_router/src/platform/config.rs
+++ b/toucanchute_router/src/keyvalue/config.rs
@@ -1,12 +1,12 @@
 use std::sync::Arc;
 
 use snafu::{ResultExt, Snafu};
-use toucanchute_platform::{Client, Store, StoreError};
 use toucanchute_proto::{
     Digest,
     config::{Config, Head},
 };
 use toucanchute_settings::{AssembleError, HEAD_KEY, assemble, chunk_key};
+use toucanchute_store::{Client, Store, StoreError};
 
 /// A configuration that could not be read from the platform.
 #[derive(Debug, Snafu)]
--- a/toucanchute_router/src/platform/lease.rs
+++ b/toucanchute_router/src/keyvalue/lease.rs
@@ -3,8 +3,8 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use toucanchute_core::fleet::orders::Lease;
-use toucanchute_platform::{Cas, Client, Revision, Store, StoreError};
 use toucanchute_proto::{Incarnation, Millis};
+use toucanchute_store::{Cas, Client, Revision, Store, StoreError};
 
 use crate::clock;
 
--- a/toucanchute_router/src/platform/lease/tests.rs
+++ b/toucanchute_router/src/keyvalue/lease/tests.rs
@@ -1,8 +1,8 @@
 use std::sync::Arc;
 
 use toucanchute_fakes::{Platform, PlatformOptions};
-use toucanchute_platform::{Client, ClientSettings};
 use toucanchute_proto::Incarnation;
+use toucanchute_store::{Client, ClientSettings};
 
 use super::{LEASE_TTL, LeaseStore};
 
--- a/toucanchute_router/src/platform/ledger.rs
+++ b/toucanchute_router/src/keyvalue/ledger.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use toucanchute_core::ledger::{StoreRequest, StoreResult};
-use toucanchute_platform::{Applied, Cas, Client, Revision, Store, StoreError};
+use toucanchute_store::{Applied, Cas, Client, Revision, Store, StoreError};
 
 /// Carries out the ledger's calls to the platform's key-value service.
 #[derive(Clone, Debug)]
--- a/toucanchute_router/src/platform/watch.rs
+++ b/toucanchute_router/src/keyvalue/watch.rs
@@ -2,8 +2,8 @@
 
 use tokio::sync::Notify;
 use toucanchute_core::fleet::{HostEntry, HostRole, HostState};
-use toucanchute_platform::{self as platform, Client, HostListClient};
 use toucanchute_proto::Digest;
+use toucanchute_store::{self as store, Client, HostListClient};
 use xtra::prelude::*;
 
 use super::config::{fetch_config, fetch_head, head_digest};
@@ -112,16 +112,16 @@
     }
 }
 
-fn host_entry(host: &platform::Host) -> HostEntry {
+fn host_entry(host: &store::Host) -> HostEntry {
     HostEntry {
         name: host.name.clone(),
         address: host.address,
         role: match host.role {
-            platform::HostRole::Entry => HostRole::Entry,
+            store::HostRole::Entry => HostRole::Entry,
             _ => HostRole::Backend,
         },
         state: match host.state {
-            platform::HostState::Live => HostState::Live,
+            store::HostState::Live => HostState::Live,
             _ => HostState::Leaving,
         },
     }
--- a/toucanchute_router/src/server.rs
+++ b/toucanchute_router/src/server.rs
@@ -17,7 +17,6 @@
     routing::Dispatcher,
 };
 use toucanchute_edge::{Edge, EdgeSettings, Outcome, Refusal, RefusalReason};
-use toucanchute_platform::{Client, ClientSettings, HostListClient};
 use toucanchute_proto::{
     Incarnation, Millis,
     config::Config,
@@ -25,6 +24,7 @@
     peer::{FrameKind, Hello},
     settings::RouterSettings,
 };
+use toucanchute_store::{Client, ClientSettings, HostListClient};
 use xtra::{Mailbox, prelude::*};
 
 use crate::{
@@ -35,10 +35,10 @@
     admin::{Admin, Counters, OwnHost},
     control::{ControlParts, RouterControl},
     http_client::HttpClient,
+    keyvalue::{LeaseStore, LedgerStore, PlatformParts, PlatformWatch},
     link::{Identity, LinkEvent, Mesh, Peer},
     metrics::Metrics,
     output::{BindSnafu, MetricsSnafu, RunError, SignalSnafu},
-    platform::{LeaseStore, LedgerStore, PlatformParts, PlatformWatch},
     polls::Polls,
     view::View,
 };
--- a/toucanchute_platform/src/client.rs
+++ b/toucanchute_store/src/client.rs
@@ -51,7 +51,7 @@
 ///
 /// ```
 /// use toucanchute_fakes::{Platform, PlatformOptions};
-/// use toucanchute_platform::{Cas, Client, ClientSettings, Revision, Store};
+/// use toucanchute_store::{Cas, Client, ClientSettings, Revision, Store};
 ///
 /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
 /// let listen = "127.0.0.1:0".parse().unwrap();
--- a/toucanchute_platform/tests/store.rs
+++ b/toucanchute_store/tests/store.rs
@@ -4,10 +4,10 @@
 mod rig;
 
 use rig::{client, dead_address, fault, platform, send};
-use toucanchute_platform::{
+use toucanchute_proto::Millis;
+use toucanchute_store::{
     Applied, Cas, Client, ClientSettings, HostListClient, HostState, Revision, Store,
 };
-use toucanchute_proto::Millis;
 use yare::parameterized;
 
 #[tokio::test]
--- a/toucanchute_platform/tests/support/rig.rs
+++ b/toucanchute_store/tests/support/rig.rs
@@ -5,8 +5,8 @@
 use http_body_util::{BodyExt, Full};
 use hyper_util::{client::legacy::Client as HttpClient, rt::TokioExecutor};
 use toucanchute_fakes::{Platform, PlatformOptions};
-use toucanchute_platform::{Client, ClientSettings};
 use toucanchute_proto::Millis;
+use toucanchute_store::{Client, ClientSettings};
 
 /// Time allowed for a call in tests that do not make one hang.
 const TIMEOUT: Millis = Millis(5_000);
--- a/toucanchute_platform/tests/watch.rs
+++ b/toucanchute_store/tests/watch.rs
@@ -7,7 +7,7 @@
 
 use rig::{client, dead_address, fault, platform, send};
 use toucanchute_fakes::{Platform, PlatformOptions};
-use toucanchute_platform::{Entry, Revision, Selection, Store, Update, Watch};
+use toucanchute_store::{Entry, Revision, Selection, Store, Update, Watch};
 
 /// Returns the next update that is neither progress nor a broken connection.
 async fn change(watch: &mut Watch) -> Update {
