feat(prepaid): accounts of prepaid totals with one owner and witnesses

Cause: on the platform the text of an answer reaches the caller before it is billed, so the ledger's rule (bill before the end mark) does not hold a total: tokens count when they are delivered. What is set aside has to be durable before the request is sent, and the store may be away for eight seconds. Change: an account a budget; its owner asks witnesses to keep a high-water mark and the store to keep `drawn`; a takeover claims the record, fences the witnesses and goes on from the highest mark. Weighed: the ledger's grants and transfers (each request would open a grant of its own); an owner without witnesses (a killed one strands its whole draw); takeover without the store (a stale successor could spend beside an owner that has moved its witnesses: rejected).

--- a/toucanchute_core/src/fleet.rs
+++ b/toucanchute_core/src/fleet.rs
@@ -7,7 +7,6 @@
 mod drain;
 mod event;
 mod fault;
-mod hash;
 mod hosts;
 mod leave;
 mod links;
--- a/toucanchute_core/src/fleet/event.rs
+++ b/toucanchute_core/src/fleet/event.rs
@@ -46,6 +46,9 @@
         /// When the platform was asked.
         asked: Millis,
     },
+    /// These backend servers were seen to leave or to be gone; they never come back under the same
+    /// name.
+    Withdrawn(Vec<String>),
     /// The platform's service or its host list did not answer.
     PlatformDown,
     /// A backend server that this router polls reported its load.
--- a/toucanchute_core/src/fleet/links.rs
+++ b/toucanchute_core/src/fleet/links.rs
@@ -9,7 +9,8 @@
     fleet::{FleetBody, Member, MemberState, Ping, Probe as ProbeBody},
 };
 
-use super::{Action, Fleet, hash};
+use super::{Action, Fleet};
+use crate::hash;
 
 /// Fleet size up to which each router links to all others.
 const FULL_MESH: usize = 9;
@@ -109,6 +110,7 @@
         self.expire_probes(now, out);
         self.expire_members(now);
         self.rumors.forget_expired(now);
+        self.hosts.forget_withdrawn(now);
         if now >= self.next_gossip {
             self.next_gossip = now + GOSSIP_PERIOD;
             self.ping_some(now, out);
--- a/toucanchute_core/src/fleet/machine.rs
+++ b/toucanchute_core/src/fleet/machine.rs
@@ -148,6 +148,7 @@
                 hosts,
                 asked,
             } => self.host_list(asked, version, &hosts, out),
+            Event::Withdrawn(names) => self.take_withdrawn(now, names, out),
             Event::PlatformDown => self.platform_down(),
             Event::LoadReport(load) => self.take_load(load, out),
             Event::Verdict(v) => self.tell_verdict(&v, out),
@@ -196,14 +197,14 @@
 
     /// Whether this router is among the first [`DUTY_SHARE`] live members by rendezvous hashing.
     fn ranks(&self, name: &str, in_domain: bool) -> bool {
-        let mine = super::hash::weight(name, self.id.incarnation);
+        let mine = crate::hash::weight(name, self.id.incarnation);
         let fit = |m: &&Member| !in_domain || m.failure_domain == self.id.failure_domain;
         let ahead = self
             .members
             .live()
             .filter(|m| m.state != MemberState::Suspect)
             .filter(fit)
-            .filter(|m| super::hash::weight(name, m.incarnation) > mine);
+            .filter(|m| crate::hash::weight(name, m.incarnation) > mine);
         ahead.take(DUTY_SHARE).count() < DUTY_SHARE
     }
 
--- a/toucanchute_core/src/fleet/members.rs
+++ b/toucanchute_core/src/fleet/members.rs
@@ -5,7 +5,7 @@
     fleet::{Member, MemberState},
 };
 
-use super::hash;
+use crate::hash;
 
 /// What this router believes of all members but itself.
 #[derive(Debug, Default)]
--- a/toucanchute_core/src/fleet/messages.rs
+++ b/toucanchute_core/src/fleet/messages.rs
@@ -67,6 +67,7 @@
         if let Some(list) = gossip.backends {
             self.take_backends(list, out);
         }
+        self.take_withdrawn(now, gossip.withdrawn, out);
         let fleet = self.known();
         let mut urgent = false;
         for v in gossip.verdicts {
@@ -236,6 +237,7 @@
             members: self.rumors.take_members(&self.me, &self.members),
             verdicts: self.rumors.take_verdicts(),
             loads: self.rumors.take_loads(),
+            withdrawn: self.hosts.withdrawn_lately(),
         }
     }
 
--- a/toucanchute_core/src/fleet/publish.rs
+++ b/toucanchute_core/src/fleet/publish.rs
@@ -6,7 +6,8 @@
     fleet::{Member, MemberState},
 };
 
-use super::{Action, Fleet, MemberView, NotReady, fault::Fault, hash, members::Entry};
+use super::{Action, Fleet, MemberView, NotReady, fault::Fault, members::Entry};
+use crate::hash;
 
 /// Most addresses in a list for callers.
 const MAX_ADDRESSES: usize = 16;
--- a/toucanchute_core/src/fleet/hash.rs
+++ b/toucanchute_core/src/hash.rs
@@ -1,7 +1,7 @@
 use toucanchute_proto::Incarnation;
 
 /// Mixes words into one, the same on all routers.
-pub(super) fn mix(words: &[u64]) -> u64 {
+pub(crate) fn mix(words: &[u64]) -> u64 {
     words.iter().fold(0x9e37_79b9_7f4a_7c15, |sum, &w| {
         let mut x = sum ^ w.wrapping_mul(0xff51_afd7_ed55_8ccd);
         x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -11,7 +11,7 @@
 }
 
 /// Rendezvous weight of a member for a name; the greatest wins.
-pub(super) fn weight(name: &str, id: Incarnation) -> u64 {
+pub(crate) fn weight(name: &str, id: Incarnation) -> u64 {
     let name = name.bytes().fold(0u64, |sum, b| mix(&[sum, u64::from(b)]));
     mix(&[name, id.0])
 }
--- a/toucanchute_core/src/ledger/store.rs
+++ b/toucanchute_core/src/ledger/store.rs
@@ -1,6 +1,6 @@
 use std::fmt;
 
-use toucanchute_proto::{Bytes, ShardId};
+use toucanchute_proto::{BudgetId, Bytes, ShardId};
 
 /// A key of the platform's service that holds a part of the ledger.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -26,6 +26,11 @@
         /// Index in the ring.
         slot: u32,
     },
+    /// Record of a prepaid account, which is kept outside the shards.
+    Account {
+        /// The account's budget.
+        budget: BudgetId,
+    },
 }
 
 impl StoreKey {
@@ -54,6 +59,7 @@
                 chunk,
             } => write!(f, "/toucanchute/ledger/{shard}/chunk/{generation}/{chunk}"),
             StoreKey::Slot { shard, slot } => write!(f, "/toucanchute/ledger/{shard}/ring/{slot}"),
+            StoreKey::Account { budget } => write!(f, "/toucanchute/prepaid/{budget}"),
         }
     }
 }
--- a/toucanchute_core/src/lib.rs
+++ b/toucanchute_core/src/lib.rs
@@ -4,6 +4,8 @@
 //! in. The same events give the same actions.
 
 pub mod fleet;
+mod hash;
 pub mod ledger;
 pub mod money;
+pub mod prepaid;
 pub mod routing;
--- /dev/null
+++ b/toucanchute_core/src/prepaid/account.rs
@@ -0,0 +1,166 @@
+use std::collections::{BTreeMap, VecDeque};
+
+use toucanchute_proto::{
+    Incarnation, Millis,
+    prepaid::{Account, Quorum, Term},
+};
+
+use super::{Fault, marks::Marks, rate::Rate};
+
+/// An account from which this router spends.
+#[derive(Debug)]
+pub(super) struct Owned {
+    /// Term of this router; witnesses refuse lesser ones once they have seen it.
+    pub(super) term: Term,
+    /// The record as it was last known to be in the store, and its revision.
+    pub(super) record: Account,
+    pub(super) revision: u64,
+    /// Tokens used or set aside; never above [`Owned::bound`] of the total when it rises.
+    pub(super) used: u64,
+    /// Part of `used` that may not have been used, besides the record's `lost`.
+    pub(super) doubtful: u64,
+    /// Tokens set aside for each request in progress; `used` holds their sum.
+    pub(super) reserved: BTreeMap<RequestId, Reserved>,
+    pub(super) waiting: VecDeque<Waiting>,
+    pub(super) marks: Marks,
+    /// Quorums of writes that may still take effect, each with the record's `spent`; a mark needs
+    /// all of them.
+    pub(super) pending: Vec<(Quorum, u64)>,
+    /// Quorum that is asked for its marks before it is written, and since when.
+    pub(super) joining: Option<(Quorum, Millis)>,
+    pub(super) write: Option<Write>,
+    /// Time before which the store is not called again.
+    pub(super) retry_at: Millis,
+    pub(super) rate: Rate,
+    /// Largest request lately.
+    pub(super) largest: u64,
+    /// Whether a write was sent that gives the account back; nothing is spent after it.
+    pub(super) releasing: bool,
+    /// Whether such a write may have taken effect; then the account cannot be kept.
+    pub(super) release_doubtful: bool,
+    fault: Option<Fault>,
+}
+
+/// A request of any router: the router and its number there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct RequestId {
+    pub(super) router: Incarnation,
+    pub(super) seq: u64,
+}
+
+/// Tokens set aside.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Reserved {
+    pub(super) tokens: u64,
+    pub(super) since: Millis,
+}
+
+/// A request that waits for tokens.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Waiting {
+    pub(super) id: RequestId,
+    pub(super) tokens: u64,
+    /// Time at which it is refused.
+    pub(super) until: Millis,
+}
+
+/// A write of the record whose result is not known.
+#[derive(Debug)]
+pub(super) struct Write {
+    pub(super) record: Account,
+    /// The store call in flight: the write, or a read that tells what became of it.
+    pub(super) op: Option<u64>,
+    /// Whether the record has to be read to learn what became of the write.
+    pub(super) unresolved: bool,
+}
+
+impl Owned {
+    /// Starts to spend from an account at `used`.
+    pub(super) fn new(now: Millis, term: Term, record: Account, revision: u64) -> Owned {
+        let used = record.spent;
+        Owned {
+            term,
+            record,
+            revision,
+            used,
+            doubtful: 0,
+            reserved: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            marks: Marks::default(),
+            pending: Vec::new(),
+            joining: None,
+            write: None,
+            retry_at: now,
+            rate: Rate::new(now),
+            largest: 0,
+            releasing: false,
+            release_doubtful: false,
+            fault: None,
+        }
+    }
+
+    /// Sets a deliberate fault.
+    pub(super) fn set_fault(&mut self, fault: Option<Fault>) {
+        self.fault = fault;
+    }
+
+    fn has(&self, fault: Fault) -> bool {
+        self.fault == Some(fault)
+    }
+
+    /// Returns the bound of `used` at present, out of a total of `limit`.
+    pub(super) fn bound(&self, limit: u64) -> u64 {
+        if self.releasing && !self.has(Fault::SpendReleased) {
+            return 0;
+        }
+        if self.has(Fault::IgnoreDrawn) {
+            return limit;
+        }
+        if self.has(Fault::IgnoreMarks) {
+            return limit.min(self.record.drawn);
+        }
+        let present = (&self.record.quorum, self.record.spent);
+        let pending = self.pending.iter().map(|(q, spent)| (q, *spent));
+        let marks = pending.chain([present]);
+        let marks = marks.map(|(q, spent)| self.marks.effective(q).max(spent));
+        marks.fold(limit.min(self.record.drawn), u64::min)
+    }
+
+    /// Returns the tokens that waiting requests need.
+    pub(super) fn need(&self) -> u64 {
+        self.waiting.iter().map(|w| w.tokens).sum()
+    }
+
+    /// Returns the tokens of requests in progress.
+    pub(super) fn in_progress(&self) -> u64 {
+        self.reserved.values().map(|r| r.tokens).sum()
+    }
+
+    /// Returns the tokens that are used for certain.
+    pub(super) fn certain(&self) -> u64 {
+        let open = self.in_progress() + self.doubtful + self.record.lost;
+        self.used.saturating_sub(open)
+    }
+
+    /// Sets tokens aside.
+    pub(super) fn reserve(&mut self, now: Millis, id: RequestId, tokens: u64) {
+        self.used += tokens;
+        self.rate.add(now, tokens);
+        self.largest = self.largest.max(tokens);
+        self.reserved.insert(id, Reserved { tokens, since: now });
+    }
+
+    /// Ends a reservation; returns whether there was one.
+    pub(super) fn settle(&mut self, id: RequestId, refund: u64, doubtful: u64) -> bool {
+        let reserved = match self.has(Fault::RefundTwice) {
+            true => self.reserved.get(&id).copied(),
+            false => self.reserved.remove(&id),
+        };
+        let Some(reserved) = reserved else {
+            return false;
+        };
+        self.used -= refund.min(reserved.tokens);
+        self.doubtful += doubtful.min(reserved.tokens);
+        true
+    }
+}
--- /dev/null
+++ b/toucanchute_core/src/prepaid/draw.rs
@@ -0,0 +1,272 @@
+use toucanchute_proto::{
+    BudgetId, Incarnation, Millis, from_cbor,
+    prepaid::{Account, Mark, Marked, PrepaidMessage, Quorum},
+};
+
+use super::{Action, CloseCause, Prepaid, account::Write, record};
+use crate::ledger::{StoreRequest, StoreResult};
+
+/// Draw that a mark should last for; what a lost owner may strand.
+const MARK_AHEAD: Millis = Millis(500);
+
+/// Pause before the store is called again that failed.
+pub(super) const STORE_RETRY: Millis = Millis(300);
+
+/// Time for new witnesses to acknowledge the present mark.
+const JOIN_TIME: Millis = Millis(500);
+
+/// Raising an account's bounds ahead of need.
+impl Prepaid {
+    /// Sees to it that marks, `drawn` and witnesses of an account fit its need.
+    pub(super) fn maintain(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
+        self.renew_quorum(budget);
+        self.raise_marks(budget, out);
+        self.write_if_due(budget, out);
+    }
+
+    /// Starts to replace witnesses that are gone or too few.
+    fn renew_quorum(&mut self, budget: BudgetId) {
+        let (now, next) = (self.now, self.choose_quorum(budget));
+        let store_up = self.store_up;
+        let gone: Vec<Incarnation> = match self.accounts.get(&budget) {
+            Some(owned) => {
+                let witnesses = owned.record.quorum.witnesses.iter();
+                witnesses.copied().filter(|&w| !self.is_steady(w)).collect()
+            }
+            None => return,
+        };
+        let Some(owned) = self.accounts.get_mut(&budget) else {
+            return;
+        };
+        if owned
+            .joining
+            .as_ref()
+            .is_some_and(|(_, at)| now.since(*at) >= JOIN_TIME)
+        {
+            owned.joining = None;
+        }
+        let few = next.witnesses.len() > owned.record.quorum.witnesses.len();
+        let due = (!gone.is_empty() || few) && next != owned.record.quorum;
+        let free = owned.write.is_none() && owned.joining.is_none() && now >= owned.retry_at;
+        if due && free && store_up {
+            owned.joining = Some((next, now));
+        }
+    }
+
+    /// Asks witnesses to keep a higher mark where the present one will soon be reached.
+    fn raise_marks(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
+        let (now, limit) = (self.now, self.limit(budget));
+        let Some(owned) = self.accounts.get_mut(&budget) else {
+            return;
+        };
+        if owned.releasing {
+            return;
+        }
+        let top = limit.min(owned.record.drawn);
+        let ahead = owned.rate.draw(now, MARK_AHEAD).max(owned.largest);
+        let need = owned.used + owned.need();
+        let low = (need + ahead / 2).min(top);
+        let mark = (need + ahead).min(top).max(owned.used);
+        let joining = owned.joining.iter().map(|(q, _)| q);
+        let pending = owned.pending.iter().map(|(q, _)| q);
+        let quorums = pending.chain([&owned.record.quorum]).chain(joining);
+        let short = quorums.filter(|q| owned.marks.effective(q) < low);
+        let mut witnesses: Vec<Incarnation> = short.flat_map(|q| q.witnesses.clone()).collect();
+        witnesses.sort_unstable();
+        witnesses.dedup();
+        let term = owned.term;
+        for to in witnesses {
+            if owned.marks.ask(now, to, mark) {
+                let message = PrepaidMessage::Mark(Mark { budget, term, mark });
+                out.push(Action::Send { to, message });
+            }
+        }
+    }
+
+    pub(super) fn on_marked(&mut self, from: Incarnation, body: &Marked, out: &mut Vec<Action>) {
+        let budget = body.budget;
+        let Some(owned) = self.accounts.get_mut(&budget) else {
+            return;
+        };
+        if owned.term != body.term {
+            return;
+        }
+        if body.fenced.is_some() {
+            return self.close(budget, CloseCause::Superseded, out);
+        }
+        owned.marks.ack(from, body.mark);
+        self.write_if_due(budget, out);
+        self.serve(budget, out);
+    }
+
+    /// Writes the record if more should be drawn or new witnesses are ready.
+    fn write_if_due(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
+        let (now, limit) = (self.now, self.limit(budget));
+        let horizon = Millis(self.policy.grant_horizon_ms);
+        let Some(owned) = self.accounts.get_mut(&budget) else {
+            return;
+        };
+        if now < owned.retry_at {
+            return;
+        }
+        if let Some(write) = &owned.write {
+            if write.unresolved && write.op.is_none() {
+                self.read_back(budget, out);
+            }
+            return;
+        }
+        if owned.releasing {
+            return;
+        }
+        let need = owned.used + owned.need() + owned.largest;
+        let draw = owned.rate.draw(now, horizon);
+        let low = (need + draw / 2).min(limit);
+        let mut next = owned.record.clone();
+        if owned.record.drawn < low {
+            next.drawn = (need + draw).min(limit).max(owned.record.drawn);
+        }
+        let used = owned.used;
+        let ready = |q: &Quorum| owned.marks.effective(q) >= used;
+        if let Some((quorum, _)) = owned.joining.take_if(|(q, _)| ready(q)) {
+            next.quorum = quorum;
+        }
+        if next == owned.record {
+            return;
+        }
+        next.owner = Some(self.cfg.incarnation);
+        next.spent = next.spent.max(used.min(next.drawn));
+        if next.quorum != owned.record.quorum {
+            owned.pending.push((next.quorum.clone(), next.spent));
+        }
+        self.write_record(budget, next, out);
+    }
+
+    /// Writes the record on the condition that it is as last seen.
+    pub(super) fn write_record(&mut self, budget: BudgetId, next: Account, out: &mut Vec<Action>) {
+        let Some(expected_revision) = self.accounts.get(&budget).map(|a| a.revision) else {
+            return;
+        };
+        let request = StoreRequest::Cas {
+            key: record::key(budget),
+            expected_revision,
+            value: record::encode(&next),
+        };
+        let op = self.call_store(budget, request, out);
+        if let Some(owned) = self.accounts.get_mut(&budget) {
+            owned.write = Some(Write {
+                record: next,
+                op: Some(op),
+                unresolved: false,
+            });
+        }
+    }
+
+    fn read_back(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
+        let key = record::key(budget);
+        let op = self.call_store(budget, StoreRequest::Get { key }, out);
+        let owned = self.accounts.get_mut(&budget);
+        if let Some(write) = owned.and_then(|a| a.write.as_mut()) {
+            write.op = Some(op);
+        }
+    }
+
+    pub(super) fn on_write_result(
+        &mut self,
+        budget: BudgetId,
+        op: u64,
+        result: &StoreResult,
+        out: &mut Vec<Action>,
+    ) {
+        let now = self.now;
+        let Some(owned) = self.accounts.get_mut(&budget) else {
+            return;
+        };
+        let Some(write) = owned.write.as_mut().filter(|w| w.op == Some(op)) else {
+            return;
+        };
+        write.op = None;
+        match result {
+            StoreResult::Applied { revision } => {
+                let record = write.record.clone();
+                self.adopt(budget, record, *revision, out);
+            }
+            StoreResult::Conflict => {
+                write.unresolved = true;
+                self.read_back(budget, out);
+            }
+            StoreResult::Unavailable if write.unresolved => owned.retry_at = now + STORE_RETRY,
+            StoreResult::Unavailable => {
+                // Nothing was written, so its witnesses do not count.
+                let written = (write.record.quorum.clone(), write.record.spent);
+                owned.write = None;
+                owned.releasing = owned.release_doubtful;
+                owned.retry_at = now + STORE_RETRY;
+                if owned.pending.last() == Some(&written) {
+                    owned.pending.pop();
+                }
+            }
+            StoreResult::Unknown => {
+                write.unresolved = true;
+                owned.release_doubtful |= owned.releasing;
+                owned.retry_at = now + STORE_RETRY;
+            }
+            StoreResult::Missing => self.close(budget, CloseCause::Superseded, out),
+            StoreResult::Value { revision, value } => {
+                self.on_read_back(budget, *revision, value, out);
+            }
+        }
+    }
+
+    /// Learns from the record what became of a write.
+    fn on_read_back(
+        &mut self,
+        budget: BudgetId,
+        revision: u64,
+        value: &[u8],
+        out: &mut Vec<Action>,
+    ) {
+        let Some(owned) = self.accounts.get_mut(&budget) else {
+            return;
+        };
+        if revision == owned.revision {
+            // It has not taken effect, but may yet: its quorum stays among the pending ones.
+            owned.write = None;
+            return;
+        }
+        match from_cbor::<Account>(value) {
+            Ok(record) if owned.accepts(&record) => self.adopt(budget, record, revision, out),
+            _ => self.close(budget, CloseCause::Superseded, out),
+        }
+    }
+
+    /// Takes a record that is in the store for the present one.
+    fn adopt(&mut self, budget: BudgetId, record: Account, revision: u64, out: &mut Vec<Action>) {
+        let Some(owned) = self.accounts.get_mut(&budget) else {
+            return;
+        };
+        let released = record.owner.is_none();
+        owned.record = record;
+        owned.revision = revision;
+        owned.pending.clear();
+        owned.write = None;
+        if released {
+            return self.close(budget, CloseCause::Released, out);
+        }
+        self.announce_all(budget, out);
+        self.maintain(budget, out);
+        self.serve(budget, out);
+    }
+}
+
+impl super::account::Owned {
+    /// Whether a record found in the store was written by this owner or the one before it in the
+    /// same epoch.
+    fn accepts(&self, record: &Account) -> bool {
+        record.epoch == self.record.epoch
+            && (record.owner == self.record.owner
+                || self
+                    .write
+                    .as_ref()
+                    .is_some_and(|w| w.record.owner == record.owner))
+    }
+}
--- /dev/null
+++ b/toucanchute_core/src/prepaid/event.rs
@@ -0,0 +1,88 @@
+use std::collections::BTreeMap;
+
+use toucanchute_proto::{
+    BudgetId, Incarnation, Millis, config::Ledger, fleet::MemberState, prepaid::PrepaidMessage,
+};
+
+use crate::ledger::StoreResult;
+
+/// A request for tokens, numbered by its router and never reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// What a [`Prepaid`](super::Prepaid) machine is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Asks to set tokens aside. Answered by [`Reserved`](super::Action::Reserved) or
+    /// [`Refused`](super::Action::Refused).
+    Reserve {
+        /// The request; it also names the reservation.
+        call: CallId,
+        /// Budget of the customer.
+        budget: BudgetId,
+        /// Worst case, in tokens.
+        tokens: u64,
+        /// Time after which the reservation is of no use.
+        deadline: Millis,
+    },
+    /// Nobody waits for the answer to a reservation any more, or it is not needed.
+    Release {
+        /// The reservation.
+        call: CallId,
+    },
+    /// The request of a reservation has ended.
+    Settle {
+        /// The reservation.
+        call: CallId,
+        /// What it used.
+        usage: Usage,
+    },
+    /// Totals of the budgets and policy, as the configuration in force has them.
+    Configure {
+        /// Tokens that may be spent of each budget, in all.
+        limits: BTreeMap<BudgetId, u64>,
+        /// Number of witnesses and acknowledgements, time that a draw should last.
+        policy: Ledger,
+    },
+    /// The other routers, as far as they are known; replaces the list before.
+    Peers(Vec<Peer>),
+    /// A message from another router.
+    Message {
+        /// The sender.
+        from: Incarnation,
+        /// The message.
+        message: PrepaidMessage,
+    },
+    /// Result of a call to the store.
+    Store {
+        /// The call's number.
+        op: u64,
+        /// Its result.
+        result: StoreResult,
+    },
+    /// Time has passed. Wanted every 50 ms or so.
+    Tick,
+    /// The router is leaving: give all accounts away. Answered by
+    /// [`Drained`](super::Action::Drained).
+    Drain,
+}
+
+/// Another router.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Its present run.
+    pub incarnation: Incarnation,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// What is believed of it.
+    pub state: MemberState,
+}
+
+/// What a request used of its reservation.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Tokens that count as used.
+    pub tokens: u64,
+    /// Part of `tokens` that may not have been used, because its run's end is not known.
+    pub doubtful: u64,
+}
--- /dev/null
+++ b/toucanchute_core/src/prepaid/machine.rs
@@ -0,0 +1,371 @@
+use std::collections::BTreeMap;
+
+use toucanchute_proto::{
+    BudgetId, Incarnation, Millis,
+    config::Ledger,
+    fleet::MemberState,
+    prepaid::{Account, Announce, PrepaidMessage, Term},
+};
+
+use super::{
+    Action, CallId, CloseCause, Event, Fault, Note, Peer, account::Owned, desk::Desk,
+    takeover::Takeover, witness::Keeper,
+};
+use crate::{
+    hash,
+    ledger::{StoreOp, StoreRequest},
+};
+
+/// Time after the start in which other routers make themselves known, before accounts are claimed.
+const ACQUAINT: Millis = Millis(1_000);
+
+/// Most budgets whose accounts are claimed before the first request for them.
+const MAX_CLAIMED_AHEAD: usize = 256;
+
+/// Who a [`Prepaid`] machine is.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// This run of this router.
+    pub incarnation: Incarnation,
+    /// The router's failure domain.
+    pub failure_domain: String,
+    /// A deliberate fault, for tests of tests.
+    #[doc(hidden)]
+    pub fault: Option<Fault>,
+}
+
+impl Settings {
+    /// Creates the settings of one run of a router.
+    #[must_use]
+    pub fn new(incarnation: Incarnation, failure_domain: &str) -> Settings {
+        Settings {
+            incarnation,
+            failure_domain: failure_domain.to_owned(),
+            fault: None,
+        }
+    }
+}
+
+/// The prepaid machine of one router.
+///
+/// ```
+/// use toucanchute_core::prepaid::{Action, CallId, Event, Prepaid, Settings};
+/// use toucanchute_proto::{BudgetId, Incarnation, Millis, config::Ledger};
+///
+/// let mut prepaid = Prepaid::new(Settings::new(Incarnation(1), "bilbao"));
+/// let budget = BudgetId::from_name("north");
+/// let limits = [(budget, 500)].into();
+/// let mut out = Vec::new();
+/// prepaid.handle(Millis(0), Event::Configure { limits, policy: Ledger::default() }, &mut out);
+/// prepaid.handle(Millis(2_000), Event::Tick, &mut out);
+/// assert!(matches!(out[0], Action::Store(_))); // reads the account's record
+/// ```
+#[derive(Debug)]
+pub struct Prepaid {
+    pub(super) cfg: Settings,
+    pub(super) now: Millis,
+    started_at: Option<Millis>,
+    pub(super) limits: BTreeMap<BudgetId, u64>,
+    pub(super) policy: Ledger,
+    pub(super) peers: BTreeMap<Incarnation, Peer>,
+    /// Who was last said to spend from each account.
+    pub(super) known: BTreeMap<BudgetId, Known>,
+    /// Accounts from which this router spends.
+    pub(super) accounts: BTreeMap<BudgetId, Owned>,
+    /// Accounts that this router takes over; none of them is in `accounts`.
+    pub(super) takeovers: BTreeMap<BudgetId, Takeover>,
+    pub(super) keeper: Keeper,
+    pub(super) desk: Desk,
+    /// Store calls in flight, by number.
+    pub(super) ops: BTreeMap<u64, BudgetId>,
+    next_op: u64,
+    /// Whether the store answered when it was last called.
+    pub(super) store_up: bool,
+    pub(super) draining: bool,
+    drained: bool,
+}
+
+/// Who spends from an account, as far as is known here.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Known {
+    pub(super) term: Term,
+    pub(super) owner: Incarnation,
+}
+
+impl Prepaid {
+    /// Creates the machine of a router that has just started.
+    #[must_use]
+    pub fn new(cfg: Settings) -> Prepaid {
+        Prepaid {
+            cfg,
+            now: Millis(0),
+            started_at: None,
+            limits: BTreeMap::new(),
+            policy: Ledger::default(),
+            peers: BTreeMap::new(),
+            known: BTreeMap::new(),
+            accounts: BTreeMap::new(),
+            takeovers: BTreeMap::new(),
+            keeper: Keeper::default(),
+            desk: Desk::default(),
+            ops: BTreeMap::new(),
+            next_op: 0,
+            store_up: true,
+            draining: false,
+            drained: false,
+        }
+    }
+
+    /// Takes an event and appends what is to be done to `out`.
+    pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        self.started_at.get_or_insert(now);
+        match event {
+            Event::Reserve {
+                call,
+                budget,
+                tokens,
+                deadline,
+            } => self.ask(call, budget, tokens, deadline, out),
+            Event::Release { call } => self.release(call, out),
+            Event::Settle { call, usage } => self.end_call(call, usage, out),
+            Event::Configure { limits, policy } => self.configure(limits, policy, out),
+            Event::Peers(peers) => self.set_peers(peers, out),
+            Event::Message { from, message } => self.on_message(from, message, out),
+            Event::Store { op, result } => self.on_store(op, &result, out),
+            Event::Tick => self.tick(out),
+            Event::Drain => self.draining = true,
+        }
+        self.advance_drain(out);
+        if self.draining && !self.drained && self.accounts.is_empty() && self.takeovers.is_empty() {
+            self.drained = true;
+            out.push(Action::Drained);
+        }
+    }
+
+    /// Returns how many accounts this router spends from.
+    #[must_use]
+    pub fn owned(&self) -> usize {
+        self.accounts.len()
+    }
+
+    fn configure(
+        &mut self,
+        limits: BTreeMap<BudgetId, u64>,
+        policy: Ledger,
+        out: &mut Vec<Action>,
+    ) {
+        self.limits = limits;
+        self.policy = policy;
+        for budget in self.accounts.keys().copied().collect::<Vec<_>>() {
+            self.maintain(budget, out);
+            self.serve(budget, out);
+        }
+    }
+
+    fn set_peers(&mut self, peers: Vec<Peer>, out: &mut Vec<Action>) {
+        let old = std::mem::take(&mut self.peers);
+        self.peers = peers.into_iter().map(|p| (p.incarnation, p)).collect();
+        let fresh: Vec<Incarnation> = self
+            .peers
+            .keys()
+            .filter(|id| self.is_reachable(**id))
+            .filter(|id| old.get(id).is_none_or(|p| !reachable(p.state)))
+            .copied()
+            .collect();
+        for budget in self.accounts.keys().copied().collect::<Vec<_>>() {
+            self.announce(budget, &fresh, out);
+        }
+        self.reroute(out);
+    }
+
+    fn on_message(&mut self, from: Incarnation, message: PrepaidMessage, out: &mut Vec<Action>) {
+        match message {
+            PrepaidMessage::Ask(body) => self.on_ask(from, body, out),
+            PrepaidMessage::Answer(body) => self.on_answer(from, body, out),
+            PrepaidMessage::Settle(body) => self.on_settle(from, body, out),
+            PrepaidMessage::Settled(body) => self.desk.settled(body.seq),
+            PrepaidMessage::Mark(body) => self.on_mark(from, &body, out),
+            PrepaidMessage::Marked(body) => self.on_marked(from, &body, out),
+            PrepaidMessage::Fence(body) => self.on_fence(from, &body, out),
+            PrepaidMessage::Fenced(body) => self.on_fenced(from, &body, out),
+            PrepaidMessage::Announce(body) => self.learn(from, &body, out),
+            PrepaidMessage::Handover(body) => self.on_handover(body, out),
+        }
+    }
+
+    fn tick(&mut self, out: &mut Vec<Action>) {
+        self.tick_desk(out);
+        for budget in self.takeovers.keys().copied().collect::<Vec<_>>() {
+            self.tick_takeover(budget, out);
+        }
+        for budget in self.accounts.keys().copied().collect::<Vec<_>>() {
+            self.tick_account(budget, out);
+        }
+        self.claim_ahead(out);
+    }
+
+    /// Claims accounts that have no owner and would fall to this router.
+    fn claim_ahead(&mut self, out: &mut Vec<Action>) {
+        if !self.may_claim() || self.limits.len() > MAX_CLAIMED_AHEAD {
+            return;
+        }
+        for budget in self.limits.keys().copied().collect::<Vec<_>>() {
+            let busy = self.accounts.contains_key(&budget) || self.takeovers.contains_key(&budget);
+            let owned = self.reachable_owner(budget).is_some();
+            if !busy && !owned && self.candidate(budget) == Some(self.me()) {
+                self.start_takeover(budget, out);
+            }
+        }
+    }
+
+    // Who does what
+
+    /// Whether this machine has a deliberate fault.
+    pub(super) fn has(&self, fault: Fault) -> bool {
+        self.cfg.fault == Some(fault)
+    }
+
+    pub(super) fn me(&self) -> Incarnation {
+        self.cfg.incarnation
+    }
+
+    /// Whether this router may take accounts over.
+    pub(super) fn may_claim(&self) -> bool {
+        let acquainted = self
+            .started_at
+            .is_some_and(|at| self.now.since(at) >= ACQUAINT);
+        acquainted && !self.draining
+    }
+
+    /// Whether a router takes messages.
+    pub(super) fn is_reachable(&self, id: Incarnation) -> bool {
+        self.peers.get(&id).is_some_and(|p| reachable(p.state))
+    }
+
+    /// Whether a router is alive and stays.
+    pub(super) fn is_steady(&self, id: Incarnation) -> bool {
+        self.peers
+            .get(&id)
+            .is_some_and(|p| p.state == MemberState::Alive)
+    }
+
+    /// Returns the other router that spends from an account, if it can be reached.
+    pub(super) fn reachable_owner(&self, budget: BudgetId) -> Option<Incarnation> {
+        let known = self.known.get(&budget)?;
+        self.is_reachable(known.owner).then_some(known.owner)
+    }
+
+    /// Returns the router that should take an account over that has no owner.
+    pub(super) fn candidate(&self, budget: BudgetId) -> Option<Incarnation> {
+        let steady = self.peers.keys().copied().filter(|&id| self.is_steady(id));
+        let me = (!self.draining).then_some(self.me());
+        steady
+            .chain(me)
+            .max_by_key(|id| hash::mix(&[budget.0, id.0]))
+    }
+
+    // Announcements
+
+    /// Tells some routers that this one spends from an account.
+    pub(super) fn announce(&self, budget: BudgetId, to: &[Incarnation], out: &mut Vec<Action>) {
+        let Some(owned) = self.accounts.get(&budget) else {
+            return;
+        };
+        for &to in to {
+            let body = Announce {
+                budget,
+                term: owned.term,
+                account: owned.record.clone(),
+                revision: owned.revision,
+            };
+            let message = PrepaidMessage::Announce(body);
+            out.push(Action::Send { to, message });
+        }
+    }
+
+    /// Tells all routers that this one spends from an account.
+    pub(super) fn announce_all(&self, budget: BudgetId, out: &mut Vec<Action>) {
+        let peers: Vec<_> = self.peers.keys().copied().collect();
+        let peers: Vec<_> = peers
+            .into_iter()
+            .filter(|&id| self.is_reachable(id))
+            .collect();
+        self.announce(budget, &peers, out);
+    }
+
+    fn learn(&mut self, from: Incarnation, body: &Announce, out: &mut Vec<Action>) {
+        let &Announce { budget, term, .. } = body;
+        if self.known.get(&budget).is_some_and(|k| k.term > term) {
+            return;
+        }
+        self.known.insert(budget, Known { term, owner: from });
+        if self.accounts.get(&budget).is_some_and(|a| a.term < term) {
+            self.close(budget, CloseCause::Superseded, out);
+        }
+        self.reroute_budget(budget, out);
+    }
+
+    /// Spends from an account no more.
+    pub(super) fn close(&mut self, budget: BudgetId, cause: CloseCause, out: &mut Vec<Action>) {
+        let Some(owned) = self.accounts.remove(&budget) else {
+            return;
+        };
+        self.ops.retain(|_, b| *b != budget);
+        out.push(Action::Note(Note::Closed { budget, cause }));
+        for waiting in owned.waiting {
+            self.send_elsewhere(budget, owned.term, waiting.id, out);
+        }
+    }
+
+    // The store
+
+    /// Calls the store on behalf of an account; returns the call's number.
+    pub(super) fn call_store(
+        &mut self,
+        budget: BudgetId,
+        request: StoreRequest,
+        out: &mut Vec<Action>,
+    ) -> u64 {
+        self.next_op += 1;
+        let op = self.next_op;
+        self.ops.insert(op, budget);
+        out.push(Action::Store(StoreOp { op, request }));
+        op
+    }
+
+    fn on_store(&mut self, op: u64, result: &crate::ledger::StoreResult, out: &mut Vec<Action>) {
+        use crate::ledger::StoreResult::{Unavailable, Unknown};
+        self.store_up = !matches!(result, Unavailable | Unknown);
+        let Some(budget) = self.ops.remove(&op) else {
+            return;
+        };
+        if self.takeovers.contains_key(&budget) {
+            self.on_takeover_result(budget, op, result, out);
+        } else {
+            self.on_write_result(budget, op, result, out);
+        }
+    }
+
+    /// Returns the total of a budget; 0 if it is not in the configuration.
+    pub(super) fn limit(&self, budget: BudgetId) -> u64 {
+        self.limits.get(&budget).copied().unwrap_or(0)
+    }
+
+    /// Returns the state of an account from which this router spends: record, tokens used.
+    #[must_use]
+    pub fn account(&self, budget: BudgetId) -> Option<(&Account, u64)> {
+        self.accounts.get(&budget).map(|a| (&a.record, a.used))
+    }
+}
+
+fn reachable(state: MemberState) -> bool {
+    matches!(state, MemberState::Alive | MemberState::Leaving)
+}
+
+/// Call numbers double as the sequence numbers of messages.
+impl CallId {
+    pub(super) fn seq(self) -> u64 {
+        self.0
+    }
+}
--- /dev/null
+++ b/toucanchute_core/src/prepaid/marks.rs
@@ -0,0 +1,62 @@
+use std::collections::BTreeMap;
+
+use toucanchute_proto::{Incarnation, Millis, prepaid::Quorum};
+
+/// Pause before a witness that does not answer is asked again.
+const RESEND: Millis = Millis(100);
+
+/// High-water marks that an owner has asked its witnesses to keep.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Marks {
+    /// Mark that a quorum acknowledged to the owner before, who handed the account over.
+    inherited: Option<(Quorum, u64)>,
+    /// Highest mark that each witness acknowledged.
+    acked: BTreeMap<Incarnation, u64>,
+    /// Highest mark that each witness was asked to keep, and when.
+    asked: BTreeMap<Incarnation, (u64, Millis)>,
+}
+
+impl Marks {
+    /// Creates marks of which one is in force.
+    pub(super) fn inherit(quorum: Quorum, mark: u64) -> Marks {
+        Marks {
+            inherited: Some((quorum, mark)),
+            ..Marks::default()
+        }
+    }
+
+    /// Returns the mark that enough witnesses of `quorum` acknowledged; 0 if none.
+    pub(super) fn effective(&self, quorum: &Quorum) -> u64 {
+        let acks = quorum.acks as usize;
+        if acks == 0 {
+            return u64::MAX;
+        }
+        let acked = quorum.witnesses.iter().filter_map(|w| self.acked.get(w));
+        let mut acked: Vec<u64> = acked.copied().collect();
+        acked.sort_unstable_by(|a, b| b.cmp(a));
+        let mark = acked.get(acks - 1).copied().unwrap_or(0);
+        match &self.inherited {
+            Some((q, inherited)) if q == quorum => mark.max(*inherited),
+            _ => mark,
+        }
+    }
+
+    /// Takes in an acknowledgement.
+    pub(super) fn ack(&mut self, witness: Incarnation, mark: u64) {
+        let acked = self.acked.entry(witness).or_default();
+        *acked = mark.max(*acked);
+    }
+
+    /// Whether `witness` has to be asked to keep `mark` now; notes that it is.
+    pub(super) fn ask(&mut self, now: Millis, witness: Incarnation, mark: u64) -> bool {
+        if self.acked.get(&witness).is_some_and(|&m| m >= mark) {
+            return false;
+        }
+        let asked = self.asked.get(&witness);
+        let lately = asked.is_some_and(|&(m, at)| m >= mark && now.since(at) < RESEND);
+        if !lately {
+            self.asked.insert(witness, (mark, now));
+        }
+        !lately
+    }
+}
--- /dev/null
+++ b/toucanchute_core/src/prepaid/owner.rs
@@ -0,0 +1,221 @@
+use toucanchute_proto::{
+    BudgetId, Incarnation, Millis,
+    prepaid::{
+        Ask, AskAnswer, PrepaidMessage, ReservationSettled, SettleReservation, Term, Verdict,
+    },
+};
+
+use super::{
+    Action, CallId, Prepaid, RefusalReason,
+    account::{RequestId, Waiting},
+    desk::WAIT,
+};
+
+/// Time after which the tokens of a request count as used whose end was never told.
+const FORGOTTEN_AFTER: Millis = Millis(120_000);
+
+/// Spending from an account on behalf of all routers.
+impl Prepaid {
+    pub(super) fn on_ask(&mut self, from: Incarnation, body: Ask, out: &mut Vec<Action>) {
+        let Ask {
+            budget,
+            seq,
+            tokens,
+            term,
+        } = body;
+        let id = RequestId { router: from, seq };
+        let here = self.accounts.contains_key(&budget) || self.takeovers.contains_key(&budget);
+        if !here {
+            let due = self.reachable_owner(budget).is_none();
+            let mine = self.candidate(budget) == Some(self.me());
+            // A greater term than is known here comes from the record, which names this router.
+            let named = term > self.known.get(&budget).map_or(term, |k| k.term);
+            if !(named || due && mine) || !self.may_claim() {
+                return self.send_elsewhere(budget, Term { epoch: 0, turn: 0 }, id, out);
+            }
+            self.start_takeover(budget, out);
+        }
+        let until = self.now + WAIT;
+        self.enqueue(budget, Waiting { id, tokens, until }, out);
+    }
+
+    /// Lets a request wait for tokens of an account that this router has or takes over.
+    pub(super) fn enqueue(&mut self, budget: BudgetId, waiting: Waiting, out: &mut Vec<Action>) {
+        if let Some(takeover) = self.takeovers.get_mut(&budget) {
+            if takeover.waiting.iter().all(|w| w.id != waiting.id) {
+                takeover.waiting.push_back(waiting);
+            }
+            return;
+        }
+        let Some(owned) = self.accounts.get_mut(&budget) else {
+            return;
+        };
+        let id = waiting.id;
+        if owned.reserved.contains_key(&id) {
+            let term = owned.term;
+            return self.answer(budget, id, term, Verdict::Reserved, out);
+        }
+        if owned.waiting.iter().all(|w| w.id != id) {
+            owned.waiting.push_back(waiting);
+        }
+        self.serve(budget, out);
+    }
+
+    /// Gives waiting requests their tokens in order, as far as the account's bound goes.
+    pub(super) fn serve(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
+        let (now, limit) = (self.now, self.limit(budget));
+        let mut short = false;
+        while let Some(owned) = self.accounts.get_mut(&budget) {
+            let Some(&Waiting { id, tokens, .. }) = owned.waiting.front() else {
+                break;
+            };
+            let term = owned.term;
+            if owned.used + tokens <= owned.bound(limit) {
+                owned.reserve(now, id, tokens);
+            } else if owned.used + tokens <= limit {
+                short = true;
+                break;
+            }
+            owned.waiting.pop_front();
+            let verdict = match owned.reserved.contains_key(&id) {
+                true => Verdict::Reserved,
+                false if owned.certain() + tokens > limit => Verdict::Exhausted,
+                false => Verdict::Held,
+            };
+            self.answer(budget, id, term, verdict, out);
+        }
+        if short {
+            self.maintain(budget, out);
+        }
+    }
+
+    /// Refuses requests that waited too long and forgets those whose end was never told.
+    pub(super) fn tick_account(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(owned) = self.accounts.get_mut(&budget) else {
+            return;
+        };
+        let term = owned.term;
+        owned
+            .reserved
+            .retain(|_, r| now.since(r.since) < FORGOTTEN_AFTER);
+        let late: Vec<RequestId> = owned
+            .waiting
+            .iter()
+            .filter(|w| w.until <= now)
+            .map(|w| w.id)
+            .collect();
+        owned.waiting.retain(|w| w.until > now);
+        for id in late {
+            self.answer(budget, id, term, Verdict::Unavailable, out);
+        }
+        self.maintain(budget, out);
+        self.serve(budget, out);
+    }
+
+    /// Drops a request of this router that waits.
+    pub(super) fn forget_waiting(&mut self, budget: BudgetId, id: RequestId) {
+        if let Some(owned) = self.accounts.get_mut(&budget) {
+            owned.waiting.retain(|w| w.id != id);
+        }
+        if let Some(takeover) = self.takeovers.get_mut(&budget) {
+            takeover.waiting.retain(|w| w.id != id);
+        }
+    }
+
+    // Ends of requests
+
+    pub(super) fn on_settle(
+        &mut self,
+        from: Incarnation,
+        body: SettleReservation,
+        out: &mut Vec<Action>,
+    ) {
+        self.settle_reservation(from, &body, out);
+        let SettleReservation { budget, seq, .. } = body;
+        let message = PrepaidMessage::Settled(ReservationSettled { budget, seq });
+        out.push(Action::Send { to: from, message });
+    }
+
+    pub(super) fn settle_reservation(
+        &mut self,
+        router: Incarnation,
+        body: &SettleReservation,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(owned) = self.accounts.get_mut(&body.budget) else {
+            return;
+        };
+        let seq = body.seq;
+        let same = owned.term == body.term;
+        if same && owned.settle(RequestId { router, seq }, body.refund, body.doubtful) {
+            self.serve(body.budget, out);
+        }
+    }
+
+    // Answers
+
+    /// Answers a request, of this router or another one.
+    pub(super) fn answer(
+        &mut self,
+        budget: BudgetId,
+        id: RequestId,
+        term: Term,
+        verdict: Verdict,
+        out: &mut Vec<Action>,
+    ) {
+        let me = self.me();
+        let call = CallId(id.seq);
+        if id.router != me {
+            let message = PrepaidMessage::Answer(AskAnswer {
+                budget,
+                seq: id.seq,
+                term,
+                verdict,
+                owner: None,
+            });
+            out.push(Action::Send {
+                to: id.router,
+                message,
+            });
+            return;
+        }
+        match verdict {
+            Verdict::Reserved => self.reserved(call, budget, me, term, out),
+            Verdict::Elsewhere => self.ask_again(call, out),
+            Verdict::Exhausted => self.refuse_own(call, RefusalReason::Exhausted, out),
+            Verdict::Held => self.refuse_own(call, RefusalReason::Held, out),
+            Verdict::Unavailable => self.refuse_own(call, RefusalReason::Unavailable, out),
+        }
+    }
+
+    /// Tells a request's router whom to ask instead.
+    pub(super) fn send_elsewhere(
+        &mut self,
+        budget: BudgetId,
+        term: Term,
+        id: RequestId,
+        out: &mut Vec<Action>,
+    ) {
+        if id.router == self.me() {
+            return self.ask_again(CallId(id.seq), out);
+        }
+        let known = self
+            .known
+            .get(&budget)
+            .filter(|k| self.is_reachable(k.owner));
+        let term = known.map_or(term, |k| k.term);
+        let owner = known.map(|k| k.owner).or_else(|| self.candidate(budget));
+        let message = PrepaidMessage::Answer(AskAnswer {
+            budget,
+            seq: id.seq,
+            term,
+            verdict: Verdict::Elsewhere,
+            owner: owner.filter(|&o| o != self.me()),
+        });
+        out.push(Action::Send {
+            to: id.router,
+            message,
+        });
+    }
+}
--- /dev/null
+++ b/toucanchute_core/src/prepaid/rate.rs
@@ -0,0 +1,47 @@
+use toucanchute_proto::Millis;
+
+/// Span over which a budget's draw is averaged.
+const WINDOW: Millis = Millis(4_000);
+
+/// Shortest age that an average is corrected for.
+const MIN_AGE: Millis = Millis(500);
+
+/// Average draw of a budget, in tokens a millisecond.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Rate {
+    since: Millis,
+    at: Millis,
+    value: f64,
+}
+
+impl Rate {
+    /// Starts to average at `now`.
+    pub(super) fn new(now: Millis) -> Rate {
+        Rate {
+            since: now,
+            at: now,
+            value: 0.0,
+        }
+    }
+
+    /// Takes in a draw.
+    pub(super) fn add(&mut self, now: Millis, tokens: u64) {
+        self.decay(now);
+        self.value += tokens as f64 / WINDOW.0 as f64;
+    }
+
+    /// Returns the tokens that the average draws in `span`. A young average is corrected for the
+    /// time that it has not seen.
+    pub(super) fn draw(&mut self, now: Millis, span: Millis) -> u64 {
+        self.decay(now);
+        let age = now.since(self.since).max(MIN_AGE).0 as f64;
+        let seen = 1.0 - (-age / WINDOW.0 as f64).exp();
+        (self.value / seen * span.0 as f64) as u64
+    }
+
+    fn decay(&mut self, now: Millis) {
+        let passed = now.since(self.at).0 as f64;
+        self.value *= (-passed / WINDOW.0 as f64).exp();
+        self.at = self.at.max(now);
+    }
+}
--- /dev/null
+++ b/toucanchute_core/src/prepaid/record.rs
@@ -0,0 +1,66 @@
+use toucanchute_proto::{
+    BudgetId, Bytes, Incarnation,
+    prepaid::{Account, Quorum},
+    to_cbor,
+};
+
+use super::Prepaid;
+use crate::{hash, ledger::StoreKey};
+
+/// Returns the key of an account's record.
+pub(super) fn key(budget: BudgetId) -> StoreKey {
+    StoreKey::Account { budget }
+}
+
+/// Encodes an account's record.
+pub(super) fn encode(account: &Account) -> Bytes {
+    to_cbor(account)
+}
+
+/// An account that nobody has spent from.
+pub(super) fn empty() -> Account {
+    Account {
+        epoch: 0,
+        owner: None,
+        spent: 0,
+        lost: 0,
+        drawn: 0,
+        quorum: none(),
+    }
+}
+
+/// A quorum without witnesses.
+pub(super) fn none() -> Quorum {
+    Quorum {
+        witnesses: Vec::new(),
+        acks: 0,
+    }
+}
+
+/// Witnesses whose fence outlasts every mark that the quorum can acknowledge.
+pub(super) fn fences_needed(quorum: &Quorum) -> usize {
+    (quorum.witnesses.len() + 1).saturating_sub(quorum.acks as usize)
+}
+
+impl Prepaid {
+    /// Chooses witnesses for an account of this router, other failure domains first.
+    pub(super) fn choose_quorum(&self, budget: BudgetId) -> Quorum {
+        let mut peers: Vec<_> = self
+            .peers
+            .values()
+            .filter(|p| self.is_steady(p.incarnation))
+            .collect();
+        peers.sort_by_key(|p| {
+            let same = p.failure_domain == self.cfg.failure_domain;
+            (same, hash::mix(&[budget.0, p.incarnation.0]))
+        });
+        let wanted = usize::from(self.policy.witnesses);
+        let witnesses: Vec<Incarnation> =
+            peers.iter().take(wanted).map(|p| p.incarnation).collect();
+        let acks = usize::from(self.policy.acks).min(witnesses.len());
+        Quorum {
+            witnesses,
+            acks: acks as u32,
+        }
+    }
+}
--- /dev/null
+++ b/toucanchute_core/src/prepaid/witness.rs
@@ -0,0 +1,76 @@
+use std::collections::BTreeMap;
+
+use toucanchute_proto::{
+    BudgetId, Incarnation,
+    prepaid::{AccountFenced, FenceAccount, Mark, Marked, PrepaidMessage, Term},
+};
+
+use super::{Action, Fault, Prepaid};
+
+/// What this router keeps as a witness of one account: a bound in memory, handed to whoever takes
+/// the account over.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Kept {
+    /// Greatest term that marked or fenced the account; lesser ones are refused.
+    term: Term,
+    /// Highest mark of any term.
+    mark: u64,
+}
+
+/// Marks kept for other routers.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Keeper {
+    kept: BTreeMap<BudgetId, Kept>,
+}
+
+impl Keeper {
+    /// Keeps a mark, or returns the greater term that forbids it.
+    fn mark(&mut self, body: &Mark) -> Result<(), Term> {
+        let term = body.term;
+        let kept = self
+            .kept
+            .entry(body.budget)
+            .or_insert(Kept { term, mark: 0 });
+        if kept.term > term {
+            return Err(kept.term);
+        }
+        kept.term = term;
+        kept.mark = kept.mark.max(body.mark);
+        Ok(())
+    }
+
+    /// Refuses lesser terms from now on; returns what is kept.
+    pub(super) fn fence(&mut self, budget: BudgetId, term: Term) -> (Term, u64) {
+        let kept = self.kept.entry(budget).or_insert(Kept { term, mark: 0 });
+        kept.term = kept.term.max(term);
+        (kept.term, kept.mark)
+    }
+}
+
+/// Being a witness.
+impl Prepaid {
+    pub(super) fn on_mark(&mut self, from: Incarnation, body: &Mark, out: &mut Vec<Action>) {
+        let fenced = self.keeper.mark(body).err();
+        let fenced = fenced.filter(|_| !self.has(Fault::ForgetFence));
+        let &Mark { budget, term, mark } = body;
+        let message = PrepaidMessage::Marked(Marked {
+            budget,
+            term,
+            mark,
+            fenced,
+        });
+        out.push(Action::Send { to: from, message });
+    }
+
+    pub(super) fn on_fence(
+        &mut self,
+        from: Incarnation,
+        body: &FenceAccount,
+        out: &mut Vec<Action>,
+    ) {
+        let (term, mark) = self.keeper.fence(body.budget, body.term);
+        let budget = body.budget;
+        let message = PrepaidMessage::Fenced(AccountFenced { budget, term, mark });
+        out.push(Action::Send { to: from, message });
+    }
+}
--- a/toucanchute_proto/src/config_traits.rs
+++ b/toucanchute_proto/src/config_traits.rs
@@ -13,6 +13,8 @@
             && self.backends == rhs.backends
             && self.budgets == rhs.budgets
             && self.customers == rhs.customers
+            && self.routes == rhs.routes
+            && self.callers == rhs.callers
     }
 }
 
@@ -30,6 +32,8 @@
             backends: Vec::new(),
             budgets: Vec::new(),
             customers: Vec::new(),
+            routes: Vec::new(),
+            callers: None,
         }
     }
 }
--- a/toucanchute_proto/src/generated.rs
+++ b/toucanchute_proto/src/generated.rs
@@ -12,4 +12,5 @@
 pub mod ledger;
 pub mod money;
 pub mod peer;
+pub mod prepaid;
 pub mod settings;
