--- a/toucanchute_core/examples/capacity.rs
+++ b/toucanchute_core/examples/capacity.rs
@@ -81,6 +81,7 @@
         tokens: 200,
         attempts: 0,
         exclude: Vec::new(),
+        affinity: None,
         deadline: now + Millis(10_000),
     }
 }
@@ -173,8 +174,12 @@
         token_sha256: format!("{n:064x}"),
         priority: 0,
         weight: 1,
+        other_tokens_sha256: Vec::new(),
+        route_priority: None,
     };
     Config {
+        routes: Vec::new(),
+        callers: None,
         version: 1,
         site: "target".to_owned(),
         routing: Routing::default(),
@@ -191,6 +196,7 @@
         budgets: (0..customers.min(26_000))
             .map(|n| Budget {
                 name: format!("budget-{n}"),
+                prepaid: None,
             })
             .collect(),
         customers: (0..customers).map(customer).collect(),
@@ -199,6 +205,7 @@
 
 fn engine_pool(n: usize) -> Pool {
     Pool {
+        tokens_per_event: 1,
         name: format!("pool-{n}"),
         kind: PoolKind::Engine,
         fencing: None,
--- a/toucanchute_core/examples/routing_load/world.rs
+++ b/toucanchute_core/examples/routing_load/world.rs
@@ -242,6 +242,7 @@
             tokens: work.prompt / 10 + work.output,
             attempts: 0,
             exclude: Vec::new(),
+            affinity: None,
             deadline: Millis((self.now + self.setup.patience) / 1_000),
         }
     }
--- /dev/null
+++ b/toucanchute_core/src/discovery.rs
@@ -0,0 +1,107 @@
+//! Backend servers that register themselves in the store.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use toucanchute_proto::Millis;
+
+/// Time without a list after which registrations may have lapsed although their servers live.
+const OUTAGE: Millis = Millis(1_500);
+
+/// Time that lapsed registrations have to come back after an outage, with the pause between two
+/// readings.
+const RETURN_TIME: Millis = Millis(2_600);
+
+/// A backend server by its own registration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Found {
+    /// Its name; another run of it has another one.
+    pub name: String,
+    /// Service that it serves.
+    pub service: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Requests that it works on at once; 0 if it does not say.
+    pub slots: u32,
+}
+
+/// What a list changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Change {
+    /// All backend servers that may get new work; absent if they are as before.
+    pub live: Option<Vec<Found>>,
+    /// Names of those that newly leave or left.
+    pub withdrawn: Vec<String>,
+}
+
+/// Keeps the backend servers of the newest list, and over an outage of the store those whose
+/// registrations lapsed meanwhile.
+///
+/// ```
+/// use toucanchute_core::discovery::Discovery;
+/// use toucanchute_proto::Millis;
+///
+/// let mut discovery = Discovery::default();
+/// let change = discovery.list(Millis(0), Vec::new());
+/// assert_eq!(change.live, Some(Vec::new()));
+/// assert_eq!(discovery.list(Millis(500), Vec::new()).live, None);
+/// ```
+#[derive(Debug, Default)]
+pub struct Discovery {
+    /// Those that may get new work, by name; absent before the first list.
+    live: Option<BTreeMap<String, Found>>,
+    listed_at: Millis,
+    /// Time up to which those that are missing may still come back.
+    return_until: Millis,
+    /// Names that were told to leave and did not come back.
+    withdrawn: BTreeSet<String>,
+}
+
+impl Discovery {
+    /// Takes in the list that the store gave at `now`.
+    pub fn list(&mut self, now: Millis, found: Vec<Found>) -> Change {
+        if self.live.is_some() && now.since(self.listed_at) >= OUTAGE {
+            self.return_until = now + RETURN_TIME;
+        }
+        self.listed_at = now;
+        let mut live = BTreeMap::new();
+        let mut change = Change::default();
+        for found in found {
+            match found.leaving {
+                true => self.withdraw(found.name, &mut change),
+                false => {
+                    self.withdrawn.remove(&found.name);
+                    live.insert(found.name.clone(), found);
+                }
+            }
+        }
+        let before = self.live.take();
+        for (name, old) in before.clone().unwrap_or_default() {
+            let moved = live.values().any(|f| f.address == old.address);
+            if live.contains_key(&name) || self.withdrawn.contains(&name) {
+                continue;
+            }
+            match now < self.return_until && !moved {
+                true => drop(live.insert(name, old)),
+                false => self.withdraw(name, &mut change),
+            }
+        }
+        if before.as_ref() != Some(&live) {
+            change.live = Some(live.values().cloned().collect());
+        }
+        self.live = Some(live);
+        change
+    }
+
+    fn withdraw(&mut self, name: String, change: &mut Change) {
+        if self.withdrawn.insert(name.clone()) {
+            change.withdrawn.push(name);
+        }
+    }
+}
--- a/toucanchute_core/src/fleet/event.rs
+++ b/toucanchute_core/src/fleet/event.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddr, sync::Arc};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
@@ -46,9 +46,15 @@
         /// When the platform was asked.
         asked: Millis,
     },
-    /// These backend servers were seen to leave or to be gone; they never come back under the same
-    /// name.
+    /// These backend servers were seen to leave or to be gone.
     Withdrawn(Vec<String>),
+    /// This router's own reading of the registrations: these backend servers take work.
+    Registered {
+        /// Their names.
+        names: BTreeSet<String>,
+        /// When the platform was asked.
+        asked: Millis,
+    },
     /// The platform's service or its host list did not answer.
     PlatformDown,
     /// A backend server that this router polls reported its load.
--- a/toucanchute_core/src/fleet/hosts.rs
+++ b/toucanchute_core/src/fleet/hosts.rs
@@ -10,6 +10,10 @@
 /// How long routers tell each other of a backend server that left.
 const WITHDRAWN_NEWS: Millis = Millis(5_000);
 
+/// Time by which a reading has to be later than the word that a backend server left, to show that
+/// it came back.
+const RETURN_MARGIN: Millis = Millis(500);
+
 /// How long a backend server that left is remembered.
 const WITHDRAWN_TIME: Millis = Millis(120_000);
 
@@ -130,4 +134,19 @@
             self.push_all(None, out);
         }
     }
+
+    /// Uses backend servers again that left and are registered anew.
+    pub(super) fn take_registered(
+        &mut self,
+        names: &BTreeSet<String>,
+        asked: Millis,
+        out: &mut Vec<Action>,
+    ) {
+        let left = self.hosts.left.len();
+        let back = |name: &String, at: Millis| names.contains(name) && asked > at + RETURN_MARGIN;
+        self.hosts.left.retain(|name, at| !back(name, *at));
+        if self.hosts.left.len() < left {
+            self.tell_withdrawn(out);
+        }
+    }
 }
--- a/toucanchute_core/src/fleet/machine.rs
+++ b/toucanchute_core/src/fleet/machine.rs
@@ -149,6 +149,7 @@
                 asked,
             } => self.host_list(asked, version, &hosts, out),
             Event::Withdrawn(names) => self.take_withdrawn(now, names, out),
+            Event::Registered { names, asked } => self.take_registered(&names, asked, out),
             Event::PlatformDown => self.platform_down(),
             Event::LoadReport(load) => self.take_load(load, out),
             Event::Verdict(v) => self.tell_verdict(&v, out),
--- a/toucanchute_core/src/hash.rs
+++ b/toucanchute_core/src/hash.rs
@@ -10,8 +10,12 @@
     })
 }
 
+/// Hashes a text, the same on all routers.
+pub(crate) fn text(text: &str) -> u64 {
+    text.bytes().fold(0, |sum, b| mix(&[sum, u64::from(b)]))
+}
+
 /// Rendezvous weight of a member for a name; the greatest wins.
 pub(crate) fn weight(name: &str, id: Incarnation) -> u64 {
-    let name = name.bytes().fold(0u64, |sum, b| mix(&[sum, u64::from(b)]));
-    mix(&[name, id.0])
+    mix(&[text(name), id.0])
 }
--- a/toucanchute_core/src/lib.rs
+++ b/toucanchute_core/src/lib.rs
@@ -3,6 +3,7 @@
 //! A machine takes `(now: Millis, event)` and pushes actions into a vector that its caller passes
 //! in. The same events give the same actions.
 
+pub mod discovery;
 pub mod fleet;
 mod hash;
 pub mod ledger;
--- a/toucanchute_core/src/prepaid/action.rs
+++ b/toucanchute_core/src/prepaid/action.rs
@@ -72,6 +72,21 @@
         /// Tokens newly written off because too few witnesses answered.
         lost: u64,
     },
+    /// This router refused a request for tokens of the account.
+    Refused {
+        /// The account.
+        budget: toucanchute_proto::BudgetId,
+        /// Router that asked, and its number of the request.
+        request: (Incarnation, u64),
+        /// Why.
+        reason: RefusalReason,
+        /// Tokens used or set aside.
+        used: u64,
+        /// The total.
+        limit: u64,
+        /// Bound that the store's record and the witnesses allow.
+        bound: u64,
+    },
     /// This router spends from the account no more.
     Closed {
         /// The account.
--- a/toucanchute_core/src/prepaid/owner.rs
+++ b/toucanchute_core/src/prepaid/owner.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{
-    Action, CallId, Prepaid, RefusalReason,
+    Action, CallId, Note, Prepaid, RefusalReason,
     account::{RequestId, Waiting},
     desk::WAIT,
 };
@@ -166,6 +166,7 @@
     ) {
         let me = self.me();
         let call = CallId(id.seq);
+        self.note_refusal(budget, id, verdict, out);
         if id.router != me {
             let message = PrepaidMessage::Answer(AskAnswer {
                 budget,
@@ -189,6 +190,31 @@
         }
     }
 
+    fn note_refusal(
+        &self,
+        budget: BudgetId,
+        id: RequestId,
+        verdict: Verdict,
+        out: &mut Vec<Action>,
+    ) {
+        let reason = match verdict {
+            Verdict::Reserved | Verdict::Elsewhere => return,
+            Verdict::Exhausted => RefusalReason::Exhausted,
+            Verdict::Held => RefusalReason::Held,
+            Verdict::Unavailable => RefusalReason::Unavailable,
+        };
+        let limit = self.limit(budget);
+        let owned = self.accounts.get(&budget);
+        out.push(Action::Note(Note::Refused {
+            budget,
+            request: (id.router, id.seq),
+            reason,
+            used: owned.map_or(0, |a| a.used),
+            limit,
+            bound: owned.map_or(0, |a| a.bound(limit)),
+        }));
+    }
+
     /// Tells a request's router whom to ask instead.
     pub(super) fn send_elsewhere(
         &mut self,
--- a/toucanchute_core/src/routing/attempts.rs
+++ b/toucanchute_core/src/routing/attempts.rs
@@ -12,6 +12,8 @@
     key: Digest,
     started: Millis,
     first: Option<Millis>,
+    /// Size of the request.
+    tokens: u64,
     /// Whether it runs as a suspect.
     suspect: bool,
 }
@@ -46,6 +48,7 @@
             key,
             started: now,
             first: None,
+            tokens: req.tokens,
             suspect,
         };
         self.attempts.insert(attempt, run);
@@ -88,7 +91,8 @@
             return;
         }
         let (key, ms) = (run.replica, now.since(run.started).0 as f64);
-        let slow = self.pools[self.replicas[key].pool].first_token(ms);
+        let tokens = run.tokens;
+        let slow = self.pools[self.replicas[key].pool].first_token(ms, tokens);
         self.progress(now, key, slow);
     }
 
--- a/toucanchute_core/src/routing/choose.rs
+++ b/toucanchute_core/src/routing/choose.rs
@@ -8,10 +8,17 @@
     replica::Replica,
     suspects::Suspects,
 };
+use crate::hash;
 
 /// Worth of a long cached prefix, in shares of a replica's limit.
 const PREFIX_WORTH: f64 = 0.8;
 
+/// Load of a replica, as a multiple of the average, up to which it takes requests by affinity.
+const BUSY_FACTOR: f64 = 1.25;
+
+/// Load beyond that multiple, in shares of a replica's limit.
+const BUSY_SLACK: f64 = 0.06;
+
 /// Cost of another failure domain, in shares of a replica's limit.
 const DISTANCE_COST: f64 = 0.05;
 
@@ -51,6 +58,11 @@
         } else if self.others_later(req) {
             return None;
         }
+        if let Some(affinity) = req.affinity
+            && let Some(key) = self.by_affinity(affinity, &fit)
+        {
+            return Some(key);
+        }
         let cached = |k: &BackendKey| self.replicas[*k].cache.share(&req.prefix);
         let longest = fit
             .iter()
@@ -68,6 +80,24 @@
             .min_by(|&a, &b| self.cost(req, a).total_cmp(&self.cost(req, b)))
     }
 
+    /// Returns the first replica by rendezvous hashing that is not much busier than the others. All
+    /// routers find the same one without talking to each other.
+    fn by_affinity(&self, affinity: u64, fit: &[BackendKey]) -> Option<BackendKey> {
+        let loads: Vec<f64> = fit.iter().map(|&k| self.load(k)).collect();
+        let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
+        let bound = mean * BUSY_FACTOR + BUSY_SLACK;
+        let calm = fit.iter().zip(loads).filter(|(_, load)| *load <= bound);
+        let weight = |k: BackendKey| hash::mix(&[affinity, self.replicas[k].hash]);
+        calm.map(|(&k, _)| k).max_by_key(|&k| weight(k))
+    }
+
+    /// Requests of a replica as a share of those allowed, weighed by its pace.
+    fn load(&self, key: BackendKey) -> f64 {
+        let r = &self.replicas[key];
+        let load = (r.estimate(self.now) + 1.0) / r.allowed(self.now);
+        load * r.pace(self.pool.token_time())
+    }
+
     /// Whether a replica that did not fail this request takes work, if not just now.
     fn others_later(&self, req: &Assign) -> bool {
         self.pool.members.iter().any(|&k| {
@@ -88,8 +118,6 @@
 
     fn cost(&self, req: &Assign, key: BackendKey) -> f64 {
         let r = &self.replicas[key];
-        let load = (r.estimate(self.now) + 1.0) / r.allowed(self.now);
-        let pace = r.pace(self.pool.token_time());
         let distance = if r.domain == self.domain {
             0.0
         } else {
@@ -100,6 +128,6 @@
         } else {
             0.0
         };
-        load * pace + distance + suspects - r.cache.share(&req.prefix) * PREFIX_WORTH
+        self.load(key) + distance + suspects - r.cache.share(&req.prefix) * PREFIX_WORTH
     }
 }
--- a/toucanchute_core/src/routing/configure.rs
+++ b/toucanchute_core/src/routing/configure.rs
@@ -15,7 +15,6 @@
 
 impl Dispatcher {
     pub(super) fn configure(&mut self, now: Millis, config: &Config, withdrawn: &BTreeSet<String>) {
-        self.retries.set_percent(config.routing.retry_share_percent);
         self.queue_limit = config.routing.queue_limit as usize;
         self.set_pools(config);
         self.set_targets(config);
@@ -46,7 +45,11 @@
             } else {
                 1
             };
-            self.pools[key].max_concurrency = p.max_concurrency * factor;
+            let pool = &mut self.pools[key];
+            pool.max_concurrency = p.max_concurrency * factor;
+            let routing = &config.routing;
+            pool.retries
+                .configure(routing.retry_share_percent, routing.retry_burst);
         }
     }
 
--- a/toucanchute_core/src/routing/dispatcher.rs
+++ b/toucanchute_core/src/routing/dispatcher.rs
@@ -11,7 +11,6 @@
     fault::Fault,
     pool::{BackendKey, Pool, PoolKey},
     replica::Replica,
-    retry::RetryBudget,
     suspects::{self, Permit, Suspects},
 };
 
@@ -45,7 +44,6 @@
     pub(super) targets: BTreeMap<Target, PoolKey>,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
     pub(super) suspects: Suspects,
-    pub(super) retries: RetryBudget,
     rng: SmallRng,
     #[cfg(test)]
     pub(super) fault: Option<Fault>,
@@ -68,7 +66,6 @@
             targets: BTreeMap::new(),
             attempts: BTreeMap::new(),
             suspects: Suspects::new(incarnation),
-            retries: RetryBudget::new(),
             rng: SmallRng::seed_from_u64(seed),
             #[cfg(test)]
             fault: None,
@@ -151,16 +148,16 @@
             return;
         }
         if req.attempts == 0 {
-            self.retries.fresh();
-        } else if !self.suspects.known(now, suspect) && !self.take_retry() {
+            self.pools[key].retries.fresh();
+        } else if !self.suspects.known(now, suspect) && !self.take_retry(key) {
             refuse(&req, RefusalReason::RetriesExhausted, Millis(1_000), out);
             return;
         }
         self.enqueue(now, key, req, out);
     }
 
-    fn take_retry(&mut self) -> bool {
-        self.retries.take() || self.has(Fault::FreeRetries)
+    fn take_retry(&mut self, key: PoolKey) -> bool {
+        self.pools[key].retries.take() || self.has(Fault::FreeRetries)
     }
 
     fn enqueue(&mut self, now: Millis, key: PoolKey, req: Assign, out: &mut Vec<Action>) {
--- a/toucanchute_core/src/routing/event.rs
+++ b/toucanchute_core/src/routing/event.rs
@@ -65,6 +65,8 @@
     pub digest: Digest,
     /// Hashes of the prompt's leading blocks, longest prefix last.
     pub prefix: Vec<u64>,
+    /// Hash of what the request shares with others that should run on the same backend server.
+    pub affinity: Option<u64>,
     /// Expected work, in tokens.
     pub tokens: u64,
     /// Number of earlier attempts of this request by this router.
@@ -116,6 +118,8 @@
     Malformed,
     /// No byte came within the time allowed.
     TimedOut,
+    /// The connection broke off, but the backend server takes new ones.
+    Interrupted,
 }
 
 /// A change of a backend server's prefix cache.
--- a/toucanchute_core/src/routing/pool.rs
+++ b/toucanchute_core/src/routing/pool.rs
@@ -1,7 +1,7 @@
 use slotmap::new_key_type;
 use toucanchute_proto::Millis;
 
-use super::queue::Queue;
+use super::{queue::Queue, retry::RetryBudget};
 
 new_key_type! {
     /// A backend server in the dispatcher's arena.
@@ -41,8 +41,11 @@
     pub(super) max_concurrency: u32,
     pub(super) members: Vec<BackendKey>,
     pub(super) queue: Queue,
+    pub(super) retries: RetryBudget,
     /// Average time to the first token, in milliseconds.
     first: Average,
+    /// Average size of requests, in tokens.
+    size: Average,
     /// Average distance of first-token times from their average, in milliseconds.
     first_spread: Average,
     /// Average time between tokens, in milliseconds.
@@ -81,7 +84,9 @@
             max_concurrency: 1,
             members: Vec::new(),
             queue: Queue::default(),
+            retries: RetryBudget::new(),
             first: Average::default(),
+            size: Average::default(),
             first_spread: Average::default(),
             token: Average::default(),
             interval: Average::default(),
@@ -92,12 +97,16 @@
 
     // Latency
 
-    /// Takes in a time to first token; returns whether it is slow.
-    pub(super) fn first_token(&mut self, ms: f64) -> bool {
+    /// Takes in the time to the first token of a request of `tokens`; returns whether it is slow
+    /// for its size.
+    pub(super) fn first_token(&mut self, ms: f64, tokens: u64) -> bool {
+        let average = self.size.get().unwrap_or(0.0).max(1.0);
+        let scale = (tokens as f64 / average).max(1.0);
+        self.size.add(tokens as f64, WEIGHT);
         let slow = self
             .first
             .get()
-            .is_some_and(|avg| ms > 2.0 * avg + FIRST_SLACK);
+            .is_some_and(|avg| ms > 2.0 * avg * scale + FIRST_SLACK);
         if let Some(avg) = self.first.get() {
             self.first_spread.add((ms - avg).abs(), WEIGHT);
         }
--- a/toucanchute_core/src/routing/replica.rs
+++ b/toucanchute_core/src/routing/replica.rs
@@ -8,6 +8,7 @@
     limit::Limit,
     pool::{Average, PoolKey},
 };
+use crate::hash;
 
 /// Age up to which a load report counts.
 const LOAD_AGE: Millis = Millis(3_000);
@@ -31,6 +32,8 @@
 #[derive(Debug)]
 pub(super) struct Replica {
     pub(super) name: String,
+    /// Hash of the name, for rendezvous hashing.
+    pub(super) hash: u64,
     pub(super) address: SocketAddr,
     pub(super) domain: String,
     pub(super) pool: PoolKey,
@@ -54,6 +57,7 @@
     pub(super) fn new(name: &str, address: SocketAddr, domain: &str, pool: PoolKey) -> Replica {
         Replica {
             name: name.to_owned(),
+            hash: hash::text(name),
             address,
             domain: domain.to_owned(),
             pool,
--- a/toucanchute_core/src/routing/retry.rs
+++ b/toucanchute_core/src/routing/retry.rs
@@ -1,6 +1,3 @@
-/// Most retries saved up.
-const MAX_SAVED: f64 = 20.0;
-
 /// Retries allowed before any fresh work.
 const INITIAL: f64 = 10.0;
 
@@ -8,8 +5,10 @@
 #[derive(Debug)]
 pub(super) struct RetryBudget {
     share: f64,
-    /// From 0 to [`MAX_SAVED`].
+    /// From 0 to `most`.
     saved: f64,
+    /// Most retries saved up.
+    most: f64,
 }
 
 impl RetryBudget {
@@ -17,15 +16,18 @@
         RetryBudget {
             share: 0.0,
             saved: INITIAL,
+            most: INITIAL,
         }
     }
 
-    pub(super) fn set_percent(&mut self, percent: u32) {
+    pub(super) fn configure(&mut self, percent: u32, burst: u32) {
         self.share = f64::from(percent) / 100.0;
+        self.most = f64::from(burst);
+        self.saved = self.saved.min(self.most);
     }
 
     pub(super) fn fresh(&mut self) {
-        self.saved = (self.saved + self.share).min(MAX_SAVED);
+        self.saved = (self.saved + self.share).min(self.most);
     }
 
     /// Takes one retry out of the budget, if there is one.
--- a/toucanchute_core/src/routing/tests/world.rs
+++ b/toucanchute_core/src/routing/tests/world.rs
@@ -87,6 +87,7 @@
             kind: PoolKind::Engine,
             fencing: config.pools[0].fencing,
             max_concurrency: concurrency,
+            tokens_per_event: 1,
         }
     );
     config
@@ -104,6 +105,7 @@
         tokens,
         attempts: 0,
         exclude: Vec::new(),
+        affinity: None,
         deadline,
     }
 }
--- a/toucanchute_edge/src/attempt.rs
+++ b/toucanchute_edge/src/attempt.rs
@@ -109,6 +109,7 @@
         Report::Unsent => "unsent",
         Report::Crashed { kind } => match kind {
             CrashKind::Disconnected => "disconnected",
+            CrashKind::Interrupted => "interrupted",
             CrashKind::Malformed => "malformed",
             CrashKind::TimedOut => "timed-out",
         },
--- a/toucanchute_edge/src/caller/tests.rs
+++ b/toucanchute_edge/src/caller/tests.rs
@@ -26,9 +26,12 @@
         token_sha256,
         priority: 0,
         weight: 1,
+        other_tokens_sha256: Vec::new(),
+        route_priority: None,
     };
     let budget = Budget {
         name: "north".to_owned(),
+        prepaid: None,
     };
     Config {
         version: 1,
--- a/toucanchute_edge/src/completion/run.rs
+++ b/toucanchute_edge/src/completion/run.rs
@@ -292,6 +292,7 @@
             weight: self.caller.customer().weight,
             priority: self.caller.customer().priority,
             digest: self.caller.digest,
+            affinity: None,
             prefix: self.req.prefix.clone(),
             tokens: self.req.prompt_tokens + self.max_tokens,
             attempts,
--- a/toucanchute_edge/src/control.rs
+++ b/toucanchute_edge/src/control.rs
@@ -174,6 +174,8 @@
     pub digest: Digest,
     /// Hashes of the prompt's leading blocks, longest prefix last; empty for services.
     pub prefix: Vec<u64>,
+    /// Hash of what the request shares with others that should run on the same backend server.
+    pub affinity: Option<u64>,
     /// Expected work, in tokens.
     pub tokens: u64,
     /// Number of earlier attempts of this request by this router.
--- a/toucanchute_edge/src/lib.rs
+++ b/toucanchute_edge/src/lib.rs
@@ -13,6 +13,7 @@
 mod edge;
 mod error;
 mod handler;
+pub mod passthrough;
 mod problem;
 mod reply;
 mod route;
--- /dev/null
+++ b/toucanchute_edge/src/passthrough.rs
@@ -0,0 +1,28 @@
+//! Requests that are passed through to services unchanged, by host and path prefix.
+//!
+//! A [`Gateway`] serves callers: it finds the route, asks a [`RouteControl`] for tokens and a backend
+//! server, sends the request and relays the answer. A [`Dialect`] says how a deployment writes what
+//! the gateway has to know into heads.
+
+mod answer;
+mod attempt;
+mod call;
+mod control;
+mod dialect;
+mod events;
+mod failure;
+mod gateway;
+mod handler;
+mod headers;
+mod pool;
+mod relay;
+mod run;
+mod table;
+
+pub use answer::RouteBody;
+pub use call::{Call, PromptPart, TokenBound};
+pub use control::{RequestEnd, RouteControl, TokenHold, TokenRequest};
+pub use dialect::{AnswerHead, Dialect, Forward, ReplicaLoad};
+pub use failure::{Failure, FailureKind};
+pub use gateway::Gateway;
+pub use headers::strip_connection;
--- /dev/null
+++ b/toucanchute_edge/src/passthrough/answer.rs
@@ -0,0 +1,66 @@
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use tokio::sync::mpsc;
+
+/// Body of an answer to a caller of a route.
+#[derive(Debug)]
+pub struct RouteBody {
+    source: Source,
+}
+
+#[derive(Debug)]
+enum Source {
+    Whole(Option<Bytes>),
+    /// Pieces as they come; an error breaks the answer off so that it does not look complete.
+    Pieces(mpsc::Receiver<Result<Bytes, io::Error>>),
+}
+
+impl RouteBody {
+    /// Creates a body that is there as a whole.
+    pub(super) fn whole(body: Bytes) -> RouteBody {
+        RouteBody {
+            source: Source::Whole(Some(body).filter(|b| !b.is_empty())),
+        }
+    }
+
+    /// Creates a body whose pieces are still to come.
+    pub(super) fn pieces(rx: mpsc::Receiver<Result<Bytes, io::Error>>) -> RouteBody {
+        RouteBody {
+            source: Source::Pieces(rx),
+        }
+    }
+}
+
+impl Body for RouteBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match &mut self.source {
+            Source::Whole(body) => Poll::Ready(body.take().map(|b| Ok(Frame::data(b)))),
+            Source::Pieces(rx) => rx.poll_recv(cx).map_ok(Frame::data),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self.source, Source::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.source {
+            Source::Whole(body) => {
+                SizeHint::with_exact(body.as_ref().map_or(0, |b| b.len() as u64))
+            }
+            Source::Pieces(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/toucanchute_edge/src/passthrough/dialect.rs
@@ -0,0 +1,66 @@
+use std::time::Duration;
+
+use http::{HeaderMap, request, response};
+use toucanchute_proto::Millis;
+
+use super::Call;
+
+/// How a deployment writes into heads what the gateway reads and sets.
+pub trait Dialect: Send + Sync + 'static {
+    /// Reads the head of a caller's request.
+    fn call(&self, head: &request::Parts) -> Call;
+
+    /// Returns the headers of a request to a backend server: the caller's, without those that only
+    /// the system may set, and what `forward` says.
+    fn forward(&self, head: &request::Parts, forward: &Forward<'_>) -> HeaderMap;
+
+    /// Reads the head of a backend server's answer.
+    fn answer(&self, head: &response::Parts) -> AnswerHead;
+}
+
+/// What the gateway tells a backend server along with a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Forward<'a> {
+    /// Name of the backend server; another one at its address must not run the request.
+    pub backend: &'a str,
+    /// Name of the customer.
+    pub customer: Option<&'a str>,
+    /// Time left for the answer.
+    pub time_left: Millis,
+    /// Priority; higher goes first.
+    pub priority: u8,
+    /// Identifier of the last event of this stream that was relayed.
+    pub resume_after: Option<u64>,
+}
+
+/// What the head of a backend server's answer says, apart from its status.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// The attempt that it answers.
+    pub attempt: Option<String>,
+    /// Whether it bears the backend server's seal.
+    pub sealed: bool,
+    /// Whether it says that the request did not run.
+    pub not_run: bool,
+    /// Whether another backend server than the one expected has the address.
+    pub misdirected: bool,
+    /// Whether the body is encoded, which no caller asked for.
+    pub encoded: bool,
+    /// Load of the backend server.
+    pub load: Option<ReplicaLoad>,
+    /// How long it keeps an idle connection.
+    pub keep_alive: Option<Duration>,
+    /// Whether it closes the connection.
+    pub closes: bool,
+}
+
+/// Load of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReplicaLoad {
+    /// Requests being worked on.
+    pub running: u32,
+    /// Requests in its queue.
+    pub waiting: u32,
+    /// Requests that it can work on at once.
+    pub slots: u32,
+}
--- /dev/null
+++ b/toucanchute_edge/src/passthrough/events.rs
@@ -0,0 +1,61 @@
+use bytes::{Buf, Bytes, BytesMut};
+
+/// Cuts an event stream into whole events.
+#[derive(Debug, Default)]
+pub(super) struct Events {
+    buf: BytesMut,
+    /// Bytes of `buf` that hold no end of an event.
+    searched: usize,
+}
+
+/// A whole event, with the empty line that ends it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Event {
+    pub(super) bytes: Bytes,
+    pub(super) id: Option<u64>,
+}
+
+impl Events {
+    /// Adds received bytes.
+    pub(super) fn push(&mut self, data: &[u8]) {
+        self.buf.extend_from_slice(data);
+    }
+
+    /// Whether bytes of an event are held that has not ended.
+    pub(super) fn is_partial(&self) -> bool {
+        !self.buf.is_empty()
+    }
+
+    /// Returns the next whole event.
+    pub(super) fn next(&mut self) -> Option<Event> {
+        let end = self.find_end()?;
+        let bytes = self.buf.copy_to_bytes(end);
+        self.searched = 0;
+        let id = event_id(&bytes);
+        Some(Event { bytes, id })
+    }
+
+    /// Returns the position after the first empty line.
+    fn find_end(&mut self) -> Option<usize> {
+        let from = self.searched.saturating_sub(3);
+        for at in from..self.buf.len() {
+            let rest = &self.buf[at..];
+            if rest.starts_with(b"\n\n") {
+                return Some(at + 2);
+            }
+            if rest.starts_with(b"\n\r\n") {
+                return Some(at + 3);
+            }
+        }
+        self.searched = self.buf.len();
+        None
+    }
+}
+
+/// Reads the identifier of an event.
+fn event_id(event: &[u8]) -> Option<u64> {
+    let lines = event.split(|&b| b == b'\n');
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let id = std::str::from_utf8(ids.next()?).ok()?;
+    id.trim().parse().ok()
+}
--- /dev/null
+++ b/toucanchute_edge/src/passthrough/gateway.rs
@@ -0,0 +1,133 @@
+use std::{
+    convert::Infallible,
+    future::Future,
+    io,
+    sync::{Arc, atomic::AtomicU64},
+    time::Duration,
+};
+
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore},
+};
+
+use super::{
+    Dialect, RouteControl,
+    handler::{Shared, handle},
+};
+use crate::settings::duration;
+
+/// Pause after the operating system refused a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Smallest read buffer that hyper takes, in bytes.
+const MIN_READ_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Serves callers of routes on one listener.
+///
+/// ```
+/// use std::sync::Arc;
+/// use toucanchute_edge::passthrough::{Dialect, Gateway, RouteControl};
+///
+/// async fn run<C: RouteControl, D: Dialect>(control: Arc<C>, dialect: D) -> std::io::Result<()> {
+///     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+///     let gateway = Gateway::new(control, dialect, Arc::default(), 1_000);
+///     gateway.serve(listener, std::future::pending()).await;
+///     Ok(())
+/// }
+/// ```
+pub struct Gateway<C, D> {
+    shared: Arc<Shared<C, D>>,
+    /// Places for callers' connections.
+    places: Arc<Semaphore>,
+}
+
+impl<C: RouteControl, D: Dialect> Gateway<C, D> {
+    /// Creates a gateway that asks `control` for decisions, counts requests in `in_flight` and
+    /// holds at most `connections` connections of callers.
+    #[must_use]
+    pub fn new(
+        control: Arc<C>,
+        dialect: D,
+        in_flight: Arc<AtomicU64>,
+        connections: usize,
+    ) -> Gateway<C, D> {
+        Gateway {
+            shared: Arc::new(Shared::new(control, dialect, in_flight)),
+            places: Arc::new(Semaphore::new(connections)),
+        }
+    }
+
+    /// Accepts callers until `shutdown` resolves, then returns once every request in progress has
+    /// ended and every connection is closed.
+    pub async fn serve(&self, listener: TcpListener, shutdown: impl Future<Output = ()>) {
+        let connections = GracefulShutdown::new();
+        tokio::pin!(shutdown);
+        loop {
+            let accepted = tokio::select! {
+                accepted = self.accept(&listener) => accepted,
+                () = &mut shutdown => break,
+            };
+            match accepted {
+                Ok((stream, place)) => self.spawn_connection(stream, place, &connections),
+                Err(err) => {
+                    log::warn!(error:% = err; "accept-failed");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+        drop(listener);
+        connections.shutdown().await;
+    }
+
+    async fn accept(
+        &self,
+        listener: &TcpListener,
+    ) -> io::Result<(TcpStream, Option<OwnedSemaphorePermit>)> {
+        let place = Arc::clone(&self.places).acquire_owned().await.ok();
+        let (stream, _) = listener.accept().await?;
+        stream.set_nodelay(true)?;
+        Ok((stream, place))
+    }
+
+    fn spawn_connection(
+        &self,
+        stream: TcpStream,
+        place: Option<OwnedSemaphorePermit>,
+        connections: &GracefulShutdown,
+    ) {
+        let limits = self
+            .shared
+            .table()
+            .config()
+            .callers
+            .clone()
+            .unwrap_or_default();
+        let idle = Duration::from_millis(limits.idle_timeout_ms);
+        let header = usize::try_from(limits.max_header_bytes).unwrap_or(usize::MAX);
+        let shared = Arc::clone(&self.shared);
+        let service = service_fn(move |req| {
+            let shared = Arc::clone(&shared);
+            async move { Ok::<_, Infallible>(handle(shared, req).await) }
+        });
+        let conn = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(
+                idle + duration(toucanchute_proto::Millis(limits.header_timeout_ms)),
+            )
+            .max_buf_size(header.saturating_mul(2).max(MIN_READ_BUFFER_BYTES))
+            .serve_connection(TokioIo::new(stream), service);
+        let conn = connections.watch(conn);
+        tokio::spawn(async move {
+            if let Err(err) = conn.await {
+                log::debug!(error:% = err; "connection-failed");
+            }
+            drop(place);
+        });
+    }
+}
--- /dev/null
+++ b/toucanchute_edge/src/passthrough/run/trace.rs
@@ -0,0 +1,131 @@
+use std::{sync::Arc, time::Instant};
+
+use http::Response;
+
+use crate::{
+    control::Assignment,
+    passthrough::{Failure, RequestEnd, RouteBody, RouteControl, TokenHold},
+};
+
+/// What happened to a request; logged and counted once, when it ends in whatever way.
+pub(in crate::passthrough) struct Trace<C: RouteControl> {
+    control: Arc<C>,
+    request: String,
+    pub(in crate::passthrough) route: String,
+    pub(in crate::passthrough) customer: String,
+    /// Version of the configuration that decided it.
+    pub(in crate::passthrough) version: u64,
+    /// Backend server that was chosen last.
+    backend: String,
+    assignments: u32,
+    tokens: u64,
+    /// Router that set the tokens aside.
+    owner: String,
+    started: Instant,
+    first_ms: u64,
+    status: u16,
+    outcome: &'static str,
+}
+
+impl<C: RouteControl> Trace<C> {
+    pub(in crate::passthrough) fn new(control: Arc<C>, request: Option<String>) -> Trace<C> {
+        Trace {
+            control,
+            request: request.unwrap_or_default(),
+            route: String::new(),
+            customer: String::new(),
+            version: 0,
+            backend: String::new(),
+            assignments: 0,
+            tokens: 0,
+            owner: String::new(),
+            started: Instant::now(),
+            first_ms: 0,
+            status: 0,
+            outcome: "caller-left",
+        }
+    }
+
+    /// Notes the tokens set aside.
+    pub(super) fn reserved(&mut self, hold: &TokenHold) {
+        self.tokens = hold.tokens;
+        self.owner = hold.owner.to_string();
+    }
+
+    /// Notes the backend server that was chosen.
+    pub(super) fn assigned(&mut self, assignment: &Assignment) {
+        self.backend.clone_from(&assignment.backend);
+        self.assignments += 1;
+    }
+
+    /// Logs an attempt that failed.
+    pub(in crate::passthrough) fn attempt_failed(&self, assignment: &Assignment, cause: &str) {
+        log::info!(
+            request = self.request,
+            attempt:% = assignment.attempt,
+            backend = assignment.backend,
+            cause = cause;
+            "attempt-failed"
+        );
+    }
+
+    /// Logs that the request goes on.
+    pub(in crate::passthrough) fn retry(&self, cause: &str) {
+        log::info!(request = self.request, backend = self.backend, cause = cause; "request-repeated");
+    }
+
+    /// Notes that the answer begins.
+    pub(in crate::passthrough) fn first_byte(&mut self) {
+        self.first_ms = self.elapsed_ms();
+    }
+
+    /// Ends the request with a backend server's answer.
+    pub(super) fn deliver(mut self, res: Response<RouteBody>) -> Response<RouteBody> {
+        self.status = res.status().as_u16();
+        self.outcome = "answered";
+        res
+    }
+
+    /// Ends the request with a failure.
+    pub(in crate::passthrough) fn fail(mut self, failure: Failure) -> Response<RouteBody> {
+        self.status = failure.kind.status().as_u16();
+        self.outcome = failure.reason;
+        failure.into_response()
+    }
+
+    /// Notes how a stream ended whose head was sent before.
+    pub(in crate::passthrough) fn end_stream(&mut self, status: u16, outcome: &'static str) {
+        self.status = status;
+        self.outcome = outcome;
+    }
+
+    fn elapsed_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+impl<C: RouteControl> Drop for Trace<C> {
+    fn drop(&mut self) {
+        log::info!(
+            request = self.request,
+            route = self.route,
+            customer = self.customer,
+            config = self.version,
+            backend = self.backend,
+            assignments = self.assignments,
+            tokens = self.tokens,
+            owner = self.owner,
+            first_ms = self.first_ms,
+            ms = self.elapsed_ms(),
+            status = self.status,
+            outcome = self.outcome;
+            "request-ended"
+        );
+        self.control.count(&RequestEnd {
+            route: &self.route,
+            status: self.status,
+            outcome: self.outcome,
+            first_ms: self.first_ms,
+        });
+    }
+}
--- /dev/null
+++ b/toucanchute_edge/src/passthrough/table.rs
@@ -0,0 +1,100 @@
+use std::{collections::HashMap, sync::Arc};
+
+use toucanchute_proto::{
+    BudgetId,
+    config::{Config, Customer, Route},
+};
+
+use crate::config_index::{parse_sha256, sha256};
+
+/// Look-up tables of the routes of one configuration version.
+#[derive(Debug)]
+pub(super) struct RouteTable {
+    config: Arc<Config>,
+    /// Places of routes in `config` by host, longest prefix first.
+    hosts: HashMap<String, Vec<usize>>,
+    /// Places of customers in `config` by the SHA-256 of a token.
+    tokens: HashMap<[u8; 32], usize>,
+    /// Budgets that are kept as totals.
+    prepaid: HashMap<BudgetId, u64>,
+}
+
+impl RouteTable {
+    /// Builds the tables of `config`.
+    pub(super) fn new(config: Arc<Config>) -> RouteTable {
+        let mut hosts: HashMap<String, Vec<usize>> = HashMap::new();
+        for (i, route) in config.routes.iter().enumerate() {
+            let host = route.host.to_ascii_lowercase();
+            hosts.entry(host).or_default().push(i);
+        }
+        for places in hosts.values_mut() {
+            places.sort_by_key(|&i| std::cmp::Reverse(config.routes[i].prefix.len()));
+        }
+        let mut tokens = HashMap::new();
+        for (i, customer) in config.customers.iter().enumerate() {
+            let all = [&customer.token_sha256]
+                .into_iter()
+                .chain(&customer.other_tokens_sha256);
+            tokens.extend(all.filter_map(|t| Some((parse_sha256(t)?, i))));
+        }
+        let prepaid = config.budgets.iter();
+        let prepaid = prepaid.filter_map(|b| Some((BudgetId::from_name(&b.name), b.prepaid?)));
+        RouteTable {
+            prepaid: prepaid.collect(),
+            hosts,
+            tokens,
+            config,
+        }
+    }
+
+    /// Returns the version of the configuration.
+    pub(super) fn version(&self) -> u64 {
+        self.config.version
+    }
+
+    /// Returns the configuration.
+    pub(super) fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// Returns the place of the route with the longest prefix that fits.
+    pub(super) fn route(&self, host: &str, path: &str) -> Option<usize> {
+        let host = host.split(':').next().unwrap_or_default();
+        let places = self.hosts.get(&host.to_ascii_lowercase())?;
+        let fits = |i: &usize| path.starts_with(&self.config.routes[*i].prefix);
+        places.iter().copied().find(fits)
+    }
+
+    /// Returns the route at a place of this table.
+    pub(super) fn route_at(&self, place: usize) -> &Route {
+        &self.config.routes[place]
+    }
+
+    /// Returns the place of the customer who has `token`.
+    pub(super) fn customer(&self, token: &[u8]) -> Option<usize> {
+        self.tokens.get(&sha256(token)).copied()
+    }
+
+    /// Returns the customer at a place of this table.
+    pub(super) fn customer_at(&self, place: usize) -> &Customer {
+        &self.config.customers[place]
+    }
+
+    /// Whether callers need tokens at all. Budgets stay when all tokens are revoked.
+    pub(super) fn has_customers(&self) -> bool {
+        !self.config.customers.is_empty() || !self.config.budgets.is_empty()
+    }
+
+    /// Returns how many tokens one event of a service's streams holds at most.
+    pub(super) fn tokens_per_event(&self, service: &str) -> u64 {
+        let service = self.config.services.iter().find(|s| s.name == service);
+        let pool = service.and_then(|s| self.config.pools.iter().find(|p| p.name == s.pool));
+        pool.map_or(1, |p| u64::from(p.tokens_per_event))
+    }
+
+    /// Returns the budget of a customer, if it is kept as a total.
+    pub(super) fn prepaid(&self, customer: &Customer) -> Option<BudgetId> {
+        let budget = BudgetId::from_name(&customer.budget);
+        self.prepaid.contains_key(&budget).then_some(budget)
+    }
+}
--- a/toucanchute_edge/src/service/run.rs
+++ b/toucanchute_edge/src/service/run.rs
@@ -170,6 +170,7 @@
             weight: self.caller.customer().weight,
             priority: self.caller.customer().priority,
             digest: self.caller.digest,
+            affinity: None,
             prefix: Vec::new(),
             tokens: self.call.price,
             attempts,
--- a/toucanchute_edge/src/settings.rs
+++ b/toucanchute_edge/src/settings.rs
@@ -65,7 +65,7 @@
     Duration::from_millis(span.0)
 }
 
-/// Returns the wall clock.
+/// Returns the time since the Unix epoch by a clock that never jumps.
 pub(crate) fn now() -> Millis {
-    Millis(toucanchute_log::wall_clock_ms())
+    Millis(toucanchute_log::steady_clock_ms())
 }
--- a/toucanchute_log/src/clock.rs
+++ b/toucanchute_log/src/clock.rs
@@ -1,10 +1,14 @@
 use std::{
     fmt,
     str::FromStr,
-    sync::atomic::{AtomicU64, Ordering},
+    sync::{
+        LazyLock,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{SystemTime, UNIX_EPOCH},
 };
 
+use rustix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// HTTP header that carries the sender's [`Stamp`].
@@ -86,7 +90,7 @@
 /// Returns the next stamp of this process's clock.
 #[must_use]
 pub fn now() -> Stamp {
-    CLOCK.tick(wall_clock_ms())
+    CLOCK.tick(steady_clock_ms())
 }
 
 /// Raises this process's clock to a stamp received from another process.
@@ -94,6 +98,26 @@
     CLOCK.observe(stamp);
 }
 
+/// The wall clock and the boot clock when this process first asked, in milliseconds.
+static START: LazyLock<(u64, u64)> = LazyLock::new(|| (wall_clock_ms(), boot_clock_ms()));
+
+/// Returns milliseconds since the Unix epoch by the wall clock at the process's start, carried on
+/// by the boot clock: it does not jump when the time of day is set, and counts the time that the
+/// process stood still.
+#[must_use]
+pub fn steady_clock_ms() -> u64 {
+    let (wall, boot) = *START;
+    wall + boot_clock_ms().saturating_sub(boot)
+}
+
+/// Returns the time since the machine's start, in milliseconds, suspended time included.
+fn boot_clock_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u64::try_from(time.tv_nsec).unwrap_or_default();
+    seconds * 1_000 + nanos / 1_000_000
+}
+
 /// Returns the wall clock in milliseconds since the Unix epoch.
 #[must_use]
 pub fn wall_clock_ms() -> u64 {
--- a/toucanchute_log/src/lib.rs
+++ b/toucanchute_log/src/lib.rs
@@ -11,9 +11,12 @@
 //! ```
 
 mod clock;
+mod limiter;
 mod line;
+mod queue;
 mod setup;
 
-pub use clock::{CLOCK_HEADER, HybridClock, Stamp, now, observe, wall_clock_ms};
+pub use clock::{CLOCK_HEADER, HybridClock, Stamp, now, observe, steady_clock_ms, wall_clock_ms};
 pub use line::{KeyValues, quote};
+pub use queue::dropped_lines;
 pub use setup::{InstallError, Setup};
--- /dev/null
+++ b/toucanchute_log/src/queue.rs
@@ -0,0 +1,90 @@
+use std::{
+    io::{self, Write},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{Receiver, SyncSender, sync_channel},
+    },
+    thread,
+};
+
+use crate::{clock::steady_clock_ms, limiter::Limiter};
+
+/// Most lines written at once.
+const BATCH: usize = 256;
+
+/// Lines of this process that found the queue full.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Returns how many lines found the queue full since the start.
+#[must_use]
+pub fn dropped_lines() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// Lines on their way to standard output. Whoever logs never waits.
+pub(crate) struct LineQueue {
+    tx: SyncSender<String>,
+    limiter: Mutex<Limiter>,
+}
+
+impl LineQueue {
+    /// Starts the thread that writes; at most `capacity` lines wait for it.
+    pub(crate) fn start(capacity: usize, rate: u32) -> LineQueue {
+        let (tx, rx) = sync_channel(capacity);
+        thread::spawn(move || write_lines(&rx));
+        LineQueue {
+            tx,
+            limiter: Mutex::new(Limiter::new(rate)),
+        }
+    }
+
+    /// Queues a line, unless there are too many of its event or in the queue.
+    pub(crate) fn push(&self, line: &str) {
+        let mut limiter = self.limiter.lock().unwrap_or_else(PoisonError::into_inner);
+        let suppressed = limiter.advance(steady_clock_ms());
+        let admitted = limiter.admit(event(line));
+        drop(limiter);
+        for s in suppressed {
+            self.send(format!(
+                "event=lines-suppressed of={} lines={}",
+                s.event, s.lines
+            ));
+        }
+        if admitted {
+            self.send(line.to_owned());
+        }
+    }
+
+    fn send(&self, line: String) {
+        if self.tx.try_send(line).is_err() {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Returns the event of a line.
+fn event(line: &str) -> &str {
+    let rest = line.split_once(" event=").map_or("", |(_, rest)| rest);
+    rest.split(' ').next().unwrap_or_default()
+}
+
+fn write_lines(rx: &Receiver<String>) {
+    let mut out = io::stdout();
+    let mut told = 0;
+    while let Ok(first) = rx.recv() {
+        let mut text = first;
+        text.push('\n');
+        for line in rx.try_iter().take(BATCH) {
+            text.push_str(&line);
+            text.push('\n');
+        }
+        let dropped = dropped_lines();
+        if dropped > told {
+            text.push_str(&format!("event=lines-dropped lines={}\n", dropped - told));
+            told = dropped;
+        }
+        // Nobody is left to tell that standard output is gone.
+        let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+    }
+}
--- a/toucanchute_log/src/setup.rs
+++ b/toucanchute_log/src/setup.rs
@@ -6,7 +6,7 @@
 
 use log::LevelFilter;
 
-use crate::{clock, line::KeyValues};
+use crate::{clock, line::KeyValues, queue::LineQueue};
 
 /// Builder of a process's event log.
 #[derive(Clone, Debug)]
@@ -16,7 +16,20 @@
     host: String,
     incarnation: String,
     level: LevelFilter,
-    file: Option<PathBuf>,
+    target: Target,
+}
+
+/// Where lines go.
+#[derive(Clone, Debug)]
+enum Target {
+    StandardError,
+    File(PathBuf),
+    /// Standard output, by a thread of its own behind a bounded queue.
+    Queue {
+        capacity: usize,
+        /// Most lines of one event in a second.
+        rate: u32,
+    },
 }
 
 /// An event log that could not be installed.
@@ -42,7 +55,7 @@
             host: "-".to_owned(),
             incarnation: "-".to_owned(),
             level: LevelFilter::Info,
-            file: None,
+            target: Target::StandardError,
         }
     }
 
@@ -66,7 +79,14 @@
 
     /// Appends to the file at `path` instead of writing to standard error.
     pub fn file(mut self, path: &Path) -> Setup {
-        self.file = Some(path.to_owned());
+        self.target = Target::File(path.to_owned());
+        self
+    }
+
+    /// Writes to standard output without ever waiting for it: of lines beyond `capacity` that are
+    /// not written yet, and beyond `rate` of one event in a second, only the number is told.
+    pub fn queue(mut self, capacity: usize, rate: u32) -> Setup {
+        self.target = Target::Queue { capacity, rate };
         self
     }
 
@@ -82,7 +102,7 @@
             host,
             incarnation,
             level,
-            file,
+            target,
         } = self;
         let dispatch = fern::Dispatch::new()
             .level(level)
@@ -98,12 +118,18 @@
                 let _ = record.key_values().visit(&mut line);
                 out.finish(format_args!("{}", line.into_line()));
             });
-        let dispatch = match file {
-            None => dispatch.chain(io::stderr()),
-            Some(path) => match fern::log_file(&path) {
+        let dispatch = match target {
+            Target::StandardError => dispatch.chain(io::stderr()),
+            Target::File(path) => match fern::log_file(&path) {
                 Ok(f) => dispatch.chain(f),
                 Err(source) => return Err(InstallError::Open { path, source }),
             },
+            Target::Queue { capacity, rate } => {
+                let queue = LineQueue::start(capacity, rate);
+                dispatch.chain(fern::Output::call(move |record| {
+                    queue.push(&record.args().to_string());
+                }))
+            }
         };
         dispatch.apply().map_err(|_| InstallError::Installed)
     }
--- a/toucanchute_router/src/actor.rs
+++ b/toucanchute_router/src/actor.rs
@@ -3,12 +3,16 @@
 
 mod dispatch;
 mod fleet;
+mod funds;
 mod money;
 mod orders;
 mod post;
+mod prepaid;
 
 pub(crate) use dispatch::{Assign, DispatchActor, DispatchInput};
 pub(crate) use fleet::{Duties, FleetActor, FleetInput, FleetParts, FleetPeers, Members};
+pub(crate) use funds::Funds;
 pub(crate) use money::{MoneyActor, MoneyCall, MoneyInput, MoneyParts, MoneyReply};
 pub(crate) use orders::{OrderError, OrdersActor, OrdersInput, WantOrder};
 pub(crate) use post::post;
+pub(crate) use prepaid::{PrepaidActor, PrepaidInput, PrepaidParts};
--- a/toucanchute_router/src/actor/dispatch.rs
+++ b/toucanchute_router/src/actor/dispatch.rs
@@ -4,11 +4,14 @@
 };
 
 use tokio::sync::oneshot;
-use toucanchute_core::routing::{self, Action, Dispatcher, Event};
+use toucanchute_core::{
+    discovery::Found,
+    routing::{self, Action, Dispatcher, Event},
+};
 use toucanchute_edge::{AssignRequest, Assignment, Outcome, Refusal, RefusalReason, Report};
 use toucanchute_proto::{
     AttemptId,
-    config::Config,
+    config::{Backend, Config},
     fleet::{Load, Verdict},
 };
 use xtra::prelude::*;
@@ -31,6 +34,10 @@
     ticks: u64,
     withdrawn: BTreeSet<String>,
     config: Arc<Config>,
+    /// Backend servers that registered themselves, in place of those of the configuration.
+    found: Option<Vec<Found>>,
+    /// Routers of the fleet, which share the retries of a window.
+    routers: usize,
     actions: Vec<Action>,
 }
 
@@ -50,6 +57,10 @@
     Config(Arc<Config>),
     /// These backend servers take no new work.
     Withdraw(BTreeSet<String>),
+    /// These backend servers are registered and take work.
+    Backends(Vec<Found>),
+    /// The fleet has this many routers.
+    Routers(usize),
     /// A backend server reported its load.
     Load(Load),
     /// A backend server's prefix cache changed.
@@ -82,6 +93,8 @@
             ticks: 0,
             withdrawn: BTreeSet::new(),
             config,
+            found: None,
+            routers: 1,
             actions: Vec::new(),
         }
     }
@@ -152,7 +165,10 @@
     }
 
     fn configure(&mut self) {
-        let config = Arc::clone(&self.config);
+        let config = match &self.found {
+            None => Arc::clone(&self.config),
+            Some(found) => Arc::new(with_found(&self.config, found, self.routers)),
+        };
         self.feed(Event::Configure {
             config,
             withdrawn: self.withdrawn.clone(),
@@ -176,6 +192,7 @@
             priority: req.priority,
             digest: req.digest,
             prefix: req.prefix,
+            affinity: req.affinity,
             tokens: req.tokens,
             attempts: req.attempts,
             exclude: req.exclude,
@@ -200,6 +217,16 @@
                 self.withdrawn = names;
                 self.configure();
             }
+            DispatchInput::Backends(found) => {
+                self.found = Some(found);
+                self.configure();
+            }
+            DispatchInput::Routers(routers) => {
+                self.routers = routers;
+                if self.found.is_some() {
+                    self.configure();
+                }
+            }
             DispatchInput::Load(load) => self.feed(Event::Load(load)),
             DispatchInput::CacheEvents {
                 backend,
@@ -218,6 +245,35 @@
     }
 }
 
+/// Returns what the dispatcher needs of `config`, with registered backend servers and this router's
+/// part of the fleet's retries.
+fn with_found(config: &Config, found: &[Found], routers: usize) -> Config {
+    let mut routing = config.routing.clone();
+    let routers = u32::try_from(routers.max(1)).unwrap_or(u32::MAX);
+    routing.retry_burst /= routers;
+    let mut pools = config.pools.clone();
+    for pool in &mut pools {
+        let slots = found.iter().filter(|f| f.service == pool.name);
+        let slots = slots.map(|f| f.slots).max().filter(|&s| s > 0);
+        pool.max_concurrency = slots.unwrap_or(pool.max_concurrency);
+    }
+    let backends = found.iter().map(|f| Backend {
+        name: f.name.clone(),
+        pool: f.service.clone(),
+        address: f.address.to_string(),
+        failure_domain: f.failure_domain.clone(),
+    });
+    Config {
+        version: config.version,
+        routing,
+        pools,
+        models: config.models.clone(),
+        services: config.services.clone(),
+        backends: backends.collect(),
+        ..Config::default()
+    }
+}
+
 fn refusal_reason(reason: routing::RefusalReason) -> RefusalReason {
     match reason {
         routing::RefusalReason::NoBackend => RefusalReason::NoBackend,
--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -1,10 +1,7 @@
-use std::{net::SocketAddr, sync::Arc};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
 use tokio::sync::watch;
-use toucanchute_core::{
-    fleet::{Action, Event, Fleet, HostEntry, MemberView, NotReady},
-    money,
-};
+use toucanchute_core::fleet::{Action, Event, Fleet, HostEntry, MemberView, NotReady};
 use toucanchute_edge::{AddressList, Outcome, Refusal, RefusalReason};
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
@@ -14,7 +11,7 @@
 };
 use xtra::prelude::*;
 
-use super::{DispatchActor, DispatchInput, MoneyActor, MoneyInput, post};
+use super::{DispatchActor, DispatchInput, Funds, post};
 use crate::{clock, keyvalue::PlatformWatch, link::Mesh, view::View};
 
 /// When to come back to a router that is starting or has lost touch.
@@ -44,12 +41,12 @@
 /// The actors and tasks that act on a [`FleetActor`]'s decisions.
 #[derive(Clone)]
 pub(crate) struct FleetPeers {
-    /// Owner of grants and ledger.
-    pub(crate) money: Address<MoneyActor>,
+    /// Keeper of the customers' budgets.
+    pub(crate) funds: Funds,
     /// Owner of the choice of backend servers.
     pub(crate) dispatch: Address<DispatchActor>,
-    /// Reader of the platform.
-    pub(crate) platform: PlatformWatch,
+    /// Reader of the configuration, where it is read only when asked for.
+    pub(crate) platform: Option<PlatformWatch>,
     /// Set to true when the process has to end.
     pub(crate) exit: watch::Sender<bool>,
 }
@@ -77,6 +74,10 @@
     Load(Load),
     /// This router's word about a request.
     Verdict(Verdict),
+    /// These backend servers were seen to leave or to be gone.
+    Withdrawn(Vec<String>),
+    /// These backend servers were registered when the platform was asked.
+    Registered(BTreeSet<String>, Millis),
     /// Requests in progress.
     InFlight(u64),
     /// The process has to leave.
@@ -130,7 +131,11 @@
             Action::Members(members) => self.set_members(members),
             Action::Ready(ready) => self.set_ready(ready),
             Action::Addresses(addresses) => self.set_addresses(addresses),
-            Action::FetchConfig => self.with_peers(|peers| peers.platform.fetch_config()),
+            Action::FetchConfig => self.with_peers(|peers| {
+                if let Some(platform) = &peers.platform {
+                    platform.fetch_config();
+                }
+            }),
             Action::Withdraw(names) => {
                 log::info!(backends:? = names; "backends-withdrawn");
                 self.with_peers(|peers| post(&peers.dispatch, DispatchInput::Withdraw(names)));
@@ -142,7 +147,7 @@
                 self.with_peers(|peers| post(&peers.dispatch, DispatchInput::Verdict(verdict)));
             }
             Action::ReturnGrants => {
-                self.with_peers(|peers| post(&peers.money, MoneyInput::Drain));
+                self.with_peers(|peers| peers.funds.drain());
             }
             Action::Exit => self.with_peers(|peers| {
                 peers.exit.send_replace(true);
@@ -162,17 +167,17 @@
         self.view.set_config(Arc::clone(config));
         self.with_peers(|peers| {
             post(&peers.dispatch, DispatchInput::Config(Arc::clone(config)));
-            post(&peers.money, MoneyInput::Config(Arc::clone(config)));
+            peers.funds.configure(config);
         });
     }
 
     fn set_members(&mut self, members: Vec<MemberView>) {
-        let peers = members.iter().map(money_peer).collect();
-        let addresses = members
-            .iter()
-            .map(|m| (m.incarnation, m.caller_address))
-            .collect();
-        self.with_peers(|actors| post(&actors.money, MoneyInput::Peers(peers, addresses)));
+        let routers = members.len() + 1;
+        self.with_peers(|actors| {
+            actors.funds.set_members(&members);
+            post(&actors.dispatch, DispatchInput::Routers(routers));
+        });
+        self.view.set_members(members.clone());
         let alive = members.iter().filter(|m| m.state != MemberState::Gone);
         self.mesh
             .set_addresses(alive.map(|m| (m.incarnation, m.peer_address)).collect());
@@ -216,6 +221,8 @@
             FleetInput::PlatformDown => Event::PlatformDown,
             FleetInput::Load(load) => Event::LoadReport(load),
             FleetInput::Verdict(verdict) => Event::Verdict(verdict),
+            FleetInput::Withdrawn(names) => Event::Withdrawn(names),
+            FleetInput::Registered(names, asked) => Event::Registered { names, asked },
             FleetInput::InFlight(count) => Event::InFlight(count),
             FleetInput::Drain => Event::Drain,
             FleetInput::Drained => Event::Drained,
@@ -258,18 +265,6 @@
     }
 }
 
-fn money_peer(member: &MemberView) -> money::Peer {
-    money::Peer {
-        incarnation: member.incarnation,
-        failure_domain: member.failure_domain.clone(),
-        state: match member.state {
-            MemberState::Alive | MemberState::Leaving => money::PeerState::Alive,
-            MemberState::Suspect => money::PeerState::Suspect,
-            MemberState::Gone => money::PeerState::Gone,
-        },
-    }
-}
-
 fn unready_refusal(reason: NotReady) -> Refusal {
     let (reason, elsewhere) = match reason {
         NotReady::StaleView { elsewhere } => (RefusalReason::StaleView, elsewhere),
--- /dev/null
+++ b/toucanchute_router/src/actor/funds.rs
@@ -0,0 +1,79 @@
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+
+use toucanchute_core::{fleet::MemberView, money};
+use toucanchute_proto::{Incarnation, config::Config, fleet::MemberState};
+use xtra::prelude::*;
+
+use super::{MoneyActor, MoneyInput, PrepaidActor, PrepaidInput, post};
+use crate::link::Frame;
+
+/// Who keeps the customers' budgets in this process.
+#[derive(Clone)]
+pub(crate) enum Funds {
+    /// Grants of the ledger, billed at the end of each answer.
+    Ledger(Address<MoneyActor>),
+    /// Accounts of prepaid totals.
+    Prepaid(Address<PrepaidActor>),
+}
+
+impl Funds {
+    /// Tells the configuration in force.
+    pub(crate) fn configure(&self, config: &Arc<Config>) {
+        let config = Arc::clone(config);
+        match self {
+            Funds::Ledger(money) => post(money, MoneyInput::Config(config)),
+            Funds::Prepaid(prepaid) => post(prepaid, PrepaidInput::Config(config)),
+        }
+    }
+
+    /// Tells the other members of the fleet.
+    pub(crate) fn set_members(&self, members: &[MemberView]) {
+        match self {
+            Funds::Ledger(money) => {
+                let peers = members.iter().map(money_peer).collect();
+                let addresses: HashMap<Incarnation, SocketAddr> = members
+                    .iter()
+                    .map(|m| (m.incarnation, m.caller_address))
+                    .collect();
+                post(money, MoneyInput::Peers(peers, addresses));
+            }
+            Funds::Prepaid(prepaid) => post(prepaid, PrepaidInput::Members(members.to_vec())),
+        }
+    }
+
+    /// Asks to give everything back; answered by `FleetInput::Drained`.
+    pub(crate) fn drain(&self) {
+        match self {
+            Funds::Ledger(money) => post(money, MoneyInput::Drain),
+            Funds::Prepaid(prepaid) => post(prepaid, PrepaidInput::Leave),
+        }
+    }
+
+    /// Takes a frame that another router's funds sent.
+    pub(crate) fn receive(&self, frame: &Frame) {
+        let from = frame.from;
+        let decoded = match self {
+            Funds::Ledger(money) => frame
+                .message()
+                .map(|message| post(money, MoneyInput::Message(from, message))),
+            Funds::Prepaid(prepaid) => frame
+                .message()
+                .map(|message| post(prepaid, PrepaidInput::Message(from, message))),
+        };
+        if let Err(e) = decoded {
+            log::warn!(peer:% = from, error:% = e; "frame-malformed");
+        }
+    }
+}
+
+fn money_peer(member: &MemberView) -> money::Peer {
+    money::Peer {
+        incarnation: member.incarnation,
+        failure_domain: member.failure_domain.clone(),
+        state: match member.state {
+            MemberState::Alive | MemberState::Leaving => money::PeerState::Alive,
+            MemberState::Suspect => money::PeerState::Suspect,
+            MemberState::Gone => money::PeerState::Gone,
+        },
+    }
+}
--- a/toucanchute_router/src/actor/money.rs
+++ b/toucanchute_router/src/actor/money.rs
@@ -4,6 +4,7 @@
 use toucanchute_core::money::{self, Action, CallId, Event, Money, Peer};
 use toucanchute_edge::{Refusal, RefusalReason};
 use toucanchute_proto::{Incarnation, Millis, config::Config, peer::FrameKind};
+use toucanchute_store::Client;
 use xtra::prelude::*;
 
 use self::convert::{call_event, document, ledger_answer, recorded, refusal, refusal_of, settled};
@@ -25,7 +26,7 @@
     machine: Option<Money>,
     settings: money::Settings,
     mesh: Mesh,
-    store: LedgerStore,
+    store: LedgerStore<Client>,
     fleet: Address<FleetActor>,
     /// The newest list of other routers, for a machine that starts later.
     peers: Vec<Peer>,
@@ -46,7 +47,7 @@
     /// Links to other routers.
     pub(crate) mesh: Mesh,
     /// The platform's key-value service.
-    pub(crate) store: LedgerStore,
+    pub(crate) store: LedgerStore<Client>,
     /// Told when all grants are returned.
     pub(crate) fleet: Address<FleetActor>,
 }
--- /dev/null
+++ b/toucanchute_router/src/actor/prepaid.rs
@@ -0,0 +1,269 @@
+use std::{collections::HashMap, sync::Arc};
+
+use tokio::sync::oneshot;
+use toucanchute_core::{
+    fleet::MemberView,
+    ledger::StoreResult,
+    prepaid::{Action, CallId, Event, Note, Peer, Prepaid, Refusal, RefusalReason, Usage},
+};
+use toucanchute_edge::passthrough::{Failure, FailureKind, TokenHold, TokenRequest};
+use toucanchute_platform::StoreClient;
+use toucanchute_proto::{
+    BudgetId, Incarnation, Millis, config::Config, peer::FrameKind, prepaid::PrepaidMessage,
+};
+use xtra::prelude::*;
+
+use super::{FleetActor, FleetInput, post};
+use crate::{clock, keyvalue::LedgerStore, link::Mesh};
+
+/// Owns the [`Prepaid`] machine of this router.
+#[derive(xtra::Actor)]
+pub(crate) struct PrepaidActor {
+    machine: Prepaid,
+    mesh: Mesh,
+    store: LedgerStore<StoreClient>,
+    fleet: Address<FleetActor>,
+    /// Requests that wait for tokens.
+    waiting: HashMap<CallId, Waiting>,
+    next_call: u64,
+    /// Names of budgets, for the event log.
+    names: HashMap<BudgetId, String>,
+    /// Whether all accounts are given away.
+    drained: bool,
+    /// Whether the fleet machine waits for that.
+    leaving: bool,
+    actions: Vec<Action>,
+}
+
+struct Waiting {
+    tokens: u64,
+    reply: oneshot::Sender<Result<TokenHold, Failure>>,
+}
+
+/// Input of a [`PrepaidActor`].
+pub(crate) enum PrepaidInput {
+    /// Asks for tokens.
+    Reserve(TokenRequest, oneshot::Sender<Result<TokenHold, Failure>>),
+    /// The request of a reservation has ended.
+    Settle(TokenHold, Usage),
+    /// Another configuration is in force.
+    Config(Arc<Config>),
+    /// The other members of the fleet.
+    Members(Vec<MemberView>),
+    /// Another router sent this.
+    Message(Incarnation, PrepaidMessage),
+    /// Result of a call to the store.
+    Store(u64, StoreResult),
+    /// Accounts have to be given away.
+    Drain,
+    /// The fleet machine wants to know when they are.
+    Leave,
+    /// Time passed.
+    Tick,
+}
+
+/// What a [`PrepaidActor`] is made of.
+pub(crate) struct PrepaidParts {
+    /// The state machine.
+    pub(crate) machine: Prepaid,
+    /// Links to other routers.
+    pub(crate) mesh: Mesh,
+    /// The platform's store.
+    pub(crate) store: LedgerStore<StoreClient>,
+    /// Told when all accounts are given away.
+    pub(crate) fleet: Address<FleetActor>,
+}
+
+impl PrepaidActor {
+    /// Creates the actor.
+    pub(crate) fn new(parts: PrepaidParts) -> PrepaidActor {
+        let PrepaidParts {
+            machine,
+            mesh,
+            store,
+            fleet,
+        } = parts;
+        PrepaidActor {
+            machine,
+            mesh,
+            store,
+            fleet,
+            waiting: HashMap::new(),
+            next_call: 0,
+            names: HashMap::new(),
+            drained: false,
+            leaving: false,
+            actions: Vec::new(),
+        }
+    }
+
+    fn feed(&mut self, event: Event, cx: &Context<Self>) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.machine.handle(clock::now(), event, &mut actions);
+        for action in actions.drain(..) {
+            self.perform(action, cx);
+        }
+        self.actions = actions;
+        if self.drained && self.leaving {
+            self.leaving = false;
+            post(&self.fleet, FleetInput::Drained);
+        }
+    }
+
+    fn perform(&mut self, action: Action, cx: &Context<Self>) {
+        match action {
+            Action::Reserved { call, owner } => self.reserved(call, owner, cx),
+            Action::Refused { call, refusal } => {
+                if let Some(waiting) = self.waiting.remove(&call) {
+                    let _ = waiting.reply.send(Err(failure(refusal)));
+                }
+            }
+            Action::Send { to, message } => self.mesh.send(to, FrameKind::Prepaid, &message),
+            Action::Store(op) => {
+                let store = self.store.clone();
+                let own = cx.mailbox().address();
+                tokio::spawn(async move {
+                    let result = store.run(op.request).await;
+                    if let Some(own) = own.try_upgrade() {
+                        post(&own, PrepaidInput::Store(op.op, result));
+                    }
+                });
+            }
+            Action::Note(note) => self.log(&note),
+            Action::Drained => self.drained = true,
+        }
+    }
+
+    /// Answers a request; tokens that nobody waits for any more go back.
+    fn reserved(&mut self, call: CallId, owner: Incarnation, cx: &Context<Self>) {
+        let Some(Waiting { tokens, reply }) = self.waiting.remove(&call) else {
+            return;
+        };
+        let hold = TokenHold {
+            id: call.0,
+            tokens,
+            owner,
+        };
+        if reply.send(Ok(hold)).is_err() {
+            let own = cx.mailbox().address();
+            if let Some(own) = own.try_upgrade() {
+                post(&own, PrepaidInput::Settle(hold, Usage::default()));
+            }
+        }
+    }
+
+    fn reserve(
+        &mut self,
+        req: TokenRequest,
+        reply: oneshot::Sender<Result<TokenHold, Failure>>,
+        cx: &Context<Self>,
+    ) {
+        self.next_call += 1;
+        let call = CallId(self.next_call);
+        let tokens = req.tokens;
+        self.waiting.insert(call, Waiting { tokens, reply });
+        let event = Event::Reserve {
+            call,
+            budget: req.budget,
+            tokens,
+            deadline: req.deadline,
+        };
+        self.feed(event, cx);
+    }
+
+    fn configure(&mut self, config: &Config, cx: &Context<Self>) {
+        let id = |name: &str| BudgetId::from_name(name);
+        let budgets = config.budgets.iter();
+        self.names = budgets.map(|b| (id(&b.name), b.name.clone())).collect();
+        let budgets = config.budgets.iter();
+        let limits = budgets.filter_map(|b| Some((id(&b.name), b.prepaid?)));
+        let event = Event::Configure {
+            limits: limits.collect(),
+            policy: config.ledger.clone(),
+        };
+        self.feed(event, cx);
+    }
+
+    fn log(&self, note: &Note) {
+        let name = |id: &BudgetId| {
+            self.names
+                .get(id)
+                .cloned()
+                .unwrap_or_else(|| id.to_string())
+        };
+        match note {
+            Note::Opened {
+                budget,
+                epoch,
+                spent,
+                lost,
+            } => {
+                log::info!(budget = name(budget), epoch = epoch, spent = spent, lost = lost; "account-opened");
+            }
+            Note::Refused {
+                budget,
+                request: (router, seq),
+                reason,
+                used,
+                limit,
+                bound,
+            } => {
+                log::info!(
+                    budget = name(budget), router:% = router, seq = seq, reason:? = reason,
+                    used = used, limit = limit, bound = bound;
+                    "tokens-refused"
+                );
+            }
+            Note::Closed { budget, cause } => {
+                log::info!(budget = name(budget), cause:? = cause; "account-closed");
+            }
+        }
+    }
+}
+
+impl Handler<PrepaidInput> for PrepaidActor {
+    type Return = ();
+
+    async fn handle(&mut self, input: PrepaidInput, cx: &mut Context<Self>) {
+        match input {
+            PrepaidInput::Reserve(req, reply) => self.reserve(req, reply, cx),
+            PrepaidInput::Settle(hold, usage) => {
+                let call = CallId(hold.id);
+                self.feed(Event::Settle { call, usage }, cx);
+            }
+            PrepaidInput::Config(config) => self.configure(&config, cx),
+            PrepaidInput::Members(members) => {
+                let peers = members.iter().map(peer).collect();
+                self.feed(Event::Peers(peers), cx);
+            }
+            PrepaidInput::Message(from, message) => {
+                self.feed(Event::Message { from, message }, cx);
+            }
+            PrepaidInput::Store(op, result) => self.feed(Event::Store { op, result }, cx),
+            PrepaidInput::Drain => self.feed(Event::Drain, cx),
+            PrepaidInput::Leave => {
+                self.leaving = true;
+                self.feed(Event::Drain, cx);
+            }
+            PrepaidInput::Tick => self.feed(Event::Tick, cx),
+        }
+    }
+}
+
+fn peer(member: &MemberView) -> Peer {
+    Peer {
+        incarnation: member.incarnation,
+        failure_domain: member.failure_domain.clone(),
+        state: member.state,
+    }
+}
+
+fn failure(refusal: Refusal) -> Failure {
+    let (kind, reason) = match refusal.reason {
+        RefusalReason::Exhausted => (FailureKind::Exhausted, "budget-exhausted"),
+        RefusalReason::Held => (FailureKind::NotRun, "budget-held"),
+        _ => (FailureKind::NotRun, "budget-unavailable"),
+    };
+    let after: Option<Millis> = refusal.retry_after;
+    Failure::new(kind, reason).retry_after(after)
+}
--- a/toucanchute_router/src/cli.rs
+++ b/toucanchute_router/src/cli.rs
@@ -1,4 +1,4 @@
-use clap::{Arg, ArgMatches, Command, builder::PathBufValueParser};
+use clap::{Arg, ArgAction, ArgMatches, Command, builder::PathBufValueParser};
 
 /// Name of the option that holds the settings file.
 pub(crate) const SETTINGS: &str = "settings";
@@ -6,6 +6,12 @@
 /// Name of the subcommand that checks settings and starts nothing.
 pub(crate) const CHECK: &str = "check";
 
+/// Name of the subcommand that serves routes of the platform.
+pub(crate) const GATEWAY: &str = "gateway";
+
+/// Name of the flag that makes `check` read settings of a gateway.
+pub(crate) const GATEWAY_SETTINGS: &str = "gateway";
+
 /// Builds the command line of `toucanchute-router`.
 #[must_use]
 pub fn command() -> Command {
@@ -18,6 +24,17 @@
         .subcommand(
             Command::new(CHECK)
                 .about("Checks the settings and exits without starting")
+                .arg(settings_arg())
+                .arg(
+                    Arg::new(GATEWAY_SETTINGS)
+                        .long("gateway")
+                        .help("Reads the file as the settings of a gateway")
+                        .action(ArgAction::SetTrue),
+                ),
+        )
+        .subcommand(
+            Command::new(GATEWAY)
+                .about("Passes requests through to services, by the routes in the platform's store")
                 .arg(settings_arg()),
         )
 }
--- /dev/null
+++ b/toucanchute_router/src/gateway.rs
@@ -0,0 +1,58 @@
+//! The process of an entry host on the users' platform: passes requests through by the operator's
+//! routes. It shares links, fleet and dispatch actors with the router.
+
+mod control;
+mod feeds;
+mod leave;
+mod monitor;
+mod questions;
+mod registry;
+mod server;
+
+use std::path::PathBuf;
+
+use snafu::ResultExt;
+use toucanchute_log::Setup;
+use toucanchute_proto::{Incarnation, settings::GatewaySettings};
+use toucanchute_settings::load_gateway;
+
+use crate::{
+    output::{LogSnafu, RunError, RuntimeSnafu, SettingsSnafu},
+    run::level,
+};
+
+/// Log lines that wait to be written; further ones are dropped and counted.
+const LOG_QUEUE: usize = 4_096;
+
+/// Lines of one event in a second; further ones are counted.
+const LOG_RATE: u32 = 400;
+
+/// Runs a gateway until it has left gracefully.
+///
+/// # Errors
+///
+/// Fails if the settings are refused or the process cannot start.
+pub(crate) fn run(path: PathBuf) -> Result<(), RunError> {
+    let settings = load_gateway(&path).context(SettingsSnafu)?;
+    let incarnation = Incarnation(rand::random());
+    install_log(&settings, incarnation)?;
+    // The hosts have less than a core, so that more threads would only cost switches.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    runtime
+        .context(RuntimeSnafu)?
+        .block_on(server::serve(settings, path, incarnation))
+}
+
+fn install_log(settings: &GatewaySettings, incarnation: Incarnation) -> Result<(), RunError> {
+    let setup = Setup::new("gateway")
+        .host(&settings.router.host)
+        .incarnation(incarnation)
+        .level(level(settings.log.level));
+    let setup = match &settings.log.file {
+        Some(file) => setup.file(file.as_ref()),
+        None => setup.queue(LOG_QUEUE, LOG_RATE),
+    };
+    setup.install().context(LogSnafu)
+}
--- /dev/null
+++ b/toucanchute_router/src/gateway/control.rs
@@ -0,0 +1,88 @@
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
+
+use tokio::sync::oneshot;
+use toucanchute_core::prepaid::Usage;
+use toucanchute_edge::{
+    AssignRequest, Assignment, Outcome, Refusal, RefusalReason, Report,
+    passthrough::{Failure, FailureKind, RequestEnd, RouteControl, TokenHold, TokenRequest},
+};
+use toucanchute_proto::{AttemptId, config::Config, fleet::Load};
+use xtra::prelude::*;
+
+use super::monitor::Monitor;
+use crate::{
+    actor::{Assign, DispatchActor, DispatchInput, PrepaidActor, PrepaidInput, post},
+    clock,
+    view::View,
+};
+
+/// Answers the gateway's questions by asking the actors.
+pub(super) struct GatewayControl {
+    pub(super) view: Arc<View>,
+    pub(super) prepaid: Address<PrepaidActor>,
+    pub(super) dispatch: Address<DispatchActor>,
+    /// Whether the process was asked to stop.
+    pub(super) leaving: Arc<AtomicBool>,
+    pub(super) monitor: Arc<Monitor>,
+}
+
+impl RouteControl for GatewayControl {
+    fn config(&self) -> Arc<Config> {
+        self.view.config()
+    }
+
+    fn unready(&self) -> Option<Refusal> {
+        self.view.unready(clock::now())
+    }
+
+    fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    async fn reserve(&self, req: TokenRequest) -> Result<TokenHold, Failure> {
+        let (tx, rx) = oneshot::channel();
+        post(&self.prepaid, PrepaidInput::Reserve(req, tx));
+        let result = rx.await.unwrap_or_else(|_| Err(stopped()));
+        self.monitor.reserved(&result);
+        result
+    }
+
+    fn settle(&self, hold: TokenHold, usage: Usage) {
+        self.monitor.settled(usage.tokens);
+        post(&self.prepaid, PrepaidInput::Settle(hold, usage));
+    }
+
+    async fn assign(&self, req: AssignRequest) -> Result<Assignment, Refusal> {
+        let (reply, answer) = oneshot::channel();
+        post(&self.dispatch, Assign { req, reply });
+        answer.await.unwrap_or_else(|_| {
+            Err(Refusal {
+                reason: RefusalReason::NoBackend,
+                outcome: Outcome::NotRun,
+                retry_after: None,
+                elsewhere: None,
+            })
+        })
+    }
+
+    fn report(&self, attempt: AttemptId, report: Report) {
+        self.monitor.reported(report);
+        post(&self.dispatch, DispatchInput::Report(attempt, report));
+    }
+
+    fn load(&self, load: Load) {
+        post(&self.dispatch, DispatchInput::Load(load));
+    }
+
+    fn count(&self, end: &RequestEnd<'_>) {
+        self.monitor.ended(end);
+    }
+}
+
+/// The failure of a request whose actor has stopped.
+fn stopped() -> Failure {
+    Failure::new(FailureKind::NotRun, "stopping")
+}
--- /dev/null
+++ b/toucanchute_router/src/gateway/feeds.rs
@@ -0,0 +1,242 @@
+//! Reads the operator's configuration and the backend servers' registrations from the store.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, PoisonError},
+    time::Duration,
+};
+
+use toucanchute_core::discovery::{Discovery, Found};
+use toucanchute_platform::{BACKENDS_PREFIX, CONFIG_KEY, StoreClient, read_backend, read_config};
+use toucanchute_proto::{
+    Digest, Millis,
+    config::{Config, Ledger, Routing},
+    settings::GatewaySettings,
+};
+use toucanchute_store::{Entry, Revision, Selection, Snapshot, Store, StoreError, Update};
+use xtra::prelude::*;
+
+use super::registry::Routers;
+use crate::{
+    actor::{DispatchActor, DispatchInput, FleetActor, FleetInput, post},
+    clock,
+};
+
+/// Pause between two readings of the registrations: a third of the time in which a leaving backend
+/// server has to be known.
+const BACKENDS_PAUSE: Duration = Duration::from_millis(600);
+
+/// Pause after a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Part of the fleet's retries that is used, in percent, since windows of different routers differ.
+const RETRY_PERCENT: u32 = 70;
+
+/// What the store tells, and whom.
+pub(super) struct Feeds {
+    pub(super) store: StoreClient,
+    pub(super) fleet: Address<FleetActor>,
+    pub(super) dispatch: Address<DispatchActor>,
+    /// Other routers as their records say.
+    pub(super) routers: Routers,
+}
+
+impl Feeds {
+    /// Starts to read.
+    pub(super) fn start(self, settings: &GatewaySettings) {
+        let configs = ConfigFeed {
+            store: self.store.clone(),
+            fleet: self.fleet.clone(),
+            policy: Policy::new(settings),
+            last: None,
+        };
+        tokio::spawn(configs.run());
+        let backends = BackendFeed {
+            feeds: self,
+            discovery: Discovery::default(),
+            malformed: BTreeMap::new(),
+        };
+        tokio::spawn(backends.run());
+    }
+}
+
+/// What a process's settings add to the operator's configuration.
+struct Policy {
+    routing: Routing,
+    ledger: Ledger,
+}
+
+impl Policy {
+    fn new(settings: &GatewaySettings) -> Policy {
+        Policy {
+            routing: Routing {
+                address_max_age_ms: settings.callers.address_max_age_ms,
+                retry_share_percent: settings.retries.percent * RETRY_PERCENT / 100,
+                retry_burst: settings.retries.burst * RETRY_PERCENT / 100,
+                ..Routing::default()
+            },
+            ledger: Ledger {
+                witnesses: settings.prepaid.witnesses,
+                acks: settings.prepaid.acks,
+                grant_horizon_ms: settings.prepaid.horizon_ms,
+                ..Ledger::default()
+            },
+        }
+    }
+}
+
+/// Follows the configuration.
+struct ConfigFeed {
+    store: StoreClient,
+    fleet: Address<FleetActor>,
+    policy: Policy,
+    /// Version and digest of the newest configuration that was read.
+    last: Option<(u64, Digest)>,
+}
+
+impl ConfigFeed {
+    async fn run(mut self) {
+        loop {
+            let asked = clock::now();
+            match self.store.get(CONFIG_KEY).await {
+                Ok(entry) => {
+                    let from = entry.as_ref().map_or(Revision::ABSENT, |e| e.revision);
+                    if let Some(entry) = entry {
+                        self.take(&entry);
+                    }
+                    self.confirm(asked);
+                    self.follow(from.next()).await;
+                }
+                Err(e) => self.unread(&e).await,
+            }
+        }
+    }
+
+    /// Follows the changes from a revision on until some are missed.
+    async fn follow(&mut self, from: Revision) {
+        let selection = Selection::Key(CONFIG_KEY.to_owned());
+        let mut watch = self.store.watch(selection, from);
+        let mut asked = clock::now();
+        while let Some(update) = watch.next().await {
+            match update {
+                Update::Put(entry) => self.take(&entry),
+                Update::Progress { .. } => {
+                    self.confirm(asked);
+                    asked = clock::now();
+                }
+                Update::Disconnected => {
+                    post(&self.fleet, FleetInput::PlatformDown);
+                    asked = clock::now();
+                }
+                Update::Gap { .. } => {
+                    log::info!("config-history-lost");
+                    return;
+                }
+                Update::Delete { .. } => {}
+            }
+        }
+    }
+
+    /// Tells that the newest configuration read was the newest one at `asked`.
+    fn confirm(&self, asked: Millis) {
+        let (version, digest) = self.last.unwrap_or_default();
+        post(&self.fleet, FleetInput::HeadSeen(asked, version, digest));
+    }
+
+    fn take(&mut self, entry: &Entry) {
+        let digest = Digest::new(CONFIG_KEY, &entry.value);
+        if self.last.is_some_and(|(_, last)| last == digest) {
+            return;
+        }
+        match read_config(&entry.value) {
+            Ok(config) => {
+                self.last = Some((config.version, digest));
+                let config = Config {
+                    routing: self.policy.routing.clone(),
+                    ledger: self.policy.ledger.clone(),
+                    ..config
+                };
+                post(&self.fleet, FleetInput::Config(Arc::new(config), digest));
+            }
+            Err(e) => log::error!(revision = entry.revision.0, error:% = e; "config-malformed"),
+        }
+    }
+
+    async fn unread(&self, error: &StoreError) {
+        log::debug!(error:% = error; "config-unread");
+        post(&self.fleet, FleetInput::PlatformDown);
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Reads the backend servers' registrations again and again.
+struct BackendFeed {
+    feeds: Feeds,
+    discovery: Discovery,
+    /// Entries that could not be read, by key, to log each once.
+    malformed: BTreeMap<String, Revision>,
+}
+
+impl BackendFeed {
+    async fn run(mut self) {
+        loop {
+            let asked = clock::now();
+            let pause = match self.feeds.store.get_prefix(BACKENDS_PREFIX).await {
+                Ok(snapshot) => {
+                    self.take(asked, &snapshot);
+                    BACKENDS_PAUSE
+                }
+                Err(e) => {
+                    log::debug!(error:% = e; "backends-unread");
+                    post(&self.feeds.fleet, FleetInput::PlatformDown);
+                    RETRY_PAUSE
+                }
+            };
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    fn take(&mut self, asked: Millis, snapshot: &Snapshot) {
+        let found = snapshot.entries.iter();
+        let found: Vec<Found> = found.filter_map(|entry| self.read(entry)).collect();
+        let ready = found.iter().filter(|f| !f.leaving);
+        let names: BTreeSet<String> = ready.map(|f| f.name.clone()).collect();
+        let change = self.discovery.list(clock::now(), found);
+        let Feeds {
+            fleet,
+            dispatch,
+            routers,
+            ..
+        } = &self.feeds;
+        if !change.withdrawn.is_empty() {
+            log::info!(backends:? = change.withdrawn, revision = snapshot.revision.0; "backends-left");
+            post(fleet, FleetInput::Withdrawn(change.withdrawn));
+        }
+        if let Some(live) = change.live {
+            log::info!(backends = live.len(), revision = snapshot.revision.0; "backends-found");
+            post(dispatch, DispatchInput::Backends(live));
+        }
+        post(fleet, FleetInput::Registered(names, asked));
+        let routers = routers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        post(
+            fleet,
+            FleetInput::HostList(asked, snapshot.revision.0, routers),
+        );
+    }
+
+    fn read(&mut self, entry: &Entry) -> Option<Found> {
+        match read_backend(&entry.key, &entry.value) {
+            Ok(found) => Some(found),
+            Err(e) => {
+                let known = self.malformed.insert(entry.key.clone(), entry.revision);
+                if known.is_none() {
+                    log::warn!(key = entry.key, error:% = e; "backend-entry-malformed");
+                }
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/toucanchute_router/src/gateway/monitor.rs
@@ -0,0 +1,194 @@
+//! Counters and latency histograms of a gateway, served as text.
+
+use std::{
+    convert::Infallible,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, header};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+use tokio::net::TcpListener;
+use toucanchute_edge::{
+    Report,
+    passthrough::{Failure, RequestEnd, TokenHold},
+};
+
+/// Upper bounds of the latency histograms, in milliseconds: from a plain answer to a whole stream.
+const LATENCY_MS: [f64; 12] = [
+    5.0, 10.0, 25.0, 50.0, 100.0, 200.0, 400.0, 700.0, 1_000.0, 2_000.0, 5_000.0, 15_000.0,
+];
+
+/// Metrics of the process.
+#[derive(Debug)]
+pub(super) struct Monitor {
+    registry: Mutex<Registry>,
+    requests: Family<EndLabels, Counter>,
+    first_byte: Histogram,
+    attempts: Family<AttemptLabels, Counter>,
+    reservations: Family<ReservationLabels, Counter>,
+    tokens_used: Counter,
+    in_flight: Gauge,
+    log_dropped: Gauge,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EndLabels {
+    status: u16,
+    outcome: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AttemptLabels {
+    end: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReservationLabels {
+    result: &'static str,
+}
+
+impl Monitor {
+    /// Creates metrics that are all zero.
+    pub(super) fn new() -> Monitor {
+        let monitor = Monitor {
+            registry: Mutex::default(),
+            requests: Family::default(),
+            first_byte: Histogram::new(LATENCY_MS),
+            attempts: Family::default(),
+            reservations: Family::default(),
+            tokens_used: Counter::default(),
+            in_flight: Gauge::default(),
+            log_dropped: Gauge::default(),
+        };
+        monitor.register();
+        monitor
+    }
+
+    fn register(&self) {
+        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let registry = registry.sub_registry_with_prefix("toucanchute");
+        registry.register(
+            "requests",
+            "Requests that have ended",
+            self.requests.clone(),
+        );
+        registry.register(
+            "first_byte_ms",
+            "Time to the head of an answer, in milliseconds",
+            self.first_byte.clone(),
+        );
+        registry.register(
+            "attempts",
+            "Ends of attempts at backend servers",
+            self.attempts.clone(),
+        );
+        registry.register(
+            "reservations",
+            "Requests for tokens of prepaid budgets",
+            self.reservations.clone(),
+        );
+        registry.register(
+            "tokens_used",
+            "Tokens that requests used",
+            self.tokens_used.clone(),
+        );
+        registry.register("in_flight", "Requests in progress", self.in_flight.clone());
+        registry.register(
+            "log_lines_dropped",
+            "Log lines that found the queue full",
+            self.log_dropped.clone(),
+        );
+    }
+
+    /// Counts a request that has ended.
+    pub(super) fn ended(&self, end: &RequestEnd<'_>) {
+        let labels = EndLabels {
+            status: end.status,
+            outcome: end.outcome.to_owned(),
+        };
+        self.requests.get_or_create(&labels).inc();
+        if end.first_ms > 0 {
+            self.first_byte.observe(end.first_ms as f64);
+        }
+    }
+
+    /// Counts the end of an attempt.
+    pub(super) fn reported(&self, report: Report) {
+        let end = match report {
+            Report::FirstToken => return,
+            Report::Done { .. } => "done",
+            Report::Refused => "refused",
+            Report::Unsent => "unsent",
+            Report::Crashed { .. } => "broken",
+            Report::Cancelled => "cancelled",
+        };
+        self.attempts.get_or_create(&AttemptLabels { end }).inc();
+    }
+
+    /// Counts an answer to a request for tokens.
+    pub(super) fn reserved(&self, result: &Result<TokenHold, Failure>) {
+        let result = match result {
+            Ok(_) => "reserved",
+            Err(failure) => failure.reason,
+        };
+        let labels = ReservationLabels { result };
+        self.reservations.get_or_create(&labels).inc();
+    }
+
+    /// Counts tokens that a request used.
+    pub(super) fn settled(&self, tokens: u64) {
+        self.tokens_used.inc_by(tokens);
+    }
+
+    fn text(&self, in_flight: u64) -> String {
+        self.in_flight
+            .set(i64::try_from(in_flight).unwrap_or(i64::MAX));
+        let dropped = toucanchute_log::dropped_lines();
+        self.log_dropped
+            .set(i64::try_from(dropped).unwrap_or(i64::MAX));
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut text = String::new();
+        if let Err(e) = encode(&mut text, &registry) {
+            log::error!(error:% = e; "metrics-not-encoded");
+        }
+        text
+    }
+}
+
+/// Serves the metrics until the process ends, whatever the path.
+pub(super) async fn serve(listener: TcpListener, monitor: Arc<Monitor>, in_flight: Arc<AtomicU64>) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                log::warn!(error:% = e; "accept-failed");
+                continue;
+            }
+        };
+        let (monitor, in_flight) = (Arc::clone(&monitor), Arc::clone(&in_flight));
+        let service = service_fn(move |_: Request<Incoming>| {
+            let text = monitor.text(in_flight.load(Ordering::Relaxed));
+            let mut res = Response::new(Full::new(Bytes::from(text)));
+            let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+            res.headers_mut().insert(header::CONTENT_TYPE, kind);
+            async move { Ok::<_, Infallible>(res) }
+        });
+        tokio::spawn(async move {
+            let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(e) = conn.await {
+                log::debug!(error:% = e; "metrics-connection-failed");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/toucanchute_router/src/gateway/questions.rs
@@ -0,0 +1,104 @@
+//! What the platform and callers ask the router about itself and the fleet.
+
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use rand::seq::SliceRandom;
+use tokio::net::TcpListener;
+use toucanchute_platform::{Question, answer, read_question};
+use toucanchute_proto::{Millis, fleet::MemberState};
+
+use crate::{clock, view::View};
+
+/// Addresses in a caller's own failure domain from which on none of another is named.
+const ENOUGH_NEAR: usize = 2;
+
+/// Most addresses in one answer.
+const MAX_ADDRESSES: usize = 64;
+
+/// Answers questions from what the fleet actor told last.
+pub(super) struct Desk {
+    pub(super) view: Arc<View>,
+    /// Whether the process was asked to stop.
+    pub(super) leaving: Arc<AtomicBool>,
+    /// Address of this router for callers.
+    pub(super) own_address: SocketAddr,
+    pub(super) own_domain: String,
+    /// How long callers may keep addresses.
+    pub(super) max_age: Millis,
+}
+
+impl Desk {
+    fn answer<B>(&self, req: &Request<B>) -> Response<Full<Bytes>> {
+        match read_question(req) {
+            Some(Question::Ready) => answer::ready(self.is_ready()),
+            Some(Question::Addresses { failure_domain, .. }) => {
+                answer::addresses(self.addresses(&failure_domain), self.max_age.0)
+            }
+            None => answer::unknown(),
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        let leaving = self.leaving.load(Ordering::Relaxed);
+        !leaving && self.view.unready(clock::now()).is_none()
+    }
+
+    /// Returns the routers of the caller's failure domain, and others if there are few, in random
+    /// order.
+    fn addresses(&self, failure_domain: &str) -> Vec<SocketAddr> {
+        let members = self.view.members();
+        let alive = members.iter().filter(|m| m.state == MemberState::Alive);
+        let mut routers: Vec<(&str, SocketAddr)> = alive
+            .map(|m| (m.failure_domain.as_str(), m.caller_address))
+            .collect();
+        if self.is_ready() {
+            routers.push((&self.own_domain, self.own_address));
+        }
+        routers.shuffle(&mut rand::rng());
+        let (near, far): (Vec<_>, Vec<_>) = routers
+            .into_iter()
+            .partition(|(domain, _)| *domain == failure_domain);
+        let few = ENOUGH_NEAR.saturating_sub(near.len());
+        let far = far.into_iter().take(few);
+        let all = near.into_iter().chain(far).map(|(_, address)| address);
+        all.take(MAX_ADDRESSES).collect()
+    }
+}
+
+/// Answers questions until the process ends.
+pub(super) async fn serve(listener: TcpListener, desk: Arc<Desk>) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                log::warn!(error:% = e; "accept-failed");
+                continue;
+            }
+        };
+        let desk = Arc::clone(&desk);
+        let service = service_fn(move |req: Request<Incoming>| {
+            let res = desk.answer(&req);
+            async move { Ok::<_, Infallible>(res) }
+        });
+        tokio::spawn(async move {
+            let conn = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(e) = conn.await {
+                log::debug!(error:% = e; "question-connection-failed");
+            }
+        });
+    }
+}
--- a/toucanchute_router/src/keyvalue/ledger.rs
+++ b/toucanchute_router/src/keyvalue/ledger.rs
@@ -1,17 +1,25 @@
 use std::sync::Arc;
 
 use toucanchute_core::ledger::{StoreRequest, StoreResult};
-use toucanchute_store::{Applied, Cas, Client, Revision, Store, StoreError};
+use toucanchute_store::{Applied, Cas, Revision, Store, StoreError};
 
 /// Carries out the ledger's calls to the platform's key-value service.
-#[derive(Clone, Debug)]
-pub(crate) struct LedgerStore {
-    client: Arc<Client>,
+#[derive(Debug)]
+pub(crate) struct LedgerStore<S> {
+    client: Arc<S>,
 }
 
-impl LedgerStore {
+impl<S> Clone for LedgerStore<S> {
+    fn clone(&self) -> LedgerStore<S> {
+        LedgerStore {
+            client: Arc::clone(&self.client),
+        }
+    }
+}
+
+impl<S: Store> LedgerStore<S> {
     /// Creates a store on a client of the platform.
-    pub(crate) fn new(client: Arc<Client>) -> LedgerStore {
+    pub(crate) fn new(client: Arc<S>) -> LedgerStore<S> {
         LedgerStore { client }
     }
 
--- a/toucanchute_router/src/lib.rs
+++ b/toucanchute_router/src/lib.rs
@@ -6,6 +6,7 @@
 mod cli;
 mod clock;
 mod control;
+mod gateway;
 mod http_client;
 mod keyvalue;
 mod link;
--- a/toucanchute_router/src/link.rs
+++ b/toucanchute_router/src/link.rs
@@ -9,5 +9,6 @@
 mod handshake;
 mod mesh;
 
+pub(crate) use frame::Frame;
 pub(crate) use handshake::Identity;
 pub(crate) use mesh::{LinkCounts, LinkEvent, Mesh, Peer};
--- a/toucanchute_router/src/run.rs
+++ b/toucanchute_router/src/run.rs
@@ -5,10 +5,10 @@
     Incarnation,
     settings::{LogLevel, RouterSettings},
 };
-use toucanchute_settings::load_router;
+use toucanchute_settings::{load_gateway, load_router};
 
 use crate::{
-    cli,
+    cli, gateway,
     output::{LogSnafu, RunError, RuntimeSnafu, SettingsSnafu},
     server,
 };
@@ -22,6 +22,9 @@
     if let Some((cli::CHECK, matches)) = matches.subcommand() {
         return check(matches);
     }
+    if let Some((cli::GATEWAY, matches)) = matches.subcommand() {
+        return gateway::run(cli::settings_path(matches));
+    }
     let settings = load_router(&cli::settings_path(matches)).context(SettingsSnafu)?;
     let incarnation = Incarnation(rand::random());
     install_log(&settings, incarnation)?;
@@ -35,23 +38,16 @@
 
 fn check(matches: &ArgMatches) -> Result<(), RunError> {
     let path = cli::settings_path(matches);
-    let settings = load_router(&path).context(SettingsSnafu)?;
-    println!(
-        "{}: settings of host {} are valid",
-        path.display(),
-        settings.router.host
-    );
+    let host = match matches.get_flag(cli::GATEWAY_SETTINGS) {
+        true => load_gateway(&path).context(SettingsSnafu)?.router.host,
+        false => load_router(&path).context(SettingsSnafu)?.router.host,
+    };
+    println!("{}: settings of host {host} are valid", path.display());
     Ok(())
 }
 
 fn install_log(settings: &RouterSettings, incarnation: Incarnation) -> Result<(), RunError> {
-    let level = match settings.log.level {
-        LogLevel::Error => log::LevelFilter::Error,
-        LogLevel::Warn => log::LevelFilter::Warn,
-        LogLevel::Info => log::LevelFilter::Info,
-        LogLevel::Debug => log::LevelFilter::Debug,
-        LogLevel::Trace => log::LevelFilter::Trace,
-    };
+    let level = level(settings.log.level);
     let setup = Setup::new("router")
         .host(&settings.router.host)
         .incarnation(incarnation);
@@ -62,3 +58,14 @@
     };
     setup.install().context(LogSnafu)
 }
+
+/// Returns the log level that the settings name.
+pub(crate) fn level(level: LogLevel) -> log::LevelFilter {
+    match level {
+        LogLevel::Error => log::LevelFilter::Error,
+        LogLevel::Warn => log::LevelFilter::Warn,
+        LogLevel::Info => log::LevelFilter::Info,
+        LogLevel::Debug => log::LevelFilter::Debug,
+        LogLevel::Trace => log::LevelFilter::Trace,
+    }
+}
--- a/toucanchute_router/src/server.rs
+++ b/toucanchute_router/src/server.rs
@@ -29,8 +29,8 @@
 
 use crate::{
     actor::{
-        DispatchActor, DispatchInput, FleetActor, FleetInput, FleetParts, FleetPeers, MoneyActor,
-        MoneyInput, MoneyParts, OrdersActor, OrdersInput, post,
+        DispatchActor, DispatchInput, FleetActor, FleetInput, FleetParts, FleetPeers, Funds,
+        MoneyActor, MoneyInput, MoneyParts, OrdersActor, OrdersInput, post,
     },
     admin::{Admin, Counters, OwnHost},
     control::{ControlParts, RouterControl},
@@ -162,9 +162,9 @@
             fleet: fleet.clone(),
         });
         let actors = FleetPeers {
-            money: money.clone(),
+            funds: Funds::Ledger(money.clone()),
             dispatch: dispatch.clone(),
-            platform,
+            platform: Some(platform),
             exit,
         };
         post(&fleet, FleetInput::Start(Box::new(actors)));
@@ -176,7 +176,11 @@
             http: HttpClient::new(),
         };
         tokio::spawn(polls.run());
-        tokio::spawn(route_links(links, fleet.clone(), money.clone()));
+        tokio::spawn(route_links(
+            links,
+            fleet.clone(),
+            Funds::Ledger(money.clone()),
+        ));
         tokio::spawn(tick(MONEY_TICK, money.clone(), || MoneyInput::Tick));
         tokio::spawn(tick(DISPATCH_TICK, dispatch.clone(), || {
             DispatchInput::Tick
@@ -216,20 +220,17 @@
 
 // --- tasks
 
-async fn route_links(
+pub(crate) async fn route_links(
     mut links: mpsc::UnboundedReceiver<LinkEvent>,
     fleet: Address<FleetActor>,
-    money: Address<MoneyActor>,
+    funds: Funds,
 ) {
     while let Some(event) = links.recv().await {
         match event {
             LinkEvent::Up(peer) => post(&fleet, FleetInput::PeerUp(member(peer))),
             LinkEvent::Down(from) => post(&fleet, FleetInput::PeerDown(from)),
             LinkEvent::Frame(frame) => match frame.kind {
-                FrameKind::Money => match frame.message() {
-                    Ok(message) => post(&money, MoneyInput::Message(frame.from, message)),
-                    Err(e) => log::warn!(peer:% = frame.from, error:% = e; "frame-malformed"),
-                },
+                FrameKind::Money | FrameKind::Prepaid => funds.receive(&frame),
                 FrameKind::Fleet => match frame.message() {
                     Ok(message) => post(&fleet, FleetInput::Message(frame.from, message)),
                     Err(e) => log::warn!(peer:% = frame.from, error:% = e; "frame-malformed"),
@@ -272,7 +273,7 @@
 
 // --- parts
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, RunError> {
+pub(crate) async fn bind(address: SocketAddr) -> Result<TcpListener, RunError> {
     TcpListener::bind(address)
         .await
         .context(BindSnafu { address })
@@ -307,7 +308,7 @@
     }
 }
 
-fn member(peer: Peer) -> Member {
+pub(crate) fn member(peer: Peer) -> Member {
     Member {
         incarnation: peer.incarnation,
         host: peer.hello.host,
@@ -338,7 +339,7 @@
     }
 }
 
-fn starting() -> Refusal {
+pub(crate) fn starting() -> Refusal {
     Refusal {
         reason: RefusalReason::Starting,
         outcome: Outcome::NotRun,
--- a/toucanchute_router/src/view.rs
+++ b/toucanchute_router/src/view.rs
@@ -1,5 +1,6 @@
 use std::sync::{Arc, PoisonError, RwLock};
 
+use toucanchute_core::fleet::MemberView;
 use toucanchute_edge::{AddressList, Outcome, Refusal, RefusalReason};
 use toucanchute_proto::{Millis, config::Config};
 
@@ -18,6 +19,8 @@
     /// Configuration in force; versions only rise.
     config: Arc<Config>,
     addresses: AddressList,
+    /// The other members of the fleet as far as known.
+    members: Vec<MemberView>,
     unready: Option<Refusal>,
     /// When the fleet actor last confirmed `unready`.
     checked_at: Millis,
@@ -31,6 +34,7 @@
             state: RwLock::new(State {
                 config,
                 addresses,
+                members: Vec::new(),
                 unready: Some(unready),
                 checked_at: Millis::default(),
             }),
@@ -49,6 +53,11 @@
         self.read(|state| state.addresses.clone())
     }
 
+    /// Returns the other members of the fleet.
+    pub(crate) fn members(&self) -> Vec<MemberView> {
+        self.read(|state| state.members.clone())
+    }
+
     /// Returns why this router takes no new work at `now`, if it takes none.
     pub(crate) fn unready(&self, now: Millis) -> Option<Refusal> {
         self.read(|state| {
@@ -80,6 +89,11 @@
         self.write(|state| state.addresses = addresses);
     }
 
+    /// Replaces the other members of the fleet.
+    pub(crate) fn set_members(&self, members: Vec<MemberView>) {
+        self.write(|state| state.members = members);
+    }
+
     /// Sets or clears the reason why this router takes no new work.
     pub(crate) fn set_unready(&self, unready: Option<Refusal>) {
         self.write(|state| state.unready = unready);
--- a/toucanchute_settings/src/folder/sections.rs
+++ b/toucanchute_settings/src/folder/sections.rs
@@ -25,7 +25,10 @@
         "service" => cfg.services.extend(read_service(&mut r, name)),
         "pool" => cfg.pools.extend(read_pool(&mut r, name)),
         "backend" => cfg.backends.extend(read_backend(&mut r, name)),
-        "budget" => cfg.budgets.push(Budget { name }),
+        "budget" => cfg.budgets.push(Budget {
+            name,
+            prepaid: None,
+        }),
         "customer" => cfg.customers.extend(read_customer(&mut r, name)),
         _ => return,
     }
@@ -98,6 +101,7 @@
         kind: kind?,
         fencing: Some(fencing.unwrap_or_default()),
         max_concurrency: max_concurrency.unwrap_or(MAX_CONCURRENCY),
+        tokens_per_event: 1,
     })
 }
 
@@ -135,5 +139,7 @@
         token_sha256: token_sha256?,
         priority: priority.unwrap_or_default(),
         weight: weight.unwrap_or(1),
+        other_tokens_sha256: Vec::new(),
+        route_priority: None,
     })
 }
--- a/toucanchute_settings/src/format.rs
+++ b/toucanchute_settings/src/format.rs
@@ -64,13 +64,21 @@
 pub(crate) const DURATION: Format<u64> = Format::new(
     "a duration of at least 1 ms with its unit, such as 500 ms, 10 s, 5 min or 24 h",
     |s| {
-        scaled(
+        fractional(
             s,
             &[("ms", 1), ("s", 1_000), ("min", 60_000), ("h", 3_600_000)],
         )
     },
 );
 
+pub(crate) const RATIO: Format<u32> =
+    Format::new("a share from 0 to 1 such as 0.2, kept in percent", |s| {
+        let share: f64 = s.parse().ok()?;
+        (0.0..=1.0)
+            .contains(&share)
+            .then_some((share * 100.0) as u32)
+    });
+
 pub(crate) const SIZE: Format<u64> = Format::new(
     "a size with its unit, such as 512 B, 64 KiB or 1 MiB",
     |s| scaled(s, &[("B", 1), ("KiB", 1 << 10), ("MiB", 1 << 20)]),
@@ -146,6 +154,18 @@
     number.checked_mul(*factor).filter(|&n| n > 0)
 }
 
+/// Reads a decimal number followed by one of `units`, rounded to the smallest unit.
+fn fractional(s: &str, units: &[(&str, u64)]) -> Option<u64> {
+    let digits = s.find(|c: char| !c.is_ascii_digit() && c != '.')?;
+    let (number, unit) = s.split_at(digits);
+    let (_, factor) = units.iter().find(|(name, _)| *name == unit.trim_start())?;
+    if !number.contains('.') {
+        return scaled(s, units);
+    }
+    let span: f64 = number.parse::<f64>().ok()? * *factor as f64;
+    (span >= 1.0 && span.is_finite()).then_some(span as u64)
+}
+
 fn is_name(s: &str) -> bool {
     let fits = |b: u8| b.is_ascii_alphanumeric() || b"-_./".contains(&b);
     !s.is_empty() && s.len() <= MAX_NAME_BYTES && s.bytes().all(fits)
--- /dev/null
+++ b/toucanchute_settings/src/gateway.rs
@@ -0,0 +1,184 @@
+use std::path::Path;
+
+use toucanchute_proto::settings::{
+    CallersSection, GatewayRouterSection, GatewaySettings, LeaveSection, LogLevel, LogSection,
+    MonitorSection, PrepaidSection, RetriesSection, StoreSection,
+};
+
+use crate::{
+    document::{Document, Section},
+    error::SettingsError,
+    fault::Fault,
+    format,
+    process::{self, missing, read_log},
+    reader::Reader,
+};
+
+/// Longest time of one call to the store unless the settings say otherwise, in milliseconds.
+const STORE_TIMEOUT_MS: u64 = 1_000;
+
+/// How long callers may keep addresses unless the settings say otherwise, in milliseconds.
+const ADDRESS_MAX_AGE_MS: u64 = 2_000;
+
+/// File descriptors that are left for files and for connections other than callers'.
+const OTHER_DESCRIPTORS: u32 = 600;
+
+/// Callers' connections at once unless the settings say otherwise.
+const CONNECTIONS: u32 = 3_000;
+
+/// Time until a process is killed that was asked to stop unless the settings say otherwise, in
+/// milliseconds.
+const GRACE_MS: u64 = 8_000;
+
+/// Witnesses of an account and acknowledgements of a mark unless the settings say otherwise.
+const QUORUM: (u8, u8) = (5, 2);
+
+/// Time that a draw lasts unless the settings say otherwise, in milliseconds: longer than most
+/// outages of the store.
+const HORIZON_MS: u64 = 9_000;
+
+/// Retries unless the settings say otherwise: percent of the requests, and those beyond.
+const RETRIES: (u32, u32) = (10, 20);
+
+/// Sections of the file, all without a name.
+const SECTIONS: [&str; 8] = [
+    "router", "callers", "store", "retries", "leave", "prepaid", "log", "monitor",
+];
+
+/// Reads the settings of a gateway from the INI file at `path`.
+///
+/// # Errors
+///
+/// Lists every fault of the file, each with its place and what is allowed.
+pub fn load_gateway(path: &Path) -> Result<GatewaySettings, SettingsError> {
+    process::load(path, &SECTIONS, read)
+}
+
+fn read(path: &Path, doc: &Document, faults: &mut Vec<Fault>) -> Option<GatewaySettings> {
+    let find = |header: &str| doc.sections.iter().find(|s| s.header == header);
+    let router = match find("router") {
+        Some(section) => read_router(section, faults),
+        None => missing(path, "router", faults),
+    };
+    let callers = match find("callers") {
+        Some(section) => read_callers(section, faults),
+        None => missing(path, "callers", faults),
+    };
+    let store = match find("store") {
+        Some(section) => read_store(section, faults),
+        None => missing(path, "store", faults),
+    };
+    let retries = find("retries").map(|s| read_retries(s, faults));
+    let leave = find("leave").map(|s| read_leave(s, faults));
+    let prepaid = find("prepaid").map(|s| read_prepaid(s, faults));
+    let log = find("log").map(|s| read_log(s, faults));
+    let monitor = find("monitor").map(|s| read_monitor(s, faults));
+    let (percent, burst) = RETRIES;
+    let (witnesses, acks) = QUORUM;
+    Some(GatewaySettings {
+        router: router?,
+        callers: callers?,
+        store: store?,
+        retries: retries.unwrap_or(RetriesSection { percent, burst }),
+        leave: leave.unwrap_or(LeaveSection { grace_ms: GRACE_MS }),
+        prepaid: prepaid.unwrap_or(PrepaidSection {
+            witnesses,
+            acks,
+            horizon_ms: HORIZON_MS,
+        }),
+        log: log.unwrap_or(LogSection {
+            level: LogLevel::Info,
+            file: None,
+        }),
+        monitor: monitor.unwrap_or_default(),
+    })
+}
+
+fn read_router(section: &Section, faults: &mut Vec<Fault>) -> Option<GatewayRouterSection> {
+    let mut r = Reader::new(section, faults);
+    let host = r.required("host", &format::NAME);
+    let failure_domain = r.required("failure_domain", &format::NAME);
+    let region = r.required("region", &format::NAME);
+    let peer_listen = r.required("peer_listen", &format::ADDRESS);
+    let peer_secret = r.required("peer_secret", &format::SECRET);
+    r.finish();
+    Some(GatewayRouterSection {
+        host: host?,
+        failure_domain: failure_domain?,
+        region: region?,
+        peer_listen: peer_listen?,
+        peer_secret: peer_secret?,
+    })
+}
+
+fn read_callers(section: &Section, faults: &mut Vec<Fault>) -> Option<CallersSection> {
+    let mut r = Reader::new(section, faults);
+    let listen = r.required("listen", &format::ADDRESS);
+    let readiness = r.required("readiness", &format::ADDRESS);
+    let directory = r.required("directory", &format::ADDRESS);
+    let descriptors = r.optional("descriptors", &format::COUNT);
+    let address_max_age_ms = r.optional("address_max_age", &format::DURATION);
+    r.finish();
+    let connections = descriptors.map(|n| n.saturating_sub(OTHER_DESCRIPTORS).max(n / 4).max(1));
+    Some(CallersSection {
+        listen: listen?,
+        readiness: readiness?,
+        directory: directory?,
+        connections: connections.unwrap_or(CONNECTIONS),
+        address_max_age_ms: address_max_age_ms.unwrap_or(ADDRESS_MAX_AGE_MS),
+    })
+}
+
+fn read_store(section: &Section, faults: &mut Vec<Fault>) -> Option<StoreSection> {
+    let mut r = Reader::new(section, faults);
+    let endpoint = r.required("endpoint", &format::ADDRESS);
+    let timeout_ms = r.optional("timeout", &format::DURATION);
+    r.finish();
+    Some(StoreSection {
+        endpoint: endpoint?,
+        timeout_ms: timeout_ms.unwrap_or(STORE_TIMEOUT_MS),
+    })
+}
+
+fn read_retries(section: &Section, faults: &mut Vec<Fault>) -> RetriesSection {
+    let (mut percent, mut burst) = RETRIES;
+    let mut r = Reader::new(section, faults);
+    r.set("ratio", &format::RATIO, &mut percent);
+    r.set("burst", &format::COUNT, &mut burst);
+    r.finish();
+    RetriesSection { percent, burst }
+}
+
+fn read_leave(section: &Section, faults: &mut Vec<Fault>) -> LeaveSection {
+    let mut grace_ms = GRACE_MS;
+    let mut r = Reader::new(section, faults);
+    r.set("grace", &format::DURATION, &mut grace_ms);
+    r.finish();
+    LeaveSection { grace_ms }
+}
+
+fn read_prepaid(section: &Section, faults: &mut Vec<Fault>) -> PrepaidSection {
+    let (mut witnesses, mut acks) = QUORUM;
+    let mut horizon_ms = HORIZON_MS;
+    let mut r = Reader::new(section, faults);
+    r.set("witnesses", &format::WITNESSES, &mut witnesses);
+    r.set("acks", &format::WITNESSES, &mut acks);
+    r.set("horizon", &format::DURATION, &mut horizon_ms);
+    if acks > witnesses {
+        let cause = "a mark cannot have more acknowledgements than witnesses".to_owned();
+        r.conflict("acks", &acks.to_string(), cause);
+    }
+    r.finish();
+    PrepaidSection {
+        witnesses,
+        acks,
+        horizon_ms,
+    }
+}
+
+fn read_monitor(section: &Section, faults: &mut Vec<Fault>) -> MonitorSection {
+    let mut r = Reader::new(section, faults);
+    let listen = r.optional("listen", &format::ADDRESS);
+    r.finish();
+    MonitorSection { listen }
+}
--- /dev/null
+++ b/toucanchute_settings/src/process.rs
@@ -0,0 +1,73 @@
+//! What the settings files of all processes have in common.
+
+use std::path::Path;
+
+use toucanchute_proto::settings::LogSection;
+
+use crate::{
+    document::{Document, Section},
+    error::SettingsError,
+    fault::{Fault, FaultKind, Place},
+    format,
+    reader::Reader,
+    suggest,
+};
+
+/// Reads the settings of a process from the INI file at `path`, which may have `sections`.
+///
+/// # Errors
+///
+/// Lists every fault of the file.
+pub(crate) fn load<T>(
+    path: &Path,
+    sections: &[&'static str],
+    read: fn(&Path, &Document, &mut Vec<Fault>) -> Option<T>,
+) -> Result<T, SettingsError> {
+    let doc = Document::read(path).map_err(|faults| SettingsError { faults })?;
+    let mut faults = Vec::new();
+    check_headers(&doc, sections, &mut faults);
+    let settings = read(path, &doc, &mut faults);
+    match settings {
+        Some(settings) if faults.is_empty() => Ok(settings),
+        _ => {
+            faults.sort_by(|a, b| a.place.cmp(&b.place));
+            Err(SettingsError { faults })
+        }
+    }
+}
+
+/// Reports unknown and doubled sections.
+fn check_headers(doc: &Document, sections: &[&'static str], faults: &mut Vec<Fault>) {
+    for (i, section) in doc.sections.iter().enumerate() {
+        let header = section.header.as_str();
+        if !sections.contains(&header) {
+            let near = suggest::closest(header, sections.iter().copied());
+            faults.push(section.fault(FaultKind::UnknownSection).suggestion(near));
+            continue;
+        }
+        let earlier = doc.sections[..i].iter().find(|s| s.header == header);
+        if let Some(earlier) = earlier {
+            let kind = FaultKind::DoubledSection(earlier.place.clone());
+            faults.push(section.fault(kind));
+        }
+    }
+}
+
+/// Reports a section that is not there.
+pub(crate) fn missing<T>(path: &Path, header: &str, faults: &mut Vec<Fault>) -> Option<T> {
+    let fault = Fault::new(Place::whole(path), FaultKind::MissingSection);
+    faults.push(fault.section(header));
+    None
+}
+
+/// Reads the section of the event log.
+pub(crate) fn read_log(section: &Section, faults: &mut Vec<Fault>) -> LogSection {
+    let mut r = Reader::new(section, faults);
+    let level = r.optional("level", &format::LOG_LEVEL);
+    let file = r.optional("file", &format::PATH);
+    r.finish();
+    LogSection {
+        level: level.unwrap_or_default(),
+        file,
+    }
+}
--- a/toucanchute_settings/src/router.rs
+++ b/toucanchute_settings/src/router.rs
@@ -8,10 +8,10 @@
 use crate::{
     document::{Document, Section},
     error::SettingsError,
-    fault::{Fault, FaultKind, Place},
+    fault::Fault,
     format,
+    process::{self, missing, read_log},
     reader::Reader,
-    suggest,
 };
 
 /// Longest time of one call to the platform unless the settings say otherwise, in milliseconds.
@@ -26,34 +26,7 @@
 ///
 /// Lists every fault of the file, each with its place and what is allowed.
 pub fn load_router(path: &Path) -> Result<RouterSettings, SettingsError> {
-    let doc = Document::read(path).map_err(|faults| SettingsError { faults })?;
-    let mut faults = Vec::new();
-    check_headers(&doc, &mut faults);
-    let settings = read(path, &doc, &mut faults);
-    match settings {
-        Some(settings) if faults.is_empty() => Ok(settings),
-        _ => {
-            faults.sort_by(|a, b| a.place.cmp(&b.place));
-            Err(SettingsError { faults })
-        }
-    }
-}
-
-/// Reports unknown and doubled sections.
-fn check_headers(doc: &Document, faults: &mut Vec<Fault>) {
-    for (i, section) in doc.sections.iter().enumerate() {
-        let header = section.header.as_str();
-        if !SECTIONS.contains(&header) {
-            let near = suggest::closest(header, SECTIONS);
-            faults.push(section.fault(FaultKind::UnknownSection).suggestion(near));
-            continue;
-        }
-        let earlier = doc.sections[..i].iter().find(|s| s.header == header);
-        if let Some(earlier) = earlier {
-            let kind = FaultKind::DoubledSection(earlier.place.clone());
-            faults.push(section.fault(kind));
-        }
-    }
+    process::load(path, &SECTIONS, read)
 }
 
 fn read(path: &Path, doc: &Document, faults: &mut Vec<Fault>) -> Option<RouterSettings> {
@@ -83,12 +56,6 @@
     })
 }
 
-fn missing<T>(path: &Path, header: &str, faults: &mut Vec<Fault>) -> Option<T> {
-    let fault = Fault::new(Place::whole(path), FaultKind::MissingSection);
-    faults.push(fault.section(header));
-    None
-}
-
 fn read_router(section: &Section, faults: &mut Vec<Fault>) -> Option<RouterSection> {
     let mut r = Reader::new(section, faults);
     let host = r.required("host", &format::NAME);
@@ -167,17 +134,6 @@
     limits
 }
 
-fn read_log(section: &Section, faults: &mut Vec<Fault>) -> LogSection {
-    let mut r = Reader::new(section, faults);
-    let level = r.optional("level", &format::LOG_LEVEL);
-    let file = r.optional("file", &format::PATH);
-    r.finish();
-    LogSection {
-        level: level.unwrap_or_default(),
-        file,
-    }
-}
-
 fn read_metrics(section: &Section, faults: &mut Vec<Fault>) -> MetricsSection {
     let mut r = Reader::new(section, faults);
     let statsd = r.optional("statsd", &format::ADDRESS);
--- a/toucanchute_settings/tests/settings/packed.rs
+++ b/toucanchute_settings/tests/settings/packed.rs
@@ -3,6 +3,8 @@
 
 fn config(budgets: &[String]) -> Config {
     Config {
+        routes: Vec::new(),
+        callers: None,
         version: 0,
         site: "s".to_owned(),
         routing: Routing::default(),
@@ -13,7 +15,10 @@
         backends: Vec::new(),
         budgets: budgets
             .iter()
-            .map(|name| Budget { name: name.clone() })
+            .map(|name| Budget {
+                name: name.clone(),
+                prepaid: None,
+            })
             .collect(),
         customers: Vec::new(),
     }
