fix(gateway): routers dial addresses of which they know nothing yet

Cause: a link was dialed only as long as a known live peer had its address, so routers that knew each other only by their records in the store never met; each claimed all accounts alone, without witnesses, and every claim wrote the draw before off.

--- a/toucanchute_core/src/fleet/event.rs
+++ b/toucanchute_core/src/fleet/event.rs
@@ -46,6 +46,14 @@
         /// When the platform was asked.
         asked: Millis,
     },
+    /// Addresses of routers, for routers, as their records in the platform's service say.
+    Routers(BTreeSet<SocketAddr>),
+    /// The platform answered with the registrations of backend servers, which take the place of a
+    /// host list.
+    BackendsSeen {
+        /// When the platform was asked.
+        asked: Millis,
+    },
     /// These backend servers were seen to leave or to be gone.
     Withdrawn(Vec<String>),
     /// This router's own reading of the registrations: these backend servers take work.
--- a/toucanchute_core/src/fleet/hosts.rs
+++ b/toucanchute_core/src/fleet/hosts.rs
@@ -75,10 +75,17 @@
             self.view.hosts_seen(asked);
         }
         let routers = hosts.iter().filter(|h| h.role == HostRole::Entry);
-        self.hosts.routers = routers.map(|h| h.address).collect();
+        self.take_routers(routers.map(|h| h.address).collect());
         self.set_outage(self.view.down());
     }
 
+    pub(super) fn take_routers(&mut self, routers: BTreeSet<SocketAddr>) {
+        if routers != self.hosts.routers {
+            self.hosts.routers = routers;
+            self.connect_soon();
+        }
+    }
+
     /// Puts a list in force unless the one in force is as new.
     pub(super) fn take_backends(&mut self, mut list: BackendList, out: &mut Vec<Action>) {
         if let Some(old) = &self.hosts.backends {
--- a/toucanchute_core/src/fleet/links.rs
+++ b/toucanchute_core/src/fleet/links.rs
@@ -121,6 +121,11 @@
         }
     }
 
+    /// Looks for missing links at the next tick.
+    pub(super) fn connect_soon(&mut self) {
+        self.next_connect = Millis::default();
+    }
+
     pub(super) fn next_seq(&mut self) -> u64 {
         self.last_seq += 1;
         self.last_seq
--- a/toucanchute_core/src/fleet/machine.rs
+++ b/toucanchute_core/src/fleet/machine.rs
@@ -148,6 +148,11 @@
                 hosts,
                 asked,
             } => self.host_list(asked, version, &hosts, out),
+            Event::Routers(routers) => self.take_routers(routers),
+            Event::BackendsSeen { asked } => {
+                self.view.hosts_seen(asked);
+                self.set_outage(self.view.down());
+            }
             Event::Withdrawn(names) => self.take_withdrawn(now, names, out),
             Event::Registered { names, asked } => self.take_registered(&names, asked, out),
             Event::PlatformDown => self.platform_down(),
--- a/toucanchute_core/src/prepaid/takeover.rs
+++ b/toucanchute_core/src/prepaid/takeover.rs
@@ -203,12 +203,22 @@
         claim.epoch += 1;
         claim.owner = Some(self.me());
         if claim.quorum.witnesses.is_empty() {
+            // Without witnesses nobody knows how much of the draw was used.
             let base = claim.drawn;
+            let lost = base - claim.spent.min(base);
+            claim.lost += lost;
+            self.note_lost(budget, lost);
             return self.write_open(budget, revision, claim, base, out);
         }
         self.write(budget, revision, Call::Claim(claim), out);
     }
 
+    fn note_lost(&mut self, budget: BudgetId, lost: u64) {
+        if let Some(takeover) = self.takeovers.get_mut(&budget) {
+            takeover.lost = lost;
+        }
+    }
+
     /// Writes the record with which spending begins, at `base` tokens spent.
     fn write_open(
         &mut self,
--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -66,6 +66,10 @@
     HeadSeen(Millis, u64, Digest),
     /// The platform answered a question asked at the time given: its host list.
     HostList(Millis, u64, Vec<HostEntry>),
+    /// Addresses of routers, for routers, by their records in the platform's store.
+    Routers(BTreeSet<SocketAddr>),
+    /// The backend servers' registrations were read when the platform was asked.
+    BackendsSeen(Millis),
     /// A configuration was read from the platform.
     Config(Arc<Config>, Digest),
     /// The platform did not answer.
@@ -177,6 +181,8 @@
             actors.funds.set_members(&members);
             post(&actors.dispatch, DispatchInput::Routers(routers));
         });
+        let alive = members.iter().filter(|m| m.state == MemberState::Alive);
+        log::info!(known = members.len(), alive = alive.count(); "members-changed");
         self.view.set_members(members.clone());
         let alive = members.iter().filter(|m| m.state != MemberState::Gone);
         self.mesh
@@ -217,6 +223,8 @@
                 hosts,
                 asked,
             },
+            FleetInput::Routers(routers) => Event::Routers(routers),
+            FleetInput::BackendsSeen(asked) => Event::BackendsSeen { asked },
             FleetInput::Config(config, digest) => Event::Config { config, digest },
             FleetInput::PlatformDown => Event::PlatformDown,
             FleetInput::Load(load) => Event::LoadReport(load),
--- a/toucanchute_router/src/gateway/feeds.rs
+++ b/toucanchute_router/src/gateway/feeds.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    sync::{Arc, PoisonError},
+    sync::Arc,
     time::Duration,
 };
 
@@ -16,7 +16,6 @@
 use toucanchute_store::{Entry, Revision, Selection, Snapshot, Store, StoreError, Update};
 use xtra::prelude::*;
 
-use super::registry::Routers;
 use crate::{
     actor::{DispatchActor, DispatchInput, FleetActor, FleetInput, post},
     clock,
@@ -37,8 +36,6 @@
     pub(super) store: StoreClient,
     pub(super) fleet: Address<FleetActor>,
     pub(super) dispatch: Address<DispatchActor>,
-    /// Other routers as their records say.
-    pub(super) routers: Routers,
 }
 
 impl Feeds {
@@ -203,10 +200,7 @@
         let names: BTreeSet<String> = ready.map(|f| f.name.clone()).collect();
         let change = self.discovery.list(clock::now(), found);
         let Feeds {
-            fleet,
-            dispatch,
-            routers,
-            ..
+            fleet, dispatch, ..
         } = &self.feeds;
         if !change.withdrawn.is_empty() {
             log::info!(backends:? = change.withdrawn, revision = snapshot.revision.0; "backends-left");
@@ -217,14 +211,7 @@
             post(dispatch, DispatchInput::Backends(live));
         }
         post(fleet, FleetInput::Registered(names, asked));
-        let routers = routers
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone();
-        post(
-            fleet,
-            FleetInput::HostList(asked, snapshot.revision.0, routers),
-        );
+        post(fleet, FleetInput::BackendsSeen(asked));
     }
 
     fn read(&mut self, entry: &Entry) -> Option<Found> {
--- a/toucanchute_router/src/gateway/registry.rs
+++ b/toucanchute_router/src/gateway/registry.rs
@@ -1,11 +1,11 @@
 //! How routers find each other: each keeps a record of itself in the store.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
-use toucanchute_core::fleet::{HostEntry, HostRole, HostState};
 use toucanchute_platform::StoreClient;
 use toucanchute_proto::{
     Incarnation, Millis,
@@ -15,6 +15,9 @@
     to_cbor,
 };
 use toucanchute_store::{LeaseId, Store, StoreError};
+use xtra::prelude::*;
+
+use crate::actor::{FleetActor, FleetInput, post};
 
 /// Prefix of the routers' records.
 const PREFIX: &str = "toucanchute/routers/";
@@ -40,27 +43,25 @@
 /// Longest time that removing the record may take.
 const LEAVE_TIME: Duration = Duration::from_millis(100);
 
-/// This router's record, and those of the others as last read.
+/// This router's record; the others are told to the fleet machine as they are read.
 #[derive(Clone)]
 pub(super) struct Registry {
     store: StoreClient,
-    routers: Routers,
+    fleet: Address<FleetActor>,
     lease: Arc<Mutex<Option<LeaseId>>>,
 }
 
-/// The routers by the records that were last read.
-pub(super) type Routers = Arc<Mutex<Vec<HostEntry>>>;
-
 impl Registry {
     /// Starts to keep the record and to read the others.
     pub(super) fn start(
         store: StoreClient,
+        fleet: Address<FleetActor>,
         settings: &GatewaySettings,
         incarnation: Incarnation,
     ) -> Registry {
         let registry = Registry {
             store,
-            routers: Routers::default(),
+            fleet,
             lease: Arc::default(),
         };
         let member = member(settings, incarnation);
@@ -69,11 +70,6 @@
         registry
     }
 
-    /// Returns the routers as last read.
-    pub(super) fn routers(&self) -> Routers {
-        Arc::clone(&self.routers)
-    }
-
     /// Removes the record.
     pub(super) async fn leave(&self) {
         let lease = *self.lease.lock().unwrap_or_else(PoisonError::into_inner);
@@ -128,7 +124,7 @@
                 Ok(snapshot) => {
                     let entries = snapshot.entries.iter();
                     let routers = entries.filter_map(|e| router(&e.key, &e.value)).collect();
-                    *self.routers.lock().unwrap_or_else(PoisonError::into_inner) = routers;
+                    post(&self.fleet, FleetInput::Routers(routers));
                     reads += 1;
                 }
                 Err(e) => log::debug!(error:% = e; "records-unread"),
@@ -143,7 +139,8 @@
     }
 }
 
-fn router(key: &str, value: &[u8]) -> Option<HostEntry> {
+/// Reads the address for routers out of a record.
+fn router(key: &str, value: &[u8]) -> Option<SocketAddr> {
     let member: Member = match from_cbor(value) {
         Ok(member) => member,
         Err(e) => {
@@ -151,12 +148,7 @@
             return None;
         }
     };
-    Some(HostEntry {
-        address: member.peer_address.parse().ok()?,
-        name: member.host,
-        role: HostRole::Entry,
-        state: HostState::Live,
-    })
+    member.peer_address.parse().ok()
 }
 
 fn member(settings: &GatewaySettings, incarnation: Incarnation) -> Member {
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -166,12 +166,11 @@
             in_flight: Arc::clone(&in_flight),
         };
         tokio::spawn(ticked.run());
-        let registry = Registry::start(store.clone(), settings, incarnation);
+        let registry = Registry::start(store.clone(), fleet.clone(), settings, incarnation);
         let feeds = Feeds {
             store,
             fleet: fleet.clone(),
             dispatch: dispatch.clone(),
-            routers: registry.routers(),
         };
         feeds.start(settings);
         let control = Arc::new(GatewayControl {
--- a/toucanchute_router/src/link/mesh.rs
+++ b/toucanchute_router/src/link/mesh.rs
@@ -169,7 +169,7 @@
         self.connect(address);
     }
 
-    /// Opens a link to the router at `address` and dials again as long as a live peer has it.
+    /// Opens a link to the router at `address`; dials once, and again as long as a live peer has it.
     pub(crate) fn connect(&self, address: SocketAddr) {
         if self.links().dialed.insert(address) {
             drop(tokio::spawn(self.clone().dial(address)));
@@ -194,7 +194,7 @@
 
     async fn dial(self, address: SocketAddr) {
         let mut pause = REDIAL_MIN;
-        while self.is_wanted(address) {
+        loop {
             let result = async { self.run(Connection::dial(address).await?, true).await };
             match result.await {
                 Err(LinkError::Own) => break,
@@ -210,6 +210,9 @@
             }
             let jitter = Duration::from_millis(rand::random_range(0..50));
             tokio::time::sleep(pause + jitter).await;
+            if !self.is_wanted(address) {
+                break;
+            }
         }
         self.links().dialed.remove(&address);
     }
