feat(prepaid): checkpoints with a ramp; claims by elapsed time

Change: the record is a checkpoint with a ramp (ahead, pace) and the time by the slowest clock of the fleet; whoever finds neither owner nor witnesses writes off what the ramp allows by the fastest clock, not a draw. Weighed: shorter draws (refuse in each cut of the store), the store's leases as evidence that the owner lived lately (they may pause while the store is down).

--- a/toucanchute_core/src/prepaid.rs
+++ b/toucanchute_core/src/prepaid.rs
@@ -4,11 +4,12 @@
 //! it, its owner. Routers ask the owner for the worst case of each request and tell it afterwards
 //! what was not used. Two bounds keep a lost owner from being spent twice:
 //!
-//! - The record's `drawn` is never exceeded. The owner raises it ahead of need, so that it can go on
-//!   while the store is away.
-//! - Below `drawn`, the owner spends no further than a mark that enough witnesses have acknowledged.
+//! - The record is a checkpoint of what is spent, with a ramp: tokens that may be spent at once and in
+//!   each second after it. The owner stays below the ramp, which carries it on while the store is
+//!   away.
+//! - Below the ramp, the owner spends no further than a mark that enough witnesses have acknowledged.
 //!   A router that takes the account over claims it in the store, fences the witnesses and goes on
-//!   from the highest mark; if too many are gone, from `drawn`.
+//!   from the highest mark; if too many are gone, from what the ramp allows by now.
 //!
 //! [`Prepaid`] decides, its caller does: it is told events and answers with actions.
 
@@ -22,6 +23,7 @@
 mod machine;
 mod marks;
 mod owner;
+mod ramp;
 mod rate;
 mod record;
 mod takeover;
@@ -31,3 +33,4 @@
 pub use event::{CallId, Event, Peer, Usage};
 pub use fault::Fault;
 pub use machine::{Prepaid, Settings};
+pub use ramp::ClockSpread;
--- a/toucanchute_core/src/prepaid/account.rs
+++ b/toucanchute_core/src/prepaid/account.rs
@@ -5,7 +5,10 @@
     prepaid::{Account, Quorum, Term},
 };
 
-use super::{Fault, marks::Marks, rate::Rate};
+use super::{Fault, marks::Marks, ramp::reach, rate::Rate};
+
+/// Requests over which their mean size is averaged.
+const MEAN_WEIGHT: u64 = 8;
 
 /// An account from which this router spends.
 #[derive(Debug)]
@@ -23,17 +26,20 @@
     pub(super) reserved: BTreeMap<RequestId, Reserved>,
     pub(super) waiting: VecDeque<Waiting>,
     pub(super) marks: Marks,
-    /// Quorums of writes that may still take effect, each with the record's `spent`; a mark needs
-    /// all of them.
-    pub(super) pending: Vec<(Quorum, u64)>,
+    /// When the record was sent to the store.
+    pub(super) sent_at: Millis,
+    /// Records that were sent and may still take effect, and when they were sent. Each bounds what
+    /// is spent, like the present one.
+    pub(super) pending: Vec<(Account, Millis)>,
     /// Quorum that is asked for its marks before it is written, and since when.
     pub(super) joining: Option<(Quorum, Millis)>,
     pub(super) write: Option<Write>,
     /// Time before which the store is not called again.
     pub(super) retry_at: Millis,
     pub(super) rate: Rate,
-    /// Largest request lately.
+    /// Largest request lately, and their mean size.
     pub(super) largest: u64,
+    pub(super) mean: u64,
     /// Whether a write was sent that gives the account back; nothing is spent after it.
     pub(super) releasing: bool,
     /// Whether such a write may have taken effect; then the account cannot be kept.
@@ -68,6 +74,7 @@
 #[derive(Debug)]
 pub(super) struct Write {
     pub(super) record: Account,
+    pub(super) sent: Millis,
     /// The store call in flight: the write, or a read that tells what became of it.
     pub(super) op: Option<u64>,
     /// Whether the record has to be read to learn what became of the write.
@@ -87,12 +94,14 @@
             reserved: BTreeMap::new(),
             waiting: VecDeque::new(),
             marks: Marks::default(),
+            sent_at: now,
             pending: Vec::new(),
             joining: None,
             write: None,
             retry_at: now,
             rate: Rate::new(now),
             largest: 0,
+            mean: 0,
             releasing: false,
             release_doubtful: false,
             fault: None,
@@ -108,22 +117,39 @@
         self.fault == Some(fault)
     }
 
-    /// Returns the bound of `used` at present, out of a total of `limit`.
-    pub(super) fn bound(&self, limit: u64) -> u64 {
+    /// Returns the bound of `used` at `now`, out of a total of `limit`.
+    pub(super) fn bound(&self, now: Millis, limit: u64) -> u64 {
         if self.releasing && !self.has(Fault::SpendReleased) {
             return 0;
         }
         if self.has(Fault::IgnoreDrawn) {
             return limit;
         }
+        let ramp = self.ramp_bound(now).min(limit);
         if self.has(Fault::IgnoreMarks) {
-            return limit.min(self.record.drawn);
+            return ramp;
         }
-        let present = (&self.record.quorum, self.record.spent);
-        let pending = self.pending.iter().map(|(q, spent)| (q, *spent));
-        let marks = pending.chain([present]);
-        let marks = marks.map(|(q, spent)| self.marks.effective(q).max(spent));
-        marks.fold(limit.min(self.record.drawn), u64::min)
+        let marks = self.standing().map(|(record, _)| self.marked(record));
+        marks.fold(ramp, u64::min)
+    }
+
+    /// Returns the records that may be in the store, and when they were sent.
+    pub(super) fn standing(&self) -> impl Iterator<Item = (&Account, Millis)> {
+        let pending = self.pending.iter().map(|(record, sent)| (record, *sent));
+        pending.chain([(&self.record, self.sent_at)])
+    }
+
+    /// Returns the bound that the witnesses of a record allow.
+    pub(super) fn marked(&self, record: &Account) -> u64 {
+        self.marks.effective(&record.quorum).max(record.spent)
+    }
+
+    /// Returns the bound that the ramps allow.
+    pub(super) fn ramp_bound(&self, now: Millis) -> u64 {
+        let ramps = self
+            .standing()
+            .map(|(record, sent)| reach(record, now.since(sent)));
+        ramps.fold(u64::MAX, u64::min)
     }
 
     /// Returns the tokens that waiting requests need.
@@ -147,6 +173,7 @@
         self.used += tokens;
         self.rate.add(now, tokens);
         self.largest = self.largest.max(tokens);
+        self.mean = (self.mean * (MEAN_WEIGHT - 1) + tokens) / MEAN_WEIGHT;
         self.reserved.insert(id, Reserved { tokens, since: now });
     }
 
--- a/toucanchute_core/src/prepaid/draw.rs
+++ b/toucanchute_core/src/prepaid/draw.rs
@@ -3,12 +3,23 @@
     prepaid::{Account, Mark, Marked, PrepaidMessage, Quorum},
 };
 
-use super::{Action, CloseCause, Prepaid, account::Write, record};
+use super::{
+    Action, ClockSpread, CloseCause, Prepaid,
+    account::{Owned, Write},
+    ramp::Ramp,
+    record,
+};
 use crate::ledger::{StoreRequest, StoreResult};
 
 /// Draw that a mark should last for; what a lost owner may strand.
 const MARK_AHEAD: Millis = Millis(500);
 
+/// Time after which a checkpoint is renewed that no longer says what is spent.
+const CHECKPOINT: Millis = Millis(800);
+
+/// Shortest time between two checkpoints while no request waits for one.
+const MIN_CHECKPOINT: Millis = Millis(200);
+
 /// Pause before the store is called again that failed.
 pub(super) const STORE_RETRY: Millis = Millis(300);
 
@@ -67,11 +78,12 @@
         let need = owned.used + owned.need();
         let low = (need + ahead / 2).min(top);
         let mark = (need + ahead).min(top).max(owned.used);
-        let joining = owned.joining.iter().map(|(q, _)| q);
-        let pending = owned.pending.iter().map(|(q, _)| q);
-        let quorums = pending.chain([&owned.record.quorum]).chain(joining);
-        let short = quorums.filter(|q| owned.marks.effective(q) < low);
-        let mut witnesses: Vec<Incarnation> = short.flat_map(|q| q.witnesses.clone()).collect();
+        let joining = owned.joining.iter().map(|(q, _)| (q, 0));
+        let standing = owned.standing().map(|(r, _)| (&r.quorum, r.spent));
+        let short = standing.chain(joining);
+        let short = short.filter(|(q, spent)| owned.marks.effective(q).max(*spent) < low);
+        let mut witnesses: Vec<Incarnation> =
+            short.flat_map(|(q, _)| q.witnesses.clone()).collect();
         witnesses.sort_unstable();
         witnesses.dedup();
         let term = owned.term;
@@ -102,7 +114,6 @@
     /// Writes the record if more should be drawn or new witnesses are ready.
     fn write_if_due(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
         let (now, limit) = (self.now, self.limit(budget));
-        let horizon = Millis(self.policy.grant_horizon_ms);
         let Some(owned) = self.accounts.get_mut(&budget) else {
             return;
         };
@@ -118,26 +129,9 @@
         if owned.releasing {
             return;
         }
-        let need = owned.used + owned.need() + owned.largest;
-        let draw = owned.rate.draw(now, horizon);
-        let low = (need + draw / 2).min(limit);
-        let mut next = owned.record.clone();
-        if owned.record.drawn < low {
-            next.drawn = (need + draw).min(limit).max(owned.record.drawn);
-        }
-        let used = owned.used;
-        let ready = |q: &Quorum| owned.marks.effective(q) >= used;
-        if let Some((quorum, _)) = owned.joining.take_if(|(q, _)| ready(q)) {
-            next.quorum = quorum;
-        }
-        if next == owned.record {
+        let Some(next) = owned.next_record(now, limit, self.clocks, self.cfg.incarnation) else {
             return;
-        }
-        next.owner = Some(self.cfg.incarnation);
-        next.spent = next.spent.max(used.min(next.drawn));
-        if next.quorum != owned.record.quorum {
-            owned.pending.push((next.quorum.clone(), next.spent));
-        }
+        };
         self.write_record(budget, next, out);
     }
 
@@ -152,9 +146,12 @@
             value: record::encode(&next),
         };
         let op = self.call_store(budget, request, out);
+        let sent = self.now;
         if let Some(owned) = self.accounts.get_mut(&budget) {
+            owned.pending.push((next.clone(), sent));
             owned.write = Some(Write {
                 record: next,
+                sent,
                 op: Some(op),
                 unresolved: false,
             });
@@ -187,8 +184,8 @@
         write.op = None;
         match result {
             StoreResult::Applied { revision } => {
-                let record = write.record.clone();
-                self.adopt(budget, record, *revision, out);
+                let (record, sent) = (write.record.clone(), write.sent);
+                self.adopt(budget, record, *revision, sent, out);
             }
             StoreResult::Conflict => {
                 write.unresolved = true;
@@ -196,14 +193,11 @@
             }
             StoreResult::Unavailable if write.unresolved => owned.retry_at = now + STORE_RETRY,
             StoreResult::Unavailable => {
-                // Nothing was written, so its witnesses do not count.
-                let written = (write.record.quorum.clone(), write.record.spent);
+                // Nothing was written, so that record bounds nothing.
                 owned.write = None;
+                owned.pending.pop();
                 owned.releasing = owned.release_doubtful;
                 owned.retry_at = now + STORE_RETRY;
-                if owned.pending.last() == Some(&written) {
-                    owned.pending.pop();
-                }
             }
             StoreResult::Unknown => {
                 write.unresolved = true;
@@ -229,24 +223,35 @@
             return;
         };
         if revision == owned.revision {
-            // It has not taken effect, but may yet: its quorum stays among the pending ones.
+            // It has not taken effect, but may yet: the record stays among the pending ones.
             owned.write = None;
             return;
         }
         match from_cbor::<Account>(value) {
-            Ok(record) if owned.accepts(&record) => self.adopt(budget, record, revision, out),
+            Ok(record) if owned.accepts(&record) => {
+                let sent = owned.sent_at_of(&record);
+                self.adopt(budget, record, revision, sent, out);
+            }
             _ => self.close(budget, CloseCause::Superseded, out),
         }
     }
 
     /// Takes a record that is in the store for the present one.
-    fn adopt(&mut self, budget: BudgetId, record: Account, revision: u64, out: &mut Vec<Action>) {
+    fn adopt(
+        &mut self,
+        budget: BudgetId,
+        record: Account,
+        revision: u64,
+        sent: Millis,
+        out: &mut Vec<Action>,
+    ) {
         let Some(owned) = self.accounts.get_mut(&budget) else {
             return;
         };
         let released = record.owner.is_none();
         owned.record = record;
         owned.revision = revision;
+        owned.sent_at = sent;
         owned.pending.clear();
         owned.write = None;
         if released {
@@ -258,7 +263,55 @@
     }
 }
 
-impl super::account::Owned {
+impl Owned {
+    /// Returns the record to write now, if one is due.
+    fn next_record(
+        &mut self,
+        now: Millis,
+        limit: u64,
+        clocks: ClockSpread,
+        owner: Incarnation,
+    ) -> Option<Account> {
+        let rate = self.rate.draw(now, Millis(1_000));
+        let left = limit.saturating_sub(self.used);
+        let mut ramp = Ramp::new(rate, self.mean, left);
+        let used = self.used;
+        let ready = |q: &Quorum| self.marks.effective(q) >= used;
+        let joined = self.joining.take_if(|(q, _)| ready(q));
+        let age = now.since(self.sent_at);
+        let room = self.ramp_bound(now).saturating_sub(self.used);
+        let need = self.need();
+        let short = limit > self.used && room < need.max(ramp.ahead / 2).min(left);
+        let urgent = need > room && left > 0 || joined.is_some();
+        let raised = limit > self.record.drawn;
+        // A ramp that has run far ahead of the draw would be lost with the fleet.
+        let steep = room > 2 * (ramp.ahead + ramp.pace);
+        let stale = age >= CHECKPOINT && (self.record.spent < self.used || steep);
+        let due = (short || raised) && age >= MIN_CHECKPOINT || stale || urgent;
+        if !due {
+            return None;
+        }
+        ramp.ahead = ramp.ahead.max(need).min(left);
+        let next = Account {
+            owner: Some(owner),
+            spent: self.used,
+            drawn: limit.max(self.used),
+            ahead: ramp.ahead,
+            pace: ramp.pace,
+            at: clocks.earliest(now),
+            quorum: joined.map_or_else(|| self.record.quorum.clone(), |(q, _)| q),
+            ..self.record.clone()
+        };
+        Some(next)
+    }
+
+    /// Returns when a record was sent that is found in the store; one that is not known here was
+    /// sent by the owner before.
+    fn sent_at_of(&self, record: &Account) -> Millis {
+        let sent = self.pending.iter().find(|(pending, _)| pending == record);
+        sent.map_or(self.sent_at, |(_, sent)| *sent)
+    }
+
     /// Whether a record found in the store was written by this owner or the one before it in the
     /// same epoch.
     fn accepts(&self, record: &Account) -> bool {
--- a/toucanchute_core/src/prepaid/event.rs
+++ b/toucanchute_core/src/prepaid/event.rs
@@ -4,6 +4,7 @@
     BudgetId, Incarnation, Millis, config::Ledger, fleet::MemberState, prepaid::PrepaidMessage,
 };
 
+use super::ClockSpread;
 use crate::ledger::StoreResult;
 
 /// A request for tokens, numbered by its router and never reused.
@@ -60,6 +61,8 @@
         /// Its result.
         result: StoreResult,
     },
+    /// How far the fleet's clocks are apart.
+    Clocks(ClockSpread),
     /// Time has passed. Wanted every 50 ms or so.
     Tick,
     /// The router is leaving: give all accounts away. Answered by
@@ -78,6 +81,14 @@
     pub state: MemberState,
 }
 
+impl Peer {
+    /// Whether it takes messages.
+    #[must_use]
+    pub fn is_reachable(&self) -> bool {
+        matches!(self.state, MemberState::Alive | MemberState::Leaving)
+    }
+}
+
 /// What a request used of its reservation.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Usage {
--- a/toucanchute_core/src/prepaid/leave.rs
+++ b/toucanchute_core/src/prepaid/leave.rs
@@ -37,6 +37,8 @@
             spent: owned.used,
             lost: owned.record.lost + owned.doubtful,
             drawn: owned.used,
+            ahead: 0,
+            pace: 0,
             quorum: record::none(),
             ..owned.record.clone()
         };
@@ -47,7 +49,7 @@
         let Some(to) = self.candidate(budget) else {
             return;
         };
-        let limit = self.limit(budget);
+        let (now, limit) = (self.now, self.limit(budget));
         let Some(owned) = self.accounts.get(&budget) else {
             return;
         };
@@ -59,9 +61,10 @@
                 turn: turn + 1,
             },
             used: owned.used,
-            mark: owned.bound(limit).max(owned.used),
+            mark: owned.bound(now, limit).max(owned.used),
             doubtful: owned.doubtful,
             account: owned.record.clone(),
+            age: now.since(owned.sent_at),
             revision: owned.revision,
         };
         let message = PrepaidMessage::Handover(body);
@@ -94,6 +97,7 @@
             .map_or(VecDeque::new(), |t| t.waiting);
         self.ops.retain(|_, b| *b != budget);
         let mut owned = Owned::new(self.now, body.term, body.account, body.revision);
+        owned.sent_at = self.now - body.age;
         owned.used = body.used;
         owned.doubtful = body.doubtful;
         owned.marks = Marks::inherit(owned.record.quorum.clone(), body.mark);
--- a/toucanchute_core/src/prepaid/machine.rs
+++ b/toucanchute_core/src/prepaid/machine.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    Action, CallId, CloseCause, Event, Fault, Note, Peer, account::Owned, desk::Desk,
+    Action, CallId, ClockSpread, CloseCause, Event, Fault, Note, Peer, account::Owned, desk::Desk,
     takeover::Takeover, witness::Keeper,
 };
 use crate::{
@@ -17,7 +17,7 @@
 };
 
 /// Time after the start in which other routers make themselves known, before accounts are claimed.
-const ACQUAINT: Millis = Millis(1_000);
+const ACQUAINT: Millis = Millis(600);
 
 /// Most budgets whose accounts are claimed before the first request for them.
 const MAX_CLAIMED_AHEAD: usize = 256;
@@ -74,6 +74,7 @@
     pub(super) accounts: BTreeMap<BudgetId, Owned>,
     /// Accounts that this router takes over; none of them is in `accounts`.
     pub(super) takeovers: BTreeMap<BudgetId, Takeover>,
+    pub(super) clocks: ClockSpread,
     pub(super) keeper: Keeper,
     pub(super) desk: Desk,
     /// Store calls in flight, by number.
@@ -106,6 +107,10 @@
             known: BTreeMap::new(),
             accounts: BTreeMap::new(),
             takeovers: BTreeMap::new(),
+            clocks: ClockSpread {
+                lone: true,
+                ..ClockSpread::default()
+            },
             keeper: Keeper::default(),
             desk: Desk::default(),
             ops: BTreeMap::new(),
@@ -133,6 +138,7 @@
             Event::Peers(peers) => self.set_peers(peers, out),
             Event::Message { from, message } => self.on_message(from, message, out),
             Event::Store { op, result } => self.on_store(op, &result, out),
+            Event::Clocks(clocks) => self.clocks = clocks,
             Event::Tick => self.tick(out),
             Event::Drain => self.draining = true,
         }
@@ -170,7 +176,7 @@
             .peers
             .keys()
             .filter(|id| self.is_reachable(**id))
-            .filter(|id| old.get(id).is_none_or(|p| !reachable(p.state)))
+            .filter(|id| old.get(id).is_none_or(|p| !p.is_reachable()))
             .copied()
             .collect();
         for budget in self.accounts.keys().copied().collect::<Vec<_>>() {
@@ -240,7 +246,7 @@
 
     /// Whether a router takes messages.
     pub(super) fn is_reachable(&self, id: Incarnation) -> bool {
-        self.peers.get(&id).is_some_and(|p| reachable(p.state))
+        self.peers.get(&id).is_some_and(Peer::is_reachable)
     }
 
     /// Whether a router is alive and stays.
@@ -359,10 +365,6 @@
     }
 }
 
-fn reachable(state: MemberState) -> bool {
-    matches!(state, MemberState::Alive | MemberState::Leaving)
-}
-
 /// Call numbers double as the sequence numbers of messages.
 impl CallId {
     pub(super) fn seq(self) -> u64 {
--- a/toucanchute_core/src/prepaid/owner.rs
+++ b/toucanchute_core/src/prepaid/owner.rs
@@ -70,7 +70,7 @@
                 break;
             };
             let term = owned.term;
-            if owned.used + tokens <= owned.bound(limit) {
+            if owned.used + tokens <= owned.bound(now, limit) {
                 owned.reserve(now, id, tokens);
             } else if owned.used + tokens <= limit {
                 short = true;
@@ -211,7 +211,7 @@
             reason,
             used: owned.map_or(0, |a| a.used),
             limit,
-            bound: owned.map_or(0, |a| a.bound(limit)),
+            bound: owned.map_or(0, |a| a.bound(self.now, limit)),
         }));
     }
 
--- /dev/null
+++ b/toucanchute_core/src/prepaid/ramp.rs
@@ -0,0 +1,80 @@
+use toucanchute_proto::{Millis, prepaid::Account};
+
+/// Draw that an owner may spend at once after a checkpoint.
+const AHEAD: Millis = Millis(1_000);
+
+/// Pace of the ramp as a multiple of the present draw, in hundredths.
+const PACE_PERCENT: u64 = 130;
+
+/// Requests of mean size that fit ahead whatever the draw.
+const AHEAD_REQUESTS: u64 = 2;
+
+/// Share of what is left that is ahead for a budget that nobody draws on.
+const IDLE_DIVISOR: u64 = 20;
+
+/// Share of what is left that such requests may take.
+const AHEAD_DIVISOR: u64 = 10;
+
+/// Uncertainty of elapsed time between two clocks of the fleet.
+const CLOCK_ERROR: Millis = Millis(500);
+
+/// Further uncertainty while too few other clocks are known.
+const LONE_CLOCK_ERROR: Millis = Millis(3_000);
+
+/// How far the clocks of the fleet are apart from this router's.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClockSpread {
+    /// How far the slowest one is behind.
+    pub behind: Millis,
+    /// How far the fastest one is ahead.
+    pub ahead: Millis,
+    /// Whether few other clocks are known.
+    pub lone: bool,
+}
+
+/// What an owner may spend as time passes without a further checkpoint.
+///
+/// It lets the owner go on while the store is away, and lets a router that finds neither owner nor
+/// witnesses tell how much they can have spent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Ramp {
+    pub(super) ahead: u64,
+    /// Tokens a second.
+    pub(super) pace: u64,
+}
+
+impl Ramp {
+    /// Returns a ramp for a draw of `rate` tokens a second in requests of `mean` tokens, of a budget
+    /// with `left` tokens.
+    pub(super) fn new(rate: u64, mean: u64, left: u64) -> Ramp {
+        let requests = (AHEAD_REQUESTS * mean).min(left / AHEAD_DIVISOR);
+        let least = left / IDLE_DIVISOR;
+        Ramp {
+            ahead: (rate * AHEAD.0 / 1_000).max(requests).max(least).min(left),
+            pace: rate * PACE_PERCENT / 100,
+        }
+    }
+}
+
+/// Returns what may have been spent of an account `since` its record was written.
+pub(super) fn reach(account: &Account, since: Millis) -> u64 {
+    let ramp = account.pace.saturating_mul(since.0) / 1_000;
+    let reach = account.spent.saturating_add(account.ahead);
+    reach.saturating_add(ramp).min(account.drawn)
+}
+
+impl ClockSpread {
+    /// Returns the time to write into a record.
+    pub(super) fn earliest(self, now: Millis) -> Millis {
+        now - self.behind
+    }
+
+    /// Returns the longest time that can have passed since a record was written.
+    pub(super) fn elapsed(self, now: Millis, account: &Account) -> Millis {
+        let lone = match self.lone {
+            true => LONE_CLOCK_ERROR,
+            false => Millis(0),
+        };
+        (now + self.ahead + CLOCK_ERROR + lone).since(account.at)
+    }
+}
--- a/toucanchute_core/src/prepaid/record.rs
+++ b/toucanchute_core/src/prepaid/record.rs
@@ -1,5 +1,5 @@
 use toucanchute_proto::{
-    BudgetId, Bytes, Incarnation,
+    BudgetId, Bytes, Incarnation, Millis,
     prepaid::{Account, Quorum},
     to_cbor,
 };
@@ -25,6 +25,9 @@
         spent: 0,
         lost: 0,
         drawn: 0,
+        ahead: 0,
+        pace: 0,
+        at: Millis(0),
         quorum: none(),
     }
 }
--- a/toucanchute_core/src/prepaid/takeover.rs
+++ b/toucanchute_core/src/prepaid/takeover.rs
@@ -6,10 +6,11 @@
 };
 
 use super::{
-    Action, Fault, Note, Prepaid,
+    Action, Fault, Note, Peer, Prepaid,
     account::{Owned, Waiting},
     draw::STORE_RETRY,
     machine::Known,
+    ramp::reach,
     record,
 };
 use crate::ledger::{StoreRequest, StoreResult};
@@ -20,8 +21,11 @@
 /// Pause before a witness is asked again.
 const FENCE_RESEND: Millis = Millis(100);
 
-/// Share of what is left of a budget that is drawn before its need is known.
-const FIRST_DRAW_DIVISOR: u64 = 8;
+/// Share of what is left of a budget that may be spent at once before its draw is known.
+const FIRST_AHEAD_DIVISOR: u64 = 20;
+
+/// Share of what is left of a budget that may be spent in a second before its draw is known.
+const FIRST_PACE_DIVISOR: u64 = 40;
 
 /// An account that this router takes over.
 #[derive(Debug)]
@@ -203,8 +207,8 @@
         claim.epoch += 1;
         claim.owner = Some(self.me());
         if claim.quorum.witnesses.is_empty() {
-            // Without witnesses nobody knows how much of the draw was used.
-            let base = claim.drawn;
+            // Without witnesses nobody knows how much of the ramp was used.
+            let base = reach(&claim, self.clocks.elapsed(self.now, &claim));
             let lost = base - claim.spent.min(base);
             claim.lost += lost;
             self.note_lost(budget, lost);
@@ -229,14 +233,14 @@
         out: &mut Vec<Action>,
     ) {
         let limit = self.limit(budget);
-        let need: u64 = self
-            .takeovers
-            .get(&budget)
-            .map_or(0, |t| t.waiting.iter().map(|w| w.tokens).sum());
+        let waiting = self.takeovers.get(&budget).map(|t| t.waiting.iter());
+        let need: u64 = waiting.map_or(0, |w| w.map(|w| w.tokens).sum());
         let left = limit.saturating_sub(base);
-        let first = (left / FIRST_DRAW_DIVISOR).max(2 * need).min(left);
         account.spent = base;
-        account.drawn = base + first;
+        account.drawn = limit.max(base);
+        account.ahead = (left / FIRST_AHEAD_DIVISOR).max(2 * need).min(left);
+        account.pace = left / FIRST_PACE_DIVISOR;
+        account.at = self.clocks.earliest(self.now);
         account.quorum = self.choose_quorum(budget);
         self.write(budget, revision, Call::Open(account), out);
     }
@@ -333,7 +337,9 @@
 
     /// Begins to spend once enough witnesses are fenced, or once the others have to count as gone.
     fn open_if_fenced(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
-        let now = self.now;
+        let (now, clocks) = (self.now, self.clocks);
+        let peers = &self.peers;
+        let reachable = |id: &Incarnation| peers.get(id).is_some_and(Peer::is_reachable);
         let Some(takeover) = self.takeovers.get_mut(&budget) else {
             return;
         };
@@ -350,12 +356,19 @@
         let highest = fenced.values().copied().max().unwrap_or(0);
         let highest = highest.max(claim.spent).min(claim.drawn);
         let skip = self.cfg.fault == Some(Fault::SkipFence);
-        let enough = skip || fenced.len() >= record::fences_needed(&claim.quorum);
-        if !enough && now.since(*since) < FENCE_WAIT {
+        let needed = record::fences_needed(&claim.quorum);
+        let enough = skip || fenced.len() >= needed;
+        let missing = claim.quorum.witnesses.iter();
+        let missing = missing.filter(|w| !fenced.contains_key(w) && reachable(w));
+        let hopeful = fenced.len() + missing.count() >= needed;
+        if !enough && hopeful && now.since(*since) < FENCE_WAIT {
             return;
         }
         let (mut account, revision) = (claim.clone(), *revision);
-        let base = if enough { highest } else { account.drawn };
+        let base = match enough {
+            true => highest,
+            false => reach(claim, clocks.elapsed(now, claim)).max(highest),
+        };
         takeover.lost = base - highest;
         account.lost += takeover.lost;
         self.write_open(budget, revision, account, base, out);
--- a/toucanchute_router/src/actor/prepaid.rs
+++ b/toucanchute_router/src/actor/prepaid.rs
@@ -245,7 +245,10 @@
                 self.leaving = true;
                 self.feed(Event::Drain, cx);
             }
-            PrepaidInput::Tick => self.feed(Event::Tick, cx),
+            PrepaidInput::Tick => {
+                self.feed(Event::Clocks(self.mesh.clock_spread()), cx);
+                self.feed(Event::Tick, cx);
+            }
         }
     }
 }
--- a/toucanchute_router/src/gateway/registry.rs
+++ b/toucanchute_router/src/gateway/registry.rs
@@ -32,10 +32,10 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
 /// Readings of the records shortly after the start, when most routers appear.
-const FIRST_READS: u32 = 8;
+const FIRST_READS: u32 = 6;
 
 /// Pause between those readings.
-const FIRST_PAUSE: Duration = Duration::from_millis(400);
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
 /// Pause between two readings later on; routers that start later open the links themselves.
 const READ_PAUSE: Duration = Duration::from_secs(15);
--- a/toucanchute_router/src/link.rs
+++ b/toucanchute_router/src/link.rs
@@ -3,6 +3,7 @@
 //! A link may lose, duplicate and reorder messages over its reconnects; the state machines on both
 //! sides retry.
 
+mod clocks;
 mod connection;
 mod error;
 mod frame;
--- a/toucanchute_router/src/link/frame.rs
+++ b/toucanchute_router/src/link/frame.rs
@@ -16,6 +16,9 @@
 pub(crate) struct Frame {
     /// Sender.
     pub(crate) from: Incarnation,
+    /// The sender's clock that never jumps, in milliseconds since the Unix epoch; 0 if it does not
+    /// say.
+    pub(crate) steady_ms: u64,
     /// What [`Frame::body`] holds.
     pub(crate) kind: FrameKind,
     /// One CBOR item.
@@ -40,6 +43,7 @@
         let body = buf.slice(buf.len() - rest.len()..);
         Ok(Some(Frame {
             from: header.from,
+            steady_ms: header.steady,
             kind: header.kind,
             body,
         }))
@@ -62,6 +66,7 @@
     let header = FrameHeader {
         version: PROTOCOL_VERSION,
         clock,
+        steady: toucanchute_log::steady_clock_ms(),
         from,
         kind,
     };
--- a/toucanchute_router/src/link/mesh.rs
+++ b/toucanchute_router/src/link/mesh.rs
@@ -16,17 +16,20 @@
     task::JoinHandle,
     time::MissedTickBehavior,
 };
+use toucanchute_core::prepaid::ClockSpread;
 use toucanchute_proto::{
     Incarnation,
     peer::{FrameKind, Hello},
 };
 
 use super::{
+    clocks::Clocks,
     connection::{Connection, FrameReader, FrameWriter},
     error::LinkError,
     frame::{Frame, encode},
     handshake::{self, Identity},
 };
+use crate::clock;
 
 /// Frames waiting to be sent on one link; further ones are dropped.
 const SEND_QUEUE: usize = 4_096;
@@ -38,11 +41,11 @@
 const REDIAL_MAX: Duration = Duration::from_secs(1);
 
 /// Pause between two pings that tell the other side of a link that this one lives.
-const KEEPALIVE: Duration = Duration::from_secs(1);
+const KEEPALIVE: Duration = Duration::from_millis(400);
 
 /// Longest silence on a link before it is given up; a link that a partition cut would otherwise
 /// hang until TCP sends again, long after the partition has healed.
-const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_300);
 
 /// Something that happened on a link.
 #[derive(Debug)]
@@ -74,6 +77,7 @@
 struct Shared {
     identity: Identity,
     links: Mutex<Links>,
+    clocks: Mutex<Clocks>,
     next_link: AtomicU64,
     sent: Traffic,
     received: Traffic,
@@ -140,6 +144,7 @@
             shared: Arc::new(Shared {
                 identity,
                 links,
+                clocks: Mutex::default(),
                 next_link,
                 sent: Traffic::default(),
                 received: Traffic::default(),
@@ -255,6 +260,7 @@
             let Some(frame) = frame? else { continue };
             if frame.from == from {
                 self.shared.received.count(frame.len());
+                self.clocks().observe(clock::now(), from, frame.steady_ms);
                 let _ = self.shared.events.send(LinkEvent::Frame(frame));
             }
         }
@@ -285,6 +291,7 @@
     }
 
     fn remove(&self, from: Incarnation, id: u64) {
+        self.clocks().forget(from);
         let mut links = self.links();
         let Some(open) = links.open.get_mut(&from) else {
             return;
@@ -324,6 +331,18 @@
         }
     }
 
+    /// Returns how far the clocks of the linked peers are apart.
+    pub(crate) fn clock_spread(&self) -> ClockSpread {
+        self.clocks().spread()
+    }
+
+    fn clocks(&self) -> MutexGuard<'_, Clocks> {
+        self.shared
+            .clocks
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn links(&self) -> MutexGuard<'_, Links> {
         self.shared
             .links
