fix(prepaid): a handed-over account keeps its refunds; the prompt counts with the first event

We charged the prompt at the answer's head, so totals looked spent 5% early, and all later small requests were refused although owed.

--- a/toucanchute_core/src/prepaid.rs
+++ b/toucanchute_core/src/prepaid.rs
@@ -30,7 +30,7 @@
 mod witness;
 
 pub use action::{Action, CloseCause, Note, Refusal, RefusalReason};
-pub use event::{CallId, Event, Peer, Usage};
+pub use event::{CallId, Event, Peer};
 pub use fault::Fault;
 pub use machine::{Prepaid, Settings};
 pub use ramp::ClockSpread;
--- a/toucanchute_core/src/prepaid/account.rs
+++ b/toucanchute_core/src/prepaid/account.rs
@@ -20,8 +20,6 @@
     pub(super) revision: u64,
     /// Tokens used or set aside; never above [`Owned::bound`] of the total when it rises.
     pub(super) used: u64,
-    /// Part of `used` that may not have been used, besides the record's `lost`.
-    pub(super) doubtful: u64,
     /// Tokens set aside for each request in progress; `used` holds their sum.
     pub(super) reserved: BTreeMap<RequestId, Reserved>,
     pub(super) waiting: VecDeque<Waiting>,
@@ -90,7 +88,6 @@
             record,
             revision,
             used,
-            doubtful: 0,
             reserved: BTreeMap::new(),
             waiting: VecDeque::new(),
             marks: Marks::default(),
@@ -164,7 +161,7 @@
 
     /// Returns the tokens that are used for certain.
     pub(super) fn certain(&self) -> u64 {
-        let open = self.in_progress() + self.doubtful + self.record.lost;
+        let open = self.in_progress() + self.record.lost;
         self.used.saturating_sub(open)
     }
 
@@ -178,7 +175,7 @@
     }
 
     /// Ends a reservation; returns whether there was one.
-    pub(super) fn settle(&mut self, id: RequestId, refund: u64, doubtful: u64) -> bool {
+    pub(super) fn settle(&mut self, id: RequestId, refund: u64) -> bool {
         let reserved = match self.has(Fault::RefundTwice) {
             true => self.reserved.get(&id).copied(),
             false => self.reserved.remove(&id),
@@ -187,7 +184,6 @@
             return false;
         };
         self.used -= refund.min(reserved.tokens);
-        self.doubtful += doubtful.min(reserved.tokens);
         true
     }
 }
--- a/toucanchute_core/src/prepaid/desk.rs
+++ b/toucanchute_core/src/prepaid/desk.rs
@@ -6,8 +6,9 @@
 };
 
 use super::{
-    Action, CallId, Prepaid, Refusal, RefusalReason, Usage,
+    Action, CallId, Prepaid, Refusal, RefusalReason,
     account::{RequestId, Waiting},
+    machine::Known,
 };
 
 /// Longest time that a request waits for tokens.
@@ -205,7 +206,7 @@
         let known = self.desk.held.contains_key(&call) || self.desk.ended.contains_key(&call);
         if !known {
             // The answer came too late: all of it goes back.
-            self.settle_held(call, held, Usage::default(), out);
+            self.settle_held(call, held, 0, out);
         }
     }
 
@@ -225,8 +226,7 @@
             let known = self.known.get(&budget);
             if known.is_none_or(|k| k.term <= body.term) {
                 let term = body.term;
-                self.known
-                    .insert(budget, super::machine::Known { term, owner });
+                self.known.insert(budget, Known { term, owner });
             }
         }
         let sends = self.desk.asking.get(&call).map_or(0, |a| a.sends);
@@ -331,17 +331,17 @@
             }
             return;
         }
-        self.end_call(call, Usage::default(), out);
+        self.end_call(call, 0, out);
     }
 
-    pub(super) fn end_call(&mut self, call: CallId, usage: Usage, out: &mut Vec<Action>) {
+    pub(super) fn end_call(&mut self, call: CallId, used: u64, out: &mut Vec<Action>) {
         if let Some(held) = self.desk.held.remove(&call) {
             self.desk.ended.insert(call, self.now);
-            self.settle_held(call, held, usage, out);
+            self.settle_held(call, held, used, out);
         }
     }
 
-    fn settle_held(&mut self, call: CallId, held: Held, usage: Usage, out: &mut Vec<Action>) {
+    fn settle_held(&mut self, call: CallId, held: Held, used: u64, out: &mut Vec<Action>) {
         let Held {
             budget,
             term,
@@ -352,14 +352,12 @@
             budget,
             term,
             seq: call.seq(),
-            refund: tokens.saturating_sub(usage.tokens),
-            doubtful: usage.doubtful.min(tokens),
+            refund: tokens.saturating_sub(used),
         };
-        if owner == self.me() {
-            return self.settle_reservation(owner, &body, out);
-        }
-        if !self.is_reachable(owner) {
-            return;
+        let owner = heir(&self.known, &body, owner);
+        let me = self.me();
+        if owner == me {
+            return self.settle_reservation(me, &body, out);
         }
         let refund = Refund {
             owner,
@@ -374,14 +372,12 @@
 
     fn resend_refunds(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
-        let peers = &self.peers;
-        self.desk
-            .refunds
-            .retain(|_, r| r.sends < MAX_REFUND_SENDS && peers.contains_key(&r.owner));
+        self.desk.refunds.retain(|_, r| r.sends < MAX_REFUND_SENDS);
         for refund in self.desk.refunds.values_mut() {
             if now.since(refund.sent_at) < REFUND_RESEND {
                 continue;
             }
+            refund.owner = heir(&self.known, &refund.body, refund.owner);
             refund.sent_at = now;
             refund.sends += 1;
             let message = PrepaidMessage::Settle(refund.body);
@@ -391,6 +387,18 @@
     }
 }
 
+/// Returns the router to which a reservation's owner has handed the account, if it has.
+fn heir(
+    known: &BTreeMap<BudgetId, Known>,
+    body: &SettleReservation,
+    owner: Incarnation,
+) -> Incarnation {
+    let heir = known
+        .get(&body.budget)
+        .filter(|k| k.term.epoch == body.term.epoch);
+    heir.map_or(owner, |k| k.owner)
+}
+
 fn refuse(call: CallId, reason: RefusalReason, out: &mut Vec<Action>) {
     let retry_after = match reason {
         RefusalReason::Exhausted | RefusalReason::Unknown => None,
--- a/toucanchute_core/src/prepaid/event.rs
+++ b/toucanchute_core/src/prepaid/event.rs
@@ -35,8 +35,8 @@
     Settle {
         /// The reservation.
         call: CallId,
-        /// What it used.
-        usage: Usage,
+        /// Tokens that it used.
+        used: u64,
     },
     /// Totals of the budgets and policy, as the configuration in force has them.
     Configure {
@@ -88,12 +88,3 @@
         matches!(self.state, MemberState::Alive | MemberState::Leaving)
     }
 }
-
-/// What a request used of its reservation.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Usage {
-    /// Tokens that count as used.
-    pub tokens: u64,
-    /// Part of `tokens` that may not have been used, because its run's end is not known.
-    pub doubtful: u64,
-}
--- a/toucanchute_core/src/prepaid/leave.rs
+++ b/toucanchute_core/src/prepaid/leave.rs
@@ -2,14 +2,20 @@
 
 use toucanchute_proto::{
     BudgetId, Incarnation,
-    prepaid::{Account, Handover, PrepaidMessage, Term},
+    prepaid::{Account, Handover, PendingRecord, PrepaidMessage, ReservedRecord, Term},
 };
 
-use super::{Action, CloseCause, Prepaid, account::Owned, marks::Marks, record};
+use super::{
+    Action, CloseCause, Prepaid,
+    account::{Owned, RequestId, Reserved},
+    machine::Known,
+    marks::Marks,
+    record,
+};
 
 /// Giving accounts away.
 impl Prepaid {
-    /// Gives each account back to the store, or to another router while the store is away.
+    /// Hands each account to another router, or gives it back to the store where there is none.
     pub(super) fn advance_drain(&mut self, out: &mut Vec<Action>) {
         if !self.draining {
             return;
@@ -18,11 +24,17 @@
             let Some(owned) = self.accounts.get(&budget) else {
                 continue;
             };
-            let due = owned.write.is_none() && self.now >= owned.retry_at;
-            if due && (self.store_up || owned.releasing) {
-                self.give_back(budget, out);
-            } else if !self.store_up && !owned.releasing && owned.pending.is_empty() {
-                self.hand_over(budget, out);
+            // The result of a write in flight is awaited, since only its sender learns it.
+            let busy = owned.write.as_ref().is_some_and(|w| w.op.is_some());
+            if busy && self.store_up {
+                continue;
+            }
+            match self.candidate(budget) {
+                Some(to) if !owned.releasing => self.hand_over(budget, to, out),
+                _ if owned.write.is_none() && self.now >= owned.retry_at => {
+                    self.give_back(budget, out);
+                }
+                _ => {}
             }
         }
     }
@@ -35,7 +47,6 @@
         let record = Account {
             owner: None,
             spent: owned.used,
-            lost: owned.record.lost + owned.doubtful,
             drawn: owned.used,
             ahead: 0,
             pace: 0,
@@ -45,43 +56,35 @@
         self.write_record(budget, record, out);
     }
 
-    fn hand_over(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
-        let Some(to) = self.candidate(budget) else {
-            return;
-        };
+    fn hand_over(&mut self, budget: BudgetId, to: Incarnation, out: &mut Vec<Action>) {
         let (now, limit) = (self.now, self.limit(budget));
         let Some(owned) = self.accounts.get(&budget) else {
             return;
         };
-        let Term { epoch, turn } = owned.term;
+        let pending = owned.pending.iter().map(|(account, sent)| PendingRecord {
+            account: account.clone(),
+            age: now.since(*sent),
+        });
+        let reserved = owned.reserved.iter().map(|(id, r)| ReservedRecord {
+            router: id.router,
+            seq: id.seq,
+            tokens: r.tokens,
+        });
         let body = Handover {
             budget,
-            term: Term {
-                epoch,
-                turn: turn + 1,
-            },
+            term: next_turn(owned.term),
             used: owned.used,
             mark: owned.bound(now, limit).max(owned.used),
-            doubtful: owned.doubtful,
             account: owned.record.clone(),
             age: now.since(owned.sent_at),
+            pending: pending.collect(),
+            reserved: reserved.collect(),
             revision: owned.revision,
         };
+        let term = body.term;
         let message = PrepaidMessage::Handover(body);
         out.push(Action::Send { to, message });
-        self.close_for(budget, to, out);
-    }
-
-    fn close_for(&mut self, budget: BudgetId, to: Incarnation, out: &mut Vec<Action>) {
-        if let Some(owned) = self.accounts.get(&budget) {
-            let Term { epoch, turn } = owned.term;
-            let term = Term {
-                epoch,
-                turn: turn + 1,
-            };
-            let known = super::machine::Known { term, owner: to };
-            self.known.insert(budget, known);
-        }
+        self.known.insert(budget, Known { term, owner: to });
         self.close(budget, CloseCause::HandedOver, out);
     }
 
@@ -91,16 +94,32 @@
         if !newer || self.accounts.contains_key(&budget) {
             return;
         }
-        let waiting = self
-            .takeovers
-            .remove(&budget)
-            .map_or(VecDeque::new(), |t| t.waiting);
+        let takeover = self.takeovers.remove(&budget);
+        let waiting = takeover.map_or(VecDeque::new(), |t| t.waiting);
         self.ops.retain(|_, b| *b != budget);
-        let mut owned = Owned::new(self.now, body.term, body.account, body.revision);
-        owned.sent_at = self.now - body.age;
+        let now = self.now;
+        let mut owned = Owned::new(now, body.term, body.account, body.revision);
+        owned.sent_at = now - body.age;
         owned.used = body.used;
-        owned.doubtful = body.doubtful;
+        for r in body.reserved {
+            let id = RequestId {
+                router: r.router,
+                seq: r.seq,
+            };
+            let tokens = r.tokens;
+            owned.reserved.insert(id, Reserved { tokens, since: now });
+        }
         owned.marks = Marks::inherit(owned.record.quorum.clone(), body.mark);
+        let pending = body.pending.into_iter();
+        owned.pending = pending.map(|p| (p.account, now - p.age)).collect();
         self.own(budget, owned, waiting, out);
     }
 }
+
+/// Returns the term of the router to which an account is handed.
+fn next_turn(term: Term) -> Term {
+    Term {
+        epoch: term.epoch,
+        turn: term.turn + 1,
+    }
+}
--- a/toucanchute_core/src/prepaid/machine.rs
+++ b/toucanchute_core/src/prepaid/machine.rs
@@ -133,7 +133,7 @@
                 deadline,
             } => self.ask(call, budget, tokens, deadline, out),
             Event::Release { call } => self.release(call, out),
-            Event::Settle { call, usage } => self.end_call(call, usage, out),
+            Event::Settle { call, used } => self.end_call(call, used, out),
             Event::Configure { limits, policy } => self.configure(limits, policy, out),
             Event::Peers(peers) => self.set_peers(peers, out),
             Event::Message { from, message } => self.on_message(from, message, out),
--- a/toucanchute_core/src/prepaid/owner.rs
+++ b/toucanchute_core/src/prepaid/owner.rs
@@ -147,8 +147,8 @@
             return;
         };
         let seq = body.seq;
-        let same = owned.term == body.term;
-        if same && owned.settle(RequestId { router, seq }, body.refund, body.doubtful) {
+        let same = owned.term.epoch == body.term.epoch;
+        if same && owned.settle(RequestId { router, seq }, body.refund) {
             self.serve(body.budget, out);
         }
     }
--- a/toucanchute_core/tests/prepaid_walk/world.rs
+++ b/toucanchute_core/tests/prepaid_walk/world.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
 use toucanchute_core::{
     ledger::{StoreOp, StoreRequest, StoreResult},
-    prepaid::{Action, CallId, ClockSpread, Event, Fault, Peer, Prepaid, Settings, Usage},
+    prepaid::{Action, CallId, ClockSpread, Event, Fault, Peer, Prepaid, Settings},
 };
 use toucanchute_proto::{
     BudgetId, Bytes, Incarnation, Millis, config::Ledger, fleet::MemberState,
@@ -488,11 +488,7 @@
             return;
         };
         *self.used.entry(budget).or_default() -= tokens - used;
-        let usage = Usage {
-            tokens: used,
-            doubtful: 0,
-        };
-        self.feed(i, Event::Settle { call, usage });
+        self.feed(i, Event::Settle { call, used });
     }
 
     // The store
--- a/toucanchute_edge/src/passthrough/attempt.rs
+++ b/toucanchute_edge/src/passthrough/attempt.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use toucanchute_core::{prepaid::Usage, routing::Report};
+use toucanchute_core::routing::Report;
 
 use super::{RouteControl, TokenHold};
 use crate::control::Assignment;
@@ -48,7 +48,8 @@
 pub(super) struct Held<C: RouteControl> {
     control: Arc<C>,
     hold: Option<TokenHold>,
-    pub(super) usage: Usage,
+    /// Tokens that count as used.
+    pub(super) used: u64,
 }
 
 impl<C: RouteControl> Held<C> {
@@ -57,7 +58,7 @@
         Held {
             control,
             hold,
-            usage: Usage::default(),
+            used: 0,
         }
     }
 }
@@ -65,7 +66,7 @@
 impl<C: RouteControl> Drop for Held<C> {
     fn drop(&mut self) {
         if let Some(hold) = self.hold.take() {
-            self.control.settle(hold, self.usage);
+            self.control.settle(hold, self.used);
         }
     }
 }
--- a/toucanchute_edge/src/passthrough/control.rs
+++ b/toucanchute_edge/src/passthrough/control.rs
@@ -1,6 +1,6 @@
 use std::{future::Future, sync::Arc};
 
-use toucanchute_core::{prepaid::Usage, routing::Report};
+use toucanchute_core::routing::Report;
 use toucanchute_proto::{AttemptId, BudgetId, Incarnation, Millis, config::Config, fleet::Load};
 
 use super::Failure;
@@ -21,8 +21,8 @@
     fn reserve(&self, req: TokenRequest)
     -> impl Future<Output = Result<TokenHold, Failure>> + Send;
 
-    /// Tells what a request used of what was set aside.
-    fn settle(&self, hold: TokenHold, usage: Usage);
+    /// Tells how many tokens a request used of those set aside.
+    fn settle(&self, hold: TokenHold, used: u64);
 
     /// Chooses a backend server; waits in the queue while the request can still start in time.
     /// Dropping the future gives the place up.
--- a/toucanchute_edge/src/passthrough/relay.rs
+++ b/toucanchute_edge/src/passthrough/relay.rs
@@ -192,13 +192,12 @@
         let Relay {
             run,
             tries,
-            held,
             trace,
             tx,
             ..
         } = self;
         tokio::select! {
-            answered = run.next_answer(tries, held, trace, after) => {
+            answered = run.next_answer(tries, trace, after) => {
                 let answered = answered?;
                 match answered.head.status.is_success() {
                     true => Ok(answered),
@@ -210,11 +209,15 @@
     }
 
     fn finish(mut self, outcome: &'static str) {
+        self.trace.used = self.held.used;
+        self.trace.events = self.events;
         self.trace.end_stream(200, outcome);
     }
 
     /// Ends the answer so that it does not look complete.
     async fn break_off(mut self, outcome: &'static str) {
+        self.trace.used = self.held.used;
+        self.trace.events = self.events;
         self.trace.end_stream(200, outcome);
         let _ = self.tx.send(Err(io::Error::other(outcome))).await;
     }
--- a/toucanchute_edge/src/passthrough/run.rs
+++ b/toucanchute_edge/src/passthrough/run.rs
@@ -10,10 +10,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
-use toucanchute_core::{
-    prepaid::Usage,
-    routing::{CrashKind, Report, Target},
-};
+use toucanchute_core::routing::{CrashKind, Report, Target};
 use toucanchute_proto::{
     Digest, Millis,
     config::{Customer, Route, RouteKind},
@@ -99,16 +96,13 @@
         mut trace: Trace<C>,
         in_flight: InFlight,
     ) -> Response<RouteBody> {
-        let mut held = match self.reserve(&mut trace).await {
+        let held = match self.reserve(&mut trace).await {
             Ok(held) => held,
             Err(failure) => return trace.fail(failure),
         };
         let mut tries = Tries::new(self.route());
         loop {
-            let answered = match self
-                .next_answer(&mut tries, &mut held, &mut trace, None)
-                .await
-            {
+            let answered = match self.next_answer(&mut tries, &mut trace, None).await {
                 Ok(answered) => answered,
                 Err(failure) => return tries.fall_back(trace, failure),
             };
@@ -117,7 +111,7 @@
             if stream && answered.head.status.is_success() {
                 return relay::start(self, answered, tries, held, trace, in_flight);
             }
-            match self.whole(answered, &mut tries, &mut held).await {
+            match self.whole(answered, &mut tries).await {
                 Ok(res) => return trace.deliver(res),
                 Err(failure) if tries.may_repeat() => trace.retry(failure.reason),
                 Err(failure) => return tries.fall_back(trace, failure),
@@ -163,28 +157,14 @@
         Ok(Held::new(Arc::clone(control), Some(hold)))
     }
 
-    /// Notes that the request may have begun to run.
-    fn charge_prompt(&self, held: &mut Held<C>) {
-        let prompt = self.call.tokens.map_or(0, |t| t.prompt);
-        if held.usage.tokens == 0 {
-            held.usage = Usage {
-                tokens: prompt,
-                doubtful: prompt,
-            };
-        }
-    }
-
-    /// Notes that `events` of the answer were relayed.
+    /// Notes that `events` of the answer were relayed. The prompt counts with the first one.
     pub(super) fn charge_events(&self, held: &mut Held<C>, events: u64) {
         let Some(bound) = self.call.tokens else {
             return;
         };
         let each = self.table.tokens_per_event(&self.service);
         let output = bound.output.min(events.saturating_mul(each));
-        held.usage = Usage {
-            tokens: bound.prompt + output,
-            doubtful: 0,
-        };
+        held.used = bound.prompt + output;
     }
 
     // Attempts
@@ -194,7 +174,6 @@
     pub(super) async fn next_answer(
         &self,
         tries: &mut Tries,
-        held: &mut Held<C>,
         trace: &mut Trace<C>,
         resume_after: Option<u64>,
     ) -> Result<Answered<C>, Failure> {
@@ -207,7 +186,7 @@
             let (res, conn) = match self.exchange(&attempt, tries, resume_after).await {
                 Ok(answer) => answer,
                 Err(e) => {
-                    self.failed(e, attempt, tries, held, trace).await?;
+                    self.failed(e, attempt, tries, trace).await?;
                     continue;
                 }
             };
@@ -221,7 +200,7 @@
                 body,
                 info,
             };
-            match self.check(answered, tries, held, trace).await? {
+            match self.check(answered, tries, trace).await? {
                 Some(answered) => return Ok(answered),
                 None => {}
             }
@@ -336,7 +315,6 @@
         error: ExchangeError,
         attempt: Attempt<C>,
         tries: &mut Tries,
-        held: &mut Held<C>,
         trace: &mut Trace<C>,
     ) -> Result<(), Failure> {
         let address = attempt.assignment.address;
@@ -363,7 +341,6 @@
                 attempt.end(Report::Crashed { kind });
             }
         }
-        self.charge_prompt(held);
         tries.sent(true);
         if tries.may_repeat() {
             return Ok(());
@@ -379,7 +356,6 @@
         &self,
         answered: Answered<C>,
         tries: &mut Tries,
-        held: &mut Held<C>,
         trace: &mut Trace<C>,
     ) -> Result<Option<Answered<C>>, Failure> {
         let info = &answered.info;
@@ -401,14 +377,12 @@
             tries.exclude_backend(&answered.attempt.assignment.backend);
             trace.attempt_failed(&answered.attempt.assignment, "answer is not this request's");
             answered.attempt.end(Report::Crashed { kind });
-            self.charge_prompt(held);
             tries.sent(true);
             return match tries.may_repeat() {
                 true => Ok(None),
                 false => Err(Failure::new(FailureKind::Failed, "answer-malformed")),
             };
         }
-        self.charge_prompt(held);
         tries.sent(true);
         if status.is_server_error() && tries.may_repeat() {
             self.retry_error(answered, tries, trace).await;
@@ -468,7 +442,6 @@
         &self,
         answered: Answered<C>,
         tries: &mut Tries,
-        held: &mut Held<C>,
     ) -> Result<Response<RouteBody>, Failure> {
         let Answered {
             attempt,
@@ -485,7 +458,6 @@
                 if !info.closes {
                     self.shared.pool.keep(&backend, conn, info.keep_alive);
                 }
-                held.usage.doubtful = 0;
                 Ok(respond(&head, RouteBody::whole(body.to_bytes())))
             }
             Ok(Err(_)) => {
--- a/toucanchute_edge/src/passthrough/run/trace.rs
+++ b/toucanchute_edge/src/passthrough/run/trace.rs
@@ -19,6 +19,10 @@
     backend: String,
     assignments: u32,
     tokens: u64,
+    /// Events of a stream that were relayed.
+    pub(in crate::passthrough) events: u64,
+    /// Tokens that count as used.
+    pub(in crate::passthrough) used: u64,
     /// Router that set the tokens aside.
     owner: String,
     started: Instant,
@@ -38,6 +42,8 @@
             backend: String::new(),
             assignments: 0,
             tokens: 0,
+            events: 0,
+            used: 0,
             owner: String::new(),
             started: Instant::now(),
             first_ms: 0,
@@ -114,6 +120,8 @@
             backend = self.backend,
             assignments = self.assignments,
             tokens = self.tokens,
+            events = self.events,
+            used = self.used,
             owner = self.owner,
             first_ms = self.first_ms,
             ms = self.elapsed_ms(),
--- a/toucanchute_router/src/actor/prepaid.rs
+++ b/toucanchute_router/src/actor/prepaid.rs
@@ -4,7 +4,7 @@
 use toucanchute_core::{
     fleet::MemberView,
     ledger::StoreResult,
-    prepaid::{Action, CallId, Event, Note, Peer, Prepaid, Refusal, RefusalReason, Usage},
+    prepaid::{Action, CallId, Event, Note, Peer, Prepaid, Refusal, RefusalReason},
 };
 use toucanchute_edge::passthrough::{Failure, FailureKind, TokenHold, TokenRequest};
 use toucanchute_platform::StoreClient;
@@ -44,8 +44,8 @@
 pub(crate) enum PrepaidInput {
     /// Asks for tokens.
     Reserve(TokenRequest, oneshot::Sender<Result<TokenHold, Failure>>),
-    /// The request of a reservation has ended.
-    Settle(TokenHold, Usage),
+    /// The request of a reservation has ended and used so many tokens.
+    Settle(TokenHold, u64),
     /// Another configuration is in force.
     Config(Arc<Config>),
     /// The other members of the fleet.
@@ -147,7 +147,7 @@
         if reply.send(Ok(hold)).is_err() {
             let own = cx.mailbox().address();
             if let Some(own) = own.try_upgrade() {
-                post(&own, PrepaidInput::Settle(hold, Usage::default()));
+                post(&own, PrepaidInput::Settle(hold, 0));
             }
         }
     }
@@ -227,9 +227,9 @@
     async fn handle(&mut self, input: PrepaidInput, cx: &mut Context<Self>) {
         match input {
             PrepaidInput::Reserve(req, reply) => self.reserve(req, reply, cx),
-            PrepaidInput::Settle(hold, usage) => {
+            PrepaidInput::Settle(hold, used) => {
                 let call = CallId(hold.id);
-                self.feed(Event::Settle { call, usage }, cx);
+                self.feed(Event::Settle { call, used }, cx);
             }
             PrepaidInput::Config(config) => self.configure(&config, cx),
             PrepaidInput::Members(members) => {
--- a/toucanchute_router/src/gateway/control.rs
+++ b/toucanchute_router/src/gateway/control.rs
@@ -4,7 +4,6 @@
 };
 
 use tokio::sync::oneshot;
-use toucanchute_core::prepaid::Usage;
 use toucanchute_edge::{
     AssignRequest, Assignment, Outcome, Refusal, RefusalReason, Report,
     passthrough::{Failure, FailureKind, RequestEnd, RouteControl, TokenHold, TokenRequest},
@@ -50,9 +49,9 @@
         result
     }
 
-    fn settle(&self, hold: TokenHold, usage: Usage) {
-        self.monitor.settled(usage.tokens);
-        post(&self.prepaid, PrepaidInput::Settle(hold, usage));
+    fn settle(&self, hold: TokenHold, used: u64) {
+        self.monitor.settled(used);
+        post(&self.prepaid, PrepaidInput::Settle(hold, used));
     }
 
     async fn assign(&self, req: AssignRequest) -> Result<Assignment, Refusal> {
--- a/toucanchute_router/src/gateway/monitor.rs
+++ b/toucanchute_router/src/gateway/monitor.rs
@@ -23,6 +23,8 @@
     Report,
     passthrough::{Failure, RequestEnd, TokenHold},
 };
+use toucanchute_platform::StoreClient;
+use toucanchute_store::CallCounts;
 
 /// Upper bounds of the latency histograms, in milliseconds: from a plain answer to a whole stream.
 const LATENCY_MS: [f64; 12] = [
@@ -39,6 +41,7 @@
     reservations: Family<ReservationLabels, Counter>,
     tokens_used: Counter,
     in_flight: Gauge,
+    store_calls: Family<CallLabels, Gauge>,
     log_dropped: Gauge,
 }
 
@@ -48,6 +51,11 @@
     outcome: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CallLabels {
+    kind: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct AttemptLabels {
     end: &'static str,
@@ -69,6 +77,7 @@
             reservations: Family::default(),
             tokens_used: Counter::default(),
             in_flight: Gauge::default(),
+            store_calls: Family::default(),
             log_dropped: Gauge::default(),
         };
         monitor.register();
@@ -104,6 +113,11 @@
             self.tokens_used.clone(),
         );
         registry.register("in_flight", "Requests in progress", self.in_flight.clone());
+        registry.register(
+            "store_calls",
+            "Calls to the platform's store since the start",
+            self.store_calls.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Log lines that found the queue full",
@@ -151,7 +165,25 @@
         self.tokens_used.inc_by(tokens);
     }
 
-    fn text(&self, in_flight: u64) -> String {
+    /// Takes over the numbers of calls to the store.
+    fn set_store_calls(&self, counts: CallCounts) {
+        let counts = [
+            ("read", counts.reads),
+            ("write", counts.writes),
+            ("lease", counts.leases),
+            ("watch", counts.watches),
+            ("failed", counts.not_applied),
+            ("unanswered", counts.unknown),
+        ];
+        for (kind, count) in counts {
+            let gauge = self.store_calls.get_or_create(&CallLabels { kind });
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+
+    fn text(&self, source: &Source) -> String {
+        let in_flight = source.in_flight.load(Ordering::Relaxed);
+        self.set_store_calls(source.store.counts());
         self.in_flight
             .set(i64::try_from(in_flight).unwrap_or(i64::MAX));
         let dropped = toucanchute_log::dropped_lines();
@@ -166,8 +198,16 @@
     }
 }
 
+/// Where numbers are kept that are read when metrics are asked for.
+#[derive(Clone)]
+pub(super) struct Source {
+    /// Requests in progress.
+    pub(super) in_flight: Arc<AtomicU64>,
+    pub(super) store: StoreClient,
+}
+
 /// Serves the metrics until the process ends, whatever the path.
-pub(super) async fn serve(listener: TcpListener, monitor: Arc<Monitor>, in_flight: Arc<AtomicU64>) {
+pub(super) async fn serve(listener: TcpListener, monitor: Arc<Monitor>, source: Source) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -176,9 +216,9 @@
                 continue;
             }
         };
-        let (monitor, in_flight) = (Arc::clone(&monitor), Arc::clone(&in_flight));
+        let (monitor, source) = (Arc::clone(&monitor), source.clone());
         let service = service_fn(move |_: Request<Incoming>| {
-            let text = monitor.text(in_flight.load(Ordering::Relaxed));
+            let text = monitor.text(&source);
             let mut res = Response::new(Full::new(Bytes::from(text)));
             let kind = HeaderValue::from_static("text/plain; version=0.0.4");
             res.headers_mut().insert(header::CONTENT_TYPE, kind);
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -97,6 +97,7 @@
         _ = leave::forced(parts.exit.subscribe()) => {}
     }
     parts.registry.leave().await;
+    log::info!(calls:? = parts.store.counts(); "store-calls");
     log::info!(in_flight = parts.in_flight.load(Ordering::Relaxed); "gateway-left");
     log::logger().flush();
     Ok(())
@@ -110,6 +111,7 @@
     prepaid: Address<PrepaidActor>,
     control: Arc<GatewayControl>,
     registry: Registry,
+    store: StoreClient,
     monitor: Arc<Monitor>,
     /// Requests in progress.
     in_flight: Arc<AtomicU64>,
@@ -168,7 +170,7 @@
         tokio::spawn(ticked.run());
         let registry = Registry::start(store.clone(), fleet.clone(), settings, incarnation);
         let feeds = Feeds {
-            store,
+            store: store.clone(),
             fleet: fleet.clone(),
             dispatch: dispatch.clone(),
         };
@@ -187,6 +189,7 @@
             prepaid,
             control,
             registry,
+            store,
             monitor,
             in_flight,
             leaving,
@@ -212,12 +215,11 @@
         tokio::spawn(questions::serve(readiness, Arc::clone(&desk)));
         tokio::spawn(questions::serve(directory, desk));
         if let Some(listener) = metrics {
-            let in_flight = Arc::clone(&self.in_flight);
-            tokio::spawn(monitor::serve(
-                listener,
-                Arc::clone(&self.monitor),
-                in_flight,
-            ));
+            let source = monitor::Source {
+                in_flight: Arc::clone(&self.in_flight),
+                store: self.store.clone(),
+            };
+            tokio::spawn(monitor::serve(listener, Arc::clone(&self.monitor), source));
         }
     }
 }
--- a/toucanchute_store/src/client/connection.rs
+++ b/toucanchute_store/src/client/connection.rs
@@ -21,7 +21,7 @@
 use super::wire::ErrorBody;
 use crate::{
     Applied, CallKind, StoreError,
-    counts::{Counters, add_one},
+    counts::CallCounters,
     error::{
         BrokenSnafu, ConnectSnafu, EncodeSnafu, FailedSnafu, MalformedSnafu, NoEndpointSnafu,
         RefusedSnafu, TimedOutSnafu, TruncatedSnafu,
@@ -39,7 +39,7 @@
     /// Index of the endpoint that is tried first.
     preferred: AtomicUsize,
     timeout: Millis,
-    counters: Counters,
+    counters: CallCounters,
 }
 
 impl Connection {
@@ -57,11 +57,11 @@
             endpoints,
             preferred: AtomicUsize::new(0),
             timeout,
-            counters: Counters::default(),
+            counters: CallCounters::default(),
         }
     }
 
-    pub(crate) fn counters(&self) -> &Counters {
+    pub(crate) fn counters(&self) -> &CallCounters {
         &self.counters
     }
 
@@ -252,10 +252,7 @@
 
     fn fail(&mut self, e: StoreError) {
         log::debug!(kind:? = self.kind, error:% = e; "platform-call-failed");
-        match e.applied() {
-            Applied::No => add_one(&self.connection.counters.not_applied),
-            Applied::Unknown => add_one(&self.connection.counters.unknown),
-        }
+        self.connection.counters.count_failure(e.applied());
         self.failure = Some(e);
     }
 
--- a/toucanchute_store/src/counts.rs
+++ b/toucanchute_store/src/counts.rs
@@ -1,5 +1,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use crate::Applied;
+
 /// Kinds of calls to the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallKind {
@@ -34,20 +36,21 @@
     pub unknown: u64,
 }
 
-/// Counters behind [`CallCounts`].
+/// Counters behind [`CallCounts`], for a client of the platform.
 #[derive(Debug, Default)]
-pub(crate) struct Counters {
+pub struct CallCounters {
     reads: AtomicU64,
     writes: AtomicU64,
     leases: AtomicU64,
     watches: AtomicU64,
     hosts: AtomicU64,
-    pub(crate) not_applied: AtomicU64,
-    pub(crate) unknown: AtomicU64,
+    not_applied: AtomicU64,
+    unknown: AtomicU64,
 }
 
-impl Counters {
-    pub(crate) fn count(&self, kind: CallKind) {
+impl CallCounters {
+    /// Counts a call.
+    pub fn count(&self, kind: CallKind) {
         let counter = match kind {
             CallKind::Read => &self.reads,
             CallKind::Write => &self.writes,
@@ -58,7 +61,17 @@
         add_one(counter);
     }
 
-    pub(crate) fn read(&self) -> CallCounts {
+    /// Counts a call that failed.
+    pub fn count_failure(&self, applied: Applied) {
+        add_one(match applied {
+            Applied::No => &self.not_applied,
+            Applied::Unknown => &self.unknown,
+        });
+    }
+
+    /// Returns the numbers so far.
+    #[must_use]
+    pub fn read(&self) -> CallCounts {
         CallCounts {
             reads: self.reads.load(Ordering::Relaxed),
             writes: self.writes.load(Ordering::Relaxed),
@@ -71,6 +84,6 @@
     }
 }
 
-pub(crate) fn add_one(counter: &AtomicU64) {
+fn add_one(counter: &AtomicU64) {
     counter.fetch_add(1, Ordering::Relaxed);
 }
--- a/toucanchute_store/src/lib.rs
+++ b/toucanchute_store/src/lib.rs
@@ -12,7 +12,7 @@
 mod watch;
 
 pub use client::{Client, ClientSettings};
-pub use counts::{CallCounts, CallKind};
+pub use counts::{CallCounters, CallCounts, CallKind};
 pub use error::{Applied, StoreError};
 pub use hosts::{Host, HostList, HostListClient, HostRole, HostState};
 pub use store::{Cas, Entry, LeaseId, Revision, Selection, Snapshot, Store};
