fix(gateway): the configuration's watch begins at the store's revision

Cause: the store keeps 20 s of history; a watch from the key's own revision got 410 from then on, and read and watch followed each other without a pause (150 calls a second over the fleet).

--- a/toucanchute_core/src/prepaid/machine.rs
+++ b/toucanchute_core/src/prepaid/machine.rs
@@ -17,7 +17,7 @@
 };
 
 /// Time after the start in which other routers make themselves known, before accounts are claimed.
-const ACQUAINT: Millis = Millis(600);
+const ACQUAINT: Millis = Millis(400);
 
 /// Most budgets whose accounts are claimed before the first request for them.
 const MAX_CLAIMED_AHEAD: usize = 256;
--- a/toucanchute_core/src/prepaid/ramp.rs
+++ b/toucanchute_core/src/prepaid/ramp.rs
@@ -1,10 +1,10 @@
 use toucanchute_proto::{Millis, prepaid::Account};
 
 /// Draw that an owner may spend at once after a checkpoint.
-const AHEAD: Millis = Millis(1_000);
+const AHEAD: Millis = Millis(700);
 
 /// Pace of the ramp as a multiple of the present draw, in hundredths.
-const PACE_PERCENT: u64 = 130;
+const PACE_PERCENT: u64 = 120;
 
 /// Requests of mean size that fit ahead whatever the draw.
 const AHEAD_REQUESTS: u64 = 2;
@@ -16,7 +16,7 @@
 const AHEAD_DIVISOR: u64 = 10;
 
 /// Uncertainty of elapsed time between two clocks of the fleet.
-const CLOCK_ERROR: Millis = Millis(500);
+const CLOCK_ERROR: Millis = Millis(300);
 
 /// Further uncertainty while too few other clocks are known.
 const LONE_CLOCK_ERROR: Millis = Millis(3_000);
--- a/toucanchute_log/src/lib.rs
+++ b/toucanchute_log/src/lib.rs
@@ -18,5 +18,5 @@
 
 pub use clock::{CLOCK_HEADER, HybridClock, Stamp, now, observe, steady_clock_ms, wall_clock_ms};
 pub use line::{KeyValues, quote};
-pub use queue::dropped_lines;
+pub use queue::{dropped_lines, flush};
 pub use setup::{InstallError, Setup};
--- a/toucanchute_log/src/queue.rs
+++ b/toucanchute_log/src/queue.rs
@@ -1,11 +1,13 @@
 use std::{
     io::{self, Write},
+    iter,
     sync::{
-        Mutex, PoisonError,
+        Mutex, OnceLock, PoisonError,
         atomic::{AtomicU64, Ordering},
         mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread,
+    time::Duration,
 };
 
 use crate::{clock::steady_clock_ms, limiter::Limiter};
@@ -16,6 +18,29 @@
 /// Lines of this process that found the queue full.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
+/// Longest time that a process waits at its end for lines to be written.
+const FLUSH_TIME: Duration = Duration::from_millis(50);
+
+/// The way to the thread that writes, once there is one.
+static QUEUE: OnceLock<SyncSender<Item>> = OnceLock::new();
+
+/// What the thread that writes is sent.
+enum Item {
+    Line(String),
+    /// All lines before are to be written; told when they are.
+    Flush(SyncSender<()>),
+}
+
+/// Waits a short time until the lines logged so far are written.
+pub fn flush() {
+    let (tx, rx) = sync_channel(1);
+    let queue = QUEUE.get();
+    if queue.is_some_and(|queue| queue.try_send(Item::Flush(tx)).is_ok()) {
+        // Lines that take longer are lost with the process.
+        let _ = rx.recv_timeout(FLUSH_TIME);
+    }
+}
+
 /// Returns how many lines found the queue full since the start.
 #[must_use]
 pub fn dropped_lines() -> u64 {
@@ -24,7 +49,7 @@
 
 /// Lines on their way to standard output. Whoever logs never waits.
 pub(crate) struct LineQueue {
-    tx: SyncSender<String>,
+    tx: SyncSender<Item>,
     limiter: Mutex<Limiter>,
 }
 
@@ -33,6 +58,8 @@
     pub(crate) fn start(capacity: usize, rate: u32) -> LineQueue {
         let (tx, rx) = sync_channel(capacity);
         thread::spawn(move || write_lines(&rx));
+        // A process has one log.
+        let _ = QUEUE.set(tx.clone());
         LineQueue {
             tx,
             limiter: Mutex::new(Limiter::new(rate)),
@@ -57,7 +84,7 @@
     }
 
     fn send(&self, line: String) {
-        if self.tx.try_send(line).is_err() {
+        if self.tx.try_send(Item::Line(line)).is_err() {
             DROPPED.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -69,15 +96,20 @@
     rest.split(' ').next().unwrap_or_default()
 }
 
-fn write_lines(rx: &Receiver<String>) {
+fn write_lines(rx: &Receiver<Item>) {
     let mut out = io::stdout();
     let mut told = 0;
     while let Ok(first) = rx.recv() {
-        let mut text = first;
-        text.push('\n');
-        for line in rx.try_iter().take(BATCH) {
-            text.push_str(&line);
-            text.push('\n');
+        let mut text = String::new();
+        let mut flushed = None;
+        for item in iter::once(first).chain(rx.try_iter().take(BATCH)) {
+            match item {
+                Item::Line(line) => {
+                    text.push_str(&line);
+                    text.push('\n');
+                }
+                Item::Flush(tx) => flushed = Some(tx),
+            }
         }
         let dropped = dropped_lines();
         if dropped > told {
@@ -86,5 +118,8 @@
         }
         // Nobody is left to tell that standard output is gone.
         let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+        if let Some(tx) = flushed {
+            let _ = tx.try_send(());
+        }
     }
 }
--- a/toucanchute_router/src/gateway/feeds.rs
+++ b/toucanchute_router/src/gateway/feeds.rs
@@ -95,14 +95,15 @@
     async fn run(mut self) {
         loop {
             let asked = clock::now();
-            match self.store.get(CONFIG_KEY).await {
-                Ok(entry) => {
-                    let from = entry.as_ref().map_or(Revision::ABSENT, |e| e.revision);
-                    if let Some(entry) = entry {
-                        self.take(&entry);
+            // The key itself may be older than the history that a watch can begin with.
+            match self.store.get_prefix(CONFIG_KEY).await {
+                Ok(snapshot) => {
+                    let mut entries = snapshot.entries.iter();
+                    if let Some(entry) = entries.find(|e| e.key == CONFIG_KEY) {
+                        self.take(entry);
                     }
                     self.confirm(asked);
-                    self.follow(from.next()).await;
+                    self.follow(snapshot.revision.next()).await;
                 }
                 Err(e) => self.unread(&e).await,
             }
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -99,7 +99,7 @@
     parts.registry.leave().await;
     log::info!(calls:? = parts.store.counts(); "store-calls");
     log::info!(in_flight = parts.in_flight.load(Ordering::Relaxed); "gateway-left");
-    log::logger().flush();
+    toucanchute_log::flush();
     Ok(())
 }
 
