feat(fleet): registrations of backend servers through peers; views count for 5 s

Change: lists of registrations travel between routers with their age, the newest counts; the bound of a view is a setting of the configuration; accounts are claimed by, and handed to, routers that reach the store.

--- a/toucanchute_core/src/discovery.rs
+++ b/toucanchute_core/src/discovery.rs
@@ -1,11 +1,8 @@
 //! Backend servers that register themselves in the store.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-};
+use std::collections::{BTreeMap, BTreeSet};
 
-use toucanchute_proto::Millis;
+use toucanchute_proto::{Millis, fleet::Found};
 
 /// Time without a list after which registrations may have lapsed although their servers live.
 const OUTAGE: Millis = Millis(1_500);
@@ -14,28 +11,13 @@
 /// readings.
 const RETURN_TIME: Millis = Millis(2_600);
 
-/// A backend server by its own registration.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Found {
-    /// Its name; another run of it has another one.
-    pub name: String,
-    /// Service that it serves.
-    pub service: String,
-    /// Its address.
-    pub address: SocketAddr,
-    /// Its failure domain.
-    pub failure_domain: String,
-    /// Whether it takes no new work.
-    pub leaving: bool,
-    /// Requests that it works on at once; 0 if it does not say.
-    pub slots: u32,
-}
-
 /// What a list changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Change {
-    /// All backend servers that may get new work; absent if they are as before.
-    pub live: Option<Vec<Found>>,
+    /// All backend servers that may get new work.
+    pub live: Vec<Found>,
+    /// Whether they are others than before.
+    pub changed: bool,
     /// Names of those that newly leave or left.
     pub withdrawn: Vec<String>,
 }
@@ -48,9 +30,8 @@
 /// use toucanchute_proto::Millis;
 ///
 /// let mut discovery = Discovery::default();
-/// let change = discovery.list(Millis(0), Vec::new());
-/// assert_eq!(change.live, Some(Vec::new()));
-/// assert_eq!(discovery.list(Millis(500), Vec::new()).live, None);
+/// assert!(discovery.list(Millis(0), Vec::new()).changed);
+/// assert!(!discovery.list(Millis(500), Vec::new()).changed);
 /// ```
 #[derive(Debug, Default)]
 pub struct Discovery {
@@ -92,9 +73,8 @@
                 false => self.withdraw(name, &mut change),
             }
         }
-        if before.as_ref() != Some(&live) {
-            change.live = Some(live.values().cloned().collect());
-        }
+        change.changed = before.as_ref() != Some(&live);
+        change.live = live.values().cloned().collect();
         self.live = Some(live);
         change
     }
--- a/toucanchute_core/src/fleet.rs
+++ b/toucanchute_core/src/fleet.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod event;
 mod fault;
+mod found;
 mod hosts;
 mod leave;
 mod links;
--- a/toucanchute_core/src/fleet/action.rs
+++ b/toucanchute_core/src/fleet/action.rs
@@ -3,7 +3,7 @@
 use toucanchute_proto::{
     Incarnation,
     config::Config,
-    fleet::{FleetMessage, Load, MemberState, Verdict},
+    fleet::{FleetMessage, Found, Load, MemberState, Verdict},
 };
 
 /// What a [`Fleet`](super::Fleet) wants done.
@@ -25,6 +25,8 @@
     InForce(Arc<Config>),
     /// These backend servers take no new work; replaces the set before.
     Withdraw(BTreeSet<String>),
+    /// These backend servers are registered and take work; replaces the list before.
+    Backends(Vec<Found>),
     /// The other members as far as known; replaces the list before.
     Members(Vec<MemberView>),
     /// Whether new work may be taken, or why not.
@@ -56,6 +58,8 @@
     pub peer_address: SocketAddr,
     /// What is believed of it.
     pub state: MemberState,
+    /// Whether it finds the platform down.
+    pub outage: bool,
 }
 
 /// Why a router takes no new work.
--- a/toucanchute_core/src/fleet/event.rs
+++ b/toucanchute_core/src/fleet/event.rs
@@ -3,7 +3,7 @@
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
     config::Config,
-    fleet::{FleetMessage, Load, Member, Verdict},
+    fleet::{FleetMessage, Found, Load, Member, Verdict},
 };
 
 /// What happened, as told to a [`Fleet`](super::Fleet).
@@ -50,16 +50,9 @@
     Routers(BTreeSet<SocketAddr>),
     /// The platform answered with the registrations of backend servers, which take the place of a
     /// host list.
-    BackendsSeen {
-        /// When the platform was asked.
-        asked: Millis,
-    },
-    /// These backend servers were seen to leave or to be gone.
-    Withdrawn(Vec<String>),
-    /// This router's own reading of the registrations: these backend servers take work.
-    Registered {
-        /// Their names.
-        names: BTreeSet<String>,
+    Found {
+        /// Those that take work.
+        backends: Vec<Found>,
         /// When the platform was asked.
         asked: Millis,
     },
--- a/toucanchute_core/src/fleet/links.rs
+++ b/toucanchute_core/src/fleet/links.rs
@@ -110,7 +110,7 @@
         self.expire_probes(now, out);
         self.expire_members(now);
         self.rumors.forget_expired(now);
-        self.hosts.forget_withdrawn(now);
+        self.ask_found(now, out);
         if now >= self.next_gossip {
             self.next_gossip = now + GOSSIP_PERIOD;
             self.ping_some(now, out);
--- a/toucanchute_core/src/fleet/machine.rs
+++ b/toucanchute_core/src/fleet/machine.rs
@@ -3,7 +3,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
-    config::Config,
+    config::{Config, Routing},
     fleet::{Head, Member, MemberState},
 };
 
@@ -11,6 +11,7 @@
     Action, Event,
     drain::Drain,
     fault::Fault,
+    found::FoundList,
     hosts::Hosts,
     links::{Links, Probe},
     members::Members,
@@ -71,6 +72,9 @@
     /// Configuration in force and its digest; versions rise strictly.
     pub(super) config: Option<(Arc<Config>, Digest)>,
     pub(super) hosts: Hosts,
+    /// Registered backend servers; absent where a host list is read.
+    pub(super) found: Option<FoundList>,
+    pub(super) next_ask_found: Millis,
     pub(super) view: View,
     pub(super) drain: Drain,
     /// Requests in progress; none if not told since new work is refused.
@@ -88,9 +92,6 @@
     /// Longest time between two [`Event::Tick`].
     pub const TICK: Millis = Millis(100);
 
-    /// How long a view counts as current after its last confirmation.
-    pub const VIEW_BOUND: Millis = Millis(2_500);
-
     /// Creates the machine of one router.
     #[must_use]
     pub fn new(id: Identity, seed: u64) -> Fleet {
@@ -115,6 +116,8 @@
             rumors: Rumors::default(),
             config: None,
             hosts: Hosts::default(),
+            found: None,
+            next_ask_found: Millis::default(),
             view: View::default(),
             drain: Drain::Running,
             in_flight: None,
@@ -149,12 +152,12 @@
                 asked,
             } => self.host_list(asked, version, &hosts, out),
             Event::Routers(routers) => self.take_routers(routers),
-            Event::BackendsSeen { asked } => {
+            Event::Found { backends, asked } => {
+                self.hosts.reads_registrations = true;
                 self.view.hosts_seen(asked);
                 self.set_outage(self.view.down());
+                self.take_found(backends, asked, out);
             }
-            Event::Withdrawn(names) => self.take_withdrawn(now, names, out),
-            Event::Registered { names, asked } => self.take_registered(&names, asked, out),
             Event::PlatformDown => self.platform_down(),
             Event::LoadReport(load) => self.take_load(load, out),
             Event::Verdict(v) => self.tell_verdict(&v, out),
@@ -183,6 +186,12 @@
         self.ranks(name, false)
     }
 
+    /// How long a view counts as current after its last confirmation.
+    pub(super) fn view_bound(&self) -> Millis {
+        let bound = self.config().map(|c| c.routing.view_bound_ms);
+        Millis(bound.unwrap_or_else(|| Routing::default().view_bound_ms))
+    }
+
     /// The configuration in force.
     #[must_use]
     pub fn config(&self) -> Option<&Arc<Config>> {
--- a/toucanchute_core/src/fleet/messages.rs
+++ b/toucanchute_core/src/fleet/messages.rs
@@ -4,8 +4,8 @@
     Digest, Incarnation, Millis,
     config::Config,
     fleet::{
-        Ack, ConfigBody, FetchConfig, FleetBody, FleetMessage, Gossip, Head, Member, Ping,
-        Probe as ProbeBody, Push,
+        Ack, ConfigBody, FetchConfig, FleetBody, FleetMessage, FoundBody, Gossip, Head, Member,
+        Ping, Probe as ProbeBody, Push,
     },
 };
 
@@ -42,6 +42,10 @@
             }
             FleetBody::Push(_) => {}
             FleetBody::FetchConfig(FetchConfig { version }) => self.send_config(from, version, out),
+            FleetBody::FetchFound(ask) => self.send_found(now, from, ask, out),
+            FleetBody::Found(FoundBody { backends, age }) => {
+                self.take_found(backends, now - age, out);
+            }
             FleetBody::Config(ConfigBody { config, digest }) => {
                 self.take_config(Arc::new(config), digest, out);
             }
@@ -67,7 +71,6 @@
         if let Some(list) = gossip.backends {
             self.take_backends(list, out);
         }
-        self.take_withdrawn(now, gossip.withdrawn, out);
         let fleet = self.known();
         let mut urgent = false;
         for v in gossip.verdicts {
@@ -237,7 +240,6 @@
             members: self.rumors.take_members(&self.me, &self.members),
             verdicts: self.rumors.take_verdicts(),
             loads: self.rumors.take_loads(),
-            withdrawn: self.hosts.withdrawn_lately(),
         }
     }
 
--- a/toucanchute_core/src/fleet/publish.rs
+++ b/toucanchute_core/src/fleet/publish.rs
@@ -86,7 +86,7 @@
         let fresh = self
             .view
             .age(now)
-            .is_some_and(|age| age <= Fleet::VIEW_BOUND || self.has(Fault::IgnoreAge));
+            .is_some_and(|age| age <= self.view_bound() || self.has(Fault::IgnoreAge));
         if fresh || self.goes_on(now) {
             return Ok(());
         }
@@ -119,7 +119,7 @@
     /// are lost have to be a minority, for they may be on the platform's side of a partition.
     pub(super) fn outage_agreed(&self, now: Millis) -> bool {
         let heard = self.view.heard_at;
-        let lately = heard.is_some_and(|at| now.since(at) <= Fleet::VIEW_BOUND);
+        let lately = heard.is_some_and(|at| now.since(at) <= self.view_bound());
         let alone = self.members.live().next().is_none();
         if !self.view.down() || self.view.behind(now) || !(lately || alone) {
             return false;
@@ -129,7 +129,7 @@
         }
         let Some(confirmed) = self.view.confirmed_at() else {
             let told = self.view.peer_outage_at;
-            return told.is_some_and(|at| now.since(at) <= Fleet::VIEW_BOUND);
+            return told.is_some_and(|at| now.since(at) <= self.view_bound());
         };
         let (mut here, mut lost) = (1, 0);
         for Entry { member, since, .. } in self.members.iter().filter(|e| !e.ended) {
@@ -154,6 +154,7 @@
                 caller_address: m.caller_address.parse().ok()?,
                 peer_address: m.peer_address.parse().ok()?,
                 state: m.state,
+                outage: m.outage,
             })
         };
         self.members
--- a/toucanchute_core/src/prepaid/draw.rs
+++ b/toucanchute_core/src/prepaid/draw.rs
@@ -38,7 +38,7 @@
     /// Starts to replace witnesses that are gone or too few.
     fn renew_quorum(&mut self, budget: BudgetId) {
         let (now, next) = (self.now, self.choose_quorum(budget));
-        let store_up = self.store_up;
+        let store_up = self.store_up();
         let gone: Vec<Incarnation> = match self.accounts.get(&budget) {
             Some(owned) => {
                 let witnesses = owned.record.quorum.witnesses.iter();
--- a/toucanchute_core/src/prepaid/event.rs
+++ b/toucanchute_core/src/prepaid/event.rs
@@ -79,6 +79,8 @@
     pub failure_domain: String,
     /// What is believed of it.
     pub state: MemberState,
+    /// Whether it reaches the store.
+    pub store_up: bool,
 }
 
 impl Peer {
--- a/toucanchute_core/src/prepaid/leave.rs
+++ b/toucanchute_core/src/prepaid/leave.rs
@@ -26,7 +26,7 @@
             };
             // The result of a write in flight is awaited, since only its sender learns it.
             let busy = owned.write.as_ref().is_some_and(|w| w.op.is_some());
-            if busy && self.store_up {
+            if busy && self.store_up() {
                 continue;
             }
             match self.candidate(budget) {
@@ -39,6 +39,18 @@
         }
     }
 
+    /// Hands an account to a router that reaches the store, if this one has lost it.
+    pub(super) fn move_to_store(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
+        let releasing = self.accounts.get(&budget).is_some_and(|a| a.releasing);
+        if !self.store_lost() || releasing {
+            return;
+        }
+        let reaches = |id: &Incarnation| self.peers.get(id).is_some_and(|p| p.store_up);
+        if let Some(to) = self.candidate(budget).filter(reaches) {
+            self.hand_over(budget, to, out);
+        }
+    }
+
     fn give_back(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
         let Some(owned) = self.accounts.get_mut(&budget) else {
             return;
--- a/toucanchute_core/src/prepaid/machine.rs
+++ b/toucanchute_core/src/prepaid/machine.rs
@@ -19,6 +19,12 @@
 /// Time after the start in which other routers make themselves known, before accounts are claimed.
 const ACQUAINT: Millis = Millis(400);
 
+/// Time after a call in vain in which the store counts as away.
+const STORE_NEWS: Millis = Millis(2_000);
+
+/// Time without the store after which accounts go to routers that reach it.
+const STORE_PATIENCE: Millis = Millis(1_500);
+
 /// Most budgets whose accounts are claimed before the first request for them.
 const MAX_CLAIMED_AHEAD: usize = 256;
 
@@ -80,8 +86,9 @@
     /// Store calls in flight, by number.
     pub(super) ops: BTreeMap<u64, BudgetId>,
     next_op: u64,
-    /// Whether the store answered when it was last called.
-    pub(super) store_up: bool,
+    /// Since when the store has not answered, and when it was last called in vain; absent once it
+    /// answers.
+    store_down: Option<(Millis, Millis)>,
     pub(super) draining: bool,
     drained: bool,
 }
@@ -115,7 +122,7 @@
             desk: Desk::default(),
             ops: BTreeMap::new(),
             next_op: 0,
-            store_up: true,
+            store_down: None,
             draining: false,
             drained: false,
         }
@@ -262,13 +269,18 @@
         self.is_reachable(known.owner).then_some(known.owner)
     }
 
-    /// Returns the router that should take an account over that has no owner.
+    /// Returns the router that should take an account over that has no owner: one that reaches the
+    /// store, if there is any.
     pub(super) fn candidate(&self, budget: BudgetId) -> Option<Incarnation> {
-        let steady = self.peers.keys().copied().filter(|&id| self.is_steady(id));
-        let me = (!self.draining).then_some(self.me());
-        steady
-            .chain(me)
-            .max_by_key(|id| hash::mix(&[budget.0, id.0]))
+        let steady = self
+            .peers
+            .values()
+            .filter(|p| self.is_steady(p.incarnation));
+        let steady = steady.map(|p| (p.incarnation, p.store_up));
+        let me = (!self.draining).then_some((self.me(), self.store_up()));
+        let all = steady.chain(me);
+        let best = all.max_by_key(|&(id, up)| (up, hash::mix(&[budget.0, id.0])));
+        best.map(|(id, _)| id)
     }
 
     // Announcements
@@ -342,7 +354,9 @@
 
     fn on_store(&mut self, op: u64, result: &crate::ledger::StoreResult, out: &mut Vec<Action>) {
         use crate::ledger::StoreResult::{Unavailable, Unknown};
-        self.store_up = !matches!(result, Unavailable | Unknown);
+        let since = self.store_down.map_or(self.now, |(since, _)| since);
+        let down = matches!(result, Unavailable | Unknown);
+        self.store_down = down.then_some((since, self.now));
         let Some(budget) = self.ops.remove(&op) else {
             return;
         };
@@ -353,6 +367,18 @@
         }
     }
 
+    /// Whether the store answers, as far as is known lately.
+    pub(super) fn store_up(&self) -> bool {
+        self.store_down
+            .is_none_or(|(_, last)| self.now.since(last) >= STORE_NEWS)
+    }
+
+    /// Whether the store has not answered for so long that accounts are better kept elsewhere.
+    pub(super) fn store_lost(&self) -> bool {
+        let lost = |(since, _)| self.now.since(since) >= STORE_PATIENCE;
+        !self.store_up() && self.store_down.is_some_and(lost)
+    }
+
     /// Returns the total of a budget; 0 if it is not in the configuration.
     pub(super) fn limit(&self, budget: BudgetId) -> u64 {
         self.limits.get(&budget).copied().unwrap_or(0)
--- a/toucanchute_core/src/prepaid/owner.rs
+++ b/toucanchute_core/src/prepaid/owner.rs
@@ -111,6 +111,7 @@
         }
         self.maintain(budget, out);
         self.serve(budget, out);
+        self.move_to_store(budget, out);
     }
 
     /// Drops a request of this router that waits.
--- a/toucanchute_core/src/prepaid/takeover.rs
+++ b/toucanchute_core/src/prepaid/takeover.rs
@@ -25,7 +25,7 @@
 const FIRST_AHEAD_DIVISOR: u64 = 20;
 
 /// Share of what is left of a budget that may be spent in a second before its draw is known.
-const FIRST_PACE_DIVISOR: u64 = 40;
+const FIRST_PACE_DIVISOR: u64 = 25;
 
 /// An account that this router takes over.
 #[derive(Debug)]
--- a/toucanchute_core/tests/prepaid_walk/world.rs
+++ b/toucanchute_core/tests/prepaid_walk/world.rs
@@ -235,6 +235,7 @@
                     incarnation: other.id,
                     failure_domain: String::new(),
                     state,
+                    store_up: other.cut <= self.now,
                 });
             }
             if self.routers[i].frozen <= self.now {
--- a/toucanchute_router/src/actor/dispatch.rs
+++ b/toucanchute_router/src/actor/dispatch.rs
@@ -4,15 +4,12 @@
 };
 
 use tokio::sync::oneshot;
-use toucanchute_core::{
-    discovery::Found,
-    routing::{self, Action, Dispatcher, Event},
-};
+use toucanchute_core::routing::{self, Action, Dispatcher, Event};
 use toucanchute_edge::{AssignRequest, Assignment, Outcome, Refusal, RefusalReason, Report};
 use toucanchute_proto::{
     AttemptId,
     config::{Backend, Config},
-    fleet::{Load, Verdict},
+    fleet::{Found, Load, Verdict},
 };
 use xtra::prelude::*;
 
--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -6,7 +6,7 @@
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
     config::Config,
-    fleet::{FleetMessage, Load, Member, MemberState, Verdict},
+    fleet::{FleetMessage, Found, Load, Member, MemberState, Verdict},
     peer::FrameKind,
 };
 use xtra::prelude::*;
@@ -68,8 +68,8 @@
     HostList(Millis, u64, Vec<HostEntry>),
     /// Addresses of routers, for routers, by their records in the platform's store.
     Routers(BTreeSet<SocketAddr>),
-    /// The backend servers' registrations were read when the platform was asked.
-    BackendsSeen(Millis),
+    /// These backend servers were registered when the platform was asked.
+    Found(Vec<Found>, Millis),
     /// A configuration was read from the platform.
     Config(Arc<Config>, Digest),
     /// The platform did not answer.
@@ -78,10 +78,6 @@
     Load(Load),
     /// This router's word about a request.
     Verdict(Verdict),
-    /// These backend servers were seen to leave or to be gone.
-    Withdrawn(Vec<String>),
-    /// These backend servers were registered when the platform was asked.
-    Registered(BTreeSet<String>, Millis),
     /// Requests in progress.
     InFlight(u64),
     /// The process has to leave.
@@ -144,6 +140,10 @@
                 log::info!(backends:? = names; "backends-withdrawn");
                 self.with_peers(|peers| post(&peers.dispatch, DispatchInput::Withdraw(names)));
             }
+            Action::Backends(found) => {
+                log::info!(backends = found.len(); "backends-in-force");
+                self.with_peers(|peers| post(&peers.dispatch, DispatchInput::Backends(found)));
+            }
             Action::Load(load) => {
                 self.with_peers(|peers| post(&peers.dispatch, DispatchInput::Load(load)));
             }
@@ -224,13 +224,11 @@
                 asked,
             },
             FleetInput::Routers(routers) => Event::Routers(routers),
-            FleetInput::BackendsSeen(asked) => Event::BackendsSeen { asked },
+            FleetInput::Found(backends, asked) => Event::Found { backends, asked },
             FleetInput::Config(config, digest) => Event::Config { config, digest },
             FleetInput::PlatformDown => Event::PlatformDown,
             FleetInput::Load(load) => Event::LoadReport(load),
             FleetInput::Verdict(verdict) => Event::Verdict(verdict),
-            FleetInput::Withdrawn(names) => Event::Withdrawn(names),
-            FleetInput::Registered(names, asked) => Event::Registered { names, asked },
             FleetInput::InFlight(count) => Event::InFlight(count),
             FleetInput::Drain => Event::Drain,
             FleetInput::Drained => Event::Drained,
--- a/toucanchute_router/src/actor/prepaid.rs
+++ b/toucanchute_router/src/actor/prepaid.rs
@@ -258,6 +258,7 @@
         incarnation: member.incarnation,
         failure_domain: member.failure_domain.clone(),
         state: member.state,
+        store_up: !member.outage,
     }
 }
 
--- a/toucanchute_router/src/gateway/feeds.rs
+++ b/toucanchute_router/src/gateway/feeds.rs
@@ -1,23 +1,20 @@
 //! Reads the operator's configuration and the backend servers' registrations from the store.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use toucanchute_core::discovery::{Discovery, Found};
+use toucanchute_core::discovery::Discovery;
 use toucanchute_platform::{BACKENDS_PREFIX, CONFIG_KEY, StoreClient, read_backend, read_config};
 use toucanchute_proto::{
     Digest, Millis,
     config::{Config, Ledger, Routing},
+    fleet::Found,
     settings::GatewaySettings,
 };
 use toucanchute_store::{Entry, Revision, Selection, Snapshot, Store, StoreError, Update};
 use xtra::prelude::*;
 
 use crate::{
-    actor::{DispatchActor, DispatchInput, FleetActor, FleetInput, post},
+    actor::{FleetActor, FleetInput, post},
     clock,
 };
 
@@ -28,6 +25,10 @@
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
+/// How long a router takes work whose view is not confirmed: longer than routers need to agree that
+/// the store is away for all.
+const VIEW_BOUND: Millis = Millis(5_000);
+
 /// Part of the fleet's retries that is used, in percent, since windows of different routers differ.
 const RETRY_PERCENT: u32 = 70;
 
@@ -35,7 +36,6 @@
 pub(super) struct Feeds {
     pub(super) store: StoreClient,
     pub(super) fleet: Address<FleetActor>,
-    pub(super) dispatch: Address<DispatchActor>,
 }
 
 impl Feeds {
@@ -70,6 +70,7 @@
                 address_max_age_ms: settings.callers.address_max_age_ms,
                 retry_share_percent: settings.retries.percent * RETRY_PERCENT / 100,
                 retry_burst: settings.retries.burst * RETRY_PERCENT / 100,
+                view_bound_ms: VIEW_BOUND.0,
                 ..Routing::default()
             },
             ledger: Ledger {
@@ -197,22 +198,16 @@
     fn take(&mut self, asked: Millis, snapshot: &Snapshot) {
         let found = snapshot.entries.iter();
         let found: Vec<Found> = found.filter_map(|entry| self.read(entry)).collect();
-        let ready = found.iter().filter(|f| !f.leaving);
-        let names: BTreeSet<String> = ready.map(|f| f.name.clone()).collect();
         let change = self.discovery.list(clock::now(), found);
-        let Feeds {
-            fleet, dispatch, ..
-        } = &self.feeds;
-        if !change.withdrawn.is_empty() {
-            log::info!(backends:? = change.withdrawn, revision = snapshot.revision.0; "backends-left");
-            post(fleet, FleetInput::Withdrawn(change.withdrawn));
-        }
-        if let Some(live) = change.live {
-            log::info!(backends = live.len(), revision = snapshot.revision.0; "backends-found");
-            post(dispatch, DispatchInput::Backends(live));
+        if change.changed {
+            log::info!(
+                backends = change.live.len(),
+                left:? = change.withdrawn,
+                revision = snapshot.revision.0;
+                "backends-read"
+            );
         }
-        post(fleet, FleetInput::Registered(names, asked));
-        post(fleet, FleetInput::BackendsSeen(asked));
+        post(&self.feeds.fleet, FleetInput::Found(change.live, asked));
     }
 
     fn read(&mut self, entry: &Entry) -> Option<Found> {
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -172,7 +172,6 @@
         let feeds = Feeds {
             store: store.clone(),
             fleet: fleet.clone(),
-            dispatch: dispatch.clone(),
         };
         feeds.start(settings);
         let control = Arc::new(GatewayControl {
