--- a/toucanchute_core/src/routing/choose.rs
+++ b/toucanchute_core/src/routing/choose.rs
@@ -14,10 +14,10 @@
 const PREFIX_WORTH: f64 = 0.8;
 
 /// Load of a replica, as a multiple of the average, up to which it takes requests by affinity.
-const BUSY_FACTOR: f64 = 1.25;
+const BUSY_FACTOR: f64 = 1.5;
 
 /// Load beyond that multiple, in shares of a replica's limit.
-const BUSY_SLACK: f64 = 0.06;
+const BUSY_SLACK: f64 = 0.12;
 
 /// Cost of another failure domain, in shares of a replica's limit.
 const DISTANCE_COST: f64 = 0.05;
