--- a/toucanchute_core/src/fleet/tests.rs
+++ b/toucanchute_core/src/fleet/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the fleet's machines.
 
+mod found;
 mod fuzz;
 mod oracle;
 mod scenario;
--- a/toucanchute_core/src/routing/tests.rs
+++ b/toucanchute_core/src/routing/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the dispatcher.
 
+mod affinity;
 mod fairness;
 mod fuzz;
 mod oracle;
--- /dev/null
+++ b/toucanchute_core/src/routing/tests/affinity.rs
@@ -0,0 +1,102 @@
+//! A hot subject and its prompts' shared parts: work goes where they were read, until that replica
+//! is much busier than the others.
+
+use std::collections::BTreeMap;
+
+use toucanchute_proto::{Incarnation, Millis};
+
+use super::world::{assign, config};
+use crate::routing::{Action, Assign, Dispatcher, Event, RefusalReason, Report};
+
+/// A deadline that no test reaches.
+const NEVER: Millis = Millis(1_000_000);
+
+fn dispatcher(incarnation: u64, replicas: usize) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(Incarnation(incarnation), "d0", incarnation);
+    let event = Event::Configure {
+        config: config(replicas, 64).into(),
+        withdrawn: Default::default(),
+    };
+    dispatcher.handle(Millis(0), event, &mut Vec::new());
+    dispatcher
+}
+
+fn about(call: u64, subject: u64) -> Assign {
+    Assign {
+        affinity: Some(subject),
+        ..assign(call, 1, 1_000, NEVER)
+    }
+}
+
+fn backend(dispatcher: &mut Dispatcher, req: Assign) -> String {
+    let mut out = Vec::new();
+    dispatcher.handle(Millis(1), Event::Assign(req), &mut out);
+    match out.pop() {
+        Some(Action::Assigned { backend, .. }) => backend,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn all_routers_send_a_subject_to_the_same_replica() {
+    for subject in 0..20 {
+        let first = backend(&mut dispatcher(1, 9), about(1, subject));
+        let second = backend(&mut dispatcher(2, 9), about(1, subject));
+        assert_eq!(first, second);
+    }
+}
+
+#[test]
+fn subjects_are_spread_over_the_replicas() {
+    let mut dispatcher = dispatcher(1, 9);
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for subject in 0..90 {
+        *counts
+            .entry(backend(&mut dispatcher, about(subject, subject)))
+            .or_default() += 1;
+    }
+    assert_eq!(counts.len(), 9);
+    assert!(counts.values().all(|&n| n < 25), "{counts:?}");
+}
+
+#[test]
+fn a_hot_subject_spreads_before_its_replica_is_full() {
+    let mut dispatcher = dispatcher(1, 9);
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for call in 0..120 {
+        *counts
+            .entry(backend(&mut dispatcher, about(call, 7)))
+            .or_default() += 1;
+    }
+    let most = counts.values().max().copied().unwrap_or_default();
+    assert!(counts.len() > 4 && most < 64, "{counts:?}");
+}
+
+#[test]
+fn a_service_has_a_retry_budget_of_its_own() {
+    let mut dispatcher = dispatcher(1, 9);
+    let mut refused = 0;
+    for call in 0..60 {
+        let req = Assign {
+            attempts: 1,
+            ..assign(call, 1, 1_000, NEVER)
+        };
+        let mut out = Vec::new();
+        dispatcher.handle(Millis(1), Event::Assign(req), &mut out);
+        for action in out {
+            match action {
+                Action::Refused { reason, .. } => {
+                    assert_eq!(reason, RefusalReason::RetriesExhausted);
+                    refused += 1;
+                }
+                Action::Assigned { attempt, .. } => {
+                    let report = Report::Done { tokens: 1 };
+                    let event = Event::Report { attempt, report };
+                    dispatcher.handle(Millis(2), event, &mut Vec::new());
+                }
+                Action::Verdict(_) => {}
+            }
+        }
+    }
+    assert!(refused >= 50, "{refused}");
+}
--- /dev/null
+++ b/toucanchute_core/tests/discovery.rs
@@ -0,0 +1,69 @@
+//! Registrations that lapse while the store is away, and those that are gone for good.
+
+use toucanchute_core::discovery::{Change, Discovery};
+use toucanchute_proto::{Millis, fleet::Found};
+
+fn found(name: &str, leaving: bool) -> Found {
+    Found {
+        name: name.to_owned(),
+        service: "llm".to_owned(),
+        address: format!("192.0.2.{}:80", name.len()).parse().unwrap(),
+        failure_domain: "d0".to_owned(),
+        leaving,
+        slots: 64,
+    }
+}
+
+fn names(change: &Change) -> Vec<&str> {
+    change.live.iter().map(|f| f.name.as_str()).collect()
+}
+
+#[test]
+fn a_registration_that_is_removed_is_gone_at_once() {
+    let mut discovery = Discovery::default();
+    discovery.list(Millis(0), vec![found("a", false), found("bb", false)]);
+    let change = discovery.list(Millis(600), vec![found("a", false)]);
+    assert_eq!(names(&change), ["a"]);
+    assert_eq!(change.withdrawn, ["bb"]);
+}
+
+#[test]
+fn a_leaving_backend_server_gets_no_new_work() {
+    let mut discovery = Discovery::default();
+    discovery.list(Millis(0), vec![found("a", false), found("bb", false)]);
+    let change = discovery.list(Millis(600), vec![found("a", true), found("bb", false)]);
+    assert_eq!(names(&change), ["bb"]);
+    assert_eq!(change.withdrawn, ["a"]);
+}
+
+#[test]
+fn registrations_that_lapsed_in_an_outage_have_time_to_come_back() {
+    let mut discovery = Discovery::default();
+    discovery.list(Millis(0), vec![found("a", false), found("bb", false)]);
+    let change = discovery.list(Millis(8_000), Vec::new());
+    assert_eq!(names(&change), ["a", "bb"]);
+    for now in [8_600, 9_200, 9_800, 10_400] {
+        let change = discovery.list(Millis(now), vec![found("bb", false)]);
+        assert_eq!(names(&change), ["a", "bb"]);
+    }
+    let change = discovery.list(Millis(10_700), vec![found("bb", false)]);
+    assert_eq!(names(&change), ["bb"]);
+    assert_eq!(change.withdrawn, ["a"]);
+}
+
+#[test]
+fn an_address_that_another_one_took_over_is_not_kept_for_the_one_before() {
+    let mut discovery = Discovery::default();
+    discovery.list(Millis(0), vec![found("a", false)]);
+    let change = discovery.list(Millis(8_000), vec![found("x", false)]);
+    assert_eq!(names(&change), ["x"]);
+}
+
+#[test]
+fn one_that_registers_anew_is_used_again() {
+    let mut discovery = Discovery::default();
+    discovery.list(Millis(0), vec![found("a", false)]);
+    discovery.list(Millis(600), Vec::new());
+    let change = discovery.list(Millis(1_200), vec![found("a", false)]);
+    assert_eq!(names(&change), ["a"]);
+}
--- /dev/null
+++ b/toucanchute_core/tests/prepaid_cases.rs
@@ -0,0 +1,113 @@
+//! Single situations of prepaid accounts: who may spend what after which loss.
+
+#[path = "prepaid_cases/fleet.rs"]
+mod fleet;
+
+use fleet::Fleet;
+use toucanchute_core::prepaid::RefusalReason;
+
+/// Total of the budget in these cases.
+const TOTAL: u64 = 100_000;
+
+#[test]
+fn every_router_spends_from_the_one_owner() {
+    let mut fleet = Fleet::new(4, TOTAL);
+    fleet.settle_in();
+    let owners = fleet.owners();
+    assert_eq!(owners.len(), 1);
+    for i in 0..4 {
+        assert_eq!(fleet.ask(i, 1_000), Ok(()));
+    }
+    assert_eq!(fleet.used(), 4_000);
+}
+
+#[test]
+fn what_was_not_used_is_there_for_others() {
+    let mut fleet = Fleet::new(3, TOTAL);
+    fleet.settle_in();
+    let call = fleet.reserve(0, 90_000);
+    assert_eq!(fleet.ask(1, 50_000), Err(RefusalReason::Held));
+    fleet.end(0, call, 10_000);
+    assert_eq!(fleet.ask(1, 50_000), Ok(()));
+}
+
+#[test]
+fn a_total_that_is_used_up_is_told_as_exhausted() {
+    let mut fleet = Fleet::new(3, TOTAL);
+    fleet.settle_in();
+    let call = fleet.reserve(0, 99_000);
+    fleet.end(0, call, 99_000);
+    assert_eq!(fleet.ask(1, 2_000), Err(RefusalReason::Exhausted));
+}
+
+#[test]
+fn a_planned_stop_keeps_reservations_and_loses_nothing() {
+    let mut fleet = Fleet::new(3, TOTAL);
+    fleet.settle_in();
+    let owner = fleet.owners()[0];
+    let other = (owner + 1) % 3;
+    let call = fleet.reserve(other, 60_000);
+    fleet.drain(owner);
+    assert_ne!(fleet.owners(), [owner]);
+    fleet.end(other, call, 5_000);
+    assert_eq!(fleet.used(), 5_000);
+}
+
+#[test]
+fn a_planned_stop_needs_no_store() {
+    let mut fleet = Fleet::new(3, TOTAL);
+    fleet.settle_in();
+    fleet.store_up = false;
+    let owner = fleet.owners()[0];
+    fleet.drain(owner);
+    let left = (0..3).find(|&i| i != owner).unwrap();
+    assert_eq!(fleet.ask(left, 500), Ok(()));
+}
+
+#[test]
+fn witnesses_tell_what_a_killed_owner_spent() {
+    let mut fleet = Fleet::new(5, TOTAL);
+    fleet.settle_in();
+    let owner = fleet.owners()[0];
+    for _ in 0..20 {
+        assert_eq!(fleet.ask(owner, 1_000), Ok(()));
+        fleet.advance(50);
+    }
+    fleet.kill(owner);
+    fleet.advance(2_000);
+    let used = fleet.used();
+    assert!((20_000..26_000).contains(&used), "{used}");
+}
+
+#[test]
+fn with_all_routers_gone_only_the_ramp_is_written_off() {
+    let mut fleet = Fleet::new(5, TOTAL);
+    fleet.settle_in();
+    // 1,000 tokens a second for 20 s.
+    for i in 0..200 {
+        assert_eq!(fleet.ask(i % 5, 100), Ok(()));
+        fleet.advance(100);
+    }
+    for _ in 0..5 {
+        fleet.kill(0);
+    }
+    fleet.advance(2_000);
+    let used = fleet.used();
+    assert!((20_000..32_000).contains(&used), "{used}");
+}
+
+#[test]
+fn an_outage_of_the_store_stops_no_steady_draw() {
+    let mut fleet = Fleet::new(5, TOTAL);
+    fleet.settle_in();
+    for i in 0..100 {
+        assert_eq!(fleet.ask(i % 5, 100), Ok(()));
+        fleet.advance(100);
+    }
+    fleet.store_up = false;
+    let refused = (0..80).filter(|i| {
+        fleet.advance(100);
+        fleet.ask(i % 5, 100).is_err()
+    });
+    assert_eq!(refused.count(), 0);
+}
--- /dev/null
+++ b/toucanchute_core/tests/prepaid_cases/fleet.rs
@@ -0,0 +1,263 @@
+//! A few prepaid machines whose messages arrive at once, and a store that is up or down.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use toucanchute_core::{
+    ledger::{StoreOp, StoreRequest, StoreResult},
+    prepaid::{Action, CallId, ClockSpread, Event, Peer, Prepaid, RefusalReason, Settings},
+};
+use toucanchute_proto::{
+    BudgetId, Bytes, Incarnation, Millis, config::Ledger, fleet::MemberState,
+    prepaid::PrepaidMessage,
+};
+
+/// Time between two ticks, in milliseconds.
+const TICK: u64 = 50;
+
+/// How long a request waits for its answer here.
+const PATIENCE: u64 = 1_000;
+
+struct Router {
+    id: Incarnation,
+    machine: Prepaid,
+    state: MemberState,
+}
+
+pub(crate) struct Fleet {
+    routers: Vec<Router>,
+    now: u64,
+    limit: u64,
+    next_id: u64,
+    next_call: u64,
+    pub(crate) store_up: bool,
+    store: BTreeMap<String, (u64, Bytes)>,
+    revision: u64,
+    answers: BTreeMap<CallId, Result<(), RefusalReason>>,
+    /// Events on their way: receiver, event.
+    queue: VecDeque<(Incarnation, Event)>,
+}
+
+impl Fleet {
+    pub(crate) fn new(routers: usize, limit: u64) -> Fleet {
+        let mut fleet = Fleet {
+            routers: Vec::new(),
+            now: 1_000_000,
+            limit,
+            next_id: 0,
+            next_call: 0,
+            store_up: true,
+            store: BTreeMap::new(),
+            revision: 0,
+            answers: BTreeMap::new(),
+            queue: VecDeque::new(),
+        };
+        for _ in 0..routers {
+            fleet.start();
+        }
+        fleet.tell_peers();
+        fleet
+    }
+
+    fn budget() -> BudgetId {
+        BudgetId::from_name("north")
+    }
+
+    fn start(&mut self) {
+        self.next_id += 1;
+        let id = Incarnation(self.next_id);
+        let domain = format!("d{}", self.next_id % 3);
+        self.routers.push(Router {
+            id,
+            machine: Prepaid::new(Settings::new(id, &domain)),
+            state: MemberState::Alive,
+        });
+        let event = Event::Configure {
+            limits: [(Fleet::budget(), self.limit)].into(),
+            policy: Ledger {
+                witnesses: 3,
+                acks: 1,
+                ..Ledger::default()
+            },
+        };
+        self.queue.push_back((id, event));
+    }
+
+    fn tell_peers(&mut self) {
+        for me in self.routers.iter().map(|r| r.id).collect::<Vec<_>>() {
+            let others = self.routers.iter().filter(|r| r.id != me);
+            let peer = |r: &Router| Peer {
+                incarnation: r.id,
+                failure_domain: String::new(),
+                state: r.state,
+                store_up: self.store_up,
+            };
+            let event = Event::Peers(others.map(peer).collect());
+            self.queue.push_back((me, event));
+        }
+        self.run();
+    }
+
+    /// Lets the routers meet and claim the account.
+    pub(crate) fn settle_in(&mut self) {
+        self.advance(2_000);
+    }
+
+    pub(crate) fn advance(&mut self, ms: u64) {
+        for _ in 0..ms.div_ceil(TICK) {
+            self.now += TICK;
+            for id in self.routers.iter().map(|r| r.id).collect::<Vec<_>>() {
+                self.queue
+                    .push_back((id, Event::Clocks(ClockSpread::default())));
+                self.queue.push_back((id, Event::Tick));
+            }
+            self.run();
+        }
+    }
+
+    // Requests
+
+    /// Asks for tokens and leaves them set aside.
+    pub(crate) fn reserve(&mut self, router: usize, tokens: u64) -> CallId {
+        self.next_call += 1;
+        let call = CallId(self.next_call);
+        let event = Event::Reserve {
+            call,
+            budget: Fleet::budget(),
+            tokens,
+            deadline: Millis(self.now + PATIENCE),
+        };
+        self.queue.push_back((self.routers[router].id, event));
+        self.run();
+        let until = self.now + PATIENCE;
+        while !self.answers.contains_key(&call) && self.now < until {
+            self.advance(TICK);
+        }
+        call
+    }
+
+    /// Ends a request that used `used` tokens.
+    pub(crate) fn end(&mut self, router: usize, call: CallId, used: u64) {
+        let id = self.routers[router].id;
+        self.queue.push_back((id, Event::Settle { call, used }));
+        self.run();
+        self.advance(400);
+    }
+
+    /// Asks for tokens and uses all of them.
+    pub(crate) fn ask(&mut self, router: usize, tokens: u64) -> Result<(), RefusalReason> {
+        let call = self.reserve(router, tokens);
+        let answer = self.answers.remove(&call).expect("no answer");
+        if answer.is_ok() {
+            let id = self.routers[router].id;
+            self.queue
+                .push_back((id, Event::Settle { call, used: tokens }));
+            self.run();
+        }
+        answer
+    }
+
+    // Losses
+
+    /// Ends a router at once and starts another one in its place.
+    pub(crate) fn kill(&mut self, router: usize) {
+        self.routers.remove(router);
+        self.start();
+        self.tell_peers();
+    }
+
+    /// Lets a router leave as planned.
+    pub(crate) fn drain(&mut self, router: usize) {
+        self.routers[router].state = MemberState::Leaving;
+        self.tell_peers();
+        let id = self.routers[router].id;
+        if !self.store_up {
+            // A call in vain shows that the store is away.
+            self.advance(2_000);
+        }
+        self.queue.push_back((id, Event::Drain));
+        self.run();
+        self.advance(500);
+    }
+
+    // Looking
+
+    /// Places of the routers that spend from the account.
+    pub(crate) fn owners(&self) -> Vec<usize> {
+        let owns = |i: &usize| self.routers[*i].machine.owned() > 0;
+        (0..self.routers.len()).filter(owns).collect()
+    }
+
+    /// Tokens that the owner counts as used or set aside.
+    pub(crate) fn used(&self) -> u64 {
+        let owner = self.owners()[0];
+        let account = self.routers[owner].machine.account(Fleet::budget());
+        account.unwrap().1
+    }
+
+    // Carrying out
+
+    fn run(&mut self) {
+        while let Some((to, event)) = self.queue.pop_front() {
+            let Some(router) = self.routers.iter_mut().find(|r| r.id == to) else {
+                continue;
+            };
+            let mut out = Vec::new();
+            router.machine.handle(Millis(self.now), event, &mut out);
+            for action in out {
+                self.perform(to, action);
+            }
+        }
+    }
+
+    fn perform(&mut self, from: Incarnation, action: Action) {
+        match action {
+            Action::Reserved { call, .. } => drop(self.answers.insert(call, Ok(()))),
+            Action::Refused { call, refusal } => {
+                self.answers.insert(call, Err(refusal.reason));
+            }
+            Action::Send { to, message } => self.send(from, to, message),
+            Action::Store(op) => self.call_store(from, op),
+            Action::Note(_) | Action::Drained => {}
+        }
+    }
+
+    fn send(&mut self, from: Incarnation, to: Incarnation, message: PrepaidMessage) {
+        self.queue.push_back((to, Event::Message { from, message }));
+    }
+
+    fn call_store(&mut self, to: Incarnation, op: StoreOp) {
+        let result = match self.store_up {
+            true => self.apply(op.request),
+            false => StoreResult::Unavailable,
+        };
+        let op = op.op;
+        self.queue.push_back((to, Event::Store { op, result }));
+    }
+
+    fn apply(&mut self, request: StoreRequest) -> StoreResult {
+        match request {
+            StoreRequest::Get { key } => match self.store.get(&key.path()) {
+                Some((revision, value)) => StoreResult::Value {
+                    revision: *revision,
+                    value: value.clone(),
+                },
+                None => StoreResult::Missing,
+            },
+            StoreRequest::Cas {
+                key,
+                expected_revision,
+                value,
+            } => {
+                let present = self.store.get(&key.path()).map_or(0, |(r, _)| *r);
+                if present != expected_revision {
+                    return StoreResult::Conflict;
+                }
+                self.revision += 1;
+                self.store.insert(key.path(), (self.revision, value));
+                StoreResult::Applied {
+                    revision: self.revision,
+                }
+            }
+        }
+    }
+}
--- a/toucanchute_log/src/limiter.rs
+++ b/toucanchute_log/src/limiter.rs
@@ -54,3 +54,6 @@
         self.rate > 0
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/toucanchute_settings/tests/settings/main.rs
+++ b/toucanchute_settings/tests/settings/main.rs
@@ -3,5 +3,6 @@
 mod edges;
 mod files;
 mod folder;
+mod gateway;
 mod packed;
 mod router;
