--- a/toucanchute_edge/src/passthrough/run.rs
+++ b/toucanchute_edge/src/passthrough/run.rs
@@ -17,7 +17,7 @@
 };
 
 use super::{
-    AnswerHead, Call, Dialect, Failure, FailureKind, Forward, RouteBody, RouteControl,
+    AnswerHead, Call, Dialect, Failure, FailureKind, Forward, RouteBody, RouteControl, TokenBound,
     TokenRequest,
     attempt::{Attempt, Held},
     handler::{Admitted, InFlight, Shared},
@@ -200,9 +200,8 @@
                 body,
                 info,
             };
-            match self.check(answered, tries, trace).await? {
-                Some(answered) => return Ok(answered),
-                None => {}
+            if let Some(answered) = self.check(answered, tries, trace).await? {
+                return Ok(answered);
             }
         }
     }
@@ -229,7 +228,7 @@
             digest: Digest::new(path, &self.body),
             prefix: Vec::new(),
             affinity: self.affinity(),
-            tokens: self.call.tokens.map_or(1, |t| t.total()),
+            tokens: self.call.tokens.map_or(1, TokenBound::total),
             attempts: tries.sends(),
             exclude: tries.exclude().to_vec(),
             deadline: self.deadline_at(),
--- /dev/null
+++ b/toucanchute_edge/tests/passthrough/main.rs
@@ -0,0 +1,7 @@
+//! The gateway against backend servers that are scripted byte by byte.
+
+mod answers;
+mod callers;
+mod repeats;
+mod streams;
+mod support;
--- /dev/null
+++ b/toucanchute_edge/tests/passthrough/support.rs
@@ -0,0 +1,362 @@
+//! A gateway with one route, a control that hands out scripted backend servers, and a caller.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use http::{HeaderMap, HeaderName, HeaderValue, request, response};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+use toucanchute_edge::{
+    AssignRequest, Assignment, CrashKind, Outcome, Refusal, RefusalReason, Report,
+    passthrough::{
+        AnswerHead, Call, Dialect, Failure, FailureKind, Forward, Gateway, RequestEnd,
+        RouteControl, TokenBound, TokenHold, TokenRequest, strip_connection,
+    },
+};
+use toucanchute_proto::{AttemptId, Incarnation, Millis, config::Config, fleet::Load};
+
+/// Longest time of one exchange in these tests.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// What a scripted backend server does with one connection.
+#[derive(Clone, Debug)]
+pub(crate) enum Script {
+    /// Answers each request with these bytes and keeps the connection.
+    Answer(String),
+    /// Answers with these bytes and closes the connection.
+    AnswerAndClose(String),
+    /// Reads the request and resets the connection.
+    Reset,
+    /// Reads the request and stays silent.
+    Silence,
+}
+
+/// A backend server; counts what reached it.
+pub(crate) struct Backend {
+    pub(crate) address: SocketAddr,
+    pub(crate) requests: Arc<Mutex<Vec<String>>>,
+}
+
+impl Backend {
+    pub(crate) async fn start(script: Script) -> Backend {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let requests: Arc<Mutex<Vec<String>>> = Arc::default();
+        let seen = Arc::clone(&requests);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, script.clone(), Arc::clone(&seen)));
+            }
+        });
+        Backend { address, requests }
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        self.requests.lock().unwrap().len()
+    }
+
+    pub(crate) fn request(&self, i: usize) -> String {
+        self.requests.lock().unwrap()[i].clone()
+    }
+}
+
+async fn serve(mut stream: TcpStream, script: Script, seen: Arc<Mutex<Vec<String>>>) {
+    while let Some(req) = read_message(&mut stream).await {
+        seen.lock().unwrap().push(req);
+        match &script {
+            Script::Answer(answer) => stream.write_all(answer.as_bytes()).await.unwrap(),
+            Script::AnswerAndClose(answer) => {
+                stream.write_all(answer.as_bytes()).await.unwrap();
+                return;
+            }
+            Script::Reset => {
+                #[allow(deprecated)]
+                stream.set_linger(Some(Duration::ZERO)).unwrap();
+                return;
+            }
+            Script::Silence => tokio::time::sleep(PATIENCE).await,
+        }
+    }
+}
+
+/// Reads a request with the length that its head says.
+async fn read_message(stream: &mut TcpStream) -> Option<String> {
+    let mut buf = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&buf).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.lines().find_map(|l| {
+                let (name, value) = l.split_once(':')?;
+                name.eq_ignore_ascii_case("content-length")
+                    .then(|| value.trim().parse::<usize>().unwrap())
+            });
+            if body.len() >= length.unwrap_or(0) {
+                return Some(text);
+            }
+        }
+        let mut part = [0; 4_096];
+        match stream.read(&mut part).await {
+            Ok(0) | Err(_) => return None,
+            Ok(len) => buf.extend_from_slice(&part[..len]),
+        }
+    }
+}
+
+// --- the control
+
+#[derive(Debug, Default)]
+pub(crate) struct Control {
+    config: Arc<Config>,
+    backends: Vec<SocketAddr>,
+    /// Tokens that may still be set aside.
+    pub(crate) tokens: Mutex<u64>,
+    /// Tokens that requests used.
+    pub(crate) used: Mutex<Vec<u64>>,
+    pub(crate) reports: Mutex<Vec<Report>>,
+    next: AtomicU64,
+}
+
+impl RouteControl for Control {
+    fn config(&self) -> Arc<Config> {
+        Arc::clone(&self.config)
+    }
+
+    fn unready(&self) -> Option<Refusal> {
+        None
+    }
+
+    fn leaving(&self) -> bool {
+        false
+    }
+
+    async fn reserve(&self, req: TokenRequest) -> Result<TokenHold, Failure> {
+        let mut tokens = self.tokens.lock().unwrap();
+        if *tokens < req.tokens {
+            return Err(Failure::new(FailureKind::Exhausted, "budget-exhausted"));
+        }
+        *tokens -= req.tokens;
+        Ok(TokenHold {
+            id: 1,
+            tokens: req.tokens,
+            owner: Incarnation(1),
+        })
+    }
+
+    fn settle(&self, hold: TokenHold, used: u64) {
+        *self.tokens.lock().unwrap() += hold.tokens - used;
+        self.used.lock().unwrap().push(used);
+    }
+
+    async fn assign(&self, req: AssignRequest) -> Result<Assignment, Refusal> {
+        let name = |i: usize| format!("b{i}");
+        let free = (0..self.backends.len()).find(|&i| !req.exclude.contains(&name(i)));
+        let Some(i) = free else {
+            return Err(Refusal {
+                reason: RefusalReason::NoBackend,
+                outcome: Outcome::NotRun,
+                retry_after: Some(Millis(250)),
+                elsewhere: None,
+            });
+        };
+        let attempt = self.next.fetch_add(1, Ordering::Relaxed);
+        Ok(Assignment {
+            attempt: AttemptId(Incarnation(1), attempt),
+            backend: name(i),
+            address: self.backends[i],
+        })
+    }
+
+    fn report(&self, _attempt: AttemptId, report: Report) {
+        self.reports.lock().unwrap().push(report);
+    }
+
+    fn load(&self, _load: Load) {}
+
+    fn count(&self, _end: &RequestEnd<'_>) {}
+}
+
+impl Control {
+    /// Whether an attempt ended in this way.
+    pub(crate) fn crashed(&self, kind: CrashKind) -> bool {
+        self.reports
+            .lock()
+            .unwrap()
+            .contains(&Report::Crashed { kind })
+    }
+}
+
+// --- the dialect
+
+/// Heads with names of its own.
+struct Plain;
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+impl Dialect for Plain {
+    fn call(&self, head: &request::Parts) -> Call {
+        let headers = &head.headers;
+        let tokens = text(headers, "x-tokens").and_then(|t| t.split_once('+'));
+        Call {
+            attempt: text(headers, "x-attempt").map(str::to_owned),
+            credential: text(headers, "x-key").map(|k| k.to_owned().into()),
+            patience: text(headers, "x-patience")
+                .and_then(|p| p.parse().ok())
+                .map(Millis),
+            tokens: tokens.map(|(prompt, output)| TokenBound {
+                prompt: prompt.parse().unwrap(),
+                output: output.parse().unwrap(),
+            }),
+            prompt: Vec::new(),
+            resume_after: None,
+        }
+    }
+
+    fn forward(&self, head: &request::Parts, forward: &Forward<'_>) -> HeaderMap {
+        let mut headers = head.headers.clone();
+        strip_connection(&mut headers);
+        headers.remove("x-key");
+        let mut set = |name: &'static str, value: String| {
+            let value = HeaderValue::try_from(value).unwrap();
+            headers.insert(HeaderName::from_static(name), value);
+        };
+        set("x-customer", forward.customer.unwrap_or("-").to_owned());
+        if let Some(id) = forward.resume_after {
+            set("x-resume-after", id.to_string());
+        }
+        headers
+    }
+
+    fn answer(&self, head: &response::Parts) -> AnswerHead {
+        let headers = &head.headers;
+        AnswerHead {
+            attempt: text(headers, "x-attempt").map(str::to_owned),
+            sealed: headers.contains_key("x-seal"),
+            not_run: headers.contains_key("x-not-run"),
+            misdirected: head.status == 421,
+            encoded: headers.contains_key("content-encoding"),
+            load: None,
+            keep_alive: None,
+            closes: text(headers, "connection") == Some("close"),
+        }
+    }
+}
+
+// --- the gateway
+
+/// A gateway and what its control saw.
+pub(crate) struct Rig {
+    address: SocketAddr,
+    pub(crate) control: Arc<Control>,
+}
+
+impl Rig {
+    /// Starts a gateway with one route of `kind`, whose JSON `extra` completes.
+    pub(crate) async fn start(kind: &str, extra: &str, backends: &[&Backend]) -> Rig {
+        let config = format!(
+            r#"{{"version":1,"site":"s","routing":{{}},"ledger":{{}},
+            "services":[{{"name":"svc","pool":"svc"}}],
+            "pools":[{{"name":"svc","kind":"service","tokens_per_event":10}}],
+            "budgets":[{{"name":"north","prepaid":1000}}],
+            "customers":[{{"name":"north","budget":"north","token_sha256":"{SECRET_SHA256}"}}],
+            "callers":{{"max_body_bytes":2000}},
+            "routes":[{{"name":"r","host":"svc.example","prefix":"/a/","kind":"{kind}",
+              "targets":[{{"service":"svc"}}],"timeout_ms":3000{extra}}},
+             {{"name":"open","host":"svc.example","prefix":"/a/open/","kind":"idempotent",
+              "public":true,"targets":[{{"service":"svc"}}]}}]}}"#
+        );
+        let control = Arc::new(Control {
+            config: Arc::new(serde_json::from_str(&config).unwrap()),
+            backends: backends.iter().map(|b| b.address).collect(),
+            tokens: Mutex::new(1_000),
+            ..Control::default()
+        });
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let gateway = Gateway::new(Arc::clone(&control), Plain, Arc::default(), 100);
+        tokio::spawn(async move { gateway.serve(listener, std::future::pending()).await });
+        Rig { address, control }
+    }
+
+    /// Sends a request and reads the answer to the end of the connection.
+    pub(crate) async fn send(&self, head: &str, body: &str) -> String {
+        let mut stream = TcpStream::connect(self.address).await.unwrap();
+        let len = body.len();
+        let req = format!(
+            "{head} HTTP/1.1\r\nHost: svc.example\r\nX-Attempt: a1\r\nX-Key: secret\r\n\
+            Connection: close\r\nContent-Length: {len}\r\n\r\n{body}"
+        );
+        stream.write_all(req.as_bytes()).await.unwrap();
+        read_all(stream).await
+    }
+
+    /// Sends bytes as they are and reads the answer to the end of the connection.
+    pub(crate) async fn send_raw(&self, bytes: &str) -> String {
+        read_all(self.connect(bytes).await).await
+    }
+
+    /// Sends bytes as they are and leaves the answer to be read.
+    pub(crate) async fn connect(&self, bytes: &str) -> TcpStream {
+        let mut stream = TcpStream::connect(self.address).await.unwrap();
+        stream.write_all(bytes.as_bytes()).await.unwrap();
+        stream
+    }
+
+    /// Tokens used by the requests that were settled, once there is one.
+    pub(crate) async fn used(&self) -> Vec<u64> {
+        for _ in 0..100 {
+            let used = self.control.used.lock().unwrap().clone();
+            if !used.is_empty() {
+                return used;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        Vec::new()
+    }
+}
+
+/// SHA-256 of `secret`.
+const SECRET_SHA256: &str = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b";
+
+async fn read_all(mut stream: TcpStream) -> String {
+    let mut buf = Vec::new();
+    let read = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut buf)).await;
+    // A reset ends the answer like a close; what came before it counts.
+    drop(read.expect("the answer has no end"));
+    String::from_utf8_lossy(&buf).into_owned()
+}
+
+/// A whole answer with length and seal.
+pub(crate) fn whole(status: &str, headers: &str, body: &str) -> String {
+    let len = body.len();
+    format!("HTTP/1.1 {status}\r\nX-Attempt: a1\r\n{headers}Content-Length: {len}\r\n\r\n{body}")
+}
+
+/// The head of a stream in chunks.
+pub(crate) fn stream_head() -> String {
+    "HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Seal: s\r\nContent-Type: text/event-stream\r\n\
+    Transfer-Encoding: chunked\r\n\r\n"
+        .to_owned()
+}
+
+/// One chunk.
+pub(crate) fn chunk(data: &str) -> String {
+    format!("{:x}\r\n{data}\r\n", data.len())
+}
+
+/// An event with an identifier.
+pub(crate) fn event(id: u64) -> String {
+    format!("id: {id}\ndata: d{id}\n\n")
+}
+
+/// The end of a stream in chunks.
+pub(crate) const LAST_CHUNK: &str = "0\r\n\r\n";
--- a/toucanchute_router/src/gateway/control.rs
+++ b/toucanchute_router/src/gateway/control.rs
@@ -57,7 +57,7 @@
     async fn assign(&self, req: AssignRequest) -> Result<Assignment, Refusal> {
         let (reply, answer) = oneshot::channel();
         post(&self.dispatch, Assign { req, reply });
-        answer.await.unwrap_or_else(|_| {
+        answer.await.unwrap_or({
             Err(Refusal {
                 reason: RefusalReason::NoBackend,
                 outcome: Outcome::NotRun,
