fix(fleet): a router is ready only when it knows its backend servers

A router that follows registrations now asks its peers from the start and is not ready without a list. The new test is red without the check in publish.rs. The unused prepaid horizon is removed.

--- a/toucanchute_core/src/fleet/machine.rs
+++ b/toucanchute_core/src/fleet/machine.rs
@@ -153,7 +153,6 @@
             } => self.host_list(asked, version, &hosts, out),
             Event::Routers(routers) => self.take_routers(routers),
             Event::Found { backends, asked } => {
-                self.hosts.reads_registrations = true;
                 self.view.hosts_seen(asked);
                 self.set_outage(self.view.down());
                 self.take_found(backends, asked, out);
@@ -170,6 +169,13 @@
         self.publish(now, out);
     }
 
+    /// Makes registrations of backend servers take the place of the host list: the router is not
+    /// ready before it knows some list of them, and asks its peers for one.
+    pub fn following_registrations(mut self) -> Fleet {
+        self.hosts.reads_registrations = true;
+        self
+    }
+
     // Queries
 
     /// Whether this router has to read head and host list from the platform itself, rather than
--- a/toucanchute_core/src/fleet/publish.rs
+++ b/toucanchute_core/src/fleet/publish.rs
@@ -80,7 +80,8 @@
             let elsewhere = self.elsewhere();
             return Err(NotReady::Draining { elsewhere });
         }
-        if self.config.is_none() {
+        let unlisted = self.hosts.reads_registrations && self.found.is_none();
+        if self.config.is_none() || unlisted {
             return Err(NotReady::Starting);
         }
         let fresh = self
--- a/toucanchute_core/src/fleet/tests/found.rs
+++ b/toucanchute_core/src/fleet/tests/found.rs
@@ -1,13 +1,16 @@
 //! Registrations of backend servers that a router could not read come through its peers.
 
+use std::sync::Arc;
+
 use toucanchute_proto::{
-    Incarnation, Millis,
+    Digest, Incarnation, Millis,
+    config::Config,
     fleet::{
         FetchFound, FleetBody, FleetMessage, Found, FoundBody, Gossip, Head, Member, MemberState,
     },
 };
 
-use crate::fleet::{Action, Event, Fleet, Identity};
+use crate::fleet::{Action, Event, Fleet, Identity, NotReady};
 
 const PEER: Incarnation = Incarnation(2);
 
@@ -21,7 +24,7 @@
         peer_address: "192.0.2.1:81".parse().unwrap(),
         seeds: Vec::new(),
     };
-    let mut fleet = Fleet::new(id, 1);
+    let mut fleet = Fleet::new(id, 1).following_registrations();
     let member = Member {
         incarnation: PEER,
         host: "h2".to_owned(),
@@ -80,6 +83,13 @@
     })
 }
 
+fn ready(out: &[Action]) -> Option<Result<(), NotReady>> {
+    out.iter().find_map(|a| match a {
+        Action::Ready(ready) => Some(*ready),
+        _ => None,
+    })
+}
+
 fn asks(out: &[Action]) -> bool {
     out.iter().any(|a| match a {
         Action::Send { message, .. } => matches!(message.body, FleetBody::FetchFound(_)),
@@ -139,3 +149,37 @@
     assert!(sent(&mut fleet, 5_000));
     assert!(!sent(&mut fleet, 500));
 }
+
+#[test]
+fn a_router_without_a_list_asks_a_peer() {
+    assert!(asks(&handle(&mut fleet(), 500, Event::Tick)));
+}
+
+/// A restarted router hears from its peers that its configuration is current before it has read
+/// any registration; callers that it took then had no backend server.
+#[test]
+fn a_router_is_not_ready_before_it_has_a_list() {
+    let mut fleet = fleet();
+    let digest = Digest(1);
+    let asked = Millis(1_000);
+    let config = Arc::new(Config {
+        version: 1,
+        ..Config::default()
+    });
+    let head = Event::HeadSeen {
+        version: 1,
+        digest,
+        asked,
+    };
+    let hosts = Event::HostList {
+        version: 1,
+        hosts: Vec::new(),
+        asked,
+    };
+    for event in [Event::Config { config, digest }, head, hosts] {
+        assert_ne!(ready(&handle(&mut fleet, 1_000, event)), Some(Ok(())));
+    }
+    let backends = found("a");
+    let out = handle(&mut fleet, 1_100, Event::Found { backends, asked });
+    assert_eq!(ready(&out), Some(Ok(())));
+}
--- a/toucanchute_router/src/gateway/feeds.rs
+++ b/toucanchute_router/src/gateway/feeds.rs
@@ -76,7 +76,6 @@
             ledger: Ledger {
                 witnesses: settings.prepaid.witnesses,
                 acks: settings.prepaid.acks,
-                grant_horizon_ms: settings.prepaid.horizon_ms,
                 ..Ledger::default()
             },
         }
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -133,7 +133,8 @@
         let leaving = Arc::new(AtomicBool::new(false));
         let monitor = Arc::new(Monitor::new());
 
-        let machine = Fleet::new(fleet_identity(settings, incarnation), incarnation.0);
+        let machine = Fleet::new(fleet_identity(settings, incarnation), incarnation.0)
+            .following_registrations();
         let fleet = FleetActor::new(FleetParts {
             machine,
             mesh: mesh.clone(),
--- a/toucanchute_settings/src/gateway.rs
+++ b/toucanchute_settings/src/gateway.rs
@@ -33,10 +33,6 @@
 /// Witnesses of an account and acknowledgements of a mark unless the settings say otherwise.
 const QUORUM: (u8, u8) = (5, 2);
 
-/// Time that a draw lasts unless the settings say otherwise, in milliseconds: longer than most
-/// outages of the store.
-const HORIZON_MS: u64 = 9_000;
-
 /// Retries unless the settings say otherwise: percent of the requests, and those beyond.
 const RETRIES: (u32, u32) = (10, 20);
 
@@ -81,11 +77,7 @@
         store: store?,
         retries: retries.unwrap_or(RetriesSection { percent, burst }),
         leave: leave.unwrap_or(LeaveSection { grace_ms: GRACE_MS }),
-        prepaid: prepaid.unwrap_or(PrepaidSection {
-            witnesses,
-            acks,
-            horizon_ms: HORIZON_MS,
-        }),
+        prepaid: prepaid.unwrap_or(PrepaidSection { witnesses, acks }),
         log: log.unwrap_or(LogSection {
             level: LogLevel::Info,
             file: None,
@@ -159,21 +151,15 @@
 
 fn read_prepaid(section: &Section, faults: &mut Vec<Fault>) -> PrepaidSection {
     let (mut witnesses, mut acks) = QUORUM;
-    let mut horizon_ms = HORIZON_MS;
     let mut r = Reader::new(section, faults);
     r.set("witnesses", &format::WITNESSES, &mut witnesses);
     r.set("acks", &format::WITNESSES, &mut acks);
-    r.set("horizon", &format::DURATION, &mut horizon_ms);
     if acks > witnesses {
         let cause = "a mark cannot have more acknowledgements than witnesses".to_owned();
         r.conflict("acks", &acks.to_string(), cause);
     }
     r.finish();
-    PrepaidSection {
-        witnesses,
-        acks,
-        horizon_ms,
-    }
+    PrepaidSection { witnesses, acks }
 }
 
 fn read_monitor(section: &Section, faults: &mut Vec<Fault>) -> MonitorSection {
