feat(router): a refused reservation is logged with the caller's id

Before, the request's last line did not name its number at the owner, so a refusal for tokens could not be followed from its id to the owner's line (inputs used, limit, bound).

--- a/toucanchute_edge/src/passthrough/control.rs
+++ b/toucanchute_edge/src/passthrough/control.rs
@@ -43,8 +43,10 @@
 }
 
 /// A request for tokens.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct TokenRequest {
+    /// The caller's id of the request, for the event log; empty if it has none.
+    pub request: String,
     /// Budget of the customer.
     pub budget: BudgetId,
     /// Worst case, in tokens.
--- a/toucanchute_edge/src/passthrough/run.rs
+++ b/toucanchute_edge/src/passthrough/run.rs
@@ -148,6 +148,7 @@
             return Ok(Held::new(Arc::clone(control), None));
         };
         let req = TokenRequest {
+            request: trace.request().to_owned(),
             budget,
             tokens: bound.total(),
             deadline: self.deadline_at(),
--- a/toucanchute_edge/src/passthrough/run/trace.rs
+++ b/toucanchute_edge/src/passthrough/run/trace.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Returns the caller's id of the request; empty if it has none.
+    pub(super) fn request(&self) -> &str {
+        &self.request
+    }
+
     /// Notes the tokens set aside.
     pub(super) fn reserved(&mut self, hold: &TokenHold) {
         self.tokens = hold.tokens;
--- a/toucanchute_router/src/actor/prepaid.rs
+++ b/toucanchute_router/src/actor/prepaid.rs
@@ -36,6 +36,10 @@
 }
 
 struct Waiting {
+    /// The caller's id of the request.
+    request: String,
+    budget: BudgetId,
+    since: Millis,
     tokens: u64,
     reply: oneshot::Sender<Result<TokenHold, Failure>>,
 }
@@ -115,6 +119,7 @@
             Action::Reserved { call, owner } => self.reserved(call, owner, cx),
             Action::Refused { call, refusal } => {
                 if let Some(waiting) = self.waiting.remove(&call) {
+                    self.log_refused(call, &waiting, refusal.reason);
                     let _ = waiting.reply.send(Err(failure(refusal)));
                 }
             }
@@ -136,7 +141,7 @@
 
     /// Answers a request; tokens that nobody waits for any more go back.
     fn reserved(&mut self, call: CallId, owner: Incarnation, cx: &Context<Self>) {
-        let Some(Waiting { tokens, reply }) = self.waiting.remove(&call) else {
+        let Some(Waiting { tokens, reply, .. }) = self.waiting.remove(&call) else {
             return;
         };
         let hold = TokenHold {
@@ -161,7 +166,14 @@
         self.next_call += 1;
         let call = CallId(self.next_call);
         let tokens = req.tokens;
-        self.waiting.insert(call, Waiting { tokens, reply });
+        let waiting = Waiting {
+            request: req.request,
+            budget: req.budget,
+            since: clock::now(),
+            tokens,
+            reply,
+        };
+        self.waiting.insert(call, waiting);
         let event = Event::Reserve {
             call,
             budget: req.budget,
@@ -184,13 +196,22 @@
         self.feed(event, cx);
     }
 
+    fn name(&self, budget: BudgetId) -> String {
+        let name = self.names.get(&budget).cloned();
+        name.unwrap_or_else(|| budget.to_string())
+    }
+
+    /// Logs a refusal where the request came in. Router and `seq` name it in the owner's log.
+    fn log_refused(&self, call: CallId, waiting: &Waiting, reason: RefusalReason) {
+        log::info!(
+            request = waiting.request, budget = self.name(waiting.budget), seq = call.0,
+            tokens = waiting.tokens, waited_ms = clock::now().since(waiting.since).0, reason:? = reason;
+            "reservation-refused"
+        );
+    }
+
     fn log(&self, note: &Note) {
-        let name = |id: &BudgetId| {
-            self.names
-                .get(id)
-                .cloned()
-                .unwrap_or_else(|| id.to_string())
-        };
+        let name = |id: &BudgetId| self.name(*id);
         match note {
             Note::Opened {
                 budget,
