--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -1,3 +1,5 @@
+mod store_news;
+
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
 use tokio::sync::watch;
@@ -11,6 +13,7 @@
 };
 use xtra::prelude::*;
 
+use self::store_news::StoreNews;
 use super::{DispatchActor, DispatchInput, Funds, post};
 use crate::{clock, keyvalue::PlatformWatch, link::Mesh, view::View};
 
@@ -25,6 +28,7 @@
     view: Arc<View>,
     peers: Option<FleetPeers>,
     members: Vec<MemberView>,
+    store: StoreNews,
     actions: Vec<Action>,
 }
 
@@ -108,6 +112,7 @@
             view,
             peers: None,
             members: Vec::new(),
+            store: StoreNews::default(),
             actions: Vec::new(),
         }
     }
@@ -205,6 +210,13 @@
     type Return = ();
 
     async fn handle(&mut self, input: FleetInput, _cx: &mut Context<Self>) {
+        match input {
+            FleetInput::PlatformDown => self.store.unanswered(clock::now()),
+            FleetInput::HeadSeen(asked, ..) | FleetInput::Found(_, asked) => {
+                self.store.answered(clock::now(), asked);
+            }
+            _ => {}
+        }
         let event = match input {
             FleetInput::Start(peers) => {
                 self.peers = Some(*peers);
