fix(discovery): a router that alone lost the store keeps no lapsed registrations

Cause: front-bilbao-2 was cut off from store and peers for 8 s; by its own gap it took the server that had left as planned for one whose registration had lapsed, and kept it 2.6 s. Ruled out: load (same break on a quiet machine), lists of peers (they were right). Lapsed registrations are now kept only after an outage that all routers agreed on.

--- a/toucanchute_core/src/discovery.rs
+++ b/toucanchute_core/src/discovery.rs
@@ -7,6 +7,9 @@
 /// Time without a list after which registrations may have lapsed although their servers live.
 const OUTAGE: Millis = Millis(1_500);
 
+/// How long after the routers agreed that all of them have lost the store that explains a gap.
+const AGREED_LATELY: Millis = Millis(1_500);
+
 /// Time that lapsed registrations have to come back after an outage, with the pause between two
 /// readings.
 const RETURN_TIME: Millis = Millis(2_600);
@@ -23,7 +26,8 @@
 }
 
 /// Keeps the backend servers of the newest list, and over an outage of the store those whose
-/// registrations lapsed meanwhile.
+/// registrations lapsed meanwhile. A router that alone could not reach the store keeps none: what it
+/// misses may have left as planned.
 ///
 /// ```
 /// use toucanchute_core::discovery::Discovery;
@@ -38,6 +42,8 @@
     /// Those that may get new work, by name; absent before the first list.
     live: Option<BTreeMap<String, Found>>,
     listed_at: Millis,
+    /// When all routers last agreed that they have lost the store.
+    outage_at: Option<Millis>,
     /// Time up to which those that are missing may still come back.
     return_until: Millis,
     /// Names that were told to leave and did not come back.
@@ -45,9 +51,17 @@
 }
 
 impl Discovery {
+    /// Takes in that all routers agreed at `at` that they have lost the store.
+    pub fn outage_agreed(&mut self, at: Millis) {
+        self.outage_at = self.outage_at.max(Some(at));
+    }
+
     /// Takes in the list that the store gave at `now`.
     pub fn list(&mut self, now: Millis, found: Vec<Found>) -> Change {
-        if self.live.is_some() && now.since(self.listed_at) >= OUTAGE {
+        let for_all = self
+            .outage_at
+            .is_some_and(|at| now.since(at) <= AGREED_LATELY);
+        if self.live.is_some() && for_all && now.since(self.listed_at) >= OUTAGE {
             self.return_until = now + RETURN_TIME;
         }
         self.listed_at = now;
--- a/toucanchute_core/src/fleet/machine.rs
+++ b/toucanchute_core/src/fleet/machine.rs
@@ -179,6 +179,12 @@
 
     // Queries
 
+    /// Whether this router and its peers agree that none of them reaches the platform.
+    #[must_use]
+    pub fn is_outage_agreed(&self, now: Millis) -> bool {
+        self.outage_agreed(now)
+    }
+
     /// Whether this router has to read head and host list from the platform itself, rather than
     /// learn them from peers.
     #[must_use]
--- a/toucanchute_core/tests/discovery.rs
+++ b/toucanchute_core/tests/discovery.rs
@@ -40,6 +40,7 @@
 fn registrations_that_lapsed_in_an_outage_have_time_to_come_back() {
     let mut discovery = Discovery::default();
     discovery.list(Millis(0), vec![found("a", false), found("bb", false)]);
+    discovery.outage_agreed(Millis(7_200));
     let change = discovery.list(Millis(8_000), Vec::new());
     assert_eq!(names(&change), ["a", "bb"]);
     for now in [8_600, 9_200, 9_800, 10_400] {
@@ -55,6 +56,7 @@
 fn an_address_that_another_one_took_over_is_not_kept_for_the_one_before() {
     let mut discovery = Discovery::default();
     discovery.list(Millis(0), vec![found("a", false)]);
+    discovery.outage_agreed(Millis(7_200));
     let change = discovery.list(Millis(8_000), vec![found("x", false)]);
     assert_eq!(names(&change), ["x"]);
 }
@@ -67,3 +69,23 @@
     let change = discovery.list(Millis(1_200), vec![found("a", false)]);
     assert_eq!(names(&change), ["a"]);
 }
+
+/// A router was cut off from the store and its peers for 8 s; a backend server left meanwhile as
+/// planned and got work from it for seconds more.
+#[test]
+fn a_router_that_alone_lost_the_store_keeps_nothing() {
+    let mut discovery = Discovery::default();
+    discovery.list(Millis(0), vec![found("a", false), found("bb", false)]);
+    let change = discovery.list(Millis(8_000), vec![found("a", false)]);
+    assert_eq!(names(&change), ["a"]);
+    assert_eq!(change.withdrawn, ["bb"]);
+}
+
+#[test]
+fn an_outage_for_all_that_is_long_over_excuses_nothing() {
+    let mut discovery = Discovery::default();
+    discovery.list(Millis(0), vec![found("a", false)]);
+    discovery.outage_agreed(Millis(3_000));
+    let change = discovery.list(Millis(8_000), Vec::new());
+    assert_eq!(change.withdrawn, ["a"]);
+}
--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -126,6 +126,9 @@
         }
         self.actions = actions;
         self.view.confirm(now);
+        if self.machine.is_outage_agreed(now) {
+            self.view.set_outage_at(now);
+        }
     }
 
     fn perform(&mut self, action: Action) {
--- a/toucanchute_router/src/gateway/feeds.rs
+++ b/toucanchute_router/src/gateway/feeds.rs
@@ -16,6 +16,7 @@
 use crate::{
     actor::{FleetActor, FleetInput, post},
     clock,
+    view::View,
 };
 
 /// Pause between two readings of the registrations: a third of the time in which a leaving backend
@@ -36,6 +37,7 @@
 pub(super) struct Feeds {
     pub(super) store: StoreClient,
     pub(super) fleet: Address<FleetActor>,
+    pub(super) view: Arc<View>,
 }
 
 impl Feeds {
@@ -197,6 +199,9 @@
     fn take(&mut self, asked: Millis, snapshot: &Snapshot) {
         let found = snapshot.entries.iter();
         let found: Vec<Found> = found.filter_map(|entry| self.read(entry)).collect();
+        if let Some(at) = self.feeds.view.outage_at() {
+            self.discovery.outage_agreed(at);
+        }
         let change = self.discovery.list(clock::now(), found);
         if change.changed {
             log::info!(
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -173,6 +173,7 @@
         let feeds = Feeds {
             store: store.clone(),
             fleet: fleet.clone(),
+            view: Arc::clone(&view),
         };
         feeds.start(settings);
         let control = Arc::new(GatewayControl {
