fix(prepaid): only an owner proved to have ended is taken over by its ramp

Cause: a router that reached the store but not the witnesses took them for gone, claimed the account and went on from what the ramp allowed at that moment. The owner on the other side of the split was alive and spent on along the same ramp until its next write to the store, or, cut off from the store, without end.

Ruled out: clocks (the same with all clocks equal), handovers (none in the trace), a release in doubt.

- Records name the hosts of witnesses.
A witness counts as ended only if another router that runs on its host answers after the claim.
Enough ended or fenced witnesses: the ramp, as before (basis=ramp).
- Otherwise the account is claimed only once its record has rested for 3 s, since a living owner that spends writes it every 0.8 s, and goes on from all that the record allows (basis=top).
- A record allows no more than 30 s of its pace, so that this loses little.
- Marks stay below the ramp and new ramps cover earlier marks; else dead witnesses could have held more than the ramp tells.
A router without others is its own witness.
A fenced owner closes at once.

--- a/toucanchute_core/src/prepaid.rs
+++ b/toucanchute_core/src/prepaid.rs
@@ -9,7 +9,9 @@
 //!   away.
 //! - Below the ramp, the owner spends no further than a mark that enough witnesses have acknowledged.
 //!   A router that takes the account over claims it in the store, fences the witnesses and goes on
-//!   from the highest mark; if too many are gone, from what the ramp allows by now.
+//!   from the highest mark. Where too many have ended, as routers that run on their hosts now show,
+//!   it goes on from what the ramp allows by now. Where they cannot be reached, the owner may be
+//!   alive: it goes on from all that the record allows, and only if the record rests.
 //!
 //! [`Prepaid`] decides, its caller does: it is told events and answers with actions.
 
@@ -19,10 +21,12 @@
 mod draw;
 mod event;
 mod fault;
+mod fencing;
 mod leave;
 mod machine;
 mod marks;
 mod owner;
+mod proof;
 mod ramp;
 mod rate;
 mod record;
@@ -33,4 +37,5 @@
 pub use event::{CallId, Event, Peer};
 pub use fault::Fault;
 pub use machine::{Prepaid, Settings};
+pub use proof::Basis;
 pub use ramp::ClockSpread;
--- a/toucanchute_core/src/prepaid/account.rs
+++ b/toucanchute_core/src/prepaid/account.rs
@@ -113,7 +113,7 @@
         self.fault = fault;
     }
 
-    fn has(&self, fault: Fault) -> bool {
+    pub(super) fn has(&self, fault: Fault) -> bool {
         self.fault == Some(fault)
     }
 
@@ -136,6 +136,8 @@
     /// Returns the records that may be in the store, and when they were sent.
     pub(super) fn standing(&self) -> impl Iterator<Item = (&Account, Millis)> {
         let pending = self.pending.iter().map(|(record, sent)| (record, *sent));
+        let blind = self.has(Fault::SpendReleased);
+        let pending = pending.filter(move |(record, _)| !blind || record.owner.is_some());
         pending.chain([(&self.record, self.sent_at)])
     }
 
--- a/toucanchute_core/src/prepaid/action.rs
+++ b/toucanchute_core/src/prepaid/action.rs
@@ -1,6 +1,6 @@
 use toucanchute_proto::{Incarnation, Millis, prepaid::PrepaidMessage};
 
-use super::CallId;
+use super::{Basis, CallId};
 use crate::ledger::StoreOp;
 
 /// What a [`Prepaid`](super::Prepaid) machine wants done or answers.
@@ -71,6 +71,8 @@
         spent: u64,
         /// Tokens newly written off because too few witnesses answered.
         lost: u64,
+        /// What `spent` was told from.
+        basis: Basis,
     },
     /// This router refused a request for tokens of the account.
     Refused {
--- a/toucanchute_core/src/prepaid/draw.rs
+++ b/toucanchute_core/src/prepaid/draw.rs
@@ -4,7 +4,7 @@
 };
 
 use super::{
-    Action, ClockSpread, CloseCause, Prepaid,
+    Action, ClockSpread, CloseCause, Fault, Prepaid,
     account::{Owned, Write},
     ramp::{Ramp, top},
     record,
@@ -73,7 +73,11 @@
         if owned.releasing {
             return;
         }
-        let top = limit.min(owned.record.drawn);
+        // Marks beyond the ramp would let a lost owner have spent more than the ramp tells.
+        let top = match owned.has(Fault::MarkAboveRamp) {
+            true => limit.min(owned.record.drawn),
+            false => limit.min(owned.ramp_bound(now)),
+        };
         let ahead = owned.rate.draw(now, MARK_AHEAD).max(owned.largest);
         let need = owned.used + owned.need();
         let low = (need + ahead / 2).min(top);
@@ -86,11 +90,20 @@
             short.flat_map(|(q, _)| q.witnesses.clone()).collect();
         witnesses.sort_unstable();
         witnesses.dedup();
-        let term = owned.term;
+        let body = Mark {
+            budget,
+            term: owned.term,
+            mark,
+        };
         for to in witnesses {
-            if owned.marks.ask(now, to, mark) {
-                let message = PrepaidMessage::Mark(Mark { budget, term, mark });
+            if !owned.marks.ask(now, to, mark) {
+                continue;
+            }
+            if to != self.cfg.incarnation {
+                let message = PrepaidMessage::Mark(body);
                 out.push(Action::Send { to, message });
+            } else if self.keeper.mark(&body).is_ok() {
+                owned.marks.ack(to, mark);
             }
         }
     }
@@ -290,11 +303,16 @@
         if !due {
             return None;
         }
-        ramp.ahead = ramp.ahead.max(need).min(left);
+        // A takeover that knows no marks counts on none of them being above the ramp.
+        let marked = match self.has(Fault::DropMarks) {
+            true => 0,
+            false => self.marks.highest().saturating_sub(self.used),
+        };
+        ramp.ahead = ramp.ahead.max(need).min(left).max(marked);
         let next = Account {
             owner: Some(owner),
             spent: self.used,
-            drawn: top(limit, self.used, ramp.ahead),
+            drawn: top(limit, self.used, ramp.ahead, ramp.pace),
             ahead: ramp.ahead,
             pace: ramp.pace,
             at: clocks.earliest(now),
--- a/toucanchute_core/src/prepaid/event.rs
+++ b/toucanchute_core/src/prepaid/event.rs
@@ -70,6 +70,8 @@
 pub struct Peer {
     /// Its present run.
     pub incarnation: Incarnation,
+    /// Its host, on which one router runs at a time.
+    pub host: String,
     /// Its failure domain.
     pub failure_domain: String,
     /// What is believed of it.
--- a/toucanchute_core/src/prepaid/fault.rs
+++ b/toucanchute_core/src/prepaid/fault.rs
@@ -5,9 +5,15 @@
     SkipFence,
     /// Spends beyond what the witnesses acknowledged.
     IgnoreMarks,
+    /// Takes an owner that it cannot reach for one that has ended.
+    TrustSilence,
+    /// Asks witnesses for marks above the ramp.
+    MarkAboveRamp,
+    /// Writes ramps that do not cover the marks of witnesses.
+    DropMarks,
     /// Takes refunds more than once.
     RefundTwice,
-    /// Spends on after an account was given back.
+    /// Spends on after an account was given back, as if that had not been written.
     SpendReleased,
     /// Lets witnesses take marks of lesser terms.
     ForgetFence,
--- a/toucanchute_core/src/prepaid/machine.rs
+++ b/toucanchute_core/src/prepaid/machine.rs
@@ -37,6 +37,8 @@
 pub struct Settings {
     /// This run of this router.
     pub incarnation: Incarnation,
+    /// Its host, on which one router runs at a time.
+    pub host: String,
     /// The router's failure domain.
     pub failure_domain: String,
     /// A deliberate fault, for tests of tests.
@@ -47,9 +49,10 @@
 impl Settings {
     /// Creates the settings of one run of a router.
     #[must_use]
-    pub fn new(incarnation: Incarnation, failure_domain: &str) -> Settings {
+    pub fn new(incarnation: Incarnation, host: &str, failure_domain: &str) -> Settings {
         Settings {
             incarnation,
+            host: host.to_owned(),
             failure_domain: failure_domain.to_owned(),
             fault: None,
         }
@@ -62,7 +65,7 @@
 /// use toucanchute_core::prepaid::{Action, CallId, Event, Prepaid, Settings};
 /// use toucanchute_proto::{BudgetId, Incarnation, Millis, config::Ledger};
 ///
-/// let mut prepaid = Prepaid::new(Settings::new(Incarnation(1), "bilbao"));
+/// let mut prepaid = Prepaid::new(Settings::new(Incarnation(1), "bilbao-1", "bilbao"));
 /// let budget = BudgetId::from_name("north");
 /// let limits = [(budget, 500)].into();
 /// let mut out = Vec::new();
--- a/toucanchute_core/src/prepaid/marks.rs
+++ b/toucanchute_core/src/prepaid/marks.rs
@@ -14,6 +14,8 @@
     acked: BTreeMap<Incarnation, u64>,
     /// Highest mark that each witness was asked to keep, and when.
     asked: BTreeMap<Incarnation, (u64, Millis)>,
+    /// Highest mark that any witness was asked to keep or that was inherited.
+    highest: u64,
 }
 
 impl Marks {
@@ -21,6 +23,7 @@
     pub(super) fn inherit(quorum: Quorum, mark: u64) -> Marks {
         Marks {
             inherited: Some((quorum, mark)),
+            highest: mark,
             ..Marks::default()
         }
     }
@@ -41,6 +44,11 @@
         }
     }
 
+    /// Returns the highest mark that may come into force.
+    pub(super) fn highest(&self) -> u64 {
+        self.highest
+    }
+
     /// Takes in an acknowledgement.
     pub(super) fn ack(&mut self, witness: Incarnation, mark: u64) {
         let acked = self.acked.entry(witness).or_default();
@@ -56,6 +64,7 @@
         let lately = asked.is_some_and(|&(m, at)| m >= mark && now.since(at) < RESEND);
         if !lately {
             self.asked.insert(witness, (mark, now));
+            self.highest = self.highest.max(mark);
         }
         !lately
     }
--- a/toucanchute_core/src/prepaid/ramp.rs
+++ b/toucanchute_core/src/prepaid/ramp.rs
@@ -19,6 +19,9 @@
 /// they were without the store.
 const REACH_DIVISOR: u64 = 2;
 
+/// Time of its pace that a ramp may reach. A takeover counts all of it where the owner may be alive.
+const REACH: Millis = Millis(30_000);
+
 /// Uncertainty of elapsed time between two clocks of the fleet.
 const CLOCK_ERROR: Millis = Millis(300);
 
@@ -60,11 +63,12 @@
     }
 }
 
-/// Returns the most that may be spent under a record with `spent` of `limit` tokens and `ahead` at
-/// once.
-pub(super) fn top(limit: u64, spent: u64, ahead: u64) -> u64 {
+/// Returns the most that may be spent under a record with `spent` of `limit` tokens, `ahead` at once
+/// and `pace` tokens a second.
+pub(super) fn top(limit: u64, spent: u64, ahead: u64, pace: u64) -> u64 {
     let left = limit.saturating_sub(spent);
-    spent + (left / REACH_DIVISOR).max(ahead).min(left)
+    let risen = ahead.saturating_add(pace.saturating_mul(REACH.0) / 1_000);
+    spent + risen.min(left / REACH_DIVISOR).max(ahead)
 }
 
 /// Returns what may have been spent of an account `since` its record was written.
--- a/toucanchute_core/src/prepaid/record.rs
+++ b/toucanchute_core/src/prepaid/record.rs
@@ -32,10 +32,11 @@
     }
 }
 
-/// A quorum without witnesses.
+/// The quorum of an account from which nobody spends.
 pub(super) fn none() -> Quorum {
     Quorum {
         witnesses: Vec::new(),
+        hosts: Vec::new(),
         acks: 0,
     }
 }
@@ -46,7 +47,8 @@
 }
 
 impl Prepaid {
-    /// Chooses witnesses for an account of this router, other failure domains first.
+    /// Chooses witnesses for an account of this router, other failure domains first. Without other
+    /// routers it is its own witness.
     pub(super) fn choose_quorum(&self, budget: BudgetId) -> Quorum {
         let mut peers: Vec<_> = self
             .peers
@@ -58,12 +60,21 @@
             (same, hash::mix(&[budget.0, p.incarnation.0]))
         });
         let wanted = usize::from(self.policy.witnesses);
-        let witnesses: Vec<Incarnation> =
-            peers.iter().take(wanted).map(|p| p.incarnation).collect();
+        let chosen = peers.into_iter().take(wanted);
+        let (witnesses, hosts): (Vec<Incarnation>, Vec<String>) =
+            chosen.map(|p| (p.incarnation, p.host.clone())).unzip();
+        if witnesses.is_empty() {
+            return Quorum {
+                witnesses: vec![self.me()],
+                hosts: vec![self.cfg.host.clone()],
+                acks: 1,
+            };
+        }
         // More than half of them would let the loss of one or two stop the owner.
         let acks = usize::from(self.policy.acks).min(witnesses.len().div_ceil(2));
         Quorum {
             witnesses,
+            hosts,
             acks: acks as u32,
         }
     }
--- a/toucanchute_core/src/prepaid/takeover.rs
+++ b/toucanchute_core/src/prepaid/takeover.rs
@@ -1,25 +1,24 @@
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 
 use toucanchute_proto::{
-    BudgetId, Incarnation, Millis, from_cbor,
-    prepaid::{Account, AccountFenced, FenceAccount, PrepaidMessage, Term, Verdict},
+    BudgetId, Millis, from_cbor,
+    prepaid::{Account, Quorum, Term, Verdict},
 };
 
 use super::{
-    Action, Fault, Note, Peer, Prepaid,
+    Action, Basis, Fault, Note, Prepaid,
     account::{Owned, Waiting},
     draw::STORE_RETRY,
     machine::Known,
-    ramp::{reach, top},
+    proof::Proof,
+    ramp::top,
     record,
 };
 use crate::ledger::{StoreRequest, StoreResult};
 
-/// Time for witnesses to answer a fence; after it they count as gone.
-const FENCE_WAIT: Millis = Millis(300);
-
-/// Pause before a witness is asked again.
-const FENCE_RESEND: Millis = Millis(100);
+/// Time in which the record of a living owner that spends changes, and in which hosts that lost power
+/// come back.
+pub(super) const PROOF_WAIT: Millis = Millis(3_000);
 
 /// Share of what is left of a budget that may be spent at once before its draw is known.
 const FIRST_AHEAD_DIVISOR: u64 = 20;
@@ -31,15 +30,18 @@
 #[derive(Debug)]
 pub(super) struct Takeover {
     pub(super) waiting: VecDeque<Waiting>,
-    step: Step,
+    pub(super) step: Step,
     /// Time before which the store is not called again.
     retry_at: Millis,
-    /// Tokens that this takeover writes off.
-    lost: u64,
+    /// Tokens that this takeover writes off, and what tells so.
+    pub(super) lost: u64,
+    pub(super) basis: Basis,
+    /// Revision of a record whose owner may be alive, and since when it is known here.
+    pub(super) rests: Option<(u64, Millis)>,
 }
 
 #[derive(Debug)]
-enum Step {
+pub(super) enum Step {
     /// The record has to be read.
     Start,
     /// A call to the store is in flight.
@@ -48,14 +50,14 @@
     Fencing {
         claim: Account,
         revision: u64,
-        fenced: BTreeMap<Incarnation, u64>,
+        proof: Proof,
         since: Millis,
         asked_at: Millis,
     },
 }
 
 #[derive(Clone, Debug)]
-enum Call {
+pub(super) enum Call {
     Read,
     /// Writes the claim; the quorum in it is still that of the owner before.
     Claim(Account),
@@ -70,6 +72,8 @@
             step: Step::Start,
             retry_at: self.now,
             lost: 0,
+            basis: Basis::Marks,
+            rests: None,
         };
         self.takeovers.insert(budget, takeover);
         self.read_record(budget, out);
@@ -110,7 +114,7 @@
 
     // The store
 
-    fn read_record(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
+    pub(super) fn read_record(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
         let key = record::key(budget);
         let op = self.call_store(budget, StoreRequest::Get { key }, out);
         self.set_step(
@@ -135,7 +139,7 @@
         self.set_step(budget, Step::Calling { op, call });
     }
 
-    fn set_step(&mut self, budget: BudgetId, step: Step) {
+    pub(super) fn set_step(&mut self, budget: BudgetId, step: Step) {
         if let Some(takeover) = self.takeovers.get_mut(&budget) {
             takeover.step = step;
         }
@@ -198,33 +202,59 @@
             }
             return self.abandon_takeover(budget, out);
         }
-        self.claim(budget, revision, account, out);
+        if self.is_provable(&account.quorum) || account.drawn == account.spent {
+            return self.claim(budget, revision, account, out);
+        }
+        self.claim_if_resting(budget, revision, account, out);
+    }
+
+    /// Whether enough witnesses, or routers that run on their hosts now, can be reached.
+    fn is_provable(&self, quorum: &Quorum) -> bool {
+        let here = |host: &String| *host == self.cfg.host;
+        let there = |host: &String| {
+            let mut peers = self.peers.values();
+            peers.any(|p| p.host == *host && p.is_reachable())
+        };
+        let heard = quorum.hosts.iter().filter(|h| here(h) || there(h));
+        heard.count() >= record::fences_needed(quorum) || self.has(Fault::TrustSilence)
+    }
+
+    /// Claims an account whose owner cannot be proved to have ended, once its record has not changed
+    /// for a while.
+    fn claim_if_resting(
+        &mut self,
+        budget: BudgetId,
+        revision: u64,
+        account: Account,
+        out: &mut Vec<Action>,
+    ) {
+        let now = self.now;
+        let Some(takeover) = self.takeovers.get_mut(&budget) else {
+            return;
+        };
+        let same = takeover.rests.filter(|(known, _)| *known == revision);
+        let (_, since) = *takeover.rests.insert(same.unwrap_or((revision, now)));
+        if now.since(since) >= PROOF_WAIT {
+            return self.claim(budget, revision, account, out);
+        }
+        takeover.step = Step::Start;
+        takeover.retry_at = now + STORE_RETRY;
     }
 
-    /// Claims an account; opens it at once where nobody else may spend from it any more.
+    /// Claims an account; opens it at once where nothing can have been spent since its record.
     fn claim(&mut self, budget: BudgetId, revision: u64, old: Account, out: &mut Vec<Action>) {
         let mut claim = old;
         claim.epoch += 1;
         claim.owner = Some(self.me());
-        if claim.quorum.witnesses.is_empty() {
-            // Without witnesses nobody knows how much of the ramp was used.
-            let base = reach(&claim, self.clocks.elapsed(self.now, &claim));
-            let lost = base - claim.spent.min(base);
-            claim.lost += lost;
-            self.note_lost(budget, lost);
+        if claim.drawn == claim.spent {
+            let base = claim.spent;
             return self.write_open(budget, revision, claim, base, out);
         }
         self.write(budget, revision, Call::Claim(claim), out);
     }
 
-    fn note_lost(&mut self, budget: BudgetId, lost: u64) {
-        if let Some(takeover) = self.takeovers.get_mut(&budget) {
-            takeover.lost = lost;
-        }
-    }
-
     /// Writes the record with which spending begins, at `base` tokens spent.
-    fn write_open(
+    pub(super) fn write_open(
         &mut self,
         budget: BudgetId,
         revision: u64,
@@ -238,142 +268,13 @@
         let left = limit.saturating_sub(base);
         account.spent = base;
         account.ahead = (left / FIRST_AHEAD_DIVISOR).max(2 * need).min(left);
-        account.drawn = top(limit, base, account.ahead);
         account.pace = left / FIRST_PACE_DIVISOR;
+        account.drawn = top(limit, base, account.ahead, account.pace);
         account.at = self.clocks.earliest(self.now);
         account.quorum = self.choose_quorum(budget);
         self.write(budget, revision, Call::Open(account), out);
     }
 
-    // Fencing
-
-    fn start_fencing(
-        &mut self,
-        budget: BudgetId,
-        claim: Account,
-        revision: u64,
-        out: &mut Vec<Action>,
-    ) {
-        let now = self.now;
-        let mut fenced = BTreeMap::new();
-        let term = Term {
-            epoch: claim.epoch,
-            turn: 0,
-        };
-        if claim.quorum.witnesses.contains(&self.me()) {
-            let (_, mark) = self.keeper.fence(budget, term);
-            fenced.insert(self.me(), mark);
-        }
-        self.set_step(
-            budget,
-            Step::Fencing {
-                claim,
-                revision,
-                fenced,
-                since: now,
-                asked_at: Millis(0),
-            },
-        );
-        self.ask_fences(budget, out);
-        self.open_if_fenced(budget, out);
-    }
-
-    fn ask_fences(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
-        let now = self.now;
-        let Some(Takeover {
-            step:
-                Step::Fencing {
-                    claim,
-                    fenced,
-                    asked_at,
-                    ..
-                },
-            ..
-        }) = self.takeovers.get_mut(&budget)
-        else {
-            return;
-        };
-        if now.since(*asked_at) < FENCE_RESEND {
-            return;
-        }
-        *asked_at = now;
-        let term = Term {
-            epoch: claim.epoch,
-            turn: 0,
-        };
-        for &to in claim
-            .quorum
-            .witnesses
-            .iter()
-            .filter(|w| !fenced.contains_key(w))
-        {
-            let message = PrepaidMessage::Fence(FenceAccount { budget, term });
-            out.push(Action::Send { to, message });
-        }
-    }
-
-    pub(super) fn on_fenced(
-        &mut self,
-        from: Incarnation,
-        body: &AccountFenced,
-        out: &mut Vec<Action>,
-    ) {
-        let budget = body.budget;
-        let Some(Takeover {
-            step: Step::Fencing { claim, fenced, .. },
-            ..
-        }) = self.takeovers.get_mut(&budget)
-        else {
-            return;
-        };
-        if body.term.epoch > claim.epoch {
-            return self.read_record(budget, out);
-        }
-        if body.term.epoch == claim.epoch && claim.quorum.witnesses.contains(&from) {
-            fenced.insert(from, body.mark);
-            self.open_if_fenced(budget, out);
-        }
-    }
-
-    /// Begins to spend once enough witnesses are fenced, or once the others have to count as gone.
-    fn open_if_fenced(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
-        let (now, clocks) = (self.now, self.clocks);
-        let peers = &self.peers;
-        let reachable = |id: &Incarnation| peers.get(id).is_some_and(Peer::is_reachable);
-        let Some(takeover) = self.takeovers.get_mut(&budget) else {
-            return;
-        };
-        let Step::Fencing {
-            claim,
-            revision,
-            fenced,
-            since,
-            ..
-        } = &takeover.step
-        else {
-            return;
-        };
-        let highest = fenced.values().copied().max().unwrap_or(0);
-        let highest = highest.max(claim.spent).min(claim.drawn);
-        let skip = self.cfg.fault == Some(Fault::SkipFence);
-        let needed = record::fences_needed(&claim.quorum);
-        let enough = skip || fenced.len() >= needed;
-        let missing = claim.quorum.witnesses.iter();
-        let missing = missing.filter(|w| !fenced.contains_key(w) && reachable(w));
-        let hopeful = fenced.len() + missing.count() >= needed;
-        if !enough && hopeful && now.since(*since) < FENCE_WAIT {
-            return;
-        }
-        let (mut account, revision) = (claim.clone(), *revision);
-        let base = match enough {
-            true => highest,
-            false => reach(claim, clocks.elapsed(now, claim)).max(highest),
-        };
-        takeover.lost = base - highest;
-        account.lost += takeover.lost;
-        self.write_open(budget, revision, account, base, out);
-    }
-
     // Ends
 
     fn open(&mut self, budget: BudgetId, account: Account, revision: u64, out: &mut Vec<Action>) {
@@ -389,6 +290,7 @@
             epoch: account.epoch,
             spent: account.spent,
             lost: takeover.lost,
+            basis: takeover.basis,
         };
         out.push(Action::Note(note));
         let owned = Owned::new(self.now, term, account, revision);
--- a/toucanchute_core/src/prepaid/witness.rs
+++ b/toucanchute_core/src/prepaid/witness.rs
@@ -5,7 +5,7 @@
     prepaid::{AccountFenced, FenceAccount, Mark, Marked, PrepaidMessage, Term},
 };
 
-use super::{Action, Fault, Prepaid};
+use super::{Action, CloseCause, Fault, Prepaid};
 
 /// What this router keeps as a witness of one account: a bound in memory, handed to whoever takes
 /// the account over.
@@ -25,7 +25,7 @@
 
 impl Keeper {
     /// Keeps a mark, or returns the greater term that forbids it.
-    fn mark(&mut self, body: &Mark) -> Result<(), Term> {
+    pub(super) fn mark(&mut self, body: &Mark) -> Result<(), Term> {
         let term = body.term;
         let kept = self
             .kept
@@ -70,6 +70,10 @@
     ) {
         let (term, mark) = self.keeper.fence(body.budget, body.term);
         let budget = body.budget;
+        if self.accounts.get(&budget).is_some_and(|a| a.term < term) {
+            // The claim is in the store.
+            self.close(budget, CloseCause::Superseded, out);
+        }
         let message = PrepaidMessage::Fenced(AccountFenced { budget, term, mark });
         out.push(Action::Send { to: from, message });
     }
--- a/toucanchute_router/src/actor/prepaid.rs
+++ b/toucanchute_router/src/actor/prepaid.rs
@@ -4,7 +4,7 @@
 use toucanchute_core::{
     fleet::MemberView,
     ledger::StoreResult,
-    prepaid::{Action, CallId, Event, Note, Peer, Prepaid, Refusal, RefusalReason},
+    prepaid::{Action, Basis, CallId, Event, Note, Peer, Prepaid, Refusal, RefusalReason},
 };
 use toucanchute_edge::passthrough::{Failure, FailureKind, TokenHold, TokenRequest};
 use toucanchute_platform::StoreClient;
@@ -218,8 +218,14 @@
                 epoch,
                 spent,
                 lost,
+                basis,
             } => {
-                log::info!(budget = name(budget), epoch = epoch, spent = spent, lost = lost; "account-opened");
+                let basis = match basis {
+                    Basis::Marks => "marks",
+                    Basis::Ramp => "ramp",
+                    Basis::Top => "top",
+                };
+                log::info!(budget = name(budget), epoch = epoch, spent = spent, lost = lost, basis = basis; "account-opened");
             }
             Note::Refused {
                 budget,
@@ -277,6 +283,7 @@
 fn peer(member: &MemberView) -> Peer {
     Peer {
         incarnation: member.incarnation,
+        host: member.host.clone(),
         failure_domain: member.failure_domain.clone(),
         state: member.state,
         store_up: !member.outage,
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -142,8 +142,9 @@
         });
         let fleet = xtra::spawn_tokio(fleet, Mailbox::unbounded());
         let domain = &settings.router.failure_domain;
+        let account = prepaid::Settings::new(incarnation, &settings.router.host, domain);
         let prepaid = PrepaidActor::new(PrepaidParts {
-            machine: Prepaid::new(prepaid::Settings::new(incarnation, domain)),
+            machine: Prepaid::new(account),
             mesh: mesh.clone(),
             store: LedgerStore::new(Arc::new(store.clone())),
             fleet: fleet.clone(),
