--- a/toucanchute_router/src/gateway.rs
+++ b/toucanchute_router/src/gateway.rs
@@ -8,6 +8,7 @@
 mod questions;
 mod registry;
 mod server;
+mod signals;
 
 use std::path::PathBuf;
 
@@ -20,6 +21,7 @@
     output::{LogSnafu, RunError, RuntimeSnafu, SettingsSnafu},
     run::level,
 };
+use signals::Signals;
 
 /// Log lines that wait to be written; further ones are dropped and counted.
 const LOG_QUEUE: usize = 4_096;
@@ -33,16 +35,20 @@
 ///
 /// Fails if the settings are refused or the process cannot start.
 pub(crate) fn run(path: PathBuf) -> Result<(), RunError> {
-    let settings = load_gateway(&path).context(SettingsSnafu)?;
-    let incarnation = Incarnation(rand::random());
-    install_log(&settings, incarnation)?;
     // The hosts have less than a core, so that more threads would only cost switches.
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
-    runtime
-        .context(RuntimeSnafu)?
-        .block_on(server::serve(settings, path, incarnation))
+    let runtime = runtime.context(RuntimeSnafu)?;
+    // First of all, since a signal that comes before would end the process.
+    let signals = {
+        let _guard = runtime.enter();
+        Signals::listen()?
+    };
+    let settings = load_gateway(&path).context(SettingsSnafu)?;
+    let incarnation = Incarnation(rand::random());
+    install_log(&settings, incarnation)?;
+    runtime.block_on(server::serve(settings, path, incarnation, signals))
 }
 
 fn install_log(settings: &GatewaySettings, incarnation: Incarnation) -> Result<(), RunError> {
--- a/toucanchute_router/src/gateway/registry.rs
+++ b/toucanchute_router/src/gateway/registry.rs
@@ -158,7 +158,7 @@
         failure_domain: settings.router.failure_domain.clone(),
         region: settings.router.region.clone(),
         caller_address: settings.callers.listen.to_string(),
-        peer_address: settings.router.peer_listen.to_string(),
+        peer_address: settings.router.peer_advertise.to_string(),
         state: MemberState::Alive,
         update: 0,
         outage: false,
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -7,10 +7,8 @@
     time::Duration,
 };
 
-use snafu::ResultExt;
 use tokio::{
     net::TcpListener,
-    signal::unix::{SignalKind, signal},
     sync::{mpsc, watch},
     time::MissedTickBehavior,
 };
@@ -33,6 +31,7 @@
     monitor::{self, Monitor},
     questions::{self, Desk},
     registry::Registry,
+    signals::Signals,
 };
 use crate::{
     actor::{
@@ -41,7 +40,7 @@
     },
     keyvalue::LedgerStore,
     link::{Identity, Mesh},
-    output::{RunError, SignalSnafu},
+    output::RunError,
     server::{bind, route_links, starting},
     view::View,
 };
@@ -57,6 +56,7 @@
     settings: GatewaySettings,
     path: PathBuf,
     incarnation: Incarnation,
+    signals: Signals,
 ) -> Result<(), RunError> {
     let callers = bind(settings.callers.listen).await?;
     let peers = bind(settings.router.peer_listen).await?;
@@ -66,14 +66,11 @@
         Some(address) => Some(bind(address).await?),
         None => None,
     };
-    let terminate = signal(SignalKind::terminate()).context(SignalSnafu)?;
-    let interrupt = signal(SignalKind::interrupt()).context(SignalSnafu)?;
-    let hangup = signal(SignalKind::hangup()).context(SignalSnafu)?;
 
     let parts = Parts::start(&settings, incarnation);
     parts.mesh.listen(peers);
     parts.serve_questions(&settings, readiness, directory, metrics);
-    tokio::spawn(leave::reload(hangup, path));
+    tokio::spawn(leave::reload(signals.hangup, path));
     log::info!(listen:% = settings.callers.listen; "gateway-started");
 
     let grace = Duration::from_millis(settings.leave.grace_ms);
@@ -84,7 +81,7 @@
         exit: parts.exit.clone(),
         grace,
     };
-    tokio::spawn(leaving.on_signal(terminate, interrupt));
+    tokio::spawn(leaving.on_signal(signals.terminate, signals.interrupt));
     let connections = settings.callers.connections as usize;
     let in_flight = Arc::clone(&parts.in_flight);
     let control = Arc::clone(&parts.control);
@@ -262,7 +259,7 @@
         failure_domain: settings.router.failure_domain.clone(),
         region: settings.router.region.clone(),
         caller_address: settings.callers.listen.to_string(),
-        peer_address: settings.router.peer_listen.to_string(),
+        peer_address: settings.router.peer_advertise.to_string(),
         nonce: 0,
     };
     Identity {
@@ -279,7 +276,7 @@
         failure_domain: settings.router.failure_domain.clone(),
         region: settings.router.region.clone(),
         caller_address: settings.callers.listen,
-        peer_address: settings.router.peer_listen,
+        peer_address: settings.router.peer_advertise,
         seeds: Vec::new(),
     }
 }
--- a/toucanchute_scenario/src/lib.rs
+++ b/toucanchute_scenario/src/lib.rs
@@ -17,4 +17,7 @@
 mod runner;
 
 pub use error::ScenarioError;
+pub use link::{Dialer, LinkState, Links, forward};
+pub use ports::free_address;
+pub use process::{Process, Signal};
 pub use runner::Runner;
--- a/toucanchute_scenario/src/ports.rs
+++ b/toucanchute_scenario/src/ports.rs
@@ -16,7 +16,8 @@
 static TAKEN: AtomicU16 = AtomicU16::new(0);
 
 /// Returns a loopback address that nothing listens at.
-pub(crate) fn free_address() -> SocketAddr {
+#[must_use]
+pub fn free_address() -> SocketAddr {
     let start = (process::id() * PER_PROCESS % u32::from(SPAN)) as u16;
     loop {
         let taken = TAKEN.fetch_add(1, Ordering::Relaxed);
--- a/toucanchute_scenario/src/process.rs
+++ b/toucanchute_scenario/src/process.rs
@@ -11,11 +11,17 @@
 
 /// Signals that a scenario sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Signal {
+pub enum Signal {
+    /// Ends it at once.
     Kill,
+    /// Asks it to stop.
     Terminate,
+    /// Pauses it.
     Stop,
+    /// Lets it go on.
     Continue,
+    /// Tells it that its settings have changed.
+    Hangup,
 }
 
 impl Signal {
@@ -25,20 +31,25 @@
             Signal::Terminate => "-TERM",
             Signal::Stop => "-STOP",
             Signal::Continue => "-CONT",
+            Signal::Hangup => "-HUP",
         }
     }
 }
 
 /// A process that a scenario started; dropping it kills it.
 #[derive(Debug)]
-pub(crate) struct Process {
+pub struct Process {
     name: String,
     child: Child,
 }
 
 impl Process {
     /// Starts `binary`; its output goes to the file `log`.
-    pub(crate) fn start(
+    ///
+    /// # Errors
+    ///
+    /// Fails if the binary is missing or cannot be started.
+    pub fn start(
         name: &str,
         binary: &str,
         args: &[String],
@@ -64,7 +75,11 @@
     }
 
     /// Sends a signal to this process alone.
-    pub(crate) async fn signal(&self, signal: Signal) -> Result<(), ScenarioError> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if `kill` cannot be run.
+    pub async fn signal(&self, signal: Signal) -> Result<(), ScenarioError> {
         let Some(pid) = self.child.id() else {
             return Ok(());
         };
@@ -82,7 +97,11 @@
     }
 
     /// Waits for the end and returns the exit code, none if a signal ended it.
-    pub(crate) async fn wait(&mut self) -> Result<Option<i32>, ScenarioError> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system does not tell.
+    pub async fn wait(&mut self) -> Result<Option<i32>, ScenarioError> {
         let status = self.child.wait().await;
         let action = "wait for";
         let status = status.context(ProcessSnafu {
--- a/toucanchute_settings/src/gateway.rs
+++ b/toucanchute_settings/src/gateway.rs
@@ -92,13 +92,21 @@
     let failure_domain = r.required("failure_domain", &format::NAME);
     let region = r.required("region", &format::NAME);
     let peer_listen = r.required("peer_listen", &format::ADDRESS);
+    let peer_advertise = r
+        .optional("peer_advertise", &format::ADDRESS)
+        .or(peer_listen);
     let peer_secret = r.required("peer_secret", &format::SECRET);
+    if let Some(addr) = peer_advertise.filter(|a| a.ip().is_unspecified()) {
+        let cause = "an unspecified address cannot be connected to".to_owned();
+        r.conflict("peer_advertise", &addr.to_string(), cause);
+    }
     r.finish();
     Some(GatewayRouterSection {
         host: host?,
         failure_domain: failure_domain?,
         region: region?,
         peer_listen: peer_listen?,
+        peer_advertise: peer_advertise?,
         peer_secret: peer_secret?,
     })
 }
