--- /dev/null
+++ b/toucanchute_core/tests/prepaid_cases/contested.rs
@@ -0,0 +1,178 @@
+//! Two routers that spend from one account: each bound keeps the total, and a deliberate fault in it
+//! overspends.
+
+use toucanchute_core::prepaid::Fault;
+
+use crate::{TOTAL, fleet::Fleet};
+
+/// Total of the cases in which two routers spend.
+const CONTESTED: u64 = 60_000;
+
+/// Draws 200 tokens on each side of a split, 20 times a second; returns how much each side got.
+fn draw_on_both_sides(fleet: &mut Fleet, sides: [usize; 2], ticks: usize) -> [u64; 2] {
+    let mut got = [0, 0];
+    for _ in 0..ticks {
+        for (side, router) in sides.into_iter().enumerate() {
+            got[side] += match fleet.ask(router, 200) {
+                Ok(()) => 200,
+                Err(_) => 0,
+            };
+        }
+        fleet.advance(50);
+    }
+    got
+}
+
+/// The owner is alive, as its record shows, which it goes on writing.
+#[test]
+fn a_router_that_is_cut_off_takes_no_account_from_a_living_owner() {
+    let mut fleet = Fleet::with_quorum(5, TOTAL, 4, 2);
+    fleet.settle_in();
+    let owner = fleet.owners()[0];
+    let other = (0..5).find(|&i| i != owner).unwrap();
+    fleet.part(other);
+    let got = draw_on_both_sides(&mut fleet, [owner, other], 100);
+    assert_eq!(fleet.owners(), [owner]);
+    assert_eq!(got, [20_000, 0]);
+}
+
+#[test]
+fn an_account_whose_witnesses_are_gone_for_good_is_taken_over_in_the_end() {
+    let mut fleet = Fleet::with_quorum(7, TOTAL, 5, 3);
+    fleet.settle_in();
+    let owner = fleet.owners()[0];
+    for _ in 0..20 {
+        assert_eq!(fleet.ask(owner, 1_000), Ok(()));
+        fleet.advance(50);
+    }
+    let mut gone: Vec<usize> = fleet.witnesses().into_iter().take(3).collect();
+    gone.push(owner);
+    gone.sort_unstable();
+    for i in gone.into_iter().rev() {
+        fleet.remove(i);
+    }
+    fleet.advance(5_000);
+    // At most half of what was left is written off.
+    assert!(
+        (20_000..=60_000).contains(&fleet.used()),
+        "{}",
+        fleet.used()
+    );
+}
+
+/// One router reaches the store but no other router, and the others do not reach the store.
+fn spend_on_both_sides(fault: Option<Fault>) -> u64 {
+    let mut fleet = Fleet::with_fault(5, CONTESTED, (4, 2), fault);
+    fleet.settle_in();
+    let owner = fleet.owners()[0];
+    let other = (0..5).find(|&i| i != owner).unwrap();
+    let before = draw_on_both_sides(&mut fleet, [owner, owner], 30);
+    for i in (0..5).filter(|&i| i != other) {
+        fleet.lose_store(i);
+    }
+    fleet.part(other);
+    let after = draw_on_both_sides(&mut fleet, [owner, other], 200);
+    before.iter().chain(&after).sum()
+}
+
+/// The owner reaches its witnesses, but neither the store nor the router that takes over.
+fn spend_past_a_fence(fault: Option<Fault>) -> u64 {
+    let mut fleet = Fleet::with_fault(5, CONTESTED, (4, 2), fault);
+    fleet.settle_in();
+    let owner = fleet.owners()[0];
+    let other = (0..5).find(|&i| i != owner).unwrap();
+    let before = draw_on_both_sides(&mut fleet, [owner, owner], 30);
+    for i in (0..5).filter(|&i| i != other) {
+        fleet.lose_store(i);
+    }
+    fleet.split(owner, other);
+    let after = draw_on_both_sides(&mut fleet, [owner, other], 200);
+    before.iter().chain(&after).sum()
+}
+
+/// An account is given back, and the answer of the store is lost.
+fn spend_past_a_release(fault: Option<Fault>) -> u64 {
+    let mut fleet = Fleet::with_fault(1, CONTESTED, (4, 2), fault);
+    fleet.settle_in();
+    let before = draw_on_both_sides(&mut fleet, [0, 0], 30);
+    fleet.answers_lost = true;
+    fleet.drain(0);
+    let mut after = draw_on_both_sides(&mut fleet, [0, 0], 20);
+    fleet.part(0);
+    fleet.answers_lost = false;
+    fleet.lose_store(0);
+    let other = fleet.add();
+    fleet.settle_in();
+    after[1] += draw_on_both_sides(&mut fleet, [other, other], 300)
+        .iter()
+        .sum::<u64>();
+    before.iter().chain(&after).sum()
+}
+
+/// All but the owner are restarted; the owner is cut off from them and from the store, and spends on.
+fn restart_all_but(fleet: &mut Fleet, owner: usize) -> u64 {
+    fleet.lose_store(owner);
+    fleet.part(owner);
+    // Those that are killed move behind the owner.
+    for _ in 0..owner {
+        fleet.kill(0);
+    }
+    for _ in owner + 1..5 {
+        fleet.kill(1);
+    }
+    fleet.store_up = true;
+    fleet.settle_in();
+    fleet.advance(8_000);
+    draw_on_both_sides(fleet, [0, 1], 300).iter().sum()
+}
+
+/// A large request in an outage of the store, after a slow draw.
+fn spend_past_the_ramp(fault: Option<Fault>) -> u64 {
+    let mut fleet = Fleet::with_fault(5, CONTESTED, (4, 2), fault);
+    fleet.settle_in();
+    let owner = fleet.owners()[0];
+    for _ in 0..100 {
+        assert_eq!(fleet.ask(owner, 20), Ok(()));
+        fleet.advance(50);
+    }
+    fleet.store_up = false;
+    assert_eq!(fleet.ask(owner, 2_400), Ok(()));
+    fleet.advance(200);
+    2_000 + 2_400 + restart_all_but(&mut fleet, owner)
+}
+
+/// A large request whose tokens go back, beside a fast draw.
+fn spend_past_a_refund(fault: Option<Fault>) -> u64 {
+    let mut fleet = Fleet::with_fault(5, CONTESTED, (4, 2), fault);
+    fleet.settle_in();
+    let owner = fleet.owners()[0];
+    let call = fleet.reserve(owner, 12_000);
+    for i in 0..100 {
+        assert_eq!(fleet.ask(owner, 100), Ok(()));
+        fleet.advance(50);
+        if i == 20 {
+            fleet.end(owner, call, 0);
+        }
+    }
+    10_000 + restart_all_but(&mut fleet, owner)
+}
+
+macro_rules! bounds_spending {
+    ($($name:ident: $spend:expr, $fault:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let spent = $spend(None);
+            assert!(spent <= CONTESTED, "{spent} without the fault");
+            let spent = $spend(Some($fault));
+            assert!(spent > CONTESTED, "{spent} with the fault");
+        }
+    )*};
+}
+
+bounds_spending! {
+    an_owner_that_nobody_can_ask_bounds_spending: spend_on_both_sides, Fault::TrustSilence;
+    marks_stay_below_the_ramp: spend_past_the_ramp, Fault::MarkAboveRamp;
+    ramps_cover_earlier_marks: spend_past_a_refund, Fault::DropMarks;
+    witnesses_that_were_fenced_bound_spending: spend_past_a_fence, Fault::ForgetFence;
+    a_release_whose_answer_was_lost_bounds_spending: spend_past_a_release, Fault::SpendReleased;
+}
--- a/toucanchute_core/tests/prepaid_cases/fleet.rs
+++ b/toucanchute_core/tests/prepaid_cases/fleet.rs
@@ -3,16 +3,17 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use toucanchute_core::{
-    ledger::{StoreOp, StoreRequest, StoreResult},
+    ledger::{StoreOp, StoreResult},
     prepaid::{
         Action, CallId, ClockSpread, Event, Fault, Note, Peer, Prepaid, RefusalReason, Settings,
     },
 };
 use toucanchute_proto::{
-    BudgetId, Bytes, Incarnation, Millis, config::Ledger, fleet::MemberState,
-    prepaid::PrepaidMessage,
+    BudgetId, Incarnation, Millis, config::Ledger, fleet::MemberState, prepaid::PrepaidMessage,
 };
 
+use crate::memory_store::MemoryStore;
+
 /// Time between two ticks, in milliseconds.
 const TICK: u64 = 50;
 
@@ -46,8 +47,7 @@
     pub(crate) lone: bool,
     /// How often an account was opened or given away.
     pub(crate) changes: usize,
-    store: BTreeMap<String, (u64, Bytes)>,
-    revision: u64,
+    store: MemoryStore,
     answers: BTreeMap<CallId, Result<(), RefusalReason>>,
     /// Events on their way: receiver, event.
     queue: VecDeque<(Incarnation, Event)>,
@@ -85,8 +85,7 @@
             answers_lost: false,
             lone: false,
             changes: 0,
-            store: BTreeMap::new(),
-            revision: 0,
+            store: MemoryStore::default(),
             answers: BTreeMap::new(),
             queue: VecDeque::new(),
             split: None,
@@ -327,7 +326,7 @@
                 self.answers.insert(call, Err(refusal.reason));
             }
             Action::Send { to, message } => self.send(from, to, message),
-            Action::Store(op) => self.call_store(from, op),
+            Action::Store(op) => self.call_store(from, &op),
             Action::Note(Note::Opened { .. } | Note::Closed { .. }) => self.changes += 1,
             Action::Note(Note::Refused { .. }) | Action::Drained => {}
         }
@@ -341,10 +340,10 @@
         self.queue.push_back((to, Event::Message { from, message }));
     }
 
-    fn call_store(&mut self, to: Incarnation, op: StoreOp) {
+    fn call_store(&mut self, to: Incarnation, op: &StoreOp) {
         let reached = self.routers.iter().any(|r| r.id == to && !r.without_store);
         let result = match self.store_up && reached {
-            true => match (self.apply(op.request), self.answers_lost) {
+            true => match (self.store.apply(&op.request), self.answers_lost) {
                 (_, true) => StoreResult::Unknown,
                 (result, false) => result,
             },
@@ -353,33 +352,6 @@
         let op = op.op;
         self.queue.push_back((to, Event::Store { op, result }));
     }
-
-    fn apply(&mut self, request: StoreRequest) -> StoreResult {
-        match request {
-            StoreRequest::Get { key } => match self.store.get(&key.path()) {
-                Some((revision, value)) => StoreResult::Value {
-                    revision: *revision,
-                    value: value.clone(),
-                },
-                None => StoreResult::Missing,
-            },
-            StoreRequest::Cas {
-                key,
-                expected_revision,
-                value,
-            } => {
-                let present = self.store.get(&key.path()).map_or(0, |(r, _)| *r);
-                if present != expected_revision {
-                    return StoreResult::Conflict;
-                }
-                self.revision += 1;
-                self.store.insert(key.path(), (self.revision, value));
-                StoreResult::Applied {
-                    revision: self.revision,
-                }
-            }
-        }
-    }
 }
 
 fn host_name(host: u64) -> String {
--- /dev/null
+++ b/toucanchute_core/tests/prepaid_support/memory_store.rs
@@ -0,0 +1,44 @@
+//! A store in memory that the prepaid tests share.
+
+use std::collections::BTreeMap;
+
+use toucanchute_core::ledger::{StoreRequest, StoreResult};
+use toucanchute_proto::Bytes;
+
+/// Values with the revisions of their last changes.
+#[derive(Debug, Default)]
+pub(crate) struct MemoryStore {
+    values: BTreeMap<String, (u64, Bytes)>,
+    revision: u64,
+}
+
+impl MemoryStore {
+    /// Carries a call out.
+    pub(crate) fn apply(&mut self, request: &StoreRequest) -> StoreResult {
+        match request {
+            StoreRequest::Get { key } => match self.values.get(&key.path()) {
+                Some((revision, value)) => StoreResult::Value {
+                    revision: *revision,
+                    value: value.clone(),
+                },
+                None => StoreResult::Missing,
+            },
+            StoreRequest::Cas {
+                key,
+                expected_revision,
+                value,
+            } => {
+                let present = self.values.get(&key.path()).map_or(0, |(r, _)| *r);
+                if present != *expected_revision {
+                    return StoreResult::Conflict;
+                }
+                self.revision += 1;
+                self.values
+                    .insert(key.path(), (self.revision, value.clone()));
+                StoreResult::Applied {
+                    revision: self.revision,
+                }
+            }
+        }
+    }
+}
--- a/toucanchute_core/tests/prepaid_walk/world.rs
+++ b/toucanchute_core/tests/prepaid_walk/world.rs
@@ -1,6 +1,8 @@
 //! Routers, their links and a store, with faults injected at random.
 
-use std::collections::{BTreeMap, BTreeSet};
+mod faults;
+
+use std::collections::BTreeMap;
 
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
 use toucanchute_core::{
@@ -8,10 +10,11 @@
     prepaid::{Action, CallId, ClockSpread, Event, Fault, Peer, Prepaid, Settings},
 };
 use toucanchute_proto::{
-    BudgetId, Bytes, Incarnation, Millis, config::Ledger, fleet::MemberState,
-    prepaid::PrepaidMessage,
+    BudgetId, Incarnation, Millis, config::Ledger, fleet::MemberState, prepaid::PrepaidMessage,
 };
 
+use crate::memory_store::MemoryStore;
+
 /// Time between two ticks of a machine.
 const TICK: u64 = 50;
 
@@ -89,8 +92,7 @@
     next_call: u64,
     parcels: BTreeMap<(u64, u64), Parcel>,
     next_parcel: u64,
-    store: BTreeMap<String, (u64, Bytes)>,
-    revision: u64,
+    store: MemoryStore,
     limits: BTreeMap<BudgetId, u64>,
     /// Totals before they were raised last, and when that was.
     limits_before: BTreeMap<BudgetId, u64>,
@@ -116,8 +118,7 @@
             next_call: 0,
             parcels: BTreeMap::new(),
             next_parcel: 0,
-            store: BTreeMap::new(),
-            revision: 0,
+            store: MemoryStore::default(),
             limits: (0..4)
                 .map(|i| (BudgetId::from_name(&format!("b{i}")), 20_000 * (i + 1)))
                 .collect(),
@@ -323,97 +324,6 @@
         }
     }
 
-    // Faults
-
-    fn disturb(&mut self) {
-        let i = self.rng.random_range(0..self.routers.len());
-        let span = self.rng.random_range(200..9_000);
-        let until = self.now + span;
-        match self.rng.random_range(0..14) {
-            0 | 1 => self.kill(i),
-            2 => {
-                for _ in 0..self.routers.len() / 2 + 1 {
-                    let i = self.rng.random_range(0..self.routers.len());
-                    self.kill(i);
-                }
-            }
-            3 => {
-                for _ in 0..self.routers.len() {
-                    self.kill(0);
-                }
-            }
-            4 | 5 => self.routers[i].frozen = until,
-            6 => self.routers[i].cut = until,
-            7 | 8 => self.routers.iter_mut().for_each(|r| r.cut = until),
-            9 => {
-                let (me, others): (Incarnation, Vec<_>) = (
-                    self.routers[i].id,
-                    self.routers.iter().map(|r| r.id).collect(),
-                );
-                for other in others {
-                    self.split.insert((me.min(other), me.max(other)), until);
-                }
-            }
-            10 => {
-                let ids: Vec<_> = self.routers.iter().map(|r| r.id).collect();
-                let here: BTreeSet<_> = ids
-                    .iter()
-                    .copied()
-                    .filter(|_| self.rng.random_bool(0.5))
-                    .collect();
-                for &a in &here {
-                    for &b in ids.iter().filter(|b| !here.contains(b)) {
-                        self.split.insert((a.min(b), a.max(b)), until);
-                    }
-                }
-            }
-            11 => {
-                let other = self.routers[self.rng.random_range(0..self.routers.len())].id;
-                let me = self.routers[i].id;
-                self.split.insert((me.min(other), me.max(other)), until);
-            }
-            12 => {
-                for _ in 0..self.rng.random_range(1..=self.routers.len()) {
-                    let i = self.rng.random_range(0..self.routers.len());
-                    let host = self.routers.remove(i).host;
-                    self.down.push((host, until));
-                }
-                self.tell_peers();
-            }
-            _ => {
-                self.routers[i].draining = true;
-                self.tell_peers();
-                if let Some(i) = self.routers.iter().position(|r| r.draining) {
-                    self.feed(i, Event::Drain);
-                }
-            }
-        }
-    }
-
-    /// Starts routers on hosts that have power again.
-    fn power_up(&mut self) {
-        let now = self.now;
-        let up: Vec<_> = self
-            .down
-            .extract_if(.., |(_, until)| *until <= now)
-            .collect();
-        if up.is_empty() {
-            return;
-        }
-        for (host, _) in up {
-            self.start(host);
-        }
-        self.tell_peers();
-    }
-
-    /// Ends a router at once and starts another one. What its requests had set aside counts as
-    /// used.
-    fn kill(&mut self, i: usize) {
-        let host = self.routers.remove(i).host;
-        self.start(host);
-        self.tell_peers();
-    }
-
     // Carrying out
 
     fn feed(&mut self, i: usize, event: Event) {
@@ -494,7 +404,7 @@
             }
             Parcel::Result { to, op, result } => (to, Event::Store { op, result }),
             Parcel::LateWrite(request) => {
-                self.apply(&request);
+                self.store.apply(&request);
                 return;
             }
             Parcel::Settle { at, call, used } => return self.settle(at, call, used),
@@ -545,7 +455,7 @@
         }
         match self.rng.random_range(0..40) {
             0 => {
-                self.apply(&request);
+                self.store.apply(&request);
                 let result = StoreResult::Unknown;
                 self.post(500, 1_000, Parcel::Result { to, op, result });
             }
@@ -556,39 +466,11 @@
                 self.post(500, 1_000, Parcel::Result { to, op, result });
             }
             _ => {
-                let result = self.apply(&request);
+                let result = self.store.apply(&request);
                 self.post(2, 10, Parcel::Result { to, op, result });
             }
         }
     }
-
-    fn apply(&mut self, request: &StoreRequest) -> StoreResult {
-        match request {
-            StoreRequest::Get { key } => match self.store.get(&key.path()) {
-                Some((revision, value)) => StoreResult::Value {
-                    revision: *revision,
-                    value: value.clone(),
-                },
-                None => StoreResult::Missing,
-            },
-            StoreRequest::Cas {
-                key,
-                expected_revision,
-                value,
-            } => {
-                let present = self.store.get(&key.path()).map_or(0, |(r, _)| *r);
-                if present != *expected_revision {
-                    return StoreResult::Conflict;
-                }
-                self.revision += 1;
-                self.store
-                    .insert(key.path(), (self.revision, value.clone()));
-                StoreResult::Applied {
-                    revision: self.revision,
-                }
-            }
-        }
-    }
 }
 
 fn host_name(host: usize) -> String {
--- a/toucanchute_edge/src/passthrough/run.rs
+++ b/toucanchute_edge/src/passthrough/run.rs
@@ -1,5 +1,6 @@
 //! One request from its admission to the head of its answer.
 
+mod answers;
 mod trace;
 mod tries;
 
@@ -7,41 +8,34 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, Uri, request, response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
-use toucanchute_core::routing::{CrashKind, Report, Target};
+use toucanchute_core::routing::Target;
 use toucanchute_proto::{
     Digest, Millis,
     config::{Customer, Route, RouteKind},
 };
 
 use super::{
-    AnswerHead, Call, Dialect, Failure, FailureKind, Forward, RouteBody, RouteControl, TokenBound,
-    TokenRequest,
+    AnswerHead, Call, Dialect, Failure, Forward, RouteBody, RouteControl, TokenBound, TokenRequest,
     attempt::{Attempt, Held},
     handler::{Admitted, InFlight, Shared},
     headers::strip_connection,
-    pool::{Connection, SendError, is_reachable},
+    pool::{Connection, SendError},
     relay,
     table::RouteTable,
 };
-use crate::{backend::collect, control::AssignRequest, settings::now};
+use crate::{control::AssignRequest, settings::now};
 pub(super) use trace::Trace;
 pub(super) use tries::Tries;
 
-/// Largest answer that is read as a whole, in bytes.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
-
 /// Shared part of a prompt from which on it decides where a request runs, in tokens.
 const MIN_SHARED_TOKENS: u64 = 64;
 
 /// Least time left with which a request is sent to a backend server.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
-/// When to come back to a service whose backend servers refuse.
-const SHED_RETRY: Millis = Millis(200);
-
 /// Connections to backend servers that may fail for one request.
 const MAX_UNREACHABLE: u32 = 4;
 
@@ -306,173 +300,6 @@
             as_of: now(),
         });
     }
-
-    // What went wrong
-
-    /// Ends an attempt that got no answer; an error ends the request.
-    async fn failed(
-        &self,
-        error: ExchangeError,
-        attempt: Attempt<C>,
-        tries: &mut Tries,
-        trace: &mut Trace<C>,
-    ) -> Result<(), Failure> {
-        let address = attempt.assignment.address;
-        tries.exclude_backend(&attempt.assignment.backend);
-        trace.attempt_failed(&attempt.assignment, &error.to_string());
-        match error {
-            ExchangeError::Send {
-                source: SendError::Connect { .. } | SendError::Unsent,
-            } => {
-                attempt.end(Report::Unsent);
-                return tries.unreachable();
-            }
-            ExchangeError::Send {
-                source: SendError::Broken { .. },
-            } => {
-                let kind = match is_reachable(address).await {
-                    true => CrashKind::Interrupted,
-                    false => CrashKind::Disconnected,
-                };
-                attempt.end(Report::Crashed { kind });
-            }
-            ExchangeError::TimedOut => {
-                let kind = CrashKind::TimedOut;
-                attempt.end(Report::Crashed { kind });
-            }
-        }
-        tries.sent(true);
-        if tries.may_repeat() {
-            return Ok(());
-        }
-        match self.time_left() < MIN_TIME_LEFT {
-            true => Err(tries.out_of_time()),
-            false => Err(Failure::new(FailureKind::Failed, "backend-broke-off")),
-        }
-    }
-
-    /// Checks the head of an answer. `None` if the request goes on at another backend server.
-    async fn check(
-        &self,
-        answered: Answered<C>,
-        tries: &mut Tries,
-        trace: &mut Trace<C>,
-    ) -> Result<Option<Answered<C>>, Failure> {
-        let info = &answered.info;
-        let status = answered.head.status;
-        if info.not_run || info.misdirected {
-            let report = match info.misdirected {
-                true => Report::Unsent,
-                false => Report::Refused,
-            };
-            return self
-                .refused(answered, report, tries, trace)
-                .await
-                .map(|()| None);
-        }
-        let foreign =
-            info.attempt != self.call.attempt && (status.is_success() || info.attempt.is_some());
-        if foreign || info.encoded || status.is_success() && !info.sealed {
-            let kind = CrashKind::Malformed;
-            tries.exclude_backend(&answered.attempt.assignment.backend);
-            trace.attempt_failed(&answered.attempt.assignment, "answer is not this request's");
-            answered.attempt.end(Report::Crashed { kind });
-            tries.sent(true);
-            return match tries.may_repeat() {
-                true => Ok(None),
-                false => Err(Failure::new(FailureKind::Failed, "answer-malformed")),
-            };
-        }
-        tries.sent(true);
-        if status.is_server_error() && tries.may_repeat() {
-            self.retry_error(answered, tries, trace).await;
-            return Ok(None);
-        }
-        Ok(Some(answered))
-    }
-
-    /// Takes in that a backend server did not run the request.
-    async fn refused(
-        &self,
-        answered: Answered<C>,
-        report: Report,
-        tries: &mut Tries,
-        trace: &mut Trace<C>,
-    ) -> Result<(), Failure> {
-        let backend = answered.attempt.assignment.backend.clone();
-        tries.exclude_backend(&backend);
-        trace.attempt_failed(&answered.attempt.assignment, "refused, not run");
-        answered.attempt.end(report);
-        let keep = !answered.info.closes;
-        let read = timeout_at(self.deadline, collect(answered.body, MAX_ANSWER_BYTES)).await;
-        if keep && matches!(read, Ok(Ok(_))) {
-            let bound = answered.info.keep_alive;
-            self.shared.pool.keep(&backend, answered.conn, bound);
-        }
-        tries.sent(false);
-        match tries.may_send_again() {
-            true => Ok(()),
-            false => Err(tries.qualify(
-                Failure::new(FailureKind::NotRun, "backends-full").retry_after(Some(SHED_RETRY)),
-            )),
-        }
-    }
-
-    /// Puts a backend server's failure aside while another one is tried.
-    async fn retry_error(&self, answered: Answered<C>, tries: &mut Tries, trace: &mut Trace<C>) {
-        tries.exclude_backend(&answered.attempt.assignment.backend);
-        trace.attempt_failed(&answered.attempt.assignment, "backend failed");
-        let (head, info) = (answered.head, answered.info);
-        let backend = answered.attempt.assignment.backend.clone();
-        let kind = CrashKind::Malformed;
-        answered.attempt.end(Report::Crashed { kind });
-        let body = timeout_at(self.deadline, collect(answered.body, MAX_ANSWER_BYTES)).await;
-        if let Ok(Ok(body)) = body {
-            if !info.closes {
-                self.shared
-                    .pool
-                    .keep(&backend, answered.conn, info.keep_alive);
-            }
-            tries.put_aside(respond(&head, RouteBody::whole(body)));
-        }
-    }
-
-    /// Reads an answer as a whole.
-    async fn whole(
-        &self,
-        answered: Answered<C>,
-        tries: &mut Tries,
-    ) -> Result<Response<RouteBody>, Failure> {
-        let Answered {
-            attempt,
-            conn,
-            head,
-            body,
-            info,
-        } = answered;
-        attempt.first();
-        let backend = attempt.assignment.backend.clone();
-        match timeout_at(self.deadline, body.collect()).await {
-            Ok(Ok(body)) => {
-                attempt.end(Report::Done { tokens: 0 });
-                if !info.closes {
-                    self.shared.pool.keep(&backend, conn, info.keep_alive);
-                }
-                Ok(respond(&head, RouteBody::whole(body.to_bytes())))
-            }
-            Ok(Err(_)) => {
-                tries.exclude_backend(&backend);
-                let kind = CrashKind::Interrupted;
-                attempt.end(Report::Crashed { kind });
-                Err(Failure::new(FailureKind::Failed, "answer-broke-off"))
-            }
-            Err(_) => {
-                let kind = CrashKind::TimedOut;
-                attempt.end(Report::Crashed { kind });
-                Err(tries.out_of_time())
-            }
-        }
-    }
 }
 
 /// An exchange with a backend server that brought no answer.
--- /dev/null
+++ b/toucanchute_edge/src/passthrough/run/answers.rs
@@ -0,0 +1,190 @@
+//! What an attempt brought: no answer, one that says what went wrong, or one to pass on.
+
+use http::Response;
+use http_body_util::BodyExt;
+use tokio::time::timeout_at;
+use toucanchute_core::routing::{CrashKind, Report};
+use toucanchute_proto::Millis;
+
+use super::{Answered, ExchangeError, MIN_TIME_LEFT, Run, Trace, Tries, respond};
+use crate::{
+    backend::collect,
+    passthrough::{
+        Dialect, Failure, FailureKind, RouteBody, RouteControl,
+        attempt::Attempt,
+        pool::{SendError, is_reachable},
+    },
+};
+
+/// Largest answer that is read as a whole, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// When to come back to a service whose backend servers refuse.
+const SHED_RETRY: Millis = Millis(200);
+
+impl<C: RouteControl, D: Dialect> Run<C, D> {
+    /// Ends an attempt that got no answer; an error ends the request.
+    pub(super) async fn failed(
+        &self,
+        error: ExchangeError,
+        attempt: Attempt<C>,
+        tries: &mut Tries,
+        trace: &mut Trace<C>,
+    ) -> Result<(), Failure> {
+        let address = attempt.assignment.address;
+        tries.exclude_backend(&attempt.assignment.backend);
+        trace.attempt_failed(&attempt.assignment, &error.to_string());
+        match error {
+            ExchangeError::Send {
+                source: SendError::Connect { .. } | SendError::Unsent,
+            } => {
+                attempt.end(Report::Unsent);
+                return tries.unreachable();
+            }
+            ExchangeError::Send {
+                source: SendError::Broken { .. },
+            } => {
+                let kind = match is_reachable(address).await {
+                    true => CrashKind::Interrupted,
+                    false => CrashKind::Disconnected,
+                };
+                attempt.end(Report::Crashed { kind });
+            }
+            ExchangeError::TimedOut => {
+                let kind = CrashKind::TimedOut;
+                attempt.end(Report::Crashed { kind });
+            }
+        }
+        tries.sent(true);
+        if tries.may_repeat() {
+            return Ok(());
+        }
+        match self.time_left() < MIN_TIME_LEFT {
+            true => Err(tries.out_of_time()),
+            false => Err(Failure::new(FailureKind::Failed, "backend-broke-off")),
+        }
+    }
+
+    /// Checks the head of an answer. `None` if the request goes on at another backend server.
+    pub(super) async fn check(
+        &self,
+        answered: Answered<C>,
+        tries: &mut Tries,
+        trace: &mut Trace<C>,
+    ) -> Result<Option<Answered<C>>, Failure> {
+        let info = &answered.info;
+        let status = answered.head.status;
+        if info.not_run || info.misdirected {
+            let report = match info.misdirected {
+                true => Report::Unsent,
+                false => Report::Refused,
+            };
+            return self
+                .refused(answered, report, tries, trace)
+                .await
+                .map(|()| None);
+        }
+        let foreign =
+            info.attempt != self.call.attempt && (status.is_success() || info.attempt.is_some());
+        if foreign || info.encoded || status.is_success() && !info.sealed {
+            let kind = CrashKind::Malformed;
+            tries.exclude_backend(&answered.attempt.assignment.backend);
+            trace.attempt_failed(&answered.attempt.assignment, "answer is not this request's");
+            answered.attempt.end(Report::Crashed { kind });
+            tries.sent(true);
+            return match tries.may_repeat() {
+                true => Ok(None),
+                false => Err(Failure::new(FailureKind::Failed, "answer-malformed")),
+            };
+        }
+        tries.sent(true);
+        if status.is_server_error() && tries.may_repeat() {
+            self.retry_error(answered, tries, trace).await;
+            return Ok(None);
+        }
+        Ok(Some(answered))
+    }
+
+    /// Takes in that a backend server did not run the request.
+    async fn refused(
+        &self,
+        answered: Answered<C>,
+        report: Report,
+        tries: &mut Tries,
+        trace: &mut Trace<C>,
+    ) -> Result<(), Failure> {
+        let backend = answered.attempt.assignment.backend.clone();
+        tries.exclude_backend(&backend);
+        trace.attempt_failed(&answered.attempt.assignment, "refused, not run");
+        answered.attempt.end(report);
+        let keep = !answered.info.closes;
+        let read = timeout_at(self.deadline, collect(answered.body, MAX_ANSWER_BYTES)).await;
+        if keep && matches!(read, Ok(Ok(_))) {
+            let bound = answered.info.keep_alive;
+            self.shared.pool.keep(&backend, answered.conn, bound);
+        }
+        tries.sent(false);
+        match tries.may_send_again() {
+            true => Ok(()),
+            false => Err(tries.qualify(
+                Failure::new(FailureKind::NotRun, "backends-full").retry_after(Some(SHED_RETRY)),
+            )),
+        }
+    }
+
+    /// Puts a backend server's failure aside while another one is tried.
+    async fn retry_error(&self, answered: Answered<C>, tries: &mut Tries, trace: &mut Trace<C>) {
+        tries.exclude_backend(&answered.attempt.assignment.backend);
+        trace.attempt_failed(&answered.attempt.assignment, "backend failed");
+        let (head, info) = (answered.head, answered.info);
+        let backend = answered.attempt.assignment.backend.clone();
+        let kind = CrashKind::Malformed;
+        answered.attempt.end(Report::Crashed { kind });
+        let body = timeout_at(self.deadline, collect(answered.body, MAX_ANSWER_BYTES)).await;
+        if let Ok(Ok(body)) = body {
+            if !info.closes {
+                self.shared
+                    .pool
+                    .keep(&backend, answered.conn, info.keep_alive);
+            }
+            tries.put_aside(respond(&head, RouteBody::whole(body)));
+        }
+    }
+
+    /// Reads an answer as a whole.
+    pub(super) async fn whole(
+        &self,
+        answered: Answered<C>,
+        tries: &mut Tries,
+    ) -> Result<Response<RouteBody>, Failure> {
+        let Answered {
+            attempt,
+            conn,
+            head,
+            body,
+            info,
+        } = answered;
+        attempt.first();
+        let backend = attempt.assignment.backend.clone();
+        match timeout_at(self.deadline, body.collect()).await {
+            Ok(Ok(body)) => {
+                attempt.end(Report::Done { tokens: 0 });
+                if !info.closes {
+                    self.shared.pool.keep(&backend, conn, info.keep_alive);
+                }
+                Ok(respond(&head, RouteBody::whole(body.to_bytes())))
+            }
+            Ok(Err(_)) => {
+                tries.exclude_backend(&backend);
+                let kind = CrashKind::Interrupted;
+                attempt.end(Report::Crashed { kind });
+                Err(Failure::new(FailureKind::Failed, "answer-broke-off"))
+            }
+            Err(_) => {
+                let kind = CrashKind::TimedOut;
+                attempt.end(Report::Crashed { kind });
+                Err(tries.out_of_time())
+            }
+        }
+    }
+}
