--- a/toucanchute_core/src/prepaid/draw.rs
+++ b/toucanchute_core/src/prepaid/draw.rs
@@ -303,7 +303,7 @@
         if !due {
             return None;
         }
-        // A takeover that knows no marks counts on none of them being above the ramp.
+        // A takeover by the ramp assumes that no witness held a mark above it.
         let marked = match self.has(Fault::DropMarks) {
             true => 0,
             false => self.marks.highest().saturating_sub(self.used),
@@ -323,7 +323,7 @@
     }
 
     /// Returns when a record was sent that is found in the store; one that is not known here was
-    /// sent by the owner before.
+    /// sent by the previous owner.
     fn sent_at_of(&self, record: &Account) -> Millis {
         let sent = self.pending.iter().find(|(pending, _)| pending == record);
         sent.map_or(self.sent_at, |(_, sent)| *sent)
--- a/toucanchute_core/src/prepaid/fencing.rs
+++ b/toucanchute_core/src/prepaid/fencing.rs
@@ -19,7 +19,7 @@
 /// Pause before a witness is asked again.
 const FENCE_RESEND: Millis = Millis(100);
 
-/// Learning how far the owner before can have spent.
+/// Learning how far the previous owner can have spent.
 impl Prepaid {
     pub(super) fn start_fencing(
         &mut self,
@@ -120,8 +120,8 @@
         self.open_if_fenced(budget, out);
     }
 
-    /// Begins to spend once it is known how far the owner before can have spent, or may have to be
-    /// alive for good.
+    /// Begins to spend once it is known how far the previous owner can have spent, or once it has
+    /// waited long enough for proof.
     pub(super) fn open_if_fenced(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
         let (now, clocks) = (self.now, self.clocks);
         let skip = self.has(Fault::SkipFence);
--- a/toucanchute_core/src/prepaid/marks.rs
+++ b/toucanchute_core/src/prepaid/marks.rs
@@ -8,7 +8,7 @@
 /// High-water marks that an owner has asked its witnesses to keep.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Marks {
-    /// Mark that a quorum acknowledged to the owner before, who handed the account over.
+    /// Mark that a quorum acknowledged to the previous owner, who handed the account over.
     inherited: Option<(Quorum, u64)>,
     /// Highest mark that each witness acknowledged.
     acked: BTreeMap<Incarnation, u64>,
--- a/toucanchute_core/src/prepaid/proof.rs
+++ b/toucanchute_core/src/prepaid/proof.rs
@@ -7,17 +7,17 @@
 
 use super::record;
 
-/// What a takeover has learnt since its claim of those who could let the owner before spend on.
+/// What a takeover has learnt since its claim about the routers that let the previous owner spend.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Proof {
-    /// Marks of the witnesses that refuse the owner before from now on.
+    /// Marks of the witnesses that refuse the previous owner from now on.
     fenced: BTreeMap<Incarnation, u64>,
     /// Routers that answered, by host. Whatever ran there when the record was written, and is not
     /// the router that answered, has ended.
     met: BTreeMap<String, Incarnation>,
 }
 
-/// What bounds the spending of the owner before.
+/// What bounds the spending of the previous owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Basis {
     /// Enough witnesses refuse it: the highest mark that they kept.
@@ -29,7 +29,7 @@
 }
 
 impl Proof {
-    /// Takes in that a witness refuses the owner before, and the mark that it kept.
+    /// Takes in that a witness refuses the previous owner, and the mark that it kept.
     pub(super) fn fence(&mut self, witness: Incarnation, mark: u64) {
         self.fenced.insert(witness, mark);
     }
@@ -39,7 +39,7 @@
         self.met.insert(host.to_owned(), router);
     }
 
-    /// Whether a witness refuses the owner before.
+    /// Whether a witness refuses the previous owner.
     pub(super) fn is_fenced(&self, witness: Incarnation) -> bool {
         self.fenced.contains_key(&witness)
     }
@@ -50,7 +50,7 @@
         marks.fold(account.spent, u64::max).min(account.drawn)
     }
 
-    /// Returns what bounds the owner before, whose record names `quorum`.
+    /// Returns what bounds the previous owner, whose record names `quorum`.
     pub(super) fn basis(&self, quorum: &Quorum) -> Basis {
         let needed = record::fences_needed(quorum);
         let ended = self.ended(quorum);
--- a/toucanchute_core/src/prepaid/ramp.rs
+++ b/toucanchute_core/src/prepaid/ramp.rs
@@ -19,7 +19,7 @@
 /// they were without the store.
 const REACH_DIVISOR: u64 = 2;
 
-/// Time of its pace that a ramp may reach. A takeover counts all of it where the owner may be alive.
+/// Longest time for which a ramp rises. A takeover counts all of it where the owner may be alive.
 const REACH: Millis = Millis(30_000);
 
 /// Uncertainty of elapsed time between two clocks of the fleet.
--- a/toucanchute_core/src/prepaid/takeover.rs
+++ b/toucanchute_core/src/prepaid/takeover.rs
@@ -46,7 +46,7 @@
     Start,
     /// A call to the store is in flight.
     Calling { op: u64, call: Call },
-    /// The claim is in the store; witnesses are asked to refuse the owner before.
+    /// The claim is in the store; witnesses are asked to refuse the previous owner.
     Fencing {
         claim: Account,
         revision: u64,
@@ -59,7 +59,7 @@
 #[derive(Clone, Debug)]
 pub(super) enum Call {
     Read,
-    /// Writes the claim; the quorum in it is still that of the owner before.
+    /// Writes the claim; the quorum in it is still that of the previous owner.
     Claim(Account),
     /// Writes the record with which spending begins.
     Open(Account),
