fix(router): broken answers and failed accepts have a line; one server for metrics and questions

A whole answer that broke off or came too late ended its attempt without attempt-failed, and a silent stream was told as broken off: the way from a failed request's id to its cause (docs/OPERATIONS.md) ended there. A failed accept of the metrics and questions listeners was tried again without a pause, which without descriptors takes the whole processor of a host; that of peers had no line. Found by reading; no test, since the suites do not read the log. The two accept loops were twins and are one file.

--- a/toucanchute_edge/src/passthrough/relay.rs
+++ b/toucanchute_edge/src/passthrough/relay.rs
@@ -109,7 +109,7 @@
                 ..
             } = answered;
             attempt.end(report);
-            match end {
+            let cause = match end {
                 End::Complete => {
                     if !info.closes {
                         let pool = &self.run.shared.pool;
@@ -119,10 +119,11 @@
                 }
                 End::CallerLeft => return self.finish("caller-left"),
                 End::OutOfTime => return self.break_off("out-of-time").await,
-                End::Broken | End::Silent => {}
-            }
+                End::Broken => "stream broke off",
+                End::Silent => "no event in time",
+            };
             drop(conn);
-            self.trace.attempt_failed(&assignment, "stream broke off");
+            self.trace.attempt_failed(&assignment, cause);
             self.tries.exclude_backend(&assignment.backend);
             if !self.tries.may_repeat() {
                 return self.break_off("stream-broke-off").await;
--- a/toucanchute_edge/src/passthrough/run.rs
+++ b/toucanchute_edge/src/passthrough/run.rs
@@ -105,7 +105,7 @@
             if stream && answered.head.status.is_success() {
                 return relay::start(self, answered, tries, held, trace, in_flight);
             }
-            match self.whole(answered, &mut tries).await {
+            match self.whole(answered, &mut tries, &trace).await {
                 Ok(res) => return trace.deliver(res),
                 Err(failure) if tries.may_repeat() => trace.retry(failure.reason),
                 Err(failure) => return tries.fall_back(trace, failure),
--- a/toucanchute_edge/src/passthrough/run/answers.rs
+++ b/toucanchute_edge/src/passthrough/run/answers.rs
@@ -156,6 +156,7 @@
         &self,
         answered: Answered<C>,
         tries: &mut Tries,
+        trace: &Trace<C>,
     ) -> Result<Response<RouteBody>, Failure> {
         let Answered {
             attempt,
@@ -174,13 +175,15 @@
                 }
                 Ok(respond(&head, RouteBody::whole(body.to_bytes())))
             }
-            Ok(Err(_)) => {
+            Ok(Err(e)) => {
+                trace.attempt_failed(&attempt.assignment, &format!("answer broke off: {e}"));
                 tries.exclude_backend(&backend);
                 let kind = CrashKind::Interrupted;
                 attempt.end(Report::Crashed { kind });
                 Err(Failure::new(FailureKind::Failed, "answer-broke-off"))
             }
             Err(_) => {
+                trace.attempt_failed(&attempt.assignment, "answer not whole in time");
                 let kind = CrashKind::TimedOut;
                 attempt.end(Report::Crashed { kind });
                 Err(tries.out_of_time())
--- a/toucanchute_router/src/gateway.rs
+++ b/toucanchute_router/src/gateway.rs
@@ -1,6 +1,7 @@
 //! The process of an entry host on the users' platform: passes requests through by the operator's
 //! routes. It shares links, fleet and dispatch actors with the router.
 
+mod ask_server;
 mod control;
 mod feeds;
 mod leave;
--- a/toucanchute_router/src/gateway/monitor.rs
+++ b/toucanchute_router/src/gateway/monitor.rs
@@ -1,18 +1,14 @@
 //! Counters and latency histograms of a gateway, served as text.
 
-use std::{
-    convert::Infallible,
-    sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicU64, Ordering},
-    },
+use std::sync::{
+    Arc, Mutex, PoisonError,
+    atomic::{AtomicU64, Ordering},
 };
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
+use hyper::body::Incoming;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -26,6 +22,8 @@
 use toucanchute_platform::StoreClient;
 use toucanchute_store::CallCounts;
 
+use super::ask_server;
+
 /// Upper bounds of the latency histograms, in milliseconds: from a plain answer to a whole stream.
 const LATENCY_MS: [f64; 12] = [
     5.0, 10.0, 25.0, 50.0, 100.0, 200.0, 400.0, 700.0, 1_000.0, 2_000.0, 5_000.0, 15_000.0,
@@ -208,27 +206,12 @@
 
 /// Serves the metrics until the process ends, whatever the path.
 pub(super) async fn serve(listener: TcpListener, monitor: Arc<Monitor>, source: Source) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                log::warn!(error:% = e; "accept-failed");
-                continue;
-            }
-        };
-        let (monitor, source) = (Arc::clone(&monitor), source.clone());
-        let service = service_fn(move |_: Request<Incoming>| {
-            let text = monitor.text(&source);
-            let mut res = Response::new(Full::new(Bytes::from(text)));
-            let kind = HeaderValue::from_static("text/plain; version=0.0.4");
-            res.headers_mut().insert(header::CONTENT_TYPE, kind);
-            async move { Ok::<_, Infallible>(res) }
-        });
-        tokio::spawn(async move {
-            let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(e) = conn.await {
-                log::debug!(error:% = e; "metrics-connection-failed");
-            }
-        });
-    }
+    let answer = move |_: &Request<Incoming>| {
+        let text = monitor.text(&source);
+        let mut res = Response::new(Full::new(Bytes::from(text)));
+        let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+        res.headers_mut().insert(header::CONTENT_TYPE, kind);
+        res
+    };
+    ask_server::serve(listener, "metrics", answer).await;
 }
--- a/toucanchute_router/src/gateway/questions.rs
+++ b/toucanchute_router/src/gateway/questions.rs
@@ -1,7 +1,6 @@
 //! What the platform and callers ask the router about itself and the fleet.
 
 use std::{
-    convert::Infallible,
     net::SocketAddr,
     sync::{
         Arc,
@@ -12,13 +11,12 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use rand::seq::SliceRandom;
 use tokio::net::TcpListener;
 use toucanchute_platform::{Question, answer, read_question};
 use toucanchute_proto::{Millis, fleet::MemberState};
 
+use super::ask_server;
 use crate::{clock, view::View};
 
 /// Addresses in a caller's own failure domain from which on none of another is named.
@@ -79,26 +77,5 @@
 
 /// Answers questions until the process ends.
 pub(super) async fn serve(listener: TcpListener, desk: Arc<Desk>) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                log::warn!(error:% = e; "accept-failed");
-                continue;
-            }
-        };
-        let desk = Arc::clone(&desk);
-        let service = service_fn(move |req: Request<Incoming>| {
-            let res = desk.answer(&req);
-            async move { Ok::<_, Infallible>(res) }
-        });
-        tokio::spawn(async move {
-            let conn = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(e) = conn.await {
-                log::debug!(error:% = e; "question-connection-failed");
-            }
-        });
-    }
+    ask_server::serve(listener, "questions", move |req| desk.answer(req)).await;
 }
--- a/toucanchute_router/src/link/mesh.rs
+++ b/toucanchute_router/src/link/mesh.rs
@@ -162,7 +162,10 @@
             loop {
                 match listener.accept().await {
                     Ok((stream, _)) => drop(tokio::spawn(mesh.clone().answer(stream))),
-                    Err(_) => tokio::time::sleep(REDIAL_MIN).await,
+                    Err(e) => {
+                        log::warn!(error:% = e; "accept-failed");
+                        tokio::time::sleep(REDIAL_MIN).await;
+                    }
                 }
             }
         })
