refactor(prepaid): quorums are chosen when one is lacking; announcements without the record

Each account sorted all peers and cloned the hosts' names of its witnesses on every tick and acknowledgement, to compare with the present quorum; whether one is gone or more are there shows without that. An announcement carried the whole record to every peer at each checkpoint, though receivers read budget and term only. desk.rs: three loops over requests that are asked are one, ask_again stood twice, refuse_own was give_up by another name.

--- a/toucanchute_core/src/prepaid/desk.rs
+++ b/toucanchute_core/src/prepaid/desk.rs
@@ -77,6 +77,12 @@
 }
 
 impl Desk {
+    /// Returns the unanswered requests that `wanted` picks.
+    fn calls(&self, wanted: impl Fn(&Asking) -> bool) -> Vec<CallId> {
+        let calls = self.asking.iter().filter(|(_, a)| wanted(a));
+        calls.map(|(&call, _)| call).collect()
+    }
+
     /// Takes in that a refund arrived.
     pub(super) fn settled(&mut self, seq: u64) {
         self.refunds.remove(&seq);
@@ -229,29 +235,18 @@
                 self.known.insert(budget, Known { term, owner });
             }
         }
-        let sends = self.desk.asking.get(&call).map_or(0, |a| a.sends);
-        if sends < MAX_SENDS {
-            self.route_call(call, out);
-        }
+        self.ask_again(call, out);
     }
 
-    fn give_up(&mut self, call: CallId, reason: RefusalReason, out: &mut Vec<Action>) {
+    /// Refuses a request of this router, unless it has its answer.
+    pub(super) fn give_up(&mut self, call: CallId, reason: RefusalReason, out: &mut Vec<Action>) {
         if self.desk.asking.remove(&call).is_some() {
             refuse(call, reason, out);
         }
     }
 
-    /// Refuses a request of this router.
-    pub(super) fn refuse_own(
-        &mut self,
-        call: CallId,
-        reason: RefusalReason,
-        out: &mut Vec<Action>,
-    ) {
-        self.give_up(call, reason, out);
-    }
-
-    /// Asks again for a request of this router whose account has moved.
+    /// Asks again for a request of this router whose account has moved, unless it was asked for too
+    /// often.
     pub(super) fn ask_again(&mut self, call: CallId, out: &mut Vec<Action>) {
         let sends = self.desk.asking.get(&call).map_or(MAX_SENDS, |a| a.sends);
         if sends < MAX_SENDS {
@@ -265,14 +260,7 @@
     pub(super) fn reroute(&mut self, out: &mut Vec<Action>) {
         let me = self.me();
         let lost = |a: &Asking| a.to.is_none_or(|to| to != me && !self.is_reachable(to));
-        let calls: Vec<CallId> = self
-            .desk
-            .asking
-            .iter()
-            .filter(|(_, a)| lost(a))
-            .map(|(&call, _)| call)
-            .collect();
-        for call in calls {
+        for call in self.desk.calls(lost) {
             self.ask_again(call, out);
         }
     }
@@ -282,33 +270,18 @@
         let me = self.me();
         let owner = self.known.get(&budget).map(|k| k.owner);
         let stray = |a: &Asking| a.budget == budget && a.to != owner && a.to != Some(me);
-        let calls: Vec<CallId> = self
-            .desk
-            .asking
-            .iter()
-            .filter(|(_, a)| stray(a))
-            .map(|(&call, _)| call)
-            .collect();
-        for call in calls {
+        for call in self.desk.calls(stray) {
             self.ask_again(call, out);
         }
     }
 
     pub(super) fn tick_desk(&mut self, out: &mut Vec<Action>) {
         let (now, me) = (self.now, self.me());
-        let mut late = Vec::new();
-        let mut silent = Vec::new();
-        for (&call, asking) in &self.desk.asking {
-            if asking.until <= now {
-                late.push(call);
-            } else if asking.to != Some(me) && now.since(asking.sent_at) >= RESEND {
-                silent.push(call);
-            }
-        }
-        for call in late {
+        for call in self.desk.calls(|a| a.until <= now) {
             self.give_up(call, RefusalReason::Unavailable, out);
         }
-        for call in silent {
+        let silent = |a: &Asking| a.to != Some(me) && now.since(a.sent_at) >= RESEND;
+        for call in self.desk.calls(silent) {
             self.ask_again(call, out);
         }
         self.desk.ended.retain(|_, at| now.since(*at) < ENDED_FOR);
--- a/toucanchute_core/src/prepaid/draw.rs
+++ b/toucanchute_core/src/prepaid/draw.rs
@@ -37,33 +37,35 @@
 
     /// Starts to replace witnesses that are gone or too few.
     fn renew_quorum(&mut self, budget: BudgetId) {
-        let (now, next) = (self.now, self.choose_quorum(budget));
-        let store_up = self.store_up();
-        let gone: Vec<Incarnation> = match self.accounts.get(&budget) {
-            Some(owned) => {
-                let witnesses = owned.record.quorum.witnesses.iter();
-                witnesses.copied().filter(|&w| !self.is_steady(w)).collect()
-            }
-            None => return,
-        };
+        let now = self.now;
         let Some(owned) = self.accounts.get_mut(&budget) else {
             return;
         };
-        if owned
-            .joining
-            .as_ref()
-            .is_some_and(|(_, at)| now.since(*at) >= JOIN_TIME)
-        {
-            owned.joining = None;
-        }
-        let few = next.witnesses.len() > owned.record.quorum.witnesses.len();
-        let due = (!gone.is_empty() || few) && next != owned.record.quorum;
+        let late = |(_, at): &mut (Quorum, Millis)| now.since(*at) >= JOIN_TIME;
+        owned.joining.take_if(late);
         let free = owned.write.is_none() && owned.joining.is_none() && now >= owned.retry_at;
-        if due && free && store_up {
+        if !free || !self.store_up() || !self.is_quorum_lacking(budget) {
+            return;
+        }
+        let next = self.choose_quorum(budget);
+        if let Some(owned) = self.accounts.get_mut(&budget)
+            && next != owned.record.quorum
+        {
             owned.joining = Some((next, now));
         }
     }
 
+    /// Whether a witness of an account is gone, or more routers could be witnesses.
+    fn is_quorum_lacking(&self, budget: BudgetId) -> bool {
+        let Some(owned) = self.accounts.get(&budget) else {
+            return false;
+        };
+        let witnesses = &owned.record.quorum.witnesses;
+        let steady = self.peers.keys().filter(|&&id| self.is_steady(id)).count();
+        let most = steady.min(usize::from(self.policy.witnesses));
+        witnesses.len() < most || witnesses.iter().any(|&w| !self.is_steady(w))
+    }
+
     /// Asks witnesses to keep a higher mark where the present one will soon be reached.
     fn raise_marks(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
         let (now, limit) = (self.now, self.limit(budget));
--- a/toucanchute_core/src/prepaid/machine.rs
+++ b/toucanchute_core/src/prepaid/machine.rs
@@ -312,8 +312,6 @@
             let body = Announce {
                 budget,
                 term: owned.term,
-                account: owned.record.clone(),
-                revision: owned.revision,
             };
             let message = PrepaidMessage::Announce(body);
             out.push(Action::Send { to, message });
@@ -331,7 +329,7 @@
     }
 
     fn learn(&mut self, from: Incarnation, body: &Announce, out: &mut Vec<Action>) {
-        let &Announce { budget, term, .. } = body;
+        let &Announce { budget, term } = body;
         if self.known.get(&budget).is_some_and(|k| k.term > term) {
             return;
         }
--- a/toucanchute_core/src/prepaid/owner.rs
+++ b/toucanchute_core/src/prepaid/owner.rs
@@ -190,9 +190,9 @@
         match verdict {
             Verdict::Reserved => self.reserved(call, budget, me, term, out),
             Verdict::Elsewhere => self.ask_again(call, out),
-            Verdict::Exhausted => self.refuse_own(call, RefusalReason::Exhausted, out),
-            Verdict::Held => self.refuse_own(call, RefusalReason::Held, out),
-            Verdict::Unavailable => self.refuse_own(call, RefusalReason::Unavailable, out),
+            Verdict::Exhausted => self.give_up(call, RefusalReason::Exhausted, out),
+            Verdict::Held => self.give_up(call, RefusalReason::Held, out),
+            Verdict::Unavailable => self.give_up(call, RefusalReason::Unavailable, out),
         }
     }
 
