refactor: one store in memory for all tests of the core; a steady draw is one line of a case

Four copies of the same compare-and-swap store (money_single, sim, ring, prepaid) are one; the draw stood eleven times in the prepaid cases, the split with one store twice.

--- a/toucanchute_core/examples/money_balance.rs
+++ b/toucanchute_core/examples/money_balance.rs
@@ -14,6 +14,8 @@
 mod baseline;
 #[path = "money_balance/load.rs"]
 mod load;
+#[path = "../tests/support/memory_store.rs"]
+mod memory_store;
 #[path = "money_balance/run.rs"]
 mod run;
 #[path = "../tests/support/sim.rs"]
--- a/toucanchute_core/tests/ledger_search.rs
+++ b/toucanchute_core/tests/ledger_search.rs
@@ -6,6 +6,8 @@
     hash::{Hash, Hasher},
 };
 
+#[path = "support/memory_store.rs"]
+mod memory_store;
 #[path = "ledger_search/reclaim.rs"]
 mod reclaim;
 #[path = "ledger_search/ring.rs"]
--- a/toucanchute_core/tests/ledger_search/ring.rs
+++ b/toucanchute_core/tests/ledger_search/ring.rs
@@ -1,16 +1,15 @@
 //! Two writers of one shard and a store whose answers may be lost.
 
-use std::collections::BTreeMap;
-
 use toucanchute_core::ledger::{
     Fault, LogEvent, OpId, ShardLog, ShardState, StoreKey, StoreOp, StoreRequest, StoreResult,
 };
 use toucanchute_proto::{
-    BudgetId, Bytes, EntryId, Incarnation, Millis, ShardId, from_cbor,
+    BudgetId, EntryId, Incarnation, Millis, ShardId, from_cbor,
     ledger::{Batch, Entry, EntryBody, TopUp},
 };
 
 use super::World;
+use crate::memory_store::MemoryStore;
 
 /// Keys in the ring; small, so that it goes round.
 const RING: u32 = 2;
@@ -27,8 +26,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RingWorld {
     writers: Vec<Writer>,
-    values: BTreeMap<StoreKey, (u64, Bytes)>,
-    revision: u64,
+    store: MemoryStore,
     /// The true log.
     truth: ShardState,
     committed: Vec<EntryId>,
@@ -50,8 +48,7 @@
     ) -> RingWorld {
         let mut world = RingWorld {
             writers: Vec::new(),
-            values: BTreeMap::new(),
-            revision: 0,
+            store: MemoryStore::default(),
             truth: ShardState::default(),
             committed: Vec::new(),
             late: Vec::new(),
@@ -84,34 +81,16 @@
     }
 
     fn apply(&mut self, request: &StoreRequest) -> Result<StoreResult, String> {
-        match request {
-            StoreRequest::Get { key } => Ok(match self.values.get(key) {
-                Some((revision, value)) => StoreResult::Value {
-                    revision: *revision,
-                    value: value.clone(),
-                },
-                None => StoreResult::Missing,
-            }),
-            StoreRequest::Cas {
-                key,
-                expected_revision,
-                value,
-            } => {
-                if self.values.get(key).map_or(0, |v| v.0) != *expected_revision {
-                    return Ok(StoreResult::Conflict);
-                }
-                self.revision += 1;
-                self.values.insert(*key, (self.revision, value.clone()));
-                if let StoreKey::Slot { .. } = key {
-                    let batch: Batch = from_cbor(value).map_err(|e| e.to_string())?;
-                    self.truth.apply(&batch).map_err(|e| e.to_string())?;
-                    self.committed.extend(batch.entries.iter().map(|e| e.id));
-                }
-                Ok(StoreResult::Applied {
-                    revision: self.revision,
-                })
-            }
+        let result = self.store.apply(request);
+        if let StoreRequest::Cas { key, value, .. } = request
+            && matches!(result, StoreResult::Applied { .. })
+            && matches!(key, StoreKey::Slot { .. })
+        {
+            let batch: Batch = from_cbor(value).map_err(|e| e.to_string())?;
+            self.truth.apply(&batch).map_err(|e| e.to_string())?;
+            self.committed.extend(batch.entries.iter().map(|e| e.id));
         }
+        Ok(result)
     }
 
     fn answer(&mut self, writer: usize, op: OpId, result: &StoreResult) -> Result<(), String> {
--- a/toucanchute_core/tests/money_fuzz.rs
+++ b/toucanchute_core/tests/money_fuzz.rs
@@ -8,6 +8,8 @@
 
 #[path = "money_fuzz/disturb.rs"]
 mod disturb;
+#[path = "support/memory_store.rs"]
+mod memory_store;
 #[path = "money_fuzz/oracle.rs"]
 mod oracle;
 #[path = "support/sim.rs"]
--- a/toucanchute_core/tests/money_single.rs
+++ b/toucanchute_core/tests/money_single.rs
@@ -1,9 +1,14 @@
 //! One router alone: the path of a request from top-up to statement.
 
-use std::collections::{BTreeMap, VecDeque};
+#[path = "support/memory_store.rs"]
+mod memory_store;
+
+use std::collections::VecDeque;
+
+use memory_store::MemoryStore;
 
 use toucanchute_core::{
-    ledger::{StoreKey, StoreOp, StoreRequest, StoreResult},
+    ledger::{StoreOp, StoreResult},
     money::{Action, Billing, CallId, Event, Money, RefusalReason, Settings},
 };
 use toucanchute_proto::{
@@ -16,8 +21,7 @@
 struct Alone {
     money: Money,
     now: Millis,
-    values: BTreeMap<StoreKey, (u64, Bytes)>,
-    revision: u64,
+    store: MemoryStore,
     next_call: u64,
     /// Time that passes before a call to the store is answered.
     slow: Millis,
@@ -30,8 +34,7 @@
         Alone {
             money: Money::new(Settings::new(Incarnation(1), "bilbao", 7)),
             now: Millis(1_000),
-            values: BTreeMap::new(),
-            revision: 0,
+            store: MemoryStore::default(),
             next_call: 0,
             slow: Millis(0),
             out: false,
@@ -79,7 +82,7 @@
             self.money.handle(self.now, event, &mut out);
             for action in out {
                 match action {
-                    Action::Store(op) => events.push_back(self.store(op)),
+                    Action::Store(op) => events.push_back(self.store(&op)),
                     answer => answers.push(answer),
                 }
             }
@@ -87,31 +90,14 @@
         answers
     }
 
-    fn store(&mut self, op: StoreOp) -> Event {
+    fn store(&mut self, op: &StoreOp) -> Event {
         self.now = self.now + self.slow;
-        let result = match op.request {
-            _ if self.out => StoreResult::Unavailable,
-            StoreRequest::Get { key } => match self.values.get(&key) {
-                Some((revision, value)) => StoreResult::Value {
-                    revision: *revision,
-                    value: value.clone(),
-                },
-                None => StoreResult::Missing,
-            },
-            StoreRequest::Cas {
-                key,
-                expected_revision,
-                value,
-            } => {
-                let held = self.values.get(&key).map_or(0, |(revision, _)| *revision);
-                assert_eq!(held, expected_revision, "{key}");
-                self.revision += 1;
-                self.values.insert(key, (self.revision, value));
-                StoreResult::Applied {
-                    revision: self.revision,
-                }
-            }
+        let result = match self.out {
+            true => StoreResult::Unavailable,
+            false => self.store.apply(&op.request),
         };
+        // Nobody else writes.
+        assert_ne!(result, StoreResult::Conflict, "{:?}", op.request);
         Event::Store { op: op.op, result }
     }
 
--- a/toucanchute_core/tests/prepaid_cases.rs
+++ b/toucanchute_core/tests/prepaid_cases.rs
@@ -4,7 +4,7 @@
 mod contested;
 #[path = "prepaid_cases/fleet.rs"]
 mod fleet;
-#[path = "prepaid_support/memory_store.rs"]
+#[path = "support/memory_store.rs"]
 mod memory_store;
 
 use fleet::Fleet;
@@ -73,10 +73,7 @@
     let mut fleet = Fleet::new(5, TOTAL);
     fleet.settle_in();
     let owner = fleet.owners()[0];
-    for _ in 0..20 {
-        assert_eq!(fleet.ask(owner, 1_000), Ok(()));
-        fleet.advance(50);
-    }
+    fleet.draw([owner], 20, 1_000, 50);
     fleet.kill(owner);
     fleet.advance(2_000);
     let used = fleet.used();
@@ -88,10 +85,7 @@
     let mut fleet = Fleet::new(5, TOTAL);
     fleet.settle_in();
     // 1,000 tokens a second for 20 s.
-    for i in 0..200 {
-        assert_eq!(fleet.ask(i % 5, 100), Ok(()));
-        fleet.advance(100);
-    }
+    fleet.draw(0..5, 200, 100, 100);
     for _ in 0..5 {
         fleet.kill(0);
     }
@@ -104,10 +98,7 @@
 fn an_outage_of_the_store_stops_no_steady_draw() {
     let mut fleet = Fleet::new(5, TOTAL);
     fleet.settle_in();
-    for i in 0..100 {
-        assert_eq!(fleet.ask(i % 5, 100), Ok(()));
-        fleet.advance(100);
-    }
+    fleet.draw(0..5, 100, 100, 100);
     fleet.store_up = false;
     let refused = (0..80).filter(|i| {
         fleet.advance(100);
@@ -122,10 +113,7 @@
 fn an_outage_of_the_store_for_all_moves_an_account_seldom() {
     let mut fleet = Fleet::new(5, TOTAL);
     fleet.settle_in();
-    for i in 0..20 {
-        assert_eq!(fleet.ask(i % 5, 100), Ok(()));
-        fleet.advance(100);
-    }
+    fleet.draw(0..5, 20, 100, 100);
     fleet.store_up = false;
     let before = fleet.changes;
     for i in 0..80 {
@@ -140,10 +128,7 @@
 fn routers_that_are_about_to_meet_write_off_no_more_than_the_ramp() {
     let mut fleet = Fleet::new(5, TOTAL);
     fleet.settle_in();
-    for i in 0..200 {
-        assert_eq!(fleet.ask(i % 5, 100), Ok(()));
-        fleet.advance(100);
-    }
+    fleet.draw(0..5, 200, 100, 100);
     for _ in 0..5 {
         fleet.kill(0);
     }
@@ -170,10 +155,7 @@
 fn a_ramp_reaches_no_further_than_half_of_what_is_left() {
     let mut fleet = Fleet::new(5, TOTAL);
     fleet.settle_in();
-    for i in 0..100 {
-        assert_eq!(fleet.ask(i % 5, 100), Ok(()));
-        fleet.advance(100);
-    }
+    fleet.draw(0..5, 100, 100, 100);
     let before = fleet.used();
     fleet.store_up = false;
     fleet.advance(90_000);
@@ -190,10 +172,7 @@
 fn a_budget_is_spent_to_its_end() {
     let mut fleet = Fleet::new(5, 10_000);
     fleet.settle_in();
-    for i in 0..100 {
-        assert_eq!(fleet.ask(i % 5, 100), Ok(()), "request {i}");
-        fleet.advance(100);
-    }
+    fleet.draw(0..5, 100, 100, 100);
     assert_eq!(fleet.ask(0, 100), Err(RefusalReason::Exhausted));
 }
 
@@ -202,10 +181,7 @@
 fn an_account_outlives_its_owner_and_two_witnesses() {
     let mut fleet = Fleet::with_quorum(7, TOTAL, 5, 3);
     fleet.settle_in();
-    for i in 0..200 {
-        assert_eq!(fleet.ask(i % 7, 100), Ok(()));
-        fleet.advance(100);
-    }
+    fleet.draw(0..7, 200, 100, 100);
     for witness in fleet.witnesses().into_iter().take(2) {
         fleet.kill(witness);
     }
@@ -223,10 +199,7 @@
     let witness = fleet.witnesses()[0];
     fleet.store_up = false;
     fleet.kill(witness);
-    for i in 0..20 {
-        assert_eq!(fleet.ask(i % 3, 100), Ok(()));
-        fleet.advance(100);
-    }
+    fleet.draw(0..3, 20, 100, 100);
 }
 
 /// Without the store a ramp that is used up grows no more: waiting is in vain.
--- a/toucanchute_core/tests/prepaid_cases/contested.rs
+++ b/toucanchute_core/tests/prepaid_cases/contested.rs
@@ -41,10 +41,7 @@
     let mut fleet = Fleet::with_quorum(7, TOTAL, 5, 3);
     fleet.settle_in();
     let owner = fleet.owners()[0];
-    for _ in 0..20 {
-        assert_eq!(fleet.ask(owner, 1_000), Ok(()));
-        fleet.advance(50);
-    }
+    fleet.draw([owner], 20, 1_000, 50);
     let mut gone: Vec<usize> = fleet.witnesses().into_iter().take(3).collect();
     gone.push(owner);
     gone.sort_unstable();
@@ -60,8 +57,8 @@
     );
 }
 
-/// One router reaches the store but no other router, and the others do not reach the store.
-fn spend_on_both_sides(fault: Option<Fault>) -> u64 {
+/// Draws; then only one router reaches the store, `cut` separates it from the owner, and both draw.
+fn spend_with_one_store(fault: Option<Fault>, cut: fn(&mut Fleet, usize, usize)) -> u64 {
     let mut fleet = Fleet::with_fault(5, CONTESTED, (4, 2), fault);
     fleet.settle_in();
     let owner = fleet.owners()[0];
@@ -70,24 +67,19 @@
     for i in (0..5).filter(|&i| i != other) {
         fleet.lose_store(i);
     }
-    fleet.part(other);
+    cut(&mut fleet, owner, other);
     let after = draw_on_both_sides(&mut fleet, [owner, other], 200);
     before.iter().chain(&after).sum()
 }
 
-/// The owner reaches its witnesses, but neither the store nor the router that takes over.
+/// The one that reaches the store reaches no other router.
+fn spend_on_both_sides(fault: Option<Fault>) -> u64 {
+    spend_with_one_store(fault, |fleet, _, other| fleet.part(other))
+}
+
+/// The owner reaches its witnesses, but not the router that takes over.
 fn spend_past_a_fence(fault: Option<Fault>) -> u64 {
-    let mut fleet = Fleet::with_fault(5, CONTESTED, (4, 2), fault);
-    fleet.settle_in();
-    let owner = fleet.owners()[0];
-    let other = (0..5).find(|&i| i != owner).unwrap();
-    let before = draw_on_both_sides(&mut fleet, [owner, owner], 30);
-    for i in (0..5).filter(|&i| i != other) {
-        fleet.lose_store(i);
-    }
-    fleet.split(owner, other);
-    let after = draw_on_both_sides(&mut fleet, [owner, other], 200);
-    before.iter().chain(&after).sum()
+    spend_with_one_store(fault, Fleet::split)
 }
 
 /// An account is given back, and the answer of the store is lost.
@@ -131,10 +123,7 @@
     let mut fleet = Fleet::with_fault(5, CONTESTED, (4, 2), fault);
     fleet.settle_in();
     let owner = fleet.owners()[0];
-    for _ in 0..100 {
-        assert_eq!(fleet.ask(owner, 20), Ok(()));
-        fleet.advance(50);
-    }
+    fleet.draw([owner], 100, 20, 50);
     fleet.store_up = false;
     assert_eq!(fleet.ask(owner, 2_400), Ok(()));
     fleet.advance(200);
@@ -147,13 +136,9 @@
     fleet.settle_in();
     let owner = fleet.owners()[0];
     let call = fleet.reserve(owner, 12_000);
-    for i in 0..100 {
-        assert_eq!(fleet.ask(owner, 100), Ok(()));
-        fleet.advance(50);
-        if i == 20 {
-            fleet.end(owner, call, 0);
-        }
-    }
+    fleet.draw([owner], 21, 100, 50);
+    fleet.end(owner, call, 0);
+    fleet.draw([owner], 79, 100, 50);
     10_000 + restart_all_but(&mut fleet, owner)
 }
 
--- a/toucanchute_core/tests/prepaid_cases/fleet.rs
+++ b/toucanchute_core/tests/prepaid_cases/fleet.rs
@@ -212,6 +212,20 @@
         answer
     }
 
+    /// Asks for tokens and uses them, `requests` times and at `routers` in turn; none is refused.
+    pub(crate) fn draw(
+        &mut self,
+        routers: impl IntoIterator<Item = usize, IntoIter: Clone>,
+        requests: usize,
+        tokens: u64,
+        pause: u64,
+    ) {
+        for router in routers.into_iter().cycle().take(requests) {
+            assert_eq!(self.ask(router, tokens), Ok(()), "at {}", self.now);
+            self.advance(pause);
+        }
+    }
+
     // Losses
 
     /// Ends a router at once and starts another one in its place.
--- a/toucanchute_core/tests/prepaid_walk.rs
+++ b/toucanchute_core/tests/prepaid_walk.rs
@@ -1,7 +1,7 @@
 //! Random walks of prepaid machines over an unreliable store, unreliable links and routers that
 //! die, freeze, leave and come back: no total is ever overspent.
 
-#[path = "prepaid_support/memory_store.rs"]
+#[path = "support/memory_store.rs"]
 mod memory_store;
 #[path = "prepaid_walk/world.rs"]
 mod world;
--- a/toucanchute_core/tests/prepaid_support/memory_store.rs
+++ b/toucanchute_core/tests/support/memory_store.rs
@@ -1,14 +1,14 @@
-//! A store in memory that the prepaid tests share.
+//! A store in memory.
 
 use std::collections::BTreeMap;
 
-use toucanchute_core::ledger::{StoreRequest, StoreResult};
+use toucanchute_core::ledger::{StoreKey, StoreRequest, StoreResult};
 use toucanchute_proto::Bytes;
 
 /// Values with the revisions of their last changes.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct MemoryStore {
-    values: BTreeMap<String, (u64, Bytes)>,
+    values: BTreeMap<StoreKey, (u64, Bytes)>,
     revision: u64,
 }
 
@@ -26,7 +26,7 @@
     /// Carries a call out.
     pub(crate) fn apply(&mut self, request: &StoreRequest) -> StoreResult {
         match request {
-            StoreRequest::Get { key } => match self.values.get(&key.path()) {
+            StoreRequest::Get { key } => match self.values.get(key) {
                 Some((revision, value)) => StoreResult::Value {
                     revision: *revision,
                     value: value.clone(),
@@ -38,13 +38,12 @@
                 expected_revision,
                 value,
             } => {
-                let present = self.values.get(&key.path()).map_or(0, |(r, _)| *r);
+                let present = self.values.get(key).map_or(0, |(r, _)| *r);
                 if present != *expected_revision {
                     return StoreResult::Conflict;
                 }
                 self.revision += 1;
-                self.values
-                    .insert(key.path(), (self.revision, value.clone()));
+                self.values.insert(*key, (self.revision, value.clone()));
                 StoreResult::Applied {
                     revision: self.revision,
                 }
--- a/toucanchute_core/tests/support/sim.rs
+++ b/toucanchute_core/tests/support/sim.rs
@@ -9,6 +9,8 @@
 };
 use toucanchute_proto::{Bytes, Incarnation, Millis, money::MoneyMessage};
 
+use crate::memory_store::MemoryStore;
+
 /// Time after which a call to the store has no answer.
 const STORE_TIMEOUT: Millis = Millis(200);
 
@@ -81,8 +83,7 @@
     pub(crate) gone_after: Millis,
     tick: Millis,
     make: Box<dyn Fn(usize, Incarnation) -> Settings>,
-    values: BTreeMap<StoreKey, (u64, Bytes)>,
-    revision: u64,
+    store: MemoryStore,
     queue: BTreeMap<(Millis, u64), Delivery>,
     sequence: u64,
     /// Host of each run, by incarnation.
@@ -111,8 +112,7 @@
             gone_after: Millis(300),
             tick,
             make: Box::new(make),
-            values: BTreeMap::new(),
-            revision: 0,
+            store: MemoryStore::default(),
             queue: BTreeMap::new(),
             sequence: 0,
             runs: BTreeMap::new(),
@@ -279,7 +279,7 @@
                 sent,
                 op,
             } => {
-                self.store(host, incarnation, sent, op);
+                self.store(host, incarnation, sent, &op);
             }
             Delivery::Tick { host } => {
                 if self.hosts[host].frozen_until <= self.now {
@@ -301,9 +301,9 @@
         self.hosts[a].side == self.hosts[b].side
     }
 
-    fn store(&mut self, host: usize, incarnation: Incarnation, sent: Millis, op: StoreOp) {
+    fn store(&mut self, host: usize, incarnation: Incarnation, sent: Millis, op: &StoreOp) {
         let result = if self.hosts[host].store_up {
-            self.apply(op.request)
+            self.apply(&op.request)
         } else {
             StoreResult::Unavailable
         };
@@ -325,35 +325,18 @@
         );
     }
 
-    fn apply(&mut self, request: StoreRequest) -> StoreResult {
+    fn apply(&mut self, request: &StoreRequest) -> StoreResult {
+        let result = self.store.apply(request);
         match request {
-            StoreRequest::Get { key } => {
-                self.store_calls.0 += 1;
-                match self.values.get(&key) {
-                    Some((revision, value)) => StoreResult::Value {
-                        revision: *revision,
-                        value: value.clone(),
-                    },
-                    None => StoreResult::Missing,
-                }
-            }
-            StoreRequest::Cas {
-                key,
-                expected_revision,
-                value,
-            } => {
+            StoreRequest::Get { .. } => self.store_calls.0 += 1,
+            StoreRequest::Cas { key, value, .. } => {
                 self.store_calls.1 += 1;
-                if self.values.get(&key).map_or(0, |v| v.0) != expected_revision {
-                    return StoreResult::Conflict;
-                }
-                self.revision += 1;
-                self.written.push((key, value.clone()));
-                self.values.insert(key, (self.revision, value));
-                StoreResult::Applied {
-                    revision: self.revision,
+                if matches!(result, StoreResult::Applied { .. }) {
+                    self.written.push((*key, value.clone()));
                 }
             }
         }
+        result
     }
 
     fn probe(&mut self) {
