fix(settings): a gateway refuses addresses that callers cannot connect to

An unspecified [callers] listen was told to callers as it stands (an_address_that_is_told_to_others_can_be_connected_to::to_callers red before). The check stood twice since peer_advertise came to the gateway and is one function.

--- a/toucanchute_settings/src/gateway.rs
+++ b/toucanchute_settings/src/gateway.rs
@@ -10,7 +10,7 @@
     error::SettingsError,
     fault::Fault,
     format,
-    process::{self, missing, read_log},
+    process::{self, check_told, missing, read_log},
     reader::Reader,
 };
 
@@ -96,10 +96,7 @@
         .optional("peer_advertise", &format::ADDRESS)
         .or(peer_listen);
     let peer_secret = r.required("peer_secret", &format::SECRET);
-    if let Some(addr) = peer_advertise.filter(|a| a.ip().is_unspecified()) {
-        let cause = "an unspecified address cannot be connected to".to_owned();
-        r.conflict("peer_advertise", &addr.to_string(), cause);
-    }
+    check_told(&mut r, "peer_advertise", peer_advertise);
     r.finish();
     Some(GatewayRouterSection {
         host: host?,
@@ -118,6 +115,7 @@
     let directory = r.required("directory", &format::ADDRESS);
     let descriptors = r.optional("descriptors", &format::COUNT);
     let address_max_age_ms = r.optional("address_max_age", &format::DURATION);
+    check_told(&mut r, "listen", listen);
     r.finish();
     let connections = descriptors.map(|n| n.saturating_sub(OTHER_DESCRIPTORS).max(n / 4).max(1));
     Some(CallersSection {
--- a/toucanchute_settings/src/process.rs
+++ b/toucanchute_settings/src/process.rs
@@ -1,6 +1,6 @@
 //! What the settings files of all processes have in common.
 
-use std::path::Path;
+use std::{net::SocketAddr, path::Path};
 
 use toucanchute_proto::settings::LogSection;
 
@@ -60,6 +60,14 @@
     None
 }
 
+/// Reports an address that is told to others and that nobody can connect to.
+pub(crate) fn check_told(r: &mut Reader<'_>, key: &'static str, address: Option<SocketAddr>) {
+    if let Some(address) = address.filter(|a| a.ip().is_unspecified()) {
+        let cause = "an unspecified address cannot be connected to".to_owned();
+        r.conflict(key, &address.to_string(), cause);
+    }
+}
+
 /// Reads the section of the event log.
 pub(crate) fn read_log(section: &Section, faults: &mut Vec<Fault>) -> LogSection {
     let mut r = Reader::new(section, faults);
--- a/toucanchute_settings/src/router.rs
+++ b/toucanchute_settings/src/router.rs
@@ -10,7 +10,7 @@
     error::SettingsError,
     fault::Fault,
     format,
-    process::{self, missing, read_log},
+    process::{self, check_told, missing, read_log},
     reader::Reader,
 };
 
@@ -73,12 +73,8 @@
         let cause = "callers and peers need an address each".to_owned();
         r.conflict("peer_listen", &peer.to_string(), cause);
     }
-    for (key, addr) in [("advertise", advertise), ("peer_advertise", peer_advertise)] {
-        if let Some(addr) = addr.filter(|a| a.ip().is_unspecified()) {
-            let cause = "an unspecified address cannot be connected to".to_owned();
-            r.conflict(key, &addr.to_string(), cause);
-        }
-    }
+    check_told(&mut r, "advertise", advertise);
+    check_told(&mut r, "peer_advertise", peer_advertise);
     r.finish();
     Some(RouterSection {
         host: host?,
--- a/toucanchute_settings/tests/settings/gateway.rs
+++ b/toucanchute_settings/tests/settings/gateway.rs
@@ -54,3 +54,24 @@
     let message = error.to_string();
     assert!(message.contains(named), "{message}");
 }
+
+#[parameterized(
+    to_callers = { "listen = 10.1.0.40:8227", "listen = 0.0.0.0:8227" },
+    to_routers = { "peer_listen = 10.1.0.40:7340", "peer_listen = 0.0.0.0:7340" },
+)]
+fn an_address_that_is_told_to_others_can_be_connected_to(good: &str, bad: &str) {
+    let folder = Folder::with(&[("g.ini", &GATEWAY.replace(good, bad))]);
+    let error = load_gateway(&folder.path().join("g.ini")).unwrap_err();
+    assert!(error.to_string().contains("unspecified"), "{error}");
+}
+
+#[test]
+fn another_address_may_be_told_to_routers() {
+    let text = GATEWAY.replace(
+        "peer_listen = 10.1.0.40:7340",
+        "peer_listen = 0.0.0.0:7340\npeer_advertise = 10.1.0.40:7341",
+    );
+    let folder = Folder::with(&[("g.ini", &text)]);
+    let settings = load_gateway(&folder.path().join("g.ini")).unwrap();
+    assert_eq!(settings.router.peer_advertise.to_string(), "10.1.0.40:7341");
+}
