fix(settings): a gateway takes every number that the platform fills in

Cause: retries of a part of a fleet come as a fraction (33.157...), which was refused, so that no process of that deployment started. Fractions, 0, very large and empty values are taken now; 0 descriptors stand for none told; a region may be missing, names may have letters of any language. Ruled out: a change of the template, which cannot round. Test: cargo test -p toucanchute_settings, the table failed first.

--- a/toucanchute_router/src/gateway/feeds.rs
+++ b/toucanchute_router/src/gateway/feeds.rs
@@ -31,7 +31,7 @@
 const VIEW_BOUND: Millis = Millis(5_000);
 
 /// Part of the fleet's retries that is used, in percent, since windows of different routers differ.
-const RETRY_PERCENT: u32 = 70;
+const RETRY_PERCENT: u64 = 70;
 
 /// What the store tells, and whom.
 pub(super) struct Feeds {
@@ -70,8 +70,8 @@
         Policy {
             routing: Routing {
                 address_max_age_ms: settings.callers.address_max_age_ms,
-                retry_share_percent: settings.retries.percent * RETRY_PERCENT / 100,
-                retry_burst: settings.retries.burst * RETRY_PERCENT / 100,
+                retry_share_percent: part(settings.retries.percent),
+                retry_burst: part(settings.retries.burst),
                 view_bound_ms: VIEW_BOUND.0,
                 ..Routing::default()
             },
@@ -84,6 +84,12 @@
     }
 }
 
+/// The part of the fleet's retries that is used.
+fn part(retries: u32) -> u32 {
+    let used = u64::from(retries) * RETRY_PERCENT / 100;
+    u32::try_from(used).unwrap_or(u32::MAX)
+}
+
 /// Follows the configuration.
 struct ConfigFeed {
     store: StoreClient,
--- a/toucanchute_settings/src/format.rs
+++ b/toucanchute_settings/src/format.rs
@@ -15,6 +15,9 @@
 /// Longest name, in bytes.
 const MAX_NAME_BYTES: usize = 64;
 
+/// Units of durations, in milliseconds.
+const TIME_UNITS: [(&str, u64); 4] = [("ms", 1), ("s", 1_000), ("min", 60_000), ("h", 3_600_000)];
+
 /// What a value may be and how it is read.
 pub(crate) struct Format<T> {
     /// What is allowed, for messages.
@@ -63,20 +66,26 @@
 
 pub(crate) const DURATION: Format<u64> = Format::new(
     "a duration of at least 1 ms with its unit, such as 500 ms, 10 s, 5 min or 24 h",
+    |s| fractional(s, &TIME_UNITS),
+);
+
+pub(crate) const DURATION_OR_NONE: Format<u64> = Format::new(
+    "a duration with its unit, such as 0 s, 500 ms or 8.5 s",
     |s| {
-        fractional(
-            s,
-            &[("ms", 1), ("s", 1_000), ("min", 60_000), ("h", 3_600_000)],
-        )
+        let (number, unit) = s.split_once(' ')?;
+        let (_, factor) = TIME_UNITS.iter().find(|(name, _)| *name == unit.trim())?;
+        Some((amount(number)? * *factor as f64) as u64)
     },
 );
 
 pub(crate) const RATIO: Format<u32> =
-    Format::new("a share from 0 to 1 such as 0.2, kept in percent", |s| {
-        let share: f64 = s.parse().ok()?;
-        (0.0..=1.0)
-            .contains(&share)
-            .then_some((share * 100.0) as u32)
+    Format::new("a share of at least 0 such as 0.2, kept in percent", |s| {
+        Some((amount(s)? * 100.0) as u32)
+    });
+
+pub(crate) const AMOUNT: Format<u32> =
+    Format::new("a number of at least 0 such as 54 or 33.2", |s| {
+        Some(amount(s)? as u32)
     });
 
 pub(crate) const SIZE: Format<u64> = Format::new(
@@ -145,6 +154,12 @@
     s.parse().ok().filter(|a: &SocketAddr| a.port() != 0)
 }
 
+/// Reads a number that is not negative; greater ones than a type can hold become its greatest one.
+fn amount(s: &str) -> Option<f64> {
+    let number: f64 = s.trim().parse().ok()?;
+    (number.is_finite() && number >= 0.0).then_some(number)
+}
+
 /// Reads a whole number followed by one of `units`.
 fn scaled(s: &str, units: &[(&str, u64)]) -> Option<u64> {
     let digits = s.find(|c: char| !c.is_ascii_digit())?;
@@ -167,8 +182,8 @@
 }
 
 fn is_name(s: &str) -> bool {
-    let fits = |b: u8| b.is_ascii_alphanumeric() || b"-_./".contains(&b);
-    !s.is_empty() && s.len() <= MAX_NAME_BYTES && s.bytes().all(fits)
+    let fits = |c: char| c.is_alphanumeric() || "-_./".contains(c);
+    !s.is_empty() && s.len() <= MAX_NAME_BYTES && s.chars().all(fits)
 }
 
 fn is_digest(s: &str) -> bool {
--- a/toucanchute_settings/src/gateway.rs
+++ b/toucanchute_settings/src/gateway.rs
@@ -30,6 +30,9 @@
 /// milliseconds.
 const GRACE_MS: u64 = 8_000;
 
+/// Greatest such time that counts, in milliseconds.
+const MAX_GRACE_MS: u64 = 24 * 60 * 60 * 1_000;
+
 /// Witnesses of an account and acknowledgements of a mark unless the settings say otherwise.
 const QUORUM: (u8, u8) = (5, 3);
 
@@ -90,7 +93,7 @@
     let mut r = Reader::new(section, faults);
     let host = r.required("host", &format::NAME);
     let failure_domain = r.required("failure_domain", &format::NAME);
-    let region = r.required("region", &format::NAME);
+    let region = r.filled("region", &format::NAME);
     let peer_listen = r.required("peer_listen", &format::ADDRESS);
     let peer_advertise = r
         .optional("peer_advertise", &format::ADDRESS)
@@ -100,8 +103,8 @@
     r.finish();
     Some(GatewayRouterSection {
         host: host?,
+        region: region.or_else(|| failure_domain.clone())?,
         failure_domain: failure_domain?,
-        region: region?,
         peer_listen: peer_listen?,
         peer_advertise: peer_advertise?,
         peer_secret: peer_secret?,
@@ -113,10 +116,11 @@
     let listen = r.required("listen", &format::ADDRESS);
     let readiness = r.required("readiness", &format::ADDRESS);
     let directory = r.required("directory", &format::ADDRESS);
-    let descriptors = r.optional("descriptors", &format::COUNT);
+    let descriptors = r.filled("descriptors", &format::AMOUNT);
     let address_max_age_ms = r.optional("address_max_age", &format::DURATION);
     check_told(&mut r, "listen", listen);
     r.finish();
+    let descriptors = descriptors.filter(|&n| n > 0);
     let connections = descriptors.map(|n| n.saturating_sub(OTHER_DESCRIPTORS).max(n / 4).max(1));
     Some(CallersSection {
         listen: listen?,
@@ -139,20 +143,21 @@
 }
 
 fn read_retries(section: &Section, faults: &mut Vec<Fault>) -> RetriesSection {
-    let (mut percent, mut burst) = RETRIES;
+    let (percent, burst) = RETRIES;
     let mut r = Reader::new(section, faults);
-    r.set("ratio", &format::RATIO, &mut percent);
-    r.set("burst", &format::COUNT, &mut burst);
+    let percent = r.filled("ratio", &format::RATIO).unwrap_or(percent);
+    let burst = r.filled("burst", &format::AMOUNT).unwrap_or(burst);
     r.finish();
     RetriesSection { percent, burst }
 }
 
 fn read_leave(section: &Section, faults: &mut Vec<Fault>) -> LeaveSection {
-    let mut grace_ms = GRACE_MS;
     let mut r = Reader::new(section, faults);
-    r.set("grace", &format::DURATION, &mut grace_ms);
+    let grace_ms = r.filled("grace", &format::DURATION_OR_NONE);
     r.finish();
-    LeaveSection { grace_ms }
+    LeaveSection {
+        grace_ms: grace_ms.unwrap_or(GRACE_MS).min(MAX_GRACE_MS),
+    }
 }
 
 fn read_prepaid(section: &Section, faults: &mut Vec<Fault>) -> PrepaidSection {
@@ -170,7 +175,7 @@
 
 fn read_monitor(section: &Section, faults: &mut Vec<Fault>) -> MonitorSection {
     let mut r = Reader::new(section, faults);
-    let listen = r.optional("listen", &format::ADDRESS);
+    let listen = r.filled("listen", &format::ADDRESS);
     r.finish();
     MonitorSection { listen }
 }
--- a/toucanchute_settings/src/reader.rs
+++ b/toucanchute_settings/src/reader.rs
@@ -41,6 +41,12 @@
         self.parse(entry, format)
     }
 
+    /// Returns the value of a key that whoever writes the file may leave empty.
+    pub(crate) fn filled<T>(&mut self, key: &'static str, format: &Format<T>) -> Option<T> {
+        let entry = self.find(key).filter(|e| !e.value.is_empty())?;
+        self.parse(entry, format)
+    }
+
     /// Overwrites `field` if the key is there.
     pub(crate) fn set<T>(&mut self, key: &'static str, format: &Format<T>, field: &mut T) {
         if let Some(value) = self.optional(key, format) {
