perf(links): small buffers on links between routers

Cause: each link had the library's read buffer of 128 KiB, which is filled with zeros for each read, and a write buffer of as much. Frames have a few hundred bytes. Seen before: 295 routers of the large site at their start, 31 MB resident on average, 61 MB at most.

--- a/toucanchute_router/src/link/connection.rs
+++ b/toucanchute_router/src/link/connection.rs
@@ -7,7 +7,10 @@
 };
 use snafu::ResultExt;
 use tokio::net::TcpStream;
-use tokio_tungstenite::{WebSocketStream, tungstenite::Message};
+use tokio_tungstenite::{
+    WebSocketStream,
+    tungstenite::{Message, protocol::WebSocketConfig},
+};
 use toucanchute_proto::peer::FrameKind;
 
 use super::{
@@ -18,6 +21,12 @@
 /// Longest time to open a TCP connection and its WebSocket.
 const DIAL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Bytes read from a link at once. Most frames are smaller, and a router has many links.
+const READ_BUFFER: usize = 4 * 1024;
+
+/// Longest message, such as a configuration of many thousand routes.
+const MAX_MESSAGE: usize = 16 * 1024 * 1024;
+
 /// One WebSocket connection to another router.
 pub(super) struct Connection {
     /// Sending half; independent of the other, so that two full routers do not block each other.
@@ -53,7 +62,8 @@
                 .context(error::ConnectSnafu)?;
             let _ = stream.set_nodelay(true);
             let url = format!("ws://{address}/peer");
-            let opened = tokio_tungstenite::client_async(url, stream).await;
+            let opened =
+                tokio_tungstenite::client_async_with_config(url, stream, Some(limits())).await;
             let (socket, _) = opened.context(error::SocketSnafu)?;
             Ok(Connection::new(socket))
         };
@@ -66,7 +76,7 @@
     /// Answers a connection that another router opened.
     pub(super) async fn accept(stream: TcpStream) -> Result<Connection, LinkError> {
         let _ = stream.set_nodelay(true);
-        let opening = tokio_tungstenite::accept_async(stream);
+        let opening = tokio_tungstenite::accept_async_with_config(stream, Some(limits()));
         match tokio::time::timeout(DIAL_TIMEOUT, opening).await {
             Ok(opened) => Ok(Connection::new(opened.context(error::SocketSnafu)?)),
             Err(_) => error::TimeoutSnafu.fail(),
@@ -74,6 +84,15 @@
     }
 }
 
+/// Limits of one link; each frame is written at once.
+fn limits() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER)
+        .write_buffer_size(0)
+        .max_message_size(Some(MAX_MESSAGE))
+        .max_frame_size(Some(MAX_MESSAGE))
+}
+
 impl FrameWriter {
     /// Sends one encoded frame.
     pub(super) async fn send(&mut self, frame: Bytes) -> Result<(), LinkError> {
