--- a/toucanchute_core/src/discovery.rs
+++ b/toucanchute_core/src/discovery.rs
@@ -8,7 +8,7 @@
 const OUTAGE: Millis = Millis(1_500);
 
 /// How long after the routers agreed that all of them have lost the store that explains a gap.
-const AGREED_LATELY: Millis = Millis(1_500);
+const AGREED_LATELY: Millis = Millis(3_000);
 
 /// Time that lapsed registrations have to come back after an outage, with the pause between two
 /// readings.
--- a/toucanchute_core/src/fleet.rs
+++ b/toucanchute_core/src/fleet.rs
@@ -16,6 +16,8 @@
 mod messages;
 pub mod orders;
 mod publish;
+mod reading;
+mod registrations;
 mod rumors;
 #[cfg(test)]
 mod tests;
@@ -24,3 +26,4 @@
 pub use action::{Action, MemberView, NotReady};
 pub use event::{Event, HostEntry, HostRole, HostState};
 pub use machine::{Fleet, Identity};
+pub use reading::Reading;
--- a/toucanchute_core/src/fleet/action.rs
+++ b/toucanchute_core/src/fleet/action.rs
@@ -3,9 +3,11 @@
 use toucanchute_proto::{
     Incarnation,
     config::Config,
-    fleet::{FleetMessage, Found, Load, MemberState, Verdict},
+    fleet::{FleetMessage, Load, MemberState, Verdict},
 };
 
+use crate::discovery::Change;
+
 /// What a [`Fleet`](super::Fleet) wants done.
 #[derive(Clone, Debug)]
 #[non_exhaustive]
@@ -26,7 +28,7 @@
     /// These backend servers take no new work; replaces the set before.
     Withdraw(BTreeSet<String>),
     /// These backend servers are registered and take work; replaces the list before.
-    Backends(Vec<Found>),
+    Backends(Change),
     /// The other members as far as known; replaces the list before.
     Members(Vec<MemberView>),
     /// Whether new work may be taken, or why not.
--- a/toucanchute_core/src/fleet/event.rs
+++ b/toucanchute_core/src/fleet/event.rs
@@ -3,7 +3,7 @@
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
     config::Config,
-    fleet::{FleetMessage, Found, Load, Member, Verdict},
+    fleet::{FleetMessage, FoundBody, Load, Member, Verdict},
 };
 
 /// What happened, as told to a [`Fleet`](super::Fleet).
@@ -51,9 +51,9 @@
     /// The platform answered with the registrations of backend servers, which take the place of a
     /// host list.
     Found {
-        /// Those that take work.
-        backends: Vec<Found>,
-        /// When the platform was asked.
+        /// All registrations, or what changed.
+        body: FoundBody,
+        /// When the platform was asked, or when a watch last showed that it is alive.
         asked: Millis,
     },
     /// The platform's service or its host list did not answer.
--- a/toucanchute_core/src/fleet/found.rs
+++ b/toucanchute_core/src/fleet/found.rs
@@ -1,72 +1,91 @@
-use rand::seq::IteratorRandom;
 use toucanchute_proto::{
     Incarnation, Millis,
-    fleet::{FetchFound, FleetBody, Found, FoundBody},
+    fleet::{FetchFound, FleetBody, FoundBody},
 };
 
-use super::{Action, Fleet};
+use super::{Action, Fleet, registrations::Taken};
 
-/// Age of the list of registered backend servers from which on peers are asked for a newer one.
-const ASK_AGE: Millis = Millis(1_300);
+/// Time for a peer to send its registrations before another is asked.
+const FETCH_TIMEOUT: Millis = Millis(300);
 
-/// Time between two questions.
-const ASK_PERIOD: Millis = Millis(300);
-
-/// The newest list of registered backend servers known here.
-#[derive(Debug)]
-pub(super) struct FoundList {
-    backends: Vec<Found>,
-    /// When the platform was asked for it, by whichever router.
-    asked: Millis,
-}
+/// Time after which the list is looked at again although nothing changed: what had lapsed in an
+/// outage is gone some time after it.
+const LIST_PERIOD: Millis = Millis(500);
 
+/// Exchange of the registrations of backend servers.
 impl Fleet {
-    /// Takes in a list, unless a newer one is known.
+    /// Takes in a list or changes that the store or a peer told.
     pub(super) fn take_found(
         &mut self,
-        backends: Vec<Found>,
-        asked: Millis,
+        now: Millis,
+        body: FoundBody,
+        from: Option<Incarnation>,
         out: &mut Vec<Action>,
     ) {
-        let old = self.found.as_ref();
-        if old.is_some_and(|f| f.asked >= asked) {
+        let before = self.registrations.revision();
+        if self.registrations.take(body) != Taken::News {
             return;
         }
-        if old.is_none_or(|f| f.backends != backends) {
-            out.push(Action::Backends(backends.clone()));
-        }
-        self.found = Some(FoundList { backends, asked });
+        self.list_backends(now, out);
+        self.pass_on(before, from, out);
     }
 
-    /// Asks a peer for a newer list when this router could not read one for a while.
-    pub(super) fn ask_found(&mut self, now: Millis, out: &mut Vec<Action>) {
-        let age = self.found.as_ref().map(|f| now.since(f.asked));
-        let reads = self.hosts.reads_registrations;
-        if !reads || age.is_some_and(|age| age < ASK_AGE) || now < self.next_ask_found {
-            return;
+    /// Tells the peers what changed after `before`, but for the one that it was learned from.
+    fn pass_on(&mut self, before: u64, from: Option<Incarnation>, out: &mut Vec<Action>) {
+        let news = self.registrations.after(before);
+        // Peers ask for a whole list if they lack one.
+        if news.since.is_none() {
+            return self.push_all(from, out);
         }
-        self.next_ask_found = now + ASK_PERIOD;
-        let to = self.links.up.iter().copied().choose(&mut self.rng);
-        if let Some(to) = to {
-            self.send(to, FleetBody::FetchFound(FetchFound { age }), out);
+        let peers: Vec<_> = self.links.up.iter().copied().collect();
+        for to in peers.into_iter().filter(|&p| Some(p) != from) {
+            let known = self.links.known.get(&to).map_or(0, |k| k.hosts);
+            if known < news.revision {
+                self.send(to, FleetBody::Found(news.clone()), out);
+            }
         }
     }
 
-    /// Sends a peer the list, if it is newer than the peer's.
-    pub(super) fn send_found(
+    /// Asks a peer that knows of later changes for them.
+    pub(super) fn fetch_found(
         &mut self,
         now: Millis,
-        to: Incarnation,
-        ask: FetchFound,
+        from: Incarnation,
+        revision: u64,
         out: &mut Vec<Action>,
     ) {
-        let Some(found) = &self.found else {
+        let known = self.registrations.revision();
+        if !self.follows_registrations() || revision <= known || now < self.next_ask_found {
             return;
-        };
-        let age = now.since(found.asked);
-        if ask.age.is_none_or(|other| age < other) {
-            let backends = found.backends.clone();
-            self.send(to, FleetBody::Found(FoundBody { backends, age }), out);
+        }
+        self.next_ask_found = now + FETCH_TIMEOUT;
+        let body = FleetBody::FetchFound(FetchFound { revision: known });
+        self.send(from, body, out);
+    }
+
+    /// Sends a peer what it lacks.
+    pub(super) fn send_found(&mut self, to: Incarnation, ask: FetchFound, out: &mut Vec<Action>) {
+        if self.registrations.revision() > ask.revision {
+            let body = self.registrations.after(ask.revision);
+            self.send(to, FleetBody::Found(body), out);
+        }
+    }
+
+    /// Looks at the list again once the view was confirmed anew.
+    pub(super) fn relist(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let confirmed = self.view.confirmed_at() > self.listed_view;
+        let listed = self.registrations.revision() > 0;
+        if listed && confirmed && now.since(self.listed_at) >= LIST_PERIOD {
+            self.list_backends(now, out);
+        }
+    }
+
+    fn list_backends(&mut self, now: Millis, out: &mut Vec<Action>) {
+        self.listed_at = now;
+        self.listed_view = self.view.confirmed_at();
+        let change = self.discovery.list(now, self.registrations.backends());
+        if change.changed {
+            out.push(Action::Backends(change));
         }
     }
 }
--- a/toucanchute_core/src/fleet/hosts.rs
+++ b/toucanchute_core/src/fleet/hosts.rs
@@ -9,8 +9,6 @@
 pub(super) struct Hosts {
     /// Backend servers by the newest list known; versions only rise.
     pub(super) backends: Option<BackendList>,
-    /// Whether registrations of backend servers take the place of a host list.
-    pub(super) reads_registrations: bool,
     /// Addresses of listed routers, for peers.
     pub(super) routers: BTreeSet<SocketAddr>,
     /// Withdrawn backend servers as last told.
@@ -24,6 +22,14 @@
 }
 
 impl Fleet {
+    /// Version of the host list, or revision of the registrations, that is known here.
+    pub(super) fn hosts_version(&self) -> u64 {
+        match self.follows_registrations() {
+            true => self.registrations.revision(),
+            false => self.hosts.version(),
+        }
+    }
+
     pub(super) fn host_list(
         &mut self,
         asked: Millis,
--- a/toucanchute_core/src/fleet/links.rs
+++ b/toucanchute_core/src/fleet/links.rs
@@ -3,7 +3,7 @@
     net::SocketAddr,
 };
 
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, IteratorRandom};
 use toucanchute_proto::{
     Incarnation, Millis,
     fleet::{FleetBody, Member, MemberState, Ping, Probe as ProbeBody},
@@ -110,7 +110,7 @@
         self.expire_probes(now, out);
         self.expire_members(now);
         self.rumors.forget_expired(now);
-        self.ask_found(now, out);
+        self.relist(now, out);
         if now >= self.next_gossip {
             self.next_gossip = now + GOSSIP_PERIOD;
             self.ping_some(now, out);
@@ -133,15 +133,29 @@
 
     fn ping_some(&mut self, now: Millis, out: &mut Vec<Action>) {
         let peers: Vec<_> = self.links.up.iter().copied().collect();
-        let chosen: Vec<_> = peers
+        let mut chosen: Vec<_> = peers
             .choose_multiple(&mut self.rng, FANOUT)
             .copied()
             .collect();
+        // Those who read the store know best what is current.
+        if self.follows_registrations()
+            && let Some(reader) = self.linked_reader()
+            && !chosen.contains(&reader)
+        {
+            chosen.pop();
+            chosen.push(reader);
+        }
         for target in chosen {
             self.ping(now, target, Stage::Direct, out);
         }
     }
 
+    fn linked_reader(&mut self) -> Option<Incarnation> {
+        let readers = self.readers(false);
+        let linked = readers.into_iter().filter(|r| self.links.up.contains(r));
+        linked.choose(&mut self.rng)
+    }
+
     pub(super) fn ping(
         &mut self,
         now: Millis,
--- a/toucanchute_core/src/fleet/machine.rs
+++ b/toucanchute_core/src/fleet/machine.rs
@@ -7,15 +7,18 @@
     fleet::{Head, Member, MemberState},
 };
 
+use crate::discovery::Discovery;
+
 use super::{
     Action, Event,
     drain::Drain,
     fault::Fault,
-    found::FoundList,
     hosts::Hosts,
     links::{Links, Probe},
     members::Members,
     publish::Published,
+    reading::Policy,
+    registrations::Registrations,
     rumors::Rumors,
     view::View,
 };
@@ -72,8 +75,13 @@
     /// Configuration in force and its digest; versions rise strictly.
     pub(super) config: Option<(Arc<Config>, Digest)>,
     pub(super) hosts: Hosts,
-    /// Registered backend servers; absent where a host list is read.
-    pub(super) found: Option<FoundList>,
+    /// Absent where a host list is read in place of registrations.
+    pub(super) reading: Option<Policy>,
+    pub(super) registrations: Registrations,
+    pub(super) discovery: Discovery,
+    /// When `discovery` was last told the registrations, and the view's confirmation then.
+    pub(super) listed_at: Millis,
+    pub(super) listed_view: Option<Millis>,
     pub(super) next_ask_found: Millis,
     pub(super) view: View,
     pub(super) drain: Drain,
@@ -116,7 +124,11 @@
             rumors: Rumors::default(),
             config: None,
             hosts: Hosts::default(),
-            found: None,
+            reading: None,
+            registrations: Registrations::default(),
+            discovery: Discovery::default(),
+            listed_at: Millis::default(),
+            listed_view: None,
             next_ask_found: Millis::default(),
             view: View::default(),
             drain: Drain::Running,
@@ -136,6 +148,7 @@
         if self.drain == Drain::Exited {
             return;
         }
+        self.note_start(now);
         match event {
             Event::PeerUp(member) => self.peer_up(now, &member, out),
             Event::PeerDown(id) => self.peer_down(now, id, out),
@@ -152,10 +165,10 @@
                 asked,
             } => self.host_list(asked, version, &hosts, out),
             Event::Routers(routers) => self.take_routers(routers),
-            Event::Found { backends, asked } => {
+            Event::Found { body, asked } => {
                 self.view.hosts_seen(asked);
                 self.set_outage(self.view.down());
-                self.take_found(backends, asked, out);
+                self.take_found(now, body, None, out);
             }
             Event::PlatformDown => self.platform_down(),
             Event::LoadReport(load) => self.take_load(load, out),
@@ -169,14 +182,6 @@
         self.publish(now, out);
     }
 
-    /// Makes registrations of backend servers take the place of the host list: the router is not
-    /// ready before it knows some list of them, and asks its peers for one.
-    #[must_use]
-    pub fn following_registrations(mut self) -> Fleet {
-        self.hosts.reads_registrations = true;
-        self
-    }
-
     // Queries
 
     /// Whether this router and its peers agree that none of them reaches the platform.
@@ -186,7 +191,8 @@
     }
 
     /// Whether this router has to read head and host list from the platform itself, rather than
-    /// learn them from peers.
+    /// learn them from peers. Where registrations take the place of a host list,
+    /// [`Fleet::reading`] tells.
     #[must_use]
     pub fn watches(&self, now: Millis) -> bool {
         let stale = self.view.age(now).is_none_or(|age| age > WATCH_AGE);
--- a/toucanchute_core/src/fleet/messages.rs
+++ b/toucanchute_core/src/fleet/messages.rs
@@ -4,8 +4,8 @@
     Digest, Incarnation, Millis,
     config::Config,
     fleet::{
-        Ack, ConfigBody, FetchConfig, FleetBody, FleetMessage, FoundBody, Gossip, Head, Member,
-        Ping, Probe as ProbeBody, Push,
+        Ack, ConfigBody, FetchConfig, FleetBody, FleetMessage, Gossip, Head, Member, Ping,
+        Probe as ProbeBody, Push,
     },
 };
 
@@ -33,6 +33,7 @@
         out: &mut Vec<Action>,
     ) {
         let FleetMessage { body, gossip } = message;
+        let hosts = gossip.hosts;
         self.take_gossip(now, from, gossip, out);
         match body {
             FleetBody::Ping(ping) => self.take_ping(now, from, ping, out),
@@ -42,14 +43,13 @@
             }
             FleetBody::Push(_) => {}
             FleetBody::FetchConfig(FetchConfig { version }) => self.send_config(from, version, out),
-            FleetBody::FetchFound(ask) => self.send_found(now, from, ask, out),
-            FleetBody::Found(FoundBody { backends, age }) => {
-                self.take_found(backends, now - age, out);
-            }
+            FleetBody::FetchFound(ask) => self.send_found(from, ask, out),
+            FleetBody::Found(body) => self.take_found(now, body, Some(from), out),
             FleetBody::Config(ConfigBody { config, digest }) => {
                 self.take_config(Arc::new(config), digest, out);
             }
         }
+        self.fetch_found(now, from, hosts, out);
     }
 
     fn take_gossip(
@@ -179,7 +179,7 @@
     fn as_new_as(&self, peer: Incarnation) -> bool {
         let head = self.head().map_or(0, |h| h.version);
         let known = self.links.known.get(&peer);
-        known.is_some_and(|k| k.hosts <= self.hosts.version() && k.head <= head)
+        known.is_some_and(|k| k.hosts <= self.hosts_version() && k.head <= head)
     }
 
     // Sending
@@ -235,7 +235,7 @@
         let news = self.hosts.backends.as_ref().filter(|w| w.version > known);
         Gossip {
             head,
-            hosts: self.hosts.version(),
+            hosts: self.hosts_version(),
             backends: news.cloned(),
             members: self.rumors.take_members(&self.me, &self.members),
             verdicts: self.rumors.take_verdicts(),
--- a/toucanchute_core/src/fleet/publish.rs
+++ b/toucanchute_core/src/fleet/publish.rs
@@ -46,7 +46,7 @@
     /// Tells what changed.
     pub(super) fn publish(&mut self, now: Millis, out: &mut Vec<Action>) {
         let head = self.head().map_or(0, |h| h.version);
-        self.view.observe(now, head, self.hosts.version());
+        self.view.observe(now, head, self.hosts_version());
         self.observe_outage(now);
         let ready = self.ready(now);
         if self.published.ready != Some(ready) {
@@ -80,7 +80,7 @@
             let elsewhere = self.elsewhere();
             return Err(NotReady::Draining { elsewhere });
         }
-        let unlisted = self.hosts.reads_registrations && self.found.is_none();
+        let unlisted = self.follows_registrations() && self.registrations.revision() == 0;
         if self.config.is_none() || unlisted {
             return Err(NotReady::Starting);
         }
@@ -101,7 +101,10 @@
 
     fn observe_outage(&mut self, now: Millis) {
         match self.outage_agreed(now) {
-            true => _ = self.view.agreed_since.get_or_insert(now),
+            true => {
+                self.discovery.outage_agreed(now);
+                self.view.agreed_since.get_or_insert(now);
+            }
             false => self.view.agreed_since = None,
         }
     }
--- /dev/null
+++ b/toucanchute_core/src/fleet/reading.rs
@@ -0,0 +1,109 @@
+use rand::Rng;
+use toucanchute_proto::{Incarnation, Millis, fleet::MemberState};
+
+use super::Fleet;
+use crate::hash;
+
+/// Routers that read the store for all.
+const READERS: usize = 2;
+
+/// Least time after the start in which peers may tell what is new before the router reads itself.
+const START_PATIENCE: Millis = Millis(250);
+
+/// Random time on top of it, so that routers that start together do not read together.
+const START_SPREAD: Millis = Millis(400);
+
+/// How a router reads configuration and registrations out of the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Reading {
+    /// Not at all: peers tell what is new.
+    #[default]
+    None,
+    /// For itself, because what the peers tell is too old or it was refused before. It does so
+    /// less and less often while the store does not answer.
+    Own,
+    /// For all, as one of few.
+    Chosen,
+}
+
+/// When a router reads the store.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Policy {
+    /// Age of the view from which on a router reads itself.
+    max_age: Millis,
+    /// Time after the start before which it does not.
+    patience: Millis,
+    /// When the machine took in its first event.
+    started: Option<Millis>,
+}
+
+impl Fleet {
+    /// Makes registrations of backend servers take the place of the host list: few routers read
+    /// them and the configuration, the others learn from peers. A router whose view is older than
+    /// `max_age` reads for itself. It is not ready before it knows some list of backend servers.
+    #[must_use]
+    pub fn following_registrations(mut self, max_age: Millis) -> Fleet {
+        let spread = self.rng.random_range(0..START_SPREAD.0);
+        self.reading = Some(Policy {
+            max_age,
+            patience: START_PATIENCE + Millis(spread),
+            started: None,
+        });
+        self
+    }
+
+    pub(super) fn follows_registrations(&self) -> bool {
+        self.reading.is_some()
+    }
+
+    pub(super) fn note_start(&mut self, now: Millis) {
+        if let Some(policy) = &mut self.reading {
+            policy.started.get_or_insert(now);
+        }
+    }
+
+    /// How this router has to read the store now.
+    #[must_use]
+    pub fn reading(&self, now: Millis) -> Reading {
+        let Some(policy) = self.reading else {
+            return Reading::None;
+        };
+        let age = self.view.age(now);
+        let running = policy.started.map_or(Millis(0), |at| now.since(at));
+        if age.is_none() && running < policy.patience {
+            return Reading::None;
+        }
+        let me = self.id.incarnation;
+        let chosen = self.readers(true).contains(&me) || self.readers(false).contains(&me);
+        let stale = age.is_none_or(|age| age > policy.max_age);
+        match (chosen, stale || self.view.down()) {
+            (true, _) => Reading::Chosen,
+            (false, true) => Reading::Own,
+            (false, false) => Reading::None,
+        }
+    }
+
+    /// The routers that read the store for all, if possible in different failure domains; all of
+    /// those that are alive may be, or only those that have not lost the store.
+    pub(super) fn readers(&self, whether_lost: bool) -> Vec<Incarnation> {
+        let stays = |state| state == MemberState::Alive;
+        let fit = |outage: bool| whether_lost || !outage;
+        let me = (!self.drain.leaving() && fit(self.me.outage)).then_some(&self.me);
+        let peers = self.members.live();
+        let peers = peers.filter(|m| stays(m.state) && fit(m.outage));
+        let mut ranked: Vec<_> = peers
+            .chain(me)
+            .map(|m| (hash::weight("readers", m.incarnation), m))
+            .collect();
+        ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        let mut readers: Vec<Incarnation> = Vec::with_capacity(READERS);
+        let first = ranked.first().map(|(_, m)| &m.failure_domain);
+        let (near, far): (Vec<_>, Vec<_>) = ranked
+            .iter()
+            .skip(1)
+            .partition(|(_, m)| Some(&m.failure_domain) == first);
+        let order = ranked.first().into_iter().chain(far).chain(near);
+        readers.extend(order.take(READERS).map(|(_, m)| m.incarnation));
+        readers
+    }
+}
--- /dev/null
+++ b/toucanchute_core/src/fleet/registrations.rs
@@ -0,0 +1,130 @@
+use std::collections::BTreeMap;
+
+use toucanchute_proto::fleet::{Found, FoundBody, Registration};
+
+/// Removed keys that are remembered, so that peers can be told what changed.
+const REMEMBERED: usize = 512;
+
+/// What the store has registered, as of one revision of it.
+///
+/// All changes up to `revision` are taken in and none is missing.
+#[derive(Debug, Default)]
+pub(super) struct Registrations {
+    /// Present keys.
+    entries: BTreeMap<String, Entry>,
+    /// Keys that were removed, by the revision of their removal.
+    removed: BTreeMap<u64, Vec<String>>,
+    /// Removals after this revision are all remembered.
+    removals_since: u64,
+    /// 0 before the first list.
+    revision: u64,
+}
+
+#[derive(Debug)]
+struct Entry {
+    revision: u64,
+    backend: Found,
+}
+
+/// What a list or a change brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Taken {
+    /// Something newer than was known.
+    News,
+    /// Nothing newer.
+    Known,
+    /// Changes whose predecessors are missing; nothing was taken in.
+    Gap,
+}
+
+impl Registrations {
+    pub(super) fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The registered backend servers, including those that leave.
+    pub(super) fn backends(&self) -> Vec<Found> {
+        let backends = self.entries.values().map(|e| e.backend.clone());
+        backends.collect()
+    }
+
+    /// Takes in a whole list or changes.
+    pub(super) fn take(&mut self, body: FoundBody) -> Taken {
+        if body.revision <= self.revision {
+            return Taken::Known;
+        }
+        match body.since {
+            None => {
+                self.entries.clear();
+                self.removed.clear();
+                self.removals_since = body.revision;
+            }
+            Some(since) if since > self.revision || self.revision == 0 => return Taken::Gap,
+            Some(_) => {}
+        }
+        for entry in body.entries {
+            self.take_entry(entry, body.since.is_some());
+        }
+        self.revision = body.revision;
+        self.forget_old();
+        Taken::News
+    }
+
+    fn take_entry(&mut self, entry: Registration, is_change: bool) {
+        let Registration {
+            key,
+            revision,
+            backend,
+        } = entry;
+        if is_change && revision <= self.revision {
+            return;
+        }
+        match backend {
+            Some(backend) => {
+                self.entries.insert(key, Entry { revision, backend });
+            }
+            None => {
+                self.entries.remove(&key);
+                self.removed.entry(revision).or_default().push(key);
+            }
+        }
+    }
+
+    fn forget_old(&mut self) {
+        while self.removed.len() > REMEMBERED {
+            if let Some((revision, _)) = self.removed.pop_first() {
+                self.removals_since = revision;
+            }
+        }
+    }
+
+    /// Returns what changed after `since`; the whole list if that is not known any more.
+    pub(super) fn after(&self, since: u64) -> FoundBody {
+        let since = Some(since).filter(|&s| s > 0 && s >= self.removals_since);
+        let from = since.unwrap_or(0);
+        let present = self.entries.iter().filter(|(_, e)| e.revision > from);
+        let present = present.map(|(key, e)| Registration {
+            key: key.clone(),
+            revision: e.revision,
+            backend: Some(e.backend.clone()),
+        });
+        let mut entries: Vec<_> = present.collect();
+        if since.is_some() {
+            let removed = self.removed.range(from + 1..);
+            entries.extend(removed.flat_map(|(&revision, keys)| {
+                keys.iter().map(move |key| Registration {
+                    key: key.clone(),
+                    revision,
+                    backend: None,
+                })
+            }));
+        }
+        // A key may have been removed and registered anew.
+        entries.sort_by_key(|e| e.revision);
+        FoundBody {
+            revision: self.revision,
+            since,
+            entries,
+        }
+    }
+}
--- /dev/null
+++ b/toucanchute_core/src/fleet/tests/reading.rs
@@ -0,0 +1,185 @@
+//! Few routers read the store for all; the others read when what they hear gets too old.
+
+use std::sync::Arc;
+
+use toucanchute_proto::{
+    Digest, Incarnation, Millis,
+    config::Config,
+    fleet::{FoundBody, Member, MemberState},
+};
+
+use crate::fleet::{Event, Fleet, Identity, Reading};
+
+/// Age of a view from which on a router reads itself.
+const MAX_AGE: u64 = 1_400;
+
+/// Time by which every router has had its patience after a start.
+const STARTED: u64 = 2_000;
+
+fn member(i: u64, outage: bool) -> Member {
+    Member {
+        incarnation: Incarnation(i),
+        host: format!("h{i}"),
+        failure_domain: format!("d{}", i % 3),
+        region: "r".to_owned(),
+        caller_address: format!("192.0.2.{i}:80"),
+        peer_address: format!("192.0.2.{i}:81"),
+        state: MemberState::Alive,
+        update: u64::from(outage),
+        outage,
+    }
+}
+
+/// Router `i` of a fleet, linked to all others.
+fn router(i: u64, fleet: u64) -> Fleet {
+    let me = member(i, false);
+    let id = Identity {
+        incarnation: me.incarnation,
+        host: me.host,
+        failure_domain: me.failure_domain,
+        region: me.region,
+        caller_address: me.caller_address.parse().unwrap(),
+        peer_address: me.peer_address.parse().unwrap(),
+        seeds: Vec::new(),
+    };
+    let mut router = Fleet::new(id, i).following_registrations(Millis(MAX_AGE));
+    for other in (1..=fleet).filter(|&o| o != i) {
+        tell(&mut router, 0, Event::PeerUp(member(other, false)));
+    }
+    router
+}
+
+fn tell(router: &mut Fleet, now: u64, event: Event) {
+    router.handle(Millis(now), event, &mut Vec::new());
+}
+
+/// Lets a router's own reading of the store succeed.
+fn read(router: &mut Fleet, now: u64) {
+    let asked = Millis(now);
+    let config = Arc::new(Config {
+        version: 1,
+        ..Config::default()
+    });
+    let digest = Digest(1);
+    tell(router, now, Event::Config { config, digest });
+    let version = 1;
+    tell(
+        router,
+        now,
+        Event::HeadSeen {
+            version,
+            digest,
+            asked,
+        },
+    );
+    let body = FoundBody {
+        revision: 1,
+        since: None,
+        entries: Vec::new(),
+    };
+    tell(router, now, Event::Found { body, asked });
+}
+
+fn readers(fleet: u64, now: u64) -> Vec<u64> {
+    let reads = |&i: &u64| {
+        let mut router = router(i, fleet);
+        read(&mut router, now);
+        router.reading(Millis(now)) != Reading::None
+    };
+    (1..=fleet).filter(reads).collect()
+}
+
+macro_rules! two_routers_read {
+    ($($name:ident: $fleet:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let readers = readers($fleet, STARTED);
+            assert_eq!(readers.len(), 2, "{readers:?}");
+            assert_ne!(readers[0] % 3, readers[1] % 3, "one failure domain");
+        }
+    )*};
+}
+
+two_routers_read! {
+    two_of_seven_read: 7;
+    two_of_a_hundred_read: 100;
+}
+
+#[test]
+fn a_router_alone_reads() {
+    assert_eq!(readers(1, STARTED), [1]);
+}
+
+#[test]
+fn routers_that_start_give_their_peers_time() {
+    let router = router(1, 7);
+    assert_eq!(router.reading(Millis(100)), Reading::None);
+    assert_ne!(router.reading(Millis(STARTED)), Reading::None);
+}
+
+/// A router that does not read, and one that reads.
+fn other_and_reader() -> (u64, u64) {
+    let readers = readers(7, STARTED);
+    let other = (1..=7).find(|i| !readers.contains(i)).unwrap();
+    (other, readers[0])
+}
+
+#[test]
+fn a_view_that_grows_old_is_renewed_by_ones_own_reading() {
+    let (other, _) = other_and_reader();
+    let mut router = router(other, 7);
+    read(&mut router, STARTED);
+    let at = |after: u64| Millis(STARTED + after);
+    assert_eq!(router.reading(at(MAX_AGE)), Reading::None);
+    assert_eq!(router.reading(at(MAX_AGE + 1)), Reading::Own);
+    read(&mut router, STARTED + MAX_AGE + 10);
+    assert_eq!(router.reading(at(MAX_AGE + 20)), Reading::None);
+}
+
+#[test]
+fn a_router_that_lost_the_store_reads_until_it_answers() {
+    let (other, _) = other_and_reader();
+    let mut router = router(other, 7);
+    read(&mut router, STARTED);
+    tell(&mut router, STARTED, Event::PlatformDown);
+    assert_eq!(router.reading(Millis(STARTED)), Reading::Own);
+    read(&mut router, STARTED + 100);
+    assert_eq!(router.reading(Millis(STARTED + 100)), Reading::None);
+}
+
+/// Another router takes the place of a reader that lost the store, or is silent.
+#[test]
+fn a_reader_that_cannot_read_is_replaced() {
+    let (_, reader) = other_and_reader();
+    for state in [MemberState::Alive, MemberState::Suspect, MemberState::Gone] {
+        let lost = Member {
+            state,
+            update: 9,
+            ..member(reader, true)
+        };
+        let reads = |&i: &u64| {
+            let mut router = router(i, 7);
+            read(&mut router, STARTED);
+            router.merge_member(Millis(STARTED), &lost);
+            router.reading(Millis(STARTED)) == Reading::Chosen
+        };
+        let readers: Vec<_> = (1..=7).filter(|&i| i != reader).filter(reads).collect();
+        assert_eq!(readers.len(), 2, "{state:?}: {readers:?}");
+    }
+}
+
+/// Where all have lost the store, few go on asking often.
+#[test]
+fn few_ask_often_in_an_outage_of_all() {
+    let often = |&i: &u64| {
+        let mut router = router(i, 100);
+        read(&mut router, STARTED);
+        tell(&mut router, STARTED, Event::PlatformDown);
+        for other in (1..=100).filter(|&o| o != i) {
+            router.merge_member(Millis(STARTED), &member(other, true));
+        }
+        assert_ne!(router.reading(Millis(STARTED)), Reading::None);
+        router.reading(Millis(STARTED)) == Reading::Chosen
+    };
+    assert_eq!((1..=100).filter(often).count(), 2);
+}
--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -3,12 +3,15 @@
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
 use tokio::sync::watch;
-use toucanchute_core::fleet::{Action, Event, Fleet, HostEntry, MemberView, NotReady};
+use toucanchute_core::{
+    discovery::Change,
+    fleet::{Action, Event, Fleet, HostEntry, MemberView, NotReady, Reading},
+};
 use toucanchute_edge::{AddressList, Outcome, Refusal, RefusalReason};
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
     config::Config,
-    fleet::{FleetMessage, Found, Load, Member, MemberState, Verdict},
+    fleet::{FleetMessage, FoundBody, Load, Member, MemberState, Verdict},
     peer::FrameKind,
 };
 use xtra::prelude::*;
@@ -27,6 +30,7 @@
     mesh: Mesh,
     view: Arc<View>,
     peers: Option<FleetPeers>,
+    reading: watch::Sender<Reading>,
     members: Vec<MemberView>,
     store: StoreNews,
     actions: Vec<Action>,
@@ -40,6 +44,8 @@
     pub(crate) mesh: Mesh,
     /// What the HTTP edge reads.
     pub(crate) view: Arc<View>,
+    /// Told how this router has to read the store.
+    pub(crate) reading: watch::Sender<Reading>,
 }
 
 /// The actors and tasks that act on a [`FleetActor`]'s decisions.
@@ -72,8 +78,8 @@
     HostList(Millis, u64, Vec<HostEntry>),
     /// Addresses of routers, for routers, by their records in the platform's store.
     Routers(BTreeSet<SocketAddr>),
-    /// These backend servers were registered when the platform was asked.
-    Found(Vec<Found>, Millis),
+    /// Registrations of backend servers, all or those that changed, as of the time given.
+    Found(FoundBody, Millis),
     /// A configuration was read from the platform.
     Config(Arc<Config>, Digest),
     /// The platform did not answer.
@@ -105,12 +111,14 @@
             machine,
             mesh,
             view,
+            reading,
         } = parts;
         FleetActor {
             machine,
             mesh,
             view,
             peers: None,
+            reading,
             members: Vec::new(),
             store: StoreNews::default(),
             actions: Vec::new(),
@@ -126,9 +134,7 @@
         }
         self.actions = actions;
         self.view.confirm(now);
-        if self.machine.is_outage_agreed(now) {
-            self.view.set_outage_at(now);
-        }
+        self.set_reading(self.machine.reading(now));
     }
 
     fn perform(&mut self, action: Action) {
@@ -148,9 +154,11 @@
                 log::info!(backends:? = names; "backends-withdrawn");
                 self.with_peers(|peers| post(&peers.dispatch, DispatchInput::Withdraw(names)));
             }
-            Action::Backends(found) => {
-                log::info!(backends = found.len(); "backends-in-force");
-                self.with_peers(|peers| post(&peers.dispatch, DispatchInput::Backends(found)));
+            Action::Backends(Change {
+                live, withdrawn, ..
+            }) => {
+                log::info!(backends = live.len(), left:? = withdrawn; "backends-in-force");
+                self.with_peers(|peers| post(&peers.dispatch, DispatchInput::Backends(live)));
             }
             Action::Load(load) => {
                 self.with_peers(|peers| post(&peers.dispatch, DispatchInput::Load(load)));
@@ -168,6 +176,17 @@
         }
     }
 
+    fn set_reading(&self, reading: Reading) {
+        let changed = self.reading.send_if_modified(|r| {
+            let changed = *r != reading;
+            *r = reading;
+            changed
+        });
+        if changed {
+            log::info!(reading:? = reading; "store-reading-changed");
+        }
+    }
+
     fn with_peers(&self, f: impl FnOnce(&FleetPeers)) {
         if let Some(peers) = &self.peers {
             f(peers);
@@ -239,7 +258,7 @@
                 asked,
             },
             FleetInput::Routers(routers) => Event::Routers(routers),
-            FleetInput::Found(backends, asked) => Event::Found { backends, asked },
+            FleetInput::Found(body, asked) => Event::Found { body, asked },
             FleetInput::Config(config, digest) => Event::Config { config, digest },
             FleetInput::PlatformDown => Event::PlatformDown,
             FleetInput::Load(load) => Event::LoadReport(load),
--- a/toucanchute_router/src/actor/prepaid.rs
+++ b/toucanchute_router/src/actor/prepaid.rs
@@ -273,7 +273,13 @@
             PrepaidInput::Message(from, message) => {
                 self.feed(Event::Message { from, message }, cx);
             }
-            PrepaidInput::Store(op, result) => self.feed(Event::Store { op, result }, cx),
+            PrepaidInput::Store(op, result) => {
+                // Few routers read the store for all, so that others learn of its loss here.
+                if matches!(result, StoreResult::Unavailable | StoreResult::Unknown) {
+                    post(&self.fleet, FleetInput::PlatformDown);
+                }
+                self.feed(Event::Store { op, result }, cx);
+            }
             PrepaidInput::Drain => self.feed(Event::Drain, cx),
             PrepaidInput::Leave => {
                 self.leaving = true;
--- a/toucanchute_router/src/gateway/feeds.rs
+++ b/toucanchute_router/src/gateway/feeds.rs
@@ -2,61 +2,131 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use toucanchute_core::discovery::Discovery;
+use tokio::sync::watch;
+use toucanchute_core::fleet::Reading;
 use toucanchute_platform::{BACKENDS_PREFIX, CONFIG_KEY, StoreClient, read_backend, read_config};
 use toucanchute_proto::{
     Digest, Millis,
     config::{Config, Ledger, Routing},
-    fleet::Found,
+    fleet::{FoundBody, Registration},
     settings::GatewaySettings,
 };
-use toucanchute_store::{Entry, Revision, Selection, Snapshot, Store, StoreError, Update};
+use toucanchute_store::{Entry, Revision, Selection, Snapshot, Store, Update};
 use xtra::prelude::*;
 
 use crate::{
     actor::{FleetActor, FleetInput, post},
     clock,
-    view::View,
 };
 
-/// Pause between two readings of the registrations: a third of the time in which a leaving backend
-/// server has to be known.
-const BACKENDS_PAUSE: Duration = Duration::from_millis(600);
-
-/// Pause after a call that failed.
+/// Pause after a first call that failed, and after each where this router reads for all.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
-/// How long a router takes work whose view is not confirmed: longer than routers need to agree that
-/// the store is away for all.
-const VIEW_BOUND: Millis = Millis(5_000);
+/// Longest pause between calls that fail where this router reads for itself.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// How long a router takes work beyond the age at which it reads the store itself: longer than
+/// routers need to agree that the store is away for all.
+const AGREEMENT_TIME: Millis = Millis(3_600);
 
 /// Part of the fleet's retries that is used, in percent, since windows of different routers differ.
 const RETRY_PERCENT: u64 = 70;
 
+/// Time of the bounds that is left for a reading of one's own.
+const READING_TIME: Millis = Millis(600);
+
+/// Least age of a view at which a router reads the store itself.
+const MIN_VIEW_AGE: Millis = Millis(500);
+
+/// Returns the age of the view from which on a router reads the store itself.
+pub(super) fn max_view_age(settings: &GatewaySettings) -> Millis {
+    let bounds = &settings.bounds;
+    let bound = Millis(bounds.withdrawal_ms.min(bounds.configuration_ms));
+    bound.since(READING_TIME).max(MIN_VIEW_AGE)
+}
+
+/// Returns how long a watch waits for a change. Its end tells that the store is there, so that it is
+/// well below the age that a view may have.
+pub(super) fn watch_wait(settings: &GatewaySettings) -> Millis {
+    Millis(max_view_age(settings).0 / 2)
+}
+
 /// What the store tells, and whom.
+#[derive(Clone)]
 pub(super) struct Feeds {
     pub(super) store: StoreClient,
     pub(super) fleet: Address<FleetActor>,
-    pub(super) view: Arc<View>,
+    /// How this router reads the store.
+    pub(super) reading: watch::Receiver<Reading>,
+    /// How long a watch waits for a change.
+    pub(super) wait: Millis,
 }
 
 impl Feeds {
-    /// Starts to read.
+    /// Starts to read, whenever this router has to.
     pub(super) fn start(self, settings: &GatewaySettings) {
-        let configs = ConfigFeed {
-            store: self.store.clone(),
-            fleet: self.fleet.clone(),
+        let mut configs = ConfigFeed {
+            feeds: self.clone(),
             policy: Policy::new(settings),
             last: None,
         };
-        tokio::spawn(configs.run());
-        let backends = BackendFeed {
-            feeds: self,
-            discovery: Discovery::default(),
+        let mut backends = BackendFeed {
+            feeds: self.clone(),
+            told: 0,
             malformed: BTreeMap::new(),
         };
-        tokio::spawn(backends.run());
+        let (mut for_configs, mut for_backends) = (self.reading.clone(), self.reading);
+        tokio::spawn(async move {
+            while wanted(&mut for_configs).await {
+                tokio::select! {
+                    () = configs.read() => {}
+                    () = relieved(&mut for_configs) => {}
+                }
+            }
+        });
+        tokio::spawn(async move {
+            while wanted(&mut for_backends).await {
+                tokio::select! {
+                    () = backends.read() => {}
+                    () = relieved(&mut for_backends) => {}
+                }
+            }
+        });
     }
+
+    /// Tells that the store did not answer, and waits. `failures` counts calls in a row that failed.
+    async fn pause(&self, failures: u32) {
+        post(&self.fleet, FleetInput::PlatformDown);
+        let pause = match *self.reading.borrow() {
+            Reading::Chosen => RETRY_PAUSE,
+            _ => (RETRY_PAUSE * 2_u32.saturating_pow(failures.min(8))).min(LONGEST_PAUSE),
+        };
+        // Routers that lost the store together do not come back together.
+        let jitter = rand::random_range(0.75..1.25);
+        tokio::time::sleep(pause.mul_f64(jitter)).await;
+    }
+
+    /// Returns when the store was known to be there by an answer to what was asked at `asked`: one
+    /// without changes was given when the wait was over.
+    fn as_of(&self, asked: Millis, changed: bool) -> Millis {
+        let waited = clock::now().since(asked) >= self.wait;
+        match waited && !changed {
+            true => asked + self.wait,
+            false => asked,
+        }
+    }
+}
+
+/// Waits until this router has to read; returns false if the process ends.
+async fn wanted(reading: &mut watch::Receiver<Reading>) -> bool {
+    let wanted = reading.wait_for(|r| *r != Reading::None).await;
+    wanted.is_ok()
+}
+
+/// Waits until this router need not read any more.
+async fn relieved(reading: &mut watch::Receiver<Reading>) {
+    // An error tells that the process ends.
+    _ = reading.wait_for(|r| *r == Reading::None).await;
 }
 
 /// What a process's settings add to the operator's configuration.
@@ -72,7 +142,7 @@
                 address_max_age_ms: settings.callers.address_max_age_ms,
                 retry_share_percent: part(settings.retries.percent),
                 retry_burst: part(settings.retries.burst),
-                view_bound_ms: VIEW_BOUND.0,
+                view_bound_ms: (max_view_age(settings) + AGREEMENT_TIME).0,
                 ..Routing::default()
             },
             ledger: Ledger {
@@ -92,20 +162,21 @@
 
 /// Follows the configuration.
 struct ConfigFeed {
-    store: StoreClient,
-    fleet: Address<FleetActor>,
+    feeds: Feeds,
     policy: Policy,
     /// Version and digest of the newest configuration that was read.
     last: Option<(u64, Digest)>,
 }
 
 impl ConfigFeed {
-    async fn run(mut self) {
+    async fn read(&mut self) {
+        let mut failures = 0;
         loop {
             let asked = clock::now();
             // The key itself may be older than the history that a watch can begin with.
-            match self.store.get_prefix(CONFIG_KEY).await {
+            match self.feeds.store.get_prefix(CONFIG_KEY).await {
                 Ok(snapshot) => {
+                    failures = 0;
                     let mut entries = snapshot.entries.iter();
                     if let Some(entry) = entries.find(|e| e.key == CONFIG_KEY) {
                         self.take(entry);
@@ -113,7 +184,11 @@
                     self.confirm(asked);
                     self.follow(snapshot.revision.next()).await;
                 }
-                Err(e) => self.unread(&e).await,
+                Err(e) => {
+                    log::debug!(error:% = e; "config-unread");
+                    self.feeds.pause(failures).await;
+                    failures += 1;
+                }
             }
         }
     }
@@ -121,17 +196,22 @@
     /// Follows the changes from a revision on until some are missed.
     async fn follow(&mut self, from: Revision) {
         let selection = Selection::Key(CONFIG_KEY.to_owned());
-        let mut watch = self.store.watch(selection, from);
+        let mut watch = self.feeds.store.watch(selection, from);
         let mut asked = clock::now();
+        let mut changed = false;
         while let Some(update) = watch.next().await {
             match update {
-                Update::Put(entry) => self.take(&entry),
+                Update::Put(entry) => {
+                    changed = true;
+                    self.take(&entry);
+                }
                 Update::Progress { .. } => {
-                    self.confirm(asked);
+                    self.confirm(self.feeds.as_of(asked, changed));
                     asked = clock::now();
+                    changed = false;
                 }
                 Update::Disconnected => {
-                    post(&self.fleet, FleetInput::PlatformDown);
+                    post(&self.feeds.fleet, FleetInput::PlatformDown);
                     asked = clock::now();
                 }
                 Update::Gap { .. } => {
@@ -146,7 +226,10 @@
     /// Tells that the newest configuration read was the newest one at `asked`.
     fn confirm(&self, asked: Millis) {
         let (version, digest) = self.last.unwrap_or_default();
-        post(&self.fleet, FleetInput::HeadSeen(asked, version, digest));
+        post(
+            &self.feeds.fleet,
+            FleetInput::HeadSeen(asked, version, digest),
+        );
     }
 
     fn take(&mut self, entry: &Entry) {
@@ -162,66 +245,108 @@
                     ledger: self.policy.ledger.clone(),
                     ..config
                 };
-                post(&self.fleet, FleetInput::Config(Arc::new(config), digest));
+                post(
+                    &self.feeds.fleet,
+                    FleetInput::Config(Arc::new(config), digest),
+                );
             }
             Err(e) => log::error!(revision = entry.revision.0, error:% = e; "config-malformed"),
         }
     }
-
-    async fn unread(&self, error: &StoreError) {
-        log::debug!(error:% = error; "config-unread");
-        post(&self.fleet, FleetInput::PlatformDown);
-        tokio::time::sleep(RETRY_PAUSE).await;
-    }
 }
 
-/// Reads the backend servers' registrations again and again.
+/// Follows the registrations of backend servers.
 struct BackendFeed {
     feeds: Feeds,
-    discovery: Discovery,
+    /// Revision up to which the fleet machine was told all.
+    told: u64,
     /// Entries that could not be read, by key, to log each once.
     malformed: BTreeMap<String, Revision>,
 }
 
 impl BackendFeed {
-    async fn run(mut self) {
+    async fn read(&mut self) {
+        let mut failures = 0;
         loop {
             let asked = clock::now();
-            let pause = match self.feeds.store.get_prefix(BACKENDS_PREFIX).await {
+            match self.feeds.store.get_prefix(BACKENDS_PREFIX).await {
                 Ok(snapshot) => {
-                    self.take(asked, &snapshot);
-                    BACKENDS_PAUSE
+                    failures = 0;
+                    self.tell_all(&snapshot, asked);
+                    self.follow(snapshot.revision.next()).await;
                 }
                 Err(e) => {
                     log::debug!(error:% = e; "backends-unread");
-                    post(&self.feeds.fleet, FleetInput::PlatformDown);
-                    RETRY_PAUSE
+                    self.feeds.pause(failures).await;
+                    failures += 1;
                 }
-            };
-            tokio::time::sleep(pause).await;
+            }
         }
     }
 
-    fn take(&mut self, asked: Millis, snapshot: &Snapshot) {
-        let found = snapshot.entries.iter();
-        let found: Vec<Found> = found.filter_map(|entry| self.read(entry)).collect();
-        if let Some(at) = self.feeds.view.outage_at() {
-            self.discovery.outage_agreed(at);
+    /// Follows the changes from a revision on until some are missed.
+    async fn follow(&mut self, from: Revision) {
+        let selection = Selection::Prefix(BACKENDS_PREFIX.to_owned());
+        let mut watch = self.feeds.store.watch(selection, from);
+        let mut asked = clock::now();
+        let mut changes = Vec::new();
+        while let Some(update) = watch.next().await {
+            match update {
+                Update::Put(entry) => changes.push(self.registration(&entry)),
+                Update::Delete { key, revision } => changes.push(Registration {
+                    key,
+                    revision: revision.0,
+                    backend: None,
+                }),
+                Update::Progress { .. } => {
+                    let as_of = self.feeds.as_of(asked, !changes.is_empty());
+                    self.tell_changes(std::mem::take(&mut changes), as_of);
+                    asked = clock::now();
+                }
+                Update::Disconnected => {
+                    post(&self.feeds.fleet, FleetInput::PlatformDown);
+                    asked = clock::now();
+                }
+                Update::Gap { .. } => {
+                    log::info!("backends-history-lost");
+                    return;
+                }
+            }
         }
-        let change = self.discovery.list(clock::now(), found);
-        if change.changed {
-            log::info!(
-                backends = change.live.len(),
-                left:? = change.withdrawn,
-                revision = snapshot.revision.0;
-                "backends-read"
-            );
+    }
+
+    fn tell_all(&mut self, snapshot: &Snapshot, asked: Millis) {
+        let entries = snapshot.entries.iter().map(|e| self.registration(e));
+        let entries: Vec<_> = entries.collect();
+        self.told = snapshot.revision.0;
+        log::info!(entries = entries.len(), revision = self.told; "backends-read");
+        let body = FoundBody {
+            revision: self.told,
+            since: None,
+            entries,
+        };
+        post(&self.feeds.fleet, FleetInput::Found(body, asked));
+    }
+
+    /// Tells changes, or that there were none.
+    fn tell_changes(&mut self, entries: Vec<Registration>, as_of: Millis) {
+        let since = self.told;
+        let newest = entries.iter().map(|e| e.revision).max();
+        self.told = since.max(newest.unwrap_or(0));
+        if !entries.is_empty() {
+            log::info!(changes = entries.len(), revision = self.told; "backends-changed");
         }
-        post(&self.feeds.fleet, FleetInput::Found(change.live, asked));
+        let body = FoundBody {
+            revision: self.told,
+            since: Some(since),
+            entries,
+        };
+        post(&self.feeds.fleet, FleetInput::Found(body, as_of));
     }
 
-    fn read(&mut self, entry: &Entry) -> Option<Found> {
-        match read_backend(&entry.key, &entry.value) {
+    /// Reads an entry; one that cannot be read names no backend server.
+    fn registration(&mut self, entry: &Entry) -> Registration {
+        let backend = match read_backend(&entry.key, &entry.value) {
             Ok(found) => Some(found),
             Err(e) => {
                 let known = self.malformed.insert(entry.key.clone(), entry.revision);
@@ -230,6 +355,11 @@
                 }
                 None
             }
+        };
+        Registration {
+            key: entry.key.clone(),
+            revision: entry.revision.0,
+            backend,
         }
     }
 }
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -13,7 +13,7 @@
     time::MissedTickBehavior,
 };
 use toucanchute_core::{
-    fleet::{Fleet, Identity as FleetIdentity},
+    fleet::{Fleet, Identity as FleetIdentity, Reading},
     prepaid::{self, Prepaid},
     routing::Dispatcher,
 };
@@ -26,7 +26,7 @@
 
 use super::{
     control::GatewayControl,
-    feeds::Feeds,
+    feeds::{self, Feeds},
     leave,
     monitor::{self, Monitor},
     questions::{self, Desk},
@@ -125,17 +125,20 @@
         let mesh = Mesh::new(identity(settings, incarnation), events);
         let view = Arc::new(View::new(Arc::new(Config::default()), starting()));
         let endpoint = settings.store.endpoint;
-        let store = StoreClient::new(endpoint, Millis(settings.store.timeout_ms));
+        let wait = feeds::watch_wait(settings);
+        let store = StoreClient::new(endpoint, Millis(settings.store.timeout_ms), wait);
         let in_flight = Arc::new(AtomicU64::new(0));
         let leaving = Arc::new(AtomicBool::new(false));
         let monitor = Arc::new(Monitor::new());
 
         let machine = Fleet::new(fleet_identity(settings, incarnation), incarnation.0)
-            .following_registrations();
+            .following_registrations(feeds::max_view_age(settings));
+        let (reading, read_by) = watch::channel(Reading::None);
         let fleet = FleetActor::new(FleetParts {
             machine,
             mesh: mesh.clone(),
             view: Arc::clone(&view),
+            reading,
         });
         let fleet = xtra::spawn_tokio(fleet, Mailbox::unbounded());
         let domain = &settings.router.failure_domain;
@@ -171,7 +174,8 @@
         let feeds = Feeds {
             store: store.clone(),
             fleet: fleet.clone(),
-            view: Arc::clone(&view),
+            reading: read_by,
+            wait,
         };
         feeds.start(settings);
         let control = Arc::new(GatewayControl {
--- a/toucanchute_router/src/server.rs
+++ b/toucanchute_router/src/server.rs
@@ -12,7 +12,7 @@
     time::MissedTickBehavior,
 };
 use toucanchute_core::{
-    fleet::{Fleet, Identity as FleetIdentity},
+    fleet::{Fleet, Identity as FleetIdentity, Reading},
     money,
     routing::Dispatcher,
 };
@@ -126,6 +126,7 @@
                 machine,
                 mesh: mesh.clone(),
                 view: Arc::clone(&view),
+                reading: watch::channel(Reading::None).0,
             };
             xtra::spawn_tokio(FleetActor::new(parts), Mailbox::unbounded())
         };
--- a/toucanchute_router/src/view.rs
+++ b/toucanchute_router/src/view.rs
@@ -22,8 +22,6 @@
     /// The other members of the fleet as far as known.
     members: Vec<MemberView>,
     unready: Option<Refusal>,
-    /// When all routers last agreed that they have lost the store.
-    outage_at: Option<Millis>,
     /// When the fleet actor last confirmed `unready`.
     checked_at: Millis,
 }
@@ -38,7 +36,6 @@
                 addresses,
                 members: Vec::new(),
                 unready: Some(unready),
-                outage_at: None,
                 checked_at: Millis::default(),
             }),
         }
@@ -61,11 +58,6 @@
         self.read(|state| state.members.clone())
     }
 
-    /// Returns when all routers last agreed that they have lost the store.
-    pub(crate) fn outage_at(&self) -> Option<Millis> {
-        self.read(|state| state.outage_at)
-    }
-
     /// Returns why this router takes no new work at `now`, if it takes none.
     pub(crate) fn unready(&self, now: Millis) -> Option<Refusal> {
         self.read(|state| {
@@ -112,11 +104,6 @@
         self.write(|state| state.checked_at = state.checked_at.max(now));
     }
 
-    /// Notes that all routers agreed at `now` that they have lost the store.
-    pub(crate) fn set_outage_at(&self, now: Millis) {
-        self.write(|state| state.outage_at = Some(now));
-    }
-
     fn write(&self, f: impl FnOnce(&mut State)) {
         f(&mut self.state.write().unwrap_or_else(PoisonError::into_inner));
     }
--- a/toucanchute_settings/src/gateway.rs
+++ b/toucanchute_settings/src/gateway.rs
@@ -1,8 +1,8 @@
 use std::path::Path;
 
 use toucanchute_proto::settings::{
-    CallersSection, GatewayRouterSection, GatewaySettings, LeaveSection, LogLevel, LogSection,
-    MonitorSection, PrepaidSection, RetriesSection, StoreSection,
+    BoundsSection, CallersSection, GatewayRouterSection, GatewaySettings, LeaveSection, LogLevel,
+    LogSection, MonitorSection, PrepaidSection, RetriesSection, StoreSection,
 };
 
 use crate::{
@@ -30,9 +30,15 @@
 /// milliseconds.
 const GRACE_MS: u64 = 8_000;
 
-/// Greatest such time that counts, in milliseconds.
+/// Greatest grace that counts, in milliseconds.
 const MAX_GRACE_MS: u64 = 24 * 60 * 60 * 1_000;
 
+/// Time until what is told has to be in force unless the settings say otherwise, in milliseconds.
+const BOUND_MS: u64 = 2_000;
+
+/// Greatest such time that counts, in milliseconds.
+const MAX_BOUND_MS: u64 = 60_000;
+
 /// Witnesses of an account and acknowledgements of a mark unless the settings say otherwise.
 const QUORUM: (u8, u8) = (5, 3);
 
@@ -40,8 +46,8 @@
 const RETRIES: (u32, u32) = (10, 20);
 
 /// Sections of the file, all without a name.
-const SECTIONS: [&str; 8] = [
-    "router", "callers", "store", "retries", "leave", "prepaid", "log", "monitor",
+const SECTIONS: [&str; 9] = [
+    "router", "callers", "store", "bounds", "retries", "leave", "prepaid", "log", "monitor",
 ];
 
 /// Reads the settings of a gateway from the INI file at `path`.
@@ -67,6 +73,7 @@
         Some(section) => read_store(section, faults),
         None => missing(path, "store", faults),
     };
+    let bounds = find("bounds").map(|s| read_bounds(s, faults));
     let retries = find("retries").map(|s| read_retries(s, faults));
     let leave = find("leave").map(|s| read_leave(s, faults));
     let prepaid = find("prepaid").map(|s| read_prepaid(s, faults));
@@ -78,6 +85,10 @@
         router: router?,
         callers: callers?,
         store: store?,
+        bounds: bounds.unwrap_or(BoundsSection {
+            withdrawal_ms: BOUND_MS,
+            configuration_ms: BOUND_MS,
+        }),
         retries: retries.unwrap_or(RetriesSection { percent, burst }),
         leave: leave.unwrap_or(LeaveSection { grace_ms: GRACE_MS }),
         prepaid: prepaid.unwrap_or(PrepaidSection { witnesses, acks }),
@@ -142,6 +153,17 @@
     })
 }
 
+fn read_bounds(section: &Section, faults: &mut Vec<Fault>) -> BoundsSection {
+    let mut r = Reader::new(section, faults);
+    let withdrawal = r.filled("withdrawal", &format::DURATION_OR_NONE);
+    let configuration = r.filled("configuration", &format::DURATION_OR_NONE);
+    r.finish();
+    BoundsSection {
+        withdrawal_ms: withdrawal.unwrap_or(BOUND_MS).min(MAX_BOUND_MS),
+        configuration_ms: configuration.unwrap_or(BOUND_MS).min(MAX_BOUND_MS),
+    }
+}
+
 fn read_retries(section: &Section, faults: &mut Vec<Fault>) -> RetriesSection {
     let (percent, burst) = RETRIES;
     let mut r = Reader::new(section, faults);
--- a/toucanchute_settings/tests/settings/gateway.rs
+++ b/toucanchute_settings/tests/settings/gateway.rs
@@ -84,6 +84,21 @@
     assert_eq!(settings.callers.connections, connections);
 }
 
+#[parameterized(
+    missing = { "", (2_000, 2_000) },
+    seven_hosts = { "[bounds]\nwithdrawal = 2000 ms\nconfiguration = 2000 ms\n", (2_000, 2_000) },
+    many_hosts = { "[bounds]\nwithdrawal = 4000 ms\nconfiguration = 3000.7 ms\n", (4_000, 3_000) },
+    none = { "[bounds]\nwithdrawal = 0 ms\n", (0, 2_000) },
+    empty = { "[bounds]\nwithdrawal =\n", (2_000, 2_000) },
+    very_large = { "[bounds]\nconfiguration = 1e30 ms\n", (2_000, 60_000) },
+)]
+fn bounds_are_read(text: &str, bounds: (u64, u64)) {
+    let folder = Folder::with(&[("g.ini", &format!("{GATEWAY}{text}"))]);
+    let settings = load_gateway(&folder.path().join("g.ini")).unwrap();
+    let read = settings.bounds;
+    assert_eq!((read.withdrawal_ms, read.configuration_ms), bounds);
+}
+
 #[test]
 fn a_region_may_be_missing() {
     let text = GATEWAY.replace("region = north\n", "");
