--- a/toucanchute_core/examples/gossip_cost.rs
+++ b/toucanchute_core/examples/gossip_cost.rs
@@ -80,6 +80,7 @@
             region: "r".to_owned(),
             caller_address: address(i, 80),
             peer_address: address(i, 81),
+            capacity: 0,
             seeds: (0..3).map(|i| address(i, 81)).collect(),
         };
         let identities: Vec<Identity> = (0..routers).map(identity).collect();
--- a/toucanchute_core/src/fleet/action.rs
+++ b/toucanchute_core/src/fleet/action.rs
@@ -58,6 +58,8 @@
     pub caller_address: SocketAddr,
     /// Its address for routers.
     pub peer_address: SocketAddr,
+    /// Processor time of its host, in thousandths of a core; 0 if it is not known.
+    pub capacity: u32,
     /// What is believed of it.
     pub state: MemberState,
     /// Whether it finds the platform down.
--- a/toucanchute_core/src/fleet/found.rs
+++ b/toucanchute_core/src/fleet/found.rs
@@ -35,10 +35,9 @@
         let news = self.registrations.after(before);
         // Peers ask for a whole list if they lack one.
         if news.since.is_none() {
-            return self.push_all(from, out);
+            return self.push(from, out);
         }
-        let peers: Vec<_> = self.links.up.iter().copied().collect();
-        for to in peers.into_iter().filter(|&p| Some(p) != from) {
+        for to in self.pushed_to(from) {
             let known = self.links.known.get(&to).map_or(0, |k| k.hosts);
             if known < news.revision {
                 self.send(to, FleetBody::Found(news.clone()), out);
--- a/toucanchute_core/src/fleet/hosts.rs
+++ b/toucanchute_core/src/fleet/hosts.rs
@@ -71,7 +71,7 @@
         }
         self.hosts.backends = Some(list);
         self.tell_withdrawn(out);
-        self.push_all(None, out);
+        self.push(None, out);
     }
 
     /// Withdraws the backend servers that are configured but not listed as live, whether they
--- a/toucanchute_core/src/fleet/leave.rs
+++ b/toucanchute_core/src/fleet/leave.rs
@@ -20,7 +20,7 @@
         self.drain = Drain::Accepting { until: now + wait };
         self.me.state = MemberState::Leaving;
         self.speak();
-        self.push_all(None, out);
+        self.push(None, out);
     }
 
     pub(super) fn advance_drain(&mut self, now: Millis, out: &mut Vec<Action>) {
@@ -45,7 +45,7 @@
         self.drain = Drain::Exited;
         self.me.state = MemberState::Gone;
         self.speak();
-        self.push_all(None, out);
+        self.push(None, out);
         out.push(Action::Exit);
     }
 }
--- a/toucanchute_core/src/fleet/links.rs
+++ b/toucanchute_core/src/fleet/links.rs
@@ -13,7 +13,7 @@
 use crate::hash;
 
 /// Fleet size up to which each router links to all others.
-const FULL_MESH: usize = 9;
+pub(super) const FULL_MESH: usize = 9;
 
 /// Links that a router opens in a larger fleet, besides those opened by others.
 const LINKS: usize = 4;
@@ -46,8 +46,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Links {
     pub(super) up: BTreeSet<Incarnation>,
-    /// When the whole table was last sent to a peer.
-    pub(super) synced: BTreeMap<Incarnation, Millis>,
+    /// When this router's table may next be compared with a peer's.
+    pub(super) next_sync: Millis,
     /// What each peer had when it last spoke.
     pub(super) known: BTreeMap<Incarnation, Known>,
 }
@@ -92,12 +92,12 @@
             self.rumors.member(id, fleet);
         }
         self.merge_member(now, member);
-        self.send_table(now, member.incarnation, out);
+        self.greet(member.incarnation, out);
+        self.ping(now, member.incarnation, Stage::Direct, out);
     }
 
     pub(super) fn peer_down(&mut self, now: Millis, id: Incarnation, out: &mut Vec<Action>) {
         self.links.up.remove(&id);
-        self.links.synced.remove(&id);
         self.links.known.remove(&id);
         let known = self.members.get(id).map(|e| e.member.state);
         if matches!(known, Some(MemberState::Alive | MemberState::Leaving)) {
--- a/toucanchute_core/src/fleet/machine.rs
+++ b/toucanchute_core/src/fleet/machine.rs
@@ -38,6 +38,8 @@
     pub caller_address: SocketAddr,
     /// Address for routers.
     pub peer_address: SocketAddr,
+    /// Processor time of its host, in thousandths of a core; 0 if it is not known.
+    pub capacity: u32,
     /// Addresses of routers to ask for the others.
     pub seeds: Vec<SocketAddr>,
 }
@@ -55,6 +57,7 @@
 ///     region: "north".to_owned(),
 ///     caller_address: "192.0.2.1:8000".parse().unwrap(),
 ///     peer_address: "192.0.2.1:8001".parse().unwrap(),
+///     capacity: 500,
 ///     seeds: Vec::new(),
 /// }, 7);
 /// let mut out = Vec::new();
@@ -113,6 +116,7 @@
             state: MemberState::Alive,
             update: 0,
             outage: false,
+            capacity: id.capacity,
         };
         Fleet {
             id,
@@ -184,6 +188,13 @@
 
     // Queries
 
+    /// When configuration and withdrawals were last known to be current, by the platform's answer to
+    /// this router or another one.
+    #[must_use]
+    pub fn confirmed_at(&self) -> Option<Millis> {
+        self.view.confirmed_at()
+    }
+
     /// Whether this router and its peers agree that none of them reaches the platform.
     #[must_use]
     pub fn is_outage_agreed(&self, now: Millis) -> bool {
@@ -258,7 +269,7 @@
         self.config = Some((config.clone(), digest));
         self.tell_withdrawn(out);
         out.push(Action::InForce(config));
-        self.push_all(None, out);
+        self.push(None, out);
     }
 
     pub(super) fn head(&self) -> Option<Head> {
@@ -313,7 +324,7 @@
     fn tell_verdict(&mut self, v: &toucanchute_proto::fleet::Verdict, out: &mut Vec<Action>) {
         let fleet = self.known();
         if self.rumors.verdict(v, fleet) {
-            self.push_all(None, out);
+            self.push(None, out);
         }
     }
 }
--- a/toucanchute_core/src/fleet/members.rs
+++ b/toucanchute_core/src/fleet/members.rs
@@ -7,12 +7,15 @@
 
 use crate::hash;
 
+/// Parts of a table that are compared one by one.
+pub(super) const BUCKETS: usize = 64;
+
 /// What this router believes of all members but itself.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Members {
     entries: BTreeMap<Incarnation, Entry>,
-    /// Exclusive or of the hashes of all entries.
-    hash: u64,
+    /// Exclusive or of the hashes of the entries in each bucket.
+    hashes: [u64; BUCKETS],
 }
 
 /// One member and when it got into its state.
@@ -25,6 +28,15 @@
     pub(super) ended: bool,
 }
 
+impl Default for Members {
+    fn default() -> Members {
+        Members {
+            entries: BTreeMap::new(),
+            hashes: [0; BUCKETS],
+        }
+    }
+}
+
 impl Members {
     pub(super) fn get(&self, id: Incarnation) -> Option<&Entry> {
         self.entries.get(&id)
@@ -41,9 +53,9 @@
             .filter(|m| m.state != MemberState::Gone)
     }
 
-    /// Hash of the whole table; equal tables have equal hashes.
-    pub(super) fn hash(&self) -> u64 {
-        self.hash
+    /// Hashes of the table's buckets; equal tables have equal hashes.
+    pub(super) fn hashes(&self) -> [u64; BUCKETS] {
+        self.hashes
     }
 
     /// Takes in what somebody says about a member; returns whether it was news.
@@ -109,19 +121,24 @@
 
     pub(super) fn forget(&mut self, id: Incarnation) {
         if let Some(e) = self.entries.remove(&id) {
-            self.hash ^= entry_hash(&e.member);
+            self.hashes[bucket(id)] ^= entry_hash(&e.member);
         }
     }
 
     fn replace(&mut self, entry: Entry) {
         let id = entry.member.incarnation;
-        self.hash ^= entry_hash(&entry.member);
+        self.hashes[bucket(id)] ^= entry_hash(&entry.member);
         if let Some(old) = self.entries.insert(id, entry) {
-            self.hash ^= entry_hash(&old.member);
+            self.hashes[bucket(id)] ^= entry_hash(&old.member);
         }
     }
 }
 
+/// Returns the bucket that a member belongs to.
+pub(super) fn bucket(id: Incarnation) -> usize {
+    (hash::mix(&[id.0]) % BUCKETS as u64) as usize
+}
+
 /// Hash of one member's state, for a table's hash.
 pub(super) fn entry_hash(m: &Member) -> u64 {
     let state = [u64::from(m.state as u8), u64::from(m.outage)];
--- a/toucanchute_core/src/fleet/messages.rs
+++ b/toucanchute_core/src/fleet/messages.rs
@@ -1,10 +1,11 @@
 use std::sync::Arc;
 
+use rand::seq::SliceRandom;
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
     config::Config,
     fleet::{
-        Ack, ConfigBody, FetchConfig, FleetBody, FleetMessage, Gossip, Head, Member, Ping,
+        Ack, Buckets, ConfigBody, FetchConfig, FleetBody, FleetMessage, Gossip, Head, Member, Ping,
         Probe as ProbeBody, Push,
     },
 };
@@ -12,13 +13,17 @@
 use super::{
     Action, Fleet,
     fault::Fault,
-    links::{Known, Probe, Stage},
-    members::entry_hash,
+    links::{FULL_MESH, Known, Probe, Stage},
+    members::{BUCKETS, bucket, entry_hash},
 };
 
-/// Shortest time between two whole tables sent to one peer.
+/// Shortest time between two comparisons of this router's table with a peer's.
 const SYNC_PERIOD: Millis = Millis(1_000);
 
+/// Peers of a large fleet to which news go at once: a host may have to send each of them a whole
+/// configuration over a slow link.
+const PUSHED_TO: usize = 4;
+
 /// Time for a peer to send its configuration before another is asked.
 const FETCH_TIMEOUT: Millis = Millis(300);
 
@@ -42,6 +47,7 @@
                 self.ping(now, target, Stage::Relayed { by: from, seq }, out);
             }
             FleetBody::Push(_) => {}
+            FleetBody::Buckets(Buckets { hashes }) => self.send_differing(from, &hashes, out),
             FleetBody::FetchConfig(FetchConfig { version }) => self.send_config(from, version, out),
             FleetBody::FetchFound(ask) => self.send_found(from, ask, out),
             FleetBody::Found(body) => self.take_found(now, body, Some(from), out),
@@ -85,7 +91,7 @@
             }
         }
         if urgent {
-            self.push_all(Some(from), out);
+            self.push(Some(from), out);
         }
         self.fetch_newer(now, from, gossip.head, out);
     }
@@ -130,10 +136,10 @@
             confirmed_age: self.view.age(now),
             outage: self.outage_agreed(now),
         };
-        let synced = self.links.synced.get(&from);
-        let due = synced.is_none_or(|&at| now.since(at) >= SYNC_PERIOD);
-        if due && ping.members != self.table_hash() {
-            self.send_table(now, from, out);
+        if now >= self.links.next_sync && ping.members != self.table_hash() {
+            self.links.next_sync = now + SYNC_PERIOD;
+            let hashes = self.bucket_hashes().to_vec();
+            self.send(from, FleetBody::Buckets(Buckets { hashes }), out);
         }
         self.send(from, FleetBody::Ack(ack), out);
     }
@@ -193,21 +199,30 @@
         out.push(Action::Send { to, message });
     }
 
-    /// Tells all linked peers at once, but for the one that it was learned from.
-    pub(super) fn push_all(&mut self, but: Option<Incarnation>, out: &mut Vec<Action>) {
-        let peers: Vec<_> = self.links.up.iter().copied().collect();
-        for to in peers.into_iter().filter(|&p| Some(p) != but) {
+    /// Tells some linked peers at once, but not the one that it was learned from.
+    pub(super) fn push(&mut self, but: Option<Incarnation>, out: &mut Vec<Action>) {
+        for to in self.pushed_to(but) {
             let seq = self.next_seq();
             self.send(to, FleetBody::Push(Push { seq }), out);
         }
     }
 
-    /// Sends a peer all members and verdicts.
-    pub(super) fn send_table(&mut self, now: Millis, to: Incarnation, out: &mut Vec<Action>) {
-        self.links.synced.insert(to, now);
+    /// Peers to which news go at once; those of a large fleet pass them on, and the others learn of
+    /// them by pings.
+    pub(super) fn pushed_to(&mut self, but: Option<Incarnation>) -> Vec<Incarnation> {
+        let mut peers: Vec<_> = self.links.up.iter().copied().collect();
+        peers.retain(|&p| Some(p) != but);
+        if peers.len() >= FULL_MESH {
+            peers.shuffle(&mut self.rng);
+            peers.truncate(PUSHED_TO);
+        }
+        peers
+    }
+
+    /// Sends a new peer what is not gossiped any more; members follow once the tables were compared.
+    pub(super) fn greet(&mut self, to: Incarnation, out: &mut Vec<Action>) {
         let seq = self.next_seq();
         let mut gossip = self.gossip(to);
-        gossip.members = self.members.iter().map(|e| e.member.clone()).collect();
         gossip.members.push(self.me.clone());
         gossip.verdicts = self.rumors.all_verdicts();
         gossip.backends.clone_from(&self.hosts.backends);
@@ -216,6 +231,21 @@
         out.push(Action::Send { to, message });
     }
 
+    /// Sends a peer the members of those buckets in which its table is another one.
+    fn send_differing(&mut self, to: Incarnation, hashes: &[u64], out: &mut Vec<Action>) {
+        let own = self.bucket_hashes();
+        let differs = |id| hashes.get(bucket(id)) != Some(&own[bucket(id)]);
+        let members = self.members.iter().map(|e| &e.member).chain([&self.me]);
+        let members = members.filter(|m| differs(m.incarnation));
+        let members: Vec<_> = members.cloned().collect();
+        let seq = self.next_seq();
+        let mut gossip = self.gossip(to);
+        gossip.members = members;
+        let body = FleetBody::Push(Push { seq });
+        let message = Box::new(FleetMessage { body, gossip });
+        out.push(Action::Send { to, message });
+    }
+
     fn send_config(&mut self, to: Incarnation, version: u64, out: &mut Vec<Action>) {
         let Some((config, digest)) = self.config.clone() else {
             return;
@@ -243,7 +273,14 @@
         }
     }
 
+    /// Hash of the whole table; equal tables have equal hashes.
     pub(super) fn table_hash(&self) -> u64 {
-        self.members.hash() ^ entry_hash(&self.me)
+        self.bucket_hashes().iter().fold(0, |sum, h| sum ^ h)
+    }
+
+    fn bucket_hashes(&self) -> [u64; BUCKETS] {
+        let mut hashes = self.members.hashes();
+        hashes[bucket(self.me.incarnation)] ^= entry_hash(&self.me);
+        hashes
     }
 }
--- a/toucanchute_core/src/fleet/publish.rs
+++ b/toucanchute_core/src/fleet/publish.rs
@@ -15,6 +15,9 @@
 /// Time after which the order of the addresses changes, to spread callers that keep them.
 const SHUFFLE_PERIOD: Millis = Millis(1_000);
 
+/// Shortest time between two lists of members, of which a large fleet has many changes.
+const MEMBERS_PERIOD: Millis = Millis(100);
+
 /// Time that an outage has to be agreed before a router that had stopped goes on.
 const REJOIN_TIME: Millis = Millis(1_000);
 
@@ -28,6 +31,8 @@
     next_shuffle: Millis,
     /// Hash of the table of members that was told.
     members: u64,
+    /// When the next list of members may be told.
+    next_members: Millis,
 }
 
 impl Published {
@@ -56,7 +61,8 @@
             out.push(Action::Ready(ready));
         }
         let members = self.table_hash();
-        if self.published.members != members {
+        if self.published.members != members && now >= self.published.next_members {
+            self.published.next_members = now + MEMBERS_PERIOD;
             self.published.members = members;
             self.published.next_shuffle = now;
             out.push(Action::Members(self.views()));
@@ -157,6 +163,7 @@
                 failure_domain: m.failure_domain.clone(),
                 caller_address: m.caller_address.parse().ok()?,
                 peer_address: m.peer_address.parse().ok()?,
+                capacity: m.capacity,
                 state: m.state,
                 outage: m.outage,
             })
--- a/toucanchute_core/src/fleet/reading.rs
+++ b/toucanchute_core/src/fleet/reading.rs
@@ -11,7 +11,10 @@
 const START_PATIENCE: Millis = Millis(250);
 
 /// Random time on top of it, so that routers that start together do not read together.
-const START_SPREAD: Millis = Millis(400);
+const START_SPREAD: Millis = Millis(1_200);
+
+/// Part of the age of a view by which some routers read sooner than others.
+const AGE_SPREAD: u64 = 5;
 
 /// How a router reads configuration and registrations out of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -44,8 +47,10 @@
     #[must_use]
     pub fn following_registrations(mut self, max_age: Millis) -> Fleet {
         let spread = self.rng.random_range(0..START_SPREAD.0);
+        // Whoever reads first spares the others, so that not all find their views too old at once.
+        let sooner = self.rng.random_range(0..=max_age.0 / AGE_SPREAD);
         self.reading = Some(Policy {
-            max_age,
+            max_age: Millis(max_age.0 - sooner),
             patience: START_PATIENCE + Millis(spread),
             started: None,
         });
@@ -93,9 +98,13 @@
         let peers = peers.filter(|m| stays(m.state) && fit(m.outage));
         let mut ranked: Vec<_> = peers
             .chain(me)
-            .map(|m| (hash::weight("readers", m.incarnation), m))
+            .map(|m| {
+                let weight = f64::from(m.capacity.max(1));
+                let turn = hash::turn(hash::weight("readers", m.incarnation), weight);
+                (turn, m)
+            })
             .collect();
-        ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        ranked.sort_unstable_by(|(a, _), (b, _)| a.total_cmp(b));
         let mut readers: Vec<Incarnation> = Vec::with_capacity(READERS);
         let first = ranked.first().map(|(_, m)| &m.failure_domain);
         let (near, far): (Vec<_>, Vec<_>) = ranked
--- a/toucanchute_core/src/fleet/tests/found.rs
+++ b/toucanchute_core/src/fleet/tests/found.rs
@@ -23,6 +23,7 @@
         region: "r".to_owned(),
         caller_address: "192.0.2.1:80".parse().unwrap(),
         peer_address: "192.0.2.1:81".parse().unwrap(),
+        capacity: 0,
         seeds: Vec::new(),
     };
     let mut fleet = Fleet::new(id, 1).following_registrations(Millis(1_400));
@@ -36,6 +37,7 @@
         state: MemberState::Alive,
         update: 1,
         outage: false,
+        capacity: 0,
     };
     fleet.handle(Millis(0), Event::PeerUp(member), &mut Vec::new());
     fleet
--- a/toucanchute_core/src/fleet/tests/world.rs
+++ b/toucanchute_core/src/fleet/tests/world.rs
@@ -124,6 +124,7 @@
             region: "r".to_owned(),
             caller_address: address(80),
             peer_address: address(81),
+            capacity: 0,
             seeds: (0..ROUTERS)
                 .map(|i| format!("192.0.2.{i}:81").parse().unwrap())
                 .collect(),
--- a/toucanchute_core/src/prepaid/desk.rs
+++ b/toucanchute_core/src/prepaid/desk.rs
@@ -160,6 +160,10 @@
         if let Some(owner) = self.reachable_owner(budget) {
             return Some(owner);
         }
+        let registrar = self.registrar(budget)?;
+        if registrar != me {
+            return Some(registrar);
+        }
         let candidate = self.candidate(budget)?;
         if candidate != me {
             return Some(candidate);
--- a/toucanchute_core/src/prepaid/draw.rs
+++ b/toucanchute_core/src/prepaid/draw.rs
@@ -281,7 +281,7 @@
         if released {
             return self.close(budget, CloseCause::Released, out);
         }
-        self.announce_all(budget, out);
+        self.announce_owner(budget, out);
         self.maintain(budget, out);
         self.serve(budget, out);
     }
--- a/toucanchute_core/src/prepaid/event.rs
+++ b/toucanchute_core/src/prepaid/event.rs
@@ -58,6 +58,8 @@
     },
     /// How far the fleet's clocks are apart.
     Clocks(ClockSpread),
+    /// The store was known to answer some router at this time.
+    StoreSeen(Millis),
     /// Time has passed. Wanted every 50 ms or so.
     Tick,
     /// The router is leaving: give all accounts away. Answered by
@@ -74,6 +76,8 @@
     pub host: String,
     /// Its failure domain.
     pub failure_domain: String,
+    /// Processor time of its host, in thousandths of a core; 0 if it is not known.
+    pub capacity: u32,
     /// What is believed of it.
     pub state: MemberState,
     /// Whether it reaches the store.
--- a/toucanchute_core/src/prepaid/machine.rs
+++ b/toucanchute_core/src/prepaid/machine.rs
@@ -29,6 +29,9 @@
 /// Time without the store after which accounts go to routers that reach it.
 const STORE_PATIENCE: Millis = Millis(1_500);
 
+/// Routers that are told who spends from an account; the others ask the first of them.
+const LIKELY_ASKED: usize = 7;
+
 /// Most budgets whose accounts are claimed before the first request for them.
 const MAX_CLAIMED_AHEAD: usize = 256;
 
@@ -41,6 +44,8 @@
     pub host: String,
     /// The router's failure domain.
     pub failure_domain: String,
+    /// Processor time of its host, in thousandths of a core; 0 if it is not known.
+    pub capacity: u32,
     /// A deliberate fault, for tests of tests.
     #[doc(hidden)]
     pub fault: Option<Fault>,
@@ -54,9 +59,17 @@
             incarnation,
             host: host.to_owned(),
             failure_domain: failure_domain.to_owned(),
+            capacity: 0,
             fault: None,
         }
     }
+
+    /// Sets the processor time of the host, in thousandths of a core.
+    #[must_use]
+    pub fn capacity(mut self, capacity: u32) -> Settings {
+        self.capacity = capacity;
+        self
+    }
 }
 
 /// The prepaid machine of one router.
@@ -78,6 +91,9 @@
     pub(super) cfg: Settings,
     pub(super) now: Millis,
     started_at: Option<Millis>,
+    /// Budgets whose accounts would fall to this router, and whether the store was up when they
+    /// were found; absent after a change of peers or budgets.
+    falling: Option<(bool, Vec<BudgetId>)>,
     /// When the first configuration came, and with it the first sign of the store.
     configured_at: Option<Millis>,
     pub(super) limits: BTreeMap<BudgetId, u64>,
@@ -98,6 +114,8 @@
     /// Since when the store has not answered, and when it was last called in vain; absent once it
     /// answers.
     store_down: Option<(Millis, Millis)>,
+    /// When the store was last known to answer any router.
+    store_seen: Option<Millis>,
     pub(super) draining: bool,
     drained: bool,
 }
@@ -125,6 +143,7 @@
             cfg,
             now: Millis(0),
             started_at: None,
+            falling: None,
             configured_at: None,
             limits: BTreeMap::new(),
             policy: Ledger::default(),
@@ -141,6 +160,7 @@
             ops: BTreeMap::new(),
             next_op: 0,
             store_down: None,
+            store_seen: None,
             draining: false,
             drained: false,
         }
@@ -163,6 +183,7 @@
             Event::Message { from, message } => self.on_message(from, message, out),
             Event::Store { op, result } => self.on_store(op, &result, out),
             Event::Clocks(clocks) => self.clocks = clocks,
+            Event::StoreSeen(at) => self.store_seen = self.store_seen.max(Some(at)),
             Event::Tick => self.tick(out),
             Event::Drain => self.draining = true,
         }
@@ -187,6 +208,7 @@
     ) {
         self.configured_at.get_or_insert(self.now);
         self.limits = limits;
+        self.falling = None;
         self.policy = policy;
         for budget in self.accounts.keys().copied().collect::<Vec<_>>() {
             self.maintain(budget, out);
@@ -195,6 +217,7 @@
     }
 
     fn set_peers(&mut self, peers: Vec<Peer>, out: &mut Vec<Action>) {
+        self.falling = None;
         let old = std::mem::take(&mut self.peers);
         self.peers = peers.into_iter().map(|p| (p.incarnation, p)).collect();
         let fresh: Vec<Incarnation> = self
@@ -205,7 +228,9 @@
             .copied()
             .collect();
         for budget in self.accounts.keys().copied().collect::<Vec<_>>() {
-            self.announce(budget, &fresh, out);
+            let mut asked = self.likely_asked(budget);
+            asked.retain(|id| fresh.contains(id));
+            self.announce(budget, &asked, out);
         }
         self.reroute(out);
     }
@@ -241,15 +266,34 @@
         if !self.may_claim() || self.limits.len() > MAX_CLAIMED_AHEAD {
             return;
         }
-        for budget in self.limits.keys().copied().collect::<Vec<_>>() {
+        let up = self.store_up();
+        if self
+            .falling
+            .as_ref()
+            .is_none_or(|(was_up, _)| *was_up != up)
+        {
+            self.falling = Some((up, self.budgets_that_fall_here()));
+        }
+        let falling = self.falling.as_ref().map(|(_, budgets)| budgets.clone());
+        for budget in falling.unwrap_or_default() {
             let busy = self.accounts.contains_key(&budget) || self.takeovers.contains_key(&budget);
-            let owned = self.reachable_owner(budget).is_some();
-            if !busy && !owned && self.candidate(budget) == Some(self.me()) {
+            if !busy && self.reachable_owner(budget).is_none() {
                 self.start_takeover(budget, out);
             }
         }
     }
 
+    /// Budgets whose accounts would fall to this router if they had no owner. It would know of an
+    /// owner, because it had one before or because all others ask this router.
+    fn budgets_that_fall_here(&self) -> Vec<BudgetId> {
+        let me = Some(self.me());
+        let informed = |b| self.known.contains_key(&b) || self.registrar(b) == me;
+        let budgets = self.limits.keys().copied();
+        budgets
+            .filter(|&b| self.candidate(b) == me && informed(b))
+            .collect()
+    }
+
     // Who does what
 
     /// Whether this machine has a deliberate fault.
@@ -290,15 +334,41 @@
     /// Returns the router that should take an account over that has no owner: one that reaches the
     /// store, if there is any.
     pub(super) fn candidate(&self, budget: BudgetId) -> Option<Incarnation> {
-        let steady = self
-            .peers
-            .values()
-            .filter(|p| self.is_steady(p.incarnation));
-        let steady = steady.map(|p| (p.incarnation, p.store_up));
-        let me = (!self.draining).then_some((self.me(), self.store_up()));
-        let all = steady.chain(me);
-        let best = all.max_by_key(|&(id, up)| (up, hash::mix(&[budget.0, id.0])));
-        best.map(|(id, _)| id)
+        let best = self.candidates(budget);
+        let best = best.min_by(|a, b| b.up.cmp(&a.up).then(a.turn.total_cmp(&b.turn)));
+        best.map(|c| c.id)
+    }
+
+    /// Returns the router that is asked for an account whose owner is not known: the one that would
+    /// have it if all routers reached the store. What is believed of that changes quickly in an
+    /// outage, so that routers would not agree on the candidate.
+    pub(super) fn registrar(&self, budget: BudgetId) -> Option<Incarnation> {
+        let best = self.candidates(budget);
+        let best = best.min_by(|a, b| a.turn.total_cmp(&b.turn));
+        best.map(|c| c.id)
+    }
+
+    /// Routers that may take an account over.
+    fn candidates(&self, budget: BudgetId) -> impl Iterator<Item = Candidate> {
+        let candidate = move |id: Incarnation, up: bool, capacity: u32| {
+            let turn = hash::turn(hash::mix(&[budget.0, id.0]), fitness(capacity));
+            Candidate { id, up, turn }
+        };
+        let steady = self.peers.values();
+        let steady = steady
+            .filter(|p| p.state == MemberState::Alive)
+            .map(move |p| candidate(p.incarnation, p.store_up, p.capacity));
+        let me = candidate(self.me(), self.store_up(), self.cfg.capacity);
+        steady.chain((!self.draining).then_some(me))
+    }
+
+    /// Routers that others ask for an account whose owner they do not know.
+    fn likely_asked(&self, budget: BudgetId) -> Vec<Incarnation> {
+        let mut all: Vec<_> = self.candidates(budget).collect();
+        all.sort_unstable_by(|a, b| a.turn.total_cmp(&b.turn));
+        all.truncate(LIKELY_ASKED);
+        all.retain(|c| c.id != self.me());
+        all.into_iter().map(|c| c.id).collect()
     }
 
     // Announcements
@@ -318,14 +388,10 @@
         }
     }
 
-    /// Tells all routers that this one spends from an account.
-    pub(super) fn announce_all(&self, budget: BudgetId, out: &mut Vec<Action>) {
-        let peers: Vec<_> = self.peers.keys().copied().collect();
-        let peers: Vec<_> = peers
-            .into_iter()
-            .filter(|&id| self.is_reachable(id))
-            .collect();
-        self.announce(budget, &peers, out);
+    /// Tells those whom others ask that this router spends from an account.
+    pub(super) fn announce_owner(&self, budget: BudgetId, out: &mut Vec<Action>) {
+        let asked = self.likely_asked(budget);
+        self.announce(budget, &asked, out);
     }
 
     fn learn(&mut self, from: Incarnation, body: &Announce, out: &mut Vec<Action>) {
@@ -389,10 +455,14 @@
             .is_none_or(|(_, last)| self.now.since(last) >= STORE_NEWS)
     }
 
-    /// Whether the store has not answered for so long that accounts are better kept elsewhere.
+    /// Whether the store has not answered this router for so long that accounts are better kept
+    /// elsewhere, while it has answered others.
     pub(super) fn store_lost(&self) -> bool {
-        let lost = |(since, _)| self.now.since(since) >= STORE_PATIENCE;
-        !self.store_up() && self.store_down.is_some_and(lost)
+        let Some((since, _)) = self.store_down else {
+            return false;
+        };
+        let elsewhere = self.store_seen.is_some_and(|at| at > since);
+        !self.store_up() && elsewhere && self.now.since(since) >= STORE_PATIENCE
     }
 
     /// Returns the total of a budget; 0 if it is not in the configuration.
@@ -407,6 +477,22 @@
     }
 }
 
+/// A router that may take an account over.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    id: Incarnation,
+    /// Whether it reaches the store.
+    up: bool,
+    /// Its place in the order for the budget; the least comes first.
+    turn: f64,
+}
+
+/// Weight of a host among those that may serve accounts. All others send their requests to it, so
+/// that accounts gather on hosts that can carry that.
+pub(super) fn fitness(capacity: u32) -> f64 {
+    f64::from(capacity.max(1)).powi(4)
+}
+
 /// Call numbers double as the sequence numbers of messages.
 impl CallId {
     pub(super) fn seq(self) -> u64 {
--- a/toucanchute_core/src/prepaid/owner.rs
+++ b/toucanchute_core/src/prepaid/owner.rs
@@ -237,7 +237,11 @@
             .get(&budget)
             .filter(|k| self.is_reachable(k.owner));
         let term = known.map_or(term, |k| k.term);
-        let owner = known.map(|k| k.owner).or_else(|| self.candidate(budget));
+        let next = match self.registrar(budget) {
+            Some(me) if me == self.me() => self.candidate(budget),
+            registrar => registrar,
+        };
+        let owner = known.map(|k| k.owner).or(next);
         let message = PrepaidMessage::Answer(AskAnswer {
             budget,
             seq: id.seq,
--- a/toucanchute_core/src/prepaid/record.rs
+++ b/toucanchute_core/src/prepaid/record.rs
@@ -4,7 +4,7 @@
     to_cbor,
 };
 
-use super::Prepaid;
+use super::{Peer, Prepaid, machine::fitness};
 use crate::{hash, ledger::StoreKey};
 
 /// Returns the key of an account's record.
@@ -50,17 +50,20 @@
     /// Chooses witnesses for an account of this router, other failure domains first. Without other
     /// routers it is its own witness.
     pub(super) fn choose_quorum(&self, budget: BudgetId) -> Quorum {
-        let mut peers: Vec<_> = self
+        let steady = self
             .peers
             .values()
-            .filter(|p| self.is_steady(p.incarnation))
+            .filter(|p| self.is_steady(p.incarnation));
+        let mut peers: Vec<(bool, f64, &Peer)> = steady
+            .map(|p| {
+                let hash = hash::mix(&[budget.0, p.incarnation.0]);
+                let near = p.failure_domain == self.cfg.failure_domain;
+                (near, hash::turn(hash, fitness(p.capacity)), p)
+            })
             .collect();
-        peers.sort_by_key(|p| {
-            let same = p.failure_domain == self.cfg.failure_domain;
-            (same, hash::mix(&[budget.0, p.incarnation.0]))
-        });
+        peers.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         let wanted = usize::from(self.policy.witnesses);
-        let chosen = peers.into_iter().take(wanted);
+        let chosen = peers.into_iter().take(wanted).map(|(_, _, p)| p);
         let (witnesses, hosts): (Vec<Incarnation>, Vec<String>) =
             chosen.map(|p| (p.incarnation, p.host.clone())).unzip();
         if witnesses.is_empty() {
--- a/toucanchute_core/src/prepaid/takeover.rs
+++ b/toucanchute_core/src/prepaid/takeover.rs
@@ -329,7 +329,7 @@
         owned.waiting = waiting;
         owned.set_fault(self.cfg.fault);
         self.accounts.insert(budget, owned);
-        self.announce_all(budget, out);
+        self.announce_owner(budget, out);
         self.serve(budget, out);
     }
 
--- a/toucanchute_core/tests/prepaid_cases/fleet.rs
+++ b/toucanchute_core/tests/prepaid_cases/fleet.rs
@@ -138,6 +138,7 @@
                 incarnation: r.id,
                 host: host_name(r.host),
                 failure_domain: String::new(),
+                capacity: 0,
                 state: match apart || r.apart || self.is_split(me, r.id) {
                     true => MemberState::Suspect,
                     false => r.state,
@@ -164,6 +165,10 @@
                     ..ClockSpread::default()
                 };
                 self.queue.push_back((id, Event::Clocks(spread)));
+                if self.store_up {
+                    self.queue
+                        .push_back((id, Event::StoreSeen(Millis(self.now))));
+                }
                 self.queue.push_back((id, Event::Tick));
             }
             self.run();
--- a/toucanchute_core/tests/prepaid_walk/world.rs
+++ b/toucanchute_core/tests/prepaid_walk/world.rs
@@ -178,6 +178,10 @@
             }
             let clocks = self.clocks(i);
             self.feed(i, Event::Clocks(clocks));
+            if self.routers.iter().any(|r| r.cut <= self.now) {
+                let seen = self.clock(i);
+                self.feed(i, Event::StoreSeen(seen));
+            }
             self.feed(i, Event::Tick);
             let rate = self.weather.rate * TICK as f64 / 1_000.0;
             if self.rng.random_bool(rate.min(1.0)) {
@@ -242,6 +246,7 @@
                     incarnation: other.id,
                     host: host_name(other.host),
                     failure_domain: String::new(),
+                    capacity: 0,
                     state,
                     store_up: other.cut <= self.now,
                 });
--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -133,7 +133,7 @@
             self.perform(action);
         }
         self.actions = actions;
-        self.view.confirm(now);
+        self.view.confirm(now, self.machine.confirmed_at());
         self.set_reading(self.machine.reading(now));
     }
 
--- a/toucanchute_router/src/actor/prepaid.rs
+++ b/toucanchute_router/src/actor/prepaid.rs
@@ -14,7 +14,7 @@
 use xtra::prelude::*;
 
 use super::{FleetActor, FleetInput, post};
-use crate::{clock, keyvalue::LedgerStore, link::Mesh};
+use crate::{clock, keyvalue::LedgerStore, link::Mesh, view::View};
 
 /// Owns the [`Prepaid`] machine of this router.
 #[derive(xtra::Actor)]
@@ -23,6 +23,7 @@
     mesh: Mesh,
     store: LedgerStore<StoreClient>,
     fleet: Address<FleetActor>,
+    view: Arc<View>,
     /// Requests that wait for tokens.
     waiting: HashMap<CallId, Waiting>,
     next_call: u64,
@@ -76,6 +77,8 @@
     pub(crate) store: LedgerStore<StoreClient>,
     /// Told when all accounts are given away.
     pub(crate) fleet: Address<FleetActor>,
+    /// Tells when the store was last seen.
+    pub(crate) view: Arc<View>,
 }
 
 impl PrepaidActor {
@@ -86,12 +89,14 @@
             mesh,
             store,
             fleet,
+            view,
         } = parts;
         PrepaidActor {
             machine,
             mesh,
             store,
             fleet,
+            view,
             waiting: HashMap::new(),
             next_call: 0,
             names: HashMap::new(),
@@ -286,6 +291,9 @@
                 self.feed(Event::Drain, cx);
             }
             PrepaidInput::Tick => {
+                if let Some(at) = self.view.store_seen() {
+                    self.feed(Event::StoreSeen(at), cx);
+                }
                 self.feed(Event::Clocks(self.mesh.clock_spread()), cx);
                 self.feed(Event::Tick, cx);
             }
@@ -298,6 +306,7 @@
         incarnation: member.incarnation,
         host: member.host.clone(),
         failure_domain: member.failure_domain.clone(),
+        capacity: member.capacity,
         state: member.state,
         store_up: !member.outage,
     }
--- a/toucanchute_router/src/gateway/feeds.rs
+++ b/toucanchute_router/src/gateway/feeds.rs
@@ -58,8 +58,6 @@
     pub(super) fleet: Address<FleetActor>,
     /// How this router reads the store.
     pub(super) reading: watch::Receiver<Reading>,
-    /// How long a watch waits for a change.
-    pub(super) wait: Millis,
 }
 
 impl Feeds {
@@ -105,15 +103,15 @@
         let jitter = rand::random_range(0.75..1.25);
         tokio::time::sleep(pause.mul_f64(jitter)).await;
     }
+}
 
-    /// Returns when the store was known to be there by an answer to what was asked at `asked`: one
-    /// without changes was given when the wait was over.
-    fn as_of(&self, asked: Millis, changed: bool) -> Millis {
-        let waited = clock::now().since(asked) >= self.wait;
-        match waited && !changed {
-            true => asked + self.wait,
-            false => asked,
-        }
+/// Returns when the store is known to have been there by an answer to what was asked at `asked` and
+/// which it gave after it had `waited`.
+fn as_of(asked: Millis, waited: Millis) -> Millis {
+    // An answer that came sooner was cut short.
+    match clock::now().since(asked) >= waited {
+        true => asked + waited,
+        false => asked,
     }
 }
 
@@ -198,17 +196,12 @@
         let selection = Selection::Key(CONFIG_KEY.to_owned());
         let mut watch = self.feeds.store.watch(selection, from);
         let mut asked = clock::now();
-        let mut changed = false;
         while let Some(update) = watch.next().await {
             match update {
-                Update::Put(entry) => {
-                    changed = true;
-                    self.take(&entry);
-                }
-                Update::Progress { .. } => {
-                    self.confirm(self.feeds.as_of(asked, changed));
+                Update::Put(entry) => self.take(&entry),
+                Update::Progress { waited, .. } => {
+                    self.confirm(as_of(asked, waited));
                     asked = clock::now();
-                    changed = false;
                 }
                 Update::Disconnected => {
                     post(&self.feeds.fleet, FleetInput::PlatformDown);
@@ -298,9 +291,9 @@
                     revision: revision.0,
                     backend: None,
                 }),
-                Update::Progress { .. } => {
-                    let as_of = self.feeds.as_of(asked, !changes.is_empty());
-                    self.tell_changes(std::mem::take(&mut changes), as_of);
+                Update::Progress { waited, .. } => {
+                    let changes = std::mem::take(&mut changes);
+                    self.tell_changes(changes, as_of(asked, waited));
                     asked = clock::now();
                 }
                 Update::Disconnected => {
--- a/toucanchute_router/src/gateway/registry.rs
+++ b/toucanchute_router/src/gateway/registry.rs
@@ -3,9 +3,10 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
+use tokio::sync::watch;
 use toucanchute_platform::StoreClient;
 use toucanchute_proto::{
     Incarnation, Millis,
@@ -17,28 +18,28 @@
 use toucanchute_store::{LeaseId, Store, StoreError};
 use xtra::prelude::*;
 
-use crate::actor::{FleetActor, FleetInput, post};
+use crate::{
+    actor::{FleetActor, FleetInput, post},
+    link::Mesh,
+};
 
 /// Prefix of the routers' records.
 const PREFIX: &str = "toucanchute/routers/";
 
 /// Time to live of a record whose router is gone.
-const LEASE_TTL: Millis = Millis(60_000);
+const LEASE_TTL: Millis = Millis(180_000);
 
 /// Pause between two renewals of the lease.
-const RENEW_PAUSE: Duration = Duration::from_secs(20);
+const RENEW_PAUSE: Duration = Duration::from_secs(60);
 
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
-/// Readings of the records shortly after the start, when most routers appear.
-const FIRST_READS: u32 = 6;
-
-/// Pause between those readings.
-const FIRST_PAUSE: Duration = Duration::from_millis(150);
+/// Pause before the records are read again while no other router is linked.
+const ALONE_PAUSE: Duration = Duration::from_secs(1);
 
-/// Pause between two readings later on; routers that start later open the links themselves.
-const READ_PAUSE: Duration = Duration::from_secs(15);
+/// Pause between two readings otherwise; routers that start later open the links themselves.
+const READ_PAUSE: Duration = Duration::from_secs(60);
 
 /// Longest time that removing the record may take.
 const LEAVE_TIME: Duration = Duration::from_millis(100);
@@ -48,6 +49,7 @@
 pub(super) struct Registry {
     store: StoreClient,
     fleet: Address<FleetActor>,
+    mesh: Mesh,
     lease: Arc<Mutex<Option<LeaseId>>>,
 }
 
@@ -56,17 +58,20 @@
     pub(super) fn start(
         store: StoreClient,
         fleet: Address<FleetActor>,
+        mesh: Mesh,
         settings: &GatewaySettings,
         incarnation: Incarnation,
     ) -> Registry {
         let registry = Registry {
             store,
             fleet,
+            mesh,
             lease: Arc::default(),
         };
         let member = member(settings, incarnation);
-        tokio::spawn(registry.clone().keep_record(member));
-        tokio::spawn(registry.clone().read_records());
+        let (written, is_written) = watch::channel(false);
+        tokio::spawn(registry.clone().keep_record(member, written));
+        tokio::spawn(registry.clone().read_records(is_written));
         registry
     }
 
@@ -81,10 +86,13 @@
         }
     }
 
-    async fn keep_record(self, member: Member) {
+    async fn keep_record(self, member: Member, written: watch::Sender<bool>) {
         loop {
             match self.write_record(&member).await {
-                Ok(lease) => self.renew(lease).await,
+                Ok(lease) => {
+                    written.send_replace(true);
+                    self.renew(lease).await;
+                }
                 Err(e) => {
                     log::warn!(error:% = e; "record-not-written");
                     tokio::time::sleep(RETRY_PAUSE).await;
@@ -117,26 +125,34 @@
         }
     }
 
-    async fn read_records(self) {
-        let mut reads = 0;
+    /// Reads the records after the own one is written, so that of two routers at least one finds the
+    /// other.
+    async fn read_records(self, mut written: watch::Receiver<bool>) {
+        if written.wait_for(|written| *written).await.is_err() {
+            return;
+        }
+        let mut read_at = None;
         loop {
-            match self.store.get_prefix(PREFIX).await {
-                Ok(snapshot) => {
-                    let entries = snapshot.entries.iter();
-                    let routers = entries.filter_map(|e| router(&e.key, &e.value)).collect();
-                    post(&self.fleet, FleetInput::Routers(routers));
-                    reads += 1;
+            let due = read_at.is_none_or(|at: Instant| at.elapsed() >= READ_PAUSE);
+            if due || !self.is_linked() {
+                match self.store.get_prefix(PREFIX).await {
+                    Ok(snapshot) => {
+                        let entries = snapshot.entries.iter();
+                        let routers = entries.filter_map(|e| router(&e.key, &e.value)).collect();
+                        post(&self.fleet, FleetInput::Routers(routers));
+                        read_at = Some(Instant::now());
+                    }
+                    Err(e) => log::debug!(error:% = e; "records-unread"),
                 }
-                Err(e) => log::debug!(error:% = e; "records-unread"),
             }
-            let pause = if reads < FIRST_READS {
-                FIRST_PAUSE
-            } else {
-                READ_PAUSE
-            };
-            tokio::time::sleep(pause).await;
+            let jitter = rand::random_range(0.5..1.5);
+            tokio::time::sleep(ALONE_PAUSE.mul_f64(jitter)).await;
         }
     }
+
+    fn is_linked(&self) -> bool {
+        self.mesh.counts().peers > 0
+    }
 }
 
 /// Reads the address for routers out of a record.
@@ -162,5 +178,6 @@
         state: MemberState::Alive,
         update: 0,
         outage: false,
+        capacity: settings.router.capacity,
     }
 }
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -142,12 +142,14 @@
         });
         let fleet = xtra::spawn_tokio(fleet, Mailbox::unbounded());
         let domain = &settings.router.failure_domain;
-        let account = prepaid::Settings::new(incarnation, &settings.router.host, domain);
+        let account = prepaid::Settings::new(incarnation, &settings.router.host, domain)
+            .capacity(settings.router.capacity);
         let prepaid = PrepaidActor::new(PrepaidParts {
             machine: Prepaid::new(account),
             mesh: mesh.clone(),
             store: LedgerStore::new(Arc::new(store.clone())),
             fleet: fleet.clone(),
+            view: Arc::clone(&view),
         });
         let prepaid = xtra::spawn_tokio(prepaid, Mailbox::unbounded());
         let machine = Dispatcher::new(incarnation, domain, incarnation.0);
@@ -170,12 +172,17 @@
             in_flight: Arc::clone(&in_flight),
         };
         tokio::spawn(ticked.run());
-        let registry = Registry::start(store.clone(), fleet.clone(), settings, incarnation);
+        let registry = Registry::start(
+            store.clone(),
+            fleet.clone(),
+            mesh.clone(),
+            settings,
+            incarnation,
+        );
         let feeds = Feeds {
             store: store.clone(),
             fleet: fleet.clone(),
             reading: read_by,
-            wait,
         };
         feeds.start(settings);
         let control = Arc::new(GatewayControl {
@@ -264,6 +271,7 @@
         region: settings.router.region.clone(),
         caller_address: settings.callers.listen.to_string(),
         peer_address: settings.router.peer_advertise.to_string(),
+        capacity: settings.router.capacity,
         nonce: 0,
     };
     Identity {
@@ -281,6 +289,7 @@
         region: settings.router.region.clone(),
         caller_address: settings.callers.listen,
         peer_address: settings.router.peer_advertise,
+        capacity: settings.router.capacity,
         seeds: Vec::new(),
     }
 }
--- a/toucanchute_router/src/link.rs
+++ b/toucanchute_router/src/link.rs
@@ -3,6 +3,7 @@
 //! A link may lose, duplicate and reorder messages over its reconnects; the state machines on both
 //! sides retry.
 
+mod activity;
 mod clocks;
 mod connection;
 mod error;
--- a/toucanchute_router/src/link/connection.rs
+++ b/toucanchute_router/src/link/connection.rs
@@ -102,10 +102,10 @@
             .context(error::SocketSnafu)
     }
 
-    /// Sends a keepalive.
-    pub(super) async fn ping(&mut self) -> Result<(), LinkError> {
-        let ping = Message::Ping(Bytes::new());
-        self.sink.send(ping).await.context(error::SocketSnafu)
+    /// Sends a keepalive: a pong that nobody asked for, since the library answers each ping.
+    pub(super) async fn keep_alive(&mut self) -> Result<(), LinkError> {
+        let pong = Message::Pong(Bytes::new());
+        self.sink.send(pong).await.context(error::SocketSnafu)
     }
 }
 
--- a/toucanchute_router/src/link/mesh.rs
+++ b/toucanchute_router/src/link/mesh.rs
@@ -23,6 +23,7 @@
 };
 
 use super::{
+    activity::Activity,
     clocks::Clocks,
     connection::{Connection, FrameReader, FrameWriter},
     error::LinkError,
@@ -40,12 +41,10 @@
 /// Longest pause before a failed dial is repeated.
 const REDIAL_MAX: Duration = Duration::from_secs(1);
 
-/// Pause between two pings that tell the other side of a link that this one lives.
-const KEEPALIVE: Duration = Duration::from_millis(400);
-
-/// Longest silence on a link before it is given up; a link that a partition cut would otherwise
-/// hang until TCP sends again, long after the partition has healed.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1_300);
+/// Pause between two looks at a link: whether the other side has to be told that this one lives,
+/// and whether it is silent. A link that a partition cut would otherwise hang until TCP sends again,
+/// long after the partition has healed.
+const LOOK_PAUSE: Duration = Duration::from_millis(400);
 
 /// Something that happened on a link.
 #[derive(Debug)]
@@ -243,9 +242,11 @@
         let id = self.shared.next_link.fetch_add(1, Ordering::Relaxed);
         self.add(from, hello, Link { id, tx });
         let Connection { writer, reader } = conn;
+        let activity = Activity::new(clock::now());
         let result = tokio::select! {
-            result = write_frames(writer, rx) => result,
-            result = self.read_frames(reader, from) => result,
+            result = write_frames(writer, rx, &activity) => result,
+            result = self.read_frames(reader, from, &activity) => result,
+            () = silence(&activity) => Err(LinkError::Timeout),
         };
         self.remove(from, id);
         result
@@ -255,12 +256,12 @@
         &self,
         mut reader: FrameReader,
         from: Incarnation,
+        activity: &Activity,
     ) -> Result<(), LinkError> {
         loop {
-            let Ok(frame) = tokio::time::timeout(SILENCE_LIMIT, reader.receive()).await else {
-                return Err(LinkError::Timeout);
-            };
-            let Some(frame) = frame? else { continue };
+            let frame = reader.receive().await?;
+            activity.received(clock::now(), frame.is_some());
+            let Some(frame) = frame else { continue };
             if frame.from == from {
                 self.shared.received.count(frame.len());
                 self.clocks().observe(clock::now(), from, frame.steady_ms);
@@ -354,19 +355,36 @@
     }
 }
 
+/// Waits until the other side has been silent for too long.
+async fn silence(activity: &Activity) {
+    while !activity.is_lost(clock::now()) {
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+}
+
 async fn write_frames(
     mut writer: FrameWriter,
     mut rx: mpsc::Receiver<Bytes>,
+    activity: &Activity,
 ) -> Result<(), LinkError> {
-    let mut keepalive = tokio::time::interval(KEEPALIVE);
-    keepalive.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut look = tokio::time::interval(LOOK_PAUSE);
+    look.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             buf = rx.recv() => match buf {
-                Some(buf) => writer.send(buf).await?,
+                Some(buf) => {
+                    activity.sent(clock::now());
+                    writer.send(buf).await?;
+                }
                 None => return Ok(()),
             },
-            _ = keepalive.tick() => writer.ping().await?,
+            _ = look.tick() => {
+                let now = clock::now();
+                if activity.is_keepalive_due(now) {
+                    activity.told(now);
+                    writer.keep_alive().await?;
+                }
+            }
         }
     }
 }
--- a/toucanchute_router/src/server.rs
+++ b/toucanchute_router/src/server.rs
@@ -287,6 +287,7 @@
         region: settings.router.region.clone(),
         caller_address: own.caller_address.to_string(),
         peer_address: own.peer_address.to_string(),
+        capacity: 0,
         nonce: 0,
     };
     let secret = settings.router.peer_secret.clone();
@@ -305,6 +306,7 @@
         region: settings.router.region.clone(),
         caller_address: own.caller_address,
         peer_address: own.peer_address,
+        capacity: 0,
         seeds: settings.peers.addresses.clone(),
     }
 }
@@ -320,6 +322,7 @@
         state: MemberState::Alive,
         update: 0,
         outage: false,
+        capacity: peer.hello.capacity,
     }
 }
 
--- a/toucanchute_router/src/view.rs
+++ b/toucanchute_router/src/view.rs
@@ -24,6 +24,8 @@
     unready: Option<Refusal>,
     /// When the fleet actor last confirmed `unready`.
     checked_at: Millis,
+    /// When the store was last known to answer this router or another one.
+    store_seen: Option<Millis>,
 }
 
 impl View {
@@ -37,6 +39,7 @@
                 members: Vec::new(),
                 unready: Some(unready),
                 checked_at: Millis::default(),
+                store_seen: None,
             }),
         }
     }
@@ -58,6 +61,11 @@
         self.read(|state| state.members.clone())
     }
 
+    /// Returns when the store was last known to answer this router or another one.
+    pub(crate) fn store_seen(&self) -> Option<Millis> {
+        self.read(|state| state.store_seen)
+    }
+
     /// Returns why this router takes no new work at `now`, if it takes none.
     pub(crate) fn unready(&self, now: Millis) -> Option<Refusal> {
         self.read(|state| {
@@ -99,9 +107,12 @@
         self.write(|state| state.unready = unready);
     }
 
-    /// Confirms readiness, as it was set last, at `now`.
-    pub(crate) fn confirm(&self, now: Millis) {
-        self.write(|state| state.checked_at = state.checked_at.max(now));
+    /// Confirms readiness, as it was set last, at `now`, and tells when the store was seen.
+    pub(crate) fn confirm(&self, now: Millis, store_seen: Option<Millis>) {
+        self.write(|state| {
+            state.checked_at = state.checked_at.max(now);
+            state.store_seen = store_seen;
+        });
     }
 
     fn write(&self, f: impl FnOnce(&mut State)) {
--- a/toucanchute_router/src/view/tests.rs
+++ b/toucanchute_router/src/view/tests.rs
@@ -33,7 +33,7 @@
 fn readiness_lapses(now: u64, expected: Option<RefusalReason>) {
     let view = view();
     view.set_unready(None);
-    view.confirm(Millis(10_000));
+    view.confirm(Millis(10_000), None);
     assert_eq!(
         view.unready(Millis(now)).map(|refusal| refusal.reason),
         expected
--- a/toucanchute_settings/src/format.rs
+++ b/toucanchute_settings/src/format.rs
@@ -83,6 +83,11 @@
         Some((amount(s)? * 100.0) as u32)
     });
 
+pub(crate) const THOUSANDTHS: Format<u32> =
+    Format::new("a number of at least 0 such as 1 or 0.25", |s| {
+        Some((amount(s)? * 1_000.0) as u32)
+    });
+
 pub(crate) const AMOUNT: Format<u32> =
     Format::new("a number of at least 0 such as 54 or 33.2", |s| {
         Some(amount(s)? as u32)
--- a/toucanchute_settings/src/gateway.rs
+++ b/toucanchute_settings/src/gateway.rs
@@ -45,6 +45,9 @@
 /// Retries unless the settings say otherwise: percent of the requests, and those beyond.
 const RETRIES: (u32, u32) = (10, 20);
 
+/// One processor, in thousandths.
+const WHOLE: u32 = 1_000;
+
 /// Sections of the file, all without a name.
 const SECTIONS: [&str; 9] = [
     "router", "callers", "store", "bounds", "retries", "leave", "prepaid", "log", "monitor",
@@ -110,6 +113,8 @@
         .optional("peer_advertise", &format::ADDRESS)
         .or(peer_listen);
     let peer_secret = r.required("peer_secret", &format::SECRET);
+    let processors = r.filled("processors", &format::THOUSANDTHS);
+    let share = r.filled("processor_share", &format::THOUSANDTHS);
     check_told(&mut r, "peer_advertise", peer_advertise);
     r.finish();
     Some(GatewayRouterSection {
@@ -119,9 +124,16 @@
         peer_listen: peer_listen?,
         peer_advertise: peer_advertise?,
         peer_secret: peer_secret?,
+        capacity: share.map_or(0, |share| capacity(share, processors.unwrap_or(WHOLE))),
     })
 }
 
+/// Returns the processor time of a host that gives a share of its processors, all in thousandths.
+fn capacity(share: u32, processors: u32) -> u32 {
+    let product = u64::from(share) * u64::from(processors) / u64::from(WHOLE);
+    u32::try_from(product).unwrap_or(u32::MAX)
+}
+
 fn read_callers(section: &Section, faults: &mut Vec<Fault>) -> Option<CallersSection> {
     let mut r = Reader::new(section, faults);
     let listen = r.required("listen", &format::ADDRESS);
--- a/toucanchute_settings/tests/settings/gateway.rs
+++ b/toucanchute_settings/tests/settings/gateway.rs
@@ -99,6 +99,20 @@
     assert_eq!((read.withdrawal_ms, read.configuration_ms), bounds);
 }
 
+#[parameterized(
+    missing = { "", 0 },
+    share = { "processor_share = 0.12\n", 120 },
+    both = { "processor_share = 0.25\nprocessors = 2\n", 500 },
+    empty = { "processor_share =\nprocessors =\n", 0 },
+    very_large = { "processor_share = 1e30\nprocessors = 1e30\n", u32::MAX },
+)]
+fn the_capacity_of_a_host_is_read(text: &str, capacity: u32) {
+    let text = GATEWAY.replace("region = north\n", &format!("region = north\n{text}"));
+    let folder = Folder::with(&[("g.ini", &text)]);
+    let settings = load_gateway(&folder.path().join("g.ini")).unwrap();
+    assert_eq!(settings.router.capacity, capacity);
+}
+
 #[test]
 fn a_region_may_be_missing() {
     let text = GATEWAY.replace("region = north\n", "");
--- a/toucanchute_store/src/client/follow.rs
+++ b/toucanchute_store/src/client/follow.rs
@@ -132,7 +132,11 @@
             self.pass_on(event).await?;
         }
         self.next = self.next.max(revision.next());
-        self.send(Update::Progress { revision }).await?;
+        self.send(Update::Progress {
+            revision,
+            waited: Millis::default(),
+        })
+        .await?;
         Ok(())
     }
 
--- a/toucanchute_store/src/watch.rs
+++ b/toucanchute_store/src/watch.rs
@@ -1,4 +1,5 @@
 use tokio::sync::mpsc;
+use toucanchute_proto::Millis;
 
 use crate::{Entry, Revision};
 
@@ -21,6 +22,8 @@
     Progress {
         /// Revision of the service.
         revision: Revision,
+        /// Time that the service waited before it told that nothing changed; 0 if it did not.
+        waited: Millis,
     },
     /// Changes were missed for good: the keys have to be read again.
     Gap {
