feat(fleet): a large fleet sees an outage for all in a sample of it

Acknowledgements now tell whether the sender reaches the store; when nobody has read it for longer than anybody would wait, and none of five or more peers reaches it, that is agreed. Tests: fleet::tests::outage, fleet::tests::reading.

--- a/toucanchute_core/src/fleet/links.rs
+++ b/toucanchute_core/src/fleet/links.rs
@@ -48,6 +48,8 @@
     pub(super) up: BTreeSet<Incarnation>,
     /// When this router's table may next be compared with a peer's.
     pub(super) next_sync: Millis,
+    /// When each peer was last asked whether the platform answers it, and whether it did not.
+    pub(super) told: BTreeMap<Incarnation, (Millis, bool)>,
     /// What each peer had when it last spoke.
     pub(super) known: BTreeMap<Incarnation, Known>,
 }
@@ -99,6 +101,7 @@
     pub(super) fn peer_down(&mut self, now: Millis, id: Incarnation, out: &mut Vec<Action>) {
         self.links.up.remove(&id);
         self.links.known.remove(&id);
+        self.links.told.remove(&id);
         let known = self.members.get(id).map(|e| e.member.state);
         if matches!(known, Some(MemberState::Alive | MemberState::Leaving)) {
             let seq = self.next_seq();
--- a/toucanchute_core/src/fleet/messages.rs
+++ b/toucanchute_core/src/fleet/messages.rs
@@ -135,6 +135,7 @@
             seq: ping.seq,
             confirmed_age: self.view.age(now),
             outage: self.outage_agreed(now),
+            lost: self.view.down(),
         };
         if now >= self.links.next_sync && ping.members != self.table_hash() {
             self.links.next_sync = now + SYNC_PERIOD;
@@ -158,6 +159,7 @@
                 seq,
                 confirmed_age: None,
                 outage: false,
+                lost: false,
             };
             self.send(by, FleetBody::Ack(relayed), out);
             return;
@@ -166,6 +168,7 @@
             return;
         }
         self.view.heard_at = self.view.heard_at.max(Some(sent));
+        self.links.told.insert(from, (sent, ack.lost));
         if ack.outage {
             self.view.peer_outage_at = Some(sent);
         }
--- a/toucanchute_core/src/fleet/publish.rs
+++ b/toucanchute_core/src/fleet/publish.rs
@@ -18,6 +18,16 @@
 /// Shortest time between two lists of members, of which a large fleet has many changes.
 const MEMBERS_PERIOD: Millis = Millis(100);
 
+/// Time after an outage in which routers that took work may go on before they heard what is new.
+const RETURN_TIME: Millis = Millis(1_000);
+
+/// Time in which all routers hear that one of them has read the store.
+const NEWS_TIME: Millis = Millis(1_500);
+
+/// Peers that tell whether they reach the store, and how lately they have to have been asked.
+const SAMPLE: usize = 5;
+const SAMPLE_TIME: Millis = Millis(2_000);
+
 /// Time that an outage has to be agreed before a router that had stopped goes on.
 const REJOIN_TIME: Millis = Millis(1_000);
 
@@ -109,6 +119,7 @@
         match self.outage_agreed(now) {
             true => {
                 self.discovery.outage_agreed(now);
+                self.view.agreed_at = Some(now);
                 self.view.agreed_since.get_or_insert(now);
             }
             false => self.view.agreed_since = None,
@@ -116,11 +127,15 @@
     }
 
     /// Whether an agreed outage lets this router take work. One that had stopped first gives its
-    /// peers time to tell what it missed.
+    /// peers time to tell what it missed. One that went on has some time to hear what is new from the
+    /// first router that reaches the platform again.
     fn goes_on(&self, now: Millis) -> bool {
         let ready = self.published.ready == Some(Ok(()));
         let agreed = self.view.agreed_since;
+        let ended = self.view.agreed_at.filter(|_| agreed.is_none());
+        let just_ended = ended.is_some_and(|at| now.since(at) <= RETURN_TIME);
         agreed.is_some_and(|at| ready || now.since(at) >= REJOIN_TIME)
+            || ready && just_ended && !self.view.behind(now)
     }
 
     /// Whether nobody can reach the platform, so that nothing newer can have been accepted.
@@ -137,6 +152,9 @@
         if self.has(Fault::OutageAlone) {
             return true;
         }
+        if self.outage_shows(now) {
+            return true;
+        }
         let Some(confirmed) = self.view.confirmed_at() else {
             let told = self.view.peer_outage_at;
             return told.is_some_and(|at| now.since(at) <= self.view_bound());
@@ -155,6 +173,39 @@
         lost < here
     }
 
+    /// Whether a router of a large fleet can tell from a sample of it that nobody reaches the store.
+    ///
+    /// Whoever does reads it before its view is older than [`Fleet::reading`] allows, and the others
+    /// hear of that soon. Nobody has for longer, and all peers that were asked lately do not reach it.
+    fn outage_shows(&self, now: Millis) -> bool {
+        let Some(max_age) = self.max_view_age() else {
+            return false;
+        };
+        let silent = self.view.age(now);
+        if silent.is_none_or(|age| age < max_age + NEWS_TIME) {
+            return false;
+        }
+        let told = self.links.told.values();
+        let lately: Vec<bool> = told
+            .filter(|(at, _)| now.since(*at) <= SAMPLE_TIME)
+            .map(|(_, lost)| *lost)
+            .collect();
+        lately.len() >= SAMPLE && lately.iter().all(|&lost| lost) && self.is_with_most()
+    }
+
+    /// Whether those members that are lost are a minority, for they may be on the platform's side of a
+    /// partition.
+    fn is_with_most(&self) -> bool {
+        let gone_before = |e: &Entry| {
+            let confirmed = self.view.confirmed_at();
+            e.member.state == MemberState::Gone && confirmed.is_some_and(|at| e.since <= at)
+        };
+        let counted = self.members.iter().filter(|e| !e.ended && !gone_before(e));
+        let (here, lost): (Vec<&Entry>, Vec<&Entry>) = counted
+            .partition(|e| matches!(e.member.state, MemberState::Alive | MemberState::Leaving));
+        lost.len() < here.len() + 1
+    }
+
     fn views(&self) -> Vec<MemberView> {
         let view = |m: &Member| {
             Some(MemberView {
--- a/toucanchute_core/src/fleet/reading.rs
+++ b/toucanchute_core/src/fleet/reading.rs
@@ -7,11 +7,12 @@
 /// Routers that read the store for all.
 const READERS: usize = 2;
 
-/// Least time after the start in which peers may tell what is new before the router reads itself.
-const START_PATIENCE: Millis = Millis(250);
+/// Time after the start over which the first readings of the routers are spread, for each router in
+/// the store's records: whoever reads first tells the others.
+const START_SPREAD: Millis = Millis(15);
 
-/// Random time on top of it, so that routers that start together do not read together.
-const START_SPREAD: Millis = Millis(1_200);
+/// Longest such time.
+const MAX_START_SPREAD: Millis = Millis(1_200);
 
 /// Part of the age of a view by which some routers read sooner than others.
 const AGE_SPREAD: u64 = 5;
@@ -32,10 +33,12 @@
 /// When a router reads the store.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Policy {
-    /// Age of the view from which on a router reads itself.
+    /// Age of the view from which on this router reads itself.
     max_age: Millis,
-    /// Time after the start before which it does not.
-    patience: Millis,
+    /// Age from which on every router does.
+    greatest_age: Millis,
+    /// This router's place among those that start with it, from 0 to 1.
+    place: f64,
     /// When the machine took in its first event.
     started: Option<Millis>,
 }
@@ -46,12 +49,12 @@
     /// `max_age` reads for itself. It is not ready before it knows some list of backend servers.
     #[must_use]
     pub fn following_registrations(mut self, max_age: Millis) -> Fleet {
-        let spread = self.rng.random_range(0..START_SPREAD.0);
         // Whoever reads first spares the others, so that not all find their views too old at once.
         let sooner = self.rng.random_range(0..=max_age.0 / AGE_SPREAD);
         self.reading = Some(Policy {
             max_age: Millis(max_age.0 - sooner),
-            patience: START_PATIENCE + Millis(spread),
+            greatest_age: max_age,
+            place: self.rng.random(),
             started: None,
         });
         self
@@ -61,6 +64,11 @@
         self.reading.is_some()
     }
 
+    /// Greatest age of a view at which every router reads the store itself; absent where none does.
+    pub(super) fn max_view_age(&self) -> Option<Millis> {
+        self.reading.map(|policy| policy.greatest_age)
+    }
+
     pub(super) fn note_start(&mut self, now: Millis) {
         if let Some(policy) = &mut self.reading {
             policy.started.get_or_insert(now);
@@ -75,7 +83,7 @@
         };
         let age = self.view.age(now);
         let running = policy.started.map_or(Millis(0), |at| now.since(at));
-        if age.is_none() && running < policy.patience {
+        if age.is_none() && running < self.start_patience(policy.place) {
             return Reading::None;
         }
         let me = self.id.incarnation;
@@ -88,6 +96,13 @@
         }
     }
 
+    /// Time after the start in which peers may tell what is new before the router reads itself.
+    fn start_patience(&self, place: f64) -> Millis {
+        let known = self.hosts.routers.len().max(self.known());
+        let spread = (START_SPREAD.0 * known as u64).min(MAX_START_SPREAD.0);
+        Millis((spread as f64 * place) as u64)
+    }
+
     /// The routers that read the store for all, if possible in different failure domains; all of
     /// those that are alive may be, or only those that have not lost the store.
     pub(super) fn readers(&self, whether_lost: bool) -> Vec<Incarnation> {
--- a/toucanchute_core/src/fleet/rumors.rs
+++ b/toucanchute_core/src/fleet/rumors.rs
@@ -63,7 +63,10 @@
 
     pub(super) fn take_members(&mut self, me: &Member, members: &Members) -> Vec<Member> {
         let mut out = Vec::new();
-        for (id, left) in self.members.iter_mut().take(MAX_MEMBERS) {
+        // Those told least often so far, so that many changes at once spread side by side.
+        let mut newest: Vec<_> = self.members.iter_mut().collect();
+        newest.sort_by_key(|(_, left)| std::cmp::Reverse(**left));
+        for (id, left) in newest.into_iter().take(MAX_MEMBERS) {
             *left -= 1;
             if *id == me.incarnation {
                 out.push(me.clone());
--- a/toucanchute_core/src/fleet/tests.rs
+++ b/toucanchute_core/src/fleet/tests.rs
@@ -3,6 +3,7 @@
 mod found;
 mod fuzz;
 mod oracle;
+mod outage;
 mod reading;
 mod scenario;
 mod steps;
--- a/toucanchute_core/src/fleet/view.rs
+++ b/toucanchute_core/src/fleet/view.rs
@@ -18,6 +18,8 @@
     pub(super) newest_hosts: u64,
     /// Since when peers have agreed that the platform is down for all.
     pub(super) agreed_since: Option<Millis>,
+    /// When peers last agreed so.
+    pub(super) agreed_at: Option<Millis>,
     /// Since when something newer has been known than is in force.
     behind_since: Option<Millis>,
     /// Whether the platform's service did not answer when last asked.
--- a/toucanchute_core/src/prepaid/takeover.rs
+++ b/toucanchute_core/src/prepaid/takeover.rs
@@ -99,7 +99,10 @@
         for id in late {
             self.answer(budget, id, NO_TERM, Verdict::Unavailable, out);
         }
-        if start && (draining || self.reachable_owner(budget).is_some()) {
+        let owned = self.reachable_owner(budget).is_some();
+        // A router that does not reach the store would let all requests wait in vain.
+        let elsewhere = !self.store_up() && self.candidate(budget) != Some(self.me());
+        if start && (draining || owned || elsewhere) {
             return self.abandon_takeover(budget, out);
         }
         if start {
