fix(links): a message waits for its link; readings of one's own end after one success

Cause: a message to a router without a link was dropped while the link was opened. A router that reads for itself no longer begins a watch.

--- /dev/null
+++ b/toucanchute_core/tests/store_readers/world.rs
@@ -0,0 +1,460 @@
+//! Routers, their links and a store in simulated time.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use toucanchute_core::fleet::{Action, Event, Fleet, Identity, Reading};
+use toucanchute_proto::{
+    Digest, Incarnation, Millis,
+    config::Config,
+    fleet::{Found, FoundBody, Member, MemberState, Registration},
+};
+
+/// Age of a view from which on a router reads itself.
+const MAX_AGE: u64 = 3_400;
+
+/// Time in which what leaves has to be known.
+const BOUND: u64 = 4_000;
+
+/// How long a router has to be in touch before that.
+const STABLE: u64 = 5_000;
+
+/// How long a watch waits.
+pub(crate) const WATCH_WAIT: u64 = 1_700;
+
+/// Pause between readings of one's own, and between calls that fail.
+const READ_PAUSE: u64 = 700;
+
+const TICK: u64 = 100;
+
+/// Time that a message takes, and a link to open.
+const LATENCY: u64 = 5;
+
+/// What a walk did.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Tally {
+    pub(crate) calls: u64,
+    pub(crate) messages: u64,
+    pub(crate) changes: u64,
+    /// Longest time until a router in touch knew a change.
+    pub(crate) longest_ms: u64,
+}
+
+struct Router {
+    fleet: Fleet,
+    member: Member,
+    /// Since when it has run and reached the store and the other routers.
+    in_touch_since: u64,
+    frozen_until: u64,
+    store_cut_until: u64,
+    /// Time up to which its calls to the store hang.
+    stalled_until: u64,
+    peers_cut_until: u64,
+    /// Events that came while it was frozen.
+    held: Vec<Event>,
+    /// Revision up to which its reading has told all; 0 if it has to read all.
+    told: u64,
+    next_call: u64,
+    /// Backend servers that it uses.
+    uses: BTreeSet<String>,
+    /// Those that it does not use any more.
+    dropped: BTreeSet<String>,
+}
+
+pub(crate) struct World {
+    now: u64,
+    rng: SmallRng,
+    routers: Vec<Router>,
+    by_id: BTreeMap<Incarnation, usize>,
+    /// Events under way, by time of arrival and number.
+    inbox: BTreeMap<(u64, u64), (Incarnation, Event)>,
+    sent: u64,
+    runs: u64,
+    revision: u64,
+    /// All changes, by revision.
+    changes: Vec<Registration>,
+    /// Servers that left: name, when, and whether all was checked.
+    left: Vec<(String, u64)>,
+    store_down_until: u64,
+    pub(crate) broken: Vec<String>,
+    pub(crate) tally: Tally,
+}
+
+impl World {
+    pub(crate) fn new(seed: u64, routers: usize) -> World {
+        let mut world = World {
+            now: 100_000,
+            rng: SmallRng::seed_from_u64(seed),
+            routers: Vec::new(),
+            by_id: BTreeMap::new(),
+            inbox: BTreeMap::new(),
+            sent: 0,
+            runs: 0,
+            revision: 0,
+            changes: Vec::new(),
+            left: Vec::new(),
+            store_down_until: 0,
+            broken: Vec::new(),
+            tally: Tally::default(),
+        };
+        for i in 0..20 {
+            world.register(&format!("first-{i}"));
+        }
+        for i in 0..routers {
+            let router = world.start(i);
+            world.by_id.insert(router.member.incarnation, i);
+            world.routers.push(router);
+        }
+        let addresses = world.routers.iter().map(|r| r.member.peer_address.parse());
+        let addresses: BTreeSet<_> = addresses.map(|a| a.unwrap()).collect();
+        for i in 0..routers {
+            world.feed(i, Event::Routers(addresses.clone()));
+        }
+        world
+    }
+
+    fn start(&mut self, i: usize) -> Router {
+        self.runs += 1;
+        let ip = format!("10.0.{}.{}", i / 250, i % 250 + 1);
+        let member = Member {
+            incarnation: Incarnation(self.rng.random()),
+            host: format!("h{i}"),
+            failure_domain: format!("d{}", i % 6),
+            region: "r".to_owned(),
+            caller_address: format!("{ip}:80"),
+            peer_address: format!("{ip}:81"),
+            state: MemberState::Alive,
+            update: 0,
+            outage: false,
+            capacity: if i % 16 == 0 { 500 } else { 120 },
+        };
+        let id = Identity {
+            incarnation: member.incarnation,
+            host: member.host.clone(),
+            failure_domain: member.failure_domain.clone(),
+            region: member.region.clone(),
+            caller_address: member.caller_address.parse().unwrap(),
+            peer_address: member.peer_address.parse().unwrap(),
+            capacity: member.capacity,
+            seeds: Vec::new(),
+        };
+        Router {
+            fleet: Fleet::new(id, self.runs).following_registrations(Millis(MAX_AGE)),
+            member,
+            in_touch_since: self.now,
+            frozen_until: 0,
+            store_cut_until: 0,
+            stalled_until: 0,
+            peers_cut_until: 0,
+            held: Vec::new(),
+            told: 0,
+            next_call: 0,
+            uses: BTreeSet::new(),
+            dropped: BTreeSet::new(),
+        }
+    }
+
+    pub(crate) fn run(&mut self, span: u64, faults: bool) {
+        let end = self.now + span;
+        let calm_from = self.now + 8_000;
+        while self.now < end {
+            self.now += TICK;
+            self.deliver();
+            if self.now >= calm_from {
+                if faults {
+                    self.trouble();
+                }
+                self.change();
+            }
+            for i in 0..self.routers.len() {
+                self.turn(i);
+            }
+            self.check();
+        }
+    }
+
+    // The store
+
+    fn register(&mut self, name: &str) {
+        self.revision += 1;
+        self.changes.push(Registration {
+            key: name.to_owned(),
+            revision: self.revision,
+            backend: Some(Found {
+                name: name.to_owned(),
+                service: "llm".to_owned(),
+                address: "192.0.2.9:80".parse().unwrap(),
+                failure_domain: "d0".to_owned(),
+                leaving: false,
+                slots: 8,
+            }),
+        });
+    }
+
+    /// Lets a backend server come or go now and then, while the store takes that.
+    fn change(&mut self) {
+        if self.now < self.store_down_until || !self.rng.random_bool(0.2) {
+            return;
+        }
+        self.tally.changes += 1;
+        let gone: BTreeSet<_> = self.left.iter().map(|(name, _)| name.clone()).collect();
+        let keys = self.changes.iter().map(|c| c.key.clone());
+        let live: BTreeSet<_> = keys.filter(|k| !gone.contains(k)).collect();
+        if live.len() < 10 || self.rng.random_bool(0.5) {
+            let name = format!("later-{}", self.revision);
+            return self.register(&name);
+        }
+        let name = live.iter().nth(self.rng.random_range(0..live.len()));
+        let name = name.unwrap().clone();
+        self.revision += 1;
+        self.changes.push(Registration {
+            key: name.clone(),
+            revision: self.revision,
+            backend: None,
+        });
+        self.left.push((name, self.now));
+    }
+
+    fn whole(&self) -> FoundBody {
+        let mut entries = BTreeMap::new();
+        for change in &self.changes {
+            entries.insert(change.key.clone(), change.clone());
+        }
+        let present = entries.into_values().filter(|e| e.backend.is_some());
+        FoundBody {
+            revision: self.revision,
+            since: None,
+            entries: present.collect(),
+        }
+    }
+
+    /// Lets a router call the store if it has to.
+    fn call(&mut self, i: usize) {
+        let (now, reading) = (self.now, self.routers[i].fleet.reading(Millis(self.now)));
+        let router = &mut self.routers[i];
+        if reading == Reading::None {
+            router.told = 0;
+            return;
+        }
+        let news = reading == Reading::Chosen && router.told > 0 && router.told < self.revision;
+        let stalled = now < router.stalled_until;
+        if now < router.next_call && !news || stalled {
+            return;
+        }
+        self.tally.calls += 2;
+        if now < router.store_cut_until || now < self.store_down_until {
+            router.next_call = now + READ_PAUSE;
+            router.told = 0;
+            return self.feed(i, Event::PlatformDown);
+        }
+        let told = router.told;
+        let chosen = reading == Reading::Chosen;
+        router.next_call = now + if chosen { WATCH_WAIT } else { READ_PAUSE };
+        router.told = if chosen { self.revision } else { 0 };
+        let body = match told {
+            0 => self.whole(),
+            since => FoundBody {
+                revision: self.revision,
+                since: Some(since),
+                entries: self.changes[since as usize..].to_vec(),
+            },
+        };
+        let asked = Millis(now);
+        let (version, digest) = (1, Digest(1));
+        let config = Arc::new(Config {
+            version,
+            ..Config::default()
+        });
+        self.feed(i, Event::Config { config, digest });
+        self.feed(
+            i,
+            Event::HeadSeen {
+                version,
+                digest,
+                asked,
+            },
+        );
+        self.feed(i, Event::Found { body, asked });
+    }
+
+    // Routers
+
+    fn turn(&mut self, i: usize) {
+        if self.routers[i].frozen_until > self.now {
+            return;
+        }
+        for event in std::mem::take(&mut self.routers[i].held) {
+            self.feed(i, event);
+        }
+        self.feed(i, Event::Tick);
+        self.call(i);
+    }
+
+    fn feed(&mut self, i: usize, event: Event) {
+        let mut out = Vec::new();
+        let router = &mut self.routers[i];
+        router.fleet.handle(Millis(self.now), event, &mut out);
+        let from = router.member.incarnation;
+        for action in out {
+            match action {
+                Action::Send { to, message } => {
+                    self.tally.messages += 1;
+                    self.post(to, Event::Message { from, message });
+                }
+                Action::Connect(address) => self.connect(i, &address.to_string()),
+                Action::Backends(change) => {
+                    let uses: BTreeSet<_> = change.live.into_iter().map(|f| f.name).collect();
+                    self.use_backends(i, uses);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn use_backends(&mut self, i: usize, uses: BTreeSet<String>) {
+        let router = &mut self.routers[i];
+        router
+            .dropped
+            .extend(router.uses.difference(&uses).cloned());
+        let back: Vec<_> = uses.intersection(&router.dropped).collect();
+        if !back.is_empty() {
+            let host = &router.member.host;
+            self.broken
+                .push(format!("{} ms: {host} uses {back:?} again", self.now));
+        }
+        router.uses = uses;
+    }
+
+    fn post(&mut self, to: Incarnation, event: Event) {
+        self.sent += 1;
+        let at = (self.now + LATENCY, self.sent);
+        self.inbox.insert(at, (to, event));
+    }
+
+    fn connect(&mut self, i: usize, address: &str) {
+        let at = |r: &Router| r.member.peer_address == address;
+        let Some(j) = self.routers.iter().position(at) else {
+            return;
+        };
+        let reachable = |r: &Router| r.peers_cut_until <= self.now && r.frozen_until <= self.now;
+        if i == j || !reachable(&self.routers[i]) || !reachable(&self.routers[j]) {
+            return;
+        }
+        let (a, b) = (
+            self.routers[i].member.clone(),
+            self.routers[j].member.clone(),
+        );
+        self.post(a.incarnation, Event::PeerUp(b.clone()));
+        self.post(b.incarnation, Event::PeerUp(a));
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.inbox.first_entry()
+            && entry.key().0 <= self.now
+        {
+            let (to, event) = entry.remove();
+            let Some(&i) = self.by_id.get(&to) else {
+                continue;
+            };
+            let router = &mut self.routers[i];
+            if router.peers_cut_until > self.now {
+                continue;
+            }
+            if router.frozen_until > self.now {
+                router.held.push(event);
+                continue;
+            }
+            self.feed(i, event);
+        }
+    }
+
+    // Faults
+
+    fn trouble(&mut self) {
+        if !self.rng.random_bool(0.02) {
+            return;
+        }
+        let (now, span) = (self.now, self.rng.random_range(500..9_000));
+        let until = now + span;
+        let kind = self.rng.random_range(0..7);
+        if kind == 0 {
+            self.store_down_until = until;
+            for router in &mut self.routers {
+                router.in_touch_since = router.in_touch_since.max(until);
+            }
+            return;
+        }
+        if kind == 1 {
+            return self.stall_readers(until);
+        }
+        let share = if self.rng.random_bool(0.2) { 0.5 } else { 0.05 };
+        for i in 0..self.routers.len() {
+            if !self.rng.random_bool(share) {
+                continue;
+            }
+            let router = &mut self.routers[i];
+            router.in_touch_since = router.in_touch_since.max(until);
+            match kind {
+                2 => router.frozen_until = until,
+                3 => router.store_cut_until = until,
+                4 => router.peers_cut_until = until,
+                5 => (router.peers_cut_until, router.store_cut_until) = (until, until),
+                _ => self.restart(i),
+            }
+        }
+    }
+
+    /// Lets the calls of those hang who read for all; to the others they seem well.
+    fn stall_readers(&mut self, until: u64) {
+        let now = Millis(self.now);
+        for router in &mut self.routers {
+            if router.fleet.reading(now) == Reading::Chosen {
+                router.stalled_until = until;
+                router.in_touch_since = router.in_touch_since.max(until);
+            }
+        }
+    }
+
+    fn restart(&mut self, i: usize) {
+        let id = self.routers[i].member.incarnation;
+        self.by_id.remove(&id);
+        let router = self.start(i);
+        let peers = self.routers.iter().map(|r| r.member.incarnation);
+        for peer in peers.collect::<Vec<_>>() {
+            self.post(peer, Event::PeerDown(id));
+        }
+        self.by_id.insert(router.member.incarnation, i);
+        self.routers[i] = router;
+        let addresses = self.routers.iter().map(|r| r.member.peer_address.parse());
+        let addresses: BTreeSet<_> = addresses.map(|a| a.unwrap()).collect();
+        self.feed(i, Event::Routers(addresses));
+    }
+
+    // Promises
+
+    /// Every router that has been in touch all the while has dropped what left.
+    fn check(&mut self) {
+        let now = self.now;
+        for (name, at) in &self.left {
+            if now < at + BOUND || now >= at + BOUND + TICK {
+                continue;
+            }
+            for router in &self.routers {
+                let in_touch = router.in_touch_since + STABLE <= *at;
+                if in_touch && router.uses.contains(name) {
+                    let host = &router.member.host;
+                    self.broken.push(format!(
+                        "{now} ms: {host} still uses {name}, left at {at} ms"
+                    ));
+                }
+            }
+        }
+        let used = |name: &String| self.routers.iter().any(|r| r.uses.contains(name));
+        let open = self.left.iter().filter(|(name, _)| used(name));
+        let longest = open.map(|(_, at)| now - at).max().unwrap_or(0);
+        self.tally.longest_ms = self.tally.longest_ms.max(longest);
+    }
+}
--- a/toucanchute_router/src/gateway/feeds.rs
+++ b/toucanchute_router/src/gateway/feeds.rs
@@ -22,6 +22,9 @@
 /// Pause after a first call that failed, and after each where this router reads for all.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
+/// Pause between readings that succeed where this router reads for itself.
+const OWN_PAUSE: Duration = Duration::from_millis(700);
+
 /// Longest pause between calls that fail where this router reads for itself.
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 
@@ -92,6 +95,16 @@
         });
     }
 
+    /// Whether this router reads for itself only, so that one reading should do; waits before a
+    /// further one.
+    async fn reads_once(&self) -> bool {
+        let once = *self.reading.borrow() == Reading::Own;
+        if once {
+            tokio::time::sleep(OWN_PAUSE).await;
+        }
+        once
+    }
+
     /// Tells that the store did not answer, and waits. `failures` counts calls in a row that failed.
     async fn pause(&self, failures: u32) {
         post(&self.fleet, FleetInput::PlatformDown);
@@ -180,6 +193,9 @@
                         self.take(entry);
                     }
                     self.confirm(asked);
+                    if self.feeds.reads_once().await {
+                        continue;
+                    }
                     self.follow(snapshot.revision.next()).await;
                 }
                 Err(e) => {
@@ -266,6 +282,9 @@
                 Ok(snapshot) => {
                     failures = 0;
                     self.tell_all(&snapshot, asked);
+                    if self.feeds.reads_once().await {
+                        continue;
+                    }
                     self.follow(snapshot.revision.next()).await;
                 }
                 Err(e) => {
--- a/toucanchute_router/src/link.rs
+++ b/toucanchute_router/src/link.rs
@@ -9,6 +9,7 @@
 mod error;
 mod frame;
 mod handshake;
+mod held;
 mod mesh;
 
 pub(crate) use frame::Frame;
--- a/toucanchute_router/src/link/mesh.rs
+++ b/toucanchute_router/src/link/mesh.rs
@@ -29,6 +29,7 @@
     error::LinkError,
     frame::{Frame, encode},
     handshake::{self, Identity},
+    held::Held,
 };
 use crate::clock;
 
@@ -124,6 +125,8 @@
     dialed: BTreeSet<SocketAddr>,
     /// Where to dial a peer that has no link when a message is for it.
     addresses: BTreeMap<Incarnation, SocketAddr>,
+    /// Messages for peers that are being dialed.
+    held: Held,
     /// Addresses to be dialed whatever is known of the router there.
     kept: BTreeSet<SocketAddr>,
 }
@@ -283,6 +286,11 @@
 
     fn add(&self, from: Incarnation, hello: Hello, link: Link) {
         let mut links = self.links();
+        let held = links.held.take(clock::now(), from);
+        for frame in held {
+            // A full queue drops what follows, as in `send`.
+            let _ = link.tx.try_send(frame);
+        }
         let open = links.open.entry(from).or_default();
         open.push(link);
         if open.len() == 1 {
@@ -310,20 +318,26 @@
 
     // --- sending
 
-    /// Sends a message to a peer; it is dropped if there is no link or its queue is full.
+    /// Sends a message to a peer, or once there is a link to it; it is dropped if its queue is full
+    /// or no link opens soon.
     pub(crate) fn send<M: Serialize>(&self, to: Incarnation, kind: FrameKind, message: &M) {
-        let links = self.links();
+        let mut links = self.links();
         if let Some(link) = links.open.get(&to).and_then(|open| open.first()) {
             let frame = encode(self.shared.identity.incarnation, kind, message);
             self.shared.sent.count(frame.len());
             let _ = link.tx.try_send(frame);
             return;
         }
-        let address = links.addresses.get(&to).copied();
-        drop(links);
-        if let Some(address) = address {
-            self.connect(address);
+        let Some(address) = links.addresses.get(&to).copied() else {
+            return;
+        };
+        let frame = encode(self.shared.identity.incarnation, kind, message);
+        let len = frame.len();
+        if links.held.hold(clock::now(), to, frame) {
+            self.shared.sent.count(len);
         }
+        drop(links);
+        self.connect(address);
     }
 
     /// Returns what all links carried since the start.
