--- a/toucanchute_core/tests/store_readers/world.rs
+++ b/toucanchute_core/tests/store_readers/world.rs
@@ -129,7 +129,7 @@
             state: MemberState::Alive,
             update: 0,
             outage: false,
-            capacity: if i % 16 == 0 { 500 } else { 120 },
+            capacity: if i.is_multiple_of(16) { 500 } else { 120 },
         };
         let id = Identity {
             incarnation: member.incarnation,
