--- a/toucanchute_core/src/fleet/reading.rs
+++ b/toucanchute_core/src/fleet/reading.rs
@@ -103,11 +103,11 @@
         Millis((spread as f64 * place) as u64)
     }
 
-    /// The routers that read the store for all, if possible in different failure domains; all of
-    /// those that are alive may be, or only those that have not lost the store.
-    pub(super) fn readers(&self, whether_lost: bool) -> Vec<Incarnation> {
+    /// The routers that read the store for all, if possible in different failure domains, with or
+    /// without those that say that they lost it.
+    pub(super) fn readers(&self, with_lost: bool) -> Vec<Incarnation> {
         let stays = |state| state == MemberState::Alive;
-        let fit = |outage: bool| whether_lost || !outage;
+        let fit = |outage: bool| with_lost || !outage;
         let me = (!self.drain.leaving() && fit(self.me.outage)).then_some(&self.me);
         let peers = self.members.live();
         let peers = peers.filter(|m| stays(m.state) && fit(m.outage));
--- a/toucanchute_core/src/prepaid.rs
+++ b/toucanchute_core/src/prepaid.rs
@@ -17,6 +17,7 @@
 
 mod account;
 mod action;
+mod candidates;
 mod desk;
 mod draw;
 mod event;
--- a/toucanchute_core/src/prepaid/machine.rs
+++ b/toucanchute_core/src/prepaid/machine.rs
@@ -11,10 +11,7 @@
     Action, CallId, ClockSpread, CloseCause, Event, Fault, Note, Peer, account::Owned, desk::Desk,
     takeover::Takeover, witness::Keeper,
 };
-use crate::{
-    hash,
-    ledger::{StoreOp, StoreRequest},
-};
+use crate::ledger::{StoreOp, StoreRequest};
 
 /// Time after the start in which other routers make themselves known, before accounts are claimed.
 const ACQUAINT: Millis = Millis(400);
@@ -29,12 +26,6 @@
 /// Time without the store after which accounts go to routers that reach it.
 const STORE_PATIENCE: Millis = Millis(1_500);
 
-/// Routers that are told who spends from an account; the others ask the first of them.
-const LIKELY_ASKED: usize = 7;
-
-/// Most budgets whose accounts are claimed before the first request for them.
-const MAX_CLAIMED_AHEAD: usize = 256;
-
 /// Who a [`Prepaid`] machine is.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -93,7 +84,7 @@
     started_at: Option<Millis>,
     /// Budgets whose accounts would fall to this router, and whether the store was up when they
     /// were found; absent after a change of peers or budgets.
-    falling: Option<(bool, Vec<BudgetId>)>,
+    pub(super) falling: Option<(bool, Vec<BudgetId>)>,
     /// When the first configuration came, and with it the first sign of the store.
     configured_at: Option<Millis>,
     pub(super) limits: BTreeMap<BudgetId, u64>,
@@ -261,39 +252,6 @@
         self.claim_ahead(out);
     }
 
-    /// Claims accounts that have no owner and would fall to this router.
-    fn claim_ahead(&mut self, out: &mut Vec<Action>) {
-        if !self.may_claim() || self.limits.len() > MAX_CLAIMED_AHEAD {
-            return;
-        }
-        let up = self.store_up();
-        if self
-            .falling
-            .as_ref()
-            .is_none_or(|(was_up, _)| *was_up != up)
-        {
-            self.falling = Some((up, self.budgets_that_fall_here()));
-        }
-        let falling = self.falling.as_ref().map(|(_, budgets)| budgets.clone());
-        for budget in falling.unwrap_or_default() {
-            let busy = self.accounts.contains_key(&budget) || self.takeovers.contains_key(&budget);
-            if !busy && self.reachable_owner(budget).is_none() {
-                self.start_takeover(budget, out);
-            }
-        }
-    }
-
-    /// Budgets whose accounts would fall to this router if they had no owner. It would know of an
-    /// owner, because it had one before or because all others ask this router.
-    fn budgets_that_fall_here(&self) -> Vec<BudgetId> {
-        let me = Some(self.me());
-        let informed = |b| self.known.contains_key(&b) || self.registrar(b) == me;
-        let budgets = self.limits.keys().copied();
-        budgets
-            .filter(|&b| self.candidate(b) == me && informed(b))
-            .collect()
-    }
-
     // Who does what
 
     /// Whether this machine has a deliberate fault.
@@ -331,46 +289,6 @@
         self.is_reachable(known.owner).then_some(known.owner)
     }
 
-    /// Returns the router that should take an account over that has no owner: one that reaches the
-    /// store, if there is any.
-    pub(super) fn candidate(&self, budget: BudgetId) -> Option<Incarnation> {
-        let best = self.candidates(budget);
-        let best = best.min_by(|a, b| b.up.cmp(&a.up).then(a.turn.total_cmp(&b.turn)));
-        best.map(|c| c.id)
-    }
-
-    /// Returns the router that is asked for an account whose owner is not known: the one that would
-    /// have it if all routers reached the store. What is believed of that changes quickly in an
-    /// outage, so that routers would not agree on the candidate.
-    pub(super) fn registrar(&self, budget: BudgetId) -> Option<Incarnation> {
-        let best = self.candidates(budget);
-        let best = best.min_by(|a, b| a.turn.total_cmp(&b.turn));
-        best.map(|c| c.id)
-    }
-
-    /// Routers that may take an account over.
-    fn candidates(&self, budget: BudgetId) -> impl Iterator<Item = Candidate> {
-        let candidate = move |id: Incarnation, up: bool, capacity: u32| {
-            let turn = hash::turn(hash::mix(&[budget.0, id.0]), fitness(capacity));
-            Candidate { id, up, turn }
-        };
-        let steady = self.peers.values();
-        let steady = steady
-            .filter(|p| p.state == MemberState::Alive)
-            .map(move |p| candidate(p.incarnation, p.store_up, p.capacity));
-        let me = candidate(self.me(), self.store_up(), self.cfg.capacity);
-        steady.chain((!self.draining).then_some(me))
-    }
-
-    /// Routers that others ask for an account whose owner they do not know.
-    fn likely_asked(&self, budget: BudgetId) -> Vec<Incarnation> {
-        let mut all: Vec<_> = self.candidates(budget).collect();
-        all.sort_unstable_by(|a, b| a.turn.total_cmp(&b.turn));
-        all.truncate(LIKELY_ASKED);
-        all.retain(|c| c.id != self.me());
-        all.into_iter().map(|c| c.id).collect()
-    }
-
     // Announcements
 
     /// Tells some routers that this one spends from an account.
@@ -477,22 +395,6 @@
     }
 }
 
-/// A router that may take an account over.
-#[derive(Clone, Copy, Debug)]
-struct Candidate {
-    id: Incarnation,
-    /// Whether it reaches the store.
-    up: bool,
-    /// Its place in the order for the budget; the least comes first.
-    turn: f64,
-}
-
-/// Weight of a host among those that may serve accounts. All others send their requests to it, so
-/// that accounts gather on hosts that can carry that.
-pub(super) fn fitness(capacity: u32) -> f64 {
-    f64::from(capacity.max(1)).powi(4)
-}
-
 /// Call numbers double as the sequence numbers of messages.
 impl CallId {
     pub(super) fn seq(self) -> u64 {
--- a/toucanchute_core/src/prepaid/record.rs
+++ b/toucanchute_core/src/prepaid/record.rs
@@ -4,7 +4,7 @@
     to_cbor,
 };
 
-use super::{Peer, Prepaid, machine::fitness};
+use super::{Peer, Prepaid, candidates::fitness};
 use crate::{hash, ledger::StoreKey};
 
 /// Returns the key of an account's record.
--- a/toucanchute_router/src/gateway/feeds.rs
+++ b/toucanchute_router/src/gateway/feeds.rs
@@ -76,23 +76,13 @@
             told: 0,
             malformed: BTreeMap::new(),
         };
-        let (mut for_configs, mut for_backends) = (self.reading.clone(), self.reading);
-        tokio::spawn(async move {
-            while wanted(&mut for_configs).await {
-                tokio::select! {
-                    () = configs.read() => {}
-                    () = relieved(&mut for_configs) => {}
-                }
-            }
-        });
-        tokio::spawn(async move {
-            while wanted(&mut for_backends).await {
-                tokio::select! {
-                    () = backends.read() => {}
-                    () = relieved(&mut for_backends) => {}
-                }
-            }
-        });
+        let reading = self.reading;
+        tokio::spawn(while_wanted(reading.clone(), async move || {
+            configs.read().await;
+        }));
+        tokio::spawn(while_wanted(reading, async move || {
+            backends.read().await;
+        }));
     }
 
     /// Whether this router reads for itself only, so that one reading should do; waits before a
@@ -128,16 +118,16 @@
     }
 }
 
-/// Waits until this router has to read; returns false if the process ends.
-async fn wanted(reading: &mut watch::Receiver<Reading>) -> bool {
-    let wanted = reading.wait_for(|r| *r != Reading::None).await;
-    wanted.is_ok()
-}
-
-/// Waits until this router need not read any more.
-async fn relieved(reading: &mut watch::Receiver<Reading>) {
-    // An error tells that the process ends.
-    _ = reading.wait_for(|r| *r == Reading::None).await;
+/// Runs `read` whenever this router has to read, until the process ends.
+async fn while_wanted(mut reading: watch::Receiver<Reading>, mut read: impl AsyncFnMut()) {
+    while reading.wait_for(|r| *r != Reading::None).await.is_ok() {
+        let mut relieved = reading.clone();
+        tokio::select! {
+            () = read() => {}
+            // An error tells that the process ends.
+            _ = relieved.wait_for(|r| *r == Reading::None) => {}
+        }
+    }
 }
 
 /// What a process's settings add to the operator's configuration.
--- a/toucanchute_router/src/link/activity.rs
+++ b/toucanchute_router/src/link/activity.rs
@@ -1,4 +1,4 @@
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use toucanchute_proto::Millis;
 
@@ -24,7 +24,7 @@
     /// When it last received anything.
     received_at: AtomicU64,
     /// Whether it received a message and has sent nothing since.
-    owes: AtomicU64,
+    owes: AtomicBool,
 }
 
 impl Activity {
@@ -33,7 +33,7 @@
             sent_at: AtomicU64::new(now.0),
             unanswered_since: AtomicU64::new(0),
             received_at: AtomicU64::new(now.0),
-            owes: AtomicU64::new(0),
+            owes: AtomicBool::new(false),
         }
     }
 
@@ -49,7 +49,7 @@
     /// Takes in that a keepalive was sent, which nobody answers.
     pub(super) fn told(&self, now: Millis) {
         self.sent_at.store(now.0, Ordering::Relaxed);
-        self.owes.store(0, Ordering::Relaxed);
+        self.owes.store(false, Ordering::Relaxed);
     }
 
     /// Takes in that something was received; only messages are answered.
@@ -57,14 +57,14 @@
         self.received_at.store(now.0, Ordering::Relaxed);
         self.unanswered_since.store(0, Ordering::Relaxed);
         if is_message {
-            self.owes.store(1, Ordering::Relaxed);
+            self.owes.store(true, Ordering::Relaxed);
         }
     }
 
     /// Whether this side has to tell that it lives.
     pub(super) fn is_keepalive_due(&self, now: Millis) -> bool {
         let sent_at = Millis(self.sent_at.load(Ordering::Relaxed));
-        self.owes.load(Ordering::Relaxed) == 1 || now.since(sent_at) >= IDLE_KEEPALIVE
+        self.owes.load(Ordering::Relaxed) || now.since(sent_at) >= IDLE_KEEPALIVE
     }
 
     /// Whether the other side has been silent for too long.
