feat(router): log and count what is believed of requests under which servers end

Nothing told the three hypotheses apart: no line for a suspect, a claim, a quarantine or a word heard, one cause for all breaks, nothing that joins copies of one request.

Now: request-standing and request-standing-heard with the request's digest, standing, backend server and age; attempt-failed and request-ended carry the digest, attempt-failed how the attempt was reported; toucanchute_request_standings counts words by standing and side.

--- a/toucanchute_core/src/routing.rs
+++ b/toucanchute_core/src/routing.rs
@@ -23,3 +23,4 @@
 pub use action::{Action, RefusalReason};
 pub use dispatcher::Dispatcher;
 pub use event::{Assign, CacheChange, CacheEvent, CrashKind, Event, Report, Target};
+pub use suspects::request_digest;
--- a/toucanchute_core/src/routing/event.rs
+++ b/toucanchute_core/src/routing/event.rs
@@ -109,6 +109,33 @@
     Cancelled,
 }
 
+impl Report {
+    /// Returns its name in logs and metrics.
+    ///
+    /// ```
+    /// use toucanchute_core::routing::{CrashKind, Report};
+    ///
+    /// let kind = CrashKind::TimedOut;
+    /// assert_eq!(Report::Crashed { kind }.name(), "timed-out");
+    /// ```
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Report::FirstToken => "first-token",
+            Report::Done { .. } => "done",
+            Report::Refused => "refused",
+            Report::Unsent => "unsent",
+            Report::Crashed { kind } => match kind {
+                CrashKind::Disconnected => "disconnected",
+                CrashKind::Interrupted => "interrupted",
+                CrashKind::Malformed => "malformed",
+                CrashKind::TimedOut => "timed-out",
+            },
+            Report::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// How an attempt broke off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashKind {
--- a/toucanchute_core/src/routing/suspects.rs
+++ b/toucanchute_core/src/routing/suspects.rs
@@ -75,9 +75,22 @@
     Never,
 }
 
-/// Identifies a request of one customer.
+/// Identifies a request of one customer, whichever caller's attempt brings it.
+///
+/// ```
+/// use toucanchute_core::routing::request_digest;
+/// use toucanchute_proto::Digest;
+///
+/// let body = Digest::new("/talk/1", b"hello");
+/// assert_ne!(request_digest("north", body), request_digest("south", body));
+/// ```
+#[must_use]
+pub fn request_digest(customer: &str, request: Digest) -> Digest {
+    Digest::new(customer, &request.0.to_le_bytes())
+}
+
 pub(super) fn key(req: &Assign) -> Digest {
-    Digest::new(&req.customer, &req.digest.0.to_le_bytes())
+    request_digest(&req.customer, req.digest)
 }
 
 impl Suspects {
--- a/toucanchute_edge/src/attempt.rs
+++ b/toucanchute_edge/src/attempt.rs
@@ -1,6 +1,6 @@
 use toucanchute_proto::{AttemptId, RequestKey};
 
-use toucanchute_core::routing::{CrashKind, Report};
+use toucanchute_core::routing::Report;
 
 use crate::control::{Assignment, Control, Reservation, Settlement};
 use crate::problem::Problem;
@@ -41,7 +41,7 @@
         self.ended = true;
         self.control.report(self.id(), report);
         let id = self.id();
-        log::info!(attempt:% = id, backend = self.assignment.backend, report = name(report); "attempt-ended");
+        log::info!(attempt:% = id, backend = self.assignment.backend, report = report.name(); "attempt-ended");
     }
 }
 
@@ -99,20 +99,3 @@
         }
     }
 }
-
-/// Returns a report's name in the event log.
-fn name(report: Report) -> &'static str {
-    match report {
-        Report::FirstToken => "first-token",
-        Report::Done { .. } => "done",
-        Report::Refused => "refused",
-        Report::Unsent => "unsent",
-        Report::Crashed { kind } => match kind {
-            CrashKind::Disconnected => "disconnected",
-            CrashKind::Interrupted => "interrupted",
-            CrashKind::Malformed => "malformed",
-            CrashKind::TimedOut => "timed-out",
-        },
-        Report::Cancelled => "cancelled",
-    }
-}
--- a/toucanchute_edge/src/passthrough/pool.rs
+++ b/toucanchute_edge/src/passthrough/pool.rs
@@ -17,6 +17,7 @@
 use snafu::Snafu;
 use socket2::SockRef;
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+use toucanchute_core::routing::{CrashKind, Report};
 
 /// Longest time to open a connection to a backend server in the same region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -161,8 +162,17 @@
     }
 }
 
+/// Returns what to report of an attempt whose connection broke off.
+pub(super) async fn broken(address: SocketAddr) -> Report {
+    let kind = match is_reachable(address).await {
+        true => CrashKind::Interrupted,
+        false => CrashKind::Disconnected,
+    };
+    Report::Crashed { kind }
+}
+
 /// Whether a backend server takes new connections.
-pub(super) async fn is_reachable(address: SocketAddr) -> bool {
+async fn is_reachable(address: SocketAddr) -> bool {
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     matches!(connected, Ok(Ok(_)))
 }
--- a/toucanchute_edge/src/passthrough/relay.rs
+++ b/toucanchute_edge/src/passthrough/relay.rs
@@ -15,7 +15,7 @@
     attempt::Held,
     events::Events,
     handler::InFlight,
-    pool::is_reachable,
+    pool::broken,
     run::{Answered, Run, Trace, Tries, respond},
 };
 use crate::settings::duration;
@@ -94,13 +94,7 @@
                 End::OutOfTime | End::Silent => Report::Crashed {
                     kind: CrashKind::TimedOut,
                 },
-                End::Broken => {
-                    let kind = match is_reachable(assignment.address).await {
-                        true => CrashKind::Interrupted,
-                        false => CrashKind::Disconnected,
-                    };
-                    Report::Crashed { kind }
-                }
+                End::Broken => broken(assignment.address).await,
             };
             let Answered {
                 attempt,
@@ -123,7 +117,7 @@
                 End::Silent => "no event in time",
             };
             drop(conn);
-            self.trace.attempt_failed(&assignment, cause);
+            self.trace.attempt_failed(&assignment, report, cause);
             self.tries.exclude_backend(&assignment.backend);
             if !self.tries.may_repeat() {
                 return self.break_off("stream-broke-off").await;
--- a/toucanchute_edge/src/passthrough/run.rs
+++ b/toucanchute_edge/src/passthrough/run.rs
@@ -11,7 +11,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
-use toucanchute_core::routing::Target;
+use toucanchute_core::routing::{Target, request_digest};
 use toucanchute_proto::{
     Digest, Millis,
     config::{Customer, Route, RouteKind},
@@ -49,6 +49,8 @@
     pub(super) call: Call,
     /// Service that serves it, with all its attempts.
     service: String,
+    /// Digest of path and body.
+    digest: Digest,
     pub(super) deadline: Instant,
 }
 
@@ -72,6 +74,7 @@
         deadline: Instant,
     ) -> Run<C, D> {
         let service = choose_service(table.route_at(admitted.route));
+        let digest = Digest::new(head.uri.path(), &body);
         Run {
             shared,
             table,
@@ -80,6 +83,7 @@
             body,
             call,
             service,
+            digest,
             deadline,
         }
     }
@@ -90,6 +94,8 @@
         mut trace: Trace<C>,
         in_flight: InFlight,
     ) -> Response<RouteBody> {
+        let customer = self.customer().map_or("", |c| c.name.as_str());
+        trace.digest = request_digest(customer, self.digest);
         let held = match self.reserve(&mut trace).await {
             Ok(held) => held,
             Err(failure) => return trace.fail(failure),
@@ -214,13 +220,12 @@
     fn assign_request(&self, tries: &Tries) -> AssignRequest {
         let customer = self.customer();
         let priority = customer.and_then(|c| c.route_priority);
-        let path = self.head.uri.path();
         AssignRequest {
             target: Target::Service(self.service.clone()),
             customer: customer.map(|c| c.name.clone()).unwrap_or_default(),
             weight: customer.map_or(1, |c| c.weight),
             priority: priority.unwrap_or(self.route().priority),
-            digest: Digest::new(path, &self.body),
+            digest: self.digest,
             prefix: Vec::new(),
             affinity: self.affinity(),
             tokens: self.call.tokens.map_or(1, TokenBound::total),
--- a/toucanchute_edge/src/passthrough/run/answers.rs
+++ b/toucanchute_edge/src/passthrough/run/answers.rs
@@ -12,7 +12,7 @@
     passthrough::{
         Dialect, Failure, FailureKind, RouteBody, RouteControl,
         attempt::Attempt,
-        pool::{SendError, is_reachable},
+        pool::{SendError, broken},
     },
 };
 
@@ -33,27 +33,21 @@
     ) -> Result<(), Failure> {
         let address = attempt.assignment.address;
         tries.exclude_backend(&attempt.assignment.backend);
-        trace.attempt_failed(&attempt.assignment, &error.to_string());
-        match error {
+        let report = match error {
             ExchangeError::Send {
                 source: SendError::Connect { .. } | SendError::Unsent,
-            } => {
-                attempt.end(Report::Unsent);
-                return tries.unreachable();
-            }
+            } => Report::Unsent,
             ExchangeError::Send {
                 source: SendError::Broken { .. },
-            } => {
-                let kind = match is_reachable(address).await {
-                    true => CrashKind::Interrupted,
-                    false => CrashKind::Disconnected,
-                };
-                attempt.end(Report::Crashed { kind });
-            }
-            ExchangeError::TimedOut => {
-                let kind = CrashKind::TimedOut;
-                attempt.end(Report::Crashed { kind });
-            }
+            } => broken(address).await,
+            ExchangeError::TimedOut => Report::Crashed {
+                kind: CrashKind::TimedOut,
+            },
+        };
+        trace.attempt_failed(&attempt.assignment, report, &error.to_string());
+        attempt.end(report);
+        if report == Report::Unsent {
+            return tries.unreachable();
         }
         tries.sent(true);
         if tries.may_repeat() {
@@ -87,10 +81,13 @@
         let foreign =
             info.attempt != self.call.attempt && (status.is_success() || info.attempt.is_some());
         if foreign || info.encoded || status.is_success() && !info.sealed {
-            let kind = CrashKind::Malformed;
+            let report = Report::Crashed {
+                kind: CrashKind::Malformed,
+            };
             tries.exclude_backend(&answered.attempt.assignment.backend);
-            trace.attempt_failed(&answered.attempt.assignment, "answer is not this request's");
-            answered.attempt.end(Report::Crashed { kind });
+            let cause = "answer is not this request's";
+            trace.attempt_failed(&answered.attempt.assignment, report, cause);
+            answered.attempt.end(report);
             tries.sent(true);
             return match tries.may_repeat() {
                 true => Ok(None),
@@ -115,7 +112,7 @@
     ) -> Result<(), Failure> {
         let backend = answered.attempt.assignment.backend.clone();
         tries.exclude_backend(&backend);
-        trace.attempt_failed(&answered.attempt.assignment, "refused, not run");
+        trace.attempt_failed(&answered.attempt.assignment, report, "refused, not run");
         answered.attempt.end(report);
         let keep = !answered.info.closes;
         let read = timeout_at(self.deadline, collect(answered.body, MAX_ANSWER_BYTES)).await;
@@ -135,11 +132,13 @@
     /// Puts a backend server's failure aside while another one is tried.
     async fn retry_error(&self, answered: Answered<C>, tries: &mut Tries, trace: &mut Trace<C>) {
         tries.exclude_backend(&answered.attempt.assignment.backend);
-        trace.attempt_failed(&answered.attempt.assignment, "backend failed");
+        let report = Report::Crashed {
+            kind: CrashKind::Malformed,
+        };
+        trace.attempt_failed(&answered.attempt.assignment, report, "backend failed");
         let (head, info) = (answered.head, answered.info);
         let backend = answered.attempt.assignment.backend.clone();
-        let kind = CrashKind::Malformed;
-        answered.attempt.end(Report::Crashed { kind });
+        answered.attempt.end(report);
         let body = timeout_at(self.deadline, collect(answered.body, MAX_ANSWER_BYTES)).await;
         if let Ok(Ok(body)) = body {
             if !info.closes {
@@ -176,16 +175,21 @@
                 Ok(respond(&head, RouteBody::whole(body.to_bytes())))
             }
             Ok(Err(e)) => {
-                trace.attempt_failed(&attempt.assignment, &format!("answer broke off: {e}"));
+                let report = Report::Crashed {
+                    kind: CrashKind::Interrupted,
+                };
+                let cause = format!("answer broke off: {e}");
+                trace.attempt_failed(&attempt.assignment, report, &cause);
                 tries.exclude_backend(&backend);
-                let kind = CrashKind::Interrupted;
-                attempt.end(Report::Crashed { kind });
+                attempt.end(report);
                 Err(Failure::new(FailureKind::Failed, "answer-broke-off"))
             }
             Err(_) => {
-                trace.attempt_failed(&attempt.assignment, "answer not whole in time");
-                let kind = CrashKind::TimedOut;
-                attempt.end(Report::Crashed { kind });
+                let report = Report::Crashed {
+                    kind: CrashKind::TimedOut,
+                };
+                trace.attempt_failed(&attempt.assignment, report, "answer not whole in time");
+                attempt.end(report);
                 Err(tries.out_of_time())
             }
         }
--- a/toucanchute_edge/src/passthrough/run/trace.rs
+++ b/toucanchute_edge/src/passthrough/run/trace.rs
@@ -1,6 +1,8 @@
 use std::{sync::Arc, time::Instant};
 
 use http::Response;
+use toucanchute_core::routing::Report;
+use toucanchute_proto::Digest;
 
 use crate::{
     control::Assignment,
@@ -13,6 +15,8 @@
     request: String,
     pub(in crate::passthrough) route: String,
     pub(in crate::passthrough) customer: String,
+    /// Digest of customer, path and body, which all copies of a request share.
+    pub(in crate::passthrough) digest: Digest,
     /// Version of the configuration that decided it.
     pub(in crate::passthrough) version: u64,
     /// Backend server that was chosen last.
@@ -38,6 +42,7 @@
             request: request.unwrap_or_default(),
             route: String::new(),
             customer: String::new(),
+            digest: Digest::default(),
             version: 0,
             backend: String::new(),
             assignments: 0,
@@ -69,12 +74,19 @@
         self.assignments += 1;
     }
 
-    /// Logs an attempt that failed.
-    pub(in crate::passthrough) fn attempt_failed(&self, assignment: &Assignment, cause: &str) {
+    /// Logs an attempt that failed, and as what it is reported.
+    pub(in crate::passthrough) fn attempt_failed(
+        &self,
+        assignment: &Assignment,
+        report: Report,
+        cause: &str,
+    ) {
         log::info!(
             request = self.request,
+            digest:% = self.digest,
             attempt:% = assignment.attempt,
             backend = assignment.backend,
+            report = report.name(),
             cause = cause;
             "attempt-failed"
         );
@@ -119,6 +131,7 @@
     fn drop(&mut self) {
         log::info!(
             request = self.request,
+            digest:% = self.digest,
             route = self.route,
             customer = self.customer,
             config = self.version,
--- a/toucanchute_router/src/actor/dispatch.rs
+++ b/toucanchute_router/src/actor/dispatch.rs
@@ -13,7 +13,7 @@
 };
 use xtra::prelude::*;
 
-use super::{FleetActor, FleetInput, post};
+use super::{FleetActor, FleetInput, Standings, post};
 use crate::clock;
 
 /// Ticks of which one is passed on while no request waits.
@@ -35,6 +35,7 @@
     found: Option<Vec<Found>>,
     /// Routers of the fleet, which share the retries of a window.
     routers: usize,
+    standings: Arc<Standings>,
     actions: Vec<Action>,
 }
 
@@ -75,13 +76,27 @@
     Tick,
 }
 
+/// What a [`DispatchActor`] is made of.
+pub(crate) struct DispatchParts {
+    /// The state machine.
+    pub(crate) machine: Dispatcher,
+    /// Told this router's words about requests.
+    pub(crate) fleet: Address<FleetActor>,
+    /// Configuration at the start.
+    pub(crate) config: Arc<Config>,
+    /// Log and counts of words about requests.
+    pub(crate) standings: Arc<Standings>,
+}
+
 impl DispatchActor {
-    /// Creates the actor; new verdicts go to `fleet`.
-    pub(crate) fn new(
-        machine: Dispatcher,
-        fleet: Address<FleetActor>,
-        config: Arc<Config>,
-    ) -> DispatchActor {
+    /// Creates the actor.
+    pub(crate) fn new(parts: DispatchParts) -> DispatchActor {
+        let DispatchParts {
+            machine,
+            fleet,
+            config,
+            standings,
+        } = parts;
         DispatchActor {
             machine,
             fleet,
@@ -92,6 +107,7 @@
             config,
             found: None,
             routers: 1,
+            standings,
             actions: Vec::new(),
         }
     }
@@ -134,7 +150,10 @@
                 };
                 self.answer(call, Err(refusal));
             }
-            Action::Verdict(verdict) => post(&self.fleet, FleetInput::Verdict(verdict)),
+            Action::Verdict(verdict) => {
+                self.standings.own(&verdict);
+                post(&self.fleet, FleetInput::Verdict(verdict));
+            }
             _ => {}
         }
     }
@@ -236,7 +255,10 @@
                     gap,
                 });
             }
-            DispatchInput::Verdict(verdict) => self.feed(Event::Verdict(verdict)),
+            DispatchInput::Verdict(verdict) => {
+                self.standings.heard(clock::now(), &verdict);
+                self.feed(Event::Verdict(verdict));
+            }
             DispatchInput::Tick => self.tick(),
         }
     }
--- /dev/null
+++ b/toucanchute_router/src/actor/standings.rs
@@ -0,0 +1,90 @@
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use toucanchute_proto::{
+    Millis,
+    fleet::{Standing, Verdict},
+};
+
+/// Logs and counts words about requests under which backend servers ended.
+#[derive(Debug, Default)]
+pub(crate) struct Standings {
+    own: Counts,
+    heard: Counts,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    suspect: AtomicU64,
+    cleared: AtomicU64,
+    quarantined: AtomicU64,
+}
+
+/// Number of words of one standing from one side.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct StandingCount {
+    /// Name of the standing.
+    pub(crate) standing: &'static str,
+    /// `own` for this router's words, `heard` for those of others.
+    pub(crate) source: &'static str,
+    /// Words since the start.
+    pub(crate) count: u64,
+}
+
+impl Standings {
+    /// Takes in this router's own word.
+    pub(crate) fn own(&self, v: &Verdict) {
+        self.own.of(v.standing).fetch_add(1, Ordering::Relaxed);
+        log::info!(
+            digest:% = v.digest,
+            standing = name(v.standing),
+            backend = v.crash.as_ref().map_or("", |c| c.replica.as_str()),
+            claimed = v.claim.as_ref().map_or("", |c| c.replica.as_str());
+            "request-standing"
+        );
+    }
+
+    /// Takes in another router's word.
+    pub(crate) fn heard(&self, now: Millis, v: &Verdict) {
+        self.heard.of(v.standing).fetch_add(1, Ordering::Relaxed);
+        log::info!(
+            digest:% = v.digest,
+            standing = name(v.standing),
+            router:% = v.router,
+            backend = v.crash.as_ref().map_or("", |c| c.replica.as_str()),
+            crash_age_ms = v.crash.as_ref().map(|c| now.since(c.at).0);
+            "request-standing-heard"
+        );
+    }
+
+    /// Returns all counts.
+    pub(crate) fn counts(&self) -> Vec<StandingCount> {
+        let sides = [("own", &self.own), ("heard", &self.heard)];
+        let all = [Standing::Suspect, Standing::Cleared, Standing::Quarantined];
+        let counts = sides.into_iter().flat_map(|(source, counts)| {
+            all.into_iter().map(move |standing| StandingCount {
+                standing: name(standing),
+                source,
+                count: counts.of(standing).load(Ordering::Relaxed),
+            })
+        });
+        counts.collect()
+    }
+}
+
+impl Counts {
+    fn of(&self, standing: Standing) -> &AtomicU64 {
+        match standing {
+            Standing::Suspect => &self.suspect,
+            Standing::Cleared => &self.cleared,
+            Standing::Quarantined => &self.quarantined,
+        }
+    }
+}
+
+fn name(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Suspect => "suspect",
+        Standing::Cleared => "cleared",
+        Standing::Quarantined => "quarantined",
+    }
+}
--- a/toucanchute_router/src/gateway/monitor.rs
+++ b/toucanchute_router/src/gateway/monitor.rs
@@ -23,6 +23,7 @@
 use toucanchute_store::CallCounts;
 
 use super::ask_server;
+use crate::actor::{StandingCount, Standings};
 
 /// Upper bounds of the latency histograms, in milliseconds: from a plain answer to a whole stream.
 const LATENCY_MS: [f64; 12] = [
@@ -41,6 +42,7 @@
     in_flight: Gauge,
     store_calls: Family<CallLabels, Gauge>,
     log_dropped: Gauge,
+    standings: Family<StandingLabels, Gauge>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -59,6 +61,12 @@
     end: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StandingLabels {
+    standing: &'static str,
+    source: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ReservationLabels {
     result: &'static str,
@@ -77,6 +85,7 @@
             in_flight: Gauge::default(),
             store_calls: Family::default(),
             log_dropped: Gauge::default(),
+            standings: Family::default(),
         };
         monitor.register();
         monitor
@@ -121,6 +130,11 @@
             "Log lines that found the queue full",
             self.log_dropped.clone(),
         );
+        registry.register(
+            "request_standings",
+            "Words about requests under which backend servers ended",
+            self.standings.clone(),
+        );
     }
 
     /// Counts a request that has ended.
@@ -137,15 +151,10 @@
 
     /// Counts the end of an attempt.
     pub(super) fn reported(&self, report: Report) {
-        let end = match report {
-            Report::FirstToken => return,
-            Report::Done { .. } => "done",
-            Report::Refused => "refused",
-            Report::Unsent => "unsent",
-            Report::Crashed { .. } => "broken",
-            Report::Cancelled => "cancelled",
-        };
-        self.attempts.get_or_create(&AttemptLabels { end }).inc();
+        if report != Report::FirstToken {
+            let end = report.name();
+            self.attempts.get_or_create(&AttemptLabels { end }).inc();
+        }
     }
 
     /// Counts an answer to a request for tokens.
@@ -158,6 +167,18 @@
         self.reservations.get_or_create(&labels).inc();
     }
 
+    /// Takes over the numbers of words about requests under which backend servers ended.
+    fn set_standings(&self, counts: Vec<StandingCount>) {
+        for c in counts {
+            let labels = StandingLabels {
+                standing: c.standing,
+                source: c.source,
+            };
+            let gauge = self.standings.get_or_create(&labels);
+            gauge.set(i64::try_from(c.count).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Counts tokens that a request used.
     pub(super) fn settled(&self, tokens: u64) {
         self.tokens_used.inc_by(tokens);
@@ -182,6 +203,7 @@
     fn text(&self, source: &Source) -> String {
         let in_flight = source.in_flight.load(Ordering::Relaxed);
         self.set_store_calls(source.store.counts());
+        self.set_standings(source.standings.counts());
         self.in_flight
             .set(i64::try_from(in_flight).unwrap_or(i64::MAX));
         let dropped = toucanchute_log::dropped_lines();
@@ -202,6 +224,7 @@
     /// Requests in progress.
     pub(super) in_flight: Arc<AtomicU64>,
     pub(super) store: StoreClient,
+    pub(super) standings: Arc<Standings>,
 }
 
 /// Serves the metrics until the process ends, whatever the path.
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -35,8 +35,8 @@
 };
 use crate::{
     actor::{
-        DispatchActor, DispatchInput, FleetActor, FleetInput, FleetParts, FleetPeers, Funds,
-        PrepaidActor, PrepaidInput, PrepaidParts, post,
+        DispatchActor, DispatchInput, DispatchParts, FleetActor, FleetInput, FleetParts,
+        FleetPeers, Funds, PrepaidActor, PrepaidInput, PrepaidParts, Standings, post,
     },
     keyvalue::LedgerStore,
     link::{Identity, Mesh},
@@ -109,6 +109,7 @@
     control: Arc<GatewayControl>,
     registry: Registry,
     store: StoreClient,
+    standings: Arc<Standings>,
     monitor: Arc<Monitor>,
     /// Requests in progress.
     in_flight: Arc<AtomicU64>,
@@ -153,7 +154,13 @@
         });
         let prepaid = xtra::spawn_tokio(prepaid, Mailbox::unbounded());
         let machine = Dispatcher::new(incarnation, domain, incarnation.0);
-        let dispatch = DispatchActor::new(machine, fleet.clone(), view.config());
+        let standings = Arc::new(Standings::default());
+        let dispatch = DispatchActor::new(DispatchParts {
+            machine,
+            fleet: fleet.clone(),
+            config: view.config(),
+            standings: Arc::clone(&standings),
+        });
         let dispatch = xtra::spawn_tokio(dispatch, Mailbox::unbounded());
 
         let funds = Funds::Prepaid(prepaid.clone());
@@ -200,6 +207,7 @@
             control,
             registry,
             store,
+            standings,
             monitor,
             in_flight,
             leaving,
@@ -228,6 +236,7 @@
             let source = monitor::Source {
                 in_flight: Arc::clone(&self.in_flight),
                 store: self.store.clone(),
+                standings: Arc::clone(&self.standings),
             };
             tokio::spawn(monitor::serve(listener, Arc::clone(&self.monitor), source));
         }
--- a/toucanchute_router/src/server.rs
+++ b/toucanchute_router/src/server.rs
@@ -29,8 +29,8 @@
 
 use crate::{
     actor::{
-        DispatchActor, DispatchInput, FleetActor, FleetInput, FleetParts, FleetPeers, Funds,
-        MoneyActor, MoneyInput, MoneyParts, OrdersActor, OrdersInput, post,
+        DispatchActor, DispatchInput, DispatchParts, FleetActor, FleetInput, FleetParts,
+        FleetPeers, Funds, MoneyActor, MoneyInput, MoneyParts, OrdersActor, OrdersInput, post,
     },
     admin::{Admin, Counters, OwnHost},
     control::{ControlParts, RouterControl},
@@ -142,7 +142,12 @@
         };
         let dispatch = {
             let machine = Dispatcher::new(own.incarnation, &own.failure_domain, own.incarnation.0);
-            let actor = DispatchActor::new(machine, fleet.clone(), view.config());
+            let actor = DispatchActor::new(DispatchParts {
+                machine,
+                fleet: fleet.clone(),
+                config: view.config(),
+                standings: Arc::default(),
+            });
             xtra::spawn_tokio(actor, Mailbox::unbounded())
         };
         let orders = {
