--- a/toucanchute_edge/tests/passthrough/main.rs
+++ b/toucanchute_edge/tests/passthrough/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod callers;
+mod ends;
 mod repeats;
 mod streams;
 mod support;
--- a/toucanchute_edge/tests/passthrough/support.rs
+++ b/toucanchute_edge/tests/passthrough/support.rs
@@ -88,7 +88,7 @@
 }
 
 /// Reads a request with the length that its head says.
-async fn read_message(stream: &mut TcpStream) -> Option<String> {
+pub(crate) async fn read_message(stream: &mut TcpStream) -> Option<String> {
     let mut buf = Vec::new();
     loop {
         let text = String::from_utf8_lossy(&buf).into_owned();
@@ -196,7 +196,7 @@
 // --- the dialect
 
 /// Heads with names of its own.
-struct Plain;
+pub(crate) struct Plain;
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
@@ -229,6 +229,7 @@
             let value = HeaderValue::try_from(value).unwrap();
             headers.insert(HeaderName::from_static(name), value);
         };
+        set("x-backend", forward.backend.to_owned());
         set("x-customer", forward.customer.unwrap_or("-").to_owned());
         if let Some(id) = forward.resume_after {
             set("x-resume-after", id.to_string());
@@ -253,6 +254,23 @@
 
 // --- the gateway
 
+/// A configuration with one route of `kind`, whose JSON `extra` completes, and a public one.
+pub(crate) fn config(kind: &str, extra: &str) -> Config {
+    let config = format!(
+        r#"{{"version":1,"site":"s","routing":{{"queue_limit":64}},"ledger":{{}},
+        "services":[{{"name":"svc","pool":"svc"}}],
+        "pools":[{{"name":"svc","kind":"service","max_concurrency":4,"tokens_per_event":10}}],
+        "budgets":[{{"name":"north","prepaid":1000}}],
+        "customers":[{{"name":"north","budget":"north","token_sha256":"{SECRET_SHA256}"}}],
+        "callers":{{"max_body_bytes":2000}},
+        "routes":[{{"name":"r","host":"svc.example","prefix":"/a/","kind":"{kind}",
+          "targets":[{{"service":"svc"}}],"timeout_ms":3000{extra}}},
+         {{"name":"open","host":"svc.example","prefix":"/a/open/","kind":"idempotent",
+          "public":true,"targets":[{{"service":"svc"}}]}}]}}"#
+    );
+    serde_json::from_str(&config).unwrap()
+}
+
 /// A gateway and what its control saw.
 pub(crate) struct Rig {
     address: SocketAddr,
@@ -262,20 +280,8 @@
 impl Rig {
     /// Starts a gateway with one route of `kind`, whose JSON `extra` completes.
     pub(crate) async fn start(kind: &str, extra: &str, backends: &[&Backend]) -> Rig {
-        let config = format!(
-            r#"{{"version":1,"site":"s","routing":{{}},"ledger":{{}},
-            "services":[{{"name":"svc","pool":"svc"}}],
-            "pools":[{{"name":"svc","kind":"service","tokens_per_event":10}}],
-            "budgets":[{{"name":"north","prepaid":1000}}],
-            "customers":[{{"name":"north","budget":"north","token_sha256":"{SECRET_SHA256}"}}],
-            "callers":{{"max_body_bytes":2000}},
-            "routes":[{{"name":"r","host":"svc.example","prefix":"/a/","kind":"{kind}",
-              "targets":[{{"service":"svc"}}],"timeout_ms":3000{extra}}},
-             {{"name":"open","host":"svc.example","prefix":"/a/open/","kind":"idempotent",
-              "public":true,"targets":[{{"service":"svc"}}]}}]}}"#
-        );
         let control = Arc::new(Control {
-            config: Arc::new(serde_json::from_str(&config).unwrap()),
+            config: Arc::new(config(kind, extra)),
             backends: backends.iter().map(|b| b.address).collect(),
             tokens: Mutex::new(1_000),
             ..Control::default()
@@ -327,7 +333,7 @@
 /// SHA-256 of `secret`.
 const SECRET_SHA256: &str = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b";
 
-async fn read_all(mut stream: TcpStream) -> String {
+pub(crate) async fn read_all(mut stream: TcpStream) -> String {
     let mut buf = Vec::new();
     let read = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut buf)).await;
     // A reset ends the answer like a close; what came before it counts.
