fix(routing): a server's end that is known only later counts for what ran on it

Cause: the edge judged each broken attempt once, by a single sign (the connection broke and a new one cannot be opened right after), and no one revised it. Silence, a server that listens again at once and an answer cut after its head left no trace, though registrations and other requests told of the end soon after. Class: a verdict fixed at the first sign, with later evidence not joined to it.

Now attempts that brought no answer are remembered for the server's run (32 of them, 15 s) until something explains them: an address that refuses or has become another's, a registration that lapsed without a word, a connection that broke in the same moment. A later answer of that run clears them. Discovery tells which registrations lapsed.

--- a/toucanchute_core/src/discovery.rs
+++ b/toucanchute_core/src/discovery.rs
@@ -23,6 +23,8 @@
     pub changed: bool,
     /// Names of those that newly leave or left.
     pub withdrawn: Vec<String>,
+    /// Names of those among `withdrawn` whose registrations went without a word that they leave.
+    pub lapsed: Vec<String>,
 }
 
 /// Keeps the backend servers of the newest list, and over an outage of the store those whose
@@ -84,7 +86,10 @@
             }
             match now < self.return_until && !moved {
                 true => drop(live.insert(name, old)),
-                false => self.withdraw(name, &mut change),
+                false => {
+                    self.withdraw(name.clone(), &mut change);
+                    change.lapsed.push(name);
+                }
             }
         }
         change.changed = before.as_ref() != Some(&live);
--- a/toucanchute_core/src/routing.rs
+++ b/toucanchute_core/src/routing.rs
@@ -19,6 +19,7 @@
 mod suspects;
 #[cfg(test)]
 mod tests;
+mod unexplained;
 
 pub use action::{Action, RefusalReason};
 pub use dispatcher::Dispatcher;
--- a/toucanchute_core/src/routing/attempts.rs
+++ b/toucanchute_core/src/routing/attempts.rs
@@ -1,8 +1,12 @@
 use toucanchute_proto::{AttemptId, Digest, Millis};
 
 use super::{
-    Action, Assign, CrashKind, Dispatcher, Report, fault::Fault, health::Failure, pool::BackendKey,
+    Action, Assign, CrashKind, Dispatcher, Report,
+    fault::Fault,
+    health::Failure,
+    pool::BackendKey,
     suspects,
+    unexplained::{Broken, Evidence},
 };
 
 /// One run of a request on a replica.
@@ -18,6 +22,26 @@
     suspect: bool,
 }
 
+impl Attempt {
+    /// This attempt, ended at `ended` without an answer.
+    fn broken(&self, ended: Millis, by_server: bool) -> Broken {
+        Broken {
+            key: self.key,
+            started: self.started,
+            ended,
+            by_server,
+        }
+    }
+}
+
+/// Whether a report shows that the backend server was there when it was sent the request.
+fn is_answer(report: Report) -> bool {
+    match report {
+        Report::FirstToken | Report::Done { .. } | Report::Refused => true,
+        Report::Unsent | Report::Gone | Report::Crashed { .. } | Report::Cancelled => false,
+    }
+}
+
 impl Dispatcher {
     /// Starts a call on a replica.
     pub(super) fn start(
@@ -68,13 +92,22 @@
         let Some(run) = self.attempts.remove(&attempt) else {
             return;
         };
-        self.replicas[run.replica].ended(now);
+        let r = &mut self.replicas[run.replica];
+        r.ended(now);
+        if is_answer(report) {
+            r.answered(run.started);
+        }
         match report {
-            Report::FirstToken | Report::Cancelled => {}
+            Report::FirstToken => {}
             Report::Done { tokens } => self.done(now, &run, tokens, out),
             Report::Refused => self.refused(now, &run),
             Report::Unsent => self.failed(now, &run, Failure::Hard),
+            Report::Gone => {
+                self.failed(now, &run, Failure::Hard);
+                self.explain(now, run.replica, Evidence::Away, out);
+            }
             Report::Crashed { kind } => self.crashed(now, &run, kind, out),
+            Report::Cancelled => self.unexplained(now, run.replica, run.broken(now, false), out),
         }
         if run.suspect {
             let verdict = self.suspects.stopped(now, run.key);
@@ -92,6 +125,7 @@
         }
         let (key, ms) = (run.replica, now.since(run.started).0 as f64);
         let tokens = run.tokens;
+        self.replicas[key].answered(run.started);
         let slow = self.pools[self.replicas[key].pool].first_token(ms, tokens);
         self.progress(now, key, slow);
     }
@@ -133,18 +167,53 @@
     }
 
     fn crashed(&mut self, now: Millis, run: &Attempt, kind: CrashKind, out: &mut Vec<Action>) {
-        if kind != CrashKind::Disconnected {
-            self.failed(now, run, Failure::Soft);
-            return;
+        match kind {
+            CrashKind::Disconnected => {
+                self.failed(now, run, Failure::Hard);
+                let broken = run.broken(now, true);
+                self.replicas[run.replica].unexplained.add(broken);
+                self.explain(now, run.replica, Evidence::BrokeOff, out);
+            }
+            CrashKind::Interrupted | CrashKind::TimedOut => {
+                self.failed(now, run, Failure::Soft);
+                let broken = run.broken(now, kind == CrashKind::Interrupted);
+                self.unexplained(now, run.replica, broken, out);
+            }
+            CrashKind::Malformed => self.failed(now, run, Failure::Soft),
+        }
+    }
+
+    /// Takes in an attempt that brought no answer and does not show whether the backend server ended.
+    fn unexplained(&mut self, now: Millis, key: BackendKey, broken: Broken, out: &mut Vec<Action>) {
+        let r = &mut self.replicas[key];
+        r.unexplained.add(broken);
+        if r.lapsed.is_some_and(|at| broken.started <= at) {
+            self.explain(now, key, Evidence::Away, out);
         }
-        self.failed(now, run, Failure::Hard);
-        if self.has(Fault::NeverQuarantine) {
-            self.suspects.forget(run.key);
+    }
+
+    /// Takes in that a backend server's registration is gone although it did not say that it leaves.
+    pub(super) fn lapsed(&mut self, now: Millis, backend: &str, out: &mut Vec<Action>) {
+        if let Some(&key) = self.names.get(backend) {
+            self.replicas[key].lapsed = Some(now);
+            self.explain(now, key, Evidence::Away, out);
+        }
+    }
+
+    /// Takes in that a backend server has ended: attempts that it left without an answer were in
+    /// flight on it.
+    fn explain(&mut self, now: Millis, key: BackendKey, evidence: Evidence, out: &mut Vec<Action>) {
+        let r = &mut self.replicas[key];
+        let name = r.name.clone();
+        for broken in r.unexplained.take(now, evidence) {
+            if self.has(Fault::NeverQuarantine) {
+                self.suspects.forget(broken.key);
+            }
+            let verdict = self
+                .suspects
+                .crashed(now, broken.key, &name, broken.started);
+            out.extend(verdict.map(Action::Verdict));
         }
-        let verdict =
-            self.suspects
-                .crashed(now, run.key, &self.replicas[run.replica].name, run.started);
-        out.extend(verdict.map(Action::Verdict));
         self.refuse_quarantined(now, out);
     }
 
--- a/toucanchute_core/src/routing/dispatcher.rs
+++ b/toucanchute_core/src/routing/dispatcher.rs
@@ -84,6 +84,7 @@
             Event::Assign(req) => self.admit(now, req, out),
             Event::Abandon { call } => self.abandon(call),
             Event::Report { attempt, report } => self.report(now, attempt, report, out),
+            Event::Lapsed { backend } => self.lapsed(now, &backend, out),
             Event::Load(load) => {
                 if let Some(&key) = self.names.get(&load.backend) {
                     self.replicas[key].report(now, load);
--- a/toucanchute_core/src/routing/event.rs
+++ b/toucanchute_core/src/routing/event.rs
@@ -31,6 +31,11 @@
         /// What happened to it.
         report: Report,
     },
+    /// The registration of a backend server is gone although it did not say that it leaves.
+    Lapsed {
+        /// Name of the backend server.
+        backend: String,
+    },
     /// A backend server's lagging load.
     Load(Load),
     /// Late changes of a backend server's prefix cache.
@@ -100,6 +105,9 @@
     Refused,
     /// No byte reached the backend server; it did not run.
     Unsent,
+    /// The backend server is not there any more: its address takes no connections or is another's.
+    /// The work did not run.
+    Gone,
     /// The attempt broke off.
     Crashed {
         /// How it broke off.
@@ -125,6 +133,7 @@
             Report::Done { .. } => "done",
             Report::Refused => "refused",
             Report::Unsent => "unsent",
+            Report::Gone => "gone",
             Report::Crashed { kind } => match kind {
                 CrashKind::Disconnected => "disconnected",
                 CrashKind::Interrupted => "interrupted",
@@ -139,7 +148,7 @@
 /// How an attempt broke off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashKind {
-    /// The connection was reset or closed before the answer's end.
+    /// The connection was reset or closed before the answer's end, and no new one can be opened.
     Disconnected,
     /// The answer was malformed or belonged to another attempt.
     Malformed,
--- a/toucanchute_core/src/routing/replica.rs
+++ b/toucanchute_core/src/routing/replica.rs
@@ -7,6 +7,7 @@
     health::Health,
     limit::Limit,
     pool::{Average, PoolKey},
+    unexplained::Unexplained,
 };
 use crate::hash;
 
@@ -44,6 +45,9 @@
     pub(super) health: Health,
     pub(super) limit: Limit,
     pub(super) cache: PrefixCache,
+    pub(super) unexplained: Unexplained,
+    /// When its registration lapsed without a word; it answered nothing since.
+    pub(super) lapsed: Option<Millis>,
     /// Time since which it takes work; its limit rises from there.
     joined: Option<Millis>,
     load: Option<Load>,
@@ -66,6 +70,8 @@
             health: Health::new(),
             limit: Limit::new(1),
             cache: PrefixCache::new(),
+            unexplained: Unexplained::default(),
+            lapsed: None,
             joined: None,
             load: None,
             changes: VecDeque::new(),
@@ -78,6 +84,12 @@
         self.joined = Some(now);
     }
 
+    /// Takes in that it answered a request that was sent at `sent`.
+    pub(super) fn answered(&mut self, sent: Millis) {
+        self.unexplained.answered(sent);
+        self.lapsed = None;
+    }
+
     // Load
 
     pub(super) fn report(&mut self, now: Millis, mut load: Load) {
--- a/toucanchute_core/src/routing/suspects.rs
+++ b/toucanchute_core/src/routing/suspects.rs
@@ -48,7 +48,7 @@
     until: Millis,
     /// Router that has to find out.
     router: Incarnation,
-    /// When it became a suspect.
+    /// When it became a suspect, or was cleared.
     since: Millis,
     /// Crash that made it a suspect.
     crash: Option<Crash>,
@@ -167,7 +167,8 @@
         self.unclaim(now, key)
     }
 
-    /// Takes in that a run started at `started` ended by the crash of `replica`.
+    /// Takes in that a run started at `started` ended by the crash of `replica`. It does not count
+    /// if the request ran to its end elsewhere since.
     pub(super) fn crashed(
         &mut self,
         now: Millis,
@@ -176,6 +177,9 @@
         started: Millis,
     ) -> Option<Verdict> {
         let old = self.entries.get(&key).filter(|e| e.until > now);
+        if old.is_some_and(|e| e.standing == Standing::Cleared && started <= e.since) {
+            return None;
+        }
         let until = old.map_or(now, |e| e.until);
         let entry = match old.filter(|e| e.standing != Standing::Cleared) {
             None => Entry {
@@ -222,6 +226,7 @@
             return None;
         }
         entry.standing = Standing::Cleared;
+        entry.since = now;
         entry.claim = None;
         Some(self.say(now, key))
     }
--- /dev/null
+++ b/toucanchute_core/src/routing/unexplained.rs
@@ -0,0 +1,66 @@
+use std::collections::VecDeque;
+
+use toucanchute_proto::{Digest, Millis};
+
+/// Attempts remembered for one backend server; the oldest are forgotten first.
+const MOST: usize = 32;
+
+/// Time for which one is remembered: longer than a registration outlives its backend server.
+const MEMORY: Millis = Millis(15_000);
+
+/// Time within which connections break off by one end.
+const SAME_END: Millis = Millis(1_000);
+
+/// Attempts at one backend server that brought no answer and did not show whether it ended.
+///
+/// What is seen later decides. If the backend server turns out to have ended, each of the requests
+/// was in flight on it; if it answers a request that was sent later, none of them ended it.
+#[derive(Debug, Default)]
+pub(super) struct Unexplained {
+    /// In the order of their ends.
+    attempts: VecDeque<Broken>,
+}
+
+/// An attempt that brought no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Broken {
+    /// Digest of customer and request.
+    pub(super) key: Digest,
+    pub(super) started: Millis,
+    pub(super) ended: Millis,
+    /// Whether the backend server ended it, and not this router or its caller.
+    pub(super) by_server: bool,
+}
+
+/// What shows that a backend server has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Evidence {
+    /// It broke off a connection just now, so that it lived until then.
+    BrokeOff,
+    /// It is not there any more; it may have ended at any time since its last answer.
+    Away,
+}
+
+impl Unexplained {
+    pub(super) fn add(&mut self, broken: Broken) {
+        if self.attempts.len() == MOST {
+            self.attempts.pop_front();
+        }
+        self.attempts.push_back(broken);
+    }
+
+    /// Takes in that the backend server answered a request that was sent at `sent`.
+    pub(super) fn answered(&mut self, sent: Millis) {
+        self.attempts.retain(|b| b.ended > sent);
+    }
+
+    /// Takes those that the end of the backend server explains, and forgets the others.
+    pub(super) fn take(&mut self, now: Millis, evidence: Evidence) -> Vec<Broken> {
+        let explained = |b: &Broken| match evidence {
+            Evidence::BrokeOff => b.by_server && now.since(b.ended) <= SAME_END,
+            Evidence::Away => now.since(b.ended) <= MEMORY,
+        };
+        let attempts = std::mem::take(&mut self.attempts);
+        attempts.into_iter().filter(explained).collect()
+    }
+}
--- a/toucanchute_edge/src/passthrough/pool.rs
+++ b/toucanchute_edge/src/passthrough/pool.rs
@@ -80,6 +80,16 @@
     },
 }
 
+impl SendError {
+    /// Whether the address refuses connections, so that the backend server is not there any more.
+    pub(super) fn is_refusal(&self) -> bool {
+        match self {
+            SendError::Connect { source } => source.kind() == io::ErrorKind::ConnectionRefused,
+            SendError::Unsent | SendError::Broken { .. } => false,
+        }
+    }
+}
+
 impl Pool {
     /// Returns a kept connection to a backend server, or opens one. A request that may run `once`
     /// only takes none that may be closed just now.
--- a/toucanchute_edge/src/passthrough/run/answers.rs
+++ b/toucanchute_edge/src/passthrough/run/answers.rs
@@ -34,6 +34,7 @@
         let address = attempt.assignment.address;
         tries.exclude_backend(&attempt.assignment.backend);
         let report = match error {
+            ExchangeError::Send { ref source } if source.is_refusal() => Report::Gone,
             ExchangeError::Send {
                 source: SendError::Connect { .. } | SendError::Unsent,
             } => Report::Unsent,
@@ -46,7 +47,7 @@
         };
         trace.attempt_failed(&attempt.assignment, report, &error.to_string());
         attempt.end(report);
-        if report == Report::Unsent {
+        if matches!(report, Report::Unsent | Report::Gone) {
             return tries.unreachable();
         }
         tries.sent(true);
@@ -70,7 +71,7 @@
         let status = answered.head.status;
         if info.not_run || info.misdirected {
             let report = match info.misdirected {
-                true => Report::Unsent,
+                true => Report::Gone,
                 false => Report::Refused,
             };
             return self
@@ -165,6 +166,7 @@
             info,
         } = answered;
         attempt.first();
+        let address = attempt.assignment.address;
         let backend = attempt.assignment.backend.clone();
         match timeout_at(self.deadline, body.collect()).await {
             Ok(Ok(body)) => {
@@ -175,9 +177,7 @@
                 Ok(respond(&head, RouteBody::whole(body.to_bytes())))
             }
             Ok(Err(e)) => {
-                let report = Report::Crashed {
-                    kind: CrashKind::Interrupted,
-                };
+                let report = broken(address).await;
                 let cause = format!("answer broke off: {e}");
                 trace.attempt_failed(&attempt.assignment, report, &cause);
                 tries.exclude_backend(&backend);
--- a/toucanchute_edge/tests/passthrough/ends/live.rs
+++ b/toucanchute_edge/tests/passthrough/ends/live.rs
@@ -32,6 +32,8 @@
 struct Control {
     config: Arc<Config>,
     state: Mutex<State>,
+    /// Backend servers that are registered.
+    names: Mutex<BTreeSet<String>>,
 }
 
 struct State {
@@ -55,6 +57,7 @@
                 waiting: HashMap::new(),
                 next_call: 0,
             }),
+            names: Mutex::default(),
         });
         control.follow(&servers);
         let mut listed = servers.listed.subscribe();
@@ -92,9 +95,16 @@
 }
 
 impl Control {
+    /// Takes in the registrations; those that went without a word have lapsed.
     fn follow(&self, servers: &Servers) {
+        let backends = servers.listed.borrow().clone();
+        let names: BTreeSet<String> = backends.iter().map(|b| b.name.clone()).collect();
+        let before = std::mem::replace(&mut *self.names.lock().unwrap(), names.clone());
+        for backend in before.difference(&names).cloned() {
+            self.feed(Event::Lapsed { backend });
+        }
         let config = Config {
-            backends: servers.listed.borrow().clone(),
+            backends,
             ..(*self.config).clone()
         };
         self.feed(Event::Configure {
--- a/toucanchute_edge/tests/passthrough/ends/servers.rs
+++ b/toucanchute_edge/tests/passthrough/ends/servers.rs
@@ -208,4 +208,5 @@
 fn reset(stream: TcpStream) {
     #[allow(deprecated)]
     stream.set_linger(Some(Duration::ZERO)).unwrap();
+    drop(stream);
 }
--- a/toucanchute_router/src/actor/dispatch.rs
+++ b/toucanchute_router/src/actor/dispatch.rs
@@ -55,8 +55,13 @@
     Config(Arc<Config>),
     /// These backend servers take no new work.
     Withdraw(BTreeSet<String>),
-    /// These backend servers are registered and take work.
-    Backends(Vec<Found>),
+    /// Other backend servers are registered.
+    Backends {
+        /// Those that take work.
+        live: Vec<Found>,
+        /// Names of those that went without a word that they leave.
+        lapsed: Vec<String>,
+    },
     /// The fleet has this many routers.
     Routers(usize),
     /// A backend server reported its load.
@@ -233,8 +238,11 @@
                 self.withdrawn = names;
                 self.configure();
             }
-            DispatchInput::Backends(found) => {
-                self.found = Some(found);
+            DispatchInput::Backends { live, lapsed } => {
+                for backend in lapsed {
+                    self.feed(Event::Lapsed { backend });
+                }
+                self.found = Some(live);
                 self.configure();
             }
             DispatchInput::Routers(routers) => {
--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -156,10 +156,19 @@
                 self.with_peers(|peers| post(&peers.dispatch, DispatchInput::Withdraw(names)));
             }
             Action::Backends(Change {
-                live, withdrawn, ..
+                live,
+                withdrawn,
+                lapsed,
+                ..
             }) => {
-                log::info!(backends = live.len(), left:? = withdrawn; "backends-in-force");
-                self.with_peers(|peers| post(&peers.dispatch, DispatchInput::Backends(live)));
+                log::info!(
+                    backends = live.len(),
+                    left:? = withdrawn,
+                    lapsed:? = lapsed;
+                    "backends-in-force"
+                );
+                let input = DispatchInput::Backends { live, lapsed };
+                self.with_peers(|peers| post(&peers.dispatch, input));
             }
             Action::Load(load) => {
                 self.with_peers(|peers| post(&peers.dispatch, DispatchInput::Load(load)));
--- a/toucanchute_router/src/metrics.rs
+++ b/toucanchute_router/src/metrics.rs
@@ -59,6 +59,7 @@
             Report::Done { .. } => "attempt.done",
             Report::Refused => "attempt.refused",
             Report::Unsent => "attempt.unsent",
+            Report::Gone => "attempt.gone",
             Report::Crashed { .. } => "attempt.crashed",
             Report::Cancelled => "attempt.cancelled",
         };
