fix(routing): only an answer that the request was carried out clears a suspect

Cause: any whole answer counted as a run to its end, also a 500 of a server that is ill and a 400 of one that did not look at the body; the next end counted as a first one. Class: an answer taken for a success without a look at what it says.

Now an answer with 5xx is reported as failed, one with 4xx as rejected; neither clears, and a failure counts against the server's health also where nothing else is tried (it counted for it before). The same in plain services and completions of the router on hosts of one's own.

--- a/toucanchute_core/src/routing/attempts.rs
+++ b/toucanchute_core/src/routing/attempts.rs
@@ -37,7 +37,11 @@
 /// Whether a report shows that the backend server was there when it was sent the request.
 fn is_answer(report: Report) -> bool {
     match report {
-        Report::FirstToken | Report::Done { .. } | Report::Refused => true,
+        Report::FirstToken
+        | Report::Done { .. }
+        | Report::Failed
+        | Report::Rejected
+        | Report::Refused => true,
         Report::Unsent | Report::Gone | Report::Crashed { .. } | Report::Cancelled => false,
     }
 }
@@ -100,6 +104,8 @@
         match report {
             Report::FirstToken => {}
             Report::Done { tokens } => self.done(now, &run, tokens, out),
+            Report::Failed => self.failed(now, &run, Failure::Soft),
+            Report::Rejected => self.progress(now, run.replica, false),
             Report::Refused => self.refused(now, &run),
             Report::Unsent => self.failed(now, &run, Failure::Hard),
             Report::Gone => {
--- a/toucanchute_core/src/routing/event.rs
+++ b/toucanchute_core/src/routing/event.rs
@@ -96,11 +96,15 @@
 pub enum Report {
     /// The first token or byte of the answer arrived.
     FirstToken,
-    /// The answer ended.
+    /// The answer came whole and says that the request was carried out.
     Done {
         /// Tokens generated.
         tokens: u64,
     },
+    /// The backend server answered that it failed.
+    Failed,
+    /// The backend server answered that the request is at fault.
+    Rejected,
     /// The backend server refused the work; it did not run.
     Refused,
     /// No byte reached the backend server; it did not run.
@@ -131,6 +135,8 @@
         match self {
             Report::FirstToken => "first-token",
             Report::Done { .. } => "done",
+            Report::Failed => "failed",
+            Report::Rejected => "rejected",
             Report::Refused => "refused",
             Report::Unsent => "unsent",
             Report::Gone => "gone",
--- a/toucanchute_edge/src/backend.rs
+++ b/toucanchute_edge/src/backend.rs
@@ -99,6 +99,15 @@
     }
 }
 
+/// Returns the report that ends an attempt whose answer came whole with this status.
+pub(crate) fn answer_report(status: u16) -> Report {
+    match status {
+        400..=499 => Report::Rejected,
+        500..=599 => Report::Failed,
+        _ => Report::Done { tokens: 0 },
+    }
+}
+
 /// Client of all backend servers.
 #[derive(Clone, Debug)]
 pub(crate) struct BackendClient {
--- a/toucanchute_edge/src/completion/run.rs
+++ b/toucanchute_edge/src/completion/run.rs
@@ -124,7 +124,7 @@
                     return self.finish(held, tokens, last).await;
                 }
                 AttemptEnd::Rejected(err) => {
-                    attempt.end(Report::Done { tokens: 0 });
+                    attempt.end(Report::Rejected);
                     return self.fail(held, err.into()).await;
                 }
                 AttemptEnd::Failed(BackendError::Timeout) if self.caller.gave_up(now()) => {
--- a/toucanchute_edge/src/passthrough/run/answers.rs
+++ b/toucanchute_edge/src/passthrough/run/answers.rs
@@ -8,7 +8,7 @@
 
 use super::{Answered, ExchangeError, MIN_TIME_LEFT, Run, Trace, Tries, respond};
 use crate::{
-    backend::collect,
+    backend::{answer_report, collect},
     passthrough::{
         Dialect, Failure, FailureKind, RouteBody, RouteControl,
         attempt::Attempt,
@@ -133,9 +133,7 @@
     /// Puts a backend server's failure aside while another one is tried.
     async fn retry_error(&self, answered: Answered<C>, tries: &mut Tries, trace: &mut Trace<C>) {
         tries.exclude_backend(&answered.attempt.assignment.backend);
-        let report = Report::Crashed {
-            kind: CrashKind::Malformed,
-        };
+        let report = Report::Failed;
         trace.attempt_failed(&answered.attempt.assignment, report, "backend failed");
         let (head, info) = (answered.head, answered.info);
         let backend = answered.attempt.assignment.backend.clone();
@@ -165,12 +163,15 @@
             body,
             info,
         } = answered;
-        attempt.first();
+        let report = answer_report(head.status.as_u16());
+        if matches!(report, Report::Done { .. }) {
+            attempt.first();
+        }
         let address = attempt.assignment.address;
         let backend = attempt.assignment.backend.clone();
         match timeout_at(self.deadline, body.collect()).await {
             Ok(Ok(body)) => {
-                attempt.end(Report::Done { tokens: 0 });
+                attempt.end(report);
                 if !info.closes {
                     self.shared.pool.keep(&backend, conn, info.keep_alive);
                 }
--- a/toucanchute_edge/src/service/run.rs
+++ b/toucanchute_edge/src/service/run.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     attempt::{Attempt, Held},
-    backend::{self, BackendError},
+    backend::{self, BackendError, answer_report},
     caller::CallerRequest,
     control::{
         AssignRequest, Assignment, Control, IntentRequest, Intention, Outcome, Recorded,
@@ -89,7 +89,7 @@
             }
             match self.exchange(&attempt.assignment).await {
                 Ok(answer) => {
-                    attempt.end(Report::Done { tokens: 0 });
+                    attempt.end(answer_report(answer.status));
                     held.settle(self.call.price).await?;
                     return Ok(answer.into_response());
                 }
@@ -139,7 +139,7 @@
             }
             match self.exchange(&attempt.assignment).await {
                 Ok(answer) => {
-                    attempt.end(Report::Done { tokens: 0 });
+                    attempt.end(answer_report(answer.status));
                     let limit = self.shared.settings.max_recorded_bytes;
                     let recorded = Recorded::Answer(answer.bounded(limit));
                     return (recorded, Ok(answer.into_response()));
--- a/toucanchute_router/src/metrics.rs
+++ b/toucanchute_router/src/metrics.rs
@@ -57,6 +57,8 @@
         let name = match report {
             Report::FirstToken => "attempt.first_token",
             Report::Done { .. } => "attempt.done",
+            Report::Failed => "attempt.failed",
+            Report::Rejected => "attempt.rejected",
             Report::Refused => "attempt.refused",
             Report::Unsent => "attempt.unsent",
             Report::Gone => "attempt.gone",
