fix(fleet): routers compare what they have in quarantine, and a few see to it that it lasts

Cause: a verdict is told 4 + log2 of the fleet times and to new links, and never again; members are compared, verdicts were not. A message is lost without a new link where a second link to a peer stays while the first falls silent, or where a queue is full. Class: knowledge that must reach all, spread only while it is news.

Now a ping carries a hash of the requests in quarantine; a peer that knows others is told them, at most once a second.

--- a/toucanchute_core/src/fleet/action.rs
+++ b/toucanchute_core/src/fleet/action.rs
@@ -44,6 +44,8 @@
     Load(Load),
     /// Another router's word about a request.
     Verdict(Verdict),
+    /// This quarantine has to be written where it outlasts the routers.
+    Keep(Verdict),
     /// Return all grants, then say [`Event::Drained`](super::Event::Drained).
     ReturnGrants,
     /// End the process with success.
--- a/toucanchute_core/src/fleet/event.rs
+++ b/toucanchute_core/src/fleet/event.rs
@@ -62,6 +62,8 @@
     LoadReport(Load),
     /// This router's word about a request that was in flight on a replica that crashed.
     Verdict(Verdict),
+    /// Quarantines that were kept in the platform's store.
+    Kept(Vec<Verdict>),
     /// Requests in progress at this router. Wanted every [`Fleet::TICK`](super::Fleet::TICK) while
     /// the router leaves.
     InFlight(u64),
--- a/toucanchute_core/src/fleet/links.rs
+++ b/toucanchute_core/src/fleet/links.rs
@@ -52,6 +52,8 @@
     pub(super) told: BTreeMap<Incarnation, (Millis, bool)>,
     /// What each peer had when it last spoke.
     pub(super) known: BTreeMap<Incarnation, Known>,
+    /// When each peer was last told the requests in quarantine, since it knew others.
+    pub(super) quarantines_told: BTreeMap<Incarnation, Millis>,
 }
 
 /// Versions that a peer has in force.
@@ -102,6 +104,7 @@
         self.links.up.remove(&id);
         self.links.known.remove(&id);
         self.links.told.remove(&id);
+        self.links.quarantines_told.remove(&id);
         let known = self.members.get(id).map(|e| e.member.state);
         if matches!(known, Some(MemberState::Alive | MemberState::Leaving)) {
             let seq = self.next_seq();
@@ -173,8 +176,12 @@
             stage,
         };
         self.probes.insert(seq, probe);
-        let members = self.table_hash();
-        self.send(target, FleetBody::Ping(Ping { seq, members }), out);
+        let ping = Ping {
+            seq,
+            members: self.table_hash(),
+            quarantined: self.rumors.quarantine_hash(),
+        };
+        self.send(target, FleetBody::Ping(ping), out);
     }
 
     fn ask_helpers(&mut self, now: Millis, target: Incarnation, seq: u64, out: &mut Vec<Action>) {
--- a/toucanchute_core/src/fleet/machine.rs
+++ b/toucanchute_core/src/fleet/machine.rs
@@ -4,7 +4,7 @@
 use toucanchute_proto::{
     Bytes, Digest, Incarnation, Millis,
     config::{Config, Routing},
-    fleet::{Head, Member, MemberState},
+    fleet::{Head, Member, MemberState, Standing, Verdict},
 };
 
 use crate::discovery::Discovery;
@@ -180,6 +180,7 @@
             Event::PlatformDown => self.platform_down(),
             Event::LoadReport(load) => self.take_load(load, out),
             Event::Verdict(v) => self.tell_verdict(&v, out),
+            Event::Kept(verdicts) => self.take_kept(now, verdicts, out),
             Event::InFlight(count) => self.take_in_flight(count),
             Event::Drain => self.start_drain(now, out),
             Event::Drained => self.drained(out),
@@ -325,9 +326,32 @@
         }
     }
 
-    fn tell_verdict(&mut self, v: &toucanchute_proto::fleet::Verdict, out: &mut Vec<Action>) {
+    fn tell_verdict(&mut self, v: &Verdict, out: &mut Vec<Action>) {
         let fleet = self.known();
         if self.rumors.verdict(v, fleet) {
+            self.keep(v, out);
+            self.push(None, out);
+        }
+    }
+
+    /// Sees to it that a quarantine lasts, if that is this router's duty.
+    pub(super) fn keep(&self, v: &Verdict, out: &mut Vec<Action>) {
+        if v.standing == Standing::Quarantined && self.ranks(&v.digest.to_string(), false) {
+            out.push(Action::Keep(v.clone()));
+        }
+    }
+
+    /// Takes in quarantines that were kept.
+    fn take_kept(&mut self, now: Millis, verdicts: Vec<Verdict>, out: &mut Vec<Action>) {
+        let fleet = self.known();
+        let mut news = false;
+        for v in verdicts {
+            if v.until > now && self.rumors.verdict(&v, fleet) {
+                news = true;
+                out.push(Action::Verdict(v));
+            }
+        }
+        if news {
             self.push(None, out);
         }
     }
--- a/toucanchute_core/src/fleet/messages.rs
+++ b/toucanchute_core/src/fleet/messages.rs
@@ -81,6 +81,7 @@
         for v in gossip.verdicts {
             if v.until > now && self.rumors.verdict(&v, fleet) {
                 urgent = true;
+                self.keep(&v, out);
                 out.push(Action::Verdict(v));
             }
         }
@@ -142,6 +143,24 @@
             self.send(from, FleetBody::Buckets(Buckets { hashes }), out);
         }
         self.send(from, FleetBody::Ack(ack), out);
+        if ping.quarantined != self.rumors.quarantine_hash() {
+            self.send_quarantines(now, from, out);
+        }
+    }
+
+    /// Tells a peer that knows other requests in quarantine those that this router knows.
+    fn send_quarantines(&mut self, now: Millis, to: Incarnation, out: &mut Vec<Action>) {
+        let told = self.links.quarantines_told.get(&to);
+        if told.is_some_and(|&at| now.since(at) < SYNC_PERIOD) {
+            return;
+        }
+        self.links.quarantines_told.insert(to, now);
+        let seq = self.next_seq();
+        let mut gossip = self.gossip(to);
+        gossip.verdicts.extend(self.rumors.newest_quarantines());
+        let body = FleetBody::Push(Push { seq });
+        let message = Box::new(FleetMessage { body, gossip });
+        out.push(Action::Send { to, message });
     }
 
     fn take_ack(&mut self, now: Millis, from: Incarnation, ack: Ack, out: &mut Vec<Action>) {
--- a/toucanchute_core/src/fleet/rumors.rs
+++ b/toucanchute_core/src/fleet/rumors.rs
@@ -2,10 +2,11 @@
 
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
-    fleet::{Load, Member, Verdict},
+    fleet::{Load, Member, Standing, Verdict},
 };
 
 use super::members::Members;
+use crate::hash;
 
 /// Messages that carry one rumor, besides one more for each doubling of the fleet.
 const BASE_COPIES: u32 = 4;
@@ -16,6 +17,9 @@
 /// Most load reports in one message.
 const MAX_LOADS: usize = 8;
 
+/// Most quarantines in one message.
+const MAX_QUARANTINES: usize = 128;
+
 /// News that still has to be told, each a limited number of times.
 #[derive(Debug, Default)]
 pub(super) struct Rumors {
@@ -97,6 +101,25 @@
         out
     }
 
+    /// Hash of the requests in quarantine, the same wherever the same ones are known; 0 without any.
+    pub(super) fn quarantine_hash(&self) -> u64 {
+        let digest = |v: &Verdict| hash::mix(&[v.digest.0 as u64, (v.digest.0 >> 64) as u64]);
+        self.quarantines().fold(0, |sum, v| sum ^ digest(v))
+    }
+
+    /// Requests in quarantine, the newest first, for a peer that knows others.
+    pub(super) fn newest_quarantines(&self) -> Vec<Verdict> {
+        let mut quarantines: Vec<&Verdict> = self.quarantines().collect();
+        quarantines.sort_by_key(|v| std::cmp::Reverse(v.until));
+        quarantines.truncate(MAX_QUARANTINES);
+        quarantines.into_iter().cloned().collect()
+    }
+
+    fn quarantines(&self) -> impl Iterator<Item = &Verdict> {
+        let verdicts = self.verdicts.values().map(|(v, _)| v);
+        verdicts.filter(|v| v.standing == Standing::Quarantined)
+    }
+
     /// All verdicts in force, for a new peer.
     pub(super) fn all_verdicts(&self) -> Vec<Verdict> {
         self.verdicts.values().map(|(v, _)| v.clone()).collect()
--- a/toucanchute_core/src/fleet/tests/configs.rs
+++ b/toucanchute_core/src/fleet/tests/configs.rs
@@ -3,60 +3,21 @@
 use toucanchute_proto::{
     Bytes, Digest, Incarnation, Millis,
     config::{Config, Route, RouteKind, RouteTarget},
-    fleet::{ConfigBody, FetchConfig, FleetBody, FleetMessage, Gossip, Head, Member, MemberState},
+    fleet::{ConfigBody, FetchConfig, FleetBody},
     pack,
 };
 
-use crate::fleet::{Action, Event, Fleet, Identity};
+use super::peers::{hear, linked};
+use crate::fleet::{Action, Fleet};
 
 const PEER: Incarnation = Incarnation(2);
 
 fn fleet() -> Fleet {
-    let id = Identity {
-        incarnation: Incarnation(1),
-        host: "h1".to_owned(),
-        failure_domain: "d0".to_owned(),
-        region: "r".to_owned(),
-        caller_address: "192.0.2.1:80".parse().unwrap(),
-        peer_address: "192.0.2.1:81".parse().unwrap(),
-        capacity: 0,
-        seeds: Vec::new(),
-    };
-    let mut fleet = Fleet::new(id, 1).following_registrations(Millis(1_400));
-    let member = Member {
-        incarnation: PEER,
-        host: "h2".to_owned(),
-        failure_domain: "d1".to_owned(),
-        region: "r".to_owned(),
-        caller_address: "192.0.2.2:80".to_owned(),
-        peer_address: "192.0.2.2:81".to_owned(),
-        state: MemberState::Alive,
-        update: 1,
-        outage: false,
-        capacity: 0,
-    };
-    fleet.handle(Millis(0), Event::PeerUp(member), &mut Vec::new());
-    fleet
+    linked(1, [PEER.0], Millis(1_400))
 }
 
 fn tell(fleet: &mut Fleet, body: FleetBody) -> Vec<Action> {
-    let head = Head {
-        version: 0,
-        digest: Digest::default(),
-    };
-    let gossip = Gossip {
-        head,
-        hosts: 0,
-        backends: None,
-        members: Vec::new(),
-        verdicts: Vec::new(),
-        loads: Vec::new(),
-    };
-    let message = Box::new(FleetMessage { body, gossip });
-    let mut out = Vec::new();
-    let from = PEER;
-    fleet.handle(Millis(1_000), Event::Message { from, message }, &mut out);
-    out
+    hear(fleet, Millis(1_000), PEER.0, body)
 }
 
 fn sent(packed: &Bytes, digest: u128) -> FleetBody {
--- a/toucanchute_core/src/fleet/tests/found.rs
+++ b/toucanchute_core/src/fleet/tests/found.rs
@@ -5,42 +5,16 @@
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
     config::Config,
-    fleet::{
-        FetchFound, FleetBody, FleetMessage, Found, FoundBody, Gossip, Head, Member, MemberState,
-        Push, Registration,
-    },
+    fleet::{FetchFound, FleetBody, FleetMessage, Found, FoundBody, Gossip, Push, Registration},
 };
 
-use crate::fleet::{Action, Event, Fleet, Identity, NotReady};
+use super::peers::{linked, no_gossip};
+use crate::fleet::{Action, Event, Fleet, NotReady};
 
 const PEER: Incarnation = Incarnation(2);
 
 fn fleet() -> Fleet {
-    let id = Identity {
-        incarnation: Incarnation(1),
-        host: "h1".to_owned(),
-        failure_domain: "d0".to_owned(),
-        region: "r".to_owned(),
-        caller_address: "192.0.2.1:80".parse().unwrap(),
-        peer_address: "192.0.2.1:81".parse().unwrap(),
-        capacity: 0,
-        seeds: Vec::new(),
-    };
-    let mut fleet = Fleet::new(id, 1).following_registrations(Millis(1_400));
-    let member = Member {
-        incarnation: PEER,
-        host: "h2".to_owned(),
-        failure_domain: "d1".to_owned(),
-        region: "r".to_owned(),
-        caller_address: "192.0.2.2:80".to_owned(),
-        peer_address: "192.0.2.2:81".to_owned(),
-        state: MemberState::Alive,
-        update: 1,
-        outage: false,
-        capacity: 0,
-    };
-    fleet.handle(Millis(0), Event::PeerUp(member), &mut Vec::new());
-    fleet
+    linked(1, [PEER.0], Millis(1_400))
 }
 
 fn found(name: &str) -> Found {
@@ -103,17 +77,9 @@
 
 /// A message of a peer that knows the registrations up to a revision.
 fn told_of(revision: u64, body: FleetBody) -> Event {
-    let head = Head {
-        version: 0,
-        digest: Default::default(),
-    };
     let gossip = Gossip {
-        head,
         hosts: revision,
-        backends: None,
-        members: Vec::new(),
-        verdicts: Vec::new(),
-        loads: Vec::new(),
+        ..no_gossip()
     };
     Event::Message {
         from: PEER,
--- /dev/null
+++ b/toucanchute_core/src/fleet/tests/peers.rs
@@ -0,0 +1,73 @@
+//! Routers and their peers, as several tests need them.
+
+use toucanchute_proto::{
+    Digest, Incarnation, Millis,
+    fleet::{FleetBody, FleetMessage, Gossip, Head, Member, MemberState},
+};
+
+use crate::fleet::{Action, Event, Fleet, Identity};
+
+/// Failure domains over which routers are spread.
+const DOMAINS: u64 = 3;
+
+/// Member `i` of a fleet, alive.
+pub(super) fn member(i: u64) -> Member {
+    Member {
+        incarnation: Incarnation(i),
+        host: format!("h{i}"),
+        failure_domain: format!("d{}", i % DOMAINS),
+        region: "r".to_owned(),
+        caller_address: format!("192.0.2.{i}:80"),
+        peer_address: format!("192.0.2.{i}:81"),
+        state: MemberState::Alive,
+        update: 0,
+        outage: false,
+        capacity: 0,
+    }
+}
+
+/// Router `i`, linked at time 0 to those of `peers`.
+pub(super) fn linked(i: u64, peers: impl IntoIterator<Item = u64>, view_age: Millis) -> Fleet {
+    let me = member(i);
+    let id = Identity {
+        incarnation: me.incarnation,
+        host: me.host,
+        failure_domain: me.failure_domain,
+        region: me.region,
+        caller_address: me.caller_address.parse().unwrap(),
+        peer_address: me.peer_address.parse().unwrap(),
+        capacity: 0,
+        seeds: Vec::new(),
+    };
+    let mut router = Fleet::new(id, i).following_registrations(view_age);
+    for peer in peers {
+        router.handle(Millis(0), Event::PeerUp(member(peer)), &mut Vec::new());
+    }
+    router
+}
+
+/// Gossip that tells nothing.
+pub(super) fn no_gossip() -> Gossip {
+    let head = Head {
+        version: 0,
+        digest: Digest::default(),
+    };
+    Gossip {
+        head,
+        hosts: 0,
+        backends: None,
+        members: Vec::new(),
+        verdicts: Vec::new(),
+        loads: Vec::new(),
+    }
+}
+
+/// Lets a router take in a message of a peer; returns what it wants done.
+pub(super) fn hear(router: &mut Fleet, now: Millis, from: u64, body: FleetBody) -> Vec<Action> {
+    let gossip = no_gossip();
+    let message = Box::new(FleetMessage { body, gossip });
+    let from = Incarnation(from);
+    let mut out = Vec::new();
+    router.handle(now, Event::Message { from, message }, &mut out);
+    out
+}
--- a/toucanchute_core/src/fleet/tests/reading.rs
+++ b/toucanchute_core/src/fleet/tests/reading.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 
 use toucanchute_proto::{
-    Digest, Incarnation, Millis,
+    Digest, Millis,
     config::Config,
     fleet::{FoundBody, Member, MemberState},
 };
 
-use crate::fleet::{Event, Fleet, Identity, Reading};
+use super::peers::{linked, member};
+use crate::fleet::{Event, Fleet, Reading};
 
 /// Age of a view from which on a router reads itself.
 const MAX_AGE: u64 = 1_400;
@@ -16,39 +17,17 @@
 /// Time by which every router has had its patience after a start.
 const STARTED: u64 = 2_000;
 
-fn member(i: u64, outage: bool) -> Member {
+fn outage_member(i: u64) -> Member {
     Member {
-        incarnation: Incarnation(i),
-        host: format!("h{i}"),
-        failure_domain: format!("d{}", i % 3),
-        region: "r".to_owned(),
-        caller_address: format!("192.0.2.{i}:80"),
-        peer_address: format!("192.0.2.{i}:81"),
-        state: MemberState::Alive,
-        update: u64::from(outage),
-        outage,
-        capacity: 0,
+        update: 1,
+        outage: true,
+        ..member(i)
     }
 }
 
 /// Router `i` of a fleet, linked to all others.
 fn router(i: u64, fleet: u64) -> Fleet {
-    let me = member(i, false);
-    let id = Identity {
-        incarnation: me.incarnation,
-        host: me.host,
-        failure_domain: me.failure_domain,
-        region: me.region,
-        caller_address: me.caller_address.parse().unwrap(),
-        peer_address: me.peer_address.parse().unwrap(),
-        capacity: 0,
-        seeds: Vec::new(),
-    };
-    let mut router = Fleet::new(id, i).following_registrations(Millis(MAX_AGE));
-    for other in (1..=fleet).filter(|&o| o != i) {
-        tell(&mut router, 0, Event::PeerUp(member(other, false)));
-    }
-    router
+    linked(i, (1..=fleet).filter(|&o| o != i), Millis(MAX_AGE))
 }
 
 fn tell(router: &mut Fleet, now: u64, event: Event) {
@@ -161,7 +140,7 @@
         let lost = Member {
             state,
             update: 9,
-            ..member(reader, true)
+            ..outage_member(reader)
         };
         let reads = |&i: &u64| {
             let mut router = router(i, 7);
@@ -182,7 +161,7 @@
         read(&mut router, STARTED);
         tell(&mut router, STARTED, Event::PlatformDown);
         for other in (1..=100).filter(|&o| o != i) {
-            router.merge_member(Millis(STARTED), &member(other, true));
+            router.merge_member(Millis(STARTED), &outage_member(other));
         }
         assert_ne!(router.reading(Millis(STARTED)), Reading::None);
         router.reading(Millis(STARTED)) == Reading::Chosen
