feat(gateway): a quarantine outlasts a restart of all routers

Callers would see a request end two servers again after each restart of all routers.

Cause: verdicts lived in the routers' memory only. The platform's store is where things last: the two routers that the fleet machine names add a quarantine to one list there by compare-and-swap (256 at most, those that are over are dropped), and every router reads the list once when it starts.

Tests: gateway::quarantine (overtaken writer, list that cannot be decoded, bounds).

--- a/toucanchute_core/src/fleet/tests/standings.rs
+++ b/toucanchute_core/src/fleet/tests/standings.rs
@@ -30,9 +30,9 @@
     }
 }
 
-fn sent(out: Vec<Action>, to: u64) -> Vec<Box<FleetMessage>> {
+fn sent(out: Vec<Action>, to: u64) -> Vec<FleetMessage> {
     let message = |a| match a {
-        Action::Send { to: peer, message } if peer == Incarnation(to) => Some(message),
+        Action::Send { to: peer, message } if peer == Incarnation(to) => Some(*message),
         _ => None,
     };
     out.into_iter().filter_map(message).collect()
@@ -82,8 +82,9 @@
         }
     }
 
-    fn tell(&mut self, to: usize, message: Box<FleetMessage>, out: &mut Vec<Action>) {
+    fn tell(&mut self, to: usize, message: FleetMessage, out: &mut Vec<Action>) {
         let from = Incarnation(2 - to as u64);
+        let message = Box::new(message);
         let event = Event::Message { from, message };
         self.routers[to].handle(Millis(self.now), event, out);
         let heard = out.iter().filter_map(|a| match a {
--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use toucanchute_core::{
     discovery::Change,
     fleet::{Action, Event, Fleet, HostEntry, MemberView, NotReady, Reading},
@@ -57,6 +57,8 @@
     pub(crate) dispatch: Address<DispatchActor>,
     /// Reader of the configuration, where it is read only when asked for.
     pub(crate) platform: Option<PlatformWatch>,
+    /// Keeper of quarantines, where they are kept.
+    pub(crate) keeper: Option<mpsc::Sender<Verdict>>,
     /// Set to true when the process has to end.
     pub(crate) exit: watch::Sender<bool>,
 }
@@ -88,6 +90,8 @@
     Load(Load),
     /// This router's word about a request.
     Verdict(Verdict),
+    /// Quarantines that were kept in the platform's store.
+    Kept(Vec<Verdict>),
     /// Requests in progress.
     InFlight(u64),
     /// The process has to leave.
@@ -176,6 +180,14 @@
             Action::Verdict(verdict) => {
                 self.with_peers(|peers| post(&peers.dispatch, DispatchInput::Verdict(verdict)));
             }
+            Action::Keep(verdict) => self.with_peers(|peers| {
+                let Some(keeper) = &peers.keeper else {
+                    return;
+                };
+                if keeper.try_send(verdict).is_err() {
+                    log::warn!("quarantine-not-queued");
+                }
+            }),
             Action::ReturnGrants => {
                 self.with_peers(|peers| peers.funds.drain());
             }
@@ -273,6 +285,7 @@
             FleetInput::PlatformDown => Event::PlatformDown,
             FleetInput::Load(load) => Event::LoadReport(load),
             FleetInput::Verdict(verdict) => Event::Verdict(verdict),
+            FleetInput::Kept(verdicts) => Event::Kept(verdicts),
             FleetInput::InFlight(count) => Event::InFlight(count),
             FleetInput::Drain => Event::Drain,
             FleetInput::Drained => Event::Drained,
--- a/toucanchute_router/src/gateway.rs
+++ b/toucanchute_router/src/gateway.rs
@@ -6,6 +6,7 @@
 mod feeds;
 mod leave;
 mod monitor;
+mod quarantine;
 mod questions;
 mod registry;
 mod server;
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -29,6 +29,7 @@
     feeds::{self, Feeds},
     leave,
     monitor::{self, Monitor},
+    quarantine,
     questions::{self, Desk},
     registry::Registry,
     signals::Signals,
@@ -168,6 +169,7 @@
             funds: funds.clone(),
             dispatch: dispatch.clone(),
             platform: None,
+            keeper: Some(quarantine::start(store.clone(), fleet.clone())),
             exit: exit.clone(),
         };
         post(&fleet, FleetInput::Start(Box::new(actors)));
--- a/toucanchute_router/src/server.rs
+++ b/toucanchute_router/src/server.rs
@@ -171,6 +171,7 @@
             funds: Funds::Ledger(money.clone()),
             dispatch: dispatch.clone(),
             platform: Some(platform),
+            keeper: None,
             exit,
         };
         post(&fleet, FleetInput::Start(Box::new(actors)));
