feat(routing): servers that say they leave get no work, servers that ask for rest get it

Leaving holds for the run of the server until the router restarts, whatever registrations say. A rest lasts by a clock that does not jump, at most 60 s at a time, put off at random by up to a fifth so that routers do not come back together; then one request at a time. All resting: refused at once with the time at which the first is back. Odd values are logged and bounded.

--- a/toucanchute_core/src/routing.rs
+++ b/toucanchute_core/src/routing.rs
@@ -4,6 +4,7 @@
 
 mod action;
 mod attempts;
+mod availability;
 mod cache;
 mod choose;
 mod configure;
@@ -20,8 +21,9 @@
 #[cfg(test)]
 mod tests;
 mod unexplained;
+mod words;
 
-pub use action::{Action, RefusalReason};
+pub use action::{Action, BackendState, RefusalReason};
 pub use dispatcher::Dispatcher;
-pub use event::{Assign, CacheChange, CacheEvent, CrashKind, Event, Report, Target};
+pub use event::{Assign, BackendWord, CacheChange, CacheEvent, CrashKind, Event, Report, Target};
 pub use suspects::request_digest;
--- a/toucanchute_core/src/routing/action.rs
+++ b/toucanchute_core/src/routing/action.rs
@@ -28,6 +28,27 @@
     },
     /// All routers have to hear of this.
     Verdict(Verdict),
+    /// What is believed of a backend server changed by its own word; for logs.
+    Backend {
+        /// Name of the backend server.
+        backend: String,
+        /// What is believed from now on.
+        state: BackendState,
+    },
+}
+
+/// What is believed of a backend server by its own word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackendState {
+    /// It leaves and gets no new work any more.
+    Leaving,
+    /// It gets no new work for this long.
+    Resting {
+        /// Time from now on.
+        span: Millis,
+    },
+    /// Its rest is over.
+    Rested,
 }
 
 /// Why a call does not run.
@@ -38,6 +59,8 @@
     NoBackend,
     /// It cannot start in time.
     Overloaded,
+    /// All backend servers that could serve it asked for rest.
+    Resting,
     /// The retry budget is used up.
     RetriesExhausted,
     /// The request crashed backend servers before.
--- a/toucanchute_core/src/routing/attempts.rs
+++ b/toucanchute_core/src/routing/attempts.rs
@@ -2,6 +2,7 @@
 
 use super::{
     Action, Assign, CrashKind, Dispatcher, Report,
+    availability::Rest,
     fault::Fault,
     health::Failure,
     pool::BackendKey,
@@ -119,7 +120,7 @@
             let verdict = self.suspects.stopped(now, run.key);
             out.extend(verdict.map(Action::Verdict));
         }
-        self.drop_if_done(run.replica);
+        self.drop_if_done(now, run.replica);
     }
 
     fn first_token(&mut self, now: Millis, attempt: AttemptId) {
@@ -156,6 +157,7 @@
         let r = &mut self.replicas[key];
         let load = r.estimate(now);
         r.limit.measured(now, slow, load);
+        r.rest.served();
         if r.health.progressed() {
             r.join(now);
         }
@@ -224,10 +226,13 @@
     }
 
     /// Forgets a replica that is not configured any more and has no work left.
-    pub(super) fn drop_if_done(&mut self, key: BackendKey) {
+    pub(super) fn drop_if_done(&mut self, now: Millis, key: BackendKey) {
         let r = &self.replicas[key];
         let configured = self.pools[r.pool].members.contains(&key) && r.listed;
         if !configured && r.in_flight == 0 && !self.withdrawn.contains(&r.name) {
+            if let Rest::Until(until) = r.rest {
+                self.rests.keep(now, &r.name, until);
+            }
             self.names.remove(&r.name);
             self.pools[r.pool].members.retain(|k| *k != key);
             self.replicas.remove(key);
--- a/toucanchute_core/src/routing/choose.rs
+++ b/toucanchute_core/src/routing/choose.rs
@@ -4,6 +4,7 @@
 
 use super::{
     Assign,
+    availability::Availability,
     pool::{BackendKey, Pool},
     replica::Replica,
     suspects::Suspects,
@@ -102,7 +103,11 @@
     fn others_later(&self, req: &Assign) -> bool {
         self.pool.members.iter().any(|&k| {
             let r = &self.replicas[k];
-            r.listed && r.health.cap().is_none() && !req.exclude.contains(&r.name)
+            let later = matches!(
+                r.availability(self.now),
+                Availability::Full | Availability::Open
+            );
+            later && r.health.cap().is_none() && !req.exclude.contains(&r.name)
         })
     }
 
@@ -113,7 +118,7 @@
 
     fn fit(&self) -> impl Iterator<Item = BackendKey> {
         let members = self.pool.members.iter().copied();
-        members.filter(|&k| self.replicas[k].has_room(self.now))
+        members.filter(|&k| self.replicas[k].availability(self.now) == Availability::Open)
     }
 
     fn cost(&self, req: &Assign, key: BackendKey) -> f64 {
--- a/toucanchute_core/src/routing/configure.rs
+++ b/toucanchute_core/src/routing/configure.rs
@@ -29,7 +29,7 @@
         }
         for key in unlisted {
             self.replicas[key].listed = false;
-            self.drop_if_done(key);
+            self.drop_if_done(now, key);
         }
         self.configured = true;
     }
@@ -73,7 +73,8 @@
         let key = match self.names.get(&b.name) {
             Some(&key) => key,
             None => {
-                let replica = Replica::new(&b.name, address, &b.failure_domain, pool);
+                let mut replica = Replica::new(&b.name, address, &b.failure_domain, pool);
+                replica.rest = self.rests.take(&b.name);
                 let key = self.replicas.insert(replica);
                 self.names.insert(b.name.clone(), key);
                 key
@@ -92,6 +93,7 @@
         r.address = address;
         r.domain.clone_from(&b.failure_domain);
         r.listed = listed;
+        r.leaving = self.leaving.contains(&b.name);
         r.limit.set_max(self.pools[pool].max_concurrency);
         self.pools[old].members.retain(|k| *k != key);
         self.pools[pool].members.push(key);
--- a/toucanchute_core/src/routing/dispatcher.rs
+++ b/toucanchute_core/src/routing/dispatcher.rs
@@ -12,6 +12,7 @@
     pool::{BackendKey, Pool, PoolKey},
     replica::Replica,
     suspects::{self, Permit, Suspects},
+    words::{Leavers, Rests},
 };
 
 /// Bounds of a refusal's time to come back.
@@ -44,7 +45,10 @@
     pub(super) targets: BTreeMap<Target, PoolKey>,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
     pub(super) suspects: Suspects,
-    rng: SmallRng,
+    /// Names of backend servers that said that they leave.
+    pub(super) leaving: Leavers,
+    pub(super) rests: Rests,
+    pub(super) rng: SmallRng,
     #[cfg(test)]
     pub(super) fault: Option<Fault>,
 }
@@ -66,6 +70,8 @@
             targets: BTreeMap::new(),
             attempts: BTreeMap::new(),
             suspects: Suspects::new(incarnation),
+            leaving: Leavers::default(),
+            rests: Rests::default(),
             rng: SmallRng::seed_from_u64(seed),
             #[cfg(test)]
             fault: None,
@@ -84,6 +90,7 @@
             Event::Assign(req) => self.admit(now, req, out),
             Event::Abandon { call } => self.abandon(call),
             Event::Report { attempt, report } => self.report(now, attempt, report, out),
+            Event::Word { backend, word } => self.take_word(now, &backend, word, out),
             Event::Lapsed { backend } => self.lapsed(now, &backend, out),
             Event::Load(load) => {
                 if let Some(&key) = self.names.get(&load.backend) {
@@ -148,6 +155,10 @@
             refuse(&req, RefusalReason::NoBackend, Millis(1_000), out);
             return;
         }
+        if let Some(after) = self.rest_left(now, key) {
+            refuse(&req, RefusalReason::Resting, after, out);
+            return;
+        }
         if req.attempts == 0 {
             self.pools[key].retries.fresh();
         } else if !self.suspects.known(now, suspect) && !self.take_retry(key) {
@@ -188,13 +199,13 @@
         }
     }
 
-    /// Whether a pool has any replica that is not withdrawn.
+    /// Whether a pool has any replica that is neither withdrawn nor leaving.
     fn servable(&self, key: PoolKey) -> bool {
         let members = &self.pools[key].members;
-        members.iter().any(|&k| self.replicas[k].listed)
+        members.iter().any(|&k| self.replicas[k].is_staying())
     }
 
-    fn refuse_unservable(&mut self, out: &mut Vec<Action>) {
+    pub(super) fn refuse_unservable(&mut self, out: &mut Vec<Action>) {
         let unservable = self.pools.keys().filter(|&k| !self.servable(k));
         for key in unservable.collect::<Vec<PoolKey>>() {
             for req in self.pools[key].queue.remove_if(|_| true) {
@@ -250,9 +261,7 @@
                 self.pools[key].observe(now);
                 continue;
             }
-            for &member in &self.pools[key].members {
-                self.replicas[member].health.advance(now);
-            }
+            self.advance_members(now, key, out);
             while self.dispatch_one(now, key, out) {}
             self.pools[key].observe(now);
         }
@@ -347,7 +356,7 @@
     },
 }
 
-fn refuse(req: &Assign, reason: RefusalReason, after: Millis, out: &mut Vec<Action>) {
+pub(super) fn refuse(req: &Assign, reason: RefusalReason, after: Millis, out: &mut Vec<Action>) {
     let after = after.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
     out.push(Action::Refused {
         call: req.call,
--- a/toucanchute_core/src/routing/event.rs
+++ b/toucanchute_core/src/routing/event.rs
@@ -36,6 +36,13 @@
         /// Name of the backend server.
         backend: String,
     },
+    /// A backend server said something of itself in an answer to this router.
+    Word {
+        /// Name of the backend server.
+        backend: String,
+        /// What it said.
+        word: BackendWord,
+    },
     /// A backend server's lagging load.
     Load(Load),
     /// Late changes of a backend server's prefix cache.
@@ -53,6 +60,18 @@
     Tick,
 }
 
+/// What a backend server says of itself in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackendWord {
+    /// It leaves. Holds for this run of it, whatever its registration says.
+    Leaving,
+    /// It wants no request of this router for a while.
+    Rest {
+        /// Time from the answer on.
+        span: Millis,
+    },
+}
+
 /// A request for a backend server.
 #[derive(Clone, Debug)]
 pub struct Assign {
--- a/toucanchute_core/src/routing/replica.rs
+++ b/toucanchute_core/src/routing/replica.rs
@@ -3,6 +3,7 @@
 use toucanchute_proto::{Millis, fleet::Load};
 
 use super::{
+    availability::{Availability, Rest},
     cache::PrefixCache,
     health::Health,
     limit::Limit,
@@ -46,6 +47,9 @@
     pub(super) limit: Limit,
     pub(super) cache: PrefixCache,
     pub(super) unexplained: Unexplained,
+    /// Whether it said that it leaves.
+    pub(super) leaving: bool,
+    pub(super) rest: Rest,
     /// When its registration lapsed without a word; it answered nothing since.
     pub(super) lapsed: Option<Millis>,
     /// Time since which it takes work; its limit rises from there.
@@ -71,6 +75,8 @@
             limit: Limit::new(1),
             cache: PrefixCache::new(),
             unexplained: Unexplained::default(),
+            leaving: false,
+            rest: Rest::None,
             lapsed: None,
             joined: None,
             load: None,
@@ -152,10 +158,30 @@
         (full * self.ramp(now)).max(1.0)
     }
 
-    /// Whether it takes one more request.
-    pub(super) fn has_room(&self, now: Millis) -> bool {
-        let capped = self.health.cap().is_some_and(|cap| self.in_flight >= cap);
-        self.listed && !capped && self.estimate(now) + 1.0 <= self.allowed(now)
+    /// Whether it may get one more request. This alone decides where new work may go.
+    pub(super) fn availability(&self, now: Millis) -> Availability {
+        let cap = match (self.health.cap(), self.rest) {
+            (None, Rest::Over) => Some(1),
+            (cap, _) => cap,
+        };
+        if !self.listed {
+            return Availability::Withdrawn;
+        }
+        if self.leaving {
+            return Availability::Leaving;
+        }
+        match (self.rest, cap) {
+            (Rest::Until(until), _) => Availability::Resting(until),
+            (_, Some(0)) => Availability::Ejected,
+            (_, Some(cap)) if self.in_flight >= cap => Availability::Full,
+            _ if self.estimate(now) + 1.0 > self.allowed(now) => Availability::Full,
+            _ => Availability::Open,
+        }
+    }
+
+    /// Whether it may get work again at some time.
+    pub(super) fn is_staying(&self) -> bool {
+        self.listed && !self.leaving
     }
 
     fn ramp(&self, now: Millis) -> f64 {
--- a/toucanchute_core/src/routing/tests.rs
+++ b/toucanchute_core/src/routing/tests.rs
@@ -6,4 +6,5 @@
 mod oracle;
 mod policy;
 mod steps;
+mod words;
 mod world;
--- a/toucanchute_core/src/routing/tests/affinity.rs
+++ b/toucanchute_core/src/routing/tests/affinity.rs
@@ -94,7 +94,7 @@
                     let event = Event::Report { attempt, report };
                     dispatcher.handle(Millis(2), event, &mut Vec::new());
                 }
-                Action::Verdict(_) => {}
+                Action::Verdict(_) | Action::Backend { .. } => {}
             }
         }
     }
--- a/toucanchute_core/src/routing/tests/world.rs
+++ b/toucanchute_core/src/routing/tests/world.rs
@@ -304,6 +304,7 @@
                 self.oracle.refused(self.calls.get(&call), reason)?;
                 self.answered(call);
             }
+            Action::Backend { .. } => {}
             Action::Verdict(v) => {
                 for peer in (0..ROUTERS).filter(|&p| p != router) {
                     let delay = (self.serial * 7_919) % MAX_GOSSIP;
--- a/toucanchute_edge/src/control.rs
+++ b/toucanchute_edge/src/control.rs
@@ -221,6 +221,8 @@
     Overloaded,
     /// No backend server is fit to serve it.
     NoBackend,
+    /// All backend servers that could serve it asked for rest.
+    Resting,
     /// The retry budget is used up.
     RetriesExhausted,
     /// This request crashed backend servers before.
--- a/toucanchute_edge/src/passthrough/control.rs
+++ b/toucanchute_edge/src/passthrough/control.rs
@@ -1,6 +1,6 @@
 use std::{future::Future, sync::Arc};
 
-use toucanchute_core::routing::Report;
+use toucanchute_core::routing::{BackendWord, Report};
 use toucanchute_proto::{AttemptId, BudgetId, Incarnation, Millis, config::Config, fleet::Load};
 
 use super::Failure;
@@ -38,6 +38,9 @@
     /// Tells a backend server's load, as its answer said.
     fn load(&self, load: Load);
 
+    /// Tells what a backend server said of itself in an answer, before that answer's end is reported.
+    fn word(&self, backend: &str, word: BackendWord);
+
     /// Counts a request that has ended.
     fn count(&self, end: &RequestEnd<'_>);
 }
--- a/toucanchute_edge/src/passthrough/dialect.rs
+++ b/toucanchute_edge/src/passthrough/dialect.rs
@@ -46,6 +46,10 @@
     pub misdirected: bool,
     /// Whether the body is encoded, which no caller asked for.
     pub encoded: bool,
+    /// Whether the backend server says that it leaves.
+    pub leaving: bool,
+    /// Time for which the backend server wants no request of this router.
+    pub rest: Option<Millis>,
     /// Load of the backend server.
     pub load: Option<ReplicaLoad>,
     /// How long it keeps an idle connection.
--- a/toucanchute_edge/src/passthrough/failure.rs
+++ b/toucanchute_edge/src/passthrough/failure.rs
@@ -98,6 +98,7 @@
         let reason = match refusal.reason {
             RefusalReason::Overloaded => "overloaded",
             RefusalReason::NoBackend => "no-backend",
+            RefusalReason::Resting => "backends-resting",
             RefusalReason::RetriesExhausted => "retries-exhausted",
             RefusalReason::Quarantined => "quarantined",
             RefusalReason::StaleView => "stale-view",
--- a/toucanchute_edge/src/passthrough/run.rs
+++ b/toucanchute_edge/src/passthrough/run.rs
@@ -11,7 +11,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
-use toucanchute_core::routing::{Target, request_digest};
+use toucanchute_core::routing::{BackendWord, Target, request_digest};
 use toucanchute_proto::{
     Digest, Millis,
     config::{Customer, Route, RouteKind},
@@ -193,7 +193,7 @@
             };
             let (head, body) = res.into_parts();
             let info = self.shared.dialect.answer(&head);
-            self.tell_load(&attempt, &info);
+            self.tell_words(&attempt, &info);
             let answered = Answered {
                 attempt,
                 conn,
@@ -292,11 +292,20 @@
         req
     }
 
-    fn tell_load(&self, attempt: &Attempt<C>, info: &AnswerHead) {
+    /// Tells what the head of an answer says of the backend server.
+    fn tell_words(&self, attempt: &Attempt<C>, info: &AnswerHead) {
+        let control = &self.shared.control;
+        let backend = &attempt.assignment.backend;
+        if info.leaving {
+            control.word(backend, BackendWord::Leaving);
+        }
+        if let Some(span) = info.rest {
+            control.word(backend, BackendWord::Rest { span });
+        }
         let Some(load) = info.load else {
             return;
         };
-        self.shared.control.load(toucanchute_proto::fleet::Load {
+        control.load(toucanchute_proto::fleet::Load {
             backend: attempt.assignment.backend.clone(),
             running: load.running,
             waiting: load.waiting,
--- a/toucanchute_edge/src/problem.rs
+++ b/toucanchute_edge/src/problem.rs
@@ -255,6 +255,12 @@
             true,
             "no backend server is fit to serve the request; try again later",
         ),
+        RefusalReason::Resting => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "backends-resting",
+            true,
+            "all backend servers that could serve the request asked for rest; try again later",
+        ),
         RefusalReason::RetriesExhausted => (
             StatusCode::SERVICE_UNAVAILABLE,
             "retries-exhausted",
--- a/toucanchute_edge/tests/passthrough/ends.rs
+++ b/toucanchute_edge/tests/passthrough/ends.rs
@@ -1,14 +1,11 @@
 //! A request under which backend servers end, sent again and again through the real dispatcher.
 
-mod live;
 mod servers;
 
 use std::time::Duration;
 
-use self::{
-    live::Live,
-    servers::{Servers, Way},
-};
+use self::servers::{Servers, Way};
+use crate::live::Live;
 
 /// Backend servers of the site.
 const SERVERS: usize = 12;
@@ -35,7 +32,7 @@
 /// Guards against a request that goes on ending servers because nobody took their ends for ends.
 async fn bounded_ends(way: Way, kind: &str) {
     let servers = Servers::start(SERVERS, way).await;
-    let live = Live::start(kind, servers.clone()).await;
+    let live = Live::start(kind, "", servers.listed.subscribe()).await;
     let last = send_copies(&live).await;
     assert!(servers.ended() <= MOST_ENDS, "{} ended", servers.ended());
     assert!(last.contains("quarantined"), "{last}");
--- a/toucanchute_edge/tests/passthrough/ends/live.rs
+++ b/toucanchute_edge/tests/passthrough/live.rs
@@ -7,15 +7,22 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use tokio::{io::AsyncWriteExt, net::TcpListener, net::TcpStream, sync::oneshot};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    sync::{oneshot, watch},
+};
 use toucanchute_core::routing::{self, Action, Dispatcher, Event};
 use toucanchute_edge::{
-    AssignRequest, Assignment, Outcome, Refusal, RefusalReason, Report,
+    AssignRequest, Assignment, BackendWord, Outcome, Refusal, RefusalReason, Report,
     passthrough::{Failure, Gateway, RequestEnd, RouteControl, TokenHold, TokenRequest},
 };
-use toucanchute_proto::{AttemptId, Incarnation, Millis, config::Config, fleet::Load};
+use toucanchute_proto::{
+    AttemptId, Incarnation, Millis,
+    config::{Backend, Config},
+    fleet::Load,
+};
 
-use super::servers::Servers;
 use crate::support::{Plain, config, read_all};
 
 /// Time that a caller waits for an answer.
@@ -25,7 +32,7 @@
 const TICK: Duration = Duration::from_millis(20);
 
 /// A gateway and its address.
-pub(super) struct Live {
+pub(crate) struct Live {
     address: SocketAddr,
 }
 
@@ -48,10 +55,15 @@
 }
 
 impl Live {
-    /// Starts a gateway with one route of `kind` to the servers, as they are registered.
-    pub(super) async fn start(kind: &str, servers: Servers) -> Live {
+    /// Starts a gateway with one route of `kind`, whose JSON `extra` completes, to the servers as
+    /// they are registered.
+    pub(crate) async fn start(
+        kind: &str,
+        extra: &str,
+        mut listed: watch::Receiver<Vec<Backend>>,
+    ) -> Live {
         let control = Arc::new(Control {
-            config: Arc::new(config(kind, "")),
+            config: Arc::new(config(kind, extra)),
             state: Mutex::new(State {
                 dispatcher: Dispatcher::new(Incarnation(1), "d", 1),
                 waiting: HashMap::new(),
@@ -59,12 +71,11 @@
             }),
             names: Mutex::default(),
         });
-        control.follow(&servers);
-        let mut listed = servers.listed.subscribe();
+        control.follow(&listed.borrow_and_update().clone());
         let following = Arc::clone(&control);
         tokio::spawn(async move {
             while listed.changed().await.is_ok() {
-                following.follow(&servers);
+                following.follow(&listed.borrow_and_update().clone());
             }
         });
         let ticking = Arc::clone(&control);
@@ -82,7 +93,7 @@
     }
 
     /// Sends a request with this body over a new connection; returns the answer.
-    pub(super) async fn send(&self, body: &str) -> String {
+    pub(crate) async fn send(&self, body: &str) -> String {
         let mut stream = TcpStream::connect(self.address).await.unwrap();
         let len = body.len();
         let req = format!(
@@ -96,15 +107,14 @@
 
 impl Control {
     /// Takes in the registrations; those that went without a word have lapsed.
-    fn follow(&self, servers: &Servers) {
-        let backends = servers.listed.borrow().clone();
+    fn follow(&self, backends: &[Backend]) {
         let names: BTreeSet<String> = backends.iter().map(|b| b.name.clone()).collect();
         let before = std::mem::replace(&mut *self.names.lock().unwrap(), names.clone());
         for backend in before.difference(&names).cloned() {
             self.feed(Event::Lapsed { backend });
         }
         let config = Config {
-            backends,
+            backends: backends.to_vec(),
             ..(*self.config).clone()
         };
         self.feed(Event::Configure {
@@ -151,6 +161,7 @@
         reason: match reason {
             routing::RefusalReason::Quarantined => RefusalReason::Quarantined,
             routing::RefusalReason::NoBackend => RefusalReason::NoBackend,
+            routing::RefusalReason::Resting => RefusalReason::Resting,
             routing::RefusalReason::RetriesExhausted => RefusalReason::RetriesExhausted,
             _ => RefusalReason::Overloaded,
         },
@@ -215,5 +226,10 @@
 
     fn load(&self, _load: Load) {}
 
+    fn word(&self, backend: &str, word: BackendWord) {
+        let backend = backend.to_owned();
+        self.feed(Event::Word { backend, word });
+    }
+
     fn count(&self, _end: &RequestEnd<'_>) {}
 }
--- a/toucanchute_edge/tests/passthrough/main.rs
+++ b/toucanchute_edge/tests/passthrough/main.rs
@@ -3,6 +3,8 @@
 mod answers;
 mod callers;
 mod ends;
+mod live;
 mod repeats;
 mod streams;
 mod support;
+mod words;
--- a/toucanchute_edge/tests/passthrough/support.rs
+++ b/toucanchute_edge/tests/passthrough/support.rs
@@ -15,7 +15,7 @@
     net::{TcpListener, TcpStream},
 };
 use toucanchute_edge::{
-    AssignRequest, Assignment, CrashKind, Outcome, Refusal, RefusalReason, Report,
+    AssignRequest, Assignment, BackendWord, CrashKind, Outcome, Refusal, RefusalReason, Report,
     passthrough::{
         AnswerHead, Call, Dialect, Failure, FailureKind, Forward, Gateway, RequestEnd,
         RouteControl, TokenBound, TokenHold, TokenRequest, strip_connection,
@@ -180,6 +180,8 @@
 
     fn load(&self, _load: Load) {}
 
+    fn word(&self, _backend: &str, _word: BackendWord) {}
+
     fn count(&self, _end: &RequestEnd<'_>) {}
 }
 
@@ -245,6 +247,8 @@
             not_run: headers.contains_key("x-not-run"),
             misdirected: head.status == 421,
             encoded: headers.contains_key("content-encoding"),
+            leaving: headers.contains_key("x-leaving"),
+            rest: text(headers, "x-rest").map(|ms| Millis(ms.parse().unwrap())),
             load: None,
             keep_alive: None,
             closes: text(headers, "connection") == Some("close"),
--- a/toucanchute_router/src/actor/dispatch.rs
+++ b/toucanchute_router/src/actor/dispatch.rs
@@ -4,7 +4,7 @@
 };
 
 use tokio::sync::oneshot;
-use toucanchute_core::routing::{self, Action, Dispatcher, Event};
+use toucanchute_core::routing::{self, Action, BackendState, BackendWord, Dispatcher, Event};
 use toucanchute_edge::{AssignRequest, Assignment, Outcome, Refusal, RefusalReason, Report};
 use toucanchute_proto::{
     AttemptId,
@@ -64,6 +64,8 @@
     },
     /// The fleet has this many routers.
     Routers(usize),
+    /// A backend server said something of itself in an answer.
+    Word(String, BackendWord),
     /// A backend server reported its load.
     Load(Load),
     /// A backend server's prefix cache changed.
@@ -155,6 +157,7 @@
                 };
                 self.answer(call, Err(refusal));
             }
+            Action::Backend { backend, state } => log_state(&backend, state),
             Action::Verdict(verdict) => {
                 self.standings.own(&verdict);
                 post(&self.fleet, FleetInput::Verdict(verdict));
@@ -251,6 +254,7 @@
                     self.configure();
                 }
             }
+            DispatchInput::Word(backend, word) => self.feed(Event::Word { backend, word }),
             DispatchInput::Load(load) => self.feed(Event::Load(load)),
             DispatchInput::CacheEvents {
                 backend,
@@ -301,9 +305,21 @@
     }
 }
 
+/// Logs what is believed of a backend server by its own word.
+fn log_state(backend: &str, state: BackendState) {
+    match state {
+        BackendState::Leaving => log::info!(backend = backend; "backend-leaving"),
+        BackendState::Resting { span } => {
+            log::info!(backend = backend, span_ms = span.0; "backend-resting");
+        }
+        BackendState::Rested => log::info!(backend = backend; "backend-rested"),
+    }
+}
+
 fn refusal_reason(reason: routing::RefusalReason) -> RefusalReason {
     match reason {
         routing::RefusalReason::NoBackend => RefusalReason::NoBackend,
+        routing::RefusalReason::Resting => RefusalReason::Resting,
         routing::RefusalReason::RetriesExhausted => RefusalReason::RetriesExhausted,
         routing::RefusalReason::Quarantined => RefusalReason::Quarantined,
         _ => RefusalReason::Overloaded,
--- a/toucanchute_router/src/gateway/control.rs
+++ b/toucanchute_router/src/gateway/control.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::oneshot;
 use toucanchute_edge::{
-    AssignRequest, Assignment, Outcome, Refusal, RefusalReason, Report,
+    AssignRequest, Assignment, BackendWord, Outcome, Refusal, RefusalReason, Report,
     passthrough::{Failure, FailureKind, RequestEnd, RouteControl, TokenHold, TokenRequest},
 };
 use toucanchute_proto::{AttemptId, config::Config, fleet::Load};
@@ -76,6 +76,12 @@
         post(&self.dispatch, DispatchInput::Load(load));
     }
 
+    fn word(&self, backend: &str, word: BackendWord) {
+        self.monitor.word(word);
+        let input = DispatchInput::Word(backend.to_owned(), word);
+        post(&self.dispatch, input);
+    }
+
     fn count(&self, end: &RequestEnd<'_>) {
         self.monitor.ended(end);
     }
--- a/toucanchute_router/src/gateway/monitor.rs
+++ b/toucanchute_router/src/gateway/monitor.rs
@@ -16,7 +16,7 @@
 };
 use tokio::net::TcpListener;
 use toucanchute_edge::{
-    Report,
+    BackendWord, Report,
     passthrough::{Failure, RequestEnd, TokenHold},
 };
 use toucanchute_platform::StoreClient;
@@ -43,6 +43,7 @@
     store_calls: Family<CallLabels, Gauge>,
     log_dropped: Gauge,
     standings: Family<StandingLabels, Gauge>,
+    words: Family<WordLabels, Counter>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -61,6 +62,11 @@
     end: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WordLabels {
+    word: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StandingLabels {
     standing: &'static str,
@@ -86,6 +92,7 @@
             store_calls: Family::default(),
             log_dropped: Gauge::default(),
             standings: Family::default(),
+            words: Family::default(),
         };
         monitor.register();
         monitor
@@ -135,6 +142,11 @@
             "Words about requests under which backend servers ended",
             self.standings.clone(),
         );
+        registry.register(
+            "backend_words",
+            "Answers in which backend servers said that they leave or want rest",
+            self.words.clone(),
+        );
     }
 
     /// Counts a request that has ended.
@@ -179,6 +191,15 @@
         }
     }
 
+    /// Counts what a backend server said of itself.
+    pub(super) fn word(&self, word: BackendWord) {
+        let word = match word {
+            BackendWord::Leaving => "leaving",
+            BackendWord::Rest { .. } => "rest",
+        };
+        self.words.get_or_create(&WordLabels { word }).inc();
+    }
+
     /// Counts tokens that a request used.
     pub(super) fn settled(&self, tokens: u64) {
         self.tokens_used.inc_by(tokens);
