fix(routing): a router's claims outrank words of routers whose clocks are ahead

Cause: a word about a request counts as old if its end is earlier; a router that kept its own standing did not take over the later end it had heard, so that its claims were dropped as old by its own gossip for as long as the other's clock was ahead, and two copies could run at once. Now its next word ends later than any it heard.

--- a/toucanchute_core/src/routing/suspects.rs
+++ b/toucanchute_core/src/routing/suspects.rs
@@ -241,6 +241,7 @@
             return Some(self.quarantine(now, v.digest));
         }
         if old.is_some_and(|e| !e.yields_to(v)) {
+            self.outrank(v);
             return None;
         }
         let mut entry = Entry::new(v.router, now, v.until);
@@ -255,6 +256,13 @@
         None
     }
 
+    /// Sees to it that this router's next word about a request is newer than another one's.
+    fn outrank(&mut self, v: &Verdict) {
+        if let Some(e) = self.entries.get_mut(&v.digest) {
+            e.until = e.until.max(v.until);
+        }
+    }
+
     /// Speaks again of suspects that still run and gives up claims that were not used.
     pub(super) fn refresh(&mut self, now: Millis) -> Vec<Verdict> {
         self.entries.retain(|_, e| e.until > now || e.running);
--- a/toucanchute_core/src/routing/tests/policy.rs
+++ b/toucanchute_core/src/routing/tests/policy.rs
@@ -261,6 +261,28 @@
     assert_eq!(bench.refused(), None);
 }
 
+// Guards against claims that no router hears, since another one's clock is ahead: words with an
+// earlier end are dropped as old.
+#[test]
+fn a_claim_outranks_the_word_of_a_router_whose_clock_is_ahead() {
+    let mut bench = Bench::new(2, 1);
+    let (attempt, replica) = bench.call(9_900, plain(1)).unwrap();
+    let kind = CrashKind::Disconnected;
+    bench.report(10_000, attempt, Report::Crashed { kind });
+    let mut heard = suspect(key(&plain(1)), 14_000);
+    heard.crash = heard.crash.map(|c| Crash { replica, ..c });
+    bench.tell(10_001, Event::Verdict(heard.clone()));
+    bench.call(10_002, plain(1));
+    let claimed = bench.out.iter().find_map(|a| match a {
+        Action::Verdict(v) if v.claim.is_some() => Some(v.until),
+        _ => None,
+    });
+    assert!(
+        claimed.is_some_and(|until| until > heard.until),
+        "{claimed:?}"
+    );
+}
+
 #[test]
 fn another_routers_quarantine_ends_the_wait() {
     let mut bench = Bench::new(1, 1);
