--- a/toucanchute_edge/src/control.rs
+++ b/toucanchute_edge/src/control.rs
@@ -1,7 +1,7 @@
 use std::{future::Future, net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
-use toucanchute_core::routing::{Report, Target};
+use toucanchute_core::routing::{self, Assign, Report, Target};
 use toucanchute_proto::{AttemptId, BudgetId, Digest, Millis, RequestKey, config::Config};
 
 /// The router's decisions, as the HTTP edge asks for them.
@@ -186,6 +186,27 @@
     pub deadline: Millis,
 }
 
+impl AssignRequest {
+    /// Returns what a dispatcher is asked under the number `call`.
+    #[must_use]
+    pub fn for_call(self, call: u64) -> Assign {
+        Assign {
+            call,
+            target: self.target,
+            customer: self.customer,
+            weight: self.weight,
+            priority: self.priority,
+            digest: self.digest,
+            prefix: self.prefix,
+            affinity: self.affinity,
+            tokens: self.tokens,
+            attempts: self.attempts,
+            exclude: self.exclude,
+            deadline: self.deadline,
+        }
+    }
+}
+
 /// A backend server chosen for one attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[must_use]
@@ -249,6 +270,18 @@
     Starting,
 }
 
+impl From<routing::RefusalReason> for RefusalReason {
+    fn from(reason: routing::RefusalReason) -> RefusalReason {
+        match reason {
+            routing::RefusalReason::NoBackend => RefusalReason::NoBackend,
+            routing::RefusalReason::Resting => RefusalReason::Resting,
+            routing::RefusalReason::RetriesExhausted => RefusalReason::RetriesExhausted,
+            routing::RefusalReason::Quarantined => RefusalReason::Quarantined,
+            _ => RefusalReason::Overloaded,
+        }
+    }
+}
+
 /// A request that is given up on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refusal {
--- a/toucanchute_edge/tests/passthrough/live.rs
+++ b/toucanchute_edge/tests/passthrough/live.rs
@@ -14,7 +14,7 @@
 };
 use toucanchute_core::routing::{self, Action, Dispatcher, Event};
 use toucanchute_edge::{
-    AssignRequest, Assignment, BackendWord, Outcome, Refusal, RefusalReason, Report,
+    AssignRequest, Assignment, BackendWord, Outcome, Refusal, Report,
     passthrough::{Failure, Gateway, RequestEnd, RouteControl, TokenHold, TokenRequest},
 };
 use toucanchute_proto::{
@@ -158,13 +158,7 @@
 
 fn refusal(reason: routing::RefusalReason, retry_after: Option<Millis>) -> Refusal {
     Refusal {
-        reason: match reason {
-            routing::RefusalReason::Quarantined => RefusalReason::Quarantined,
-            routing::RefusalReason::NoBackend => RefusalReason::NoBackend,
-            routing::RefusalReason::Resting => RefusalReason::Resting,
-            routing::RefusalReason::RetriesExhausted => RefusalReason::RetriesExhausted,
-            _ => RefusalReason::Overloaded,
-        },
+        reason: reason.into(),
         outcome: Outcome::NotRun,
         retry_after,
         elsewhere: None,
@@ -203,20 +197,7 @@
             state.waiting.insert(call, reply);
             call
         };
-        self.feed(Event::Assign(routing::Assign {
-            call,
-            target: req.target,
-            customer: req.customer,
-            weight: req.weight,
-            priority: req.priority,
-            digest: req.digest,
-            prefix: req.prefix,
-            affinity: req.affinity,
-            tokens: req.tokens,
-            attempts: req.attempts,
-            exclude: req.exclude,
-            deadline: req.deadline,
-        }));
+        self.feed(Event::Assign(req.for_call(call)));
         answer.await.unwrap()
     }
 
--- a/toucanchute_router/src/actor/dispatch.rs
+++ b/toucanchute_router/src/actor/dispatch.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::oneshot;
 use toucanchute_core::routing::{self, Action, BackendState, BackendWord, Dispatcher, Event};
-use toucanchute_edge::{AssignRequest, Assignment, Outcome, Refusal, RefusalReason, Report};
+use toucanchute_edge::{AssignRequest, Assignment, Outcome, Refusal, Report};
 use toucanchute_proto::{
     AttemptId,
     config::{Backend, Config},
@@ -150,7 +150,7 @@
                 retry_after,
             } => {
                 let refusal = Refusal {
-                    reason: refusal_reason(reason),
+                    reason: reason.into(),
                     outcome: Outcome::NotRun,
                     retry_after,
                     elsewhere: None,
@@ -208,20 +208,7 @@
         self.next_call += 1;
         let call = self.next_call;
         self.waiting.insert(call, reply);
-        self.feed(Event::Assign(routing::Assign {
-            call,
-            target: req.target,
-            customer: req.customer,
-            weight: req.weight,
-            priority: req.priority,
-            digest: req.digest,
-            prefix: req.prefix,
-            affinity: req.affinity,
-            tokens: req.tokens,
-            attempts: req.attempts,
-            exclude: req.exclude,
-            deadline: req.deadline,
-        }));
+        self.feed(Event::Assign(req.for_call(call)));
     }
 }
 
@@ -315,13 +302,3 @@
         BackendState::Rested => log::info!(backend = backend; "backend-rested"),
     }
 }
-
-fn refusal_reason(reason: routing::RefusalReason) -> RefusalReason {
-    match reason {
-        routing::RefusalReason::NoBackend => RefusalReason::NoBackend,
-        routing::RefusalReason::Resting => RefusalReason::Resting,
-        routing::RefusalReason::RetriesExhausted => RefusalReason::RetriesExhausted,
-        routing::RefusalReason::Quarantined => RefusalReason::Quarantined,
-        _ => RefusalReason::Overloaded,
-    }
-}
--- a/toucanchute_router/src/link.rs
+++ b/toucanchute_router/src/link.rs
@@ -11,7 +11,9 @@
 mod handshake;
 mod held;
 mod mesh;
+mod traffic;
 
 pub(crate) use frame::Frame;
 pub(crate) use handshake::Identity;
-pub(crate) use mesh::{LinkCounts, LinkEvent, Mesh, Peer};
+pub(crate) use mesh::{LinkEvent, Mesh, Peer};
+pub(crate) use traffic::LinkCounts;
--- a/toucanchute_router/src/link/mesh.rs
+++ b/toucanchute_router/src/link/mesh.rs
@@ -30,6 +30,7 @@
     frame::{Frame, encode},
     handshake::{self, Identity},
     held::Held,
+    traffic::{LinkCounts, Traffic},
 };
 use crate::clock;
 
@@ -84,38 +85,6 @@
     events: mpsc::UnboundedSender<LinkEvent>,
 }
 
-/// Frames and bytes on all links since the start, without the framing of the layers below.
-#[derive(Debug, Default)]
-struct Traffic {
-    frames: AtomicU64,
-    bytes: AtomicU64,
-}
-
-impl Traffic {
-    fn count(&self, len: usize) {
-        self.frames.fetch_add(1, Ordering::Relaxed);
-        self.bytes.fetch_add(len as u64, Ordering::Relaxed);
-    }
-
-    fn read(&self) -> (u64, u64) {
-        (
-            self.frames.load(Ordering::Relaxed),
-            self.bytes.load(Ordering::Relaxed),
-        )
-    }
-}
-
-/// What all links carried since the start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct LinkCounts {
-    /// Peers with an open link.
-    pub(crate) peers: usize,
-    /// Frames sent and their bytes.
-    pub(crate) sent: (u64, u64),
-    /// Frames received and their bytes.
-    pub(crate) received: (u64, u64),
-}
-
 #[derive(Debug, Default)]
 struct Links {
     /// Open links of each peer, oldest first; never an empty list. There are two for a while when
