fix(passthrough): bytes without end are given up soon and never fill the memory

Callers would see: the request held until its deadline; and a router on a host of 160 MB killed for its memory, with all requests on it, since a body was collected without a bound.

Cause: whole answers and events were read without a limit; a refusal's or failure's body up to 16 MiB; interim answers (1xx) as long as they came.

Evidence: passthrough endless::, six red before (3 s to the deadline; 16.8 MB taken of a refusal), all green. Heads without end, bytes that are no answer, a stalled stream with a byte now and then, a slow but sound one, and a late copy of an answer were green before; their tests stay.

--- a/toucanchute_edge/src/passthrough/events.rs
+++ b/toucanchute_edge/src/passthrough/events.rs
@@ -1,5 +1,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 
+use crate::sse::MAX_EVENT_BYTES;
+
 /// Cuts an event stream into whole events.
 #[derive(Debug, Default)]
 pub(super) struct Events {
@@ -21,6 +23,11 @@
         self.buf.extend_from_slice(data);
     }
 
+    /// Whether the event that has not ended is too large.
+    pub(super) fn is_too_large(&self) -> bool {
+        self.buf.len() > MAX_EVENT_BYTES
+    }
+
     /// Whether bytes of an event are held that has not ended.
     pub(super) fn is_partial(&self) -> bool {
         !self.buf.is_empty()
--- a/toucanchute_edge/src/passthrough/pool.rs
+++ b/toucanchute_edge/src/passthrough/pool.rs
@@ -2,7 +2,10 @@
     collections::HashMap,
     io,
     net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -16,7 +19,7 @@
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
 use socket2::SockRef;
-use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+use tokio::{net::TcpStream, sync::Notify, task::JoinHandle, time::timeout};
 use toucanchute_core::routing::{CrashKind, Report};
 
 /// Longest time to open a connection to a backend server in the same region.
@@ -34,6 +37,9 @@
 /// Share of that bound after which a request that may run only once takes a new connection.
 const ONCE_IDLE_DIVISOR: u32 = 2;
 
+/// Most interim answers (status 1xx) that come before an answer.
+const MAX_INTERIM: u32 = 16;
+
 /// Most idle connections kept to one backend server.
 const MAX_IDLE: usize = 32;
 
@@ -72,6 +78,9 @@
     /// The connection was closed before the request was written.
     #[snafu(display("the connection was closed"))]
     Unsent,
+    /// Interim answers came without end; the request may have been read.
+    #[snafu(display("more than {MAX_INTERIM} interim answers"))]
+    Interim,
     /// The connection broke off after the request may have been read.
     #[snafu(display("the connection broke off: {source}"))]
     Broken {
@@ -85,7 +94,7 @@
     pub(super) fn is_refusal(&self) -> bool {
         match self {
             SendError::Connect { source } => source.kind() == io::ErrorKind::ConnectionRefused,
-            SendError::Unsent | SendError::Broken { .. } => false,
+            SendError::Unsent | SendError::Interim | SendError::Broken { .. } => false,
         }
     }
 }
@@ -152,9 +161,20 @@
     /// Sends a request and waits for the head of its answer.
     pub(super) async fn send(
         &mut self,
-        req: Request<Full<Bytes>>,
+        mut req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        match self.tx.try_send_request(req).await {
+        let too_many = Arc::new(Notify::new());
+        let (told, interim) = (Arc::clone(&too_many), AtomicU32::new(0));
+        hyper::ext::on_informational(&mut req, move |_| {
+            if interim.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM {
+                told.notify_one();
+            }
+        });
+        let sent = tokio::select! {
+            sent = self.tx.try_send_request(req) => sent,
+            () = too_many.notified() => return InterimSnafu.fail(),
+        };
+        match sent {
             Ok(res) => Ok(res),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(SendError::Unsent),
--- a/toucanchute_edge/src/passthrough/relay.rs
+++ b/toucanchute_edge/src/passthrough/relay.rs
@@ -79,6 +79,8 @@
     Broken,
     /// No event came for long.
     Silent,
+    /// An event has no end.
+    TooLarge,
 }
 
 impl<C: RouteControl, D: Dialect> Relay<C, D> {
@@ -94,6 +96,9 @@
                 End::OutOfTime | End::Silent => Report::Crashed {
                     kind: CrashKind::TimedOut,
                 },
+                End::TooLarge => Report::Crashed {
+                    kind: CrashKind::Malformed,
+                },
                 End::Broken => broken(assignment.address).await,
             };
             let Answered {
@@ -115,6 +120,7 @@
                 End::OutOfTime => return self.break_off("out-of-time").await,
                 End::Broken => "stream broke off",
                 End::Silent => "no event in time",
+                End::TooLarge => "an event without end",
             };
             drop(conn);
             self.trace.attempt_failed(&assignment, report, cause);
@@ -150,6 +156,9 @@
             };
             events.push(&data);
             let (piece, count) = self.take_events(&mut events);
+            if events.is_too_large() {
+                return End::TooLarge;
+            }
             if count == 0 {
                 continue;
             }
--- a/toucanchute_edge/src/passthrough/run/answers.rs
+++ b/toucanchute_edge/src/passthrough/run/answers.rs
@@ -1,14 +1,13 @@
 //! What an attempt brought: no answer, one that says what went wrong, or one to pass on.
 
 use http::Response;
-use http_body_util::BodyExt;
 use tokio::time::timeout_at;
 use toucanchute_core::routing::{CrashKind, Report};
 use toucanchute_proto::Millis;
 
 use super::{Answered, ExchangeError, MIN_TIME_LEFT, Run, Trace, Tries, respond};
 use crate::{
-    backend::{answer_report, collect},
+    backend::{BackendError, answer_report, collect},
     passthrough::{
         Dialect, Failure, FailureKind, RouteBody, RouteControl,
         attempt::Attempt,
@@ -16,8 +15,11 @@
     },
 };
 
-/// Largest answer that is read as a whole, in bytes.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Largest answer that is read as a whole, in bytes; some dozens fit into a small host's memory.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// Largest body of a refusal or failure that is put aside, in bytes.
+const MAX_FAILURE_BYTES: usize = 64 * 1024;
 
 /// When to come back to a service whose backend servers refuse.
 const SHED_RETRY: Millis = Millis(200);
@@ -41,6 +43,11 @@
             ExchangeError::Send {
                 source: SendError::Broken { .. },
             } => broken(address).await,
+            ExchangeError::Send {
+                source: SendError::Interim,
+            } => Report::Crashed {
+                kind: CrashKind::Malformed,
+            },
             ExchangeError::TimedOut => Report::Crashed {
                 kind: CrashKind::TimedOut,
             },
@@ -116,7 +123,7 @@
         trace.attempt_failed(&answered.attempt.assignment, report, "refused, not run");
         answered.attempt.end(report);
         let keep = !answered.info.closes;
-        let read = timeout_at(self.deadline, collect(answered.body, MAX_ANSWER_BYTES)).await;
+        let read = timeout_at(self.deadline, collect(answered.body, MAX_FAILURE_BYTES)).await;
         if keep && matches!(read, Ok(Ok(_))) {
             let bound = answered.info.keep_alive;
             self.shared.pool.keep(&backend, answered.conn, bound);
@@ -138,7 +145,7 @@
         let (head, info) = (answered.head, answered.info);
         let backend = answered.attempt.assignment.backend.clone();
         answered.attempt.end(report);
-        let body = timeout_at(self.deadline, collect(answered.body, MAX_ANSWER_BYTES)).await;
+        let body = timeout_at(self.deadline, collect(answered.body, MAX_FAILURE_BYTES)).await;
         if let Ok(Ok(body)) = body {
             if !info.closes {
                 self.shared
@@ -169,13 +176,22 @@
         }
         let address = attempt.assignment.address;
         let backend = attempt.assignment.backend.clone();
-        match timeout_at(self.deadline, body.collect()).await {
+        match timeout_at(self.deadline, collect(body, MAX_ANSWER_BYTES)).await {
             Ok(Ok(body)) => {
                 attempt.end(report);
                 if !info.closes {
                     self.shared.pool.keep(&backend, conn, info.keep_alive);
                 }
-                Ok(respond(&head, RouteBody::whole(body.to_bytes())))
+                Ok(respond(&head, RouteBody::whole(body)))
+            }
+            Ok(Err(e @ BackendError::TooLarge { .. })) => {
+                let report = Report::Crashed {
+                    kind: CrashKind::Malformed,
+                };
+                trace.attempt_failed(&attempt.assignment, report, &e.to_string());
+                tries.exclude_backend(&backend);
+                attempt.end(report);
+                Err(Failure::new(FailureKind::Failed, "answer-too-large"))
             }
             Ok(Err(e)) => {
                 let report = broken(address).await;
--- a/toucanchute_edge/src/sse.rs
+++ b/toucanchute_edge/src/sse.rs
@@ -2,7 +2,7 @@
 use snafu::Snafu;
 
 /// Largest event of a model engine, in bytes.
-const MAX_EVENT_BYTES: usize = 256 * 1024;
+pub(crate) const MAX_EVENT_BYTES: usize = 256 * 1024;
 
 /// A stream of server-sent events that cannot be read.
 #[derive(Debug, PartialEq, Eq, Snafu)]
--- a/toucanchute_edge/tests/passthrough/main.rs
+++ b/toucanchute_edge/tests/passthrough/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod callers;
+mod endless;
 mod ends;
 mod live;
 mod repeats;
--- a/toucanchute_edge/tests/passthrough/repeats.rs
+++ b/toucanchute_edge/tests/passthrough/repeats.rs
@@ -71,10 +71,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address: SocketAddr = listener.local_addr().unwrap();
     drop(listener);
-    let closed = Backend {
-        address,
-        requests: Default::default(),
-    };
+    let closed = Backend::absent(address);
     let second = good().await;
     let rig = Rig::start("non-idempotent", "", &[&closed, &second]).await;
     assert!(rig.send("POST /a/b", "").await.ends_with("hello"));
--- a/toucanchute_edge/tests/passthrough/support.rs
+++ b/toucanchute_edge/tests/passthrough/support.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -37,12 +37,22 @@
     Reset,
     /// Reads the request and stays silent.
     Silence,
+    /// Answers the first request with the first of these, and so on.
+    InTurn(Vec<String>),
+    /// Answers with `head` and then one `piece` after the other, `pause` apart, without end.
+    Endless {
+        head: String,
+        piece: String,
+        pause: Duration,
+    },
 }
 
 /// A backend server; counts what reached it.
 pub(crate) struct Backend {
     pub(crate) address: SocketAddr,
     pub(crate) requests: Arc<Mutex<Vec<String>>>,
+    /// Bytes of answers without end that were taken.
+    sent: Arc<AtomicUsize>,
 }
 
 impl Backend {
@@ -50,13 +60,32 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let requests: Arc<Mutex<Vec<String>>> = Arc::default();
-        let seen = Arc::clone(&requests);
+        let sent: Arc<AtomicUsize> = Arc::default();
+        let (seen, taken) = (Arc::clone(&requests), Arc::clone(&sent));
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, script.clone(), Arc::clone(&seen)));
+                let (seen, taken) = (Arc::clone(&seen), Arc::clone(&taken));
+                tokio::spawn(serve(stream, script.clone(), seen, taken));
             }
         });
-        Backend { address, requests }
+        Backend {
+            address,
+            requests,
+            sent,
+        }
+    }
+
+    /// A backend server that nobody started.
+    pub(crate) fn absent(address: SocketAddr) -> Backend {
+        Backend {
+            address,
+            requests: Arc::default(),
+            sent: Arc::default(),
+        }
+    }
+
+    pub(crate) fn sent(&self) -> usize {
+        self.sent.load(Ordering::Relaxed)
     }
 
     pub(crate) fn count(&self) -> usize {
@@ -68,9 +97,18 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, script: Script, seen: Arc<Mutex<Vec<String>>>) {
+async fn serve(
+    mut stream: TcpStream,
+    script: Script,
+    seen: Arc<Mutex<Vec<String>>>,
+    sent: Arc<AtomicUsize>,
+) {
     while let Some(req) = read_message(&mut stream).await {
-        seen.lock().unwrap().push(req);
+        let nth = {
+            let mut seen = seen.lock().unwrap();
+            seen.push(req);
+            seen.len() - 1
+        };
         match &script {
             Script::Answer(answer) => stream.write_all(answer.as_bytes()).await.unwrap(),
             Script::AnswerAndClose(answer) => {
@@ -83,6 +121,19 @@
                 return;
             }
             Script::Silence => tokio::time::sleep(PATIENCE).await,
+            Script::InTurn(answers) => {
+                stream.write_all(answers[nth].as_bytes()).await.unwrap();
+            }
+            Script::Endless { head, piece, pause } => {
+                // The router ends it by closing the connection.
+                let mut data = head.as_bytes();
+                while stream.write_all(data).await.is_ok() {
+                    sent.fetch_add(data.len(), Ordering::Relaxed);
+                    tokio::time::sleep(*pause).await;
+                    data = piece.as_bytes();
+                }
+                return;
+            }
         }
     }
 }
@@ -299,10 +350,15 @@
 
     /// Sends a request and reads the answer to the end of the connection.
     pub(crate) async fn send(&self, head: &str, body: &str) -> String {
+        self.send_as("a1", head, body).await
+    }
+
+    /// The same with another identifier of the attempt.
+    pub(crate) async fn send_as(&self, attempt: &str, head: &str, body: &str) -> String {
         let mut stream = TcpStream::connect(self.address).await.unwrap();
         let len = body.len();
         let req = format!(
-            "{head} HTTP/1.1\r\nHost: svc.example\r\nX-Attempt: a1\r\nX-Key: secret\r\n\
+            "{head} HTTP/1.1\r\nHost: svc.example\r\nX-Attempt: {attempt}\r\nX-Key: secret\r\n\
             Connection: close\r\nContent-Length: {len}\r\n\r\n{body}"
         );
         stream.write_all(req.as_bytes()).await.unwrap();
