perf(routing): the bound of a busy server counts only servers whose load is known

Pattern: a large fleet, where each router has met few of the servers lately. Cause: the mean load beside which a server counts as busy took in servers of which the router knows nothing but its own requests, so that the one that holds a prompt looked busy as soon as it reported its load, and its requests went to a server that read the shared parts again.

Now the mean is of servers that reported lately, of all where none did. Tests without network: a_busy_fleet_keeps_subjects_where_their_prompts_are (red before: b60 in place of b79), a_subject_leaves_a_replica_that_is_busier_than_those_met.

--- a/toucanchute_core/src/routing/choose.rs
+++ b/toucanchute_core/src/routing/choose.rs
@@ -85,13 +85,26 @@
     /// routers find the same one without talking to each other.
     fn by_affinity(&self, affinity: u64, fit: &[BackendKey]) -> Option<BackendKey> {
         let loads: Vec<f64> = fit.iter().map(|&k| self.load(k)).collect();
-        let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
-        let bound = mean * BUSY_FACTOR + BUSY_SLACK;
+        let bound = self.mean_load(fit, &loads) * BUSY_FACTOR + BUSY_SLACK;
         let calm = fit.iter().zip(loads).filter(|(_, load)| *load <= bound);
         let weight = |k: BackendKey| hash::mix(&[affinity, self.replicas[k].hash]);
         calm.map(|(&k, _)| k).max_by_key(|&k| weight(k))
     }
 
+    /// Mean of the replicas whose load is known. Others only show this router's own requests, a small
+    /// part of all in a large fleet, and would make those that are known look busy.
+    fn mean_load(&self, fit: &[BackendKey], loads: &[f64]) -> f64 {
+        let known = |k: BackendKey| self.replicas[k].is_load_known(self.now);
+        let reported = fit.iter().zip(loads).filter(|(k, _)| known(**k));
+        let reported: Vec<f64> = reported.map(|(_, &load)| load).collect();
+        let counted = if reported.is_empty() {
+            loads
+        } else {
+            &reported
+        };
+        counted.iter().sum::<f64>() / counted.len().max(1) as f64
+    }
+
     /// Requests of a replica as a share of those allowed, weighed by its pace.
     fn load(&self, key: BackendKey) -> f64 {
         let r = &self.replicas[key];
--- a/toucanchute_core/src/routing/replica.rs
+++ b/toucanchute_core/src/routing/replica.rs
@@ -143,6 +143,11 @@
         }
     }
 
+    /// Whether it reported its load lately.
+    pub(super) fn is_load_known(&self, now: Millis) -> bool {
+        self.fresh_load(now).is_some()
+    }
+
     fn fresh_load(&self, now: Millis) -> Option<&Load> {
         let load = self.load.as_ref();
         load.filter(|l| now.since(l.as_of) <= LOAD_AGE)
--- a/toucanchute_core/src/routing/tests/affinity.rs
+++ b/toucanchute_core/src/routing/tests/affinity.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use toucanchute_proto::{Incarnation, Millis};
+use toucanchute_proto::{Incarnation, Millis, fleet::Load};
 
 use super::world::{assign, config};
 use crate::routing::{Action, Assign, Dispatcher, Event, RefusalReason, Report};
@@ -59,6 +59,45 @@
     assert!(counts.values().all(|&n| n < 25), "{counts:?}");
 }
 
+/// Load that a replica reported to this router.
+fn load(backend: &str, running: u32) -> Event {
+    Event::Load(Load {
+        backend: backend.to_owned(),
+        running,
+        waiting: 0,
+        capacity: 64,
+        kv_used: 0,
+        as_of: Millis(0),
+    })
+}
+
+// Pattern: a large fleet, where each router has met few replicas lately. Those of which it knows
+// nothing must not make the one that holds the prompt look busy.
+#[test]
+fn a_busy_fleet_keeps_subjects_where_their_prompts_are() {
+    for subject in 0..20 {
+        let home = backend(&mut dispatcher(1, 90), about(1, subject));
+        let mut router = dispatcher(2, 90);
+        let met = ["b3", "b14", "b15", "b62", home.as_str()];
+        for name in met {
+            router.handle(Millis(0), load(name, 40), &mut Vec::new());
+        }
+        assert_eq!(backend(&mut router, about(1, subject)), home);
+    }
+}
+
+#[test]
+fn a_subject_leaves_a_replica_that_is_busier_than_those_met() {
+    let home = backend(&mut dispatcher(1, 90), about(1, 7));
+    let mut router = dispatcher(2, 90);
+    for i in 0..10 {
+        let name = format!("b{i}");
+        router.handle(Millis(0), load(&name, 10), &mut Vec::new());
+    }
+    router.handle(Millis(0), load(&home, 60), &mut Vec::new());
+    assert_ne!(backend(&mut router, about(1, 7)), home);
+}
+
 #[test]
 fn a_hot_subject_spreads_before_its_replica_is_full() {
     let mut dispatcher = dispatcher(1, 9);
