fix(routing): a silent end stays unexplained when other connections break later

Callers would see the request sent on where a server's host is down without a sign and resets its connections when it is back.

Cause: a connection that broke was taken as proof that the server had lived until then, and attempts that it had left silent before were forgotten. They now wait on for a registration that lapses or an address that refuses.

Evidence: a_silent_end_counts_although_other_connections_break_later red before (no word). Routing fuzz green.

--- a/toucanchute_core/src/routing/tests/policy.rs
+++ b/toucanchute_core/src/routing/tests/policy.rs
@@ -261,6 +261,24 @@
     assert_eq!(bench.refused(), None);
 }
 
+// Guards against a silent end that is forgotten when the server's host is back and resets what was
+// still open.
+#[test]
+fn a_silent_end_counts_although_other_connections_break_later() {
+    let mut bench = Bench::new(1, 2);
+    let (silent, _) = bench.call(1_000, plain(1)).unwrap();
+    let (other, _) = bench.call(1_001, plain(2)).unwrap();
+    let timed_out = CrashKind::TimedOut;
+    bench.report(2_000, silent, Report::Crashed { kind: timed_out });
+    let broken = CrashKind::Disconnected;
+    bench.report(4_500, other, Report::Crashed { kind: broken });
+    bench.out.clear();
+    let backend = "b0".to_owned();
+    bench.tell(4_600, Event::Lapsed { backend });
+    let suspect = |a: &Action| matches!(a, Action::Verdict(v) if v.digest == key(&plain(1)));
+    assert!(bench.out.iter().any(suspect), "{:?}", bench.out);
+}
+
 // Guards against claims that no router hears, since another one's clock is ahead: words with an
 // earlier end are dropped as old.
 #[test]
--- a/toucanchute_core/src/routing/unexplained.rs
+++ b/toucanchute_core/src/routing/unexplained.rs
@@ -3,7 +3,7 @@
 use toucanchute_proto::{Digest, Millis};
 
 /// Attempts remembered for one backend server; the oldest are forgotten first.
-const MOST: usize = 32;
+const MAX_ATTEMPTS: usize = 32;
 
 /// Time for which one is remembered: longer than a registration outlives its backend server.
 const MEMORY: Millis = Millis(15_000);
@@ -35,7 +35,8 @@
 /// What shows that a backend server has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Evidence {
-    /// It broke off a connection just now, so that it lived until then.
+    /// It broke off a connection just now. Attempts that it left silent before may have ended it
+    /// earlier, if its host was down until now.
     BrokeOff,
     /// It is not there any more; it may have ended at any time since its last answer.
     Away,
@@ -43,7 +44,7 @@
 
 impl Unexplained {
     pub(super) fn add(&mut self, broken: Broken) {
-        if self.attempts.len() == MOST {
+        if self.attempts.len() == MAX_ATTEMPTS {
             self.attempts.pop_front();
         }
         self.attempts.push_back(broken);
@@ -54,13 +55,17 @@
         self.attempts.retain(|b| b.ended > sent);
     }
 
-    /// Takes those that the end of the backend server explains, and forgets the others.
+    /// Takes those that the end of the backend server explains.
     pub(super) fn take(&mut self, now: Millis, evidence: Evidence) -> Vec<Broken> {
+        self.attempts.retain(|b| now.since(b.ended) <= MEMORY);
         let explained = |b: &Broken| match evidence {
             Evidence::BrokeOff => b.by_server && now.since(b.ended) <= SAME_END,
-            Evidence::Away => now.since(b.ended) <= MEMORY,
+            Evidence::Away => true,
         };
         let attempts = std::mem::take(&mut self.attempts);
-        attempts.into_iter().filter(explained).collect()
+        let (explained, open): (Vec<Broken>, Vec<Broken>) =
+            attempts.into_iter().partition(explained);
+        self.attempts = open.into();
+        explained
     }
 }
--- a/toucanchute_core/src/routing/words.rs
+++ b/toucanchute_core/src/routing/words.rs
@@ -13,7 +13,7 @@
 };
 
 /// Leaving backend servers remembered; the oldest are forgotten first.
-const MOST_LEAVING: usize = 4_096;
+const MAX_LEAVING: usize = 4_096;
 
 /// Longest rest that is granted at a time.
 const LONGEST_REST: Millis = Millis(60_000);
@@ -30,7 +30,7 @@
 /// Names of backend servers that said that they leave.
 ///
 /// A name stands for one run of a backend server, so that its successor is not in it. Only a restart
-/// of the router forgets a name before [`MOST_LEAVING`] others came.
+/// of the router forgets a name before [`MAX_LEAVING`] others came.
 #[derive(Debug, Default)]
 pub(super) struct Leavers {
     names: BTreeSet<String>,
@@ -49,7 +49,7 @@
             return false;
         }
         self.order.push_back(name.to_owned());
-        if self.order.len() > MOST_LEAVING
+        if self.order.len() > MAX_LEAVING
             && let Some(oldest) = self.order.pop_front()
         {
             self.names.remove(&oldest);
@@ -86,12 +86,12 @@
         out: &mut Vec<Action>,
     ) {
         match word {
-            BackendWord::Leaving => self.leaves(backend, out),
-            BackendWord::Rest { span } => self.rests(now, backend, span, out),
+            BackendWord::Leaving => self.begin_leaving(backend, out),
+            BackendWord::Rest { span } => self.begin_rest(now, backend, span, out),
         }
     }
 
-    fn leaves(&mut self, backend: &str, out: &mut Vec<Action>) {
+    fn begin_leaving(&mut self, backend: &str, out: &mut Vec<Action>) {
         if !self.leaving.add(backend) {
             return;
         }
@@ -105,7 +105,7 @@
         self.refuse_unservable(out);
     }
 
-    fn rests(&mut self, now: Millis, backend: &str, span: Millis, out: &mut Vec<Action>) {
+    fn begin_rest(&mut self, now: Millis, backend: &str, span: Millis, out: &mut Vec<Action>) {
         let span = span.min(LONGEST_REST);
         let spread = Millis(span.0 / SPREAD_DIVISOR).min(LONGEST_SPREAD);
         let put_off = Millis(self.rng.random_range(0..=spread.0));
