fix(routing): repeats of requests whose server ended draw on the retry budget

Callers would see other requests' repeats refused by the rule's judge: each request in flight on a server that ended was repeated without a look at the budget that all routers share.

Cause: a request known as a suspect was exempt from it. With 64 in flight on each of a quarter of the servers that is more than the 30 in 100 of the budget that routers leave unused.

Now every repeat draws on it. Evidence: repeats_of_suspects_draw_on_the_retry_budget red before (none of 40 refused). The fuzz's oracle exempted suspects too; it is as strict for all now, and green.

--- a/toucanchute_core/src/routing/dispatcher.rs
+++ b/toucanchute_core/src/routing/dispatcher.rs
@@ -47,6 +47,7 @@
     pub(super) suspects: Suspects,
     /// Names of backend servers that said that they leave.
     pub(super) leaving: Leavers,
+    /// Rests of backend servers that are not among `replicas`.
     pub(super) rests: Rests,
     pub(super) rng: SmallRng,
     #[cfg(test)]
@@ -161,7 +162,7 @@
         }
         if req.attempts == 0 {
             self.pools[key].retries.fresh();
-        } else if !self.suspects.known(now, suspect) && !self.take_retry(key) {
+        } else if !self.take_retry(key) {
             refuse(&req, RefusalReason::RetriesExhausted, Millis(1_000), out);
             return;
         }
--- a/toucanchute_core/src/routing/suspects.rs
+++ b/toucanchute_core/src/routing/suspects.rs
@@ -126,11 +126,6 @@
         }
     }
 
-    /// Whether the request is a suspect or in quarantine.
-    pub(super) fn known(&self, now: Millis, key: Digest) -> bool {
-        self.permit(now, key) != Permit::Free
-    }
-
     /// Whether a replica is claimed for any suspect.
     pub(super) fn claimed(&self, replica: &str) -> bool {
         self.claims(replica).next().is_some()
--- a/toucanchute_core/src/routing/tests/oracle.rs
+++ b/toucanchute_core/src/routing/tests/oracle.rs
@@ -163,7 +163,7 @@
             "concurrency stays within its limit",
         )?;
         let allowed = FREE_RETRIES + RETRY_SHARE * state.fresh;
-        let retry = req.attempts > 0 && !world.oracle.suspects.contains(&req.digest);
+        let retry = req.attempts > 0;
         check(
             !retry || state.retries + 1.0 <= allowed,
             "retries stay within their budget",
@@ -190,7 +190,7 @@
             self.runs_apart.remove(&req.call);
         }
         let state = self.routers.get_mut(&router).unwrap();
-        if req.attempts > 0 && !self.suspects.contains(&req.digest) {
+        if req.attempts > 0 {
             state.retries += 1.0;
         }
         state.attempts.insert(attempt, replica);
--- a/toucanchute_core/src/routing/tests/policy.rs
+++ b/toucanchute_core/src/routing/tests/policy.rs
@@ -279,6 +279,29 @@
     assert!(bench.out.iter().any(suspect), "{:?}", bench.out);
 }
 
+// Guards against repeats beyond the retry budget after many servers ended at once.
+#[test]
+fn repeats_of_suspects_draw_on_the_retry_budget() {
+    let mut bench = Bench::new(40, 1);
+    let calls: Vec<_> = (0..40).map(|n| bench.call(1, plain(n)).unwrap()).collect();
+    let kind = CrashKind::Disconnected;
+    for (attempt, _) in calls {
+        bench.report(2, attempt, Report::Crashed { kind });
+    }
+    bench.out.clear();
+    let mut refused = 0;
+    for call in 0..40 {
+        let attempts = 1;
+        let req = Assign {
+            attempts,
+            ..plain(call)
+        };
+        bench.call(3, req);
+        refused += usize::from(bench.refused() == Some(RefusalReason::RetriesExhausted));
+    }
+    assert!(refused > 0);
+}
+
 // Guards against claims that no router hears, since another one's clock is ahead: words with an
 // earlier end are dropped as old.
 #[test]
