--- a/toucanchute_core/src/routing/attempts.rs
+++ b/toucanchute_core/src/routing/attempts.rs
@@ -114,7 +114,7 @@
                 self.explain(now, run.replica, Evidence::Away, out);
             }
             Report::Crashed { kind } => self.crashed(now, &run, kind, out),
-            Report::Cancelled => self.unexplained(now, run.replica, run.broken(now, false), out),
+            Report::Cancelled => self.leave_open(now, run.replica, run.broken(now, false), out),
         }
         if run.suspect {
             let verdict = self.suspects.stopped(now, run.key);
@@ -185,14 +185,14 @@
             CrashKind::Interrupted | CrashKind::TimedOut => {
                 self.failed(now, run, Failure::Soft);
                 let broken = run.broken(now, kind == CrashKind::Interrupted);
-                self.unexplained(now, run.replica, broken, out);
+                self.leave_open(now, run.replica, broken, out);
             }
             CrashKind::Malformed => self.failed(now, run, Failure::Soft),
         }
     }
 
     /// Takes in an attempt that brought no answer and does not show whether the backend server ended.
-    fn unexplained(&mut self, now: Millis, key: BackendKey, broken: Broken, out: &mut Vec<Action>) {
+    fn leave_open(&mut self, now: Millis, key: BackendKey, broken: Broken, out: &mut Vec<Action>) {
         let r = &mut self.replicas[key];
         r.unexplained.add(broken);
         if r.lapsed.is_some_and(|at| broken.started <= at) {
@@ -201,7 +201,7 @@
     }
 
     /// Takes in that a backend server's registration is gone although it did not say that it leaves.
-    pub(super) fn lapsed(&mut self, now: Millis, backend: &str, out: &mut Vec<Action>) {
+    pub(super) fn take_lapse(&mut self, now: Millis, backend: &str, out: &mut Vec<Action>) {
         if let Some(&key) = self.names.get(backend) {
             self.replicas[key].lapsed = Some(now);
             self.explain(now, key, Evidence::Away, out);
@@ -213,6 +213,7 @@
     fn explain(&mut self, now: Millis, key: BackendKey, evidence: Evidence, out: &mut Vec<Action>) {
         let r = &mut self.replicas[key];
         let name = r.name.clone();
+        let mut changed = false;
         for broken in r.unexplained.take(now, evidence) {
             if self.has(Fault::NeverQuarantine) {
                 self.suspects.forget(broken.key);
@@ -220,9 +221,12 @@
             let verdict = self
                 .suspects
                 .crashed(now, broken.key, &name, broken.started);
+            changed |= verdict.is_some();
             out.extend(verdict.map(Action::Verdict));
         }
-        self.refuse_quarantined(now, out);
+        if changed {
+            self.refuse_quarantined(now, out);
+        }
     }
 
     /// Forgets a replica that is not configured any more and has no work left.
--- a/toucanchute_core/src/routing/availability.rs
+++ b/toucanchute_core/src/routing/availability.rs
@@ -38,6 +38,14 @@
         };
     }
 
+    /// Returns the time left of a rest.
+    pub(super) fn left(self, now: Millis) -> Option<Millis> {
+        match self {
+            Rest::Until(until) if until > now => Some(until.since(now)),
+            _ => None,
+        }
+    }
+
     /// Takes in that time passed; returns whether the rest has just ended.
     pub(super) fn advance(&mut self, now: Millis) -> bool {
         let over = matches!(*self, Rest::Until(until) if until <= now);
--- a/toucanchute_core/src/routing/dispatcher.rs
+++ b/toucanchute_core/src/routing/dispatcher.rs
@@ -92,7 +92,7 @@
             Event::Abandon { call } => self.abandon(call),
             Event::Report { attempt, report } => self.report(now, attempt, report, out),
             Event::Word { backend, word } => self.take_word(now, &backend, word, out),
-            Event::Lapsed { backend } => self.lapsed(now, &backend, out),
+            Event::Lapsed { backend } => self.take_lapse(now, &backend, out),
             Event::Load(load) => {
                 if let Some(&key) = self.names.get(&load.backend) {
                     self.replicas[key].report(now, load);
--- a/toucanchute_core/src/routing/event.rs
+++ b/toucanchute_core/src/routing/event.rs
@@ -140,6 +140,12 @@
     Cancelled,
 }
 
+impl From<CrashKind> for Report {
+    fn from(kind: CrashKind) -> Report {
+        Report::Crashed { kind }
+    }
+}
+
 impl Report {
     /// Returns its name in logs and metrics.
     ///
--- a/toucanchute_core/src/routing/words.rs
+++ b/toucanchute_core/src/routing/words.rs
@@ -6,10 +6,8 @@
 use toucanchute_proto::Millis;
 
 use super::{
-    Action, Assign, BackendState, BackendWord, Dispatcher, RefusalReason,
-    availability::{Availability, Rest},
-    dispatcher::refuse,
-    pool::PoolKey,
+    Action, Assign, BackendState, BackendWord, Dispatcher, RefusalReason, availability::Rest,
+    dispatcher::refuse, pool::PoolKey,
 };
 
 /// Leaving backend servers remembered; the oldest are forgotten first.
@@ -141,14 +139,9 @@
     pub(super) fn rest_left(&mut self, now: Millis, key: PoolKey) -> Option<Millis> {
         let members = self.pools[key].members.iter().map(|&k| &self.replicas[k]);
         let staying = members.filter(|r| r.is_staying());
-        let rest = |a: Availability| match a {
-            Availability::Resting(until) => until.since(now),
-            _ => Millis(0),
-        };
-        let first = staying.map(|r| rest(r.availability(now))).min()?;
-        if first <= SHORT_REST {
-            return None;
-        }
+        // Ends at the first one that does not rest, nearly always the first of all.
+        let rests = staying.map(|r| r.rest.left(now).filter(|left| *left > SHORT_REST));
+        let first = rests.collect::<Option<Vec<Millis>>>()?.into_iter().min()?;
         let spread = Millis(first.0 / SPREAD_DIVISOR).max(SHORT_REST);
         Some(first + Millis(self.rng.random_range(0..=spread.0)))
     }
--- a/toucanchute_edge/src/passthrough/pool.rs
+++ b/toucanchute_edge/src/passthrough/pool.rs
@@ -192,13 +192,13 @@
     }
 }
 
-/// Returns what to report of an attempt whose connection broke off.
-pub(super) async fn broken(address: SocketAddr) -> Report {
-    let kind = match is_reachable(address).await {
-        true => CrashKind::Interrupted,
-        false => CrashKind::Disconnected,
-    };
-    Report::Crashed { kind }
+/// Returns what to report of an attempt whose connection broke off: whether the backend server still
+/// takes connections tells whether it ended.
+pub(super) async fn report_of_break(address: SocketAddr) -> Report {
+    match is_reachable(address).await {
+        true => CrashKind::Interrupted.into(),
+        false => CrashKind::Disconnected.into(),
+    }
 }
 
 /// Whether a backend server takes new connections.
--- a/toucanchute_edge/src/passthrough/relay.rs
+++ b/toucanchute_edge/src/passthrough/relay.rs
@@ -15,7 +15,7 @@
     attempt::Held,
     events::Events,
     handler::InFlight,
-    pool::broken,
+    pool::report_of_break,
     run::{Answered, Run, Trace, Tries, respond},
 };
 use crate::settings::duration;
@@ -93,13 +93,9 @@
                     tokens: self.events,
                 },
                 End::CallerLeft => Report::Cancelled,
-                End::OutOfTime | End::Silent => Report::Crashed {
-                    kind: CrashKind::TimedOut,
-                },
-                End::TooLarge => Report::Crashed {
-                    kind: CrashKind::Malformed,
-                },
-                End::Broken => broken(assignment.address).await,
+                End::OutOfTime | End::Silent => CrashKind::TimedOut.into(),
+                End::TooLarge => CrashKind::Malformed.into(),
+                End::Broken => report_of_break(assignment.address).await,
             };
             let Answered {
                 attempt,
--- a/toucanchute_edge/src/passthrough/run/answers.rs
+++ b/toucanchute_edge/src/passthrough/run/answers.rs
@@ -11,7 +11,7 @@
     passthrough::{
         Dialect, Failure, FailureKind, RouteBody, RouteControl,
         attempt::Attempt,
-        pool::{SendError, broken},
+        pool::{SendError, report_of_break},
     },
 };
 
@@ -42,15 +42,11 @@
             } => Report::Unsent,
             ExchangeError::Send {
                 source: SendError::Broken { .. },
-            } => broken(address).await,
+            } => report_of_break(address).await,
             ExchangeError::Send {
                 source: SendError::Interim,
-            } => Report::Crashed {
-                kind: CrashKind::Malformed,
-            },
-            ExchangeError::TimedOut => Report::Crashed {
-                kind: CrashKind::TimedOut,
-            },
+            } => CrashKind::Malformed.into(),
+            ExchangeError::TimedOut => CrashKind::TimedOut.into(),
         };
         trace.attempt_failed(&attempt.assignment, report, &error.to_string());
         attempt.end(report);
@@ -89,9 +85,7 @@
         let foreign =
             info.attempt != self.call.attempt && (status.is_success() || info.attempt.is_some());
         if foreign || info.encoded || status.is_success() && !info.sealed {
-            let report = Report::Crashed {
-                kind: CrashKind::Malformed,
-            };
+            let report = CrashKind::Malformed.into();
             tries.exclude_backend(&answered.attempt.assignment.backend);
             let cause = "answer is not this request's";
             trace.attempt_failed(&answered.attempt.assignment, report, cause);
@@ -176,39 +170,32 @@
         }
         let address = attempt.assignment.address;
         let backend = attempt.assignment.backend.clone();
-        match timeout_at(self.deadline, collect(body, MAX_ANSWER_BYTES)).await {
+        let read = timeout_at(self.deadline, collect(body, MAX_ANSWER_BYTES)).await;
+        let (report, cause, failure) = match read {
             Ok(Ok(body)) => {
                 attempt.end(report);
                 if !info.closes {
                     self.shared.pool.keep(&backend, conn, info.keep_alive);
                 }
-                Ok(respond(&head, RouteBody::whole(body)))
+                return Ok(respond(&head, RouteBody::whole(body)));
             }
             Ok(Err(e @ BackendError::TooLarge { .. })) => {
-                let report = Report::Crashed {
-                    kind: CrashKind::Malformed,
-                };
-                trace.attempt_failed(&attempt.assignment, report, &e.to_string());
-                tries.exclude_backend(&backend);
-                attempt.end(report);
-                Err(Failure::new(FailureKind::Failed, "answer-too-large"))
+                let failure = Failure::new(FailureKind::Failed, "answer-too-large");
+                (CrashKind::Malformed.into(), e.to_string(), failure)
             }
             Ok(Err(e)) => {
-                let report = broken(address).await;
-                let cause = format!("answer broke off: {e}");
-                trace.attempt_failed(&attempt.assignment, report, &cause);
-                tries.exclude_backend(&backend);
-                attempt.end(report);
-                Err(Failure::new(FailureKind::Failed, "answer-broke-off"))
+                let failure = Failure::new(FailureKind::Failed, "answer-broke-off");
+                let report = report_of_break(address).await;
+                (report, format!("answer broke off: {e}"), failure)
             }
             Err(_) => {
-                let report = Report::Crashed {
-                    kind: CrashKind::TimedOut,
-                };
-                trace.attempt_failed(&attempt.assignment, report, "answer not whole in time");
-                attempt.end(report);
-                Err(tries.out_of_time())
+                let cause = "answer not whole in time".to_owned();
+                (CrashKind::TimedOut.into(), cause, tries.out_of_time())
             }
-        }
+        };
+        trace.attempt_failed(&attempt.assignment, report, &cause);
+        tries.exclude_backend(&backend);
+        attempt.end(report);
+        Err(failure)
     }
 }
--- a/toucanchute_router/src/gateway/quarantine.rs
+++ b/toucanchute_router/src/gateway/quarantine.rs
@@ -4,8 +4,8 @@
 
 use snafu::Snafu;
 use tokio::sync::mpsc;
-use toucanchute_proto::{DecodeError, Millis, fleet::Verdict, from_cbor, to_cbor};
-use toucanchute_store::{Cas, Entry, Revision, Store, StoreError};
+use toucanchute_proto::{Millis, fleet::Verdict, from_cbor, to_cbor};
+use toucanchute_store::{Cas, Revision, Store, StoreError};
 use xtra::prelude::*;
 
 use crate::{
@@ -38,9 +38,6 @@
     /// A call to the store failed.
     #[snafu(display("{source}"), context(false))]
     Store { source: StoreError },
-    /// The list cannot be decoded.
-    #[snafu(display("{source}"), context(false))]
-    Malformed { source: DecodeError },
     /// Another router wrote at the same time.
     #[snafu(display("another router was faster"))]
     Taken,
@@ -66,10 +63,6 @@
                 }
                 return;
             }
-            Err(KeepError::Malformed { source }) => {
-                log::warn!(error:% = source; "quarantines-malformed");
-                return;
-            }
             Err(e) => {
                 log::debug!(error:% = e; "quarantines-unread");
                 pause().await;
@@ -98,26 +91,22 @@
     tokio::time::sleep(RETRY_PAUSE.mul_f64(jitter)).await;
 }
 
-/// Returns the list and the revision of its last change.
-async fn read<S: Store>(store: &S) -> Result<(Revision, Vec<Verdict>), KeepError> {
-    match store.get(KEY).await? {
-        None => Ok((Revision::ABSENT, Vec::new())),
-        Some(Entry {
-            value, revision, ..
-        }) => Ok((revision, from_cbor(&value)?)),
-    }
+/// Returns the list and the revision of its last change. One that cannot be decoded counts as empty,
+/// and is replaced by the next write.
+async fn read<S: Store>(store: &S) -> Result<(Revision, Vec<Verdict>), StoreError> {
+    let Some(entry) = store.get(KEY).await? else {
+        return Ok((Revision::ABSENT, Vec::new()));
+    };
+    let kept = from_cbor(&entry.value).unwrap_or_else(|e| {
+        log::warn!(revision = entry.revision.0, error:% = e; "quarantines-malformed");
+        Vec::new()
+    });
+    Ok((entry.revision, kept))
 }
 
 /// Adds requests to the list, unless it has them.
 async fn add<S: Store>(store: &S, news: &[Verdict]) -> Result<(), KeepError> {
-    let (revision, kept) = match read(store).await {
-        Err(KeepError::Malformed { source }) => {
-            log::warn!(error:% = source; "quarantines-malformed");
-            let entry = store.get(KEY).await?;
-            (entry.map_or(Revision::ABSENT, |e| e.revision), Vec::new())
-        }
-        read => read?,
-    };
+    let (revision, kept) = read(store).await?;
     let Some(list) = merge(clock::now(), kept, news) else {
         return Ok(());
     };
--- a/toucanchute_router/src/gateway/quarantine/tests.rs
+++ b/toucanchute_router/src/gateway/quarantine/tests.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use toucanchute_proto::{Digest, Incarnation, Millis, fleet::Standing};
-use toucanchute_store::{LeaseId, Selection, Snapshot, Watch};
+use toucanchute_store::{Entry, LeaseId, Selection, Snapshot, Watch};
 
 use super::*;
 
