test(fleet): a configuration packed anew on its way is found

Against a deliberate fault (the bytes that came are dropped, the configuration is packed anew) a_configuration_is_passed_on_as_it_came was green: both packings were the same. The configuration of the test has a field of a later version now, which packing anew would lose.

--- a/toucanchute_core/src/fleet/tests/configs.rs
+++ b/toucanchute_core/src/fleet/tests/configs.rs
@@ -68,7 +68,10 @@
 #[test]
 fn a_configuration_is_passed_on_as_it_came() {
     let mut fleet = fleet();
-    let packed = pack(&large(7));
+    // A field of a later version, which this one would lose in packing anew.
+    let mut config = serde_json::to_value(large(7)).unwrap();
+    config["later"] = 1.into();
+    let packed = pack(&config);
     let out = tell(&mut fleet, sent(&packed, 70));
     assert_eq!(in_force(&out), Some(7));
     let out = tell(
