feat(edge): log and count what responses of backend servers prove

The log could not tell a status that is passed on as a promise from one that comes with a statement that the request did not run, nor a refusal of this attempt from one of another (hypotheses 1 and 2 of docs/incidents/refused-and-ran.md).

promise-unproven is written for each response that promises without proof, with its status, the attempt that it names, whether it states that the request did not run, and whether its connection was used before. toucanchute_backend_responses counts all responses by the same.

--- a/toucanchute_edge/src/passthrough.rs
+++ b/toucanchute_edge/src/passthrough.rs
@@ -17,6 +17,7 @@
 mod proxied_request;
 mod relay;
 mod request_info;
+mod response_record;
 mod table;
 
 pub use body::ResponseBody;
@@ -26,3 +27,4 @@
 pub use gateway::Gateway;
 pub use headers::strip_connection_headers;
 pub use request_info::{PromptPart, RequestInfo, TokenBound};
+pub use response_record::{AttemptMatch, ResponseRecord, is_promise};
--- a/toucanchute_edge/src/passthrough/control.rs
+++ b/toucanchute_edge/src/passthrough/control.rs
@@ -3,7 +3,7 @@
 use toucanchute_core::routing::{AttemptReport, BackendNotice};
 use toucanchute_proto::{AttemptId, BudgetId, Incarnation, Millis, config::Config, fleet::Load};
 
-use super::Failure;
+use super::{Failure, ResponseRecord};
 use crate::control::{AssignRequest, Assignment, Refusal};
 
 /// The router's decisions that the gateway needs: tokens and backend servers for requests.
@@ -44,6 +44,9 @@
     /// Called before the end of that attempt is reported.
     fn report_notice(&self, backend: &str, notice: BackendNotice);
 
+    /// Records the head of a backend server's response for metrics.
+    fn record_response(&self, response: &ResponseRecord);
+
     /// Records the end of a request for metrics.
     fn record_end(&self, end: &RequestEnd<'_>);
 }
--- a/toucanchute_edge/src/passthrough/proxied_request.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request.rs
@@ -18,8 +18,8 @@
 };
 
 use super::{
-    Dialect, Failure, ForwardInfo, RateLimitHeader, RequestInfo, ResponseBody, ResponseInfo,
-    RouteControl, TokenBound, TokenRequest,
+    AttemptMatch, Dialect, Failure, ForwardInfo, RateLimitHeader, RequestInfo, ResponseBody,
+    ResponseInfo, ResponseRecord, RouteControl, TokenBound, TokenRequest,
     guards::{AttemptGuard, ReservationGuard},
     handler::{AdmittedRequest, GatewayState, InFlightGuard},
     headers::strip_connection_headers,
@@ -207,6 +207,7 @@
             let (head, body) = res.into_parts();
             let info = self.state.dialect.read_response(&head);
             self.report_backend_info(&attempt, &info);
+            self.record_response(&attempt, &conn, &head, &info, trace);
             let response = BackendResponse {
                 attempt,
                 conn,
@@ -322,6 +323,28 @@
         req
     }
 
+    /// Counts the head of a response, and logs it if it promises without proof that the request did
+    /// not run.
+    fn record_response(
+        &self,
+        attempt: &AttemptGuard<C>,
+        conn: &Connection,
+        head: &response::Parts,
+        info: &ResponseInfo,
+        trace: &RequestTrace<C>,
+    ) {
+        let record = ResponseRecord {
+            status: head.status,
+            attempt: AttemptMatch::new(self.info.attempt.as_deref(), info.attempt.as_deref()),
+            not_run: info.not_run,
+            reused: conn.reused,
+        };
+        self.state.control.record_response(&record);
+        if record.is_unproven_promise() {
+            trace.log_unproven_promise(&attempt.assignment, &record);
+        }
+    }
+
     /// Reports what the head of a response states about the backend server.
     fn report_backend_info(&self, attempt: &AttemptGuard<C>, info: &ResponseInfo) {
         let control = &self.state.control;
--- a/toucanchute_edge/src/passthrough/proxied_request/trace.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/trace.rs
@@ -6,7 +6,9 @@
 
 use crate::{
     control::Assignment,
-    passthrough::{Failure, RequestEnd, ResponseBody, RouteControl, TokenReservation},
+    passthrough::{
+        Failure, RequestEnd, ResponseBody, ResponseRecord, RouteControl, TokenReservation,
+    },
 };
 
 /// Record of what happened to a request. It is logged and counted once, on drop, however the
@@ -92,6 +94,21 @@
         );
     }
 
+    /// Logs a response that promises that the request did not run, without proof.
+    pub(super) fn log_unproven_promise(&self, assignment: &Assignment, response: &ResponseRecord) {
+        log::warn!(
+            request = self.request,
+            digest:% = self.digest,
+            attempt:% = assignment.attempt,
+            backend = assignment.backend,
+            status = response.status.as_u16(),
+            names = response.attempt.name(),
+            not_run = response.not_run,
+            reused = response.reused;
+            "promise-unproven"
+        );
+    }
+
     /// Logs that the request is retried.
     pub(in crate::passthrough) fn log_retry(&self, cause: &str) {
         log::info!(request = self.request, backend = self.backend, cause = cause; "request-repeated");
--- /dev/null
+++ b/toucanchute_edge/src/passthrough/response_record.rs
@@ -0,0 +1,81 @@
+use http::StatusCode;
+
+/// Whose attempt a backend server's response names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum AttemptMatch {
+    /// The attempt that the request was sent with.
+    Own,
+    /// Another attempt: the response is late, or was sent twice.
+    Other,
+    /// None.
+    Absent,
+}
+
+impl AttemptMatch {
+    /// Compares the attempt that a response names with the one that was sent. A request without an
+    /// attempt is never matched.
+    ///
+    /// ```
+    /// use toucanchute_edge::passthrough::AttemptMatch;
+    ///
+    /// assert_eq!(AttemptMatch::new(Some("a"), Some("a")), AttemptMatch::Own);
+    /// assert_eq!(AttemptMatch::new(Some("a"), Some("b")), AttemptMatch::Other);
+    /// assert_eq!(AttemptMatch::new(None, None), AttemptMatch::Absent);
+    /// ```
+    #[must_use]
+    pub fn new(sent: Option<&str>, named: Option<&str>) -> AttemptMatch {
+        match named {
+            None => AttemptMatch::Absent,
+            Some(_) if named == sent => AttemptMatch::Own,
+            Some(_) => AttemptMatch::Other,
+        }
+    }
+
+    /// Returns the name in logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            AttemptMatch::Own => "own",
+            AttemptMatch::Other => "other",
+            AttemptMatch::Absent => "none",
+        }
+    }
+}
+
+/// What the head of a backend server's response states about the request that was sent, for the log
+/// and for metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ResponseRecord {
+    /// Status of the response.
+    pub status: StatusCode,
+    /// Whose attempt the response names.
+    pub attempt: AttemptMatch,
+    /// Whether the response states that the request did not run.
+    pub not_run: bool,
+    /// Whether an earlier request was sent over the connection.
+    pub reused: bool,
+}
+
+impl ResponseRecord {
+    /// Whether the response promises that the request did not run, without proof: it names another
+    /// attempt or none, or only its status says so.
+    #[must_use]
+    pub fn is_unproven_promise(&self) -> bool {
+        let promises = self.not_run || is_promise(self.status);
+        let proven = self.attempt == AttemptMatch::Own
+            && (self.not_run || self.status == StatusCode::MISDIRECTED_REQUEST);
+        promises && !proven
+    }
+}
+
+/// Whether a status promises a caller that its request did not run and never will.
+#[must_use]
+pub fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
--- a/toucanchute_edge/tests/passthrough/dispatcher_gateway.rs
+++ b/toucanchute_edge/tests/passthrough/dispatcher_gateway.rs
@@ -15,7 +15,9 @@
 use toucanchute_core::routing::{self, Action, Dispatcher, Event};
 use toucanchute_edge::{
     AssignRequest, Assignment, AttemptReport, BackendNotice, Refusal, RequestOutcome,
-    passthrough::{Failure, Gateway, RequestEnd, RouteControl, TokenRequest, TokenReservation},
+    passthrough::{
+        Failure, Gateway, RequestEnd, ResponseRecord, RouteControl, TokenRequest, TokenReservation,
+    },
 };
 use toucanchute_proto::{
     AttemptId, Incarnation, Millis,
@@ -216,5 +218,7 @@
         self.handle_event(Event::Notice { backend, notice });
     }
 
+    fn record_response(&self, _response: &ResponseRecord) {}
+
     fn record_end(&self, _end: &RequestEnd<'_>) {}
 }
--- a/toucanchute_edge/tests/passthrough/support.rs
+++ b/toucanchute_edge/tests/passthrough/support.rs
@@ -19,8 +19,8 @@
     RequestOutcome,
     passthrough::{
         Dialect, Failure, FailureKind, ForwardInfo, Gateway, RateLimitHeader, RequestEnd,
-        RequestInfo, ResponseInfo, RouteControl, TokenBound, TokenRequest, TokenReservation,
-        strip_connection_headers,
+        RequestInfo, ResponseInfo, ResponseRecord, RouteControl, TokenBound, TokenRequest,
+        TokenReservation, strip_connection_headers,
     },
 };
 use toucanchute_proto::{AttemptId, Incarnation, Millis, RequestRate, config::Config, fleet::Load};
@@ -240,6 +240,8 @@
 
     fn report_notice(&self, _backend: &str, _notice: BackendNotice) {}
 
+    fn record_response(&self, _response: &ResponseRecord) {}
+
     fn record_end(&self, _end: &RequestEnd<'_>) {}
 }
 
--- a/toucanchute_router/src/gateway/control.rs
+++ b/toucanchute_router/src/gateway/control.rs
@@ -7,7 +7,10 @@
 use toucanchute_edge::{
     AssignRequest, Assignment, AttemptReport, BackendNotice, Refusal, RefusalReason,
     RequestOutcome,
-    passthrough::{Failure, FailureKind, RequestEnd, RouteControl, TokenRequest, TokenReservation},
+    passthrough::{
+        Failure, FailureKind, RequestEnd, ResponseRecord, RouteControl, TokenRequest,
+        TokenReservation,
+    },
 };
 use toucanchute_proto::{AttemptId, config::Config, fleet::Load};
 use xtra::prelude::*;
@@ -87,6 +90,10 @@
         post(&self.dispatch, input);
     }
 
+    fn record_response(&self, response: &ResponseRecord) {
+        self.metrics.record_response(response);
+    }
+
     fn record_end(&self, end: &RequestEnd<'_>) {
         self.metrics.record_request(end);
     }
--- a/toucanchute_router/src/gateway/metrics.rs
+++ b/toucanchute_router/src/gateway/metrics.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpListener;
 use toucanchute_edge::{
     AttemptReport, BackendNotice,
-    passthrough::{Failure, RequestEnd, TokenReservation},
+    passthrough::{Failure, RequestEnd, ResponseRecord, TokenReservation},
 };
 use toucanchute_platform::StoreClient;
 use toucanchute_store::CallCounts;
@@ -46,6 +46,7 @@
     standings: Family<StandingLabels, Gauge>,
     notices: Family<NoticeLabels, Counter>,
     permits_used: Counter,
+    responses: Family<ResponseLabels, Counter>,
 }
 
 // The fields of label sets are written out under their own names.
@@ -71,6 +72,14 @@
     word: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ResponseLabels {
+    status: u16,
+    names: &'static str,
+    not_run: &'static str,
+    connection: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StandingLabels {
     standing: &'static str,
@@ -98,6 +107,7 @@
             standings: Family::default(),
             notices: Family::default(),
             permits_used: Counter::default(),
+            responses: Family::default(),
         };
         metrics.register();
         metrics
@@ -157,6 +167,12 @@
             "Attempts at rate-limited backend servers",
             self.permits_used.clone(),
         );
+        registry.register(
+            "backend_responses",
+            "Responses of backend servers by status, by the attempt that they name, by whether they \
+             state that the request did not run, and by the connection",
+            self.responses.clone(),
+        );
     }
 
     /// Counts a request that has ended and records its time to first byte, if it is known.
@@ -218,6 +234,17 @@
         self.permits_used.inc();
     }
 
+    /// Counts a backend server's response.
+    pub(super) fn record_response(&self, response: &ResponseRecord) {
+        let labels = ResponseLabels {
+            status: response.status.as_u16(),
+            names: response.attempt.name(),
+            not_run: if response.not_run { "yes" } else { "no" },
+            connection: if response.reused { "reused" } else { "new" },
+        };
+        self.responses.get_or_create(&labels).inc();
+    }
+
     /// Adds the tokens that a request used.
     pub(super) fn record_tokens_used(&self, tokens: u64) {
         self.tokens_used.inc_by(tokens);
