--- a/toucanchute_edge/tests/passthrough/main.rs
+++ b/toucanchute_edge/tests/passthrough/main.rs
@@ -6,6 +6,8 @@
 mod endless;
 mod ends;
 mod notices;
+mod promises;
+mod raw_backend;
 mod repeats;
 mod streams;
 mod support;
--- /dev/null
+++ b/toucanchute_edge/tests/passthrough/raw_backend.rs
@@ -0,0 +1,161 @@
+//! Backend servers that write bytes by hand, request by request.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+use crate::support::{Backend, read_request};
+
+/// What a server does with a request; the steps are carried out in turn.
+#[derive(Clone, Debug)]
+pub(crate) enum Step {
+    /// Reads a whole request and records it as run.
+    Run,
+    /// Reads this many bytes of a request.
+    Read(usize),
+    /// Reads a whole request.
+    ReadRequest,
+    /// Writes these bytes.
+    Write(String),
+    /// Waits.
+    Pause(Duration),
+    /// Closes the connection.
+    Close,
+    /// Resets the connection.
+    Reset,
+    /// Closes the sending half and goes on reading.
+    ShutDownWrite,
+}
+
+/// A server that carries out the same steps on each of its connections, the first time with the
+/// steps of the first list, and so on. The last list is repeated.
+pub(crate) struct RawBackend {
+    pub(crate) backend: Backend,
+    /// Bytes that were received, a text for each connection.
+    received: Arc<Mutex<Vec<String>>>,
+    /// Requests that ran.
+    runs: Arc<Mutex<Vec<String>>>,
+}
+
+impl RawBackend {
+    /// Starts a server; `connections` holds the steps of its first connection, its second, and so
+    /// on.
+    pub(crate) async fn start(connections: Vec<Vec<Step>>) -> RawBackend {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address: SocketAddr = listener.local_addr().unwrap();
+        let received: Arc<Mutex<Vec<String>>> = Arc::default();
+        let runs: Arc<Mutex<Vec<String>>> = Arc::default();
+        let server = RawBackend {
+            backend: Backend::absent(address),
+            received: Arc::clone(&received),
+            runs: Arc::clone(&runs),
+        };
+        tokio::spawn(async move {
+            let mut accepted = 0;
+            while let Ok((stream, _)) = listener.accept().await {
+                let steps = connections[accepted.min(connections.len() - 1)].clone();
+                received.lock().unwrap().push(String::new());
+                let connection = RawConnection {
+                    stream,
+                    number: accepted,
+                    received: Arc::clone(&received),
+                    runs: Arc::clone(&runs),
+                };
+                tokio::spawn(connection.serve(steps));
+                accepted += 1;
+            }
+        });
+        server
+    }
+
+    /// Returns the identifiers of the attempts that ran.
+    pub(crate) fn attempts_run(&self) -> Vec<String> {
+        let attempt = |req: &String| {
+            let line = req.lines().find_map(|l| l.strip_prefix("x-attempt: "));
+            line.unwrap_or_default().to_owned()
+        };
+        self.runs.lock().unwrap().iter().map(attempt).collect()
+    }
+
+    /// Returns whether any byte of a request with this attempt was received.
+    pub(crate) fn has_received(&self, attempt: &str) -> bool {
+        let line = format!("x-attempt: {attempt}\r\n");
+        self.received
+            .lock()
+            .unwrap()
+            .iter()
+            .any(|r| r.contains(&line))
+    }
+
+    /// Returns the number of connections that were accepted.
+    pub(crate) fn connection_count(&self) -> usize {
+        self.received.lock().unwrap().len()
+    }
+}
+
+struct RawConnection {
+    stream: TcpStream,
+    number: usize,
+    received: Arc<Mutex<Vec<String>>>,
+    runs: Arc<Mutex<Vec<String>>>,
+}
+
+impl RawConnection {
+    async fn serve(mut self, steps: Vec<Step>) {
+        for step in steps {
+            match step {
+                Step::Run => {
+                    let Some(req) = self.read_request().await else {
+                        return;
+                    };
+                    self.runs.lock().unwrap().push(req);
+                }
+                Step::ReadRequest => {
+                    self.read_request().await;
+                }
+                Step::Read(bytes) => self.read(bytes).await,
+                // The router may have closed the connection.
+                Step::Write(text) => drop(self.stream.write_all(text.as_bytes()).await),
+                Step::Pause(span) => tokio::time::sleep(span).await,
+                Step::Close => return,
+                Step::Reset => {
+                    #[allow(deprecated)]
+                    self.stream.set_linger(Some(Duration::ZERO)).unwrap();
+                    return;
+                }
+                Step::ShutDownWrite => drop(self.stream.shutdown().await),
+            }
+        }
+        // Reads on until the router closes the connection.
+        while self.read_some().await > 0 {}
+    }
+
+    async fn read_request(&mut self) -> Option<String> {
+        let req = read_request(&mut self.stream).await?;
+        self.received.lock().unwrap()[self.number].push_str(&req);
+        Some(req)
+    }
+
+    async fn read(&mut self, bytes: usize) {
+        let mut buf = vec![0; bytes];
+        if self.stream.read_exact(&mut buf).await.is_ok() {
+            let text = String::from_utf8_lossy(&buf);
+            self.received.lock().unwrap()[self.number].push_str(&text);
+        }
+    }
+
+    async fn read_some(&mut self) -> usize {
+        let mut buf = [0; 4_096];
+        let len = self.stream.read(&mut buf).await.unwrap_or(0);
+        let text = String::from_utf8_lossy(&buf[..len]);
+        self.received.lock().unwrap()[self.number].push_str(&text);
+        len
+    }
+}
