fix(edge): promise that a request did not run only with proof of this very attempt

Cause: the promise rested on what a backend server's bytes looked like. A status of 503, 429 or 408 was passed on although only the statement of the server, or 421, says that the request did not run; and a refusal was believed before its attempt was compared, so that a late or second response on a kept connection ended the next request, or had it sent again.

Now a request that is about to be sent counts as run until that is disproved. RunRecord holds the attempts that may have run; AttemptNotRun is made from two kinds of evidence only, an error that shows that nothing was written, or a response that names the attempt and states that it did not run; FailureKind::NotRun needs the NotRun that only a record without open attempts gives. Responses are relayed through RelayableHead, which takes no head whose status is a promise. What is not proved ends with 502 without a seal; proved refusals stay 503 with Retry-After. Reports to the dispatcher stay as they were, so that limits and health learn as before, except that a 421 of another attempt no longer marks a server as gone, and a 429 or 408 without the statement counts as a failure, not as an invalid request. A connect that is still under way at the deadline is now told as not run (503, was 504): the request is handed over only to an open connection.

Weighed: a check at the one place where responses leave. It would see the status, but not why an attempt ended, and a second send needs the same proof; with the type, a place without proof does not compile.

The test an_error_without_a_not_run_header_may_have_run now also asserts what the caller is told.

--- a/toucanchute_edge/src/lib.rs
+++ b/toucanchute_edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod problem;
 mod reply;
 mod route;
+mod run_record;
 mod service;
 mod settings;
 mod sse;
@@ -29,5 +30,6 @@
     Refusal, RefusalReason, RequestOutcome, Reservation, ReserveRequest, ServiceAnswer, Settlement,
 };
 pub use edge::Edge;
+pub use run_record::{NotRun, RunRecord};
 pub use settings::EdgeSettings;
 pub use toucanchute_core::routing::{AttemptReport, BackendNotice, CrashKind, Target};
--- a/toucanchute_edge/src/passthrough.rs
+++ b/toucanchute_edge/src/passthrough.rs
@@ -16,15 +16,19 @@
 mod pool;
 mod proxied_request;
 mod relay;
+mod relayable_head;
 mod request_info;
 mod response_record;
 mod table;
 
 pub use body::ResponseBody;
-pub use control::{RequestEnd, RouteControl, TokenRequest, TokenReservation};
+pub use control::{
+    RequestEnd, RouteControl, TokenRefusal, TokenRefusalReason, TokenRequest, TokenReservation,
+};
 pub use dialect::{BackendLoad, Dialect, ForwardInfo, RateLimitHeader, ResponseInfo};
 pub use failure::{Failure, FailureKind};
 pub use gateway::Gateway;
 pub use headers::strip_connection_headers;
+pub(crate) use pool::SendError;
 pub use request_info::{PromptPart, RequestInfo, TokenBound};
 pub use response_record::{AttemptMatch, ResponseRecord, is_promise};
--- a/toucanchute_edge/src/passthrough/control.rs
+++ b/toucanchute_edge/src/passthrough/control.rs
@@ -3,7 +3,7 @@
 use toucanchute_core::routing::{AttemptReport, BackendNotice};
 use toucanchute_proto::{AttemptId, BudgetId, Incarnation, Millis, config::Config, fleet::Load};
 
-use super::{Failure, ResponseRecord};
+use super::ResponseRecord;
 use crate::control::{AssignRequest, Assignment, Refusal};
 
 /// The router's decisions that the gateway needs: tokens and backend servers for requests.
@@ -21,7 +21,7 @@
     fn reserve(
         &self,
         req: TokenRequest,
-    ) -> impl Future<Output = Result<TokenReservation, Failure>> + Send;
+    ) -> impl Future<Output = Result<TokenReservation, TokenRefusal>> + Send;
 
     /// Ends a reservation of which the request used `used` tokens.
     fn settle(&self, reservation: TokenReservation, used: u64);
@@ -76,6 +76,41 @@
     pub owner: Incarnation,
 }
 
+/// A request for tokens that is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TokenRefusal {
+    /// Why no tokens were reserved.
+    pub reason: TokenRefusalReason,
+    /// Time after which a retry may succeed, where that helps.
+    pub retry_after: Option<Millis>,
+}
+
+/// Reason of a [`TokenRefusal`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TokenRefusalReason {
+    /// What is left of the budget does not cover the request.
+    Exhausted,
+    /// Tokens that other requests have reserved would have to be returned first.
+    Held,
+    /// The budget's owner could not be reached in time.
+    Unavailable,
+    /// The router is stopping.
+    Stopping,
+}
+
+impl TokenRefusalReason {
+    /// Returns the name in logs, metrics and responses.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            TokenRefusalReason::Exhausted => "budget-exhausted",
+            TokenRefusalReason::Held => "budget-held",
+            TokenRefusalReason::Unavailable => "budget-unavailable",
+            TokenRefusalReason::Stopping => "stopping",
+        }
+    }
+}
+
 /// How a request ended, for metrics.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestEnd<'a> {
--- a/toucanchute_edge/src/passthrough/failure.rs
+++ b/toucanchute_edge/src/passthrough/failure.rs
@@ -2,8 +2,11 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use toucanchute_proto::Millis;
 
-use super::ResponseBody;
-use crate::control::{Refusal, RefusalReason};
+use super::{ResponseBody, TokenRefusal, TokenRefusalReason};
+use crate::{
+    control::{Refusal, RefusalReason},
+    run_record::{NotRun, RunRecord},
+};
 
 /// Why a request ends without a response of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -31,8 +34,8 @@
     BudgetExhausted,
     /// The body is too large.
     TooLarge,
-    /// The request did not run and may be sent again.
-    NotRun,
+    /// The request did not run, as the proof shows, and may be sent again.
+    NotRun(NotRun),
     /// The request failed and may have run.
     Failed,
     /// The deadline has passed; the request may have run.
@@ -49,7 +52,7 @@
             FailureKind::Unauthorized => StatusCode::UNAUTHORIZED,
             FailureKind::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
             FailureKind::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            FailureKind::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            FailureKind::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
             FailureKind::Failed => StatusCode::BAD_GATEWAY,
             FailureKind::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -67,6 +70,36 @@
         }
     }
 
+    /// Creates the failure of a request that is not served: of kind [`FailureKind::NotRun`] if the
+    /// record proves that, else [`FailureKind::Failed`] without a retry time.
+    #[must_use]
+    pub fn unserved(
+        record: &RunRecord,
+        reason: &'static str,
+        retry_after: Option<Millis>,
+    ) -> Failure {
+        match record.not_run() {
+            Some(proof) => {
+                Failure::new(FailureKind::NotRun(proof), reason).retry_after(retry_after)
+            }
+            None => Failure::new(FailureKind::Failed, reason),
+        }
+    }
+
+    /// Creates the failure of a request that the router refuses to send to a backend server.
+    pub(super) fn from_refusal(record: &RunRecord, refusal: &Refusal) -> Failure {
+        Failure::unserved(record, refusal_reason(refusal.reason), refusal.retry_after)
+    }
+
+    /// Creates the failure of a request for which no tokens were reserved.
+    pub(super) fn from_token_refusal(record: &RunRecord, refusal: TokenRefusal) -> Failure {
+        let reason = refusal.reason.name();
+        match refusal.reason {
+            TokenRefusalReason::Exhausted => Failure::new(FailureKind::BudgetExhausted, reason),
+            _ => Failure::unserved(record, reason, refusal.retry_after),
+        }
+    }
+
     /// Sets the time after which a retry may succeed.
     #[must_use]
     pub fn retry_after(mut self, after: Option<Millis>) -> Failure {
@@ -92,22 +125,19 @@
     }
 }
 
-/// Failure of a request that was refused before it was sent to any backend server.
-impl From<Refusal> for Failure {
-    fn from(refusal: Refusal) -> Failure {
-        let reason = match refusal.reason {
-            RefusalReason::Overloaded => "overloaded",
-            RefusalReason::NoBackend => "no-backend",
-            RefusalReason::Resting => "backends-resting",
-            RefusalReason::RateLimited => "backends-rate-limited",
-            RefusalReason::RetriesExhausted => "retries-exhausted",
-            RefusalReason::Quarantined => "quarantined",
-            RefusalReason::StaleView => "stale-view",
-            RefusalReason::Draining => "draining",
-            RefusalReason::Starting => "starting",
-            _ => "unavailable",
-        };
-        Failure::new(FailureKind::NotRun, reason).retry_after(refusal.retry_after)
+/// Returns the name of a refusal's reason in logs, metrics and responses.
+fn refusal_reason(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::Overloaded => "overloaded",
+        RefusalReason::NoBackend => "no-backend",
+        RefusalReason::Resting => "backends-resting",
+        RefusalReason::RateLimited => "backends-rate-limited",
+        RefusalReason::RetriesExhausted => "retries-exhausted",
+        RefusalReason::Quarantined => "quarantined",
+        RefusalReason::StaleView => "stale-view",
+        RefusalReason::Draining => "draining",
+        RefusalReason::Starting => "starting",
+        _ => "unavailable",
     }
 }
 
--- a/toucanchute_edge/src/passthrough/handler.rs
+++ b/toucanchute_edge/src/passthrough/handler.rs
@@ -19,7 +19,7 @@
     proxied_request::{ProxiedRequest, RequestTrace},
     table::RouteTable,
 };
-use crate::settings::duration;
+use crate::{run_record::RunRecord, settings::duration};
 
 /// State that all requests of one gateway share.
 pub(super) struct GatewayState<C, D> {
@@ -109,7 +109,8 @@
     let received_at = Instant::now();
     let table = state.table();
     trace.config_version = table.version();
-    match admit(&state, &table, &head, &info, &mut trace) {
+    let record = RunRecord::new();
+    match admit(&state, &table, &head, &info, &record, &mut trace) {
         Ok(admitted) => {
             let limits = table.config().callers.clone().unwrap_or_default();
             let timeout = duration(admitted.timeout);
@@ -118,7 +119,7 @@
                 Ok(Ok(body)) => {
                     let request =
                         ProxiedRequest::new(state, table, admitted, head, body, info, deadline);
-                    request.serve(trace, in_flight).await
+                    request.serve(record, trace, in_flight).await
                 }
                 Ok(Err(failure)) => trace.fail(failure),
                 Err(_) => trace.fail(Failure::new(FailureKind::TimedOut, "body-timeout")),
@@ -147,10 +148,11 @@
     table: &RouteTable,
     head: &request::Parts,
     info: &RequestInfo,
+    record: &RunRecord,
     trace: &mut RequestTrace<C>,
 ) -> Result<AdmittedRequest, Failure> {
     if let Some(refusal) = state.control.unready() {
-        return Err(refusal.into());
+        return Err(Failure::from_refusal(record, &refusal));
     }
     let host = head.headers.get(header::HOST).and_then(|v| v.to_str().ok());
     let host = host.or(head.uri.host()).unwrap_or_default();
--- a/toucanchute_edge/src/passthrough/pool.rs
+++ b/toucanchute_edge/src/passthrough/pool.rs
@@ -70,7 +70,7 @@
 
 /// Why a request got no response from a backend server.
 #[derive(Debug, Snafu)]
-pub(super) enum SendError {
+pub(crate) enum SendError {
     /// The connection could not be opened, so that nothing was sent.
     #[snafu(display("cannot connect to the backend server: {source}"))]
     Connect {
@@ -92,6 +92,15 @@
 }
 
 impl SendError {
+    /// Whether nothing of the request was written: the connection was not opened, or it ended while
+    /// the request was still queued in front of it.
+    pub(crate) fn is_unsent(&self) -> bool {
+        match self {
+            SendError::Connect { .. } | SendError::Unsent => true,
+            SendError::TooManyInterim | SendError::Broken { .. } => false,
+        }
+    }
+
     /// Whether the address refuses connections, which means that the backend server no longer runs
     /// there.
     pub(super) fn is_connection_refused(&self) -> bool {
--- a/toucanchute_edge/src/passthrough/proxied_request.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request.rs
@@ -4,16 +4,16 @@
 mod retry;
 mod trace;
 
-use std::{sync::Arc, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, Uri, request, response};
+use http::{Request, Response, Uri, request, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 use toucanchute_core::routing::{BackendNotice, Target, request_digest};
 use toucanchute_proto::{
-    Digest, Millis,
+    AttemptId, Digest, Millis,
     config::{Customer, Route, RouteKind},
 };
 
@@ -22,13 +22,14 @@
     ResponseInfo, ResponseRecord, RouteControl, TokenBound, TokenRequest,
     guards::{AttemptGuard, ReservationGuard},
     handler::{AdmittedRequest, GatewayState, InFlightGuard},
-    headers::strip_connection_headers,
     pool::{Connection, SendError},
     relay,
+    relayable_head::RelayableHead,
     table::RouteTable,
 };
 use crate::{
     control::{AssignRequest, Assignment},
+    run_record::{AttemptNotRun, RunRecord},
     settings::now,
 };
 pub(super) use retry::RetryState;
@@ -59,11 +60,21 @@
     pub(super) deadline: Instant,
 }
 
-/// A backend server's response whose body has not been read yet.
+/// A backend server's response whose head has not been checked yet.
+struct UncheckedResponse<C: RouteControl> {
+    attempt: AttemptGuard<C>,
+    conn: Connection,
+    head: response::Parts,
+    body: Incoming,
+    info: ResponseInfo,
+    record: ResponseRecord,
+}
+
+/// A backend server's response that may be relayed and whose body has not been read yet.
 pub(super) struct BackendResponse<C: RouteControl> {
     pub(super) attempt: AttemptGuard<C>,
     pub(super) conn: Connection,
-    pub(super) head: response::Parts,
+    pub(super) head: RelayableHead,
     pub(super) body: Incoming,
     pub(super) info: ResponseInfo,
 }
@@ -96,16 +107,17 @@
     /// Serves the request. The events of a stream are relayed in a separate task.
     pub(super) async fn serve(
         self,
+        record: RunRecord,
         mut trace: RequestTrace<C>,
         in_flight: InFlightGuard,
     ) -> Response<ResponseBody> {
         let customer = self.customer().map_or("", |c| c.name.as_str());
         trace.digest = request_digest(customer, self.digest);
-        let reservation = match self.reserve_tokens(&mut trace).await {
+        let reservation = match self.reserve_tokens(&record, &mut trace).await {
             Ok(reservation) => reservation,
             Err(failure) => return trace.fail(failure),
         };
-        let mut retries = RetryState::new(self.route());
+        let mut retries = RetryState::new(self.route(), record);
         loop {
             let response = match self.next_response(&mut retries, &mut trace, None).await {
                 Ok(response) => response,
@@ -113,7 +125,7 @@
             };
             trace.record_first_byte();
             let is_stream = self.route().kind == RouteKind::Stream;
-            if is_stream && response.head.status.is_success() {
+            if is_stream && response.head.status().is_success() {
                 return relay::start(self, response, retries, reservation, trace, in_flight);
             }
             match self.read_whole(response, &mut retries, &trace).await {
@@ -148,6 +160,7 @@
 
     async fn reserve_tokens(
         &self,
+        record: &RunRecord,
         trace: &mut RequestTrace<C>,
     ) -> Result<ReservationGuard<C>, Failure> {
         let control = &self.state.control;
@@ -161,7 +174,9 @@
             tokens: bound.total(),
             deadline: self.unix_deadline(),
         };
-        let reservation = control.reserve(req).await?;
+        let reservation = control.reserve(req).await;
+        let reservation =
+            reservation.map_err(|refusal| Failure::from_token_refusal(record, refusal))?;
         trace.record_reservation(&reservation);
         Ok(ReservationGuard::new(
             Arc::clone(control),
@@ -196,6 +211,7 @@
             }
             let attempt = self.assign(retries).await?;
             trace.record_assignment(&attempt.assignment);
+            retries.begin_attempt(attempt.assignment.attempt);
             let (res, conn) = match self.exchange(&attempt, retries, resume_after).await {
                 Ok(exchanged) => exchanged,
                 Err(e) => {
@@ -207,13 +223,14 @@
             let (head, body) = res.into_parts();
             let info = self.state.dialect.read_response(&head);
             self.report_backend_info(&attempt, &info);
-            self.record_response(&attempt, &conn, &head, &info, trace);
-            let response = BackendResponse {
+            let record = self.record_response(&attempt, &conn, &head, &info, trace);
+            let response = UncheckedResponse {
                 attempt,
                 conn,
                 head,
                 body,
                 info,
+                record,
             };
             if let Some(response) = self.check_response(response, retries, trace).await? {
                 return Ok(response);
@@ -227,7 +244,7 @@
             timeout_at(self.deadline, control.assign(self.assign_request(retries))).await;
         match assigned {
             Ok(Ok(assignment)) => Ok(AttemptGuard::new(Arc::clone(control), assignment)),
-            Ok(Err(refusal)) => Err(retries.final_failure(refusal.into())),
+            Ok(Err(refusal)) => Err(retries.refused(&refusal)),
             Err(_) => Err(retries.deadline_failure()),
         }
     }
@@ -276,7 +293,7 @@
         let pool = &self.state.pool;
         let non_idempotent = !retries.is_idempotent();
         let connect = pool.connect(&assignment.backend, assignment.address, non_idempotent);
-        let mut conn = with_deadline(self.deadline, connect).await?;
+        let mut conn = connect_by(self.deadline, connect).await?;
         let response_deadline = retries.first_byte_deadline(self.route(), self.deadline);
         let sent = with_deadline(
             response_deadline,
@@ -288,7 +305,7 @@
                 source: SendError::Unsent,
             }) if conn.reused => {
                 let connect = pool.connect_new(assignment.address);
-                let mut conn = with_deadline(self.deadline, connect).await?;
+                let mut conn = connect_by(self.deadline, connect).await?;
                 let response_deadline = retries.first_byte_deadline(self.route(), self.deadline);
                 let sent = with_deadline(
                     response_deadline,
@@ -332,7 +349,7 @@
         head: &response::Parts,
         info: &ResponseInfo,
         trace: &RequestTrace<C>,
-    ) {
+    ) -> ResponseRecord {
         let record = ResponseRecord {
             status: head.status,
             attempt: AttemptMatch::new(self.info.attempt.as_deref(), info.attempt.as_deref()),
@@ -343,6 +360,7 @@
         if record.is_unproven_promise() {
             trace.log_unproven_promise(&attempt.assignment, &record);
         }
+        record
     }
 
     /// Reports what the head of a response states about the backend server.
@@ -401,6 +419,30 @@
     TimedOut,
 }
 
+impl ExchangeError {
+    /// Returns the proof that the attempt did not run, if the error shows that nothing was sent.
+    fn not_run_proof(&self, attempt: AttemptId) -> Option<AttemptNotRun> {
+        match self {
+            ExchangeError::Send { source } => AttemptNotRun::from_send_error(attempt, source),
+            ExchangeError::TimedOut => None,
+        }
+    }
+}
+
+/// Opens a connection until `deadline`. The request is handed over only afterwards, so that nothing
+/// of it is written if the time runs out.
+async fn connect_by(
+    deadline: Instant,
+    connect: impl Future<Output = Result<Connection, SendError>>,
+) -> Result<Connection, SendError> {
+    match timeout_at(deadline, connect).await {
+        Ok(connected) => connected,
+        Err(_) => Err(SendError::Connect {
+            source: io::ErrorKind::TimedOut.into(),
+        }),
+    }
+}
+
 /// Runs `work` until `deadline`.
 async fn with_deadline<T>(
     deadline: Instant,
@@ -412,19 +454,6 @@
     }
 }
 
-/// Returns a response to the caller with a backend server's status and headers.
-pub(super) fn caller_response(
-    head: &response::Parts,
-    body: ResponseBody,
-) -> Response<ResponseBody> {
-    let mut res = Response::new(body);
-    *res.status_mut() = head.status;
-    let mut headers: HeaderMap = head.headers.clone();
-    strip_connection_headers(&mut headers);
-    *res.headers_mut() = headers;
-    res
-}
-
 /// Chooses one of a route's services at random, by their weights.
 fn choose_service(route: &Route) -> String {
     let total: u32 = route.targets.iter().map(|t| t.weight).sum();
--- a/toucanchute_edge/src/passthrough/proxied_request/responses.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/responses.rs
@@ -1,21 +1,23 @@
 //! Handles the result of an attempt: no response, an error response or one to relay.
 
-use http::Response;
+use http::{Response, StatusCode};
 use tokio::time::timeout_at;
 use toucanchute_core::routing::{AttemptReport, CrashKind};
 use toucanchute_proto::Millis;
 
 use super::{
     BackendResponse, ExchangeError, MIN_TIME_LEFT, ProxiedRequest, RequestTrace, RetryState,
-    caller_response,
+    UncheckedResponse,
 };
 use crate::{
     backend::{BackendError, read_body, report_for_status},
     passthrough::{
-        Dialect, Failure, FailureKind, ResponseBody, RouteControl,
+        AttemptMatch, Dialect, Failure, FailureKind, ResponseBody, ResponseRecord, RouteControl,
         guards::AttemptGuard,
         pool::{SendError, broken_connection_report},
+        relayable_head::RelayableHead,
     },
+    run_record::AttemptNotRun,
 };
 
 /// Largest response that is buffered as a whole, in bytes. Some dozens of them fit into a small
@@ -37,8 +39,9 @@
         retries: &mut RetryState,
         trace: &mut RequestTrace<C>,
     ) -> Result<(), Failure> {
-        let address = attempt.assignment.address;
-        retries.exclude_backend(&attempt.assignment.backend);
+        let assignment = &attempt.assignment;
+        retries.exclude_backend(&assignment.backend);
+        let proof = error.not_run_proof(assignment.attempt);
         let report = match error {
             ExchangeError::Send { ref source } if source.is_connection_refused() => {
                 AttemptReport::Gone
@@ -48,18 +51,19 @@
             } => AttemptReport::Unsent,
             ExchangeError::Send {
                 source: SendError::Broken { .. },
-            } => broken_connection_report(address).await,
+            } => broken_connection_report(assignment.address).await,
             ExchangeError::Send {
                 source: SendError::TooManyInterim,
             } => CrashKind::Malformed.into(),
             ExchangeError::TimedOut => CrashKind::TimedOut.into(),
         };
-        trace.log_attempt_failure(&attempt.assignment, report, &error.to_string());
+        trace.log_attempt_failure(assignment, report, &error.to_string());
         attempt.report_end(report);
-        if matches!(report, AttemptReport::Unsent | AttemptReport::Gone) {
+        if let Some(proof) = proof {
+            retries.attempt_not_run(&proof);
             return retries.record_connect_failure();
         }
-        retries.record_send(true);
+        retries.record_send();
         if retries.may_rerun() {
             return Ok(());
         }
@@ -73,60 +77,82 @@
     /// backend server.
     pub(super) async fn check_response(
         &self,
-        response: BackendResponse<C>,
+        response: UncheckedResponse<C>,
         retries: &mut RetryState,
         trace: &mut RequestTrace<C>,
     ) -> Result<Option<BackendResponse<C>>, Failure> {
-        let info = &response.info;
-        let status = response.head.status;
-        if info.not_run || info.misdirected {
-            let report = match info.misdirected {
-                true => AttemptReport::Gone,
-                false => AttemptReport::Refused,
-            };
-            return self
-                .handle_refusal(response, report, retries, trace)
-                .await
-                .map(|()| None);
+        let attempt_id = response.attempt.assignment.attempt;
+        retries.record_send();
+        if let Some(proof) = AttemptNotRun::from_response(attempt_id, &response.record) {
+            retries.attempt_not_run(&proof);
+            self.handle_refusal(response, retries, trace).await?;
+            return Ok(None);
         }
-        let wrong_attempt =
-            info.attempt != self.info.attempt && (status.is_success() || info.attempt.is_some());
-        if wrong_attempt || info.encoded || status.is_success() && !info.sealed {
-            let report = CrashKind::Malformed.into();
-            retries.exclude_backend(&response.attempt.assignment.backend);
+        if !self.is_own_response(&response) {
             let cause = "the response is encoded, has no seal or belongs to another attempt";
-            trace.log_attempt_failure(&response.attempt.assignment, report, cause);
-            response.attempt.report_end(report);
-            retries.record_send(true);
+            let report = CrashKind::Malformed.into();
+            end_failed_attempt(response.attempt, report, cause, retries, trace);
             return match retries.may_rerun() {
                 true => Ok(None),
                 false => Err(Failure::new(FailureKind::Failed, "answer-malformed")),
             };
         }
-        retries.record_send(true);
-        if status.is_server_error() && retries.may_rerun() {
+        let UncheckedResponse {
+            attempt,
+            conn,
+            head,
+            body,
+            info,
+            record,
+        } = response;
+        let Ok(head) = RelayableHead::new(head) else {
+            let cause = "the backend server promised without proof that the request did not run";
+            end_failed_attempt(attempt, unproven_report(&record), cause, retries, trace);
+            return match retries.may_rerun() {
+                true => Ok(None),
+                false => Err(Failure::new(FailureKind::Failed, "refusal-unproven")),
+            };
+        };
+        let response = BackendResponse {
+            attempt,
+            conn,
+            head,
+            body,
+            info,
+        };
+        if response.head.status().is_server_error() && retries.may_rerun() {
             self.handle_server_error(response, retries, trace).await;
             return Ok(None);
         }
         Ok(Some(response))
     }
 
+    /// Whether a response may belong to the request, and is what a backend server sends: not
+    /// encoded, and a success with a seal. An error may lack the attempt.
+    fn is_own_response(&self, response: &UncheckedResponse<C>) -> bool {
+        let is_success = response.head.status.is_success();
+        let names_request = match response.record.attempt {
+            AttemptMatch::Own => true,
+            AttemptMatch::Other => false,
+            AttemptMatch::Absent => !is_success || self.info.attempt.is_none(),
+        };
+        names_request && (response.info.sealed || !is_success) && !response.info.encoded
+    }
+
     /// Ends an attempt whose request the backend server did not run. An error ends the request.
     async fn handle_refusal(
         &self,
-        response: BackendResponse<C>,
-        report: AttemptReport,
+        response: UncheckedResponse<C>,
         retries: &mut RetryState,
         trace: &mut RequestTrace<C>,
     ) -> Result<(), Failure> {
         let backend = response.attempt.assignment.backend.clone();
-        retries.exclude_backend(&backend);
-        trace.log_attempt_failure(
-            &response.attempt.assignment,
-            report,
-            "the backend server did not run the request",
-        );
-        response.attempt.report_end(report);
+        let report = match response.info.misdirected {
+            true => AttemptReport::Gone,
+            false => AttemptReport::Refused,
+        };
+        let cause = "the backend server did not run the request";
+        end_failed_attempt(response.attempt, report, cause, retries, trace);
         let keep = !response.info.closes_connection;
         let read = timeout_at(
             self.deadline,
@@ -137,13 +163,9 @@
             let bound = response.info.keep_alive;
             self.state.pool.put_idle(&backend, response.conn, bound);
         }
-        retries.record_send(false);
         match retries.may_resend() {
             true => Ok(()),
-            false => Err(retries.final_failure(
-                Failure::new(FailureKind::NotRun, "backends-full")
-                    .retry_after(Some(REFUSED_RETRY_AFTER)),
-            )),
+            false => Err(retries.unserved("backends-full", Some(REFUSED_RETRY_AFTER))),
         }
     }
 
@@ -154,16 +176,16 @@
         retries: &mut RetryState,
         trace: &mut RequestTrace<C>,
     ) {
-        retries.exclude_backend(&response.attempt.assignment.backend);
-        let report = AttemptReport::Failed;
-        trace.log_attempt_failure(
-            &response.attempt.assignment,
-            report,
-            "the backend server sent an error response",
-        );
         let (head, info) = (response.head, response.info);
         let backend = response.attempt.assignment.backend.clone();
-        response.attempt.report_end(report);
+        let cause = "the backend server sent an error response";
+        end_failed_attempt(
+            response.attempt,
+            AttemptReport::Failed,
+            cause,
+            retries,
+            trace,
+        );
         let body = timeout_at(
             self.deadline,
             read_body(response.body, MAX_ERROR_BODY_BYTES),
@@ -175,7 +197,7 @@
                     .pool
                     .put_idle(&backend, response.conn, info.keep_alive);
             }
-            retries.set_fallback(caller_response(&head, ResponseBody::full(body)));
+            retries.set_fallback(head.to_response(ResponseBody::full(body)));
         }
     }
 
@@ -193,7 +215,7 @@
             body,
             info,
         } = response;
-        let report = report_for_status(head.status.as_u16());
+        let report = report_for_status(head.status().as_u16());
         if matches!(report, AttemptReport::Done { .. }) {
             attempt.report_first_byte();
         }
@@ -206,7 +228,7 @@
                 if !info.closes_connection {
                     self.state.pool.put_idle(&backend, conn, info.keep_alive);
                 }
-                return Ok(caller_response(&head, ResponseBody::full(body)));
+                return Ok(head.to_response(ResponseBody::full(body)));
             }
             Ok(Err(e @ BackendError::TooLarge { .. })) => {
                 let failure = Failure::new(FailureKind::Failed, "answer-too-large");
@@ -236,3 +258,27 @@
         Err(failure)
     }
 }
+
+/// Returns the report on an attempt whose response promises without proof that it did not run. What
+/// a backend server says about its load still counts.
+fn unproven_report(response: &ResponseRecord) -> AttemptReport {
+    match response.status {
+        StatusCode::MISDIRECTED_REQUEST => CrashKind::Malformed.into(),
+        _ if response.not_run => AttemptReport::Refused,
+        _ => AttemptReport::Failed,
+    }
+}
+
+/// Logs and reports the end of an attempt that failed, and excludes its backend server from further
+/// attempts.
+fn end_failed_attempt<C: RouteControl>(
+    attempt: AttemptGuard<C>,
+    report: AttemptReport,
+    cause: &str,
+    retries: &mut RetryState,
+    trace: &RequestTrace<C>,
+) {
+    retries.exclude_backend(&attempt.assignment.backend);
+    trace.log_attempt_failure(&attempt.assignment, report, cause);
+    attempt.report_end(report);
+}
--- a/toucanchute_edge/src/passthrough/proxied_request/retry.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/retry.rs
@@ -3,13 +3,15 @@
 use http::Response;
 use tokio::time::Instant;
 use toucanchute_proto::{
-    Millis,
+    AttemptId, Millis,
     config::{Route, RouteKind},
 };
 
 use super::{MAX_CONNECT_FAILURES, RequestTrace};
 use crate::{
+    control::Refusal,
     passthrough::{Failure, FailureKind, ResponseBody, RouteControl},
+    run_record::{AttemptNotRun, RunRecord},
     settings::duration,
 };
 
@@ -31,8 +33,8 @@
     max_sends: u32,
     /// Number of backend servers that it was sent to.
     sends: u32,
-    /// Whether an attempt may have run it.
-    may_have_run: bool,
+    /// Attempts that may have run it.
+    record: RunRecord,
     /// Number of backend servers that could not be reached.
     connect_failures: u32,
     excluded: Vec<String>,
@@ -41,13 +43,14 @@
 }
 
 impl RetryState {
-    pub(in crate::passthrough) fn new(route: &Route) -> RetryState {
+    /// Creates the state of a request on `route`, whose attempts are recorded in `record`.
+    pub(in crate::passthrough) fn new(route: &Route, record: RunRecord) -> RetryState {
         let resumable = route.kind == RouteKind::Stream && route.resumable;
         RetryState {
             idempotent: resumable || route.kind == RouteKind::Idempotent,
             max_sends: route.attempts.max(1),
             sends: 0,
-            may_have_run: false,
+            record,
             connect_failures: 0,
             excluded: Vec::new(),
             fallback: None,
@@ -73,15 +76,25 @@
         }
     }
 
-    /// Records that the request was sent, and whether it may have run.
-    pub(super) fn record_send(&mut self, may_have_run: bool) {
+    /// Records an attempt that is about to connect to a backend server. Until its end is proved not
+    /// to have run, it may have run.
+    pub(super) fn begin_attempt(&mut self, attempt: AttemptId) {
+        self.record.begin_attempt(attempt);
+    }
+
+    /// Records that an attempt did not run.
+    pub(super) fn attempt_not_run(&mut self, proof: &AttemptNotRun) {
+        self.record.attempt_not_run(proof);
+    }
+
+    /// Counts a backend server that received the request, whether it ran it or not.
+    pub(super) fn record_send(&mut self) {
         self.sends += 1;
-        self.may_have_run |= may_have_run;
     }
 
     /// Whether the request may be sent to another backend server after the last one did not run it.
     pub(super) fn may_resend(&self) -> bool {
-        self.sends < self.max_sends && (!self.may_have_run || self.idempotent)
+        self.sends < self.max_sends && (self.idempotent || self.record.not_run().is_some())
     }
 
     /// Whether the request may be sent to another backend server although the last one may have run
@@ -97,8 +110,7 @@
         if self.connect_failures < MAX_CONNECT_FAILURES {
             return Ok(());
         }
-        let failure = Failure::new(FailureKind::NotRun, "backends-unreachable");
-        Err(self.final_failure(failure.retry_after(Some(UNREACHABLE_RETRY_AFTER))))
+        Err(self.unserved("backends-unreachable", Some(UNREACHABLE_RETRY_AFTER)))
     }
 
     /// Returns the time by which the first byte of a backend server's response must arrive.
@@ -110,21 +122,23 @@
         deadline.min(Instant::now() + timeout.max(MIN_FIRST_BYTE_TIMEOUT))
     }
 
-    /// Returns `failure`, or one of kind [`FailureKind::Failed`] if an earlier attempt may have run
-    /// the request.
-    pub(super) fn final_failure(&self, failure: Failure) -> Failure {
-        match self.may_have_run {
-            true => Failure::new(FailureKind::Failed, failure.reason),
-            false => failure,
-        }
+    /// Returns the failure of a request that is not served: not run if no attempt may have run it.
+    pub(super) fn unserved(&self, reason: &'static str, retry_after: Option<Millis>) -> Failure {
+        Failure::unserved(&self.record, reason, retry_after)
+    }
+
+    /// Returns the failure of a request that the router refuses to send to a backend server.
+    pub(super) fn refused(&self, refusal: &Refusal) -> Failure {
+        Failure::from_refusal(&self.record, refusal)
     }
 
     /// Returns the failure of a request whose deadline has passed.
     pub(super) fn deadline_failure(&self) -> Failure {
-        match self.may_have_run {
-            true => Failure::new(FailureKind::TimedOut, "out-of-time"),
-            false => Failure::new(FailureKind::NotRun, "out-of-time"),
-        }
+        let kind = match self.record.not_run() {
+            Some(proof) => FailureKind::NotRun(proof),
+            None => FailureKind::TimedOut,
+        };
+        Failure::new(kind, "out-of-time")
     }
 
     /// Keeps a backend server's error response in case no other one does better.
--- a/toucanchute_edge/src/passthrough/relay.rs
+++ b/toucanchute_edge/src/passthrough/relay.rs
@@ -16,7 +16,7 @@
     guards::ReservationGuard,
     handler::InFlightGuard,
     pool::broken_connection_report,
-    proxied_request::{BackendResponse, ProxiedRequest, RequestTrace, RetryState, caller_response},
+    proxied_request::{BackendResponse, ProxiedRequest, RequestTrace, RetryState},
 };
 use crate::settings::duration;
 
@@ -40,7 +40,7 @@
     in_flight: InFlightGuard,
 ) -> Response<ResponseBody> {
     let (tx, rx) = mpsc::channel(MAX_QUEUED_CHUNKS);
-    let res = caller_response(&response.head, ResponseBody::streaming(rx));
+    let res = response.head.to_response(ResponseBody::streaming(rx));
     let relay = StreamRelay {
         last_event_id: request.info.resume_after,
         request,
@@ -201,7 +201,7 @@
         tokio::select! {
             response = request.next_response(retries, trace, resume_after) => {
                 let response = response?;
-                match response.head.status.is_success() {
+                match response.head.status().is_success() {
                     true => Ok(response),
                     false => Err(Failure::new(super::FailureKind::Failed, "resume-refused")),
                 }
--- a/toucanchute_edge/src/passthrough/response_record.rs
+++ b/toucanchute_edge/src/passthrough/response_record.rs
@@ -57,14 +57,19 @@
 }
 
 impl ResponseRecord {
+    /// Whether the response belongs to the attempt and states that the request did not run.
+    #[must_use]
+    pub fn is_proven_refusal(&self) -> bool {
+        let states_not_run = self.not_run || self.status == StatusCode::MISDIRECTED_REQUEST;
+        states_not_run && self.attempt == AttemptMatch::Own
+    }
+
     /// Whether the response promises that the request did not run, without proof: it names another
     /// attempt or none, or only its status says so.
     #[must_use]
     pub fn is_unproven_promise(&self) -> bool {
         let promises = self.not_run || is_promise(self.status);
-        let proven = self.attempt == AttemptMatch::Own
-            && (self.not_run || self.status == StatusCode::MISDIRECTED_REQUEST);
-        promises && !proven
+        promises && !self.is_proven_refusal()
     }
 }
 
--- a/toucanchute_edge/src/tests.rs
+++ b/toucanchute_edge/src/tests.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod parsers;
 mod reply;
+mod run_record;
 
 use proptest::test_runner::{Config, RngSeed};
 
--- a/toucanchute_edge/tests/passthrough/dispatcher_gateway.rs
+++ b/toucanchute_edge/tests/passthrough/dispatcher_gateway.rs
@@ -16,7 +16,8 @@
 use toucanchute_edge::{
     AssignRequest, Assignment, AttemptReport, BackendNotice, Refusal, RequestOutcome,
     passthrough::{
-        Failure, Gateway, RequestEnd, ResponseRecord, RouteControl, TokenRequest, TokenReservation,
+        Gateway, RequestEnd, ResponseRecord, RouteControl, TokenRefusal, TokenRequest,
+        TokenReservation,
     },
 };
 use toucanchute_proto::{
@@ -184,7 +185,7 @@
         false
     }
 
-    async fn reserve(&self, req: TokenRequest) -> Result<TokenReservation, Failure> {
+    async fn reserve(&self, req: TokenRequest) -> Result<TokenReservation, TokenRefusal> {
         Ok(TokenReservation {
             id: 1,
             tokens: req.tokens,
--- a/toucanchute_edge/tests/passthrough/repeats.rs
+++ b/toucanchute_edge/tests/passthrough/repeats.rs
@@ -81,7 +81,8 @@
     );
     let gateway =
         TestGateway::start("non-idempotent", r#","attempts":2"#, &[&first, &second]).await;
-    gateway.send("POST /a/b", "").await;
+    let res = gateway.send("POST /a/b", "").await;
+    assert!(res.starts_with("HTTP/1.1 502"), "{res}");
     assert_eq!(second.request_count(), 0);
 }
 
--- a/toucanchute_edge/tests/passthrough/support.rs
+++ b/toucanchute_edge/tests/passthrough/support.rs
@@ -18,8 +18,8 @@
     AssignRequest, Assignment, AttemptReport, BackendNotice, CrashKind, Refusal, RefusalReason,
     RequestOutcome,
     passthrough::{
-        Dialect, Failure, FailureKind, ForwardInfo, Gateway, RateLimitHeader, RequestEnd,
-        RequestInfo, ResponseInfo, ResponseRecord, RouteControl, TokenBound, TokenRequest,
+        Dialect, ForwardInfo, Gateway, RateLimitHeader, RequestEnd, RequestInfo, ResponseInfo,
+        ResponseRecord, RouteControl, TokenBound, TokenRefusal, TokenRefusalReason, TokenRequest,
         TokenReservation, strip_connection_headers,
     },
 };
@@ -191,13 +191,13 @@
         false
     }
 
-    async fn reserve(&self, req: TokenRequest) -> Result<TokenReservation, Failure> {
+    async fn reserve(&self, req: TokenRequest) -> Result<TokenReservation, TokenRefusal> {
         let mut tokens = self.tokens.lock().unwrap();
         if *tokens < req.tokens {
-            return Err(Failure::new(
-                FailureKind::BudgetExhausted,
-                "budget-exhausted",
-            ));
+            return Err(TokenRefusal {
+                reason: TokenRefusalReason::Exhausted,
+                retry_after: None,
+            });
         }
         *tokens -= req.tokens;
         Ok(TokenReservation {
--- a/toucanchute_router/src/actor/prepaid.rs
+++ b/toucanchute_router/src/actor/prepaid.rs
@@ -9,7 +9,9 @@
         TakeoverBasis,
     },
 };
-use toucanchute_edge::passthrough::{Failure, FailureKind, TokenRequest, TokenReservation};
+use toucanchute_edge::passthrough::{
+    TokenRefusal, TokenRefusalReason, TokenRequest, TokenReservation,
+};
 use toucanchute_platform::StoreClient;
 use toucanchute_proto::{
     BudgetId, Incarnation, Millis, config::Config, peer::FrameKind, prepaid::PrepaidMessage,
@@ -46,7 +48,7 @@
     budget: BudgetId,
     received_at: Millis,
     tokens: u64,
-    reply: oneshot::Sender<Result<TokenReservation, Failure>>,
+    reply: oneshot::Sender<Result<TokenReservation, TokenRefusal>>,
 }
 
 /// Input of a [`PrepaidActor`].
@@ -54,7 +56,7 @@
     /// Requests a reservation of tokens; the sender receives the result.
     Reserve(
         TokenRequest,
-        oneshot::Sender<Result<TokenReservation, Failure>>,
+        oneshot::Sender<Result<TokenReservation, TokenRefusal>>,
     ),
     /// The request of a reservation has ended and used this number of tokens.
     Settle(TokenReservation, u64),
@@ -132,7 +134,7 @@
             Action::Refused { call, refusal } => {
                 if let Some(pending) = self.pending.remove(&call) {
                     self.log_refusal(call, &pending, refusal.reason);
-                    let _ = pending.reply.send(Err(failure(refusal)));
+                    let _ = pending.reply.send(Err(token_refusal(refusal)));
                 }
             }
             Action::Send { to, message } => self.mesh.send(to, FrameKind::Prepaid, &message),
@@ -173,7 +175,7 @@
     fn reserve(
         &mut self,
         req: TokenRequest,
-        reply: oneshot::Sender<Result<TokenReservation, Failure>>,
+        reply: oneshot::Sender<Result<TokenReservation, TokenRefusal>>,
         cx: &Context<Self>,
     ) {
         self.next_call += 1;
@@ -322,12 +324,14 @@
     }
 }
 
-fn failure(refusal: Refusal) -> Failure {
-    let (kind, reason) = match refusal.reason {
-        RefusalReason::Exhausted => (FailureKind::BudgetExhausted, "budget-exhausted"),
-        RefusalReason::Held => (FailureKind::NotRun, "budget-held"),
-        _ => (FailureKind::NotRun, "budget-unavailable"),
+fn token_refusal(refusal: Refusal) -> TokenRefusal {
+    let reason = match refusal.reason {
+        RefusalReason::Exhausted => TokenRefusalReason::Exhausted,
+        RefusalReason::Held => TokenRefusalReason::Held,
+        _ => TokenRefusalReason::Unavailable,
     };
-    let retry_after: Option<Millis> = refusal.retry_after;
-    Failure::new(kind, reason).retry_after(retry_after)
+    TokenRefusal {
+        reason,
+        retry_after: refusal.retry_after,
+    }
 }
--- a/toucanchute_router/src/gateway/control.rs
+++ b/toucanchute_router/src/gateway/control.rs
@@ -8,7 +8,7 @@
     AssignRequest, Assignment, AttemptReport, BackendNotice, Refusal, RefusalReason,
     RequestOutcome,
     passthrough::{
-        Failure, FailureKind, RequestEnd, ResponseRecord, RouteControl, TokenRequest,
+        RequestEnd, ResponseRecord, RouteControl, TokenRefusal, TokenRefusalReason, TokenRequest,
         TokenReservation,
     },
 };
@@ -45,7 +45,7 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
-    async fn reserve(&self, req: TokenRequest) -> Result<TokenReservation, Failure> {
+    async fn reserve(&self, req: TokenRequest) -> Result<TokenReservation, TokenRefusal> {
         let (tx, rx) = oneshot::channel();
         post(&self.prepaid, PrepaidInput::Reserve(req, tx));
         let result = rx.await.unwrap_or_else(|_| Err(actor_stopped()));
@@ -99,7 +99,10 @@
     }
 }
 
-/// Returns the failure of a request whose actor has stopped.
-fn actor_stopped() -> Failure {
-    Failure::new(FailureKind::NotRun, "stopping")
+/// Returns the refusal of a request whose actor has stopped.
+fn actor_stopped() -> TokenRefusal {
+    TokenRefusal {
+        reason: TokenRefusalReason::Stopping,
+        retry_after: None,
+    }
 }
--- a/toucanchute_router/src/gateway/metrics.rs
+++ b/toucanchute_router/src/gateway/metrics.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpListener;
 use toucanchute_edge::{
     AttemptReport, BackendNotice,
-    passthrough::{Failure, RequestEnd, ResponseRecord, TokenReservation},
+    passthrough::{RequestEnd, ResponseRecord, TokenRefusal, TokenReservation},
 };
 use toucanchute_platform::StoreClient;
 use toucanchute_store::CallCounts;
@@ -196,10 +196,10 @@
     }
 
     /// Counts the result of a token reservation.
-    pub(super) fn record_reservation(&self, result: &Result<TokenReservation, Failure>) {
+    pub(super) fn record_reservation(&self, result: &Result<TokenReservation, TokenRefusal>) {
         let result = match result {
             Ok(_) => "reserved",
-            Err(failure) => failure.reason,
+            Err(refusal) => refusal.reason.name(),
         };
         let labels = ReservationLabels { result };
         self.reservations.get_or_create(&labels).inc();
