fix(edge): send a refused request on without waiting for the rest of the refusal

A backend server that sent the head of a refusal or of an error and not its whole body held the request until its deadline: callers got 503 or 504 after their whole time, although another server was free.

The head states all that is needed. The body is read for at most 100 ms, so that the connection can be kept; without it the connection is closed and the request goes on at once.

--- a/toucanchute_edge/src/passthrough/proxied_request/responses.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/responses.rs
@@ -1,7 +1,11 @@
 //! Handles the result of an attempt: no response, an error response or one to relay.
 
+use std::time::Duration;
+
+use bytes::Bytes;
 use http::{Response, StatusCode};
-use tokio::time::timeout_at;
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
 use toucanchute_core::routing::{AttemptReport, CrashKind};
 use toucanchute_proto::Millis;
 
@@ -27,6 +31,10 @@
 /// Largest body of a refusal or an error response that is read, in bytes.
 const MAX_ERROR_BODY_BYTES: usize = 64 * 1024;
 
+/// Time within which the body of a refusal or an error response has to arrive. The request then goes
+/// on without it.
+const ERROR_BODY_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Time after which a caller should retry a request that the backend servers refused.
 const REFUSED_RETRY_AFTER: Millis = Millis(200);
 
@@ -154,12 +162,7 @@
         let cause = "the backend server did not run the request";
         end_failed_attempt(response.attempt, report, cause, retries, trace);
         let keep = !response.info.closes_connection;
-        let read = timeout_at(
-            self.deadline,
-            read_body(response.body, MAX_ERROR_BODY_BYTES),
-        )
-        .await;
-        if keep && matches!(read, Ok(Ok(_))) {
+        if self.read_error_body(response.body).await.is_some() && keep {
             let bound = response.info.keep_alive;
             self.state.pool.put_idle(&backend, response.conn, bound);
         }
@@ -186,12 +189,7 @@
             retries,
             trace,
         );
-        let body = timeout_at(
-            self.deadline,
-            read_body(response.body, MAX_ERROR_BODY_BYTES),
-        )
-        .await;
-        if let Ok(Ok(body)) = body {
+        if let Some(body) = self.read_error_body(response.body).await {
             if !info.closes_connection {
                 self.state
                     .pool
@@ -201,6 +199,14 @@
         }
     }
 
+    /// Reads the body of a refusal or an error response; `None` if it is too large, breaks off or
+    /// takes too long.
+    async fn read_error_body(&self, body: Incoming) -> Option<Bytes> {
+        let until = self.deadline.min(Instant::now() + ERROR_BODY_TIMEOUT);
+        let read = timeout_at(until, read_body(body, MAX_ERROR_BODY_BYTES)).await;
+        read.ok()?.ok()
+    }
+
     /// Reads the whole body of a response and returns the response to the caller.
     pub(super) async fn read_whole(
         &self,
--- a/toucanchute_edge/tests/passthrough/promises.rs
+++ b/toucanchute_edge/tests/passthrough/promises.rs
@@ -2,11 +2,16 @@
 //!
 //! Statuses 429, 503, 408 and 421 promise that a request did not run and never will.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    time::timeout,
+};
 
 use crate::{
     raw_backend::{RawBackend, Step},
-    support::{Backend, Script, TestGateway, full_response},
+    support::{Backend, Script, TestGateway, full_response, read_request},
 };
 
 /// Time after which the second response on a connection is late.
@@ -248,6 +253,60 @@
     assert!(res.ends_with("hello"), "{res}");
 }
 
+/// Time within which a request that was refused has to be answered by another server.
+const RESEND_TIME: Duration = Duration::from_millis(1_000);
+
+/// Plays a server whose response lacks the end of its body. The request must be sent to another
+/// server at once.
+async fn check_unfinished_body(kind: &str, status_line: &str, headers: &str) {
+    let half = response_to("a1", status_line, headers, "full") + "\r\n";
+    let half = half.replace("Content-Length: 4", "Content-Length: 400");
+    let first = RawBackend::start(vec![vec![Step::ReadRequest, Step::Write(half)]]).await;
+    let second = healthy_backend().await;
+    let backends = [&first.backend, &second];
+    let gateway = TestGateway::start(kind, r#","attempts":2"#, &backends).await;
+    let started = Instant::now();
+    let res = gateway.send("POST /a/b", "").await;
+    assert!(res.ends_with("hello"), "{res}");
+    assert!(started.elapsed() < RESEND_TIME, "{:?}", started.elapsed());
+}
+
+/// Guards against a refused request that waits until its deadline for the rest of the refusal.
+#[tokio::test]
+async fn a_refusal_without_the_end_of_its_body_is_retried_at_once() {
+    check_unfinished_body("non-idempotent", "503 Service Unavailable", REFUSAL).await;
+}
+
+/// Guards against a failed request that waits until its deadline for the rest of the error.
+#[tokio::test]
+async fn an_error_without_the_end_of_its_body_is_retried_at_once() {
+    check_unfinished_body("idempotent", "500 Internal Server Error", "X-Seal: s\r\n").await;
+}
+
+/// Guards against a request that is written to a connection which opens only after its caller was
+/// told that it did not run.
+#[tokio::test]
+async fn nothing_is_sent_after_a_deadline_that_passed_while_connecting() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
+    let listener = socket.listen(1).unwrap();
+    // Further connections wait until one of these is accepted.
+    let mut queued = Vec::new();
+    while let Ok(Ok(stream)) = timeout(LATE, TcpStream::connect(address)).await {
+        queued.push(stream);
+    }
+    let gateway = TestGateway::start("non-idempotent", "", &[&Backend::absent(address)]).await;
+    let req = "POST /a/b HTTP/1.1\r\nHost: svc.example\r\nX-Attempt: a1\r\nX-Key: secret\r\n\
+        X-Patience: 200\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    let res = gateway.send_raw(req).await;
+    assert_eq!(status(&res), 503, "{res}");
+    drop(queued);
+    while let Ok(accepted) = timeout(RESEND_TIME, listener.accept()).await {
+        assert_eq!(read_request(&mut accepted.unwrap().0).await, None);
+    }
+}
+
 // Where a connection fails
 
 /// Plays a server whose connection ends after `steps`. Unless nothing of the request was received,
