--- a/toucanchute_edge/src/passthrough/proxied_request.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request.rs
@@ -1,37 +1,34 @@
 //! One request from its admission to the head of its response.
 
+mod exchange;
+mod reports;
 mod responses;
 mod retry;
 mod trace;
 
-use std::{io, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{Request, Response, Uri, request, response};
-use http_body_util::Full;
+use http::{Response, request, response};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
-use toucanchute_core::routing::{BackendNotice, Target, request_digest};
+use toucanchute_core::routing::{Target, request_digest};
 use toucanchute_proto::{
-    AttemptId, Digest, Millis,
+    Digest, Millis,
     config::{Customer, Route, RouteKind},
 };
 
 use super::{
-    AttemptMatch, Dialect, Failure, ForwardInfo, RateLimitHeader, RequestInfo, ResponseBody,
-    ResponseInfo, ResponseRecord, RouteControl, TokenBound, TokenRequest,
+    Dialect, Failure, RequestInfo, ResponseBody, ResponseInfo, ResponseRecord, RouteControl,
+    TokenBound, TokenRequest,
     guards::{AttemptGuard, ReservationGuard},
     handler::{AdmittedRequest, GatewayState, InFlightGuard},
-    pool::{Connection, SendError},
+    pool::Connection,
     relay,
     relayable_head::RelayableHead,
     table::RouteTable,
 };
-use crate::{
-    control::{AssignRequest, Assignment},
-    run_record::{AttemptNotRun, RunRecord},
-    settings::now,
-};
+use crate::{control::AssignRequest, run_record::RunRecord, settings::now};
 pub(super) use retry::RetryState;
 pub(super) use trace::RequestTrace;
 
@@ -280,178 +277,6 @@
         hasher.finalize_xof().fill(&mut hash);
         (tokens >= MIN_AFFINITY_TOKENS).then_some(u64::from_le_bytes(hash))
     }
-
-    /// Sends the request to the assigned backend server and waits for the head of the response. A
-    /// reused connection that was closed before the request was sent is replaced by a new one.
-    async fn exchange(
-        &self,
-        attempt: &AttemptGuard<C>,
-        retries: &RetryState,
-        resume_after: Option<u64>,
-    ) -> Result<(Response<Incoming>, Connection), ExchangeError> {
-        let assignment = &attempt.assignment;
-        let pool = &self.state.pool;
-        let non_idempotent = !retries.is_idempotent();
-        let connect = pool.connect(&assignment.backend, assignment.address, non_idempotent);
-        let mut conn = connect_by(self.deadline, connect).await?;
-        let response_deadline = retries.first_byte_deadline(self.route(), self.deadline);
-        let sent = with_deadline(
-            response_deadline,
-            conn.send(self.backend_request(attempt, resume_after)),
-        )
-        .await;
-        match sent {
-            Err(ExchangeError::Send {
-                source: SendError::Unsent,
-            }) if conn.reused => {
-                let connect = pool.connect_new(assignment.address);
-                let mut conn = connect_by(self.deadline, connect).await?;
-                let response_deadline = retries.first_byte_deadline(self.route(), self.deadline);
-                let sent = with_deadline(
-                    response_deadline,
-                    conn.send(self.backend_request(attempt, resume_after)),
-                )
-                .await;
-                Ok((sent?, conn))
-            }
-            sent => Ok((sent?, conn)),
-        }
-    }
-
-    /// Builds the request to the assigned backend server.
-    fn backend_request(
-        &self,
-        attempt: &AttemptGuard<C>,
-        resume_after: Option<u64>,
-    ) -> Request<Full<Bytes>> {
-        let customer = self.customer();
-        let priority = customer.and_then(|c| c.route_priority);
-        let forward = ForwardInfo {
-            backend: &attempt.assignment.backend,
-            customer: customer.map(|c| c.name.as_str()),
-            time_left: Millis(u64::try_from(self.time_left().as_millis()).unwrap_or(u64::MAX)),
-            priority: priority.unwrap_or(self.route().priority),
-            resume_after,
-        };
-        let mut req = Request::new(Full::new(self.body.clone()));
-        *req.method_mut() = self.head.method.clone();
-        *req.uri_mut() = origin_form(&self.head.uri);
-        *req.headers_mut() = self.state.dialect.forward_headers(&self.head, &forward);
-        req
-    }
-
-    /// Counts the head of a response, and logs it if it promises without proof that the request did
-    /// not run.
-    fn record_response(
-        &self,
-        attempt: &AttemptGuard<C>,
-        conn: &Connection,
-        head: &response::Parts,
-        info: &ResponseInfo,
-        trace: &RequestTrace<C>,
-    ) -> ResponseRecord {
-        let record = ResponseRecord {
-            status: head.status,
-            attempt: AttemptMatch::new(self.info.attempt.as_deref(), info.attempt.as_deref()),
-            not_run: info.not_run,
-            reused: conn.reused,
-        };
-        self.state.control.record_response(&record);
-        if record.is_unproven_promise() {
-            trace.log_unproven_promise(&attempt.assignment, &record);
-        }
-        record
-    }
-
-    /// Reports what the head of a response states about the backend server.
-    fn report_backend_info(&self, attempt: &AttemptGuard<C>, info: &ResponseInfo) {
-        let control = &self.state.control;
-        let backend = &attempt.assignment.backend;
-        if info.leaving {
-            control.report_notice(backend, BackendNotice::Leaving);
-        }
-        if let Some(span) = info.retry_after {
-            control.report_notice(backend, BackendNotice::Backoff { duration: span });
-        }
-        self.report_rate_limit(&attempt.assignment, info);
-        let Some(load) = info.load else {
-            return;
-        };
-        control.report_load(toucanchute_proto::fleet::Load {
-            backend: attempt.assignment.backend.clone(),
-            running: load.running,
-            waiting: load.waiting,
-            capacity: load.slots,
-            kv_used: 0,
-            as_of: now(),
-        });
-    }
-
-    /// Reports a rate limit that a response names, or that the response of a limited backend server
-    /// names none. Only a sealed response to this attempt proves that.
-    fn report_rate_limit(&self, assignment: &Assignment, info: &ResponseInfo) {
-        let attempt = assignment.attempt;
-        let is_own = info.sealed && !info.misdirected && info.attempt == self.info.attempt;
-        let notice = match info.rate_limit {
-            RateLimitHeader::Limit(rate) => BackendNotice::RateLimit { rate, attempt },
-            RateLimitHeader::Absent if assignment.rate_limited && is_own => {
-                BackendNotice::NoRateLimit { attempt }
-            }
-            RateLimitHeader::Absent | RateLimitHeader::Invalid => return,
-        };
-        self.state
-            .control
-            .report_notice(&assignment.backend, notice);
-    }
-}
-
-/// Why an exchange with a backend server ended without a response.
-#[derive(Debug, snafu::Snafu)]
-enum ExchangeError {
-    /// The connection failed.
-    #[snafu(display("{source}"), context(false))]
-    Send {
-        /// Cause.
-        source: SendError,
-    },
-    /// No response arrived within the time allowed.
-    #[snafu(display("the backend server sent no response in time"))]
-    TimedOut,
-}
-
-impl ExchangeError {
-    /// Returns the proof that the attempt did not run, if the error shows that nothing was sent.
-    fn not_run_proof(&self, attempt: AttemptId) -> Option<AttemptNotRun> {
-        match self {
-            ExchangeError::Send { source } => AttemptNotRun::from_send_error(attempt, source),
-            ExchangeError::TimedOut => None,
-        }
-    }
-}
-
-/// Opens a connection until `deadline`. The request is handed over only afterwards, so that nothing
-/// of it is written if the time runs out.
-async fn connect_by(
-    deadline: Instant,
-    connect: impl Future<Output = Result<Connection, SendError>>,
-) -> Result<Connection, SendError> {
-    match timeout_at(deadline, connect).await {
-        Ok(connected) => connected,
-        Err(_) => Err(SendError::Connect {
-            source: io::ErrorKind::TimedOut.into(),
-        }),
-    }
-}
-
-/// Runs `work` until `deadline`.
-async fn with_deadline<T>(
-    deadline: Instant,
-    work: impl Future<Output = Result<T, SendError>>,
-) -> Result<T, ExchangeError> {
-    match timeout_at(deadline, work).await {
-        Ok(result) => Ok(result?),
-        Err(_) => TimedOutSnafu.fail(),
-    }
 }
 
 /// Chooses one of a route's services at random, by their weights.
@@ -470,11 +295,3 @@
         .map(|t| t.service.clone())
         .unwrap_or_default()
 }
-
-/// Returns a URI without scheme and host.
-fn origin_form(uri: &Uri) -> Uri {
-    match uri.path_and_query() {
-        Some(path) => Uri::from(path.clone()),
-        None => Uri::from_static("/"),
-    }
-}
--- /dev/null
+++ b/toucanchute_edge/src/passthrough/proxied_request/exchange.rs
@@ -0,0 +1,138 @@
+//! One exchange with a backend server: a connection, the request and the head of the response.
+
+use std::io;
+
+use bytes::Bytes;
+use http::{Request, Response, Uri};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+use toucanchute_proto::{AttemptId, Millis};
+
+use super::{ProxiedRequest, RetryState};
+use crate::{
+    passthrough::{
+        Dialect, ForwardInfo, RouteControl,
+        guards::AttemptGuard,
+        pool::{Connection, SendError},
+    },
+    run_record::AttemptNotRun,
+};
+
+impl<C: RouteControl, D: Dialect> ProxiedRequest<C, D> {
+    /// Sends the request to the assigned backend server and waits for the head of the response. A
+    /// reused connection that was closed before the request was sent is replaced by a new one.
+    pub(super) async fn exchange(
+        &self,
+        attempt: &AttemptGuard<C>,
+        retries: &RetryState,
+        resume_after: Option<u64>,
+    ) -> Result<(Response<Incoming>, Connection), ExchangeError> {
+        let assignment = &attempt.assignment;
+        let pool = &self.state.pool;
+        let non_idempotent = !retries.is_idempotent();
+        let connect = pool.connect(&assignment.backend, assignment.address, non_idempotent);
+        let mut conn = connect_by(self.deadline, connect).await?;
+        let response_deadline = retries.first_byte_deadline(self.route(), self.deadline);
+        let sent = with_deadline(
+            response_deadline,
+            conn.send(self.backend_request(attempt, resume_after)),
+        )
+        .await;
+        match sent {
+            Err(ExchangeError::Send {
+                source: SendError::Unsent,
+            }) if conn.reused => {
+                let connect = pool.connect_new(assignment.address);
+                let mut conn = connect_by(self.deadline, connect).await?;
+                let response_deadline = retries.first_byte_deadline(self.route(), self.deadline);
+                let sent = with_deadline(
+                    response_deadline,
+                    conn.send(self.backend_request(attempt, resume_after)),
+                )
+                .await;
+                Ok((sent?, conn))
+            }
+            sent => Ok((sent?, conn)),
+        }
+    }
+
+    /// Builds the request to the assigned backend server.
+    fn backend_request(
+        &self,
+        attempt: &AttemptGuard<C>,
+        resume_after: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let customer = self.customer();
+        let priority = customer.and_then(|c| c.route_priority);
+        let forward = ForwardInfo {
+            backend: &attempt.assignment.backend,
+            customer: customer.map(|c| c.name.as_str()),
+            time_left: Millis(u64::try_from(self.time_left().as_millis()).unwrap_or(u64::MAX)),
+            priority: priority.unwrap_or(self.route().priority),
+            resume_after,
+        };
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.head.method.clone();
+        *req.uri_mut() = origin_form(&self.head.uri);
+        *req.headers_mut() = self.state.dialect.forward_headers(&self.head, &forward);
+        req
+    }
+}
+
+/// Why an exchange with a backend server ended without a response.
+#[derive(Debug, snafu::Snafu)]
+pub(super) enum ExchangeError {
+    /// The connection failed.
+    #[snafu(display("{source}"), context(false))]
+    Send {
+        /// Cause.
+        source: SendError,
+    },
+    /// No response arrived within the time allowed.
+    #[snafu(display("the backend server sent no response in time"))]
+    TimedOut,
+}
+
+impl ExchangeError {
+    /// Returns the proof that the attempt did not run, if the error shows that nothing was sent.
+    pub(super) fn not_run_proof(&self, attempt: AttemptId) -> Option<AttemptNotRun> {
+        match self {
+            ExchangeError::Send { source } => AttemptNotRun::from_send_error(attempt, source),
+            ExchangeError::TimedOut => None,
+        }
+    }
+}
+
+/// Opens a connection until `deadline`. The request is handed over only afterwards, so that nothing
+/// of it is written if the time runs out.
+async fn connect_by(
+    deadline: Instant,
+    connect: impl Future<Output = Result<Connection, SendError>>,
+) -> Result<Connection, SendError> {
+    match timeout_at(deadline, connect).await {
+        Ok(connected) => connected,
+        Err(_) => Err(SendError::Connect {
+            source: io::ErrorKind::TimedOut.into(),
+        }),
+    }
+}
+
+/// Runs `work` until `deadline`.
+async fn with_deadline<T>(
+    deadline: Instant,
+    work: impl Future<Output = Result<T, SendError>>,
+) -> Result<T, ExchangeError> {
+    match timeout_at(deadline, work).await {
+        Ok(result) => Ok(result?),
+        Err(_) => TimedOutSnafu.fail(),
+    }
+}
+
+/// Returns a URI without scheme and host.
+fn origin_form(uri: &Uri) -> Uri {
+    match uri.path_and_query() {
+        Some(path) => Uri::from(path.clone()),
+        None => Uri::from_static("/"),
+    }
+}
--- a/toucanchute_edge/src/passthrough/proxied_request/responses.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/responses.rs
@@ -10,8 +10,8 @@
 use toucanchute_proto::Millis;
 
 use super::{
-    BackendResponse, ExchangeError, MIN_TIME_LEFT, ProxiedRequest, RequestTrace, RetryState,
-    UncheckedResponse,
+    BackendResponse, MIN_TIME_LEFT, ProxiedRequest, RequestTrace, RetryState, UncheckedResponse,
+    exchange::ExchangeError,
 };
 use crate::{
     backend::{BackendError, read_body, report_for_status},
