--- a/toucanchute_edge/src/passthrough/proxied_request/exchange.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/exchange.rs
@@ -32,31 +32,34 @@
         let pool = &self.state.pool;
         let non_idempotent = !retries.is_idempotent();
         let connect = pool.connect(&assignment.backend, assignment.address, non_idempotent);
-        let mut conn = connect_by(self.deadline, connect).await?;
-        let response_deadline = retries.first_byte_deadline(self.route(), self.deadline);
-        let sent = with_deadline(
-            response_deadline,
-            conn.send(self.backend_request(attempt, resume_after)),
-        )
-        .await;
-        match sent {
+        let conn = connect_by(self.deadline, connect).await?;
+        let reused = conn.reused;
+        match self.send_over(conn, attempt, retries, resume_after).await {
             Err(ExchangeError::Send {
                 source: SendError::Unsent,
-            }) if conn.reused => {
+            }) if reused => {
                 let connect = pool.connect_new(assignment.address);
-                let mut conn = connect_by(self.deadline, connect).await?;
-                let response_deadline = retries.first_byte_deadline(self.route(), self.deadline);
-                let sent = with_deadline(
-                    response_deadline,
-                    conn.send(self.backend_request(attempt, resume_after)),
-                )
-                .await;
-                Ok((sent?, conn))
+                let conn = connect_by(self.deadline, connect).await?;
+                self.send_over(conn, attempt, retries, resume_after).await
             }
-            sent => Ok((sent?, conn)),
+            exchanged => exchanged,
         }
     }
 
+    /// Sends the request over a connection and waits for the head of the response.
+    async fn send_over(
+        &self,
+        mut conn: Connection,
+        attempt: &AttemptGuard<C>,
+        retries: &RetryState,
+        resume_after: Option<u64>,
+    ) -> Result<(Response<Incoming>, Connection), ExchangeError> {
+        let response_deadline = retries.first_byte_deadline(self.route(), self.deadline);
+        let send = conn.send(self.backend_request(attempt, resume_after));
+        let res = with_deadline(response_deadline, send).await?;
+        Ok((res, conn))
+    }
+
     /// Builds the request to the assigned backend server.
     fn backend_request(
         &self,
