feat(edge): count callers' connections by state and by how they ended

A planned stop said nothing about callers' connections, so that the hypotheses of requests-without-an-answer.md could not be told apart. Each connection now has a state (unused, receiving, in_progress, idle) and an end (closed_by_caller, caller_left, answered_with_close, quiet, crossed, cut):

- connections-at-stop: the open connections when the stop begins to close them (hypothesis 1: idle or unused ones there, then `crossed` in connections-ended).
- connections-ended: how all ended; `crossed` has bytes of a request unread at the close, `caller_left` is hypothesis 4.
- connections-cut: requests in progress when the process ends (hypothesis 3).
- the same as metrics toucanchute_connections and toucanchute_connections_ended.

Connections that the listener's backlog holds when it is dropped (hypothesis 2) cannot be counted without accepting them.

The state is that of the socket: in_progress lasts until the response is flushed, not until its body has been handed over, so a caller that reads slowly is seen. No change of behaviour: the edge's and the router's tests pass as before (cargo test -p toucanchute_edge -p toucanchute_router).

--- a/toucanchute_edge/src/lib.rs
+++ b/toucanchute_edge/src/lib.rs
@@ -10,6 +10,7 @@
 mod caller;
 mod completion;
 mod config_index;
+mod connection;
 mod control;
 mod edge;
 mod error;
@@ -25,6 +26,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use connection::{ConnectionCounts, ConnectionEnd, ConnectionState};
 pub use control::{
     AddressList, AssignRequest, Assignment, CallOutcome, Control, IntentDecision, IntentRequest,
     Refusal, RefusalReason, RequestOutcome, Reservation, ReserveRequest, ServiceAnswer, Settlement,
--- a/toucanchute_edge/src/passthrough/gateway.rs
+++ b/toucanchute_edge/src/passthrough/gateway.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use http::header;
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
@@ -20,7 +21,12 @@
     Dialect, RouteControl,
     handler::{GatewayState, handle},
 };
-use crate::settings::duration;
+use crate::{
+    connection::{
+        CallerStream, ConnectionCounts, ConnectionTracker, TrackedBody, has_unread_bytes,
+    },
+    settings::duration,
+};
 
 /// Delay before the next connection is accepted after accepting one failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -45,6 +51,7 @@
     state: Arc<GatewayState<C, D>>,
     /// Limits the number of callers' connections.
     connection_permits: Arc<Semaphore>,
+    connection_counts: Arc<ConnectionCounts>,
 }
 
 impl<C: RouteControl, D: Dialect> Gateway<C, D> {
@@ -61,9 +68,17 @@
         Gateway {
             state: Arc::new(GatewayState::new(control, dialect, in_flight)),
             connection_permits: Arc::new(Semaphore::new(connections)),
+            connection_counts: Arc::default(),
         }
     }
 
+    /// Counts callers' connections in `counts`.
+    #[must_use]
+    pub fn connection_counts(mut self, counts: Arc<ConnectionCounts>) -> Gateway<C, D> {
+        self.connection_counts = counts;
+        self
+    }
+
     /// Accepts callers until `shutdown` resolves, then returns once every request in progress has
     /// ended and every connection is closed.
     pub async fn serve(&self, listener: TcpListener, shutdown: impl Future<Output = ()>) {
@@ -83,6 +98,7 @@
             }
         }
         drop(listener);
+        self.connection_counts.log_stop_begin();
         connections.shutdown().await;
     }
 
@@ -115,10 +131,22 @@
         let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
         let max_header_bytes = usize::try_from(limits.max_header_bytes).unwrap_or(usize::MAX);
         let state = Arc::clone(&self.state);
+        let tracker = Arc::new(ConnectionTracker::new(Arc::clone(&self.connection_counts)));
+        let request_tracker = Arc::clone(&tracker);
         let service = service_fn(move |req| {
             let state = Arc::clone(&state);
-            async move { Ok::<_, Infallible>(handle(state, req).await) }
+            let tracker = Arc::clone(&request_tracker);
+            async move {
+                tracker.request_started();
+                let res = handle(state, req).await;
+                if res.headers().contains_key(header::CONNECTION) {
+                    tracker.announced_close();
+                }
+                Ok::<_, Infallible>(res.map(|body| TrackedBody::new(body, tracker)))
+            }
         });
+        let stream = Arc::new(stream);
+        let caller_stream = CallerStream::new(Arc::clone(&stream), Arc::clone(&tracker));
         let conn = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(
@@ -129,12 +157,15 @@
                     .saturating_mul(2)
                     .max(MIN_READ_BUFFER_BYTES),
             )
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(caller_stream), service);
         let conn = connections.watch(conn);
         tokio::spawn(async move {
             if let Err(err) = conn.await {
                 log::debug!(error:% = err; "connection-failed");
             }
+            if has_unread_bytes(&stream) {
+                tracker.crossed();
+            }
             drop(permit);
         });
     }
--- a/toucanchute_edge/tests/passthrough/support.rs
+++ b/toucanchute_edge/tests/passthrough/support.rs
@@ -246,6 +246,17 @@
 }
 
 impl ScriptedControl {
+    /// Creates a control with one route of `kind`, to whose JSON `extra` is added, and one public
+    /// route.
+    pub(crate) fn new(kind: &str, extra: &str, backends: &[&Backend]) -> ScriptedControl {
+        ScriptedControl {
+            config: Arc::new(config(kind, extra)),
+            backends: backends.iter().map(|b| b.address).collect(),
+            tokens: Mutex::new(1_000),
+            ..ScriptedControl::default()
+        }
+    }
+
     /// Whether an attempt was reported to have crashed in this way.
     pub(crate) fn crashed(&self, kind: CrashKind) -> bool {
         self.reports
@@ -349,12 +360,7 @@
     /// Starts a gateway with one route of `kind`, to whose JSON `extra` is added, and one public
     /// route.
     pub(crate) async fn start(kind: &str, extra: &str, backends: &[&Backend]) -> TestGateway {
-        let control = Arc::new(ScriptedControl {
-            config: Arc::new(config(kind, extra)),
-            backends: backends.iter().map(|b| b.address).collect(),
-            tokens: Mutex::new(1_000),
-            ..ScriptedControl::default()
-        });
+        let control = Arc::new(ScriptedControl::new(kind, extra, backends));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let gateway = Gateway::new(Arc::clone(&control), TestDialect, Arc::default(), 100);
--- a/toucanchute_router/src/gateway/metrics.rs
+++ b/toucanchute_router/src/gateway/metrics.rs
@@ -16,7 +16,7 @@
 };
 use tokio::net::TcpListener;
 use toucanchute_edge::{
-    AttemptReport, BackendNotice,
+    AttemptReport, BackendNotice, ConnectionCounts, ConnectionEnd, ConnectionState,
     passthrough::{RequestEnd, ResponseRecord, TokenRefusal, TokenReservation},
 };
 use toucanchute_platform::StoreClient;
@@ -47,6 +47,8 @@
     notices: Family<NoticeLabels, Counter>,
     permits_used: Counter,
     responses: Family<ResponseLabels, Counter>,
+    connections: Family<ConnectionLabels, Gauge>,
+    connections_ended: Family<ConnectionEndLabels, Gauge>,
 }
 
 // The fields of label sets are written out under their own names.
@@ -80,6 +82,16 @@
     connection: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ConnectionLabels {
+    state: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ConnectionEndLabels {
+    end: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StandingLabels {
     standing: &'static str,
@@ -108,6 +120,8 @@
             notices: Family::default(),
             permits_used: Counter::default(),
             responses: Family::default(),
+            connections: Family::default(),
+            connections_ended: Family::default(),
         };
         metrics.register();
         metrics
@@ -173,6 +187,16 @@
              state that the request did not run, and by the connection",
             self.responses.clone(),
         );
+        registry.register(
+            "connections",
+            "Open connections of callers by what happens on them",
+            self.connections.clone(),
+        );
+        registry.register(
+            "connections_ended",
+            "Connections of callers since the start by how they ended",
+            self.connections_ended.clone(),
+        );
     }
 
     /// Counts a request that has ended and records its time to first byte, if it is known.
@@ -266,11 +290,28 @@
         }
     }
 
+    /// Sets the counts of callers' connections.
+    fn set_connections(&self, counts: &ConnectionCounts) {
+        for state in ConnectionState::ALL {
+            let labels = ConnectionLabels {
+                state: state.name(),
+            };
+            let open = i64::try_from(counts.open(state)).unwrap_or(i64::MAX);
+            self.connections.get_or_create(&labels).set(open);
+        }
+        for end in ConnectionEnd::ALL {
+            let labels = ConnectionEndLabels { end: end.name() };
+            let ended = i64::try_from(counts.ended(end)).unwrap_or(i64::MAX);
+            self.connections_ended.get_or_create(&labels).set(ended);
+        }
+    }
+
     /// Reads the sources and returns all metrics as text.
     fn encode_text(&self, sources: &MetricSources) -> String {
         let in_flight = sources.in_flight.load(Ordering::Relaxed);
         self.set_store_calls(sources.store.counts());
         self.set_standings(sources.standings.counts());
+        self.set_connections(&sources.connections);
         self.in_flight
             .set(i64::try_from(in_flight).unwrap_or(i64::MAX));
         let dropped = toucanchute_log::dropped_lines();
@@ -290,6 +331,8 @@
 pub(super) struct MetricSources {
     /// Requests in progress.
     pub(super) in_flight: Arc<AtomicU64>,
+    /// Connections of callers.
+    pub(super) connections: Arc<ConnectionCounts>,
     pub(super) store: StoreClient,
     pub(super) standings: Arc<RequestStandings>,
 }
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -17,7 +17,7 @@
     prepaid::{self, PrepaidAccounts},
     routing::Dispatcher,
 };
-use toucanchute_edge::passthrough::Gateway;
+use toucanchute_edge::{ConnectionCounts, passthrough::Gateway};
 use toucanchute_platform::{PlatformDialect, StoreClient};
 use toucanchute_proto::{
     Incarnation, Millis, config::Config, peer::Hello, settings::GatewaySettings,
@@ -86,7 +86,8 @@
     let connections = settings.callers.connections as usize;
     let in_flight = Arc::clone(&running.in_flight);
     let control = Arc::clone(&running.control);
-    let gateway = Gateway::new(control, PlatformDialect, in_flight, connections);
+    let gateway = Gateway::new(control, PlatformDialect, in_flight, connections)
+        .connection_counts(Arc::clone(&running.connections));
     let mut exited = running.exit.subscribe();
     let draining = shutdown::draining_started(Arc::clone(&running.view), running.exit.subscribe());
     let served = gateway.serve(callers, draining);
@@ -94,6 +95,7 @@
         () = served => drop(exited.wait_for(|left| *left).await),
         _ = shutdown::exit_requested(running.exit.subscribe()) => {}
     }
+    running.connections.log_process_end();
     running.registry.remove_record().await;
     log::info!(calls:? = running.store.counts(); "store-calls");
     log::info!(in_flight = running.in_flight.load(Ordering::Relaxed); "gateway-left");
@@ -114,6 +116,8 @@
     metrics: Arc<GatewayMetrics>,
     /// Requests in progress.
     in_flight: Arc<AtomicU64>,
+    /// Connections of callers.
+    connections: Arc<ConnectionCounts>,
     /// Whether a planned stop of the process has begun.
     leaving: Arc<AtomicBool>,
     /// Set to true when the process has to end.
@@ -223,6 +227,7 @@
             standings,
             metrics,
             in_flight,
+            connections: Arc::default(),
             leaving,
             exit,
         }
@@ -249,6 +254,7 @@
         if let Some(listener) = metrics_listener {
             let sources = metrics::MetricSources {
                 in_flight: Arc::clone(&self.in_flight),
+                connections: Arc::clone(&self.connections),
                 store: self.store.clone(),
                 standings: Arc::clone(&self.standings),
             };
