test(edge): callers' connections at a planned stop, red

red, 0 of 20 requests answered in each: - written to a kept connection as the stop begins, and 50 ms later - written to a connection that was accepted and unused, likewise - written to a connection that was still in the listener's backlog - waiting in the backlog because the limit on connections was reached

green: - an answer with `Connection: close` whose caller has sent 512 KiB more that are not read - an early refusal (413) of a body of 1 MB that is not read: 20 of 20 each - a stop waits for a request in progress and for a caller that reads an answer of 3 MiB slowly - a stop ends in spite of quiet connections, and at once without connections - a caller that closes its sending half gets no answer and counts as caller_left: stated, not judged here

An answer of 8 MiB cannot be used for the slow caller: the router relays 4 MiB at most.

--- a/toucanchute_edge/tests/passthrough/main.rs
+++ b/toucanchute_edge/tests/passthrough/main.rs
@@ -9,5 +9,6 @@
 mod promises;
 mod raw_backend;
 mod repeats;
+mod shutdown;
 mod streams;
 mod support;
