fix(edge): answer what arrives on callers' connections during a planned stop

What callers saw: connections that were kept, just opened or not yet accepted ended without an answer when a router stopped as planned, most of them by a reset.

Cause: the stop closed every connection that was idle at one moment, without asking whether bytes had arrived, and dropped the listener with its backlog. Class: a resource is given up without regard for what its other side has already put into it.

Now (docs/PLATFORM.md, "Callers' connections at a planned stop"): the listener stays open until the requests in progress have ended and the accounts are handed on; each response carries `Connection: close`, also if the stop began after the request arrived; connections are closed only when nothing has happened on them for 0.5 s and the kernel has no bytes of the caller; the backlog is accepted and answered; the sending half is closed first and the rest read for at most 0.5 s, so that no reset discards a response. The process ends when all connections have gone, no longer when no request is in progress: a response that a slow caller has not read yet is written out. 1.75 s before the end of the grace period connections are closed anyway, and it ends 250 ms before it as it did.

Why it works: by the time a quiet connection is closed, every response since SIGTERM has announced it, and a request that has reached the kernel is read first. What is left is a request on its way while the router closes; it is not read and counted as `crossed`.

The gateway's limit on connections now counts per call of `serve`, of which there is one.

--- a/toucanchute_edge/src/connection.rs
+++ b/toucanchute_edge/src/connection.rs
@@ -1,13 +1,17 @@
-//! Connections of callers: what happens on each of them, and how they end.
+//! Connections of callers: how they are accepted and served, what happens on each of them, and how
+//! they end.
 
+mod close;
 mod counts;
+mod listen;
 mod state;
 mod stream;
 mod tracked_body;
 mod tracker;
 
 pub use counts::ConnectionCounts;
+pub use listen::{CallerListener, ConnectionLimits, Responder};
 pub use state::{ConnectionEnd, ConnectionState};
-pub(crate) use stream::{CallerStream, has_unread_bytes};
-pub(crate) use tracked_body::TrackedBody;
-pub(crate) use tracker::ConnectionTracker;
+use stream::{CallerStream, has_unread_bytes};
+use tracked_body::TrackedBody;
+use tracker::ConnectionTracker;
--- a/toucanchute_edge/src/connection/state.rs
+++ b/toucanchute_edge/src/connection/state.rs
@@ -43,8 +43,7 @@
     AnsweredWithClose,
     /// Closed by the router while nothing happened on it.
     Quiet,
-    /// Closed by the router while nothing happened on it, with bytes of a request unread or on their
-    /// way.
+    /// Closed by the router while nothing happened on it; bytes of a request arrived afterwards.
     Crossed,
     /// Ended by the router while a request was being received or answered.
     Cut,
--- a/toucanchute_edge/src/connection/tracker.rs
+++ b/toucanchute_edge/src/connection/tracker.rs
@@ -1,4 +1,9 @@
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use tokio::time::Instant;
 
 use super::{ConnectionCounts, ConnectionEnd, ConnectionState};
 
@@ -12,13 +17,15 @@
 #[derive(Debug)]
 struct Tracked {
     state: ConnectionState,
+    /// When the connection last became unused or idle.
+    quiet_since: Instant,
     /// The response body has been handed over in full, but not yet flushed.
     response_ended: bool,
     /// The last response carries `Connection: close`.
     announced_close: bool,
     /// The caller closed or reset the connection.
     closed_by_caller: bool,
-    /// Bytes of the caller were unread when the router closed the connection, or arrived later.
+    /// Bytes of the caller arrived after the router had closed the connection.
     crossed: bool,
 }
 
@@ -28,6 +35,7 @@
         counts.add_open(ConnectionState::Unused);
         let tracked = Tracked {
             state: ConnectionState::Unused,
+            quiet_since: Instant::now(),
             response_ended: false,
             announced_close: false,
             closed_by_caller: false,
@@ -60,13 +68,27 @@
         }
     }
 
+    /// Returns for how long nothing has happened on the connection; `None` while a request is being
+    /// received or answered.
+    pub(super) fn quiet_time(&self) -> Option<Duration> {
+        let tracked = self.lock();
+        match tracked.state {
+            ConnectionState::Unused | ConnectionState::Idle => Some(tracked.quiet_since.elapsed()),
+            ConnectionState::Receiving | ConnectionState::InProgress => None,
+        }
+    }
+
+    pub(super) fn is_closed_by_caller(&self) -> bool {
+        self.lock().closed_by_caller
+    }
+
     /// Records that the caller closed or reset the connection.
     pub(super) fn caller_closed(&self) {
         self.lock().closed_by_caller = true;
     }
 
-    /// Records that bytes of the caller were unread when the router closed the connection.
-    pub(crate) fn crossed(&self) {
+    /// Records that bytes of the caller arrived after the router had closed the connection.
+    pub(super) fn crossed(&self) {
         self.lock().crossed = true;
     }
 
@@ -92,6 +114,7 @@
     pub(super) fn flushed(&self) {
         let mut tracked = self.lock();
         if tracked.state == ConnectionState::InProgress && tracked.response_ended {
+            tracked.quiet_since = Instant::now();
             self.change_state(&mut tracked, ConnectionState::Idle);
         }
     }
--- a/toucanchute_edge/src/lib.rs
+++ b/toucanchute_edge/src/lib.rs
@@ -26,7 +26,9 @@
 #[cfg(test)]
 mod tests;
 
-pub use connection::{ConnectionCounts, ConnectionEnd, ConnectionState};
+pub use connection::{
+    CallerListener, ConnectionCounts, ConnectionEnd, ConnectionLimits, ConnectionState, Responder,
+};
 pub use control::{
     AddressList, AssignRequest, Assignment, CallOutcome, Control, IntentDecision, IntentRequest,
     Refusal, RefusalReason, RequestOutcome, Reservation, ReserveRequest, ServiceAnswer, Settlement,
--- a/toucanchute_edge/src/passthrough/gateway.rs
+++ b/toucanchute_edge/src/passthrough/gateway.rs
@@ -1,36 +1,22 @@
 use std::{
-    convert::Infallible,
     future::Future,
-    io,
     sync::{Arc, atomic::AtomicU64},
-    time::Duration,
 };
 
-use http::header;
-use hyper::{server::conn::http1, service::service_fn};
-use hyper_util::{
-    rt::{TokioIo, TokioTimer},
-    server::graceful::GracefulShutdown,
-};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore},
-};
+use http::{Request, Response};
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use toucanchute_proto::Millis;
 
 use super::{
-    Dialect, RouteControl,
+    Dialect, ResponseBody, RouteControl,
     handler::{GatewayState, handle},
 };
 use crate::{
-    connection::{
-        CallerStream, ConnectionCounts, ConnectionTracker, TrackedBody, has_unread_bytes,
-    },
+    connection::{CallerListener, ConnectionCounts, ConnectionLimits, Responder},
     settings::duration,
 };
 
-/// Delay before the next connection is accepted after accepting one failed.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// Lower limit of the read buffer that hyper is given, in bytes.
 const MIN_READ_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -49,8 +35,8 @@
 /// ```
 pub struct Gateway<C, D> {
     state: Arc<GatewayState<C, D>>,
-    /// Limits the number of callers' connections.
-    connection_permits: Arc<Semaphore>,
+    /// Most connections of callers that are open at once.
+    max_connections: usize,
     connection_counts: Arc<ConnectionCounts>,
 }
 
@@ -67,7 +53,7 @@
     ) -> Gateway<C, D> {
         Gateway {
             state: Arc::new(GatewayState::new(control, dialect, in_flight)),
-            connection_permits: Arc::new(Semaphore::new(connections)),
+            max_connections: connections,
             connection_counts: Arc::default(),
         }
     }
@@ -79,94 +65,46 @@
         self
     }
 
-    /// Accepts callers until `shutdown` resolves, then returns once every request in progress has
-    /// ended and every connection is closed.
+    /// Serves callers until `shutdown` resolves, then returns once every request in progress has ended
+    /// and every connection is closed. Quiet connections are closed from then on.
     pub async fn serve(&self, listener: TcpListener, shutdown: impl Future<Output = ()>) {
-        let connections = GracefulShutdown::new();
-        tokio::pin!(shutdown);
-        loop {
-            let accepted = tokio::select! {
-                accepted = self.accept(&listener) => accepted,
-                () = &mut shutdown => break,
-            };
-            match accepted {
-                Ok((stream, permit)) => self.spawn_connection(stream, permit, &connections),
-                Err(err) => {
-                    log::warn!(error:% = err; "accept-failed");
-                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                }
-            }
-        }
-        drop(listener);
-        self.connection_counts.log_stop_begin();
-        connections.shutdown().await;
+        let responder = GatewayResponder(Arc::clone(&self.state));
+        let counts = Arc::clone(&self.connection_counts);
+        CallerListener::new(responder, counts, self.max_connections)
+            .serve(listener, shutdown)
+            .await;
     }
+}
+
+/// Answers the requests of callers' connections.
+struct GatewayResponder<C, D>(Arc<GatewayState<C, D>>);
 
-    async fn accept(
-        &self,
-        listener: &TcpListener,
-    ) -> io::Result<(TcpStream, Option<OwnedSemaphorePermit>)> {
-        let permit = Arc::clone(&self.connection_permits)
-            .acquire_owned()
-            .await
-            .ok();
-        let (stream, _) = listener.accept().await?;
-        stream.set_nodelay(true)?;
-        Ok((stream, permit))
+impl<C, D> Clone for GatewayResponder<C, D> {
+    fn clone(&self) -> GatewayResponder<C, D> {
+        GatewayResponder(Arc::clone(&self.0))
     }
+}
 
-    fn spawn_connection(
-        &self,
-        stream: TcpStream,
-        permit: Option<OwnedSemaphorePermit>,
-        connections: &GracefulShutdown,
-    ) {
-        let limits = self
-            .state
-            .table()
-            .config()
-            .callers
-            .clone()
-            .unwrap_or_default();
-        let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
+impl<C: RouteControl, D: Dialect> Responder for GatewayResponder<C, D> {
+    type Body = ResponseBody;
+
+    async fn respond(&self, req: Request<Incoming>) -> Response<ResponseBody> {
+        handle(Arc::clone(&self.0), req).await
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.0.control.is_leaving()
+    }
+
+    fn limits(&self) -> ConnectionLimits {
+        let table = self.0.table();
+        let limits = table.config().callers.clone().unwrap_or_default();
+        let header_timeout = Millis(limits.idle_timeout_ms) + Millis(limits.header_timeout_ms);
         let max_header_bytes = usize::try_from(limits.max_header_bytes).unwrap_or(usize::MAX);
-        let state = Arc::clone(&self.state);
-        let tracker = Arc::new(ConnectionTracker::new(Arc::clone(&self.connection_counts)));
-        let request_tracker = Arc::clone(&tracker);
-        let service = service_fn(move |req| {
-            let state = Arc::clone(&state);
-            let tracker = Arc::clone(&request_tracker);
-            async move {
-                tracker.request_started();
-                let res = handle(state, req).await;
-                if res.headers().contains_key(header::CONNECTION) {
-                    tracker.announced_close();
-                }
-                Ok::<_, Infallible>(res.map(|body| TrackedBody::new(body, tracker)))
-            }
-        });
-        let stream = Arc::new(stream);
-        let caller_stream = CallerStream::new(Arc::clone(&stream), Arc::clone(&tracker));
-        let conn = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(
-                idle_timeout + duration(toucanchute_proto::Millis(limits.header_timeout_ms)),
-            )
-            .max_buf_size(
-                max_header_bytes
-                    .saturating_mul(2)
-                    .max(MIN_READ_BUFFER_BYTES),
-            )
-            .serve_connection(TokioIo::new(caller_stream), service);
-        let conn = connections.watch(conn);
-        tokio::spawn(async move {
-            if let Err(err) = conn.await {
-                log::debug!(error:% = err; "connection-failed");
-            }
-            if has_unread_bytes(&stream) {
-                tracker.crossed();
-            }
-            drop(permit);
-        });
+        let read_buffer_bytes = max_header_bytes.saturating_mul(2);
+        ConnectionLimits {
+            header_timeout: duration(header_timeout),
+            read_buffer_bytes: read_buffer_bytes.max(MIN_READ_BUFFER_BYTES),
+        }
     }
 }
--- a/toucanchute_edge/src/passthrough/handler.rs
+++ b/toucanchute_edge/src/passthrough/handler.rs
@@ -4,7 +4,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, header, request};
+use http::{Request, Response, header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
 use tokio::time::Instant;
@@ -79,23 +79,16 @@
     }
 }
 
-/// Serves one request of a caller. While the router is leaving, the response closes the caller's
-/// connection.
+/// Serves one request of a caller.
 pub(super) async fn handle<C: RouteControl, D: Dialect>(
     state: Arc<GatewayState<C, D>>,
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let in_flight = InFlightGuard::new(&state.in_flight);
-    let is_leaving = state.control.is_leaving();
     let (head, body) = req.into_parts();
     let info = state.dialect.read_request(&head);
     let trace = RequestTrace::new(Arc::clone(&state.control), info.attempt.clone());
-    let mut res = serve(state, head, body, info, trace, in_flight).await;
-    if is_leaving {
-        let close = HeaderValue::from_static("close");
-        res.headers_mut().insert(header::CONNECTION, close);
-    }
-    res
+    serve(state, head, body, info, trace, in_flight).await
 }
 
 async fn serve<C: RouteControl, D: Dialect>(
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -75,11 +75,14 @@
     log::info!(listen:% = settings.callers.listen; "gateway-started");
 
     let grace = Duration::from_millis(settings.leave.grace_ms);
+    let (close_connections, closing) = watch::channel(false);
+    let (end_now, out_of_time) = watch::channel(false);
     let planned = shutdown::PlannedShutdown {
         fleet: running.fleet.clone(),
         prepaid: running.prepaid.clone(),
         leaving: Arc::clone(&running.leaving),
-        exit: running.exit.clone(),
+        closing: close_connections,
+        out_of_time: end_now,
         grace,
     };
     tokio::spawn(planned.run_on_signal(signals.terminate, signals.interrupt));
@@ -88,12 +91,20 @@
     let control = Arc::clone(&running.control);
     let gateway = Gateway::new(control, PlatformDialect, in_flight, connections)
         .connection_counts(Arc::clone(&running.connections));
-    let mut exited = running.exit.subscribe();
-    let draining = shutdown::draining_started(Arc::clone(&running.view), running.exit.subscribe());
-    let served = gateway.serve(callers, draining);
+    let stopped = async {
+        let drained = running.exit.subscribe();
+        let close_quiet = async {
+            tokio::select! {
+                () = shutdown::requested(drained.clone()) => {}
+                () = shutdown::requested(closing) => {}
+            }
+        };
+        gateway.serve(callers, close_quiet).await;
+        shutdown::requested(drained).await;
+    };
     tokio::select! {
-        () = served => drop(exited.wait_for(|left| *left).await),
-        _ = shutdown::exit_requested(running.exit.subscribe()) => {}
+        () = stopped => {}
+        () = shutdown::requested(out_of_time) => {}
     }
     running.connections.log_process_end();
     running.registry.remove_record().await;
@@ -120,7 +131,7 @@
     connections: Arc<ConnectionCounts>,
     /// Whether a planned stop of the process has begun.
     leaving: Arc<AtomicBool>,
-    /// Set to true when the process has to end.
+    /// Set to true when no request is in progress and all accounts are handed on.
     exit: watch::Sender<bool>,
 }
 
--- a/toucanchute_router/src/gateway/shutdown.rs
+++ b/toucanchute_router/src/gateway/shutdown.rs
@@ -9,24 +9,22 @@
     time::Duration,
 };
 
-use tokio::{signal::unix::Signal, sync::watch};
-use toucanchute_edge::RefusalReason;
+use tokio::{signal::unix::Signal, sync::watch, time::Instant};
 use toucanchute_settings::load_gateway;
 use xtra::prelude::*;
 
 use crate::{
     actor::{FleetActor, FleetInput, PrepaidActor, PrepaidInput, post},
-    clock,
     run::level_filter,
-    view::RouterView,
 };
 
 /// Time before the end of the grace period at which the process ends even if requests are still in
 /// progress.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(250);
+const EXIT_MARGIN: Duration = Duration::from_millis(250);
 
-/// Pause between two checks whether the router still accepts new work.
-const DRAIN_POLL_PAUSE: Duration = Duration::from_millis(50);
+/// Time before that at which quiet connections are closed even if requests are still in progress.
+/// It lasts longer than the edge takes to close them.
+const CLOSING_TIME: Duration = Duration::from_millis(1_500);
 
 /// A planned stop of this process within a grace period.
 pub(super) struct PlannedShutdown {
@@ -34,8 +32,10 @@
     pub(super) prepaid: Address<PrepaidActor>,
     /// Set to true when the stop begins.
     pub(super) leaving: Arc<AtomicBool>,
-    /// Set to true when the process has to end.
-    pub(super) exit: watch::Sender<bool>,
+    /// Set to true when quiet connections have to be closed.
+    pub(super) closing: watch::Sender<bool>,
+    /// Set to true when the process has to end at once.
+    pub(super) out_of_time: watch::Sender<bool>,
     /// Time between the signal and the moment when the platform kills the process.
     pub(super) grace: Duration,
 }
@@ -48,33 +48,26 @@
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
+        let end = Instant::now() + self.grace.saturating_sub(EXIT_MARGIN);
         log::info!(grace_ms = self.grace.as_millis() as u64; "drain-requested");
         self.leaving.store(true, Ordering::Relaxed);
         post(&self.prepaid, PrepaidInput::Drain);
         post(&self.fleet, FleetInput::Drain);
-        tokio::time::sleep(self.grace.saturating_sub(SHUTDOWN_MARGIN)).await;
+        tokio::time::sleep_until(end - CLOSING_TIME.min(self.grace)).await;
+        self.closing.send_replace(true);
+        tokio::time::sleep_until(end).await;
         log::warn!("drain-out-of-time");
-        self.exit.send_replace(true);
+        self.out_of_time.send_replace(true);
     }
 }
 
-/// Resolves once the router refuses new work because it is leaving, or once the process has to end.
-pub(super) async fn draining_started(view: Arc<RouterView>, mut exit: watch::Receiver<bool>) {
-    loop {
-        let refusal = view.unready(clock::now());
-        let draining = refusal.is_some_and(|r| r.reason == RefusalReason::Draining);
-        if draining || *exit.borrow_and_update() {
-            return;
-        }
-        tokio::time::sleep(DRAIN_POLL_PAUSE).await;
+/// Resolves once the sender has set its value to true.
+pub(super) async fn requested(mut signal: watch::Receiver<bool>) {
+    if signal.wait_for(|set| *set).await.is_err() {
+        std::future::pending::<()>().await;
     }
 }
 
-/// Resolves once the process has to end.
-pub(super) async fn exit_requested(mut exit: watch::Receiver<bool>) {
-    let _ = exit.wait_for(|left| *left).await;
-}
-
 /// Reads the settings file again whenever the signal arrives. Only the log level takes effect;
 /// other settings need a restart.
 pub(super) async fn reload_on_hangup(mut hangup: Signal, path: PathBuf) {
