fix(edge): answer what arrives on connections of a router on a host of its own during a planned stop

The edge of routers on hosts of one's own had the same accept loop, closed idle connections at one moment and dropped its backlog; while it refused new work it did not announce the close either.

Now both share CallerListener.

--- a/toucanchute_edge/src/edge.rs
+++ b/toucanchute_edge/src/edge.rs
@@ -1,34 +1,25 @@
 use std::{
     convert::Infallible,
     future::Future,
-    io,
-    net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
-    time::Duration,
 };
 
-use hyper::{server::conn::http1, service::service_fn};
-use hyper_util::{
-    rt::{TokioIo, TokioTimer},
-    server::graceful::GracefulShutdown,
-};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore, mpsc},
-};
+use http::{Request, Response};
+use hyper::body::Incoming;
+use tokio::{net::TcpListener, sync::mpsc};
 
 use crate::{
     backend::BackendClient,
+    body::AnswerBody,
     config_index::ConfigIndex,
-    control::Control,
+    connection::{CallerListener, ConnectionCounts, ConnectionLimits, Responder},
+    control::{Control, RefusalReason},
     handler::Handler,
     settings::{EdgeSettings, duration},
 };
 
 /// Smallest read buffer that hyper accepts, in bytes.
 const MIN_READ_BUFFER_BYTES: usize = 8 * 1024;
-/// Delay before the next connection is accepted after accepting one failed.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// The HTTP edge of a router.
 ///
@@ -74,88 +65,40 @@
         }
     }
 
-    /// Serves callers until `shutdown` resolves, then stops accepting connections and returns once
-    /// every request in progress has ended and every connection is closed.
+    /// Serves callers until `shutdown` resolves, then returns once every request in progress has ended
+    /// and every connection is closed. Quiet connections are closed from then on.
     pub async fn serve(&self, listener: TcpListener, shutdown: impl Future<Output = ()>) {
-        let connections = GracefulShutdown::new();
         let (running_guard, mut all_ended) = mpsc::channel::<Infallible>(1);
-        let permits = Arc::new(Semaphore::new(self.shared.settings.max_connections));
-        tokio::pin!(shutdown);
-        loop {
-            let accepted = tokio::select! {
-                accepted = accept(&listener, &permits) => accepted,
-                () = &mut shutdown => break,
-            };
-            match accepted {
-                Ok(accepted) => {
-                    let handler = Handler::new(Arc::clone(&self.shared), running_guard.clone());
-                    self.spawn_connection(handler, accepted, &connections);
-                }
-                Err(err) => {
-                    log::warn!(error:% = err; "accept-failed");
-                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                }
-            }
-        }
-        drop(listener);
-        drop(running_guard);
-        connections.shutdown().await;
+        let handler = Handler::new(Arc::clone(&self.shared), running_guard);
+        let counts = Arc::<ConnectionCounts>::default();
+        let connections = self.shared.settings.max_connections;
+        let callers = CallerListener::new(handler, Arc::clone(&counts), connections);
+        callers.serve(listener, shutdown).await;
+        drop(callers);
         all_ended.recv().await;
+        counts.log_process_end();
     }
+}
+
+impl<C: Control> Responder for Handler<C> {
+    type Body = AnswerBody;
 
-    fn spawn_connection(
-        &self,
-        handler: Handler<C>,
-        accepted: AcceptedConnection,
-        connections: &GracefulShutdown,
-    ) {
-        let AcceptedConnection {
-            stream,
-            peer,
-            permit,
-        } = accepted;
-        let _ = stream.set_nodelay(true);
-        let settings = &self.shared.settings;
-        let service = service_fn(move |req| {
-            let handler = handler.clone();
-            async move { Ok::<_, Infallible>(handler.handle(req).await) }
-        });
-        let read_buffer = (2 * settings.max_header_bytes).max(MIN_READ_BUFFER_BYTES);
-        let conn = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(duration(settings.header_timeout))
-            .max_buf_size(read_buffer)
-            .serve_connection(TokioIo::new(stream), service);
-        let conn = connections.watch(conn);
-        tokio::spawn(async move {
-            if let Err(err) = conn.await {
-                log::debug!(peer:% = peer, error:% = err; "connection-failed");
-            }
-            drop(permit);
-        });
+    async fn respond(&self, req: Request<Incoming>) -> Response<AnswerBody> {
+        self.handle(req).await
     }
-}
 
-/// An accepted connection of a caller.
-struct AcceptedConnection {
-    stream: TcpStream,
-    peer: SocketAddr,
-    /// Permit that counts toward the limit on connections; released when the connection is closed.
-    permit: Option<OwnedSemaphorePermit>,
-}
+    fn is_leaving(&self) -> bool {
+        let refusal = self.edge().control.unready();
+        refusal.is_some_and(|r| r.reason == RefusalReason::Draining)
+    }
 
-/// Waits for a permit, then accepts a connection for it.
-async fn accept(
-    listener: &TcpListener,
-    permits: &Arc<Semaphore>,
-) -> io::Result<AcceptedConnection> {
-    let permit = Arc::clone(permits).acquire_owned().await.ok();
-    let (stream, peer) = listener.accept().await?;
-    Ok(AcceptedConnection {
-        stream,
-        peer,
-        permit,
-    })
+    fn limits(&self) -> ConnectionLimits {
+        let settings = &self.edge().settings;
+        ConnectionLimits {
+            header_timeout: duration(settings.header_timeout),
+            read_buffer_bytes: (2 * settings.max_header_bytes).max(MIN_READ_BUFFER_BYTES),
+        }
+    }
 }
 
 /// State shared by all requests of one edge.
--- a/toucanchute_edge/src/handler.rs
+++ b/toucanchute_edge/src/handler.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Returns the state that all requests share.
+    pub(crate) fn edge(&self) -> &EdgeState<C> {
+        &self.shared
+    }
+
     /// Handles one request.
     pub(crate) async fn handle(&self, req: Request<Incoming>) -> Response<AnswerBody> {
         let (head, body) = req.into_parts();
--- a/toucanchute_edge/tests/edge/main.rs
+++ b/toucanchute_edge/tests/edge/main.rs
@@ -4,5 +4,6 @@
 mod churn;
 mod completions;
 mod services;
+mod shutdown;
 mod support;
 mod test_control;
