test(edge): what callers of routers on hosts of one's own are told of requests that ran

- A service's 503 or 429 counts as not run, whatever attempt it names and whatever it ran: the call is recorded as not run, its price refunded, and the call sent to the next server.
- 408 and 421 of a service, and a recorded 503, are passed on with their status, a success of another attempt as the answer.
- A completion is told as not run after a 400, 404, 429 or 503 that states nothing, or that names another attempt, also where it comes late on a kept connection.
- A 421 of this very attempt is passed on as an answer and billed, although the call did not run.

Not reproduced: a connection that fails at eleven places, half an answer, half a head and a late refusal of a call that may run once (each goes over a connection of its own) end without a promise.

The raw backend servers are those of the gateway's tests: read_request moves next to them, and a text to write may stand for the attempt of the request read last or before. The test control refuses a key whose outcome is unknown, as the ledger does.

--- a/toucanchute_edge/tests/edge/main.rs
+++ b/toucanchute_edge/tests/edge/main.rs
@@ -3,6 +3,10 @@
 mod bad_input;
 mod churn;
 mod completions;
+mod outcome_walk;
+mod outcomes;
+#[path = "../passthrough/raw_backend.rs"]
+mod raw_backend;
 mod services;
 mod shutdown;
 mod support;
--- a/toucanchute_edge/tests/edge/support.rs
+++ b/toucanchute_edge/tests/edge/support.rs
@@ -18,11 +18,24 @@
 
 use crate::test_control::{TOKEN_SHA256, TestControl};
 
+/// Field of a request's head that names its attempt.
+pub(crate) const ATTEMPT_FIELD: &str = "toucanchute-attempt";
 /// Limit on the connections of callers.
 pub(crate) const MAX_CONNECTIONS: usize = 16;
 /// Prompt of most completions.
 pub(crate) const PROMPT: &str = "why does the \"gate\" stick?";
 
+/// Where a backend server that a test plays by hand is reached.
+pub(crate) struct Backend {
+    pub(crate) address: SocketAddr,
+}
+
+impl Backend {
+    pub(crate) fn absent(address: SocketAddr) -> Backend {
+        Backend { address }
+    }
+}
+
 /// A running edge with a client for it.
 pub(crate) struct TestEdge {
     pub(crate) address: SocketAddr,
--- a/toucanchute_edge/tests/edge/test_control.rs
+++ b/toucanchute_edge/tests/edge/test_control.rs
@@ -93,6 +93,11 @@
             && self.attempts.load(Ordering::Relaxed) == ended + 1
     }
 
+    /// Returns the number of attempts that were assigned.
+    pub(crate) fn attempt_count(&self) -> u64 {
+        self.attempts.load(Ordering::Relaxed) - 1
+    }
+
     fn push_event(&self, event: impl Into<String>) {
         self.events.send_modify(|events| events.push(event.into()));
     }
@@ -146,6 +151,10 @@
             Some((key, CallOutcome::Answer(answer))) if *key == req.key => {
                 Ok(IntentDecision::Recorded(answer.clone()))
             }
+            Some((key, CallOutcome::Unknown)) if *key == req.key => Err(Refusal {
+                outcome: RequestOutcome::Unknown,
+                ..refusal(RefusalReason::UnknownOutcome)
+            }),
             _ => Ok(IntentDecision::Accepted),
         }
     }
--- a/toucanchute_edge/tests/passthrough/ends/servers.rs
+++ b/toucanchute_edge/tests/passthrough/ends/servers.rs
@@ -17,7 +17,7 @@
 };
 use toucanchute_proto::config::Backend;
 
-use crate::support::{full_response, read_request};
+use crate::{raw_backend::read_request, support::full_response};
 
 /// Time from a crash until the server's registration lapses.
 const REGISTRATION_LAPSE: Duration = Duration::from_millis(400);
--- a/toucanchute_edge/tests/passthrough/promises.rs
+++ b/toucanchute_edge/tests/passthrough/promises.rs
@@ -10,8 +10,8 @@
 };
 
 use crate::{
-    raw_backend::{RawBackend, Step},
-    support::{Backend, Script, TestGateway, full_response, read_request},
+    raw_backend::{RawBackend, Step, read_request},
+    support::{Backend, Script, TestGateway, full_response},
 };
 
 /// Time after which the second response on a connection is late.
--- a/toucanchute_edge/tests/passthrough/raw_backend.rs
+++ b/toucanchute_edge/tests/passthrough/raw_backend.rs
@@ -11,7 +11,12 @@
     net::{TcpListener, TcpStream},
 };
 
-use crate::support::{Backend, read_request};
+use crate::support::{ATTEMPT_FIELD, Backend};
+
+/// Text of a [`Step::Write`] that stands for the attempt of the request that was read last.
+pub(crate) const OWN: &str = "{own}";
+/// Text of a [`Step::Write`] that stands for the attempt of the request that was read before it.
+pub(crate) const EARLIER: &str = "{earlier}";
 
 /// What a server does with a request; the steps are carried out in turn.
 #[derive(Clone, Debug)]
@@ -22,7 +27,7 @@
     Read(usize),
     /// Reads a whole request.
     ReadRequest,
-    /// Writes these bytes.
+    /// Writes these bytes, with [`OWN`] and [`EARLIER`] replaced.
     Write(String),
     /// Waits.
     Pause(Duration),
@@ -65,6 +70,7 @@
                 let connection = RawConnection {
                     stream,
                     number: accepted,
+                    attempts: Vec::new(),
                     received: Arc::clone(&received),
                     runs: Arc::clone(&runs),
                 };
@@ -77,16 +83,17 @@
 
     /// Returns the identifiers of the attempts that ran.
     pub(crate) fn attempts_run(&self) -> Vec<String> {
-        let attempt = |req: &String| {
-            let line = req.lines().find_map(|l| l.strip_prefix("x-attempt: "));
-            line.unwrap_or_default().to_owned()
-        };
-        self.runs.lock().unwrap().iter().map(attempt).collect()
+        self.runs
+            .lock()
+            .unwrap()
+            .iter()
+            .map(|r| attempt_of(r))
+            .collect()
     }
 
     /// Returns whether any byte of a request with this attempt was received.
     pub(crate) fn has_received(&self, attempt: &str) -> bool {
-        let line = format!("x-attempt: {attempt}\r\n");
+        let line = format!("{ATTEMPT_FIELD}: {attempt}\r\n");
         self.received
             .lock()
             .unwrap()
@@ -100,9 +107,18 @@
     }
 }
 
+/// Returns the identifier of a request's attempt.
+fn attempt_of(req: &str) -> String {
+    let fields = req.lines().filter_map(|l| l.split_once(": "));
+    let mut attempts = fields.filter_map(|(name, value)| (name == ATTEMPT_FIELD).then_some(value));
+    attempts.next().unwrap_or_default().to_owned()
+}
+
 struct RawConnection {
     stream: TcpStream,
     number: usize,
+    /// Attempts of the requests that were read, the last one first.
+    attempts: Vec<String>,
     received: Arc<Mutex<Vec<String>>>,
     runs: Arc<Mutex<Vec<String>>>,
 }
@@ -122,7 +138,11 @@
                 }
                 Step::Read(bytes) => self.read(bytes).await,
                 // The router may have closed the connection.
-                Step::Write(text) => drop(self.stream.write_all(text.as_bytes()).await),
+                Step::Write(text) => {
+                    let attempt = |i: usize| self.attempts.get(i).map_or("", String::as_str);
+                    let text = text.replace(OWN, attempt(0)).replace(EARLIER, attempt(1));
+                    drop(self.stream.write_all(text.as_bytes()).await);
+                }
                 Step::Pause(span) => tokio::time::sleep(span).await,
                 Step::Close => return,
                 Step::Reset => {
@@ -140,6 +160,7 @@
     async fn read_request(&mut self) -> Option<String> {
         let req = read_request(&mut self.stream).await?;
         self.received.lock().unwrap()[self.number].push_str(&req);
+        self.attempts.insert(0, attempt_of(&req));
         Some(req)
     }
 
@@ -159,3 +180,26 @@
         len
     }
 }
+
+/// Reads a request, with a body of the length that its head states.
+pub(crate) async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut buf = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&buf).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.lines().find_map(|l| {
+                let (name, value) = l.split_once(':')?;
+                name.eq_ignore_ascii_case("content-length")
+                    .then(|| value.trim().parse::<usize>().unwrap())
+            });
+            if body.len() >= length.unwrap_or(0) {
+                return Some(text);
+            }
+        }
+        let mut part = [0; 4_096];
+        match stream.read(&mut part).await {
+            Ok(0) | Err(_) => return None,
+            Ok(len) => buf.extend_from_slice(&part[..len]),
+        }
+    }
+}
--- a/toucanchute_edge/tests/passthrough/support.rs
+++ b/toucanchute_edge/tests/passthrough/support.rs
@@ -25,6 +25,10 @@
 };
 use toucanchute_proto::{AttemptId, Incarnation, Millis, RequestRate, config::Config, fleet::Load};
 
+use crate::raw_backend::read_request;
+
+/// Field of a request's head that names its attempt.
+pub(crate) const ATTEMPT_FIELD: &str = "x-attempt";
 /// Time limit for one exchange in these tests.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -141,29 +145,6 @@
     }
 }
 
-/// Reads a request, with a body of the length that its head states.
-pub(crate) async fn read_request(stream: &mut TcpStream) -> Option<String> {
-    let mut buf = Vec::new();
-    loop {
-        let text = String::from_utf8_lossy(&buf).into_owned();
-        if let Some((head, body)) = text.split_once("\r\n\r\n") {
-            let length = head.lines().find_map(|l| {
-                let (name, value) = l.split_once(':')?;
-                name.eq_ignore_ascii_case("content-length")
-                    .then(|| value.trim().parse::<usize>().unwrap())
-            });
-            if body.len() >= length.unwrap_or(0) {
-                return Some(text);
-            }
-        }
-        let mut part = [0; 4_096];
-        match stream.read(&mut part).await {
-            Ok(0) | Err(_) => return None,
-            Ok(len) => buf.extend_from_slice(&part[..len]),
-        }
-    }
-}
-
 // Control
 
 #[derive(Debug, Default)]
