docs(proto): identifiers, codecs and rates in plain technical English

Two private constants are named by their quantity: MAX_UNPACKED_BYTES (was MAX_UNPACKED) and UNITS_PER_REQUEST (was THOUSAND). Doc comments of identifiers say that they are identifiers; the pair of codec functions say what they encode.

--- a/toucanchute_proto/src/codec.rs
+++ b/toucanchute_proto/src/codec.rs
@@ -2,13 +2,13 @@
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::Snafu;
 
-/// A value that is not the CBOR encoding of the type expected.
+/// Error of decoding a value that is not the CBOR encoding of the expected type.
 #[derive(Debug, Snafu)]
 #[snafu(display("value is not a valid `{type_name}`: {detail}"))]
 pub struct DecodeError {
-    /// Name of the type expected.
+    /// Name of the expected type.
     pub type_name: &'static str,
-    /// What is wrong with the value.
+    /// Cause, as the decoder reports it.
     pub detail: String,
 }
 
--- a/toucanchute_proto/src/config_traits.rs
+++ b/toucanchute_proto/src/config_traits.rs
@@ -1,6 +1,6 @@
 use crate::config::{Config, Ledger, Routing};
 
-/// The generator derives no comparison for a schema's root type.
+/// Written by hand, because the generator derives no comparison for the root type of a schema.
 impl PartialEq for Config {
     fn eq(&self, rhs: &Config) -> bool {
         self.version == rhs.version
@@ -18,7 +18,7 @@
     }
 }
 
-/// The configuration before the first apply: version 0, nothing in it.
+/// The empty configuration before the first apply, with version 0.
 impl Default for Config {
     fn default() -> Config {
         Config {
--- a/toucanchute_proto/src/id.rs
+++ b/toucanchute_proto/src/id.rs
@@ -2,56 +2,57 @@
 
 use serde::{Deserialize, Serialize};
 
-/// One run of a router process; a restarted router has another one.
+/// Identifier of one run of a router process; it changes with each restart.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct Incarnation(pub u64);
 
-/// One shard of the ledger.
+/// Identifier of a shard of the ledger.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct ShardId(pub u16);
 
-/// A prepaid budget, derived from its name.
+/// Identifier of a prepaid budget, derived from its name.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct BudgetId(pub u64);
 
-/// An idempotency key of one customer, as a 128-bit digest of customer and key.
+/// Idempotency key of one customer, as a 128-bit digest of customer and key.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct RequestKey(pub u128);
 
-/// A 128-bit digest of a request's target and body.
+/// 128-bit digest of a request's path and body.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct Digest(pub u128);
 
-/// One entry of the ledger, unique over all routers and time.
+/// Identifier of a ledger entry, unique over all routers and time.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct EntryId(pub Incarnation, pub u64);
 
-/// One grant of a part of a budget, unique over all routers and time.
+/// Identifier of a grant of a part of a budget, unique over all routers and time.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct GrantId(pub Incarnation, pub u64);
 
-/// One dispatch of a request to a backend server, unique over all routers and time.
+/// Identifier of one attempt to send a request to a backend server, unique over all routers and
+/// time.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct AttemptId(pub Incarnation, pub u64);
 
 impl BudgetId {
-    /// Returns the identifier of the budget called `name`.
+    /// Returns the identifier of the budget named `name`.
     ///
     /// ```
     /// use toucanchute_proto::BudgetId;
@@ -66,7 +67,7 @@
         BudgetId(head.iter().fold(0, |id, &b| id << 8 | u64::from(b)))
     }
 
-    /// Returns the ledger shard that holds this budget, out of `shards`.
+    /// Returns the ledger shard of this budget, if the ledger has `shards` shards.
     #[must_use]
     pub fn shard(self, shards: u16) -> ShardId {
         ShardId((self.0 % u64::from(shards.max(1))) as u16)
@@ -74,7 +75,7 @@
 }
 
 impl RequestKey {
-    /// Returns the key that stands for `key` as sent by `customer`.
+    /// Returns the digest of the idempotency key `key` that `customer` sent.
     #[must_use]
     pub fn new(customer: &str, key: &[u8]) -> RequestKey {
         RequestKey(digest(&[customer.as_bytes(), key]))
--- a/toucanchute_proto/src/lib.rs
+++ b/toucanchute_proto/src/lib.rs
@@ -1,7 +1,7 @@
 //! Messages, documents and identifiers that processes of toucanchute exchange.
 //!
-//! The modules in [`config`] and its siblings are generated from the JSON Schemas in `schema/`; the
-//! identifiers are written by hand because they are small `Copy` keys.
+//! The module [`config`] and its siblings are generated from the JSON Schemas in `schema/`.
+//! Identifiers are written by hand, because they are small `Copy` keys.
 
 mod codec;
 mod config_traits;
@@ -19,8 +19,8 @@
 pub use rate::RequestRate;
 pub use time::Millis;
 
-/// IP number and port, as the generated types name it.
+/// IP address and port, under the name that the generated types use.
 pub type SocketAddr = std::net::SocketAddr;
 
-/// Generated messages refer to types of other schemas by their place in the crate root.
+// Generated types refer to types of other schemas by their paths in the crate root.
 use ledger::{Backing, Entry, EntryResult, GrantRecord, Statement};
--- a/toucanchute_proto/src/packed.rs
+++ b/toucanchute_proto/src/packed.rs
@@ -6,10 +6,10 @@
 
 use crate::{DecodeError, to_cbor};
 
-/// Greatest size of a value that is unpacked, in bytes of its CBOR encoding.
-const MAX_UNPACKED: u64 = 64 * 1024 * 1024;
+/// Maximum size of the CBOR encoding of an unpacked value, in bytes.
+const MAX_UNPACKED_BYTES: u64 = 64 * 1024 * 1024;
 
-/// Returns the CBOR encoding of `value`, compressed.
+/// Returns the compressed CBOR encoding of `value`.
 ///
 /// ```
 /// use toucanchute_proto::{pack, unpack};
@@ -28,13 +28,13 @@
     buf.into()
 }
 
-/// Returns the value that `buf` holds.
+/// Returns the value whose compressed CBOR encoding is `buf`.
 ///
 /// # Errors
 ///
-/// Fails if `buf` was not packed from a `T`, or if its encoding takes more than 64 MiB.
+/// Fails if `buf` is not the packed form of a `T`, or if the CBOR encoding exceeds 64 MiB.
 pub fn unpack<T: DeserializeOwned>(buf: &[u8]) -> Result<T, DecodeError> {
-    let plain = DeflateDecoder::new(buf).take(MAX_UNPACKED);
+    let plain = DeflateDecoder::new(buf).take(MAX_UNPACKED_BYTES);
     ciborium::from_reader(plain).map_err(|e| DecodeError {
         type_name: std::any::type_name::<T>(),
         detail: e.to_string(),
--- a/toucanchute_proto/src/rate.rs
+++ b/toucanchute_proto/src/rate.rs
@@ -2,8 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Thousandths in one.
-const THOUSAND: f64 = 1_000.0;
+/// Units of a [`RequestRate`] in one request per second.
+const UNITS_PER_REQUEST: f64 = 1_000.0;
 
 /// A rate of requests, in thousandths of a request per second.
 ///
@@ -20,11 +20,11 @@
 pub struct RequestRate(pub u64);
 
 impl RequestRate {
-    /// The greatest rate that [`RequestRate::from_per_second`] returns.
+    /// The maximum rate that [`RequestRate::from_per_second`] returns.
     pub const MAX: RequestRate = RequestRate(100_000_000);
 
-    /// Converts a number of requests per second, rounded down to thousandths and at most
-    /// [`RequestRate::MAX`]. Returns `None` if it is negative or not a number.
+    /// Converts a number of requests per second. The result is rounded down to thousandths and is at
+    /// most [`RequestRate::MAX`]. Returns `None` if `rate` is negative or not a number.
     ///
     /// ```
     /// use toucanchute_proto::RequestRate;
@@ -34,11 +34,11 @@
     /// ```
     #[must_use]
     pub fn from_per_second(rate: f64) -> Option<RequestRate> {
-        // The conversion of a float to an integer saturates.
-        (rate >= 0.0).then(|| RequestRate((rate * THOUSAND) as u64).min(RequestRate::MAX))
+        // The conversion from a float to an integer saturates.
+        (rate >= 0.0).then(|| RequestRate((rate * UNITS_PER_REQUEST) as u64).min(RequestRate::MAX))
     }
 
-    /// Returns this rate times `factor`, which is not negative.
+    /// Returns this rate multiplied by `factor`, which must not be negative.
     #[must_use]
     pub fn scaled(self, factor: f64) -> RequestRate {
         RequestRate((self.0 as f64 * factor) as u64)
@@ -47,7 +47,7 @@
     /// Returns the number of requests per second.
     #[must_use]
     pub fn per_second(self) -> f64 {
-        self.0 as f64 / THOUSAND
+        self.0 as f64 / UNITS_PER_REQUEST
     }
 }
 
--- a/toucanchute_proto/src/time.rs
+++ b/toucanchute_proto/src/time.rs
@@ -7,7 +7,7 @@
 
 /// A point in time or a span of time, in milliseconds.
 ///
-/// State machines receive it from their caller and never read a clock.
+/// State machines receive the time from their caller and never read a clock.
 ///
 /// ```
 /// use toucanchute_proto::Millis;
