--- a/toucanchute_scenario/src/answer.rs
+++ b/toucanchute_scenario/src/answer.rs
@@ -5,13 +5,13 @@
 
 /// How a request ended for its caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Ended {
+pub(crate) enum Outcome {
     /// An answer with its end mark came.
     Answered(Answer),
     /// The system refused or gave up.
-    Refused(Refused),
+    Refused(Problem),
     /// The connection failed or broke off.
-    Broken(String),
+    Interrupted(String),
 }
 
 /// An answer as its caller sees it.
@@ -19,15 +19,15 @@
 pub(crate) struct Answer {
     pub(crate) verdict: Verdict,
     /// Tokens that it is expected to be billed.
-    pub(crate) tokens: u64,
+    pub(crate) expected_bill: u64,
 }
 
 /// Whether an answer is the whole answer to its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Verdict {
-    Own,
+    Correct,
     Foreign,
-    NotWhole,
+    Incomplete,
     /// The call ran more than once under its key.
     Rerun,
 }
@@ -35,20 +35,20 @@
 /// A problem document.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(default)]
-pub(crate) struct Refused {
+pub(crate) struct Problem {
     pub(crate) status: u16,
     pub(crate) reason: String,
     pub(crate) outcome: String,
     pub(crate) retryable: bool,
 }
 
-impl Ended {
+impl Outcome {
     /// Returns whether the answer is whole and the caller's own.
-    pub(crate) fn is_own(&self) -> bool {
+    pub(crate) fn is_correct(&self) -> bool {
         matches!(
             self,
-            Ended::Answered(Answer {
-                verdict: Verdict::Own,
+            Outcome::Answered(Answer {
+                verdict: Verdict::Correct,
                 ..
             })
         )
@@ -56,32 +56,32 @@
 }
 
 /// Compares the text of an engine's answer with the one that its prompt leads to.
-pub(crate) fn judge(prompt: &str, text: &str, tokens: u64) -> Verdict {
+pub(crate) fn check_answer(prompt: &str, text: &str, tokens: u64) -> Verdict {
     let expected = (0..tokens).map(|i| answer_token(prompt, i));
     if text == expected.collect::<String>() && tokens > 0 {
-        return Verdict::Own;
+        return Verdict::Correct;
     }
-    let start = answer_token(prompt, 0);
-    let tag = start.split('.').next().unwrap_or_default();
+    let first_token = answer_token(prompt, 0);
+    let tag = first_token.split('.').next().unwrap_or_default();
     match text.split_whitespace().all(|token| token.starts_with(tag)) {
-        true => Verdict::NotWhole,
+        true => Verdict::Incomplete,
         false => Verdict::Foreign,
     }
 }
 
-impl fmt::Display for Ended {
+impl fmt::Display for Outcome {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Ended::Answered(answer) => match answer.verdict {
-                Verdict::Own => f.write_str("whole"),
+            Outcome::Answered(answer) => match answer.verdict {
+                Verdict::Correct => f.write_str("whole"),
                 Verdict::Foreign => f.write_str("another's answer"),
-                Verdict::NotWhole => f.write_str("not whole"),
+                Verdict::Incomplete => f.write_str("not whole"),
                 Verdict::Rerun => f.write_str("ran again"),
             },
-            Ended::Refused(refused) => {
-                write!(f, "{} {}", refused.reason, refused.outcome)
+            Outcome::Refused(problem) => {
+                write!(f, "{} {}", problem.reason, problem.outcome)
             }
-            Ended::Broken(_) => f.write_str("broken off"),
+            Outcome::Interrupted(_) => f.write_str("broken off"),
         }
     }
 }
--- a/toucanchute_scenario/src/audit.rs
+++ b/toucanchute_scenario/src/audit.rs
@@ -8,8 +8,8 @@
 use toucanchute_proto::RequestKey;
 
 use crate::{
-    answer::Ended,
-    caller::{Request, Work},
+    answer::Outcome,
+    caller::{Operation, Request},
     cluster::CUSTOMER,
     load::Record,
 };
@@ -26,38 +26,38 @@
 
 impl Statement {
     /// Returns whether the parts are the whole.
-    pub(crate) fn adds_up(&self) -> bool {
+    pub(crate) fn is_balanced(&self) -> bool {
         self.topped_up == self.free + self.spent + self.granted + self.forfeited
     }
 }
 
 /// What the bills of a set of requests may come to, each key billed once.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Bills {
+pub(crate) struct ExpectedBills {
     /// Sum over the requests whose whole answer came, in tokens.
     pub(crate) due: u64,
     /// Most that the others may have been billed, in tokens.
     pub(crate) possible: u64,
 }
 
-impl Bills {
+impl ExpectedBills {
     /// Adds up the records; of each key the one that ended with an answer counts.
-    pub(crate) fn of(records: &[Record]) -> Bills {
+    pub(crate) fn from_records(records: &[Record]) -> ExpectedBills {
         let mut by_key: BTreeMap<&str, &Record> = BTreeMap::new();
         for record in records {
-            let kept = by_key.entry(&record.request.key).or_insert(record);
-            if matches!(record.ended, Ended::Answered(_)) {
-                *kept = record;
+            let counted = by_key.entry(&record.request.key).or_insert(record);
+            if matches!(record.outcome, Outcome::Answered(_)) {
+                *counted = record;
             }
         }
-        let mut bills = Bills::default();
+        let mut bills = ExpectedBills::default();
         for record in by_key.values() {
-            match &record.ended {
-                Ended::Answered(answer) => bills.due += answer.tokens,
+            match &record.outcome {
+                Outcome::Answered(answer) => bills.due += answer.expected_bill,
                 // The request did not run and is not billed.
-                Ended::Refused(refused) if refused.outcome == "not-run" => {}
-                Ended::Refused(_) | Ended::Broken(_) => {
-                    bills.possible += worst_case(&record.request.work);
+                Outcome::Refused(problem) if problem.outcome == "not-run" => {}
+                Outcome::Refused(_) | Outcome::Interrupted(_) => {
+                    bills.possible += max_bill(&record.request.operation);
                 }
             }
         }
@@ -65,59 +65,63 @@
     }
 
     /// Returns whether the ledger's sum is what was due, or that and some of what is possible.
-    pub(crate) fn explain(self, spent: u64) -> bool {
+    pub(crate) fn allows(self, spent: u64) -> bool {
         (self.due..=self.due + self.possible).contains(&spent)
     }
 }
 
-fn worst_case(work: &Work) -> u64 {
-    match work {
-        Work::Completion { prompt, max_tokens } => {
+fn max_bill(operation: &Operation) -> u64 {
+    match operation {
+        Operation::Completion { prompt, max_tokens } => {
             toucanchute_fakes::prompt_tokens(prompt) + max_tokens
         }
-        Work::Service { price, .. } => *price,
+        Operation::ServiceCall { price, .. } => *price,
     }
 }
 
 /// Runs that stand-ins counted, by what they know of a request.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Runs {
+pub(crate) struct RunCounts {
     /// Calls by the key that the router passes on.
     by_key: BTreeMap<String, u64>,
     /// Completions by the tag of their prompt.
     by_tag: BTreeMap<String, u64>,
 }
 
-impl Runs {
+impl RunCounts {
     /// Adds the counts of one stand-in.
     pub(crate) fn add(&mut self, stats: &Value) {
-        add(&mut self.by_key, &stats["runs_by_key"]);
-        add(&mut self.by_tag, &stats["runs_by_tag"]);
+        add_counts(&mut self.by_key, &stats["runs_by_key"]);
+        add_counts(&mut self.by_tag, &stats["runs_by_tag"]);
     }
 
     /// Returns the greatest number of runs of a call under one key.
-    pub(crate) fn most_by_key(&self) -> u64 {
+    pub(crate) fn max_runs_per_key(&self) -> u64 {
         self.by_key.values().copied().max().unwrap_or(0)
     }
 
     /// Returns how many requests ran although their callers were told at last that they did not.
-    pub(crate) fn denied(&self, records: &[Record]) -> usize {
-        let is_denial = |record: &Record| match &record.ended {
-            Ended::Refused(refused) => refused.outcome == "not-run",
-            Ended::Answered(_) | Ended::Broken(_) => false,
+    pub(crate) fn false_denials(&self, records: &[Record]) -> usize {
+        let is_denial = |record: &Record| match &record.outcome {
+            Outcome::Refused(problem) => problem.outcome == "not-run",
+            Outcome::Answered(_) | Outcome::Interrupted(_) => false,
         };
         // A request that was sent again after a refusal may well have run then.
-        let others = records.iter().filter(|record| !is_denial(record));
-        let others: BTreeSet<&str> = others.map(|record| record.request.key.as_str()).collect();
+        let other_keys = records.iter().filter(|record| !is_denial(record));
+        let other_keys: BTreeSet<&str> = other_keys
+            .map(|record| record.request.key.as_str())
+            .collect();
         let denied = records.iter().filter(|record| is_denial(record));
-        let denied = denied.filter(|record| !others.contains(record.request.key.as_str()));
-        denied.filter(|record| self.of(&record.request) > 0).count()
+        let denied = denied.filter(|record| !other_keys.contains(record.request.key.as_str()));
+        denied
+            .filter(|record| self.runs_of(&record.request) > 0)
+            .count()
     }
 
-    fn of(&self, request: &Request) -> u64 {
-        let count = match &request.work {
-            Work::Completion { prompt, .. } => self.by_tag.get(&answer_tag(prompt)),
-            Work::Service { .. } => {
+    fn runs_of(&self, request: &Request) -> u64 {
+        let count = match &request.operation {
+            Operation::Completion { prompt, .. } => self.by_tag.get(&answer_tag(prompt)),
+            Operation::ServiceCall { .. } => {
                 let key = RequestKey::new(CUSTOMER, request.key.as_bytes());
                 self.by_key.get(&key.to_string())
             }
@@ -126,7 +130,7 @@
     }
 }
 
-fn add(sums: &mut BTreeMap<String, u64>, counts: &Value) {
+fn add_counts(sums: &mut BTreeMap<String, u64>, counts: &Value) {
     for (name, count) in counts.as_object().into_iter().flatten() {
         *sums.entry(name.clone()).or_default() += count.as_u64().unwrap_or(0);
     }
--- a/toucanchute_scenario/src/caller.rs
+++ b/toucanchute_scenario/src/caller.rs
@@ -8,27 +8,27 @@
 use tokio::{sync::watch, time::timeout};
 
 use crate::{
-    answer::{Answer, Ended, Refused, Verdict, judge},
+    answer::{Answer, Outcome, Problem, Verdict, check_answer},
     http_client::send,
 };
 
 /// Longest time of one try.
-const TRY_TIMEOUT: Duration = Duration::from_secs(90);
+const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(90);
 
 /// What a request asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Work {
+pub(crate) enum Operation {
     /// A streamed chat completion.
     Completion { prompt: String, max_tokens: u64 },
     /// A call of a plain service.
-    Service { service: String, price: u64 },
+    ServiceCall { service: String, price: u64 },
 }
 
 /// A request under a key of its own.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Request {
     pub(crate) key: String,
-    pub(crate) work: Work,
+    pub(crate) operation: Operation,
 }
 
 impl Request {
@@ -37,22 +37,26 @@
         &self,
         address: SocketAddr,
         token: &str,
-        came: &watch::Sender<u64>,
-    ) -> Ended {
-        let ended = timeout(TRY_TIMEOUT, self.try_send(address, token, came)).await;
-        match ended {
-            Ok(Ok(ended)) => ended,
-            Ok(Err(cause)) => Ended::Broken(cause),
-            Err(_) => Ended::Broken("no answer in time".to_owned()),
+        tokens_received: &watch::Sender<u64>,
+    ) -> Outcome {
+        let outcome = timeout(
+            ATTEMPT_TIMEOUT,
+            self.send_without_timeout(address, token, tokens_received),
+        )
+        .await;
+        match outcome {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(cause)) => Outcome::Interrupted(cause),
+            Err(_) => Outcome::Interrupted("no answer in time".to_owned()),
         }
     }
 
-    async fn try_send(
+    async fn send_without_timeout(
         &self,
         address: SocketAddr,
         token: &str,
-        came: &watch::Sender<u64>,
-    ) -> Result<Ended, String> {
+        tokens_received: &watch::Sender<u64>,
+    ) -> Result<Outcome, String> {
         let (path, body) = self.path_and_body();
         let bearer = format!("Bearer {token}");
         let headers = [
@@ -65,15 +69,15 @@
         if is_problem(&res) {
             return read_problem(res).await;
         }
-        match &self.work {
-            Work::Completion { prompt, .. } => read_stream(res, prompt, came).await,
-            Work::Service { price, .. } => read_service(res, *price).await,
+        match &self.operation {
+            Operation::Completion { prompt, .. } => read_stream(res, prompt, tokens_received).await,
+            Operation::ServiceCall { price, .. } => read_service(res, *price).await,
         }
     }
 
     fn path_and_body(&self) -> (String, Value) {
-        match &self.work {
-            Work::Completion { prompt, max_tokens } => {
+        match &self.operation {
+            Operation::Completion { prompt, max_tokens } => {
                 let body = json!({
                     "model": "assistant",
                     "messages": [{"role": "user", "content": prompt}],
@@ -82,7 +86,7 @@
                 });
                 ("/v1/chat/completions".to_owned(), body)
             }
-            Work::Service { service, .. } => {
+            Operation::ServiceCall { service, .. } => {
                 let path = format!("/v1/services/{service}/calls");
                 (path, json!({ "for": self.key }))
             }
@@ -91,36 +95,36 @@
 }
 
 fn is_problem(res: &Response<Incoming>) -> bool {
-    let kind = res.headers().get(header::CONTENT_TYPE);
-    kind.is_some_and(|kind| kind.as_bytes().starts_with(b"application/problem+json"))
+    let content_type = res.headers().get(header::CONTENT_TYPE);
+    content_type.is_some_and(|value| value.as_bytes().starts_with(b"application/problem+json"))
 }
 
-async fn read_problem(res: Response<Incoming>) -> Result<Ended, String> {
+async fn read_problem(res: Response<Incoming>) -> Result<Outcome, String> {
     let body = res.into_body().collect().await.map_err(|e| e.to_string())?;
-    let refused: Refused = serde_json::from_slice(&body.to_bytes()).map_err(|e| e.to_string())?;
-    Ok(Ended::Refused(refused))
+    let problem: Problem = serde_json::from_slice(&body.to_bytes()).map_err(|e| e.to_string())?;
+    Ok(Outcome::Refused(problem))
 }
 
-async fn read_service(res: Response<Incoming>, price: u64) -> Result<Ended, String> {
+async fn read_service(res: Response<Incoming>, price: u64) -> Result<Outcome, String> {
     let body = res.into_body().collect().await.map_err(|e| e.to_string())?;
     let answer: Value = serde_json::from_slice(&body.to_bytes()).map_err(|e| e.to_string())?;
     let verdict = match answer["run"].as_u64() {
-        Some(1) => Verdict::Own,
+        Some(1) => Verdict::Correct,
         Some(_) => Verdict::Rerun,
         None => Verdict::Foreign,
     };
-    Ok(Ended::Answered(Answer {
+    Ok(Outcome::Answered(Answer {
         verdict,
-        tokens: price,
+        expected_bill: price,
     }))
 }
 
 async fn read_stream(
     res: Response<Incoming>,
     prompt: &str,
-    came: &watch::Sender<u64>,
-) -> Result<Ended, String> {
-    let mut stream = Stream::default();
+    tokens_received: &watch::Sender<u64>,
+) -> Result<Outcome, String> {
+    let mut stream = StreamedAnswer::default();
     let mut body = res.into_body();
     let mut buf = Vec::new();
     while let Some(frame) = body.frame().await {
@@ -132,36 +136,36 @@
         while let Some(end) = buf.iter().position(|&b| b == b'\n') {
             let line: Vec<u8> = buf.drain(..=end).collect();
             stream.read_line(String::from_utf8_lossy(&line).trim_end());
-            came.send_replace(stream.came);
+            tokens_received.send_replace(stream.tokens_received);
         }
     }
-    stream.end(prompt)
+    stream.finish(prompt)
 }
 
 /// A streamed answer as far as it came.
 #[derive(Debug, Default)]
-struct Stream {
+struct StreamedAnswer {
     text: String,
     /// Chunks with text.
-    came: u64,
+    tokens_received: u64,
     completion_tokens: u64,
     total_tokens: u64,
     /// Whether the next data line is a problem document.
-    error: bool,
-    refused: Option<Refused>,
+    is_error_event: bool,
+    problem: Option<Problem>,
     done: bool,
 }
 
-impl Stream {
+impl StreamedAnswer {
     fn read_line(&mut self, line: &str) {
-        self.error |= line == "event: error";
+        self.is_error_event |= line == "event: error";
         let Some(data) = line.strip_prefix("data: ") else {
             return;
         };
         if data == "[DONE]" {
             self.done = true;
-        } else if self.error {
-            self.refused = serde_json::from_str(data).ok();
+        } else if self.is_error_event {
+            self.problem = serde_json::from_str(data).ok();
         } else {
             self.read_chunk(&serde_json::from_str(data).unwrap_or_default());
         }
@@ -171,23 +175,23 @@
         let text = chunk["choices"][0]["delta"]["content"].as_str();
         let text = text.unwrap_or_default();
         self.text.push_str(text);
-        self.came += u64::from(!text.is_empty());
+        self.tokens_received += u64::from(!text.is_empty());
         let usage = &chunk["usage"];
         let count = |name| usage[name].as_u64();
         self.completion_tokens = count("completion_tokens").unwrap_or(self.completion_tokens);
         self.total_tokens = count("total_tokens").unwrap_or(self.total_tokens);
     }
 
-    fn end(self, prompt: &str) -> Result<Ended, String> {
-        if let Some(refused) = self.refused {
-            return Ok(Ended::Refused(refused));
+    fn finish(self, prompt: &str) -> Result<Outcome, String> {
+        if let Some(problem) = self.problem {
+            return Ok(Outcome::Refused(problem));
         }
         if !self.done {
             return Err("the stream has no end mark".to_owned());
         }
-        Ok(Ended::Answered(Answer {
-            verdict: judge(prompt, &self.text, self.completion_tokens),
-            tokens: self.total_tokens,
+        Ok(Outcome::Answered(Answer {
+            verdict: check_answer(prompt, &self.text, self.completion_tokens),
+            expected_bill: self.total_tokens,
         }))
     }
 }
--- a/toucanchute_scenario/src/cluster.rs
+++ b/toucanchute_scenario/src/cluster.rs
@@ -13,20 +13,20 @@
 use snafu::ResultExt;
 use tokio::time::{Instant, sleep};
 
-use self::files::RouterFile;
+use self::files::RouterSettings;
 use crate::{
     audit::Statement,
     error::{IoSnafu, ScenarioError, TimedOutSnafu, UnknownSnafu},
-    http_client::document,
+    http_client::request_json,
     link::{Dialer, Links, forward},
     ports::free_address,
-    process::{Process, run_ok},
+    process::{Process, run_checked},
 };
 
 /// Longest wait for a condition, in seconds.
-const BOUND_S: u64 = 60;
+const CONDITION_TIMEOUT_S: u64 = 60;
 /// Pause between looks at a condition.
-const LOOK_PAUSE: Duration = Duration::from_millis(50);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Name of the only customer.
 pub(crate) const CUSTOMER: &str = "customer";
 /// Token of the customer that all requests are sent for.
@@ -61,7 +61,7 @@
 /// Processes on loopback, and the links between them.
 #[derive(Debug)]
 pub(crate) struct Cluster {
-    folder: PathBuf,
+    dir: PathBuf,
     /// Further lines of the section `[ledger]`, the same in each configuration.
     ledger: String,
     nodes: BTreeMap<String, Node>,
@@ -71,15 +71,15 @@
 impl Cluster {
     /// Starts the processes, applies a configuration and waits until each router is ready.
     pub(crate) async fn start(
-        folder: &Path,
+        dir: &Path,
         options: &ClusterOptions,
     ) -> Result<Cluster, ScenarioError> {
-        let _ = fs::remove_dir_all(folder);
-        fs::create_dir_all(folder).context(IoSnafu {
+        let _ = fs::remove_dir_all(dir);
+        fs::create_dir_all(dir).context(IoSnafu {
             action: "create a folder",
         })?;
         let mut cluster = Cluster {
-            folder: folder.to_owned(),
+            dir: dir.to_owned(),
             ledger: options.ledger.clone(),
             nodes: BTreeMap::new(),
             links: Links::new(),
@@ -88,36 +88,38 @@
         let config = cluster.write_config("config", &[])?;
         cluster.apply(&config, "scenario").await?;
         cluster.start_routers(options.routers).await?;
-        for name in cluster.names("router") {
+        for name in cluster.process_names("router") {
             cluster.wait_ready(&name).await?;
         }
         Ok(cluster)
     }
 
     async fn start_fakes(&mut self, options: &ClusterOptions) -> Result<(), ScenarioError> {
-        self.add(PLATFORM, "toucanchute-fake-platform", &[]).await?;
+        self.start_fake(PLATFORM, "toucanchute-fake-platform", &[])
+            .await?;
         for i in 1..=options.engines {
             let name = format!("engine-{i}");
             let binary = "toucanchute-fake-engine";
-            self.add(&name, binary, &options.engine_args).await?;
+            self.start_fake(&name, binary, &options.engine_args).await?;
         }
         for i in 1..=options.services {
             let name = format!("service-{i}");
-            self.add(&name, "toucanchute-fake-service", &[]).await?;
+            self.start_fake(&name, "toucanchute-fake-service", &[])
+                .await?;
         }
         Ok(())
     }
 
-    async fn add(
+    async fn start_fake(
         &mut self,
         name: &str,
         binary: &'static str,
         args: &[String],
     ) -> Result<(), ScenarioError> {
         let address = free_address();
-        let mut all = vec![format!("--listen={address}"), format!("--name={name}")];
-        all.extend_from_slice(args);
-        self.insert(name, binary, all, address);
+        let mut all_args = vec![format!("--listen={address}"), format!("--name={name}")];
+        all_args.extend_from_slice(args);
+        self.insert_node(name, binary, all_args, address);
         self.start_process(name)?;
         self.wait_until(&format!("{name} listening"), async |cluster| {
             let stats = cluster.stats(name).await;
@@ -126,7 +128,13 @@
         .await
     }
 
-    fn insert(&mut self, name: &str, binary: &'static str, args: Vec<String>, address: SocketAddr) {
+    fn insert_node(
+        &mut self,
+        name: &str,
+        binary: &'static str,
+        args: Vec<String>,
+        address: SocketAddr,
+    ) {
         let node = Node {
             binary,
             args,
@@ -138,31 +146,31 @@
 
     async fn start_routers(&mut self, count: usize) -> Result<(), ScenarioError> {
         let names: Vec<String> = (1..=count).map(|i| format!("router-{i}")).collect();
-        let mut files = Vec::new();
+        let mut routers = Vec::new();
         for (i, name) in names.iter().enumerate() {
-            files.push(self.plan_router(i, name, &names).await?);
+            routers.push(self.prepare_router(i, name, &names).await?);
         }
-        let peers: Vec<SocketAddr> = files.iter().map(|file| file.peer_advertise).collect();
-        for file in files {
-            let path = self.folder.join(format!("{}.ini", file.name));
-            let text = file.text(&peers);
-            fs::write(&path, text).context(IoSnafu {
+        let peers: Vec<SocketAddr> = routers.iter().map(|router| router.peer_advertise).collect();
+        for router in routers {
+            let path = self.dir.join(format!("{}.ini", router.name));
+            let settings = router.to_ini(&peers);
+            fs::write(&path, settings).context(IoSnafu {
                 action: "write settings",
             })?;
             let args = vec![format!("--settings={}", path.display())];
-            self.insert(&file.name, "toucanchute-router", args, file.listen);
-            self.start_process(&file.name)?;
+            self.insert_node(&router.name, "toucanchute-router", args, router.listen);
+            self.start_process(&router.name)?;
         }
         Ok(())
     }
 
     /// Chooses a router's addresses and starts the forwarders of its links.
-    async fn plan_router(
+    async fn prepare_router(
         &self,
         index: usize,
         name: &str,
         names: &[String],
-    ) -> Result<RouterFile, ScenarioError> {
+    ) -> Result<RouterSettings, ScenarioError> {
         let action = "start a forwarder";
         let peer_listen = free_address();
         let dialer = Dialer::Peer(names.to_vec());
@@ -170,7 +178,7 @@
         let dialer = Dialer::Known(name.to_owned());
         let platform = self.address(PLATFORM)?;
         let platform = forward(&self.links, dialer, PLATFORM, platform).await;
-        Ok(RouterFile {
+        Ok(RouterSettings {
             name: name.to_owned(),
             index,
             listen: free_address(),
@@ -184,7 +192,7 @@
 
     /// Starts a process that is not running.
     pub(crate) fn start_process(&mut self, name: &str) -> Result<(), ScenarioError> {
-        let log = self.folder.join(format!("{name}.log"));
+        let log = self.dir.join(format!("{name}.log"));
         let node = self.node_mut(name)?;
         node.process = Some(Process::start(name, node.binary, &node.args, &log)?);
         Ok(())
@@ -200,7 +208,7 @@
     }
 
     /// Forgets a process that has ended.
-    pub(crate) fn forget(&mut self, name: &str) -> Result<(), ScenarioError> {
+    pub(crate) fn remove_process(&mut self, name: &str) -> Result<(), ScenarioError> {
         self.node_mut(name)?.process = None;
         Ok(())
     }
@@ -220,7 +228,7 @@
     }
 
     /// Returns the names of the processes of one kind.
-    pub(crate) fn names(&self, kind: &str) -> Vec<String> {
+    pub(crate) fn process_names(&self, kind: &str) -> Vec<String> {
         let names = self.nodes.keys();
         names
             .filter(|name| name.starts_with(kind))
@@ -238,39 +246,44 @@
     pub(crate) fn write_config(
         &self,
         name: &str,
-        without: &[String],
+        excluded: &[String],
     ) -> Result<PathBuf, ScenarioError> {
-        let folder = self.folder.join(name);
+        let dir = self.dir.join(name);
         let action = "write a configuration";
-        fs::create_dir_all(&folder).context(IoSnafu { action })?;
-        let mut text = files::site(&self.ledger);
+        fs::create_dir_all(&dir).context(IoSnafu { action })?;
+        let mut config = files::site_config(&self.ledger);
         for kind in ["engine", "service"] {
-            let names = self.names(kind).into_iter();
+            let names = self.process_names(kind).into_iter();
             for (i, name) in names
                 .enumerate()
-                .filter(|(_, name)| !without.contains(name))
+                .filter(|(_, name)| !excluded.contains(name))
             {
-                text.push_str(&files::backend(&name, kind, self.address(&name)?, i));
+                config.push_str(&files::backend_section(
+                    &name,
+                    kind,
+                    self.address(&name)?,
+                    i,
+                ));
             }
         }
-        fs::write(folder.join("site.ini"), text).context(IoSnafu { action })?;
-        Ok(folder)
+        fs::write(dir.join("site.ini"), config).context(IoSnafu { action })?;
+        Ok(dir)
     }
 
     /// Applies a folder of configuration files.
-    pub(crate) async fn apply(&self, folder: &Path, author: &str) -> Result<String, ScenarioError> {
-        let args = self.apply_args(folder, author)?;
-        run_ok("toucanctl", &args, &[]).await
+    pub(crate) async fn apply(&self, dir: &Path, author: &str) -> Result<String, ScenarioError> {
+        let args = self.apply_args(dir, author)?;
+        run_checked("toucanctl", &args, &[]).await
     }
 
     pub(crate) fn apply_args(
         &self,
-        folder: &Path,
+        dir: &Path,
         author: &str,
     ) -> Result<Vec<String>, ScenarioError> {
         Ok(vec![
             "apply".to_owned(),
-            folder.display().to_string(),
+            dir.display().to_string(),
             format!("--platform={}", self.address(PLATFORM)?),
             format!("--author={author}"),
         ])
@@ -280,36 +293,40 @@
 
     /// Returns a stand-in's counts.
     pub(crate) async fn stats(&self, name: &str) -> Result<Value, ScenarioError> {
-        document(self.address(name)?, Method::GET, "/stats", &[], "").await
+        request_json(self.address(name)?, Method::GET, "/stats", &[], "").await
     }
 
     /// Sets a stand-in's fault.
-    pub(crate) async fn fault(&self, name: &str, body: &str) -> Result<(), ScenarioError> {
-        document(self.address(name)?, Method::POST, "/fault", &[], body).await?;
+    pub(crate) async fn set_fault(&self, name: &str, body: &str) -> Result<(), ScenarioError> {
+        request_json(self.address(name)?, Method::POST, "/fault", &[], body).await?;
         Ok(())
     }
 
     /// Reads an operators' document of a router.
-    pub(crate) async fn admin(&self, router: &str, path: &str) -> Result<Value, ScenarioError> {
+    pub(crate) async fn admin_document(
+        &self,
+        router: &str,
+        path: &str,
+    ) -> Result<Value, ScenarioError> {
         let bearer = format!("Bearer {OPERATOR_TOKEN}");
         let headers = [("authorization", bearer.as_str())];
         let path = format!("/v1/admin/{path}");
-        document(self.address(router)?, Method::GET, &path, &headers, "").await
+        request_json(self.address(router)?, Method::GET, &path, &headers, "").await
     }
 
     /// Reads the statement of the only budget.
     pub(crate) async fn statement(&self, router: &str) -> Result<Statement, ScenarioError> {
-        let statement = self.admin(router, "statements/budget").await?;
+        let statement = self.admin_document(router, "statements/budget").await?;
         Ok(serde_json::from_value(statement).unwrap_or_default())
     }
 
     // Waiting
 
     pub(crate) async fn wait_ready(&self, router: &str) -> Result<(), ScenarioError> {
-        let members = self.names("router").len() as u64;
+        let members = self.process_names("router").len() as u64;
         self.wait_until(&format!("{router} ready"), async |cluster| {
             let status = cluster
-                .admin(router, "status")
+                .admin_document(router, "status")
                 .await
                 .map_err(|e| e.to_string())?;
             let ready = status["ready"] == true && status["members"].as_u64() >= Some(members);
@@ -321,24 +338,24 @@
     /// Looks at a condition until it is true; it returns what it saw while it is not.
     pub(crate) async fn wait_until(
         &self,
-        what: &str,
-        condition: impl AsyncFn(&Cluster) -> Result<(), String>,
+        condition: &str,
+        check: impl AsyncFn(&Cluster) -> Result<(), String>,
     ) -> Result<(), ScenarioError> {
-        let end = Instant::now() + Duration::from_secs(BOUND_S);
+        let end = Instant::now() + Duration::from_secs(CONDITION_TIMEOUT_S);
         loop {
-            let Err(seen) = condition(self).await else {
+            let Err(observed) = check(self).await else {
                 return Ok(());
             };
             if Instant::now() > end {
-                let seconds = BOUND_S;
+                let seconds = CONDITION_TIMEOUT_S;
                 return TimedOutSnafu {
-                    what,
+                    condition,
                     seconds,
-                    seen,
+                    observed,
                 }
                 .fail();
             }
-            sleep(LOOK_PAUSE).await;
+            sleep(POLL_INTERVAL).await;
         }
     }
 }
--- a/toucanchute_scenario/src/cluster/files.rs
+++ b/toucanchute_scenario/src/cluster/files.rs
@@ -7,15 +7,15 @@
 use super::{CUSTOMER, CUSTOMER_TOKEN, OPERATOR_TOKEN};
 
 /// Failure domains, over which hosts are spread in turn.
-const DOMAINS: [&str; 4] = ["alpha", "beta", "gamma", "delta"];
+const FAILURE_DOMAINS: [&str; 4] = ["alpha", "beta", "gamma", "delta"];
 
-fn domain(index: usize) -> &'static str {
-    DOMAINS[index % DOMAINS.len()]
+fn failure_domain(index: usize) -> &'static str {
+    FAILURE_DOMAINS[index % FAILURE_DOMAINS.len()]
 }
 
 /// What the settings file of a router holds.
 #[derive(Debug)]
-pub(super) struct RouterFile {
+pub(super) struct RouterSettings {
     pub(super) name: String,
     pub(super) index: usize,
     pub(super) listen: SocketAddr,
@@ -24,8 +24,8 @@
     pub(super) platform: SocketAddr,
 }
 
-impl RouterFile {
-    pub(super) fn text(&self, peers: &[SocketAddr]) -> String {
+impl RouterSettings {
+    pub(super) fn to_ini(&self, peers: &[SocketAddr]) -> String {
         let digest: String = Sha256::digest(OPERATOR_TOKEN)
             .iter()
             .map(|b| format!("{b:02x}"))
@@ -48,7 +48,7 @@
              hosts = {}\n\
              timeout = 500 ms\n",
             self.name,
-            domain(self.index),
+            failure_domain(self.index),
             self.listen,
             self.peer_listen,
             self.peer_advertise,
@@ -60,7 +60,7 @@
 }
 
 /// Returns the configuration but for the backend servers.
-pub(super) fn site(ledger: &str) -> String {
+pub(super) fn site_config(ledger: &str) -> String {
     format!(
         "[site]\n\
          name = scenario\n\
@@ -97,7 +97,9 @@
 }
 
 /// Returns the section of a backend server.
-pub(super) fn backend(name: &str, pool: &str, address: SocketAddr, index: usize) -> String {
-    let domain = domain(index);
-    format!("[backend {name}]\npool = {pool}\naddress = {address}\nfailure_domain = {domain}\n")
+pub(super) fn backend_section(name: &str, pool: &str, address: SocketAddr, index: usize) -> String {
+    let failure_domain = failure_domain(index);
+    format!(
+        "[backend {name}]\npool = {pool}\naddress = {address}\nfailure_domain = {failure_domain}\n"
+    )
 }
--- a/toucanchute_scenario/src/error.rs
+++ b/toucanchute_scenario/src/error.rs
@@ -49,14 +49,14 @@
     },
 
     /// A condition did not come true in time.
-    #[snafu(display("{what} did not come true within {seconds} s; last seen: {seen}"))]
+    #[snafu(display("{condition} did not come true within {seconds} s; last seen: {observed}"))]
     TimedOut {
         /// The condition.
-        what: String,
+        condition: String,
         /// Bound in seconds.
         seconds: u64,
         /// What was seen last.
-        seen: String,
+        observed: String,
     },
 
     /// The scenario names something that does not exist.
@@ -70,7 +70,7 @@
 
     /// An argument of a directive is missing or wrong.
     #[snafu(display("argument: {message}"))]
-    Argument {
+    InvalidArgument {
         /// What is wrong.
         message: String,
     },
@@ -86,7 +86,7 @@
 
     /// An earlier directive failed.
     #[snafu(display("an earlier directive failed: {cause}"))]
-    Earlier {
+    EarlierFailure {
         /// Why it failed.
         cause: String,
     },
--- a/toucanchute_scenario/src/http_client.rs
+++ b/toucanchute_scenario/src/http_client.rs
@@ -41,7 +41,7 @@
 }
 
 /// Reads or changes a JSON document.
-pub(crate) async fn document(
+pub(crate) async fn request_json(
     address: SocketAddr,
     method: Method,
     path: &str,
@@ -49,23 +49,23 @@
     body: &str,
 ) -> Result<Value, ScenarioError> {
     let target = format!("{address}{path}");
-    let fail = |message: String| {
+    let request_error = |message: String| {
         RequestSnafu {
             target: target.clone(),
             message,
         }
         .build()
     };
-    let whole = async {
+    let exchange = async {
         let body = Bytes::copy_from_slice(body.as_bytes());
         let res = send(address, method, path, headers, body).await?;
         let status = res.status();
         let body = res.into_body().collect().await.map_err(|e| e.to_string())?;
         Ok((status, body.to_bytes()))
     };
-    let answer = timeout(CONTROL_TIMEOUT, whole).await;
-    let answer = answer.unwrap_or_else(|_| Err("no answer in time".to_owned()));
-    let (status, body) = answer.map_err(fail)?;
+    let response = timeout(CONTROL_TIMEOUT, exchange).await;
+    let response = response.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+    let (status, body) = response.map_err(request_error)?;
     let message = format!("status {status}: {}", String::from_utf8_lossy(&body));
     ensure!(
         status.is_success(),
@@ -74,5 +74,5 @@
             message
         }
     );
-    serde_json::from_slice(&body).map_err(|e| fail(e.to_string()))
+    serde_json::from_slice(&body).map_err(|e| request_error(e.to_string()))
 }
--- a/toucanchute_scenario/src/link.rs
+++ b/toucanchute_scenario/src/link.rs
@@ -21,7 +21,7 @@
 use toucanchute_proto::Millis;
 
 /// Bytes forwarded at once.
-const PIECE_BYTES: usize = 16 << 10;
+const BUFFER_BYTES: usize = 16 << 10;
 
 /// State of the link between two processes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -68,7 +68,7 @@
     /// Sets the state of the link between two processes, whichever end opened it.
     pub fn set(&self, one: &str, other: &str, state: LinkState) {
         self.0.send_modify(|states| {
-            states.insert(pair(one, other), state);
+            states.insert(link_key(one, other), state);
         });
     }
 
@@ -78,13 +78,13 @@
     }
 }
 
-fn pair(one: &str, other: &str) -> (String, String) {
-    let (low, high) = if one < other {
+fn link_key(one: &str, other: &str) -> (String, String) {
+    let (lower, upper) = if one < other {
         (one, other)
     } else {
         (other, one)
     };
-    (low.to_owned(), high.to_owned())
+    (lower.to_owned(), upper.to_owned())
 }
 
 /// Who opens the connections through a forwarder.
@@ -114,14 +114,16 @@
         while let Ok((stream, _)) = listener.accept().await {
             let links = links.clone();
             let (dialer, name) = (dialer.clone(), name.clone());
-            tokio::spawn(async move { connect(links, dialer, name, stream, target).await });
+            tokio::spawn(
+                async move { forward_connection(links, dialer, name, stream, target).await },
+            );
         }
     });
     Ok(address)
 }
 
 /// Forwards one connection until an end closes it or its link is cut.
-async fn connect(
+async fn forward_connection(
     links: Links,
     dialer: Dialer,
     name: String,
@@ -136,66 +138,66 @@
     let dialer = match dialer {
         Dialer::Known(dialer) => dialer,
         Dialer::Peer(peers) => {
-            let opening = introduction::read(
+            let handshake = introduction::identify_dialer(
                 &mut from_dialer,
                 &mut to_dialer,
                 &mut from_server,
                 &mut to_server,
                 &peers,
             );
-            let (dialer, rest) = opening.await?;
-            let mut gate = Gate::new(&links, &dialer, &name, Direction::ToServer);
-            gate.pass().await?;
-            to_server.write_all(&rest).await?;
+            let (dialer, pending_bytes) = handshake.await?;
+            let mut control = LinkControl::new(&links, &dialer, &name, Direction::ToServer);
+            control.wait_until_writable().await?;
+            to_server.write_all(&pending_bytes).await?;
             dialer
         }
     };
-    let gate = |direction| Gate::new(&links, &dialer, &name, direction);
-    let there = copy(from_dialer, to_server, gate(Direction::ToServer));
-    let back = copy(from_server, to_dialer, gate(Direction::ToDialer));
+    let control = |direction| LinkControl::new(&links, &dialer, &name, direction);
+    let to_server_copy = copy_bytes(from_dialer, to_server, control(Direction::ToServer));
+    let to_dialer_copy = copy_bytes(from_server, to_dialer, control(Direction::ToDialer));
     tokio::select! {
-        result = there => result,
-        result = back => result,
+        result = to_server_copy => result,
+        result = to_dialer_copy => result,
     }
 }
 
 /// Lets bytes of one link pass while it is open.
-struct Gate {
+struct LinkControl {
     states: watch::Receiver<States>,
-    pair: (String, String),
+    link_key: (String, String),
     direction: Direction,
 }
 
-impl Gate {
-    fn new(links: &Links, one: &str, other: &str, direction: Direction) -> Gate {
-        Gate {
+impl LinkControl {
+    fn new(links: &Links, one: &str, other: &str, direction: Direction) -> LinkControl {
+        LinkControl {
             states: links.0.subscribe(),
-            pair: pair(one, other),
+            link_key: link_key(one, other),
             direction,
         }
     }
 
     fn state(&mut self) -> LinkState {
         let states = self.states.borrow_and_update();
-        states.get(&self.pair).copied().unwrap_or_default()
+        states.get(&self.link_key).copied().unwrap_or_default()
     }
 
     /// Waits until bytes may be read; fails if the link is cut.
-    async fn open(&mut self) -> io::Result<()> {
+    async fn wait_until_readable(&mut self) -> io::Result<()> {
         match self.state() {
             LinkState::Delayed(_) => Ok(()),
-            _ => self.pass().await,
+            _ => self.wait_until_writable().await,
         }
     }
 
     /// Waits until bytes may pass; fails if the link is cut.
-    async fn pass(&mut self) -> io::Result<()> {
+    async fn wait_until_writable(&mut self) -> io::Result<()> {
         loop {
             match self.state() {
                 LinkState::Open => return Ok(()),
                 LinkState::Cut => return Err(io::ErrorKind::ConnectionReset.into()),
                 LinkState::HeldBack if self.direction == Direction::ToServer => return Ok(()),
-                LinkState::Held | LinkState::HeldBack => self.changed().await,
+                LinkState::Held | LinkState::HeldBack => self.state_changed().await,
                 LinkState::Delayed(delay) => {
                     time::sleep(time::Duration::from_millis(delay.0)).await;
                     return Ok(());
@@ -205,25 +207,29 @@
     }
 
     /// Waits for the state of any link to change.
-    async fn changed(&mut self) {
+    async fn state_changed(&mut self) {
         if self.states.changed().await.is_err() {
             std::future::pending::<()>().await;
         }
     }
 }
 
-async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut gate: Gate) -> io::Result<()> {
-    let mut buf = vec![0; PIECE_BYTES];
+async fn copy_bytes(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut control: LinkControl,
+) -> io::Result<()> {
+    let mut buf = vec![0; BUFFER_BYTES];
     loop {
-        gate.open().await?;
+        control.wait_until_readable().await?;
         let len = tokio::select! {
             len = from.read(&mut buf) => len?,
-            () = gate.changed() => continue,
+            () = control.state_changed() => continue,
         };
         if len == 0 {
             return Ok(());
         }
-        gate.pass().await?;
+        control.wait_until_writable().await?;
         to.write_all(&buf[..len]).await?;
     }
 }
--- a/toucanchute_scenario/src/link/introduction.rs
+++ b/toucanchute_scenario/src/link/introduction.rs
@@ -8,7 +8,7 @@
 };
 
 /// Bytes read at once.
-const PIECE_BYTES: usize = 4 << 10;
+const READ_BYTES: usize = 4 << 10;
 /// End of the head of an HTTP message.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 /// Bytes of the key by which a client's frame is masked.
@@ -16,7 +16,7 @@
 
 /// Passes on the opening of a WebSocket and returns which of `peers` dialed, with the bytes that
 /// have not been passed on.
-pub(super) async fn read(
+pub(super) async fn identify_dialer(
     from_dialer: &mut OwnedReadHalf,
     to_dialer: &mut OwnedWriteHalf,
     from_server: &mut OwnedReadHalf,
@@ -25,14 +25,14 @@
 ) -> io::Result<(String, Vec<u8>)> {
     let (head, _) = read_head(from_dialer).await?;
     to_server.write_all(&head).await?;
-    let (head, rest) = read_head(from_server).await?;
+    let (head, remaining) = read_head(from_server).await?;
     to_dialer.write_all(&head).await?;
-    to_dialer.write_all(&rest).await?;
+    to_dialer.write_all(&remaining).await?;
     let mut frame = Vec::new();
     loop {
-        if let Some(payload) = unmask(&frame) {
-            let named = |peer: &&String| contains(&payload, peer.as_bytes());
-            let peer = peers.iter().find(named).cloned();
+        if let Some(payload) = unmask_payload(&frame) {
+            let is_named = |peer: &&String| contains(&payload, peer.as_bytes());
+            let peer = peers.iter().find(is_named).cloned();
             let peer = peer.ok_or(io::ErrorKind::InvalidData)?;
             return Ok((peer, frame));
         }
@@ -45,27 +45,27 @@
     let mut buf = Vec::new();
     loop {
         if let Some(end) = position(&buf, HEAD_END) {
-            let rest = buf.split_off(end + HEAD_END.len());
-            return Ok((buf, rest));
+            let remaining = buf.split_off(end + HEAD_END.len());
+            return Ok((buf, remaining));
         }
         read_more(from, &mut buf).await?;
     }
 }
 
 async fn read_more(from: &mut OwnedReadHalf, buf: &mut Vec<u8>) -> io::Result<()> {
-    let mut piece = [0; PIECE_BYTES];
-    let len = from.read(&mut piece).await?;
+    let mut chunk = [0; READ_BYTES];
+    let len = from.read(&mut chunk).await?;
     if len == 0 {
         return Err(io::ErrorKind::UnexpectedEof.into());
     }
-    buf.extend_from_slice(&piece[..len]);
+    buf.extend_from_slice(&chunk[..len]);
     Ok(())
 }
 
 /// Returns the payload of a masked frame of less than 64 KiB once it is whole.
-fn unmask(frame: &[u8]) -> Option<Vec<u8>> {
-    let short = usize::from(*frame.get(1)? & 0x7f);
-    let (len, start) = match short {
+fn unmask_payload(frame: &[u8]) -> Option<Vec<u8>> {
+    let short_len = usize::from(*frame.get(1)? & 0x7f);
+    let (len, start) = match short_len {
         126 => (
             usize::from(u16::from_be_bytes([*frame.get(2)?, *frame.get(3)?])),
             4,
--- a/toucanchute_scenario/src/load.rs
+++ b/toucanchute_scenario/src/load.rs
@@ -16,20 +16,20 @@
 };
 
 use crate::{
-    answer::Ended,
-    caller::{Request, Work},
+    answer::Outcome,
+    caller::{Operation, Request},
 };
 
 /// Pause before another try.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Time after which a request is given up.
-const GIVE_UP: Duration = Duration::from_secs(60);
+const RETRY_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// A request and how it ended for its caller at last.
 #[derive(Clone, Debug)]
 pub(crate) struct Record {
     pub(crate) request: Request,
-    pub(crate) ended: Ended,
+    pub(crate) outcome: Outcome,
 }
 
 /// Options of a load.
@@ -43,7 +43,7 @@
     /// Pause of a caller between requests.
     pub(crate) pause: Duration,
     /// What each request asks for; a completion's prompt gets the request's key.
-    pub(crate) work: Work,
+    pub(crate) operation: Operation,
 }
 
 /// Callers at work.
@@ -58,13 +58,13 @@
     pub(crate) fn start(options: &LoadOptions) -> Load {
         let stop = watch::Sender::new(false);
         let records = Arc::new(Mutex::new(Vec::new()));
-        let next = Arc::new(AtomicU64::new(0));
+        let next_number = Arc::new(AtomicU64::new(0));
         let mut workers = JoinSet::new();
         for _ in 0..options.workers {
             let worker = Worker {
                 options: options.clone(),
                 stop: stop.subscribe(),
-                next: Arc::clone(&next),
+                next_number: Arc::clone(&next_number),
                 records: Arc::clone(&records),
             };
             workers.spawn(worker.run());
@@ -85,7 +85,7 @@
     }
 
     /// Returns the number of requests that have ended.
-    pub(crate) fn count(&self) -> usize {
+    pub(crate) fn completed_count(&self) -> usize {
         let records = self.records.lock();
         records.unwrap_or_else(PoisonError::into_inner).len()
     }
@@ -96,66 +96,66 @@
     options: LoadOptions,
     stop: watch::Receiver<bool>,
     /// Number of the next request, over all callers of the load.
-    next: Arc<AtomicU64>,
+    next_number: Arc<AtomicU64>,
     records: Arc<Mutex<Vec<Record>>>,
 }
 
 impl Worker {
     async fn run(self) {
         while !*self.stop.borrow() {
-            let number = self.next.fetch_add(1, Ordering::Relaxed);
+            let number = self.next_number.fetch_add(1, Ordering::Relaxed);
             let request = self.request(number);
-            let start = usize::try_from(number).unwrap_or(0);
-            let ended = persist(
+            let first_address = usize::try_from(number).unwrap_or(0);
+            let outcome = send_with_retries(
                 &request,
                 &self.options.addresses,
-                start,
+                first_address,
                 &self.options.token,
             );
-            let ended = ended.await;
+            let outcome = outcome.await;
             let records = self.records.lock();
             records
                 .unwrap_or_else(PoisonError::into_inner)
-                .push(Record { request, ended });
+                .push(Record { request, outcome });
             sleep(self.options.pause).await;
         }
     }
 
     fn request(&self, number: u64) -> Request {
         let key = format!("{}-{number}", self.options.name);
-        let work = match &self.options.work {
-            Work::Completion { prompt, max_tokens } => Work::Completion {
+        let operation = match &self.options.operation {
+            Operation::Completion { prompt, max_tokens } => Operation::Completion {
                 prompt: format!("{prompt} {key}"),
                 max_tokens: *max_tokens,
             },
-            service @ Work::Service { .. } => service.clone(),
+            service @ Operation::ServiceCall { .. } => service.clone(),
         };
-        Request { key, work }
+        Request { key, operation }
     }
 }
 
 /// Sends a request at one address after the other until its outcome is final.
-pub(crate) async fn persist(
+pub(crate) async fn send_with_retries(
     request: &Request,
     addresses: &[SocketAddr],
-    start: usize,
+    first_address: usize,
     token: &str,
-) -> Ended {
-    let began = Instant::now();
-    let came = watch::Sender::new(0);
-    let mut tries = start;
+) -> Outcome {
+    let started_at = Instant::now();
+    let tokens_received = watch::Sender::new(0);
+    let mut attempt = first_address;
     loop {
-        let address = addresses[tries % addresses.len()];
-        let ended = request.send(address, token, &came).await;
-        let again = match &ended {
-            Ended::Answered(_) => false,
-            Ended::Refused(refused) => refused.retryable,
-            Ended::Broken(_) => true,
+        let address = addresses[attempt % addresses.len()];
+        let outcome = request.send(address, token, &tokens_received).await;
+        let retry = match &outcome {
+            Outcome::Answered(_) => false,
+            Outcome::Refused(problem) => problem.retryable,
+            Outcome::Interrupted(_) => true,
         };
-        if !again || began.elapsed() > GIVE_UP {
-            return ended;
+        if !retry || started_at.elapsed() > RETRY_TIMEOUT {
+            return outcome;
         }
-        tries += 1;
-        sleep(RETRY_PAUSE).await;
+        attempt += 1;
+        sleep(RETRY_DELAY).await;
     }
 }
--- a/toucanchute_scenario/src/process.rs
+++ b/toucanchute_scenario/src/process.rs
@@ -25,7 +25,7 @@
 }
 
 impl Signal {
-    fn option(self) -> &'static str {
+    fn kill_option(self) -> &'static str {
         match self {
             Signal::Kill => "-KILL",
             Signal::Terminate => "-TERM",
@@ -85,7 +85,7 @@
         };
         let pid = pid.to_string();
         let status = Command::new("kill")
-            .args([signal.option(), &pid])
+            .args([signal.kill_option(), &pid])
             .status()
             .await;
         let action = "signal";
@@ -114,21 +114,21 @@
 
 /// What a command that ran to its end left behind.
 #[derive(Debug)]
-pub(crate) struct Ran {
+pub(crate) struct CommandOutput {
     pub(crate) code: Option<i32>,
     pub(crate) stdout: String,
     pub(crate) stderr: String,
 }
 
 /// Runs `binary` to its end.
-pub(crate) async fn run(
+pub(crate) async fn run_command(
     binary: &str,
     args: &[String],
-    vars: &[(&str, &str)],
-) -> Result<Ran, ScenarioError> {
+    env_vars: &[(&str, &str)],
+) -> Result<CommandOutput, ScenarioError> {
     let output = Command::new(binary_path(binary)?)
         .args(args)
-        .envs(vars.iter().copied())
+        .envs(env_vars.iter().copied())
         .stdin(Stdio::null())
         .kill_on_drop(true)
         .output()
@@ -138,7 +138,7 @@
         action,
         name: binary,
     })?;
-    Ok(Ran {
+    Ok(CommandOutput {
         code: output.status.code(),
         stdout: String::from_utf8_lossy(&output.stdout).into_owned(),
         stderr: String::from_utf8_lossy(&output.stderr).into_owned(),
@@ -146,25 +146,25 @@
 }
 
 /// Runs `binary` to its end and returns what it wrote.
-pub(crate) async fn run_ok(
+pub(crate) async fn run_checked(
     binary: &str,
     args: &[String],
-    vars: &[(&str, &str)],
+    env_vars: &[(&str, &str)],
 ) -> Result<String, ScenarioError> {
-    let ran = run(binary, args, vars).await?;
-    let (name, code, output) = (binary, ran.code, ran.stderr);
+    let command_output = run_command(binary, args, env_vars).await?;
+    let (name, code, output) = (binary, command_output.code, command_output.stderr);
     ensure!(code == Some(0), CommandSnafu { name, code, output });
-    Ok(ran.stdout)
+    Ok(command_output.stdout)
 }
 
 /// Returns the path of a binary of the workspace, which lies beside the test executable's folder.
 fn binary_path(binary: &str) -> Result<PathBuf, ScenarioError> {
     let exe = env::current_exe().unwrap_or_default();
-    let folder = exe
+    let dir = exe
         .parent()
         .and_then(Path::parent)
         .unwrap_or(Path::new("."));
-    let path = folder.join(binary);
+    let path = dir.join(binary);
     ensure!(path.is_file(), NoBinarySnafu { path });
     Ok(path)
 }
--- a/toucanchute_scenario/src/runner.rs
+++ b/toucanchute_scenario/src/runner.rs
@@ -11,10 +11,10 @@
 
 use self::args::Args;
 use crate::{
-    answer::Ended,
+    answer::Outcome,
     caller::Request,
     cluster::{Cluster, ClusterOptions},
-    error::{ArgumentSnafu, EarlierSnafu, IoSnafu, ScenarioError, UnknownSnafu},
+    error::{EarlierFailureSnafu, InvalidArgumentSnafu, IoSnafu, ScenarioError, UnknownSnafu},
     load::{Load, Record},
 };
 
@@ -23,9 +23,9 @@
 pub struct Runner {
     rt: Runtime,
     /// Folder of settings, configuration and logs.
-    folder: PathBuf,
+    dir: PathBuf,
     cluster: Option<Cluster>,
-    asks: BTreeMap<String, Ask>,
+    pending_requests: BTreeMap<String, PendingRequest>,
     loads: BTreeMap<String, Load>,
     /// Tokens of the top-ups by their ids.
     top_ups: BTreeMap<String, u64>,
@@ -37,11 +37,11 @@
 
 /// A request in progress.
 #[derive(Debug)]
-struct Ask {
+struct PendingRequest {
     request: Request,
-    task: JoinHandle<Ended>,
+    task: JoinHandle<Outcome>,
     /// Number of tokens that came.
-    came: watch::Receiver<u64>,
+    tokens_received: watch::Receiver<u64>,
 }
 
 impl Runner {
@@ -50,7 +50,7 @@
     /// # Errors
     ///
     /// Fails if the system gives no threads.
-    pub fn new(folder: &Path) -> Result<Runner, ScenarioError> {
+    pub fn new(dir: &Path) -> Result<Runner, ScenarioError> {
         let rt = Runtime::new();
         let rt = snafu::ResultExt::context(
             rt,
@@ -60,9 +60,9 @@
         )?;
         Ok(Runner {
             rt,
-            folder: folder.to_owned(),
+            dir: dir.to_owned(),
             cluster: None,
-            asks: BTreeMap::new(),
+            pending_requests: BTreeMap::new(),
             loads: BTreeMap::new(),
             top_ups: BTreeMap::new(),
             records: Vec::new(),
@@ -101,46 +101,46 @@
     /// Fails if the directive cannot be carried out or its condition does not come true in time.
     pub fn run(&mut self, case: &mut TestCase) -> Result<String, ScenarioError> {
         if let Some(cause) = &self.failure {
-            return EarlierSnafu { cause }.fail();
+            return EarlierFailureSnafu { cause }.fail();
         }
-        let result = self.run_case(case);
+        let result = self.run_directive(case);
         if let Err(e) = &result {
             self.failure = Some(e.to_string());
         }
         result
     }
 
-    fn run_case(&mut self, case: &mut TestCase) -> Result<String, ScenarioError> {
+    fn run_directive(&mut self, case: &mut TestCase) -> Result<String, ScenarioError> {
         let handle = self.rt.handle().clone();
         let mut args = Args::new(case);
-        let facts = handle.block_on(self.dispatch(&mut args))?;
+        let output = handle.block_on(self.dispatch(&mut args))?;
         args.finish()?;
-        Ok(format!("{}\n", facts.trim_end()))
+        Ok(format!("{}\n", output.trim_end()))
     }
 
     async fn dispatch(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         match args.directive().as_str() {
             "cluster" => self.start_cluster(args).await,
-            "ask" | "book" | "look-up" => self.ask(args).await,
+            "ask" | "book" | "look-up" => self.send_request(args).await,
             "await" => self.await_tokens(args).await,
             "join" => self.join(args).await,
             "load" => self.start_load(args),
-            "until" => self.until(args).await,
+            "until" => self.await_requests(args).await,
             "top-up" => self.top_up(args).await,
-            "kill" | "stop" | "continue" | "terminate" | "start" => self.signal(args).await,
-            "cut" | "hold" => self.break_link(args),
+            "kill" | "stop" | "continue" | "terminate" | "start" => self.manage_process(args).await,
+            "cut" | "hold" => self.set_link_state(args),
             "heal" => self.heal(),
             "storm" => self.storm(args).await,
-            "fault" => self.fault(args).await,
+            "fault" => self.set_fault(args).await,
             "withdraw" => self.withdraw(args).await,
             "apply" => self.apply(args).await,
-            "race" => self.race().await,
-            "version" => self.version(args).await,
+            "race" => self.apply_concurrently().await,
+            "version" => self.await_version(args).await,
             "order" => self.order(args).await,
-            "pass" => self.pass(args).await,
+            "pass" => self.sleep(args).await,
             "count" => self.count(args).await,
-            "reach" => self.reach(args).await,
-            "rise" => self.rise(args).await,
+            "reach" => self.await_count(args).await,
+            "rise" => self.count_increase(args).await,
             "audit" => self.audit(args).await,
             name => UnknownSnafu {
                 kind: "directive",
@@ -164,7 +164,7 @@
             engine_args: engine_args.map(str::to_owned).collect(),
             ledger: ledger.join("\n"),
         };
-        self.cluster = Some(Cluster::start(&self.folder, &options).await?);
+        self.cluster = Some(Cluster::start(&self.dir, &options).await?);
         Ok("ready".to_owned())
     }
 
@@ -180,6 +180,6 @@
         let message = "no cluster has been started";
         self.cluster
             .as_mut()
-            .ok_or_else(|| ArgumentSnafu { message }.build())
+            .ok_or_else(|| InvalidArgumentSnafu { message }.build())
     }
 }
--- a/toucanchute_scenario/src/runner/args.rs
+++ b/toucanchute_scenario/src/runner/args.rs
@@ -2,7 +2,7 @@
 
 use datadriven::TestCase;
 
-use crate::error::{ArgumentSnafu, ScenarioError};
+use crate::error::{InvalidArgumentSnafu, ScenarioError};
 
 /// Arguments of a directive.
 #[derive(Debug)]
@@ -40,13 +40,14 @@
     pub(super) fn text(&mut self, name: &str) -> Result<String, ScenarioError> {
         let message = format!("`{name}` is missing");
         self.optional(name)
-            .ok_or_else(|| ArgumentSnafu { message }.build())
+            .ok_or_else(|| InvalidArgumentSnafu { message }.build())
     }
 
     pub(super) fn number<T: FromStr>(&mut self, name: &str) -> Result<T, ScenarioError> {
         let text = self.text(name)?;
         let message = format!("`{name}` is no number");
-        text.parse().map_err(|_| ArgumentSnafu { message }.build())
+        text.parse()
+            .map_err(|_| InvalidArgumentSnafu { message }.build())
     }
 
     pub(super) fn number_or<T: FromStr>(
@@ -64,7 +65,7 @@
     pub(super) fn finish(self) -> Result<(), ScenarioError> {
         let unused = self.case.expect_empty();
         unused.map_err(|e| {
-            ArgumentSnafu {
+            InvalidArgumentSnafu {
                 message: e.to_string(),
             }
             .build()
--- a/toucanchute_scenario/src/runner/asks.rs
+++ b/toucanchute_scenario/src/runner/asks.rs
@@ -8,62 +8,69 @@
 
 use tokio::{sync::watch, task::JoinSet};
 
-use super::{Args, Ask, Runner};
+use super::{Args, PendingRequest, Runner};
 use crate::{
-    caller::{Request, Work},
+    caller::{Operation, Request},
     cluster::CUSTOMER_TOKEN,
-    error::{ArgumentSnafu, ScenarioError, TimedOutSnafu, UnknownSnafu},
-    load::{Load, LoadOptions, Record, persist},
+    error::{InvalidArgumentSnafu, ScenarioError, TimedOutSnafu, UnknownSnafu},
+    load::{Load, LoadOptions, Record, send_with_retries},
 };
 
 /// Longest answer unless the scenario says otherwise, in tokens.
-const MAX_TOKENS: u64 = 64;
+const DEFAULT_MAX_TOKENS: u64 = 64;
 /// Price of a booking as configured, in tokens.
 const BOOKING_PRICE: u64 = 20;
 /// Price of a look-up as configured, in tokens.
 const LOOK_UP_PRICE: u64 = 5;
 /// Longest wait for progress, in seconds.
-const BOUND_S: u64 = 60;
+const PROGRESS_TIMEOUT_S: u64 = 60;
 /// Pause between looks at a load's progress.
-const LOOK_PAUSE: Duration = Duration::from_millis(20);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 impl Runner {
     /// Sends one request; in the background if it has a name.
-    pub(super) async fn ask(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
+    pub(super) async fn send_request(
+        &mut self,
+        args: &mut Args<'_>,
+    ) -> Result<String, ScenarioError> {
         let key = args.text("key")?;
         let addresses = self.addresses(args)?;
-        let work = match args.directive().as_str() {
-            "ask" => Work::Completion {
+        let operation = match args.directive().as_str() {
+            "ask" => Operation::Completion {
                 prompt: args
                     .optional("prompt")
                     .unwrap_or_else(|| format!("prompt of {key}")),
-                max_tokens: args.number_or("max-tokens", MAX_TOKENS)?,
+                max_tokens: args.number_or("max-tokens", DEFAULT_MAX_TOKENS)?,
             },
-            directive => service(directive),
+            directive => service_call(directive),
         };
-        let request = Request { key, work };
+        let request = Request { key, operation };
         if addresses.len() > 1 {
-            return self.ask_each(request, &addresses).await;
+            return self.send_to_each(request, &addresses).await;
         }
         let Some(&address) = addresses.first() else {
-            return ArgumentSnafu {
+            return InvalidArgumentSnafu {
                 message: "`at` is missing",
             }
             .fail();
         };
         let name = args.optional("name");
-        let (came, rx) = watch::channel(0);
-        let sent = request.clone();
-        let task = tokio::spawn(async move { sent.send(address, CUSTOMER_TOKEN, &came).await });
-        let ask = Ask {
+        let (tokens_received, rx) = watch::channel(0);
+        let sent_request = request.clone();
+        let task = tokio::spawn(async move {
+            sent_request
+                .send(address, CUSTOMER_TOKEN, &tokens_received)
+                .await
+        });
+        let pending = PendingRequest {
             request,
             task,
-            came: rx,
+            tokens_received: rx,
         };
         match name {
-            None => self.end(ask).await,
+            None => self.finish_request(pending).await,
             Some(name) => {
-                self.asks.insert(name, ask);
+                self.pending_requests.insert(name, pending);
                 Ok("sent".to_owned())
             }
         }
@@ -76,38 +83,40 @@
     }
 
     /// Sends a request at several routers at once, at each again until its outcome is final.
-    async fn ask_each(
+    async fn send_to_each(
         &mut self,
         request: Request,
         addresses: &[SocketAddr],
     ) -> Result<String, ScenarioError> {
-        let mut tries = JoinSet::new();
+        let mut attempts = JoinSet::new();
         for &address in addresses {
             let request = request.clone();
-            tries.spawn(async move { persist(&request, &[address], 0, CUSTOMER_TOKEN).await });
+            attempts.spawn(async move {
+                send_with_retries(&request, &[address], 0, CUSTOMER_TOKEN).await
+            });
         }
-        let mut facts = BTreeSet::new();
-        for ended in tries.join_all().await {
-            facts.insert(ended.to_string());
+        let mut output = BTreeSet::new();
+        for outcome in attempts.join_all().await {
+            output.insert(outcome.to_string());
             let request = request.clone();
-            self.records.push(Record { request, ended });
+            self.records.push(Record { request, outcome });
         }
-        let facts: Vec<String> = facts.into_iter().collect();
-        Ok(facts.join(", "))
+        let output: Vec<String> = output.into_iter().collect();
+        Ok(output.join(", "))
     }
 
-    async fn end(&mut self, ask: Ask) -> Result<String, ScenarioError> {
-        let ended = ask.task.await;
-        let ended = ended.map_err(|e| {
-            ArgumentSnafu {
+    async fn finish_request(&mut self, pending: PendingRequest) -> Result<String, ScenarioError> {
+        let outcome = pending.task.await;
+        let outcome = outcome.map_err(|e| {
+            InvalidArgumentSnafu {
                 message: e.to_string(),
             }
             .build()
         })?;
-        let facts = ended.to_string();
-        let request = ask.request;
-        self.records.push(Record { request, ended });
-        Ok(facts)
+        let output = outcome.to_string();
+        let request = pending.request;
+        self.records.push(Record { request, outcome });
+        Ok(output)
     }
 
     /// Waits until a number of tokens of a background request came.
@@ -118,20 +127,22 @@
         let name = args.text("name")?;
         let tokens: u64 = args.number("tokens")?;
         let kind = "request in progress";
-        let ask = self.asks.get_mut(&name);
-        let ask = ask.ok_or_else(|| UnknownSnafu { kind, name: &name }.build())?;
-        let arrival = ask.came.wait_for(|&came| came >= tokens);
-        let arrival = tokio::time::timeout(Duration::from_secs(BOUND_S), arrival);
-        match arrival.await {
+        let pending = self.pending_requests.get_mut(&name);
+        let pending = pending.ok_or_else(|| UnknownSnafu { kind, name: &name }.build())?;
+        let received = pending
+            .tokens_received
+            .wait_for(|&tokens_received| tokens_received >= tokens);
+        let received = tokio::time::timeout(Duration::from_secs(PROGRESS_TIMEOUT_S), received);
+        match received.await {
             Ok(Ok(_)) => Ok("came".to_owned()),
             Ok(Err(_)) => Ok("ended before".to_owned()),
             Err(_) => {
-                let what = format!("{tokens} tokens of {name}");
-                let (seconds, seen) = (BOUND_S, "fewer");
+                let condition = format!("{tokens} tokens of {name}");
+                let (seconds, observed) = (PROGRESS_TIMEOUT_S, "fewer");
                 TimedOutSnafu {
-                    what,
+                    condition,
                     seconds,
-                    seen,
+                    observed,
                 }
                 .fail()
             }
@@ -141,29 +152,29 @@
     /// Waits for the end of a background request or load.
     pub(super) async fn join(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         let name = args.text("name")?;
-        if let Some(ask) = self.asks.remove(&name) {
-            return self.end(ask).await;
+        if let Some(pending) = self.pending_requests.remove(&name) {
+            return self.finish_request(pending).await;
         }
         let kind = "request or load in progress";
         let load = self.loads.remove(&name);
         let load = load.ok_or_else(|| UnknownSnafu { kind, name }.build())?;
         let records = load.finish().await;
-        let facts = match args.flag("any") {
+        let output = match args.flag("any") {
             true => "ended".to_owned(),
-            false => summary(&records),
+            false => summarize(&records),
         };
         self.records.extend(records);
-        Ok(facts)
+        Ok(output)
     }
 
     pub(super) fn start_load(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         let name = args.text("name")?;
         let addresses = self.addresses(args)?;
-        let work = match args.optional("work") {
-            Some(directive) => service(&directive),
-            None => Work::Completion {
+        let operation = match args.optional("work") {
+            Some(directive) => service_call(&directive),
+            None => Operation::Completion {
                 prompt: "prompt of".to_owned(),
-                max_tokens: args.number_or("max-tokens", MAX_TOKENS)?,
+                max_tokens: args.number_or("max-tokens", DEFAULT_MAX_TOKENS)?,
             },
         };
         let options = LoadOptions {
@@ -172,57 +183,60 @@
             token: CUSTOMER_TOKEN.to_owned(),
             workers: args.number("workers")?,
             pause: Duration::from_millis(args.number_or("pause-ms", 0)?),
-            work,
+            operation,
         };
         self.loads.insert(name, Load::start(&options));
         Ok("started".to_owned())
     }
 
     /// Waits until a number of requests of a load have ended.
-    pub(super) async fn until(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
+    pub(super) async fn await_requests(
+        &mut self,
+        args: &mut Args<'_>,
+    ) -> Result<String, ScenarioError> {
         let name = args.text("name")?;
         let requests: usize = args.number("requests")?;
         let kind = "load in progress";
         let load = self.loads.get(&name);
         let load = load.ok_or_else(|| UnknownSnafu { kind, name: &name }.build())?;
-        let target = load.count() + requests;
+        let target = load.completed_count() + requests;
         self.cluster()?
             .wait_until(&format!("{requests} requests of {name}"), async |_| {
-                let count = load.count();
+                let count = load.completed_count();
                 (count >= target)
                     .then_some(())
                     .ok_or(format!("{count} of {target}"))
             })
             .await?;
-        tokio::time::sleep(LOOK_PAUSE).await;
+        tokio::time::sleep(POLL_INTERVAL).await;
         Ok("ended".to_owned())
     }
 }
 
-fn service(directive: &str) -> Work {
+fn service_call(directive: &str) -> Operation {
     let (service, price) = match directive {
         "book" => ("booking", BOOKING_PRICE),
         _ => ("lookup", LOOK_UP_PRICE),
     };
-    Work::Service {
+    Operation::ServiceCall {
         service: service.to_owned(),
         price,
     }
 }
 
 /// Returns the ways in which requests ended; their numbers go to standard error.
-fn summary(records: &[Record]) -> String {
+fn summarize(records: &[Record]) -> String {
     let mut counts: BTreeMap<String, u64> = BTreeMap::new();
     for record in records {
-        *counts.entry(record.ended.to_string()).or_default() += 1;
+        *counts.entry(record.outcome.to_string()).or_default() += 1;
     }
     eprintln!("ended: {counts:?}");
     if records.is_empty() {
         return "no request ended".to_owned();
     }
-    if records.iter().all(|record| record.ended.is_own()) {
+    if records.iter().all(|record| record.outcome.is_correct()) {
         return "all whole".to_owned();
     }
-    let ways: Vec<String> = counts.into_keys().collect();
-    ways.join(", ")
+    let outcomes: Vec<String> = counts.into_keys().collect();
+    outcomes.join(", ")
 }
--- a/toucanchute_scenario/src/runner/control.rs
+++ b/toucanchute_scenario/src/runner/control.rs
@@ -9,9 +9,9 @@
 use crate::{
     cluster::{OPERATOR_TOKEN, PLATFORM},
     error::ScenarioError,
-    http_client::document,
+    http_client::request_json,
     link::LinkState,
-    process::{Signal, run, run_ok},
+    process::{Signal, run_checked, run_command},
 };
 
 impl Runner {
@@ -26,7 +26,7 @@
             format!("--router={router}"),
         ];
         self.top_ups.insert(id, tokens);
-        run_ok(
+        run_checked(
             "toucanctl",
             &command,
             &[("TOUCANCTL_TOKEN", OPERATOR_TOKEN)],
@@ -36,9 +36,12 @@
     }
 
     /// Sends a signal to processes or starts them.
-    pub(super) async fn signal(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
+    pub(super) async fn manage_process(
+        &mut self,
+        args: &mut Args<'_>,
+    ) -> Result<String, ScenarioError> {
         let directive = args.directive();
-        let mut facts = String::new();
+        let mut output = String::new();
         for name in args.list("process") {
             match directive.as_str() {
                 "start" => {
@@ -46,25 +49,25 @@
                     if name.starts_with("router") {
                         self.cluster()?.wait_ready(&name).await?;
                     }
-                    facts.push_str("started\n");
+                    output.push_str("started\n");
                 }
                 "stop" => self.send_signal(&name, Signal::Stop).await?,
                 "continue" => self.send_signal(&name, Signal::Continue).await?,
                 "kill" => {
                     self.send_signal(&name, Signal::Kill).await?;
-                    self.ended(&name).await?;
+                    self.wait_for_exit(&name).await?;
                 }
                 _ => {
                     self.send_signal(&name, Signal::Terminate).await?;
-                    let code = self.ended(&name).await?;
+                    let code = self.wait_for_exit(&name).await?;
                     let code = code.map_or("none".to_owned(), |code| code.to_string());
-                    facts.push_str(&format!("exit code {code}\n"));
+                    output.push_str(&format!("exit code {code}\n"));
                 }
             }
         }
-        Ok(match facts.is_empty() {
+        Ok(match output.is_empty() {
             true => "done".to_owned(),
-            false => facts,
+            false => output,
         })
     }
 
@@ -76,15 +79,15 @@
         self.cluster_mut()?.process(name)?.signal(signal).await
     }
 
-    pub(super) async fn ended(&mut self, name: &str) -> Result<Option<i32>, ScenarioError> {
+    pub(super) async fn wait_for_exit(&mut self, name: &str) -> Result<Option<i32>, ScenarioError> {
         let cluster = self.cluster_mut()?;
         let code = cluster.process(name)?.wait().await?;
-        cluster.forget(name)?;
+        cluster.remove_process(name)?;
         Ok(code)
     }
 
     /// Cuts or holds the links between each process of `from` and each of `to`.
-    pub(super) fn break_link(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
+    pub(super) fn set_link_state(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         let state = match args.directive().as_str() {
             "cut" => LinkState::Cut,
             _ => LinkState::Held,
@@ -103,10 +106,10 @@
         Ok("done".to_owned())
     }
 
-    pub(super) async fn fault(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
+    pub(super) async fn set_fault(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         let body = args.input();
         for name in args.list("at") {
-            self.cluster()?.fault(&name, &body).await?;
+            self.cluster()?.set_fault(&name, &body).await?;
         }
         Ok("set".to_owned())
     }
@@ -117,9 +120,9 @@
         let cluster = self.cluster()?;
         let mut hosts = Vec::new();
         for name in cluster
-            .names("engine")
+            .process_names("engine")
             .iter()
-            .chain(&cluster.names("service"))
+            .chain(&cluster.process_names("service"))
         {
             let state = if leaving.contains(name) {
                 "leaving"
@@ -136,7 +139,7 @@
         }
         let list = json!({ "hosts": hosts }).to_string();
         let platform = cluster.address(PLATFORM)?;
-        document(platform, Method::PUT, "/v1/hosts", &[], &list).await?;
+        request_json(platform, Method::PUT, "/v1/hosts", &[], &list).await?;
         Ok("listed".to_owned())
     }
 
@@ -144,22 +147,22 @@
     pub(super) async fn apply(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         let without = args.list("without");
         let cluster = self.cluster()?;
-        let folder = cluster.write_config("changed", &without)?;
-        cluster.apply(&folder, "scenario").await?;
+        let dir = cluster.write_config("changed", &without)?;
+        cluster.apply(&dir, "scenario").await?;
         Ok("applied".to_owned())
     }
 
     /// Lets two operators apply different configurations at once; prints their exit codes.
-    pub(super) async fn race(&mut self) -> Result<String, ScenarioError> {
+    pub(super) async fn apply_concurrently(&mut self) -> Result<String, ScenarioError> {
         let cluster = self.cluster()?;
-        let engines = cluster.names("engine");
+        let engines = cluster.process_names("engine");
         let first = cluster.write_config("first", &engines[..1])?;
         let second = cluster.write_config("second", &engines[1..2])?;
         let first = cluster.apply_args(&first, "ana")?;
         let second = cluster.apply_args(&second, "ben")?;
         let (first, second) = tokio::join!(
-            run("toucanctl", &first, &[]),
-            run("toucanctl", &second, &[]),
+            run_command("toucanctl", &first, &[]),
+            run_command("toucanctl", &second, &[]),
         );
         let mut codes: Vec<Option<i32>> = vec![first?.code, second?.code];
         codes.sort_unstable();
@@ -171,17 +174,20 @@
     }
 
     /// Waits until routers have a version of the configuration.
-    pub(super) async fn version(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
+    pub(super) async fn await_version(
+        &mut self,
+        args: &mut Args<'_>,
+    ) -> Result<String, ScenarioError> {
         let version: u64 = args.number("is")?;
         for router in args.list("at") {
-            let what = format!("version {version} at {router}");
-            let wait = self.cluster()?.wait_until(&what, async |cluster| {
-                let status = cluster.admin(&router, "status").await;
+            let condition = format!("version {version} at {router}");
+            let reached = self.cluster()?.wait_until(&condition, async |cluster| {
+                let status = cluster.admin_document(&router, "status").await;
                 let status = status.map_err(|e| e.to_string())?;
-                let reached = status["config_version"].as_u64() == Some(version);
-                reached.then_some(()).ok_or(status.to_string())
+                let is_current = status["config_version"].as_u64() == Some(version);
+                is_current.then_some(()).ok_or(status.to_string())
             });
-            wait.await?;
+            reached.await?;
         }
         Ok("in force".to_owned())
     }
@@ -196,16 +202,16 @@
             "assistant".to_owned(),
             format!("--router={router}"),
         ];
-        let vars = [("TOUCANCTL_TOKEN", OPERATOR_TOKEN)];
-        let ran = run("toucanctl", &command, &vars).await?;
-        Ok(match ran.code {
+        let env_vars = [("TOUCANCTL_TOKEN", OPERATOR_TOKEN)];
+        let command_output = run_command("toucanctl", &command, &env_vars).await?;
+        Ok(match command_output.code {
             Some(0) => "carried out",
             _ => "failed",
         }
         .to_owned())
     }
 
-    pub(super) async fn pass(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
+    pub(super) async fn sleep(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         let ms = args.number("ms")?;
         tokio::time::sleep(Duration::from_millis(ms)).await;
         Ok("passed".to_owned())
--- a/toucanchute_scenario/src/runner/storm.rs
+++ b/toucanchute_scenario/src/runner/storm.rs
@@ -8,89 +8,91 @@
 /// Environment variable with a seed in place of the scenario's.
 const SEED_VARIABLE: &str = "STORM_SEED";
 /// Longest time that a trouble lasts before the next one, in milliseconds.
-const MAX_LULL_MS: u64 = 3_000;
+const MAX_INTERVAL_MS: u64 = 3_000;
 
 /// Something that happens to a cluster.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Trouble {
+enum Fault {
     /// A router dies and is started again.
-    Kill,
+    KillRouter,
     /// A router is paused or goes on.
-    Pause,
+    ToggleRouterPause,
     /// Links of a router to its peers are cut or held.
-    Isolate(LinkState),
+    IsolateRouter(LinkState),
     /// The link of a router to the platform is cut or held.
-    Detach(LinkState),
+    DisconnectPlatform(LinkState),
     /// All links are open again.
-    Heal,
+    HealLinks,
     /// The platform fails in a way.
-    Platform(&'static str),
+    PlatformFault(&'static str),
     /// An engine crashes.
-    Engine,
+    CrashEngine,
 }
 
-const TROUBLES: [Trouble; 12] = [
-    Trouble::Kill,
-    Trouble::Pause,
-    Trouble::Pause,
-    Trouble::Isolate(LinkState::Cut),
-    Trouble::Isolate(LinkState::Held),
-    Trouble::Detach(LinkState::Cut),
-    Trouble::Detach(LinkState::Held),
-    Trouble::Heal,
-    Trouble::Platform(r#"{"mode":"down"}"#),
-    Trouble::Platform(r#"{"mode":"lose-answers","path":"/v3/kv/txn","count":10}"#),
-    Trouble::Platform(r#"{"mode":"ok"}"#),
-    Trouble::Engine,
+const FAULTS: [Fault; 12] = [
+    Fault::KillRouter,
+    Fault::ToggleRouterPause,
+    Fault::ToggleRouterPause,
+    Fault::IsolateRouter(LinkState::Cut),
+    Fault::IsolateRouter(LinkState::Held),
+    Fault::DisconnectPlatform(LinkState::Cut),
+    Fault::DisconnectPlatform(LinkState::Held),
+    Fault::HealLinks,
+    Fault::PlatformFault(r#"{"mode":"down"}"#),
+    Fault::PlatformFault(r#"{"mode":"lose-answers","path":"/v3/kv/txn","count":10}"#),
+    Fault::PlatformFault(r#"{"mode":"ok"}"#),
+    Fault::CrashEngine,
 ];
 
 impl Runner {
     /// Hurts processes, links and the platform at random, then mends all.
     pub(super) async fn storm(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
-        let given = args.number("seed")?;
+        let default_seed = args.number("seed")?;
         let seed = env::var(SEED_VARIABLE)
             .ok()
             .and_then(|seed| seed.parse().ok());
-        let seed = seed.unwrap_or(given);
+        let seed = seed.unwrap_or(default_seed);
         let steps: u32 = args.number("steps")?;
         eprintln!("storm: seed {seed}");
         let mut rng = SmallRng::seed_from_u64(seed);
-        let routers = self.cluster()?.names("router");
+        let routers = self.cluster()?.process_names("router");
         let mut paused = Vec::new();
         for _ in 0..steps {
-            let trouble = TROUBLES.choose(&mut rng).copied().unwrap_or(Trouble::Heal);
+            let fault = FAULTS.choose(&mut rng).copied().unwrap_or(Fault::HealLinks);
             let router = routers.choose(&mut rng).cloned().unwrap_or_default();
-            eprintln!("storm: {trouble:?} {router}");
-            self.trouble(trouble, &router, &mut paused).await?;
-            let lull = rng.random_range(0..MAX_LULL_MS);
-            tokio::time::sleep(Duration::from_millis(lull)).await;
+            eprintln!("storm: {fault:?} {router}");
+            self.inject(fault, &router, &mut paused).await?;
+            let interval = rng.random_range(0..MAX_INTERVAL_MS);
+            tokio::time::sleep(Duration::from_millis(interval)).await;
         }
         for router in &paused {
             self.send_signal(router, Signal::Continue).await?;
         }
         self.heal()?;
-        self.cluster()?.fault(PLATFORM, r#"{"mode":"ok"}"#).await?;
+        self.cluster()?
+            .set_fault(PLATFORM, r#"{"mode":"ok"}"#)
+            .await?;
         for router in &routers {
             self.cluster()?.wait_ready(router).await?;
         }
         Ok("mended".to_owned())
     }
 
-    async fn trouble(
+    async fn inject(
         &mut self,
-        trouble: Trouble,
+        fault: Fault,
         router: &str,
         paused: &mut Vec<String>,
     ) -> Result<(), ScenarioError> {
         let cluster = self.cluster()?;
-        match trouble {
-            Trouble::Kill => {
+        match fault {
+            Fault::KillRouter => {
                 self.send_signal(router, Signal::Kill).await?;
-                self.ended(router).await?;
+                self.wait_for_exit(router).await?;
                 paused.retain(|name| name != router);
                 self.cluster_mut()?.start_process(router)?;
             }
-            Trouble::Pause => match paused.iter().position(|name| name == router) {
+            Fault::ToggleRouterPause => match paused.iter().position(|name| name == router) {
                 Some(index) => {
                     paused.remove(index);
                     self.send_signal(router, Signal::Continue).await?;
@@ -100,17 +102,17 @@
                     self.send_signal(router, Signal::Stop).await?;
                 }
             },
-            Trouble::Isolate(state) => {
-                for peer in cluster.names("router") {
+            Fault::IsolateRouter(state) => {
+                for peer in cluster.process_names("router") {
                     cluster.links().set(router, &peer, state);
                 }
             }
-            Trouble::Detach(state) => cluster.links().set(router, PLATFORM, state),
-            Trouble::Heal => cluster.links().heal(),
-            Trouble::Platform(fault) => cluster.fault(PLATFORM, fault).await?,
-            Trouble::Engine => {
+            Fault::DisconnectPlatform(state) => cluster.links().set(router, PLATFORM, state),
+            Fault::HealLinks => cluster.links().heal(),
+            Fault::PlatformFault(fault) => cluster.set_fault(PLATFORM, fault).await?,
+            Fault::CrashEngine => {
                 cluster
-                    .fault("engine-1", r#"{"mode":"crash","ms":500}"#)
+                    .set_fault("engine-1", r#"{"mode":"crash","ms":500}"#)
                     .await?;
             }
         }
--- a/toucanchute_scenario/tests/scenarios.rs
+++ b/toucanchute_scenario/tests/scenarios.rs
@@ -8,37 +8,37 @@
 use toucanchute_scenario::Runner;
 
 /// Scenarios that run at the same time.
-const MAX_RUNNING: usize = 3;
+const MAX_CONCURRENT: usize = 3;
 
 static RUNNING: Mutex<usize> = Mutex::new(0);
-static ENDED: Condvar = Condvar::new();
+static SCENARIO_ENDED: Condvar = Condvar::new();
 
 /// A place among the scenarios that run.
-struct Place;
+struct Permit;
 
-impl Place {
-    fn take() -> Place {
+impl Permit {
+    fn acquire() -> Permit {
         let running = RUNNING.lock().unwrap();
-        *ENDED
-            .wait_while(running, |running| *running >= MAX_RUNNING)
+        *SCENARIO_ENDED
+            .wait_while(running, |running| *running >= MAX_CONCURRENT)
             .unwrap() += 1;
-        Place
+        Permit
     }
 }
 
-impl Drop for Place {
+impl Drop for Permit {
     fn drop(&mut self) {
         *RUNNING
             .lock()
             .unwrap_or_else(std::sync::PoisonError::into_inner) -= 1;
-        ENDED.notify_one();
+        SCENARIO_ENDED.notify_one();
     }
 }
 
 fn run(name: &str) {
-    let _place = Place::take();
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    let mut runner = Runner::new(&folder).unwrap();
+    let _permit = Permit::acquire();
+    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let mut runner = Runner::new(&dir).unwrap();
     let file = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     datadriven::walk(&file, |file| file.run(|case| runner.run(case)));
 }
