test(scenario): directives and output of the scenarios in terms of the field

What read oddly: the directives ask, until, reach, rise, pass, race and version; the outcomes whole, not whole, broken off, came, mended. They are complete, await-requests, await-count, count-increase, sleep, apply-concurrently and await-version; complete, incomplete, interrupted, received, recovered. Arguments: of is counter, least is min, is is version, any is any-outcome, work is operation. The table of directives in Runner::run says the same. `told not-run and ran` stays, since docs/PROOFS.md quotes it, and so do keys, prompts and names of loads, since the length of an answer depends on them.

--- a/toucanchute_scenario/src/answer.rs
+++ b/toucanchute_scenario/src/answer.rs
@@ -73,15 +73,15 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Outcome::Answered(answer) => match answer.verdict {
-                Verdict::Correct => f.write_str("whole"),
-                Verdict::Foreign => f.write_str("another's answer"),
-                Verdict::Incomplete => f.write_str("not whole"),
-                Verdict::Rerun => f.write_str("ran again"),
+                Verdict::Correct => f.write_str("complete"),
+                Verdict::Foreign => f.write_str("answer to another request"),
+                Verdict::Incomplete => f.write_str("incomplete"),
+                Verdict::Rerun => f.write_str("executed again"),
             },
             Outcome::Refused(problem) => {
                 write!(f, "{} {}", problem.reason, problem.outcome)
             }
-            Outcome::Interrupted(_) => f.write_str("broken off"),
+            Outcome::Interrupted(_) => f.write_str("interrupted"),
         }
     }
 }
--- a/toucanchute_scenario/src/runner.rs
+++ b/toucanchute_scenario/src/runner.rs
@@ -70,31 +70,31 @@
         })
     }
 
-    /// Runs one directive and returns the facts that it prints.
+    /// Runs one directive and returns its output.
     ///
     /// | directive | effect |
     /// |---|---|
-    /// | `cluster routers engines services` | starts processes; input: lines of `[ledger]` and `engine --option=N` |
+    /// | `cluster routers engines [services]` | starts processes; input: lines of the section `[ledger]`, and lines `engine --option=N` |
     /// | `top-up at tokens id` | adds tokens to the budget |
-    /// | `ask at key [name] [max-tokens]` | streams a completion; with a name in the background |
-    /// | `book at key [name]`, `look-up at key` | calls a plain service; with several routers at all of them at once |
-    /// | `await name tokens` | waits until so many tokens of a background request came |
-    /// | `join name [any]` | waits for the end of a background request or load; with `any` prints no outcomes |
-    /// | `load name at workers [work]` | sends requests until it is joined |
-    /// | `until name requests` | waits until so many requests of a load have ended |
-    /// | `kill`, `stop`, `continue`, `terminate`, `start`, with `process` | acts on processes |
-    /// | `cut`, `hold` with `from to`; `heal` | acts on links |
-    /// | `storm seed steps` | hurts processes, links and the platform at random, then mends all |
-    /// | `fault at`, input: JSON | sets a stand-in's fault |
+    /// | `complete at key [name] [prompt] [max-tokens]` | requests a streamed completion, in the background if `name` is set; from several routers concurrently if `at` lists several |
+    /// | `book at key [name]`, `look-up at key [name]` | calls a service in the same way |
+    /// | `await-tokens name tokens` | waits until this number of tokens of a background request has been received |
+    /// | `join name [any-outcome]` | waits for a background request, or stops a load; prints the outcomes, except with `any-outcome` |
+    /// | `load name at workers [operation] [max-tokens] [pause-ms]` | sends requests until it is joined |
+    /// | `await-requests name requests` | waits until this number of further requests of a load has ended |
+    /// | `kill`, `stop`, `continue`, `terminate`, `start`, with `process` | sends a signal to processes, or starts them |
+    /// | `cut`, `hold`, with `from to`; `heal` | sets the state of links; opens all links |
+    /// | `storm seed steps` | injects random faults into processes, links and the platform, then removes them all |
+    /// | `fault at`, input: JSON | sets a fault of fake servers |
     /// | `withdraw host` | lists backend servers as leaving |
-    /// | `apply without`, `race` | applies one or two configurations |
-    /// | `version at is` | waits for a version of the configuration |
-    /// | `order at backend` | orders an engine to load a model; prints whether it did |
-    /// | `pass ms` | lets time go by |
-    /// | `count at of` | prints one of the stand-ins' counts, added up |
-    /// | `reach at of least` | waits until that count has reached a number |
-    /// | `rise at of ms` | prints by how much that count rises within a time |
-    /// | `audit at` | compares the routers' statements with what callers and stand-ins saw |
+    /// | `apply without`, `apply-concurrently` | applies one configuration, or two concurrently |
+    /// | `await-version at version` | waits until routers have a version of the configuration |
+    /// | `order at backend` | orders an engine to load a model; prints whether it succeeded |
+    /// | `sleep ms` | waits for a fixed time |
+    /// | `count at counter` | prints the sum of a counter over fake servers |
+    /// | `await-count at counter min` | waits until that sum is at least `min` |
+    /// | `count-increase at counter ms` | prints the increase of that sum within a time |
+    /// | `audit at` | compares the routers' statements with the records of callers and fake servers |
     ///
     /// # Errors
     ///
@@ -121,11 +121,11 @@
     async fn dispatch(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         match args.directive().as_str() {
             "cluster" => self.start_cluster(args).await,
-            "ask" | "book" | "look-up" => self.send_request(args).await,
-            "await" => self.await_tokens(args).await,
+            "complete" | "book" | "look-up" => self.send_request(args).await,
+            "await-tokens" => self.await_tokens(args).await,
             "join" => self.join(args).await,
             "load" => self.start_load(args),
-            "until" => self.await_requests(args).await,
+            "await-requests" => self.await_requests(args).await,
             "top-up" => self.top_up(args).await,
             "kill" | "stop" | "continue" | "terminate" | "start" => self.manage_process(args).await,
             "cut" | "hold" => self.set_link_state(args),
@@ -134,13 +134,13 @@
             "fault" => self.set_fault(args).await,
             "withdraw" => self.withdraw(args).await,
             "apply" => self.apply(args).await,
-            "race" => self.apply_concurrently().await,
-            "version" => self.await_version(args).await,
+            "apply-concurrently" => self.apply_concurrently().await,
+            "await-version" => self.await_version(args).await,
             "order" => self.order(args).await,
-            "pass" => self.sleep(args).await,
+            "sleep" => self.sleep(args).await,
             "count" => self.count(args).await,
-            "reach" => self.await_count(args).await,
-            "rise" => self.count_increase(args).await,
+            "await-count" => self.await_count(args).await,
+            "count-increase" => self.count_increase(args).await,
             "audit" => self.audit(args).await,
             name => UnknownSnafu {
                 kind: "directive",
--- a/toucanchute_scenario/src/runner/asks.rs
+++ b/toucanchute_scenario/src/runner/asks.rs
@@ -36,7 +36,7 @@
         let key = args.text("key")?;
         let addresses = self.addresses(args)?;
         let operation = match args.directive().as_str() {
-            "ask" => Operation::Completion {
+            "complete" => Operation::Completion {
                 prompt: args
                     .optional("prompt")
                     .unwrap_or_else(|| format!("prompt of {key}")),
@@ -134,8 +134,8 @@
             .wait_for(|&tokens_received| tokens_received >= tokens);
         let received = tokio::time::timeout(Duration::from_secs(PROGRESS_TIMEOUT_S), received);
         match received.await {
-            Ok(Ok(_)) => Ok("came".to_owned()),
-            Ok(Err(_)) => Ok("ended before".to_owned()),
+            Ok(Ok(_)) => Ok("received".to_owned()),
+            Ok(Err(_)) => Ok("ended earlier".to_owned()),
             Err(_) => {
                 let condition = format!("{tokens} tokens of {name}");
                 let (seconds, observed) = (PROGRESS_TIMEOUT_S, "fewer");
@@ -159,7 +159,7 @@
         let load = self.loads.remove(&name);
         let load = load.ok_or_else(|| UnknownSnafu { kind, name }.build())?;
         let records = load.finish().await;
-        let output = match args.flag("any") {
+        let output = match args.flag("any-outcome") {
             true => "ended".to_owned(),
             false => summarize(&records),
         };
@@ -170,7 +170,7 @@
     pub(super) fn start_load(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         let name = args.text("name")?;
         let addresses = self.addresses(args)?;
-        let operation = match args.optional("work") {
+        let operation = match args.optional("operation") {
             Some(directive) => service_call(&directive),
             None => Operation::Completion {
                 prompt: "prompt of".to_owned(),
@@ -235,7 +235,7 @@
         return "no request ended".to_owned();
     }
     if records.iter().all(|record| record.outcome.is_correct()) {
-        return "all whole".to_owned();
+        return "all complete".to_owned();
     }
     let outcomes: Vec<String> = counts.into_keys().collect();
     outcomes.join(", ")
--- a/toucanchute_scenario/src/runner/control.rs
+++ b/toucanchute_scenario/src/runner/control.rs
@@ -178,7 +178,7 @@
         &mut self,
         args: &mut Args<'_>,
     ) -> Result<String, ScenarioError> {
-        let version: u64 = args.number("is")?;
+        let version: u64 = args.number("version")?;
         for router in args.list("at") {
             let condition = format!("version {version} at {router}");
             let reached = self.cluster()?.wait_until(&condition, async |cluster| {
@@ -214,6 +214,6 @@
     pub(super) async fn sleep(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         let ms = args.number("ms")?;
         tokio::time::sleep(Duration::from_millis(ms)).await;
-        Ok("passed".to_owned())
+        Ok("done".to_owned())
     }
 }
--- a/toucanchute_scenario/src/runner/facts.rs
+++ b/toucanchute_scenario/src/runner/facts.rs
@@ -12,7 +12,7 @@
 impl Runner {
     /// Prints one of the counts of stand-ins, added up.
     pub(super) async fn count(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
-        let (counter, processes) = (args.text("of")?, args.list("at"));
+        let (counter, processes) = (args.text("counter")?, args.list("at"));
         Ok(sum_counter(self.cluster()?, &processes, &counter)
             .await?
             .to_string())
@@ -23,8 +23,8 @@
         &mut self,
         args: &mut Args<'_>,
     ) -> Result<String, ScenarioError> {
-        let (counter, processes) = (args.text("of")?, args.list("at"));
-        let min: u64 = args.number("least")?;
+        let (counter, processes) = (args.text("counter")?, args.list("at"));
+        let min: u64 = args.number("min")?;
         let condition = format!("{min} {counter}");
         let met = self.cluster()?.wait_until(&condition, async |cluster| {
             let sum = sum_counter(cluster, &processes, &counter)
@@ -41,7 +41,7 @@
         &mut self,
         args: &mut Args<'_>,
     ) -> Result<String, ScenarioError> {
-        let (counter, processes) = (args.text("of")?, args.list("at"));
+        let (counter, processes) = (args.text("counter")?, args.list("at"));
         let duration = Duration::from_millis(args.number("ms")?);
         let cluster = self.cluster()?;
         let before = sum_counter(cluster, &processes, &counter).await?;
@@ -76,8 +76,8 @@
             runs.add(&cluster.stats(name).await?);
         }
         Ok(format!(
-            "adds up, each answer billed once\n\
-             most runs of a call under one key: {}\n\
+            "statements balanced, each answer billed once\n\
+             maximum runs under one key: {}\n\
              told not-run and ran: {}\n",
             runs.max_runs_per_key(),
             runs.false_denials(&self.records),
--- a/toucanchute_scenario/src/runner/storm.rs
+++ b/toucanchute_scenario/src/runner/storm.rs
@@ -75,7 +75,7 @@
         for router in &routers {
             self.cluster()?.wait_ready(router).await?;
         }
-        Ok("mended".to_owned())
+        Ok("recovered".to_owned())
     }
 
     async fn inject(
