docs(scenario): comments, errors and scenario heads in plain technical English

Comments spoke of hurting and mending a cluster, of what stand-ins saw, of links that pass bytes and of looks at a condition. They now say what is injected, polled, forwarded and compared; "fake" stands for stand-in, as in the names of the binaries. Errors name the operation and its cause: a condition that was not met says what was waited for and what was observed last. The constant behind the pause after awaited requests is PROGRESS_PAUSE, since nothing is polled there.

--- a/toucanchute_scenario/src/answer.rs
+++ b/toucanchute_scenario/src/answer.rs
@@ -3,36 +3,39 @@
 use serde::Deserialize;
 use toucanchute_fakes::answer_token;
 
-/// How a request ended for its caller.
+/// Outcome of a request as its caller observes it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Outcome {
-    /// An answer with its end mark came.
+    /// The caller received an answer up to its end.
     Answered(Answer),
-    /// The system refused or gave up.
+    /// The caller received an error response.
     Refused(Problem),
-    /// The connection failed or broke off.
+    /// The connection failed, or the response ended early or could not be parsed.
     Interrupted(String),
 }
 
-/// An answer as its caller sees it.
+/// An answer as its caller receives it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Answer {
     pub(crate) verdict: Verdict,
-    /// Tokens that it is expected to be billed.
+    /// Number of tokens that the ledger should bill for the answer.
     pub(crate) expected_bill: u64,
 }
 
-/// Whether an answer is the whole answer to its request.
+/// Result of comparing an answer with the expected answer to its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Verdict {
+    /// The complete answer to the request.
     Correct,
+    /// The answer to another request.
     Foreign,
+    /// Text of the answer to the request that is incomplete, repeated or out of order.
     Incomplete,
-    /// The call ran more than once under its key.
+    /// The call ran more than once under its idempotency key.
     Rerun,
 }
 
-/// A problem document.
+/// Body of an error response.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(default)]
 pub(crate) struct Problem {
@@ -43,7 +46,7 @@
 }
 
 impl Outcome {
-    /// Returns whether the answer is whole and the caller's own.
+    /// Returns whether the caller received the complete answer to its request.
     pub(crate) fn is_correct(&self) -> bool {
         matches!(
             self,
@@ -55,7 +58,7 @@
     }
 }
 
-/// Compares the text of an engine's answer with the one that its prompt leads to.
+/// Compares the text of an engine's answer with the text that the prompt determines.
 pub(crate) fn check_answer(prompt: &str, text: &str, tokens: u64) -> Verdict {
     let expected = (0..tokens).map(|i| answer_token(prompt, i));
     if text == expected.collect::<String>() && tokens > 0 {
--- a/toucanchute_scenario/src/audit.rs
+++ b/toucanchute_scenario/src/audit.rs
@@ -1,4 +1,4 @@
-//! Comparison of the ledger's statement with what callers and stand-ins saw.
+//! Comparison of the ledger's statement with the records of callers and fake servers.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -25,23 +25,24 @@
 }
 
 impl Statement {
-    /// Returns whether the parts are the whole.
+    /// Returns whether the parts sum up to the tokens that were topped up.
     pub(crate) fn is_balanced(&self) -> bool {
         self.topped_up == self.free + self.spent + self.granted + self.forfeited
     }
 }
 
-/// What the bills of a set of requests may come to, each key billed once.
+/// Bounds on the bills of a set of requests, if each idempotency key is billed once.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct ExpectedBills {
-    /// Sum over the requests whose whole answer came, in tokens.
+    /// Sum of the bills of answered requests, in tokens.
     pub(crate) due: u64,
-    /// Most that the others may have been billed, in tokens.
+    /// Maximum of what may have been billed for the other requests, in tokens.
     pub(crate) possible: u64,
 }
 
 impl ExpectedBills {
-    /// Adds up the records; of each key the one that ended with an answer counts.
+    /// Adds up the bills of `records`. If a key has several records, one with an answer takes
+    /// precedence.
     pub(crate) fn from_records(records: &[Record]) -> ExpectedBills {
         let mut by_key: BTreeMap<&str, &Record> = BTreeMap::new();
         for record in records {
@@ -64,7 +65,7 @@
         bills
     }
 
-    /// Returns whether the ledger's sum is what was due, or that and some of what is possible.
+    /// Returns whether `spent` is at least what is due and at most that plus what is possible.
     pub(crate) fn allows(self, spent: u64) -> bool {
         (self.due..=self.due + self.possible).contains(&spent)
     }
@@ -79,34 +80,35 @@
     }
 }
 
-/// Runs that stand-ins counted, by what they know of a request.
+/// Numbers of runs as counted by the fake servers.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RunCounts {
-    /// Calls by the key that the router passes on.
+    /// Runs of service calls, by the idempotency key that the router forwards.
     by_key: BTreeMap<String, u64>,
-    /// Completions by the tag of their prompt.
+    /// Runs of completions, by the tag of the prompt.
     by_tag: BTreeMap<String, u64>,
 }
 
 impl RunCounts {
-    /// Adds the counts of one stand-in.
+    /// Adds the counts of one fake server.
     pub(crate) fn add(&mut self, stats: &Value) {
         add_counts(&mut self.by_key, &stats["runs_by_key"]);
         add_counts(&mut self.by_tag, &stats["runs_by_tag"]);
     }
 
-    /// Returns the greatest number of runs of a call under one key.
+    /// Returns the maximum number of runs of a service call under one key.
     pub(crate) fn max_runs_per_key(&self) -> u64 {
         self.by_key.values().copied().max().unwrap_or(0)
     }
 
-    /// Returns how many requests ran although their callers were told at last that they did not.
+    /// Returns the number of requests that ran although the final response to their callers was that
+    /// they did not run.
     pub(crate) fn false_denials(&self, records: &[Record]) -> usize {
         let is_denial = |record: &Record| match &record.outcome {
             Outcome::Refused(problem) => problem.outcome == "not-run",
             Outcome::Answered(_) | Outcome::Interrupted(_) => false,
         };
-        // A request that was sent again after a refusal may well have run then.
+        // A key with another outcome is left out, since a later attempt under it may have run.
         let other_keys = records.iter().filter(|record| !is_denial(record));
         let other_keys: BTreeSet<&str> = other_keys
             .map(|record| record.request.key.as_str())
--- a/toucanchute_scenario/src/caller.rs
+++ b/toucanchute_scenario/src/caller.rs
@@ -12,19 +12,19 @@
     http_client::send,
 };
 
-/// Longest time of one try.
+/// Timeout of one attempt at a request.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(90);
 
-/// What a request asks for.
+/// Operation that a request performs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Operation {
     /// A streamed chat completion.
     Completion { prompt: String, max_tokens: u64 },
-    /// A call of a plain service.
+    /// A call of a service that is not a model engine.
     ServiceCall { service: String, price: u64 },
 }
 
-/// A request under a key of its own.
+/// A request with its idempotency key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Request {
     pub(crate) key: String,
@@ -32,7 +32,8 @@
 }
 
 impl Request {
-    /// Sends the request once; the number of tokens that came is told as it rises.
+    /// Sends the request once. The number of tokens received so far is published to
+    /// `tokens_received`.
     pub(crate) async fn send(
         &self,
         address: SocketAddr,
@@ -47,7 +48,7 @@
         match outcome {
             Ok(Ok(outcome)) => outcome,
             Ok(Err(cause)) => Outcome::Interrupted(cause),
-            Err(_) => Outcome::Interrupted("no answer in time".to_owned()),
+            Err(_) => Outcome::Interrupted("request timed out".to_owned()),
         }
     }
 
@@ -142,15 +143,15 @@
     stream.finish(prompt)
 }
 
-/// A streamed answer as far as it came.
+/// The received part of a streamed answer.
 #[derive(Debug, Default)]
 struct StreamedAnswer {
     text: String,
-    /// Chunks with text.
+    /// Number of chunks with text; each holds one token.
     tokens_received: u64,
     completion_tokens: u64,
     total_tokens: u64,
-    /// Whether the next data line is a problem document.
+    /// Whether an error event has started, whose data is a problem document.
     is_error_event: bool,
     problem: Option<Problem>,
     done: bool,
@@ -187,7 +188,7 @@
             return Ok(Outcome::Refused(problem));
         }
         if !self.done {
-            return Err("the stream has no end mark".to_owned());
+            return Err("the stream ended without `[DONE]`".to_owned());
         }
         Ok(Outcome::Answered(Answer {
             verdict: check_answer(prompt, &self.text, self.completion_tokens),
--- a/toucanchute_scenario/src/cluster.rs
+++ b/toucanchute_scenario/src/cluster.rs
@@ -23,26 +23,26 @@
     process::{Process, run_checked},
 };
 
-/// Longest wait for a condition, in seconds.
+/// Timeout of waiting for a condition, in seconds.
 const CONDITION_TIMEOUT_S: u64 = 60;
-/// Pause between looks at a condition.
+/// Time between two checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Name of the only customer.
 pub(crate) const CUSTOMER: &str = "customer";
-/// Token of the customer that all requests are sent for.
+/// Token of the customer on whose behalf all requests are sent.
 pub(crate) const CUSTOMER_TOKEN: &str = "scenario-customer";
 /// Token of the operators.
 pub(crate) const OPERATOR_TOKEN: &str = "scenario-operator";
-/// Name of the platform's process.
+/// Name of the process of the fake platform.
 pub(crate) const PLATFORM: &str = "platform";
 
-/// Sizes and timing of a cluster.
+/// Options of a cluster.
 #[derive(Clone, Debug)]
 pub(crate) struct ClusterOptions {
     pub(crate) routers: usize,
     pub(crate) engines: usize,
     pub(crate) services: usize,
-    /// Further options of the stand-in engines.
+    /// Further command line options of the fake engines.
     pub(crate) engine_args: Vec<String>,
     /// Further lines of the section `[ledger]`.
     pub(crate) ledger: String,
@@ -54,11 +54,11 @@
     binary: &'static str,
     args: Vec<String>,
     address: SocketAddr,
-    /// Nothing while it is not running.
+    /// `None` while the process is not running.
     process: Option<Process>,
 }
 
-/// Processes on loopback, and the links between them.
+/// Processes on loopback and the links between them.
 #[derive(Debug)]
 pub(crate) struct Cluster {
     dir: PathBuf,
@@ -76,7 +76,7 @@
     ) -> Result<Cluster, ScenarioError> {
         let _ = fs::remove_dir_all(dir);
         fs::create_dir_all(dir).context(IoSnafu {
-            action: "create a folder",
+            action: "create the scenario's directory",
         })?;
         let mut cluster = Cluster {
             dir: dir.to_owned(),
@@ -121,7 +121,7 @@
         all_args.extend_from_slice(args);
         self.insert_node(name, binary, all_args, address);
         self.start_process(name)?;
-        self.wait_until(&format!("{name} listening"), async |cluster| {
+        self.wait_until(&format!("{name} to listen"), async |cluster| {
             let stats = cluster.stats(name).await;
             stats.map(drop).map_err(|e| e.to_string())
         })
@@ -164,7 +164,7 @@
         Ok(())
     }
 
-    /// Chooses a router's addresses and starts the forwarders of its links.
+    /// Allocates a router's addresses and starts the forwarders of its links.
     async fn prepare_router(
         &self,
         index: usize,
@@ -190,7 +190,7 @@
 
     // Processes
 
-    /// Starts a process that is not running.
+    /// Starts the process of a node, which must not be running.
     pub(crate) fn start_process(&mut self, name: &str) -> Result<(), ScenarioError> {
         let log = self.dir.join(format!("{name}.log"));
         let node = self.node_mut(name)?;
@@ -207,7 +207,7 @@
             .ok_or_else(|| UnknownSnafu { kind, name }.build())
     }
 
-    /// Forgets a process that has ended.
+    /// Removes a process that has ended, so that its node can be started again.
     pub(crate) fn remove_process(&mut self, name: &str) -> Result<(), ScenarioError> {
         self.node_mut(name)?.process = None;
         Ok(())
@@ -227,7 +227,7 @@
             .ok_or_else(|| UnknownSnafu { kind, name }.build())
     }
 
-    /// Returns the names of the processes of one kind.
+    /// Returns the names of the processes whose name starts with `kind`.
     pub(crate) fn process_names(&self, kind: &str) -> Vec<String> {
         let names = self.nodes.keys();
         names
@@ -242,7 +242,7 @@
 
     // Configuration
 
-    /// Writes a folder of configuration files; the backend servers in `without` are left out.
+    /// Writes a directory of configuration files without the backend servers in `excluded`.
     pub(crate) fn write_config(
         &self,
         name: &str,
@@ -270,7 +270,7 @@
         Ok(dir)
     }
 
-    /// Applies a folder of configuration files.
+    /// Applies a directory of configuration files.
     pub(crate) async fn apply(&self, dir: &Path, author: &str) -> Result<String, ScenarioError> {
         let args = self.apply_args(dir, author)?;
         run_checked("toucanctl", &args, &[]).await
@@ -289,20 +289,20 @@
         ])
     }
 
-    // What the processes say
+    // Requests to the processes
 
-    /// Returns a stand-in's counts.
+    /// Returns the counters of a fake server.
     pub(crate) async fn stats(&self, name: &str) -> Result<Value, ScenarioError> {
         request_json(self.address(name)?, Method::GET, "/stats", &[], "").await
     }
 
-    /// Sets a stand-in's fault.
+    /// Sets the fault of a fake server.
     pub(crate) async fn set_fault(&self, name: &str, body: &str) -> Result<(), ScenarioError> {
         request_json(self.address(name)?, Method::POST, "/fault", &[], body).await?;
         Ok(())
     }
 
-    /// Reads an operators' document of a router.
+    /// Requests a document of a router's interface for operators.
     pub(crate) async fn admin_document(
         &self,
         router: &str,
@@ -314,7 +314,7 @@
         request_json(self.address(router)?, Method::GET, &path, &headers, "").await
     }
 
-    /// Reads the statement of the only budget.
+    /// Requests the statement of the only budget.
     pub(crate) async fn statement(&self, router: &str) -> Result<Statement, ScenarioError> {
         let statement = self.admin_document(router, "statements/budget").await?;
         Ok(serde_json::from_value(statement).unwrap_or_default())
@@ -324,7 +324,7 @@
 
     pub(crate) async fn wait_ready(&self, router: &str) -> Result<(), ScenarioError> {
         let members = self.process_names("router").len() as u64;
-        self.wait_until(&format!("{router} ready"), async |cluster| {
+        self.wait_until(&format!("{router} to become ready"), async |cluster| {
             let status = cluster
                 .admin_document(router, "status")
                 .await
@@ -335,7 +335,7 @@
         .await
     }
 
-    /// Looks at a condition until it is true; it returns what it saw while it is not.
+    /// Polls `check` until it succeeds. Its error is the state that it observed.
     pub(crate) async fn wait_until(
         &self,
         condition: &str,
--- a/toucanchute_scenario/src/cluster/files.rs
+++ b/toucanchute_scenario/src/cluster/files.rs
@@ -1,4 +1,4 @@
-//! Settings and configuration files of a cluster.
+//! Settings files and configuration files of a cluster.
 
 use std::net::SocketAddr;
 
@@ -6,14 +6,14 @@
 
 use super::{CUSTOMER, CUSTOMER_TOKEN, OPERATOR_TOKEN};
 
-/// Failure domains, over which hosts are spread in turn.
+/// Failure domains, to which hosts are assigned round-robin.
 const FAILURE_DOMAINS: [&str; 4] = ["alpha", "beta", "gamma", "delta"];
 
 fn failure_domain(index: usize) -> &'static str {
     FAILURE_DOMAINS[index % FAILURE_DOMAINS.len()]
 }
 
-/// What the settings file of a router holds.
+/// Values in the settings file of a router.
 #[derive(Debug)]
 pub(super) struct RouterSettings {
     pub(super) name: String,
@@ -59,7 +59,7 @@
     }
 }
 
-/// Returns the configuration but for the backend servers.
+/// Returns the configuration without backend servers.
 pub(super) fn site_config(ledger: &str) -> String {
     format!(
         "[site]\n\
@@ -96,7 +96,7 @@
     )
 }
 
-/// Returns the section of a backend server.
+/// Returns the configuration section of a backend server.
 pub(super) fn backend_section(name: &str, pool: &str, address: SocketAddr, index: usize) -> String {
     let failure_domain = failure_domain(index);
     format!(
--- a/toucanchute_scenario/src/error.rs
+++ b/toucanchute_scenario/src/error.rs
@@ -2,25 +2,25 @@
 
 use snafu::Snafu;
 
-/// A scenario that cannot go on.
+/// Error that stops a scenario.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 #[non_exhaustive]
 pub enum ScenarioError {
-    /// A binary is missing.
+    /// A binary of the workspace is missing.
     #[snafu(display(
-        "no binary {}; run `cargo build --workspace --bins` first",
+        "binary {} not found; run `cargo build --workspace --bins` first",
         path.display()
     ))]
     NoBinary {
-        /// Where it was looked for.
+        /// Expected path of the binary.
         path: PathBuf,
     },
 
     /// A process could not be started or signalled.
     #[snafu(display("cannot {action} {name}: {source}"))]
     Process {
-        /// What was tried.
+        /// Operation that failed.
         action: &'static str,
         /// Name of the process.
         name: String,
@@ -28,57 +28,59 @@
         source: io::Error,
     },
 
-    /// A command ended without success.
-    #[snafu(display("{name} ended with {code:?}: {output}"))]
+    /// A command failed.
+    #[snafu(display("{name} failed with exit code {code:?}: {output}"))]
     Command {
         /// Name of the program.
         name: String,
-        /// Exit code, if it was not killed.
+        /// Exit code; `None` if a signal ended the command.
         code: Option<i32>,
-        /// What it wrote.
+        /// Error output of the command.
         output: String,
     },
 
-    /// A file or socket of the harness failed.
+    /// An operation on a file, a socket or the runtime failed.
     #[snafu(display("cannot {action}: {source}"))]
     Io {
-        /// What was tried.
+        /// Operation that failed.
         action: &'static str,
         /// Cause.
         source: io::Error,
     },
 
-    /// A condition did not come true in time.
-    #[snafu(display("{condition} did not come true within {seconds} s; last seen: {observed}"))]
+    /// A condition was not met before the timeout.
+    #[snafu(display(
+        "timed out after {seconds} s waiting for {condition}; last observed: {observed}"
+    ))]
     TimedOut {
-        /// The condition.
+        /// Condition that was waited for.
         condition: String,
-        /// Bound in seconds.
+        /// Timeout, in seconds.
         seconds: u64,
-        /// What was seen last.
+        /// State that was observed last.
         observed: String,
     },
 
     /// The scenario names something that does not exist.
     #[snafu(display("no {kind} called `{name}`"))]
     Unknown {
-        /// Kind of thing.
+        /// Kind of the object.
         kind: &'static str,
-        /// Name in the scenario.
+        /// Name of the object in the scenario.
         name: String,
     },
 
-    /// An argument of a directive is missing or wrong.
-    #[snafu(display("argument: {message}"))]
+    /// An argument of a directive is missing or invalid.
+    #[snafu(display("invalid argument: {message}"))]
     InvalidArgument {
-        /// What is wrong.
+        /// Cause.
         message: String,
     },
 
-    /// A request of the harness failed.
-    #[snafu(display("request to {target}: {message}"))]
+    /// A request to a process failed.
+    #[snafu(display("request to {target} failed: {message}"))]
     Request {
-        /// Address and path.
+        /// Address and path of the request.
         target: String,
         /// Cause.
         message: String,
@@ -87,7 +89,7 @@
     /// An earlier directive failed.
     #[snafu(display("an earlier directive failed: {cause}"))]
     EarlierFailure {
-        /// Why it failed.
+        /// Error of that directive.
         cause: String,
     },
 }
--- a/toucanchute_scenario/src/http_client.rs
+++ b/toucanchute_scenario/src/http_client.rs
@@ -1,4 +1,4 @@
-//! Requests of the harness itself: faults, counts, statements and callers' requests.
+//! HTTP client for requests of callers and operators, and for the control of fake servers.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -16,10 +16,10 @@
 
 use crate::error::{RequestSnafu, ScenarioError};
 
-/// Longest time of a request to a stand-in or operators' request.
+/// Timeout of an operator's request, or of a request that controls a fake server.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Sends a request over a connection of its own.
+/// Sends a request over a new connection.
 pub(crate) async fn send(
     address: SocketAddr,
     method: Method,
@@ -40,7 +40,7 @@
     client.request(req).await.map_err(|e| e.to_string())
 }
 
-/// Reads or changes a JSON document.
+/// Sends a request and returns the JSON document in its response.
 pub(crate) async fn request_json(
     address: SocketAddr,
     method: Method,
@@ -64,7 +64,7 @@
         Ok((status, body.to_bytes()))
     };
     let response = timeout(CONTROL_TIMEOUT, exchange).await;
-    let response = response.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+    let response = response.unwrap_or_else(|_| Err("request timed out".to_owned()));
     let (status, body) = response.map_err(request_error)?;
     let message = format!("status {status}: {}", String::from_utf8_lossy(&body));
     ensure!(
--- a/toucanchute_scenario/src/lib.rs
+++ b/toucanchute_scenario/src/lib.rs
@@ -1,8 +1,8 @@
-//! Scenarios that start the real processes on loopback, hurt them and compare what was observed.
+//! Scenarios that start the real processes on loopback, inject faults and check the results.
 //!
-//! A scenario is a file of directives for the `datadriven` library, each followed by the facts that
-//! it is expected to print; [`Runner::run`] lists the directives. Facts hold no times: a directive
-//! that waits polls until a generous bound.
+//! A scenario is a file of directives for the `datadriven` library, each followed by its expected
+//! output; [`Runner::run`] lists the directives. The output contains no times: a directive that
+//! waits for a condition polls it, with a generous timeout.
 
 mod answer;
 mod audit;
--- a/toucanchute_scenario/src/link.rs
+++ b/toucanchute_scenario/src/link.rs
@@ -1,4 +1,4 @@
-//! TCP forwarders between processes, whose links can be cut, held and healed.
+//! TCP forwarders between processes, which can interrupt or delay the traffic of a link.
 
 mod introduction;
 
@@ -20,26 +20,26 @@
 };
 use toucanchute_proto::Millis;
 
-/// Bytes forwarded at once.
+/// Maximum number of bytes that are forwarded at once.
 const BUFFER_BYTES: usize = 16 << 10;
 
 /// State of the link between two processes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LinkState {
-    /// Bytes pass.
+    /// Bytes are forwarded.
     #[default]
     Open,
-    /// Connections are closed and new ones fail.
+    /// Connections are closed, and new ones fail.
     Cut,
-    /// Connections stay and nothing passes.
+    /// Connections stay open, but nothing is forwarded.
     Held,
-    /// Connections stay and nothing passes to the one that opened them.
+    /// Connections stay open, but nothing is forwarded to the side that opened them.
     HeldBack,
-    /// Bytes pass after this time, each piece by itself.
+    /// Bytes are forwarded after a delay, which each chunk incurs separately.
     Delayed(Millis),
 }
 
-/// Which way bytes go on a connection.
+/// Direction of bytes on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Direction {
     ToServer,
@@ -48,7 +48,7 @@
 
 type States = BTreeMap<(String, String), LinkState>;
 
-/// States of all links, by the names of their ends.
+/// States of the links between processes, by the names of the two processes.
 #[derive(Clone, Debug)]
 pub struct Links(Arc<watch::Sender<States>>);
 
@@ -59,13 +59,14 @@
 }
 
 impl Links {
-    /// Creates links that are all open.
+    /// Creates a set of links, all of which are open.
     #[must_use]
     pub fn new() -> Links {
         Links(Arc::new(watch::Sender::new(States::new())))
     }
 
-    /// Sets the state of the link between two processes, whichever end opened it.
+    /// Sets the state of the link between two processes, in either order. It applies to the
+    /// connections that either of them has opened.
     pub fn set(&self, one: &str, other: &str, state: LinkState) {
         self.0.send_modify(|states| {
             states.insert(link_key(one, other), state);
@@ -87,16 +88,17 @@
     (lower.to_owned(), upper.to_owned())
 }
 
-/// Who opens the connections through a forwarder.
+/// Process that opens the connections through a forwarder.
 #[derive(Clone, Debug)]
 pub enum Dialer {
-    /// One process.
+    /// The process of this name.
     Known(String),
-    /// One of these routers; the introduction on the link says which.
+    /// One of these routers; the first frame of the connection identifies it.
     Peer(Vec<String>),
 }
 
-/// Starts a forwarder to `target`, which is called `name`, and returns its address.
+/// Starts a forwarder to the process `name`, which listens on `target`, and returns the address of
+/// the forwarder.
 ///
 /// # Errors
 ///
@@ -122,7 +124,7 @@
     Ok(address)
 }
 
-/// Forwards one connection until an end closes it or its link is cut.
+/// Forwards one connection until one side closes it or its link is cut.
 async fn forward_connection(
     links: Links,
     dialer: Dialer,
@@ -161,7 +163,7 @@
     }
 }
 
-/// Lets bytes of one link pass while it is open.
+/// Delays or stops bytes in one direction of a connection according to the state of its link.
 struct LinkControl {
     states: watch::Receiver<States>,
     link_key: (String, String),
@@ -182,7 +184,7 @@
         states.get(&self.link_key).copied().unwrap_or_default()
     }
 
-    /// Waits until bytes may be read; fails if the link is cut.
+    /// Waits until bytes may be read. Fails if the link is cut.
     async fn wait_until_readable(&mut self) -> io::Result<()> {
         match self.state() {
             LinkState::Delayed(_) => Ok(()),
@@ -190,7 +192,7 @@
         }
     }
 
-    /// Waits until bytes may pass; fails if the link is cut.
+    /// Waits until bytes that have been read may be forwarded. Fails if the link is cut.
     async fn wait_until_writable(&mut self) -> io::Result<()> {
         loop {
             match self.state() {
@@ -206,7 +208,7 @@
         }
     }
 
-    /// Waits for the state of any link to change.
+    /// Waits until the state of any link changes.
     async fn state_changed(&mut self) {
         if self.states.changed().await.is_err() {
             std::future::pending::<()>().await;
--- a/toucanchute_scenario/src/link/introduction.rs
+++ b/toucanchute_scenario/src/link/introduction.rs
@@ -1,4 +1,5 @@
-//! The opening of a link between routers: a WebSocket whose first frame names the dialing host.
+//! Handshake of a link between routers: a WebSocket whose first frame names the host of the router
+//! that opened it.
 
 use std::io;
 
@@ -7,15 +8,15 @@
     net::tcp::{OwnedReadHalf, OwnedWriteHalf},
 };
 
-/// Bytes read at once.
+/// Maximum number of bytes that are read at once.
 const READ_BYTES: usize = 4 << 10;
 /// End of the head of an HTTP message.
 const HEAD_END: &[u8] = b"\r\n\r\n";
-/// Bytes of the key by which a client's frame is masked.
+/// Size of the masking key of a client's frame.
 const MASK_BYTES: usize = 4;
 
-/// Passes on the opening of a WebSocket and returns which of `peers` dialed, with the bytes that
-/// have not been passed on.
+/// Forwards the WebSocket handshake. Returns which of `peers` opened the connection, and the bytes
+/// that have been read from it but not forwarded.
 pub(super) async fn identify_dialer(
     from_dialer: &mut OwnedReadHalf,
     to_dialer: &mut OwnedWriteHalf,
@@ -40,7 +41,7 @@
     }
 }
 
-/// Reads an HTTP head; returns it and the bytes after it.
+/// Reads the head of an HTTP message. Returns the head and the bytes read after it.
 async fn read_head(from: &mut OwnedReadHalf) -> io::Result<(Vec<u8>, Vec<u8>)> {
     let mut buf = Vec::new();
     loop {
@@ -62,7 +63,7 @@
     Ok(())
 }
 
-/// Returns the payload of a masked frame of less than 64 KiB once it is whole.
+/// Returns the payload of a masked frame of less than 64 KiB, or `None` if the frame is incomplete.
 fn unmask_payload(frame: &[u8]) -> Option<Vec<u8>> {
     let short_len = usize::from(*frame.get(1)? & 0x7f);
     let (len, start) = match short_len {
--- a/toucanchute_scenario/src/load.rs
+++ b/toucanchute_scenario/src/load.rs
@@ -1,4 +1,5 @@
-//! Callers that send requests one after the other and try again elsewhere under the same key.
+//! Load generator: callers that send requests in sequence, and retry them at the next address under
+//! the same idempotency key.
 
 use std::{
     net::SocketAddr,
@@ -20,33 +21,33 @@
     caller::{Operation, Request},
 };
 
-/// Pause before another try.
+/// Delay before a retry.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Time after which a request is given up.
+/// Time after which a request is not retried any more.
 const RETRY_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// A request and how it ended for its caller at last.
+/// A request and its final outcome for its caller.
 #[derive(Clone, Debug)]
 pub(crate) struct Record {
     pub(crate) request: Request,
     pub(crate) outcome: Outcome,
 }
 
-/// Options of a load.
+/// Options of a load generator.
 #[derive(Clone, Debug)]
 pub(crate) struct LoadOptions {
     pub(crate) name: String,
     pub(crate) addresses: Vec<SocketAddr>,
     pub(crate) token: String,
-    /// Callers at the same time.
+    /// Number of concurrent callers.
     pub(crate) workers: u64,
-    /// Pause of a caller between requests.
+    /// Time that a caller waits between two requests.
     pub(crate) pause: Duration,
-    /// What each request asks for; a completion's prompt gets the request's key.
+    /// Operation of each request. The request's key is appended to the prompt of a completion.
     pub(crate) operation: Operation,
 }
 
-/// Callers at work.
+/// A running load generator.
 #[derive(Debug)]
 pub(crate) struct Load {
     stop: watch::Sender<bool>,
@@ -76,7 +77,7 @@
         }
     }
 
-    /// Lets each caller end its request and returns the records of all.
+    /// Waits until each caller has ended its current request, and returns the records of all.
     pub(crate) async fn finish(mut self) -> Vec<Record> {
         self.stop.send_replace(true);
         while self.workers.join_next().await.is_some() {}
@@ -91,11 +92,11 @@
     }
 }
 
-/// One caller.
+/// One caller of a load generator.
 struct Worker {
     options: LoadOptions,
     stop: watch::Receiver<bool>,
-    /// Number of the next request, over all callers of the load.
+    /// Number of the next request, shared by all callers of the load generator.
     next_number: Arc<AtomicU64>,
     records: Arc<Mutex<Vec<Record>>>,
 }
@@ -134,7 +135,8 @@
     }
 }
 
-/// Sends a request at one address after the other until its outcome is final.
+/// Sends a request to one address after the other until its outcome is final or `RETRY_TIMEOUT` has
+/// passed.
 pub(crate) async fn send_with_retries(
     request: &Request,
     addresses: &[SocketAddr],
--- a/toucanchute_scenario/src/ports.rs
+++ b/toucanchute_scenario/src/ports.rs
@@ -1,4 +1,4 @@
-//! Ports for processes that have to know them beforehand.
+//! Allocation of ports for processes whose addresses must be known before they start.
 
 use std::{
     net::{Ipv4Addr, SocketAddr, TcpListener},
@@ -6,16 +6,17 @@
     sync::atomic::{AtomicU16, Ordering},
 };
 
-/// First port handed out; all are below those that the system gives to outgoing connections.
+/// First port that is allocated. All allocated ports are below those that the system assigns to
+/// outgoing connections.
 const FIRST_PORT: u16 = 20_000;
-/// Number of ports handed out before they start again.
+/// Number of ports that are allocated before the sequence starts again.
 const PORT_COUNT: u16 = 12_000;
-/// Ports that one test process is expected to take.
+/// Number of ports that one test process is expected to need.
 const PORTS_PER_PROCESS: u32 = 500;
 
 static NEXT_OFFSET: AtomicU16 = AtomicU16::new(0);
 
-/// Returns a loopback address that nothing listens at.
+/// Returns a loopback address on which no process listens. The port is not reserved.
 #[must_use]
 pub fn free_address() -> SocketAddr {
     let start = (process::id() * PORTS_PER_PROCESS % u32::from(PORT_COUNT)) as u16;
--- a/toucanchute_scenario/src/process.rs
+++ b/toucanchute_scenario/src/process.rs
@@ -9,18 +9,18 @@
 
 use crate::error::{CommandSnafu, NoBinarySnafu, ProcessSnafu, ScenarioError};
 
-/// Signals that a scenario sends.
+/// Signals that a scenario sends to a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Signal {
-    /// Ends it at once.
+    /// Kills the process.
     Kill,
-    /// Asks it to stop.
+    /// Requests a graceful shutdown.
     Terminate,
-    /// Pauses it.
+    /// Pauses the process.
     Stop,
-    /// Lets it go on.
+    /// Resumes the process after a pause.
     Continue,
-    /// Tells it that its settings have changed.
+    /// Requests that the process reload its settings.
     Hangup,
 }
 
@@ -44,7 +44,7 @@
 }
 
 impl Process {
-    /// Starts `binary`; its output goes to the file `log`.
+    /// Starts `binary`. Its output is appended to the file `log`.
     ///
     /// # Errors
     ///
@@ -96,11 +96,11 @@
         Ok(())
     }
 
-    /// Waits for the end and returns the exit code, none if a signal ended it.
+    /// Waits until the process ends. Returns its exit code, or `None` if a signal ended it.
     ///
     /// # Errors
     ///
-    /// Fails if the system does not tell.
+    /// Fails if the system does not report the exit status.
     pub async fn wait(&mut self) -> Result<Option<i32>, ScenarioError> {
         let status = self.child.wait().await;
         let action = "wait for";
@@ -112,7 +112,7 @@
     }
 }
 
-/// What a command that ran to its end left behind.
+/// Exit code and output of a command.
 #[derive(Debug)]
 pub(crate) struct CommandOutput {
     pub(crate) code: Option<i32>,
@@ -120,7 +120,7 @@
     pub(crate) stderr: String,
 }
 
-/// Runs `binary` to its end.
+/// Runs `binary` until it ends.
 pub(crate) async fn run_command(
     binary: &str,
     args: &[String],
@@ -145,7 +145,7 @@
     })
 }
 
-/// Runs `binary` to its end and returns what it wrote.
+/// Runs `binary` until it ends and returns its standard output. Fails if the exit code is not 0.
 pub(crate) async fn run_checked(
     binary: &str,
     args: &[String],
@@ -157,7 +157,8 @@
     Ok(command_output.stdout)
 }
 
-/// Returns the path of a binary of the workspace, which lies beside the test executable's folder.
+/// Returns the path of a binary of the workspace, which is in the parent of the test executable's
+/// directory.
 fn binary_path(binary: &str) -> Result<PathBuf, ScenarioError> {
     let exe = env::current_exe().unwrap_or_default();
     let dir = exe
--- a/toucanchute_scenario/src/runner.rs
+++ b/toucanchute_scenario/src/runner.rs
@@ -22,34 +22,35 @@
 #[derive(Debug)]
 pub struct Runner {
     rt: Runtime,
-    /// Folder of settings, configuration and logs.
+    /// Directory of settings, configurations and logs.
     dir: PathBuf,
     cluster: Option<Cluster>,
     pending_requests: BTreeMap<String, PendingRequest>,
     loads: BTreeMap<String, Load>,
     /// Tokens of the top-ups by their ids.
     top_ups: BTreeMap<String, u64>,
-    /// Requests that have ended.
+    /// Requests that have ended, and their outcomes.
     records: Vec<Record>,
-    /// Why an earlier directive failed; nothing is run after it.
+    /// Error of an earlier directive. The directives after it are not run.
     failure: Option<String>,
 }
 
-/// A request in progress.
+/// A background request in progress.
 #[derive(Debug)]
 struct PendingRequest {
     request: Request,
     task: JoinHandle<Outcome>,
-    /// Number of tokens that came.
+    /// Number of tokens received so far.
     tokens_received: watch::Receiver<u64>,
 }
 
 impl Runner {
-    /// Creates a runner whose files go to `folder`, which is emptied.
+    /// Creates a runner that writes its files to the directory `dir`, which is emptied when a cluster
+    /// starts.
     ///
     /// # Errors
     ///
-    /// Fails if the system gives no threads.
+    /// Fails if the threads of the runtime cannot be started.
     pub fn new(dir: &Path) -> Result<Runner, ScenarioError> {
         let rt = Runtime::new();
         let rt = snafu::ResultExt::context(
@@ -98,7 +99,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the directive cannot be carried out or its condition does not come true in time.
+    /// Fails if the directive cannot be executed, or if its condition is not met before the timeout.
     pub fn run(&mut self, case: &mut TestCase) -> Result<String, ScenarioError> {
         if let Some(cause) = &self.failure {
             return EarlierFailureSnafu { cause }.fail();
@@ -169,8 +170,8 @@
     }
 
     fn cluster(&self) -> Result<&Cluster, ScenarioError> {
-        let kind = "cluster";
-        let name = "started before";
+        let kind = "running cluster";
+        let name = "cluster";
         self.cluster
             .as_ref()
             .ok_or_else(|| UnknownSnafu { kind, name }.build())
--- a/toucanchute_scenario/src/runner/args.rs
+++ b/toucanchute_scenario/src/runner/args.rs
@@ -23,12 +23,12 @@
         self.case.input.clone()
     }
 
-    /// Returns all values of an argument, none if it is missing.
+    /// Returns all values of an argument; none if it is missing.
     pub(super) fn list(&mut self, name: &str) -> Vec<String> {
         self.case.args.remove(name).unwrap_or_default()
     }
 
-    /// Returns whether an argument without a value is there.
+    /// Returns whether an argument without a value is present.
     pub(super) fn flag(&mut self, name: &str) -> bool {
         self.case.args.remove(name).is_some()
     }
@@ -38,14 +38,14 @@
     }
 
     pub(super) fn text(&mut self, name: &str) -> Result<String, ScenarioError> {
-        let message = format!("`{name}` is missing");
+        let message = format!("`{name}` is required");
         self.optional(name)
             .ok_or_else(|| InvalidArgumentSnafu { message }.build())
     }
 
     pub(super) fn number<T: FromStr>(&mut self, name: &str) -> Result<T, ScenarioError> {
         let text = self.text(name)?;
-        let message = format!("`{name}` is no number");
+        let message = format!("`{name}` is not a valid number");
         text.parse()
             .map_err(|_| InvalidArgumentSnafu { message }.build())
     }
@@ -61,7 +61,7 @@
         }
     }
 
-    /// Checks that each argument has been used.
+    /// Checks that all arguments have been read.
     pub(super) fn finish(self) -> Result<(), ScenarioError> {
         let unused = self.case.expect_empty();
         unused.map_err(|e| {
--- a/toucanchute_scenario/src/runner/asks.rs
+++ b/toucanchute_scenario/src/runner/asks.rs
@@ -1,4 +1,4 @@
-//! Directives of callers.
+//! Directives that send requests of callers and wait for them.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -16,19 +16,19 @@
     load::{Load, LoadOptions, Record, send_with_retries},
 };
 
-/// Longest answer unless the scenario says otherwise, in tokens.
+/// Maximum length of an answer if the directive does not set it, in tokens.
 const DEFAULT_MAX_TOKENS: u64 = 64;
-/// Price of a booking as configured, in tokens.
+/// Price of a booking in the configuration, in tokens.
 const BOOKING_PRICE: u64 = 20;
-/// Price of a look-up as configured, in tokens.
+/// Price of a look-up in the configuration, in tokens.
 const LOOK_UP_PRICE: u64 = 5;
-/// Longest wait for progress, in seconds.
+/// Timeout of waiting for tokens of a background request, in seconds.
 const PROGRESS_TIMEOUT_S: u64 = 60;
-/// Pause between looks at a load's progress.
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Pause after the awaited number of requests has ended.
+const PROGRESS_PAUSE: Duration = Duration::from_millis(20);
 
 impl Runner {
-    /// Sends one request; in the background if it has a name.
+    /// Sends one request, in the background if it has a name.
     pub(super) async fn send_request(
         &mut self,
         args: &mut Args<'_>,
@@ -50,7 +50,7 @@
         }
         let Some(&address) = addresses.first() else {
             return InvalidArgumentSnafu {
-                message: "`at` is missing",
+                message: "`at` is required",
             }
             .fail();
         };
@@ -82,7 +82,8 @@
         at.iter().map(|at| cluster.address(at)).collect()
     }
 
-    /// Sends a request at several routers at once, at each again until its outcome is final.
+    /// Sends a request to several routers concurrently, and retries it at each of them until its
+    /// outcome is final.
     async fn send_to_each(
         &mut self,
         request: Request,
@@ -119,7 +120,7 @@
         Ok(output)
     }
 
-    /// Waits until a number of tokens of a background request came.
+    /// Waits until a number of tokens of a background request has been received.
     pub(super) async fn await_tokens(
         &mut self,
         args: &mut Args<'_>,
@@ -149,7 +150,7 @@
         }
     }
 
-    /// Waits for the end of a background request or load.
+    /// Waits for the end of a background request, or stops a load.
     pub(super) async fn join(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         let name = args.text("name")?;
         if let Some(pending) = self.pending_requests.remove(&name) {
@@ -189,7 +190,7 @@
         Ok("started".to_owned())
     }
 
-    /// Waits until a number of requests of a load have ended.
+    /// Waits until a number of further requests of a load have ended.
     pub(super) async fn await_requests(
         &mut self,
         args: &mut Args<'_>,
@@ -208,7 +209,7 @@
                     .ok_or(format!("{count} of {target}"))
             })
             .await?;
-        tokio::time::sleep(POLL_INTERVAL).await;
+        tokio::time::sleep(PROGRESS_PAUSE).await;
         Ok("ended".to_owned())
     }
 }
@@ -224,13 +225,13 @@
     }
 }
 
-/// Returns the ways in which requests ended; their numbers go to standard error.
+/// Returns the distinct outcomes of requests. Their counts are written to standard error.
 fn summarize(records: &[Record]) -> String {
     let mut counts: BTreeMap<String, u64> = BTreeMap::new();
     for record in records {
         *counts.entry(record.outcome.to_string()).or_default() += 1;
     }
-    eprintln!("ended: {counts:?}");
+    eprintln!("outcomes: {counts:?}");
     if records.is_empty() {
         return "no request ended".to_owned();
     }
--- a/toucanchute_scenario/src/runner/control.rs
+++ b/toucanchute_scenario/src/runner/control.rs
@@ -1,4 +1,4 @@
-//! Directives that act on processes, links, stand-ins and configuration.
+//! Directives that control processes, links, fake servers and the configuration.
 
 use std::time::Duration;
 
@@ -35,7 +35,7 @@
         Ok("topped up".to_owned())
     }
 
-    /// Sends a signal to processes or starts them.
+    /// Sends a signal to processes, or starts them.
     pub(super) async fn manage_process(
         &mut self,
         args: &mut Args<'_>,
@@ -114,7 +114,7 @@
         Ok("set".to_owned())
     }
 
-    /// Lists all backend servers, these ones as leaving.
+    /// Sets the platform's host list to all backend servers, with the given ones as leaving.
     pub(super) async fn withdraw(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         let leaving = args.list("host");
         let cluster = self.cluster()?;
@@ -143,7 +143,7 @@
         Ok("listed".to_owned())
     }
 
-    /// Applies the configuration without some backend servers.
+    /// Applies the configuration without the given backend servers.
     pub(super) async fn apply(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         let without = args.list("without");
         let cluster = self.cluster()?;
@@ -152,7 +152,7 @@
         Ok("applied".to_owned())
     }
 
-    /// Lets two operators apply different configurations at once; prints their exit codes.
+    /// Applies two different configurations concurrently, as two operators. Prints the exit codes.
     pub(super) async fn apply_concurrently(&mut self) -> Result<String, ScenarioError> {
         let cluster = self.cluster()?;
         let engines = cluster.process_names("engine");
@@ -192,7 +192,7 @@
         Ok("in force".to_owned())
     }
 
-    /// Orders an engine to load a model by one router.
+    /// Orders an engine, through one router, to load a model.
     pub(super) async fn order(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         let router = self.cluster()?.address(&args.text("at")?)?;
         let command = [
--- a/toucanchute_scenario/src/runner/facts.rs
+++ b/toucanchute_scenario/src/runner/facts.rs
@@ -1,4 +1,4 @@
-//! Directives that compare what was observed.
+//! Directives that check counters and statements.
 
 use std::time::Duration;
 
@@ -10,7 +10,7 @@
 };
 
 impl Runner {
-    /// Prints one of the counts of stand-ins, added up.
+    /// Prints the sum of a counter over fake servers.
     pub(super) async fn count(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         let (counter, processes) = (args.text("counter")?, args.list("at"));
         Ok(sum_counter(self.cluster()?, &processes, &counter)
@@ -18,14 +18,14 @@
             .to_string())
     }
 
-    /// Waits until one of the counts of stand-ins, added up, has reached a number.
+    /// Waits until the sum of a counter over fake servers is at least `min`.
     pub(super) async fn await_count(
         &mut self,
         args: &mut Args<'_>,
     ) -> Result<String, ScenarioError> {
         let (counter, processes) = (args.text("counter")?, args.list("at"));
         let min: u64 = args.number("min")?;
-        let condition = format!("{min} {counter}");
+        let condition = format!("a sum of at least {min} for `{counter}`");
         let met = self.cluster()?.wait_until(&condition, async |cluster| {
             let sum = sum_counter(cluster, &processes, &counter)
                 .await
@@ -36,7 +36,7 @@
         Ok("reached".to_owned())
     }
 
-    /// Prints by how much one of the counts of stand-ins, added up, rises within a time.
+    /// Prints the increase of the sum of a counter over fake servers within a time.
     pub(super) async fn count_increase(
         &mut self,
         args: &mut Args<'_>,
@@ -50,14 +50,16 @@
         Ok((after - before).to_string())
     }
 
-    /// Waits until the routers' statements explain the bills of all requests that have ended.
+    /// Waits until the routers' statements agree with the outcomes of all requests that have ended.
+    /// Then compares the numbers of runs that the fake servers counted with these outcomes.
     pub(super) async fn audit(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         let routers = args.list("at");
         let bills = ExpectedBills::from_records(&self.records);
         let topped_up: u64 = self.top_ups.values().sum();
         let cluster = self.cluster()?;
         for router in &routers {
-            let condition = format!("a statement of {topped_up} topped up with {bills:?}");
+            let condition =
+                format!("a balanced statement with {topped_up} tokens topped up and {bills:?}");
             let met = cluster.wait_until(&condition, async |cluster| {
                 let statement = cluster.statement(router).await.map_err(|e| e.to_string())?;
                 let is_explained = statement.topped_up == topped_up
--- a/toucanchute_scenario/src/runner/storm.rs
+++ b/toucanchute_scenario/src/runner/storm.rs
@@ -5,25 +5,25 @@
 use super::{Args, Runner};
 use crate::{cluster::PLATFORM, error::ScenarioError, link::LinkState, process::Signal};
 
-/// Environment variable with a seed in place of the scenario's.
+/// Environment variable that overrides the seed of the scenario.
 const SEED_VARIABLE: &str = "STORM_SEED";
-/// Longest time that a trouble lasts before the next one, in milliseconds.
+/// Upper bound of the time between two faults, in milliseconds.
 const MAX_INTERVAL_MS: u64 = 3_000;
 
-/// Something that happens to a cluster.
+/// A fault of a cluster, or the end of one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fault {
-    /// A router dies and is started again.
+    /// A router is killed and started again.
     KillRouter,
-    /// A router is paused or goes on.
+    /// A running router is paused, or a paused one is resumed.
     ToggleRouterPause,
-    /// Links of a router to its peers are cut or held.
+    /// Sets the state of the links of a router to its peers.
     IsolateRouter(LinkState),
-    /// The link of a router to the platform is cut or held.
+    /// Sets the state of the link of a router to the platform.
     DisconnectPlatform(LinkState),
-    /// All links are open again.
+    /// All links are opened.
     HealLinks,
-    /// The platform fails in a way.
+    /// Sets a fault of the platform; the value is the body of `POST /fault`.
     PlatformFault(&'static str),
     /// An engine crashes.
     CrashEngine,
@@ -45,7 +45,7 @@
 ];
 
 impl Runner {
-    /// Hurts processes, links and the platform at random, then mends all.
+    /// Injects random faults into processes, links and the platform, then removes all faults.
     pub(super) async fn storm(&mut self, args: &mut Args<'_>) -> Result<String, ScenarioError> {
         let default_seed = args.number("seed")?;
         let seed = env::var(SEED_VARIABLE)
--- a/toucanchute_scenario/tests/scenarios.rs
+++ b/toucanchute_scenario/tests/scenarios.rs
@@ -1,4 +1,4 @@
-//! Runs the scenarios in `tests/scenarios/`, each over processes of its own.
+//! Runs the scenarios in `tests/scenarios/`, each with its own processes.
 
 use std::{
     path::Path,
@@ -7,13 +7,13 @@
 
 use toucanchute_scenario::Runner;
 
-/// Scenarios that run at the same time.
+/// Maximum number of scenarios that run concurrently.
 const MAX_CONCURRENT: usize = 3;
 
 static RUNNING: Mutex<usize> = Mutex::new(0);
 static SCENARIO_ENDED: Condvar = Condvar::new();
 
-/// A place among the scenarios that run.
+/// Permission to run a scenario.
 struct Permit;
 
 impl Permit {
