refactor(scenario): files are named by what they hold

runner/asks.rs is runner/requests.rs, runner/facts.rs is runner/checks.rs, link/introduction.rs is link/handshake.rs.

--- a/toucanchute_scenario/src/link.rs
+++ b/toucanchute_scenario/src/link.rs
@@ -1,6 +1,6 @@
 //! TCP forwarders between processes, which can interrupt or delay the traffic of a link.
 
-mod introduction;
+mod handshake;
 
 use std::{
     collections::BTreeMap,
@@ -140,7 +140,7 @@
     let dialer = match dialer {
         Dialer::Known(dialer) => dialer,
         Dialer::Peer(peers) => {
-            let handshake = introduction::identify_dialer(
+            let handshake = handshake::identify_dialer(
                 &mut from_dialer,
                 &mut to_dialer,
                 &mut from_server,
--- a/toucanchute_scenario/src/runner.rs
+++ b/toucanchute_scenario/src/runner.rs
@@ -1,7 +1,7 @@
 mod args;
-mod asks;
+mod checks;
 mod control;
-mod facts;
+mod requests;
 mod storm;
 
 use std::{collections::BTreeMap, path::Path, path::PathBuf};
