--- a/toucanchute_fakes/src/cli.rs
+++ b/toucanchute_fakes/src/cli.rs
@@ -14,7 +14,7 @@
 };
 
 /// Exit code of a process that could not start.
-const EXIT_UNAVAILABLE: u8 = 1;
+const EXIT_START_FAILED: u8 = 1;
 
 /// Runs the stand-in platform's binary.
 #[must_use]
@@ -22,44 +22,45 @@
     let defaults = PlatformOptions::default();
     let cmd = command("toucanchute-fake-platform", "platform")
         .about("Stand-in for the platform's key-value service, host list and weight store")
-        .arg(number(
+        .arg(number_arg(
             "max-value-bytes",
             "Largest value",
             defaults.max_value_bytes,
         ))
-        .arg(number(
+        .arg(number_arg(
             "host-lag-ms",
             "Time until a change of the host list is seen",
             defaults.host_lag_ms,
         ))
-        .arg(number(
+        .arg(number_arg(
             "writes-per-second",
             "Limit on writes, 0 for none",
             defaults.writes_per_second,
         ))
-        .arg(number(
+        .arg(number_arg(
             "reads-per-second",
             "Limit on reads, 0 for none",
             defaults.reads_per_second,
         ));
     let matches = cmd.get_matches();
     let options = PlatformOptions {
-        max_value_bytes: get(&matches, "max-value-bytes", defaults.max_value_bytes as u64) as usize,
+        max_value_bytes: number_value(&matches, "max-value-bytes", defaults.max_value_bytes as u64)
+            as usize,
         history: defaults.history,
-        host_lag_ms: get(&matches, "host-lag-ms", defaults.host_lag_ms),
-        writes_per_second: get(
+        host_lag_ms: number_value(&matches, "host-lag-ms", defaults.host_lag_ms),
+        writes_per_second: number_value(
             &matches,
             "writes-per-second",
             defaults.writes_per_second.into(),
         ) as u32,
-        reads_per_second: get(
+        reads_per_second: number_value(
             &matches,
             "reads-per-second",
             defaults.reads_per_second.into(),
         ) as u32,
         weights: WeightOptions::default(),
     };
-    start(&matches, "fake-platform", async |address| {
+    run_server(&matches, "fake-platform", async |address| {
         let platform = Platform::bind(address, options).await?;
         let address = platform.address();
         Ok((platform, address))
@@ -86,45 +87,53 @@
                 .default_value("checked")
                 .help("Whether orders with an old fencing number are refused"),
         )
-        .arg(number(
+        .arg(number_arg(
             "first-token-ms",
             "Time to the first token",
             defaults.first_token_ms,
         ))
-        .arg(number(
+        .arg(number_arg(
             "block-ms",
             "Time added by each prompt block not cached",
             defaults.block_ms,
         ))
-        .arg(number("token-ms", "Time between tokens", defaults.token_ms))
-        .arg(number(
+        .arg(number_arg(
+            "token-ms",
+            "Time between tokens",
+            defaults.token_ms,
+        ))
+        .arg(number_arg(
             "capacity",
             "Runs at the same time",
             defaults.capacity,
         ))
-        .arg(number("queue", "Runs that may wait", defaults.queue))
-        .arg(number("max-tokens", "Longest answer", defaults.max_tokens))
-        .arg(number(
+        .arg(number_arg("queue", "Runs that may wait", defaults.queue))
+        .arg(number_arg(
+            "max-tokens",
+            "Longest answer",
+            defaults.max_tokens,
+        ))
+        .arg(number_arg(
             "answer-tokens",
             "Mean length of an answer",
             defaults.answer_tokens,
         ))
-        .arg(number(
+        .arg(number_arg(
             "cache-blocks",
             "Prompt blocks that the cache holds",
             defaults.cache_blocks,
         ))
-        .arg(number(
+        .arg(number_arg(
             "load-lag-ms",
             "Age of load reports",
             defaults.load_lag_ms,
         ))
-        .arg(number(
+        .arg(number_arg(
             "event-lag-ms",
             "Time until a cache event is seen",
             defaults.event_lag_ms,
         ))
-        .arg(number(
+        .arg(number_arg(
             "event-gap",
             "Loses each event of a multiple of this, 0 for none",
             defaults.event_gap,
@@ -136,22 +145,22 @@
         _ => Fencing::Checked,
     };
     let options = EngineOptions {
-        name: name(&matches),
+        name: name_value(&matches),
         models: models.cloned().collect(),
-        first_token_ms: get(&matches, "first-token-ms", defaults.first_token_ms),
-        block_ms: get(&matches, "block-ms", defaults.block_ms),
-        token_ms: get(&matches, "token-ms", defaults.token_ms),
-        capacity: get(&matches, "capacity", defaults.capacity as u64) as usize,
-        queue: get(&matches, "queue", defaults.queue as u64) as usize,
-        max_tokens: get(&matches, "max-tokens", defaults.max_tokens),
-        answer_tokens: get(&matches, "answer-tokens", defaults.answer_tokens),
-        cache_blocks: get(&matches, "cache-blocks", defaults.cache_blocks as u64) as usize,
-        load_lag_ms: get(&matches, "load-lag-ms", defaults.load_lag_ms),
-        event_lag_ms: get(&matches, "event-lag-ms", defaults.event_lag_ms),
-        event_gap: get(&matches, "event-gap", defaults.event_gap),
+        first_token_ms: number_value(&matches, "first-token-ms", defaults.first_token_ms),
+        block_ms: number_value(&matches, "block-ms", defaults.block_ms),
+        token_ms: number_value(&matches, "token-ms", defaults.token_ms),
+        capacity: number_value(&matches, "capacity", defaults.capacity as u64) as usize,
+        queue: number_value(&matches, "queue", defaults.queue as u64) as usize,
+        max_tokens: number_value(&matches, "max-tokens", defaults.max_tokens),
+        answer_tokens: number_value(&matches, "answer-tokens", defaults.answer_tokens),
+        cache_blocks: number_value(&matches, "cache-blocks", defaults.cache_blocks as u64) as usize,
+        load_lag_ms: number_value(&matches, "load-lag-ms", defaults.load_lag_ms),
+        event_lag_ms: number_value(&matches, "event-lag-ms", defaults.event_lag_ms),
+        event_gap: number_value(&matches, "event-gap", defaults.event_gap),
         fencing,
     };
-    start(&matches, "fake-engine", async |address| {
+    run_server(&matches, "fake-engine", async |address| {
         let engine = Engine::bind(address, options).await?;
         let address = engine.address();
         Ok((engine, address))
@@ -164,17 +173,17 @@
     let defaults = ServiceOptions::default();
     let cmd = command("toucanchute-fake-service", "service")
         .about("Stand-in for a plain service such as booking")
-        .arg(number(
+        .arg(number_arg(
             "work-ms",
             "Time that a call takes",
             defaults.work_ms,
         ));
     let matches = cmd.get_matches();
     let options = ServiceOptions {
-        name: name(&matches),
-        work_ms: get(&matches, "work-ms", defaults.work_ms),
+        name: name_value(&matches),
+        work_ms: number_value(&matches, "work-ms", defaults.work_ms),
     };
-    start(&matches, "fake-service", async |address| {
+    run_server(&matches, "fake-service", async |address| {
         let service = Service::bind(address, options).await?;
         let address = service.address();
         Ok((service, address))
@@ -209,7 +218,7 @@
         )
 }
 
-fn number(name: &'static str, help: &'static str, default: impl Display) -> Arg {
+fn number_arg(name: &'static str, help: &'static str, default: impl Display) -> Arg {
     Arg::new(name)
         .long(name)
         .value_name("N")
@@ -217,39 +226,39 @@
         .help(format!("{help} [default: {default}]"))
 }
 
-fn get(matches: &ArgMatches, name: &str, default: u64) -> u64 {
+fn number_value(matches: &ArgMatches, name: &str, default: u64) -> u64 {
     matches.get_one(name).copied().unwrap_or(default)
 }
 
-fn name(matches: &ArgMatches) -> String {
+fn name_value(matches: &ArgMatches) -> String {
     matches.get_one("name").cloned().unwrap_or_default()
 }
 
 /// Installs the log, starts a server and runs until the process is ended.
-fn start<S>(
+fn run_server<S>(
     matches: &ArgMatches,
     process: &str,
     bind: impl AsyncFnOnce(SocketAddr) -> io::Result<(S, SocketAddr)>,
 ) -> ExitCode {
-    match run(matches, process, bind) {
+    match try_run_server(matches, process, bind) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("error: {e}");
-            ExitCode::from(EXIT_UNAVAILABLE)
+            ExitCode::from(EXIT_START_FAILED)
         }
     }
 }
 
-fn run<S>(
+fn try_run_server<S>(
     matches: &ArgMatches,
     process: &str,
     bind: impl AsyncFnOnce(SocketAddr) -> io::Result<(S, SocketAddr)>,
 ) -> Result<(), Box<dyn Error>> {
-    let mut setup = LogBuilder::new(process).host(&name(matches));
+    let mut log_builder = LogBuilder::new(process).host(&name_value(matches));
     if let Some(path) = matches.get_one::<PathBuf>("log-file") {
-        setup = setup.file(path);
+        log_builder = log_builder.file(path);
     }
-    setup.install()?;
+    log_builder.install()?;
     let Some(&listen) = matches.get_one::<SocketAddr>("listen") else {
         return Err("--listen is missing".into());
     };
--- a/toucanchute_fakes/src/engine.rs
+++ b/toucanchute_fakes/src/engine.rs
@@ -26,12 +26,12 @@
     orders::Fencing,
 };
 use self::{
-    batch::Batch,
+    batch::RunQueue,
     cache::Cache,
     fault::{Fault, Faults, Mode},
     load::LoadReports,
     orders::Orders,
-    request::{Completion, Form},
+    request::{Api, CompletionRequest},
     run::Run,
     stats::Stats,
 };
@@ -138,7 +138,7 @@
 struct Shared {
     options: EngineOptions,
     crash: Crash,
-    batch: Batch,
+    run_queue: RunQueue,
     state: Mutex<State>,
 }
 
@@ -152,8 +152,8 @@
 }
 
 impl State {
-    fn take_order(&mut self, body: &[u8]) -> Reply {
-        let reply = self.orders.take(body);
+    fn apply_order(&mut self, body: &[u8]) -> Reply {
+        let reply = self.orders.apply(body);
         self.stats.fence = self.orders.fence();
         reply
     }
@@ -173,7 +173,7 @@
             stats: Stats::default(),
         };
         Shared {
-            batch: Batch::new(options.capacity, options.queue),
+            run_queue: RunQueue::new(options.capacity, options.queue),
             options,
             crash,
             state: Mutex::new(state),
@@ -185,22 +185,24 @@
     }
 
     /// Notes the present load for later reports.
-    fn note_load(&self) {
-        let (running, waiting) = self.batch.size();
+    fn record_load(&self) {
+        let (running, waiting) = self.run_queue.counts();
         let mut state = self.state();
-        let kv_used = state.cache.share_used();
-        state.load.note(wall_clock_ms(), running, waiting, kv_used);
+        let kv_used = state.cache.used_share();
+        state
+            .load
+            .record(wall_clock_ms(), running, waiting, kv_used);
     }
 
     fn crash(&self, down_ms: u64) -> Abort {
         log::info!(down_ms; "engine-crashed");
         self.state().stats.crashes += 1;
-        self.crash.now(Duration::from_millis(down_ms));
+        self.crash.trigger(Duration::from_millis(down_ms));
         Abort
     }
 
     fn set_fault(&self, body: &[u8]) -> Result<Reply, Abort> {
-        let fault: Fault = match reply::parse(body) {
+        let fault: Fault = match reply::parse_json(body) {
             Ok(fault) => fault,
             Err(refusal) => return Ok(*refusal),
         };
@@ -215,12 +217,12 @@
 
     async fn complete(
         self: &Arc<Self>,
-        form: Form,
+        api: Api,
         attempt: String,
         priority: u8,
         body: &Bytes,
     ) -> Result<Reply, Abort> {
-        let req = match Completion::parse(form, body) {
+        let req = match CompletionRequest::parse(api, body) {
             Ok(req) => req,
             Err(message) => {
                 return Ok(reply::not_run(StatusCode::BAD_REQUEST, &message, &attempt));
@@ -233,7 +235,7 @@
                 &attempt,
             ));
         }
-        let fault = self.state().faults.judge(body);
+        let fault = self.state().faults.next_for(body);
         if fault.mode == Mode::Refuse {
             self.state().stats.refused += 1;
             return Ok(reply::not_run(
@@ -242,7 +244,7 @@
                 &attempt,
             ));
         }
-        let Some(ticket) = self.batch.enter(priority) else {
+        let Some(queued_run) = self.run_queue.enqueue(priority) else {
             self.state().stats.refused += 1;
             return Ok(reply::not_run(
                 StatusCode::TOO_MANY_REQUESTS,
@@ -250,13 +252,13 @@
                 &attempt,
             ));
         };
-        self.note_load();
-        let slot = ticket.wait().await;
+        self.record_load();
+        let slot = queued_run.wait().await;
         let run = Run::start(Arc::clone(self), slot, req, attempt, fault);
-        run.answer().await
+        run.respond().await
     }
 
-    fn models(&self) -> Reply {
+    fn model_list(&self) -> Reply {
         let state = self.state();
         let data = state.orders.models().iter();
         let data = data.map(|id| serde_json::json!({ "id": id, "object": "model" }));
@@ -274,7 +276,7 @@
         reply::json(StatusCode::OK, &page)
     }
 
-    fn kv(&self, method: &Method, prefix: &str, body: &Bytes) -> Reply {
+    fn kv_transfer(&self, method: &Method, prefix: &str, body: &Bytes) -> Reply {
         let Ok(prefix) = u64::from_str_radix(prefix, 16) else {
             return reply::error(StatusCode::BAD_REQUEST, "prefix is not hexadecimal");
         };
@@ -284,12 +286,12 @@
             return reply::json(StatusCode::OK, &serde_json::json!({}));
         }
         match state.cache.export(prefix) {
-            Some(body) => reply::whole(StatusCode::OK, "application/octet-stream", body),
+            Some(body) => reply::full(StatusCode::OK, "application/octet-stream", body),
             None => reply::error(StatusCode::NOT_FOUND, "prefix is not cached"),
         }
     }
 
-    fn cancel(&self, attempt: &str) -> Reply {
+    fn cancel_run(&self, attempt: &str) -> Reply {
         let found = self.state().stats.cancel(attempt);
         let status = match found {
             true => StatusCode::OK,
@@ -298,19 +300,19 @@
         reply::json(status, &serde_json::json!({}))
     }
 
-    fn get(&self, method: &Method, path: &str, query: &str, body: &Bytes) -> Reply {
+    fn control_reply(&self, method: &Method, path: &str, query: &str, body: &Bytes) -> Reply {
         match path {
-            "/v1/models" => self.models(),
+            "/v1/models" => self.model_list(),
             "/v1/load" => reply::json(StatusCode::OK, &self.state().load.report(wall_clock_ms())),
             "/v1/cache-events" => self.cache_events(query),
-            "/v1/orders" => self.state().take_order(body),
+            "/v1/orders" => self.state().apply_order(body),
             "/stats" => reply::json(StatusCode::OK, &self.state().stats),
             _ => match (
                 path.strip_prefix("/v1/kv/"),
                 path.strip_prefix("/v1/attempts/"),
             ) {
-                (Some(prefix), _) => self.kv(method, prefix, body),
-                (_, Some(attempt)) if *method == Method::DELETE => self.cancel(attempt),
+                (Some(prefix), _) => self.kv_transfer(method, prefix, body),
+                (_, Some(attempt)) if *method == Method::DELETE => self.cancel_run(attempt),
                 _ => reply::error(StatusCode::NOT_FOUND, "no such path"),
             },
         }
@@ -325,18 +327,18 @@
         let attempt = reply::header_text(&req, reply::ATTEMPT_HEADER);
         let priority = reply::header_text(&req, PRIORITY_HEADER);
         let priority = priority.parse().unwrap_or(0);
-        let body = reply::read(req).await?;
+        let body = reply::read_body(req).await?;
         match path.as_str() {
             "/fault" => self.set_fault(&body),
-            "/v1/chat/completions" => self.complete(Form::Chat, attempt, priority, &body).await,
-            "/v1/completions" => self.complete(Form::Plain, attempt, priority, &body).await,
-            _ => Ok(self.get(&method, &path, &query, &body)),
+            "/v1/chat/completions" => self.complete(Api::Chat, attempt, priority, &body).await,
+            "/v1/completions" => self.complete(Api::Plain, attempt, priority, &body).await,
+            _ => Ok(self.control_reply(&method, &path, &query, &body)),
         }
     }
 }
 
 /// Waits without end; the connection's end ends it.
-async fn hang() -> Abort {
+async fn hang_forever() -> Abort {
     loop {
         sleep(Duration::from_secs(3600)).await;
     }
--- a/toucanchute_fakes/src/engine/answer.rs
+++ b/toucanchute_fakes/src/engine/answer.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use super::request::Form;
+use super::request::Api;
 
 /// Bytes of a prompt that count as one token.
 const BYTES_PER_TOKEN: u64 = 4;
@@ -43,8 +43,8 @@
 }
 
 fn hash(prompt: &str) -> u64 {
-    let step = |hash: u64, &b: &u8| (hash ^ u64::from(b)).wrapping_mul(FNV_PRIME);
-    prompt.as_bytes().iter().fold(FNV_OFFSET, step)
+    let add_byte = |hash: u64, &b: &u8| (hash ^ u64::from(b)).wrapping_mul(FNV_PRIME);
+    prompt.as_bytes().iter().fold(FNV_OFFSET, add_byte)
 }
 
 /// Why an answer ended.
@@ -65,7 +65,7 @@
 
 /// A whole answer or a chunk of a streamed one.
 #[derive(Debug, Serialize)]
-pub(super) struct Message<'a> {
+pub(super) struct CompletionBody<'a> {
     id: &'a str,
     object: &'static str,
     created: u64,
@@ -100,26 +100,26 @@
     content: &'a str,
 }
 
-impl<'a> Message<'a> {
+impl<'a> CompletionBody<'a> {
     /// Returns a part of an answer.
     pub(super) fn new(
-        form: Form,
+        api: Api,
         streamed: bool,
         id: &'a str,
         model: &'a str,
         offset: u64,
         text: &'a str,
-    ) -> Message<'a> {
+    ) -> CompletionBody<'a> {
         let content = Content {
             role: "assistant",
             content: text,
         };
-        let (object, text) = match (form, streamed) {
-            (Form::Plain, _) => ("text_completion", Text::Plain(text)),
-            (Form::Chat, true) => ("chat.completion.chunk", Text::Delta(content)),
-            (Form::Chat, false) => ("chat.completion", Text::Message(content)),
+        let (object, text) = match (api, streamed) {
+            (Api::Plain, _) => ("text_completion", Text::Plain(text)),
+            (Api::Chat, true) => ("chat.completion.chunk", Text::Delta(content)),
+            (Api::Chat, false) => ("chat.completion", Text::Message(content)),
         };
-        Message {
+        CompletionBody {
             id,
             object,
             created: toucanchute_log::wall_clock_ms() / 1000,
@@ -135,7 +135,7 @@
     }
 
     /// Marks the answer's end.
-    pub(super) fn finish(mut self, reason: FinishReason, usage: Usage) -> Message<'a> {
+    pub(super) fn finish(mut self, reason: FinishReason, usage: Usage) -> CompletionBody<'a> {
         self.choices[0].finish_reason = Some(reason);
         self.usage = Some(usage);
         self
--- a/toucanchute_fakes/src/engine/cache.rs
+++ b/toucanchute_fakes/src/engine/cache.rs
@@ -6,7 +6,7 @@
 /// Size of a block of a prompt, in bytes.
 const BLOCK_BYTES: usize = 256;
 /// Blocks of a prompt that are cached at most.
-const MAX_BLOCKS: usize = 32;
+const MAX_PROMPT_BLOCKS: usize = 32;
 /// Events kept for readers.
 const MAX_EVENTS: usize = 4096;
 
@@ -16,9 +16,9 @@
     limit: usize,
     lag_ms: u64,
     /// Each event whose number is a multiple of this is lost; zero for none.
-    gap: u64,
+    drop_interval: u64,
     /// Counts uses, to find the prefix that was not used for longest.
-    uses: u64,
+    use_count: u64,
     prefixes: BTreeMap<u64, Prefix>,
     seq: u64,
     events: VecDeque<Event>,
@@ -26,7 +26,7 @@
 
 #[derive(Debug)]
 struct Prefix {
-    used: u64,
+    last_used: u64,
     /// Imported contents; made up if empty.
     contents: Bytes,
 }
@@ -49,18 +49,18 @@
 
 /// Events as answered by `GET /v1/cache-events`.
 #[derive(Debug, Serialize)]
-pub(super) struct Page {
+pub(super) struct EventPage {
     next: u64,
     events: Vec<Event>,
 }
 
 impl Cache {
-    pub(super) fn new(limit: usize, lag_ms: u64, gap: u64) -> Cache {
+    pub(super) fn new(limit: usize, lag_ms: u64, drop_interval: u64) -> Cache {
         Cache {
             limit: limit.max(1),
             lag_ms,
-            gap,
-            uses: 0,
+            drop_interval,
+            use_count: 0,
             prefixes: BTreeMap::new(),
             seq: 0,
             events: VecDeque::new(),
@@ -68,12 +68,12 @@
     }
 
     /// Returns the share of the memory that is in use.
-    pub(super) fn share_used(&self) -> f64 {
+    pub(super) fn used_share(&self) -> f64 {
         self.prefixes.len() as f64 / self.limit as f64
     }
 
     /// Caches a prompt's blocks and returns how many were not cached before.
-    pub(super) fn visit(&mut self, now_ms: u64, prompt: &str) -> usize {
+    pub(super) fn cache_prompt(&mut self, now_ms: u64, prompt: &str) -> usize {
         let hashes = prefix_hashes(prompt.as_bytes());
         let cached = hashes
             .iter()
@@ -87,40 +87,49 @@
 
     /// Returns the contents of a cached prefix.
     pub(super) fn export(&mut self, prefix: u64) -> Option<Bytes> {
-        let found = self.prefixes.get(&prefix)?;
-        let made_up = || Bytes::from(format!("kv {prefix:016x}"));
-        Some(match found.contents.is_empty() {
-            true => made_up(),
-            false => found.contents.clone(),
+        let prefix_entry = self.prefixes.get(&prefix)?;
+        let synthetic = || Bytes::from(format!("kv {prefix:016x}"));
+        Some(match prefix_entry.contents.is_empty() {
+            true => synthetic(),
+            false => prefix_entry.contents.clone(),
         })
     }
 
     /// Caches a prefix.
     pub(super) fn import(&mut self, now_ms: u64, prefix: u64, contents: Bytes) {
-        self.uses += 1;
-        let used = self.uses;
-        if let Some(found) = self.prefixes.get_mut(&prefix) {
-            found.used = used;
+        self.use_count += 1;
+        let last_used = self.use_count;
+        if let Some(prefix_entry) = self.prefixes.get_mut(&prefix) {
+            prefix_entry.last_used = last_used;
             return;
         }
         if self.prefixes.len() >= self.limit {
             self.evict(now_ms);
         }
-        self.prefixes.insert(prefix, Prefix { used, contents });
-        self.publish(now_ms, EventKind::Stored, prefix);
+        self.prefixes.insert(
+            prefix,
+            Prefix {
+                last_used,
+                contents,
+            },
+        );
+        self.push_event(now_ms, EventKind::Stored, prefix);
     }
 
     fn evict(&mut self, now_ms: u64) {
-        let oldest = self.prefixes.iter().min_by_key(|(_, prefix)| prefix.used);
-        if let Some((&prefix, _)) = oldest {
+        let least_recent = self
+            .prefixes
+            .iter()
+            .min_by_key(|(_, prefix)| prefix.last_used);
+        if let Some((&prefix, _)) = least_recent {
             self.prefixes.remove(&prefix);
-            self.publish(now_ms, EventKind::Evicted, prefix);
+            self.push_event(now_ms, EventKind::Evicted, prefix);
         }
     }
 
-    fn publish(&mut self, now_ms: u64, kind: EventKind, prefix: u64) {
+    fn push_event(&mut self, now_ms: u64, kind: EventKind, prefix: u64) {
         self.seq += 1;
-        if self.gap > 0 && self.seq.is_multiple_of(self.gap) {
+        if self.drop_interval > 0 && self.seq.is_multiple_of(self.drop_interval) {
             return;
         }
         self.events.push_back(Event {
@@ -135,17 +144,17 @@
     }
 
     /// Returns the events after number `after` that can be seen.
-    pub(super) fn events(&self, now_ms: u64, after: u64) -> Page {
+    pub(super) fn events(&self, now_ms: u64, after: u64) -> EventPage {
         let visible = self.events.iter().filter(|e| e.visible_ms <= now_ms);
         let events: Vec<Event> = visible.filter(|e| e.seq > after).cloned().collect();
         let next = events.last().map_or(after, |e| e.seq);
-        Page { next, events }
+        EventPage { next, events }
     }
 }
 
 /// Returns the chained hashes of a prompt's leading whole blocks.
 fn prefix_hashes(prompt: &[u8]) -> Vec<u64> {
-    let blocks = prompt.chunks_exact(BLOCK_BYTES).take(MAX_BLOCKS);
+    let blocks = prompt.chunks_exact(BLOCK_BYTES).take(MAX_PROMPT_BLOCKS);
     let chain = blocks.scan(0_u64, |previous, block| {
         let mut hasher = blake3::Hasher::new();
         hasher.update(&previous.to_be_bytes());
--- a/toucanchute_fakes/src/engine/fault.rs
+++ b/toucanchute_fakes/src/engine/fault.rs
@@ -48,26 +48,26 @@
 pub(super) struct Faults {
     fault: Fault,
     /// Runs that have failed by this fault.
-    used: u64,
+    failed_runs: u64,
 }
 
 impl Faults {
     pub(super) fn set(&mut self, fault: Fault) {
         self.fault = fault;
-        self.used = 0;
+        self.failed_runs = 0;
     }
 
     /// Returns the fault that a run with this body meets.
-    pub(super) fn judge(&mut self, body: &[u8]) -> Fault {
-        let spent = self.fault.count > 0 && self.used >= self.fault.count;
-        if spent || !contains(body, self.fault.marker.as_bytes()) {
+    pub(super) fn next_for(&mut self, body: &[u8]) -> Fault {
+        let is_exhausted = self.fault.count > 0 && self.failed_runs >= self.fault.count;
+        if is_exhausted || !contains_marker(body, self.fault.marker.as_bytes()) {
             return Fault::default();
         }
-        self.used += 1;
+        self.failed_runs += 1;
         self.fault.clone()
     }
 }
 
-fn contains(body: &[u8], marker: &[u8]) -> bool {
-    marker.is_empty() || body.windows(marker.len()).any(|part| part == marker)
+fn contains_marker(body: &[u8], marker: &[u8]) -> bool {
+    marker.is_empty() || body.windows(marker.len()).any(|window| window == marker)
 }
--- a/toucanchute_fakes/src/engine/load.rs
+++ b/toucanchute_fakes/src/engine/load.rs
@@ -24,18 +24,18 @@
 
 impl LoadReports {
     pub(super) fn new(lag_ms: u64, capacity: usize) -> LoadReports {
-        let idle = Load {
+        let initial = Load {
             capacity,
             ..Load::default()
         };
         LoadReports {
             lag_ms,
             capacity,
-            loads: VecDeque::from([idle]),
+            loads: VecDeque::from([initial]),
         }
     }
 
-    pub(super) fn note(&mut self, now_ms: u64, running: usize, waiting: usize, kv_used: f64) {
+    pub(super) fn record(&mut self, now_ms: u64, running: usize, waiting: usize, kv_used: f64) {
         self.loads.push_back(Load {
             running,
             waiting,
@@ -43,12 +43,12 @@
             kv_used,
             as_of_ms: now_ms,
         });
-        self.trim(now_ms);
+        self.drop_outdated(now_ms);
     }
 
     /// Returns the load as it was before the lag; it held until `as_of_ms`.
     pub(super) fn report(&mut self, now_ms: u64) -> Load {
-        self.trim(now_ms);
+        self.drop_outdated(now_ms);
         let load = self.loads.front().copied().unwrap_or_default();
         Load {
             as_of_ms: now_ms.saturating_sub(self.lag_ms),
@@ -56,9 +56,13 @@
         }
     }
 
-    fn trim(&mut self, now_ms: u64) {
-        let seen = now_ms.saturating_sub(self.lag_ms);
-        while self.loads.get(1).is_some_and(|load| load.as_of_ms <= seen) {
+    fn drop_outdated(&mut self, now_ms: u64) {
+        let visible_until_ms = now_ms.saturating_sub(self.lag_ms);
+        while self
+            .loads
+            .get(1)
+            .is_some_and(|load| load.as_of_ms <= visible_until_ms)
+        {
             self.loads.pop_front();
         }
     }
--- a/toucanchute_fakes/src/engine/orders.rs
+++ b/toucanchute_fakes/src/engine/orders.rs
@@ -46,7 +46,7 @@
     }
 
     pub(super) fn serves(&self, model: &str) -> bool {
-        self.models.is_empty() || self.models.iter().any(|loaded| loaded == model)
+        self.models.is_empty() || self.models.iter().any(|name| name == model)
     }
 
     pub(super) fn models(&self) -> &[String] {
@@ -59,8 +59,8 @@
     }
 
     /// Answers `POST /v1/orders`.
-    pub(super) fn take(&mut self, body: &[u8]) -> Reply {
-        let order: Order = match reply::parse(body) {
+    pub(super) fn apply(&mut self, body: &[u8]) -> Reply {
+        let order: Order = match reply::parse_json(body) {
             Ok(order) => order,
             Err(refusal) => return *refusal,
         };
--- a/toucanchute_fakes/src/engine/request.rs
+++ b/toucanchute_fakes/src/engine/request.rs
@@ -2,15 +2,15 @@
 
 /// Form of a completion.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Form {
+pub(super) enum Api {
     Chat,
     Plain,
 }
 
 /// A request for a completion.
 #[derive(Clone, Debug)]
-pub(super) struct Completion {
-    pub(super) form: Form,
+pub(super) struct CompletionRequest {
+    pub(super) api: Api,
     pub(super) model: String,
     pub(super) prompt: String,
     /// Longest whole answer, in tokens.
@@ -46,23 +46,23 @@
     text: String,
 }
 
-impl Completion {
-    pub(super) fn parse(form: Form, body: &[u8]) -> Result<Completion, String> {
+impl CompletionRequest {
+    pub(super) fn parse(api: Api, body: &[u8]) -> Result<CompletionRequest, String> {
         let body: Body = serde_json::from_slice(body).map_err(|e| e.to_string())?;
         let contents = body.messages.into_iter().map(|message| message.content);
-        let prompt = match form {
-            Form::Chat => contents.collect::<Vec<_>>().join("\n"),
-            Form::Plain => body.prompt.unwrap_or_default(),
+        let prompt = match api {
+            Api::Chat => contents.collect::<Vec<_>>().join("\n"),
+            Api::Plain => body.prompt.unwrap_or_default(),
         };
         if prompt.is_empty() {
             return Err("the prompt is empty".to_owned());
         }
-        let sent = (0..body.resume.tokens).map(|i| super::answer_token(&prompt, i));
-        if sent.collect::<String>() != body.resume.text {
+        let expected_text = (0..body.resume.tokens).map(|i| super::answer_token(&prompt, i));
+        if expected_text.collect::<String>() != body.resume.text {
             return Err("the text to resume is not of this prompt's answer".to_owned());
         }
-        Ok(Completion {
-            form,
+        Ok(CompletionRequest {
+            api,
             model: body.model,
             prompt,
             max_tokens: body.max_tokens,
--- a/toucanchute_fakes/src/engine/run.rs
+++ b/toucanchute_fakes/src/engine/run.rs
@@ -11,12 +11,12 @@
 
 use super::{
     Shared,
-    answer::{FinishReason, Message, Usage, answer_tag, natural_tokens, prompt_tokens},
+    answer::{CompletionBody, FinishReason, Usage, answer_tag, natural_tokens, prompt_tokens},
     batch::Slot,
     fault::{Fault, Mode},
-    hang,
-    request::Completion,
-    stats::Ended,
+    hang_forever,
+    request::CompletionRequest,
+    stats::RunState,
 };
 use crate::reply::{self, Abort, Reply};
 
@@ -28,21 +28,21 @@
 /// One run of a completion, from its place in the batch to its end.
 pub(super) struct Run {
     shared: Arc<Shared>,
-    req: Completion,
+    req: CompletionRequest,
     attempt: String,
     tag: String,
     fault: Fault,
     /// Next token's number.
-    next: u64,
+    next_token: u64,
     /// Number of tokens of the whole answer.
-    len: u64,
-    finish: FinishReason,
+    token_count: u64,
+    finish_reason: FinishReason,
     /// Time when the next token is ready.
-    ready: Instant,
+    next_token_at: Instant,
     cancelled: watch::Receiver<bool>,
     /// Chunks to be sent before any token.
     chunks: VecDeque<Bytes>,
-    ended: Ended,
+    ended: RunState,
     /// Given back when the run is dropped.
     _slot: Slot,
 }
@@ -51,49 +51,52 @@
     pub(super) fn start(
         shared: Arc<Shared>,
         slot: Slot,
-        req: Completion,
+        req: CompletionRequest,
         attempt: String,
         fault: Fault,
     ) -> Run {
         let tag = answer_tag(&req.prompt);
         let options = &shared.options;
-        let natural = natural_tokens(&req.prompt, options.answer_tokens);
-        let limit = req.max_tokens.unwrap_or(u64::MAX).min(options.max_tokens);
-        let finish = match natural <= limit {
+        let natural_len = natural_tokens(&req.prompt, options.answer_tokens);
+        let max_tokens = req.max_tokens.unwrap_or(u64::MAX).min(options.max_tokens);
+        let finish_reason = match natural_len <= max_tokens {
             true => FinishReason::Stop,
             false => FinishReason::Length,
         };
-        let (cold, cancelled) = {
+        let (uncached_blocks, cancelled) = {
             let mut state = shared.state();
-            let cold = state.cache.visit(wall_clock_ms(), &req.prompt) as u64;
-            (cold, state.stats.start(&attempt, &tag, req.resume))
+            let uncached_blocks = state.cache.cache_prompt(wall_clock_ms(), &req.prompt) as u64;
+            (
+                uncached_blocks,
+                state.stats.start(&attempt, &tag, req.resume),
+            )
         };
-        let delay = options.first_token_ms + options.block_ms * cold;
+        let delay = options.first_token_ms + options.block_ms * uncached_blocks;
         log::info!(attempt = attempt, resume = req.resume; "run-started");
-        shared.note_load();
+        shared.record_load();
         Run {
-            next: req.resume,
-            len: natural.min(limit).max(req.resume),
-            ready: Instant::now() + Duration::from_millis(delay),
+            next_token: req.resume,
+            token_count: natural_len.min(max_tokens).max(req.resume),
+            next_token_at: Instant::now() + Duration::from_millis(delay),
             chunks: VecDeque::new(),
-            ended: Ended::Running,
+            ended: RunState::Running,
             _slot: slot,
             shared,
             req,
             attempt,
             tag,
             fault,
-            finish,
+            finish_reason,
             cancelled,
         }
     }
 
     /// Runs to the end or starts to stream.
-    pub(super) async fn answer(mut self) -> Result<Reply, Abort> {
+    pub(super) async fn respond(mut self) -> Result<Reply, Abort> {
         let attempt = self.attempt.parse();
         let mut reply = match self.req.stream {
             true => self.stream(),
-            false => self.whole().await?,
+            false => self.full_answer().await?,
         };
         if let Ok(value) = attempt {
             reply.headers_mut().insert(reply::ATTEMPT_HEADER, value);
@@ -103,31 +106,27 @@
 
     // Whole answers
 
-    async fn whole(&mut self) -> Result<Reply, Abort> {
-        let offset = self.next;
+    async fn full_answer(&mut self) -> Result<Reply, Abort> {
+        let offset = self.next_token;
         let mut text = String::new();
-        while self.next < self.len {
-            text.push_str(&self.token().await?);
+        while self.next_token < self.token_count {
+            text.push_str(&self.generate_token().await?);
         }
-        let message = self.message(false, offset, &text);
-        let message = message.finish(self.finish, self.usage());
+        let message = self.completion_body(false, offset, &text);
+        let message = message.finish(self.finish_reason, self.usage());
         let mut body = serde_json::to_vec(&message).unwrap_or_default();
         if matches!(self.fault.mode, Mode::Truncated | Mode::Malformed) {
             body.truncate(body.len() / 2);
         }
-        self.ended = Ended::Finished;
-        Ok(reply::whole(
-            StatusCode::OK,
-            "application/json",
-            body.into(),
-        ))
+        self.ended = RunState::Finished;
+        Ok(reply::full(StatusCode::OK, "application/json", body.into()))
     }
 
     // Streamed answers
 
     fn stream(self) -> Reply {
         let chunks = stream::unfold(self, |mut run| async move {
-            let chunk = run.chunk().await;
+            let chunk = run.next_chunk().await;
             match chunk {
                 Ok(chunk) => Some((Ok(chunk?), run)),
                 Err(abort) => Some((Err(io::Error::other(abort)), run)),
@@ -137,28 +136,28 @@
     }
 
     /// Returns the next chunk, or nothing at the answer's end.
-    async fn chunk(&mut self) -> Result<Option<Bytes>, Abort> {
+    async fn next_chunk(&mut self) -> Result<Option<Bytes>, Abort> {
         if let Some(chunk) = self.chunks.pop_front() {
             return Ok(Some(chunk));
         }
-        if self.ended == Ended::Finished {
+        if self.ended == RunState::Finished {
             return Ok(None);
         }
-        if self.next == self.len {
-            self.push_end();
+        if self.next_token == self.token_count {
+            self.push_final_chunks();
             return Ok(self.chunks.pop_front());
         }
-        let broken = self.req.resume + self.fault.after <= self.next;
+        let is_fault_due = self.req.resume + self.fault.after <= self.next_token;
         match self.fault.mode {
-            Mode::Truncated if broken => return Ok(None),
-            Mode::Malformed if broken => {
+            Mode::Truncated if is_fault_due => return Ok(None),
+            Mode::Malformed if is_fault_due => {
                 self.fault.mode = Mode::Ok;
                 return Ok(Some(Bytes::from_static(b"data: {\"id\":\n\n")));
             }
             _ => {}
         }
         self.push_token().await?;
-        if self.fault.mode == Mode::Reordered && self.next < self.len {
+        if self.fault.mode == Mode::Reordered && self.next_token < self.token_count {
             self.push_token().await?;
             self.chunks.swap(0, 1);
         }
@@ -166,9 +165,9 @@
     }
 
     async fn push_token(&mut self) -> Result<(), Abort> {
-        let offset = self.next;
-        let token = self.token().await?;
-        let chunk = encode(&self.message(true, offset, &token));
+        let offset = self.next_token;
+        let token = self.generate_token().await?;
+        let chunk = encode(&self.completion_body(true, offset, &token));
         if self.fault.mode == Mode::Duplicated {
             self.chunks.push_back(chunk.clone());
         }
@@ -176,55 +175,60 @@
         Ok(())
     }
 
-    fn push_end(&mut self) {
-        let end = self.message(true, self.next, "");
-        let end = encode(&end.finish(self.finish, self.usage()));
+    fn push_final_chunks(&mut self) {
+        let end = self.completion_body(true, self.next_token, "");
+        let end = encode(&end.finish(self.finish_reason, self.usage()));
         self.chunks.push_back(end);
         self.chunks
             .push_back(Bytes::from_static(b"data: [DONE]\n\n"));
-        self.ended = Ended::Finished;
+        self.ended = RunState::Finished;
     }
 
     // Tokens
 
     /// Generates the next token.
-    async fn token(&mut self) -> Result<String, Abort> {
-        let broken = self.req.resume + self.fault.after <= self.next;
+    async fn generate_token(&mut self) -> Result<String, Abort> {
+        let is_fault_due = self.req.resume + self.fault.after <= self.next_token;
         match self.fault.mode {
-            Mode::Hang if broken => return Err(hang().await),
-            Mode::CrashOn if broken => return Err(self.shared.crash(self.fault.ms)),
-            Mode::Slow => self.ready += Duration::from_millis(self.fault.ms),
+            Mode::Hang if is_fault_due => return Err(hang_forever().await),
+            Mode::CrashOn if is_fault_due => return Err(self.shared.crash(self.fault.ms)),
+            Mode::Slow => self.next_token_at += Duration::from_millis(self.fault.ms),
             _ => {}
         }
         tokio::select! {
-            () = sleep_until(self.ready) => {}
+            () = sleep_until(self.next_token_at) => {}
             _ = self.cancelled.wait_for(|&cancelled| cancelled) => return Err(Abort),
         }
-        let pause = Duration::from_millis(self.shared.options.token_ms);
-        self.ready = (self.ready + pause).max(Instant::now());
+        let token_interval = Duration::from_millis(self.shared.options.token_ms);
+        self.next_token_at = (self.next_token_at + token_interval).max(Instant::now());
         let tag = match self.fault.mode {
             Mode::WrongAttempt => FOREIGN_TAG,
             _ => &self.tag,
         };
-        let token = format!("{tag}.{} ", self.next);
-        self.next += 1;
+        let token = format!("{tag}.{} ", self.next_token);
+        self.next_token += 1;
         Ok(token)
     }
 
-    fn message<'a>(&'a self, streamed: bool, offset: u64, text: &'a str) -> Message<'a> {
+    fn completion_body<'a>(
+        &'a self,
+        streamed: bool,
+        offset: u64,
+        text: &'a str,
+    ) -> CompletionBody<'a> {
         let id = match self.fault.mode {
             Mode::WrongAttempt => FOREIGN_ATTEMPT,
             _ => &self.attempt,
         };
-        Message::new(self.req.form, streamed, id, &self.req.model, offset, text)
+        CompletionBody::new(self.req.api, streamed, id, &self.req.model, offset, text)
     }
 
     fn usage(&self) -> Usage {
         let prompt_tokens = prompt_tokens(&self.req.prompt);
         Usage {
             prompt_tokens,
-            completion_tokens: self.len,
-            total_tokens: prompt_tokens + self.len,
+            completion_tokens: self.token_count,
+            total_tokens: prompt_tokens + self.token_count,
         }
     }
 }
@@ -232,17 +236,17 @@
 impl Drop for Run {
     fn drop(&mut self) {
         let ended = match self.ended {
-            Ended::Finished => Ended::Finished,
-            Ended::Running | Ended::Broken => Ended::Broken,
+            RunState::Finished => RunState::Finished,
+            RunState::Running | RunState::Broken => RunState::Broken,
         };
-        let tokens = self.next - self.req.resume;
+        let tokens = self.next_token - self.req.resume;
         log::info!(attempt = self.attempt, tokens, ended:? = ended; "run-ended");
         self.shared.state().stats.end(&self.attempt, tokens, ended);
-        self.shared.note_load();
+        self.shared.record_load();
     }
 }
 
-fn encode(message: &Message<'_>) -> Bytes {
+fn encode(message: &CompletionBody<'_>) -> Bytes {
     let json = serde_json::to_string(message).unwrap_or_default();
     format!("data: {json}\n\n").into()
 }
--- a/toucanchute_fakes/src/engine/stats.rs
+++ b/toucanchute_fakes/src/engine/stats.rs
@@ -6,7 +6,7 @@
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
-pub(super) enum Ended {
+pub(super) enum RunState {
     /// It has not.
     Running,
     /// The whole answer was sent.
@@ -21,7 +21,7 @@
     tag: String,
     resumed_from: u64,
     tokens: u64,
-    ended: Ended,
+    ended: RunState,
 }
 
 /// Counts as answered by `GET /stats`.
@@ -39,7 +39,7 @@
     runs_by_tag: BTreeMap<String, u64>,
     runs_by_attempt: BTreeMap<String, RunStats>,
     #[serde(skip)]
-    cancels: BTreeMap<String, watch::Sender<bool>>,
+    cancel_senders: BTreeMap<String, watch::Sender<bool>>,
 }
 
 impl Stats {
@@ -51,18 +51,18 @@
             tag: tag.to_owned(),
             resumed_from: resume,
             tokens: 0,
-            ended: Ended::Running,
+            ended: RunState::Running,
         };
         self.runs_by_attempt.insert(attempt.to_owned(), run);
         let (tx, rx) = watch::channel(false);
-        self.cancels.insert(attempt.to_owned(), tx);
+        self.cancel_senders.insert(attempt.to_owned(), tx);
         rx
     }
 
-    pub(super) fn end(&mut self, attempt: &str, tokens: u64, ended: Ended) {
-        self.cancels.remove(attempt);
+    pub(super) fn end(&mut self, attempt: &str, tokens: u64, ended: RunState) {
+        self.cancel_senders.remove(attempt);
         self.tokens += tokens;
-        self.finished += u64::from(ended == Ended::Finished);
+        self.finished += u64::from(ended == RunState::Finished);
         if let Some(run) = self.runs_by_attempt.get_mut(attempt) {
             run.tokens = tokens;
             run.ended = ended;
@@ -71,7 +71,7 @@
 
     /// Cancels a run; returns whether it was running.
     pub(super) fn cancel(&mut self, attempt: &str) -> bool {
-        let found = self.cancels.get(attempt);
+        let found = self.cancel_senders.get(attempt);
         let found = found.is_some_and(|tx| tx.send(true).is_ok());
         self.cancelled += u64::from(found);
         found
--- a/toucanchute_fakes/src/platform.rs
+++ b/toucanchute_fakes/src/platform.rs
@@ -20,19 +20,19 @@
 use toucanchute_log::wall_clock_ms;
 
 use self::{
-    fault::{Fault, Faults, Verdict},
+    fault::{Effect, Fault, Faults},
     hosts::{HostList, Hosts},
-    stats::{Kind, Stats},
-    tree::{Rejection, Tree},
+    stats::{CallKind, Stats},
+    tree::{KvStore, Rejection},
 };
 use crate::{
     reply::{self, Abort, Reply},
     server::{Crash, Handler, Server},
-    weights::{WeightOptions, Weights},
+    weights::{WeightOptions, WeightStore},
 };
 
 /// Pause between looks for lapsed leases.
-const EXPIRY_PAUSE: Duration = Duration::from_millis(50);
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Options of a stand-in platform.
 #[derive(Clone, Debug)]
@@ -114,23 +114,23 @@
 
 #[derive(Debug)]
 struct State {
-    tree: Tree,
+    kv: KvStore,
     hosts: Hosts,
     faults: Faults,
     stats: Stats,
-    weights: Weights,
+    weights: WeightStore,
 }
 
 impl Shared {
     fn new(options: PlatformOptions) -> Shared {
-        let tree = Tree::new(options.max_value_bytes, options.history);
-        let revision = channel::Sender::new(tree.revision());
+        let kv = KvStore::new(options.max_value_bytes, options.history);
+        let revision = channel::Sender::new(kv.revision());
         let state = State {
-            tree,
+            kv,
             hosts: Hosts::new(options.host_lag_ms),
             faults: Faults::default(),
             stats: Stats::new(options.writes_per_second, options.reads_per_second),
-            weights: Weights::new(options.weights),
+            weights: WeightStore::new(options.weights),
         };
         Shared {
             state: Mutex::new(state),
@@ -144,15 +144,15 @@
     }
 
     /// Applies `f` to the tree and wakes the watches.
-    fn change<T>(&self, f: impl FnOnce(&mut Tree) -> T) -> T {
+    fn update<T>(&self, f: impl FnOnce(&mut KvStore) -> T) -> T {
         let mut state = self.state();
-        let result = f(&mut state.tree);
-        self.revision.send_replace(state.tree.revision());
+        let result = f(&mut state.kv);
+        self.revision.send_replace(state.kv.revision());
         result
     }
 
     fn set_fault(&self, body: &[u8]) -> Reply {
-        let fault: Fault = match reply::parse(body) {
+        let fault: Fault = match reply::parse_json(body) {
             Ok(fault) => fault,
             Err(refusal) => return *refusal,
         };
@@ -164,23 +164,23 @@
         reply::json(StatusCode::OK, &serde_json::json!({}))
     }
 
-    fn run(self: &Arc<Self>, method: &Method, path: &str, body: &Bytes) -> Reply {
+    fn dispatch(self: &Arc<Self>, method: &Method, path: &str, body: &Bytes) -> Reply {
         match path {
-            "/v3/kv/range" => call(body, |req| Ok(self.state().tree.range(&req))),
-            "/v3/kv/put" => call(body, |req| self.change(|tree| tree.put(req))),
-            "/v3/kv/txn" => call(body, |req| self.change(|tree| tree.txn(req))),
+            "/v3/kv/range" => json_call(body, |req| Ok(self.state().kv.range(&req))),
+            "/v3/kv/put" => json_call(body, |req| self.update(|kv| kv.put(req))),
+            "/v3/kv/txn" => json_call(body, |req| self.update(|kv| kv.txn(req))),
             "/v3/kv/deleterange" => {
-                call(body, |req| Ok(self.change(|tree| tree.delete_range(&req))))
+                json_call(body, |req| Ok(self.update(|kv| kv.delete_range(&req))))
             }
-            "/v3/lease/grant" => call(body, |req: wire::LeaseRequest| {
-                Ok(self.change(|tree| tree.grant(wall_clock_ms(), req.id.0, req.ttl.0)))
+            "/v3/lease/grant" => json_call(body, |req: wire::LeaseRequest| {
+                Ok(self.update(|kv| kv.grant(wall_clock_ms(), req.id.0, req.ttl.0)))
             }),
-            "/v3/lease/keepalive" => call(body, |req: wire::LeaseRequest| {
-                let result = self.change(|tree| tree.keep_alive(wall_clock_ms(), req.id.0));
+            "/v3/lease/keepalive" => json_call(body, |req: wire::LeaseRequest| {
+                let result = self.update(|kv| kv.keep_alive(wall_clock_ms(), req.id.0));
                 Ok(wire::Streamed { result })
             }),
-            "/v3/lease/revoke" => call(body, |req: wire::LeaseRequest| {
-                self.change(|tree| tree.revoke(req.id.0))
+            "/v3/lease/revoke" => json_call(body, |req: wire::LeaseRequest| {
+                self.update(|kv| kv.revoke(req.id.0))
             }),
             "/v3/watch" => watch::open(Arc::clone(self), body),
             "/v1/hosts" if method == Method::PUT => self.put_hosts(body),
@@ -189,14 +189,14 @@
                 reply::json(StatusCode::OK, state.hosts.visible(wall_clock_ms()))
             }
             _ => match path.strip_prefix("/v1/weights/") {
-                Some(name) => self.state().weights.open(name),
+                Some(name) => self.state().weights.download(name),
                 None => reply::error(StatusCode::NOT_FOUND, "no such path"),
             },
         }
     }
 
     fn put_hosts(&self, body: &[u8]) -> Reply {
-        let list: HostList = match reply::parse(body) {
+        let list: HostList = match reply::parse_json(body) {
             Ok(list) => list,
             Err(refusal) => return *refusal,
         };
@@ -210,65 +210,65 @@
     async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Result<Reply, Abort> {
         let method = req.method().clone();
         let path = req.uri().path().to_owned();
-        let body = reply::read(req).await?;
+        let body = reply::read_body(req).await?;
         match path.as_str() {
             "/fault" => return Ok(self.set_fault(&body)),
             "/stats" => return Ok(reply::json(StatusCode::OK, &self.state().stats.report())),
             _ => {}
         }
-        let kind = Kind::of(&method, &path);
-        if kind == Kind::OperatorWrite {
-            return Ok(self.run(&method, &path, &body));
+        let kind = CallKind::of(&method, &path);
+        if kind == CallKind::OperatorWrite {
+            return Ok(self.dispatch(&method, &path, &body));
         }
-        let verdict = {
+        let effect = {
             let mut state = self.state();
             state.stats.count(kind, body.len());
-            state.faults.judge(&path)
+            state.faults.next_effect(&path)
         };
-        match verdict {
-            Verdict::Pass => {}
-            Verdict::Hang(delay) => sleep(delay).await,
-            Verdict::Drop => return Err(Abort),
-            Verdict::Refuse => return Ok(refusal(StatusCode::TOO_MANY_REQUESTS, 8, "refused")),
-            Verdict::LoseAnswer => {
-                let _ = self.run(&method, &path, &body);
+        match effect {
+            Effect::Pass => {}
+            Effect::Delay(delay) => sleep(delay).await,
+            Effect::Drop => return Err(Abort),
+            Effect::Refuse => return Ok(etcd_error(StatusCode::TOO_MANY_REQUESTS, 8, "refused")),
+            Effect::LoseAnswer => {
+                let _ = self.dispatch(&method, &path, &body);
                 log::info!(path = path; "answer-lost");
                 return Err(Abort);
             }
         }
         if !self.state().stats.admit(kind, wall_clock_ms()) {
-            return Ok(refusal(
+            return Ok(etcd_error(
                 StatusCode::TOO_MANY_REQUESTS,
                 8,
                 "too many requests",
             ));
         }
-        Ok(self.run(&method, &path, &body))
+        Ok(self.dispatch(&method, &path, &body))
     }
 }
 
 /// Parses a request, runs it and encodes its answer.
-fn call<Q: DeserializeOwned, A: Serialize>(
+fn json_call<Q: DeserializeOwned, A: Serialize>(
     body: &[u8],
     run: impl FnOnce(Q) -> Result<A, Rejection>,
 ) -> Reply {
-    let req = match reply::parse(body) {
+    let req = match reply::parse_json(body) {
         Ok(req) => req,
         Err(refusal) => return *refusal,
     };
     match run(req) {
         Ok(answer) => reply::json(StatusCode::OK, &answer),
-        Err(Rejection::ValueTooLarge) => refusal(
+        Err(Rejection::ValueTooLarge) => etcd_error(
             StatusCode::BAD_REQUEST,
             3,
             "etcdserver: request is too large",
         ),
-        Err(Rejection::LeaseNotFound) => refusal(
+        Err(Rejection::LeaseNotFound) => etcd_error(
             StatusCode::NOT_FOUND,
             5,
             "etcdserver: requested lease not found",
         ),
-        Err(Rejection::EmptyKey) => refusal(
+        Err(Rejection::EmptyKey) => etcd_error(
             StatusCode::BAD_REQUEST,
             3,
             "etcdserver: key is not provided",
@@ -277,14 +277,14 @@
 }
 
 /// Returns an error in etcd's form; `code` is gRPC's.
-fn refusal(status: StatusCode, code: u32, message: &str) -> Reply {
+fn etcd_error(status: StatusCode, code: u32, message: &str) -> Reply {
     let body = serde_json::json!({ "error": message, "code": code, "message": message });
     reply::json(status, &body)
 }
 
 async fn expire_leases(shared: Arc<Shared>) {
     loop {
-        sleep(EXPIRY_PAUSE).await;
-        shared.change(|tree| tree.expire(wall_clock_ms()));
+        sleep(EXPIRY_INTERVAL).await;
+        shared.update(|kv| kv.expire(wall_clock_ms()));
     }
 }
--- a/toucanchute_fakes/src/platform/fault.rs
+++ b/toucanchute_fakes/src/platform/fault.rs
@@ -40,9 +40,9 @@
 
 /// What becomes of a request.
 #[derive(Clone, Copy, Debug)]
-pub(crate) enum Verdict {
+pub(crate) enum Effect {
     Pass,
-    Hang(Duration),
+    Delay(Duration),
     Drop,
     Refuse,
     LoseAnswer,
@@ -53,27 +53,27 @@
 pub(crate) struct Faults {
     fault: Fault,
     /// Requests that have failed by this fault.
-    used: u64,
+    failed_requests: u64,
 }
 
 impl Faults {
     pub(crate) fn set(&mut self, fault: Fault) {
         self.fault = fault;
-        self.used = 0;
+        self.failed_requests = 0;
     }
 
-    pub(crate) fn judge(&mut self, path: &str) -> Verdict {
-        let spent = self.fault.count > 0 && self.used >= self.fault.count;
-        if spent || !path.starts_with(&self.fault.path) {
-            return Verdict::Pass;
+    pub(crate) fn next_effect(&mut self, path: &str) -> Effect {
+        let is_exhausted = self.fault.count > 0 && self.failed_requests >= self.fault.count;
+        if is_exhausted || !path.starts_with(&self.fault.path) {
+            return Effect::Pass;
         }
-        self.used += 1;
+        self.failed_requests += 1;
         match self.fault.mode {
-            Mode::Ok => Verdict::Pass,
-            Mode::Down => Verdict::Drop,
-            Mode::Slow => Verdict::Hang(Duration::from_millis(self.fault.ms)),
-            Mode::LoseAnswers => Verdict::LoseAnswer,
-            Mode::Refuse => Verdict::Refuse,
+            Mode::Ok => Effect::Pass,
+            Mode::Down => Effect::Drop,
+            Mode::Slow => Effect::Delay(Duration::from_millis(self.fault.ms)),
+            Mode::LoseAnswers => Effect::LoseAnswer,
+            Mode::Refuse => Effect::Refuse,
         }
     }
 }
--- a/toucanchute_fakes/src/platform/stats.rs
+++ b/toucanchute_fakes/src/platform/stats.rs
@@ -6,7 +6,7 @@
 /// Kinds of calls that are counted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "kebab-case")]
-pub(crate) enum Kind {
+pub(crate) enum CallKind {
     Range,
     Put,
     Txn,
@@ -22,56 +22,56 @@
     OperatorWrite,
 }
 
-impl Kind {
-    pub(crate) fn of(method: &Method, path: &str) -> Kind {
+impl CallKind {
+    pub(crate) fn of(method: &Method, path: &str) -> CallKind {
         match path {
-            "/v3/kv/range" => Kind::Range,
-            "/v3/kv/put" => Kind::Put,
-            "/v3/kv/txn" => Kind::Txn,
-            "/v3/kv/deleterange" => Kind::DeleteRange,
-            "/v3/lease/grant" => Kind::LeaseGrant,
-            "/v3/lease/keepalive" => Kind::LeaseKeepalive,
-            "/v3/lease/revoke" => Kind::LeaseRevoke,
-            "/v3/watch" => Kind::Watch,
-            "/v1/hosts" if method == Method::PUT => Kind::OperatorWrite,
-            "/v1/hosts" => Kind::Hosts,
-            path if path.starts_with("/v1/weights/") => Kind::Weights,
-            _ => Kind::Other,
+            "/v3/kv/range" => CallKind::Range,
+            "/v3/kv/put" => CallKind::Put,
+            "/v3/kv/txn" => CallKind::Txn,
+            "/v3/kv/deleterange" => CallKind::DeleteRange,
+            "/v3/lease/grant" => CallKind::LeaseGrant,
+            "/v3/lease/keepalive" => CallKind::LeaseKeepalive,
+            "/v3/lease/revoke" => CallKind::LeaseRevoke,
+            "/v3/watch" => CallKind::Watch,
+            "/v1/hosts" if method == Method::PUT => CallKind::OperatorWrite,
+            "/v1/hosts" => CallKind::Hosts,
+            path if path.starts_with("/v1/weights/") => CallKind::Weights,
+            _ => CallKind::Other,
         }
     }
 
     fn is_write(self) -> bool {
         matches!(
             self,
-            Kind::Put
-                | Kind::Txn
-                | Kind::DeleteRange
-                | Kind::LeaseGrant
-                | Kind::LeaseKeepalive
-                | Kind::LeaseRevoke
+            CallKind::Put
+                | CallKind::Txn
+                | CallKind::DeleteRange
+                | CallKind::LeaseGrant
+                | CallKind::LeaseKeepalive
+                | CallKind::LeaseRevoke
         )
     }
 
     fn is_read(self) -> bool {
-        matches!(self, Kind::Range | Kind::Watch | Kind::Hosts)
+        matches!(self, CallKind::Range | CallKind::Watch | CallKind::Hosts)
     }
 }
 
 /// Counts of calls, and the limits on their rates.
 #[derive(Debug)]
 pub(crate) struct Stats {
-    calls: BTreeMap<Kind, u64>,
+    calls: BTreeMap<CallKind, u64>,
     body_bytes: u64,
     refused: u64,
     pub(crate) open_watches: u64,
-    writes: Window,
-    reads: Window,
+    writes: RateWindow,
+    reads: RateWindow,
 }
 
 /// Counts as answered by `GET /stats`.
 #[derive(Debug, Serialize)]
 pub(crate) struct Report<'a> {
-    calls: &'a BTreeMap<Kind, u64>,
+    calls: &'a BTreeMap<CallKind, u64>,
     body_bytes: u64,
     refused: u64,
     open_watches: u64,
@@ -86,18 +86,18 @@
             body_bytes: 0,
             refused: 0,
             open_watches: 0,
-            writes: Window::new(writes_per_second),
-            reads: Window::new(reads_per_second),
+            writes: RateWindow::new(writes_per_second),
+            reads: RateWindow::new(reads_per_second),
         }
     }
 
-    pub(crate) fn count(&mut self, kind: Kind, body_bytes: usize) {
+    pub(crate) fn count(&mut self, kind: CallKind, body_bytes: usize) {
         *self.calls.entry(kind).or_default() += 1;
         self.body_bytes += body_bytes as u64;
     }
 
     /// Returns whether the rate limits admit a call.
-    pub(crate) fn admit(&mut self, kind: Kind, now_ms: u64) -> bool {
+    pub(crate) fn admit(&mut self, kind: CallKind, now_ms: u64) -> bool {
         let admitted = match kind {
             kind if kind.is_write() => self.writes.admit(now_ms),
             kind if kind.is_read() => self.reads.admit(now_ms),
@@ -121,20 +121,20 @@
 
 /// Calls within the current second.
 #[derive(Debug)]
-struct Window {
+struct RateWindow {
     /// Calls admitted in a second; zero for no limit.
     limit: u32,
     second: u64,
-    used: u32,
+    admitted_calls: u32,
     peak: u32,
 }
 
-impl Window {
-    fn new(limit: u32) -> Window {
-        Window {
+impl RateWindow {
+    fn new(limit: u32) -> RateWindow {
+        RateWindow {
             limit,
             second: 0,
-            used: 0,
+            admitted_calls: 0,
             peak: 0,
         }
     }
@@ -143,13 +143,13 @@
         let second = now_ms / 1000;
         if second != self.second {
             self.second = second;
-            self.used = 0;
+            self.admitted_calls = 0;
         }
-        if self.limit > 0 && self.used >= self.limit {
+        if self.limit > 0 && self.admitted_calls >= self.limit {
             return false;
         }
-        self.used += 1;
-        self.peak = self.peak.max(self.used);
+        self.admitted_calls += 1;
+        self.peak = self.peak.max(self.admitted_calls);
         true
     }
 }
--- a/toucanchute_fakes/src/platform/tree.rs
+++ b/toucanchute_fakes/src/platform/tree.rs
@@ -5,7 +5,7 @@
 
 use super::wire::{
     Blob, Compare, CompareResult, CompareTarget, DeleteRangeRequest, DeleteRangeResponse, Event,
-    EventKind, Header, KeyValue, LeaseResponse, Num, PutRequest, PutResponse, RangeRequest,
+    EventKind, Header, Int64, KeyValue, LeaseResponse, PutRequest, PutResponse, RangeRequest,
     RangeResponse, RequestOp, ResponseOp, TxnRequest, TxnResponse,
 };
 
@@ -19,7 +19,7 @@
 
 /// Versioned keys and values, with leases.
 #[derive(Debug)]
-pub(crate) struct Tree {
+pub(crate) struct KvStore {
     kvs: BTreeMap<Vec<u8>, KeyValue>,
     leases: BTreeMap<i64, Lease>,
     /// Revision of the latest change; it only rises.
@@ -39,9 +39,9 @@
     expires_ms: u64,
 }
 
-impl Tree {
-    pub(crate) fn new(max_value_bytes: usize, max_history: usize) -> Tree {
-        Tree {
+impl KvStore {
+    pub(crate) fn new(max_value_bytes: usize, max_history: usize) -> KvStore {
+        KvStore {
             kvs: BTreeMap::new(),
             leases: BTreeMap::new(),
             revision: 1,
@@ -55,10 +55,10 @@
 
     pub(crate) fn header(&self) -> Header {
         Header {
-            cluster_id: Num(1),
-            member_id: Num(1),
-            revision: Num(self.revision),
-            raft_term: Num(1),
+            cluster_id: Int64(1),
+            member_id: Int64(1),
+            revision: Int64(self.revision),
+            raft_term: Int64(1),
         }
     }
 
@@ -91,14 +91,14 @@
                 kvs.collect()
             },
             more: found.len() > limit,
-            count: Num(found.len() as i64),
+            count: Int64(found.len() as i64),
         }
     }
 
     pub(crate) fn put(&mut self, req: PutRequest) -> Result<PutResponse, Rejection> {
-        self.check(&req)?;
+        self.check_put(&req)?;
         self.revision += 1;
-        self.put_at(req);
+        self.apply_put(req);
         Ok(PutResponse {
             header: self.header(),
         })
@@ -106,22 +106,22 @@
 
     pub(crate) fn delete_range(&mut self, req: &DeleteRangeRequest) -> DeleteRangeResponse {
         self.revision += 1;
-        let deleted = self.delete_at(req);
+        let deleted = self.apply_delete(req);
         if deleted == 0 {
             self.revision -= 1;
         }
         DeleteRangeResponse {
             header: self.header(),
-            deleted: Num(deleted),
+            deleted: Int64(deleted),
         }
     }
 
     pub(crate) fn txn(&mut self, req: TxnRequest) -> Result<TxnResponse, Rejection> {
-        let succeeded = req.compare.iter().all(|compare| self.holds(compare));
+        let succeeded = req.compare.iter().all(|compare| self.is_satisfied(compare));
         let ops = if succeeded { req.success } else { req.failure };
         for op in &ops {
             if let RequestOp::Put(put) = op {
-                self.check(put)?;
+                self.check_put(put)?;
             }
         }
         let before = self.revision;
@@ -133,15 +133,15 @@
                 RequestOp::Range(req) => ResponseOp::Range(self.range(&req)),
                 RequestOp::Put(req) => {
                     changed = true;
-                    self.put_at(req);
+                    self.apply_put(req);
                     ResponseOp::Put(PutResponse {
                         header: self.header(),
                     })
                 }
                 RequestOp::DeleteRange(req) => {
-                    let deleted = self.delete_at(&req);
+                    let deleted = self.apply_delete(&req);
                     changed |= deleted > 0;
-                    let deleted = Num(deleted);
+                    let deleted = Int64(deleted);
                     ResponseOp::DeleteRange(DeleteRangeResponse {
                         header: self.header(),
                         deleted,
@@ -159,7 +159,7 @@
         })
     }
 
-    fn check(&self, req: &PutRequest) -> Result<(), Rejection> {
+    fn check_put(&self, req: &PutRequest) -> Result<(), Rejection> {
         if req.key.0.is_empty() {
             return Err(Rejection::EmptyKey);
         }
@@ -172,7 +172,7 @@
         Ok(())
     }
 
-    fn holds(&self, compare: &Compare) -> bool {
+    fn is_satisfied(&self, compare: &Compare) -> bool {
         let absent = KeyValue::default();
         let kv = self.kvs.get(&compare.key.0).unwrap_or(&absent);
         let ordering = match compare.target {
@@ -190,34 +190,34 @@
         }
     }
 
-    fn put_at(&mut self, req: PutRequest) {
+    fn apply_put(&mut self, req: PutRequest) {
         let old = self.kvs.get(&req.key.0);
         let kv = KeyValue {
-            create_revision: old.map_or(Num(self.revision), |kv| kv.create_revision),
-            mod_revision: Num(self.revision),
-            version: Num(old.map_or(0, |kv| kv.version.0) + 1),
+            create_revision: old.map_or(Int64(self.revision), |kv| kv.create_revision),
+            mod_revision: Int64(self.revision),
+            version: Int64(old.map_or(0, |kv| kv.version.0) + 1),
             key: req.key,
             value: req.value,
             lease: req.lease,
         };
         self.kvs.insert(kv.key.0.clone(), kv.clone());
-        self.remember(Event {
+        self.record_event(Event {
             kind: EventKind::Put,
             kv,
         });
     }
 
-    fn delete_at(&mut self, req: &DeleteRangeRequest) -> i64 {
+    fn apply_delete(&mut self, req: &DeleteRangeRequest) -> i64 {
         let found = self.kvs.range::<[u8], _>(bounds(&req.key, &req.range_end));
         let keys: Vec<Vec<u8>> = found.map(|(key, _)| key.clone()).collect();
         for key in &keys {
             self.kvs.remove(key);
             let kv = KeyValue {
                 key: Blob(key.clone()),
-                mod_revision: Num(self.revision),
+                mod_revision: Int64(self.revision),
                 ..KeyValue::default()
             };
-            self.remember(Event {
+            self.record_event(Event {
                 kind: EventKind::Delete,
                 kv,
             });
@@ -227,7 +227,7 @@
 
     // Watches
 
-    fn remember(&mut self, event: Event) {
+    fn record_event(&mut self, event: Event) {
         self.history.push_back(event);
         while self.history.len() > self.max_history {
             if let Some(event) = self.history.pop_front() {
@@ -247,9 +247,9 @@
             .history
             .partition_point(|e| e.kv.mod_revision.0 < start);
         let events = self.history.range(from..);
-        let wanted =
+        let matching =
             events.filter(|e| RangeBounds::<[u8]>::contains(&bounds, e.kv.key.0.as_slice()));
-        Ok(wanted.cloned().collect())
+        Ok(matching.cloned().collect())
     }
 
     // Leases
@@ -261,8 +261,8 @@
         self.leases.insert(id, Lease { ttl_s, expires_ms });
         LeaseResponse {
             header: self.header(),
-            id: Num(id),
-            ttl: Num(ttl_s),
+            id: Int64(id),
+            ttl: Int64(ttl_s),
         }
     }
 
@@ -275,8 +275,8 @@
         });
         LeaseResponse {
             header: self.header(),
-            id: Num(id),
-            ttl: Num(ttl),
+            id: Int64(id),
+            ttl: Int64(ttl),
         }
     }
 
@@ -295,8 +295,8 @@
         }
         Ok(LeaseResponse {
             header: self.header(),
-            id: Num(id),
-            ttl: Num(0),
+            id: Int64(id),
+            ttl: Int64(0),
         })
     }
 
--- a/toucanchute_fakes/src/platform/watch.rs
+++ b/toucanchute_fakes/src/platform/watch.rs
@@ -6,49 +6,49 @@
 
 use super::{
     Shared,
-    wire::{Blob, Num, Streamed, WatchRequest, WatchResponse},
+    wire::{Blob, Int64, Streamed, WatchRequest, WatchResponse},
 };
 use crate::reply::{self, Reply};
 
 /// Time without a change after which a watch is told of its progress.
-const PROGRESS_PAUSE: Duration = Duration::from_secs(2);
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(2);
 
 /// One open watch.
 struct Watch {
     shared: Arc<Shared>,
     key: Blob,
-    end: Blob,
-    progress: bool,
+    range_end: Blob,
+    progress_notify: bool,
     /// First revision that has not been sent.
-    next: i64,
+    next_revision: i64,
     revision: channel::Receiver<i64>,
     outages: channel::Receiver<u64>,
     /// Lines to be sent before any change.
-    ready: VecDeque<Bytes>,
+    queued_lines: VecDeque<Bytes>,
     /// No line follows those in `ready`.
     ended: bool,
 }
 
 /// Answers a request for a watch by a stream of lines.
 pub(super) fn open(shared: Arc<Shared>, body: &[u8]) -> Reply {
-    let req = match reply::parse::<WatchRequest>(body) {
+    let req = match reply::parse_json::<WatchRequest>(body) {
         Ok(req) => req.create_request,
         Err(refusal) => return *refusal,
     };
     let mut watch = Watch {
         key: req.key,
-        end: req.range_end,
-        progress: req.progress_notify,
-        next: req.start_revision.0,
+        range_end: req.range_end,
+        progress_notify: req.progress_notify,
+        next_revision: req.start_revision.0,
         revision: shared.revision.subscribe(),
         outages: shared.outages.subscribe(),
-        ready: VecDeque::new(),
+        queued_lines: VecDeque::new(),
         ended: false,
         shared,
     };
     watch.start();
     let lines = stream::unfold(watch, |mut watch| async move {
-        let line = watch.line().await?;
+        let line = watch.next_line().await?;
         Some((Ok::<_, io::Error>(line), watch))
     });
     reply::streamed("application/json", lines)
@@ -59,12 +59,12 @@
         let header = {
             let mut state = self.shared.state();
             state.stats.open_watches += 1;
-            state.tree.header()
+            state.kv.header()
         };
-        if self.next == 0 {
-            self.next = header.revision.0 + 1;
+        if self.next_revision == 0 {
+            self.next_revision = header.revision.0 + 1;
         }
-        self.ready.push_back(encode(WatchResponse {
+        self.queued_lines.push_back(encode(WatchResponse {
             header,
             created: true,
             ..WatchResponse::default()
@@ -72,53 +72,56 @@
     }
 
     /// Returns the next line, or nothing at the watch's end.
-    async fn line(&mut self) -> Option<Bytes> {
+    async fn next_line(&mut self) -> Option<Bytes> {
         loop {
-            if let Some(line) = self.ready.pop_front() {
+            if let Some(line) = self.queued_lines.pop_front() {
                 return Some(line);
             }
             if self.ended {
                 return None;
             }
             self.revision.mark_unchanged();
-            self.collect();
-            if !self.ready.is_empty() {
+            self.queue_changes();
+            if !self.queued_lines.is_empty() {
                 continue;
             }
-            self.wait().await;
+            self.wait_for_change().await;
         }
     }
 
     /// Encodes the changes since the last line.
-    fn collect(&mut self) {
+    fn queue_changes(&mut self) {
         let state = self.shared.state();
-        let header = state.tree.header();
-        let mut answer = WatchResponse {
+        let header = state.kv.header();
+        let mut response = WatchResponse {
             header,
             ..WatchResponse::default()
         };
-        match state.tree.events(&self.key, &self.end, self.next) {
-            Ok(events) => answer.events = events,
+        match state
+            .kv
+            .events(&self.key, &self.range_end, self.next_revision)
+        {
+            Ok(events) => response.events = events,
             Err(compacted) => {
-                answer.canceled = true;
-                answer.compact_revision = Num(compacted);
+                response.canceled = true;
+                response.compact_revision = Int64(compacted);
                 self.ended = true;
             }
         }
-        self.next = self.next.max(answer.header.revision.0 + 1);
-        if answer.canceled || !answer.events.is_empty() {
-            self.ready.push_back(encode(answer));
+        self.next_revision = self.next_revision.max(response.header.revision.0 + 1);
+        if response.canceled || !response.events.is_empty() {
+            self.queued_lines.push_back(encode(response));
         }
     }
 
     /// Waits for a change; prepares a report of progress if none comes.
-    async fn wait(&mut self) {
+    async fn wait_for_change(&mut self) {
         tokio::select! {
-            changed = timeout(PROGRESS_PAUSE, self.revision.changed()) => {
-                if changed.is_err() && self.progress {
-                    let header = self.shared.state().tree.header();
-                    let answer = WatchResponse { header, ..WatchResponse::default() };
-                    self.ready.push_back(encode(answer));
+            changed = timeout(PROGRESS_INTERVAL, self.revision.changed()) => {
+                if changed.is_err() && self.progress_notify {
+                    let header = self.shared.state().kv.header();
+                    let response = WatchResponse { header, ..WatchResponse::default() };
+                    self.queued_lines.push_back(encode(response));
                 }
             }
             _ = self.outages.changed() => self.ended = true,
--- a/toucanchute_fakes/src/platform/wire.rs
+++ b/toucanchute_fakes/src/platform/wire.rs
@@ -31,22 +31,22 @@
 
 /// A 64-bit number, as text; a plain number is read as well.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Num(pub(crate) i64);
+pub(crate) struct Int64(pub(crate) i64);
 
-impl Num {
+impl Int64 {
     fn is_zero(&self) -> bool {
         self.0 == 0
     }
 }
 
-impl Serialize for Num {
+impl Serialize for Int64 {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         serializer.serialize_str(&self.0.to_string())
     }
 }
 
-impl<'de> Deserialize<'de> for Num {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Num, D::Error> {
+impl<'de> Deserialize<'de> for Int64 {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Int64, D::Error> {
         #[derive(Deserialize)]
         #[serde(untagged)]
         enum Either {
@@ -54,32 +54,32 @@
             Text(String),
         }
         match Either::deserialize(deserializer)? {
-            Either::Number(n) => Ok(Num(n)),
-            Either::Text(text) => text.parse().map(Num).map_err(de::Error::custom),
+            Either::Number(n) => Ok(Int64(n)),
+            Either::Text(text) => text.parse().map(Int64).map_err(de::Error::custom),
         }
     }
 }
 
 #[derive(Clone, Debug, Default, Serialize)]
 pub(crate) struct Header {
-    pub(crate) cluster_id: Num,
-    pub(crate) member_id: Num,
-    pub(crate) revision: Num,
-    pub(crate) raft_term: Num,
+    pub(crate) cluster_id: Int64,
+    pub(crate) member_id: Int64,
+    pub(crate) revision: Int64,
+    pub(crate) raft_term: Int64,
 }
 
 #[derive(Clone, Debug, Default, Serialize)]
 pub(crate) struct KeyValue {
     pub(crate) key: Blob,
-    #[serde(skip_serializing_if = "Num::is_zero")]
-    pub(crate) create_revision: Num,
-    pub(crate) mod_revision: Num,
-    #[serde(skip_serializing_if = "Num::is_zero")]
-    pub(crate) version: Num,
+    #[serde(skip_serializing_if = "Int64::is_zero")]
+    pub(crate) create_revision: Int64,
+    pub(crate) mod_revision: Int64,
+    #[serde(skip_serializing_if = "Int64::is_zero")]
+    pub(crate) version: Int64,
     #[serde(skip_serializing_if = "Blob::is_empty")]
     pub(crate) value: Blob,
-    #[serde(skip_serializing_if = "Num::is_zero")]
-    pub(crate) lease: Num,
+    #[serde(skip_serializing_if = "Int64::is_zero")]
+    pub(crate) lease: Int64,
 }
 
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -87,7 +87,7 @@
 pub(crate) struct RangeRequest {
     pub(crate) key: Blob,
     pub(crate) range_end: Blob,
-    pub(crate) limit: Num,
+    pub(crate) limit: Int64,
     pub(crate) keys_only: bool,
     pub(crate) count_only: bool,
 }
@@ -99,7 +99,7 @@
     pub(crate) kvs: Vec<KeyValue>,
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub(crate) more: bool,
-    pub(crate) count: Num,
+    pub(crate) count: Int64,
 }
 
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -107,7 +107,7 @@
 pub(crate) struct PutRequest {
     pub(crate) key: Blob,
     pub(crate) value: Blob,
-    pub(crate) lease: Num,
+    pub(crate) lease: Int64,
 }
 
 #[derive(Clone, Debug, Default, Serialize)]
@@ -125,7 +125,7 @@
 #[derive(Clone, Debug, Default, Serialize)]
 pub(crate) struct DeleteRangeResponse {
     pub(crate) header: Header,
-    pub(crate) deleted: Num,
+    pub(crate) deleted: Int64,
 }
 
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
@@ -155,11 +155,11 @@
     pub(crate) key: Blob,
     pub(crate) target: CompareTarget,
     pub(crate) result: CompareResult,
-    pub(crate) version: Num,
-    pub(crate) create_revision: Num,
-    pub(crate) mod_revision: Num,
+    pub(crate) version: Int64,
+    pub(crate) create_revision: Int64,
+    pub(crate) mod_revision: Int64,
     pub(crate) value: Blob,
-    pub(crate) lease: Num,
+    pub(crate) lease: Int64,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -203,18 +203,18 @@
 #[serde(default)]
 pub(crate) struct LeaseRequest {
     #[serde(rename = "ID")]
-    pub(crate) id: Num,
+    pub(crate) id: Int64,
     #[serde(rename = "TTL")]
-    pub(crate) ttl: Num,
+    pub(crate) ttl: Int64,
 }
 
 #[derive(Clone, Debug, Default, Serialize)]
 pub(crate) struct LeaseResponse {
     pub(crate) header: Header,
     #[serde(rename = "ID")]
-    pub(crate) id: Num,
-    #[serde(rename = "TTL", skip_serializing_if = "Num::is_zero")]
-    pub(crate) ttl: Num,
+    pub(crate) id: Int64,
+    #[serde(rename = "TTL", skip_serializing_if = "Int64::is_zero")]
+    pub(crate) ttl: Int64,
 }
 
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -228,7 +228,7 @@
 pub(crate) struct WatchCreate {
     pub(crate) key: Blob,
     pub(crate) range_end: Blob,
-    pub(crate) start_revision: Num,
+    pub(crate) start_revision: Int64,
     pub(crate) progress_notify: bool,
 }
 
@@ -253,8 +253,8 @@
     pub(crate) created: bool,
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub(crate) canceled: bool,
-    #[serde(skip_serializing_if = "Num::is_zero")]
-    pub(crate) compact_revision: Num,
+    #[serde(skip_serializing_if = "Int64::is_zero")]
+    pub(crate) compact_revision: Int64,
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub(crate) events: Vec<Event>,
 }
--- a/toucanchute_fakes/src/reply.rs
+++ b/toucanchute_fakes/src/reply.rs
@@ -34,7 +34,7 @@
 /// Returns a reply with `body` as JSON.
 pub(crate) fn json(status: StatusCode, body: &impl Serialize) -> Reply {
     let body = serde_json::to_vec(body).unwrap_or_default();
-    whole(status, "application/json", body.into())
+    full(status, "application/json", body.into())
 }
 
 /// Returns a reply with `message` as the JSON member `error`.
@@ -54,7 +54,7 @@
 }
 
 /// Returns a reply with a whole body.
-pub(crate) fn whole(status: StatusCode, content_type: &str, body: Bytes) -> Reply {
+pub(crate) fn full(status: StatusCode, content_type: &str, body: Bytes) -> Reply {
     let body = Full::new(body)
         .map_err(|never| match never {})
         .boxed_unsync();
@@ -85,14 +85,14 @@
 }
 
 /// Reads a request's whole body.
-pub(crate) async fn read(req: Request<Incoming>) -> Result<Bytes, Abort> {
+pub(crate) async fn read_body(req: Request<Incoming>) -> Result<Bytes, Abort> {
     let body = http_body_util::Limited::new(req.into_body(), MAX_BODY_BYTES);
-    let whole = body.collect().await.map_err(|_| Abort)?;
-    Ok(whole.to_bytes())
+    let collected = body.collect().await.map_err(|_| Abort)?;
+    Ok(collected.to_bytes())
 }
 
 /// Parses a JSON body; an empty one counts as `{}`.
-pub(crate) fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Box<Reply>> {
+pub(crate) fn parse_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, Box<Reply>> {
     let body = if body.is_empty() { b"{}" } else { body };
     serde_json::from_slice(body)
         .map_err(|e| Box::new(error(StatusCode::BAD_REQUEST, &e.to_string())))
--- a/toucanchute_fakes/src/server.rs
+++ b/toucanchute_fakes/src/server.rs
@@ -15,7 +15,7 @@
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
 /// Pause between attempts to listen again at an address that is still taken.
-const REBIND_PAUSE: Duration = Duration::from_millis(20);
+const REBIND_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Answers the requests of one stand-in.
 pub(crate) trait Handler: Send + Sync + 'static {
@@ -36,7 +36,7 @@
     /// Number of crashes so far.
     count: u64,
     /// Time until the server listens again.
-    down: Duration,
+    downtime: Duration,
 }
 
 impl Crash {
@@ -45,10 +45,10 @@
     }
 
     /// Closes each connection at once and refuses new ones for `down`.
-    pub(crate) fn now(&self, down: Duration) {
+    pub(crate) fn trigger(&self, downtime: Duration) {
         self.0.send_modify(|outage| {
             outage.count += 1;
-            outage.down = down;
+            outage.downtime = downtime;
         });
     }
 }
@@ -95,11 +95,11 @@
     socket.listen(BACKLOG)
 }
 
-async fn listen_again(address: SocketAddr) -> TcpListener {
+async fn rebind(address: SocketAddr) -> TcpListener {
     loop {
         match listen(address) {
             Ok(listener) => return listener,
-            Err(_) => sleep(REBIND_PAUSE).await,
+            Err(_) => sleep(REBIND_INTERVAL).await,
         }
     }
 }
@@ -121,11 +121,11 @@
             }
             Some(_) = connections.join_next() => {}
             Ok(()) = outages.changed() => {
-                let down = outages.borrow_and_update().down;
+                let downtime = outages.borrow_and_update().downtime;
                 drop(listener);
                 connections.shutdown().await;
-                sleep(down).await;
-                listener = listen_again(address).await;
+                sleep(downtime).await;
+                listener = rebind(address).await;
             }
         }
     }
--- a/toucanchute_fakes/src/service.rs
+++ b/toucanchute_fakes/src/service.rs
@@ -104,7 +104,7 @@
 struct State {
     fault: Fault,
     /// Calls that have failed by this fault.
-    used: u64,
+    failed_calls: u64,
     stats: Stats,
 }
 
@@ -140,31 +140,31 @@
     }
 
     fn set_fault(&self, body: &[u8]) -> Reply {
-        let fault: Fault = match reply::parse(body) {
+        let fault: Fault = match reply::parse_json(body) {
             Ok(fault) => fault,
             Err(refusal) => return *refusal,
         };
         log::info!(fault:? = fault; "fault-set");
         let mut state = self.state();
         state.fault = fault;
-        state.used = 0;
+        state.failed_calls = 0;
         reply::json(StatusCode::OK, &serde_json::json!({}))
     }
 
     /// Counts a call and returns the fault that it meets.
-    fn admit(&self) -> Fault {
+    fn next_fault(&self) -> Fault {
         let mut state = self.state();
         state.stats.calls += 1;
         let fault = state.fault;
-        if fault.count > 0 && state.used >= fault.count {
+        if fault.count > 0 && state.failed_calls >= fault.count {
             return Fault::default();
         }
-        state.used += 1;
+        state.failed_calls += 1;
         fault
     }
 
     /// Counts a run and returns its number under `key`.
-    fn run(&self, key: &str, attempt: &str) -> u64 {
+    fn record_run(&self, key: &str, attempt: &str) -> u64 {
         let mut state = self.state();
         state.stats.runs += 1;
         let by_attempt = state.stats.runs_by_attempt.entry(attempt.to_owned());
@@ -177,12 +177,12 @@
     fn crash(&self, down_ms: u64) -> Abort {
         log::info!(down_ms; "service-crashed");
         self.state().stats.crashes += 1;
-        self.crash.now(Duration::from_millis(down_ms));
+        self.crash.trigger(Duration::from_millis(down_ms));
         Abort
     }
 
     async fn call(&self, path: &str, key: &str, attempt: &str) -> Result<Reply, Abort> {
-        let fault = self.admit();
+        let fault = self.next_fault();
         match fault.mode {
             Mode::Refuse => {
                 self.state().stats.refused += 1;
@@ -193,7 +193,7 @@
             Mode::Slow => sleep(Duration::from_millis(fault.ms)).await,
             Mode::Ok | Mode::SlowAfter | Mode::LoseAnswers | Mode::Crash => {}
         }
-        let run = self.run(key, attempt);
+        let run = self.record_run(key, attempt);
         log::info!(path, request = key, attempt, run; "service-ran");
         sleep(Duration::from_millis(self.options.work_ms)).await;
         match fault.mode {
@@ -218,7 +218,7 @@
         let path = req.uri().path().to_owned();
         let key = reply::header_text(&req, "idempotency-key");
         let attempt = reply::header_text(&req, reply::ATTEMPT_HEADER);
-        let body: Bytes = reply::read(req).await?;
+        let body: Bytes = reply::read_body(req).await?;
         match path.as_str() {
             "/fault" => Ok(self.set_fault(&body)),
             "/stats" => Ok(reply::json(StatusCode::OK, &self.state().stats)),
--- a/toucanchute_fakes/src/weights.rs
+++ b/toucanchute_fakes/src/weights.rs
@@ -8,7 +8,7 @@
 use crate::reply::{self, Reply};
 
 /// Size of one piece of an answer, in bytes.
-const PIECE_BYTES: u64 = 64 << 10;
+const CHUNK_BYTES: u64 = 64 << 10;
 
 /// Options of a stand-in weight store.
 #[derive(Clone, Debug)]
@@ -30,31 +30,31 @@
 
 /// A rate-limited store of model weights; contents are zeros.
 #[derive(Debug)]
-pub(crate) struct Weights {
+pub(crate) struct WeightStore {
     options: WeightOptions,
 }
 
-impl Weights {
-    pub(crate) fn new(options: WeightOptions) -> Weights {
-        Weights { options }
+impl WeightStore {
+    pub(crate) fn new(options: WeightOptions) -> WeightStore {
+        WeightStore { options }
     }
 
     /// Answers `GET /v1/weights/<name>`.
-    pub(crate) fn open(&self, name: &str) -> Reply {
+    pub(crate) fn download(&self, name: &str) -> Reply {
         let Some(&size) = self.options.sizes.get(name) else {
             return reply::error(StatusCode::NOT_FOUND, "no such weights");
         };
         let rate = self.options.bytes_per_second.max(1);
-        let pause = Duration::from_secs_f64(PIECE_BYTES as f64 / rate as f64);
-        let pieces = stream::unfold(size, move |left| async move {
-            if left == 0 {
+        let chunk_interval = Duration::from_secs_f64(CHUNK_BYTES as f64 / rate as f64);
+        let chunks = stream::unfold(size, move |remaining| async move {
+            if remaining == 0 {
                 return None;
             }
-            sleep(pause).await;
-            let len = left.min(PIECE_BYTES);
-            let piece = Bytes::from(vec![0; len as usize]);
-            Some((Ok::<_, io::Error>(piece), left - len))
+            sleep(chunk_interval).await;
+            let len = remaining.min(CHUNK_BYTES);
+            let chunk = Bytes::from(vec![0; len as usize]);
+            Some((Ok::<_, io::Error>(chunk), remaining - len))
         });
-        reply::streamed("application/octet-stream", pieces)
+        reply::streamed("application/octet-stream", chunks)
     }
 }
--- a/toucanchute_fakes/tests/engine.rs
+++ b/toucanchute_fakes/tests/engine.rs
@@ -46,60 +46,63 @@
     .await
 }
 
-async fn fault(engine: &Engine, body: &str) {
+async fn set_fault(engine: &Engine, body: &str) {
     assert_eq!(post(engine.address(), "/fault", body).await.unwrap().0, 200);
 }
 
 /// Waits until the load report says so.
-async fn wait_for(engine: &Engine, what: &str, count: u64) {
-    while get_json(engine.address(), "/v1/load").await[what] != count {
+async fn wait_for_load(engine: &Engine, counter: &str, count: u64) {
+    while get_json(engine.address(), "/v1/load").await[counter] != count {
         tokio::time::sleep(std::time::Duration::from_millis(5)).await;
     }
 }
 
-fn text(from: u64, to: u64) -> String {
+fn answer_text(from: u64, to: u64) -> String {
     (from..to).map(|i| answer_token(PROMPT, i)).collect()
 }
 
 /// Returns the offsets, the text and whether the end mark was there.
 fn read_stream(body: &str) -> (Vec<u64>, String, bool) {
-    let (mut offsets, mut text, mut done) = (Vec::new(), String::new(), false);
+    let (mut offsets, mut answer_text, mut done) = (Vec::new(), String::new(), false);
     for data in body.lines().filter_map(|line| line.strip_prefix("data: ")) {
         if data == "[DONE]" {
             done = true;
         } else if let Ok(chunk) = serde_json::from_str::<serde_json::Value>(data) {
             offsets.push(chunk["offset"].as_u64().unwrap());
-            text.push_str(chunk["choices"][0]["delta"]["content"].as_str().unwrap());
+            answer_text.push_str(chunk["choices"][0]["delta"]["content"].as_str().unwrap());
         }
     }
-    (offsets, text, done)
+    (offsets, answer_text, done)
 }
 
 #[tokio::test]
-async fn whole_answer_is_a_function_of_the_prompt() {
+async fn answer_is_a_function_of_the_prompt() {
     let engine = engine().await;
     let (status, body) = complete(&engine, "a-1", false, "").await.unwrap();
     let body: serde_json::Value = serde_json::from_str(&body).unwrap();
     assert_eq!(status, 200);
     assert_eq!(body["id"], "a-1");
-    assert_eq!(body["choices"][0]["message"]["content"], text(0, TOKENS));
+    assert_eq!(
+        body["choices"][0]["message"]["content"],
+        answer_text(0, TOKENS)
+    );
     assert_eq!(body["usage"]["completion_tokens"], TOKENS);
 }
 
 #[tokio::test]
 async fn stream_resumes_after_the_tokens_sent() {
     let engine = engine().await;
-    let sent = text(0, 2);
+    let sent = answer_text(0, 2);
     let extra = format!(r#","resume":{{"tokens":2,"text":"{sent}"}}"#);
     let (_, body) = complete(&engine, "a-1", true, &extra).await.unwrap();
     assert_eq!(
         read_stream(&body),
-        (vec![2, 3, 4, 5, 6], text(2, TOKENS), true)
+        (vec![2, 3, 4, 5, 6], answer_text(2, TOKENS), true)
     );
 }
 
 #[parameterized(
-    fine = { "ok", &[0, 1, 2, 3, 4, 5, 6], true },
+    no_fault = { "ok", &[0, 1, 2, 3, 4, 5, 6], true },
     duplicated = { "duplicated", &[0, 0, 1, 1, 2, 2, 3, 3, 4, 4, 5, 5, 6], true },
     reordered = { "reordered", &[1, 0, 3, 2, 5, 4, 6], true },
     truncated = { "truncated", &[0, 1], false },
@@ -108,17 +111,17 @@
 #[test_macro(tokio::test)]
 async fn streams_with_faults(mode: &str, offsets: &[u64], done: bool) {
     let engine = engine().await;
-    fault(&engine, &format!(r#"{{"mode":"{mode}","after":2}}"#)).await;
+    set_fault(&engine, &format!(r#"{{"mode":"{mode}","after":2}}"#)).await;
     let (_, body) = complete(&engine, "a-1", true, "").await.unwrap();
-    let (got, _, end) = read_stream(&body);
-    assert_eq!((got.as_slice(), end), (offsets, done));
+    let (received_offsets, _, end) = read_stream(&body);
+    assert_eq!((received_offsets.as_slice(), end), (offsets, done));
     assert_eq!(body.contains("\"id\":\n"), mode == "malformed");
 }
 
 #[tokio::test]
-async fn poison_crashes_the_engine_which_comes_back() {
+async fn a_marked_request_crashes_the_engine_until_it_restarts() {
     let engine = engine().await;
-    fault(
+    set_fault(
         &engine,
         r#"{"mode":"crash-on","marker":"hum","after":3,"ms":50,"count":1}"#,
     )
@@ -135,10 +138,10 @@
 }
 
 #[tokio::test]
-async fn cancel_ends_a_run_and_frees_its_place() {
+async fn cancelling_a_run_frees_its_slot() {
     let engine = engine().await;
-    fault(&engine, r#"{"mode":"slow","ms":3600000,"count":1}"#).await;
-    let hanging = complete(&engine, "a-1", true, "");
+    set_fault(&engine, r#"{"mode":"slow","ms":3600000,"count":1}"#).await;
+    let hanging_request = complete(&engine, "a-1", true, "");
     let cancelling = async {
         let path = "/v1/attempts/a-1";
         while send(engine.address(), Method::DELETE, path, &[], "")
@@ -150,7 +153,7 @@
             tokio::task::yield_now().await;
         }
     };
-    let (hung, ()) = tokio::join!(hanging, cancelling);
+    let (hung, ()) = tokio::join!(hanging_request, cancelling);
     assert!(hung.is_err());
     assert!(complete(&engine, "a-2", true, "").await.is_ok());
 }
@@ -160,7 +163,7 @@
     ignored = { Fencing::Ignored, 200 },
 )]
 #[test_macro(tokio::test)]
-async fn orders_with_an_old_fence(fencing: Fencing, status: u16) {
+async fn orders_with_an_outdated_fencing_number(fencing: Fencing, status: u16) {
     let options = EngineOptions {
         fencing,
         ..EngineOptions::default()
@@ -186,7 +189,7 @@
 }
 
 #[tokio::test]
-async fn cache_events_have_gaps_and_contents_move() {
+async fn cache_events_have_gaps_and_prefixes_can_be_exported() {
     let engine = engine().await;
     let prompt = "x".repeat(256 * 12);
     let body = format!(r#"{{"model":"m","prompt":"{prompt}","max_tokens":1}}"#);
@@ -228,14 +231,14 @@
         let body = format!(r#"{{"model":"m","prompt":"{name}","max_tokens":1}}"#);
         send(address, Method::POST, "/v1/completions", &headers, &body).await
     };
-    fault(&engine, r#"{"mode":"hang","marker":"first"}"#).await;
+    set_fault(&engine, r#"{"mode":"hang","marker":"first"}"#).await;
     let first = tokio::spawn(run("first", "0"));
-    wait_for(&engine, "running", 1).await;
-    fault(&engine, r#"{"mode":"hang","marker":"low"}"#).await;
+    wait_for_load(&engine, "running", 1).await;
+    set_fault(&engine, r#"{"mode":"hang","marker":"low"}"#).await;
     let _low = tokio::spawn(run("low", "1"));
-    wait_for(&engine, "waiting", 1).await;
+    wait_for_load(&engine, "waiting", 1).await;
     let high = tokio::spawn(run("high", "9"));
-    wait_for(&engine, "waiting", 2).await;
+    wait_for_load(&engine, "waiting", 2).await;
     first.abort();
     let high = tokio::time::timeout(std::time::Duration::from_secs(20), high);
     assert_eq!(high.await.unwrap().unwrap().unwrap().0, 200);
--- a/toucanchute_fakes/tests/platform.rs
+++ b/toucanchute_fakes/tests/platform.rs
@@ -26,7 +26,7 @@
     serde_json::from_str(&body).unwrap()
 }
 
-fn cas(revision: u64) -> Value {
+fn compare_and_swap(revision: u64) -> Value {
     json!({
         "compare": [{"key": KEY, "target": "MOD", "result": "EQUAL", "mod_revision": revision.to_string()}],
         "success": [{"request_put": {"key": KEY, "value": VALUE}}],
@@ -38,10 +38,10 @@
 async fn compare_and_swap_succeeds_once() {
     let platform = platform(PlatformOptions::default()).await;
     assert_eq!(
-        call(&platform, "/v3/kv/txn", cas(0)).await["succeeded"],
+        call(&platform, "/v3/kv/txn", compare_and_swap(0)).await["succeeded"],
         true
     );
-    let lost = call(&platform, "/v3/kv/txn", cas(0)).await;
+    let lost = call(&platform, "/v3/kv/txn", compare_and_swap(0)).await;
     assert_eq!(lost["succeeded"], Value::Null);
     let current = &lost["responses"][0]["response_range"]["kvs"][0];
     assert_eq!(
@@ -49,7 +49,7 @@
         (&json!(VALUE), &json!("2"))
     );
     assert_eq!(
-        call(&platform, "/v3/kv/txn", cas(2)).await["header"]["revision"],
+        call(&platform, "/v3/kv/txn", compare_and_swap(2)).await["header"]["revision"],
         "3"
     );
 }
@@ -72,7 +72,7 @@
 }
 
 #[tokio::test]
-async fn lapsed_lease_deletes_its_keys() {
+async fn expired_lease_deletes_its_keys() {
     let platform = platform(PlatformOptions::default()).await;
     let lease = call(&platform, "/v3/lease/grant", json!({"TTL": "1"})).await;
     let put = json!({"key": KEY, "value": VALUE, "lease": lease["ID"]});
@@ -125,11 +125,11 @@
 }
 
 #[parameterized(
-    lagging = { 3_600_000, 0 },
-    prompt = { 0, 1 },
+    delayed = { 3_600_000, 0 },
+    immediate = { 0, 1 },
 )]
 #[test_macro(tokio::test)]
-async fn host_list_lags(host_lag_ms: u64, version: u64) {
+async fn host_list_changes_are_delayed(host_lag_ms: u64, version: u64) {
     let platform = platform(PlatformOptions {
         host_lag_ms,
         ..PlatformOptions::default()
@@ -148,7 +148,7 @@
 }
 
 #[tokio::test]
-async fn weights_have_their_size() {
+async fn weights_are_served_with_their_size() {
     let sizes = [("m".to_owned(), 100_000)].into();
     let weights = WeightOptions {
         sizes,
--- a/toucanchute_fakes/tests/service.rs
+++ b/toucanchute_fakes/tests/service.rs
@@ -9,7 +9,7 @@
 use yare::parameterized;
 
 #[parameterized(
-    fine = { "ok", true, 1 },
+    no_fault = { "ok", true, 1 },
     lost_answer = { "lose-answers", false, 1 },
     refused = { "refuse", true, 0 },
     crash_after_the_run = { "crash", false, 1 },
