--- a/toucanchute_fakes/src/bin/toucanchute-fake-engine.rs
+++ b/toucanchute_fakes/src/bin/toucanchute-fake-engine.rs
@@ -1,4 +1,4 @@
-//! Stand-in engine as a process.
+//! Fake model engine as a process.
 
 use std::process::ExitCode;
 
--- a/toucanchute_fakes/src/bin/toucanchute-fake-platform.rs
+++ b/toucanchute_fakes/src/bin/toucanchute-fake-platform.rs
@@ -1,4 +1,4 @@
-//! Stand-in platform as a process.
+//! Fake platform as a process.
 
 use std::process::ExitCode;
 
--- a/toucanchute_fakes/src/bin/toucanchute-fake-service.rs
+++ b/toucanchute_fakes/src/bin/toucanchute-fake-service.rs
@@ -1,4 +1,4 @@
-//! Stand-in service as a process.
+//! Fake service as a process.
 
 use std::process::ExitCode;
 
--- a/toucanchute_fakes/src/cli.rs
+++ b/toucanchute_fakes/src/cli.rs
@@ -1,4 +1,4 @@
-//! Command lines of the stand-ins' binaries.
+//! Command lines of the fakes' binaries.
 
 use std::{
     error::Error, fmt::Display, future::pending, io, net::SocketAddr, path::PathBuf,
@@ -13,33 +13,33 @@
     WeightOptions,
 };
 
-/// Exit code of a process that could not start.
+/// Exit code if the process could not start.
 const EXIT_START_FAILED: u8 = 1;
 
-/// Runs the stand-in platform's binary.
+/// Runs the binary of the fake platform.
 #[must_use]
 pub fn platform_main() -> ExitCode {
     let defaults = PlatformOptions::default();
     let cmd = command("toucanchute-fake-platform", "platform")
-        .about("Stand-in for the platform's key-value service, host list and weight store")
+        .about("Fake of the platform's key-value service, host list and weight store")
         .arg(number_arg(
             "max-value-bytes",
-            "Largest value",
+            "Maximum size of a value, in bytes",
             defaults.max_value_bytes,
         ))
         .arg(number_arg(
             "host-lag-ms",
-            "Time until a change of the host list is seen",
+            "Delay until a change of the host list is visible, in milliseconds",
             defaults.host_lag_ms,
         ))
         .arg(number_arg(
             "writes-per-second",
-            "Limit on writes, 0 for none",
+            "Maximum number of writes per second; 0 for no limit",
             defaults.writes_per_second,
         ))
         .arg(number_arg(
             "reads-per-second",
-            "Limit on reads, 0 for none",
+            "Maximum number of reads per second; 0 for no limit",
             defaults.reads_per_second,
         ));
     let matches = cmd.get_matches();
@@ -67,75 +67,79 @@
     })
 }
 
-/// Runs the stand-in engine's binary.
+/// Runs the binary of the fake model engine.
 #[must_use]
 pub fn engine_main() -> ExitCode {
     let defaults = EngineOptions::default();
     let cmd = command("toucanchute-fake-engine", "engine")
-        .about("Stand-in for a model engine")
+        .about("Fake of a model engine")
         .arg(
             Arg::new("model")
                 .long("model")
                 .value_name("NAME")
                 .action(clap::ArgAction::Append)
-                .help("Model that is served; any if none is given"),
+                .help("Model to serve; all models if none is given"),
         )
         .arg(
             Arg::new("fencing")
                 .long("fencing")
                 .value_parser(PossibleValuesParser::new(["checked", "ignored"]))
                 .default_value("checked")
-                .help("Whether orders with an old fencing number are refused"),
+                .help("Whether orders with an outdated fencing number are refused"),
         )
         .arg(number_arg(
             "first-token-ms",
-            "Time to the first token",
+            "Time to the first token, in milliseconds",
             defaults.first_token_ms,
         ))
         .arg(number_arg(
             "block-ms",
-            "Time added by each prompt block not cached",
+            "Additional time for each prompt block that is not cached, in milliseconds",
             defaults.block_ms,
         ))
         .arg(number_arg(
             "token-ms",
-            "Time between tokens",
+            "Time between tokens, in milliseconds",
             defaults.token_ms,
         ))
         .arg(number_arg(
             "capacity",
-            "Runs at the same time",
+            "Maximum number of concurrent runs",
             defaults.capacity,
         ))
-        .arg(number_arg("queue", "Runs that may wait", defaults.queue))
+        .arg(number_arg(
+            "queue",
+            "Maximum number of waiting runs",
+            defaults.queue,
+        ))
         .arg(number_arg(
             "max-tokens",
-            "Longest answer",
+            "Maximum length of an answer, in tokens",
             defaults.max_tokens,
         ))
         .arg(number_arg(
             "answer-tokens",
-            "Mean length of an answer",
+            "Mean length of an answer, in tokens",
             defaults.answer_tokens,
         ))
         .arg(number_arg(
             "cache-blocks",
-            "Prompt blocks that the cache holds",
+            "Capacity of the cache, in prompt blocks",
             defaults.cache_blocks,
         ))
         .arg(number_arg(
             "load-lag-ms",
-            "Age of load reports",
+            "Age of load reports, in milliseconds",
             defaults.load_lag_ms,
         ))
         .arg(number_arg(
             "event-lag-ms",
-            "Time until a cache event is seen",
+            "Delay until a cache event is visible, in milliseconds",
             defaults.event_lag_ms,
         ))
         .arg(number_arg(
             "event-gap",
-            "Loses each event of a multiple of this, 0 for none",
+            "Drops each cache event whose number is a multiple of this; 0 drops none",
             defaults.event_gap,
         ));
     let matches = cmd.get_matches();
@@ -167,15 +171,15 @@
     })
 }
 
-/// Runs the stand-in plain service's binary.
+/// Runs the binary of the fake service.
 #[must_use]
 pub fn service_main() -> ExitCode {
     let defaults = ServiceOptions::default();
     let cmd = command("toucanchute-fake-service", "service")
-        .about("Stand-in for a plain service such as booking")
+        .about("Fake of a service such as booking")
         .arg(number_arg(
             "work-ms",
-            "Time that a call takes",
+            "Duration of a call, in milliseconds",
             defaults.work_ms,
         ));
     let matches = cmd.get_matches();
@@ -193,21 +197,21 @@
 fn command(command: &'static str, default_name: &'static str) -> Command {
     Command::new(command)
         .version(clap::crate_version!())
-        .after_help("Exit codes: 0 stopped, 1 could not start, 2 bad command line.")
+        .after_help("Exit codes: 0 stopped, 1 failed to start, 2 invalid command line.")
         .arg(
             Arg::new("listen")
                 .long("listen")
                 .value_name("IP:PORT")
                 .value_parser(value_parser!(SocketAddr))
                 .required(true)
-                .help("Address to listen at; port 0 takes a free one"),
+                .help("Address to listen on; port 0 selects a free port"),
         )
         .arg(
             Arg::new("name")
                 .long("name")
                 .value_name("NAME")
                 .default_value(default_name)
-                .help("Host name that log lines carry"),
+                .help("Host name in log lines"),
         )
         .arg(
             Arg::new("log-file")
@@ -234,7 +238,7 @@
     matches.get_one("name").cloned().unwrap_or_default()
 }
 
-/// Installs the log, starts a server and runs until the process is ended.
+/// Installs the log, starts a server and runs it until the process is killed.
 fn run_server<S>(
     matches: &ArgMatches,
     process: &str,
@@ -260,7 +264,7 @@
     }
     log_builder.install()?;
     let Some(&listen) = matches.get_one::<SocketAddr>("listen") else {
-        return Err("--listen is missing".into());
+        return Err("--listen is required".into());
     };
     let rt = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
--- a/toucanchute_fakes/src/engine.rs
+++ b/toucanchute_fakes/src/engine.rs
@@ -40,40 +40,40 @@
     server::{Crash, Handler, Server},
 };
 
-/// Header that carries the attempt's priority.
+/// Header with the priority of the attempt.
 const PRIORITY_HEADER: &str = "toucanchute-priority";
 
-/// Options of a stand-in model engine.
+/// Options of a fake model engine.
 #[derive(Clone, Debug)]
 pub struct EngineOptions {
-    /// Name that log lines carry.
+    /// Name of the engine.
     pub name: String,
-    /// Models that are served; any if empty.
+    /// Models that are served; all if empty.
     pub models: Vec<String>,
-    /// Time to the first token of a prompt without whole blocks, in milliseconds.
+    /// Time to the first token of a prompt that is shorter than a block, in milliseconds.
     pub first_token_ms: u64,
     /// Time added to the first token by each block of the prompt that is not cached, in
     /// milliseconds.
     pub block_ms: u64,
     /// Time between tokens, in milliseconds.
     pub token_ms: u64,
-    /// Runs at the same time.
+    /// Maximum number of concurrent runs.
     pub capacity: usize,
-    /// Runs that may wait for a place.
+    /// Maximum number of waiting runs.
     pub queue: usize,
-    /// Longest answer, in tokens.
+    /// Maximum length of an answer, in tokens.
     pub max_tokens: u64,
-    /// Mean length of an answer that is not cut, in tokens.
+    /// Mean length of an answer that is not truncated, in tokens.
     pub answer_tokens: u64,
-    /// Prompt blocks that the cache holds.
+    /// Capacity of the cache, in prompt blocks.
     pub cache_blocks: usize,
     /// Age of load reports, in milliseconds.
     pub load_lag_ms: u64,
-    /// Time until a cache event is seen, in milliseconds.
+    /// Delay until a cache event is visible, in milliseconds.
     pub event_lag_ms: u64,
-    /// Each event whose number is a multiple of this is lost; zero for none.
+    /// Each cache event whose number is a multiple of this is dropped; zero drops none.
     pub event_gap: u64,
-    /// Whether orders with an old fencing number are refused.
+    /// Whether orders with an outdated fencing number are refused.
     pub fencing: Fencing,
 }
 
@@ -98,27 +98,28 @@
     }
 }
 
-/// A stand-in for a model engine with OpenAI's completions, whole and streamed.
+/// A fake model engine with OpenAI's completions API, streamed or not.
 ///
 /// Token `i` of an answer is [`answer_token`]`(prompt, i)`. A streamed answer has a chunk for each
-/// token, then one without text that carries `finish_reason` and `usage`, then `[DONE]`. With
-/// `resume`, `max_tokens` and `usage` still count the whole answer.
+/// token, then one without text that holds `finish_reason` and `usage`, then `[DONE]`. With
+/// `resume`, `max_tokens` and `usage` still refer to the complete answer.
 ///
-/// `POST /fault` takes `{"mode","ms","count","marker","after"}`: `ok`; `slow` (`ms` more a token);
-/// `hang`, `truncated` and `malformed` (after `after` tokens); `wrong-attempt`, `duplicated` and
-/// `reordered` chunks; `refuse`; `crash` (at once, for `ms`); `crash-on` (after `after` tokens of a
-/// request whose body holds `marker`). `GET /stats` counts runs.
+/// `POST /fault` takes `{"mode","ms","count","marker","after"}`. Modes are `ok`; `slow` (`ms` more
+/// for each token); `hang`, `truncated` and `malformed` (after `after` tokens); `wrong-attempt`,
+/// `duplicated` and `reordered` chunks; `refuse`; `crash` (immediately, for `ms`); `crash-on`
+/// (after `after` tokens of a request whose body contains `marker`). `GET /stats` returns counters
+/// of runs.
 #[derive(Debug)]
 pub struct Engine {
     server: Server,
 }
 
 impl Engine {
-    /// Starts an engine that listens at `address`.
+    /// Starts an engine that listens on `address`.
     ///
     /// # Errors
     ///
-    /// Fails if the address cannot be listened at.
+    /// Fails if the engine cannot listen on the address.
     pub async fn bind(address: SocketAddr, options: EngineOptions) -> io::Result<Engine> {
         let crash = Crash::new();
         let shared = Arc::new(Shared::new(options, crash.clone()));
@@ -126,14 +127,14 @@
         Ok(Engine { server })
     }
 
-    /// Returns the address that the engine listens at.
+    /// Returns the address on which the engine listens.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
         self.server.address()
     }
 }
 
-/// What the connections share.
+/// State that the connections share.
 #[derive(Debug)]
 struct Shared {
     options: EngineOptions,
@@ -184,7 +185,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Notes the present load for later reports.
+    /// Records the current load for later reports.
     fn record_load(&self) {
         let (running, waiting) = self.run_queue.counts();
         let mut state = self.state();
@@ -337,7 +338,7 @@
     }
 }
 
-/// Waits without end; the connection's end ends it.
+/// Never returns. The future is dropped when the connection ends.
 async fn hang_forever() -> Abort {
     loop {
         sleep(Duration::from_secs(3600)).await;
--- a/toucanchute_fakes/src/engine/answer.rs
+++ b/toucanchute_fakes/src/engine/answer.rs
@@ -1,18 +1,18 @@
-//! Text of answers, which is a function of the prompt alone.
+//! Text of answers, which is determined by the prompt.
 
 use serde::Serialize;
 
 use super::request::Api;
 
-/// Bytes of a prompt that count as one token.
+/// Number of bytes of a prompt that count as one token.
 const BYTES_PER_TOKEN: u64 = 4;
 const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
 const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
 
-/// Returns the text that marks each token of the answer to `prompt`: its 64-bit FNV-1a hash as 16
-/// hexadecimal digits.
+/// Returns the text with which each token of the answer to `prompt` begins: the 64-bit FNV-1a hash
+/// of the prompt as 16 hexadecimal digits.
 ///
-/// The prompt of a chat is the contents of its messages, joined by line feeds.
+/// The prompt of a chat consists of the contents of its messages, joined by line feeds.
 #[must_use]
 pub fn answer_tag(prompt: &str) -> String {
     format!("{:016x}", hash(prompt))
@@ -30,13 +30,14 @@
     format!("{}.{i} ", answer_tag(prompt))
 }
 
-/// Returns the number of tokens that `prompt` counts as: one for each 4 bytes begun, at least one.
+/// Returns the number of tokens of `prompt`: its length in bytes divided by 4, rounded up, and at
+/// least one.
 #[must_use]
 pub fn prompt_tokens(prompt: &str) -> u64 {
     (prompt.len() as u64).div_ceil(BYTES_PER_TOKEN).max(1)
 }
 
-/// Returns the length of the answer to `prompt` that is not cut, in tokens.
+/// Returns the length of the answer to `prompt` if it is not truncated, in tokens.
 pub(super) fn natural_tokens(prompt: &str, mean: u64) -> u64 {
     let mean = mean.max(1);
     mean.div_ceil(2) + hash(prompt) % mean
@@ -47,7 +48,7 @@
     prompt.as_bytes().iter().fold(FNV_OFFSET, add_byte)
 }
 
-/// Why an answer ended.
+/// Reason for the end of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub(super) enum FinishReason {
@@ -55,7 +56,7 @@
     Length,
 }
 
-/// Tokens of a whole answer.
+/// Numbers of tokens of a complete answer and its prompt.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub(super) struct Usage {
     pub(super) prompt_tokens: u64,
@@ -63,14 +64,14 @@
     pub(super) total_tokens: u64,
 }
 
-/// A whole answer or a chunk of a streamed one.
+/// A complete answer, or a chunk of a streamed answer.
 #[derive(Debug, Serialize)]
 pub(super) struct CompletionBody<'a> {
     id: &'a str,
     object: &'static str,
     created: u64,
     model: &'a str,
-    /// Tokens before the text.
+    /// Number of tokens before the text.
     offset: u64,
     choices: [Choice<'a>; 1],
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -101,7 +102,7 @@
 }
 
 impl<'a> CompletionBody<'a> {
-    /// Returns a part of an answer.
+    /// Returns a complete answer or a chunk, without its end.
     pub(super) fn new(
         api: Api,
         streamed: bool,
@@ -134,7 +135,7 @@
         }
     }
 
-    /// Marks the answer's end.
+    /// Sets the end of the answer.
     pub(super) fn finish(mut self, reason: FinishReason, usage: Usage) -> CompletionBody<'a> {
         self.choices[0].finish_reason = Some(reason);
         self.usage = Some(usage);
--- a/toucanchute_fakes/src/engine/batch.rs
+++ b/toucanchute_fakes/src/engine/batch.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::oneshot;
 
-/// Places for runs at the same time, and the queue before them, highest priority first.
+/// Slots for concurrent runs, and the queue of waiting runs, which start in order of priority.
 #[derive(Clone, Debug)]
 pub(super) struct RunQueue(Arc<Mutex<QueueState>>);
 
@@ -15,23 +15,23 @@
     capacity: usize,
     queue: usize,
     running: usize,
-    /// Order of arrival of the latest.
+    /// Number of runs that have arrived so far.
     arrival_count: u64,
     waiting: BTreeMap<(Reverse<u8>, u64), oneshot::Sender<()>>,
 }
 
-/// A place in the queue.
+/// A run that waits for a slot or has one reserved.
 #[derive(Debug)]
 pub(super) struct QueuedRun {
     run_queue: RunQueue,
     key: (Reverse<u8>, u64),
-    /// Resolves when the run may start; `None` if it may at once.
+    /// Resolves when the run may start; `None` if it may start immediately.
     start_signal: Option<oneshot::Receiver<()>>,
-    /// Whether dropping it gives up a place.
+    /// Whether the run has got its [`Slot`], which is released when that is dropped, not this.
     started: bool,
 }
 
-/// A place of a run; dropping it lets the next one start.
+/// A slot of a run. Dropping it lets the next run start.
 #[derive(Debug)]
 pub(super) struct Slot(RunQueue);
 
@@ -50,13 +50,13 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the number of runs and of those waiting.
+    /// Returns the numbers of running and of waiting runs.
     pub(super) fn counts(&self) -> (usize, usize) {
         let places = self.places();
         (places.running, places.waiting.len())
     }
 
-    /// Enters the queue; `None` if it is full.
+    /// Adds a run to the queue. Returns `None` if the queue is full.
     pub(super) fn enqueue(&self, priority: u8) -> Option<QueuedRun> {
         let mut places = self.places();
         places.arrival_count += 1;
@@ -79,7 +79,7 @@
         })
     }
 
-    /// Gives the place of a run that ended to the next in the queue.
+    /// Passes the slot of a run that has ended to the next waiting run.
     fn release_slot(&self) {
         let mut places = self.places();
         while let Some((_, tx)) = places.waiting.pop_first() {
@@ -92,7 +92,7 @@
 }
 
 impl QueuedRun {
-    /// Waits for a place.
+    /// Waits for a slot.
     pub(super) async fn wait(mut self) -> Slot {
         if let Some(start_signal) = &mut self.start_signal {
             let _ = start_signal.await;
@@ -108,7 +108,7 @@
             return;
         }
         let removed = self.run_queue.places().waiting.remove(&self.key);
-        // The place was given to this ticket if it is no longer waiting.
+        // If the run is no longer in the queue, it has a slot.
         if removed.is_none() {
             self.run_queue.release_slot();
         }
--- a/toucanchute_fakes/src/engine/cache.rs
+++ b/toucanchute_fakes/src/engine/cache.rs
@@ -5,19 +5,19 @@
 
 /// Size of a block of a prompt, in bytes.
 const BLOCK_BYTES: usize = 256;
-/// Blocks of a prompt that are cached at most.
+/// Maximum number of blocks of a prompt that are cached.
 const MAX_PROMPT_BLOCKS: usize = 32;
-/// Events kept for readers.
+/// Maximum number of events that are stored for readers.
 const MAX_EVENTS: usize = 4096;
 
-/// Prompt prefixes in limited memory, and the events of their coming and going.
+/// Cache of prompt prefixes with a limited capacity, and the events of stored and evicted prefixes.
 #[derive(Debug)]
 pub(super) struct Cache {
     limit: usize,
     lag_ms: u64,
-    /// Each event whose number is a multiple of this is lost; zero for none.
+    /// Each event whose number is a multiple of this is dropped; zero drops none.
     drop_interval: u64,
-    /// Counts uses, to find the prefix that was not used for longest.
+    /// Number of uses so far, from which the least recently used prefix is determined.
     use_count: u64,
     prefixes: BTreeMap<u64, Prefix>,
     seq: u64,
@@ -27,7 +27,7 @@
 #[derive(Debug)]
 struct Prefix {
     last_used: u64,
-    /// Imported contents; made up if empty.
+    /// Imported contents; if empty, [`Cache::export`] generates them.
     contents: Bytes,
 }
 
@@ -47,7 +47,7 @@
     visible_ms: u64,
 }
 
-/// Events as answered by `GET /v1/cache-events`.
+/// Response to `GET /v1/cache-events`.
 #[derive(Debug, Serialize)]
 pub(super) struct EventPage {
     next: u64,
@@ -67,12 +67,12 @@
         }
     }
 
-    /// Returns the share of the memory that is in use.
+    /// Returns the share of the capacity that is in use, from 0 to 1.
     pub(super) fn used_share(&self) -> f64 {
         self.prefixes.len() as f64 / self.limit as f64
     }
 
-    /// Caches a prompt's blocks and returns how many were not cached before.
+    /// Caches the blocks of a prompt. Returns the number of blocks that were not cached before.
     pub(super) fn cache_prompt(&mut self, now_ms: u64, prompt: &str) -> usize {
         let hashes = prefix_hashes(prompt.as_bytes());
         let cached = hashes
@@ -95,7 +95,7 @@
         })
     }
 
-    /// Caches a prefix.
+    /// Caches a prefix. The contents of a cached prefix are not replaced.
     pub(super) fn import(&mut self, now_ms: u64, prefix: u64, contents: Bytes) {
         self.use_count += 1;
         let last_used = self.use_count;
@@ -143,7 +143,7 @@
         }
     }
 
-    /// Returns the events after number `after` that can be seen.
+    /// Returns the visible events after number `after`.
     pub(super) fn events(&self, now_ms: u64, after: u64) -> EventPage {
         let visible = self.events.iter().filter(|e| e.visible_ms <= now_ms);
         let events: Vec<Event> = visible.filter(|e| e.seq > after).cloned().collect();
@@ -152,7 +152,7 @@
     }
 }
 
-/// Returns the chained hashes of a prompt's leading whole blocks.
+/// Returns the chained hashes of the leading complete blocks of a prompt.
 fn prefix_hashes(prompt: &[u8]) -> Vec<u64> {
     let blocks = prompt.chunks_exact(BLOCK_BYTES).take(MAX_PROMPT_BLOCKS);
     let chain = blocks.scan(0_u64, |previous, block| {
--- a/toucanchute_fakes/src/engine/fault.rs
+++ b/toucanchute_fakes/src/engine/fault.rs
@@ -1,6 +1,6 @@
 use serde::Deserialize;
 
-/// How runs fail.
+/// Kind of a fault of runs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub(super) enum Mode {
@@ -8,38 +8,38 @@
     Ok,
     /// Each token takes longer.
     Slow,
-    /// No token follows.
+    /// The engine sends no further tokens.
     Hang,
-    /// The answer stops without its end mark.
+    /// The answer ends early, without `[DONE]`.
     Truncated,
-    /// A chunk is no JSON.
+    /// A chunk is not valid JSON.
     Malformed,
-    /// Chunks are of another attempt, identifier and text.
+    /// Chunks have the identifier of another attempt and the text of another answer.
     WrongAttempt,
     /// Each chunk is sent twice.
     Duplicated,
-    /// Two chunks swap places.
+    /// Pairs of chunks are swapped.
     Reordered,
     /// Runs are refused before they start.
     Refuse,
-    /// The engine crashes at once.
+    /// The engine crashes immediately.
     Crash,
-    /// The engine crashes on a request whose body holds the marker.
+    /// The engine crashes during a run whose request body contains the marker.
     CrashOn,
 }
 
-/// A fault as set by `POST /fault`.
+/// Body of `POST /fault`.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub(super) struct Fault {
     pub(super) mode: Mode,
-    /// Delay or time until a crashed engine is back, in milliseconds.
+    /// Delay, or time until a crashed engine listens again, in milliseconds.
     pub(super) ms: u64,
-    /// Runs that fail; zero for all.
+    /// Number of runs that fail; zero for all.
     count: u64,
-    /// Only runs whose body holds this text fail; empty for all.
+    /// Only runs whose request body contains this text fail; if empty, all do.
     marker: String,
-    /// Tokens sent before the fault.
+    /// Number of tokens that are sent before the fault.
     pub(super) after: u64,
 }
 
@@ -47,7 +47,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Faults {
     fault: Fault,
-    /// Runs that have failed by this fault.
+    /// Number of runs that this fault has affected.
     failed_runs: u64,
 }
 
@@ -57,7 +57,7 @@
         self.failed_runs = 0;
     }
 
-    /// Returns the fault that a run with this body meets.
+    /// Returns the fault of the next run, whose request body is `body`.
     pub(super) fn next_for(&mut self, body: &[u8]) -> Fault {
         let is_exhausted = self.fault.count > 0 && self.failed_runs >= self.fault.count;
         if is_exhausted || !contains_marker(body, self.fault.marker.as_bytes()) {
--- a/toucanchute_fakes/src/engine/load.rs
+++ b/toucanchute_fakes/src/engine/load.rs
@@ -2,23 +2,23 @@
 
 use serde::Serialize;
 
-/// Load at one time, as answered by `GET /v1/load`.
+/// Load at one time; response to `GET /v1/load`.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub(super) struct Load {
     running: usize,
     waiting: usize,
     capacity: usize,
-    /// Share of the cache's memory in use, from 0 to 1.
+    /// Used share of the cache, from 0 to 1.
     kv_used: f64,
     as_of_ms: u64,
 }
 
-/// Load reports, which lag.
+/// Load reports, which are delayed.
 #[derive(Debug)]
 pub(super) struct LoadReports {
     lag_ms: u64,
     capacity: usize,
-    /// Loads in ascending order of time; the first is the one reported.
+    /// Loads in ascending order of time; the first one is reported.
     loads: VecDeque<Load>,
 }
 
@@ -46,7 +46,7 @@
         self.drop_outdated(now_ms);
     }
 
-    /// Returns the load as it was before the lag; it held until `as_of_ms`.
+    /// Returns the load as it was `lag_ms` ago, at the time `as_of_ms`.
     pub(super) fn report(&mut self, now_ms: u64) -> Load {
         self.drop_outdated(now_ms);
         let load = self.loads.front().copied().unwrap_or_default();
--- a/toucanchute_fakes/src/engine/orders.rs
+++ b/toucanchute_fakes/src/engine/orders.rs
@@ -6,7 +6,7 @@
 /// Whether an engine checks the fencing numbers of orders.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fencing {
-    /// Orders with an older number than the latest are refused.
+    /// Orders with a smaller number than the greatest so far are refused.
     Checked,
     /// The number is ignored.
     Ignored,
@@ -26,13 +26,13 @@
     fence: u64,
 }
 
-/// Orders taken so far.
+/// State that orders change.
 #[derive(Debug)]
 pub(super) struct Orders {
     fencing: Fencing,
-    /// Greatest fencing number of an order taken; it only rises.
+    /// Greatest fencing number of an accepted order; it never decreases.
     fence: u64,
-    /// Models loaded; any is served if empty.
+    /// Loaded models; if empty, all models are served.
     models: Vec<String>,
 }
 
@@ -53,12 +53,12 @@
         &self.models
     }
 
-    /// Returns the greatest fencing number of an order taken.
+    /// Returns the greatest fencing number of an accepted order.
     pub(super) fn fence(&self) -> u64 {
         self.fence
     }
 
-    /// Answers `POST /v1/orders`.
+    /// Handles `POST /v1/orders`.
     pub(super) fn apply(&mut self, body: &[u8]) -> Reply {
         let order: Order = match reply::parse_json(body) {
             Ok(order) => order,
--- a/toucanchute_fakes/src/engine/request.rs
+++ b/toucanchute_fakes/src/engine/request.rs
@@ -1,9 +1,11 @@
 use serde::Deserialize;
 
-/// Form of a completion.
+/// API by which a completion is requested.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Api {
+    /// `/v1/chat/completions`.
     Chat,
+    /// `/v1/completions`.
     Plain,
 }
 
@@ -13,10 +15,10 @@
     pub(super) api: Api,
     pub(super) model: String,
     pub(super) prompt: String,
-    /// Longest whole answer, in tokens.
+    /// Maximum length of the complete answer, in tokens.
     pub(super) max_tokens: Option<u64>,
     pub(super) stream: bool,
-    /// Tokens that the caller has already.
+    /// Number of tokens that the caller already has.
     pub(super) resume: u64,
 }
 
--- a/toucanchute_fakes/src/engine/run.rs
+++ b/toucanchute_fakes/src/engine/run.rs
@@ -20,30 +20,30 @@
 };
 use crate::reply::{self, Abort, Reply};
 
-/// Identifier that chunks carry in place of their attempt's.
+/// Attempt identifier in chunks of [`Mode::WrongAttempt`].
 const FOREIGN_ATTEMPT: &str = "0000000000000000-0";
-/// Mark of tokens that belong to another prompt's answer.
+/// Tag of the tokens in chunks of [`Mode::WrongAttempt`]; it belongs to no prompt of a test.
 const FOREIGN_TAG: &str = "ffffffffffffffff";
 
-/// One run of a completion, from its place in the batch to its end.
+/// One run of a completion, from the time when it gets a slot.
 pub(super) struct Run {
     shared: Arc<Shared>,
     req: CompletionRequest,
     attempt: String,
     tag: String,
     fault: Fault,
-    /// Next token's number.
+    /// Number of the next token.
     next_token: u64,
-    /// Number of tokens of the whole answer.
+    /// Number of tokens of the complete answer.
     token_count: u64,
     finish_reason: FinishReason,
-    /// Time when the next token is ready.
+    /// Time at which the next token is sent.
     next_token_at: Instant,
     cancelled: watch::Receiver<bool>,
-    /// Chunks to be sent before any token.
+    /// Chunks that are ready to be sent.
     chunks: VecDeque<Bytes>,
     ended: RunState,
-    /// Given back when the run is dropped.
+    /// Released when the run is dropped.
     _slot: Slot,
 }
 
@@ -91,7 +91,7 @@
         }
     }
 
-    /// Runs to the end or starts to stream.
+    /// Returns the complete answer at the end of the run, or a stream that drives the run.
     pub(super) async fn respond(mut self) -> Result<Reply, Abort> {
         let attempt = self.attempt.parse();
         let mut reply = match self.req.stream {
@@ -104,7 +104,7 @@
         Ok(reply)
     }
 
-    // Whole answers
+    // Answers in one piece
 
     async fn full_answer(&mut self) -> Result<Reply, Abort> {
         let offset = self.next_token;
@@ -135,7 +135,7 @@
         reply::streamed("text/event-stream", chunks)
     }
 
-    /// Returns the next chunk, or nothing at the answer's end.
+    /// Returns the next chunk, or `None` at the end of the answer.
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, Abort> {
         if let Some(chunk) = self.chunks.pop_front() {
             return Ok(Some(chunk));
@@ -186,7 +186,7 @@
 
     // Tokens
 
-    /// Generates the next token.
+    /// Waits until the next token is due and returns it.
     async fn generate_token(&mut self) -> Result<String, Abort> {
         let is_fault_due = self.req.resume + self.fault.after <= self.next_token;
         match self.fault.mode {
--- a/toucanchute_fakes/src/lib.rs
+++ b/toucanchute_fakes/src/lib.rs
@@ -1,8 +1,8 @@
-//! Stand-ins for what surrounds toucanchute: the platform, model engines, plain services and the
+//! Fakes of the systems that toucanchute uses: the platform, model engines, other services and the
 //! weight store. They are for tests only and are never shipped.
 //!
-//! Each stand-in runs inside the current process or as a binary, serves HTTP/1.1 and is told to
-//! fail by `POST /fault`:
+//! Each fake runs inside the current process or as a binary, serves HTTP/1.1 and injects the faults
+//! that `POST /fault` sets:
 //!
 //! ```
 //! use toucanchute_fakes::{Engine, EngineOptions};
--- a/toucanchute_fakes/src/platform.rs
+++ b/toucanchute_fakes/src/platform.rs
@@ -31,23 +31,23 @@
     weights::{WeightOptions, WeightStore},
 };
 
-/// Pause between looks for lapsed leases.
+/// Time between two checks for expired leases.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Options of a stand-in platform.
+/// Options of a fake platform.
 #[derive(Clone, Debug)]
 pub struct PlatformOptions {
-    /// Largest value, in bytes.
+    /// Maximum size of a value, in bytes.
     pub max_value_bytes: usize,
-    /// Changes that a watch can still be told of later.
+    /// Number of past changes that are stored for new watches.
     pub history: usize,
-    /// Time until a change of the host list is seen, in milliseconds.
+    /// Delay until a change of the host list is visible, in milliseconds.
     pub host_lag_ms: u64,
-    /// Writes admitted in a second; zero for no limit.
+    /// Maximum number of writes per second; zero for no limit.
     pub writes_per_second: u32,
-    /// Reads admitted in a second; zero for no limit.
+    /// Maximum number of reads per second; zero for no limit.
     pub reads_per_second: u32,
-    /// The weight store that shares the platform's address.
+    /// Options of the weight store, which is served on the same address.
     pub weights: WeightOptions,
 }
 
@@ -64,12 +64,13 @@
     }
 }
 
-/// A stand-in for the platform: key-value service, host list and weight store.
+/// A fake platform: key-value service, host list and weight store.
 ///
-/// It speaks etcd v3's JSON mapping under `/v3/`. The host list is read at `GET /v1/hosts` and set
-/// by an operator at `PUT /v1/hosts`. `POST /fault` takes
+/// It serves the JSON mapping of etcd v3 under `/v3/`. `GET /v1/hosts` returns the host list, which
+/// operators set by `PUT /v1/hosts`. `POST /fault` takes
 /// `{"mode":"ok"|"down"|"slow"|"lose-answers"|"refuse","ms":N,"count":N,"path":"/v3/kv/put"}`: a
-/// fault of `count` requests (0: all), at paths that start with `path`. `GET /stats` counts calls.
+/// fault of `count` requests (0: all) to paths that start with `path`. `GET /stats` returns
+/// counters of calls.
 #[derive(Debug)]
 pub struct Platform {
     server: Server,
@@ -77,11 +78,11 @@
 }
 
 impl Platform {
-    /// Starts a platform that listens at `address`.
+    /// Starts a platform that listens on `address`.
     ///
     /// # Errors
     ///
-    /// Fails if the address cannot be listened at.
+    /// Fails if the platform cannot listen on the address.
     pub async fn bind(address: SocketAddr, options: PlatformOptions) -> io::Result<Platform> {
         let shared = Arc::new(Shared::new(options));
         let server = Server::bind(address, Arc::clone(&shared), Crash::new()).await?;
@@ -89,7 +90,7 @@
         Ok(Platform { server, expiry })
     }
 
-    /// Returns the address that the platform listens at.
+    /// Returns the address on which the platform listens.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
         self.server.address()
@@ -102,13 +103,13 @@
     }
 }
 
-/// What the connections share.
+/// State that the connections share.
 #[derive(Debug)]
 struct Shared {
     state: Mutex<State>,
-    /// Revision of the tree's latest change.
+    /// Revision of the latest change of the key-value store.
     revision: channel::Sender<i64>,
-    /// Number of outages so far; open watches end when it changes.
+    /// Number of outages so far. Open watches end when it changes.
     outages: channel::Sender<u64>,
 }
 
@@ -143,7 +144,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Applies `f` to the tree and wakes the watches.
+    /// Applies `f` to the key-value store and wakes the watches.
     fn update<T>(&self, f: impl FnOnce(&mut KvStore) -> T) -> T {
         let mut state = self.state();
         let result = f(&mut state.kv);
@@ -247,7 +248,7 @@
     }
 }
 
-/// Parses a request, runs it and encodes its answer.
+/// Parses a request, runs it and encodes its response.
 fn json_call<Q: DeserializeOwned, A: Serialize>(
     body: &[u8],
     run: impl FnOnce(Q) -> Result<A, Rejection>,
@@ -276,7 +277,7 @@
     }
 }
 
-/// Returns an error in etcd's form; `code` is gRPC's.
+/// Returns an error in the format of etcd. `code` is a gRPC status code.
 fn etcd_error(status: StatusCode, code: u32, message: &str) -> Reply {
     let body = serde_json::json!({ "error": message, "code": code, "message": message });
     reply::json(status, &body)
--- a/toucanchute_fakes/src/platform/fault.rs
+++ b/toucanchute_fakes/src/platform/fault.rs
@@ -2,7 +2,7 @@
 
 use serde::Deserialize;
 
-/// How requests fail.
+/// Kind of a fault of requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 enum Mode {
@@ -10,7 +10,7 @@
     Ok,
     /// Connections are closed before anything is applied.
     Down,
-    /// Requests wait before they are applied.
+    /// Requests are delayed before they are applied.
     Slow,
     /// Requests are applied, then their connections are closed.
     LoseAnswers,
@@ -18,27 +18,27 @@
     Refuse,
 }
 
-/// A fault as set by `POST /fault`.
+/// Body of `POST /fault`.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub(crate) struct Fault {
     mode: Mode,
     /// Delay in milliseconds.
     ms: u64,
-    /// Requests that fail; zero for all.
+    /// Number of requests that fail; zero for all.
     count: u64,
-    /// Start of the paths that fail; empty for all.
+    /// Prefix of the paths that fail; empty for all.
     path: String,
 }
 
 impl Fault {
-    /// Whether open watches end when the fault is set.
+    /// Returns whether open watches end when the fault is set.
     pub(crate) fn ends_watches(&self) -> bool {
         self.mode == Mode::Down && (self.path.is_empty() || "/v3/watch".starts_with(&self.path))
     }
 }
 
-/// What becomes of a request.
+/// Effect of the fault in force on a request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Effect {
     Pass,
@@ -52,7 +52,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Faults {
     fault: Fault,
-    /// Requests that have failed by this fault.
+    /// Number of requests that this fault has affected.
     failed_requests: u64,
 }
 
--- a/toucanchute_fakes/src/platform/hosts.rs
+++ b/toucanchute_fakes/src/platform/hosts.rs
@@ -28,18 +28,19 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub(crate) struct HostList {
-    /// Rises with each change; set by the stand-in.
+    /// Increases with each change; set by the fake platform.
     version: u64,
     pub(crate) hosts: Vec<Host>,
 }
 
-/// The host list, whose changes are seen late.
+/// The host list, whose changes become visible after a delay.
 #[derive(Debug)]
 pub(crate) struct Hosts {
     lag_ms: u64,
     version: u64,
     visible: HostList,
-    /// Changes not seen yet and the times when they are, in ascending order.
+    /// Changes that are not visible yet, and the times at which they become visible, in ascending
+    /// order.
     pending: VecDeque<(u64, HostList)>,
 }
 
--- a/toucanchute_fakes/src/platform/stats.rs
+++ b/toucanchute_fakes/src/platform/stats.rs
@@ -3,7 +3,7 @@
 use http::Method;
 use serde::Serialize;
 
-/// Kinds of calls that are counted.
+/// Kind of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum CallKind {
@@ -18,7 +18,7 @@
     Hosts,
     Weights,
     Other,
-    /// An operator's change, which is not counted.
+    /// A change by an operator, which is not counted.
     OperatorWrite,
 }
 
@@ -57,7 +57,7 @@
     }
 }
 
-/// Counts of calls, and the limits on their rates.
+/// Counters of calls, and their rate limits.
 #[derive(Debug)]
 pub(crate) struct Stats {
     calls: BTreeMap<CallKind, u64>,
@@ -68,7 +68,7 @@
     reads: RateWindow,
 }
 
-/// Counts as answered by `GET /stats`.
+/// Response to `GET /stats`.
 #[derive(Debug, Serialize)]
 pub(crate) struct Report<'a> {
     calls: &'a BTreeMap<CallKind, u64>,
@@ -119,10 +119,10 @@
     }
 }
 
-/// Calls within the current second.
+/// Rate limit and number of calls in the current second.
 #[derive(Debug)]
 struct RateWindow {
-    /// Calls admitted in a second; zero for no limit.
+    /// Maximum number of calls per second; zero for no limit.
     limit: u32,
     second: u64,
     admitted_calls: u32,
--- a/toucanchute_fakes/src/platform/tree.rs
+++ b/toucanchute_fakes/src/platform/tree.rs
@@ -9,7 +9,7 @@
     RangeResponse, RequestOp, ResponseOp, TxnRequest, TxnResponse,
 };
 
-/// Why a request changed nothing.
+/// Reason for which a request was rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Rejection {
     ValueTooLarge,
@@ -17,16 +17,16 @@
     EmptyKey,
 }
 
-/// Versioned keys and values, with leases.
+/// Versioned keys and values, with leases and a history of changes.
 #[derive(Debug)]
 pub(crate) struct KvStore {
     kvs: BTreeMap<Vec<u8>, KeyValue>,
     leases: BTreeMap<i64, Lease>,
-    /// Revision of the latest change; it only rises.
+    /// Revision of the latest change; it never decreases.
     revision: i64,
     /// Latest changes in ascending order of revision.
     history: VecDeque<Event>,
-    /// Every event of a later revision is still in `history`.
+    /// Greatest revision of which events have been removed from `history`; later events are in it.
     compacted: i64,
     next_lease: i64,
     max_value_bytes: usize,
@@ -236,8 +236,8 @@
         }
     }
 
-    /// Returns the changes in a range of keys from revision `start` on, or the revision up to
-    /// which changes were forgotten.
+    /// Returns the changes in a range of keys from revision `start` on. Fails with the revision up
+    /// to which the history has been removed if `start` is not after it.
     pub(crate) fn events(&self, key: &Blob, end: &Blob, start: i64) -> Result<Vec<Event>, i64> {
         if start <= self.compacted {
             return Err(self.compacted);
@@ -266,7 +266,7 @@
         }
     }
 
-    /// Extends a lease; the answer's TTL is zero if it has lapsed.
+    /// Extends a lease. The TTL in the response is zero if the lease has expired.
     pub(crate) fn keep_alive(&mut self, now_ms: u64, id: i64) -> LeaseResponse {
         let lease = self.leases.get_mut(&id);
         let ttl = lease.map_or(0, |lease| {
@@ -280,7 +280,7 @@
         }
     }
 
-    /// Ends a lease and deletes its keys.
+    /// Revokes a lease and deletes its keys.
     pub(crate) fn revoke(&mut self, id: i64) -> Result<LeaseResponse, Rejection> {
         if self.leases.remove(&id).is_none() {
             return Err(Rejection::LeaseNotFound);
@@ -300,13 +300,13 @@
         })
     }
 
-    /// Ends the leases that have lapsed; returns whether there were any.
+    /// Revokes the expired leases. Returns whether there were any.
     pub(crate) fn expire(&mut self, now_ms: u64) -> bool {
-        let lapsed = self
+        let expired = self
             .leases
             .iter()
             .filter(|(_, lease)| lease.expires_ms <= now_ms);
-        let ids: Vec<i64> = lapsed.map(|(&id, _)| id).collect();
+        let ids: Vec<i64> = expired.map(|(&id, _)| id).collect();
         for &id in &ids {
             let _ = self.revoke(id);
         }
@@ -314,7 +314,7 @@
     }
 }
 
-/// Returns the bounds of etcd's `key` and `range_end`.
+/// Returns the bounds of the range that etcd's `key` and `range_end` describe.
 fn bounds<'a>(key: &'a Blob, end: &'a Blob) -> (Bound<&'a [u8]>, Bound<&'a [u8]>) {
     let start = key.0.as_slice();
     match end.0.as_slice() {
--- a/toucanchute_fakes/src/platform/watch.rs
+++ b/toucanchute_fakes/src/platform/watch.rs
@@ -10,7 +10,7 @@
 };
 use crate::reply::{self, Reply};
 
-/// Time without a change after which a watch is told of its progress.
+/// Time without a change after which a watch sends a progress notification.
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(2);
 
 /// One open watch.
@@ -19,17 +19,17 @@
     key: Blob,
     range_end: Blob,
     progress_notify: bool,
-    /// First revision that has not been sent.
+    /// First revision whose changes have not been sent.
     next_revision: i64,
     revision: channel::Receiver<i64>,
     outages: channel::Receiver<u64>,
-    /// Lines to be sent before any change.
+    /// Lines that are ready to be sent.
     queued_lines: VecDeque<Bytes>,
-    /// No line follows those in `ready`.
+    /// Whether the watch ends after the lines in `queued_lines`.
     ended: bool,
 }
 
-/// Answers a request for a watch by a stream of lines.
+/// Opens a watch, whose response is a stream of lines.
 pub(super) fn open(shared: Arc<Shared>, body: &[u8]) -> Reply {
     let req = match reply::parse_json::<WatchRequest>(body) {
         Ok(req) => req.create_request,
@@ -71,7 +71,7 @@
         }));
     }
 
-    /// Returns the next line, or nothing at the watch's end.
+    /// Returns the next line, or `None` at the end of the watch.
     async fn next_line(&mut self) -> Option<Bytes> {
         loop {
             if let Some(line) = self.queued_lines.pop_front() {
@@ -89,7 +89,7 @@
         }
     }
 
-    /// Encodes the changes since the last line.
+    /// Queues a line with the changes since the last line, if there are any.
     fn queue_changes(&mut self) {
         let state = self.shared.state();
         let header = state.kv.header();
@@ -114,7 +114,7 @@
         }
     }
 
-    /// Waits for a change; prepares a report of progress if none comes.
+    /// Waits for a change. Queues a progress notification if there is none for a while.
     async fn wait_for_change(&mut self) {
         tokio::select! {
             changed = timeout(PROGRESS_INTERVAL, self.revision.changed()) => {
--- a/toucanchute_fakes/src/platform/wire.rs
+++ b/toucanchute_fakes/src/platform/wire.rs
@@ -1,9 +1,9 @@
-//! Messages of etcd v3's JSON mapping: bytes are base64, 64-bit numbers are strings.
+//! Messages of the JSON mapping of etcd v3: bytes are base64, 64-bit integers are strings.
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 
-/// Bytes, as base64 text.
+/// Bytes, encoded in base64.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Blob(pub(crate) Vec<u8>);
 
@@ -29,7 +29,7 @@
     }
 }
 
-/// A 64-bit number, as text; a plain number is read as well.
+/// A 64-bit integer, encoded as a string; a JSON number is accepted as well.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Int64(pub(crate) i64);
 
@@ -259,7 +259,7 @@
     pub(crate) events: Vec<Event>,
 }
 
-/// One line of a streamed answer.
+/// One line of a streamed response.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct Streamed<T> {
     pub(crate) result: T,
--- a/toucanchute_fakes/src/reply.rs
+++ b/toucanchute_fakes/src/reply.rs
@@ -1,4 +1,4 @@
-//! Building blocks of requests and replies.
+//! Functions to read requests and to create replies.
 
 use std::io;
 
@@ -9,23 +9,23 @@
 use hyper::body::{Frame, Incoming};
 use serde::{Serialize, de::DeserializeOwned};
 
-/// Header that carries the attempt's identifier.
+/// Header with the identifier of the attempt.
 pub(crate) const ATTEMPT_HEADER: &str = "toucanchute-attempt";
 /// Header of a reply that states the outcome of its attempt.
 const OUTCOME_HEADER: &str = "toucanchute-outcome";
-/// Longest request body that a stand-in reads, in bytes.
+/// Maximum size of a request body, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
 pub(crate) type Body = UnsyncBoxBody<Bytes, io::Error>;
 pub(crate) type Reply = Response<Body>;
 
-/// The connection is to be closed without a reply.
+/// Closes the connection without a complete reply.
 #[derive(Debug)]
 pub(crate) struct Abort;
 
 impl std::fmt::Display for Abort {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the connection was closed on purpose")
+        f.write_str("connection closed by an injected fault")
     }
 }
 
@@ -53,7 +53,7 @@
     reply
 }
 
-/// Returns a reply with a whole body.
+/// Returns a reply whose body is sent at once.
 pub(crate) fn full(status: StatusCode, content_type: &str, body: Bytes) -> Reply {
     let body = Full::new(body)
         .map_err(|never| match never {})
@@ -61,7 +61,7 @@
     reply(status, content_type, body)
 }
 
-/// Returns a reply whose body is sent as it comes; an error closes the connection.
+/// Returns a reply whose body is streamed. An error closes the connection.
 pub(crate) fn streamed(
     content_type: &str,
     chunks: impl Stream<Item = io::Result<Bytes>> + Send + 'static,
@@ -84,21 +84,21 @@
     reply
 }
 
-/// Reads a request's whole body.
+/// Reads the complete body of a request.
 pub(crate) async fn read_body(req: Request<Incoming>) -> Result<Bytes, Abort> {
     let body = http_body_util::Limited::new(req.into_body(), MAX_BODY_BYTES);
     let collected = body.collect().await.map_err(|_| Abort)?;
     Ok(collected.to_bytes())
 }
 
-/// Parses a JSON body; an empty one counts as `{}`.
+/// Parses a JSON body; an empty body is treated as `{}`.
 pub(crate) fn parse_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, Box<Reply>> {
     let body = if body.is_empty() { b"{}" } else { body };
     serde_json::from_slice(body)
         .map_err(|e| Box::new(error(StatusCode::BAD_REQUEST, &e.to_string())))
 }
 
-/// Returns the value of a request header, empty if there is none.
+/// Returns the value of a request header; empty if there is none.
 pub(crate) fn header_text(req: &Request<Incoming>, name: &str) -> String {
     let value = req.headers().get(name).and_then(|v| v.to_str().ok());
     value.unwrap_or_default().to_owned()
--- a/toucanchute_fakes/src/server.rs
+++ b/toucanchute_fakes/src/server.rs
@@ -12,25 +12,25 @@
 
 use crate::reply::{Abort, Reply};
 
-/// Connections that may wait to be accepted.
+/// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
-/// Pause between attempts to listen again at an address that is still taken.
+/// Time between attempts to listen again on an address that is still in use.
 const REBIND_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Answers the requests of one stand-in.
+/// Handles the requests to one fake.
 pub(crate) trait Handler: Send + Sync + 'static {
-    /// Answers `req`; the connection is closed without a reply on an error.
+    /// Returns the reply to `req`. On an error, the connection is closed without a reply.
     fn handle(
         self: Arc<Self>,
         req: Request<Incoming>,
     ) -> impl Future<Output = Result<Reply, Abort>> + Send;
 }
 
-/// Crashes a server: closes each connection and listens again some time later.
+/// Simulates a crash of a server: its connections are closed, and it listens again later.
 #[derive(Clone, Debug)]
 pub(crate) struct Crash(watch::Sender<Outage>);
 
-/// The latest crash that was asked for.
+/// The latest requested crash.
 #[derive(Clone, Copy, Debug, Default)]
 struct Outage {
     /// Number of crashes so far.
@@ -44,7 +44,7 @@
         Crash(watch::Sender::new(Outage::default()))
     }
 
-    /// Closes each connection at once and refuses new ones for `down`.
+    /// Closes all connections immediately and refuses new ones for `downtime`.
     pub(crate) fn trigger(&self, downtime: Duration) {
         self.0.send_modify(|outage| {
             outage.count += 1;
@@ -53,7 +53,7 @@
     }
 }
 
-/// A running HTTP/1.1 server; dropping it closes its connections.
+/// A running HTTP/1.1 server. Dropping it closes its connections.
 #[derive(Debug)]
 pub struct Server {
     address: SocketAddr,
@@ -72,7 +72,7 @@
         Ok(Server { address, task })
     }
 
-    /// Returns the address that the server listens at.
+    /// Returns the address on which the server listens.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -143,7 +143,7 @@
     let _ = http.serve_connection(TokioIo::new(stream), service).await;
 }
 
-/// Raises the log's clock to the sender's, so that causes precede effects in a merged log.
+/// Advances the log's clock to the sender's, so that causes precede effects in a merged log.
 fn observe_clock(req: &Request<Incoming>) {
     let stamp = req.headers().get(toucanchute_log::CLOCK_HEADER);
     let stamp = stamp.and_then(|v| v.to_str().ok()?.parse().ok());
@@ -152,7 +152,7 @@
     }
 }
 
-/// Stamps a reply by the log's clock.
+/// Adds the time of the log's clock to a reply.
 fn stamp_clock(mut reply: Reply) -> Reply {
     if let Ok(stamp) = toucanchute_log::now().to_string().parse() {
         let headers = reply.headers_mut();
--- a/toucanchute_fakes/src/service.rs
+++ b/toucanchute_fakes/src/service.rs
@@ -17,12 +17,12 @@
     server::{Crash, Handler, Server},
 };
 
-/// Options of a stand-in plain service.
+/// Options of a fake service.
 #[derive(Clone, Debug)]
 pub struct ServiceOptions {
-    /// Name that answers carry.
+    /// Name of the service in its responses.
     pub name: String,
-    /// Time that a call takes, in milliseconds.
+    /// Duration of a call, in milliseconds.
     pub work_ms: u64,
 }
 
@@ -35,23 +35,23 @@
     }
 }
 
-/// A stand-in for a plain service such as booking.
+/// A fake service, such as booking.
 ///
-/// It runs a call at any path and answers `{"service","path","key","attempt","run"}`, `run` being
-/// the number of the run under that idempotency key. `POST /fault` takes
+/// A request to any other path is a call, which returns `{"service","path","key","attempt","run"}`;
+/// `run` is the number of the run under that idempotency key. `POST /fault` takes
 /// `{"mode":"ok"|"slow"|"slow-after"|"lose-answers"|"refuse"|"crash"|"crash-before","ms":N,"count":N}`.
-/// `GET /stats` counts runs by key and by attempt.
+/// `GET /stats` returns the numbers of runs by key and by attempt.
 #[derive(Debug)]
 pub struct Service {
     server: Server,
 }
 
 impl Service {
-    /// Starts a service that listens at `address`.
+    /// Starts a service that listens on `address`.
     ///
     /// # Errors
     ///
-    /// Fails if the address cannot be listened at.
+    /// Fails if the service cannot listen on the address.
     pub async fn bind(address: SocketAddr, options: ServiceOptions) -> io::Result<Service> {
         let crash = Crash::new();
         let shared = Arc::new(Shared {
@@ -63,30 +63,30 @@
         Ok(Service { server })
     }
 
-    /// Returns the address that the service listens at.
+    /// Returns the address on which the service listens.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
         self.server.address()
     }
 }
 
-/// How calls fail.
+/// Kind of a fault of calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 enum Mode {
     #[default]
     Ok,
-    /// Calls wait before they run.
+    /// Calls are delayed before they run.
     Slow,
-    /// Calls run and are answered late.
+    /// Calls run, and their responses are delayed.
     SlowAfter,
     /// Calls run, then their connections are closed.
     LoseAnswers,
     /// Calls are refused before they run.
     Refuse,
-    /// The service crashes after the call ran.
+    /// The service crashes after it has run the call.
     Crash,
-    /// The service crashes before the call runs.
+    /// The service crashes before it runs the call.
     CrashBefore,
 }
 
@@ -94,16 +94,16 @@
 #[serde(default, deny_unknown_fields)]
 struct Fault {
     mode: Mode,
-    /// Delay or time until a crashed service is back, in milliseconds.
+    /// Delay, or time until a crashed service listens again, in milliseconds.
     ms: u64,
-    /// Calls that fail; zero for all.
+    /// Number of calls that fail; zero for all.
     count: u64,
 }
 
 #[derive(Debug, Default)]
 struct State {
     fault: Fault,
-    /// Calls that have failed by this fault.
+    /// Number of calls that this fault has affected.
     failed_calls: u64,
     stats: Stats,
 }
@@ -151,7 +151,7 @@
         reply::json(StatusCode::OK, &serde_json::json!({}))
     }
 
-    /// Counts a call and returns the fault that it meets.
+    /// Counts a call and returns its fault.
     fn next_fault(&self) -> Fault {
         let mut state = self.state();
         state.stats.calls += 1;
--- a/toucanchute_fakes/src/weights.rs
+++ b/toucanchute_fakes/src/weights.rs
@@ -7,15 +7,15 @@
 
 use crate::reply::{self, Reply};
 
-/// Size of one piece of an answer, in bytes.
+/// Size of one chunk of a response, in bytes.
 const CHUNK_BYTES: u64 = 64 << 10;
 
-/// Options of a stand-in weight store.
+/// Options of a fake weight store.
 #[derive(Clone, Debug)]
 pub struct WeightOptions {
     /// Sizes of the weights by name, in bytes.
     pub sizes: BTreeMap<String, u64>,
-    /// Rate of each answer, in bytes a second.
+    /// Maximum rate of each response, in bytes per second.
     pub bytes_per_second: u64,
 }
 
@@ -28,7 +28,7 @@
     }
 }
 
-/// A rate-limited store of model weights; contents are zeros.
+/// A rate-limited store of model weights, whose contents are zeros.
 #[derive(Debug)]
 pub(crate) struct WeightStore {
     options: WeightOptions,
@@ -39,7 +39,7 @@
         WeightStore { options }
     }
 
-    /// Answers `GET /v1/weights/<name>`.
+    /// Handles `GET /v1/weights/<name>`.
     pub(crate) fn download(&self, name: &str) -> Reply {
         let Some(&size) = self.options.sizes.get(name) else {
             return reply::error(StatusCode::NOT_FOUND, "no such weights");
--- a/toucanchute_fakes/tests/engine.rs
+++ b/toucanchute_fakes/tests/engine.rs
@@ -1,4 +1,4 @@
-//! Answers and faults of the stand-in engine.
+//! Tests of answers and faults of the fake model engine.
 
 #[path = "support/http.rs"]
 mod http_client;
@@ -50,7 +50,7 @@
     assert_eq!(post(engine.address(), "/fault", body).await.unwrap().0, 200);
 }
 
-/// Waits until the load report says so.
+/// Waits until a counter of the load report has a value.
 async fn wait_for_load(engine: &Engine, counter: &str, count: u64) {
     while get_json(engine.address(), "/v1/load").await[counter] != count {
         tokio::time::sleep(std::time::Duration::from_millis(5)).await;
@@ -61,7 +61,7 @@
     (from..to).map(|i| answer_token(PROMPT, i)).collect()
 }
 
-/// Returns the offsets, the text and whether the end mark was there.
+/// Returns the offsets of the chunks, their text, and whether the stream ended with `[DONE]`.
 fn read_stream(body: &str) -> (Vec<u64>, String, bool) {
     let (mut offsets, mut answer_text, mut done) = (Vec::new(), String::new(), false);
     for data in body.lines().filter_map(|line| line.strip_prefix("data: ")) {
@@ -218,7 +218,8 @@
     );
 }
 
-/// The run of lower priority hangs once it has started, so that the other one has to go first.
+/// The run of lower priority hangs once it has started, so that the test passes only if the other
+/// run starts first.
 #[tokio::test]
 async fn waiting_runs_start_by_priority() {
     let engine = engine_with_queue(2).await;
--- a/toucanchute_fakes/tests/platform.rs
+++ b/toucanchute_fakes/tests/platform.rs
@@ -1,4 +1,4 @@
-//! Key-value service, watches, leases, host list and faults of the stand-in platform.
+//! Tests of the fake platform: key-value service, watches, leases, host list and faults.
 
 #[path = "support/http.rs"]
 mod http_client;
@@ -181,7 +181,7 @@
                 .0,
         );
     }
-    // Three writes fall into two seconds at most.
+    // Three writes span at most two windows of a second, so that one of them exceeds the limit.
     assert!(statuses.contains(&429), "{statuses:?}");
     assert_eq!(statuses[0], 200);
 }
--- a/toucanchute_fakes/tests/service.rs
+++ b/toucanchute_fakes/tests/service.rs
@@ -1,4 +1,4 @@
-//! Runs and faults of the stand-in plain service.
+//! Tests of runs and faults of the fake service.
 
 #[path = "support/http.rs"]
 mod http_client;
--- a/toucanchute_fakes/tests/support/http.rs
+++ b/toucanchute_fakes/tests/support/http.rs
@@ -9,7 +9,7 @@
 };
 use serde_json::Value;
 
-/// Status and body of an answer; a body that breaks off is an error.
+/// Status and body of a response. An incomplete body is an error.
 pub(crate) type Answer = Result<(u16, String), String>;
 
 pub(crate) async fn send(
