--- a/toucanchute_proto/src/rate.rs
+++ b/toucanchute_proto/src/rate.rs
@@ -23,8 +23,8 @@
     /// The maximum rate that [`RequestRate::from_per_second`] returns.
     pub const MAX: RequestRate = RequestRate(100_000_000);
 
-    /// Converts a number of requests per second. The result is rounded down to thousandths and is at
-    /// most [`RequestRate::MAX`]. Returns `None` if `rate` is negative or not a number.
+    /// Converts a number of requests per second. The result is rounded down to thousandths and is
+    /// at most [`RequestRate::MAX`]. Returns `None` if `rate` is negative or not a number.
     ///
     /// ```
     /// use toucanchute_proto::RequestRate;
--- a/toucanchute_scenario/src/audit.rs
+++ b/toucanchute_scenario/src/audit.rs
@@ -101,8 +101,8 @@
         self.by_key.values().copied().max().unwrap_or(0)
     }
 
-    /// Returns the number of requests that ran although the final response to their callers was that
-    /// they did not run.
+    /// Returns the number of requests that ran although the final response to their callers was
+    /// that they did not run.
     pub(crate) fn false_denials(&self, records: &[Record]) -> usize {
         let is_denial = |record: &Record| match &record.outcome {
             Outcome::Refused(problem) => problem.outcome == "not-run",
--- a/toucanchute_scenario/src/runner.rs
+++ b/toucanchute_scenario/src/runner.rs
@@ -45,8 +45,8 @@
 }
 
 impl Runner {
-    /// Creates a runner that writes its files to the directory `dir`, which is emptied when a cluster
-    /// starts.
+    /// Creates a runner that writes its files to the directory `dir`, which is emptied when a
+    /// cluster starts.
     ///
     /// # Errors
     ///
@@ -99,7 +99,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the directive cannot be executed, or if its condition is not met before the timeout.
+    /// Fails if the directive cannot be executed, or if its condition is not met in time.
     pub fn run(&mut self, case: &mut TestCase) -> Result<String, ScenarioError> {
         if let Some(cause) = &self.failure {
             return EarlierFailureSnafu { cause }.fail();
