--- a/toucanchute_fakes/src/engine.rs
+++ b/toucanchute_fakes/src/engine.rs
@@ -1,11 +1,11 @@
 mod answer;
-mod batch;
 mod cache;
 mod fault;
 mod load;
 mod orders;
 mod request;
 mod run;
+mod run_queue;
 mod stats;
 
 use std::{
@@ -26,13 +26,13 @@
     orders::Fencing,
 };
 use self::{
-    batch::RunQueue,
     cache::Cache,
     fault::{Fault, Faults, Mode},
     load::LoadReports,
     orders::Orders,
     request::{Api, CompletionRequest},
     run::Run,
+    run_queue::RunQueue,
     stats::Stats,
 };
 use crate::{
--- a/toucanchute_fakes/src/engine/run.rs
+++ b/toucanchute_fakes/src/engine/run.rs
@@ -12,10 +12,10 @@
 use super::{
     Shared,
     answer::{CompletionBody, FinishReason, Usage, answer_tag, natural_tokens, prompt_tokens},
-    batch::Slot,
     fault::{Fault, Mode},
     hang_forever,
     request::CompletionRequest,
+    run_queue::Slot,
     stats::RunState,
 };
 use crate::reply::{self, Abort, Reply};
--- a/toucanchute_fakes/src/platform.rs
+++ b/toucanchute_fakes/src/platform.rs
@@ -1,7 +1,7 @@
 mod fault;
 mod hosts;
+mod kv_store;
 mod stats;
-mod tree;
 mod watch;
 mod wire;
 
@@ -22,8 +22,8 @@
 use self::{
     fault::{Effect, Fault, Faults},
     hosts::{HostList, Hosts},
+    kv_store::{KvStore, Rejection},
     stats::{CallKind, Stats},
-    tree::{KvStore, Rejection},
 };
 use crate::{
     reply::{self, Abort, Reply},
