--- a/toucanchute_scenario/src/runner/storm.rs
+++ b/toucanchute_scenario/src/runner/storm.rs
@@ -23,8 +23,8 @@
     DisconnectPlatform(LinkState),
     /// All links are opened.
     HealLinks,
-    /// Sets a fault of the platform; the value is the body of `POST /fault`.
-    PlatformFault(&'static str),
+    /// The fault mode of the platform is set; the value is the body of `POST /fault`.
+    SetPlatformMode(&'static str),
     /// An engine crashes.
     CrashEngine,
 }
@@ -38,9 +38,9 @@
     Fault::DisconnectPlatform(LinkState::Cut),
     Fault::DisconnectPlatform(LinkState::Held),
     Fault::HealLinks,
-    Fault::PlatformFault(r#"{"mode":"down"}"#),
-    Fault::PlatformFault(r#"{"mode":"lose-answers","path":"/v3/kv/txn","count":10}"#),
-    Fault::PlatformFault(r#"{"mode":"ok"}"#),
+    Fault::SetPlatformMode(r#"{"mode":"down"}"#),
+    Fault::SetPlatformMode(r#"{"mode":"lose-answers","path":"/v3/kv/txn","count":10}"#),
+    Fault::SetPlatformMode(r#"{"mode":"ok"}"#),
     Fault::CrashEngine,
 ];
 
@@ -109,7 +109,7 @@
             }
             Fault::DisconnectPlatform(state) => cluster.links().set(router, PLATFORM, state),
             Fault::HealLinks => cluster.links().heal(),
-            Fault::PlatformFault(fault) => cluster.set_fault(PLATFORM, fault).await?,
+            Fault::SetPlatformMode(fault) => cluster.set_fault(PLATFORM, fault).await?,
             Fault::CrashEngine => {
                 cluster
                     .set_fault("engine-1", r#"{"mode":"crash","ms":500}"#)
