fix(edge): reject new connections once new work is refused, after the backlog is answered

Now the backlog is accepted and answered when new work is refused, and then the listener is closed: a rejected connection is the plainest promise that nothing ran. Kept connections are answered as before.

--- a/toucanchute_edge/src/connection/listen.rs
+++ b/toucanchute_edge/src/connection/listen.rs
@@ -19,9 +19,6 @@
 /// Delay before the next connection is accepted after accepting one failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// How long connections are still accepted once the stop closes quiet ones, while others are open.
-const LATE_ACCEPT_TIME: Duration = Duration::from_millis(500);
-
 /// Answers the requests of callers.
 pub trait Responder: Clone + Send + Sync + 'static {
     /// Body of the responses.
@@ -74,26 +71,26 @@
         }
     }
 
-    /// Serves callers until `shutdown` resolves and all connections have ended.
+    /// Serves callers until a planned stop has ended all connections.
     ///
-    /// From then on each response closes its connection, and connections on which nothing happens
-    /// are closed. All connections that the kernel has accepted are served first.
-    pub async fn serve(&self, listener: TcpListener, shutdown: impl Future<Output = ()>) {
-        let mut shutdown = pin!(shutdown);
-        tokio::select! {
-            () = self.accept_all(&listener) => {}
-            () = &mut shutdown => {}
-        }
-        self.counts.log_stop_begin();
-        self.stopping.send_replace(true);
-        let all_closed = self.stopping.closed();
+    /// Once `refusing` resolves, what the kernel has accepted is still served, then new connections
+    /// are rejected. Once `closing` resolves too, each response closes its connection, and
+    /// connections on which nothing happens are closed.
+    pub async fn serve(
+        &self,
+        listener: TcpListener,
+        refusing: impl Future<Output = ()>,
+        closing: impl Future<Output = ()>,
+    ) {
         tokio::select! {
             () = self.accept_all(&listener) => {}
-            () = tokio::time::sleep(LATE_ACCEPT_TIME) => {}
-            () = all_closed => {}
+            () = refusing => {}
         }
         self.accept_backlog(&listener);
         drop(listener);
+        closing.await;
+        self.counts.log_stop_begin();
+        self.stopping.send_replace(true);
         self.stopping.closed().await;
     }
 
--- a/toucanchute_edge/src/edge.rs
+++ b/toucanchute_edge/src/edge.rs
@@ -73,7 +73,9 @@
         let counts = Arc::<ConnectionCounts>::default();
         let connections = self.shared.settings.max_connections;
         let callers = CallerListener::new(handler, Arc::clone(&counts), connections);
-        callers.serve(listener, shutdown).await;
+        callers
+            .serve(listener, shutdown, std::future::ready(()))
+            .await;
         drop(callers);
         all_ended.recv().await;
         counts.log_process_end();
--- a/toucanchute_edge/src/passthrough/gateway.rs
+++ b/toucanchute_edge/src/passthrough/gateway.rs
@@ -68,10 +68,22 @@
     /// Serves callers until `shutdown` resolves, then returns once every request in progress has ended
     /// and every connection is closed. Quiet connections are closed from then on.
     pub async fn serve(&self, listener: TcpListener, shutdown: impl Future<Output = ()>) {
+        self.serve_in_stages(listener, shutdown, std::future::ready(()))
+            .await;
+    }
+
+    /// Does the same as `serve`, but accepts no new connections once `refusing` resolves, and closes
+    /// quiet connections only once `closing` resolves too.
+    pub async fn serve_in_stages(
+        &self,
+        listener: TcpListener,
+        refusing: impl Future<Output = ()>,
+        closing: impl Future<Output = ()>,
+    ) {
         let responder = GatewayResponder(Arc::clone(&self.state));
         let counts = Arc::clone(&self.connection_counts);
         CallerListener::new(responder, counts, self.max_connections)
-            .serve(listener, shutdown)
+            .serve(listener, refusing, closing)
             .await;
     }
 }
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -75,13 +75,12 @@
     log::info!(listen:% = settings.callers.listen; "gateway-started");
 
     let grace = Duration::from_millis(settings.leave.grace_ms);
-    let (close_connections, closing) = watch::channel(false);
     let (end_now, out_of_time) = watch::channel(false);
     let planned = shutdown::PlannedShutdown {
         fleet: running.fleet.clone(),
         prepaid: running.prepaid.clone(),
         leaving: Arc::clone(&running.leaving),
-        closing: close_connections,
+        closing: running.closing.clone(),
         out_of_time: end_now,
         grace,
     };
@@ -96,10 +95,14 @@
         let close_quiet = async {
             tokio::select! {
                 () = shutdown::requested(drained.clone()) => {}
-                () = shutdown::requested(closing) => {}
+                () = shutdown::requested(running.closing.subscribe()) => {}
             }
         };
-        gateway.serve(callers, close_quiet).await;
+        let closing = running.closing.subscribe();
+        let refusing = shutdown::draining_started(Arc::clone(&running.view), closing);
+        gateway
+            .serve_in_stages(callers, refusing, close_quiet)
+            .await;
         shutdown::requested(drained).await;
     };
     tokio::select! {
@@ -133,12 +136,15 @@
     leaving: Arc<AtomicBool>,
     /// Set to true when no request is in progress and all accounts are handed on.
     exit: watch::Sender<bool>,
+    /// Set to true when quiet connections have to be closed.
+    closing: watch::Sender<bool>,
 }
 
 impl RunningGateway {
     fn start(settings: &GatewaySettings, incarnation: Incarnation) -> RunningGateway {
         let (events, links) = mpsc::unbounded_channel();
         let (exit, _) = watch::channel(false);
+        let (closing, _) = watch::channel(false);
         let mesh = Mesh::new(link_identity(settings, incarnation), events);
         let view = Arc::new(RouterView::new(
             Arc::new(Config::default()),
@@ -241,6 +247,7 @@
             connections: Arc::default(),
             leaving,
             exit,
+            closing,
         }
     }
 
--- a/toucanchute_router/src/gateway/shutdown.rs
+++ b/toucanchute_router/src/gateway/shutdown.rs
@@ -10,29 +10,35 @@
 };
 
 use tokio::{signal::unix::Signal, sync::watch, time::Instant};
+use toucanchute_edge::RefusalReason;
 use toucanchute_settings::load_gateway;
 use xtra::prelude::*;
 
 use crate::{
     actor::{FleetActor, FleetInput, PrepaidActor, PrepaidInput, post},
+    clock,
     run::level_filter,
+    view::RouterView,
 };
 
 /// Time before the end of the grace period at which the process ends even if requests are still in
 /// progress.
 const EXIT_MARGIN: Duration = Duration::from_millis(250);
 
-/// Time before that at which quiet connections are closed even if requests are still in progress.
-/// It lasts longer than the edge takes to close them.
+/// Time before that at which quiet connections are closed and waiting requests refused, even if
+/// other requests are still in progress. It lasts longer than the edge takes to close connections.
 const CLOSING_TIME: Duration = Duration::from_millis(1_500);
 
+/// Pause between two checks whether the router still accepts new work.
+const DRAIN_POLL_PAUSE: Duration = Duration::from_millis(50);
+
 /// A planned stop of this process within a grace period.
 pub(super) struct PlannedShutdown {
     pub(super) fleet: Address<FleetActor>,
     pub(super) prepaid: Address<PrepaidActor>,
     /// Set to true when the stop begins.
     pub(super) leaving: Arc<AtomicBool>,
-    /// Set to true when quiet connections have to be closed.
+    /// Set to true when quiet connections have to be closed and waiting requests refused.
     pub(super) closing: watch::Sender<bool>,
     /// Set to true when the process has to end at once.
     pub(super) out_of_time: watch::Sender<bool>,
@@ -61,6 +67,19 @@
     }
 }
 
+/// Resolves once the router refuses new work because it is leaving, or once connections have to be
+/// closed.
+pub(super) async fn draining_started(view: Arc<RouterView>, mut closing: watch::Receiver<bool>) {
+    loop {
+        let refusal = view.unready(clock::now());
+        let draining = refusal.is_some_and(|r| r.reason == RefusalReason::Draining);
+        if draining || *closing.borrow_and_update() {
+            return;
+        }
+        tokio::time::sleep(DRAIN_POLL_PAUSE).await;
+    }
+}
+
 /// Resolves once the sender has set its value to true.
 pub(super) async fn requested(mut signal: watch::Receiver<bool>) {
     if signal.wait_for(|set| *set).await.is_err() {
