fix(router): refuse waiting requests before a planned stop runs out of time

What callers saw: requests that waited for a backend server or for tokens when the grace period of a planned stop ended were cut without an answer.

Cause: the process ended with requests in progress, whatever they waited for.

Requests that run at a backend server have the rest of the time, as before, and are cut at its end.

--- a/toucanchute_router/src/gateway/control.rs
+++ b/toucanchute_router/src/gateway/control.rs
@@ -3,7 +3,7 @@
     atomic::{AtomicBool, Ordering},
 };
 
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use toucanchute_edge::{
     AssignRequest, Assignment, AttemptReport, BackendNotice, Refusal, RefusalOutcome,
     RefusalReason,
@@ -12,16 +12,20 @@
         TokenReservation,
     },
 };
-use toucanchute_proto::{AttemptId, config::Config, fleet::Load};
+use toucanchute_proto::{AttemptId, Millis, config::Config, fleet::Load};
 use xtra::prelude::*;
 
-use super::metrics::GatewayMetrics;
+use super::{metrics::GatewayMetrics, shutdown};
 use crate::{
     actor::{AssignBackend, DispatchActor, DispatchInput, PrepaidActor, PrepaidInput, post},
     clock,
     view::RouterView,
 };
 
+/// Time after which a caller that was refused because the process ends may try again, elsewhere or
+/// at the next process.
+const LEAVING_RETRY_AFTER: Millis = Millis(1_000);
+
 /// Connects the gateway's request handling to the actors, the view and the metrics.
 pub(super) struct GatewayControl {
     pub(super) view: Arc<RouterView>,
@@ -29,6 +33,9 @@
     pub(super) dispatch: Address<DispatchActor>,
     /// Whether a planned stop of the process has begun.
     pub(super) leaving: Arc<AtomicBool>,
+    /// Becomes true shortly before the process ends, when waiting requests are refused: they would
+    /// be cut otherwise.
+    pub(super) closing: watch::Receiver<bool>,
     pub(super) metrics: Arc<GatewayMetrics>,
 }
 
@@ -48,7 +55,11 @@
     async fn reserve(&self, req: TokenRequest) -> Result<TokenReservation, TokenRefusal> {
         let (tx, rx) = oneshot::channel();
         post(&self.prepaid, PrepaidInput::Reserve(req, tx));
-        let result = rx.await.unwrap_or_else(|_| Err(actor_stopped()));
+        let result = tokio::select! {
+            biased;
+            result = rx => result.unwrap_or_else(|_| Err(tokens_unavailable())),
+            () = shutdown::requested(self.closing.clone()) => Err(tokens_unavailable()),
+        };
         self.metrics.record_reservation(&result);
         result
     }
@@ -61,14 +72,14 @@
     async fn assign(&self, req: AssignRequest) -> Result<Assignment, Refusal> {
         let (reply, reply_rx) = oneshot::channel();
         post(&self.dispatch, AssignBackend { req, reply });
-        let assigned = reply_rx.await.unwrap_or({
-            Err(Refusal {
-                reason: RefusalReason::NoBackend,
-                outcome: RefusalOutcome::NothingSent,
-                retry_after: None,
-                elsewhere: None,
-            })
-        });
+        let assigned = tokio::select! {
+            biased;
+            assigned = reply_rx => assigned.unwrap_or_else(|_| Err(not_assigned(RefusalReason::NoBackend))),
+            () = shutdown::requested(self.closing.clone()) => Err(Refusal {
+                retry_after: Some(LEAVING_RETRY_AFTER),
+                ..not_assigned(RefusalReason::Draining)
+            }),
+        };
         if assigned.as_ref().is_ok_and(|a| a.rate_limited) {
             self.metrics.record_permit_used();
         }
@@ -99,10 +110,23 @@
     }
 }
 
-/// Returns the refusal of a request whose actor has stopped.
-fn actor_stopped() -> TokenRefusal {
+/// Returns the refusal of a request that is assigned no backend server.
+fn not_assigned(reason: RefusalReason) -> Refusal {
+    Refusal {
+        reason,
+        outcome: RefusalOutcome::NothingSent,
+        retry_after: None,
+        elsewhere: None,
+    }
+}
+
+/// Returns the refusal of a request for which no tokens can be reserved any more.
+fn tokens_unavailable() -> TokenRefusal {
     TokenRefusal {
         reason: TokenRefusalReason::Stopping,
         retry_after: None,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/toucanchute_router/src/gateway/control/tests.rs
@@ -0,0 +1,92 @@
+use std::{sync::Arc, time::Duration};
+
+use tokio::sync::watch;
+use toucanchute_edge::{
+    AssignRequest, RefusalOutcome, RefusalReason, Target,
+    passthrough::{RouteControl, TokenRefusalReason, TokenRequest},
+};
+use toucanchute_proto::{BudgetId, Digest, Millis, config::Config};
+use xtra::Mailbox;
+
+use super::GatewayControl;
+use crate::{
+    actor::{DispatchActor, PrepaidActor},
+    gateway::metrics::GatewayMetrics,
+    server::starting_refusal,
+    view::RouterView,
+};
+
+/// Longest time that a request may wait in these tests.
+const TEST_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A control whose actors never answer.
+struct SilentActors {
+    control: GatewayControl,
+    closing: watch::Sender<bool>,
+    _mailboxes: (Mailbox<PrepaidActor>, Mailbox<DispatchActor>),
+}
+
+fn silent_actors() -> SilentActors {
+    let (prepaid, prepaid_mailbox) = Mailbox::unbounded();
+    let (dispatch, dispatch_mailbox) = Mailbox::unbounded();
+    let (closing, closing_rx) = watch::channel(false);
+    let control = GatewayControl {
+        view: Arc::new(RouterView::new(
+            Arc::new(Config::default()),
+            starting_refusal(),
+        )),
+        prepaid,
+        dispatch,
+        leaving: Arc::default(),
+        closing: closing_rx,
+        metrics: Arc::new(GatewayMetrics::new()),
+    };
+    SilentActors {
+        control,
+        closing,
+        _mailboxes: (prepaid_mailbox, dispatch_mailbox),
+    }
+}
+
+/// Guards against a process that ends while requests wait for a backend server, which cuts them.
+#[tokio::test]
+async fn a_request_that_waits_for_a_server_is_refused_before_the_process_ends() {
+    let actors = silent_actors();
+    let req = AssignRequest {
+        target: Target::Service("svc".to_owned()),
+        customer: String::new(),
+        weight: 1,
+        priority: 0,
+        digest: Digest::new("/a", b""),
+        prefix: Vec::new(),
+        affinity: None,
+        tokens: 0,
+        attempts: 0,
+        exclude: Vec::new(),
+        deadline: Millis(u64::MAX),
+    };
+    let assigned = actors.control.assign(req);
+    actors.closing.send_replace(true);
+    let assigned = tokio::time::timeout(TEST_TIMEOUT, assigned).await;
+    let refusal = assigned.expect("the request waits").unwrap_err();
+    assert_eq!(refusal.reason, RefusalReason::Draining);
+    assert_eq!(refusal.outcome, RefusalOutcome::NothingSent);
+    assert!(refusal.retry_after.is_some());
+}
+
+/// Guards against a process that ends while requests wait for tokens, which cuts them.
+#[tokio::test]
+async fn a_request_that_waits_for_tokens_is_refused_before_the_process_ends() {
+    let actors = silent_actors();
+    let req = TokenRequest {
+        request: String::new(),
+        budget: BudgetId(1),
+        tokens: 1,
+        deadline: Millis(u64::MAX),
+    };
+    let reserved = actors.control.reserve(req);
+    actors.closing.send_replace(true);
+    let reserved = tokio::time::timeout(TEST_TIMEOUT, reserved).await;
+    let refusal = reserved.expect("the request waits").unwrap_err();
+    assert_eq!(refusal.reason, TokenRefusalReason::Stopping);
+}
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -136,7 +136,7 @@
     leaving: Arc<AtomicBool>,
     /// Set to true when no request is in progress and all accounts are handed on.
     exit: watch::Sender<bool>,
-    /// Set to true when quiet connections have to be closed.
+    /// Set to true when quiet connections have to be closed and waiting requests refused.
     closing: watch::Sender<bool>,
 }
 
@@ -231,6 +231,7 @@
             prepaid: prepaid.clone(),
             dispatch,
             leaving: Arc::clone(&leaving),
+            closing: closing.subscribe(),
             metrics: Arc::clone(&metrics),
         });
         RunningGateway {
