fix(router): answer what has arrived at the servers for checks, addresses and metrics when the process ends

What callers saw: the same as at the callers' port. The servers for readiness checks, address lookups and metrics ran until the process ended, which reset their backlog and their connections with what was in them.

No case of it was seen.

Peers' links keep their accept loop: links may break at any time, and the state machines send again.

--- a/toucanchute_edge/src/connection/listen.rs
+++ b/toucanchute_edge/src/connection/listen.rs
@@ -47,6 +47,8 @@
 /// Accepts callers' connections and serves their requests.
 #[derive(Debug)]
 pub struct CallerListener<R> {
+    /// Name of the server in logs.
+    name: &'static str,
     responder: R,
     counts: Arc<ConnectionCounts>,
     /// Limits the number of connections.
@@ -56,14 +58,17 @@
 }
 
 impl<R: Responder> CallerListener<R> {
-    /// Creates a listener that has at most `connections` connections open, and counts them.
+    /// Creates a listener that has at most `connections` connections open, and counts them. Log lines
+    /// carry `name` as the field `server`.
     #[must_use]
     pub fn new(
+        name: &'static str,
         responder: R,
         counts: Arc<ConnectionCounts>,
         connections: usize,
     ) -> CallerListener<R> {
         CallerListener {
+            name,
             responder,
             counts,
             permits: Arc::new(Semaphore::new(connections.min(Semaphore::MAX_PERMITS))),
@@ -89,7 +94,6 @@
         self.accept_backlog(&listener);
         drop(listener);
         closing.await;
-        self.counts.log_stop_begin();
         self.stopping.send_replace(true);
         self.stopping.closed().await;
     }
@@ -102,7 +106,7 @@
             match listener.accept().await {
                 Ok((stream, _)) => self.spawn_connection(stream, permit),
                 Err(err) => {
-                    log::warn!(error:% = err; "accept-failed");
+                    log::warn!(server = self.name, error:% = err; "accept-failed");
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 }
             }
@@ -118,7 +122,7 @@
             self.spawn_connection(stream, None);
         }
         if accepted > 0 {
-            log::info!(accepted = accepted; "backlog-accepted");
+            log::info!(server = self.name, accepted = accepted; "backlog-accepted");
         }
     }
 
--- a/toucanchute_edge/src/edge.rs
+++ b/toucanchute_edge/src/edge.rs
@@ -72,10 +72,9 @@
         let handler = Handler::new(Arc::clone(&self.shared), running_guard);
         let counts = Arc::<ConnectionCounts>::default();
         let connections = self.shared.settings.max_connections;
-        let callers = CallerListener::new(handler, Arc::clone(&counts), connections);
-        callers
-            .serve(listener, shutdown, std::future::ready(()))
-            .await;
+        let callers = CallerListener::new("callers", handler, Arc::clone(&counts), connections);
+        let closing = async { counts.log_stop_begin() };
+        callers.serve(listener, shutdown, closing).await;
         drop(callers);
         all_ended.recv().await;
         counts.log_process_end();
--- a/toucanchute_edge/src/passthrough/gateway.rs
+++ b/toucanchute_edge/src/passthrough/gateway.rs
@@ -82,7 +82,11 @@
     ) {
         let responder = GatewayResponder(Arc::clone(&self.state));
         let counts = Arc::clone(&self.connection_counts);
-        CallerListener::new(responder, counts, self.max_connections)
+        let closing = async {
+            closing.await;
+            self.connection_counts.log_stop_begin();
+        };
+        CallerListener::new("callers", responder, counts, self.max_connections)
             .serve(listener, refusing, closing)
             .await;
     }
--- a/toucanchute_router/src/gateway/directory.rs
+++ b/toucanchute_router/src/gateway/directory.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use rand::seq::SliceRandom;
 use tokio::net::TcpListener;
 use toucanchute_platform::{ApiRequest, api_response, read_api_request};
@@ -77,7 +78,12 @@
     }
 }
 
-/// Serves `listener` until the process ends.
-pub(super) async fn serve(listener: TcpListener, service: Arc<DirectoryService>) {
-    http_server::serve(listener, "directory", move |req| service.respond(req)).await;
+/// Serves `listener` until `ended` resolves.
+pub(super) async fn serve(
+    listener: TcpListener,
+    service: Arc<DirectoryService>,
+    ended: impl Future<Output = ()>,
+) {
+    let respond = move |req: &Request<Incoming>| service.respond(req);
+    http_server::serve(listener, "directory", respond, ended).await;
 }
--- a/toucanchute_router/src/gateway/metrics.rs
+++ b/toucanchute_router/src/gateway/metrics.rs
@@ -337,11 +337,12 @@
     pub(super) standings: Arc<RequestStandings>,
 }
 
-/// Serves the metrics on every path until the process ends.
+/// Serves the metrics on every path until `ended` resolves.
 pub(super) async fn serve(
     listener: TcpListener,
     metrics: Arc<GatewayMetrics>,
     sources: MetricSources,
+    ended: impl Future<Output = ()>,
 ) {
     let respond = move |_: &Request<Incoming>| {
         let text = metrics.encode_text(&sources);
@@ -350,5 +351,5 @@
         res.headers_mut().insert(header::CONTENT_TYPE, kind);
         res
     };
-    http_server::serve(listener, "metrics", respond).await;
+    http_server::serve(listener, "metrics", respond, ended).await;
 }
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -10,6 +10,7 @@
 use tokio::{
     net::TcpListener,
     sync::{mpsc, watch},
+    task::JoinSet,
     time::MissedTickBehavior,
 };
 use toucanchute_core::{
@@ -52,6 +53,10 @@
 /// Number of these ticks per tick of the fleet actor.
 const TICKS_PER_FLEET_TICK: u64 = Fleet::TICK.0 / TICK.as_millis() as u64;
 
+/// How long the process waits at its end for the servers of readiness checks, address lookups and
+/// metrics to answer what has arrived. It is shorter than what is left of the grace period then.
+const HTTP_CLOSE_TIME: Duration = Duration::from_millis(150);
+
 /// Runs a gateway until its shutdown is complete.
 pub(super) async fn serve(
     settings: GatewaySettings,
@@ -70,7 +75,14 @@
 
     let running = RunningGateway::start(&settings, incarnation);
     running.mesh.listen(peers);
-    running.start_http_servers(&settings, readiness, directory, metrics_listener);
+    let (close_servers, servers_ended) = watch::channel(false);
+    let listeners = HttpListeners {
+        readiness,
+        directory,
+        metrics: metrics_listener,
+        ended: servers_ended,
+    };
+    let mut http_servers = running.start_http_servers(&settings, listeners);
     tokio::spawn(shutdown::reload_on_hangup(signals.hangup, path));
     log::info!(listen:% = settings.callers.listen; "gateway-started");
 
@@ -110,7 +122,13 @@
         () = shutdown::requested(out_of_time) => {}
     }
     running.connections.log_process_end();
-    running.registry.remove_record().await;
+    close_servers.send_replace(true);
+    let servers_closed = async {
+        let closed = async { while http_servers.join_next().await.is_some() {} };
+        // Connections that are still open then end with the process.
+        drop(tokio::time::timeout(HTTP_CLOSE_TIME, closed).await);
+    };
+    tokio::join!(running.registry.remove_record(), servers_closed);
     log::info!(calls:? = running.store.counts(); "store-calls");
     log::info!(in_flight = running.in_flight.load(Ordering::Relaxed); "gateway-left");
     toucanchute_log::flush();
@@ -257,10 +275,8 @@
     fn start_http_servers(
         &self,
         settings: &GatewaySettings,
-        readiness: TcpListener,
-        directory: TcpListener,
-        metrics_listener: Option<TcpListener>,
-    ) {
+        listeners: HttpListeners,
+    ) -> JoinSet<()> {
         let service = Arc::new(DirectoryService {
             view: Arc::clone(&self.view),
             leaving: Arc::clone(&self.leaving),
@@ -268,20 +284,37 @@
             own_failure_domain: settings.router.failure_domain.clone(),
             address_max_age: Millis(settings.callers.address_max_age_ms),
         });
-        tokio::spawn(directory::serve(readiness, Arc::clone(&service)));
-        tokio::spawn(directory::serve(directory, service));
-        if let Some(listener) = metrics_listener {
+        let mut servers = JoinSet::new();
+        let ended = || shutdown::requested(listeners.ended.clone());
+        servers.spawn(directory::serve(
+            listeners.readiness,
+            Arc::clone(&service),
+            ended(),
+        ));
+        servers.spawn(directory::serve(listeners.directory, service, ended()));
+        if let Some(listener) = listeners.metrics {
             let sources = metrics::MetricSources {
                 in_flight: Arc::clone(&self.in_flight),
                 connections: Arc::clone(&self.connections),
                 store: self.store.clone(),
                 standings: Arc::clone(&self.standings),
             };
-            tokio::spawn(metrics::serve(listener, Arc::clone(&self.metrics), sources));
+            let metrics = Arc::clone(&self.metrics);
+            servers.spawn(metrics::serve(listener, metrics, sources, ended()));
         }
+        servers
     }
 }
 
+/// Listeners of the HTTP servers beside the one for callers.
+struct HttpListeners {
+    readiness: TcpListener,
+    directory: TcpListener,
+    metrics: Option<TcpListener>,
+    /// Becomes true when the servers have to end.
+    ended: watch::Receiver<bool>,
+}
+
 /// Actors that receive ticks.
 struct TickTargets {
     fleet: Address<FleetActor>,
