test(edge): walks over event streams, and a stream that breaks off

The walks now also request streams, of which an engine's answer, its first half or any refusal may come. half_a_stream guards against a stream that broke off and is told as not run when the next engine refuses it.

--- a/toucanchute_edge/tests/edge/outcome_walk.rs
+++ b/toucanchute_edge/tests/edge/outcome_walk.rs
@@ -7,7 +7,7 @@
 use crate::{
     outcomes::{
         BUSY, LIMITED, MISDIRECTED, NOT_RUN, Told, book, complete, completion_answer, response_to,
-        tell,
+        stream_answer, tell,
     },
     raw_backend::{EARLIER, OWN, RawBackend, Step},
     support::TestEdge,
@@ -26,12 +26,14 @@
     Once,
     Idempotent,
     Completion,
+    Stream,
 }
 
-const KINDS: [RequestKind; 3] = [
+const KINDS: [RequestKind; 4] = [
     RequestKind::Once,
     RequestKind::Idempotent,
     RequestKind::Completion,
+    RequestKind::Stream,
 ];
 
 /// What a backend server does with one request.
@@ -66,6 +68,7 @@
 fn behaviours() -> Vec<Behaviour> {
     let mut table = vec![
         ran(completion_answer()),
+        ran(stream_answer()),
         ran_then(Step::Close),
         ran_then(Step::Reset),
         refused(response_to(OWN, BUSY, NOT_RUN, "")),
@@ -107,7 +110,8 @@
     match kind {
         RequestKind::Once => book(edge, key).await,
         RequestKind::Idempotent => tell(edge, "/v1/services/weather/a", None, &json!({})).await,
-        RequestKind::Completion => complete(edge).await,
+        RequestKind::Completion => complete(edge, false).await,
+        RequestKind::Stream => complete(edge, true).await,
     }
 }
 
--- a/toucanchute_edge/tests/edge/outcomes.rs
+++ b/toucanchute_edge/tests/edge/outcomes.rs
@@ -46,11 +46,28 @@
     response_to(OWN, "200 OK", "Content-Type: application/json\r\n", &body)
 }
 
+/// Returns a model engine's event stream of two tokens to the attempt of the request.
+pub(crate) fn stream_answer() -> String {
+    let chunk = |offset: u64, finish_reason: Value, usage: Value| {
+        let choice = json!({"delta": {"content": "x"}, "finish_reason": finish_reason});
+        let chunk = json!({"id": OWN, "offset": offset, "choices": [choice], "usage": usage});
+        format!("data: {chunk}\n\n")
+    };
+    let usage = json!({"prompt_tokens": 2, "completion_tokens": 2});
+    let body = [
+        chunk(0, Value::Null, Value::Null),
+        chunk(1, json!("stop"), usage),
+        "data: [DONE]\n\n".to_owned(),
+    ];
+    let fields = "Content-Type: text/event-stream\r\n";
+    response_to(OWN, "200 OK", fields, &body.concat())
+}
+
 /// What a caller received.
 #[derive(Debug)]
 pub(crate) struct Told {
     pub(crate) status: u16,
-    /// The problem document, else null.
+    /// The problem document, as the whole response or as the last event of a stream, else null.
     pub(crate) problem: Value,
     pub(crate) body: Bytes,
 }
@@ -74,9 +91,11 @@
     let kind = res.headers().get("content-type");
     let is_problem = kind.is_some_and(|kind| kind == "application/problem+json");
     let body = res.into_body().collect().await.unwrap().to_bytes();
-    let problem = match is_problem {
-        true => serde_json::from_slice(&body).unwrap(),
-        false => Value::Null,
+    let text = String::from_utf8_lossy(&body);
+    let problem = match text.split_once("event: error\ndata: ") {
+        _ if is_problem => serde_json::from_slice(&body).unwrap(),
+        Some((_, event)) => serde_json::from_str(event).unwrap(),
+        None => Value::Null,
     };
     Told {
         status,
@@ -89,8 +108,8 @@
     tell(edge, "/v1/services/vans/book", Some(key), &json!({})).await
 }
 
-pub(crate) async fn complete(edge: &TestEdge) -> Told {
-    let body = json!({"model": "m", "max_tokens": 20,
+pub(crate) async fn complete(edge: &TestEdge, stream: bool) -> Told {
+    let body = json!({"model": "m", "max_tokens": 20, "stream": stream,
         "messages": [{"role": "user", "content": "why?"}]});
     tell(edge, "/v1/chat/completions", None, &body).await
 }
@@ -321,7 +340,7 @@
 async fn check_completion(answer: String) {
     let only = RawBackend::start(vec![vec![Step::Run, Step::Write(answer)]]).await;
     let edge = start_edge(&[only.backend.address]).await;
-    let told = complete(&edge).await;
+    let told = complete(&edge, false).await;
     assert_eq!(only.attempts_run(), [FIRST]);
     assert_eq!(told.problem["outcome"], "failed", "{told:?}");
     assert_eq!(edge.control.events().last().unwrap(), "release");
@@ -369,18 +388,37 @@
     ];
     let only = RawBackend::start(vec![connection]).await;
     let edge = start_edge(&[only.backend.address]).await;
-    assert_eq!(complete(&edge).await.status, 200);
-    let told = complete(&edge).await;
+    assert_eq!(complete(&edge, false).await.status, 200);
+    let told = complete(&edge, false).await;
     assert_eq!(only.connection_count(), 1, "the connection was not kept");
     assert_eq!(only.attempts_run().len(), 2);
     assert_eq!(told.problem["outcome"], "failed", "{told:?}");
 }
 
+/// Guards against a stream that broke off and is promised not to have run when no other engine takes
+/// it on.
+#[tokio::test]
+async fn half_a_stream_is_no_promise() {
+    let whole = RawBackend::start(vec![vec![Step::Run, Step::Write(stream_answer())]]).await;
+    let edge = start_edge(&[whole.backend.address]).await;
+    let told = complete(&edge, true).await;
+    assert!(told.body.ends_with(b"data: [DONE]\n\n"), "{told:?}");
+    let half = stream_answer();
+    let half = half[..half.len() * 2 / 3].to_owned();
+    let steps = vec![Step::Run, Step::Write(half), Step::Close];
+    let broken = RawBackend::start(vec![steps]).await;
+    let full = start_engines(&[json!({"mode": "refuse"})]).await;
+    let edge = start_edge(&[broken.backend.address, full[0].address()]).await;
+    let told = complete(&edge, true).await;
+    assert!(told.body.starts_with(b"data: "), "{told:?}");
+    assert_eq!(told.problem["outcome"], "failed", "{told:?}");
+}
+
 /// Guards against a cautious router that withholds a promise from a caller whose completion was
 /// refused.
 #[tokio::test]
 async fn a_refused_completion_is_a_promise() {
     let engines = start_engines(&[json!({"mode": "refuse"})]).await;
     let edge = start_edge(&[engines[0].address()]).await;
-    assert_eq!(complete(&edge).await.problem["outcome"], "not-run");
+    assert_eq!(complete(&edge, false).await.problem["outcome"], "not-run");
 }
