fix(routing): count the requests that wait for a server's permits as its load

Cause: the choice between two servers compares requests in flight. Requests that wait for permits are none yet, so the server in another failure domain, which has a small surcharge, was never the better one, and its limit lay unused while the router's queue filled with requests that waited for the other two.

Nothing changes while no server names a limit, as no request waits for permits then.

--- a/toucanchute_core/src/routing/choose.rs
+++ b/toucanchute_core/src/routing/choose.rs
@@ -6,6 +6,7 @@
     RoutingRequest,
     availability::Availability,
     pool::{BackendKey, Pool},
+    rate_limit::PermitAsks,
     replica::Replica,
     suspects::Suspects,
 };
@@ -33,6 +34,7 @@
     pub(super) pool: &'a Pool,
     pub(super) replicas: &'a SlotMap<BackendKey, Replica>,
     pub(super) suspects: &'a Suspects,
+    pub(super) asks: &'a PermitAsks,
 }
 
 impl Chooser<'_> {
@@ -111,11 +113,12 @@
         counted.iter().sum::<f64>() / counted.len().max(1) as f64
     }
 
-    /// Returns the requests of a replica, with one more, as a share of its limit, multiplied by its
-    /// relative token time.
+    /// Returns the requests of a replica, with one more and those that wait for its permits, as a
+    /// share of its limit, multiplied by its relative token time.
     fn load(&self, key: BackendKey) -> f64 {
         let r = &self.replicas[key];
-        let load = (r.estimated_requests(self.now) + 1.0) / r.request_limit(self.now);
+        let requests = r.estimated_requests(self.now) + self.asks.count(key) as f64;
+        let load = (requests + 1.0) / r.request_limit(self.now);
         load * r.relative_token_time(self.pool.token_time())
     }
 
--- a/toucanchute_core/src/routing/dispatch.rs
+++ b/toucanchute_core/src/routing/dispatch.rs
@@ -110,6 +110,7 @@
             pool,
             replicas: &self.replicas,
             suspects: &self.suspects,
+            asks: &self.permit_asks,
         };
         let asks = &self.permit_asks;
         if pool.queue.is_empty() || asks.is_empty() && !chooser.has_room() {
--- a/toucanchute_core/src/routing/rate_limit/asks.rs
+++ b/toucanchute_core/src/routing/rate_limit/asks.rs
@@ -126,6 +126,12 @@
         self.by_call.keys().copied().collect()
     }
 
+    /// Returns the number of calls that have an ask or a permit for a replica.
+    pub(in crate::routing) fn count(&self, replica: BackendKey) -> usize {
+        let asks = self.by_call.values();
+        asks.filter(|ask| ask.replica == replica).count()
+    }
+
     /// Returns the replica that a call has an ask or a permit for.
     pub(in crate::routing) fn replica(&self, call: u64) -> Option<BackendKey> {
         self.by_call.get(&call).map(|ask| ask.replica)
