fix(routing): let no 4 s bring a server more than 4 x rate + 1 requests

A server that names a limit got up to 4 x rate + 3 requests in 4 s (203 of 201 at 50 a second, 30 routers; 7 of 6 at 1.4): after a pause the whole bucket, and with it permits that were granted before the 4 s and used in them.

Cause: the bucket held two permits and refilled with the whole rate, and a permit could be used 250 ms after its answer, which could itself be late. Now a permit is used within 150 ms of its ask, or as much later as it was granted ahead, and the refill is computed from the aim: capacity and gain in 4.15 s are 4 x rate + 1. Times to return are spaced by 0.8 of what is granted, and one router alone needs no random part.

--- a/toucanchute_core/src/routing/rate_limit/asks.rs
+++ b/toucanchute_core/src/routing/rate_limit/asks.rs
@@ -7,8 +7,13 @@
 /// Time to wait for an issuer's answer.
 const ANSWER_TIMEOUT: Millis = Millis(100);
 
-/// Time for which a permit may be used. It is longer than the time between two ticks.
-const USE_TIME: Millis = Millis(250);
+/// Longest time between two ticks while a call waits.
+const TICK_TIME: Millis = Millis(50);
+
+/// Time from an ask, or from as much later as the permit is granted ahead, for which the permit may
+/// be used: until the answer is there and the next tick has passed. The ask precedes the grant, so
+/// this also bounds the time from the grant to the start of the request.
+pub(super) const USE_TIME: Millis = Millis(ANSWER_TIMEOUT.0 + TICK_TIME.0);
 
 /// Permits that this router has asked for, by the calls that they are for.
 #[derive(Debug, Default)]
@@ -31,8 +36,8 @@
 enum AskState {
     /// The issuer was asked and has not answered.
     Sent { seq: u64, at: Millis },
-    /// The permit may be used from this time on, for [`USE_TIME`].
-    Granted(Millis),
+    /// The permit may be used from one time to the other.
+    Granted { from: Millis, until: Millis },
 }
 
 /// Whether a call has a permit.
@@ -70,9 +75,9 @@
             return PermitStatus::None;
         };
         match ask.state {
-            AskState::Granted(at) if now > at + USE_TIME => PermitStatus::Expired,
-            AskState::Granted(at) if now >= at => PermitStatus::Usable(ask.replica),
-            AskState::Granted(_) | AskState::Sent { .. } => PermitStatus::Pending,
+            AskState::Granted { until, .. } if now > until => PermitStatus::Expired,
+            AskState::Granted { from, .. } if now >= from => PermitStatus::Usable(ask.replica),
+            AskState::Granted { .. } | AskState::Sent { .. } => PermitStatus::Pending,
         }
     }
 
@@ -96,16 +101,24 @@
         seq
     }
 
-    /// Records that the permit of a call may be used from `at` on.
-    pub(in crate::routing) fn record_granted(&mut self, call: u64, at: Millis) {
-        if let Some(ask) = self.by_call.get_mut(&call) {
-            ask.state = AskState::Granted(at);
+    /// Records that the permit of a call is granted and may be used after `delay`.
+    pub(in crate::routing) fn record_granted(&mut self, now: Millis, call: u64, delay: Millis) {
+        if let Some(ask) = self.by_call.get_mut(&call)
+            && let AskState::Sent { at, .. } = ask.state
+        {
+            ask.state = AskState::Granted {
+                from: now + delay,
+                until: at + delay + USE_TIME,
+            };
         }
     }
 
-    /// Returns the call whose ask has this number and is not answered yet.
-    pub(in crate::routing) fn call_of(&self, seq: u64) -> Option<u64> {
-        let is_sent = |ask: &Ask| matches!(ask.state, AskState::Sent { seq: s, .. } if s == seq);
+    /// Returns the call whose ask has this number and can still be answered.
+    pub(in crate::routing) fn call_of(&self, now: Millis, seq: u64) -> Option<u64> {
+        let is_sent = |ask: &Ask| match ask.state {
+            AskState::Sent { seq: sent, at } => sent == seq && now.since(at) < ANSWER_TIMEOUT,
+            AskState::Granted { .. } => false,
+        };
         let mut asks = self.by_call.iter();
         asks.find(|(_, ask)| is_sent(ask)).map(|(&call, _)| call)
     }
@@ -145,7 +158,7 @@
     pub(in crate::routing) fn unanswered(&self, now: Millis) -> Vec<u64> {
         let overdue = |ask: &Ask| match ask.state {
             AskState::Sent { at, .. } => now.since(at) >= ANSWER_TIMEOUT,
-            AskState::Granted(_) => false,
+            AskState::Granted { .. } => false,
         };
         let asks = self.by_call.iter().filter(|(_, ask)| overdue(ask));
         asks.map(|(&call, _)| call).collect()
@@ -155,6 +168,6 @@
 impl Ask {
     /// Whether a permit was granted.
     pub(in crate::routing) fn is_granted(&self) -> bool {
-        matches!(self.state, AskState::Granted(_))
+        matches!(self.state, AskState::Granted { .. })
     }
 }
--- a/toucanchute_core/src/routing/rate_limit/issuer.rs
+++ b/toucanchute_core/src/routing/rate_limit/issuer.rs
@@ -2,14 +2,17 @@
 
 use toucanchute_proto::{Incarnation, Millis, RequestRate};
 
-use super::MIN_RATE;
+use super::{MIN_RATE, asks::USE_TIME};
 
 /// Time without permits after a router has become the issuer of a backend server. It is longer than
 /// the other routers take to learn of the change.
 const TAKEOVER_TIME: Millis = Millis(1_000);
 
-/// Time in which a bucket gains the part of its capacity beyond one permit.
-const BURST_TIME: Millis = Millis(1_000);
+/// Window in which at most `rate x WINDOW + 1` requests are to reach a backend server.
+const WINDOW: Millis = Millis(4_000);
+
+/// Time in which a limit allows the part of a bucket's capacity beyond one permit.
+const BURST_TIME: Millis = Millis(125);
 
 /// Largest part of a bucket's capacity beyond one permit.
 const MAX_EXTRA_BURST: f64 = 1.0;
@@ -58,10 +61,10 @@
         max_delay: Millis,
         from: Incarnation,
     ) -> (Decision, u32) {
-        let per_ms = per_ms(rate);
-        let bucket = self.bucket(now, backend, per_ms);
-        bucket.refill(now, per_ms);
-        let decision = bucket.take(per_ms, max_delay);
+        let size = BucketSize::new(rate);
+        let bucket = self.bucket(now, backend, size);
+        bucket.refill(now, size);
+        let decision = bucket.take(size, max_delay);
         let (Decision::Granted(wait) | Decision::Denied(wait)) = decision;
         let askers = bucket.record_asker(now, from, now + wait + ASKER_TIME);
         (decision, askers)
@@ -69,15 +72,15 @@
 
     /// Starts to issue permits of a backend server, unless this router does already.
     pub(in crate::routing) fn open(&mut self, now: Millis, backend: &str, rate: RequestRate) {
-        self.bucket(now, backend, per_ms(rate));
+        self.bucket(now, backend, BucketSize::new(rate));
     }
 
-    fn bucket(&mut self, now: Millis, backend: &str, per_ms: f64) -> &mut Bucket {
+    fn bucket(&mut self, now: Millis, backend: &str, size: BucketSize) -> &mut Bucket {
         if !self.buckets.contains_key(backend) {
             self.buckets.retain(|_, b| now.since(b.as_of) < IDLE_TIME);
         }
         let bucket = self.buckets.entry(backend.to_owned());
-        bucket.or_insert_with(|| Bucket::new(now, per_ms))
+        bucket.or_insert_with(|| Bucket::new(now, size))
     }
 
     /// Takes back a permit that was not used.
@@ -98,31 +101,55 @@
     }
 }
 
-/// Returns the permits that a limit allows in one millisecond.
-fn per_ms(rate: RequestRate) -> f64 {
-    rate.max(MIN_RATE).per_second() / 1_000.0
+/// Size of a token bucket.
+#[derive(Clone, Copy, Debug)]
+struct BucketSize {
+    /// Permits that the bucket gains in one millisecond.
+    per_ms: f64,
+    capacity: f64,
+}
+
+impl BucketSize {
+    /// Returns the size with which at most `rate x WINDOW + 1` requests reach the server in any
+    /// window.
+    ///
+    /// Permits granted up to [`USE_TIME`] before a window may be used in it. Those are at most
+    /// the capacity and what the bucket gains in both times together.
+    fn new(rate: RequestRate) -> BucketSize {
+        let allowed_per_ms = rate.max(MIN_RATE).per_second() / 1_000.0;
+        let extra = (allowed_per_ms * BURST_TIME.0 as f64).min(MAX_EXTRA_BURST);
+        let in_window = allowed_per_ms * WINDOW.0 as f64;
+        BucketSize {
+            per_ms: (in_window - extra) / (WINDOW + USE_TIME).0 as f64,
+            capacity: 1.0 + extra,
+        }
+    }
+}
+
+/// Returns the permits that are granted in one second of a server with this limit.
+pub(super) fn granted_per_second(rate: RequestRate) -> f64 {
+    BucketSize::new(rate).per_ms * 1_000.0
 }
 
 impl Bucket {
     /// Creates a bucket whose first permit is due after [`TAKEOVER_TIME`].
-    fn new(now: Millis, per_ms: f64) -> Bucket {
+    fn new(now: Millis, size: BucketSize) -> Bucket {
         Bucket {
-            level: 1.0 - per_ms * TAKEOVER_TIME.0 as f64,
+            level: 1.0 - size.per_ms * TAKEOVER_TIME.0 as f64,
             as_of: now,
             askers: BTreeMap::new(),
         }
     }
 
-    fn refill(&mut self, now: Millis, per_ms: f64) {
-        let extra = (per_ms * BURST_TIME.0 as f64).min(MAX_EXTRA_BURST);
-        let gained = per_ms * now.since(self.as_of).0 as f64;
-        self.level = (self.level + gained).min(1.0 + extra);
+    fn refill(&mut self, now: Millis, size: BucketSize) {
+        let gained = size.per_ms * now.since(self.as_of).0 as f64;
+        self.level = (self.level + gained).min(size.capacity);
         self.as_of = self.as_of.max(now);
     }
 
-    fn take(&mut self, per_ms: f64, max_delay: Millis) -> Decision {
+    fn take(&mut self, size: BucketSize, max_delay: Millis) -> Decision {
         let missing = (1.0 - self.level).max(0.0);
-        let delay = Millis((missing / per_ms).ceil() as u64);
+        let delay = Millis((missing / size.per_ms).ceil() as u64);
         if delay > max_delay {
             return Decision::Denied(delay - max_delay);
         }
--- a/toucanchute_core/src/routing/rate_limit/permits.rs
+++ b/toucanchute_core/src/routing/rate_limit/permits.rs
@@ -11,7 +11,7 @@
 use super::{
     MIN_RATE,
     asks::{Ask, PermitStatus},
-    issuer::Decision,
+    issuer::{Decision, granted_per_second},
 };
 use crate::routing::{
     Action, Dispatcher, FleetView, RefusalReason,
@@ -31,6 +31,10 @@
 /// Number of denials after which a call is refused if all replicas of its pool are limited.
 const MAX_DENIALS: u32 = 3;
 
+/// Share of the permits that the returns of refused callers are spread to use. The routers spread
+/// them independently, so that some meet; the rest serves those.
+const RETURN_LOAD: f64 = 0.8;
+
 /// Longest retry time in a refusal for lack of permits.
 const MAX_RETRY_AFTER: Millis = Millis(30_000);
 
@@ -165,16 +169,16 @@
         grant: PermitGrant,
         out: &mut Vec<Action>,
     ) {
-        let Some(call) = self.permit_asks.call_of(grant.seq) else {
+        let Some(call) = self.permit_asks.call_of(now, grant.seq) else {
             self.send_release(from, grant.backend, out);
             return;
         };
-        self.permit_asks.record_granted(call, now + grant.delay);
+        self.permit_asks.record_granted(now, call, grant.delay);
         self.record_askers(call, grant.askers);
     }
 
     fn handle_denial(&mut self, now: Millis, denial: PermitDenial, out: &mut Vec<Action>) {
-        let Some(call) = self.permit_asks.call_of(denial.seq) else {
+        let Some(call) = self.permit_asks.call_of(now, denial.seq) else {
             return;
         };
         self.record_askers(call, denial.askers);
@@ -274,13 +278,11 @@
         let members = p.members.iter().map(|&k| &self.replicas[k]);
         let (mut total_rate, mut first) = (0.0, Millis::MAX);
         for r in members.filter(|r| r.is_staying()) {
-            total_rate += r
-                .rate_limit
-                .map_or(0.0, |rate| rate.max(MIN_RATE).per_second());
+            total_rate += r.rate_limit.map_or(0.0, granted_per_second);
             let backoff = r.backoff.remaining(now).unwrap_or_default();
             first = first.min(r.no_permit_until.since(now).max(backoff));
         }
-        let gap_ms = f64::from(p.permit_askers) / total_rate * 1_000.0;
+        let gap_ms = f64::from(p.permit_askers) / (total_rate * RETURN_LOAD) * 1_000.0;
         Some(PermitOutlook { first, gap_ms })
     }
 
@@ -311,13 +313,16 @@
 
     /// Returns the time after which the next refused caller should retry. The times of successive
     /// refusals are apart by what the sum of the limits leaves to one of the routers that ask, so
-    /// that callers who retry find permits. A random part spreads the first ones of all routers.
+    /// that callers who retry find permits. If several routers ask, a random part spreads their first
+    /// ones.
     fn next_return(&mut self, now: Millis, pool: PoolKey, outlook: PermitOutlook) -> Millis {
         let gap = Millis(outlook.gap_ms.ceil() as u64);
         let p = &mut self.pools[pool];
         let first = now + outlook.first;
         if p.next_return < first {
-            p.next_return = first + Millis(self.rng.random_range(0..=gap.0));
+            let others = f64::from(p.permit_askers.saturating_sub(1));
+            let spread = outlook.gap_ms * others / f64::from(p.permit_askers);
+            p.next_return = first + Millis(self.rng.random_range(0..=spread as u64));
         }
         let at = p.next_return.min(now + MAX_RETRY_AFTER);
         p.next_return = at + gap;
--- a/toucanchute_core/src/routing/tests/rate_limit/fleet.rs
+++ b/toucanchute_core/src/routing/tests/rate_limit/fleet.rs
@@ -1,50 +1,38 @@
 //! Simulated routers before servers that name rate limits.
 
+mod callers;
+mod counts;
+mod view;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use toucanchute_proto::{AttemptId, Incarnation, Millis, RequestRate, fleet::BackendHint};
 
+pub(super) use self::{
+    callers::{Callers, Load, Rhythm},
+    counts::{Counts, KnownBy},
+};
 use super::trouble::Trouble;
 use crate::routing::{
-    Action, AttemptReport, BackendNotice, Dispatcher, Event, FleetRouter, FleetView, RefusalReason,
-    RouterState, RoutingRequest,
-    tests::simulation::{assign, config},
+    Action, AttemptReport, BackendNotice, Dispatcher, Event, tests::simulation::config,
 };
 
 /// Time from the start of an attempt until its answer.
 const ANSWER_TIME: Millis = Millis(100);
 
-/// Time that a caller waits for its answer.
-const PATIENCE: Millis = Millis(4_000);
-
 /// Interval between two ticks of a router.
 const TICK_INTERVAL: Millis = Millis(50);
 
 /// Bounds of the time that a message between routers takes.
-const MESSAGE_TIME: (u64, u64) = (1, 8);
-
-/// Time in which a change of a router's state reaches the other routers.
-const VIEW_TIME: (u64, u64) = (300, 800);
-
-/// Time for which a router is silent until the others count it as unreachable.
-const SUSPICION_TIME: Millis = Millis(500);
+pub(super) const MESSAGE_TIME: (u64, u64) = (1, 8);
 
 /// Concurrency limit of each server.
 const CONCURRENCY: u32 = 64;
 
-/// Time after its first answer with a limit from which a router's requests count.
+/// Time after an answer with a limit from which the limit counts as known.
 const LEARNING_TIME: Millis = Millis(500);
 
-/// Which routers the callers use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Load {
-    /// All of them alike.
-    Spread,
-    /// The first one only.
-    OneRouter,
-}
-
 /// Parameters of a simulated fleet.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Scenario {
@@ -60,6 +48,7 @@
     /// Requests that callers send in one second, on average.
     pub(super) requests_per_second: f64,
     pub(super) load: Load,
+    pub(super) rhythm: Rhythm,
     /// When callers stop sending new requests.
     pub(super) requests_until: Millis,
     /// When the servers stop naming the limit.
@@ -67,23 +56,6 @@
     pub(super) trouble: Trouble,
 }
 
-/// A request that reached a server.
-#[derive(Clone, Copy, Debug)]
-struct Arrival {
-    at: Millis,
-    server: usize,
-    /// Whether its router had known the server's limit for [`LEARNING_TIME`].
-    counted: bool,
-}
-
-/// A refusal of a request.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Refused {
-    pub(super) reason: RefusalReason,
-    /// Time from the request to its refusal.
-    pub(super) waited: Millis,
-}
-
 /// One router and what it has learned.
 struct Router {
     dispatcher: Dispatcher,
@@ -115,7 +87,7 @@
     View,
     /// A caller's request.
     Request,
-    /// A caller that was refused returns.
+    /// A caller that was refused returns, or another caller of a crowd sends its request.
     Return,
     /// The next trouble begins.
     Trouble,
@@ -129,19 +101,12 @@
     /// Inputs by time and order of creation, with the router that they are for.
     due: BTreeMap<(Millis, u64), (usize, Delivery)>,
     serial: u64,
-    arrivals: Vec<Arrival>,
-    pub(super) refusals: Vec<Refused>,
-    /// Number of messages about permits that each router sent or received.
-    pub(super) permit_messages: Vec<usize>,
+    pub(super) callers: Callers,
+    pub(super) counts: Counts,
     /// Newest hint about each server, which new routers get.
     hints: BTreeMap<String, BackendHint>,
-    /// When each waiting call arrived.
-    waiting: BTreeMap<u64, Millis>,
-    /// Number of refused callers that returned after the last new request, and of those that were
-    /// then served.
-    pub(super) returned: (usize, usize),
-    /// Calls of callers that returned after a refusal.
-    returning: BTreeSet<u64>,
+    /// When any router first got an answer with a limit of each server.
+    named_at: BTreeMap<usize, Millis>,
     pub(super) rng: SmallRng,
 }
 
@@ -155,13 +120,10 @@
                 .collect(),
             due: BTreeMap::new(),
             serial: 0,
-            arrivals: Vec::new(),
-            refusals: Vec::new(),
-            permit_messages: vec![0; scenario.routers],
+            callers: Callers::default(),
+            counts: Counts::default(),
             hints: BTreeMap::new(),
-            waiting: BTreeMap::new(),
-            returned: (0, 0),
-            returning: BTreeSet::new(),
+            named_at: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(scenario.seed),
         };
         for i in 0..scenario.routers {
@@ -187,27 +149,6 @@
         self.now = end;
     }
 
-    /// Returns the greatest number of counted requests that reached a server in one window of this
-    /// length that begins at `from` or later.
-    pub(super) fn most_requests(&self, server: usize, from: Millis, window: Millis) -> usize {
-        let counted = self
-            .arrivals
-            .iter()
-            .filter(|a| a.server == server && a.counted);
-        let times: Vec<Millis> = counted.map(|a| a.at).filter(|&at| at >= from).collect();
-        let in_window = |i: usize| {
-            let end = times[i] + window;
-            times[i..].iter().take_while(|&&at| at < end).count()
-        };
-        (0..times.len()).map(in_window).max().unwrap_or(0)
-    }
-
-    /// Returns the number of requests that reached a server from `from` to `until`.
-    pub(super) fn requests_between(&self, server: usize, from: Millis, until: Millis) -> usize {
-        let counted = |a: &&Arrival| a.server == server && a.at >= from && a.at < until;
-        self.arrivals.iter().filter(counted).count()
-    }
-
     // Inputs
 
     fn configure(&mut self, router: usize) {
@@ -222,16 +163,6 @@
         self.due.insert(key, (router, delivery));
     }
 
-    fn post_next_request(&mut self) {
-        let router = match self.scenario.load {
-            Load::Spread => self.rng.random_range(0..self.routers.len()),
-            Load::OneRouter => 0,
-        };
-        let uniform: f64 = self.rng.random_range(f64::EPSILON..1.0);
-        let pause = -uniform.ln() / self.scenario.requests_per_second * 1_000.0;
-        self.post(router, Millis(pause as u64), Delivery::Request);
-    }
-
     fn post_next_trouble(&mut self) {
         if let Some((low, high)) = self.scenario.trouble.interval() {
             let pause = self.rng.random_range(low.0..high.0);
@@ -277,29 +208,6 @@
         }
     }
 
-    /// Sends a caller's request; callers use another router while one is down.
-    fn send_request(&mut self, router: usize, returning: bool) {
-        let count = self.routers.len();
-        let up = (0..count)
-            .map(|i| (router + i) % count)
-            .find(|&i| self.routers[i].up);
-        let Some(router) = up else {
-            return;
-        };
-        self.serial += 1;
-        let call = self.serial;
-        self.waiting.insert(call, self.now);
-        if returning && self.now >= self.scenario.requests_until {
-            self.returned.0 += 1;
-            self.returning.insert(call);
-        }
-        let req = RoutingRequest {
-            prefix: Vec::new(),
-            ..assign(call, 0, 10, self.now + PATIENCE)
-        };
-        self.post(router, Millis(0), Delivery::Event(Event::Assign(req)));
-    }
-
     fn answer(&mut self, router: usize, attempt: AttemptId, server: usize) {
         if attempt.0 != self.routers[router].incarnation {
             return;
@@ -317,6 +225,7 @@
         if names_limit {
             let now = self.now;
             self.routers[router].named_at.entry(server).or_insert(now);
+            self.named_at.entry(server).or_insert(now);
         }
         let backend = format!("b{server}");
         self.handle(router, Event::Notice { backend, notice });
@@ -324,91 +233,6 @@
         self.handle(router, Event::Report { attempt, report });
     }
 
-    // The fleet
-
-    /// Gives a router the present state of the others.
-    fn update_view(&mut self, router: usize) {
-        let me = &self.routers[router];
-        let others = self
-            .routers
-            .iter()
-            .enumerate()
-            .filter(|(i, _)| *i != router);
-        let view = |(i, r): (usize, &Router)| FleetRouter {
-            incarnation: r.incarnation,
-            host: format!("host-{i}"),
-            capacity: 250,
-            state: match r {
-                Router { up: false, .. } => RouterState::Left,
-                r if r.side != me.side || r.frozen_until > self.now + SUSPICION_TIME => {
-                    RouterState::Unreachable
-                }
-                _ => RouterState::Alive,
-            },
-        };
-        let view = FleetView {
-            capacity: 250,
-            leaving: !me.up,
-            routers: others.map(view).collect(),
-        };
-        self.handle(router, Event::Fleet(view));
-    }
-
-    /// Lets all routers learn the state of the fleet, each after a time of its own.
-    pub(super) fn spread_views(&mut self) {
-        for i in 0..self.routers.len() {
-            let delay = self.rng.random_range(VIEW_TIME.0..VIEW_TIME.1);
-            self.post(i, Millis(delay), Delivery::View);
-        }
-    }
-
-    pub(super) fn router_count(&self) -> usize {
-        self.routers.len()
-    }
-
-    /// Freezes a router. The others learn of it, and later of its return.
-    pub(super) fn freeze(&mut self, router: usize, span: Millis) {
-        self.routers[router].frozen_until = self.now + span;
-        self.spread_views();
-        for i in 0..self.routers.len() {
-            let delay = self.rng.random_range(VIEW_TIME.0..VIEW_TIME.1);
-            self.post(i, span + Millis(delay), Delivery::View);
-        }
-    }
-
-    /// Replaces a router by a new run that knows nothing.
-    pub(super) fn restart(&mut self, router: usize) {
-        self.serial += 1;
-        let incarnation = self.serial + 1_000_000;
-        self.routers[router] = Router::new(self.scenario.seed, incarnation);
-        self.configure(router);
-        for hint in self.hints.clone().into_values() {
-            let delay = self.rng.random_range(VIEW_TIME.0..VIEW_TIME.1);
-            self.post(router, Millis(delay), Delivery::Event(Event::Hint(hint)));
-        }
-        self.spread_views();
-    }
-
-    /// Takes a router out of the fleet, or back into it as a new run.
-    pub(super) fn toggle(&mut self, router: usize) {
-        let alone = self.routers.iter().filter(|r| r.up).count() == 1;
-        if self.routers[router].up && !alone {
-            self.routers[router].up = false;
-            self.update_view(router);
-            self.spread_views();
-        } else {
-            self.restart(router);
-        }
-    }
-
-    /// Puts each router on a side of a partition, or ends the partition.
-    pub(super) fn partition(&mut self, sides: usize) {
-        for i in 0..self.routers.len() {
-            self.routers[i].side = self.rng.random_range(0..sides);
-        }
-        self.spread_views();
-    }
-
     fn begin_trouble(&mut self) {
         let trouble = self.scenario.trouble;
         trouble.begin(self);
@@ -442,9 +266,9 @@
             Action::SendPermitMessage { to, message } => {
                 let from = self.routers[router].incarnation;
                 let event = Event::PermitMessage { from, message };
-                self.permit_messages[router] += 1;
+                self.counts.permit_messages += 1;
                 if let Some(to) = self.routers.iter().position(|r| r.incarnation == to) {
-                    self.permit_messages[to] += 1;
+                    self.counts.permit_messages += 1;
                     self.send_message(router, to, event);
                 }
             }
@@ -463,32 +287,26 @@
         self.post(to, Millis(delay), Delivery::Message { from, event });
     }
 
+    /// Returns who has known the limit of a server for [`LEARNING_TIME`].
+    fn known_by(&self, router: usize, server: usize) -> KnownBy {
+        let is_known = |named_at: &BTreeMap<usize, Millis>| {
+            let at = named_at.get(&server);
+            at.is_some_and(|&at| self.now >= at + LEARNING_TIME)
+        };
+        match is_known(&self.routers[router].named_at) {
+            true => KnownBy::Router,
+            false if is_known(&self.named_at) => KnownBy::Fleet,
+            false => KnownBy::Nobody,
+        }
+    }
+
     fn start(&mut self, router: usize, call: u64, attempt: AttemptId, backend: &str) {
         let server: usize = backend[1..].parse().unwrap();
-        let named_at = self.routers[router].named_at.get(&server);
-        let counted = named_at.is_some_and(|&at| self.now >= at + LEARNING_TIME);
-        let at = self.now;
-        self.arrivals.push(Arrival {
-            at,
-            server,
-            counted,
-        });
-        self.waiting.remove(&call);
-        self.returned.1 += usize::from(self.returning.remove(&call));
+        let known_by = self.known_by(router, server);
+        self.counts.record_arrival(self.now, server, known_by);
+        self.callers.record_start(call);
         self.post(router, ANSWER_TIME, Delivery::Answer { attempt, server });
     }
-
-    fn refuse(&mut self, router: usize, call: u64, reason: RefusalReason, retry_after: Millis) {
-        let since = self.waiting.remove(&call).unwrap();
-        self.refusals.push(Refused {
-            reason,
-            waited: self.now.since(since),
-        });
-        let returned = self.returning.remove(&call);
-        if !returned && self.now < self.scenario.requests_until {
-            self.post(router, retry_after, Delivery::Return);
-        }
-    }
 }
 
 impl Router {
