--- a/toucanchute_edge/src/connection/state.rs
+++ b/toucanchute_edge/src/connection/state.rs
@@ -45,7 +45,8 @@
     Quiet,
     /// Closed by the router while nothing happened on it; bytes of a request arrived afterwards.
     Crossed,
-    /// Ended by the router while a request was being received or answered.
+    /// Ended by the router while a request was being received or answered, also because a backend
+    /// server broke its response off or the request could not be read.
     Cut,
 }
 
