--- a/toucanchute_edge/src/passthrough/response_record.rs
+++ b/toucanchute_edge/src/passthrough/response_record.rs
@@ -64,12 +64,12 @@
         states_not_run && self.attempt == AttemptMatch::Own
     }
 
-    /// Whether the response promises that the request did not run, without proof: it names another
-    /// attempt or none, or only its status says so.
+    /// Whether the response promises without proof that the request did not run: its status is a
+    /// promise, or it states that another attempt did not run.
     #[must_use]
     pub fn is_unproven_promise(&self) -> bool {
-        let promises = self.not_run || is_promise(self.status);
-        promises && !self.is_proven_refusal()
+        let refuses_other = self.not_run && self.attempt == AttemptMatch::Other;
+        (refuses_other || is_promise(self.status)) && !self.is_proven_refusal()
     }
 }
 
--- a/toucanchute_edge/src/tests/run_record.rs
+++ b/toucanchute_edge/src/tests/run_record.rs
@@ -102,3 +102,15 @@
     absent_503_that_states_it: SERVICE_UNAVAILABLE, Absent, true, false;
     absent_421: MISDIRECTED_REQUEST, Absent, true, false;
 }
+
+/// Guards against a warning for each request without an attempt, which backend servers reject with
+/// 400 and rightly state not to have run.
+#[test]
+fn a_rejected_request_without_an_attempt_is_no_unproven_promise() {
+    let rejected = response(StatusCode::BAD_REQUEST, AttemptMatch::Absent, true);
+    assert!(!rejected.is_unproven_promise());
+    let refused = response(StatusCode::SERVICE_UNAVAILABLE, AttemptMatch::Absent, true);
+    assert!(refused.is_unproven_promise());
+    let late = response(StatusCode::BAD_REQUEST, AttemptMatch::Other, true);
+    assert!(late.is_unproven_promise());
+}
