fix(edge): refuse for now, not for good, while a router has no configuration

A caller of a router that had just been started again was told 401 `unauthorized`, not to be retried, for a valid request, and `not-run` also of a key that another router may have run.

Cause: tokens and names are looked up before the router's readiness is, and a router listens before it has its configuration.

Now requests that are checked against the configuration are refused with `starting` (503, retryable) until there is one, and the outcome is `unknown` for a key that may have been sent before.

--- a/toucanchute_edge/src/caller.rs
+++ b/toucanchute_edge/src/caller.rs
@@ -84,14 +84,8 @@
     /// Changes the outcome of `problem` from not run to unknown if the request may have been sent
     /// before: that earlier request may have run at another router, so this router cannot state
     /// that the request did not run. A reused key is excepted, as it belongs to another request.
-    pub(crate) fn adjust_outcome(&self, mut problem: Problem) -> Problem {
-        if self.may_be_retry
-            && matches!(problem.outcome, RequestOutcome::NotRun(_))
-            && problem.reason != KEY_REUSED
-        {
-            problem.outcome = RequestOutcome::Unknown;
-        }
-        problem
+    pub(crate) fn adjust_outcome(&self, problem: Problem) -> Problem {
+        adjust_outcome(problem, self.may_be_retry)
     }
 
     /// Returns whether a deadline set by the caller has passed. Such a timeout is no failure of the
@@ -121,6 +115,22 @@
     }
 }
 
+/// Changes the outcome of `problem` as [`CallerRequest::adjust_outcome`] does, for a request of which
+/// only the headers are known.
+pub(crate) fn adjust_outcome_by_headers(problem: Problem, headers: &HeaderMap) -> Problem {
+    adjust_outcome(problem, may_be_retry(headers).unwrap_or(true))
+}
+
+fn adjust_outcome(mut problem: Problem, may_be_retry: bool) -> Problem {
+    if may_be_retry
+        && matches!(problem.outcome, RequestOutcome::NotRun(_))
+        && problem.reason != KEY_REUSED
+    {
+        problem.outcome = RequestOutcome::Unknown;
+    }
+    problem
+}
+
 /// Returns the bearer token of a request.
 pub(crate) fn bearer_token(headers: &HeaderMap) -> Option<&[u8]> {
     let value = headers.get(header::AUTHORIZATION)?.as_bytes();
--- a/toucanchute_edge/src/handler.rs
+++ b/toucanchute_edge/src/handler.rs
@@ -13,7 +13,7 @@
     caller::{self, CallerRequest},
     completion::{self, CompletionKind},
     config_index::{ConfigIndex, CustomerKey, parse_sha256, sha256},
-    control::Control,
+    control::{Control, Refusal, RefusalReason},
     edge::EdgeState,
     error::RequestError,
     problem::Problem,
@@ -86,7 +86,16 @@
         body: Incoming,
     ) -> Result<Response<AnswerBody>, RequestError> {
         self.check_header_size(&head.headers)?;
-        match Route::parse(&head.method, head.uri.path())? {
+        let route = Route::parse(&head.method, head.uri.path())?;
+        if route.needs_config()
+            && let Some(refusal) = self.starting()
+        {
+            let problem = Problem::from_refusal(&refusal, &RunRecord::new());
+            log::info!(path = head.uri.path(), error = problem.detail; "request-rejected");
+            let problem = caller::adjust_outcome_by_headers(problem, &head.headers);
+            return Ok(problem.into_response());
+        }
+        match route {
             Route::Addresses => Ok(self.addresses()),
             Route::Health => Ok(json(StatusCode::OK, &serde_json::json!({"status": "ok"}))),
             Route::Ready => Ok(self.ready()),
@@ -99,6 +108,13 @@
 
     // Checks
 
+    /// Returns the refusal of a router that has no configuration yet, against which it could check
+    /// tokens and names.
+    fn starting(&self) -> Option<Refusal> {
+        let refusal = self.shared.control.unready()?;
+        (refusal.reason == RefusalReason::Starting).then_some(refusal)
+    }
+
     fn check_header_size(&self, headers: &HeaderMap) -> Result<(), RequestError> {
         let limit = self.shared.settings.max_header_bytes;
         let size = headers
--- a/toucanchute_edge/src/route.rs
+++ b/toucanchute_edge/src/route.rs
@@ -27,6 +27,15 @@
 }
 
 impl<'a> Route<'a> {
+    /// Whether a request is checked against the configuration: the caller's token, and the name of a
+    /// model or service.
+    pub(crate) fn needs_config(self) -> bool {
+        matches!(
+            self,
+            Route::ChatCompletion | Route::TextCompletion | Route::Service { .. }
+        )
+    }
+
     /// Finds the route for the method and path of a request.
     ///
     /// # Errors
--- a/toucanchute_edge/tests/edge/test_control.rs
+++ b/toucanchute_edge/tests/edge/test_control.rs
@@ -64,6 +64,13 @@
         }
     }
 
+    /// Changes this to the control of a router that has no configuration yet.
+    pub(crate) fn without_config(mut self) -> TestControl {
+        self.config = Arc::default();
+        self.unready = Some(RefusalReason::Starting);
+        self
+    }
+
     /// Returns all events; reports of a first token are not recorded.
     pub(crate) fn events(&self) -> Vec<String> {
         self.events.borrow().clone()
