test(prepaid): what a loss of power of all routers writes off of a nearly spent budget

After a loss of power of all routers, callers with nearly spent budgets are refused though tokens are left: the takeover counts the ramp up to its own time.

--- a/toucanchute_core/tests/prepaid_cases/fleet.rs
+++ b/toucanchute_core/tests/prepaid_cases/fleet.rs
@@ -247,6 +247,18 @@
         self.update_peers();
     }
 
+    /// Cuts the power of all hosts. Routers start on them `outage` milliseconds later and know few
+    /// clocks.
+    pub(crate) fn lose_power(&mut self, outage: u64) {
+        let hosts: Vec<u64> = self.routers.drain(..).map(|r| r.host).collect();
+        self.now += outage;
+        self.few_clocks = true;
+        for host in hosts {
+            self.start(host);
+        }
+        self.update_peers();
+    }
+
     /// Kills a router for good.
     pub(crate) fn remove(&mut self, router: usize) {
         self.routers.remove(router);
