fix(edge): promise nothing of a key in a rejected request that may have been sent before

A caller who repeated a request under its key at a router with another configuration (a model or service that it does not know yet, a token that it does not know) was told `not-run`, although another router may have run it. docs/CALLERS.md says `not-run` of a key only with toucanchute-retry 0, or where the router knows.

Cause: refusals of a request in progress go through adjust_outcome, errors before its task starts did not. A malformed key is excepted, since no router runs a request under it; the tests of bad keys say so and stay as they were.

--- a/toucanchute_edge/src/caller.rs
+++ b/toucanchute_edge/src/caller.rs
@@ -118,7 +118,12 @@
 /// Changes the outcome of `problem` as [`CallerRequest::adjust_outcome`] does, for a request of which
 /// only the headers are known.
 pub(crate) fn adjust_outcome_by_headers(problem: Problem, headers: &HeaderMap) -> Problem {
-    adjust_outcome(problem, may_be_retry(headers).unwrap_or(true))
+    // No router runs a request whose key is malformed.
+    let has_sound_key = parse_key("", headers).is_ok();
+    adjust_outcome(
+        problem,
+        has_sound_key && may_be_retry(headers).unwrap_or(true),
+    )
 }
 
 fn adjust_outcome(mut problem: Problem, may_be_retry: bool) -> Problem {
--- a/toucanchute_edge/src/handler.rs
+++ b/toucanchute_edge/src/handler.rs
@@ -75,7 +75,8 @@
                 let path = head.uri.path();
                 log::info!(path = path, error:% = err; "request-rejected");
                 // `answer` fails only before the request's task has started.
-                Problem::from_error(&err, &RunRecord::new()).into_response()
+                let problem = Problem::from_error(&err, &RunRecord::new());
+                caller::adjust_outcome_by_headers(problem, &head.headers).into_response()
             }
         }
     }
--- a/toucanchute_edge/tests/edge/outcomes.rs
+++ b/toucanchute_edge/tests/edge/outcomes.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     raw_backend::{OWN, RawBackend, Step},
-    support::{TestEdge, send_request, start_services},
+    support::{TestEdge, read_json, send_request, start_services},
     test_control::TestControl,
 };
 
@@ -239,6 +239,18 @@
     assert_eq!(only.connection_count(), 2, "the connection was kept");
 }
 
+/// Guards against a promise for a key of a request that this router rejects, and that another router,
+/// with another configuration, may have run.
+#[tokio::test]
+async fn a_rejected_request_under_a_key_is_no_promise() {
+    let edge = start_edge(&[]).await;
+    let path = "/v1/services/absent/a";
+    let res = edge.post(path, Some("k1"), &json!({})).await;
+    assert_eq!(read_json(res).await["outcome"], "unknown");
+    let first_try = tell(&edge, path, Some("k1"), &json!({})).await;
+    assert_eq!(first_try.problem["outcome"], "not-run", "{first_try:?}");
+}
+
 // What is proved
 
 /// Guards against a cautious router that withholds a promise from a caller whose call was refused.
