--- a/toucanchute_core/tests/prepaid_cases/power_loss.rs
+++ b/toucanchute_core/tests/prepaid_cases/power_loss.rs
@@ -33,10 +33,10 @@
 // Guards against a takeover after a loss of all routers that writes off much of a nearly spent budget,
 // so that requests which are owed are refused.
 #[parameterized(
-    one_second_of_draw = { DRAW },
-    three_seconds_of_draw = { 3 * DRAW },
-    ten_seconds_of_draw = { 10 * DRAW },
-    a_minute_of_draw = { 60 * DRAW },
+    left_1_000 = { DRAW },
+    left_3_000 = { 3 * DRAW },
+    left_10_000 = { 10 * DRAW },
+    left_60_000 = { 60 * DRAW },
 )]
 fn a_loss_of_power_writes_off_little_of_what_is_left(left: u64) {
     let lost = written_off(left);
