fix(edge): believe no response that names several attempts or contradicts itself

Callers of non-idempotent requests were promised that a request did not run, or had it sent to a second backend server, by a refusal or a 421 that names this attempt and another one (the first name won), and by a sealed success that also states that it did not run. A rate limit was taken from a response to another attempt, with this one's time.

Now several names are none of them, a success that states the opposite is no answer (502), and a limit needs a response to this attempt.

--- a/toucanchute_edge/src/passthrough/proxied_request.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request.rs
@@ -219,8 +219,8 @@
             };
             let (head, body) = res.into_parts();
             let info = self.state.dialect.read_response(&head);
-            self.report_backend_info(&attempt, &info);
             let record = self.record_response(&attempt, &conn, &head, &info, trace);
+            self.report_backend_info(&attempt, &info, &record);
             let response = UncheckedResponse {
                 attempt,
                 conn,
--- a/toucanchute_edge/src/passthrough/proxied_request/reports.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/reports.rs
@@ -38,7 +38,12 @@
     }
 
     /// Reports what the head of a response states about the backend server.
-    pub(super) fn report_backend_info(&self, attempt: &AttemptGuard<C>, info: &ResponseInfo) {
+    pub(super) fn report_backend_info(
+        &self,
+        attempt: &AttemptGuard<C>,
+        info: &ResponseInfo,
+        record: &ResponseRecord,
+    ) {
         let control = &self.state.control;
         let backend = &attempt.assignment.backend;
         if info.leaving {
@@ -47,7 +52,7 @@
         if let Some(span) = info.retry_after {
             control.report_notice(backend, BackendNotice::Backoff { duration: span });
         }
-        self.report_rate_limit(&attempt.assignment, info);
+        self.report_rate_limit(&attempt.assignment, info, record);
         let Some(load) = info.load else {
             return;
         };
@@ -61,14 +66,21 @@
         });
     }
 
-    /// Reports a rate limit that a response names, or that the response of a limited backend server
-    /// names none. Only a sealed response to this attempt proves that.
-    fn report_rate_limit(&self, assignment: &Assignment, info: &ResponseInfo) {
+    /// Reports a rate limit that a response to this attempt names, or that a sealed one of a limited
+    /// backend server names none.
+    fn report_rate_limit(
+        &self,
+        assignment: &Assignment,
+        info: &ResponseInfo,
+        record: &ResponseRecord,
+    ) {
+        if record.attempt != AttemptMatch::Own || info.misdirected {
+            return;
+        }
         let attempt = assignment.attempt;
-        let is_own = info.sealed && !info.misdirected && info.attempt == self.info.attempt;
         let notice = match info.rate_limit {
             RateLimitHeader::Limit(rate) => BackendNotice::RateLimit { rate, attempt },
-            RateLimitHeader::Absent if assignment.rate_limited && is_own => {
+            RateLimitHeader::Absent if assignment.rate_limited && info.sealed => {
                 BackendNotice::NoRateLimit { attempt }
             }
             RateLimitHeader::Absent | RateLimitHeader::Invalid => return,
--- a/toucanchute_edge/src/passthrough/proxied_request/responses.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/responses.rs
@@ -97,7 +97,7 @@
             return Ok(None);
         }
         if !self.is_own_response(&response) {
-            let cause = "the response is encoded, has no seal or belongs to another attempt";
+            let cause = "the response is encoded, has no seal, contradicts itself or belongs to another attempt";
             let report = CrashKind::Malformed.into();
             end_failed_attempt(response.attempt, report, cause, retries, trace);
             return match retries.may_rerun() {
@@ -136,7 +136,8 @@
     }
 
     /// Whether a response may belong to the request, and is what a backend server sends: not
-    /// encoded, and a success with a seal. An error may lack the attempt.
+    /// encoded, and a success with a seal that does not state the opposite. An error may lack the
+    /// attempt.
     fn is_own_response(&self, response: &UncheckedResponse<C>) -> bool {
         let is_success = response.head.status.is_success();
         let names_request = match response.record.attempt {
@@ -144,7 +145,8 @@
             AttemptMatch::Other => false,
             AttemptMatch::Absent => !is_success || self.info.attempt.is_none(),
         };
-        names_request && (response.info.sealed || !is_success) && !response.info.encoded
+        let is_sound_success = response.info.sealed && !response.info.not_run;
+        names_request && (is_sound_success || !is_success) && !response.info.encoded
     }
 
     /// Ends an attempt whose request the backend server did not run. An error ends the request.
--- a/toucanchute_edge/src/passthrough/response_record.rs
+++ b/toucanchute_edge/src/passthrough/response_record.rs
@@ -57,11 +57,12 @@
 }
 
 impl ResponseRecord {
-    /// Whether the response belongs to the attempt and states that the request did not run.
+    /// Whether the response belongs to the attempt and states that the request did not run. A success
+    /// that states it contradicts itself and proves nothing.
     #[must_use]
     pub fn is_proven_refusal(&self) -> bool {
         let states_not_run = self.not_run || self.status == StatusCode::MISDIRECTED_REQUEST;
-        states_not_run && self.attempt == AttemptMatch::Own
+        states_not_run && self.attempt == AttemptMatch::Own && !self.status.is_success()
     }
 
     /// Whether the response promises without proof that the request did not run: its status is a
--- a/toucanchute_edge/tests/passthrough/support.rs
+++ b/toucanchute_edge/tests/passthrough/support.rs
@@ -156,6 +156,7 @@
     /// Tokens that each settled request used.
     pub(crate) used: Mutex<Vec<u64>>,
     pub(crate) reports: Mutex<Vec<AttemptReport>>,
+    pub(crate) notices: Mutex<Vec<BackendNotice>>,
     next: AtomicU64,
 }
 
@@ -219,7 +220,9 @@
 
     fn report_load(&self, _load: Load) {}
 
-    fn report_notice(&self, _backend: &str, _notice: BackendNotice) {}
+    fn report_notice(&self, _backend: &str, notice: BackendNotice) {
+        self.notices.lock().unwrap().push(notice);
+    }
 
     fn record_response(&self, _response: &ResponseRecord) {}
 
@@ -293,8 +296,10 @@
 
     fn read_response(&self, head: &response::Parts) -> ResponseInfo {
         let headers = &head.headers;
+        let attempts = headers.get_all("x-attempt").iter();
+        let attempts: Vec<&str> = attempts.map(|a| a.to_str().unwrap()).collect();
         ResponseInfo {
-            attempt: header_text(headers, "x-attempt").map(str::to_owned),
+            attempt: (!attempts.is_empty()).then(|| attempts.join(",")),
             sealed: headers.contains_key("x-seal"),
             not_run: headers.contains_key("x-not-run"),
             misdirected: head.status == 421,
