fix(edge): send an attempt over a connection at most once

A backend server that sends its refusal twice, the second time late, ended the second send of the same request with 503 while it ran, or had it sent a third time (TWICE): both sends bear the caller's attempt, and the second took the connection that had just been put back, since a full server may be tried again when there is no other. Two callers that choose the same attempt met in the same way. Routes with one attempt are not affected by the first.

Cause: a response proves something of this very attempt only if no other request with its name was sent over the connection. Each connection now keeps the attempts that it has carried, as hashes, and is not used for one of them again; after 256 requests it is closed.

--- a/toucanchute_edge/src/passthrough/pool.rs
+++ b/toucanchute_edge/src/passthrough/pool.rs
@@ -1,5 +1,6 @@
 use std::{
     collections::HashMap,
+    hash::{DefaultHasher, Hash, Hasher},
     io,
     net::SocketAddr,
     sync::{
@@ -42,6 +43,9 @@
 /// Most interim responses (status 1xx) that are accepted before the final response.
 const MAX_INTERIM_RESPONSES: u32 = 16;
 
+/// Most requests that are sent over one connection.
+const MAX_REQUESTS_PER_CONNECTION: usize = 256;
+
 /// Most idle connections that are kept to one backend server.
 const MAX_IDLE_PER_BACKEND: usize = 32;
 
@@ -66,6 +70,9 @@
     task: JoinHandle<()>,
     /// Whether an earlier request was sent over it.
     pub(super) reused: bool,
+    /// Hashes of the attempts that were sent over it. Invariant: no attempt is sent over it twice, so
+    /// that a response that names an attempt answers the only request with it.
+    carried: Vec<u64>,
 }
 
 /// Why a request got no response from a backend server.
@@ -112,48 +119,65 @@
 }
 
 impl ConnectionPool {
-    /// Returns an idle connection to a backend server, or opens a new one. A `non_idempotent`
-    /// request gets no connection that was idle so long that the backend server may be closing it.
+    /// Returns an idle connection to a backend server over which the attempt was not sent yet, or
+    /// opens a new one. A `non_idempotent` request gets no connection that was idle so long that the
+    /// backend server may be closing it.
     pub(super) async fn connect(
         &self,
         backend: &str,
         address: SocketAddr,
+        attempt: Option<&str>,
         non_idempotent: bool,
     ) -> Result<Connection, SendError> {
-        while let Some(mut conn) = self.take_idle(backend, non_idempotent) {
+        let attempt = attempt.map(attempt_hash);
+        while let Some(mut conn) = self.take_idle(backend, attempt, non_idempotent) {
             let ready = timeout(Duration::from_millis(2), conn.tx.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
+                conn.carried.extend(attempt);
                 return Ok(conn);
             }
         }
-        open(address).await
+        open(address, attempt).await
     }
 
-    /// Opens a new connection, without regard to idle ones.
-    pub(super) async fn connect_new(&self, address: SocketAddr) -> Result<Connection, SendError> {
-        open(address).await
+    /// Opens a new connection for an attempt, without regard to idle ones.
+    pub(super) async fn connect_new(
+        &self,
+        address: SocketAddr,
+        attempt: Option<&str>,
+    ) -> Result<Connection, SendError> {
+        open(address, attempt.map(attempt_hash)).await
     }
 
-    fn take_idle(&self, backend: &str, non_idempotent: bool) -> Option<Connection> {
+    fn take_idle(
+        &self,
+        backend: &str,
+        attempt: Option<u64>,
+        non_idempotent: bool,
+    ) -> Option<Connection> {
         let mut idle = self.lock();
         let conns = idle.get_mut(backend)?;
         let now = Instant::now();
-        while let Some(IdleConnection {
-            conn,
-            since,
-            max_idle,
-        }) = conns.pop()
-        {
+        let mut used_by_attempt = Vec::new();
+        let mut found = None;
+        while let Some(idle) = conns.pop() {
             let limit = if non_idempotent {
-                max_idle / NON_IDEMPOTENT_IDLE_DIVISOR
+                idle.max_idle / NON_IDEMPOTENT_IDLE_DIVISOR
             } else {
-                max_idle
+                idle.max_idle
             };
-            if now.duration_since(since) <= limit && !conn.tx.is_closed() {
-                return Some(conn);
+            if now.duration_since(idle.since) > limit || idle.conn.tx.is_closed() {
+                continue;
+            }
+            if attempt.is_some_and(|a| idle.conn.carried.contains(&a)) {
+                used_by_attempt.push(idle);
+                continue;
             }
+            found = Some(idle.conn);
+            break;
         }
-        None
+        conns.extend(used_by_attempt.into_iter().rev());
+        found
     }
 
     /// Keeps a connection for reuse after its response was read to the end. `keep_alive` is the
@@ -165,6 +189,9 @@
         keep_alive: Option<Duration>,
     ) {
         conn.reused = true;
+        if conn.carried.len() >= MAX_REQUESTS_PER_CONNECTION {
+            return;
+        }
         let max_idle = keep_alive
             .unwrap_or(DEFAULT_IDLE_TIMEOUT)
             .saturating_sub(IDLE_TIMEOUT_MARGIN);
@@ -240,7 +267,14 @@
     matches!(connected, Ok(Ok(_)))
 }
 
-async fn open(address: SocketAddr) -> Result<Connection, SendError> {
+fn attempt_hash(attempt: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    attempt.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Opens a connection for an attempt with this hash.
+async fn open(address: SocketAddr, attempt: Option<u64>) -> Result<Connection, SendError> {
     let opened = async {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
@@ -260,5 +294,6 @@
         tx,
         task,
         reused: false,
+        carried: attempt.into_iter().collect(),
     })
 }
--- a/toucanchute_edge/src/passthrough/proxied_request/exchange.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/exchange.rs
@@ -31,14 +31,20 @@
         let assignment = &attempt.assignment;
         let pool = &self.state.pool;
         let non_idempotent = !retries.is_idempotent();
-        let connect = pool.connect(&assignment.backend, assignment.address, non_idempotent);
+        let attempt_name = self.info.attempt.as_deref();
+        let connect = pool.connect(
+            &assignment.backend,
+            assignment.address,
+            attempt_name,
+            non_idempotent,
+        );
         let conn = connect_by(self.deadline, connect).await?;
         let reused = conn.reused;
         match self.send_over(conn, attempt, retries, resume_after).await {
             Err(ExchangeError::Send {
                 source: SendError::Unsent,
             }) if reused => {
-                let connect = pool.connect_new(assignment.address);
+                let connect = pool.connect_new(assignment.address, attempt_name);
                 let conn = connect_by(self.deadline, connect).await?;
                 self.send_over(conn, attempt, retries, resume_after).await
             }
--- a/toucanchute_edge/tests/passthrough/main.rs
+++ b/toucanchute_edge/tests/passthrough/main.rs
@@ -9,6 +9,7 @@
 mod promises;
 mod raw_backend;
 mod repeats;
+mod resends;
 mod shutdown;
 mod streams;
 mod support;
