fix(edge): go on accepting the backlog of a planned stop after a failed accept

A full host is just where a backlog stands, since the limit on connections does not apply to it. Accepting is now tried for up to 1 s.

--- a/toucanchute_edge/src/connection/close.rs
+++ b/toucanchute_edge/src/connection/close.rs
@@ -11,7 +11,7 @@
 const MIN_QUIET_TIME: Duration = Duration::from_millis(500);
 
 /// Interval between two checks whether a connection is quiet, during a planned stop.
-const QUIET_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+const QUIET_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// How long the router still reads what a caller sends after it has closed its own half. A socket
 /// that is closed with unread bytes is reset, and the reset discards responses that the caller has
--- a/toucanchute_edge/src/connection/listen.rs
+++ b/toucanchute_edge/src/connection/listen.rs
@@ -9,6 +9,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore, watch},
+    time::Instant,
 };
 
 use super::{
@@ -19,6 +20,9 @@
 /// Delay before the next connection is accepted after accepting one failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// How long a planned stop tries to accept what is in the backlog while accepting fails.
+const BACKLOG_RETRY_TIME: Duration = Duration::from_secs(1);
+
 /// Answers the requests of callers.
 pub trait Responder: Clone + Send + Sync + 'static {
     /// Body of the responses.
@@ -91,8 +95,12 @@
             () = self.accept_all(&listener) => {}
             () = refusing => {}
         }
-        self.accept_backlog(&listener);
+        let accepted = self.accept_backlog(&listener).await;
+        // The kernel resets connections that it accepts between the last accept and this line.
         drop(listener);
+        if accepted > 0 {
+            log::info!(server = self.name, accepted = accepted; "backlog-accepted");
+        }
         closing.await;
         self.stopping.send_replace(true);
         self.stopping.closed().await;
@@ -113,16 +121,27 @@
         }
     }
 
-    /// Accepts what is in the listener's backlog, whose connections the kernel would reset. The limit
-    /// on connections does not apply to them.
-    fn accept_backlog(&self, listener: &TcpListener) {
-        let mut accepted: u64 = 0;
-        while let Some(Ok(stream)) = accept_now(listener) {
-            accepted += 1;
-            self.spawn_connection(stream, None);
-        }
-        if accepted > 0 {
-            log::info!(server = self.name, accepted = accepted; "backlog-accepted");
+    /// Accepts what is in the listener's backlog, whose connections the kernel would reset, and
+    /// returns their number. The limit on connections does not apply to them. While accepting fails,
+    /// as without free file descriptors, it is tried again for a limited time.
+    async fn accept_backlog(&self, listener: &TcpListener) -> u64 {
+        let until = Instant::now() + BACKLOG_RETRY_TIME;
+        let mut accepted = 0;
+        loop {
+            match accept_now(listener) {
+                None => return accepted,
+                Some(Ok(stream)) => {
+                    accepted += 1;
+                    self.spawn_connection(stream, None);
+                }
+                Some(Err(err)) => {
+                    log::warn!(server = self.name, error:% = err; "accept-failed");
+                    if Instant::now() >= until {
+                        return accepted;
+                    }
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            }
         }
     }
 
--- a/toucanchute_edge/tests/passthrough/shutdown.rs
+++ b/toucanchute_edge/tests/passthrough/shutdown.rs
@@ -1,6 +1,8 @@
 //! What happens to callers' connections when the gateway stops as planned, and when either side closes
 //! a connection early.
 
+mod late;
+
 use std::{
     net::SocketAddr,
     sync::Arc,
