--- a/toucanchute_edge/src/connection/close.rs
+++ b/toucanchute_edge/src/connection/close.rs
@@ -6,8 +6,9 @@
 
 use super::{ConnectionTracker, has_unread_bytes};
 
-/// How long nothing must have happened on a connection before a planned stop closes it. A request
-/// that was written when the connection was opened or last used arrives within this time.
+/// How long nothing must have happened on a connection before a planned stop closes it. It leaves
+/// time for a request that the caller sends as soon as the connection is open or its last response
+/// has arrived.
 const MIN_QUIET_TIME: Duration = Duration::from_millis(500);
 
 /// Interval between two checks whether a connection is quiet, during a planned stop.
--- a/toucanchute_edge/src/control.rs
+++ b/toucanchute_edge/src/control.rs
@@ -190,7 +190,8 @@
     pub tokens: u64,
     /// Number of earlier attempts of this request by this router.
     pub attempts: u32,
-    /// Names of the backend servers that already failed for this request.
+    /// Names of the backend servers that already failed for this request. They are tried again if no
+    /// other one has room.
     pub exclude: Vec<String>,
     /// Time by which the first byte of the answer has to arrive, since the Unix epoch.
     pub deadline: Millis,
--- a/toucanchute_edge/src/passthrough/gateway.rs
+++ b/toucanchute_edge/src/passthrough/gateway.rs
@@ -72,8 +72,9 @@
             .await;
     }
 
-    /// Does the same as `serve`, but accepts no new connections once `refusing` resolves, and closes
-    /// quiet connections only once `closing` resolves too.
+    /// Does the same as `serve` in the stages of a planned stop: accepts no new connections once
+    /// `refusing` resolves, and closes quiet connections only once `closing` resolves too. The
+    /// router's process uses this one.
     pub async fn serve_in_stages(
         &self,
         listener: TcpListener,
--- a/toucanchute_edge/src/passthrough/proxied_request/responses.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/responses.rs
@@ -267,8 +267,8 @@
     }
 }
 
-/// Returns the report on an attempt whose response promises without proof that it did not run. What
-/// a backend server says about its load still counts.
+/// Returns the report on an attempt whose response promises without proof that it did not run. For
+/// the dispatcher, a backend server that refuses is full, whichever attempt it refuses.
 fn unproven_report(response: &ResponseRecord) -> AttemptReport {
     match response.status {
         StatusCode::MISDIRECTED_REQUEST => CrashKind::Malformed.into(),
@@ -277,8 +277,7 @@
     }
 }
 
-/// Logs and reports the end of an attempt that failed, and excludes its backend server from further
-/// attempts.
+/// Logs and reports the end of an attempt that failed. Further attempts prefer other backend servers.
 fn end_failed_attempt<C: RouteControl>(
     attempt: AttemptGuard<C>,
     report: AttemptReport,
--- a/toucanchute_edge/src/passthrough/proxied_request/retry.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/retry.rs
@@ -69,7 +69,7 @@
         &self.excluded
     }
 
-    /// Excludes a backend server that failed the request from further attempts.
+    /// Has further attempts prefer other backend servers to one that failed the request.
     pub(in crate::passthrough) fn exclude_backend(&mut self, backend: &str) {
         if !self.excluded.iter().any(|b| b == backend) {
             self.excluded.push(backend.to_owned());
--- a/toucanchute_edge/src/passthrough/response_record.rs
+++ b/toucanchute_edge/src/passthrough/response_record.rs
@@ -3,7 +3,8 @@
 /// Whose attempt a backend server's response names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum AttemptMatch {
-    /// The attempt that the request was sent with.
+    /// The caller's name of the attempt that the request was sent with. A connection carries each name
+    /// once, so the response is to this request.
     Own,
     /// Another attempt: the response is late, or was sent twice.
     Other,
--- a/toucanchute_router/src/gateway/shutdown.rs
+++ b/toucanchute_router/src/gateway/shutdown.rs
@@ -25,8 +25,8 @@
 /// progress.
 const EXIT_MARGIN: Duration = Duration::from_millis(250);
 
-/// Time before that at which quiet connections are closed and waiting requests refused, even if
-/// other requests are still in progress. It lasts longer than the edge takes to close connections.
+/// Time before the process ends at which quiet connections are closed and waiting requests refused,
+/// even if other requests are still in progress. The edge takes less time to close connections.
 const CLOSING_TIME: Duration = Duration::from_millis(1_500);
 
 /// Pause between two checks whether the router still accepts new work.
