--- a/toucanchute_router/src/gateway/metrics.rs
+++ b/toucanchute_router/src/gateway/metrics.rs
@@ -163,17 +163,17 @@
         );
         registry.register(
             "log_lines_dropped",
-            "Log lines that found the queue full",
+            "Log lines dropped because the queue was full",
             self.log_lines_dropped.clone(),
         );
         registry.register(
             "request_standings",
-            "Words about requests under which backend servers ended",
+            "Verdicts on requests during which backend servers ended",
             self.standings.clone(),
         );
         registry.register(
             "backend_words",
-            "Answers in which backend servers said that they leave or want rest",
+            "Responses in which backend servers announce that they leave, a backoff or a rate limit",
             self.notices.clone(),
         );
         registry.register(
