--- a/toucanchute_edge/src/passthrough.rs
+++ b/toucanchute_edge/src/passthrough.rs
@@ -19,6 +19,7 @@
 mod relayable_head;
 mod request_info;
 mod response_record;
+mod shared_parts;
 mod table;
 
 pub use body::ResponseBody;
@@ -32,3 +33,4 @@
 pub(crate) use pool::SendError;
 pub use request_info::{PromptPart, RequestInfo, TokenBound};
 pub use response_record::{AttemptMatch, ResponseRecord, is_promise};
+use shared_parts::SharedParts;
--- a/toucanchute_edge/src/passthrough/proxied_request.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request.rs
@@ -20,7 +20,7 @@
 
 use super::{
     Dialect, Failure, RequestInfo, ResponseBody, ResponseInfo, ResponseRecord, RouteControl,
-    TokenBound, TokenRequest,
+    SharedParts, TokenBound, TokenRequest,
     guards::{AttemptGuard, ReservationGuard},
     handler::{AdmittedRequest, GatewayState, InFlightGuard},
     pool::Connection,
@@ -110,6 +110,7 @@
     ) -> Response<ResponseBody> {
         let customer = self.customer().map_or("", |c| c.name.as_str());
         trace.digest = request_digest(customer, self.digest);
+        trace.shared_parts = SharedParts::new(&self.info.prompt);
         let reservation = match self.reserve_tokens(&record, &mut trace).await {
             Ok(reservation) => reservation,
             Err(failure) => return trace.fail(failure),
--- a/toucanchute_edge/src/passthrough/proxied_request/trace.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/trace.rs
@@ -7,7 +7,8 @@
 use crate::{
     control::Assignment,
     passthrough::{
-        Failure, RequestEnd, ResponseBody, ResponseRecord, RouteControl, TokenReservation,
+        Failure, RequestEnd, ResponseBody, ResponseRecord, RouteControl, SharedParts,
+        TokenReservation,
     },
 };
 
@@ -20,6 +21,8 @@
     pub(in crate::passthrough) customer: String,
     /// Digest of customer, path and body, equal for all copies of a request.
     pub(in crate::passthrough) digest: Digest,
+    /// Parts of the prompt that other requests may share.
+    pub(in crate::passthrough) shared_parts: SharedParts,
     /// Version of the configuration that the request was served by.
     pub(in crate::passthrough) config_version: u64,
     /// Backend server that was chosen last.
@@ -46,6 +49,7 @@
             route: String::new(),
             customer: String::new(),
             digest: Digest::default(),
+            shared_parts: SharedParts::default(),
             config_version: 0,
             backend: String::new(),
             assignments: 0,
@@ -86,6 +90,7 @@
         log::info!(
             request = self.request,
             digest:% = self.digest,
+            parts:% = self.shared_parts,
             attempt:% = assignment.attempt,
             backend = assignment.backend,
             report = report.name(),
@@ -149,6 +154,7 @@
         log::info!(
             request = self.request,
             digest:% = self.digest,
+            parts:% = self.shared_parts,
             route = self.route,
             customer = self.customer,
             config = self.config_version,
