--- a/toucanchute_edge/tests/passthrough/dispatcher_gateway.rs
+++ b/toucanchute_edge/tests/passthrough/dispatcher_gateway.rs
@@ -98,11 +98,22 @@
 
     /// Sends a request with this body over a new connection and returns the response.
     pub(crate) async fn send(&self, body: &str) -> String {
+        self.send_with_headers("", body).await
+    }
+
+    /// Does the same as `send`, with the parts `prompt` of a prompt, as `ID:TOKENS` separated by
+    /// commas.
+    pub(crate) async fn send_prompt(&self, prompt: &str, body: &str) -> String {
+        let headers = format!("X-Prompt: {prompt}\r\n");
+        self.send_with_headers(&headers, body).await
+    }
+
+    async fn send_with_headers(&self, headers: &str, body: &str) -> String {
         let mut stream = TcpStream::connect(self.address).await.unwrap();
         let len = body.len();
         let req = format!(
             "POST /a/b HTTP/1.1\r\nHost: svc.example\r\nX-Attempt: a1\r\nX-Key: secret\r\n\
-            X-Patience: {CALLER_TIMEOUT_MS}\r\nConnection: close\r\nContent-Length: {len}\r\n\r\n{body}"
+            X-Patience: {CALLER_TIMEOUT_MS}\r\n{headers}Connection: close\r\nContent-Length: {len}\r\n\r\n{body}"
         );
         stream.write_all(req.as_bytes()).await.unwrap();
         read_all(stream).await
--- a/toucanchute_edge/tests/passthrough/ends.rs
+++ b/toucanchute_edge/tests/passthrough/ends.rs
@@ -1,10 +1,11 @@
-//! A request that crashes backend servers, sent repeatedly through the real dispatcher.
+//! A request, or a part of a prompt, that crashes backend servers, sent repeatedly through the real
+//! dispatcher.
 
 mod servers;
 
 use std::time::Duration;
 
-use self::servers::{CrashMode, CrashingServers};
+use self::servers::{CRASHING_PART, CrashMode, CrashingServers};
 use crate::dispatcher_gateway::DispatcherGateway;
 
 /// Number of backend servers of the site.
@@ -63,3 +64,59 @@
     repeats_after_ends_with_failures_in_between_are_bounded: CrashMode::FailsEverySecond, "non-idempotent";
     repeats_after_ends_with_rejections_in_between_are_bounded: CrashMode::RejectsEverySecond, "idempotent";
 }
+
+// A part of prompts
+
+/// Number of requests with the crashing part.
+const PART_REQUESTS: usize = 24;
+
+/// Number of crashes up to which the users allow further runs of requests with one part, plus the
+/// number of runs allowed after them.
+const MAX_PART_CRASHES: usize = 5 + 3;
+
+/// Sends requests with the crashing part, each with another body and last part, and after each a
+/// sound request that shares the first part. Returns the last response to a request of either kind.
+async fn send_part_requests(gateway: &DispatcherGateway) -> (String, String) {
+    let mut last = (String::new(), String::new());
+    for n in 0..PART_REQUESTS {
+        let prompt = format!("a1:100,{CRASHING_PART},{n:x}:10");
+        last.0 = gateway.send_prompt(&prompt, &format!("with-{n}")).await;
+        let prompt = format!("a1:100,c0ffee:50,{n:x}:10");
+        last.1 = gateway.send_prompt(&prompt, &format!("sound-{n}")).await;
+        tokio::time::sleep(COPY_INTERVAL).await;
+    }
+    last
+}
+
+/// Guards against a prompt part that crashes one server after the other, in requests no two of which
+/// are alike.
+async fn assert_crashes_under_a_part_are_bounded(mode: CrashMode, kind: &str) {
+    let servers = CrashingServers::start(SERVERS, mode).await;
+    let gateway = DispatcherGateway::start(kind, "", servers.registrations.subscribe()).await;
+    let (crashing, sound) = send_part_requests(&gateway).await;
+    assert!(
+        servers.crash_count() <= MAX_PART_CRASHES,
+        "{} crashes",
+        servers.crash_count()
+    );
+    assert!(crashing.contains("quarantined"), "{crashing}");
+    assert!(sound.ends_with("hello"), "{sound}");
+}
+
+macro_rules! a_part_that_crashes_servers_is_quarantined {
+    ($($name:ident: $mode:expr, $kind:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            assert_crashes_under_a_part_are_bounded($mode, $kind).await;
+        }
+    )*};
+}
+
+a_part_that_crashes_servers_is_quarantined! {
+    a_part_under_which_connections_are_refused_is_contained: CrashMode::RefusesConnections, "idempotent";
+    a_part_in_calls_is_contained: CrashMode::RefusesConnections, "non-idempotent";
+    a_part_under_which_servers_are_back_at_once_is_contained: CrashMode::RestartsAtOnce, "idempotent";
+    a_part_under_which_servers_end_silently_is_contained: CrashMode::Hangs, "idempotent";
+    a_part_under_which_answers_break_off_is_contained: CrashMode::BreaksOffResponse, "idempotent";
+    a_part_under_which_servers_fail_in_turn_is_contained: CrashMode::FailsEverySecond, "non-idempotent";
+}
--- a/toucanchute_edge/tests/passthrough/ends/servers.rs
+++ b/toucanchute_edge/tests/passthrough/ends/servers.rs
@@ -1,4 +1,4 @@
-//! Backend servers that crash when they run a marked request, restart and register themselves.
+//! Backend servers that crash when they run a marked request or one with a marked part of a prompt, restart and register themselves.
 
 use std::{
     net::SocketAddr,
@@ -25,6 +25,9 @@
 /// Time after which a crashed server starts again.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
+/// Part of a prompt, in the notation of a request's head, whose requests crash the server.
+pub(crate) const CRASHING_PART: &str = "bad:50";
+
 /// How a crash of a server appears to others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CrashMode {
@@ -148,10 +151,11 @@
                 stream.write_all(misdirected.as_bytes()).await.unwrap();
                 continue;
             }
-            if req.ends_with("poison") && self.run_marked_request(&mut stream).await {
+            let is_marked = req.ends_with("poison") || req.contains(CRASHING_PART);
+            if is_marked && self.run_marked_request(&mut stream).await {
                 return self.crash(stream).await;
             }
-            if !req.ends_with("poison") {
+            if !is_marked {
                 let answer = full_response("200 OK", "X-Seal: s\r\n", "hello");
                 stream.write_all(answer.as_bytes()).await.unwrap();
             }
--- a/toucanchute_edge/tests/passthrough/support.rs
+++ b/toucanchute_edge/tests/passthrough/support.rs
@@ -18,9 +18,9 @@
     AssignRequest, Assignment, AttemptReport, BackendNotice, CrashKind, Refusal, RefusalOutcome,
     RefusalReason,
     passthrough::{
-        Dialect, ForwardInfo, Gateway, RateLimitHeader, RequestEnd, RequestInfo, ResponseInfo,
-        ResponseRecord, RouteControl, TokenBound, TokenRefusal, TokenRefusalReason, TokenRequest,
-        TokenReservation, strip_connection_headers,
+        Dialect, ForwardInfo, Gateway, PromptPart, RateLimitHeader, RequestEnd, RequestInfo,
+        ResponseInfo, ResponseRecord, RouteControl, TokenBound, TokenRefusal, TokenRefusalReason,
+        TokenRequest, TokenReservation, strip_connection_headers,
     },
 };
 use toucanchute_proto::{AttemptId, Incarnation, Millis, RequestRate, config::Config, fleet::Load};
@@ -259,6 +259,18 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// Parses parts of a prompt, as `ID:TOKENS` separated by commas, with hexadecimal identifiers.
+fn parse_prompt(text: &str) -> Vec<PromptPart> {
+    let parts = text.split(',').map(|part| {
+        let (id, tokens) = part.split_once(':').unwrap();
+        PromptPart {
+            id: u64::from_str_radix(id, 16).unwrap(),
+            tokens: tokens.parse().unwrap(),
+        }
+    });
+    parts.collect()
+}
+
 impl Dialect for TestDialect {
     fn read_request(&self, head: &request::Parts) -> RequestInfo {
         let headers = &head.headers;
@@ -273,7 +285,9 @@
                 prompt: prompt.parse().unwrap(),
                 output: output.parse().unwrap(),
             }),
-            prompt: Vec::new(),
+            prompt: header_text(headers, "x-prompt")
+                .map(parse_prompt)
+                .unwrap_or_default(),
             resume_after: None,
         }
     }
