fix(routing): contain prompt parts that crash backend servers

Cause: what is recorded of harm had the digest of customer, path and body as its unit. Each request with the part was new to every router. The innocent requests that were in flight at two crashes were quarantined instead.

Now each part of a prompt but the last is a suspect of its own, with the same verdicts, claims, gossip and stored list (docs/PLATFORM.md, "Parts of prompts"). Parts that are answered, or were a moment ago, run freely meanwhile.

--- a/toucanchute_core/examples/capacity.rs
+++ b/toucanchute_core/examples/capacity.rs
@@ -77,6 +77,7 @@
         weight: 1,
         priority: 0,
         digest: Digest(u128::from(call)),
+        parts: Vec::new(),
         prefix: vec![call % 500, call],
         tokens: 200,
         attempts: 0,
--- a/toucanchute_core/examples/routing_load/simulation.rs
+++ b/toucanchute_core/examples/routing_load/simulation.rs
@@ -241,6 +241,7 @@
             weight: 1,
             priority: 0,
             digest: Digest(req as u128),
+            parts: Vec::new(),
             prefix: work.prefix.clone(),
             tokens: work.prompt / 10 + work.output,
             attempts: 0,
--- a/toucanchute_core/src/fleet/tests/standings.rs
+++ b/toucanchute_core/src/fleet/tests/standings.rs
@@ -3,7 +3,7 @@
 
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
-    fleet::{FleetMessage, Standing, Verdict},
+    fleet::{FleetMessage, Scope, Standing, Verdict},
 };
 
 use super::peers::linked;
@@ -23,6 +23,9 @@
 fn quarantine(until: u64) -> Verdict {
     Verdict {
         digest: CRASHING_REQUEST,
+        scope: Scope::Request,
+        crashes: 0,
+        trial_at: None,
         standing: Standing::Quarantined,
         router: Incarnation(1),
         crash: None,
--- a/toucanchute_core/src/routing.rs
+++ b/toucanchute_core/src/routing.rs
@@ -32,4 +32,4 @@
     AttemptReport, BackendNotice, CacheChange, CacheEvent, CrashKind, Event, FleetRouter,
     FleetView, RouterState, RoutingRequest, Target,
 };
-pub use suspects::request_digest;
+pub use suspects::{part_digest, request_digest};
--- a/toucanchute_core/src/routing/attempts.rs
+++ b/toucanchute_core/src/routing/attempts.rs
@@ -1,4 +1,6 @@
-use toucanchute_proto::{AttemptId, Digest, Millis};
+use std::sync::Arc;
+
+use toucanchute_proto::{AttemptId, Millis};
 
 use super::{
     Action, AttemptReport, CrashKind, Dispatcher, RoutingRequest,
@@ -6,7 +8,7 @@
     fault::Fault,
     health::Failure,
     pool::BackendKey,
-    suspects,
+    suspects::{CrashedRun, Survivors, SuspectKey},
     unanswered::{TerminationEvidence, UnansweredAttempt},
 };
 
@@ -14,24 +16,38 @@
 #[derive(Debug)]
 pub(super) struct Attempt {
     replica: BackendKey,
-    key: Digest,
+    /// The request and the parts that its prompt shares with others.
+    keys: Arc<[SuspectKey]>,
     started: Millis,
     first_token_at: Option<Millis>,
     /// Size of the request.
     tokens: u64,
-    /// Whether it runs as a suspect, a request that may crash its replica.
-    suspect: bool,
+    /// Those of `keys` that may crash the replica, which is claimed for them.
+    suspects: Arc<[SuspectKey]>,
 }
 
 impl Attempt {
+    pub(super) fn replica(&self) -> BackendKey {
+        self.replica
+    }
+
+    pub(super) fn keys(&self) -> &[SuspectKey] {
+        &self.keys
+    }
+
     pub(super) fn started(&self) -> Millis {
         self.started
     }
 
+    pub(super) fn first_token_at(&self) -> Option<Millis> {
+        self.first_token_at
+    }
+
     /// Returns the record of this attempt if it ended at `ended` without an answer.
     fn unanswered(&self, ended: Millis, ended_by_server: bool) -> UnansweredAttempt {
         UnansweredAttempt {
-            key: self.key,
+            keys: Arc::clone(&self.keys),
+            claimed: Arc::clone(&self.suspects),
             started: self.started,
             ended,
             ended_by_server,
@@ -64,11 +80,14 @@
         replica: BackendKey,
         out: &mut Vec<Action>,
     ) {
-        let key = suspects::key(req);
+        let suspects = match suspect {
+            true => self.suspects.suspects_of(now, req),
+            false => Vec::new(),
+        };
         let r = &mut self.replicas[replica];
         r.record_start(now);
         r.cache.record_prompt(now, &req.prefix);
-        if suspect {
+        for &key in &suspects {
             self.suspects.record_start(key);
         }
         self.last_attempt += 1;
@@ -82,11 +101,11 @@
         });
         let attempt = Attempt {
             replica,
-            key,
+            keys: SuspectKey::all(req).collect(),
             started: now,
             first_token_at: None,
             tokens: req.tokens,
-            suspect,
+            suspects: suspects.into(),
         };
         self.attempts.insert(id, attempt);
     }
@@ -126,8 +145,8 @@
                 self.record_unanswered(now, attempt.replica, attempt.unanswered(now, false), out);
             }
         }
-        if attempt.suspect {
-            let verdict = self.suspects.record_stop(now, attempt.key);
+        for &key in attempt.suspects.iter() {
+            let verdict = self.suspects.record_stop(now, key);
             out.extend(verdict.map(Action::Verdict));
         }
         self.remove_if_done(now, attempt.replica);
@@ -159,8 +178,10 @@
             slow = self.pools[r.pool].record_token_time(ms);
         }
         self.record_progress(now, attempt.replica, slow);
-        let verdict = self.suspects.record_completion(now, attempt.key);
-        out.extend(verdict.map(Action::Verdict));
+        for &key in attempt.keys.iter() {
+            let verdict = self.suspects.record_completion(now, key, attempt.started);
+            out.extend(verdict.map(Action::Verdict));
+        }
     }
 
     fn record_progress(&mut self, now: Millis, key: BackendKey, slow: bool) {
@@ -225,8 +246,9 @@
         out: &mut Vec<Action>,
     ) {
         let r = &mut self.replicas[key];
+        let lapsed = r.lapsed_at.is_some_and(|at| unanswered.started <= at);
         r.unanswered.add(unanswered);
-        if r.lapsed_at.is_some_and(|at| unanswered.started <= at) {
+        if lapsed {
             self.backend_ended(now, key, TerminationEvidence::Gone, out);
         }
     }
@@ -239,8 +261,8 @@
         }
     }
 
-    /// Handles the end of a backend server. The requests of its unanswered attempts were in flight
-    /// on it and become suspects.
+    /// Handles the end of a backend server. The requests of its unanswered attempts, and the parts of
+    /// their prompts, were in flight on it and become suspects.
     fn backend_ended(
         &mut self,
         now: Millis,
@@ -250,22 +272,58 @@
     ) {
         let r = &mut self.replicas[key];
         let name = r.name.clone();
+        if !std::mem::replace(&mut r.ended, true) {
+            self.suspects.record_replica_crash(now, &name);
+        }
+        let r = &mut self.replicas[key];
         let mut changed = false;
         for unanswered in r.unanswered.take_explained(now, evidence) {
-            if self.has(Fault::NeverQuarantine) {
-                self.suspects.forget(unanswered.key);
-            }
-            let verdict =
-                self.suspects
-                    .record_crash(now, unanswered.key, &name, unanswered.started);
-            changed |= verdict.is_some();
-            out.extend(verdict.map(Action::Verdict));
+            changed |= self.record_crash(now, &name, &unanswered, out);
         }
         if changed {
             self.refuse_quarantined(now, out);
         }
     }
 
+    /// Records an attempt that ended by the crash of `replica`. Returns whether that changed any
+    /// verdict.
+    fn record_crash(
+        &mut self,
+        now: Millis,
+        replica: &str,
+        unanswered: &UnansweredAttempt,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let never_quarantine = self.has(Fault::NeverQuarantine);
+        let survivors = Survivors {
+            now,
+            attempts: &self.attempts,
+            replicas: &self.replicas,
+            crashed: replica,
+        };
+        let mut changed = false;
+        let claimed: Vec<SuspectKey> = {
+            let likely = self.suspects.most_likely(&unanswered.claimed);
+            likely.copied().collect()
+        };
+        let innocent =
+            |key: &SuspectKey| unanswered.claimed.contains(key) && !claimed.contains(key);
+        for &key in unanswered.keys.iter().filter(|key| !innocent(key)) {
+            if never_quarantine {
+                self.suspects.forget(key);
+            }
+            let run = CrashedRun {
+                replica,
+                started: unanswered.started,
+                claimed: claimed.contains(&key),
+            };
+            let verdict = self.suspects.record_crash(now, key, run, &survivors);
+            changed |= verdict.is_some();
+            out.extend(verdict.map(Action::Verdict));
+        }
+        changed
+    }
+
     /// Removes a replica that is no longer configured and has no attempts in flight. Its backoff is
     /// saved for the case that it is registered again.
     pub(super) fn remove_if_done(&mut self, now: Millis, key: BackendKey) {
--- a/toucanchute_core/src/routing/dispatch.rs
+++ b/toucanchute_core/src/routing/dispatch.rs
@@ -1,7 +1,7 @@
 //! Starts waiting calls on replicas that can take them.
 
 use rand::rngs::SmallRng;
-use toucanchute_proto::{Digest, Millis};
+use toucanchute_proto::Millis;
 
 use super::{
     Action, Dispatcher, RoutingRequest,
@@ -9,7 +9,7 @@
     fault::Fault,
     pool::{BackendKey, Pool, PoolKey},
     rate_limit::{PermitAsks, PermitStatus},
-    suspects::{self, Permit},
+    suspects::{Permit, SuspectKey},
 };
 
 /// A step towards running a waiting call.
@@ -27,13 +27,10 @@
     },
     /// Gives back the call's permit, which it cannot use.
     ReleasePermit,
-    /// Claims a replica for a suspect.
-    Claim {
-        replica: BackendKey,
-        suspect: Digest,
-    },
-    /// Gives up the replica that is claimed for a suspect.
-    ReleaseClaim { suspect: Digest },
+    /// Claims a replica for the suspects of the call.
+    Claim { replica: BackendKey },
+    /// Gives up the replica that is claimed for the suspects of the call.
+    ReleaseClaim,
 }
 
 impl Dispatcher {
@@ -63,19 +60,28 @@
                 self.ask_for_permit(now, call, deadline, replica, out);
             }
             Step::ReleasePermit => self.release_permit(call, out),
-            Step::Claim { replica, suspect } => {
-                let name = self.replicas[replica].name.clone();
-                let verdict = self.suspects.claim(now, suspect, &name);
-                out.extend(verdict.map(Action::Verdict));
+            Step::Claim { replica } => {
+                let suspects = self.suspects_of_waiting(now, key, call);
+                let name = &self.replicas[replica].name;
+                let verdicts = self.suspects.claim(now, call, &suspects, name);
+                out.extend(verdicts.into_iter().map(Action::Verdict));
             }
-            Step::ReleaseClaim { suspect } => {
-                let verdict = self.suspects.release_claim(now, suspect);
-                out.extend(verdict.map(Action::Verdict));
+            Step::ReleaseClaim => {
+                for suspect in self.suspects_of_waiting(now, key, call) {
+                    let verdict = self.suspects.release_claim(now, suspect);
+                    out.extend(verdict.map(Action::Verdict));
+                }
             }
         }
         true
     }
 
+    /// Returns the suspects of a waiting call.
+    fn suspects_of_waiting(&self, now: Millis, pool: PoolKey, call: u64) -> Vec<SuspectKey> {
+        let req = self.pools[pool].queue.calls().find(|c| c.call == call);
+        req.map_or_else(Vec::new, |req| self.suspects.suspects_of(now, req))
+    }
+
     fn run_call(
         &mut self,
         now: Millis,
@@ -149,15 +155,14 @@
 impl Planner<'_> {
     /// Returns the call's next step, or `None` if it has to wait.
     fn step(&mut self, req: &RoutingRequest) -> Option<Step> {
-        let suspect = suspects::key(req);
-        match self.chooser.suspects.permit(self.chooser.now, suspect) {
+        match self.chooser.suspects.permit(self.chooser.now, req) {
             Permit::Wait | Permit::Never => None,
             Permit::NeedsClaim => {
                 let replica = self.chooser.choose(req, true, self.rng)?;
-                Some(Step::Claim { replica, suspect })
+                Some(Step::Claim { replica })
             }
             Permit::Free => self.free_step(req),
-            Permit::OnReplica(name) => Some(self.suspect_step(req, suspect, &name)),
+            Permit::OnReplica(name) => Some(self.suspect_step(req, &name)),
         }
     }
 
@@ -175,7 +180,7 @@
     }
 
     /// Returns the next step of a suspect for which the replica called `name` is claimed.
-    fn suspect_step(&self, req: &RoutingRequest, suspect: Digest, name: &str) -> Step {
+    fn suspect_step(&self, req: &RoutingRequest, name: &str) -> Step {
         let permitted = self.permitted_replica(req).filter(|&key| {
             self.chooser.is_open_with_permit(key) && self.chooser.replicas[key].name == name
         });
@@ -185,7 +190,7 @@
         }
         match self.chooser.open_replica(name) {
             Some(replica) => self.start(req, replica, true),
-            None => Step::ReleaseClaim { suspect },
+            None => Step::ReleaseClaim,
         }
     }
 
--- a/toucanchute_core/src/routing/dispatcher.rs
+++ b/toucanchute_core/src/routing/dispatcher.rs
@@ -12,7 +12,7 @@
     pool::{BackendKey, Pool, PoolKey},
     rate_limit::{IssuerChoice, KnownLimits, PermitAsks, PermitIssuer},
     replica::Replica,
-    suspects::{self, Permit, Suspects},
+    suspects::{Permit, Survivors, Suspects},
 };
 
 /// Bounds of the retry time in a refusal.
@@ -168,8 +168,7 @@
             refuse(&req, RefusalReason::NoBackend, RETRY_AFTER.0, out);
             return;
         };
-        let suspect = suspects::key(&req);
-        if self.suspects.permit(now, suspect) == Permit::Never {
+        if self.suspects.permit(now, &req) == Permit::Never {
             refuse_permanently(&req, RefusalReason::Quarantined, out);
             return;
         }
@@ -200,7 +199,7 @@
 
     fn enqueue(&mut self, now: Millis, key: PoolKey, req: RoutingRequest, out: &mut Vec<Action>) {
         let start_late = self.has(Fault::StartLate);
-        let propagating = self.suspects.is_propagating(now, suspects::key(&req));
+        let propagating = self.suspects.is_propagating(now, &req);
         let is_limited = self.is_pool_limited(key);
         let pool = &mut self.pools[key];
         // Where all replicas are limited, the wait for a permit was checked before.
@@ -250,11 +249,17 @@
     fn expire(&mut self, now: Millis, out: &mut Vec<Action>) {
         let (ignore_deadlines, drop_silently) =
             (self.has(Fault::StartLate), self.has(Fault::DropLate));
-        let verdicts = self.suspects.refresh(now);
+        let survivors = Survivors {
+            now,
+            attempts: &self.attempts,
+            replicas: &self.replicas,
+            crashed: "",
+        };
+        let mut verdicts = self.suspects.end_unfounded_trust(now, &survivors);
+        verdicts.extend(self.suspects.refresh(now));
         out.extend(verdicts.into_iter().map(Action::Verdict));
         for pool in self.pools.values_mut().filter(|p| !p.queue.is_empty()) {
-            let propagating =
-                |c: &RoutingRequest| self.suspects.is_propagating(now, suspects::key(c));
+            let propagating = |c: &RoutingRequest| self.suspects.is_propagating(now, c);
             let late = |c: &RoutingRequest| {
                 pool.latest_start(c.deadline) < now && !ignore_deadlines && !propagating(c)
             };
@@ -274,14 +279,19 @@
     }
 
     fn apply_verdict(&mut self, now: Millis, verdict: &Verdict, out: &mut Vec<Action>) {
-        let own_verdict = self.suspects.apply_verdict(now, verdict);
+        let survivors = Survivors {
+            now,
+            attempts: &self.attempts,
+            replicas: &self.replicas,
+            crashed: verdict.crash.as_ref().map_or("", |c| c.replica.as_str()),
+        };
+        let own_verdict = self.suspects.apply_verdict(now, verdict, &survivors);
         out.extend(own_verdict.map(Action::Verdict));
         self.refuse_quarantined(now, out);
     }
 
     pub(super) fn refuse_quarantined(&mut self, now: Millis, out: &mut Vec<Action>) {
-        let never =
-            |c: &RoutingRequest| self.suspects.permit(now, suspects::key(c)) == Permit::Never;
+        let never = |c: &RoutingRequest| self.suspects.permit(now, c) == Permit::Never;
         for pool in self.pools.values_mut() {
             for req in pool.queue.remove_if(never) {
                 refuse_permanently(&req, RefusalReason::Quarantined, out);
--- a/toucanchute_core/src/routing/event.rs
+++ b/toucanchute_core/src/routing/event.rs
@@ -147,6 +147,9 @@
     pub priority: u8,
     /// Digest of target and body.
     pub digest: Digest,
+    /// Digests of the parts of the prompt that other requests may share, from
+    /// [`part_digest`](super::part_digest).
+    pub parts: Vec<Digest>,
     /// Hashes of the prompt's leading blocks, longest prefix last.
     pub prefix: Vec<u64>,
     /// Hash of the content that this request shares with others that should run on the same
--- a/toucanchute_core/src/routing/replica.rs
+++ b/toucanchute_core/src/routing/replica.rs
@@ -57,6 +57,8 @@
     pub(super) no_permit_until: Millis,
     /// When its registration lapsed without a notice, if it has answered nothing since.
     pub(super) lapsed_at: Option<Millis>,
+    /// Whether it ended and has answered nothing since.
+    pub(super) ended: bool,
     /// When its limit began to rise from [`SLOW_START_SHARE`].
     joined_at: Option<Millis>,
     load: Option<Load>,
@@ -85,6 +87,7 @@
             rate_limit: None,
             no_permit_until: Millis(0),
             lapsed_at: None,
+            ended: false,
             joined_at: None,
             load: None,
             own_changes: VecDeque::new(),
@@ -101,6 +104,7 @@
     pub(super) fn record_answer(&mut self, sent: Millis) {
         self.unanswered.record_answer(sent);
         self.lapsed_at = None;
+        self.ended = false;
     }
 
     // Load
--- a/toucanchute_core/src/routing/tests.rs
+++ b/toucanchute_core/src/routing/tests.rs
@@ -5,6 +5,7 @@
 mod fuzz;
 mod notices;
 mod oracle;
+mod parts;
 mod policy;
 mod rate_limit;
 mod retries;
--- a/toucanchute_core/src/routing/tests/policy.rs
+++ b/toucanchute_core/src/routing/tests/policy.rs
@@ -4,14 +4,14 @@
 
 use toucanchute_proto::{
     AttemptId, Digest, Incarnation, Millis,
-    fleet::{Crash, Load, Standing, Verdict},
+    fleet::{Crash, Load, Scope, Standing, Verdict},
 };
 use yare::parameterized;
 
 use super::simulation::{assign, config};
 use crate::routing::{
     Action, AttemptReport, CacheChange, CacheEvent, CrashKind, Dispatcher, Event, RefusalReason,
-    RoutingRequest, suspects::key,
+    RoutingRequest, suspects::SuspectKey,
 };
 
 /// A dispatcher in failure domain d0 and its actions.
@@ -239,6 +239,9 @@
     let replica = "b0".to_owned();
     Verdict {
         digest,
+        scope: Scope::Request,
+        crashes: 0,
+        trial_at: None,
         standing: Standing::Suspect,
         router: Incarnation(2),
         crash: Some(Crash {
@@ -264,7 +267,7 @@
     harness.report(10_000, attempt, AttemptReport::Crashed { kind });
     harness.handle(
         10_001,
-        Event::Verdict(suspect_verdict(key(&request(1)), at)),
+        Event::Verdict(suspect_verdict(SuspectKey::request(&request(1)).digest, at)),
     );
     harness.call(10_002, request(1));
     assert_eq!(harness.refused(), None);
@@ -284,7 +287,7 @@
     harness.out.clear();
     let backend = "b0".to_owned();
     harness.handle(4_600, Event::RegistrationLapsed { backend });
-    let suspect = |a: &Action| matches!(a, Action::Verdict(v) if v.digest == key(&request(1)));
+    let suspect = |a: &Action| matches!(a, Action::Verdict(v) if v.digest == SuspectKey::request(&request(1)).digest);
     assert!(harness.out.iter().any(suspect), "{:?}", harness.out);
 }
 
@@ -321,7 +324,7 @@
     let (attempt, replica) = harness.call(9_900, request(1)).unwrap();
     let kind = CrashKind::Disconnected;
     harness.report(10_000, attempt, AttemptReport::Crashed { kind });
-    let mut received = suspect_verdict(key(&request(1)), 14_000);
+    let mut received = suspect_verdict(SuspectKey::request(&request(1)).digest, 14_000);
     received.crash = received.crash.map(|c| Crash { replica, ..c });
     harness.handle(10_001, Event::Verdict(received.clone()));
     harness.call(10_002, request(1));
@@ -340,10 +343,13 @@
     let mut harness = Harness::new(1, 1);
     assert!(harness.call(1, request(1)).is_some());
     let req = request(2);
-    let digest = key(&req);
+    let digest = SuspectKey::request(&req).digest;
     assert!(harness.call(1, req).is_none());
     let verdict = Verdict {
         digest,
+        scope: Scope::Request,
+        crashes: 0,
+        trial_at: None,
         standing: Standing::Quarantined,
         router: Incarnation(2),
         crash: None,
--- a/toucanchute_core/src/routing/tests/simulation.rs
+++ b/toucanchute_core/src/routing/tests/simulation.rs
@@ -103,6 +103,7 @@
         weight: 1,
         priority: 0,
         digest: Digest(u128::from(call)),
+        parts: Vec::new(),
         prefix: vec![call % 7],
         tokens,
         attempts: 0,
--- a/toucanchute_core/src/routing/unanswered.rs
+++ b/toucanchute_core/src/routing/unanswered.rs
@@ -1,6 +1,8 @@
-use std::collections::VecDeque;
+use std::{collections::VecDeque, sync::Arc};
 
-use toucanchute_proto::{Digest, Millis};
+use toucanchute_proto::Millis;
+
+use super::suspects::SuspectKey;
 
 /// Number of attempts recorded for one backend server; the oldest are removed first.
 const MAX_ATTEMPTS: usize = 32;
@@ -22,10 +24,12 @@
 }
 
 /// An attempt that got no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct UnansweredAttempt {
-    /// Digest of customer and request.
-    pub(super) key: Digest,
+    /// The request and the parts that its prompt shares with others.
+    pub(super) keys: Arc<[SuspectKey]>,
+    /// Those for which the backend server was claimed.
+    pub(super) claimed: Arc<[SuspectKey]>,
     pub(super) started: Millis,
     pub(super) ended: Millis,
     /// Whether the backend server ended the attempt, instead of this router or the caller.
--- a/toucanchute_edge/src/completion/run.rs
+++ b/toucanchute_edge/src/completion/run.rs
@@ -314,6 +314,7 @@
             priority: self.caller.customer().priority,
             digest: self.caller.digest,
             affinity: None,
+            parts: Vec::new(),
             prefix: self.req.prefix.clone(),
             tokens: self.req.prompt_tokens + self.max_tokens,
             attempts,
--- a/toucanchute_edge/src/control.rs
+++ b/toucanchute_edge/src/control.rs
@@ -1,7 +1,7 @@
 use std::{future::Future, net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
-use toucanchute_core::routing::{self, AttemptReport, RoutingRequest, Target};
+use toucanchute_core::routing::{self, AttemptReport, RoutingRequest, Target, part_digest};
 use toucanchute_proto::{AttemptId, BudgetId, Digest, Millis, RequestKey, config::Config};
 
 use crate::run_record::NotRun;
@@ -181,6 +181,9 @@
     pub priority: u8,
     /// Digest of request target and body, to recognize a request that crashes backend servers.
     pub digest: Digest,
+    /// Identifiers of the parts of the prompt that other requests may share; empty if the caller names
+    /// none.
+    pub parts: Vec<u64>,
     /// Hashes of the prompt's prefixes in whole blocks, longest prefix last; empty for services.
     pub prefix: Vec<u64>,
     /// Hash of the data that the request has in common with others that should run on the same
@@ -201,8 +204,10 @@
     /// Converts this request into the dispatcher's form, with `call` as the number of its call.
     #[must_use]
     pub fn into_routing_request(self, call: u64) -> RoutingRequest {
+        let parts = self.parts.iter();
         RoutingRequest {
             call,
+            parts: parts.map(|&id| part_digest(&self.target, id)).collect(),
             target: self.target,
             customer: self.customer,
             weight: self.weight,
--- a/toucanchute_edge/src/passthrough/proxied_request.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request.rs
@@ -256,6 +256,7 @@
             weight: customer.map_or(1, |c| c.weight),
             priority: priority.unwrap_or(self.route().priority),
             digest: self.digest,
+            parts: SharedParts::new(&self.info.prompt).into_ids(),
             prefix: Vec::new(),
             affinity: self.prompt_affinity(),
             tokens: self.info.tokens.map_or(1, TokenBound::total),
--- a/toucanchute_edge/src/passthrough/shared_parts.rs
+++ b/toucanchute_edge/src/passthrough/shared_parts.rs
@@ -14,6 +14,10 @@
         let shared = prompt.split_last().map_or(&[][..], |(_, shared)| shared);
         SharedParts(shared.iter().map(|p| p.id).collect())
     }
+
+    pub(super) fn into_ids(self) -> Vec<u64> {
+        self.0
+    }
 }
 
 impl fmt::Display for SharedParts {
--- a/toucanchute_edge/src/service/run.rs
+++ b/toucanchute_edge/src/service/run.rs
@@ -171,6 +171,7 @@
             priority: self.caller.customer().priority,
             digest: self.caller.digest,
             affinity: None,
+            parts: Vec::new(),
             prefix: Vec::new(),
             tokens: self.call.price,
             attempts,
--- a/toucanchute_router/src/actor/standings.rs
+++ b/toucanchute_router/src/actor/standings.rs
@@ -5,7 +5,8 @@
     fleet::{Standing, Verdict},
 };
 
-/// Logs and counts verdicts on requests that were in flight on backend servers that crashed.
+/// Logs and counts verdicts on requests that were in flight on backend servers that crashed, and on
+/// parts of their prompts.
 #[derive(Debug, Default)]
 pub(crate) struct RequestStandings {
     own: VerdictCounts,
@@ -38,6 +39,8 @@
             .fetch_add(1, Ordering::Relaxed);
         log::info!(
             digest:% = verdict.digest,
+            scope:% = verdict.scope,
+            crashes = verdict.crashes,
             standing = standing_name(verdict.standing),
             backend = verdict.crash.as_ref().map_or("", |c| c.replica.as_str()),
             claimed = verdict.claim.as_ref().map_or("", |c| c.replica.as_str());
@@ -52,6 +55,8 @@
             .fetch_add(1, Ordering::Relaxed);
         log::info!(
             digest:% = verdict.digest,
+            scope:% = verdict.scope,
+            crashes = verdict.crashes,
             standing = standing_name(verdict.standing),
             router:% = verdict.router,
             backend = verdict.crash.as_ref().map_or("", |c| c.replica.as_str()),
--- a/toucanchute_router/src/gateway/control/tests.rs
+++ b/toucanchute_router/src/gateway/control/tests.rs
@@ -58,6 +58,7 @@
         weight: 1,
         priority: 0,
         digest: Digest::new("/a", b""),
+        parts: Vec::new(),
         prefix: Vec::new(),
         affinity: None,
         tokens: 0,
--- a/toucanchute_router/src/gateway/quarantine.rs
+++ b/toucanchute_router/src/gateway/quarantine.rs
@@ -1,11 +1,15 @@
 //! Stores quarantines of requests in the platform's store, so that they survive a restart of all
 //! routers.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use snafu::Snafu;
 use tokio::sync::mpsc;
-use toucanchute_proto::{Millis, fleet::Verdict, from_cbor, to_cbor};
+use toucanchute_proto::{
+    Millis,
+    fleet::{Scope, Verdict},
+    from_cbor, to_cbor,
+};
 use toucanchute_store::{CasOutcome, Revision, Store, StoreError};
 use xtra::prelude::*;
 
@@ -17,7 +21,8 @@
 /// Key of the list of quarantines.
 const QUARANTINE_KEY: &str = "toucanchute/quarantine";
 
-/// Most quarantines in the list; if there are more, those that expire first are dropped.
+/// Most quarantines in the list. If there are more, requests are dropped before parts of prompts, each
+/// of which stops any number of requests, and those that expire first before the others.
 const MAX_QUARANTINES: usize = 256;
 
 /// Quarantines that wait to be written; when the queue is full, further ones are not stored.
@@ -109,7 +114,7 @@
     Ok((entry.revision, stored))
 }
 
-/// Adds to the list those quarantines that it does not contain yet.
+/// Adds to the list those quarantines that it does not contain yet, or with fewer crashes.
 async fn add_to_list<S: Store>(store: &S, added: &[Verdict]) -> Result<(), QuarantineWriteError> {
     let (revision, stored) = read_list(store).await?;
     let Some(list) = merge(clock::now(), stored, added) else {
@@ -124,19 +129,20 @@
     }
 }
 
-/// Returns the list without expired quarantines and with those of `added` that it did not contain,
-/// or `None` if it contained all of them.
+/// Returns the list without expired quarantines and with those of `added` that it did not contain, or
+/// with fewer crashes, or `None` if it contained all of them.
 fn merge(now: Millis, mut stored: Vec<Verdict>, added: &[Verdict]) -> Option<Vec<Verdict>> {
-    let known = |list: &[Verdict], v: &Verdict| list.iter().any(|k| k.digest == v.digest);
     stored.retain(|v| v.until > now);
-    let stored_len = stored.len();
+    let mut has_new = false;
     for v in added {
-        if !known(&stored, v) {
-            stored.push(v.clone());
+        match stored.iter_mut().find(|k| k.digest == v.digest) {
+            Some(known) if known.crashes >= v.crashes => continue,
+            Some(known) => *known = v.clone(),
+            None => stored.push(v.clone()),
         }
+        has_new = true;
     }
-    let has_new = stored.len() > stored_len;
-    stored.sort_by_key(|v| std::cmp::Reverse(v.until));
+    stored.sort_by_key(|v| (v.scope == Scope::Request, Reverse(v.until)));
     stored.truncate(MAX_QUARANTINES);
     has_new.then_some(stored)
 }
--- a/toucanchute_router/src/gateway/quarantine/tests.rs
+++ b/toucanchute_router/src/gateway/quarantine/tests.rs
@@ -6,7 +6,10 @@
 };
 
 use bytes::Bytes;
-use toucanchute_proto::{Digest, Incarnation, Millis, fleet::Standing};
+use toucanchute_proto::{
+    Digest, Incarnation, Millis,
+    fleet::{Scope, Standing},
+};
 use toucanchute_store::{Entry, KeySelection, LeaseId, Snapshot, Watch};
 
 use super::*;
@@ -101,6 +104,9 @@
 fn quarantine(digest: u128, remaining_ms: u64) -> Verdict {
     Verdict {
         digest: Digest(digest),
+        scope: Scope::Request,
+        crashes: 0,
+        trial_at: None,
         standing: Standing::Quarantined,
         router: Incarnation(1),
         crash: None,
@@ -158,6 +164,35 @@
     assert!(merge(now, stored, &[quarantine(1, 90_000)]).is_none());
 }
 
+// Guards against a part whose later quarantine is lost with a restart, so that its trials begin anew.
+#[test]
+fn a_later_quarantine_of_a_part_replaces_the_one_in_the_list() {
+    let part = |crashes: u32| Verdict {
+        scope: Scope::Part,
+        crashes,
+        ..quarantine(1, 60_000)
+    };
+    let list = merge(clock::now(), vec![part(3)], &[part(4)]).unwrap();
+    assert_eq!(list.iter().map(|v| v.crashes).collect::<Vec<_>>(), [4]);
+    assert!(merge(clock::now(), list, &[part(4)]).is_none());
+}
+
+// Guards against parts that are dropped from a full list although each of them stops any number of
+// requests.
+#[test]
+fn parts_are_kept_in_a_full_list() {
+    let part = Verdict {
+        scope: Scope::Part,
+        ..quarantine(0, 1_000)
+    };
+    let stored: Vec<_> = (1..=MAX_QUARANTINES as u128)
+        .map(|d| quarantine(d, 60_000))
+        .collect();
+    let list = merge(clock::now(), stored, &[part]).unwrap();
+    assert_eq!(list.len(), MAX_QUARANTINES);
+    assert!(digests(&list).contains(&0));
+}
+
 // Guards against a list that grows until it exceeds the largest value that the store accepts.
 #[test]
 fn the_list_is_bounded_and_drops_expired_quarantines() {
