perf(fleet): send the verdicts of one event in one message a peer

A crash with n requests in flight made n to 3n verdicts, each pushed by itself to up to eight peers, and each push carried all verdicts that were still to be gossiped.

--- a/toucanchute_core/src/fleet/event.rs
+++ b/toucanchute_core/src/fleet/event.rs
@@ -59,8 +59,9 @@
     PlatformDown,
     /// A backend server that this router polls reported its load.
     LoadReport(Load),
-    /// This router's verdict about a request that was in flight on a replica when that crashed.
-    Verdict(Verdict),
+    /// This router's verdicts about requests, and parts of prompts, that were in flight on a replica
+    /// when that crashed.
+    Verdicts(Vec<Verdict>),
     /// What this router learned from a backend server's answer.
     Hint(BackendHint),
     /// Quarantines that were read from the platform's store.
--- a/toucanchute_core/src/fleet/machine.rs
+++ b/toucanchute_core/src/fleet/machine.rs
@@ -182,7 +182,7 @@
             }
             Event::PlatformDown => self.platform_down(),
             Event::LoadReport(load) => self.handle_load_report(load, out),
-            Event::Verdict(v) => self.handle_own_verdict(&v, out),
+            Event::Verdicts(verdicts) => self.handle_own_verdicts(&verdicts, out),
             Event::Hint(hint) => self.handle_own_hint(now, &hint, out),
             Event::StoredQuarantines(verdicts) => self.restore_quarantines(now, verdicts, out),
             Event::InFlight(count) => self.set_in_flight(count),
@@ -333,10 +333,17 @@
         }
     }
 
-    fn handle_own_verdict(&mut self, v: &Verdict, out: &mut Vec<Action>) {
+    /// Sends this router's verdicts to the others in one message to each peer.
+    fn handle_own_verdicts(&mut self, verdicts: &[Verdict], out: &mut Vec<Action>) {
         let fleet = self.known_members();
-        if self.rumors.add_verdict(v, fleet) {
-            self.store_quarantine(v, out);
+        let mut changed = false;
+        for v in verdicts {
+            if self.rumors.add_verdict(v, fleet) {
+                changed = true;
+                self.store_quarantine(v, out);
+            }
+        }
+        if changed {
             self.push(None, out);
         }
     }
--- a/toucanchute_core/src/fleet/tests/standings.rs
+++ b/toucanchute_core/src/fleet/tests/standings.rs
@@ -108,7 +108,7 @@
     /// Passes a verdict of the first router's dispatcher to that router.
     fn publish(&mut self, v: Verdict, lossy: bool) {
         let mut out = Vec::new();
-        self.routers[0].handle(Millis(self.now), Event::Verdict(v), &mut out);
+        self.routers[0].handle(Millis(self.now), Event::Verdicts(vec![v]), &mut out);
         self.deliver(out, Vec::new(), lossy);
     }
 }
@@ -153,7 +153,11 @@
         let peers = (1..=30).filter(|&p| p != i);
         let mut router = linked(i, peers, VIEW_AGE);
         let mut out = Vec::new();
-        router.handle(Millis(100), Event::Verdict(quarantine(600_000)), &mut out);
+        router.handle(
+            Millis(100),
+            Event::Verdicts(vec![quarantine(600_000)]),
+            &mut out,
+        );
         out.iter().any(|a| matches!(a, Action::StoreQuarantine(_)))
     };
     let storing = routers.filter(|&i| stores(i)).count();
--- a/toucanchute_router/src/actor/dispatch.rs
+++ b/toucanchute_router/src/actor/dispatch.rs
@@ -148,10 +148,24 @@
         let now = clock::now();
         let mut actions = std::mem::take(&mut self.actions);
         self.machine.handle(now, event, &mut actions);
+        let mut verdicts = Vec::new();
         for action in actions.drain(..) {
-            self.perform(action);
+            match action {
+                Action::Verdict(verdict) => verdicts.push(verdict),
+                action => self.perform(action),
+            }
         }
         self.actions = actions;
+        self.send_verdicts(verdicts);
+    }
+
+    /// Sends the verdicts that follow from one event to the other routers, all at once.
+    fn send_verdicts(&self, verdicts: Vec<Verdict>) {
+        if verdicts.is_empty() {
+            return;
+        }
+        verdicts.iter().for_each(|v| self.standings.record_own(v));
+        post(&self.fleet, FleetInput::Verdicts(verdicts));
     }
 
     fn perform(&mut self, action: Action) {
@@ -185,10 +199,6 @@
                 self.reply(call, Err(refusal));
             }
             Action::BackendChanged { backend, state } => log_backend_state(&backend, state),
-            Action::Verdict(verdict) => {
-                self.standings.record_own(&verdict);
-                post(&self.fleet, FleetInput::Verdict(verdict));
-            }
             Action::Hint(hint) => post(&self.fleet, FleetInput::Hint(hint)),
             Action::SendPermitMessage { to, message } => {
                 self.mesh.send(to, FrameKind::Permits, &message);
--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -94,8 +94,9 @@
     PlatformDown,
     /// A backend server reported its load.
     Load(Load),
-    /// This router's verdict on a request that was in flight on a replica that crashed.
-    Verdict(Verdict),
+    /// This router's verdicts on requests, and parts of prompts, that were in flight on a replica that
+    /// crashed.
+    Verdicts(Vec<Verdict>),
     /// What this router learned from a backend server's answer.
     Hint(BackendHint),
     /// Quarantines that were read from the platform's store.
@@ -313,7 +314,7 @@
             FleetInput::Config(config, digest) => Event::Config { config, digest },
             FleetInput::PlatformDown => Event::PlatformDown,
             FleetInput::Load(load) => Event::LoadReport(load),
-            FleetInput::Verdict(verdict) => Event::Verdict(verdict),
+            FleetInput::Verdicts(verdicts) => Event::Verdicts(verdicts),
             FleetInput::Hint(hint) => Event::Hint(hint),
             FleetInput::StoredQuarantines(verdicts) => Event::StoredQuarantines(verdicts),
             FleetInput::InFlight(count) => Event::InFlight(count),
