fix(edge): take no answer for whole that ended with its server

What callers saw: an answer with neither a length nor chunks ends with its connection. Where the server crashed between two events, or within a body, in an orderly way, the caller saw it as whole; and the answer cleared the request, and now its parts, under which the server had crashed.

Cause: the end of such a body was taken for its last byte.

Now the end of such an answer is Unconfirmed. Its server is asked for a connection: if it accepts none, the answer broke off. If it does, the answer is passed on, clears nothing, and counts as unanswered until later events show whether the server ended.

--- a/toucanchute_core/src/routing/attempts.rs
+++ b/toucanchute_core/src/routing/attempts.rs
@@ -60,6 +60,7 @@
     match report {
         AttemptReport::FirstToken
         | AttemptReport::Done { .. }
+        | AttemptReport::Unconfirmed
         | AttemptReport::Failed
         | AttemptReport::Rejected
         | AttemptReport::Refused => true,
@@ -132,6 +133,10 @@
         match report {
             AttemptReport::FirstToken => {}
             AttemptReport::Done { tokens } => self.handle_done(now, &attempt, tokens, out),
+            AttemptReport::Unconfirmed => {
+                self.record_progress(now, attempt.replica, false);
+                self.record_unanswered(now, attempt.replica, attempt.unanswered(now, true), out);
+            }
             AttemptReport::Failed => self.record_failure(now, &attempt, Failure::Soft),
             AttemptReport::Rejected => self.record_progress(now, attempt.replica, false),
             AttemptReport::Refused => self.handle_refused(now, &attempt),
--- a/toucanchute_core/src/routing/event.rs
+++ b/toucanchute_core/src/routing/event.rs
@@ -184,6 +184,9 @@
         /// Tokens generated.
         tokens: u64,
     },
+    /// An answer without a length ended with its connection, and says that the request was carried
+    /// out. Nothing shows that it is whole.
+    Unconfirmed,
     /// The backend server answered that it failed.
     Failed,
     /// The backend server answered that the request is invalid.
@@ -224,6 +227,7 @@
         match self {
             AttemptReport::FirstToken => "first-token",
             AttemptReport::Done { .. } => "done",
+            AttemptReport::Unconfirmed => "unconfirmed",
             AttemptReport::Failed => "failed",
             AttemptReport::Rejected => "rejected",
             AttemptReport::Refused => "refused",
--- a/toucanchute_edge/src/passthrough.rs
+++ b/toucanchute_edge/src/passthrough.rs
@@ -9,6 +9,7 @@
 mod dialect;
 mod event_splitter;
 mod failure;
+mod framing;
 mod gateway;
 mod guards;
 mod handler;
--- a/toucanchute_edge/src/passthrough/event_splitter.rs
+++ b/toucanchute_edge/src/passthrough/event_splitter.rs
@@ -8,6 +8,8 @@
     buf: BytesMut,
     /// Number of bytes at the start of `buf` that were searched and contain no end of an event.
     searched_len: usize,
+    /// Whether any bytes were received.
+    used: bool,
 }
 
 /// A complete event, including the empty line that ends it.
@@ -20,6 +22,7 @@
 impl EventSplitter {
     /// Adds received bytes.
     pub(super) fn push(&mut self, data: &[u8]) {
+        self.used |= !data.is_empty();
         self.buf.extend_from_slice(data);
     }
 
@@ -28,6 +31,11 @@
         self.buf.len() > MAX_EVENT_BYTES
     }
 
+    /// Whether no bytes were received.
+    pub(super) fn is_unused(&self) -> bool {
+        !self.used
+    }
+
     /// Whether bytes of an incomplete event are buffered.
     pub(super) fn is_partial(&self) -> bool {
         !self.buf.is_empty()
--- a/toucanchute_edge/src/passthrough/proxied_request.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request.rs
@@ -21,6 +21,7 @@
 use super::{
     Dialect, Failure, RequestInfo, ResponseBody, ResponseInfo, ResponseRecord, RouteControl,
     SharedParts, TokenBound, TokenRequest,
+    framing::Framing,
     guards::{AttemptGuard, ReservationGuard},
     handler::{AdmittedRequest, GatewayState, InFlightGuard},
     pool::Connection,
@@ -72,6 +73,7 @@
     pub(super) attempt: AttemptGuard<C>,
     pub(super) conn: Connection,
     pub(super) head: RelayableHead,
+    pub(super) framing: Framing,
     pub(super) body: Incoming,
     pub(super) info: ResponseInfo,
 }
--- a/toucanchute_edge/src/passthrough/proxied_request/responses.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/responses.rs
@@ -1,9 +1,9 @@
 //! Handles the result of an attempt: no response, an error response or one to relay.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http::{Response, StatusCode};
+use http::{Method, Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 use toucanchute_core::routing::{AttemptReport, CrashKind};
@@ -17,6 +17,7 @@
     backend::{BackendError, read_body, report_for_status},
     passthrough::{
         AttemptMatch, Dialect, Failure, FailureKind, ResponseBody, ResponseRecord, RouteControl,
+        framing::Framing,
         guards::AttemptGuard,
         pool::{SendError, broken_connection_report},
         relayable_head::RelayableHead,
@@ -113,6 +114,10 @@
             info,
             record,
         } = response;
+        let framing = match self.head.method == Method::HEAD {
+            true => Framing::Delimited,
+            false => Framing::of(&head),
+        };
         let Ok(head) = RelayableHead::new(head) else {
             let cause = "the backend server promised without proof that the request did not run";
             end_failed_attempt(attempt, unproven_report(&record), cause, retries, trace);
@@ -125,6 +130,7 @@
             attempt,
             conn,
             head,
+            framing,
             body,
             info,
         };
@@ -220,6 +226,7 @@
             attempt,
             conn,
             head,
+            framing,
             body,
             info,
         } = response;
@@ -230,9 +237,18 @@
         let address = attempt.assignment.address;
         let backend = attempt.assignment.backend.clone();
         let read = timeout_at(self.deadline, read_body(body, MAX_RESPONSE_BYTES)).await;
+        let ended = match (framing, &read) {
+            (Framing::UntilClose, Ok(Ok(_))) => unconfirmed_report(report, address).await,
+            _ => report,
+        };
         let (report, cause, failure) = match read {
+            Ok(Ok(_)) if matches!(ended, AttemptReport::Crashed { .. }) => {
+                let failure = Failure::new(FailureKind::Failed, "answer-broke-off");
+                let cause = "the backend server ended with a response that has no length";
+                (ended, cause.to_owned(), failure)
+            }
             Ok(Ok(body)) => {
-                attempt.report_end(report);
+                attempt.report_end(ended);
                 if !info.closes_connection {
                     self.state.pool.put_idle(&backend, conn, info.keep_alive);
                 }
@@ -267,6 +283,20 @@
     }
 }
 
+/// Returns the report on an attempt with `report` whose response ended with its connection. A backend
+/// server that no longer accepts connections has ended with it.
+async fn unconfirmed_report(report: AttemptReport, address: SocketAddr) -> AttemptReport {
+    if !matches!(report, AttemptReport::Done { .. }) {
+        return report;
+    }
+    match broken_connection_report(address).await {
+        ended @ AttemptReport::Crashed {
+            kind: CrashKind::Disconnected,
+        } => ended,
+        _ => AttemptReport::Unconfirmed,
+    }
+}
+
 /// Returns the report on an attempt whose response promises without proof that it did not run. For
 /// the dispatcher, a backend server that refuses is full, whichever attempt it refuses.
 fn unproven_report(response: &ResponseRecord) -> AttemptReport {
--- a/toucanchute_edge/src/passthrough/relay.rs
+++ b/toucanchute_edge/src/passthrough/relay.rs
@@ -1,4 +1,4 @@
-use std::{io, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http::Response;
@@ -13,6 +13,7 @@
 use super::{
     Dialect, Failure, ResponseBody, RouteControl,
     event_splitter::EventSplitter,
+    framing::Framing,
     guards::ReservationGuard,
     handler::InFlightGuard,
     pool::broken_connection_report,
@@ -69,10 +70,22 @@
     _in_flight: InFlightGuard,
 }
 
+/// Returns how a stream ended whose body ended without an error.
+fn stream_end(framing: Framing, events: &EventSplitter) -> StreamEnd {
+    match framing {
+        _ if events.is_partial() => StreamEnd::Broken,
+        Framing::Delimited => StreamEnd::Complete,
+        Framing::UntilClose if events.is_unused() => StreamEnd::Broken,
+        Framing::UntilClose => StreamEnd::Unconfirmed,
+    }
+}
+
 /// Why relaying one backend server's events ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StreamEnd {
     Complete,
+    /// The connection of a stream without a length ended between two events.
+    Unconfirmed,
     CallerDisconnected,
     DeadlinePassed,
     /// The connection broke off, or the stream ended within an event.
@@ -88,15 +101,7 @@
         loop {
             let end = self.relay_events(&mut response).await;
             let assignment = response.attempt.assignment.clone();
-            let report = match end {
-                StreamEnd::Complete => AttemptReport::Done {
-                    tokens: self.events_relayed,
-                },
-                StreamEnd::CallerDisconnected => AttemptReport::Cancelled,
-                StreamEnd::DeadlinePassed | StreamEnd::Stalled => CrashKind::TimedOut.into(),
-                StreamEnd::EventTooLarge => CrashKind::Malformed.into(),
-                StreamEnd::Broken => broken_connection_report(assignment.address).await,
-            };
+            let (end, report) = self.conclude(end, assignment.address).await;
             let BackendResponse {
                 attempt,
                 conn,
@@ -112,6 +117,7 @@
                     }
                     return self.finish("answered");
                 }
+                StreamEnd::Unconfirmed => return self.finish("answered"),
                 StreamEnd::CallerDisconnected => return self.finish("caller-left"),
                 StreamEnd::DeadlinePassed => return self.abort("out-of-time").await,
                 StreamEnd::Broken => "the event stream broke off",
@@ -131,6 +137,27 @@
         }
     }
 
+    /// Decides how one backend server's stream ended, and the report on it. A stream without a length
+    /// is broken if its server ended with it.
+    async fn conclude(&self, end: StreamEnd, address: SocketAddr) -> (StreamEnd, AttemptReport) {
+        let report = match end {
+            StreamEnd::Complete => AttemptReport::Done {
+                tokens: self.events_relayed,
+            },
+            StreamEnd::CallerDisconnected => AttemptReport::Cancelled,
+            StreamEnd::DeadlinePassed | StreamEnd::Stalled => CrashKind::TimedOut.into(),
+            StreamEnd::EventTooLarge => CrashKind::Malformed.into(),
+            StreamEnd::Broken => broken_connection_report(address).await,
+            StreamEnd::Unconfirmed => match broken_connection_report(address).await {
+                ended @ AttemptReport::Crashed {
+                    kind: CrashKind::Disconnected,
+                } => return (StreamEnd::Broken, ended),
+                _ => AttemptReport::Unconfirmed,
+            },
+        };
+        (end, report)
+    }
+
     /// Relays the events of one backend server until its stream ends.
     async fn relay_events(&mut self, response: &mut BackendResponse<C>) -> StreamEnd {
         let mut events = EventSplitter::default();
@@ -145,8 +172,7 @@
                 () = sleep_until(stalled_at), if self.retries.may_rerun() => return StreamEnd::Stalled,
             };
             let data = match frame {
-                None if events.is_partial() => return StreamEnd::Broken,
-                None => return StreamEnd::Complete,
+                None => return stream_end(response.framing, &events),
                 Some(Err(_)) => return StreamEnd::Broken,
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
--- a/toucanchute_edge/tests/passthrough/ends.rs
+++ b/toucanchute_edge/tests/passthrough/ends.rs
@@ -118,5 +118,7 @@
     a_part_under_which_servers_are_back_at_once_is_contained: CrashMode::RestartsAtOnce, "idempotent";
     a_part_under_which_servers_end_silently_is_contained: CrashMode::Hangs, "idempotent";
     a_part_under_which_answers_break_off_is_contained: CrashMode::BreaksOffResponse, "idempotent";
+    a_part_under_which_answers_without_length_end_is_contained: CrashMode::EndsUndelimitedResponse, "idempotent";
+    a_part_under_which_answers_without_length_end_before_a_restart_is_contained: CrashMode::EndsUndelimitedResponseAndRestarts, "idempotent";
     a_part_under_which_servers_fail_in_turn_is_contained: CrashMode::FailsEverySecond, "non-idempotent";
 }
--- a/toucanchute_edge/tests/passthrough/ends/servers.rs
+++ b/toucanchute_edge/tests/passthrough/ends/servers.rs
@@ -39,6 +39,11 @@
     Hangs,
     /// The response breaks off after its head.
     BreaksOffResponse,
+    /// The response has no length and ends after its first bytes, in an orderly way.
+    EndsUndelimitedResponse,
+    /// As [`CrashMode::EndsUndelimitedResponse`], and a new run of the server listens at the same
+    /// address.
+    EndsUndelimitedResponseAndRestarts,
     /// As [`CrashMode::RefusesConnections`], but every second run of the request gets an error
     /// response instead.
     FailsEverySecond,
@@ -192,6 +197,17 @@
                 servers.unregister(&name).await;
                 return servers.register(self);
             }
+            CrashMode::EndsUndelimitedResponseAndRestarts => {
+                *self.name.lock().unwrap() = servers.next_name();
+                end_undelimited_response(stream).await;
+                servers.unregister(&name).await;
+                return servers.register(self);
+            }
+            CrashMode::EndsUndelimitedResponse => {
+                self.ended.send_replace(true);
+                tokio::time::sleep(Duration::from_millis(5)).await;
+                end_undelimited_response(stream).await;
+            }
             CrashMode::Hangs => {
                 servers.unregister(&name).await;
                 reset(stream);
@@ -214,6 +230,13 @@
     }
 }
 
+/// Sends a part of a response that has no length, and closes the connection in an orderly way.
+async fn end_undelimited_response(mut stream: TcpStream) {
+    let partial_response = "HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Seal: s\r\n\r\nhe";
+    stream.write_all(partial_response.as_bytes()).await.unwrap();
+    stream.shutdown().await.unwrap();
+}
+
 fn reset(stream: TcpStream) {
     #[allow(deprecated)]
     stream.set_linger(Some(Duration::ZERO)).unwrap();
--- a/toucanchute_edge/tests/passthrough/main.rs
+++ b/toucanchute_edge/tests/passthrough/main.rs
@@ -13,3 +13,4 @@
 mod shutdown;
 mod streams;
 mod support;
+mod undelimited;
--- a/toucanchute_edge/tests/passthrough/support.rs
+++ b/toucanchute_edge/tests/passthrough/support.rs
@@ -39,6 +39,8 @@
     Answer(String),
     /// Answers with these bytes and closes the connection.
     AnswerAndClose(String),
+    /// Answers one request with these bytes, stops listening and closes the connection.
+    AnswerAndEnd(String),
     /// Reads the request and resets the connection.
     Reset,
     /// Reads the request and sends nothing.
@@ -72,7 +74,12 @@
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (received, bytes_counter) = (Arc::clone(&received), Arc::clone(&bytes_counter));
-                tokio::spawn(serve(stream, script.clone(), received, bytes_counter));
+                let serving = serve(stream, script.clone(), received, bytes_counter);
+                if matches!(script, Script::AnswerAndEnd(_)) {
+                    drop(listener);
+                    return serving.await;
+                }
+                tokio::spawn(serving);
             }
         });
         Backend {
@@ -118,7 +125,7 @@
         };
         match &script {
             Script::Answer(answer) => stream.write_all(answer.as_bytes()).await.unwrap(),
-            Script::AnswerAndClose(answer) => {
+            Script::AnswerAndClose(answer) | Script::AnswerAndEnd(answer) => {
                 stream.write_all(answer.as_bytes()).await.unwrap();
                 return;
             }
--- a/toucanchute_router/src/metrics.rs
+++ b/toucanchute_router/src/metrics.rs
@@ -62,6 +62,7 @@
         let name = match report {
             AttemptReport::FirstToken => "attempt.first_token",
             AttemptReport::Done { .. } => "attempt.done",
+            AttemptReport::Unconfirmed => "attempt.unconfirmed",
             AttemptReport::Failed => "attempt.failed",
             AttemptReport::Rejected => "attempt.rejected",
             AttemptReport::Refused => "attempt.refused",
