fix(platform): order revisions by the era of the store

A store that comes back from an older copy gives revisions out again. A watch went on once the counter had passed its old value, and missed what was written in between; a compare-and-swap could meet a number that stands for another value; a late answer of before counted like one of after.

Class: numbers that are compared although they were given out twice. Now a revision holds its era above its number, in one type, made where a response is decoded; the order of these is right by construction.

--- a/toucanchute_proto/src/lib.rs
+++ b/toucanchute_proto/src/lib.rs
@@ -9,6 +9,7 @@
 mod id;
 mod packed;
 mod rate;
+mod revision;
 mod time;
 
 pub use bytes::Bytes;
@@ -17,6 +18,7 @@
 pub use id::{AttemptId, BudgetId, Digest, EntryId, GrantId, Incarnation, RequestKey, ShardId};
 pub use packed::{pack, unpack};
 pub use rate::RequestRate;
+pub use revision::Revision;
 pub use time::Millis;
 
 /// IP address and port, under the name that the generated types use.
--- a/toucanchute_store/src/error.rs
+++ b/toucanchute_store/src/error.rs
@@ -90,6 +90,20 @@
         source: serde_json::Error,
     },
 
+    /// The response names no era, or one that has ended, of a store that came back from an older copy
+    /// since. What the call did is gone, or not known.
+    #[snafu(display(
+        "the platform at {endpoint} responded in the era {era:?}, and {newest} is the newest"
+    ))]
+    EraEnded {
+        /// Address of the platform's endpoint.
+        endpoint: SocketAddr,
+        /// Era of the response, if it names one.
+        era: Option<u64>,
+        /// Newest era that was seen.
+        newest: u64,
+    },
+
     /// The request could not be encoded.
     #[snafu(display("cannot encode the request to the platform: {message}"))]
     Encode {
@@ -115,7 +129,8 @@
             | StoreError::ConnectionLost { .. }
             | StoreError::Truncated { .. }
             | StoreError::TimedOut { .. }
-            | StoreError::Malformed { .. } => WriteEffect::Unknown,
+            | StoreError::Malformed { .. }
+            | StoreError::EraEnded { .. } => WriteEffect::Unknown,
         }
     }
 
--- a/toucanchute_store/src/lib.rs
+++ b/toucanchute_store/src/lib.rs
@@ -15,5 +15,6 @@
 pub use counts::{CallCounters, CallCounts, CallKind};
 pub use error::{StoreError, WriteEffect};
 pub use hosts::{Host, HostList, HostListClient, HostRole, HostState};
-pub use store::{CasOutcome, Entry, KeySelection, LeaseId, Revision, Snapshot, Store};
+pub use store::{CasOutcome, Entry, KeySelection, LeaseId, Snapshot, Store};
+pub use toucanchute_proto::Revision;
 pub use watch::{Watch, WatchSender, WatchUpdate};
--- a/toucanchute_store/src/store.rs
+++ b/toucanchute_store/src/store.rs
@@ -1,33 +1,10 @@
-use std::{fmt, future::Future};
+use std::future::Future;
 
 use bytes::Bytes;
-use toucanchute_proto::Millis;
+use toucanchute_proto::{Millis, Revision};
 
 use crate::{StoreError, Watch};
 
-/// Revision of a key-value service, which increases with each change.
-///
-/// As the expected revision of a compare-and-swap, zero means that the key must not exist.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Revision(pub u64);
-
-impl Revision {
-    /// Revision of a key that does not exist.
-    pub const ABSENT: Revision = Revision(0);
-
-    /// Returns the revision after this one.
-    #[must_use]
-    pub fn next(self) -> Revision {
-        Revision(self.0 + 1)
-    }
-}
-
-impl fmt::Display for Revision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
-
 /// Identifier of a lease of the key-value service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LeaseId(pub i64);
