fix(fleet): follow registrations into a new era of the store

With the era in the revision a list of a later era replaces those before. For 2.6 s servers that the copy lacks are kept, and for 10 s one that had announced that it leaves gets no work though the copy lists it as ready.

cargo test -p toucanchute_core: discovery (9), fleet::tests::found; four tests are new.

--- a/toucanchute_core/src/discovery.rs
+++ b/toucanchute_core/src/discovery.rs
@@ -15,6 +15,10 @@
 /// reads of the store.
 const RENEWAL_TIME: Millis = Millis(2_600);
 
+/// Time after the store came back from an older copy in which a backend server that had announced that
+/// it is leaving may be listed as ready, until it has written its registration again or lost it.
+const OLD_ENTRIES_TIME: Millis = Millis(10_000);
+
 /// Result of applying a list of registrations.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct DiscoveryUpdate {
@@ -50,8 +54,12 @@
     outage_at: Option<Millis>,
     /// Until when missing backend servers are kept, since they may register again.
     keep_until: Millis,
+    /// Until when the list may have entries of an older copy of the store.
+    distrust_until: Millis,
     /// Names of the backend servers that were withdrawn and have not registered again.
     withdrawn: BTreeSet<String>,
+    /// Names of those that announced that they were leaving, which is final.
+    left: BTreeSet<String>,
 }
 
 impl Discovery {
@@ -60,6 +68,13 @@
         self.outage_at = self.outage_at.max(Some(at));
     }
 
+    /// Records that at `now` the store came back from an older copy: registrations may be missing until
+    /// they are written again, and others may be older than what is known.
+    pub fn record_restore(&mut self, now: Millis) {
+        self.keep_until = self.keep_until.max(now + RENEWAL_TIME);
+        self.distrust_until = now + OLD_ENTRIES_TIME;
+    }
+
     /// Applies the list of registrations that was read at `now`.
     pub fn apply_list(&mut self, now: Millis, found: Vec<Found>) -> DiscoveryUpdate {
         let outage_agreed = self
@@ -72,7 +87,11 @@
         let mut live = BTreeMap::new();
         let mut update = DiscoveryUpdate::default();
         for found in found {
-            match found.leaving {
+            let was_leaving = now < self.distrust_until && self.left.contains(&found.name);
+            if found.leaving {
+                self.left.insert(found.name.clone());
+            }
+            match found.leaving || was_leaving {
                 true => self.withdraw(found.name, &mut update),
                 false => {
                     self.withdrawn.remove(&found.name);
--- a/toucanchute_core/src/fleet/registration_sync.rs
+++ b/toucanchute_core/src/fleet/registration_sync.rs
@@ -1,5 +1,5 @@
 use toucanchute_proto::{
-    Incarnation, Millis,
+    Incarnation, Millis, Revision,
     fleet::{FetchFound, FleetBody, FoundBody},
 };
 
@@ -26,6 +26,10 @@
         if self.registrations.apply(body) != ApplyOutcome::Updated {
             return;
         }
+        let era = Revision(self.registrations.revision()).era();
+        if before > 0 && era > Revision(before).era() {
+            self.discovery.record_restore(now);
+        }
         self.update_backends(now, out);
         self.forward_registrations(before, from, out);
     }
--- a/toucanchute_core/src/fleet/registrations.rs
+++ b/toucanchute_core/src/fleet/registrations.rs
@@ -7,7 +7,9 @@
 
 /// Registrations of backend servers as of one revision of the store.
 ///
-/// They include all changes up to `revision`, without gaps.
+/// They include all changes up to `revision`, without gaps. Revisions are those of
+/// [`Revision`](toucanchute_proto::Revision), so that any list of a later era replaces those of the
+/// eras before.
 #[derive(Debug, Default)]
 pub(super) struct Registrations {
     /// Registered backend servers, by key in the store.
--- a/toucanchute_core/src/fleet/tests/found.rs
+++ b/toucanchute_core/src/fleet/tests/found.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use toucanchute_proto::{
-    Digest, Incarnation, Millis,
+    Digest, Incarnation, Millis, Revision,
     config::Config,
     fleet::{FetchFound, FleetBody, FleetMessage, Found, FoundBody, Gossip, Push, Registration},
 };
@@ -244,3 +244,51 @@
     let out = read(&mut fleet, 1_100, whole(10, vec![registered("a", 4)]));
     assert_eq!(ready(&out), Some(Ok(())));
 }
+
+// Guards against registrations that are ignored until the store, which came back from an older copy, has
+// given out as many revisions as before (CONFIG).
+#[test]
+fn a_list_of_a_later_era_replaces_one_of_a_greater_number() {
+    let mut fleet = fleet();
+    let before = Revision::new(1, 900).0;
+    let after = Revision::new(2, 700).0;
+    read(
+        &mut fleet,
+        100,
+        whole(before, vec![registered("old", before)]),
+    );
+    let out = read(
+        &mut fleet,
+        200,
+        whole(after, vec![registered("new", after)]),
+    );
+    let live = live_names(&out).expect("the list changed nothing");
+    assert!(live.contains(&"new".to_owned()), "{live:?}");
+}
+
+// Guards against an old list that returns from a router which was cut off during the restore.
+#[test]
+fn a_list_of_an_earlier_era_is_ignored() {
+    let mut fleet = fleet();
+    let before = Revision::new(1, 900).0;
+    let after = Revision::new(2, 700).0;
+    read(
+        &mut fleet,
+        100,
+        whole(after, vec![registered("new", after)]),
+    );
+    let out = read(
+        &mut fleet,
+        200,
+        whole(before, vec![registered("old", before)]),
+    );
+    assert_eq!(live_names(&out), None);
+}
+
+/// Returns the names of the backend servers that may get work, if they changed.
+fn live_names(out: &[Action]) -> Option<Vec<String>> {
+    out.iter().find_map(|action| match action {
+        Action::Backends(update) => Some(update.live.iter().map(|f| f.name.clone()).collect()),
+        _ => None,
+    })
+}
--- a/toucanchute_core/tests/discovery.rs
+++ b/toucanchute_core/tests/discovery.rs
@@ -52,6 +52,32 @@
     assert_eq!(update.withdrawn, ["a"]);
 }
 
+// Guards against new work for a server that is leaving, since an older copy of the store lists it as ready.
+#[test]
+fn a_server_that_was_leaving_before_a_restore_gets_no_new_work_after_it() {
+    let mut discovery = Discovery::default();
+    discovery.apply_list(Millis(0), vec![found("a", false), found("bb", false)]);
+    discovery.apply_list(Millis(600), vec![found("a", true), found("bb", false)]);
+    discovery.record_restore(Millis(1_000));
+    for now in [1_000, 3_000, 9_000] {
+        let list = vec![found("a", false), found("bb", false)];
+        let update = discovery.apply_list(Millis(now), list);
+        assert_eq!(names(&update), ["bb"]);
+    }
+}
+
+// Guards against servers that are withdrawn because an older copy of the store does not have them yet.
+#[test]
+fn registrations_that_a_restore_lost_have_time_to_be_written_again() {
+    let mut discovery = Discovery::default();
+    discovery.apply_list(Millis(0), vec![found("a", false), found("bb", false)]);
+    discovery.record_restore(Millis(1_000));
+    let update = discovery.apply_list(Millis(1_000), vec![found("a", false)]);
+    assert_eq!(names(&update), ["a", "bb"]);
+    let update = discovery.apply_list(Millis(3_700), vec![found("a", false)]);
+    assert_eq!(names(&update), ["a"]);
+}
+
 #[test]
 fn a_lapsed_server_whose_address_another_one_has_is_not_kept() {
     let mut discovery = Discovery::default();
