fix(prepaid): count on no record of an older copy of the store

Cause (H1): a takeover derives what was spent from the record in the store, which is an older one after a restore; while witnesses' marks are left they bound it, and they are gone with the power. Class: a bound taken from a copy whose age nobody knows. H3 is real too, and was found by walks: an owner that the store has forgotten spends on, as an epoch is given out again.

Now a record names its era. Never over prepaid goes before tokens written off.

--- a/toucanchute_core/src/prepaid/account.rs
+++ b/toucanchute_core/src/prepaid/account.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use toucanchute_proto::{
     Incarnation, Millis,
@@ -35,6 +35,8 @@
     /// before it is written into the record.
     pub(super) next_quorum: Option<(Quorum, Millis)>,
     pub(super) write: Option<RecordWrite>,
+    /// Proof that precedes the next write, if the store may hold an older record than this one.
+    pub(super) renewal: Option<Renewal>,
     /// Time before which the store is not called again.
     pub(super) retry_at: Millis,
     pub(super) rate: DrawRate,
@@ -72,6 +74,24 @@
     pub(super) until: Millis,
 }
 
+/// Proof that no other router has taken an account over, in a store that has forgotten it.
+#[derive(Clone, Debug)]
+pub(super) struct Renewal {
+    pub(super) since: Millis,
+    /// Witnesses that have acknowledged a mark since then. Enough of them for a mark cannot have been
+    /// fenced.
+    pub(super) acked: BTreeSet<Incarnation>,
+}
+
+impl Renewal {
+    pub(super) fn new(now: Millis) -> Renewal {
+        Renewal {
+            since: now,
+            acked: BTreeSet::new(),
+        }
+    }
+}
+
 /// A write of the record whose result is not known yet.
 #[derive(Debug)]
 pub(super) struct RecordWrite {
@@ -101,6 +121,7 @@
             pending: Vec::new(),
             next_quorum: None,
             write: None,
+            renewal: None,
             retry_at: now,
             rate: DrawRate::new(now),
             largest: 0,
@@ -139,6 +160,18 @@
         marks.fold(ramp, u64::min)
     }
 
+    /// Begins to prove that no other router has taken the account over, in order to write its record
+    /// again.
+    pub(super) fn begin_renewal(&mut self, now: Millis) {
+        self.renewal.get_or_insert_with(|| Renewal::new(now));
+    }
+
+    /// Whether the record is to be written again now.
+    pub(super) fn is_renewal_due(&self) -> bool {
+        let acks = self.record.quorum.acks as usize;
+        self.renewal.as_ref().is_some_and(|r| r.acked.len() >= acks)
+    }
+
     /// Returns the records that may be in the store, each with the time at which it was sent.
     pub(super) fn possible_records(&self) -> impl Iterator<Item = (&Account, Millis)> {
         let pending = self.pending.iter().map(|(record, sent)| (record, *sent));
--- a/toucanchute_core/src/prepaid/bounds.rs
+++ b/toucanchute_core/src/prepaid/bounds.rs
@@ -1,11 +1,11 @@
 use toucanchute_proto::{
-    BudgetId, Incarnation, Millis, from_cbor,
+    BudgetId, Incarnation, Millis, Revision, from_cbor,
     prepaid::{Account, Mark, Marked, PrepaidMessage, Quorum},
 };
 
 use super::{
     AccountEvent, Action, ClockSpread, CloseCause, Fault, PrepaidAccounts,
-    account::{OwnedAccount, RecordWrite},
+    account::{OwnedAccount, RecordWrite, Renewal},
     ramp::{Ramp, ramp_max},
     record,
 };
@@ -24,6 +24,10 @@
 /// Pause before the next call to the store after a failed one.
 pub(super) const STORE_RETRY: Millis = Millis(300);
 
+/// Time for enough witnesses to acknowledge a mark before the record is written again in a new era of
+/// the store. An owner that cannot prove that it still is one gives the account up.
+const RENEWAL_TIMEOUT: Millis = Millis(5_000);
+
 /// Time for the witnesses of the next quorum to acknowledge the current mark.
 const QUORUM_CHANGE_TIMEOUT: Millis = Millis(500);
 
@@ -31,11 +35,43 @@
 impl PrepaidAccounts {
     /// Adjusts an account's witnesses and marks and writes its record, as far as its draw requires.
     pub(super) fn maintain(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
+        self.prove_ownership(budget, out);
         self.renew_quorum(budget);
         self.raise_marks(budget, out);
         self.write_if_due(budget, out);
     }
 
+    /// Before the record is written again in a new era of the store, requests the current mark from its
+    /// witnesses once more. They refuse it if another router has taken the account over.
+    fn prove_ownership(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
+        let (now, me) = (self.now, self.me());
+        let Some(owned) = self.accounts.get_mut(&budget) else {
+            return;
+        };
+        let Some(Renewal { since, acked }) = owned.renewal.as_mut() else {
+            return;
+        };
+        if now.since(*since) >= RENEWAL_TIMEOUT {
+            return self.close(budget, CloseCause::Superseded, out);
+        }
+        let body = Mark {
+            budget,
+            term: owned.term,
+            mark: owned.marks.highest().max(owned.used),
+        };
+        if owned.record.quorum.witnesses.contains(&me) && self.witness_marks.raise(&body).is_ok() {
+            acked.insert(me);
+        }
+        let silent = owned.record.quorum.witnesses.iter();
+        let silent: Vec<Incarnation> = silent.filter(|w| !acked.contains(w)).copied().collect();
+        for to in silent.into_iter().filter(|&to| to != me) {
+            if owned.marks.request_again_if_due(now, to, body.mark) {
+                let message = PrepaidMessage::Mark(body);
+                out.push(Action::Send { to, message });
+            }
+        }
+    }
+
     /// Chooses the next quorum if witnesses are gone or too few.
     fn renew_quorum(&mut self, budget: BudgetId) {
         let now = self.now;
@@ -124,6 +160,11 @@
             return self.close(budget, CloseCause::Superseded, out);
         }
         owned.marks.ack(from, body.mark);
+        if let Some(renewal) = owned.renewal.as_mut()
+            && owned.record.quorum.witnesses.contains(&from)
+        {
+            renewal.acked.insert(from);
+        }
         self.write_if_due(budget, out);
         self.serve(budget, out);
     }
@@ -147,7 +188,9 @@
         if owned.releasing {
             return;
         }
-        let Some(next) = owned.next_record(now, limit, self.clocks, self.cfg.incarnation) else {
+        let era = self.store_era;
+        let Some(next) = owned.next_record(now, limit, self.clocks, self.cfg.incarnation, era)
+        else {
             return;
         };
         self.write_record(budget, next, out);
@@ -222,6 +265,9 @@
                 owned.release_uncertain |= owned.releasing;
                 owned.retry_at = now + STORE_RETRY;
             }
+            StoreResult::Missing if Revision(owned.revision).era() < self.store_era => {
+                self.rewrite_record(budget, 0, out);
+            }
             StoreResult::Missing => self.close(budget, CloseCause::Superseded, out),
             StoreResult::Value { revision, value } => {
                 self.on_read_back(budget, *revision, value, out);
@@ -240,6 +286,9 @@
         let Some(owned) = self.accounts.get_mut(&budget) else {
             return;
         };
+        if Revision(revision).era() > Revision(owned.revision).era() {
+            return self.on_restored_record(budget, revision, value, out);
+        }
         if revision == owned.revision {
             // The write has not taken effect but still may, so the record stays among the pending
             // ones.
@@ -264,6 +313,68 @@
         }
     }
 
+    /// Handles a record in a store that came back from an older copy. Unless a router with a later
+    /// claim has written it, this owner knows more than it says, and writes its own again.
+    fn on_restored_record(
+        &mut self,
+        budget: BudgetId,
+        revision: u64,
+        value: &[u8],
+        out: &mut Vec<Action>,
+    ) {
+        let me = self.me();
+        let Some(owned) = self.accounts.get(&budget) else {
+            return;
+        };
+        let era = Revision(revision).era();
+        let mut contested = false;
+        let superseded = match from_cbor::<Account>(value) {
+            Ok(record) => {
+                contested = record.era == Some(era) && record.owner != Some(me);
+                record.epoch > owned.record.epoch || contested && record.epoch == owned.record.epoch
+            }
+            Err(e) => {
+                let error = e.to_string();
+                out.push(Action::Log(AccountEvent::Unreadable {
+                    budget,
+                    revision,
+                    error,
+                }));
+                true
+            }
+        };
+        if superseded {
+            return self.close(budget, CloseCause::Superseded, out);
+        }
+        if contested {
+            self.write_off_rest(budget);
+        }
+        self.rewrite_record(budget, revision, out);
+    }
+
+    /// Writes off what is left of an account from which another router, which this one superseded in an
+    /// era that the store has forgotten, has spent since.
+    fn write_off_rest(&mut self, budget: BudgetId) {
+        let limit = self.limit(budget);
+        if let Some(owned) = self.accounts.get_mut(&budget) {
+            let rest = limit.saturating_sub(owned.used);
+            owned.used += rest;
+            owned.record.lost += rest;
+        }
+    }
+
+    /// Writes an account's record over the one that the store has at `revision`.
+    fn rewrite_record(&mut self, budget: BudgetId, revision: u64, out: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(owned) = self.accounts.get_mut(&budget) else {
+            return;
+        };
+        owned.revision = revision;
+        owned.write = None;
+        owned.begin_renewal(now);
+        self.maintain(budget, out);
+    }
+
     /// Makes a record that is in the store the current one.
     fn adopt_record(
         &mut self,
@@ -273,10 +384,13 @@
         sent: Millis,
         out: &mut Vec<Action>,
     ) {
+        let now = self.now;
         let Some(owned) = self.accounts.get_mut(&budget) else {
             return;
         };
         let released = record.owner.is_none();
+        let is_old = record.era.is_some_and(|era| era < Revision(revision).era());
+        owned.renewal = is_old.then(|| Renewal::new(now));
         owned.record = record;
         owned.revision = revision;
         owned.sent_at = sent;
@@ -299,6 +413,7 @@
         limit: u64,
         clocks: ClockSpread,
         owner: Incarnation,
+        era: u64,
     ) -> Option<Account> {
         let rate = self.rate.draw(now, Millis(1_000));
         let left = limit.saturating_sub(self.used);
@@ -315,7 +430,11 @@
         // replaced.
         let steep = room > 2 * (ramp.ahead + ramp.pace);
         let stale = age >= CHECKPOINT_INTERVAL && (self.record.spent < self.used || steep);
-        let due = short && age >= MIN_CHECKPOINT_INTERVAL || stale || urgent;
+        if self.renewal.is_some() && !self.is_renewal_due() {
+            return None;
+        }
+        let due =
+            self.is_renewal_due() || short && age >= MIN_CHECKPOINT_INTERVAL || stale || urgent;
         if !due {
             return None;
         }
@@ -332,6 +451,7 @@
             ahead: ramp.ahead,
             pace: ramp.pace,
             at: clocks.earliest(now),
+            era: Some(era),
             quorum: joined.map_or_else(|| self.record.quorum.clone(), |(q, _)| q),
             ..self.record.clone()
         };
--- a/toucanchute_core/src/prepaid/event.rs
+++ b/toucanchute_core/src/prepaid/event.rs
@@ -56,6 +56,8 @@
         /// Its result.
         result: StoreResult,
     },
+    /// Era of the store. Expected before the result of any call that it answered in that era.
+    StoreEra(u64),
     /// How far the clocks of the fleet differ.
     Clocks(ClockSpread),
     /// The store answered some router of the fleet at this time.
--- a/toucanchute_core/src/prepaid/fault.rs
+++ b/toucanchute_core/src/prepaid/fault.rs
@@ -20,4 +20,6 @@
     AcceptFencedMarks,
     /// Spends beyond the bounds of the record, up to the total.
     IgnoreDrawn,
+    /// Takes the record of a store that came back from an older copy for the last one.
+    TrustOldEras,
 }
--- a/toucanchute_core/src/prepaid/fencing.rs
+++ b/toucanchute_core/src/prepaid/fencing.rs
@@ -118,7 +118,7 @@
     /// Opens the account once it is known how far the previous owner can have spent, or once the
     /// proof has not arrived in time.
     pub(super) fn try_open(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
-        let (now, clocks) = (self.now, self.clocks);
+        let (now, clocks, limit) = (self.now, self.clocks, self.limit(budget));
         let skip = self.has_fault(Fault::SkipFence);
         let (peers, assume_ended) = (&self.peers, self.has_fault(Fault::AssumeUnreachableEnded));
         let Some(takeover) = self.takeovers.get_mut(&budget) else {
@@ -138,6 +138,8 @@
         let waiting_since = takeover.unchanged.map_or(*since, |(_, at)| at);
         let basis = match proof.basis(&claim.quorum) {
             _ if skip => TakeoverBasis::Marks,
+            // Its witnesses may not be those of the last record that was written.
+            _ if takeover.stale => TakeoverBasis::Total,
             TakeoverBasis::RampMax if assume_ended && !early => TakeoverBasis::Ramp,
             TakeoverBasis::RampMax if early || now.since(waiting_since) < PROOF_TIMEOUT => return,
             // The marks of reachable witnesses are more exact than the ramp.
@@ -146,6 +148,7 @@
         };
         let highest = proof.highest_mark(claim);
         let base = match basis {
+            TakeoverBasis::Total => limit.max(highest),
             TakeoverBasis::Marks => highest,
             TakeoverBasis::Ramp => ramp_at(claim, clocks.max_elapsed(now, claim)).max(highest),
             TakeoverBasis::RampMax => claim.drawn,
--- a/toucanchute_core/src/prepaid/handover.rs
+++ b/toucanchute_core/src/prepaid/handover.rs
@@ -68,6 +68,7 @@
             ahead: 0,
             pace: 0,
             quorum: record::no_quorum(),
+            era: Some(self.store_era),
             ..owned.record.clone()
         };
         self.write_record(budget, record, out);
@@ -135,6 +136,10 @@
         owned.marks = Marks::inherit(owned.record.quorum.clone(), body.mark);
         let pending = body.pending.into_iter();
         owned.pending = pending.map(|p| (p.account, now - p.age)).collect();
+        let era = self.store_era;
+        if owned.record.era.is_some_and(|written| written < era) {
+            owned.begin_renewal(now);
+        }
         self.start_spending(budget, owned, waiting, out);
     }
 }
--- a/toucanchute_core/src/prepaid/machine.rs
+++ b/toucanchute_core/src/prepaid/machine.rs
@@ -28,6 +28,9 @@
 /// Time without the store after which accounts are handed over to routers that reach it.
 const STORE_LOSS_TIMEOUT: Millis = Millis(1_500);
 
+/// Era of a store that never came back from an older copy.
+const FIRST_ERA: u64 = 1;
+
 /// Identity of the router that runs a [`PrepaidAccounts`] machine.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -105,6 +108,11 @@
     /// Store calls in flight, by number.
     pub(super) ops: BTreeMap<u64, BudgetId>,
     next_op: u64,
+    /// Era of the store, as far as this router knows.
+    pub(super) store_era: u64,
+    /// Era in which each budget was first configured, for those that were added while this router
+    /// ran.
+    added_in: BTreeMap<BudgetId, u64>,
     /// Since when the store has not answered, and when a call to it last failed. Absent once it
     /// answers.
     store_down: Option<(Millis, Millis)>,
@@ -153,6 +161,8 @@
             requests: LocalRequests::default(),
             ops: BTreeMap::new(),
             next_op: 0,
+            store_era: 0,
+            added_in: BTreeMap::new(),
             store_down: None,
             store_seen: None,
             draining: false,
@@ -177,6 +187,7 @@
             Event::Message { from, message } => self.on_message(from, message, out),
             Event::Store { op, result } => self.on_store(op, &result, out),
             Event::Clocks(clocks) => self.clocks = clocks,
+            Event::StoreEra(era) => self.observe_era(era),
             Event::StoreSeen(at) => self.store_seen = self.store_seen.max(Some(at)),
             Event::Tick => self.tick(out),
             Event::Drain => self.draining = true,
@@ -201,6 +212,10 @@
         out: &mut Vec<Action>,
     ) {
         self.configured_at.get_or_insert(self.now);
+        if !self.limits.is_empty() {
+            let added = limits.keys().filter(|b| !self.limits.contains_key(b));
+            self.added_in.extend(added.map(|&b| (b, self.store_era)));
+        }
         self.limits = limits;
         self.preclaim_cache = None;
         self.policy = policy;
@@ -376,6 +391,28 @@
         }
     }
 
+    /// Records the era of the store. In a new one, the records of this router's accounts are written
+    /// again, as the store may hold older ones.
+    fn observe_era(&mut self, era: u64) {
+        if era <= self.store_era || self.has_fault(Fault::TrustOldEras) {
+            return;
+        }
+        self.store_era = era;
+        let now = self.now;
+        for owned in self.accounts.values_mut() {
+            if owned.record.era.is_some_and(|written| written < era) {
+                owned.begin_renewal(now);
+            }
+        }
+    }
+
+    /// Whether an account may have had a record that the store has lost: it came back from an older
+    /// copy once, and the budget may be older than that.
+    pub(super) fn may_have_lost_record(&self, budget: BudgetId) -> bool {
+        let is_new = self.added_in.get(&budget) == Some(&self.store_era);
+        self.store_era > FIRST_ERA && !is_new
+    }
+
     /// Whether the store counts as available: no call to it has failed recently.
     pub(super) fn store_up(&self) -> bool {
         self.store_down
--- a/toucanchute_core/src/prepaid/marks.rs
+++ b/toucanchute_core/src/prepaid/marks.rs
@@ -56,6 +56,23 @@
         *acked = mark.max(*acked);
     }
 
+    /// Returns whether `mark` has to be requested from `witness` now although it may have acknowledged
+    /// it before, and if so records the request.
+    pub(super) fn request_again_if_due(
+        &mut self,
+        now: Millis,
+        witness: Incarnation,
+        mark: u64,
+    ) -> bool {
+        let requested = self.requested.get(&witness);
+        let recent = requested.is_some_and(|&(_, at)| now.since(at) < RESEND_INTERVAL);
+        if !recent {
+            self.requested.insert(witness, (mark, now));
+            self.highest = self.highest.max(mark);
+        }
+        !recent
+    }
+
     /// Returns whether `mark` has to be requested from `witness` now, and if so records the
     /// request.
     pub(super) fn request_if_due(&mut self, now: Millis, witness: Incarnation, mark: u64) -> bool {
--- a/toucanchute_core/src/prepaid/proof.rs
+++ b/toucanchute_core/src/prepaid/proof.rs
@@ -26,6 +26,8 @@
     Ramp,
     /// The previous owner may be alive and still spend: the most that its record allows.
     RampMax,
+    /// The record is of an older copy of the store and bounds nothing: the whole total.
+    Total,
 }
 
 impl FenceProof {
--- a/toucanchute_core/src/prepaid/record.rs
+++ b/toucanchute_core/src/prepaid/record.rs
@@ -29,6 +29,7 @@
         pace: 0,
         at: Millis(0),
         quorum: no_quorum(),
+        era: None,
     }
 }
 
--- a/toucanchute_core/src/prepaid/takeover.rs
+++ b/toucanchute_core/src/prepaid/takeover.rs
@@ -1,7 +1,7 @@
 use std::collections::VecDeque;
 
 use toucanchute_proto::{
-    BudgetId, Millis, from_cbor,
+    BudgetId, Millis, Revision, from_cbor,
     prepaid::{Account, Quorum, Verdict},
 };
 
@@ -26,6 +26,10 @@
 /// Divisor of the remaining tokens: what may be spent per second before the draw is known.
 const FIRST_PACE_DIVISOR: u64 = 25;
 
+/// Number of low bits of an epoch for the claims of one era of the store. The eras of claims that
+/// cannot rely on the epoch in the record are in the bits above.
+const ERA_EPOCH_BITS: u32 = 32;
+
 /// An account that this router is taking over.
 #[derive(Debug)]
 pub(super) struct Takeover {
@@ -36,6 +40,9 @@
     /// Tokens that this takeover writes off, and what the spent tokens are derived from.
     pub(super) lost: u64,
     pub(super) basis: TakeoverBasis,
+    /// Whether the record is of an earlier era than the store, so that it may not be the last one that
+    /// was written.
+    pub(super) stale: bool,
     /// Revision of a record whose owner may be alive, and when this router first read it.
     pub(super) unchanged: Option<(u64, Millis)>,
     /// Revision of a record that cannot be decoded. While there is one, no router can spend from
@@ -76,6 +83,7 @@
             retry_at: self.now,
             lost: 0,
             basis: TakeoverBasis::Marks,
+            stale: false,
             unchanged: None,
             unreadable: None,
         };
@@ -169,7 +177,7 @@
             _ => return,
         };
         match (call, result) {
-            (StoreCall::Read, StoreResult::Missing) => self.claim(budget, 0, record::empty(), out),
+            (StoreCall::Read, StoreResult::Missing) => self.on_missing_record(budget, out),
             (StoreCall::Read, StoreResult::Value { revision, value }) => {
                 self.on_record(budget, *revision, value, out);
             }
@@ -189,6 +197,24 @@
         }
     }
 
+    /// Claims an account without a record. If the store came back from an older copy since, the record
+    /// may have been in it before.
+    fn on_missing_record(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
+        let mut empty = record::empty();
+        if !self.may_have_lost_record(budget) {
+            return self.claim(budget, 0, empty, out);
+        }
+        empty.era = Some(0);
+        self.set_stale(budget, true);
+        self.claim_if_unchanged(budget, 0, empty, out);
+    }
+
+    fn set_stale(&mut self, budget: BudgetId, stale: bool) {
+        if let Some(takeover) = self.takeovers.get_mut(&budget) {
+            takeover.stale = stale;
+        }
+    }
+
     fn on_record(&mut self, budget: BudgetId, revision: u64, value: &[u8], out: &mut Vec<Action>) {
         let account = match from_cbor::<Account>(value) {
             Ok(account) => account,
@@ -211,7 +237,11 @@
             }
             return self.abandon_takeover(budget, out);
         }
-        if self.enough_hosts_reachable(&account.quorum) || account.drawn == account.spent {
+        let written_in = account.era.filter(|_| !self.has_fault(Fault::TrustOldEras));
+        let stale = written_in.is_some_and(|era| era < Revision(revision).era());
+        self.set_stale(budget, stale);
+        let provable = self.enough_hosts_reachable(&account.quorum);
+        if !stale && (provable || account.drawn == account.spent) {
             return self.claim(budget, revision, account, out);
         }
         self.claim_if_unchanged(budget, revision, account, out);
@@ -279,13 +309,25 @@
         takeover.retry_at = now + STORE_RETRY;
     }
 
-    /// Claims an account. Opens it at once if nothing can have been spent since its record was
-    /// written.
+    /// Claims an account. Opens it at once if its record has no owner, so that nothing can have been
+    /// spent since it was written.
     fn claim(&mut self, budget: BudgetId, revision: u64, old: Account, out: &mut Vec<Action>) {
+        let era = self.store_era;
+        let Some(takeover) = self.takeovers.get_mut(&budget) else {
+            return;
+        };
+        let stale = takeover.stale;
         let mut claim = old;
+        if stale {
+            // Greater than any epoch of the eras before, which the store may have forgotten.
+            claim.epoch = claim.epoch.max(era << ERA_EPOCH_BITS);
+        }
         claim.epoch += 1;
         claim.owner = Some(self.me());
-        if claim.drawn == claim.spent {
+        // Witnesses are fenced although the owner could spend nothing: if the store forgets this claim,
+        // only they refuse the owner.
+        let nothing_to_fence = claim.quorum.witnesses.is_empty();
+        if claim.drawn == claim.spent && nothing_to_fence && !stale {
             let base = claim.spent;
             return self.write_opening_record(budget, revision, claim, base, out);
         }
@@ -310,6 +352,7 @@
         account.pace = left / FIRST_PACE_DIVISOR;
         account.drawn = ramp_max(limit, base, account.ahead, account.pace);
         account.at = self.clocks.earliest(self.now);
+        account.era = Some(self.store_era);
         account.quorum = self.choose_quorum(budget);
         self.write_takeover_record(budget, revision, StoreCall::Open(account), out);
     }
--- a/toucanchute_core/tests/prepaid_cases.rs
+++ b/toucanchute_core/tests/prepaid_cases.rs
@@ -8,6 +8,8 @@
 mod memory_store;
 #[path = "prepaid_cases/power_loss.rs"]
 mod power_loss;
+#[path = "prepaid_cases/restore.rs"]
+mod restore;
 
 use fleet::Fleet;
 use toucanchute_core::prepaid::RefusalReason;
--- a/toucanchute_core/tests/prepaid_cases/fleet.rs
+++ b/toucanchute_core/tests/prepaid_cases/fleet.rs
@@ -313,6 +313,30 @@
         self.store.overwrite(&Bytes::from_static(b"no record"));
     }
 
+    /// Returns a copy of the store.
+    pub(crate) fn copy_store(&self) -> MemoryStore {
+        self.store.clone()
+    }
+
+    /// Brings the store back from a copy.
+    pub(crate) fn restore_store(&mut self, copy: MemoryStore) {
+        self.store.restore(copy);
+    }
+
+    /// Requests tokens until none are left, and returns the number that was granted.
+    pub(crate) fn exhaust(&mut self, tokens: u64) -> u64 {
+        let mut granted = 0;
+        let mut refused = 0;
+        while refused < 10 {
+            match self.request(0, tokens) {
+                Ok(()) => granted += tokens,
+                Err(_) => refused += 1,
+            }
+            self.advance(100);
+        }
+        granted
+    }
+
     // Inspection
 
     /// Returns the indexes of the routers that own the account.
@@ -400,6 +424,8 @@
             false => StoreResult::Unavailable,
         };
         let op = op.op;
+        self.queue
+            .push_back((to, Event::StoreEra(self.store.era())));
         self.queue.push_back((to, Event::Store { op, result }));
     }
 }
--- a/toucanchute_core/tests/prepaid_walk.rs
+++ b/toucanchute_core/tests/prepaid_walk.rs
@@ -26,6 +26,7 @@
     fault_chance: 0.0,
     message_loss: 0.0,
     requests_per_second: 8.0,
+    restore_chance: 0.0,
 };
 
 const SOME_FAULTS: Conditions = Conditions {
@@ -33,6 +34,7 @@
     fault_chance: 0.01,
     message_loss: 0.002,
     requests_per_second: 20.0,
+    restore_chance: 0.0,
 };
 
 const MANY_FAULTS: Conditions = Conditions {
@@ -40,6 +42,19 @@
     fault_chance: 0.04,
     message_loss: 0.02,
     requests_per_second: 20.0,
+    restore_chance: 0.0,
+};
+
+/// As [`SOME_FAULTS`], and the store comes back from an older copy about every 5 s.
+const RESTORES: Conditions = Conditions {
+    restore_chance: 0.01,
+    ..SOME_FAULTS
+};
+
+/// As [`MANY_FAULTS`], and the store comes back from an older copy about every 15 s.
+const RESTORES_AND_MANY_FAULTS: Conditions = Conditions {
+    restore_chance: 0.003,
+    ..MANY_FAULTS
 };
 
 fn walk(seed: u64, conditions: Conditions, fault: Option<Fault>) -> Result<WalkCounts, String> {
@@ -66,6 +81,9 @@
     nothing_is_overspent_without_faults: NO_FAULTS;
     nothing_is_overspent_with_some_faults: SOME_FAULTS;
     nothing_is_overspent_with_many_faults: MANY_FAULTS;
+    // Guards against takeovers that count on a record of an older copy of the store.
+    nothing_is_overspent_when_the_store_goes_back: RESTORES;
+    nothing_is_overspent_when_the_store_goes_back_among_many_faults: RESTORES_AND_MANY_FAULTS;
 }
 
 macro_rules! fault_is_found {
@@ -87,6 +105,12 @@
     ignored_draws_are_found: IgnoreDrawn;
 }
 
+#[test]
+fn trusted_records_of_older_copies_are_found() {
+    let found = (0..1_000).any(|seed| walk(seed, RESTORES, Some(Fault::TrustOldEras)).is_err());
+    assert!(found, "no walk overspends with {:?}", Fault::TrustOldEras);
+}
+
 #[test]
 fn without_faults_almost_no_covered_request_is_refused() {
     let mut sum = WalkCounts::default();
--- a/toucanchute_core/tests/prepaid_walk/simulation.rs
+++ b/toucanchute_core/tests/prepaid_walk/simulation.rs
@@ -2,7 +2,7 @@
 
 mod faults;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
 use toucanchute_core::{
@@ -18,6 +18,11 @@
 /// Time between two ticks of a machine, in milliseconds.
 const TICK: u64 = 50;
 
+/// Time between two copies of the store, and the age of the oldest one that may come back, in
+/// milliseconds.
+const COPY_INTERVAL: u64 = 500;
+const OLDEST_COPY: u64 = 20_000;
+
 /// Time within which a raised total has to be in force at the routers, in milliseconds.
 const CONFIG_TIME: u64 = 2_000;
 
@@ -31,6 +36,8 @@
     pub(crate) message_loss: f64,
     /// Requests per second at each router.
     pub(crate) requests_per_second: f64,
+    /// Probability in each tick that the store comes back from an older copy.
+    pub(crate) restore_chance: f64,
 }
 
 /// Something that happens at a later time.
@@ -44,6 +51,8 @@
     Result {
         to: Incarnation,
         op: u64,
+        /// Era of the store that sent it.
+        era: u64,
         result: StoreResult,
     },
     /// A write that takes effect after its caller got `Unknown` as the result.
@@ -65,6 +74,8 @@
     /// Time until which it cannot reach the store.
     store_cut_until: u64,
     draining: bool,
+    /// Newest era of the store in any result that it got.
+    store_era: u64,
     /// Offset of its clock, in milliseconds.
     offset: i64,
     calls: BTreeMap<CallId, (BudgetId, u64)>,
@@ -93,6 +104,10 @@
     deliveries: BTreeMap<(u64, u64), Delivery>,
     next_delivery: u64,
     store: MemoryStore,
+    /// Copies of the store, oldest first, and when they were made.
+    copies: VecDeque<(u64, MemoryStore)>,
+    /// Draws restores, so that they do not change the other faults of a seed.
+    restore_rng: SmallRng,
     limits: BTreeMap<BudgetId, u64>,
     /// Totals before they were last raised, and when that was.
     limits_before: BTreeMap<BudgetId, u64>,
@@ -119,6 +134,8 @@
             deliveries: BTreeMap::new(),
             next_delivery: 0,
             store: MemoryStore::default(),
+            copies: VecDeque::new(),
+            restore_rng: SmallRng::seed_from_u64(seed.rotate_left(32)),
             limits: (0..4)
                 .map(|i| (BudgetId::from_name(&format!("b{i}")), 20_000 * (i + 1)))
                 .collect(),
@@ -168,6 +185,7 @@
         self.now += TICK;
         self.deliver_due();
         self.restart_hosts();
+        self.restore_store();
         if self.rng.random_bool(self.conditions.fault_chance) && !self.routers.is_empty() {
             self.inject_fault();
         }
@@ -214,6 +232,7 @@
             host,
             frozen_until: 0,
             store_cut_until: 0,
+            store_era: 0,
             draining: false,
             offset,
             calls: BTreeMap::new(),
@@ -411,7 +430,12 @@
                 }
                 (to, Event::Message { from, message })
             }
-            Delivery::Result { to, op, result } => (to, Event::Store { op, result }),
+            Delivery::Result {
+                to,
+                op,
+                era,
+                result,
+            } => return self.deliver_result(to, op, era, result),
             Delivery::LateWrite(request) => {
                 self.store.apply(&request);
                 return;
@@ -425,7 +449,6 @@
         if frozen_until > self.now {
             let delivery = match event {
                 Event::Message { from, message } => Delivery::Message { from, to, message },
-                Event::Store { op, result } => Delivery::Result { to, op, result },
                 _ => return,
             };
             return self.schedule(frozen_until - self.now, frozen_until - self.now, delivery);
@@ -433,6 +456,49 @@
         self.feed(i, event);
     }
 
+    /// Delivers the result of a call. A router that knows of a later era drops it.
+    fn deliver_result(&mut self, to: Incarnation, op: u64, era: u64, result: StoreResult) {
+        let Some(i) = self.index(to) else {
+            return;
+        };
+        let frozen_until = self.routers[i].frozen_until;
+        if frozen_until > self.now {
+            let wait = frozen_until - self.now;
+            let delivery = Delivery::Result {
+                to,
+                op,
+                era,
+                result,
+            };
+            return self.schedule(wait, wait, delivery);
+        }
+        let known = self.routers[i].store_era;
+        let result = match era < known {
+            true => StoreResult::Unknown,
+            false => result,
+        };
+        self.routers[i].store_era = known.max(era);
+        self.feed(i, Event::StoreEra(known.max(era)));
+        self.feed(i, Event::Store { op, result });
+    }
+
+    /// Copies the store from time to time, and brings an older copy back at random.
+    fn restore_store(&mut self) {
+        if self.conditions.restore_chance == 0.0 {
+            return;
+        }
+        if self.now.is_multiple_of(COPY_INTERVAL) {
+            self.copies.push_back((self.now, self.store.clone()));
+        }
+        self.copies.retain(|(at, _)| self.now - at <= OLDEST_COPY);
+        let restores = self.restore_rng.random_bool(self.conditions.restore_chance);
+        if restores && !self.copies.is_empty() {
+            let at = self.restore_rng.random_range(0..self.copies.len());
+            let (_, copy) = self.copies[at].clone();
+            self.store.restore(copy);
+        }
+    }
+
     fn settle(&mut self, at: Incarnation, call: CallId, used: u64) {
         let Some(i) = self.index(at) else {
             return;
@@ -453,6 +519,7 @@
         self.counts.store_calls += 1;
         let to = self.routers[i].id;
         let StoreOp { op, request } = op;
+        let era = self.store.era();
         if self.routers[i].store_cut_until > self.now {
             let silent = self.rng.random_bool(0.5);
             let result = match silent {
@@ -460,23 +527,60 @@
                 false => StoreResult::Unavailable,
             };
             let wait = if silent { 1_000 } else { 5 };
-            return self.schedule(wait, wait, Delivery::Result { to, op, result });
+            let era = 0;
+            return self.schedule(
+                wait,
+                wait,
+                Delivery::Result {
+                    to,
+                    op,
+                    era,
+                    result,
+                },
+            );
         }
         match self.rng.random_range(0..40) {
             0 => {
                 self.store.apply(&request);
                 let result = StoreResult::Unknown;
-                self.schedule(500, 1_000, Delivery::Result { to, op, result });
+                self.schedule(
+                    500,
+                    1_000,
+                    Delivery::Result {
+                        to,
+                        op,
+                        era,
+                        result,
+                    },
+                );
             }
             1 => {
                 let late = self.rng.random_range(1_000..6_000);
                 self.schedule(late, late, Delivery::LateWrite(request));
                 let result = StoreResult::Unknown;
-                self.schedule(500, 1_000, Delivery::Result { to, op, result });
+                self.schedule(
+                    500,
+                    1_000,
+                    Delivery::Result {
+                        to,
+                        op,
+                        era,
+                        result,
+                    },
+                );
             }
             _ => {
                 let result = self.store.apply(&request);
-                self.schedule(2, 10, Delivery::Result { to, op, result });
+                self.schedule(
+                    2,
+                    10,
+                    Delivery::Result {
+                        to,
+                        op,
+                        era,
+                        result,
+                    },
+                );
             }
         }
     }
--- a/toucanchute_core/tests/support/memory_store.rs
+++ b/toucanchute_core/tests/support/memory_store.rs
@@ -3,13 +3,15 @@
 use std::collections::BTreeMap;
 
 use toucanchute_core::ledger::{StoreKey, StoreRequest, StoreResult};
-use toucanchute_proto::Bytes;
+use toucanchute_proto::{Bytes, Revision};
 
 /// Values, each with the revision of its last write.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct MemoryStore {
     values: BTreeMap<StoreKey, (u64, Bytes)>,
+    /// Number of the last revision, and the number of times that the store came back from a copy.
     revision: u64,
+    restores: u64,
 }
 
 impl MemoryStore {
@@ -23,12 +25,34 @@
         }
     }
 
+    /// Returns the era, which rises with each restore.
+    #[allow(dead_code, reason = "not every test restores the store")]
+    pub(crate) fn era(&self) -> u64 {
+        self.restores + 1
+    }
+
+    /// Returns to the state of a copy. Numbers of revisions are given out again.
+    #[allow(dead_code, reason = "not every test restores the store")]
+    pub(crate) fn restore(&mut self, copy: MemoryStore) {
+        let restores = self.restores + 1;
+        *self = MemoryStore { restores, ..copy };
+    }
+
+    /// Returns a revision of the present era. Before the first restore it is a bare number, as tests
+    /// of other state machines expect.
+    fn in_era(&self, number: u64) -> u64 {
+        match self.restores {
+            0 => number,
+            _ => Revision::new(self.era(), number).0,
+        }
+    }
+
     /// Applies a request and returns its result.
     pub(crate) fn apply(&mut self, request: &StoreRequest) -> StoreResult {
         match request {
             StoreRequest::Get { key } => match self.values.get(key) {
                 Some((revision, value)) => StoreResult::Value {
-                    revision: *revision,
+                    revision: self.in_era(*revision),
                     value: value.clone(),
                 },
                 None => StoreResult::Missing,
@@ -39,13 +63,18 @@
                 value,
             } => {
                 let present = self.values.get(key).map_or(0, |(r, _)| *r);
+                let present = if present == 0 {
+                    0
+                } else {
+                    self.in_era(present)
+                };
                 if present != *expected_revision {
                     return StoreResult::Conflict;
                 }
                 self.revision += 1;
                 self.values.insert(*key, (self.revision, value.clone()));
                 StoreResult::Applied {
-                    revision: self.revision,
+                    revision: self.in_era(self.revision),
                 }
             }
         }
--- a/toucanchute_router/src/actor/prepaid.rs
+++ b/toucanchute_router/src/actor/prepaid.rs
@@ -1,6 +1,6 @@
 use std::{collections::HashMap, sync::Arc};
 
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use toucanchute_core::{
     fleet::MemberView,
     ledger::StoreResult,
@@ -27,6 +27,8 @@
     machine: PrepaidAccounts,
     mesh: Mesh,
     store: LedgerStore<StoreClient>,
+    /// Era of the store.
+    store_era: watch::Receiver<u64>,
     fleet: Address<FleetActor>,
     view: Arc<RouterView>,
     /// Requests that wait for a reservation of tokens.
@@ -84,6 +86,8 @@
     pub(crate) mesh: Mesh,
     /// The platform's store.
     pub(crate) store: LedgerStore<StoreClient>,
+    /// Era of that store.
+    pub(crate) store_era: watch::Receiver<u64>,
     /// Informed when all accounts are handed over or released, and when the store does not answer.
     pub(crate) fleet: Address<FleetActor>,
     /// Source of the time at which the store last answered a router.
@@ -97,6 +101,7 @@
             machine,
             mesh,
             store,
+            store_era,
             fleet,
             view,
         } = parts;
@@ -104,6 +109,7 @@
             machine,
             mesh,
             store,
+            store_era,
             fleet,
             view,
             pending: HashMap::new(),
@@ -128,6 +134,12 @@
         }
     }
 
+    /// Passes the era of the store to the machine.
+    fn feed_store_era(&mut self, cx: &Context<Self>) {
+        let era = *self.store_era.borrow();
+        self.feed(Event::StoreEra(era), cx);
+    }
+
     fn perform(&mut self, action: Action, cx: &Context<Self>) {
         match action {
             Action::Reserved { call, owner } => self.reserved(call, owner, cx),
@@ -240,6 +252,7 @@
                     TakeoverBasis::Marks => "marks",
                     TakeoverBasis::Ramp => "ramp",
                     TakeoverBasis::RampMax => "top",
+                    TakeoverBasis::Total => "total",
                 };
                 log::info!(budget = name(budget), epoch = epoch, spent = spent, lost = lost, basis = basis; "account-opened");
             }
@@ -295,6 +308,7 @@
                 if matches!(result, StoreResult::Unavailable | StoreResult::Unknown) {
                     post(&self.fleet, FleetInput::PlatformDown);
                 }
+                self.feed_store_era(cx);
                 self.feed(Event::Store { op, result }, cx);
             }
             PrepaidInput::Drain => self.feed(Event::Drain, cx),
@@ -306,6 +320,7 @@
                 if let Some(at) = self.view.store_answered_at() {
                     self.feed(Event::StoreSeen(at), cx);
                 }
+                self.feed_store_era(cx);
                 self.feed(Event::Clocks(self.mesh.clock_spread()), cx);
                 self.feed(Event::Tick, cx);
             }
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -193,6 +193,7 @@
             machine: PrepaidAccounts::new(prepaid_settings),
             mesh: mesh.clone(),
             store: LedgerStore::new(Arc::new(store.clone())),
+            store_era: store.eras(),
             fleet: fleet.clone(),
             view: Arc::clone(&view),
         });
