fix(gateway): write records and quarantines again after a restore of the store

A restore takes the routers' records with their leases, so that routers that start find nobody for up to a minute, and quarantines that are newer than the copy, which a restart of all routers would then forget. Both are written again by those who know them, as soon as a new era is seen.

--- a/toucanchute_router/src/gateway/quarantine.rs
+++ b/toucanchute_router/src/gateway/quarantine.rs
@@ -4,7 +4,7 @@
 use std::{cmp::Reverse, time::Duration};
 
 use snafu::Snafu;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use toucanchute_proto::{
     Millis,
     fleet::{Scope, Verdict},
@@ -50,26 +50,31 @@
 }
 
 /// Starts a task that reads the list once and sends it to `fleet`, and from then on writes the
-/// quarantines that it receives. Returns the sender for these.
-pub(super) fn start<S: Store>(store: S, fleet: Address<FleetActor>) -> QuarantineSender {
+/// quarantines that it receives. In a new era of the store it writes those that it knows again. Returns
+/// the sender for these.
+pub(super) fn start<S: Store>(
+    store: S,
+    eras: watch::Receiver<u64>,
+    fleet: Address<FleetActor>,
+) -> QuarantineSender {
     let (tx, rx) = mpsc::channel(QUEUE_LENGTH);
     tokio::spawn(async move {
-        load_stored(&store, &fleet).await;
-        write_batches(store, rx).await;
+        let stored = load_stored(&store, &fleet).await;
+        write_batches(store, eras, rx, stored).await;
     });
     tx
 }
 
-/// Reads the list and sends it to `fleet`; retries until a read succeeds.
-async fn load_stored<S: Store>(store: &S, fleet: &Address<FleetActor>) {
+/// Reads the list and sends it to `fleet`; retries until a read succeeds. Returns the list.
+async fn load_stored<S: Store>(store: &S, fleet: &Address<FleetActor>) -> Vec<Verdict> {
     loop {
         match read_list(store).await {
             Ok((_, stored)) => {
                 if !stored.is_empty() {
                     log::info!(requests = stored.len(); "quarantines-read");
-                    post(fleet, FleetInput::StoredQuarantines(stored));
+                    post(fleet, FleetInput::StoredQuarantines(stored.clone()));
                 }
-                return;
+                return stored;
             }
             Err(e) => {
                 log::debug!(error:% = e; "quarantines-read-failed");
@@ -79,11 +84,24 @@
     }
 }
 
-/// Adds received quarantines to the list in batches; retries each batch until it is written.
-async fn write_batches<S: Store>(store: S, mut rx: mpsc::Receiver<Verdict>) {
-    while let Some(first) = rx.recv().await {
+/// Adds received quarantines to the list in batches; retries each batch until it is written. In a new
+/// era, the batch are all quarantines that were read or written before.
+async fn write_batches<S: Store>(
+    store: S,
+    mut eras: watch::Receiver<u64>,
+    mut rx: mpsc::Receiver<Verdict>,
+    mut known: Vec<Verdict>,
+) {
+    eras.mark_unchanged();
+    loop {
+        let mut added = tokio::select! {
+            received = rx.recv() => match received {
+                Some(verdict) => vec![verdict],
+                None => return,
+            },
+            Ok(()) = eras.changed() => known.clone(),
+        };
         tokio::time::sleep(BATCH_TIME).await;
-        let mut added = vec![first];
         while let Ok(verdict) = rx.try_recv() {
             added.push(verdict);
         }
@@ -91,6 +109,7 @@
             log::info!(requests = added.len(), error:% = e; "quarantines-not-kept");
             retry_pause().await;
         }
+        known = merge(clock::now(), known.clone(), &added).unwrap_or(known);
     }
 }
 
--- a/toucanchute_router/src/gateway/router_registry.rs
+++ b/toucanchute_router/src/gateway/router_registry.rs
@@ -115,11 +115,17 @@
         Ok(lease)
     }
 
-    /// Renews the lease until it has expired.
+    /// Renews the lease until it has expired, or until the store has come back from an older copy, which
+    /// may lack it.
     async fn renew_until_expired(&self, lease: LeaseId) {
+        let mut eras = self.store.eras();
+        eras.mark_unchanged();
         let mut pause = RENEW_PAUSE;
         loop {
-            tokio::time::sleep(pause).await;
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                Ok(()) = eras.changed() => return,
+            }
             match self.store.keep_alive(lease).await {
                 Ok(Millis(0)) => return,
                 Ok(_) => pause = RENEW_PAUSE,
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -215,7 +215,11 @@
             budgets: budgets.clone(),
             dispatch: dispatch.clone(),
             platform: None,
-            quarantines: Some(quarantine::start(store.clone(), fleet.clone())),
+            quarantines: Some(quarantine::start(
+                store.clone(),
+                store.eras(),
+                fleet.clone(),
+            )),
             exit: exit.clone(),
         };
         post(&fleet, FleetInput::Start(Box::new(outputs)));
