--- a/toucanchute_core/src/routing/tests/parts.rs
+++ b/toucanchute_core/src/routing/tests/parts.rs
@@ -4,7 +4,7 @@
 mod world;
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use toucanchute_proto::Millis;
+use toucanchute_proto::{Millis, fleet::Standing};
 use yare::parameterized;
 
 use self::world::World;
@@ -165,3 +165,61 @@
     let share = world.sound_share(mended + Millis(40_000), world.now);
     assert!(share > 0.95, "{share} of the requests began in time");
 }
+
+// Guards against routers that start in the middle and have each to find the bad part out anew.
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_3 = { 3 },
+)]
+fn a_bad_part_is_contained_while_routers_restart(seed: u64) {
+    let mut world = World::new(seed);
+    Traffic::new(seed, None).run(&mut world, Millis(5_000));
+    world.bad = Some(BAD);
+    let mut traffic = Traffic::new(seed, Some(Millis(700)));
+    for router in 0..world::ROUTERS {
+        traffic.run(&mut world, Millis(600));
+        world.restart(router, |_| true);
+    }
+    traffic.run(&mut world, Millis(20_000));
+    let (crashes, counted) = (world.crashes.len(), world.counted_bad_starts());
+    println!("crashes={crashes} counted={counted}");
+    assert!(counted <= MAX_COUNTED_STARTS, "{counted} starts too late");
+}
+
+// Guards against a quarantine that is forgotten when all routers restart: they read it from the store.
+#[test]
+fn a_bad_part_stays_in_quarantine_when_all_routers_restart() {
+    let mut world = World::new(1);
+    world.bad = Some(BAD);
+    let mut traffic = Traffic::new(1, Some(Millis(700)));
+    traffic.run(&mut world, Millis(10_000));
+    let before = world.crashes.len();
+    (0..world::ROUTERS).for_each(|r| world.restart(r, |v| v.standing == Standing::Quarantined));
+    traffic.run(&mut world, Millis(10_000));
+    assert_eq!(world.crashes.len(), before);
+}
+
+// Guards against a bad part that is not told from others while replicas crash for another reason too.
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_3 = { 3 },
+)]
+fn a_bad_part_is_contained_among_other_crashes(seed: u64) {
+    let mut world = World::new(seed);
+    Traffic::new(seed, None).run(&mut world, Millis(5_000));
+    world.bad = Some(BAD);
+    let mut traffic = Traffic::new(seed, Some(Millis(700)));
+    for n in 0..12 {
+        traffic.run(&mut world, Millis(1_500));
+        world.crash(n * 5 % 12);
+    }
+    let (crashes, counted) = (world.crashes.len(), world.counted_bad_starts());
+    println!(
+        "crashes={crashes} counted={counted} quarantined={}",
+        world.quarantined.len()
+    );
+    assert!(counted <= MAX_COUNTED_STARTS, "{counted} starts too late");
+    assert!(world.quarantined.len() <= 1 + MAX_MISTAKEN);
+}
--- a/toucanchute_core/src/routing/tests/parts/world.rs
+++ b/toucanchute_core/src/routing/tests/parts/world.rs
@@ -5,12 +5,13 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use toucanchute_proto::{
     AttemptId, Incarnation, Millis,
-    fleet::{Scope, Standing},
+    fleet::{Scope, Standing, Verdict},
 };
 
 use crate::routing::{
     Action, AttemptReport, CrashKind, Dispatcher, Event, RefusalReason, RoutingRequest,
     part_digest,
+    suspects::SuspectKey,
     tests::simulation::{assign, config},
 };
 
@@ -93,6 +94,10 @@
     pub(super) reasons: BTreeMap<String, usize>,
     /// Verdicts that were sent.
     pub(super) verdicts: usize,
+    /// The last verdict that was sent on each request and part.
+    last_verdicts: BTreeMap<SuspectKey, Verdict>,
+    /// Number of routers that were started.
+    starts: u64,
 }
 
 impl World {
@@ -114,6 +119,8 @@
             quarantined: BTreeSet::new(),
             refused: BTreeMap::new(),
             verdicts: 0,
+            last_verdicts: BTreeMap::new(),
+            starts: ROUTERS as u64,
             reasons: BTreeMap::new(),
         };
         for r in 0..ROUTERS {
@@ -159,6 +166,23 @@
         call
     }
 
+    /// Kills a router with its requests and starts another one, which learns the verdicts for which
+    /// `is_learnt` holds: those of its peers, or those that the store keeps.
+    pub(super) fn restart(&mut self, router: usize, is_learnt: impl Fn(&Verdict) -> bool) {
+        self.starts += 1;
+        self.running.retain(|r| r.router != router);
+        self.calls.retain(|_, c| c.router != router);
+        self.inbox.retain(|_, (to, _)| *to != router);
+        self.routers[router] = Dispatcher::new(Incarnation(self.starts), "d0", self.starts);
+        let config = config(REPLICAS, CONCURRENCY).into();
+        let withdrawn = BTreeSet::new();
+        self.post(router, 0, Event::Configure { config, withdrawn });
+        let verdicts = self.last_verdicts.values().filter(|v| is_learnt(v));
+        for v in verdicts.cloned().collect::<Vec<_>>() {
+            self.post(router, 50, Event::Verdict(v));
+        }
+    }
+
     /// Crashes a replica with all that runs on it.
     pub(super) fn crash(&mut self, replica: usize) {
         self.down_until[replica] = self.now + RESTART;
@@ -225,6 +249,7 @@
             }
             Action::Verdict(v) => {
                 self.verdicts += 1;
+                self.last_verdicts.insert(SuspectKey::of(&v), v.clone());
                 if (v.scope, v.standing) == (Scope::Part, Standing::Quarantined) {
                     self.quarantined.insert(v.digest.0);
                 }
