--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,9 @@
-"""Streams that callers send just over 3 s after a gateway's SIGTERM are accepted, passed on and cut when
-the process ends."""
+"""After all gateways were killed at once, a tenant that had consumed a seventh of its prepaid total is
+served hardly at all."""
 
 import asyncio
-import itertools
 import pathlib
+import signal
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -11,21 +11,24 @@
 from standins import *  # noqa: E402
 
 GATEWAYS = 7
-REPLICAS = 9
-STOPS = 6
-PER_S = 25             # streams a second through the gateway that is stopped
-EVENTS, GAP_S = 30, 0.2
-GRACE_S = 8
-LATE_S = 3             # the rule excuses a cut only for requests sent up to then
+PREPAID = 100_000
+PROMPT, MOST_OUTPUT = 600, 4_000
+EVENTS, STRIDE = 10, 6
+USED = PROMPT + EVENTS * STRIDE
+BEFORE = 6
+CROWD = 18
+LATER = 60
+DOWN_S = 1.1
+RECOVER_S = 12
 
 
 async def respond(replica, request, reader, writer):
-    """Streams 30 events in 6 s."""
+    """Streams 10 events of 6 tokens in 4 s, or faster for requests that are sent one by one."""
     writer.write(replica.stream_head(request))
     for i in range(EVENTS):
         writer.write(chunk(b'id: %d\ndata: %s\n\n' % (i + 1, b'x' * 50)))
         await writer.drain()
-        await asyncio.sleep(GAP_S)
+        await asyncio.sleep(0.4 if request.attempt.startswith('crowd') else 0.02)
     writer.write(b'0\r\n\r\n')
     await writer.drain()
     replica.record.line(f'run {request.attempt} at {replica.name}: whole stream')
@@ -35,60 +38,62 @@
 async def case(record, folder, trouble, gateways):
     store = Store(record)
     await store.start()
-    await store.put('op/config', llm_config(1, 1_000_000_000))
-    zones = ['bilbao', 'santander', 'oviedo', 'pamplona']
-    replicas = [Replica(store, record, f'i-{i}', 'llm', zones[i % 4], respond) for i in range(REPLICAS)]
-    for r in replicas:
-        await r.start()
+    await store.put('op/config', llm_config(1, PREPAID))
+    for i, zone in enumerate(['bilbao', 'santander', 'oviedo', 'pamplona']):
+        await Replica(store, record, f'i-{i}', 'llm', zone, respond).start()
     await start_gateways(folder, store, record, gateways, GATEWAYS)
-    numbers = itertools.count(1)
-    lost = cut = late = 0
+    number = 0
 
-    async def send(gateway):
-        n = next(numbers)
-        headers = llm_headers(f'stream-{n}', 'key-of-t1', '600,180', 15000, f'{n:x}:600')
+    async def send(kind):
+        nonlocal number
+        number += 1
+        name, gateway = f'{kind}-{number}', gateways[number % len(gateways)]
+        headers = llm_headers(name, 'key-of-t1', f'{PROMPT},{MOST_OUTPUT}', 15000, f'{number:x}:600')
         a = await one_request(gateway.front, 'POST', '/llm/x', headers, b'x' * 800)
-        record.line(f'answered stream-{n} by {gateway.name}, sent at {a.sent_at:.3f}: {a}')
-        return f'stream-{n}', a
+        record.line(f'answered {name} by {gateway.name}: {a}')
+        return a
 
-    for stop in range(STOPS):
-        g = gateways[stop]
-        tasks = []
-        until = now() + 1
-        while now() < until:
-            tasks.append(asyncio.create_task(send(g)))
-            await asyncio.sleep(1 / PER_S)
-        if trouble:
-            g.signal(signal.SIGTERM)
-        signalled = now()
-        while now() < signalled + LATE_S + 0.5:
-            tasks.append(asyncio.create_task(send(g)))
-            await asyncio.sleep(1 / PER_S)
-        answers = await asyncio.gather(*tasks)
-        if trouble:
-            while not g.exited() and now() < signalled + GRACE_S:
-                await asyncio.sleep(0.05)
-            record.line(f'{g.name} ended {now() - signalled:.2f} s after the signal')
+    def good(answers):
+        return sum(a.status == 200 and a.complete for a in answers)
+
+    before = []
+    for _ in range(BEFORE):
+        before.append(await send('before'))
+        await asyncio.sleep(0.3)
+    crowd = [asyncio.create_task(send('crowd')) for _ in range(CROWD)]
+    await asyncio.sleep(2)
+    if trouble:
+        for g in gateways:
+            g.signal(signal.SIGKILL)
+        for g in gateways:
             g.process.wait()
+        await asyncio.sleep(DOWN_S)
+        for g in gateways:
             g.start()
-            await wait_ready([g])
-        arrived = {a.attempt for r in replicas for a in r.arrivals}
-        for name, a in answers:
-            is_cut = a.status == 200 and not a.complete
-            cut += is_cut
-            sent_late = a.sent_at > signalled + LATE_S
-            late += sent_late and name in arrived
-            if is_cut and sent_late and name in arrived:
-                lost += 1
-                record.line(f'lost: {name}, sent {a.sent_at - signalled:.3f} s after the signal, '
-                            f'cut {a.ended_at - a.sent_at:.2f} s later')
-        await asyncio.sleep(0.5)
+    before += await asyncio.gather(*crowd)
+    await wait_ready(gateways)
+    await asyncio.sleep(RECOVER_S)
+    # At most what all requests before can have consumed: a cut stream at most as much as a whole one.
+    consumed = len(before) * USED
 
-    text = (f'{STOPS} gateways stopped in turn; {cut} streams cut in all; of {late} sent later than {LATE_S} s '
-            f'after the signal and passed on, {lost} were cut')
+    later = []
+    for _ in range(LATER):
+        later.append(await send('later'))
+        await asyncio.sleep(0.05)
+    statuses = {}
+    for a in later:
+        statuses[a.status] = statuses.get(a.status, 0) + 1
+    served = good(later)
+    most = consumed + served * USED + PROMPT + MOST_OUTPUT
+    begun = sum(a.status == 200 for a in before)
+    text = (f'before the final fault {begun} of {len(before)} requests were answered with a stream, {good(before)} '
+            f'of them whole; later than {RECOVER_S} s after it {served} of {LATER} were served, by status {statuses}; '
+            f'consumed by then at most {consumed + served * USED} of {PREPAID}')
     print(text)
     record.line(text)
-    return lost > 0
+    if begun < len(before) / 4 or most > 0.97 * PREPAID:
+        raise CannotRun('the requests before were not served, or the total was spent')
+    return served < LATER / 4
 
 
 run_case(HERE, case)
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -568,6 +568,7 @@
     trouble = os.environ.get('TROUBLE', '1') != '0'
     temporary = tempfile.mkdtemp(prefix='toucanchute-review-')
     gateways = []
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
     async def bounded():
         return await asyncio.wait_for(case(record, temporary, trouble, gateways), 112)
