fix(edge): a planned stop accepts only what can end before the process does

What callers saw: streams that were accepted after a SIGTERM, answered with 200 and cut at the end of the process; requests whose body arrived slowly that were passed on up to 6 s after the signal and cut, or whose refusal a reset took with it.

Cause: acceptance ended at the first tick 3 s after an actor had handled the signal; nothing related what is accepted to what can end; a request was decided on by its head alone; the rest of a refused body was read for 0.5 s in all.

Change: one instant, taken from the last check that proves that the signal had not arrived yet, with which the edge compares itself. Each wait before a request is sent (body, tokens, backend server, retry) ends once the request can no longer end in time, by its deadline or by its route's observed pace and its likely number of events. It is refused at once, as not run. The rest of an unread body is read until its caller pauses for 2 s.

With the waits left unbounded three tests of shutdown/acceptance.rs fail.

--- a/toucanchute_core/src/fleet/leave.rs
+++ b/toucanchute_core/src/fleet/leave.rs
@@ -1,4 +1,4 @@
-use toucanchute_proto::{Millis, fleet::MemberState};
+use toucanchute_proto::{Millis, config::Config, fleet::MemberState};
 
 use super::{Action, Fleet, drain::DrainStage, fault::Fault};
 
@@ -6,16 +6,21 @@
 const PROPAGATION_TIME: Millis = Millis(1_000);
 
 impl Fleet {
+    /// Returns how long a router that leaves still accepts new work: until the last address list
+    /// that names it has expired.
+    #[must_use]
+    pub fn acceptance_time(config: &Config) -> Millis {
+        Millis(config.routing.address_max_age_ms) + PROPAGATION_TIME
+    }
+
     pub(super) fn start_drain(&mut self, now: Millis, out: &mut Vec<Action>) {
         if self.drain.is_leaving() {
             return;
         }
-        let max_age = self.config().map_or(0, |c| c.routing.address_max_age_ms);
         let listed = self.published.was_ready() && !self.has_fault(Fault::RefuseEarly);
-        let wait = if listed {
-            Millis(max_age) + PROPAGATION_TIME
-        } else {
-            Millis(0)
+        let wait = match self.config() {
+            Some(config) if listed => Fleet::acceptance_time(config),
+            _ => Millis(0),
         };
         self.drain = DrainStage::Accepting { until: now + wait };
         self.me.state = MemberState::Leaving;
--- a/toucanchute_edge/src/connection.rs
+++ b/toucanchute_edge/src/connection.rs
@@ -9,6 +9,7 @@
 mod tracked_body;
 mod tracker;
 
+pub(crate) use close::UnreadBody;
 pub use counts::ConnectionCounts;
 pub use listen::{CallerListener, ConnectionLimits, Responder};
 pub use state::{ConnectionEnd, ConnectionState};
--- a/toucanchute_edge/src/connection/close.rs
+++ b/toucanchute_edge/src/connection/close.rs
@@ -19,6 +19,17 @@
 /// not read yet.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
+/// How long the caller may pause while it sends the rest of a body that was answered before its end.
+/// It may read the response only after it has sent everything.
+const UNREAD_BODY_PAUSE: Duration = Duration::from_secs(2);
+
+/// Longest time for which the rest of such a body is read.
+const MAX_UNREAD_BODY_TIME: Duration = Duration::from_secs(10);
+
+/// Extension of a response that is sent although the body of its request was not read to the end.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct UnreadBody;
+
 /// Size of the buffer for bytes that are discarded.
 const DISCARD_BUFFER_BYTES: usize = 4 * 1024;
 
@@ -51,14 +62,23 @@
         .shutdown(Shutdown::Write)
         .is_ok()
     {
-        drop(timeout(LINGER_TIME, discard_rest(stream, tracker)).await);
+        let (pause, time) = match tracker.has_unread_body() {
+            true => (UNREAD_BODY_PAUSE, MAX_UNREAD_BODY_TIME),
+            false => (LINGER_TIME, LINGER_TIME),
+        };
+        drop(timeout(time, discard_rest(stream, tracker, pause)).await);
     }
 }
 
-async fn discard_rest(stream: &TcpStream, tracker: &ConnectionTracker) -> io::Result<()> {
+/// Reads until the caller has closed its half or sends nothing for `pause`.
+async fn discard_rest(
+    stream: &TcpStream,
+    tracker: &ConnectionTracker,
+    pause: Duration,
+) -> io::Result<()> {
     let mut buf = [0; DISCARD_BUFFER_BYTES];
     loop {
-        stream.readable().await?;
+        timeout(pause, stream.readable()).await??;
         match stream.try_read(&mut buf) {
             Ok(0) => return Ok(()),
             Ok(_) => tracker.crossed(),
--- a/toucanchute_edge/src/connection/listen.rs
+++ b/toucanchute_edge/src/connection/listen.rs
@@ -14,7 +14,7 @@
 
 use super::{
     CallerStream, ConnectionCounts, ConnectionTracker, TrackedBody,
-    close::{linger, quiet_at_stop},
+    close::{UnreadBody, linger, quiet_at_stop},
 };
 
 /// Delay before the next connection is accepted after accepting one failed.
@@ -217,6 +217,9 @@
             res.headers_mut().insert(header::CONNECTION, close);
             self.tracker.announced_close();
         }
+        if res.extensions_mut().remove::<UnreadBody>().is_some() {
+            self.tracker.left_body_unread();
+        }
         res.map(|body| TrackedBody::new(body, Arc::clone(&self.tracker)))
     }
 }
--- a/toucanchute_edge/src/connection/tracker.rs
+++ b/toucanchute_edge/src/connection/tracker.rs
@@ -23,6 +23,8 @@
     response_ended: bool,
     /// The last response carries `Connection: close`.
     announced_close: bool,
+    /// The last response was sent before the body of its request had arrived.
+    unread_body: bool,
     /// The caller closed or reset the connection.
     closed_by_caller: bool,
     /// Bytes of the caller arrived after the router had closed the connection.
@@ -38,6 +40,7 @@
             quiet_since: Instant::now(),
             response_ended: false,
             announced_close: false,
+            unread_body: false,
             closed_by_caller: false,
             crossed: false,
         };
@@ -97,6 +100,7 @@
         let mut tracked = self.lock();
         tracked.response_ended = false;
         tracked.announced_close = false;
+        tracked.unread_body = false;
         self.change_state(&mut tracked, ConnectionState::InProgress);
     }
 
@@ -105,6 +109,15 @@
         self.lock().announced_close = true;
     }
 
+    /// Records that the response to the request in progress is sent before its body has arrived.
+    pub(super) fn left_body_unread(&self) {
+        self.lock().unread_body = true;
+    }
+
+    pub(super) fn has_unread_body(&self) -> bool {
+        self.lock().unread_body
+    }
+
     /// Records that the whole response was handed over to be written.
     pub(super) fn response_ended(&self) {
         self.lock().response_ended = true;
--- a/toucanchute_edge/src/passthrough.rs
+++ b/toucanchute_edge/src/passthrough.rs
@@ -14,6 +14,8 @@
 mod guards;
 mod handler;
 mod headers;
+mod pace;
+mod planned_stop;
 mod pool;
 mod proxied_request;
 mod relay;
@@ -31,6 +33,7 @@
 pub use failure::{Failure, FailureKind};
 pub use gateway::Gateway;
 pub use headers::strip_connection_headers;
+pub use planned_stop::PlannedStop;
 pub(crate) use pool::SendError;
 pub use request_info::{PromptPart, RequestInfo, TokenBound};
 pub use response_record::{AttemptMatch, ResponseRecord, is_promise};
--- a/toucanchute_edge/src/passthrough/control.rs
+++ b/toucanchute_edge/src/passthrough/control.rs
@@ -1,9 +1,10 @@
 use std::{future::Future, sync::Arc};
 
+use tokio::sync::watch;
 use toucanchute_core::routing::{AttemptReport, BackendNotice};
 use toucanchute_proto::{AttemptId, BudgetId, Incarnation, Millis, config::Config, fleet::Load};
 
-use super::ResponseRecord;
+use super::{PlannedStop, ResponseRecord};
 use crate::control::{AssignRequest, Assignment, Refusal};
 
 /// The router's decisions that the gateway needs: tokens and backend servers for requests.
@@ -14,8 +15,8 @@
     /// Returns why this router accepts no new requests, or `None` if it accepts them.
     fn unready(&self) -> Option<Refusal>;
 
-    /// Whether the router is leaving the fleet, so that callers should use another one.
-    fn is_leaving(&self) -> bool;
+    /// Returns the channel with the planned stop of the process, empty until one begins.
+    fn planned_stop(&self) -> &watch::Receiver<Option<PlannedStop>>;
 
     /// Reserves the most tokens that a request may use. Dropping the future releases them.
     fn reserve(
--- a/toucanchute_edge/src/passthrough/gateway.rs
+++ b/toucanchute_edge/src/passthrough/gateway.rs
@@ -110,7 +110,7 @@
     }
 
     fn is_leaving(&self) -> bool {
-        self.0.control.is_leaving()
+        self.0.control.planned_stop().borrow().is_some()
     }
 
     fn limits(&self) -> ConnectionLimits {
--- a/toucanchute_edge/src/passthrough/guards.rs
+++ b/toucanchute_edge/src/passthrough/guards.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use tokio::time::Instant;
 use toucanchute_core::routing::AttemptReport;
 
 use super::{RouteControl, TokenReservation};
@@ -10,6 +11,8 @@
 pub(super) struct AttemptGuard<C: RouteControl> {
     control: Arc<C>,
     pub(super) assignment: Assignment,
+    /// When the backend server was assigned.
+    pub(super) assigned_at: Instant,
     /// Whether the end was reported.
     end_reported: bool,
 }
@@ -19,6 +22,7 @@
         AttemptGuard {
             control,
             assignment,
+            assigned_at: Instant::now(),
             end_reported: false,
         }
     }
--- a/toucanchute_edge/src/passthrough/handler.rs
+++ b/toucanchute_edge/src/passthrough/handler.rs
@@ -1,6 +1,9 @@
-use std::sync::{
-    Arc, Mutex, PoisonError,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -10,16 +13,18 @@
 use tokio::time::Instant;
 use toucanchute_proto::{
     Millis,
-    config::{CallerLimits, Customer},
+    config::{CallerLimits, Customer, RouteKind},
 };
 
 use super::{
     Dialect, Failure, FailureKind, RequestInfo, ResponseBody, RouteControl,
+    pace::{PaceTable, RoutePace},
+    planned_stop::while_it_can_end,
     pool::ConnectionPool,
     proxied_request::{ProxiedRequest, RequestTrace},
     table::RouteTable,
 };
-use crate::{run_record::RunRecord, settings::duration};
+use crate::{connection::UnreadBody, run_record::RunRecord, settings::duration};
 
 /// State that all requests of one gateway share.
 pub(super) struct GatewayState<C, D> {
@@ -31,6 +36,8 @@
     pub(super) pool: ConnectionPool,
     /// Number of requests in progress.
     pub(super) in_flight: Arc<AtomicU64>,
+    /// How long requests take.
+    paces: PaceTable,
     /// Lookup tables of the last configuration that was seen in force.
     table: Mutex<Arc<RouteTable>>,
 }
@@ -63,6 +70,7 @@
             dialect,
             pool: ConnectionPool::default(),
             in_flight,
+            paces: PaceTable::default(),
             table,
         }
     }
@@ -73,6 +81,7 @@
         let config = self.control.config();
         let mut table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
         if table.version() != config.version {
+            self.paces.retain_configured(&config);
             *table = Arc::new(RouteTable::new(config));
         }
         Arc::clone(&table)
@@ -105,20 +114,72 @@
     let record = RunRecord::new();
     match admit(&state, &table, &head, &info, &record, &mut trace) {
         Ok(admitted) => {
+            let timing = RequestTiming::new(&state, &table, &admitted, &info, received_at);
             let limits = table.config().callers.clone().unwrap_or_default();
-            let timeout = duration(admitted.timeout);
-            let deadline = received_at + timeout;
-            match tokio::time::timeout_at(deadline, read_body(body, &limits)).await {
-                Ok(Ok(body)) => {
+            let read = tokio::time::timeout_at(timing.deadline, read_body(body, &limits));
+            let stop = state.control.planned_stop().clone();
+            let expected = || timing.expected();
+            match while_it_can_end(stop, timing.deadline, expected, read).await {
+                Ok(Ok(Ok(body))) => {
                     let request =
-                        ProxiedRequest::new(state, table, admitted, head, body, info, deadline);
+                        ProxiedRequest::new(state, table, admitted, head, body, info, timing);
                     request.serve(record, trace, in_flight).await
                 }
-                Ok(Err(failure)) => trace.fail(failure),
-                Err(_) => trace.fail(Failure::new(FailureKind::TimedOut, "body-timeout")),
+                Ok(Ok(Err(failure))) => with_unread_body(trace.fail(failure)),
+                Ok(Err(_)) => {
+                    let failure = Failure::new(FailureKind::TimedOut, "body-timeout");
+                    with_unread_body(trace.fail(failure))
+                }
+                Err(refusal) => {
+                    let failure = Failure::from_refusal(&record, &refusal);
+                    with_unread_body(trace.fail(failure))
+                }
             }
         }
-        Err(failure) => trace.fail(failure),
+        Err(failure) if body.is_end_stream() => trace.fail(failure),
+        Err(failure) => with_unread_body(trace.fail(failure)),
+    }
+}
+
+/// Marks a response that is sent although the request's body was not read to its end.
+fn with_unread_body(mut res: Response<ResponseBody>) -> Response<ResponseBody> {
+    res.extensions_mut().insert(UnreadBody);
+    res
+}
+
+/// By when a request has to be answered, and how long that probably takes.
+#[derive(Debug)]
+pub(super) struct RequestTiming {
+    /// When the caller or the route gives the request up.
+    pub(super) deadline: Instant,
+    /// Observed times of the route.
+    pub(super) pace: Arc<RoutePace>,
+    /// Number of events that a stream probably has at most, if that is known.
+    events: Option<u64>,
+}
+
+impl RequestTiming {
+    fn new<C: RouteControl, D: Dialect>(
+        state: &GatewayState<C, D>,
+        table: &RouteTable,
+        admitted: &AdmittedRequest,
+        info: &RequestInfo,
+        received_at: Instant,
+    ) -> RequestTiming {
+        let route = table.route_at(admitted.route);
+        let tokens = info.likely_output();
+        let events = tokens.map(|tokens| table.events_of_route(route, tokens));
+        RequestTiming {
+            deadline: received_at + duration(admitted.timeout),
+            pace: state.paces.route(&route.name),
+            events: events.filter(|_| route.kind == RouteKind::Stream),
+        }
+    }
+
+    /// Returns how long the request probably takes from the moment at which it is sent to a backend
+    /// server, if that can be estimated.
+    pub(super) fn expected(&self) -> Option<Duration> {
+        self.pace.expected(self.events)
     }
 }
 
--- a/toucanchute_edge/src/passthrough/proxied_request.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request.rs
@@ -23,13 +23,18 @@
     SharedParts, TokenBound, TokenRequest,
     framing::Framing,
     guards::{AttemptGuard, ReservationGuard},
-    handler::{AdmittedRequest, GatewayState, InFlightGuard},
+    handler::{AdmittedRequest, GatewayState, InFlightGuard, RequestTiming},
+    planned_stop::while_it_can_end,
     pool::Connection,
     relay,
     relayable_head::RelayableHead,
     table::RouteTable,
 };
-use crate::{control::AssignRequest, run_record::RunRecord, settings::now};
+use crate::{
+    control::{AssignRequest, Refusal},
+    run_record::RunRecord,
+    settings::now,
+};
 pub(super) use retry::RetryState;
 pub(super) use trace::RequestTrace;
 
@@ -56,6 +61,7 @@
     /// Digest of path and body.
     digest: Digest,
     pub(super) deadline: Instant,
+    pub(super) timing: RequestTiming,
 }
 
 /// A backend server's response whose head has not been checked yet.
@@ -86,7 +92,7 @@
         head: request::Parts,
         body: Bytes,
         info: RequestInfo,
-        deadline: Instant,
+        timing: RequestTiming,
     ) -> ProxiedRequest<C, D> {
         let service = choose_service(table.route_at(admitted.route));
         let digest = Digest::new(head.uri.path(), &body);
@@ -99,7 +105,8 @@
             info,
             service,
             digest,
-            deadline,
+            deadline: timing.deadline,
+            timing,
         }
     }
 
@@ -128,8 +135,12 @@
             if is_stream && response.head.status().is_success() {
                 return relay::start(self, response, retries, reservation, trace, in_flight);
             }
+            let assigned_at = response.attempt.assigned_at;
             match self.read_whole(response, &mut retries, &trace).await {
-                Ok(res) => return trace.finish(res),
+                Ok(res) => {
+                    self.timing.pace.record_whole(assigned_at.elapsed());
+                    return trace.finish(res);
+                }
                 Err(failure) if retries.may_rerun() => trace.log_retry(failure.reason),
                 Err(failure) => return retries.finish_failed(trace, failure),
             }
@@ -174,7 +185,8 @@
             tokens: bound.total(),
             deadline: self.unix_deadline(),
         };
-        let reservation = control.reserve(req).await;
+        let reservation = self.while_it_can_end(control.reserve(req)).await;
+        let reservation = reservation.map_err(|refusal| Failure::from_refusal(record, &refusal))?;
         let reservation =
             reservation.map_err(|refusal| Failure::from_token_refusal(record, refusal))?;
         trace.record_reservation(&reservation);
@@ -209,7 +221,11 @@
             if self.time_left() < MIN_TIME_LEFT {
                 return Err(retries.deadline_failure());
             }
-            let attempt = self.assign(retries).await?;
+            let attempt = match resume_after {
+                None => self.assign_in_time(retries).await?,
+                // The caller has part of the response, which only this process can continue.
+                Some(_) => self.assign(retries).await?,
+            };
             trace.record_assignment(&attempt.assignment);
             retries.begin_attempt(attempt.assignment.attempt);
             let (res, conn) = match self.exchange(&attempt, retries, resume_after).await {
@@ -238,6 +254,20 @@
         }
     }
 
+    /// Does the same as `assign`, as long as the request can still end before a planned stop does.
+    async fn assign_in_time(&self, retries: &RetryState) -> Result<AttemptGuard<C>, Failure> {
+        match self.while_it_can_end(self.assign(retries)).await {
+            Ok(assigned) => assigned,
+            Err(refusal) => Err(retries.refused(&refusal)),
+        }
+    }
+
+    /// Runs `work` as long as the request can still end before a planned stop does.
+    async fn while_it_can_end<T>(&self, work: impl Future<Output = T>) -> Result<T, Refusal> {
+        let stop = self.state.control.planned_stop().clone();
+        while_it_can_end(stop, self.deadline, || self.timing.expected(), work).await
+    }
+
     async fn assign(&self, retries: &RetryState) -> Result<AttemptGuard<C>, Failure> {
         let control = &self.state.control;
         let assigned =
--- a/toucanchute_edge/src/passthrough/relay.rs
+++ b/toucanchute_edge/src/passthrough/relay.rs
@@ -31,6 +31,9 @@
 /// Shortest gap between two events after which a stream counts as stalled.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Outcome of a stream that reached its end.
+const ANSWERED: &str = "answered";
+
 /// Returns a response with the head of the stream, and relays the events in a separate task.
 pub(super) fn start<C: RouteControl, D: Dialect>(
     request: ProxiedRequest<C, D>,
@@ -50,6 +53,7 @@
         trace,
         tx,
         events_relayed: 0,
+        first_assigned_at: response.attempt.assigned_at,
         _in_flight: in_flight,
     };
     tokio::spawn(relay.relay(response));
@@ -67,6 +71,8 @@
     last_event_id: Option<u64>,
     /// Number of events relayed from all backend servers.
     events_relayed: u64,
+    /// When the first backend server was assigned.
+    first_assigned_at: Instant,
     _in_flight: InFlightGuard,
 }
 
@@ -115,9 +121,9 @@
                         let pool = &self.request.state.pool;
                         pool.put_idle(&assignment.backend, conn, info.keep_alive);
                     }
-                    return self.finish("answered");
+                    return self.finish(ANSWERED);
                 }
-                StreamEnd::Unconfirmed => return self.finish("answered"),
+                StreamEnd::Unconfirmed => return self.finish(ANSWERED),
                 StreamEnd::CallerDisconnected => return self.finish("caller-left"),
                 StreamEnd::DeadlinePassed => return self.abort("out-of-time").await,
                 StreamEnd::Broken => "the event stream broke off",
@@ -163,7 +169,8 @@
         let mut events = EventSplitter::default();
         let stall_timeout = duration(Millis(self.request.route().gap_target_ms)) * STALL_GAP_FACTOR;
         let stall_timeout = stall_timeout.max(MIN_STALL_TIMEOUT);
-        let mut stalled_at = Instant::now() + stall_timeout;
+        let mut last_event_at = Instant::now();
+        let mut stalled_at = last_event_at + stall_timeout;
         loop {
             let frame = tokio::select! {
                 frame = response.body.frame() => frame,
@@ -184,10 +191,16 @@
             if count == 0 {
                 continue;
             }
+            let now = Instant::now();
+            let pace = &self.request.timing.pace;
             if self.events_relayed == count {
                 response.attempt.report_first_byte();
+                pace.record_first_event(now - self.first_assigned_at);
+            } else {
+                pace.record_events(now - last_event_at, count);
             }
-            stalled_at = Instant::now() + stall_timeout;
+            last_event_at = now;
+            stalled_at = now + stall_timeout;
             self.request
                 .charge_events(&mut self.reservation, self.events_relayed);
             if self.tx.send(Ok(chunk)).await.is_err() {
@@ -237,6 +250,10 @@
     }
 
     fn finish(mut self, outcome: &'static str) {
+        if outcome == ANSWERED {
+            let time = self.first_assigned_at.elapsed();
+            self.request.timing.pace.record_whole(time);
+        }
         self.trace.tokens_used = self.reservation.used;
         self.trace.events_relayed = self.events_relayed;
         self.trace.record_stream_end(200, outcome);
--- a/toucanchute_edge/src/passthrough/request_info.rs
+++ b/toucanchute_edge/src/passthrough/request_info.rs
@@ -12,6 +12,8 @@
     pub timeout: Option<Millis>,
     /// Most tokens that a request to a model may use.
     pub tokens: Option<TokenBound>,
+    /// The caller's estimate of the tokens that the response will have. Often far off.
+    pub output_estimate: Option<u64>,
     /// Parts of the prompt in order. The last one is specific to the request or its session; other
     /// requests may share the parts before it.
     pub prompt: Vec<PromptPart>,
@@ -19,6 +21,18 @@
     pub resume_after: Option<u64>,
 }
 
+/// Number of times that the caller's estimate of the output is exceeded by few requests.
+const ESTIMATE_FACTOR: u64 = 2;
+
+impl RequestInfo {
+    /// Returns the tokens that the response probably has at most, if the request names a bound.
+    pub(super) fn likely_output(&self) -> Option<u64> {
+        let bound = self.tokens?.output;
+        let likely = self.output_estimate.unwrap_or(bound);
+        Some(likely.saturating_mul(ESTIMATE_FACTOR).min(bound))
+    }
+}
+
 /// Most tokens that a request to a model may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TokenBound {
--- a/toucanchute_edge/src/passthrough/table.rs
+++ b/toucanchute_edge/src/passthrough/table.rs
@@ -95,6 +95,13 @@
         pool.map_or(1, |p| u64::from(p.tokens_per_event))
     }
 
+    /// Returns the most events that a stream on a route may have, with `tokens` of output.
+    pub(super) fn events_of_route(&self, route: &Route, tokens: u64) -> u64 {
+        let services = route.targets.iter().map(|t| t.service.as_str());
+        let tokens_per_event = services.map(|s| self.tokens_per_event(s)).min();
+        tokens.div_ceil(tokens_per_event.unwrap_or(1).max(1))
+    }
+
     /// Returns the budget of a customer, if it is prepaid.
     pub(super) fn prepaid_budget(&self, customer: &Customer) -> Option<BudgetId> {
         let budget = BudgetId::from_name(&customer.budget);
--- a/toucanchute_edge/tests/passthrough/dispatcher_gateway.rs
+++ b/toucanchute_edge/tests/passthrough/dispatcher_gateway.rs
@@ -16,7 +16,7 @@
 use toucanchute_edge::{
     AssignRequest, Assignment, AttemptReport, BackendNotice, Refusal, RefusalOutcome,
     passthrough::{
-        Gateway, RequestEnd, ResponseRecord, RouteControl, TokenRefusal, TokenRequest,
+        Gateway, PlannedStop, RequestEnd, ResponseRecord, RouteControl, TokenRefusal, TokenRequest,
         TokenReservation,
     },
 };
@@ -44,6 +44,8 @@
     state: Mutex<State>,
     /// Names of the backend servers that are registered.
     registered_names: Mutex<BTreeSet<String>>,
+    /// A channel on which no stop is ever announced.
+    no_stop: watch::Receiver<Option<PlannedStop>>,
 }
 
 struct State {
@@ -73,6 +75,7 @@
                 next_call: 0,
             }),
             registered_names: Mutex::default(),
+            no_stop: watch::channel(None).1,
         });
         control.apply_registrations(&registrations.borrow_and_update().clone());
         let registration_control = Arc::clone(&control);
@@ -192,8 +195,8 @@
         None
     }
 
-    fn is_leaving(&self) -> bool {
-        false
+    fn planned_stop(&self) -> &watch::Receiver<Option<PlannedStop>> {
+        &self.no_stop
     }
 
     async fn reserve(&self, req: TokenRequest) -> Result<TokenReservation, TokenRefusal> {
--- a/toucanchute_edge/tests/passthrough/shutdown.rs
+++ b/toucanchute_edge/tests/passthrough/shutdown.rs
@@ -1,6 +1,7 @@
 //! What happens to callers' connections when the gateway stops as planned, and when either side closes
 //! a connection early.
 
+mod acceptance;
 mod late;
 
 use std::{
--- a/toucanchute_edge/tests/passthrough/support.rs
+++ b/toucanchute_edge/tests/passthrough/support.rs
@@ -13,14 +13,16 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::watch,
+    time::Instant,
 };
 use toucanchute_edge::{
     AssignRequest, Assignment, AttemptReport, BackendNotice, CrashKind, Refusal, RefusalOutcome,
     RefusalReason,
     passthrough::{
-        Dialect, ForwardInfo, Gateway, PromptPart, RateLimitHeader, RequestEnd, RequestInfo,
-        ResponseInfo, ResponseRecord, RouteControl, TokenBound, TokenRefusal, TokenRefusalReason,
-        TokenRequest, TokenReservation, strip_connection_headers,
+        Dialect, ForwardInfo, Gateway, PlannedStop, PromptPart, RateLimitHeader, RequestEnd,
+        RequestInfo, ResponseInfo, ResponseRecord, RouteControl, TokenBound, TokenRefusal,
+        TokenRefusalReason, TokenRequest, TokenReservation, strip_connection_headers,
     },
 };
 use toucanchute_proto::{AttemptId, Incarnation, Millis, RequestRate, config::Config, fleet::Load};
@@ -154,7 +156,7 @@
 
 // Control
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct ScriptedControl {
     config: Arc<Config>,
     backends: Vec<SocketAddr>,
@@ -165,6 +167,11 @@
     pub(crate) reports: Mutex<Vec<AttemptReport>>,
     pub(crate) notices: Mutex<Vec<BackendNotice>>,
     next: AtomicU64,
+    /// The planned stop, once a test begins one.
+    pub(crate) stop: watch::Sender<Option<PlannedStop>>,
+    stop_rx: watch::Receiver<Option<PlannedStop>>,
+    /// Time that each assignment of a backend server takes.
+    pub(crate) assign_time: Mutex<Duration>,
 }
 
 impl RouteControl for ScriptedControl {
@@ -173,11 +180,13 @@
     }
 
     fn unready(&self) -> Option<Refusal> {
-        None
+        let until = self.stop.borrow().map(|s| s.accepts_until);
+        let refuses = until.is_some_and(|until| Instant::now() >= until);
+        refuses.then(PlannedStop::refusal)
     }
 
-    fn is_leaving(&self) -> bool {
-        false
+    fn planned_stop(&self) -> &watch::Receiver<Option<PlannedStop>> {
+        &self.stop_rx
     }
 
     async fn reserve(&self, req: TokenRequest) -> Result<TokenReservation, TokenRefusal> {
@@ -202,6 +211,10 @@
     }
 
     async fn assign(&self, req: AssignRequest) -> Result<Assignment, Refusal> {
+        let assign_time = *self.assign_time.lock().unwrap();
+        if !assign_time.is_zero() {
+            tokio::time::sleep(assign_time).await;
+        }
         let name = |i: usize| format!("b{i}");
         let free = (0..self.backends.len()).find(|&i| !req.exclude.contains(&name(i)));
         let Some(i) = free else {
@@ -240,11 +253,18 @@
     /// Creates a control with one route of `kind`, to whose JSON `extra` is added, and one public
     /// route.
     pub(crate) fn new(kind: &str, extra: &str, backends: &[&Backend]) -> ScriptedControl {
+        let (stop, stop_rx) = watch::channel(None);
         ScriptedControl {
             config: Arc::new(config(kind, extra)),
             backends: backends.iter().map(|b| b.address).collect(),
             tokens: Mutex::new(1_000),
-            ..ScriptedControl::default()
+            used: Mutex::default(),
+            reports: Mutex::default(),
+            notices: Mutex::default(),
+            next: AtomicU64::new(0),
+            stop,
+            stop_rx,
+            assign_time: Mutex::default(),
         }
     }
 
@@ -295,6 +315,7 @@
             prompt: header_text(headers, "x-prompt")
                 .map(parse_prompt)
                 .unwrap_or_default(),
+            output_estimate: None,
             resume_after: None,
         }
     }
--- a/toucanchute_router/src/gateway/control.rs
+++ b/toucanchute_router/src/gateway/control.rs
@@ -1,18 +1,18 @@
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
-};
+use std::sync::Arc;
 
-use tokio::sync::{oneshot, watch};
+use tokio::{
+    sync::{oneshot, watch},
+    time::Instant,
+};
 use toucanchute_edge::{
     AssignRequest, Assignment, AttemptReport, BackendNotice, Refusal, RefusalOutcome,
     RefusalReason,
     passthrough::{
-        RequestEnd, ResponseRecord, RouteControl, TokenRefusal, TokenRefusalReason, TokenRequest,
-        TokenReservation,
+        PlannedStop, RequestEnd, ResponseRecord, RouteControl, TokenRefusal, TokenRefusalReason,
+        TokenRequest, TokenReservation,
     },
 };
-use toucanchute_proto::{AttemptId, Millis, config::Config, fleet::Load};
+use toucanchute_proto::{AttemptId, config::Config, fleet::Load};
 use xtra::prelude::*;
 
 use super::{metrics::GatewayMetrics, shutdown};
@@ -22,17 +22,13 @@
     view::RouterView,
 };
 
-/// Time after which a caller that was refused because the process ends may try again, elsewhere or
-/// at the next process.
-const LEAVING_RETRY_AFTER: Millis = Millis(1_000);
-
 /// Connects the gateway's request handling to the actors, the view and the metrics.
 pub(super) struct GatewayControl {
     pub(super) view: Arc<RouterView>,
     pub(super) prepaid: Address<PrepaidActor>,
     pub(super) dispatch: Address<DispatchActor>,
-    /// Whether a planned stop of the process has begun.
-    pub(super) leaving: Arc<AtomicBool>,
+    /// The planned stop of the process, once it has begun.
+    pub(super) stop: watch::Receiver<Option<PlannedStop>>,
     /// Becomes true shortly before the process ends, when waiting requests are refused: they would
     /// be cut otherwise.
     pub(super) closing: watch::Receiver<bool>,
@@ -45,11 +41,15 @@
     }
 
     fn unready(&self) -> Option<Refusal> {
-        self.view.unready(clock::now())
+        let stopping = self.stop.borrow().map(|s| s.accepts_until);
+        match stopping.is_some_and(|until| Instant::now() >= until) {
+            true => Some(PlannedStop::refusal()),
+            false => self.view.unready(clock::now()),
+        }
     }
 
-    fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+    fn planned_stop(&self) -> &watch::Receiver<Option<PlannedStop>> {
+        &self.stop
     }
 
     async fn reserve(&self, req: TokenRequest) -> Result<TokenReservation, TokenRefusal> {
@@ -74,11 +74,8 @@
         post(&self.dispatch, AssignBackend { req, reply });
         let assigned = tokio::select! {
             biased;
-            assigned = reply_rx => assigned.unwrap_or_else(|_| Err(not_assigned(RefusalReason::NoBackend))),
-            () = shutdown::requested(self.closing.clone()) => Err(Refusal {
-                retry_after: Some(LEAVING_RETRY_AFTER),
-                ..not_assigned(RefusalReason::Draining)
-            }),
+            assigned = reply_rx => assigned.unwrap_or_else(|_| Err(not_assigned())),
+            () = shutdown::requested(self.closing.clone()) => Err(PlannedStop::refusal()),
         };
         if assigned.as_ref().is_ok_and(|a| a.rate_limited) {
             self.metrics.record_permit_used();
@@ -110,10 +107,10 @@
     }
 }
 
-/// Returns the refusal of a request that is assigned no backend server.
-fn not_assigned(reason: RefusalReason) -> Refusal {
+/// Returns the refusal of a request that the dispatcher no longer answers.
+fn not_assigned() -> Refusal {
     Refusal {
-        reason,
+        reason: RefusalReason::NoBackend,
         outcome: RefusalOutcome::NothingSent,
         retry_after: None,
         elsewhere: None,
--- a/toucanchute_router/src/gateway/control/tests.rs
+++ b/toucanchute_router/src/gateway/control/tests.rs
@@ -37,7 +37,7 @@
         )),
         prepaid,
         dispatch,
-        leaving: Arc::default(),
+        stop: watch::channel(None).1,
         closing: closing_rx,
         metrics: Arc::new(GatewayMetrics::new()),
     };
--- a/toucanchute_router/src/gateway/directory.rs
+++ b/toucanchute_router/src/gateway/directory.rs
@@ -1,19 +1,14 @@
 //! Serves the platform's readiness checks and the callers' lookups of router addresses.
 
-use std::{
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-};
+use std::{net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use rand::seq::SliceRandom;
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, sync::watch};
+use toucanchute_edge::passthrough::PlannedStop;
 use toucanchute_platform::{ApiRequest, api_response, read_api_request};
 use toucanchute_proto::{Millis, fleet::MemberState};
 
@@ -30,8 +25,8 @@
 /// published.
 pub(super) struct DirectoryService {
     pub(super) view: Arc<RouterView>,
-    /// Whether a planned stop of the process has begun.
-    pub(super) leaving: Arc<AtomicBool>,
+    /// The planned stop of the process, once it has begun.
+    pub(super) stop: watch::Receiver<Option<PlannedStop>>,
     /// Address of this router for callers.
     pub(super) own_address: SocketAddr,
     pub(super) own_failure_domain: String,
@@ -51,7 +46,7 @@
     }
 
     fn is_ready(&self) -> bool {
-        let leaving = self.leaving.load(Ordering::Relaxed);
+        let leaving = self.stop.borrow().is_some();
         !leaving && self.view.unready(clock::now()).is_none()
     }
 
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -2,7 +2,7 @@
     path::PathBuf,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -18,7 +18,10 @@
     prepaid::{self, PrepaidAccounts},
     routing::Dispatcher,
 };
-use toucanchute_edge::{ConnectionCounts, passthrough::Gateway};
+use toucanchute_edge::{
+    ConnectionCounts,
+    passthrough::{Gateway, PlannedStop},
+};
 use toucanchute_platform::{PlatformDialect, StoreClient};
 use toucanchute_proto::{
     Incarnation, Millis, config::Config, peer::Hello, settings::GatewaySettings,
@@ -91,7 +94,8 @@
     let planned = shutdown::PlannedShutdown {
         fleet: running.fleet.clone(),
         prepaid: running.prepaid.clone(),
-        leaving: Arc::clone(&running.leaving),
+        view: Arc::clone(&running.view),
+        stop: running.stop.clone(),
         closing: running.closing.clone(),
         out_of_time: end_now,
         grace,
@@ -111,7 +115,7 @@
             }
         };
         let closing = running.closing.subscribe();
-        let refusing = shutdown::draining_started(Arc::clone(&running.view), closing);
+        let refusing = shutdown::refusing_started(running.stop.subscribe(), closing);
         gateway
             .serve_in_stages(callers, refusing, close_quiet)
             .await;
@@ -150,8 +154,8 @@
     in_flight: Arc<AtomicU64>,
     /// Connections of callers.
     connections: Arc<ConnectionCounts>,
-    /// Whether a planned stop of the process has begun.
-    leaving: Arc<AtomicBool>,
+    /// Set to the times of the planned stop when it begins.
+    stop: watch::Sender<Option<PlannedStop>>,
     /// Set to true when no request is in progress and all accounts are handed on.
     exit: watch::Sender<bool>,
     /// Set to true when quiet connections have to be closed and waiting requests refused.
@@ -163,6 +167,7 @@
         let (events, links) = mpsc::unbounded_channel();
         let (exit, _) = watch::channel(false);
         let (closing, _) = watch::channel(false);
+        let (stop, _) = watch::channel(None);
         let mesh = Mesh::new(link_identity(settings, incarnation), events);
         let view = Arc::new(RouterView::new(
             Arc::new(Config::default()),
@@ -172,7 +177,6 @@
         let timeout = store_reader::watch_timeout(settings);
         let store = StoreClient::new(endpoint, Millis(settings.store.timeout_ms), timeout);
         let in_flight = Arc::new(AtomicU64::new(0));
-        let leaving = Arc::new(AtomicBool::new(false));
         let metrics = Arc::new(GatewayMetrics::new());
 
         let machine = Fleet::new(fleet_identity(settings, incarnation), incarnation.0)
@@ -253,7 +257,7 @@
             view: Arc::clone(&view),
             prepaid: prepaid.clone(),
             dispatch,
-            leaving: Arc::clone(&leaving),
+            stop: stop.subscribe(),
             closing: closing.subscribe(),
             metrics: Arc::clone(&metrics),
         });
@@ -269,7 +273,7 @@
             metrics,
             in_flight,
             connections: Arc::default(),
-            leaving,
+            stop,
             exit,
             closing,
         }
@@ -284,7 +288,7 @@
     ) -> JoinSet<()> {
         let service = Arc::new(DirectoryService {
             view: Arc::clone(&self.view),
-            leaving: Arc::clone(&self.leaving),
+            stop: self.stop.subscribe(),
             own_address: settings.callers.listen,
             own_failure_domain: settings.router.failure_domain.clone(),
             address_max_age: Millis(settings.callers.address_max_age_ms),
--- a/toucanchute_router/src/gateway/shutdown.rs
+++ b/toucanchute_router/src/gateway/shutdown.rs
@@ -1,16 +1,15 @@
 //! Planned stops of the process and reloads of its settings.
 
-use std::{
-    path::PathBuf,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{path::PathBuf, sync::Arc, time::Duration};
 
-use tokio::{signal::unix::Signal, sync::watch, time::Instant};
-use toucanchute_edge::RefusalReason;
+use tokio::{
+    signal::unix::Signal,
+    sync::watch,
+    time::{Instant, MissedTickBehavior},
+};
+use toucanchute_core::fleet::Fleet;
+use toucanchute_edge::{RefusalReason, passthrough::PlannedStop};
+use toucanchute_proto::Millis;
 use toucanchute_settings::load_gateway;
 use xtra::prelude::*;
 
@@ -29,15 +28,16 @@
 /// even if other requests are still in progress. The edge takes less time to close connections.
 const CLOSING_TIME: Duration = Duration::from_millis(1_500);
 
-/// Pause between two checks whether the router still accepts new work.
-const DRAIN_POLL_PAUSE: Duration = Duration::from_millis(50);
+/// Interval between two checks whether a signal has arrived.
+const SIGNAL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A planned stop of this process within a grace period.
 pub(super) struct PlannedShutdown {
     pub(super) fleet: Address<FleetActor>,
     pub(super) prepaid: Address<PrepaidActor>,
-    /// Set to true when the stop begins.
-    pub(super) leaving: Arc<AtomicBool>,
+    pub(super) view: Arc<RouterView>,
+    /// Set to the times of the stop when it begins.
+    pub(super) stop: watch::Sender<Option<PlannedStop>>,
     /// Set to true when quiet connections have to be closed and waiting requests refused.
     pub(super) closing: watch::Sender<bool>,
     /// Set to true when the process has to end at once.
@@ -50,33 +50,74 @@
     /// Begins the stop when one of the signals arrives, and forces the exit shortly before the end
     /// of the grace period.
     pub(super) async fn run_on_signal(self, mut terminate: Signal, mut interrupt: Signal) {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        let end = Instant::now() + self.grace.saturating_sub(EXIT_MARGIN);
-        log::info!(grace_ms = self.grace.as_millis() as u64; "drain-requested");
-        self.leaving.store(true, Ordering::Relaxed);
+        let earliest = signalled(&mut terminate, &mut interrupt).await;
+        let stop = self.schedule(earliest);
+        log::info!(
+            grace_ms = self.grace.as_millis() as u64,
+            handled_after_ms = earliest.elapsed().as_millis() as u64;
+            "drain-requested"
+        );
+        self.stop.send_replace(Some(stop));
         post(&self.prepaid, PrepaidInput::Drain);
         post(&self.fleet, FleetInput::Drain);
-        tokio::time::sleep_until(end - CLOSING_TIME.min(self.grace)).await;
+        tokio::time::sleep_until(stop.ends_at - CLOSING_TIME.min(self.grace)).await;
         self.closing.send_replace(true);
-        tokio::time::sleep_until(end).await;
+        tokio::time::sleep_until(stop.ends_at).await;
         log::warn!("drain-out-of-time");
         self.out_of_time.send_replace(true);
     }
+
+    /// Returns the times of a stop whose signal arrived at `signalled_at` or later. A router that was
+    /// never ready is in no address list and accepts nothing.
+    fn schedule(&self, signalled_at: Instant) -> PlannedStop {
+        let ends_at = signalled_at + self.grace.saturating_sub(EXIT_MARGIN);
+        let refusal = self.view.unready(clock::now());
+        let acceptance = match refusal.is_some_and(|r| r.reason == RefusalReason::Starting) {
+            true => Millis(0),
+            false => Fleet::acceptance_time(&self.view.config()),
+        };
+        let accepts_until = signalled_at + Duration::from_millis(acceptance.0);
+        PlannedStop {
+            accepts_until: accepts_until.min(ends_at),
+            ends_at,
+        }
+    }
+}
+
+/// Waits for one of the signals. Returns a time before which it had not arrived, also in a process
+/// that was held up since.
+async fn signalled(terminate: &mut Signal, interrupt: &mut Signal) -> Instant {
+    let mut ticks = tokio::time::interval(SIGNAL_CHECK_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut checks = [Instant::now(); 2];
+    loop {
+        tokio::select! {
+            biased;
+            _ = terminate.recv() => return checks[0],
+            _ = interrupt.recv() => return checks[0],
+            // The runtime collects signals between two ticks, so what arrived before the last tick
+            // but one is received by now.
+            _ = ticks.tick() => checks = [checks[1], Instant::now()],
+        }
+    }
 }
 
 /// Resolves once the router refuses new work because it is leaving, or once connections have to be
 /// closed.
-pub(super) async fn draining_started(view: Arc<RouterView>, mut closing: watch::Receiver<bool>) {
-    loop {
-        let refusal = view.unready(clock::now());
-        let draining = refusal.is_some_and(|r| r.reason == RefusalReason::Draining);
-        if draining || *closing.borrow_and_update() {
-            return;
+pub(super) async fn refusing_started(
+    mut stop: watch::Receiver<Option<PlannedStop>>,
+    closing: watch::Receiver<bool>,
+) {
+    let refusing = async {
+        let begun = stop.wait_for(Option::is_some).await.map(|stop| *stop);
+        match begun {
+            Ok(Some(stop)) => tokio::time::sleep_until(stop.accepts_until).await,
+            _ => std::future::pending().await,
         }
-        tokio::time::sleep(DRAIN_POLL_PAUSE).await;
+    };
+    tokio::select! {
+        () = refusing => {}
+        () = requested(closing) => {}
     }
 }
 
@@ -100,3 +141,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
