--- a/toucanchute_edge/tests/passthrough/main.rs
+++ b/toucanchute_edge/tests/passthrough/main.rs
@@ -11,6 +11,7 @@
 mod repeats;
 mod resends;
 mod shutdown;
+mod silence;
 mod streams;
 mod support;
 mod undelimited;
