--- a/toucanchute_edge/tests/passthrough/shutdown.rs
+++ b/toucanchute_edge/tests/passthrough/shutdown.rs
@@ -40,7 +40,17 @@
 
 impl StoppableGateway {
     async fn start(kind: &str, connections: usize, backend: &Backend) -> StoppableGateway {
-        let control = Arc::new(ScriptedControl::new(kind, "", &[backend]));
+        StoppableGateway::start_with(kind, "", connections, &[backend]).await
+    }
+
+    /// Does the same as `start`, with several backend servers and with `extra` in the route's JSON.
+    async fn start_with(
+        kind: &str,
+        extra: &str,
+        connections: usize,
+        backends: &[&Backend],
+    ) -> StoppableGateway {
+        let control = Arc::new(ScriptedControl::new(kind, extra, backends));
         let socket = TcpSocket::new_v4().unwrap();
         socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
         let listener: TcpListener = socket.listen(1_024).unwrap();
--- a/toucanchute_edge/tests/passthrough/shutdown/acceptance.rs
+++ b/toucanchute_edge/tests/passthrough/shutdown/acceptance.rs
@@ -12,7 +12,7 @@
 use super::{StoppableGateway, backend, is_answered, read_response, request};
 use crate::{
     raw_backend::{RawBackend, Step},
-    support::{LAST_CHUNK, chunk, event, read_all, stream_head},
+    support::{LAST_CHUNK, chunk, event, full_response, read_all, stream_head},
 };
 
 /// Events of the streams in these tests, each of ten tokens.
@@ -99,6 +99,40 @@
     assert!(backend.attempts_run().is_empty());
 }
 
+/// Returns the response to a request whose first backend server answers with `last` once acceptance has
+/// ended, and the number of requests that the second one received.
+async fn retry_after_acceptance(last: Step) -> (String, usize) {
+    let late = Step::Pause(Duration::from_millis(300));
+    let first = RawBackend::start(vec![vec![Step::ReadRequest, late, last]]).await;
+    let second = backend().await;
+    let backends = [&first.backend, &second.backend];
+    let extra = r#","attempts":3"#;
+    let gateway = StoppableGateway::start_with("idempotent", extra, 100, &backends).await;
+    let mut caller = gateway.connect().await;
+    caller.write_all(request("a1").as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(50)).await;
+    gateway.announce_stop(Duration::from_millis(100), Duration::from_millis(800));
+    let res = read_all(caller).await;
+    (res, second.attempts_run().len())
+}
+
+/// Guards against a retry that begins when it can no longer end, after an attempt that did not run.
+#[tokio::test]
+async fn a_retry_after_acceptance_is_refused_as_not_run() {
+    let refusal = full_response("503 X", "X-Not-Run: 1\r\n", "full");
+    let (res, runs) = retry_after_acceptance(Step::Write(refusal)).await;
+    assert!(res.starts_with("HTTP/1.1 503"), "{res:?}");
+    assert_eq!(runs, 0);
+}
+
+/// Guards against the same after an attempt that may have run, whose caller is promised nothing.
+#[tokio::test]
+async fn a_retry_after_acceptance_of_a_request_that_may_have_run_fails() {
+    let (res, runs) = retry_after_acceptance(Step::Reset).await;
+    assert!(res.starts_with("HTTP/1.1 502"), "{res:?}");
+    assert_eq!(runs, 0);
+}
+
 /// Serves one stream of [`EVENTS`] events, announces a stop that ends the process after `ends`, and
 /// returns the response to a second one and the number of those that ran.
 async fn second_stream_at_a_stop(ends: Duration) -> (String, usize) {
