fix(prepaid): a ramp leaves three quarters of what is left, after a burst too

Cause: the bound on a ramp, half of what is left, was lifted to `ahead` where that was more, and `ahead`, the draw of 0.7 s, was bounded by all that is left only.

Ruled out: half of what is left with `ahead` included keeps the tests red by their bound.

--- a/toucanchute_core/src/prepaid/ramp.rs
+++ b/toucanchute_core/src/prepaid/ramp.rs
@@ -13,13 +13,19 @@
 /// draw.
 const IDLE_AHEAD_DIVISOR: u64 = 20;
 
+/// Divisor of the remaining tokens: what may be spent at once before the draw is known.
+const INITIAL_AHEAD_DIVISOR: u64 = 20;
+
+/// Divisor of the remaining tokens: what may be spent per second before the draw is known.
+const INITIAL_PACE_DIVISOR: u64 = 25;
+
 /// Divisor of the remaining tokens: the most that may be spent at once for the sake of
 /// [`AHEAD_REQUESTS`].
 const REQUESTS_AHEAD_DIVISOR: u64 = 10;
 
-/// Divisor of the remaining tokens: how far a ramp may rise. The rest remains even if all routers
-/// end, however long they were without the store.
-const RAMP_MAX_DIVISOR: u64 = 2;
+/// Divisor of the remaining tokens: how far a ramp may rise beyond what requests wait for. The rest
+/// remains even if all routers end, however long they were without the store.
+const RAMP_MAX_DIVISOR: u64 = 4;
 
 /// Longest time for which a ramp rises. A takeover counts the whole rise as spent if the owner may
 /// be alive.
@@ -63,10 +69,20 @@
             ahead: (rate * AHEAD_TIME.0 / 1_000)
                 .max(requests)
                 .max(least)
-                .min(left),
+                .min(left / RAMP_MAX_DIVISOR),
             pace: rate * PACE_PERCENT / 100,
         }
     }
+
+    /// Returns a ramp for a budget whose draw is not known, with `left` tokens remaining, while requests
+    /// wait for `need` tokens.
+    pub(super) fn initial(need: u64, left: u64) -> Ramp {
+        let ahead = (left / INITIAL_AHEAD_DIVISOR).max(2 * need);
+        Ramp {
+            ahead: ahead.min(left / RAMP_MAX_DIVISOR).max(need).min(left),
+            pace: left / INITIAL_PACE_DIVISOR,
+        }
+    }
 }
 
 /// Returns the most that may be spent under a record with `spent` of `limit` tokens spent, `ahead`
--- a/toucanchute_core/src/prepaid/takeover.rs
+++ b/toucanchute_core/src/prepaid/takeover.rs
@@ -11,7 +11,7 @@
     bounds::STORE_RETRY,
     machine::{KnownOwner, NO_TERM, first_term},
     proof::FenceProof,
-    ramp::ramp_max,
+    ramp::{Ramp, ramp_max},
     record,
 };
 use crate::ledger::{StoreRequest, StoreResult};
@@ -20,12 +20,6 @@
 /// run again. A takeover waits this long for proof that the owner has ended.
 pub(super) const PROOF_TIMEOUT: Millis = Millis(3_000);
 
-/// Divisor of the remaining tokens: what may be spent at once before the draw is known.
-const FIRST_AHEAD_DIVISOR: u64 = 20;
-
-/// Divisor of the remaining tokens: what may be spent per second before the draw is known.
-const FIRST_PACE_DIVISOR: u64 = 25;
-
 /// Number of low bits of an epoch for the claims of one era of the store. The eras of claims that
 /// cannot rely on the epoch in the record are in the bits above.
 const ERA_EPOCH_BITS: u32 = 32;
@@ -353,9 +347,10 @@
         let left = limit.saturating_sub(base);
         account.settled = Some(record::settled(&account));
         account.spent = base;
-        account.ahead = (left / FIRST_AHEAD_DIVISOR).max(2 * need).min(left);
-        account.pace = left / FIRST_PACE_DIVISOR;
-        account.drawn = ramp_max(limit, base, account.ahead, account.pace);
+        let ramp = Ramp::initial(need, left);
+        account.ahead = ramp.ahead;
+        account.pace = ramp.pace;
+        account.drawn = ramp_max(limit, base, ramp.ahead, ramp.pace);
         account.at = self.clocks.earliest(self.now);
         account.era = Some(self.store_era);
         account.quorum = self.choose_quorum(budget);
--- a/toucanchute_core/tests/prepaid_cases/power_loss.rs
+++ b/toucanchute_core/tests/prepaid_cases/power_loss.rs
@@ -42,3 +42,22 @@
     let lost = written_off(left);
     assert!(lost <= left / MAX_LOST_DIVISOR, "{lost} of {left}");
 }
+
+/// Guards against a burst of requests after which the record allows all that is left to be spent at once,
+/// so that a loss of power writes all of it off.
+#[test]
+fn a_loss_of_power_after_a_burst_writes_off_little_of_what_is_left() {
+    let left = 10_000;
+    let mut fleet = Fleet::new(5, 10 * left);
+    fleet.warm_up();
+    for i in 0..18 {
+        fleet.reserve(i % 5, left / 2);
+    }
+    fleet.advance(2_000);
+    fleet.lose_power(OUTAGE);
+    fleet.advance(800);
+    fleet.few_clocks = false;
+    fleet.advance(3_000);
+    let lost = fleet.used() - 9 * left;
+    assert!(lost <= left / MAX_LOST_DIVISOR, "{lost} of {left}");
+}
--- a/toucanchute_core/tests/prepaid_walk.rs
+++ b/toucanchute_core/tests/prepaid_walk.rs
@@ -45,6 +45,12 @@
     restore_chance: 0.0,
 };
 
+/// Conditions in which little is written off, which would hide tokens that are returned twice.
+const FAULTS_WITH_LITTLE_LOSS: Conditions = Conditions {
+    fault_chance: 0.02,
+    ..MANY_FAULTS
+};
+
 /// As [`SOME_FAULTS`], and the store comes back from an older copy about every 5 s.
 const RESTORES: Conditions = Conditions {
     restore_chance: 0.01,
@@ -105,18 +111,19 @@
     ignored_draws_are_found: IgnoreDrawn;
 }
 
-macro_rules! fault_is_found_among_many {
+macro_rules! fault_in_refunds_is_found {
     ($($name:ident: $fault:ident;)*) => {$(
         #[test]
         fn $name() {
+            let conditions = FAULTS_WITH_LITTLE_LOSS;
             let found =
-                (0..1_000).any(|seed| walk(seed, MANY_FAULTS, Some(Fault::$fault)).is_err());
+                (0..1_000).any(|seed| walk(seed, conditions, Some(Fault::$fault)).is_err());
             assert!(found, "no walk overspends with {:?}", Fault::$fault);
         }
     )*};
 }
 
-fault_is_found_among_many! {
+fault_in_refunds_is_found! {
     refunds_of_earlier_epochs_applied_twice_are_found: RefundEarlierTwice;
     refunds_sent_to_owners_of_two_epochs_are_found: ReaddressRefunds;
 }
