fix(prepaid): streams reserve their tokens in parts, the first as long as they probably are

Cause: each request reserved the most that it may use, and what is in the store counted all reservations as spent. With the routers those ended that could have refunded them: 90,720 of 100,000 counted, 82,800 of them reservations of 18 streams.

Now a stream reserves its prompt and the output that is expected of it, asks for more when a quarter is left, and relays nothing that is not reserved. The owner keeps room for what requests in progress may still ask for (402 and held are decided as before), but the record and marks hold only what may be delivered. Each part is a reservation of its own, so that ramp, marks, fences, hand-overs and refunds hold for it unchanged; old and new routers understand each other, as both new fields of an ask are optional.

The tests of extensions.rs and tokens.rs are new; most_of_a_total_is_left_after_all_routers_ended_amid_requests counts 93,040 of at most 41,470 with whole reservations.

--- a/toucanchute_core/src/prepaid.rs
+++ b/toucanchute_core/src/prepaid.rs
@@ -1,8 +1,9 @@
 //! Spends prepaid budgets, where answers reach callers before they are billed.
 //!
 //! Each budget has an account: a record in the store and, at any time, one router that spends from
-//! it, its owner. Routers request the worst case of each request from the owner, and report
-//! afterwards what was not used. When an owner is lost, another router takes its account over. Two
+//! it, its owner. Routers request the tokens of each request from the owner, in parts if it probably
+//! uses much less than it may, deliver no more than they were granted, and report afterwards what was
+//! not used. When an owner is lost, another router takes its account over. Two
 //! bounds keep it from spending tokens again that the lost owner has spent:
 //!
 //! - The record is a checkpoint of what is spent, with a ramp: tokens that may be spent at once and
@@ -37,11 +38,12 @@
 mod record;
 mod refunds;
 mod renewal;
+mod reservations;
 mod takeover;
 mod witness;
 
 pub use action::{AccountEvent, Action, CloseCause, Refusal, RefusalReason};
-pub use event::{CallId, Event, Peer};
+pub use event::{CallId, Event, Peer, TokenDemand};
 pub use fault::Fault;
 pub use machine::{PrepaidAccounts, Settings};
 pub use proof::TakeoverBasis;
--- a/toucanchute_core/src/prepaid/account.rs
+++ b/toucanchute_core/src/prepaid/account.rs
@@ -1,11 +1,18 @@
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 
 use toucanchute_proto::{
     Incarnation, Millis,
     prepaid::{Account, Quorum, SettleReservation, Term},
 };
 
-use super::{Fault, marks::Marks, ramp::ramp_at, rate::DrawRate, record};
+use super::{
+    Fault,
+    marks::Marks,
+    ramp::ramp_at,
+    rate::DrawRate,
+    record,
+    reservations::{RequestId, Reservation, Reservations},
+};
 
 /// Number of requests over which the mean request size is averaged.
 const MEAN_WEIGHT: u64 = 8;
@@ -25,8 +32,9 @@
     /// Tokens that requests are known to have used. `used` holds them, those set aside, those written
     /// off, and those of earlier owners whose use is not known.
     pub(super) settled: u64,
-    /// Tokens set aside for each request in progress; `used` holds their sum.
-    pub(super) reserved: BTreeMap<RequestId, Reservation>,
+    /// Tokens set aside for each request in progress; `used` holds their sum, without what the requests
+    /// may still ask for.
+    pub(super) reserved: Reservations,
     /// Reservations of earlier epochs that were settled in this one.
     pub(super) settled_earlier: BTreeSet<RequestId>,
     pub(super) waiting: VecDeque<WaitingRequest>,
@@ -56,25 +64,15 @@
     fault: Option<Fault>,
 }
 
-/// Identifies a request across the fleet: the router that received it and the number it has there.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct RequestId {
-    pub(super) router: Incarnation,
-    pub(super) seq: u64,
-}
-
-/// Tokens set aside for one request.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Reservation {
-    pub(super) tokens: u64,
-    pub(super) since: Millis,
-}
-
 /// A request that waits for tokens.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct WaitingRequest {
     pub(super) id: RequestId,
     pub(super) tokens: u64,
+    /// Further tokens that it may ask for later.
+    pub(super) rest: u64,
+    /// Reservation that it extends, of a request in progress.
+    pub(super) extends: Option<RequestId>,
     /// Time at which it is refused.
     pub(super) until: Millis,
 }
@@ -121,7 +119,7 @@
             revision,
             used,
             settled,
-            reserved: BTreeMap::new(),
+            reserved: Reservations::default(),
             settled_earlier: BTreeSet::new(),
             waiting: VecDeque::new(),
             marks: Marks::default(),
@@ -212,13 +210,52 @@
         self.waiting.iter().map(|w| w.tokens).sum()
     }
 
+    /// Queues a request behind those that came before it, and in front of all new requests if it belongs
+    /// to one that is in progress.
+    pub(super) fn enqueue(&mut self, request: WaitingRequest) {
+        let is_new = |w: &WaitingRequest| w.extends.is_none();
+        let at = match request.extends {
+            Some(_) => self.waiting.iter().position(is_new),
+            None => None,
+        };
+        self.waiting
+            .insert(at.unwrap_or(self.waiting.len()), request);
+    }
+
+    /// Returns the value that `used` may take at most once a request is admitted and all requests in
+    /// progress have asked for all they may use. A request in progress was admitted before.
+    pub(super) fn used_at_most_with(&self, request: &WaitingRequest) -> u64 {
+        let with_request = self.used + request.tokens;
+        match request.extends {
+            Some(_) => with_request,
+            None if self.has_fault(Fault::IgnoreRests) => with_request,
+            None => with_request + request.rest + self.reserved.rest(),
+        }
+    }
+
     /// Sets tokens aside for a request.
-    pub(super) fn reserve(&mut self, now: Millis, id: RequestId, tokens: u64) {
-        self.used += tokens;
+    pub(super) fn reserve(&mut self, now: Millis, request: &WaitingRequest) {
+        let &WaitingRequest {
+            id,
+            tokens,
+            rest,
+            extends,
+            ..
+        } = request;
+        if let Some(extended) = extends {
+            self.reserved.take_rest(extended);
+        }
+        let uncounted = extends.is_some() && self.has_fault(Fault::UncountedExtensions);
+        self.used += if uncounted { 0 } else { tokens };
         self.rate.add(now, tokens);
         self.largest = self.largest.max(tokens);
         self.mean = (self.mean * (MEAN_WEIGHT - 1) + tokens) / MEAN_WEIGHT;
-        self.reserved.insert(id, Reservation { tokens, since: now });
+        let reservation = Reservation {
+            tokens,
+            rest,
+            since: now,
+        };
+        self.reserved.insert(id, reservation);
     }
 
     /// Settles a reservation of a request of `router` and takes the refund off `used`. Returns whether
@@ -251,8 +288,8 @@
     /// Returns the tokens of a reservation and removes it.
     fn remove_reservation(&mut self, id: RequestId) -> Option<u64> {
         let reserved = match self.has_fault(Fault::RefundTwice) {
-            true => self.reserved.get(&id).copied(),
-            false => self.reserved.remove(&id),
+            true => self.reserved.get(id).copied(),
+            false => self.reserved.remove(id),
         };
         reserved.map(|r| r.tokens)
     }
--- a/toucanchute_core/src/prepaid/event.rs
+++ b/toucanchute_core/src/prepaid/event.rs
@@ -11,6 +11,34 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallId(pub u64);
 
+/// Tokens that a request needs.
+///
+/// A request may reserve its tokens in several parts, each by a [`CallId`] of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TokenDemand {
+    /// Budget of the customer.
+    pub budget: BudgetId,
+    /// Tokens to set aside now.
+    pub tokens: u64,
+    /// Further tokens that the request may ask for later. It is admitted only if there is room for them.
+    pub rest: u64,
+    /// Part that was reserved before this one, whose `rest` this one replaces; absent for the first.
+    pub extends: Option<CallId>,
+}
+
+impl TokenDemand {
+    /// Creates the demand of a request that reserves all its tokens at once.
+    #[must_use]
+    pub fn whole(budget: BudgetId, tokens: u64) -> TokenDemand {
+        TokenDemand {
+            budget,
+            tokens,
+            rest: 0,
+            extends: None,
+        }
+    }
+}
+
 /// Input of a [`PrepaidAccounts`](super::PrepaidAccounts) state machine.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -19,10 +47,8 @@
     Reserve {
         /// The request, which also identifies the reservation.
         call: CallId,
-        /// Budget of the customer.
-        budget: BudgetId,
-        /// Worst case of the request, in tokens.
-        tokens: u64,
+        /// The tokens.
+        demand: TokenDemand,
         /// Time after which the reservation is no longer needed.
         deadline: Millis,
     },
--- a/toucanchute_core/src/prepaid/fault.rs
+++ b/toucanchute_core/src/prepaid/fault.rs
@@ -16,6 +16,10 @@
     RefundTwice,
     /// Applies refunds of reservations of earlier epochs more than once.
     RefundEarlierTwice,
+    /// Grants further tokens to requests in progress without counting them.
+    UncountedExtensions,
+    /// Admits requests without room for what those in progress may ask for later.
+    IgnoreRests,
     /// Sends refunds to the owner of a later epoch that an earlier one may have applied.
     ReaddressRefunds,
     /// Spends from an account after a write that releases it, as if that had not been sent.
--- a/toucanchute_core/src/prepaid/handover.rs
+++ b/toucanchute_core/src/prepaid/handover.rs
@@ -9,10 +9,11 @@
 
 use super::{
     Action, CloseCause, PrepaidAccounts,
-    account::{OwnedAccount, RequestId, Reservation},
+    account::OwnedAccount,
     machine::KnownOwner,
     marks::Marks,
     record,
+    reservations::{RequestId, Reservation},
 };
 
 /// Least time that a router keeps an account before it hands it over to one that reaches the store.
@@ -90,6 +91,7 @@
             router: id.router,
             seq: id.seq,
             tokens: r.tokens,
+            rest: Some(r.rest),
         });
         let settled_earlier = owned.settled_earlier.iter().map(|id| SettledRecord {
             router: id.router,
@@ -143,10 +145,12 @@
                 router: r.router,
                 seq: r.seq,
             };
-            let tokens = r.tokens;
-            owned
-                .reserved
-                .insert(id, Reservation { tokens, since: now });
+            let reservation = Reservation {
+                tokens: r.tokens,
+                rest: r.rest.unwrap_or(0),
+                since: now,
+            };
+            owned.reserved.insert(id, reservation);
         }
         owned.marks = Marks::inherit(owned.record.quorum.clone(), body.mark);
         let pending = body.pending.into_iter();
--- a/toucanchute_core/src/prepaid/local_requests.rs
+++ b/toucanchute_core/src/prepaid/local_requests.rs
@@ -7,8 +7,10 @@
 
 use super::{
     Action, CallId, PrepaidAccounts, Refusal, RefusalReason,
-    account::{RequestId, WaitingRequest},
+    account::WaitingRequest,
+    event::TokenDemand,
     machine::{KnownOwner, NO_TERM},
+    reservations::RequestId,
 };
 
 /// Longest time that a request waits for tokens.
@@ -45,8 +47,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct UnansweredRequest {
-    budget: BudgetId,
-    tokens: u64,
+    demand: TokenDemand,
     until: Millis,
     /// Router to which the request was sent last.
     to: Option<Incarnation>,
@@ -78,17 +79,15 @@
     pub(super) fn request_tokens(
         &mut self,
         call: CallId,
-        budget: BudgetId,
-        tokens: u64,
+        demand: TokenDemand,
         deadline: Millis,
         out: &mut Vec<Action>,
     ) {
-        if !self.limits.contains_key(&budget) {
+        if !self.limits.contains_key(&demand.budget) {
             return refuse(call, RefusalReason::Unknown, out);
         }
         let request = UnansweredRequest {
-            budget,
-            tokens,
+            demand,
             until: deadline.min(self.now + MAX_WAIT),
             to: None,
             sent_at: self.now,
@@ -100,7 +99,7 @@
 
     /// Sends a request to the owner of the account, which may be this router.
     fn send_request(&mut self, call: CallId, out: &mut Vec<Action>) {
-        let Some(budget) = self.requests.unanswered.get(&call).map(|a| a.budget) else {
+        let Some(budget) = self.requests.unanswered.get(&call).map(|a| a.demand.budget) else {
             return;
         };
         let to = self.locate_owner(budget, out);
@@ -116,13 +115,27 @@
         request.to = to;
         request.sent_at = now;
         request.sends += 1;
-        let &mut UnansweredRequest { tokens, until, .. } = request;
+        let &mut UnansweredRequest { demand, until, .. } = request;
+        let TokenDemand {
+            tokens,
+            rest,
+            extends,
+            ..
+        } = demand;
+        let extends = extends.map(CallId::seq);
         match to {
             None => {}
             Some(to) if to == me => {
                 let seq = call.seq();
                 let id = RequestId { router: me, seq };
-                self.enqueue(budget, WaitingRequest { id, tokens, until }, out);
+                let waiting = WaitingRequest {
+                    id,
+                    tokens,
+                    rest,
+                    extends: extends.map(|seq| RequestId { router: me, seq }),
+                    until,
+                };
+                self.enqueue(budget, waiting, out);
             }
             Some(to) => {
                 let seq = call.seq();
@@ -131,6 +144,8 @@
                     seq,
                     tokens,
                     term,
+                    rest: Some(rest),
+                    extends,
                 });
                 out.push(Action::send(to, message));
             }
@@ -193,7 +208,7 @@
             budget,
             term,
             owner,
-            tokens: request.map(|a| a.tokens),
+            tokens: request.map(|a| a.demand.tokens),
         };
         if request.is_some() {
             self.requests.reservations.insert(call, reservation);
@@ -276,7 +291,7 @@
         let me = self.me();
         let owner = self.known_owners.get(&budget).map(|k| k.owner);
         let misrouted =
-            |a: &UnansweredRequest| a.budget == budget && a.to != owner && a.to != Some(me);
+            |a: &UnansweredRequest| a.demand.budget == budget && a.to != owner && a.to != Some(me);
         for call in self.requests.calls_where(misrouted) {
             self.resend_request(call, out);
         }
--- a/toucanchute_core/src/prepaid/machine.rs
+++ b/toucanchute_core/src/prepaid/machine.rs
@@ -179,10 +179,9 @@
         match event {
             Event::Reserve {
                 call,
-                budget,
-                tokens,
+                demand,
                 deadline,
-            } => self.request_tokens(call, budget, tokens, deadline, out),
+            } => self.request_tokens(call, demand, deadline, out),
             Event::Settle { call, used } => self.settle_call(call, used, out),
             Event::Configure { limits, policy } => self.configure(limits, policy, out),
             Event::Peers(peers) => self.set_peers(peers, out),
--- a/toucanchute_core/src/prepaid/owner.rs
+++ b/toucanchute_core/src/prepaid/owner.rs
@@ -4,10 +4,8 @@
 };
 
 use super::{
-    AccountEvent, Action, CallId, PrepaidAccounts, RefusalReason,
-    account::{RequestId, WaitingRequest},
-    local_requests::MAX_WAIT,
-    machine::NO_TERM,
+    AccountEvent, Action, CallId, PrepaidAccounts, RefusalReason, account::WaitingRequest,
+    local_requests::MAX_WAIT, machine::NO_TERM, reservations::RequestId,
 };
 
 /// Time after which a reservation whose end was not reported is dropped. Its tokens count as used.
@@ -21,6 +19,8 @@
             seq,
             tokens,
             term,
+            rest,
+            extends,
         } = body;
         let id = RequestId { router: from, seq };
         let here = self.accounts.contains_key(&budget) || self.takeovers.contains_key(&budget);
@@ -35,7 +35,14 @@
             self.start_takeover(budget, out);
         }
         let until = self.now + MAX_WAIT;
-        self.enqueue(budget, WaitingRequest { id, tokens, until }, out);
+        let waiting = WaitingRequest {
+            id,
+            tokens,
+            rest: rest.unwrap_or(0),
+            extends: extends.map(|seq| RequestId { router: from, seq }),
+            until,
+        };
+        self.enqueue(budget, waiting, out);
     }
 
     /// Queues a request for tokens of an account that this router owns or takes over.
@@ -59,41 +66,44 @@
             return;
         };
         let id = waiting.id;
-        if owned.reserved.contains_key(&id) {
+        if owned.reserved.get(id).is_some() {
             let term = owned.term;
             return self.answer(budget, id, term, Verdict::Reserved, out);
         }
         if owned.waiting.iter().all(|w| w.id != id) {
-            owned.waiting.push_back(waiting);
+            owned.enqueue(waiting);
         }
         self.serve(budget, out);
     }
 
-    /// Answers waiting requests in order, as far as the account's bound allows.
+    /// Answers waiting requests in order, as far as the account's bound allows. A new request also needs
+    /// room for all that the requests in progress may ask for later.
     pub(super) fn serve(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
         let (now, limit) = (self.now, self.limit(budget));
         let store_up = self.store_up();
         let mut short = false;
         while let Some(owned) = self.accounts.get_mut(&budget) {
-            let Some(&WaitingRequest { id, tokens, .. }) = owned.waiting.front() else {
+            let Some(&request) = owned.waiting.front() else {
                 break;
             };
+            let WaitingRequest { id, tokens, .. } = request;
             let term = owned.term;
             let need = owned.used + tokens;
+            let need_at_most = owned.used_at_most_with(&request);
             let max = match store_up {
                 true => limit,
                 // Without the store no further record can be written, so the ramp rises no further.
                 false => limit.min(owned.ramp_max()),
             };
-            let verdict = if need <= owned.bound(now, limit) {
-                owned.reserve(now, id, tokens);
+            let verdict = if need <= owned.bound(now, limit) && need_at_most <= max {
+                owned.reserve(now, &request);
                 Verdict::Reserved
-            } else if need <= max {
+            } else if need_at_most <= max {
                 short = true;
                 break;
-            } else if need <= limit {
+            } else if need_at_most <= limit {
                 Verdict::Unavailable
-            } else if owned.settled + tokens > limit {
+            } else if owned.settled + tokens + request.rest > limit {
                 Verdict::Exhausted
             } else {
                 Verdict::Held
@@ -114,9 +124,7 @@
             return;
         };
         let term = owned.term;
-        owned
-            .reserved
-            .retain(|_, r| now.since(r.since) < RESERVATION_TIMEOUT);
+        owned.reserved.drop_older(now, RESERVATION_TIMEOUT);
         let late: Vec<RequestId> = owned
             .waiting
             .iter()
--- a/toucanchute_core/src/prepaid/takeover.rs
+++ b/toucanchute_core/src/prepaid/takeover.rs
@@ -388,8 +388,10 @@
         let term = owned.term;
         self.witness_marks.fence(budget, term);
         self.known_owners.insert(budget, KnownOwner { term, owner });
-        owned.waiting = waiting;
         owned.set_fault(self.cfg.fault);
+        for request in waiting {
+            owned.enqueue(request);
+        }
         self.accounts.insert(budget, owned);
         self.announce_owner(budget, out);
         self.serve(budget, out);
--- a/toucanchute_core/tests/prepaid_cases.rs
+++ b/toucanchute_core/tests/prepaid_cases.rs
@@ -2,6 +2,8 @@
 
 #[path = "prepaid_cases/contested.rs"]
 mod contested;
+#[path = "prepaid_cases/extensions.rs"]
+mod extensions;
 #[path = "prepaid_cases/fleet.rs"]
 mod fleet;
 #[path = "support/memory_store.rs"]
--- a/toucanchute_edge/src/passthrough.rs
+++ b/toucanchute_edge/src/passthrough.rs
@@ -21,6 +21,7 @@
 mod relay;
 mod relayable_head;
 mod request_info;
+mod request_tokens;
 mod response_record;
 mod shared_parts;
 mod table;
--- a/toucanchute_edge/src/passthrough/control.rs
+++ b/toucanchute_edge/src/passthrough/control.rs
@@ -18,7 +18,7 @@
     /// Returns the channel with the planned stop of the process, empty until one begins.
     fn planned_stop(&self) -> &watch::Receiver<Option<PlannedStop>>;
 
-    /// Reserves the most tokens that a request may use. Dropping the future releases them.
+    /// Reserves tokens of a request. Dropping the future releases them.
     fn reserve(
         &self,
         req: TokenRequest,
@@ -59,8 +59,12 @@
     pub request: String,
     /// Budget of the customer.
     pub budget: BudgetId,
-    /// Most tokens that the request may use.
+    /// Tokens to reserve.
     pub tokens: u64,
+    /// Further tokens that the request may need later. It is admitted only if there is room for them.
+    pub rest: u64,
+    /// Reservation of the same request before this one; absent for the first.
+    pub extends: Option<u64>,
     /// Time after which the caller does not want the response, since the Unix epoch.
     pub deadline: Millis,
 }
--- a/toucanchute_edge/src/passthrough/guards.rs
+++ b/toucanchute_edge/src/passthrough/guards.rs
@@ -3,7 +3,7 @@
 use tokio::time::Instant;
 use toucanchute_core::routing::AttemptReport;
 
-use super::{RouteControl, TokenReservation};
+use super::RouteControl;
 use crate::control::Assignment;
 
 /// One attempt at a backend server. Its end is reported exactly once: as cancelled if the guard is
@@ -48,33 +48,3 @@
         }
     }
 }
-
-/// Tokens reserved for one request. They are settled on drop, however the request ends.
-pub(super) struct ReservationGuard<C: RouteControl> {
-    control: Arc<C>,
-    reservation: Option<TokenReservation>,
-    /// Tokens that are charged when the reservation is settled.
-    pub(super) used: u64,
-}
-
-impl<C: RouteControl> ReservationGuard<C> {
-    /// Creates a guard; `reservation` is `None` for requests that cost nothing.
-    pub(super) fn new(
-        control: Arc<C>,
-        reservation: Option<TokenReservation>,
-    ) -> ReservationGuard<C> {
-        ReservationGuard {
-            control,
-            reservation,
-            used: 0,
-        }
-    }
-}
-
-impl<C: RouteControl> Drop for ReservationGuard<C> {
-    fn drop(&mut self) {
-        if let Some(reservation) = self.reservation.take() {
-            self.control.settle(reservation, self.used);
-        }
-    }
-}
--- a/toucanchute_edge/src/passthrough/pace.rs
+++ b/toucanchute_edge/src/passthrough/pace.rs
@@ -47,6 +47,8 @@
     event_gap: SmoothedTime,
     /// Time from the assignment to the end of the response.
     whole: SmoothedTime,
+    /// Number of events of a stream that was answered.
+    length: Smoothed,
 }
 
 impl RoutePace {
@@ -70,6 +72,17 @@
         self.lock().whole.record(time);
     }
 
+    /// Records the number of events of a stream that was answered.
+    pub(super) fn record_length(&self, events: u64) {
+        self.lock().length.record(events as f64);
+    }
+
+    /// Returns the number of events that a stream probably has at most, if any was answered.
+    pub(super) fn likely_length(&self) -> Option<u64> {
+        let events = self.lock().length.likely_max()?;
+        Some(events.ceil() as u64)
+    }
+
     /// Returns how long a request probably takes at most, if it can be estimated. `events` is the
     /// number of events that a stream may have, if that is known.
     pub(super) fn expected(&self, events: Option<u64>) -> Option<Duration> {
@@ -83,33 +96,46 @@
     }
 }
 
-/// Mean of a time and its mean deviation, both smoothed as for retransmissions in TCP (RFC 6298).
+/// A smoothed time.
 #[derive(Debug, Default)]
-struct SmoothedTime(Option<Smoothed>);
+struct SmoothedTime(Smoothed);
+
+impl SmoothedTime {
+    fn record(&mut self, time: Duration) {
+        self.0.record(time.as_secs_f64());
+    }
+
+    /// Returns a time that most observations do not exceed.
+    fn likely_max(&self) -> Option<Duration> {
+        self.0.likely_max().map(Duration::from_secs_f64)
+    }
+}
+
+/// Mean of a quantity and its mean deviation, both smoothed as for retransmissions in TCP (RFC 6298).
+/// Empty until the first observation.
+#[derive(Debug, Default)]
+struct Smoothed(Option<Statistics>);
 
-/// Mean and mean deviation, in seconds.
 #[derive(Clone, Copy, Debug)]
-struct Smoothed {
+struct Statistics {
     mean: f64,
     deviation: f64,
 }
 
-impl SmoothedTime {
-    fn record(&mut self, time: Duration) {
-        let time = time.as_secs_f64();
-        let smoothed = self.0.get_or_insert(Smoothed {
-            mean: time,
-            deviation: time / 2.0,
+impl Smoothed {
+    fn record(&mut self, value: f64) {
+        let statistics = self.0.get_or_insert(Statistics {
+            mean: value,
+            deviation: value / 2.0,
         });
-        let error = time - smoothed.mean;
-        smoothed.deviation += (error.abs() - smoothed.deviation) / DEVIATION_DIVISOR;
-        smoothed.mean += error / MEAN_DIVISOR;
+        let error = value - statistics.mean;
+        statistics.deviation += (error.abs() - statistics.deviation) / DEVIATION_DIVISOR;
+        statistics.mean += error / MEAN_DIVISOR;
     }
 
-    /// Returns a time that most observations do not exceed.
-    fn likely_max(&self) -> Option<Duration> {
-        let max = self.0.map(|s| s.mean + s.deviation)?;
-        Some(Duration::from_secs_f64(max))
+    /// Returns a value that most observations do not exceed.
+    fn likely_max(&self) -> Option<f64> {
+        self.0.map(|s| s.mean + s.deviation)
     }
 }
 
--- a/toucanchute_edge/src/passthrough/proxied_request.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request.rs
@@ -22,12 +22,13 @@
     Dialect, Failure, RequestInfo, ResponseBody, ResponseInfo, ResponseRecord, RouteControl,
     SharedParts, TokenBound, TokenRequest,
     framing::Framing,
-    guards::{AttemptGuard, ReservationGuard},
+    guards::AttemptGuard,
     handler::{AdmittedRequest, GatewayState, InFlightGuard, RequestTiming},
     planned_stop::while_it_can_end,
     pool::Connection,
     relay,
     relayable_head::RelayableHead,
+    request_tokens::RequestTokens,
     table::RouteTable,
 };
 use crate::{
@@ -48,6 +49,9 @@
 /// A request fails after this many failed connections to backend servers.
 const MAX_CONNECT_FAILURES: u32 = 4;
 
+/// Least number of events of a stream whose tokens are reserved before it begins.
+const MIN_FIRST_EVENTS: u64 = 4;
+
 /// A request that was admitted and is forwarded to backend servers.
 pub(super) struct ProxiedRequest<C: RouteControl, D> {
     pub(super) state: Arc<GatewayState<C, D>>,
@@ -120,8 +124,8 @@
         let customer = self.customer().map_or("", |c| c.name.as_str());
         trace.digest = request_digest(customer, self.digest);
         trace.shared_parts = SharedParts::new(&self.info.prompt);
-        let reservation = match self.reserve_tokens(&record, &mut trace).await {
-            Ok(reservation) => reservation,
+        let tokens = match self.reserve_tokens(&record, &mut trace).await {
+            Ok(tokens) => tokens,
             Err(failure) => return trace.fail(failure),
         };
         let mut retries = RetryState::new(self.route(), record);
@@ -133,7 +137,7 @@
             trace.record_first_byte();
             let is_stream = self.route().kind == RouteKind::Stream;
             if is_stream && response.head.status().is_success() {
-                return relay::start(self, response, retries, reservation, trace, in_flight);
+                return relay::start(self, response, retries, tokens, trace, in_flight);
             }
             let assigned_at = response.attempt.assigned_at;
             match self.read_whole(response, &mut retries, &trace).await {
@@ -173,38 +177,53 @@
         &self,
         record: &RunRecord,
         trace: &mut RequestTrace<C>,
-    ) -> Result<ReservationGuard<C>, Failure> {
-        let control = &self.state.control;
+    ) -> Result<RequestTokens<C>, Failure> {
+        let control = Arc::clone(&self.state.control);
         let budget = self.customer().and_then(|c| self.table.prepaid_budget(c));
         let (Some(budget), Some(bound)) = (budget, self.info.tokens) else {
-            return Ok(ReservationGuard::new(Arc::clone(control), None));
+            return Ok(RequestTokens::free(control));
         };
-        let req = TokenRequest {
+        let output = self.first_output(bound);
+        let demand = TokenRequest {
             request: trace.request().to_owned(),
             budget,
-            tokens: bound.total(),
+            tokens: bound.prompt.saturating_add(output),
+            rest: bound.output - output,
+            extends: None,
             deadline: self.unix_deadline(),
         };
-        let reservation = self.while_it_can_end(control.reserve(req)).await;
-        let reservation = reservation.map_err(|refusal| Failure::from_refusal(record, &refusal))?;
-        let reservation =
-            reservation.map_err(|refusal| Failure::from_token_refusal(record, refusal))?;
-        trace.record_reservation(&reservation);
-        Ok(ReservationGuard::new(
-            Arc::clone(control),
-            Some(reservation),
-        ))
+        let reserve = RequestTokens::reserve(control, demand, bound.prompt);
+        let tokens = self.while_it_can_end(reserve).await;
+        let tokens = tokens.map_err(|refusal| Failure::from_refusal(record, &refusal))?;
+        let tokens = tokens.map_err(|refusal| Failure::from_token_refusal(record, refusal))?;
+        trace.record_tokens(&tokens);
+        Ok(tokens)
     }
 
-    /// Sets the tokens to be charged after `events` events of the response were relayed: the prompt
-    /// and the tokens of these events, at most those that the response may have.
-    pub(super) fn charge_events(&self, reservation: &mut ReservationGuard<C>, events: u64) {
-        let Some(bound) = self.info.tokens else {
-            return;
-        };
+    /// Returns the output tokens to reserve before the response begins: those that it probably has at
+    /// most. A response that is not a stream arrives in one piece, so all that it may have.
+    fn first_output(&self, bound: TokenBound) -> u64 {
+        if self.route().kind != RouteKind::Stream {
+            return bound.output;
+        }
+        let tokens_per_event = self.table.tokens_per_event(&self.service);
+        let seen = self.timing.pace.likely_length();
+        let seen = seen.map(|events| events.saturating_mul(tokens_per_event));
+        let least = MIN_FIRST_EVENTS * tokens_per_event;
+        self.info
+            .first_output(bound, seen)
+            .max(least)
+            .min(bound.output)
+    }
+
+    /// Returns the tokens used once `events` events of the response were relayed: the prompt and the
+    /// tokens of these events, at most those that the response may have. `None` for requests that cost
+    /// nothing.
+    pub(super) fn tokens_of(&self, events: u64) -> Option<u64> {
+        let bound = self.info.tokens?;
         let tokens_per_event = self.table.tokens_per_event(&self.service);
         let output = bound.output.min(events.saturating_mul(tokens_per_event));
-        reservation.used = bound.prompt + output;
+        Some(bound.prompt + output)
     }
 
     // Attempts
--- a/toucanchute_edge/src/passthrough/proxied_request/trace.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/trace.rs
@@ -1,4 +1,7 @@
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use http::Response;
 use toucanchute_core::routing::AttemptReport;
@@ -8,7 +11,7 @@
     control::Assignment,
     passthrough::{
         Failure, RequestEnd, ResponseBody, ResponseRecord, RouteControl, SharedParts,
-        TokenReservation,
+        request_tokens::RequestTokens,
     },
 };
 
@@ -29,10 +32,14 @@
     backend: String,
     assignments: u32,
     tokens_reserved: u64,
+    /// Number of parts in which they were reserved.
+    token_parts: usize,
+    /// Time for which the response waited for further tokens, in milliseconds.
+    held_ms: u64,
     /// Number of events of a stream that were relayed.
     pub(in crate::passthrough) events_relayed: u64,
     /// Tokens that were charged.
-    pub(in crate::passthrough) tokens_used: u64,
+    tokens_used: u64,
     /// Router that spends from the budget of the reserved tokens.
     owner: String,
     started: Instant,
@@ -54,6 +61,8 @@
             backend: String::new(),
             assignments: 0,
             tokens_reserved: 0,
+            token_parts: 0,
+            held_ms: 0,
             events_relayed: 0,
             tokens_used: 0,
             owner: String::new(),
@@ -69,9 +78,14 @@
         &self.request
     }
 
-    pub(super) fn record_reservation(&mut self, reservation: &TokenReservation) {
-        self.tokens_reserved = reservation.tokens;
-        self.owner = reservation.owner.to_string();
+    /// Records the tokens that were reserved and used so far.
+    pub(in crate::passthrough) fn record_tokens(&mut self, tokens: &RequestTokens<C>) {
+        let parts = tokens.parts();
+        self.tokens_reserved = parts.iter().map(|p| p.tokens).sum();
+        self.token_parts = parts.len();
+        self.tokens_used = tokens.used();
+        self.held_ms = milliseconds(tokens.held());
+        self.owner = parts.last().map_or(String::new(), |p| p.owner.to_string());
     }
 
     /// Records the backend server of a new attempt.
@@ -145,10 +159,14 @@
     }
 
     fn elapsed_ms(&self) -> u64 {
-        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+        milliseconds(self.started.elapsed())
     }
 }
 
+fn milliseconds(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl<C: RouteControl> Drop for RequestTrace<C> {
     fn drop(&mut self) {
         log::info!(
@@ -161,6 +179,8 @@
             backend = self.backend,
             assignments = self.assignments,
             tokens = self.tokens_reserved,
+            token_parts = self.token_parts,
+            held_ms = self.held_ms,
             events = self.events_relayed,
             used = self.tokens_used,
             owner = self.owner,
--- a/toucanchute_edge/src/passthrough/relay.rs
+++ b/toucanchute_edge/src/passthrough/relay.rs
@@ -14,10 +14,10 @@
     Dialect, Failure, ResponseBody, RouteControl,
     event_splitter::EventSplitter,
     framing::Framing,
-    guards::ReservationGuard,
     handler::InFlightGuard,
     pool::broken_connection_report,
     proxied_request::{BackendResponse, ProxiedRequest, RequestTrace, RetryState},
+    request_tokens::RequestTokens,
 };
 use crate::settings::duration;
 
@@ -39,7 +39,7 @@
     request: ProxiedRequest<C, D>,
     response: BackendResponse<C>,
     retries: RetryState,
-    reservation: ReservationGuard<C>,
+    tokens: RequestTokens<C>,
     trace: RequestTrace<C>,
     in_flight: InFlightGuard,
 ) -> Response<ResponseBody> {
@@ -49,7 +49,7 @@
         last_event_id: request.info.resume_after,
         request,
         retries,
-        reservation,
+        tokens,
         trace,
         tx,
         events_relayed: 0,
@@ -64,7 +64,7 @@
 struct StreamRelay<C: RouteControl, D> {
     request: ProxiedRequest<C, D>,
     retries: RetryState,
-    reservation: ReservationGuard<C>,
+    tokens: RequestTokens<C>,
     trace: RequestTrace<C>,
     tx: mpsc::Sender<Result<Bytes, io::Error>>,
     /// Identifier of the last event that was relayed.
@@ -199,16 +199,29 @@
             } else {
                 pace.record_events(now - last_event_at, count);
             }
-            last_event_at = now;
-            stalled_at = now + stall_timeout;
-            self.request
-                .charge_events(&mut self.reservation, self.events_relayed);
+            if let Some(end) = self.charge_events().await {
+                return end;
+            }
+            last_event_at = Instant::now();
+            stalled_at = last_event_at + stall_timeout;
             if self.tx.send(Ok(chunk)).await.is_err() {
                 return StreamEnd::CallerDisconnected;
             }
         }
     }
 
+    /// Charges the events so far, for which further tokens may be needed. Returns how the stream ends if
+    /// there are none in time.
+    async fn charge_events(&mut self) -> Option<StreamEnd> {
+        let used = self.request.tokens_of(self.events_relayed)?;
+        tokio::select! {
+            biased;
+            () = self.tokens.charge(used) => None,
+            () = self.tx.closed() => Some(StreamEnd::CallerDisconnected),
+            () = sleep_until(self.request.deadline) => Some(StreamEnd::DeadlinePassed),
+        }
+    }
+
     /// Removes the complete events from the buffer. Returns those that the caller does not have
     /// yet, and their number.
     fn take_events(&mut self, events: &mut EventSplitter) -> (Bytes, u64) {
@@ -253,17 +266,20 @@
         if outcome == ANSWERED {
             let time = self.first_assigned_at.elapsed();
             self.request.timing.pace.record_whole(time);
+            self.request.timing.pace.record_length(self.events_relayed);
         }
-        self.trace.tokens_used = self.reservation.used;
-        self.trace.events_relayed = self.events_relayed;
-        self.trace.record_stream_end(200, outcome);
+        self.record_end(outcome);
     }
 
     /// Ends the response with an error, so that it does not look complete to the caller.
     async fn abort(mut self, outcome: &'static str) {
-        self.trace.tokens_used = self.reservation.used;
+        self.record_end(outcome);
+        let _ = self.tx.send(Err(io::Error::other(outcome))).await;
+    }
+
+    fn record_end(&mut self, outcome: &'static str) {
+        self.trace.record_tokens(&self.tokens);
         self.trace.events_relayed = self.events_relayed;
         self.trace.record_stream_end(200, outcome);
-        let _ = self.tx.send(Err(io::Error::other(outcome))).await;
     }
 }
--- a/toucanchute_edge/src/passthrough/request_info.rs
+++ b/toucanchute_edge/src/passthrough/request_info.rs
@@ -21,10 +21,22 @@
     pub resume_after: Option<u64>,
 }
 
-/// Number of times that the caller's estimate of the output is exceeded by few requests.
+/// Number of times that an estimate of the output is exceeded by few requests.
 const ESTIMATE_FACTOR: u64 = 2;
 
+/// Divisor of the longest response: what is reserved for one whose length cannot be estimated.
+const UNKNOWN_OUTPUT_DIVISOR: u64 = 4;
+
 impl RequestInfo {
+    /// Returns the output tokens to reserve before the response begins, by the caller's estimate or, if
+    /// there is none, by the length that responses of the route have.
+    pub(super) fn first_output(&self, bound: TokenBound, seen: Option<u64>) -> u64 {
+        match self.output_estimate.or(seen) {
+            Some(likely) => likely.saturating_mul(ESTIMATE_FACTOR),
+            None => bound.output / UNKNOWN_OUTPUT_DIVISOR,
+        }
+    }
+
     /// Returns the tokens that the response probably has at most, if the request names a bound.
     pub(super) fn likely_output(&self) -> Option<u64> {
         let bound = self.tokens?.output;
--- a/toucanchute_edge/tests/passthrough/main.rs
+++ b/toucanchute_edge/tests/passthrough/main.rs
@@ -14,4 +14,5 @@
 mod silence;
 mod streams;
 mod support;
+mod tokens;
 mod undelimited;
--- a/toucanchute_router/src/actor/prepaid.rs
+++ b/toucanchute_router/src/actor/prepaid.rs
@@ -6,7 +6,7 @@
     ledger::StoreResult,
     prepaid::{
         AccountEvent, Action, CallId, Event, Peer, PrepaidAccounts, Refusal, RefusalReason,
-        TakeoverBasis,
+        TakeoverBasis, TokenDemand,
     },
 };
 use toucanchute_edge::passthrough::{
@@ -203,10 +203,15 @@
             reply,
         };
         self.pending.insert(call, pending);
-        let event = Event::Reserve {
-            call,
+        let demand = TokenDemand {
             budget: req.budget,
             tokens,
+            rest: req.rest,
+            extends: req.extends.map(CallId),
+        };
+        let event = Event::Reserve {
+            call,
+            demand,
             deadline: req.deadline,
         };
         self.feed(event, cx);
--- a/toucanchute_router/src/gateway/control.rs
+++ b/toucanchute_router/src/gateway/control.rs
@@ -54,13 +54,14 @@
 
     async fn reserve(&self, req: TokenRequest) -> Result<TokenReservation, TokenRefusal> {
         let (tx, rx) = oneshot::channel();
+        let is_new = req.extends.is_none();
         post(&self.prepaid, PrepaidInput::Reserve(req, tx));
         let result = tokio::select! {
             biased;
             result = rx => result.unwrap_or_else(|_| Err(tokens_unavailable())),
-            () = shutdown::requested(self.closing.clone()) => Err(tokens_unavailable()),
+            () = shutdown::requested(self.closing.clone()), if is_new => Err(tokens_unavailable()),
         };
-        self.metrics.record_reservation(&result);
+        self.metrics.record_reservation(is_new, &result);
         result
     }
 
--- a/toucanchute_router/src/gateway/control/tests.rs
+++ b/toucanchute_router/src/gateway/control/tests.rs
@@ -80,6 +80,8 @@
 async fn a_request_that_waits_for_tokens_is_refused_before_the_process_ends() {
     let actors = silent_actors();
     let req = TokenRequest {
+        rest: 0,
+        extends: None,
         request: String::new(),
         budget: BudgetId(1),
         tokens: 1,
--- a/toucanchute_router/src/gateway/metrics.rs
+++ b/toucanchute_router/src/gateway/metrics.rs
@@ -100,6 +100,8 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ReservationLabels {
+    /// Whether it is the first part of its request or a further one.
+    part: &'static str,
     result: &'static str,
 }
 
@@ -219,13 +221,18 @@
         }
     }
 
-    /// Counts the result of a token reservation.
-    pub(super) fn record_reservation(&self, result: &Result<TokenReservation, TokenRefusal>) {
+    /// Counts the result of a token reservation, the first of its request or a further one.
+    pub(super) fn record_reservation(
+        &self,
+        is_first: bool,
+        result: &Result<TokenReservation, TokenRefusal>,
+    ) {
+        let part = if is_first { "first" } else { "further" };
         let result = match result {
             Ok(_) => "reserved",
             Err(refusal) => refusal.reason.name(),
         };
-        let labels = ReservationLabels { result };
+        let labels = ReservationLabels { part, result };
         self.reservations.get_or_create(&labels).inc();
     }
 
