fix(prepaid): an outage of the store needs no room for what requests may ask for

Cause: with parts, admission compared all that requests in progress might still ask for with what may be spent until the record is written again. The room is needed in the total, which decides whether a request can end; what the record allows bounds only what is reserved now.

an_outage_of_the_store_needs_no_room_for_what_requests_may_ask_for fails before: Err(Unavailable).

--- a/toucanchute_core/src/prepaid/owner.rs
+++ b/toucanchute_core/src/prepaid/owner.rs
@@ -95,13 +95,14 @@
                 // Without the store no further record can be written, so the ramp rises no further.
                 false => limit.min(owned.ramp_max()),
             };
-            let verdict = if need <= owned.bound(now, limit) && need_at_most <= max {
+            let has_room = need_at_most <= limit;
+            let verdict = if has_room && need <= owned.bound(now, limit) {
                 owned.reserve(now, &request);
                 Verdict::Reserved
-            } else if need_at_most <= max {
+            } else if has_room && need <= max {
                 short = true;
                 break;
-            } else if need_at_most <= limit {
+            } else if has_room {
                 Verdict::Unavailable
             } else if owned.settled + tokens + request.rest > limit {
                 Verdict::Exhausted
--- a/toucanchute_core/tests/prepaid_cases/extensions.rs
+++ b/toucanchute_core/tests/prepaid_cases/extensions.rs
@@ -132,3 +132,12 @@
     assert_eq!(fleet.answer(second), Some(Ok(())));
     assert_eq!(fleet.answer(new), None);
 }
+
+/// Guards against requests that are refused in an outage of the store for the sake of tokens that hardly
+/// any request in progress will ask for.
+#[test]
+fn an_outage_of_the_store_needs_no_room_for_what_requests_may_ask_for() {
+    let (mut fleet, _) = fleet_with_a_request(None);
+    fleet.store_up = false;
+    fleet.draw(1..5, 4, 500, 500);
+}
