--- a/toucanchute_core/tests/prepaid_cases/extensions.rs
+++ b/toucanchute_core/tests/prepaid_cases/extensions.rs
@@ -1,6 +1,12 @@
 //! Requests that reserve their tokens in parts.
 
+use serde::{Deserialize, Serialize};
 use toucanchute_core::prepaid::{CallId, Fault, RefusalReason};
+use toucanchute_proto::{
+    BudgetId, from_cbor,
+    prepaid::{Ask, Term},
+    to_cbor,
+};
 
 use crate::{TOTAL, fleet::Fleet};
 
@@ -141,3 +147,53 @@
     fleet.store_up = false;
     fleet.draw(1..5, 4, 500, 500);
 }
+
+/// Guards against streams that get no further tokens while routers of two versions run beside each other:
+/// to an owner of the earlier one each part is a request of its own.
+#[test]
+fn an_owner_of_an_earlier_version_grants_and_settles_each_part() {
+    let mut fleet = Fleet::new(5, TOTAL);
+    fleet.asks_of_old_version = true;
+    fleet.warm_up();
+    let router = (fleet.owners()[0] + 1) % 5;
+    let first = fleet.reserve_part(router, 1_000, 3_000, None);
+    let second = fleet.reserve_part(router, 1_000, 2_000, Some(first));
+    assert_eq!(fleet.answer(second), Some(Ok(())));
+    fleet.end(router, first, 1_000);
+    fleet.end(router, second, 200);
+    assert_eq!(fleet.used(), 1_200);
+}
+
+/// An `ask` of routers that reserve all tokens of a request at once.
+#[derive(Debug, PartialEq, Deserialize, Serialize)]
+struct WholeAsk {
+    budget: BudgetId,
+    seq: u64,
+    tokens: u64,
+    term: Term,
+}
+
+/// Guards against routers of two versions that do not understand each other's asks.
+#[test]
+fn asks_of_both_versions_are_decoded_by_both() {
+    let term = Term { epoch: 1, turn: 0 };
+    let (budget, seq, tokens) = (BudgetId(7), 3, 1_000);
+    let whole = WholeAsk {
+        budget,
+        seq,
+        tokens,
+        term,
+    };
+    let mut ask = Ask {
+        budget,
+        seq,
+        tokens,
+        term,
+        rest: Some(500),
+        extends: Some(2),
+    };
+    assert_eq!(from_cbor::<WholeAsk>(&to_cbor(&ask)).unwrap(), whole);
+    (ask.rest, ask.extends) = (None, None);
+    let decoded: Ask = from_cbor(&to_cbor(&whole)).unwrap();
+    assert_eq!(to_cbor(&decoded), to_cbor(&ask));
+}
--- a/toucanchute_core/tests/prepaid_cases/fleet.rs
+++ b/toucanchute_core/tests/prepaid_cases/fleet.rs
@@ -46,6 +46,8 @@
     pub(crate) store_up: bool,
     /// Whether the store carries calls out but its answers are lost.
     pub(crate) answers_lost: bool,
+    /// Whether asks arrive without the fields that routers of earlier versions do not know.
+    pub(crate) asks_of_old_version: bool,
     /// Whether acknowledgements of refunds are lost.
     pub(crate) settled_lost: bool,
     /// Whether the routers know few other clocks.
@@ -91,6 +93,7 @@
             next_call: 0,
             store_up: true,
             answers_lost: false,
+            asks_of_old_version: false,
             settled_lost: false,
             few_clocks: false,
             unreadable: 0,
@@ -455,7 +458,12 @@
         }
     }
 
-    fn send(&mut self, from: Incarnation, to: Incarnation, message: PrepaidMessage) {
+    fn send(&mut self, from: Incarnation, to: Incarnation, mut message: PrepaidMessage) {
+        if let PrepaidMessage::Ask(ask) = &mut message
+            && self.asks_of_old_version
+        {
+            (ask.rest, ask.extends) = (None, None);
+        }
         let isolated = |id| self.routers.iter().any(|r| r.id == id && r.isolated);
         if self.settled_lost && matches!(message, PrepaidMessage::Settled(_)) {
             return;
