fix(prepaid): no room is kept for requests of routers that have ended

Cause: the owner kept room for all that the requests of the killed routers might still have asked for, 57,000 tokens, until their reservations were dropped after 120 s. Now it does so until the router has ended, by the list of members. That list may be wrong without harm to the total: room for later parts only decides who is admitted.

no_room_is_kept_for_requests_of_a_killed_router fails before: Err(Held).

--- a/toucanchute_core/src/prepaid/machine.rs
+++ b/toucanchute_core/src/prepaid/machine.rs
@@ -237,10 +237,13 @@
             .filter(|id| old.get(id).is_none_or(|p| !p.is_reachable()))
             .copied()
             .collect();
+        let ended = old.keys().filter(|&&id| !self.is_member(id));
+        let ended: Vec<Incarnation> = ended.copied().collect();
         for budget in self.accounts.keys().copied().collect::<Vec<_>>() {
             let mut targets = self.announce_targets(budget);
             targets.retain(|id| newly_reachable.contains(id));
             self.announce(budget, &targets, out);
+            self.forget_rests(budget, &ended, out);
         }
         self.reroute(out);
     }
@@ -290,6 +293,12 @@
         passed(self.started_at, DISCOVERY_TIME) && clocks_known && !self.draining
     }
 
+    /// Whether a router may still run.
+    fn is_member(&self, id: Incarnation) -> bool {
+        let peer = self.peers.get(&id);
+        peer.is_some_and(|p| p.state != MemberState::Gone)
+    }
+
     /// Whether messages reach a router.
     pub(super) fn is_reachable(&self, id: Incarnation) -> bool {
         self.peers.get(&id).is_some_and(Peer::is_reachable)
--- a/toucanchute_core/src/prepaid/owner.rs
+++ b/toucanchute_core/src/prepaid/owner.rs
@@ -117,6 +117,24 @@
         }
     }
 
+    /// Keeps no more room for what requests of routers that have ended might have asked for.
+    pub(super) fn forget_rests(
+        &mut self,
+        budget: BudgetId,
+        ended: &[Incarnation],
+        out: &mut Vec<Action>,
+    ) {
+        let Some(owned) = self.accounts.get_mut(&budget) else {
+            return;
+        };
+        for &router in ended {
+            owned.reserved.take_rests_of(router);
+        }
+        if !ended.is_empty() {
+            self.serve(budget, out);
+        }
+    }
+
     /// Refuses requests that waited too long, drops reservations whose end was not reported, and
     /// maintains the account.
     pub(super) fn tick_account(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
--- a/toucanchute_core/src/prepaid/reservations.rs
+++ b/toucanchute_core/src/prepaid/reservations.rs
@@ -59,6 +59,18 @@
         taken
     }
 
+    /// Leaves nothing to ask for by the requests of `router`.
+    pub(super) fn take_rests_of(&mut self, router: Incarnation) {
+        let first = RequestId { router, seq: 0 };
+        let last = RequestId {
+            router,
+            seq: u64::MAX,
+        };
+        for (_, reservation) in self.by_id.range_mut(first..=last) {
+            self.rest -= std::mem::take(&mut reservation.rest);
+        }
+    }
+
     /// Returns a reservation.
     pub(super) fn get(&self, id: RequestId) -> Option<&Reservation> {
         self.by_id.get(&id)
--- a/toucanchute_core/tests/prepaid_cases/extensions.rs
+++ b/toucanchute_core/tests/prepaid_cases/extensions.rs
@@ -102,6 +102,20 @@
     assert_eq!(fleet.request(1, 4_001), Ok(()));
 }
 
+/// Guards against a total of which nothing can be used while its owner keeps room for requests of routers
+/// that were killed.
+#[test]
+fn no_room_is_kept_for_requests_of_a_killed_router() {
+    let mut fleet = Fleet::new(5, TOTAL);
+    fleet.warm_up();
+    let owner = fleet.owners()[0];
+    let router = (owner + 1) % 5;
+    let first = fleet.reserve_part(router, 1_000, TOTAL - 5_000, None);
+    assert_eq!(fleet.answer(first), Some(Ok(())));
+    fleet.kill(router);
+    assert_eq!(fleet.request(0, 50_000), Ok(()));
+}
+
 /// Guards against a request in progress that can get no further tokens because its owner was lost.
 #[test]
 fn the_next_owner_extends_a_reservation_of_one_that_was_killed() {
