--- a/toucanchute_edge/src/passthrough/request_tokens.rs
+++ b/toucanchute_edge/src/passthrough/request_tokens.rs
@@ -87,7 +87,7 @@
     /// Nothing is charged if the future is dropped before it completes.
     pub(super) async fn charge(&mut self, used: u64) {
         self.collect_pending();
-        while self.next.is_some() && used > self.reserved() {
+        while used > self.reserved() && self.may_reserve_more() {
             let since = Instant::now();
             self.request_part(used - self.reserved());
             self.await_part().await;
@@ -108,6 +108,11 @@
         self.reserved().saturating_sub(self.prompt)
     }
 
+    /// Whether less is reserved than the request may use.
+    fn may_reserve_more(&self) -> bool {
+        self.next.as_ref().is_some_and(|next| next.rest > 0)
+    }
+
     fn is_low(&self) -> bool {
         let left = self.reserved() - self.used.min(self.reserved());
         left < self.reserved_output() / LOW_DIVISOR
@@ -115,15 +120,14 @@
 
     /// Requests a part that doubles the reserved output, with `needed` tokens at least.
     fn request_part(&mut self, needed: u64) {
-        let size = self.reserved_output().max(needed);
-        let Some(next) = &self.next else {
-            return;
-        };
         let wait = needed == 0 && Instant::now() < self.retry_at;
-        if next.rest == 0 || self.pending.is_some() || wait {
+        if !self.may_reserve_more() || self.pending.is_some() || wait {
             return;
         }
-        let tokens = size.min(next.rest);
+        let Some(next) = &self.next else {
+            return;
+        };
+        let tokens = self.reserved_output().max(needed).min(next.rest);
         let demand = TokenRequest {
             tokens,
             rest: next.rest - tokens,
