fix(edge): a server is not blamed for a stream that ends for want of tokens

A stream that waited for a further part until its deadline was reported as timed out at its backend server, which counts as a crash there (ejection, suspects). It is cancelled now, with the outcome out-of-tokens in the log. Found by reading; a_server_is_not_blamed_for_a_stream_that_ends_for_want_of_tokens fails before: Crashed { kind: TimedOut }.

--- a/toucanchute_edge/src/passthrough/relay.rs
+++ b/toucanchute_edge/src/passthrough/relay.rs
@@ -94,6 +94,8 @@
     Unconfirmed,
     CallerDisconnected,
     DeadlinePassed,
+    /// No tokens were granted for further events until the deadline.
+    OutOfTokens,
     /// The connection broke off, or the stream ended within an event.
     Broken,
     /// No event arrived for so long that the stream counts as stalled.
@@ -126,6 +128,7 @@
                 StreamEnd::Unconfirmed => return self.finish(ANSWERED),
                 StreamEnd::CallerDisconnected => return self.finish("caller-left"),
                 StreamEnd::DeadlinePassed => return self.abort("out-of-time").await,
+                StreamEnd::OutOfTokens => return self.abort("out-of-tokens").await,
                 StreamEnd::Broken => "the event stream broke off",
                 StreamEnd::Stalled => "the event stream stalled",
                 StreamEnd::EventTooLarge => "an event exceeds the size limit",
@@ -150,7 +153,7 @@
             StreamEnd::Complete => AttemptReport::Done {
                 tokens: self.events_relayed,
             },
-            StreamEnd::CallerDisconnected => AttemptReport::Cancelled,
+            StreamEnd::CallerDisconnected | StreamEnd::OutOfTokens => AttemptReport::Cancelled,
             StreamEnd::DeadlinePassed | StreamEnd::Stalled => CrashKind::TimedOut.into(),
             StreamEnd::EventTooLarge => CrashKind::Malformed.into(),
             StreamEnd::Broken => broken_connection_report(address).await,
@@ -218,7 +221,7 @@
             biased;
             () = self.tokens.charge(used) => None,
             () = self.tx.closed() => Some(StreamEnd::CallerDisconnected),
-            () = sleep_until(self.request.deadline) => Some(StreamEnd::DeadlinePassed),
+            () = sleep_until(self.request.deadline) => Some(StreamEnd::OutOfTokens),
         }
     }
 
--- a/toucanchute_edge/tests/passthrough/tokens.rs
+++ b/toucanchute_edge/tests/passthrough/tokens.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use tokio::time::{sleep, timeout};
+use toucanchute_edge::AttemptReport;
 
 use crate::{
     raw_backend::{RawBackend, Step},
@@ -103,3 +104,16 @@
     let used: u64 = gateway.control.used.lock().unwrap().iter().sum();
     assert_eq!(left + used, PROMPT + OUTPUT / 4);
 }
+
+/// Guards against a backend server that counts as stalled because its stream waited for tokens.
+#[tokio::test]
+async fn a_server_is_not_blamed_for_a_stream_that_ends_for_want_of_tokens() {
+    let (gateway, _backend) = gateway_with_stream(OUTPUT / 10, Duration::ZERO).await;
+    *gateway.control.tokens.lock().unwrap() = PROMPT + OUTPUT / 4;
+    let impatient = REQUEST.replace("X-Key", "X-Patience: 400\r\nX-Key");
+    let res = gateway.send_raw(&impatient).await;
+    assert!(!res.ends_with(LAST_CHUNK), "{res}");
+    let reports = gateway.control.reports.lock().unwrap().clone();
+    let expected = [AttemptReport::FirstToken, AttemptReport::Cancelled];
+    assert_eq!(reports, expected);
+}
