feat(edge): attempt-failed says how long its backend server had been silent

The log named the cause of a failed attempt, but not whether the server had sent anything lately, so that a server that was given up after a silence and one that broke off could only be told apart by the text of the cause. `silent_ms` is the time since the last byte of the response, or since the assignment. No change of logic: a failed stream is logged before its end is reported, as other attempts are.

--- a/toucanchute_edge/src/passthrough/proxied_request/responses.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/responses.rs
@@ -66,7 +66,7 @@
             } => CrashKind::Malformed.into(),
             ExchangeError::TimedOut => CrashKind::TimedOut.into(),
         };
-        trace.log_attempt_failure(assignment, report, &error.to_string());
+        trace.log_attempt_failure(&attempt, report, &error.to_string());
         attempt.report_end(report);
         if let Some(proof) = proof {
             retries.attempt_not_run(&proof);
@@ -276,7 +276,7 @@
                 )
             }
         };
-        trace.log_attempt_failure(&attempt.assignment, report, &cause);
+        trace.log_attempt_failure(&attempt, report, &cause);
         retries.exclude_backend(&backend);
         attempt.report_end(report);
         Err(failure)
@@ -316,6 +316,6 @@
     trace: &RequestTrace<C>,
 ) {
     retries.exclude_backend(&attempt.assignment.backend);
-    trace.log_attempt_failure(&attempt.assignment, report, cause);
+    trace.log_attempt_failure(&attempt, report, cause);
     attempt.report_end(report);
 }
--- a/toucanchute_edge/src/passthrough/proxied_request/trace.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/trace.rs
@@ -11,7 +11,7 @@
     control::Assignment,
     passthrough::{
         Failure, RequestEnd, ResponseBody, ResponseRecord, RouteControl, SharedParts,
-        request_tokens::RequestTokens,
+        guards::AttemptGuard, request_tokens::RequestTokens,
     },
 };
 
@@ -97,16 +97,18 @@
     /// Logs a failed attempt and the report that ends it.
     pub(in crate::passthrough) fn log_attempt_failure(
         &self,
-        assignment: &Assignment,
+        attempt: &AttemptGuard<C>,
         report: AttemptReport,
         cause: &str,
     ) {
+        let assignment = &attempt.assignment;
         log::info!(
             request = self.request,
             digest:% = self.digest,
             parts:% = self.shared_parts,
             attempt:% = assignment.attempt,
             backend = assignment.backend,
+            silent_ms = milliseconds(attempt.silent_for()),
             report = report.name(),
             cause = cause;
             "attempt-failed"
--- a/toucanchute_edge/src/passthrough/relay.rs
+++ b/toucanchute_edge/src/passthrough/relay.rs
@@ -104,6 +104,22 @@
     EventTooLarge,
 }
 
+impl StreamEnd {
+    /// Returns why the stream failed at its backend server, for the log, if it did.
+    fn failure_cause(self) -> Option<&'static str> {
+        match self {
+            StreamEnd::Broken => Some("the event stream broke off"),
+            StreamEnd::Stalled => Some("the event stream stalled"),
+            StreamEnd::EventTooLarge => Some("an event exceeds the size limit"),
+            StreamEnd::Complete
+            | StreamEnd::Unconfirmed
+            | StreamEnd::CallerDisconnected
+            | StreamEnd::DeadlinePassed
+            | StreamEnd::OutOfTokens => None,
+        }
+    }
+}
+
 impl<C: RouteControl, D: Dialect> StreamRelay<C, D> {
     async fn relay(mut self, mut response: BackendResponse<C>) {
         loop {
@@ -116,8 +132,11 @@
                 info,
                 ..
             } = response;
+            if let Some(cause) = end.failure_cause() {
+                self.trace.log_attempt_failure(&attempt, report, cause);
+            }
             attempt.report_end(report);
-            let cause = match end {
+            match end {
                 StreamEnd::Complete => {
                     if !info.closes_connection {
                         let pool = &self.request.state.pool;
@@ -129,12 +148,8 @@
                 StreamEnd::CallerDisconnected => return self.finish("caller-left"),
                 StreamEnd::DeadlinePassed => return self.abort("out-of-time").await,
                 StreamEnd::OutOfTokens => return self.abort("out-of-tokens").await,
-                StreamEnd::Broken => "the event stream broke off",
-                StreamEnd::Stalled => "the event stream stalled",
-                StreamEnd::EventTooLarge => "an event exceeds the size limit",
-            };
-            drop(conn);
-            self.trace.log_attempt_failure(&assignment, report, cause);
+                StreamEnd::Broken | StreamEnd::Stalled | StreamEnd::EventTooLarge => drop(conn),
+            }
             self.retries.exclude_backend(&assignment.backend);
             if !self.retries.may_rerun() {
                 return self.abort("stream-broke-off").await;
@@ -186,6 +201,7 @@
                 Some(Err(_)) => return StreamEnd::Broken,
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
+            response.attempt.record_bytes();
             events.push(&data);
             let (chunk, count) = self.take_events(&mut events);
             if events.is_too_large() {
