fix(edge): a silent backend server keeps its request until another one has answered

Cause: a limit of time ended the attempt in place of starting the search for a better one. After 1.2 s without an event, or 70 % of the route's target without a head, the connection was dropped; only then another server was asked for. No room there, a refusal, a second silence or no attempt left then cut the response. The limit also reported a crash of the server, three of which eject it, and the dropped attempt no longer counted among its requests.

Fix: the limit begins a hedge. The attempt goes on while one other server at a time is tried beside it; the first of the two with a success goes on and the other is cancelled. A hedge is assigned at once or refused, never to a server that the request was sent to, not while other requests wait, and within the retry budget. Each is a send from the moment it begins. A silence is a report of its own: three in a row pause a server until it sends something. Requests that may run only once are never hedged.

A request goes on at the second server when its head arrives, and the first connection is closed then, so that both do not work on one stream.

--- a/toucanchute_core/examples/capacity.rs
+++ b/toucanchute_core/examples/capacity.rs
@@ -82,6 +82,7 @@
         tokens: 200,
         attempts: 0,
         exclude: Vec::new(),
+        is_hedge: false,
         affinity: None,
         deadline: now + Millis(10_000),
     }
--- a/toucanchute_core/examples/routing_load/simulation.rs
+++ b/toucanchute_core/examples/routing_load/simulation.rs
@@ -246,6 +246,7 @@
             tokens: work.prompt / 10 + work.output,
             attempts: 0,
             exclude: Vec::new(),
+            is_hedge: false,
             affinity: None,
             deadline: Millis((self.now + self.scenario.timeout) / 1_000),
         }
--- a/toucanchute_core/src/routing.rs
+++ b/toucanchute_core/src/routing.rs
@@ -14,6 +14,7 @@
 mod event;
 mod fault;
 mod health;
+mod hedge;
 mod limit;
 mod notices;
 mod pool;
--- a/toucanchute_core/src/routing/attempts.rs
+++ b/toucanchute_core/src/routing/attempts.rs
@@ -59,12 +59,14 @@
 fn is_answer(report: AttemptReport) -> bool {
     match report {
         AttemptReport::FirstToken
+        | AttemptReport::Resumed
         | AttemptReport::Done { .. }
         | AttemptReport::Unconfirmed
         | AttemptReport::Failed
         | AttemptReport::Rejected
         | AttemptReport::Refused => true,
-        AttemptReport::Unsent
+        AttemptReport::Silent
+        | AttemptReport::Unsent
         | AttemptReport::Gone
         | AttemptReport::Crashed { .. }
         | AttemptReport::Cancelled => false,
@@ -118,9 +120,11 @@
         report: AttemptReport,
         out: &mut Vec<Action>,
     ) {
-        if report == AttemptReport::FirstToken {
-            self.handle_first_token(now, id);
-            return;
+        match report {
+            AttemptReport::FirstToken => return self.handle_first_token(now, id),
+            AttemptReport::Silent => return self.handle_silent(now, id),
+            AttemptReport::Resumed => return self.handle_resumed(id),
+            _ => {}
         }
         let Some(attempt) = self.attempts.remove(&id) else {
             return;
@@ -131,7 +135,7 @@
             r.record_answer(attempt.started);
         }
         match report {
-            AttemptReport::FirstToken => {}
+            AttemptReport::FirstToken | AttemptReport::Silent | AttemptReport::Resumed => {}
             AttemptReport::Done { tokens } => self.handle_done(now, &attempt, tokens, out),
             AttemptReport::Unconfirmed => {
                 self.record_progress(now, attempt.replica, false);
@@ -171,6 +175,29 @@
         self.record_progress(now, key, slow);
     }
 
+    /// Records that a backend server is silent. It may be sound and go on, so that its attempt goes on
+    /// too.
+    fn handle_silent(&mut self, now: Millis, id: AttemptId) {
+        if let Some(key) = self.attempts.get(&id).map(Attempt::replica) {
+            self.record_silence(now, key);
+        }
+    }
+
+    fn handle_resumed(&mut self, id: AttemptId) {
+        let Some(attempt) = self.attempts.get(&id) else {
+            return;
+        };
+        let replica = &mut self.replicas[attempt.replica];
+        replica.record_answer(attempt.started);
+        replica.health.record_resumption();
+    }
+
+    fn record_silence(&mut self, now: Millis, key: BackendKey) {
+        if !self.has(Fault::NeverEject) {
+            self.replicas[key].health.record_silence(now);
+        }
+    }
+
     fn handle_done(&mut self, now: Millis, attempt: &Attempt, tokens: u64, out: &mut Vec<Action>) {
         let r = &mut self.replicas[attempt.replica];
         r.health.record_completion();
@@ -231,10 +258,13 @@
                     out,
                 );
             }
-            CrashKind::Interrupted | CrashKind::TimedOut => {
+            CrashKind::Interrupted => {
                 self.record_failure(now, attempt, Failure::Soft);
-                let unanswered = attempt.unanswered(now, kind == CrashKind::Interrupted);
-                self.record_unanswered(now, attempt.replica, unanswered, out);
+                self.record_unanswered(now, attempt.replica, attempt.unanswered(now, true), out);
+            }
+            CrashKind::TimedOut => {
+                self.record_silence(now, attempt.replica);
+                self.record_unanswered(now, attempt.replica, attempt.unanswered(now, false), out);
             }
             CrashKind::Malformed => self.record_failure(now, attempt, Failure::Soft),
         }
--- a/toucanchute_core/src/routing/choose.rs
+++ b/toucanchute_core/src/routing/choose.rs
@@ -65,6 +65,33 @@
         } else if self.untried_replica_later(req) {
             return None;
         }
+        self.best_of(req, open, rng)
+    }
+
+    /// Returns the replica for a request that also runs on another one: never one that the request was
+    /// sent to before, that is claimed for a suspect or that needs a permit.
+    pub(super) fn choose_hedge(
+        &self,
+        req: &RoutingRequest,
+        rng: &mut SmallRng,
+    ) -> Option<BackendKey> {
+        let mut open: Vec<BackendKey> = self.open_replicas().collect();
+        open.retain(|&k| {
+            let r = &self.replicas[k];
+            let is_free = r.rate_limit.is_none() && !self.suspects.is_claimed(&r.name);
+            is_free && !req.exclude.contains(&r.name)
+        });
+        self.best_of(req, open, rng)
+    }
+
+    /// Returns the replica among `open` by affinity, or else the one of lowest cost among two random
+    /// ones and the one with the longest cached prefix.
+    fn best_of(
+        &self,
+        req: &RoutingRequest,
+        mut open: Vec<BackendKey>,
+        rng: &mut SmallRng,
+    ) -> Option<BackendKey> {
         if let Some(affinity) = req.affinity
             && let Some(key) = self.by_affinity(affinity, &open)
         {
--- a/toucanchute_core/src/routing/dispatcher.rs
+++ b/toucanchute_core/src/routing/dispatcher.rs
@@ -184,6 +184,10 @@
             refuse(&req, RefusalReason::RateLimited, after, out);
             return;
         }
+        if req.is_hedge {
+            self.admit_hedge(now, key, &req, out);
+            return;
+        }
         if req.attempts == 0 {
             self.pools[key].retries.record_fresh(now);
         } else if !self.take_retry(now, key) {
@@ -193,7 +197,7 @@
         self.enqueue(now, key, req, out);
     }
 
-    fn take_retry(&mut self, now: Millis, key: PoolKey) -> bool {
+    pub(super) fn take_retry(&mut self, now: Millis, key: PoolKey) -> bool {
         self.pools[key].retries.try_take(now) || self.has(Fault::UncountedRetries)
     }
 
--- a/toucanchute_core/src/routing/event.rs
+++ b/toucanchute_core/src/routing/event.rs
@@ -161,6 +161,9 @@
     pub attempts: u32,
     /// Names of backend servers that failed this request.
     pub exclude: Vec<String>,
+    /// Whether the request also runs on one of those, which is silent. It is then assigned at once or
+    /// refused.
+    pub is_hedge: bool,
     /// Time by which the first byte has to arrive, since the Unix epoch.
     pub deadline: Millis,
 }
@@ -179,6 +182,11 @@
 pub enum AttemptReport {
     /// The first token or byte of the answer arrived.
     FirstToken,
+    /// Nothing has arrived for so long that another backend server may be tried as well. The attempt
+    /// goes on.
+    Silent,
+    /// Something arrived after [`AttemptReport::Silent`].
+    Resumed,
     /// The complete answer arrived and says that the request was carried out.
     Done {
         /// Tokens generated.
@@ -226,6 +234,8 @@
     pub fn name(self) -> &'static str {
         match self {
             AttemptReport::FirstToken => "first-token",
+            AttemptReport::Silent => "silent",
+            AttemptReport::Resumed => "resumed",
             AttemptReport::Done { .. } => "done",
             AttemptReport::Unconfirmed => "unconfirmed",
             AttemptReport::Failed => "failed",
--- a/toucanchute_core/src/routing/health.rs
+++ b/toucanchute_core/src/routing/health.rs
@@ -9,6 +9,9 @@
 /// Longest duration of an ejection.
 const MAX_EJECTION: Millis = Millis(8_000);
 
+/// Time without work for a replica that is silent. It ends with the replica's next answer.
+const SILENCE_PAUSE: Millis = Millis(2_000);
+
 /// Health of a replica, which decides whether it gets work.
 #[derive(Debug)]
 pub(super) struct Health {
@@ -22,7 +25,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     Healthy,
-    Ejected { since: Millis, until: Millis },
+    Ejected {
+        since: Millis,
+        until: Millis,
+    },
+    /// It was sent requests and sends nothing.
+    Silent {
+        until: Millis,
+    },
     Probing,
 }
 
@@ -49,13 +59,13 @@
         match self.state {
             State::Healthy => None,
             State::Probing => Some(1),
-            State::Ejected { .. } => Some(0),
+            State::Ejected { .. } | State::Silent { .. } => Some(0),
         }
     }
 
-    /// Allows one probing request once the ejection has ended.
+    /// Allows one probing request once the ejection or the pause has ended.
     pub(super) fn advance(&mut self, now: Millis) {
-        if let State::Ejected { until, .. } = self.state
+        if let State::Ejected { until, .. } | State::Silent { until } = self.state
             && now >= until
         {
             self.state = State::Probing;
@@ -89,9 +99,30 @@
         }
     }
 
+    /// Records that an attempt has got nothing for a while. [`FAILURES_TO_EJECT`] in a row pause the
+    /// replica until it sends something.
+    pub(super) fn record_silence(&mut self, now: Millis) {
+        if matches!(self.state, State::Ejected { .. }) {
+            return;
+        }
+        self.failures += 1;
+        if self.failures >= FAILURES_TO_EJECT || self.state == State::Probing {
+            let until = now + SILENCE_PAUSE;
+            self.state = State::Silent { until };
+        }
+    }
+
+    /// Records that an attempt got something after a silence, which ends the pause.
+    pub(super) fn record_resumption(&mut self) {
+        self.failures = 0;
+        if matches!(self.state, State::Silent { .. }) {
+            self.state = State::Healthy;
+        }
+    }
+
     /// Records progress of an attempt; returns whether the replica has recovered by it.
     pub(super) fn record_progress(&mut self) -> bool {
-        self.failures = 0;
+        self.record_resumption();
         let recovered = self.state == State::Probing;
         if recovered {
             self.state = State::Healthy;
--- a/toucanchute_core/src/routing/tests.rs
+++ b/toucanchute_core/src/routing/tests.rs
@@ -3,11 +3,13 @@
 mod affinity;
 mod fairness;
 mod fuzz;
+mod harness;
 mod notices;
 mod oracle;
 mod parts;
 mod policy;
 mod rate_limit;
 mod retries;
+mod silence;
 mod simulation;
 mod steps;
--- a/toucanchute_core/src/routing/tests/policy.rs
+++ b/toucanchute_core/src/routing/tests/policy.rs
@@ -1,104 +1,17 @@
 //! Tests of single decisions of one dispatcher.
 
-use std::collections::BTreeSet;
-
 use toucanchute_proto::{
-    AttemptId, Digest, Incarnation, Millis,
-    fleet::{Crash, Load, Scope, Standing, Verdict},
+    Digest, Incarnation, Millis,
+    fleet::{Crash, Scope, Standing, Verdict},
 };
 use yare::parameterized;
 
-use super::simulation::{assign, config};
+use super::harness::{Harness, request};
 use crate::routing::{
-    Action, AttemptReport, CacheChange, CacheEvent, CrashKind, Dispatcher, Event, RefusalReason,
+    Action, AttemptReport, CacheChange, CacheEvent, CrashKind, Event, RefusalReason,
     RoutingRequest, suspects::SuspectKey,
 };
 
-/// A dispatcher in failure domain d0 and its actions.
-struct Harness {
-    dispatcher: Dispatcher,
-    out: Vec<Action>,
-}
-
-/// A deadline that no test reaches.
-const NEVER: Millis = Millis(1_000_000);
-
-impl Harness {
-    fn new(replicas: usize, concurrency: u32) -> Harness {
-        let dispatcher = Dispatcher::new(Incarnation(1), "d0", 1);
-        let mut harness = Harness {
-            dispatcher,
-            out: Vec::new(),
-        };
-        harness.configure(0, replicas, concurrency, &[]);
-        harness
-    }
-
-    fn configure(&mut self, now: u64, replicas: usize, concurrency: u32, withdrawn: &[&str]) {
-        let config = config(replicas, concurrency).into();
-        let withdrawn: BTreeSet<String> = withdrawn.iter().map(|&n| n.to_owned()).collect();
-        self.handle(now, Event::Configure { config, withdrawn });
-    }
-
-    fn handle(&mut self, now: u64, event: Event) {
-        self.dispatcher.handle(Millis(now), event, &mut self.out);
-    }
-
-    fn report(&mut self, now: u64, attempt: AttemptId, report: AttemptReport) {
-        self.handle(now, Event::Report { attempt, report });
-    }
-
-    /// Sends a call; returns its attempt and replica if it starts at once.
-    fn call(&mut self, now: u64, req: RoutingRequest) -> Option<(AttemptId, String)> {
-        self.out.clear();
-        self.handle(now, Event::Assign(req));
-        self.started()
-            .pop()
-            .map(|(_, attempt, backend)| (attempt, backend))
-    }
-
-    fn started(&self) -> Vec<(u64, AttemptId, String)> {
-        let started = self.out.iter().filter_map(|a| match a {
-            Action::Assigned {
-                call,
-                attempt,
-                backend,
-                ..
-            } => Some((*call, *attempt, backend.clone())),
-            _ => None,
-        });
-        started.collect()
-    }
-
-    fn refused(&self) -> Option<RefusalReason> {
-        self.out.iter().find_map(|a| match a {
-            Action::Refused { reason, .. } => Some(*reason),
-            _ => None,
-        })
-    }
-
-    fn load(&mut self, now: u64, backend: &str, running: u32) {
-        let backend = backend.to_owned();
-        let (waiting, capacity, kv_used, as_of) = (0, 16, 0, Millis(now));
-        let load = Load {
-            backend,
-            running,
-            waiting,
-            capacity,
-            kv_used,
-            as_of,
-        };
-        self.handle(now, Event::Load(load));
-    }
-}
-
-fn request(call: u64) -> RoutingRequest {
-    RoutingRequest {
-        prefix: Vec::new(),
-        ..assign(call, 0, 10, NEVER)
-    }
-}
-
 #[test]
 fn own_work_corrects_the_reported_load() {
     let mut harness = Harness::new(2, 16);
--- a/toucanchute_core/src/routing/tests/simulation.rs
+++ b/toucanchute_core/src/routing/tests/simulation.rs
@@ -108,6 +108,7 @@
         tokens,
         attempts: 0,
         exclude: Vec::new(),
+        is_hedge: false,
         affinity: None,
         deadline,
     }
--- a/toucanchute_edge/src/completion/run.rs
+++ b/toucanchute_edge/src/completion/run.rs
@@ -319,6 +319,7 @@
             tokens: self.req.prompt_tokens + self.max_tokens,
             attempts,
             exclude,
+            is_hedge: false,
             deadline: self.caller.deadline,
         }
     }
--- a/toucanchute_edge/src/control.rs
+++ b/toucanchute_edge/src/control.rs
@@ -56,8 +56,9 @@
         req: AssignRequest,
     ) -> impl Future<Output = Result<Assignment, Refusal>> + Send;
 
-    /// Reports the progress or the end of an attempt. Exactly one report other than
-    /// [`AttemptReport::FirstToken`] ends every assignment.
+    /// Reports the progress, a silence or the end of an attempt. Exactly one report other than
+    /// [`AttemptReport::FirstToken`], [`AttemptReport::Silent`] and [`AttemptReport::Resumed`] ends
+    /// every assignment.
     fn report(&self, attempt: AttemptId, report: AttemptReport);
 
     /// Serves an operator's request under `/v1/admin/`; returns status code and JSON body.
@@ -196,6 +197,9 @@
     /// Names of the backend servers that already failed for this request. They are tried again if no
     /// other one has room.
     pub exclude: Vec<String>,
+    /// Whether the request also runs on one of those, which is silent. It is then assigned at once or
+    /// refused.
+    pub is_hedge: bool,
     /// Time by which the first byte of the answer has to arrive, since the Unix epoch.
     pub deadline: Millis,
 }
@@ -218,6 +222,7 @@
             tokens: self.tokens,
             attempts: self.attempts,
             exclude: self.exclude,
+            is_hedge: self.is_hedge,
             deadline: self.deadline,
         }
     }
--- a/toucanchute_edge/src/passthrough/control.rs
+++ b/toucanchute_edge/src/passthrough/control.rs
@@ -34,8 +34,9 @@
         req: AssignRequest,
     ) -> impl Future<Output = Result<Assignment, Refusal>> + Send;
 
-    /// Reports progress or the end of an attempt. Every assignment is ended by one report other
-    /// than [`AttemptReport::FirstToken`].
+    /// Reports progress, a silence or the end of an attempt. Every assignment is ended by one report
+    /// other than [`AttemptReport::FirstToken`], [`AttemptReport::Silent`] and
+    /// [`AttemptReport::Resumed`].
     fn report(&self, attempt: AttemptId, report: AttemptReport);
 
     /// Reports a backend server's load as stated in its response.
--- a/toucanchute_edge/src/passthrough/proxied_request.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request.rs
@@ -1,6 +1,7 @@
 //! One request from its admission to the head of its response.
 
 mod exchange;
+mod hedge;
 mod reports;
 mod responses;
 mod retry;
@@ -36,6 +37,8 @@
     run_record::RunRecord,
     settings::now,
 };
+use exchange::Exchanged;
+pub(super) use hedge::{FirstAttempt, Hedged, event_patience};
 pub(super) use retry::RetryState;
 pub(super) use trace::RequestTrace;
 
@@ -247,32 +250,68 @@
             };
             trace.record_assignment(&attempt.assignment);
             retries.begin_attempt(attempt.assignment.attempt);
-            let (res, conn) = match self.exchange(&attempt, retries, resume_after).await {
-                Ok(exchanged) => exchanged,
-                Err(e) => {
-                    self.handle_exchange_error(e, attempt, retries, trace)
-                        .await?;
-                    continue;
-                }
+            let first = FirstAttempt {
+                assignment: &attempt.assignment,
+                patience: hedge::head_patience(self.route()),
+                resume_after,
             };
-            let (head, body) = res.into_parts();
-            let info = self.state.dialect.read_response(&head);
-            let record = self.record_response(&attempt, &conn, &head, &info, trace);
-            self.report_backend_info(&attempt, &info, &record);
-            let response = UncheckedResponse {
-                attempt,
-                conn,
-                head,
-                body,
-                info,
-                record,
+            let exchange = self.exchange(&attempt, !retries.is_idempotent(), resume_after);
+            let hedged = self
+                .hedge(first, exchange, is_success, retries, trace)
+                .await;
+            let response = match hedged {
+                Hedged::First(exchanged) => {
+                    self.end_exchange(exchanged, attempt, retries, trace)
+                        .await?
+                }
+                Hedged::Second(response) => Some(response),
+                Hedged::Both(exchanged, second) => {
+                    let first = self.end_exchange(exchanged, attempt, retries, trace).await;
+                    match second {
+                        Ok(response) if response.head.status().is_success() => Some(response),
+                        _ => first?,
+                    }
+                }
             };
-            if let Some(response) = self.check_response(response, retries, trace).await? {
+            if let Some(response) = response {
                 return Ok(response);
             }
         }
     }
 
+    /// Handles the result of an exchange. Returns `None` if the request is to be sent to another backend
+    /// server.
+    async fn end_exchange(
+        &self,
+        exchanged: Exchanged,
+        mut attempt: AttemptGuard<C>,
+        retries: &mut RetryState,
+        trace: &mut RequestTrace<C>,
+    ) -> Result<Option<BackendResponse<C>>, Failure> {
+        let (res, conn) = match exchanged {
+            Ok(exchanged) => exchanged,
+            Err(e) => {
+                self.handle_exchange_error(e, attempt, retries, trace)
+                    .await?;
+                return Ok(None);
+            }
+        };
+        attempt.record_bytes();
+        let (head, body) = res.into_parts();
+        let info = self.state.dialect.read_response(&head);
+        let record = self.record_response(&attempt, &conn, &head, &info, trace);
+        self.report_backend_info(&attempt, &info, &record);
+        let response = UncheckedResponse {
+            attempt,
+            conn,
+            head,
+            body,
+            info,
+            record,
+        };
+        self.check_response(response, retries, trace).await
+    }
+
     /// Does the same as `assign`, as long as the request can still end before a planned stop does.
     async fn assign_in_time(&self, retries: &RetryState) -> Result<AttemptGuard<C>, Failure> {
         match self.while_it_can_end(self.assign(retries)).await {
@@ -313,6 +352,7 @@
             tokens: self.info.tokens.map_or(1, TokenBound::total),
             attempts: retries.sends(),
             exclude: retries.excluded().to_vec(),
+            is_hedge: retries.is_hedging(),
             deadline: self.unix_deadline(),
         }
     }
@@ -332,6 +372,13 @@
     }
 }
 
+/// Whether an exchange ended with a success.
+fn is_success(exchanged: &Exchanged) -> bool {
+    exchanged
+        .as_ref()
+        .is_ok_and(|(res, _)| res.status().is_success())
+}
+
 /// Chooses one of a route's services at random, by their weights.
 fn choose_service(route: &Route) -> String {
     let total: u32 = route.targets.iter().map(|t| t.weight).sum();
--- a/toucanchute_edge/src/passthrough/proxied_request/exchange.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/exchange.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, timeout_at};
 use toucanchute_proto::{AttemptId, Millis};
 
-use super::{ProxiedRequest, RetryState};
+use super::ProxiedRequest;
 use crate::{
     passthrough::{
         Dialect, ForwardInfo, RouteControl,
@@ -19,18 +19,20 @@
     run_record::AttemptNotRun,
 };
 
+/// Head of a response with its connection, or why there is none.
+pub(super) type Exchanged = Result<(Response<Incoming>, Connection), ExchangeError>;
+
 impl<C: RouteControl, D: Dialect> ProxiedRequest<C, D> {
     /// Sends the request to the assigned backend server and waits for the head of the response. A
     /// reused connection that was closed before the request was sent is replaced by a new one.
     pub(super) async fn exchange(
         &self,
         attempt: &AttemptGuard<C>,
-        retries: &RetryState,
+        non_idempotent: bool,
         resume_after: Option<u64>,
-    ) -> Result<(Response<Incoming>, Connection), ExchangeError> {
+    ) -> Exchanged {
         let assignment = &attempt.assignment;
         let pool = &self.state.pool;
-        let non_idempotent = !retries.is_idempotent();
         let attempt_name = self.info.attempt.as_deref();
         let connect = pool.connect(
             &assignment.backend,
@@ -40,13 +42,13 @@
         );
         let conn = connect_by(self.deadline, connect).await?;
         let reused = conn.reused;
-        match self.send_over(conn, attempt, retries, resume_after).await {
+        match self.send_over(conn, attempt, resume_after).await {
             Err(ExchangeError::Send {
                 source: SendError::Unsent,
             }) if reused => {
                 let connect = pool.connect_new(assignment.address, attempt_name);
                 let conn = connect_by(self.deadline, connect).await?;
-                self.send_over(conn, attempt, retries, resume_after).await
+                self.send_over(conn, attempt, resume_after).await
             }
             exchanged => exchanged,
         }
@@ -57,12 +59,10 @@
         &self,
         mut conn: Connection,
         attempt: &AttemptGuard<C>,
-        retries: &RetryState,
         resume_after: Option<u64>,
-    ) -> Result<(Response<Incoming>, Connection), ExchangeError> {
-        let response_deadline = retries.first_byte_deadline(self.route(), self.deadline);
+    ) -> Exchanged {
         let send = conn.send(self.backend_request(attempt, resume_after));
-        let res = with_deadline(response_deadline, send).await?;
+        let res = with_deadline(self.deadline, send).await?;
         Ok((res, conn))
     }
 
--- a/toucanchute_edge/src/passthrough/proxied_request/responses.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/responses.rs
@@ -70,9 +70,9 @@
         attempt.report_end(report);
         if let Some(proof) = proof {
             retries.attempt_not_run(&proof);
+            retries.record_unsent();
             return retries.record_connect_failure();
         }
-        retries.record_send();
         if retries.may_rerun() {
             return Ok(());
         }
@@ -91,7 +91,6 @@
         trace: &mut RequestTrace<C>,
     ) -> Result<Option<BackendResponse<C>>, Failure> {
         let attempt_id = response.attempt.assignment.attempt;
-        retries.record_send();
         if let Some(proof) = AttemptNotRun::from_response(attempt_id, &response.record) {
             retries.attempt_not_run(&proof);
             self.handle_refusal(response, retries, trace).await?;
--- a/toucanchute_edge/src/passthrough/proxied_request/retry.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/retry.rs
@@ -1,7 +1,4 @@
-use std::time::Duration;
-
 use http::Response;
-use tokio::time::Instant;
 use toucanchute_proto::{
     AttemptId, Millis,
     config::{Route, RouteKind},
@@ -12,16 +9,8 @@
     control::Refusal,
     passthrough::{Failure, FailureKind, ResponseBody, RouteControl},
     run_record::{AttemptNotRun, RunRecord},
-    settings::duration,
 };
 
-/// Percentage of a route's latency target after which an attempt without a first byte is abandoned,
-/// if the request may be sent to another backend server.
-const FIRST_BYTE_TARGET_PERCENT: u32 = 70;
-
-/// Shortest time that a backend server is given for its first byte.
-const MIN_FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Time after which a caller should retry if no backend server could be reached.
 const UNREACHABLE_RETRY_AFTER: Millis = Millis(500);
 
@@ -31,13 +20,15 @@
     idempotent: bool,
     /// Most backend servers that the request may be sent to.
     max_sends: u32,
-    /// Number of backend servers that it was sent to.
+    /// Number of backend servers that it was or may have been sent to.
     sends: u32,
     /// Attempts that may have run it.
     record: RunRecord,
     /// Number of backend servers that could not be reached.
     connect_failures: u32,
     excluded: Vec<String>,
+    /// Whether a silent backend server has the request, so that further attempts are hedges.
+    hedging: bool,
     /// A backend server's error response, for the caller if no other backend server does better.
     fallback: Option<Response<ResponseBody>>,
 }
@@ -53,6 +44,7 @@
             record,
             connect_failures: 0,
             excluded: Vec::new(),
+            hedging: false,
             fallback: None,
         }
     }
@@ -77,9 +69,10 @@
     }
 
     /// Records an attempt that is about to connect to a backend server. Until its end is proved not
-    /// to have run, it may have run.
+    /// to have run, it may have run. It counts as a send also if it is dropped midway.
     pub(super) fn begin_attempt(&mut self, attempt: AttemptId) {
         self.record.begin_attempt(attempt);
+        self.sends += 1;
     }
 
     /// Records that an attempt did not run.
@@ -87,9 +80,18 @@
         self.record.attempt_not_run(proof);
     }
 
-    /// Counts a backend server that received the request, whether it ran it or not.
-    pub(super) fn record_send(&mut self) {
-        self.sends += 1;
+    /// Records that the attempt begun last sent nothing.
+    pub(super) fn record_unsent(&mut self) {
+        self.sends -= 1;
+    }
+
+    /// Whether a silent backend server has the request, so that further attempts are hedges.
+    pub(super) fn is_hedging(&self) -> bool {
+        self.hedging
+    }
+
+    pub(super) fn set_hedging(&mut self, hedging: bool) {
+        self.hedging = hedging;
     }
 
     /// Whether the request may be sent to another backend server after the last one did not run it.
@@ -113,15 +115,6 @@
         Err(self.unserved("backends-unreachable", Some(UNREACHABLE_RETRY_AFTER)))
     }
 
-    /// Returns the time by which the first byte of a backend server's response must arrive.
-    pub(super) fn first_byte_deadline(&self, route: &Route, deadline: Instant) -> Instant {
-        if !self.idempotent || self.sends + 1 >= self.max_sends {
-            return deadline;
-        }
-        let timeout = duration(Millis(route.target_ms)) * FIRST_BYTE_TARGET_PERCENT / 100;
-        deadline.min(Instant::now() + timeout.max(MIN_FIRST_BYTE_TIMEOUT))
-    }
-
     /// Returns the failure of a request that is not served: not run if no attempt may have run it.
     pub(super) fn unserved(&self, reason: &'static str, retry_after: Option<Millis>) -> Failure {
         Failure::unserved(&self.record, reason, retry_after)
--- a/toucanchute_edge/src/passthrough/proxied_request/trace.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/trace.rs
@@ -94,6 +94,27 @@
         self.assignments += 1;
     }
 
+    /// Records which backend server goes on with the request after a hedge.
+    pub(super) fn record_backend(&mut self, assignment: &Assignment) {
+        self.backend.clone_from(&assignment.backend);
+    }
+
+    /// Logs that a backend server has been silent for `silence` and that another one is tried.
+    pub(super) fn log_silence(&self, assignment: &Assignment, silence: Duration) {
+        log::info!(
+            request = self.request,
+            attempt:% = assignment.attempt,
+            backend = assignment.backend,
+            silent_ms = milliseconds(silence);
+            "backend-silent"
+        );
+    }
+
+    /// Logs that no other backend server has taken the request over from a silent one.
+    pub(super) fn log_hedge_failure(&self, reason: &str) {
+        log::info!(request = self.request, reason = reason; "hedge-failed");
+    }
+
     /// Logs a failed attempt and the report that ends it.
     pub(in crate::passthrough) fn log_attempt_failure(
         &self,
--- a/toucanchute_edge/src/passthrough/relay.rs
+++ b/toucanchute_edge/src/passthrough/relay.rs
@@ -1,4 +1,4 @@
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr};
 
 use bytes::{Bytes, BytesMut};
 use http::Response;
@@ -8,29 +8,24 @@
     time::{Instant, sleep_until},
 };
 use toucanchute_core::routing::{AttemptReport, CrashKind};
-use toucanchute_proto::Millis;
 
 use super::{
     Dialect, Failure, ResponseBody, RouteControl,
-    event_splitter::EventSplitter,
+    event_splitter::{Event, EventSplitter},
     framing::Framing,
     handler::InFlightGuard,
     pool::broken_connection_report,
-    proxied_request::{BackendResponse, ProxiedRequest, RequestTrace, RetryState},
+    proxied_request::{
+        BackendResponse, FirstAttempt, Hedged, ProxiedRequest, RequestTrace, RetryState,
+        event_patience,
+    },
     request_tokens::RequestTokens,
 };
-use crate::settings::duration;
+use crate::control::Assignment;
 
 /// Most chunks of a response that are queued for a slow caller.
 const MAX_QUEUED_CHUNKS: usize = 16;
 
-/// A stream counts as stalled, and another backend server resumes it, after this many times the
-/// route's target for the gap between two events.
-const STALL_GAP_FACTOR: u32 = 2;
-
-/// Shortest gap between two events after which a stream counts as stalled.
-const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1_200);
-
 /// Outcome of a stream that reached its end.
 const ANSWERED: &str = "answered";
 
@@ -98,21 +93,57 @@
     OutOfTokens,
     /// The connection broke off, or the stream ended within an event.
     Broken,
-    /// No event arrived for so long that the stream counts as stalled.
-    Stalled,
+    /// Another backend server has taken the stream over from a silent one.
+    TakenOver,
     /// An event exceeds the size limit.
     EventTooLarge,
 }
 
+/// Complete events of a stream, at least one, or how it ended.
+type ReceivedEvents = Result<Vec<Event>, StreamEnd>;
+
+/// Whether a stream goes on or has ended as it should.
+fn is_sound(received: &ReceivedEvents) -> bool {
+    !matches!(received, Err(StreamEnd::Broken | StreamEnd::EventTooLarge))
+}
+
+/// Whether a response is a stream.
+fn is_success<C: RouteControl>(response: &BackendResponse<C>) -> bool {
+    response.head.status().is_success()
+}
+
+/// Reads the next complete events of a stream.
+async fn read_events<C: RouteControl>(
+    response: &mut BackendResponse<C>,
+    splitter: &mut EventSplitter,
+) -> ReceivedEvents {
+    loop {
+        let data = match response.body.frame().await {
+            None => return Err(stream_end(response.framing, splitter)),
+            Some(Err(_)) => return Err(StreamEnd::Broken),
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        };
+        response.attempt.record_bytes();
+        splitter.push(&data);
+        let events: Vec<Event> = std::iter::from_fn(|| splitter.next_event()).collect();
+        if splitter.is_too_large() {
+            return Err(StreamEnd::EventTooLarge);
+        }
+        if !events.is_empty() {
+            return Ok(events);
+        }
+    }
+}
+
 impl StreamEnd {
     /// Returns why the stream failed at its backend server, for the log, if it did.
     fn failure_cause(self) -> Option<&'static str> {
         match self {
             StreamEnd::Broken => Some("the event stream broke off"),
-            StreamEnd::Stalled => Some("the event stream stalled"),
             StreamEnd::EventTooLarge => Some("an event exceeds the size limit"),
             StreamEnd::Complete
             | StreamEnd::Unconfirmed
+            | StreamEnd::TakenOver
             | StreamEnd::CallerDisconnected
             | StreamEnd::DeadlinePassed
             | StreamEnd::OutOfTokens => None,
@@ -123,7 +154,7 @@
 impl<C: RouteControl, D: Dialect> StreamRelay<C, D> {
     async fn relay(mut self, mut response: BackendResponse<C>) {
         loop {
-            let end = self.relay_events(&mut response).await;
+            let (end, next) = self.relay_events(&mut response).await;
             let assignment = response.attempt.assignment.clone();
             let (end, report) = self.conclude(end, assignment.address).await;
             let BackendResponse {
@@ -148,16 +179,17 @@
                 StreamEnd::CallerDisconnected => return self.finish("caller-left"),
                 StreamEnd::DeadlinePassed => return self.abort("out-of-time").await,
                 StreamEnd::OutOfTokens => return self.abort("out-of-tokens").await,
-                StreamEnd::Broken | StreamEnd::Stalled | StreamEnd::EventTooLarge => drop(conn),
+                StreamEnd::Broken | StreamEnd::TakenOver | StreamEnd::EventTooLarge => drop(conn),
             }
             self.retries.exclude_backend(&assignment.backend);
-            if !self.retries.may_rerun() {
-                return self.abort("stream-broke-off").await;
-            }
-            match self.resume().await {
-                Ok(next) => response = next,
-                Err(failure) => return self.abort(failure.reason).await,
-            }
+            response = match next {
+                Some(next) => next,
+                None if !self.retries.may_rerun() => return self.abort("stream-broke-off").await,
+                None => match self.resume().await {
+                    Ok(next) => next,
+                    Err(failure) => return self.abort(failure.reason).await,
+                },
+            };
         }
     }
 
@@ -168,8 +200,10 @@
             StreamEnd::Complete => AttemptReport::Done {
                 tokens: self.events_relayed,
             },
-            StreamEnd::CallerDisconnected | StreamEnd::OutOfTokens => AttemptReport::Cancelled,
-            StreamEnd::DeadlinePassed | StreamEnd::Stalled => CrashKind::TimedOut.into(),
+            StreamEnd::CallerDisconnected | StreamEnd::OutOfTokens | StreamEnd::TakenOver => {
+                AttemptReport::Cancelled
+            }
+            StreamEnd::DeadlinePassed => CrashKind::TimedOut.into(),
             StreamEnd::EventTooLarge => CrashKind::Malformed.into(),
             StreamEnd::Broken => broken_connection_report(address).await,
             StreamEnd::Unconfirmed => match broken_connection_report(address).await {
@@ -182,31 +216,25 @@
         (end, report)
     }
 
-    /// Relays the events of one backend server until its stream ends.
-    async fn relay_events(&mut self, response: &mut BackendResponse<C>) -> StreamEnd {
-        let mut events = EventSplitter::default();
-        let stall_timeout = duration(Millis(self.request.route().gap_target_ms)) * STALL_GAP_FACTOR;
-        let stall_timeout = stall_timeout.max(MIN_STALL_TIMEOUT);
+    /// Relays the events of one backend server until its stream ends. Also returns the response of the
+    /// backend server that goes on, if one was found while this one was silent.
+    async fn relay_events(
+        &mut self,
+        response: &mut BackendResponse<C>,
+    ) -> (StreamEnd, Option<BackendResponse<C>>) {
+        let mut splitter = EventSplitter::default();
+        let assignment = response.attempt.assignment.clone();
         let mut last_event_at = Instant::now();
-        let mut stalled_at = last_event_at + stall_timeout;
         loop {
-            let frame = tokio::select! {
-                frame = response.body.frame() => frame,
-                () = self.tx.closed() => return StreamEnd::CallerDisconnected,
-                () = sleep_until(self.request.deadline) => return StreamEnd::DeadlinePassed,
-                () = sleep_until(stalled_at), if self.retries.may_rerun() => return StreamEnd::Stalled,
-            };
-            let data = match frame {
-                None => return stream_end(response.framing, &events),
-                Some(Err(_)) => return StreamEnd::Broken,
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            let next = self.next_events(response, &mut splitter, &assignment);
+            let events = match next.await {
+                Hedged::First(Ok(events)) => events,
+                Hedged::First(Err(end)) => return (end, None),
+                Hedged::Second(response) => return (StreamEnd::TakenOver, Some(response)),
+                Hedged::Both(Ok(events), _) => events,
+                Hedged::Both(Err(end), second) => return (end, second.ok().filter(is_success)),
             };
-            response.attempt.record_bytes();
-            events.push(&data);
-            let (chunk, count) = self.take_events(&mut events);
-            if events.is_too_large() {
-                return StreamEnd::EventTooLarge;
-            }
+            let (chunk, count) = self.take_events(events);
             if count == 0 {
                 continue;
             }
@@ -219,16 +247,43 @@
                 pace.record_events(now - last_event_at, count);
             }
             if let Some(end) = self.charge_events().await {
-                return end;
+                return (end, None);
             }
             last_event_at = Instant::now();
-            stalled_at = last_event_at + stall_timeout;
             if self.tx.send(Ok(chunk)).await.is_err() {
-                return StreamEnd::CallerDisconnected;
+                return (StreamEnd::CallerDisconnected, None);
             }
         }
     }
 
+    /// Waits for the next complete events of one backend server. While it is silent, others are tried
+    /// beside it.
+    async fn next_events(
+        &mut self,
+        response: &mut BackendResponse<C>,
+        splitter: &mut EventSplitter,
+        assignment: &Assignment,
+    ) -> Hedged<ReceivedEvents, C> {
+        let first = FirstAttempt {
+            assignment,
+            patience: event_patience(self.request.route()),
+            resume_after: self.last_event_id,
+        };
+        let StreamRelay {
+            request,
+            retries,
+            trace,
+            tx,
+            ..
+        } = self;
+        let events = read_events(response, splitter);
+        tokio::select! {
+            next = request.hedge(first, events, is_sound, retries, trace) => next,
+            () = tx.closed() => Hedged::First(Err(StreamEnd::CallerDisconnected)),
+            () = sleep_until(request.deadline) => Hedged::First(Err(StreamEnd::DeadlinePassed)),
+        }
+    }
+
     /// Charges the events so far, for which further tokens may be needed. Returns how the stream ends if
     /// there are none in time.
     async fn charge_events(&mut self) -> Option<StreamEnd> {
@@ -241,12 +296,11 @@
         }
     }
 
-    /// Removes the complete events from the buffer. Returns those that the caller does not have
-    /// yet, and their number.
-    fn take_events(&mut self, events: &mut EventSplitter) -> (Bytes, u64) {
+    /// Returns those of `events` that the caller does not have yet, and their number.
+    fn take_events(&mut self, events: Vec<Event>) -> (Bytes, u64) {
         let mut chunk = BytesMut::new();
         let mut count = 0;
-        while let Some(event) = events.next_event() {
+        for event in events {
             let already_relayed = event.id.is_some() && event.id <= self.last_event_id;
             if already_relayed {
                 continue;
--- a/toucanchute_edge/src/service/run.rs
+++ b/toucanchute_edge/src/service/run.rs
@@ -176,6 +176,7 @@
             tokens: self.call.price,
             attempts,
             exclude: exclude.to_vec(),
+            is_hedge: false,
             deadline: self.caller.deadline,
         };
         let assignment = self.shared.control.assign(req).await;
--- a/toucanchute_edge/tests/passthrough/silence.rs
+++ b/toucanchute_edge/tests/passthrough/silence.rs
@@ -2,9 +2,15 @@
 
 use std::time::Duration;
 
+use tokio::{io::AsyncReadExt, time::sleep};
+use toucanchute_edge::AttemptReport;
+
 use crate::{
     raw_backend::{RawBackend, Step},
-    support::{LAST_CHUNK, TestGateway, chunk, event, stream_head},
+    support::{
+        Backend, LAST_CHUNK, Script, TestGateway, chunk, event, event_ids, full_response,
+        stream_head,
+    },
 };
 
 /// Time for which the server is silent. It is longer than the router waits for an event before it
@@ -18,24 +24,47 @@
     SecondEvent,
 }
 
+/// A resumable stream that may be sent to `attempts` servers.
+fn route(attempts: u32) -> String {
+    format!(r#","resumable":true,"attempts":{attempts},"gap_target_ms":600,"target_ms":1000"#)
+}
+
+fn events(ids: std::ops::RangeInclusive<u64>) -> Vec<Step> {
+    ids.map(|id| Step::Write(chunk(&event(id)))).collect()
+}
+
+/// Returns the steps of a server that responds with the events 1 to 3 and is silent for `silence`.
+fn stream(at: SilentBefore, silence: Duration) -> Vec<Step> {
+    let head = [Step::Write(stream_head())];
+    let pause = [Step::Pause(silence)];
+    let end = [Step::Write(LAST_CHUNK.to_owned())];
+    let (first, rest) = (events(1..=1), events(2..=3));
+    match at {
+        SilentBefore::Head => [&[Step::Run], &pause[..], &head, &first, &rest, &end].concat(),
+        SilentBefore::SecondEvent => {
+            [&[Step::Run], &head[..], &first, &pause, &rest, &end].concat()
+        }
+    }
+}
+
+/// Returns the steps of a server that sends a stream from the event `first` to 3.
+fn stream_from(first: u64) -> Vec<Step> {
+    let head = [Step::Run, Step::Write(stream_head())];
+    let end = [Step::Write(LAST_CHUNK.to_owned())];
+    [&head[..], &events(first..=3), &end].concat()
+}
+
 /// Returns the response to a resumable stream whose only server is silent for [`SILENCE`].
 async fn stream_of_silent_server(at: SilentBefore) -> String {
-    let first = [Step::Write(stream_head()), Step::Write(chunk(&event(1)))];
-    let rest = [
-        Step::Write(chunk(&event(2))),
-        Step::Write(LAST_CHUNK.to_owned()),
-    ];
-    let pause = [Step::Pause(SILENCE)];
-    let steps = match at {
-        SilentBefore::Head => [&[Step::Run], &pause[..], &first, &rest].concat(),
-        SilentBefore::SecondEvent => [&[Step::Run], &first[..], &pause, &rest].concat(),
-    };
-    let backend = RawBackend::start(vec![steps]).await;
-    let extra = r#","resumable":true,"attempts":3,"gap_target_ms":600,"target_ms":1000"#;
-    let gateway = TestGateway::start("stream", extra, &[&backend.backend]).await;
+    let backend = RawBackend::start(vec![stream(at, SILENCE)]).await;
+    let gateway = TestGateway::start("stream", &route(3), &[&backend.backend]).await;
     gateway.send("POST /a/b", "body").await
 }
 
+fn is_whole(res: &str) -> bool {
+    res.starts_with("HTTP/1.1 200") && event_ids(res) == [1, 2, 3] && res.ends_with(LAST_CHUNK)
+}
+
 /// Names tests of streams whose server falls silent.
 macro_rules! survives_silence {
     ($($(#[$doc:meta])* $name:ident: $at:expr;)*) => {$(
@@ -43,7 +72,7 @@
         #[tokio::test]
         async fn $name() {
             let res = stream_of_silent_server($at).await;
-            assert!(res.starts_with("HTTP/1.1 200") && res.ends_with(LAST_CHUNK), "{res:?}");
+            assert!(is_whole(&res), "{res:?}");
         }
     )*};
 }
@@ -54,3 +83,156 @@
     /// Guards against a stream that is cut before another server has taken it over.
     a_stream_of_a_server_that_is_silent_between_events_is_whole: SilentBefore::SecondEvent;
 }
+
+/// Names tests of a stream whose server is silent for [`SILENCE`] while a second one does this.
+macro_rules! survives_second_server {
+    ($($(#[$doc:meta])* $name:ident: $at:expr, $second:expr;)*) => {$(
+        $(#[$doc])*
+        #[tokio::test]
+        async fn $name() {
+            let first = RawBackend::start(vec![stream($at, SILENCE)]).await;
+            let second = RawBackend::start(vec![$second]).await;
+            let backends = [&first.backend, &second.backend];
+            let gateway = TestGateway::start("stream", &route(2), &backends).await;
+            let res = gateway.send("POST /a/b", "body").await;
+            assert!(is_whole(&res), "{res:?}");
+            assert_eq!(second.requests_begun(), 1);
+        }
+    )*};
+}
+
+/// Returns the steps of a server that refuses.
+fn refusal() -> Vec<Step> {
+    let refusal = full_response("503 Service Unavailable", "X-Not-Run: 1\r\n", "");
+    vec![Step::ReadRequest, Step::Write(refusal)]
+}
+
+/// Returns the steps of a server that fails.
+fn error() -> Vec<Step> {
+    let error = full_response("500 Internal Server Error", "X-Seal: s\r\n", "failed");
+    vec![Step::Run, Step::Write(error)]
+}
+
+survives_second_server! {
+    /// Guards against a refusal of the second server that ends a stream of the first.
+    a_refusal_of_the_second_server_leaves_the_stream: SilentBefore::SecondEvent, refusal();
+    /// Guards against a refusal of the second server that ends a request of the first.
+    a_refusal_of_the_second_server_leaves_the_request: SilentBefore::Head, refusal();
+    /// Guards against an error of the second server that takes the place of the first one's stream.
+    an_error_of_the_second_server_leaves_the_stream: SilentBefore::SecondEvent, error();
+    /// Guards against an error of the second server that takes the place of the first one's response.
+    an_error_of_the_second_server_leaves_the_request: SilentBefore::Head, error();
+    /// Guards against a second server that is silent too and ends a stream of the first.
+    a_silence_of_the_second_server_leaves_the_stream:
+        SilentBefore::SecondEvent, vec![Step::Run, Step::Pause(2 * SILENCE)];
+    /// Guards against a second server that breaks off and ends a request of the first.
+    a_reset_of_the_second_server_leaves_the_request: SilentBefore::Head, vec![Step::Run, Step::Reset];
+    /// Guards against events that a caller gets from both servers.
+    events_of_two_servers_are_relayed_once: SilentBefore::SecondEvent, stream_from(2);
+    /// Guards against a response that a caller gets from both servers.
+    a_stream_of_a_second_server_is_whole: SilentBefore::Head, stream_from(1);
+}
+
+/// Guards against a first server that is given up although the second one breaks off later.
+#[tokio::test]
+async fn a_stream_goes_on_when_its_first_server_ends_while_a_second_one_starts() {
+    let broken = [
+        &stream(SilentBefore::SecondEvent, SILENCE)[..4],
+        &[Step::Reset],
+    ]
+    .concat();
+    let late = [&[Step::Run, Step::Pause(SILENCE)], &stream_from(2)[1..]].concat();
+    let first = RawBackend::start(vec![broken]).await;
+    let second = RawBackend::start(vec![late]).await;
+    let backends = [&first.backend, &second.backend];
+    let gateway = TestGateway::start("stream", &route(2), &backends).await;
+    let res = gateway.send("POST /a/b", "body").await;
+    assert!(is_whole(&res), "{res:?}");
+    assert_eq!(second.requests_begun(), 1);
+}
+
+/// Guards against a hedge that is not counted as a send.
+#[tokio::test]
+async fn a_silent_request_reaches_no_more_servers_than_its_route_allows() {
+    let mut servers = Vec::new();
+    for _ in 0..3 {
+        let silent = stream(SilentBefore::Head, SILENCE);
+        servers.push(RawBackend::start(vec![silent]).await);
+    }
+    let backends: Vec<&Backend> = servers.iter().map(|s| &s.backend).collect();
+    let gateway = TestGateway::start("stream", &route(2), &backends).await;
+    let res = gateway.send("POST /a/b", "body").await;
+    assert!(is_whole(&res), "{res:?}");
+    let reached: Vec<usize> = servers.iter().map(RawBackend::requests_begun).collect();
+    assert_eq!(reached, [1, 1, 0]);
+}
+
+/// Guards against a third server that is tried while two are silent.
+#[tokio::test]
+async fn one_more_server_is_tried_at_a_time() {
+    let silent = stream(SilentBefore::Head, 2 * SILENCE);
+    let first = RawBackend::start(vec![silent.clone()]).await;
+    let second = RawBackend::start(vec![silent]).await;
+    let third = Backend::start(Script::Silence).await;
+    let backends = [&first.backend, &second.backend, &third];
+    let gateway = TestGateway::start("stream", &route(5), &backends).await;
+    gateway.send("POST /a/b", "body").await;
+    assert_eq!(third.request_count(), 0);
+}
+
+/// Guards against a second run of a request that may run only once.
+#[tokio::test]
+async fn a_request_that_runs_once_is_not_hedged() {
+    let ok = full_response("200 OK", "X-Seal: s\r\n", "done");
+    let silent = vec![Step::Run, Step::Pause(SILENCE), Step::Write(ok)];
+    let first = RawBackend::start(vec![silent]).await;
+    let second = Backend::start(Script::Silence).await;
+    let extra = r#","attempts":3,"target_ms":100"#;
+    let gateway = TestGateway::start("non-idempotent", extra, &[&first.backend, &second]).await;
+    let res = gateway.send("POST /a/b", "body").await;
+    assert!(res.ends_with("done"), "{res:?}");
+    assert_eq!(second.request_count(), 0);
+}
+
+/// Guards against a sound server that is taken for crashed after a silence.
+#[tokio::test]
+async fn a_silence_is_not_reported_as_a_crash() {
+    for at in [SilentBefore::Head, SilentBefore::SecondEvent] {
+        let only = RawBackend::start(vec![stream(at, SILENCE)]).await;
+        let gateway = TestGateway::start("stream", &route(3), &[&only.backend]).await;
+        gateway.send("POST /a/b", "body").await;
+        let reports = gateway.control.reports.lock().unwrap().clone();
+        let crashed = |r: &AttemptReport| matches!(r, AttemptReport::Crashed { .. });
+        assert!(!reports.iter().any(crashed), "{at:?}: {reports:?}");
+        assert!(
+            reports.contains(&AttemptReport::Silent),
+            "{at:?}: {reports:?}"
+        );
+        assert!(
+            reports.contains(&AttemptReport::Resumed),
+            "{at:?}: {reports:?}"
+        );
+    }
+}
+
+/// Guards against servers that go on working for a caller that left during a hedge.
+#[tokio::test]
+async fn a_caller_that_leaves_ends_both_attempts() {
+    let first = RawBackend::start(vec![stream(SilentBefore::SecondEvent, 2 * SILENCE)]).await;
+    let second = Backend::start(Script::Silence).await;
+    let backends = [&first.backend, &second];
+    let gateway = TestGateway::start("stream", &route(2), &backends).await;
+    let req = "POST /a/b HTTP/1.1\r\nHost: svc.example\r\nX-Attempt: a1\r\nX-Key: secret\r\n\
+        Content-Length: 0\r\n\r\n";
+    let mut caller = gateway.connect(req).await;
+    let mut buf = [0; 4_096];
+    assert!(caller.read(&mut buf).await.unwrap() > 0);
+    while second.request_count() == 0 {
+        sleep(Duration::from_millis(20)).await;
+    }
+    drop(caller);
+    sleep(Duration::from_millis(300)).await;
+    let reports = gateway.control.reports.lock().unwrap().clone();
+    let cancelled = reports.iter().filter(|r| **r == AttemptReport::Cancelled);
+    assert_eq!(cancelled.count(), 2, "{reports:?}");
+}
--- a/toucanchute_edge/tests/passthrough/streams.rs
+++ b/toucanchute_edge/tests/passthrough/streams.rs
@@ -1,6 +1,8 @@
 //! Streams that are relayed, resumed at another backend server or broken off.
 
-use crate::support::{Backend, LAST_CHUNK, Script, TestGateway, chunk, event, stream_head};
+use crate::support::{
+    Backend, LAST_CHUNK, Script, TestGateway, chunk, event, event_ids as ids, stream_head,
+};
 
 const RESUMABLE: &str = r#","resumable":true,"attempts":2"#;
 
@@ -12,11 +14,6 @@
     ids.map(|id| chunk(&event(id))).collect()
 }
 
-fn ids(res: &str) -> Vec<u64> {
-    let lines = res.lines().filter_map(|l| l.strip_prefix("id: "));
-    lines.map(|id| id.parse().unwrap()).collect()
-}
-
 #[tokio::test]
 async fn events_are_relayed_and_counted() {
     let answer = stream_head() + &events(1..=5) + LAST_CHUNK;
--- a/toucanchute_edge/tests/passthrough/support.rs
+++ b/toucanchute_edge/tests/passthrough/support.rs
@@ -472,5 +472,11 @@
     format!("id: {id}\ndata: d{id}\n\n")
 }
 
+/// Returns the identifiers of the events in a response, in order.
+pub(crate) fn event_ids(res: &str) -> Vec<u64> {
+    let lines = res.lines().filter_map(|l| l.strip_prefix("id: "));
+    lines.map(|id| id.parse().unwrap()).collect()
+}
+
 /// The last chunk, which ends a chunked stream.
 pub(crate) const LAST_CHUNK: &str = "0\r\n\r\n";
--- a/toucanchute_edge/tests/passthrough/undelimited.rs
+++ b/toucanchute_edge/tests/passthrough/undelimited.rs
@@ -1,6 +1,6 @@
 //! Answers that have neither a length nor chunks and end with their connection.
 
-use crate::support::{Backend, Script, TestGateway, event};
+use crate::support::{Backend, Script, TestGateway, event, event_ids as ids};
 use toucanchute_edge::AttemptReport;
 
 const RESUMABLE: &str = r#","resumable":true,"attempts":2"#;
@@ -16,11 +16,6 @@
     ids.map(event).collect()
 }
 
-fn ids(res: &str) -> Vec<u64> {
-    let lines = res.lines().filter_map(|l| l.strip_prefix("id: "));
-    lines.map(|id| id.parse().unwrap()).collect()
-}
-
 fn looks_complete(res: &str) -> bool {
     res.ends_with("0\r\n\r\n")
 }
--- a/toucanchute_router/src/gateway/metrics.rs
+++ b/toucanchute_router/src/gateway/metrics.rs
@@ -213,7 +213,8 @@
         }
     }
 
-    /// Counts the end of an attempt; reports of a first token are ignored.
+    /// Counts the end of an attempt or a silence of its backend server; reports of a first token are
+    /// ignored.
     pub(super) fn record_attempt(&self, report: AttemptReport) {
         if report != AttemptReport::FirstToken {
             let end = report.name();
--- a/toucanchute_router/src/metrics.rs
+++ b/toucanchute_router/src/metrics.rs
@@ -57,10 +57,12 @@
             .count("tokens", i64::try_from(tokens).unwrap_or(i64::MAX));
     }
 
-    /// Counts the first token or the end of an attempt.
+    /// Counts the progress or the end of an attempt.
     pub(crate) fn record_attempt(&self, report: AttemptReport) {
         let name = match report {
             AttemptReport::FirstToken => "attempt.first_token",
+            AttemptReport::Silent => "attempt.silent",
+            AttemptReport::Resumed => "attempt.resumed",
             AttemptReport::Done { .. } => "attempt.done",
             AttemptReport::Unconfirmed => "attempt.unconfirmed",
             AttemptReport::Failed => "attempt.failed",
