fix(edge): a silent server's request is tried at further servers, and a hedge is decided by valid answers

- A hedge that found no room was refused each time, so that the request of a server that had gone dark stayed there to its deadline.
The first hedge is still assigned at once or not at all; later ones wait in the queue, never for a server that has the request.
- A second server that was silent too blocked a third one, and the first one's valid rejection was held back.
It is given up for a third server while sends remain; any valid answer of the first one that is neither a refusal nor a failure ends the race.
- The first server's end was reported only after the second had ended.
Attempts are now ended where they fail, within the raced future; a stream without a length whose server died, and a head without its seal, no longer count as an answer that ends the second attempt.
- A pause did not end while long streams were open on the server; hedges could use up the budget of retries; attempts on a silent server vouched for a prompt part and did not count at its lapse; a request that met its deadline at a server that had just sent something counted as its silence.

--- a/toucanchute_core/examples/capacity.rs
+++ b/toucanchute_core/examples/capacity.rs
@@ -82,7 +82,8 @@
         tokens: 200,
         attempts: 0,
         exclude: Vec::new(),
-        is_hedge: false,
+        running_on: Vec::new(),
+        may_wait: true,
         affinity: None,
         deadline: now + Millis(10_000),
     }
--- a/toucanchute_core/examples/routing_load/simulation.rs
+++ b/toucanchute_core/examples/routing_load/simulation.rs
@@ -246,7 +246,8 @@
             tokens: work.prompt / 10 + work.output,
             attempts: 0,
             exclude: Vec::new(),
-            is_hedge: false,
+            running_on: Vec::new(),
+            may_wait: true,
             affinity: None,
             deadline: Millis((self.now + self.scenario.timeout) / 1_000),
         }
--- a/toucanchute_core/src/routing/attempts.rs
+++ b/toucanchute_core/src/routing/attempts.rs
@@ -24,6 +24,10 @@
     tokens: u64,
     /// Those of `keys` that may crash the replica, which is claimed for them.
     suspects: Arc<[SuspectKey]>,
+    /// Whether the replica has sent nothing for a while.
+    silent: bool,
+    /// Whether it was recorded that the end of the replica left it unanswered.
+    end_recorded: bool,
 }
 
 impl Attempt {
@@ -43,6 +47,10 @@
         self.first_token_at
     }
 
+    pub(super) fn is_silent(&self) -> bool {
+        self.silent
+    }
+
     /// Returns the record of this attempt if it ended at `ended` without an answer.
     fn unanswered(&self, ended: Millis, ended_by_server: bool) -> UnansweredAttempt {
         UnansweredAttempt {
@@ -109,6 +117,8 @@
             first_token_at: None,
             tokens: req.tokens,
             suspects: suspects.into(),
+            silent: false,
+            end_recorded: false,
         };
         self.attempts.insert(id, attempt);
     }
@@ -123,7 +133,7 @@
         match report {
             AttemptReport::FirstToken => return self.handle_first_token(now, id),
             AttemptReport::Silent => return self.handle_silent(now, id),
-            AttemptReport::Resumed => return self.handle_resumed(id),
+            AttemptReport::Resumed => return self.handle_resumed(now, id),
             _ => {}
         }
         let Some(attempt) = self.attempts.remove(&id) else {
@@ -150,6 +160,7 @@
                 self.backend_ended(now, attempt.replica, TerminationEvidence::Gone, out);
             }
             AttemptReport::Crashed { kind } => self.handle_crashed(now, &attempt, kind, out),
+            AttemptReport::Cancelled if attempt.end_recorded => {}
             AttemptReport::Cancelled => {
                 self.record_unanswered(now, attempt.replica, attempt.unanswered(now, false), out);
             }
@@ -178,18 +189,24 @@
     /// Records that a backend server is silent. It may be sound and go on, so that its attempt goes on
     /// too.
     fn handle_silent(&mut self, now: Millis, id: AttemptId) {
-        if let Some(key) = self.attempts.get(&id).map(Attempt::replica) {
+        if let Some(attempt) = self.attempts.get_mut(&id) {
+            attempt.silent = true;
+            let key = attempt.replica;
             self.record_silence(now, key);
         }
     }
 
-    fn handle_resumed(&mut self, id: AttemptId) {
-        let Some(attempt) = self.attempts.get(&id) else {
+    fn handle_resumed(&mut self, now: Millis, id: AttemptId) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
             return;
         };
+        attempt.silent = false;
+        attempt.end_recorded = false;
         let replica = &mut self.replicas[attempt.replica];
         replica.record_answer(attempt.started);
-        replica.health.record_resumption();
+        if replica.health.record_progress() {
+            replica.begin_slow_start(now);
+        }
     }
 
     fn record_silence(&mut self, now: Millis, key: BackendKey) {
@@ -264,6 +281,9 @@
             }
             CrashKind::TimedOut => {
                 self.record_silence(now, attempt.replica);
+                if attempt.end_recorded {
+                    return;
+                }
                 self.record_unanswered(now, attempt.replica, attempt.unanswered(now, false), out);
             }
             CrashKind::Malformed => self.record_failure(now, attempt, Failure::Soft),
@@ -292,10 +312,21 @@
     pub(super) fn record_lapse(&mut self, now: Millis, backend: &str, out: &mut Vec<Action>) {
         if let Some(&key) = self.keys_by_name.get(backend) {
             self.replicas[key].lapsed_at = Some(now);
+            self.record_silent_attempts(now, key);
             self.backend_ended(now, key, TerminationEvidence::Gone, out);
         }
     }
 
+    /// Records the attempts in flight on a backend server that is silent as unanswered.
+    fn record_silent_attempts(&mut self, now: Millis, key: BackendKey) {
+        let on_replica = |a: &&mut Attempt| a.replica == key && a.silent && !a.end_recorded;
+        for attempt in self.attempts.values_mut().filter(on_replica) {
+            attempt.end_recorded = true;
+            let unanswered = attempt.unanswered(now, false);
+            self.replicas[key].unanswered.add(unanswered);
+        }
+    }
+
     /// Handles the end of a backend server. The requests of its unanswered attempts, and the parts of
     /// their prompts, were in flight on it and become suspects.
     fn backend_ended(
--- a/toucanchute_core/src/routing/choose.rs
+++ b/toucanchute_core/src/routing/choose.rs
@@ -55,7 +55,7 @@
         avoid_claimed: bool,
         rng: &mut SmallRng,
     ) -> Option<BackendKey> {
-        let mut open: Vec<BackendKey> = self.open_replicas().collect();
+        let mut open = self.open_replicas_for(req);
         if avoid_claimed {
             open.retain(|&k| !self.suspects.is_claimed(&self.replicas[k].name));
         }
@@ -68,22 +68,32 @@
         self.best_of(req, open, rng)
     }
 
-    /// Returns the replica for a request that also runs on another one: never one that the request was
-    /// sent to before, that is claimed for a suspect or that needs a permit.
+    /// Returns the replica for a request that runs on silent ones and may not wait: never one that is
+    /// claimed for a suspect or needs a permit. One that the request was not sent to is preferred.
     pub(super) fn choose_hedge(
         &self,
         req: &RoutingRequest,
         rng: &mut SmallRng,
     ) -> Option<BackendKey> {
-        let mut open: Vec<BackendKey> = self.open_replicas().collect();
+        let mut open = self.open_replicas_for(req);
         open.retain(|&k| {
             let r = &self.replicas[k];
-            let is_free = r.rate_limit.is_none() && !self.suspects.is_claimed(&r.name);
-            is_free && !req.exclude.contains(&r.name)
+            r.rate_limit.is_none() && !self.suspects.is_claimed(&r.name)
         });
+        let untried = |k: &BackendKey| !req.exclude.contains(&self.replicas[*k].name);
+        if open.iter().any(untried) {
+            open.retain(untried);
+        }
         self.best_of(req, open, rng)
     }
 
+    /// Returns the replicas that can take a request and do not have it.
+    fn open_replicas_for(&self, req: &RoutingRequest) -> Vec<BackendKey> {
+        let open = self.open_replicas();
+        open.filter(|&k| !req.running_on.contains(&self.replicas[k].name))
+            .collect()
+    }
+
     /// Returns the replica among `open` by affinity, or else the one of lowest cost among two random
     /// ones and the one with the longest cached prefix.
     fn best_of(
--- a/toucanchute_core/src/routing/dispatch.rs
+++ b/toucanchute_core/src/routing/dispatch.rs
@@ -162,6 +162,7 @@
                 Some(Step::Claim { replica })
             }
             Permit::Free => self.free_step(req),
+            Permit::OnReplica(name) if req.running_on.contains(&name) => None,
             Permit::OnReplica(name) => Some(self.suspect_step(req, &name)),
         }
     }
--- a/toucanchute_core/src/routing/dispatcher.rs
+++ b/toucanchute_core/src/routing/dispatcher.rs
@@ -184,7 +184,7 @@
             refuse(&req, RefusalReason::RateLimited, after, out);
             return;
         }
-        if req.is_hedge {
+        if !req.may_wait {
             self.admit_hedge(now, key, &req, out);
             return;
         }
@@ -197,7 +197,7 @@
         self.enqueue(now, key, req, out);
     }
 
-    pub(super) fn take_retry(&mut self, now: Millis, key: PoolKey) -> bool {
+    fn take_retry(&mut self, now: Millis, key: PoolKey) -> bool {
         self.pools[key].retries.try_take(now) || self.has(Fault::UncountedRetries)
     }
 
--- a/toucanchute_core/src/routing/event.rs
+++ b/toucanchute_core/src/routing/event.rs
@@ -161,9 +161,10 @@
     pub attempts: u32,
     /// Names of backend servers that failed this request.
     pub exclude: Vec<String>,
-    /// Whether the request also runs on one of those, which is silent. It is then assigned at once or
-    /// refused.
-    pub is_hedge: bool,
+    /// Names of backend servers that have the request and are silent. It is never assigned to them.
+    pub running_on: Vec<String>,
+    /// Whether it may wait for a backend server, or is assigned at once or refused.
+    pub may_wait: bool,
     /// Time by which the first byte has to arrive, since the Unix epoch.
     pub deadline: Millis,
 }
--- a/toucanchute_core/src/routing/health.rs
+++ b/toucanchute_core/src/routing/health.rs
@@ -63,12 +63,16 @@
         }
     }
 
-    /// Allows one probing request once the ejection or the pause has ended.
+    /// Allows one probing request once the ejection has ended. A replica whose pause has ended gets
+    /// work again, and is paused by its next silence.
     pub(super) fn advance(&mut self, now: Millis) {
-        if let State::Ejected { until, .. } | State::Silent { until } = self.state
-            && now >= until
-        {
-            self.state = State::Probing;
+        match self.state {
+            State::Ejected { until, .. } if now >= until => self.state = State::Probing,
+            State::Silent { until } if now >= until => {
+                self.state = State::Healthy;
+                self.failures = FAILURES_TO_EJECT - 1;
+            }
+            _ => {}
         }
     }
 
@@ -83,7 +87,7 @@
     }
 
     /// Records a failure, which may eject the replica or prolong its ejection. Any failure ejects a
-    /// probing replica.
+    /// probing replica; a paused one has sent something.
     pub(super) fn record_failure(&mut self, now: Millis, failure: Failure) {
         if let State::Ejected { since, until } = &mut self.state {
             if failure == Failure::Hard {
@@ -112,17 +116,12 @@
         }
     }
 
-    /// Records that an attempt got something after a silence, which ends the pause.
-    pub(super) fn record_resumption(&mut self) {
+    /// Records progress of an attempt; returns whether the replica has recovered by it.
+    pub(super) fn record_progress(&mut self) -> bool {
         self.failures = 0;
         if matches!(self.state, State::Silent { .. }) {
             self.state = State::Healthy;
         }
-    }
-
-    /// Records progress of an attempt; returns whether the replica has recovered by it.
-    pub(super) fn record_progress(&mut self) -> bool {
-        self.record_resumption();
         let recovered = self.state == State::Probing;
         if recovered {
             self.state = State::Healthy;
--- a/toucanchute_core/src/routing/hedge.rs
+++ b/toucanchute_core/src/routing/hedge.rs
@@ -13,8 +13,9 @@
 impl Dispatcher {
     /// Starts a request that runs on a silent backend server on a second one, or refuses it at once.
     ///
-    /// It does not wait: requests that run nowhere yet go first, and its own first server may go on at
-    /// any moment. One that is refused takes nothing out of the retry budget.
+    /// It does not wait: requests that can start now go first, and its own first server may go on at
+    /// any moment. One that is refused takes nothing out of the retry budget, of which hedges leave
+    /// a part to requests whose attempts have failed.
     pub(super) fn admit_hedge(
         &mut self,
         now: Millis,
@@ -23,18 +24,19 @@
         out: &mut Vec<Action>,
     ) {
         self.advance_members(now, key, out);
+        self.dispatch(now, out);
         let Some(replica) = self.hedge_replica(now, key, req) else {
             refuse(req, RefusalReason::Overloaded, Millis(0), out);
             return;
         };
-        if !self.take_retry(now, key) {
+        if !self.pools[key].retries.try_take_hedge(now) {
             refuse(req, RefusalReason::RetriesExhausted, Millis(1_000), out);
             return;
         }
         self.start(now, req, false, replica, out);
     }
 
-    /// Returns the replica for a hedge, if the request may use one and no other request waits for it.
+    /// Returns the replica for a hedge, if the request may use one.
     fn hedge_replica(
         &mut self,
         now: Millis,
@@ -42,7 +44,7 @@
         req: &RoutingRequest,
     ) -> Option<BackendKey> {
         let pool = &self.pools[key];
-        if !pool.queue.is_empty() || self.suspects.permit(now, req) != Permit::Free {
+        if self.suspects.permit(now, req) != Permit::Free {
             return None;
         }
         let chooser = Chooser {
--- a/toucanchute_core/src/routing/retry.rs
+++ b/toucanchute_core/src/routing/retry.rs
@@ -11,6 +11,9 @@
 /// saved retries.
 const BURST_FACTOR: f64 = 0.3;
 
+/// Share of the largest number of saved retries that hedges leave to requests whose attempts failed.
+const HEDGE_RESERVE: f64 = 0.25;
+
 /// Budget that allows retries as a share of first attempts.
 ///
 /// When a server ends with many requests in flight, as many retries are needed at once. For this
@@ -67,6 +70,12 @@
         enough
     }
 
+    /// Does the same as `try_take` for a hedge, which leaves [`HEDGE_RESERVE`] to other retries.
+    pub(super) fn try_take_hedge(&mut self, now: Millis) -> bool {
+        self.recent.advance(now);
+        self.saved > self.limit() * HEDGE_RESERVE && self.try_take(now)
+    }
+
     /// Returns the largest number of retries that may be saved now.
     fn limit(&self) -> f64 {
         self.base_limit + BURST_FACTOR * self.share * f64::from(self.recent.count())
--- a/toucanchute_core/src/routing/suspects/evidence.rs
+++ b/toucanchute_core/src/routing/suspects/evidence.rs
@@ -69,6 +69,7 @@
             let answered_for = a.first_token_at().map(|at| self.now.since(at));
             a.started() > since
                 && answered_for.is_some_and(|span| span >= SURVIVAL_TIME)
+                && !a.is_silent()
                 && a.keys().contains(&key)
                 && self.replicas[a.replica()].name != self.crashed
         })
--- a/toucanchute_core/src/routing/tests/silence.rs
+++ b/toucanchute_core/src/routing/tests/silence.rs
@@ -3,7 +3,7 @@
 use toucanchute_proto::AttemptId;
 
 use super::harness::{Harness, request};
-use crate::routing::{AttemptReport, RefusalReason, RoutingRequest};
+use crate::routing::{AttemptReport, Event, RefusalReason, RoutingRequest};
 
 /// Number of silences in a row after which a server gets no new work.
 const SILENCES_TO_PAUSE: u64 = 3;
@@ -13,7 +13,8 @@
     RoutingRequest {
         attempts: 1,
         exclude: silent.iter().map(|&s| s.to_owned()).collect(),
-        is_hedge: true,
+        running_on: silent.iter().map(|&s| s.to_owned()).collect(),
+        may_wait: false,
         ..request(call)
     }
 }
@@ -110,3 +111,31 @@
     assert_eq!(harness.refused(), Some(RefusalReason::RetriesExhausted));
     assert!((1..100).contains(&started), "{started}");
 }
+
+/// Guards against a request that waits for a second server and gets the silent one.
+#[test]
+fn a_waiting_hedge_never_goes_to_the_silent_server() {
+    let mut harness = Harness::new(2, 1);
+    let first = harness.call(1, request(1)).unwrap();
+    let second = harness.call(1, request(2)).unwrap();
+    let waiting = RoutingRequest {
+        may_wait: true,
+        ..hedge(3, &[&first.1])
+    };
+    assert_eq!(harness.call(1_200, waiting), None);
+    harness.report(1_300, first.0, AttemptReport::Done { tokens: 1 });
+    assert_eq!(harness.dispatcher.waiting(), 1);
+    harness.report(1_400, second.0, AttemptReport::Done { tokens: 1 });
+    assert_eq!(harness.started().last().unwrap().2, second.1);
+}
+
+/// Guards against a sound server that keeps its pause because it has long answers in progress.
+#[test]
+fn a_server_that_speaks_again_after_its_pause_gets_work() {
+    let mut harness = Harness::new(1, 16);
+    let attempts = silence_only_server(&mut harness);
+    harness.handle(3_300, Event::Tick);
+    harness.report(3_400, attempts[0], AttemptReport::Resumed);
+    let further = (10..15).filter_map(|call| harness.call(3_401, request(call)));
+    assert_eq!(further.count(), 5);
+}
--- a/toucanchute_core/src/routing/tests/simulation.rs
+++ b/toucanchute_core/src/routing/tests/simulation.rs
@@ -108,7 +108,8 @@
         tokens,
         attempts: 0,
         exclude: Vec::new(),
-        is_hedge: false,
+        running_on: Vec::new(),
+        may_wait: true,
         affinity: None,
         deadline,
     }
--- a/toucanchute_edge/src/completion/run.rs
+++ b/toucanchute_edge/src/completion/run.rs
@@ -319,7 +319,8 @@
             tokens: self.req.prompt_tokens + self.max_tokens,
             attempts,
             exclude,
-            is_hedge: false,
+            running_on: Vec::new(),
+            may_wait: true,
             deadline: self.caller.deadline,
         }
     }
--- a/toucanchute_edge/src/control.rs
+++ b/toucanchute_edge/src/control.rs
@@ -197,9 +197,10 @@
     /// Names of the backend servers that already failed for this request. They are tried again if no
     /// other one has room.
     pub exclude: Vec<String>,
-    /// Whether the request also runs on one of those, which is silent. It is then assigned at once or
-    /// refused.
-    pub is_hedge: bool,
+    /// Names of backend servers that have the request and are silent. It is never assigned to them.
+    pub running_on: Vec<String>,
+    /// Whether it may wait for a backend server, or is assigned at once or refused.
+    pub may_wait: bool,
     /// Time by which the first byte of the answer has to arrive, since the Unix epoch.
     pub deadline: Millis,
 }
@@ -222,7 +223,8 @@
             tokens: self.tokens,
             attempts: self.attempts,
             exclude: self.exclude,
-            is_hedge: self.is_hedge,
+            running_on: self.running_on,
+            may_wait: self.may_wait,
             deadline: self.deadline,
         }
     }
--- a/toucanchute_edge/src/passthrough/guards.rs
+++ b/toucanchute_edge/src/passthrough/guards.rs
@@ -1,7 +1,7 @@
 use std::{sync::Arc, time::Duration};
 
 use tokio::time::Instant;
-use toucanchute_core::routing::AttemptReport;
+use toucanchute_core::routing::{AttemptReport, CrashKind};
 
 use super::RouteControl;
 use crate::control::Assignment;
@@ -15,8 +15,8 @@
     pub(super) assigned_at: Instant,
     /// When bytes of the response last arrived; the assignment if none did.
     last_bytes_at: Instant,
-    /// Whether the end was reported.
-    end_reported: bool,
+    /// The report of its end and the length of the silence before.
+    end: Option<(AttemptReport, Duration)>,
 }
 
 impl<C: RouteControl> AttemptGuard<C> {
@@ -27,7 +27,7 @@
             assignment,
             assigned_at,
             last_bytes_at: assigned_at,
-            end_reported: false,
+            end: None,
         }
     }
 
@@ -36,9 +36,19 @@
         self.last_bytes_at = Instant::now();
     }
 
-    /// Returns the time since bytes of the response last arrived.
+    /// Returns the time from the last bytes of the response to the end of the attempt, or until now.
     pub(super) fn silent_for(&self) -> Duration {
-        self.last_bytes_at.elapsed()
+        self.end
+            .map_or_else(|| self.last_bytes_at.elapsed(), |(_, silence)| silence)
+    }
+
+    /// Returns the report for an attempt that is ended by its deadline: timed out if its backend server
+    /// has been silent for `patience`.
+    pub(super) fn deadline_report(&self, patience: Duration) -> AttemptReport {
+        match self.silent_for() < patience {
+            true => AttemptReport::Cancelled,
+            false => CrashKind::TimedOut.into(),
+        }
     }
 
     /// Reports that the response has begun.
@@ -47,18 +57,27 @@
         self.control.report(id, AttemptReport::FirstToken);
     }
 
-    /// Ends the attempt with a report.
+    /// Ends the attempt with a report. Only the first end counts.
+    pub(super) fn end(&mut self, report: AttemptReport) {
+        if self.end.is_none() {
+            self.end = Some((report, self.silent_for()));
+            self.control.report(self.assignment.attempt, report);
+        }
+    }
+
+    /// Returns the report that ended the attempt.
+    pub(super) fn ended_with(&self) -> Option<AttemptReport> {
+        self.end.map(|(report, _)| report)
+    }
+
+    /// Does the same as `end` with an attempt that is no longer needed.
     pub(super) fn report_end(mut self, report: AttemptReport) {
-        self.end_reported = true;
-        self.control.report(self.assignment.attempt, report);
+        self.end(report);
     }
 }
 
 impl<C: RouteControl> Drop for AttemptGuard<C> {
     fn drop(&mut self) {
-        if !self.end_reported {
-            let id = self.assignment.attempt;
-            self.control.report(id, AttemptReport::Cancelled);
-        }
+        self.end(AttemptReport::Cancelled);
     }
 }
--- a/toucanchute_edge/src/passthrough/proxied_request.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request.rs
@@ -25,6 +25,7 @@
     framing::Framing,
     guards::AttemptGuard,
     handler::{AdmittedRequest, GatewayState, InFlightGuard, RequestTiming},
+    is_promise,
     planned_stop::while_it_can_end,
     pool::Connection,
     relay,
@@ -37,7 +38,7 @@
     run_record::RunRecord,
     settings::now,
 };
-use exchange::Exchanged;
+use exchange::{Exchange, Exchanged};
 pub(super) use hedge::{FirstAttempt, Hedged, event_patience};
 pub(super) use retry::RetryState;
 pub(super) use trace::RequestTrace;
@@ -250,28 +251,30 @@
             };
             trace.record_assignment(&attempt.assignment);
             retries.begin_attempt(attempt.assignment.attempt);
+            let assignment = attempt.assignment.clone();
             let first = FirstAttempt {
-                assignment: &attempt.assignment,
+                assignment: &assignment,
                 patience: hedge::head_patience(self.route()),
                 resume_after,
             };
-            let exchange = self.exchange(&attempt, !retries.is_idempotent(), resume_after);
-            let hedged = self
-                .hedge(first, exchange, is_success, retries, trace)
-                .await;
+            let exchange = self.run_exchange(attempt, !retries.is_idempotent(), resume_after);
+            let is_answer = |exchanged: &Exchanged<C>| self.is_answer(exchanged);
+            let hedged = self.hedge(first, exchange, is_answer, retries, trace).await;
             let response = match hedged {
-                Hedged::First(exchanged) => {
-                    self.end_exchange(exchanged, attempt, retries, trace)
-                        .await?
-                }
+                Hedged::First(exchanged) => self.end_exchange(exchanged, retries, trace).await?,
                 Hedged::Second(response) => Some(response),
+                Hedged::Both(exchanged, Ok(second)) if second.head.status().is_success() => {
+                    drop(self.end_exchange(exchanged, retries, trace).await);
+                    Some(second)
+                }
                 Hedged::Both(exchanged, second) => {
-                    let first = self.end_exchange(exchanged, attempt, retries, trace).await;
-                    match second {
-                        Ok(response) if response.head.status().is_success() => Some(response),
-                        _ => first?,
+                    let first = self.end_exchange(exchanged, retries, trace).await;
+                    match (first, second) {
+                        (Ok(Some(response)), _) | (_, Ok(response)) => Some(response),
+                        (first, Err(_)) => first?,
                     }
                 }
+                Hedged::Silent => None,
             };
             if let Some(response) = response {
                 return Ok(response);
@@ -283,21 +286,22 @@
     /// server.
     async fn end_exchange(
         &self,
-        exchanged: Exchanged,
-        mut attempt: AttemptGuard<C>,
+        exchanged: Exchanged<C>,
         retries: &mut RetryState,
         trace: &mut RequestTrace<C>,
     ) -> Result<Option<BackendResponse<C>>, Failure> {
-        let (res, conn) = match exchanged {
-            Ok(exchanged) => exchanged,
-            Err(e) => {
-                self.handle_exchange_error(e, attempt, retries, trace)
-                    .await?;
+        let Exchange {
+            attempt,
+            conn,
+            head,
+            body,
+        } = match exchanged {
+            Ok(exchange) => exchange,
+            Err(failed) => {
+                self.handle_failed_exchange(failed, retries, trace)?;
                 return Ok(None);
             }
         };
-        attempt.record_bytes();
-        let (head, body) = res.into_parts();
         let info = self.state.dialect.read_response(&head);
         let record = self.record_response(&attempt, &conn, &head, &info, trace);
         self.report_backend_info(&attempt, &info, &record);
@@ -312,6 +316,17 @@
         self.check_response(response, retries, trace).await
     }
 
+    /// Whether an exchange ended with a response that another backend server would not better: a valid
+    /// one that is neither a refusal nor a server's failure.
+    fn is_answer(&self, exchanged: &Exchanged<C>) -> bool {
+        let Ok(Exchange { head, .. }) = exchanged else {
+            return false;
+        };
+        let info = self.state.dialect.read_response(head);
+        let is_failure = head.status.is_server_error() || is_promise(head.status);
+        !is_failure && self.is_own_response(head.status, &info)
+    }
+
     /// Does the same as `assign`, as long as the request can still end before a planned stop does.
     async fn assign_in_time(&self, retries: &RetryState) -> Result<AttemptGuard<C>, Failure> {
         match self.while_it_can_end(self.assign(retries)).await {
@@ -352,7 +367,8 @@
             tokens: self.info.tokens.map_or(1, TokenBound::total),
             attempts: retries.sends(),
             exclude: retries.excluded().to_vec(),
-            is_hedge: retries.is_hedging(),
+            running_on: retries.running_on().to_vec(),
+            may_wait: retries.may_wait(),
             deadline: self.unix_deadline(),
         }
     }
@@ -372,13 +388,6 @@
     }
 }
 
-/// Whether an exchange ended with a success.
-fn is_success(exchanged: &Exchanged) -> bool {
-    exchanged
-        .as_ref()
-        .is_ok_and(|(res, _)| res.status().is_success())
-}
-
 /// Chooses one of a route's services at random, by their weights.
 fn choose_service(route: &Route) -> String {
     let total: u32 = route.targets.iter().map(|t| t.weight).sum();
--- a/toucanchute_edge/src/passthrough/proxied_request/exchange.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/exchange.rs
@@ -1,36 +1,79 @@
 //! One exchange with a backend server: a connection, the request and the head of the response.
 
-use std::io;
+use std::{io, time::Duration};
 
 use bytes::Bytes;
-use http::{Request, Response, Uri};
+use http::{Request, Response, Uri, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
+use toucanchute_core::routing::{AttemptReport, CrashKind};
 use toucanchute_proto::{AttemptId, Millis};
 
-use super::ProxiedRequest;
+use super::{ProxiedRequest, hedge::head_patience};
 use crate::{
     passthrough::{
         Dialect, ForwardInfo, RouteControl,
         guards::AttemptGuard,
-        pool::{Connection, SendError},
+        pool::{Connection, SendError, broken_connection_report},
     },
     run_record::AttemptNotRun,
 };
 
-/// Head of a response with its connection, or why there is none.
-pub(super) type Exchanged = Result<(Response<Incoming>, Connection), ExchangeError>;
+/// A backend server's response whose head has been received.
+pub(super) struct Exchange<C: RouteControl> {
+    pub(super) attempt: AttemptGuard<C>,
+    pub(super) conn: Connection,
+    pub(super) head: response::Parts,
+    pub(super) body: Incoming,
+}
+
+/// An attempt that has ended without a response.
+pub(super) struct FailedExchange<C: RouteControl> {
+    pub(super) attempt: AttemptGuard<C>,
+    pub(super) error: ExchangeError,
+}
+
+/// Result of an attempt up to the head of its response.
+pub(super) type Exchanged<C> = Result<Exchange<C>, FailedExchange<C>>;
 
 impl<C: RouteControl, D: Dialect> ProxiedRequest<C, D> {
+    /// Sends the request to the assigned backend server and waits for the head of the response. Ends the
+    /// attempt if there is none.
+    pub(super) async fn run_exchange(
+        &self,
+        mut attempt: AttemptGuard<C>,
+        non_idempotent: bool,
+        resume_after: Option<u64>,
+    ) -> Exchanged<C> {
+        let exchanged = self.exchange(&attempt, non_idempotent, resume_after).await;
+        match exchanged {
+            Ok((res, conn)) => {
+                attempt.record_bytes();
+                let (head, body) = res.into_parts();
+                Ok(Exchange {
+                    attempt,
+                    conn,
+                    head,
+                    body,
+                })
+            }
+            Err(error) => {
+                let report = error.report(&attempt, head_patience(self.route())).await;
+                attempt.end(report);
+                Err(FailedExchange { attempt, error })
+            }
+        }
+    }
+
     /// Sends the request to the assigned backend server and waits for the head of the response. A
     /// reused connection that was closed before the request was sent is replaced by a new one.
-    pub(super) async fn exchange(
+    async fn exchange(
         &self,
         attempt: &AttemptGuard<C>,
         non_idempotent: bool,
         resume_after: Option<u64>,
-    ) -> Exchanged {
+    ) -> Result<(Response<Incoming>, Connection), ExchangeError> {
         let assignment = &attempt.assignment;
         let pool = &self.state.pool;
         let attempt_name = self.info.attempt.as_deref();
@@ -60,7 +103,7 @@
         mut conn: Connection,
         attempt: &AttemptGuard<C>,
         resume_after: Option<u64>,
-    ) -> Exchanged {
+    ) -> Result<(Response<Incoming>, Connection), ExchangeError> {
         let send = conn.send(self.backend_request(attempt, resume_after));
         let res = with_deadline(self.deadline, send).await?;
         Ok((res, conn))
@@ -104,6 +147,27 @@
 }
 
 impl ExchangeError {
+    /// Returns the report for the attempt that failed with this error.
+    async fn report<C: RouteControl>(
+        &self,
+        attempt: &AttemptGuard<C>,
+        patience: Duration,
+    ) -> AttemptReport {
+        match self {
+            ExchangeError::Send { source } if source.is_connection_refused() => AttemptReport::Gone,
+            ExchangeError::Send {
+                source: SendError::Connect { .. } | SendError::Unsent,
+            } => AttemptReport::Unsent,
+            ExchangeError::Send {
+                source: SendError::Broken { .. },
+            } => broken_connection_report(attempt.assignment.address).await,
+            ExchangeError::Send {
+                source: SendError::TooManyInterim,
+            } => CrashKind::Malformed.into(),
+            ExchangeError::TimedOut => attempt.deadline_report(patience),
+        }
+    }
+
     /// Returns the proof that the attempt did not run, if the error shows that nothing was sent.
     pub(super) fn not_run_proof(&self, attempt: AttemptId) -> Option<AttemptNotRun> {
         match self {
--- a/toucanchute_edge/src/passthrough/proxied_request/hedge.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/hedge.rs
@@ -1,6 +1,6 @@
 //! Hedged attempts: while a backend server is silent, another one is tried beside it.
 
-use std::{pin::Pin, time::Duration};
+use std::{pin::Pin, sync::atomic::Ordering, time::Duration};
 
 use tokio::time::timeout;
 use toucanchute_core::routing::AttemptReport;
@@ -58,15 +58,20 @@
     Second(BackendResponse<C>),
     /// The first attempt failed while a second one was in progress: the results of both.
     Both(T, Result<BackendResponse<C>, Failure>),
+    /// The attempt is itself a hedge, its backend server is silent too, and it is given up, so that
+    /// another one can be tried.
+    Silent,
 }
 
 impl<C: RouteControl, D: Dialect> ProxiedRequest<C, D> {
     /// Waits for `result` of the `first` attempt. If its backend server is silent, others are tried
     /// beside it, one at a time, as far as the request may be sent again.
     ///
-    /// A second server that refuses, fails or is silent too leaves the first attempt as it is. The one
-    /// that has a result first goes on, and the other is cancelled; but a first attempt whose result
-    /// does not satisfy `is_sound` leaves the request to a second one in progress.
+    /// A second server that refuses or fails leaves the first attempt as it is, and one that is silent
+    /// too is given up for a third one. The server that has a result first goes on, and the other
+    /// attempt is cancelled; but a first attempt whose result does not satisfy `is_sound` leaves the
+    /// request to a second one in progress. The first hedge is assigned at once or not at all, later
+    /// ones may wait for a server.
     pub(in crate::passthrough) async fn hedge<T>(
         &self,
         first: FirstAttempt<'_>,
@@ -76,7 +81,7 @@
         trace: &mut RequestTrace<C>,
     ) -> Hedged<T, C> {
         let mut result = std::pin::pin!(result);
-        if !retries.may_rerun() || retries.is_hedging() {
+        if !retries.is_idempotent() {
             return Hedged::First(result.await);
         }
         if let Ok(result) = timeout(first.patience, result.as_mut()).await {
@@ -86,6 +91,9 @@
         self.state.control.report(attempt, AttemptReport::Silent);
         trace.log_silence(first.assignment, first.patience);
         retries.exclude_backend(&first.assignment.backend);
+        if retries.may_rerun() && retries.is_hedging() {
+            return Hedged::Silent;
+        }
         let hedged = self.race(first, result, &is_sound, retries, trace).await;
         if let Hedged::First(result) = &hedged
             && is_sound(result)
@@ -105,31 +113,36 @@
         retries: &mut RetryState,
         trace: &mut RequestTrace<C>,
     ) -> Hedged<T, C> {
+        let mut may_wait = false;
         while retries.may_rerun() {
-            retries.set_hedging(true);
+            let hedging = retries.begin_hedge(&first.assignment.backend, may_wait);
             let mut second = self.boxed_response(retries, trace, first.resume_after);
             let outcome = tokio::select! {
                 biased;
                 result = result.as_mut() => match is_sound(&result) {
-                    true => Hedged::First(result),
-                    false => Hedged::Both(result, second.as_mut().await),
+                    true => Ok(Hedged::First(result)),
+                    false => {
+                        hedging.store(false, Ordering::Relaxed);
+                        Ok(Hedged::Both(result, second.as_mut().await))
+                    }
                 },
                 response = second.as_mut() => match response {
-                    Ok(response) if response.head.status().is_success() => Hedged::Second(response),
-                    response => {
-                        drop(second);
-                        retries.set_hedging(false);
-                        end_failed_hedge(response, trace);
-                        match timeout(first.patience, result.as_mut()).await {
-                            Ok(result) => return Hedged::First(result),
-                            Err(_) => continue,
-                        }
+                    Ok(response) if response.head.status().is_success() => {
+                        Ok(Hedged::Second(response))
                     }
+                    response => Err(response),
                 },
             };
             drop(second);
-            retries.set_hedging(false);
-            return outcome;
+            retries.end_hedge();
+            match outcome {
+                Ok(hedged) => return hedged,
+                Err(response) => end_failed_hedge(response, trace),
+            }
+            if let Ok(result) = timeout(first.patience, result.as_mut()).await {
+                return Hedged::First(result);
+            }
+            may_wait = true;
         }
         Hedged::First(result.await)
     }
--- a/toucanchute_edge/src/passthrough/proxied_request/responses.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/responses.rs
@@ -11,15 +11,13 @@
 
 use super::{
     BackendResponse, MIN_TIME_LEFT, ProxiedRequest, RequestTrace, RetryState, UncheckedResponse,
-    exchange::ExchangeError,
+    exchange::FailedExchange, hedge::head_patience,
 };
 use crate::{
     backend::{BackendError, read_body, report_for_status},
     passthrough::{
-        AttemptMatch, Dialect, Failure, FailureKind, ResponseBody, ResponseRecord, RouteControl,
-        framing::Framing,
-        guards::AttemptGuard,
-        pool::{SendError, broken_connection_report},
+        AttemptMatch, Dialect, Failure, FailureKind, ResponseBody, ResponseInfo, ResponseRecord,
+        RouteControl, framing::Framing, guards::AttemptGuard, pool::broken_connection_report,
         relayable_head::RelayableHead,
     },
     run_record::AttemptNotRun,
@@ -40,34 +38,19 @@
 const REFUSED_RETRY_AFTER: Millis = Millis(200);
 
 impl<C: RouteControl, D: Dialect> ProxiedRequest<C, D> {
-    /// Ends an attempt that got no response. An error ends the request.
-    pub(super) async fn handle_exchange_error(
+    /// Handles an attempt that has ended without a response. An error ends the request.
+    pub(super) fn handle_failed_exchange(
         &self,
-        error: ExchangeError,
-        attempt: AttemptGuard<C>,
+        failed: FailedExchange<C>,
         retries: &mut RetryState,
         trace: &mut RequestTrace<C>,
     ) -> Result<(), Failure> {
+        let FailedExchange { attempt, error } = failed;
         let assignment = &attempt.assignment;
         retries.exclude_backend(&assignment.backend);
         let proof = error.not_run_proof(assignment.attempt);
-        let report = match error {
-            ExchangeError::Send { ref source } if source.is_connection_refused() => {
-                AttemptReport::Gone
-            }
-            ExchangeError::Send {
-                source: SendError::Connect { .. } | SendError::Unsent,
-            } => AttemptReport::Unsent,
-            ExchangeError::Send {
-                source: SendError::Broken { .. },
-            } => broken_connection_report(assignment.address).await,
-            ExchangeError::Send {
-                source: SendError::TooManyInterim,
-            } => CrashKind::Malformed.into(),
-            ExchangeError::TimedOut => CrashKind::TimedOut.into(),
-        };
+        let report = attempt.ended_with().unwrap_or(AttemptReport::Cancelled);
         trace.log_attempt_failure(&attempt, report, &error.to_string());
-        attempt.report_end(report);
         if let Some(proof) = proof {
             retries.attempt_not_run(&proof);
             retries.record_unsent();
@@ -96,7 +79,7 @@
             self.handle_refusal(response, retries, trace).await?;
             return Ok(None);
         }
-        if !self.is_own_response(&response) {
+        if !self.is_own_response(response.head.status, &response.info) {
             let cause = "the response is encoded, has no seal, contradicts itself or belongs to another attempt";
             let report = CrashKind::Malformed.into();
             end_failed_attempt(response.attempt, report, cause, retries, trace);
@@ -143,15 +126,16 @@
     /// Whether a response may belong to the request, and is what a backend server sends: not
     /// encoded, and a success with a seal that does not state the opposite. An error may lack the
     /// attempt.
-    fn is_own_response(&self, response: &UncheckedResponse<C>) -> bool {
-        let is_success = response.head.status.is_success();
-        let names_request = match response.record.attempt {
+    pub(super) fn is_own_response(&self, status: StatusCode, info: &ResponseInfo) -> bool {
+        let is_success = status.is_success();
+        let names = AttemptMatch::new(self.info.attempt.as_deref(), info.attempt.as_deref());
+        let names_request = match names {
             AttemptMatch::Own => true,
             AttemptMatch::Other => false,
             AttemptMatch::Absent => !is_success || self.info.attempt.is_none(),
         };
-        let is_sound_success = response.info.sealed && !response.info.not_run;
-        names_request && (is_sound_success || !is_success) && !response.info.encoded
+        let is_sound_success = info.sealed && !info.not_run;
+        names_request && (is_sound_success || !is_success) && !info.encoded
     }
 
     /// Ends an attempt whose request the backend server did not run. An error ends the request.
@@ -269,7 +253,7 @@
             Err(_) => {
                 let cause = "the response body was incomplete at the deadline".to_owned();
                 (
-                    CrashKind::TimedOut.into(),
+                    attempt.deadline_report(head_patience(self.route())),
                     cause,
                     retries.deadline_failure(),
                 )
--- a/toucanchute_edge/src/passthrough/proxied_request/retry.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/retry.rs
@@ -1,3 +1,8 @@
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
+
 use http::Response;
 use toucanchute_proto::{
     AttemptId, Millis,
@@ -27,8 +32,12 @@
     /// Number of backend servers that could not be reached.
     connect_failures: u32,
     excluded: Vec<String>,
-    /// Whether a silent backend server has the request, so that further attempts are hedges.
-    hedging: bool,
+    /// Whether further attempts are hedges: a silent backend server still has the request.
+    hedging: Arc<AtomicBool>,
+    /// Whether hedges may wait for a backend server.
+    hedges_wait: bool,
+    /// Silent backend servers that have the request.
+    running_on: Vec<String>,
     /// A backend server's error response, for the caller if no other backend server does better.
     fallback: Option<Response<ResponseBody>>,
 }
@@ -44,7 +53,9 @@
             record,
             connect_failures: 0,
             excluded: Vec::new(),
-            hedging: false,
+            hedging: Arc::default(),
+            hedges_wait: false,
+            running_on: Vec::new(),
             fallback: None,
         }
     }
@@ -85,15 +96,39 @@
         self.sends -= 1;
     }
 
-    /// Whether a silent backend server has the request, so that further attempts are hedges.
+    // Hedges
+
+    /// Makes further attempts hedges beside the one at the silent server `backend`. Returns a flag that
+    /// makes them ordinary attempts when it is cleared.
+    pub(super) fn begin_hedge(&mut self, backend: &str, may_wait: bool) -> Arc<AtomicBool> {
+        self.running_on.push(backend.to_owned());
+        self.hedges_wait = may_wait;
+        self.hedging.store(true, Ordering::Relaxed);
+        Arc::clone(&self.hedging)
+    }
+
+    pub(super) fn end_hedge(&mut self) {
+        self.running_on.pop();
+        self.hedging.store(false, Ordering::Relaxed);
+    }
+
+    /// Whether further attempts are hedges.
     pub(super) fn is_hedging(&self) -> bool {
-        self.hedging
+        self.hedging.load(Ordering::Relaxed)
     }
 
-    pub(super) fn set_hedging(&mut self, hedging: bool) {
-        self.hedging = hedging;
+    /// Whether the next attempt may wait for a backend server.
+    pub(super) fn may_wait(&self) -> bool {
+        !self.is_hedging() || self.hedges_wait
     }
 
+    /// Returns the silent backend servers that have the request.
+    pub(super) fn running_on(&self) -> &[String] {
+        &self.running_on
+    }
+
+    // End
+
     /// Whether the request may be sent to another backend server after the last one did not run it.
     pub(super) fn may_resend(&self) -> bool {
         self.sends < self.max_sends && (self.idempotent || self.record.not_run().is_some())
--- a/toucanchute_edge/src/passthrough/relay.rs
+++ b/toucanchute_edge/src/passthrough/relay.rs
@@ -1,4 +1,4 @@
-use std::{io, net::SocketAddr};
+use std::io;
 
 use bytes::{Bytes, BytesMut};
 use http::Response;
@@ -13,6 +13,7 @@
     Dialect, Failure, ResponseBody, RouteControl,
     event_splitter::{Event, EventSplitter},
     framing::Framing,
+    guards::AttemptGuard,
     handler::InFlightGuard,
     pool::broken_connection_report,
     proxied_request::{
@@ -112,22 +113,22 @@
     response.head.status().is_success()
 }
 
-/// Reads the next complete events of a stream.
+/// Reads the next complete events of a stream. Ends its attempt if the backend server failed.
 async fn read_events<C: RouteControl>(
     response: &mut BackendResponse<C>,
     splitter: &mut EventSplitter,
 ) -> ReceivedEvents {
     loop {
         let data = match response.body.frame().await {
-            None => return Err(stream_end(response.framing, splitter)),
-            Some(Err(_)) => return Err(StreamEnd::Broken),
+            None => return end_attempt(response, stream_end(response.framing, splitter)).await,
+            Some(Err(_)) => return end_attempt(response, StreamEnd::Broken).await,
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
         response.attempt.record_bytes();
         splitter.push(&data);
         let events: Vec<Event> = std::iter::from_fn(|| splitter.next_event()).collect();
         if splitter.is_too_large() {
-            return Err(StreamEnd::EventTooLarge);
+            return end_attempt(response, StreamEnd::EventTooLarge).await;
         }
         if !events.is_empty() {
             return Ok(events);
@@ -135,6 +136,29 @@
     }
 }
 
+/// Ends an attempt whose stream ended, unless it is complete. A stream without a length is broken if its
+/// server ended with it.
+async fn end_attempt<C: RouteControl>(
+    response: &mut BackendResponse<C>,
+    end: StreamEnd,
+) -> ReceivedEvents {
+    let attempt = &mut response.attempt;
+    let address = attempt.assignment.address;
+    let (end, report) = match end {
+        StreamEnd::Broken => (end, broken_connection_report(address).await),
+        StreamEnd::Unconfirmed => match broken_connection_report(address).await {
+            ended @ AttemptReport::Crashed {
+                kind: CrashKind::Disconnected,
+            } => (StreamEnd::Broken, ended),
+            _ => (end, AttemptReport::Unconfirmed),
+        },
+        StreamEnd::EventTooLarge => (end, CrashKind::Malformed.into()),
+        _ => return Err(end),
+    };
+    attempt.end(report);
+    Err(end)
+}
+
 impl StreamEnd {
     /// Returns why the stream failed at its backend server, for the log, if it did.
     fn failure_cause(self) -> Option<&'static str> {
@@ -155,8 +179,8 @@
     async fn relay(mut self, mut response: BackendResponse<C>) {
         loop {
             let (end, next) = self.relay_events(&mut response).await;
-            let assignment = response.attempt.assignment.clone();
-            let (end, report) = self.conclude(end, assignment.address).await;
+            let report = response.attempt.ended_with();
+            let report = report.unwrap_or_else(|| self.report(end, &response.attempt));
             let BackendResponse {
                 attempt,
                 conn,
@@ -166,6 +190,7 @@
             if let Some(cause) = end.failure_cause() {
                 self.trace.log_attempt_failure(&attempt, report, cause);
             }
+            let assignment = attempt.assignment.clone();
             attempt.report_end(report);
             match end {
                 StreamEnd::Complete => {
@@ -193,27 +218,17 @@
         }
     }
 
-    /// Decides how one backend server's stream ended, and the report on it. A stream without a length
-    /// is broken if its server ended with it.
-    async fn conclude(&self, end: StreamEnd, address: SocketAddr) -> (StreamEnd, AttemptReport) {
-        let report = match end {
+    /// Returns the report for an attempt whose stream ended without a failure of its backend server.
+    fn report(&self, end: StreamEnd, attempt: &AttemptGuard<C>) -> AttemptReport {
+        match end {
             StreamEnd::Complete => AttemptReport::Done {
                 tokens: self.events_relayed,
             },
-            StreamEnd::CallerDisconnected | StreamEnd::OutOfTokens | StreamEnd::TakenOver => {
-                AttemptReport::Cancelled
+            StreamEnd::DeadlinePassed => {
+                attempt.deadline_report(event_patience(self.request.route()))
             }
-            StreamEnd::DeadlinePassed => CrashKind::TimedOut.into(),
-            StreamEnd::EventTooLarge => CrashKind::Malformed.into(),
-            StreamEnd::Broken => broken_connection_report(address).await,
-            StreamEnd::Unconfirmed => match broken_connection_report(address).await {
-                ended @ AttemptReport::Crashed {
-                    kind: CrashKind::Disconnected,
-                } => return (StreamEnd::Broken, ended),
-                _ => AttemptReport::Unconfirmed,
-            },
-        };
-        (end, report)
+            _ => AttemptReport::Cancelled,
+        }
     }
 
     /// Relays the events of one backend server until its stream ends. Also returns the response of the
@@ -232,6 +247,7 @@
                 Hedged::First(Err(end)) => return (end, None),
                 Hedged::Second(response) => return (StreamEnd::TakenOver, Some(response)),
                 Hedged::Both(Ok(events), _) => events,
+                Hedged::Silent => return (StreamEnd::Broken, None),
                 Hedged::Both(Err(end), second) => return (end, second.ok().filter(is_success)),
             };
             let (chunk, count) = self.take_events(events);
--- a/toucanchute_edge/src/service/run.rs
+++ b/toucanchute_edge/src/service/run.rs
@@ -176,7 +176,8 @@
             tokens: self.call.price,
             attempts,
             exclude: exclude.to_vec(),
-            is_hedge: false,
+            running_on: Vec::new(),
+            may_wait: true,
             deadline: self.caller.deadline,
         };
         let assignment = self.shared.control.assign(req).await;
--- a/toucanchute_edge/tests/passthrough/silence.rs
+++ b/toucanchute_edge/tests/passthrough/silence.rs
@@ -133,22 +133,52 @@
     a_stream_of_a_second_server_is_whole: SilentBefore::Head, stream_from(1);
 }
 
-/// Guards against a first server that is given up although the second one breaks off later.
+/// Names tests of a stream whose first server does this while a second one starts.
+macro_rules! survives_end_of_first {
+    ($($(#[$doc:meta])* $name:ident: $at:expr, $end:expr;)*) => {$(
+        $(#[$doc])*
+        #[tokio::test]
+        async fn $name() {
+            let before = match $at {
+                SilentBefore::Head => 2,
+                SilentBefore::SecondEvent => 4,
+            };
+            let broken = [&stream($at, SILENCE)[..before], &$end].concat();
+            let late = [&[Step::Run, Step::Pause(SILENCE)], &stream_from(1)[1..]].concat();
+            let first = RawBackend::start(vec![broken]).await;
+            let second = RawBackend::start(vec![late]).await;
+            let backends = [&first.backend, &second.backend];
+            let gateway = TestGateway::start("stream", &route(2), &backends).await;
+            let res = gateway.send("POST /a/b", "body").await;
+            assert!(is_whole(&res), "{res:?}");
+            assert_eq!(second.requests_begun(), 1);
+        }
+    )*};
+}
+
+survives_end_of_first! {
+    /// Guards against a stream that is cut when its silent server ends while a second one starts.
+    a_stream_outlives_its_silent_server: SilentBefore::SecondEvent, [Step::Reset];
+    /// Guards against a request that fails when its silent server ends while a second one starts.
+    a_request_outlives_its_silent_server: SilentBefore::Head, [Step::Reset];
+    /// Guards against a late refusal of the silent server that ends a request at the second one.
+    a_late_refusal_leaves_the_request_to_the_second_server: SilentBefore::Head, refusal()[1..];
+    /// Guards against an invalid response of the silent server that ends a request at the second one.
+    an_unsealed_response_leaves_the_request_to_the_second_server:
+        SilentBefore::Head, [Step::Write(full_response("200 OK", "", "x"))];
+}
+
+/// Guards against a valid response that is held back because a second server has the request.
 #[tokio::test]
-async fn a_stream_goes_on_when_its_first_server_ends_while_a_second_one_starts() {
-    let broken = [
-        &stream(SilentBefore::SecondEvent, SILENCE)[..4],
-        &[Step::Reset],
-    ]
-    .concat();
-    let late = [&[Step::Run, Step::Pause(SILENCE)], &stream_from(2)[1..]].concat();
-    let first = RawBackend::start(vec![broken]).await;
-    let second = RawBackend::start(vec![late]).await;
-    let backends = [&first.backend, &second.backend];
+async fn a_late_rejection_of_the_silent_server_is_relayed_at_once() {
+    let rejected = full_response("422 Unprocessable Content", "X-Seal: s\r\n", "no");
+    let first = vec![Step::Run, Step::Pause(SILENCE), Step::Write(rejected)];
+    let first = RawBackend::start(vec![first]).await;
+    let second = Backend::start(Script::Silence).await;
+    let backends = [&first.backend, &second];
     let gateway = TestGateway::start("stream", &route(2), &backends).await;
     let res = gateway.send("POST /a/b", "body").await;
-    assert!(is_whole(&res), "{res:?}");
-    assert_eq!(second.requests_begun(), 1);
+    assert!(res.starts_with("HTTP/1.1 422"), "{res:?}");
 }
 
 /// Guards against a hedge that is not counted as a send.
@@ -167,17 +197,31 @@
     assert_eq!(reached, [1, 1, 0]);
 }
 
-/// Guards against a third server that is tried while two are silent.
+/// Guards against a third server that is tried while the second one still has the request, and against
+/// one that is not tried because the second is silent too.
 #[tokio::test]
 async fn one_more_server_is_tried_at_a_time() {
-    let silent = stream(SilentBefore::Head, 2 * SILENCE);
-    let first = RawBackend::start(vec![silent.clone()]).await;
-    let second = RawBackend::start(vec![silent]).await;
-    let third = Backend::start(Script::Silence).await;
-    let backends = [&first.backend, &second.backend, &third];
+    let first = RawBackend::start(vec![stream(SilentBefore::Head, 2 * SILENCE)]).await;
+    let second = Backend::start(Script::Silence).await;
+    let third = RawBackend::start(vec![stream_from(1)]).await;
+    let backends = [&first.backend, &second, &third.backend];
     let gateway = TestGateway::start("stream", &route(5), &backends).await;
-    gateway.send("POST /a/b", "body").await;
-    assert_eq!(third.request_count(), 0);
+    let res = gateway.send("POST /a/b", "body").await;
+    assert!(is_whole(&res), "{res:?}");
+    assert_eq!(second.request_count(), 1);
+    assert_eq!(gateway.control.most_open_attempts(), 2);
+}
+
+/// Guards against a silent server that goes on working after another one has taken the stream over.
+#[tokio::test]
+async fn a_silent_server_is_cancelled_when_another_one_takes_over() {
+    let first = RawBackend::start(vec![stream(SilentBefore::SecondEvent, 2 * SILENCE)]).await;
+    let second = RawBackend::start(vec![stream_from(2)]).await;
+    let backends = [&first.backend, &second.backend];
+    let gateway = TestGateway::start("stream", &route(2), &backends).await;
+    let res = gateway.send("POST /a/b", "body").await;
+    assert!(is_whole(&res), "{res:?}");
+    assert_eq!(gateway.control.report_count(AttemptReport::Cancelled), 1);
 }
 
 /// Guards against a second run of a request that may run only once.
--- a/toucanchute_edge/tests/passthrough/support.rs
+++ b/toucanchute_edge/tests/passthrough/support.rs
@@ -167,6 +167,8 @@
     pub(crate) reports: Mutex<Vec<AttemptReport>>,
     pub(crate) notices: Mutex<Vec<BackendNotice>>,
     next: AtomicU64,
+    /// Number of attempts that have not ended, and the largest that it was.
+    open_attempts: Mutex<(usize, usize)>,
     /// The planned stop, once a test begins one.
     pub(crate) stop: watch::Sender<Option<PlannedStop>>,
     stop_rx: watch::Receiver<Option<PlannedStop>>,
@@ -226,6 +228,10 @@
             });
         };
         let attempt = self.next.fetch_add(1, Ordering::Relaxed);
+        let mut open = self.open_attempts.lock().unwrap();
+        open.0 += 1;
+        open.1 = open.1.max(open.0);
+        drop(open);
         Ok(Assignment {
             attempt: AttemptId(Incarnation(1), attempt),
             backend: name(i),
@@ -235,6 +241,11 @@
     }
 
     fn report(&self, _attempt: AttemptId, report: AttemptReport) {
+        let is_end = !matches!(
+            report,
+            AttemptReport::FirstToken | AttemptReport::Silent | AttemptReport::Resumed
+        );
+        self.open_attempts.lock().unwrap().0 -= usize::from(is_end);
         self.reports.lock().unwrap().push(report);
     }
 
@@ -262,12 +273,24 @@
             reports: Mutex::default(),
             notices: Mutex::default(),
             next: AtomicU64::new(0),
+            open_attempts: Mutex::default(),
             stop,
             stop_rx,
             assign_time: Mutex::default(),
         }
     }
 
+    /// Returns the largest number of attempts that were open at once.
+    pub(crate) fn most_open_attempts(&self) -> usize {
+        self.open_attempts.lock().unwrap().1
+    }
+
+    /// Returns how often an attempt was reported in this way.
+    pub(crate) fn report_count(&self, report: AttemptReport) -> usize {
+        let reports = self.reports.lock().unwrap();
+        reports.iter().filter(|r| **r == report).count()
+    }
+
     /// Whether an attempt was reported to have crashed in this way.
     pub(crate) fn crashed(&self, kind: CrashKind) -> bool {
         self.reports
--- a/toucanchute_router/src/gateway/control/tests.rs
+++ b/toucanchute_router/src/gateway/control/tests.rs
@@ -64,7 +64,8 @@
         tokens: 0,
         attempts: 0,
         exclude: Vec::new(),
-        is_hedge: false,
+        running_on: Vec::new(),
+        may_wait: true,
         deadline: Millis(u64::MAX),
     };
     let assigned = actors.control.assign(req);
