fix: an attempt that is not tried is no failure of its backend server

On the platform, a request whose caller left meanwhile counted as unanswered, so that it became a suspect if the server ended later, although nothing of it was ever sent.

Cause: `Unsent` is evidence of an unreachable server and `Cancelled` of a request that was in progress; neither fits an attempt that the router itself drops before it connects. `NotTried` says so and changes no verdict.

Evidence: both new tests of routing::tests::policy failed with the old verdicts in place of the new one. `assignment_after_deadline_is_not_sent` names the new report; it still allows nothing to be sent.

--- a/toucanchute_core/src/routing/attempts.rs
+++ b/toucanchute_core/src/routing/attempts.rs
@@ -75,6 +75,7 @@
         | AttemptReport::Refused => true,
         AttemptReport::Silent
         | AttemptReport::Unsent
+        | AttemptReport::NotTried
         | AttemptReport::Gone
         | AttemptReport::Crashed { .. }
         | AttemptReport::Cancelled => false,
@@ -145,7 +146,10 @@
             r.record_answer(attempt.started);
         }
         match report {
-            AttemptReport::FirstToken | AttemptReport::Silent | AttemptReport::Resumed => {}
+            AttemptReport::FirstToken
+            | AttemptReport::Silent
+            | AttemptReport::Resumed
+            | AttemptReport::NotTried => {}
             AttemptReport::Done { tokens } => self.handle_done(now, &attempt, tokens, out),
             AttemptReport::Unconfirmed => {
                 self.record_progress(now, attempt.replica, false);
--- a/toucanchute_core/src/routing/event.rs
+++ b/toucanchute_core/src/routing/event.rs
@@ -204,6 +204,9 @@
     Refused,
     /// No byte reached the backend server; it did not run.
     Unsent,
+    /// The router did not try to reach the backend server, as the caller had left, the deadline had
+    /// passed or the router may no longer serve. It says nothing about the server.
+    NotTried,
     /// The backend server is gone: its address accepts no connections or belongs to another server.
     /// The work did not run.
     Gone,
@@ -243,6 +246,7 @@
             AttemptReport::Rejected => "rejected",
             AttemptReport::Refused => "refused",
             AttemptReport::Unsent => "unsent",
+            AttemptReport::NotTried => "not-tried",
             AttemptReport::Gone => "gone",
             AttemptReport::Crashed { kind } => match kind {
                 CrashKind::Disconnected => "disconnected",
--- a/toucanchute_core/src/routing/tests/policy.rs
+++ b/toucanchute_core/src/routing/tests/policy.rs
@@ -110,6 +110,31 @@
     assert!(harness.started().len() > 1);
 }
 
+/// Guards against a sound replica that is ejected because a caller left before its request was sent.
+#[test]
+fn an_attempt_that_is_not_tried_does_not_eject_its_replica() {
+    let mut harness = Harness::new(1, 8);
+    for call in 1..6 {
+        let (attempt, _) = harness.call(call, request(call)).unwrap();
+        harness.report(call, attempt, AttemptReport::NotTried);
+    }
+    assert!(harness.call(6, request(6)).is_some());
+}
+
+/// Guards against a request that was never sent and becomes a suspect when the replica ends.
+#[test]
+fn a_request_that_was_not_tried_is_no_suspect_when_its_replica_ends() {
+    let mut harness = Harness::new(1, 8);
+    let (attempt, _) = harness.call(1, request(1)).unwrap();
+    harness.report(2, attempt, AttemptReport::NotTried);
+    harness.out.clear();
+    let backend = "b0".to_owned();
+    harness.handle(3, Event::RegistrationLapsed { backend });
+    let verdicts = harness.out.iter();
+    let verdicts = verdicts.filter(|a| matches!(a, Action::Verdict(_)));
+    assert_eq!(verdicts.count(), 0, "{:?}", harness.out);
+}
+
 #[test]
 fn attempts_on_a_withdrawn_replica_continue() {
     let mut harness = Harness::new(1, 4);
--- a/toucanchute_edge/src/completion/run.rs
+++ b/toucanchute_edge/src/completion/run.rs
@@ -122,11 +122,11 @@
             };
             let attempt = Attempt::new(&*self.shared.control, self.caller.key, assignment);
             if self.reply.is_caller_gone() {
-                attempt.end(AttemptReport::Unsent);
+                attempt.end(AttemptReport::NotTried);
                 return self.settle_partial(reservation).await;
             }
             if now() >= self.caller.deadline {
-                attempt.end(AttemptReport::Unsent);
+                attempt.end(AttemptReport::NotTried);
                 let problem = Problem::deadline_passed(&self.record);
                 return self.fail(reservation, problem).await;
             }
--- a/toucanchute_edge/src/service/run.rs
+++ b/toucanchute_edge/src/service/run.rs
@@ -78,7 +78,7 @@
             let assignment = assignment.map_err(|problem| self.caller.adjust_outcome(problem))?;
             let attempt = Attempt::new(&*self.shared.control, self.caller.key, assignment);
             if reply.is_caller_gone() {
-                attempt.end(AttemptReport::Unsent);
+                attempt.end(AttemptReport::NotTried);
                 return Err(Problem::backend_failed(
                     "the caller went away",
                     RequestOutcome::from_record(&record),
@@ -134,7 +134,7 @@
             };
             let attempt = Attempt::new(&*self.shared.control, self.caller.key, assignment);
             if now() >= self.caller.deadline {
-                attempt.end(AttemptReport::Unsent);
+                attempt.end(AttemptReport::NotTried);
                 return unserved(&record, Problem::deadline_passed(&record));
             }
             match self.send_attempt(&attempt.assignment, &mut record).await {
--- a/toucanchute_edge/tests/edge/completions.rs
+++ b/toucanchute_edge/tests/edge/completions.rs
@@ -219,7 +219,7 @@
     let res = edge.post_with("/v1/completions", &headers, &body).await;
     assert_eq!(res.status(), 504);
     assert_eq!(read_json(res).await["outcome"], "not-run");
-    assert_eq!(edge.control.events(), ["reserve", "unsent", "release"]);
+    assert_eq!(edge.control.events(), ["reserve", "nottried", "release"]);
 }
 
 #[tokio::test]
--- a/toucanchute_edge/tests/edge/test_control.rs
+++ b/toucanchute_edge/tests/edge/test_control.rs
@@ -95,7 +95,14 @@
 
     /// Returns whether every reservation was settled or released and every attempt was ended.
     pub(crate) fn is_balanced(&self) -> bool {
-        let ended = self.count(&["done", "crashed", "refused", "unsent", "cancelled"]);
+        let ended = self.count(&[
+            "done",
+            "crashed",
+            "refused",
+            "unsent",
+            "nottried",
+            "cancelled",
+        ]);
         self.count(&["reserve"]) == self.count(&["settled", "release"])
             && self.attempts.load(Ordering::Relaxed) == ended + 1
     }
--- a/toucanchute_router/src/actor/dispatch.rs
+++ b/toucanchute_router/src/actor/dispatch.rs
@@ -211,7 +211,7 @@
     }
 
     /// Sends the result of a call to its caller. If the caller no longer waits for it, an
-    /// assignment is reported as cancelled.
+    /// assignment is reported as not tried.
     fn reply(&mut self, call: u64, result: Result<Assignment, Refusal>) {
         let Some(tx) = self.pending_calls.remove(&call) else {
             return;
@@ -220,7 +220,7 @@
             let attempt = assignment.attempt;
             self.feed(Event::Report {
                 attempt,
-                report: AttemptReport::Cancelled,
+                report: AttemptReport::NotTried,
             });
         }
     }
--- a/toucanchute_router/src/control.rs
+++ b/toucanchute_router/src/control.rs
@@ -98,7 +98,7 @@
     fn check_view_age(&self, assignment: Assignment) -> Result<Assignment, Refusal> {
         match self.view.unready(clock::now()) {
             Some(refusal) if refusal.reason == RefusalReason::StaleView => {
-                self.report(assignment.attempt, AttemptReport::Unsent);
+                self.report(assignment.attempt, AttemptReport::NotTried);
                 Err(refusal)
             }
             _ => Ok(assignment),
