fix: a backend server that opens no connection in time is not ejected as unreachable

What callers see: a server that accepts no connection for 1.5 s, its queue of connections being full, was ejected for 1 s and, after its probe, for 2 s. A request to it that had 3 s was answered with 503, out of time.

Cause: the limit of 400 ms for a connection (1 s on hosts of one's own) was reported as `Unsent`, which ejects at once, twice as long each time. A silent server's kernel does the same as a host that is down. `Unreached` pauses the server for the length of one such limit and then lets one request probe it. A refused connection ejects as before.

Evidence: `connects::a_request_to_the_only_server_that_accepts_no_connection_for_a_moment_is_served` (was 503), `services::call_without_a_connection_in_time_is_sent_to_next_replica` (was `unsent`) and `policy::a_replica_that_opens_no_connection_in_time_is_soon_tried_again` failed with the old report or verdict.

--- a/toucanchute_core/src/routing/attempts.rs
+++ b/toucanchute_core/src/routing/attempts.rs
@@ -75,6 +75,7 @@
         | AttemptReport::Refused => true,
         AttemptReport::Silent
         | AttemptReport::Unsent
+        | AttemptReport::Unreached
         | AttemptReport::NotTried
         | AttemptReport::Gone
         | AttemptReport::Crashed { .. }
@@ -159,6 +160,7 @@
             AttemptReport::Rejected => self.record_progress(now, attempt.replica, false),
             AttemptReport::Refused => self.handle_refused(now, &attempt),
             AttemptReport::Unsent => self.record_failure(now, &attempt, Failure::Hard),
+            AttemptReport::Unreached => self.record_unreached(now, attempt.replica),
             AttemptReport::Gone => {
                 self.record_failure(now, &attempt, Failure::Hard);
                 self.backend_ended(now, attempt.replica, TerminationEvidence::Gone, out);
@@ -219,6 +221,12 @@
         }
     }
 
+    fn record_unreached(&mut self, now: Millis, key: BackendKey) {
+        if !self.has(Fault::NeverEject) {
+            self.replicas[key].health.record_unreached(now);
+        }
+    }
+
     fn handle_done(&mut self, now: Millis, attempt: &Attempt, tokens: u64, out: &mut Vec<Action>) {
         let r = &mut self.replicas[attempt.replica];
         r.health.record_completion();
--- a/toucanchute_core/src/routing/event.rs
+++ b/toucanchute_core/src/routing/event.rs
@@ -204,6 +204,9 @@
     Refused,
     /// No byte reached the backend server; it did not run.
     Unsent,
+    /// No connection to the backend server was opened in time, so that nothing was sent. The server may
+    /// be sound and silent.
+    Unreached,
     /// The router did not try to reach the backend server, as the caller had left, the deadline had
     /// passed or the router may no longer serve. It says nothing about the server.
     NotTried,
@@ -246,6 +249,7 @@
             AttemptReport::Rejected => "rejected",
             AttemptReport::Refused => "refused",
             AttemptReport::Unsent => "unsent",
+            AttemptReport::Unreached => "unreached",
             AttemptReport::NotTried => "not-tried",
             AttemptReport::Gone => "gone",
             AttemptReport::Crashed { kind } => match kind {
--- a/toucanchute_core/src/routing/health.rs
+++ b/toucanchute_core/src/routing/health.rs
@@ -12,6 +12,10 @@
 /// Time without work for a replica that is silent. It ends with the replica's next answer.
 const SILENCE_PAUSE: Millis = Millis(2_000);
 
+/// Time without work for a replica to which no connection was opened in time. It is short, since a
+/// replica without requests in progress sends nothing that would end it.
+const UNREACHED_PAUSE: Millis = Millis(400);
+
 /// Health of a replica, which decides whether it gets work.
 #[derive(Debug)]
 pub(super) struct Health {
@@ -29,7 +33,7 @@
         since: Millis,
         until: Millis,
     },
-    /// It was sent requests and sends nothing.
+    /// It was sent requests and sends nothing, or opens no connection.
     Silent {
         until: Millis,
     },
@@ -116,6 +120,15 @@
         }
     }
 
+    /// Records that no connection was opened in time. The replica gets no work for a moment, and then a
+    /// probing request.
+    pub(super) fn record_unreached(&mut self, now: Millis) {
+        if !matches!(self.state, State::Ejected { .. }) {
+            let until = now + UNREACHED_PAUSE;
+            self.state = State::Ejected { since: now, until };
+        }
+    }
+
     /// Records progress of an attempt; returns whether the replica has recovered by it.
     pub(super) fn record_progress(&mut self) -> bool {
         self.failures = 0;
--- a/toucanchute_core/src/routing/tests/policy.rs
+++ b/toucanchute_core/src/routing/tests/policy.rs
@@ -121,6 +121,24 @@
     assert!(harness.call(6, request(6)).is_some());
 }
 
+/// Guards against a sound replica that is ejected for longer and longer because it opens no connection
+/// for a moment.
+#[test]
+fn a_replica_that_opens_no_connection_in_time_is_soon_tried_again() {
+    let mut harness = Harness::new(1, 8);
+    let (mut attempt, _) = harness.call(0, request(1)).unwrap();
+    for call in 2..6 {
+        let now = call * 800;
+        harness.report(now, attempt, AttemptReport::Unreached);
+        assert!(harness.call(now, request(call)).is_none());
+        harness.out.clear();
+        harness.handle(now + 399, Event::Tick);
+        assert!(harness.started().is_empty());
+        harness.handle(now + 400, Event::Tick);
+        attempt = harness.started()[0].1;
+    }
+}
+
 /// Guards against a request that was never sent and becomes a suspect when the replica ends.
 #[test]
 fn a_request_that_was_not_tried_is_no_suspect_when_its_replica_ends() {
--- a/toucanchute_edge/src/backend.rs
+++ b/toucanchute_edge/src/backend.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddr, time::Duration};
+use std::{error::Error, io, net::SocketAddr, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, uri};
@@ -92,6 +92,9 @@
     /// Returns the report that ends the attempt.
     pub(crate) fn attempt_report(&self) -> AttemptReport {
         let kind = match self {
+            BackendError::Connect { source } if is_timeout(source) => {
+                return AttemptReport::Unreached;
+            }
             BackendError::Connect { .. } => return AttemptReport::Unsent,
             BackendError::Refused { response } => return report_for_refusal(response),
             BackendError::Send { .. } | BackendError::Receive { .. } | BackendError::Truncated => {
@@ -104,6 +107,15 @@
     }
 }
 
+/// Whether an error was caused by a limit of time.
+fn is_timeout(error: &(dyn Error + 'static)) -> bool {
+    let mut causes = std::iter::successors(Some(error), |&e| e.source());
+    causes.any(|e| {
+        let cause = e.downcast_ref::<io::Error>();
+        cause.is_some_and(|e| e.kind() == io::ErrorKind::TimedOut)
+    })
+}
+
 /// Returns the report that ends an attempt whose response was received completely with `status`.
 pub(crate) fn report_for_status(status: u16) -> AttemptReport {
     match status {
--- a/toucanchute_edge/src/passthrough/pool.rs
+++ b/toucanchute_edge/src/passthrough/pool.rs
@@ -108,6 +108,14 @@
         }
     }
 
+    /// Whether no connection was opened in time. The backend server may be sound and silent.
+    pub(super) fn is_connect_timeout(&self) -> bool {
+        match self {
+            SendError::Connect { source } => source.kind() == io::ErrorKind::TimedOut,
+            SendError::Unsent | SendError::TooManyInterim | SendError::Broken { .. } => false,
+        }
+    }
+
     /// Whether the address refuses connections, which means that the backend server no longer runs
     /// there.
     pub(super) fn is_connection_refused(&self) -> bool {
--- a/toucanchute_edge/src/passthrough/proxied_request/exchange.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/exchange.rs
@@ -155,6 +155,9 @@
     ) -> AttemptReport {
         match self {
             ExchangeError::Send { source } if source.is_connection_refused() => AttemptReport::Gone,
+            ExchangeError::Send { source } if source.is_connect_timeout() => {
+                AttemptReport::Unreached
+            }
             ExchangeError::Send {
                 source: SendError::Connect { .. } | SendError::Unsent,
             } => AttemptReport::Unsent,
--- a/toucanchute_edge/tests/edge/main.rs
+++ b/toucanchute_edge/tests/edge/main.rs
@@ -3,6 +3,8 @@
 mod bad_input;
 mod churn;
 mod completions;
+#[path = "../passthrough/full_queue.rs"]
+mod full_queue;
 mod outcome_walk;
 mod outcomes;
 #[path = "../passthrough/raw_backend.rs"]
--- a/toucanchute_edge/tests/edge/services.rs
+++ b/toucanchute_edge/tests/edge/services.rs
@@ -1,7 +1,10 @@
+use std::time::Duration;
+
 use http_body_util::BodyExt as _;
 use serde_json::{Value, json};
 
 use crate::{
+    full_queue::FullQueue,
     support::{TestEdge, read_json, send_request, start_services},
     test_control::TestControl,
 };
@@ -50,6 +53,21 @@
         ["crashed TimedOut", "record unknown"];
 }
 
+/// Guards against a sound service that is reported as unreachable because it accepts no connection for
+/// a moment.
+#[tokio::test]
+async fn call_without_a_connection_in_time_is_sent_to_next_replica() {
+    let services = start_services(&[json!({})]).await;
+    let queue = FullQueue::listen("127.0.0.1:0".parse().unwrap()).await;
+    let control = TestControl::new(&[queue.address(), services[0].address()]);
+    tokio::spawn(queue.empty_after(Duration::from_secs(60)));
+    let edge = TestEdge::start(control).await;
+    let res = edge.post("/v1/services/vans/book", None, &json!({})).await;
+    assert_eq!(res.status(), 200);
+    let events = edge.control.events();
+    assert_eq!(events, ["unreached", "done 0", "record 200"]);
+}
+
 #[tokio::test]
 async fn unsent_call_is_sent_to_next_replica() {
     let services = start_services(&[json!({})]).await;
--- a/toucanchute_edge/tests/edge/test_control.rs
+++ b/toucanchute_edge/tests/edge/test_control.rs
@@ -100,6 +100,7 @@
             "crashed",
             "refused",
             "unsent",
+            "unreached",
             "nottried",
             "cancelled",
         ]);
--- a/toucanchute_edge/tests/passthrough/dispatcher_gateway.rs
+++ b/toucanchute_edge/tests/passthrough/dispatcher_gateway.rs
@@ -28,8 +28,8 @@
 
 use crate::support::{TestDialect, config, read_all};
 
-/// Time that a caller waits for a response, in milliseconds.
-const CALLER_TIMEOUT_MS: u64 = 400;
+/// Time that a caller waits for a response.
+const CALLER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Interval between two ticks of the dispatcher.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -101,13 +101,20 @@
 
     /// Sends a request with this body over a new connection and returns the response.
     pub(crate) async fn send(&self, body: &str) -> String {
-        self.send_with_headers("", body).await
+        self.send_within(CALLER_TIMEOUT, body).await
+    }
+
+    /// Does the same as `send` for a caller that waits for `timeout`.
+    pub(crate) async fn send_within(&self, timeout: Duration, body: &str) -> String {
+        let headers = format!("X-Patience: {}\r\n", timeout.as_millis());
+        self.send_with_headers(&headers, body).await
     }
 
     /// Does the same as `send`, with the parts `prompt` of a prompt, as `ID:TOKENS` separated by
     /// commas.
     pub(crate) async fn send_prompt(&self, prompt: &str, body: &str) -> String {
-        let headers = format!("X-Prompt: {prompt}\r\n");
+        let timeout = CALLER_TIMEOUT.as_millis();
+        let headers = format!("X-Prompt: {prompt}\r\nX-Patience: {timeout}\r\n");
         self.send_with_headers(&headers, body).await
     }
 
@@ -116,7 +123,7 @@
         let len = body.len();
         let req = format!(
             "POST /a/b HTTP/1.1\r\nHost: svc.example\r\nX-Attempt: a1\r\nX-Key: secret\r\n\
-            X-Patience: {CALLER_TIMEOUT_MS}\r\n{headers}Connection: close\r\nContent-Length: {len}\r\n\r\n{body}"
+            {headers}Connection: close\r\nContent-Length: {len}\r\n\r\n{body}"
         );
         stream.write_all(req.as_bytes()).await.unwrap();
         read_all(stream).await
--- a/toucanchute_edge/tests/passthrough/main.rs
+++ b/toucanchute_edge/tests/passthrough/main.rs
@@ -2,9 +2,11 @@
 
 mod answers;
 mod callers;
+mod connects;
 mod dispatcher_gateway;
 mod endless;
 mod ends;
+mod full_queue;
 mod notices;
 mod promises;
 mod raw_backend;
--- a/toucanchute_router/src/metrics.rs
+++ b/toucanchute_router/src/metrics.rs
@@ -69,6 +69,7 @@
             AttemptReport::Rejected => "attempt.rejected",
             AttemptReport::Refused => "attempt.refused",
             AttemptReport::Unsent => "attempt.unsent",
+            AttemptReport::Unreached => "attempt.unreached",
             AttemptReport::NotTried => "attempt.not_tried",
             AttemptReport::Gone => "attempt.gone",
             AttemptReport::Crashed { .. } => "attempt.crashed",
