fix(edge): a backend server that is silent after its connection ended has not crashed

What callers see: a whole response without a length was answered with 502, or its stream cut at its end, if its server then accepted no connection for 400 ms. Besides, a reset connection to such a server counted as the end of the server: it was ejected, and the requests in flight on it became suspects.

Cause: the check whether a server has ended took no connection within 400 ms for a refused one. Now only a refused connection shows an end. A response without a length is still passed on as whole only once its server accepts a connection; a silent one is asked again for 2 s at most, and until the deadline.

A server that stays silent still gets no response passed on, as before.

--- a/toucanchute_core/src/routing/event.rs
+++ b/toucanchute_core/src/routing/event.rs
@@ -266,14 +266,15 @@
 /// How an attempt ended without a valid, complete answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashKind {
-    /// The connection was reset or closed before the end of the answer, and no new connection can
-    /// be opened.
+    /// The connection was reset or closed before the end of the answer, and the backend server
+    /// refuses new ones.
     Disconnected,
     /// The answer was malformed or belonged to another attempt.
     Malformed,
     /// No byte arrived within the time allowed.
     TimedOut,
-    /// The connection broke, but the backend server accepts new ones.
+    /// The connection broke, but the backend server accepts new ones, or opened none in time: it may
+    /// be sound and silent.
     Interrupted,
 }
 
--- a/toucanchute_edge/src/passthrough/pool.rs
+++ b/toucanchute_edge/src/passthrough/pool.rs
@@ -29,6 +29,10 @@
 /// Time after which a connection is closed if a backend server does not acknowledge sent bytes.
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Time for which a backend server that accepts no connection is asked whether it has ended. A sound
+/// one may be silent for a second or so.
+const CONFIRMATION_TIME: Duration = Duration::from_secs(2);
+
 /// Idle timeout that is assumed for a backend server that announces none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -260,19 +264,51 @@
     }
 }
 
-/// Returns the report for an attempt whose connection broke off. A backend server that still
-/// accepts connections interrupted the attempt; one that does not has ended.
+/// Whether a backend server accepts new connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reachability {
+    /// It accepts them.
+    Accepts,
+    /// No connection can be opened, so that it has ended.
+    Ended,
+    /// No connection was opened in time. It may be sound and silent.
+    Unknown,
+}
+
+/// Returns the report for an attempt whose connection broke off. A backend server that refuses
+/// connections has ended; any other one interrupted the attempt.
 pub(super) async fn broken_connection_report(address: SocketAddr) -> AttemptReport {
-    match is_reachable(address).await {
-        true => CrashKind::Interrupted.into(),
-        false => CrashKind::Disconnected.into(),
+    match reachability(address).await {
+        Reachability::Ended => CrashKind::Disconnected.into(),
+        Reachability::Accepts | Reachability::Unknown => CrashKind::Interrupted.into(),
     }
 }
 
-/// Whether a backend server accepts new connections.
-async fn is_reachable(address: SocketAddr) -> bool {
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    matches!(connected, Ok(Ok(_)))
+/// Returns the report for an attempt whose response has no length and ended with its connection. The
+/// response is taken as whole only if the backend server accepts a connection afterwards. A silent
+/// one is asked again until `deadline`, at most for [`CONFIRMATION_TIME`].
+pub(super) async fn undelimited_end_report(
+    address: SocketAddr,
+    deadline: tokio::time::Instant,
+) -> AttemptReport {
+    let until = deadline.min(tokio::time::Instant::now() + CONFIRMATION_TIME);
+    loop {
+        match reachability(address).await {
+            Reachability::Accepts => return AttemptReport::Unconfirmed,
+            Reachability::Ended => return CrashKind::Disconnected.into(),
+            Reachability::Unknown if tokio::time::Instant::now() < until => {}
+            Reachability::Unknown => return CrashKind::Interrupted.into(),
+        }
+    }
+}
+
+/// Checks once whether a backend server accepts new connections.
+async fn reachability(address: SocketAddr) -> Reachability {
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Reachability::Accepts,
+        Ok(Err(_)) => Reachability::Ended,
+        Err(_) => Reachability::Unknown,
+    }
 }
 
 fn attempt_hash(attempt: &str) -> u64 {
--- a/toucanchute_edge/src/passthrough/proxied_request/responses.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/responses.rs
@@ -17,7 +17,10 @@
     backend::{BackendError, read_body, report_for_status},
     passthrough::{
         AttemptMatch, Dialect, Failure, FailureKind, ResponseBody, ResponseInfo, ResponseRecord,
-        RouteControl, framing::Framing, guards::AttemptGuard, pool::broken_connection_report,
+        RouteControl,
+        framing::Framing,
+        guards::AttemptGuard,
+        pool::{broken_connection_report, undelimited_end_report},
         relayable_head::RelayableHead,
     },
     run_record::AttemptNotRun,
@@ -221,7 +224,9 @@
         let backend = attempt.assignment.backend.clone();
         let read = timeout_at(self.deadline, read_body(body, MAX_RESPONSE_BYTES)).await;
         let ended = match (framing, &read) {
-            (Framing::UntilClose, Ok(Ok(_))) => unconfirmed_report(report, address).await,
+            (Framing::UntilClose, Ok(Ok(_))) => {
+                unconfirmed_report(report, address, self.deadline).await
+            }
             _ => report,
         };
         let (report, cause, failure) = match read {
@@ -267,16 +272,15 @@
 }
 
 /// Returns the report on an attempt with `report` whose response ended with its connection. A backend
-/// server that no longer accepts connections has ended with it.
-async fn unconfirmed_report(report: AttemptReport, address: SocketAddr) -> AttemptReport {
-    if !matches!(report, AttemptReport::Done { .. }) {
-        return report;
-    }
-    match broken_connection_report(address).await {
-        ended @ AttemptReport::Crashed {
-            kind: CrashKind::Disconnected,
-        } => ended,
-        _ => AttemptReport::Unconfirmed,
+/// server that accepts no connection afterwards did not end it as it should.
+async fn unconfirmed_report(
+    report: AttemptReport,
+    address: SocketAddr,
+    deadline: Instant,
+) -> AttemptReport {
+    match report {
+        AttemptReport::Done { .. } => undelimited_end_report(address, deadline).await,
+        _ => report,
     }
 }
 
--- a/toucanchute_edge/src/passthrough/relay.rs
+++ b/toucanchute_edge/src/passthrough/relay.rs
@@ -15,7 +15,7 @@
     framing::Framing,
     guards::AttemptGuard,
     handler::InFlightGuard,
-    pool::broken_connection_report,
+    pool::{broken_connection_report, undelimited_end_report},
     proxied_request::{
         BackendResponse, FirstAttempt, Hedged, ProxiedRequest, RequestTrace, RetryState,
         event_patience,
@@ -117,18 +117,22 @@
 async fn read_events<C: RouteControl>(
     response: &mut BackendResponse<C>,
     splitter: &mut EventSplitter,
+    deadline: Instant,
 ) -> ReceivedEvents {
     loop {
         let data = match response.body.frame().await {
-            None => return end_attempt(response, stream_end(response.framing, splitter)).await,
-            Some(Err(_)) => return end_attempt(response, StreamEnd::Broken).await,
+            None => {
+                let end = stream_end(response.framing, splitter);
+                return end_attempt(response, end, deadline).await;
+            }
+            Some(Err(_)) => return end_attempt(response, StreamEnd::Broken, deadline).await,
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
         response.attempt.record_bytes();
         splitter.push(&data);
         let events: Vec<Event> = std::iter::from_fn(|| splitter.next_event()).collect();
         if splitter.is_too_large() {
-            return end_attempt(response, StreamEnd::EventTooLarge).await;
+            return end_attempt(response, StreamEnd::EventTooLarge, deadline).await;
         }
         if !events.is_empty() {
             return Ok(events);
@@ -141,16 +145,15 @@
 async fn end_attempt<C: RouteControl>(
     response: &mut BackendResponse<C>,
     end: StreamEnd,
+    deadline: Instant,
 ) -> ReceivedEvents {
     let attempt = &mut response.attempt;
     let address = attempt.assignment.address;
     let (end, report) = match end {
         StreamEnd::Broken => (end, broken_connection_report(address).await),
-        StreamEnd::Unconfirmed => match broken_connection_report(address).await {
-            ended @ AttemptReport::Crashed {
-                kind: CrashKind::Disconnected,
-            } => (StreamEnd::Broken, ended),
-            _ => (end, AttemptReport::Unconfirmed),
+        StreamEnd::Unconfirmed => match undelimited_end_report(address, deadline).await {
+            report @ AttemptReport::Crashed { .. } => (StreamEnd::Broken, report),
+            report => (end, report),
         },
         StreamEnd::EventTooLarge => (end, CrashKind::Malformed.into()),
         _ => return Err(end),
@@ -292,7 +295,7 @@
             tx,
             ..
         } = self;
-        let events = read_events(response, splitter);
+        let events = read_events(response, splitter, request.deadline);
         tokio::select! {
             next = request.hedge(first, events, is_sound, retries, trace) => next,
             () = tx.closed() => Hedged::First(Err(StreamEnd::CallerDisconnected)),
--- a/toucanchute_edge/tests/edge/services.rs
+++ b/toucanchute_edge/tests/edge/services.rs
@@ -4,7 +4,7 @@
 use serde_json::{Value, json};
 
 use crate::{
-    full_queue::FullQueue,
+    full_queue::{self, FullQueue},
     support::{TestEdge, read_json, send_request, start_services},
     test_control::TestControl,
 };
@@ -58,7 +58,7 @@
 #[tokio::test]
 async fn call_without_a_connection_in_time_is_sent_to_next_replica() {
     let services = start_services(&[json!({})]).await;
-    let queue = FullQueue::listen("127.0.0.1:0".parse().unwrap()).await;
+    let queue = FullQueue::fill(full_queue::listen()).await;
     let control = TestControl::new(&[queue.address(), services[0].address()]);
     tokio::spawn(queue.empty_after(Duration::from_secs(60)));
     let edge = TestEdge::start(control).await;
--- a/toucanchute_edge/tests/passthrough/full_queue.rs
+++ b/toucanchute_edge/tests/passthrough/full_queue.rs
@@ -15,18 +15,21 @@
 
 /// A listener whose queue of connections is full.
 pub(crate) struct FullQueue {
-    pub(crate) listener: TcpListener,
+    listener: TcpListener,
     /// The connections in the queue.
     queued: Vec<TcpStream>,
 }
 
+/// Listens at a free address, with a short queue.
+pub(crate) fn listen() -> TcpListener {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    socket.listen(QUEUE_LENGTH).unwrap()
+}
+
 impl FullQueue {
-    /// Listens at `address` and fills the queue.
-    pub(crate) async fn listen(address: SocketAddr) -> FullQueue {
-        let socket = TcpSocket::new_v4().unwrap();
-        socket.set_reuseaddr(true).unwrap();
-        socket.bind(address).unwrap();
-        let listener = socket.listen(QUEUE_LENGTH).unwrap();
+    /// Fills the queue of a listener.
+    pub(crate) async fn fill(listener: TcpListener) -> FullQueue {
         let address = listener.local_addr().unwrap();
         let mut queued = Vec::new();
         while let Ok(opened) = timeout(OPENING_TIME, TcpStream::connect(address)).await {
