fix(edge): an error response whose body is late is kept for the caller

What callers see: 502 of the router in place of the server's own error response, if its body paused for over 100 ms and no other server served the request.

Cause: the limit of 100 ms after which another server is tried also dropped the response. Now the connection stays open, and the response is read on, for 2 s at most and until the deadline, once nothing else has served the request. A part of it is never passed on.

Evidence: `error_bodies::an_error_response_of_a_server_that_falls_silent_within_it_is_passed_on` failed (502) with the response dropped at the limit.

--- a/toucanchute_edge/src/passthrough/proxied_request.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request.rs
@@ -136,7 +136,7 @@
         loop {
             let response = match self.next_response(&mut retries, &mut trace, None).await {
                 Ok(response) => response,
-                Err(failure) => return retries.finish_failed(trace, failure),
+                Err(failure) => return self.finish_failed(retries, trace, failure).await,
             };
             trace.record_first_byte();
             let is_stream = self.route().kind == RouteKind::Stream;
@@ -150,11 +150,20 @@
                     return trace.finish(res);
                 }
                 Err(failure) if retries.may_rerun() => trace.log_retry(failure.reason),
-                Err(failure) => return retries.finish_failed(trace, failure),
+                Err(failure) => return self.finish_failed(retries, trace, failure).await,
             }
         }
     }
 
+    async fn finish_failed(
+        &self,
+        retries: RetryState,
+        trace: RequestTrace<C>,
+        failure: Failure,
+    ) -> Response<ResponseBody> {
+        retries.finish_failed(trace, failure, self.deadline).await
+    }
+
     pub(super) fn route(&self) -> &Route {
         self.table.route_at(self.admitted.route)
     }
--- a/toucanchute_edge/src/passthrough/proxied_request/responses.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/responses.rs
@@ -1,6 +1,6 @@
 //! Handles the result of an attempt: no response, an error response or one to relay.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, pin::Pin, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, Response, StatusCode};
@@ -20,7 +20,7 @@
         RouteControl,
         framing::Framing,
         guards::AttemptGuard,
-        pool::{broken_connection_report, undelimited_end_report},
+        pool::{Connection, broken_connection_report, undelimited_end_report},
         relayable_head::RelayableHead,
     },
     run_record::AttemptNotRun,
@@ -33,13 +33,38 @@
 /// Largest body of a refusal or an error response that is read, in bytes.
 const MAX_ERROR_BODY_BYTES: usize = 64 * 1024;
 
-/// Time within which the body of a refusal or an error response has to arrive. The request then goes
-/// on without it.
+/// Time within which the body of a refusal or an error response should arrive. The request then goes
+/// on without it, and comes back to that of an error response if no other backend server does better.
 const ERROR_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Time for which a request that nothing else serves waits for the body of an error response. A sound
+/// backend server may be silent for a second or so.
+const LATE_BODY_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Time after which a caller should retry a request that the backend servers refused.
 const REFUSED_RETRY_AFTER: Millis = Millis(200);
 
+/// A response body that is being read.
+type BodyRead = Pin<Box<dyn Future<Output = Result<Bytes, BackendError>> + Send + Sync>>;
+
+/// An error response whose body has not arrived yet.
+pub(super) struct LateResponse {
+    head: RelayableHead,
+    read: BodyRead,
+    /// Keeps the connection open.
+    _conn: Connection,
+}
+
+impl LateResponse {
+    /// Reads the rest of the body, until `deadline` and for [`LATE_BODY_TIMEOUT`] at most; `None` if it
+    /// is too large, breaks off or takes too long.
+    pub(super) async fn complete(self, deadline: Instant) -> Option<Response<ResponseBody>> {
+        let until = deadline.min(Instant::now() + LATE_BODY_TIMEOUT);
+        let body = timeout_at(until, self.read).await.ok()?.ok()?;
+        Some(self.head.to_response(ResponseBody::full(body)))
+    }
+}
+
 impl<C: RouteControl, D: Dialect> ProxiedRequest<C, D> {
     /// Handles an attempt that has ended without a response. An error ends the request.
     pub(super) fn handle_failed_exchange(
@@ -156,7 +181,7 @@
         let cause = "the backend server did not run the request";
         end_failed_attempt(response.attempt, report, cause, retries, trace);
         let keep = !response.info.closes_connection;
-        if self.read_error_body(response.body).await.is_some() && keep {
+        if self.read_refusal_body(response.body).await.is_some() && keep {
             let bound = response.info.keep_alive;
             self.state.pool.put_idle(&backend, response.conn, bound);
         }
@@ -183,21 +208,35 @@
             retries,
             trace,
         );
-        if let Some(body) = self.read_error_body(response.body).await {
-            if !info.closes_connection {
-                self.state
-                    .pool
-                    .put_idle(&backend, response.conn, info.keep_alive);
+        let mut read: BodyRead = Box::pin(read_body(response.body, MAX_ERROR_BODY_BYTES));
+        match timeout_at(self.error_body_limit(), &mut read).await {
+            Ok(Ok(body)) => {
+                if !info.closes_connection {
+                    self.state
+                        .pool
+                        .put_idle(&backend, response.conn, info.keep_alive);
+                }
+                retries.set_fallback(head.to_response(ResponseBody::full(body)));
             }
-            retries.set_fallback(head.to_response(ResponseBody::full(body)));
+            Ok(Err(_)) => {}
+            Err(_) => retries.set_late_fallback(LateResponse {
+                head,
+                read,
+                _conn: response.conn,
+            }),
         }
     }
 
-    /// Reads the body of a refusal or an error response; `None` if it is too large, breaks off or
-    /// takes too long.
-    async fn read_error_body(&self, body: Incoming) -> Option<Bytes> {
-        let until = self.deadline.min(Instant::now() + ERROR_BODY_TIMEOUT);
-        let read = timeout_at(until, read_body(body, MAX_ERROR_BODY_BYTES)).await;
+    /// Returns the time until which a request waits for the body of a refusal or an error response
+    /// before it goes on.
+    fn error_body_limit(&self) -> Instant {
+        self.deadline.min(Instant::now() + ERROR_BODY_TIMEOUT)
+    }
+
+    /// Reads the body of a refusal; `None` if it is too large, breaks off or takes too long.
+    async fn read_refusal_body(&self, body: Incoming) -> Option<Bytes> {
+        let read = read_body(body, MAX_ERROR_BODY_BYTES);
+        let read = timeout_at(self.error_body_limit(), read).await;
         read.ok()?.ok()
     }
 
--- a/toucanchute_edge/src/passthrough/proxied_request/retry.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/retry.rs
@@ -4,12 +4,13 @@
 };
 
 use http::Response;
+use tokio::time::Instant;
 use toucanchute_proto::{
     AttemptId, Millis,
     config::{Route, RouteKind},
 };
 
-use super::{MAX_CONNECT_FAILURES, RequestTrace};
+use super::{MAX_CONNECT_FAILURES, RequestTrace, responses::LateResponse};
 use crate::{
     control::Refusal,
     passthrough::{Failure, FailureKind, ResponseBody, RouteControl},
@@ -20,7 +21,6 @@
 const UNREACHABLE_RETRY_AFTER: Millis = Millis(500);
 
 /// Results of the attempts of one request, which decide whether it may be retried.
-#[derive(Debug)]
 pub(in crate::passthrough) struct RetryState {
     idempotent: bool,
     /// Most backend servers that the request may be sent to.
@@ -40,6 +40,8 @@
     running_on: Vec<String>,
     /// A backend server's error response, for the caller if no other backend server does better.
     fallback: Option<Response<ResponseBody>>,
+    /// One whose body has not arrived yet.
+    late_fallback: Option<LateResponse>,
 }
 
 impl RetryState {
@@ -57,6 +59,7 @@
             hedges_wait: false,
             running_on: Vec::new(),
             fallback: None,
+            late_fallback: None,
         }
     }
 
@@ -174,13 +177,25 @@
         self.fallback = Some(res);
     }
 
-    /// Ends the request with the error response that was kept, or else with `failure`.
-    pub(super) fn finish_failed<C: RouteControl>(
+    /// Keeps an error response whose body has not arrived yet, in case no other one does better.
+    pub(super) fn set_late_fallback(&mut self, res: LateResponse) {
+        self.late_fallback = Some(res);
+    }
+
+    /// Ends the request with the error response that was kept, if its body arrives in time, or else
+    /// with `failure`.
+    pub(super) async fn finish_failed<C: RouteControl>(
         self,
         trace: RequestTrace<C>,
         failure: Failure,
+        deadline: Instant,
     ) -> Response<ResponseBody> {
-        match self.fallback {
+        let res = match (self.fallback, self.late_fallback) {
+            (Some(res), _) => Some(res),
+            (None, Some(late)) => late.complete(deadline).await,
+            (None, None) => None,
+        };
+        match res {
             Some(res) => trace.finish(res),
             None => trace.fail(failure),
         }
--- a/toucanchute_edge/tests/passthrough/main.rs
+++ b/toucanchute_edge/tests/passthrough/main.rs
@@ -6,6 +6,7 @@
 mod dispatcher_gateway;
 mod endless;
 mod ends;
+mod error_bodies;
 mod full_queue;
 mod notices;
 mod promises;
