fix(edge): a deadline alone does not make a backend server silent

Seen in reading, not by callers: three requests in a row with little time, or three long responses that still arrived when their time was over, counted as silences of their server, which then got no work for 2 s.

Cause: a response that is not whole at the deadline was reported as `TimedOut`, whatever the server had sent until then. Now the server has to have sent nothing for as long as the route waits before it tries another one; otherwise the attempt is `Cancelled`. Both keep the request as unanswered.

Evidence: three of the four tests of `deadlines` failed with the old report; the fourth, that a silence until the deadline is still reported, passed before and after.

--- a/toucanchute_edge/src/backend.rs
+++ b/toucanchute_edge/src/backend.rs
@@ -225,10 +225,20 @@
 
 /// Reads a whole response body of at most `limit` bytes.
 pub(crate) async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, BackendError> {
+    read_body_with(&mut body, limit, || ()).await
+}
+
+/// Does the same as [`read_body`], and calls `on_frame` for each part of the body.
+pub(crate) async fn read_body_with(
+    body: &mut Incoming,
+    limit: usize,
+    mut on_frame: impl FnMut(),
+) -> Result<Bytes, BackendError> {
     let hint = body.size_hint().lower();
     let mut out = BytesMut::with_capacity(limit.min(usize::try_from(hint).unwrap_or(limit)));
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|source| BackendError::Receive { source })?;
+        on_frame();
         let Ok(data) = frame.into_data() else {
             continue;
         };
--- a/toucanchute_edge/src/passthrough/proxied_request/responses.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/responses.rs
@@ -14,7 +14,7 @@
     exchange::FailedExchange, hedge::head_patience,
 };
 use crate::{
-    backend::{BackendError, read_body, report_for_status},
+    backend::{BackendError, read_body, read_body_with, report_for_status},
     passthrough::{
         AttemptMatch, Dialect, Failure, FailureKind, ResponseBody, ResponseInfo, ResponseRecord,
         RouteControl,
@@ -248,11 +248,11 @@
         trace: &RequestTrace<C>,
     ) -> Result<Response<ResponseBody>, Failure> {
         let BackendResponse {
-            attempt,
+            mut attempt,
             conn,
             head,
             framing,
-            body,
+            mut body,
             info,
         } = response;
         let report = report_for_status(head.status().as_u16());
@@ -261,7 +261,8 @@
         }
         let address = attempt.assignment.address;
         let backend = attempt.assignment.backend.clone();
-        let read = timeout_at(self.deadline, read_body(body, MAX_RESPONSE_BYTES)).await;
+        let read = read_body_with(&mut body, MAX_RESPONSE_BYTES, || attempt.record_bytes());
+        let read = timeout_at(self.deadline, read).await;
         let ended = match (framing, &read) {
             (Framing::UntilClose, Ok(Ok(_))) => {
                 unconfirmed_report(report, address, self.deadline).await
--- a/toucanchute_edge/tests/passthrough/main.rs
+++ b/toucanchute_edge/tests/passthrough/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod callers;
 mod connects;
+mod deadlines;
 mod dispatcher_gateway;
 mod endless;
 mod ends;
