fix(routing): claims of suspects are used on routers with few events

Cause: a claim was put off by 80 ms after each 40 ms without an event, and the gateway ticks each 50 ms (250 ms while no call waits). Without other events a claim was put off for ever, its time to be released too, and so was the time after which other routers go on without the one that holds the claim.

Fix: `Dispatcher::MAX_TICK_INTERVAL` is the longest tick of any process, and a pause is 20 ms longer. A claim waits 110 ms in place of 80: 40 ms for the way of a verdict, as before, and the longest pause that stays unnoticed. Only a router's own claims are put off, and an unused one is released 1.1 s after it was made. No pause between 40 and 70 ms can hide an earlier claim, as the wait covers it.

Evidence: four tests of routing::tests::policy failed before (ticks of 20 ms passed): ticks of 50 and 65 ms, a claim whose call left, a wait for another router's run. The fuzz with freezes holds with ticks of 50 ms too.

--- a/toucanchute_core/src/routing/dispatcher.rs
+++ b/toucanchute_core/src/routing/dispatcher.rs
@@ -62,6 +62,9 @@
 }
 
 impl Dispatcher {
+    /// Longest interval between two [`Event::Tick`]s while calls wait.
+    pub const MAX_TICK_INTERVAL: Millis = Millis(50);
+
     /// Creates a dispatcher for the router `incarnation` in failure domain `domain`.
     ///
     /// `seed` determines its random choices.
--- a/toucanchute_core/src/routing/event.rs
+++ b/toucanchute_core/src/routing/event.rs
@@ -69,7 +69,8 @@
     },
     /// The routers of the fleet changed.
     Fleet(FleetView),
-    /// Time passed. To be sent about every 20 ms while calls wait.
+    /// Time passed. Required at least every
+    /// [`Dispatcher::MAX_TICK_INTERVAL`](super::Dispatcher::MAX_TICK_INTERVAL) while calls wait.
     Tick,
 }
 
--- a/toucanchute_core/src/routing/rate_limit/asks.rs
+++ b/toucanchute_core/src/routing/rate_limit/asks.rs
@@ -2,18 +2,15 @@
 
 use toucanchute_proto::{Incarnation, Millis};
 
-use crate::routing::pool::BackendKey;
+use crate::routing::{Dispatcher, pool::BackendKey};
 
 /// Time to wait for an issuer's answer.
 const ANSWER_TIMEOUT: Millis = Millis(100);
 
-/// Longest time between two ticks while a call waits.
-const TICK_TIME: Millis = Millis(50);
-
 /// Time from an ask, or from as much later as the permit is granted ahead, for which the permit may
 /// be used: until the answer is there and the next tick has passed. The ask precedes the grant, so
 /// this also bounds the time from the grant to the start of the request.
-pub(super) const USE_TIME: Millis = Millis(ANSWER_TIMEOUT.0 + TICK_TIME.0);
+pub(super) const USE_TIME: Millis = Millis(ANSWER_TIMEOUT.0 + Dispatcher::MAX_TICK_INTERVAL.0);
 
 /// Permits that this router has asked for, by the calls that they are for.
 #[derive(Debug, Default)]
--- a/toucanchute_core/src/routing/suspects.rs
+++ b/toucanchute_core/src/routing/suspects.rs
@@ -14,7 +14,7 @@
 };
 
 use self::{answers::PartAnswers, entry::Entry};
-use super::RoutingRequest;
+use super::{Dispatcher, RoutingRequest};
 pub(super) use evidence::{CrashedRun, Survivors};
 pub(super) use key::SuspectKey;
 pub use key::{part_digest, request_digest};
@@ -22,11 +22,19 @@
 /// Time for which a suspect is recorded.
 const SUSPECT_RETENTION: Millis = Millis(60_000);
 
-/// Time between a claim and the run, in which the other routers learn of the claim.
-const GOSSIP_DELAY: Millis = Millis(80);
+/// Longest time that a verdict usually takes to another router.
+const TRANSIT_TIME: Millis = Millis(40);
 
-/// Time without an event after which verdicts of other routers may still be unread.
-const PAUSE_THRESHOLD: Millis = Millis(40);
+/// Delay of a tick that is still usual.
+const TICK_DELAY: Millis = Millis(20);
+
+/// Time without an event after which verdicts of other routers may still be unread. Ticks may be all
+/// the events that a router has.
+const PAUSE_THRESHOLD: Millis = Millis(Dispatcher::MAX_TICK_INTERVAL.0 + TICK_DELAY.0);
+
+/// Time between a claim and the run, in which the other routers learn of the claim. Verdicts that
+/// were sent before the claim are read by then, also after a pause just short of the threshold.
+const GOSSIP_DELAY: Millis = Millis(TRANSIT_TIME.0 + PAUSE_THRESHOLD.0);
 
 /// Time after which an unused claim is released.
 const CLAIM_TIMEOUT: Millis = Millis(1_000);
@@ -77,12 +85,12 @@
         }
     }
 
-    /// Records the time of an event. After a pause, claims wait until the verdicts of other routers
-    /// that arrived meanwhile are read.
+    /// Records the time of an event. After a pause, this router's claims wait until the verdicts of
+    /// other routers that arrived meanwhile are read.
     pub(super) fn observe(&mut self, now: Millis) {
         let paused = now.since(self.last_event) >= PAUSE_THRESHOLD;
         self.last_event = now;
-        let pending = |e: &&mut Entry| e.claim.is_some() && !e.running;
+        let pending = |e: &&mut Entry| e.claimed_for.is_some() && !e.running;
         for e in self.entries.values_mut().filter(pending).filter(|_| paused) {
             e.ready_at = e.ready_at.max(now + GOSSIP_DELAY);
         }
--- a/toucanchute_core/src/routing/suspects/verdicts.rs
+++ b/toucanchute_core/src/routing/suspects/verdicts.rs
@@ -2,7 +2,7 @@
 
 use toucanchute_proto::{
     Millis,
-    fleet::{Scope, Standing, Verdict},
+    fleet::{Claim, Scope, Standing, Verdict},
 };
 
 use super::{
@@ -121,15 +121,16 @@
         }
     }
 
-    /// Renews verdicts on suspects that still run and releases claims that were not used in time.
-    /// Returns the verdicts to send.
+    /// Renews verdicts on suspects that still run and releases claims that were not used in time,
+    /// however often pauses of this router put them off. Returns the verdicts to send.
     pub(in crate::routing) fn refresh(&mut self, now: Millis) -> Vec<Verdict> {
         self.entries.retain(|_, e| e.until > now || e.running);
         let mine = self.entries.iter().filter(|(_, e)| e.router == self.router);
         let expiring = |e: &Entry| e.running && e.until < now + Millis(SUSPECT_RETENTION.0 / 2);
-        let unused = |e: &Entry| !e.running && now > e.ready_at + CLAIM_TIMEOUT;
+        let is_old = |claim: &Claim| now > claim.at + GOSSIP_DELAY + CLAIM_TIMEOUT;
+        let unused = |e: &Entry| !e.running && e.claim.as_ref().is_some_and(is_old);
         let keys: Vec<SuspectKey> = mine
-            .filter(|(_, e)| expiring(e) || e.claim.is_some() && unused(e))
+            .filter(|(_, e)| expiring(e) || unused(e))
             .map(|(&key, _)| key)
             .collect();
         for key in &keys {
--- a/toucanchute_core/src/routing/tests/fuzz.rs
+++ b/toucanchute_core/src/routing/tests/fuzz.rs
@@ -7,7 +7,7 @@
     simulation::Simulation,
     steps::{Step, steps},
 };
-use crate::routing::fault::Fault;
+use crate::routing::{Dispatcher, fault::Fault};
 
 /// Number of cases without a fault, none of which may violate an invariant.
 const CASES: u32 = 400;
@@ -15,8 +15,16 @@
 /// Number of cases per seed in which a deliberate fault has to be detected.
 const FAULT_CASES: u32 = 2_000;
 
-fn fuzz(seed: u64, cases: u32, fault: Option<Fault>) -> Result<(), TestError<Vec<Step>>> {
-    println!("seed={seed} cases={cases} fault={fault:?}");
+/// Interval between two ticks where a test does not set another one, in milliseconds.
+const TICK_INTERVAL: u64 = 20;
+
+fn fuzz(
+    seed: u64,
+    tick_interval: u64,
+    cases: u32,
+    fault: Option<Fault>,
+) -> Result<(), TestError<Vec<Step>>> {
+    println!("seed={seed} tick_interval={tick_interval} cases={cases} fault={fault:?}");
     let config = Config {
         cases,
         rng_seed: RngSeed::Fixed(seed),
@@ -25,18 +33,21 @@
         ..Config::default()
     };
     TestRunner::new(config).run(&steps(), |steps| {
-        let result = Simulation::new(seed, fault).run(&steps);
+        let result = Simulation::new(seed, tick_interval, fault).run(&steps);
         result.map(drop).map_err(TestCaseError::fail)
     })
 }
 
 #[parameterized(
-    seed_1 = { 1 },
-    seed_2 = { 2 },
-    seed_3 = { 3 },
+    seed_1 = { 1, TICK_INTERVAL },
+    seed_2 = { 2, TICK_INTERVAL },
+    seed_3 = { 3, TICK_INTERVAL },
+    longest_ticks_seed_1 = { 1, Dispatcher::MAX_TICK_INTERVAL.0 },
+    longest_ticks_seed_2 = { 2, Dispatcher::MAX_TICK_INTERVAL.0 },
+    longest_ticks_seed_3 = { 3, Dispatcher::MAX_TICK_INTERVAL.0 },
 )]
-fn invariants_hold(seed: u64) {
-    if let Err(e) = fuzz(seed, CASES, None) {
+fn invariants_hold(seed: u64, tick_interval: u64) {
+    if let Err(e) = fuzz(seed, tick_interval, CASES, None) {
         panic!("seed {seed}: {e}");
     }
 }
@@ -53,13 +64,15 @@
     never_eject = { Fault::NeverEject, "an unreachable replica gets no work during its ejection" },
 )]
 fn a_deliberate_fault_is_detected(fault: Fault, invariant: &str) {
-    let found = (0..4).any(|seed| match fuzz(seed, FAULT_CASES, Some(fault)) {
-        Err(TestError::Fail(reason, _)) => {
-            println!("violated invariant: {reason}");
-            reason.message() == invariant
-        }
-        _ => false,
-    });
+    let found = (0..4).any(
+        |seed| match fuzz(seed, TICK_INTERVAL, FAULT_CASES, Some(fault)) {
+            Err(TestError::Fail(reason, _)) => {
+                println!("violated invariant: {reason}");
+                reason.message() == invariant
+            }
+            _ => false,
+        },
+    );
     assert!(
         found,
         "{fault:?} does not violate the invariant \"{invariant}\""
@@ -77,6 +90,6 @@
     let steps: Vec<Step> = (0..200)
         .flat_map(|i| [step(i), Step::Advance(i % 11)])
         .collect();
-    let run = || Simulation::new(5, None).run(&steps).unwrap();
+    let run = || Simulation::new(5, TICK_INTERVAL, None).run(&steps).unwrap();
     assert_eq!(run(), run());
 }
--- a/toucanchute_core/src/routing/tests/policy.rs
+++ b/toucanchute_core/src/routing/tests/policy.rs
@@ -2,7 +2,7 @@
 
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
-    fleet::{Crash, Scope, Standing, Verdict},
+    fleet::{Claim, Crash, Scope, Standing, Verdict},
 };
 use yare::parameterized;
 
@@ -315,3 +315,64 @@
     harness.handle(2, Event::Verdict(verdict));
     assert_eq!(harness.refused(), Some(RefusalReason::Quarantined));
 }
+
+/// Number of the call in the tests of suspects.
+const SUSPECT_CALL: u64 = 1;
+
+/// Returns a dispatcher at which a call of a suspect request has waited since 10 002.
+fn harness_with_waiting_suspect() -> Harness {
+    let mut harness = Harness::new(4, 4);
+    let (attempt, _) = harness.call(9_900, request(SUSPECT_CALL)).unwrap();
+    let kind = CrashKind::Disconnected;
+    harness.report(10_000, attempt, AttemptReport::Crashed { kind });
+    assert!(harness.call(10_002, request(SUSPECT_CALL)).is_none());
+    harness
+}
+
+// Guards against a suspect that never runs on a router whose only events are its ticks.
+#[parameterized(
+    ticks_of_20_ms = { 20 },
+    ticks_of_50_ms = { 50 },
+    late_ticks = { 65 },
+)]
+fn a_suspect_runs_on_its_claimed_replica_although_nothing_but_ticks_happens(interval: usize) {
+    let mut harness = harness_with_waiting_suspect();
+    for now in (10_002..10_400).step_by(interval) {
+        harness.handle(now, Event::Tick);
+    }
+    assert_eq!(harness.started().len(), 1);
+}
+
+// Guards against a claim that outlives its call while events are rare, so that no router uses the
+// replica and none runs the request.
+#[test]
+fn an_unused_claim_is_released_although_events_are_rare() {
+    let mut harness = harness_with_waiting_suspect();
+    let call = SUSPECT_CALL;
+    harness.handle(10_003, Event::Abandon { call });
+    harness.out.clear();
+    for now in (10_003..12_000).step_by(250) {
+        harness.handle(now, Event::Tick);
+    }
+    let released = |a: &Action| matches!(a, Action::Verdict(v) if v.claim.is_none());
+    assert!(harness.out.iter().any(released), "{:?}", harness.out);
+}
+
+// Guards against a request that never runs where another router claimed a replica for it and fell
+// silent.
+#[test]
+fn a_request_that_waits_for_another_routers_run_runs_although_events_are_rare() {
+    let mut harness = Harness::new(4, 4);
+    let req = request(SUSPECT_CALL);
+    let mut verdict = suspect_verdict(SuspectKey::request(&req).digest, 10_000);
+    verdict.claim = Some(Claim {
+        replica: "b1".to_owned(),
+        at: Millis(10_000),
+    });
+    harness.handle(10_001, Event::Verdict(verdict));
+    assert!(harness.call(10_002, req).is_none());
+    for now in (10_002..16_000).step_by(50) {
+        harness.handle(now, Event::Tick);
+    }
+    assert_eq!(harness.started().len(), 1);
+}
--- a/toucanchute_core/src/routing/tests/simulation.rs
+++ b/toucanchute_core/src/routing/tests/simulation.rs
@@ -45,6 +45,8 @@
 /// The dispatchers with simulated time, network, replicas and callers.
 pub(super) struct Simulation {
     pub(super) now: Millis,
+    /// Interval between two ticks of a router, in milliseconds.
+    tick_interval: u64,
     routers: Vec<Dispatcher>,
     frozen_until: Vec<Millis>,
     /// Events that arrived at each router while it was frozen.
@@ -119,7 +121,7 @@
 pub(super) const POISON: Digest = Digest(u128::MAX);
 
 impl Simulation {
-    pub(super) fn new(seed: u64, fault: Option<Fault>) -> Simulation {
+    pub(super) fn new(seed: u64, tick_interval: u64, fault: Option<Fault>) -> Simulation {
         let router = |i: usize| {
             let mut d = Dispatcher::new(Incarnation(i as u64 + 1), "d0", seed + i as u64);
             d.fault = fault;
@@ -127,6 +129,7 @@
         };
         let mut sim = Simulation {
             now: Millis(1_000),
+            tick_interval,
             routers: (0..ROUTERS).map(router).collect(),
             frozen_until: vec![Millis(0); ROUTERS],
             held_events: vec![Vec::new(); ROUTERS],
@@ -205,7 +208,7 @@
             self.now = self.now + Millis(5);
             self.end_due_attempts();
             self.send_poison();
-            if self.now.0.is_multiple_of(20) {
+            if self.now.0.is_multiple_of(self.tick_interval) {
                 (0..ROUTERS).for_each(|r| self.post(r, 0, Event::Tick));
             }
             self.deliver()?;
--- a/toucanchute_router/src/actor/dispatch.rs
+++ b/toucanchute_router/src/actor/dispatch.rs
@@ -96,7 +96,7 @@
     },
     /// Another router's verdict on a request that was in flight on a replica that crashed.
     Verdict(Verdict),
-    /// Time has passed. Sent every 20 or 50 ms, depending on the process.
+    /// Time has passed. Sent at least every [`Dispatcher::MAX_TICK_INTERVAL`].
     Tick,
 }
 
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -51,7 +51,7 @@
 };
 
 /// Time between two ticks of the state machines.
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(Dispatcher::MAX_TICK_INTERVAL.0);
 
 /// Number of these ticks per tick of the fleet actor.
 const TICKS_PER_FLEET_TICK: u64 = Fleet::TICK.0 / TICK.as_millis() as u64;
--- a/toucanchute_router/src/server.rs
+++ b/toucanchute_router/src/server.rs
@@ -50,6 +50,7 @@
 
 /// Time between two ticks of the dispatch actor, which does nothing in most of them.
 const DISPATCH_TICK: Duration = Duration::from_millis(20);
+const _: () = assert!(DISPATCH_TICK.as_millis() as u64 <= Dispatcher::MAX_TICK_INTERVAL.0);
 
 /// Time between two ticks of the orders actor.
 const ORDERS_TICK: Duration = Duration::from_millis(500);
