fix(prepaid): in a long outage of the store half of what is left may be spent

Cause: the ramp bounds at any age of the record what a loss of all routers writes off, a quarter of the rest, so it also bounds what may be spent in an outage.

Change: the ramp ends at half of the rest. What is above a quarter, `late` in the record, may be spent only once the record is 6 s old, all of it at 7 s. Owner and takeover compute both from the same record and age, so a takeover by the ramp counts at least what the owner could spend. A record that was renewed until all routers ended is taken over before that age, so a loss of power without an outage writes off a quarter as before. A request that waits for the late part in vain is refused at once. `drawn` holds the late part, so that successors of earlier versions count it; hand-overs name it in a field of its own, so that owners of earlier versions don't spend it.

Tests: store_outage.rs; its cases of 7 and 9 s fail with the quarter. SpendLateAtOnce is found by a case.

--- a/toucanchute_core/src/prepaid/account.rs
+++ b/toucanchute_core/src/prepaid/account.rs
@@ -8,7 +8,7 @@
 use super::{
     Fault,
     marks::Marks,
-    ramp::ramp_at,
+    ramp::{ramp_at, ramp_end},
     rate::DrawRate,
     record,
     reservations::{RequestId, Reservation, Reservations},
@@ -193,16 +193,21 @@
 
     /// Returns the bound that the ramps of all possible records allow at `now`.
     pub(super) fn ramp_bound(&self, now: Millis) -> u64 {
-        let ramps = self
-            .possible_records()
-            .map(|(record, sent)| ramp_at(record, now.since(sent)));
+        let ramps = self.possible_records().map(|(record, sent)| {
+            match self.has_fault(Fault::SpendLateAtOnce) {
+                true => ramp_at(&record::without_late(record), now.since(sent)),
+                false => ramp_at(record, now.since(sent)),
+            }
+        });
         ramps.fold(u64::MAX, u64::min)
     }
 
-    /// Returns the most that may be spent before another record is written.
-    pub(super) fn ramp_max(&self) -> u64 {
-        let maxima = self.possible_records().map(|(record, _)| record.drawn);
-        maxima.fold(u64::MAX, u64::min)
+    /// Returns the most that the ramps of all possible records may reach by `until`, whatever their pace.
+    pub(super) fn ramp_end(&self, until: Millis) -> u64 {
+        let ends = self
+            .possible_records()
+            .map(|(record, sent)| ramp_end(record, until.since(sent)));
+        ends.fold(u64::MAX, u64::min)
     }
 
     /// Returns the sum of tokens that waiting requests need.
--- a/toucanchute_core/src/prepaid/bounds.rs
+++ b/toucanchute_core/src/prepaid/bounds.rs
@@ -343,10 +343,12 @@
             false => self.marks.highest().saturating_sub(self.used),
         };
         ramp.ahead = ramp.ahead.max(need).min(left).max(marked);
+        let max = ramp_max(limit, self.used, ramp.ahead, ramp.pace);
         let next = Account {
             owner: Some(owner),
             spent: self.used,
-            drawn: ramp_max(limit, self.used, ramp.ahead, ramp.pace),
+            drawn: max.drawn,
+            late: Some(max.late),
             ahead: ramp.ahead,
             pace: ramp.pace,
             at: clocks.earliest(now),
--- a/toucanchute_core/src/prepaid/fault.rs
+++ b/toucanchute_core/src/prepaid/fault.rs
@@ -26,6 +26,8 @@
     SpendAfterRelease,
     /// Lets witnesses accept marks of lesser terms after a fence.
     AcceptFencedMarks,
+    /// Spends the late part of a ramp while the record is new.
+    SpendLateAtOnce,
     /// Spends beyond the bounds of the record, up to the total.
     IgnoreDrawn,
     /// Takes the record of a store that came back from an older copy for the last one.
--- a/toucanchute_core/src/prepaid/handover.rs
+++ b/toucanchute_core/src/prepaid/handover.rs
@@ -69,6 +69,7 @@
             spent: owned.used,
             drawn: owned.used,
             ahead: 0,
+            late: None,
             pace: 0,
             quorum: record::no_quorum(),
             era: Some(self.store_era),
@@ -102,7 +103,8 @@
             term: next_term(owned.term),
             used: owned.used,
             mark: owned.bound(now, limit).max(owned.used),
-            account: owned.record.clone(),
+            account: early_part(&owned.record),
+            late: owned.record.late,
             age: now.since(owned.sent_at),
             pending: pending.collect(),
             reserved: reserved.collect(),
@@ -131,7 +133,8 @@
         let waiting = takeover.map_or(VecDeque::new(), |t| t.waiting);
         self.ops.retain(|_, b| *b != budget);
         let now = self.now;
-        let mut owned = OwnedAccount::new(now, body.term, body.account, body.revision);
+        let account = with_late_part(body.account, body.late);
+        let mut owned = OwnedAccount::new(now, body.term, account, body.revision);
         owned.sent_at = now - body.age;
         owned.used = body.used;
         owned.settled = body.settled.unwrap_or(owned.settled);
@@ -163,6 +166,25 @@
     }
 }
 
+/// Returns a record that allows no more than the early part of its ramp, at any age. Routers of earlier
+/// versions would spend the late part as soon as the pace allows.
+fn early_part(account: &Account) -> Account {
+    let late = account.late.unwrap_or(0);
+    Account {
+        drawn: account.drawn.saturating_sub(late),
+        ..record::without_late(account)
+    }
+}
+
+/// Returns the record from which the `late` part was taken.
+fn with_late_part(account: Account, late: Option<u64>) -> Account {
+    Account {
+        drawn: account.drawn.saturating_add(late.unwrap_or(0)),
+        late,
+        ..account
+    }
+}
+
 /// Returns the term of the router that an account is handed over to.
 fn next_term(term: Term) -> Term {
     Term {
--- a/toucanchute_core/src/prepaid/owner.rs
+++ b/toucanchute_core/src/prepaid/owner.rs
@@ -92,8 +92,9 @@
             let need_at_most = owned.used_at_most_with(&request);
             let max = match store_up {
                 true => limit,
-                // Without the store no further record can be written, so the ramp rises no further.
-                false => limit.min(owned.ramp_max()),
+                // Without the store no further record can be written, so the ramp does not rise
+                // beyond its end while the request waits.
+                false => limit.min(owned.ramp_end(request.until)),
             };
             let has_room = need_at_most <= limit;
             let verdict = if has_room && need <= owned.bound(now, limit) {
--- a/toucanchute_core/src/prepaid/ramp.rs
+++ b/toucanchute_core/src/prepaid/ramp.rs
@@ -23,10 +23,21 @@
 /// [`AHEAD_REQUESTS`].
 const REQUESTS_AHEAD_DIVISOR: u64 = 10;
 
-/// Divisor of the remaining tokens: how far a ramp may rise beyond what requests wait for. The rest
-/// remains even if all routers end, however long they were without the store.
+/// Divisor of the remaining tokens: how far a ramp may rise beyond what requests wait for, until its
+/// record is [`LATE_FROM`] old.
 const RAMP_MAX_DIVISOR: u64 = 4;
 
+/// Divisor of the remaining tokens: how far the ramp of an older record may rise. The rest remains even
+/// if all routers end, however long they were without the store.
+const LATE_RAMP_MAX_DIVISOR: u64 = 2;
+
+/// Age of a record from which its ramp rises beyond a quarter. Records that were renewed until all routers
+/// ended are taken over before that.
+const LATE_FROM: Millis = Millis(6_000);
+
+/// Time in which the late part of a ramp becomes available.
+const LATE_RISE: Millis = Millis(1_000);
+
 /// Longest time for which a ramp rises. A takeover counts the whole rise as spent if the owner may
 /// be alive.
 const RAMP_DURATION: Millis = Millis(30_000);
@@ -85,19 +96,47 @@
     }
 }
 
+/// The most that may be spent under a record, however old it gets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct RampMax {
+    pub(super) drawn: u64,
+    /// Part of `drawn` that may be spent only under a record that has not been renewed for long.
+    pub(super) late: u64,
+}
+
 /// Returns the most that may be spent under a record with `spent` of `limit` tokens spent, `ahead`
 /// tokens at once and `pace` tokens per second.
-pub(super) fn ramp_max(limit: u64, spent: u64, ahead: u64, pace: u64) -> u64 {
+pub(super) fn ramp_max(limit: u64, spent: u64, ahead: u64, pace: u64) -> RampMax {
     let left = limit.saturating_sub(spent);
     let risen = ahead.saturating_add(pace.saturating_mul(RAMP_DURATION.0) / 1_000);
-    spent + risen.min(left / RAMP_MAX_DIVISOR).max(ahead)
+    let early = risen.min(left / RAMP_MAX_DIVISOR).max(ahead);
+    let most = risen.min(left / LATE_RAMP_MAX_DIVISOR).max(early);
+    RampMax {
+        drawn: spent + most,
+        late: most - early,
+    }
 }
 
 /// Returns the most that can have been spent from an account when its record is `since` old.
 pub(super) fn ramp_at(account: &Account, since: Millis) -> u64 {
     let ramp = account.pace.saturating_mul(since.0) / 1_000;
     let at_once = account.spent.saturating_add(account.ahead);
-    at_once.saturating_add(ramp).min(account.drawn)
+    at_once.saturating_add(ramp).min(ramp_end(account, since))
+}
+
+/// Returns the value above which the ramp of a record that is `since` old does not rise, whatever its
+/// pace.
+pub(super) fn ramp_end(account: &Account, since: Millis) -> u64 {
+    account.drawn.saturating_sub(late_left(account, since))
+}
+
+/// Returns the tokens of the late part of a ramp that may not be spent yet when the record is `since`
+/// old.
+fn late_left(account: &Account, since: Millis) -> u64 {
+    let late = account.late.unwrap_or(0);
+    let risen = since.since(LATE_FROM).min(LATE_RISE);
+    let part = u128::from(late) * u128::from(risen.0) / u128::from(LATE_RISE.0);
+    late.saturating_sub(u64::try_from(part).unwrap_or(late))
 }
 
 impl ClockSpread {
--- a/toucanchute_core/src/prepaid/record.rs
+++ b/toucanchute_core/src/prepaid/record.rs
@@ -32,6 +32,7 @@
         era: None,
         settled: Some(0),
         settles_from: None,
+        late: None,
     }
 }
 
@@ -41,6 +42,14 @@
     account.settled.unwrap_or(unknown)
 }
 
+/// Returns a record all of whose ramp may be spent as soon as its pace allows.
+pub(super) fn without_late(account: &Account) -> Account {
+    Account {
+        late: None,
+        ..account.clone()
+    }
+}
+
 /// Returns the quorum of an account without an owner, which has no witnesses.
 pub(super) fn no_quorum() -> Quorum {
     Quorum {
--- a/toucanchute_core/src/prepaid/takeover.rs
+++ b/toucanchute_core/src/prepaid/takeover.rs
@@ -350,7 +350,9 @@
         let ramp = Ramp::initial(need, left);
         account.ahead = ramp.ahead;
         account.pace = ramp.pace;
-        account.drawn = ramp_max(limit, base, ramp.ahead, ramp.pace);
+        let max = ramp_max(limit, base, ramp.ahead, ramp.pace);
+        account.drawn = max.drawn;
+        account.late = Some(max.late);
         account.at = self.clocks.earliest(self.now);
         account.era = Some(self.store_era);
         account.quorum = self.choose_quorum(budget);
--- a/toucanchute_core/tests/prepaid_cases.rs
+++ b/toucanchute_core/tests/prepaid_cases.rs
@@ -14,6 +14,8 @@
 mod power_loss;
 #[path = "prepaid_cases/restore.rs"]
 mod restore;
+#[path = "prepaid_cases/store_outage.rs"]
+mod store_outage;
 
 use fleet::Fleet;
 use toucanchute_core::prepaid::RefusalReason;
