feat: evacuation of failure domains

The order travels with the configuration: the same call and watch read both, routers hold the whole list with the revision of the store and attach it to messages for peers that lack it. `Replica::availability` says `Evacuated`, so that first attempts, queued calls, retries, hedges, resumptions, permits and claims all keep to it. Where all domains are evacuated, requests are refused at once as `domains-evacuated`.

The walk of the readers orders evacuations at 7, 30, 100 and 300 routers; a fuzz of three dispatchers checks each start, and finds ignored orders.

--- a/toucanchute_core/examples/capacity.rs
+++ b/toucanchute_core/examples/capacity.rs
@@ -205,6 +205,7 @@
             })
             .collect(),
         customers: (0..customers).map(customer).collect(),
+        evacuated_domains: Vec::new(),
     }
 }
 
--- a/toucanchute_core/src/fleet.rs
+++ b/toucanchute_core/src/fleet.rs
@@ -6,6 +6,7 @@
 
 mod action;
 mod drain;
+mod evacuations;
 mod event;
 mod fault;
 mod hosts;
--- a/toucanchute_core/src/fleet/action.rs
+++ b/toucanchute_core/src/fleet/action.rs
@@ -32,6 +32,8 @@
     ApplyConfig(Arc<Config>),
     /// Send no new work to the backend servers with these names. Replaces the previous set.
     Withdraw(BTreeSet<String>),
+    /// Send no new work to the backend servers of these failure domains. Replaces the previous set.
+    Evacuate(BTreeSet<String>),
     /// Use the registered backend servers that take work. Replaces the previous list.
     Backends(DiscoveryUpdate),
     /// All known members but this router. Replaces the previous list.
--- a/toucanchute_core/src/fleet/event.rs
+++ b/toucanchute_core/src/fleet/event.rs
@@ -3,7 +3,7 @@
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
     config::Config,
-    fleet::{BackendHint, FleetMessage, FoundBody, Load, Member, Verdict},
+    fleet::{BackendHint, EvacuationList, FleetMessage, FoundBody, Load, Member, Verdict},
 };
 
 /// Input of a [`Fleet`](super::Fleet).
@@ -55,6 +55,9 @@
         /// When the request was sent, or when a watch last showed that the platform is alive.
         requested_at: Millis,
     },
+    /// The operator's orders to evacuate failure domains were read from the platform. Sent before the
+    /// [`Event::ConfigHead`] of the same request.
+    Evacuations(EvacuationList),
     /// A request to the platform's service or for its host list failed.
     PlatformDown,
     /// A backend server that this router polls reported its load.
--- a/toucanchute_core/src/fleet/fault.rs
+++ b/toucanchute_core/src/fleet/fault.rs
@@ -16,6 +16,8 @@
     OutageAlone,
     /// Backend servers that are not listed as live still get work.
     ForgetUnlisted,
+    /// Orders to evacuate a failure domain are ignored.
+    IgnoreEvacuations,
     /// A leaving router refuses work while callers still have its address.
     RefuseEarly,
     /// A leaving router does not wait for requests in progress.
--- a/toucanchute_core/src/fleet/links.rs
+++ b/toucanchute_core/src/fleet/links.rs
@@ -57,11 +57,13 @@
     pub(super) quarantines_sent: BTreeMap<Incarnation, Millis>,
 }
 
-/// Versions of the configuration and the host list that a peer has in force.
+/// Versions of the configuration, the host list and the evacuations that a peer has in force.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PeerVersions {
     pub(super) head: u64,
     pub(super) hosts: u64,
+    /// Revision of its list of evacuations; 0 if it named none.
+    pub(super) evacuations: u64,
 }
 
 /// A ping that is not yet acknowledged.
@@ -118,6 +120,7 @@
         self.expire_members(now);
         self.rumors.remove_expired(now);
         self.refresh_backends(now, out);
+        self.update_evacuations(now, out);
         if now >= self.next_gossip {
             self.next_gossip = now + GOSSIP_PERIOD;
             self.ping_random_peers(now, out);
--- a/toucanchute_core/src/fleet/machine.rs
+++ b/toucanchute_core/src/fleet/machine.rs
@@ -12,6 +12,7 @@
 use super::{
     Action, Event,
     drain::DrainStage,
+    evacuations::Evacuations,
     fault::Fault,
     hosts::Hosts,
     links::{Links, Probe},
@@ -81,6 +82,7 @@
     /// The configuration in force as sent to peers; absent until a peer has sent or requested it.
     pub(super) packed_config: Option<Bytes>,
     pub(super) hosts: Hosts,
+    pub(super) evacuations: Evacuations,
     /// When to read registrations from the store; absent if host lists are used instead.
     pub(super) read_policy: Option<ReadPolicy>,
     pub(super) registrations: Registrations,
@@ -134,6 +136,7 @@
             config: None,
             packed_config: None,
             hosts: Hosts::default(),
+            evacuations: Evacuations::default(),
             read_policy: None,
             registrations: Registrations::default(),
             discovery: Discovery::default(),
@@ -180,6 +183,7 @@
                 self.set_outage(self.view.is_platform_down());
                 self.apply_registrations(now, body, None, out);
             }
+            Event::Evacuations(list) => self.apply_evacuations(now, list, None, out),
             Event::PlatformDown => self.platform_down(),
             Event::LoadReport(load) => self.handle_load_report(load, out),
             Event::Verdicts(verdicts) => self.handle_own_verdicts(&verdicts, out),
--- a/toucanchute_core/src/fleet/messages.rs
+++ b/toucanchute_core/src/fleet/messages.rs
@@ -76,6 +76,7 @@
         let versions = PeerVersions {
             head: gossip.head.version,
             hosts: gossip.hosts,
+            evacuations: gossip.evacuation_revision.unwrap_or(0),
         };
         self.links.peer_versions.insert(from, versions);
         self.view
@@ -86,6 +87,9 @@
         if let Some(list) = gossip.backends {
             self.apply_backend_list(list, out);
         }
+        if let Some(list) = gossip.evacuations {
+            self.apply_evacuations(now, list, Some(from), out);
+        }
         let fleet = self.known_members();
         let mut urgent = false;
         for v in gossip.verdicts {
@@ -325,12 +329,17 @@
             version: 0,
             digest: Digest::default(),
         });
-        let known = self.links.peer_versions.get(&to).map_or(0, |k| k.hosts);
-        let newer = self.hosts.backends.as_ref().filter(|w| w.version > known);
+        let known = self.links.peer_versions.get(&to);
+        let known_hosts = known.map_or(0, |k| k.hosts);
+        let newer = self.hosts.backends.as_ref();
+        let newer = newer.filter(|w| w.version > known_hosts);
+        let known_evacuations = known.map_or(0, |k| k.evacuations);
         Gossip {
             head,
             hosts: self.hosts_version(),
             backends: newer.cloned(),
+            evacuation_revision: self.evacuations.revision(),
+            evacuations: self.evacuations.newer_than(known_evacuations),
             members: self.rumors.take_members(&self.me, &self.members),
             verdicts: self.rumors.take_verdicts(),
             loads: self.rumors.take_loads(),
--- a/toucanchute_core/src/fleet/tests.rs
+++ b/toucanchute_core/src/fleet/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the fleet's machines.
 
 mod configs;
+mod evacuations;
 mod found;
 mod fuzz;
 mod hints;
--- a/toucanchute_core/src/fleet/tests/outage.rs
+++ b/toucanchute_core/src/fleet/tests/outage.rs
@@ -124,6 +124,8 @@
                 head,
                 hosts: 1,
                 backends: None,
+                evacuation_revision: None,
+                evacuations: None,
                 members: Vec::new(),
                 verdicts: Vec::new(),
                 loads: Vec::new(),
--- a/toucanchute_core/src/fleet/tests/peers.rs
+++ b/toucanchute_core/src/fleet/tests/peers.rs
@@ -56,6 +56,8 @@
         head,
         hosts: 0,
         backends: None,
+        evacuation_revision: None,
+        evacuations: None,
         members: Vec::new(),
         verdicts: Vec::new(),
         loads: Vec::new(),
--- a/toucanchute_core/src/routing.rs
+++ b/toucanchute_core/src/routing.rs
@@ -11,6 +11,7 @@
 mod configure;
 mod dispatch;
 mod dispatcher;
+mod evacuation;
 mod event;
 mod fault;
 mod health;
--- a/toucanchute_core/src/routing/action.rs
+++ b/toucanchute_core/src/routing/action.rs
@@ -50,6 +50,15 @@
         /// Name of the backend server.
         backend: String,
     },
+    /// A failure domain is evacuated, or no longer; to be logged.
+    EvacuationChanged {
+        /// The failure domain.
+        failure_domain: String,
+        /// Whether it is evacuated now.
+        evacuated: bool,
+        /// Number of its backend servers.
+        backends: usize,
+    },
     /// A backend server's state changed by its own notice; to be logged.
     BackendChanged {
         /// Name of the backend server.
@@ -96,6 +105,8 @@
 pub enum RefusalReason {
     /// No backend server is configured for it, or all of them are withdrawn or leaving.
     NoBackend,
+    /// The failure domains of all backend servers that could serve it are evacuated.
+    Evacuated,
     /// It cannot start in time, or the queue is too long.
     Overloaded,
     /// All backend servers that could serve it asked for a backoff.
--- a/toucanchute_core/src/routing/availability.rs
+++ b/toucanchute_core/src/routing/availability.rs
@@ -8,6 +8,8 @@
     Withdrawn,
     /// It announced that it is leaving, which is final.
     Leaving,
+    /// Its failure domain is evacuated.
+    Evacuated,
     /// It asked for a backoff until this time.
     BackingOff(Millis),
     /// It failed and gets no work for a while.
--- a/toucanchute_core/src/routing/configure.rs
+++ b/toucanchute_core/src/routing/configure.rs
@@ -96,6 +96,7 @@
         r.software.clone_from(&b.software);
         r.listed = listed;
         r.leaving = self.leaving.contains(&b.name);
+        r.set_evacuated(now, self.evacuation.contains(&b.failure_domain));
         r.limit.set_max(self.pools[pool].max_concurrency);
         self.pools[old].members.retain(|k| *k != key);
         self.pools[pool].members.push(key);
--- a/toucanchute_core/src/routing/dispatcher.rs
+++ b/toucanchute_core/src/routing/dispatcher.rs
@@ -7,6 +7,7 @@
 use super::{
     Action, Event, RefusalReason, RoutingRequest, Target,
     attempts::Attempt,
+    evacuation::Evacuation,
     fault::Fault,
     notices::{LeavingBackends, SavedBackoffs},
     pool::{BackendKey, Pool, PoolKey},
@@ -18,6 +19,10 @@
 /// Bounds of the retry time in a refusal.
 const RETRY_AFTER: (Millis, Millis) = (Millis(200), Millis(30_000));
 
+/// Time after which to retry a request that no backend server may get. An operator or a new server
+/// has to change that.
+const UNSERVABLE_RETRY_AFTER: Millis = Millis(1_000);
+
 /// Chooses a backend server for each request of one router.
 ///
 /// ```
@@ -42,6 +47,7 @@
     /// Keys by name, one for each entry of `replicas`.
     pub(super) keys_by_name: BTreeMap<String, BackendKey>,
     pub(super) withdrawn: BTreeSet<String>,
+    pub(super) evacuation: Evacuation,
     pub(super) targets: BTreeMap<Target, PoolKey>,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
     pub(super) suspects: Suspects,
@@ -80,6 +86,7 @@
             replicas: SlotMap::with_key(),
             keys_by_name: BTreeMap::new(),
             withdrawn: BTreeSet::new(),
+            evacuation: Evacuation::default(),
             targets: BTreeMap::new(),
             attempts: BTreeMap::new(),
             suspects: Suspects::new(incarnation),
@@ -102,8 +109,10 @@
             Event::Configure { config, withdrawn } => {
                 self.withdrawn.clone_from(&withdrawn);
                 self.configure(now, &config, &withdrawn);
+                self.set_configured_evacuations(now, &config.evacuated_domains, out);
                 self.refuse_unservable(out);
             }
+            Event::Evacuate(domains) => self.set_ordered_evacuations(now, domains, out),
             Event::Assign(req) => self.admit(now, req, out),
             Event::Abandon { call } => self.abandon(call),
             Event::Report { attempt, report } => self.handle_report(now, attempt, report, out),
@@ -176,7 +185,7 @@
             return;
         }
         if !self.servable(key, &req) {
-            refuse(&req, RefusalReason::NoBackend, Millis(1_000), out);
+            self.refuse_as_unservable(key, &req, out);
             return;
         }
         if let Some(after) = self.backoff_retry_after(now, key) {
@@ -236,7 +245,7 @@
         }
     }
 
-    /// Whether a pool has a replica for a request that is neither withdrawn nor leaving.
+    /// Whether a pool has a replica for a request that may get work now or later.
     fn servable(&self, key: PoolKey, req: &RoutingRequest) -> bool {
         let members = self.pools[key].members.iter().map(|&k| &self.replicas[k]);
         members
@@ -244,15 +253,26 @@
             .any(|r| r.is_staying() && r.runs_software_for(req))
     }
 
+    /// Refuses a request that no replica of a pool may get.
+    fn refuse_as_unservable(&self, key: PoolKey, req: &RoutingRequest, out: &mut Vec<Action>) {
+        let mut members = self.pools[key].members.iter().map(|&k| &self.replicas[k]);
+        let reason = match members.any(|r| r.is_held_by_evacuation() && r.runs_software_for(req)) {
+            true => RefusalReason::Evacuated,
+            false => RefusalReason::NoBackend,
+        };
+        refuse(req, reason, UNSERVABLE_RETRY_AFTER, out);
+    }
+
     /// Refuses the waiting calls for which no replica is left.
     pub(super) fn refuse_unservable(&mut self, out: &mut Vec<Action>) {
         for key in self.pools.keys().collect::<Vec<PoolKey>>() {
             let waiting = self.pools[key].queue.calls();
             let unservable = waiting.filter(|req| !self.servable(key, req));
             let calls: Vec<u64> = unservable.map(|req| req.call).collect();
-            let queue = &mut self.pools[key].queue;
-            for req in calls.into_iter().filter_map(|call| queue.remove(call)) {
-                refuse(&req, RefusalReason::NoBackend, Millis(1_000), out);
+            for call in calls {
+                if let Some(req) = self.pools[key].queue.remove(call) {
+                    self.refuse_as_unservable(key, &req, out);
+                }
             }
         }
     }
--- a/toucanchute_core/src/routing/event.rs
+++ b/toucanchute_core/src/routing/event.rs
@@ -20,6 +20,9 @@
         /// Names of backend servers that take no new work.
         withdrawn: BTreeSet<String>,
     },
+    /// The backend servers of these failure domains get no new work, whatever the configuration says.
+    /// Replaces the previous set.
+    Evacuate(BTreeSet<String>),
     /// A request needs a backend server.
     Assign(RoutingRequest),
     /// The caller of a waiting request no longer needs it. Ignored if the request was already
--- a/toucanchute_core/src/routing/fault.rs
+++ b/toucanchute_core/src/routing/fault.rs
@@ -5,6 +5,8 @@
 pub(super) enum Fault {
     /// Withdrawn replicas get work.
     UseWithdrawn,
+    /// Replicas of evacuated failure domains get work.
+    IgnoreEvacuations,
     /// Replicas get more than the configured concurrency.
     ExceedConcurrency,
     /// Calls start after their deadline.
--- a/toucanchute_core/src/routing/replica.rs
+++ b/toucanchute_core/src/routing/replica.rs
@@ -53,6 +53,8 @@
     pub(super) unanswered: UnansweredAttempts,
     /// Whether it announced that it is leaving.
     pub(super) leaving: bool,
+    /// Whether its failure domain is evacuated.
+    evacuated: bool,
     pub(super) backoff: Backoff,
     /// Rate limit that it named. While there is one, each request needs a permit.
     pub(super) rate_limit: Option<RequestRate>,
@@ -87,6 +89,7 @@
             cache: PrefixCache::new(),
             unanswered: UnansweredAttempts::default(),
             leaving: false,
+            evacuated: false,
             backoff: Backoff::None,
             rate_limit: None,
             no_permit_until: Millis(0),
@@ -190,6 +193,9 @@
         if self.leaving {
             return Availability::Leaving;
         }
+        if self.evacuated {
+            return Availability::Evacuated;
+        }
         match (self.backoff, cap) {
             (Backoff::Until(until), _) => Availability::BackingOff(until),
             (_, Some(0)) => Availability::Ejected,
@@ -207,9 +213,23 @@
         req.software.admits(self.software.as_deref())
     }
 
-    /// Whether it may get work now or later, that is, it is neither withdrawn nor leaving.
+    /// Whether it may get work now or later, that is, it is neither withdrawn nor leaving, and its
+    /// failure domain is not evacuated.
     pub(super) fn is_staying(&self) -> bool {
-        self.listed && !self.leaving
+        self.listed && !self.leaving && !self.evacuated
+    }
+
+    /// Whether nothing but the evacuation of its failure domain keeps work from it for good.
+    pub(super) fn is_held_by_evacuation(&self) -> bool {
+        self.listed && !self.leaving && self.evacuated
+    }
+
+    /// Sets whether its failure domain is evacuated. When that ends, work returns to it slowly.
+    pub(super) fn set_evacuated(&mut self, now: Millis, evacuated: bool) {
+        let restored = std::mem::replace(&mut self.evacuated, evacuated) && !evacuated;
+        if restored {
+            self.begin_slow_start(now);
+        }
     }
 
     fn slow_start_share(&self, now: Millis) -> f64 {
--- a/toucanchute_core/src/routing/tests.rs
+++ b/toucanchute_core/src/routing/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the dispatcher.
 
 mod affinity;
+mod evacuation;
 mod fairness;
 mod fuzz;
 mod harness;
--- a/toucanchute_core/src/routing/tests/affinity.rs
+++ b/toucanchute_core/src/routing/tests/affinity.rs
@@ -142,6 +142,7 @@
                 }
                 Action::Verdict(_)
                 | Action::BackendChanged { .. }
+                | Action::EvacuationChanged { .. }
                 | Action::Hint(_)
                 | Action::SendPermitMessage { .. }
                 | Action::PermitUnanswered { .. } => {}
--- a/toucanchute_core/src/routing/tests/fuzz.rs
+++ b/toucanchute_core/src/routing/tests/fuzz.rs
@@ -5,7 +5,7 @@
 
 use super::{
     simulation::Simulation,
-    steps::{Step, steps},
+    steps::{Step, steps, steps_with_evacuations},
 };
 use crate::routing::{Dispatcher, fault::Fault};
 
@@ -38,6 +38,43 @@
     })
 }
 
+/// Runs steps among which failure domains are evacuated.
+fn fuzz_evacuations(seed: u64, fault: Option<Fault>) -> Result<(), TestError<Vec<Step>>> {
+    println!("seed={seed} cases={CASES} fault={fault:?}");
+    let config = Config {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    TestRunner::new(config).run(&steps_with_evacuations(), |steps| {
+        let result = Simulation::new(seed, TICK_INTERVAL, fault).run(&steps);
+        result.map(drop).map_err(TestCaseError::fail)
+    })
+}
+
+/// Guards against work for a replica of an evacuated failure domain, on any way to it, and against calls
+/// that are forgotten in an evacuation.
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_3 = { 3 },
+)]
+fn invariants_hold_while_domains_are_evacuated(seed: u64) {
+    if let Err(e) = fuzz_evacuations(seed, None) {
+        panic!("seed {seed}: {e}");
+    }
+}
+
+#[test]
+fn ignored_evacuations_are_detected() {
+    let found = match fuzz_evacuations(1, Some(Fault::IgnoreEvacuations)) {
+        Err(TestError::Fail(reason, _)) => reason.message().to_owned(),
+        _ => String::new(),
+    };
+    assert_eq!(found, "a replica of an evacuated domain gets no work");
+}
+
 #[parameterized(
     seed_1 = { 1, TICK_INTERVAL },
     seed_2 = { 2, TICK_INTERVAL },
--- a/toucanchute_core/src/routing/tests/oracle.rs
+++ b/toucanchute_core/src/routing/tests/oracle.rs
@@ -42,6 +42,7 @@
 #[derive(Default)]
 struct RouterRecord {
     withdrawn: BTreeSet<String>,
+    evacuated: BTreeSet<String>,
     fresh: f64,
     retries: f64,
     /// When each replica was last found unreachable, unless it has rejoined since.
@@ -91,6 +92,7 @@
                 }
                 state.withdrawn.clone_from(withdrawn);
             }
+            Event::Evacuate(domains) => state.evacuated.clone_from(domains),
             Event::Assign(req) => {
                 state.fresh += f64::from(u8::from(req.attempts == 0));
             }
@@ -150,6 +152,11 @@
             !state.withdrawn.contains(&name),
             "a withdrawn replica gets no work",
         )?;
+        let domain = format!("d{}", replica % 2);
+        check(
+            !state.evacuated.contains(&domain),
+            "a replica of an evacuated domain gets no work",
+        )?;
         check(sim.now <= req.deadline, "no call starts after its deadline")?;
         let own_attempts = sim
             .running
--- a/toucanchute_core/src/routing/tests/simulation.rs
+++ b/toucanchute_core/src/routing/tests/simulation.rs
@@ -156,6 +156,7 @@
         }
         for r in 0..ROUTERS {
             self.withdraw(r, 0);
+            self.evacuate(r, 0);
         }
         self.advance(60_000)?;
         self.oracle.check_end(self.now, &self.calls)?;
@@ -182,6 +183,7 @@
             Step::CrashReplica(replica) => self.crash(replica),
             Step::Fail { nth, how } => self.fail(nth, how),
             Step::Withdraw { router, mask } => self.withdraw(router, mask & 0b1_1110),
+            Step::Evacuate { router, mask } => self.evacuate(router, mask),
             Step::Load { replica, lag } => self.load(replica, lag),
             Step::Abandon { nth } => {
                 let waiting = self.calls.iter().filter(|(_, c)| c.digest != POISON);
@@ -258,6 +260,12 @@
         out.into_iter().try_for_each(|a| self.perform(router, a))
     }
 
+    fn evacuate(&mut self, router: usize, mask: u8) {
+        let domains = (0..2).filter(|d| mask & (1 << d) != 0);
+        let domains = domains.map(|d| format!("d{d}")).collect();
+        self.post(router, 0, Event::Evacuate(domains));
+    }
+
     // Callers
 
     fn send(&mut self, router: usize, req: RoutingRequest) {
@@ -315,6 +323,7 @@
                 self.finish_call(call);
             }
             Action::BackendChanged { .. }
+            | Action::EvacuationChanged { .. }
             | Action::Hint(_)
             | Action::SendPermitMessage { .. }
             | Action::PermitUnanswered { .. } => {}
--- a/toucanchute_core/tests/store_readers.rs
+++ b/toucanchute_core/tests/store_readers.rs
@@ -1,6 +1,6 @@
 //! Random sequences of faults in fleets of several sizes, in which few routers read the store.
 //! Every router with access to the store and its peers learns in time of each removed backend
-//! server, and never uses it again.
+//! server, and never uses it again, and of each failure domain that is evacuated or taken back.
 //!
 //! `READER_FLEET=1000 READER_WALKS=5 cargo test --release -p toucanchute_core --test store_readers`
 
@@ -30,7 +30,7 @@
     world.tally
 }
 
-macro_rules! removals_are_known_in_time {
+macro_rules! changes_are_known_in_time {
     ($($name:ident: $routers:expr;)*) => {$(
         #[test]
         fn $name() {
@@ -41,12 +41,18 @@
     )*};
 }
 
-removals_are_known_in_time! {
+changes_are_known_in_time! {
     in_a_fleet_of_7: 7;
     in_a_fleet_of_30: 30;
     in_a_fleet_of_100: 100;
 }
 
+/// One walk, since a fleet of this size takes as long as all others together.
+#[test]
+fn in_a_fleet_of_300() {
+    walk(0, 300, true);
+}
+
 /// Runs manually with a fleet of the size in `READER_FLEET`.
 #[test]
 fn in_a_fleet_of_the_requested_size() {
--- a/toucanchute_core/tests/store_readers/world.rs
+++ b/toucanchute_core/tests/store_readers/world.rs
@@ -10,7 +10,7 @@
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
     config::Config,
-    fleet::{Found, FoundBody, Member, MemberState, Registration},
+    fleet::{EvacuationList, Found, FoundBody, Member, MemberState, Registration},
 };
 
 /// Age of a view above which a router reads the store for itself.
@@ -19,6 +19,12 @@
 /// Time in which routers have to learn of a removed backend server.
 const MAX_REMOVAL_TIME: u64 = 4_000;
 
+/// Time in which routers have to learn that a failure domain is evacuated, or no longer.
+const MAX_EVACUATION_TIME: u64 = 4_000;
+
+/// Failure domains that orders evacuate.
+const EVACUATED_DOMAINS: [&str; 3] = ["d0", "d1", "d2"];
+
 /// How long before a removal a router has to have been connected for that bound to apply to it.
 const MIN_CONNECTED_TIME: u64 = 5_000;
 
@@ -63,6 +69,8 @@
     uses: BTreeSet<String>,
     /// Backend servers that it has ceased to use.
     dropped: BTreeSet<String>,
+    /// Failure domains that it has evacuated.
+    evacuated: BTreeSet<String>,
 }
 
 pub(crate) struct World {
@@ -79,6 +87,10 @@
     changes: Vec<Registration>,
     /// Removed backend servers: name and time of removal.
     removed: Vec<(String, u64)>,
+    /// Random choices of orders, apart from those of other changes.
+    orders_rng: SmallRng,
+    /// When each failure domain was last evacuated or taken back, and whether it is evacuated.
+    orders: BTreeMap<&'static str, (u64, bool)>,
     store_down_until: u64,
     pub(crate) violations: Vec<String>,
     pub(crate) tally: Tally,
@@ -97,6 +109,8 @@
             revision: 0,
             changes: Vec::new(),
             removed: Vec::new(),
+            orders_rng: SmallRng::seed_from_u64(seed ^ 0x0e7a_c0a7),
+            orders: BTreeMap::new(),
             store_down_until: 0,
             violations: Vec::new(),
             tally: Tally::default(),
@@ -155,6 +169,7 @@
             next_call: 0,
             uses: BTreeSet::new(),
             dropped: BTreeSet::new(),
+            evacuated: BTreeSet::new(),
         }
     }
 
@@ -169,6 +184,7 @@
                     self.inject_fault();
                 }
                 self.change();
+                self.order_evacuation();
             }
             for i in 0..self.routers.len() {
                 self.run_router(i);
@@ -220,6 +236,31 @@
         self.removed.push((name, self.now));
     }
 
+    /// Occasionally evacuates a failure domain or takes it back, while the store is up.
+    fn order_evacuation(&mut self) {
+        if self.now < self.store_down_until || !self.orders_rng.random_bool(0.03) {
+            return;
+        }
+        let domain = EVACUATED_DOMAINS[self.orders_rng.random_range(0..EVACUATED_DOMAINS.len())];
+        let evacuated = self.orders.get(domain).is_some_and(|(_, e)| *e);
+        self.orders.insert(domain, (self.now, !evacuated));
+        self.tally.changes += 1;
+        self.revision += 1;
+        self.changes.push(Registration {
+            key: format!("order-{}", self.revision),
+            revision: self.revision,
+            backend: None,
+        });
+    }
+
+    fn evacuations(&self) -> EvacuationList {
+        let evacuated = self.orders.iter().filter(|(_, (_, evacuated))| *evacuated);
+        EvacuationList {
+            revision: self.revision,
+            failure_domains: evacuated.map(|(&domain, _)| domain.to_owned()).collect(),
+        }
+    }
+
     fn whole(&self) -> FoundBody {
         let mut entries = BTreeMap::new();
         for change in &self.changes {
@@ -275,6 +316,7 @@
             version,
             ..Config::default()
         });
+        self.handle(i, Event::Evacuations(self.evacuations()));
         self.handle(i, Event::Config { config, digest });
         self.handle(
             i,
@@ -316,6 +358,7 @@
                     let uses: BTreeSet<_> = update.live.into_iter().map(|f| f.name).collect();
                     self.record_used_backends(i, uses);
                 }
+                Action::Evacuate(domains) => self.routers[i].evacuated = domains,
                 _ => {}
             }
         }
@@ -445,6 +488,7 @@
     /// Checks that every router that was connected all the time has ceased to use the removed
     /// backend servers.
     fn check(&mut self) {
+        self.check_evacuations();
         let now = self.now;
         for (name, at) in &self.removed {
             if now < at + MAX_REMOVAL_TIME || now >= at + MAX_REMOVAL_TIME + TICK {
@@ -465,4 +509,24 @@
         let longest = open.map(|(_, at)| now - at).max().unwrap_or(0);
         self.tally.longest_ms = self.tally.longest_ms.max(longest);
     }
+
+    /// Checks that every router that was connected all the time has applied the last order for each
+    /// failure domain.
+    fn check_evacuations(&mut self) {
+        let now = self.now;
+        for (&domain, &(at, evacuated)) in &self.orders {
+            if now < at + MAX_EVACUATION_TIME {
+                continue;
+            }
+            for router in &self.routers {
+                let connected = router.connected_since + MIN_CONNECTED_TIME <= at.min(now);
+                if connected && router.evacuated.contains(domain) != evacuated {
+                    let host = &router.member.host;
+                    self.violations.push(format!(
+                        "{now} ms: {host} has not applied {evacuated} for {domain} of {at} ms"
+                    ));
+                }
+            }
+        }
+    }
 }
--- a/toucanchute_ctl/src/diff.rs
+++ b/toucanchute_ctl/src/diff.rs
@@ -85,7 +85,11 @@
 /// Returns the fields of each section, by the section's header.
 fn sections(cfg: &Config) -> BTreeMap<String, Value> {
     let mut sections = BTreeMap::new();
-    let site = serde_json::json!({ "name": cfg.site });
+    let evacuated = cfg.evacuated_domains.join(", ");
+    let site = match evacuated.is_empty() {
+        true => serde_json::json!({ "name": cfg.site }),
+        false => serde_json::json!({ "name": cfg.site, "evacuated": evacuated }),
+    };
     sections.insert("site".to_owned(), site);
     let mut insert = |header: String, fields: Option<Value>| {
         sections.insert(header, fields.unwrap_or_default());
--- a/toucanchute_edge/src/control.rs
+++ b/toucanchute_edge/src/control.rs
@@ -287,6 +287,8 @@
     Overloaded,
     /// No backend server is able to serve the request.
     NoBackend,
+    /// The failure domains of all backend servers that could serve the request are evacuated.
+    Evacuated,
     /// All backend servers that could serve the request asked the router to back off.
     Resting,
     /// All backend servers that could serve the request named rate limits, which are used up.
@@ -321,6 +323,7 @@
     fn from(reason: routing::RefusalReason) -> RefusalReason {
         match reason {
             routing::RefusalReason::NoBackend => RefusalReason::NoBackend,
+            routing::RefusalReason::Evacuated => RefusalReason::Evacuated,
             routing::RefusalReason::BackingOff => RefusalReason::Resting,
             routing::RefusalReason::RateLimited => RefusalReason::RateLimited,
             routing::RefusalReason::RetriesExhausted => RefusalReason::RetriesExhausted,
--- a/toucanchute_edge/src/passthrough/failure.rs
+++ b/toucanchute_edge/src/passthrough/failure.rs
@@ -130,6 +130,7 @@
     match reason {
         RefusalReason::Overloaded => "overloaded",
         RefusalReason::NoBackend => "no-backend",
+        RefusalReason::Evacuated => "domains-evacuated",
         RefusalReason::Resting => "backends-resting",
         RefusalReason::RateLimited => "backends-rate-limited",
         RefusalReason::RetriesExhausted => "retries-exhausted",
--- a/toucanchute_edge/src/problem.rs
+++ b/toucanchute_edge/src/problem.rs
@@ -262,6 +262,12 @@
             true,
             "no backend server is fit to serve the request; try again later",
         ),
+        RefusalReason::Evacuated => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "domains-evacuated",
+            true,
+            "the failure domains of all backend servers for the request are evacuated; try again later",
+        ),
         RefusalReason::Resting => (
             StatusCode::SERVICE_UNAVAILABLE,
             "backends-resting",
--- a/toucanchute_proto/src/config_traits.rs
+++ b/toucanchute_proto/src/config_traits.rs
@@ -15,6 +15,7 @@
             && self.customers == rhs.customers
             && self.routes == rhs.routes
             && self.callers == rhs.callers
+            && self.evacuated_domains == rhs.evacuated_domains
     }
 }
 
@@ -34,6 +35,7 @@
             customers: Vec::new(),
             routes: Vec::new(),
             callers: None,
+            evacuated_domains: Vec::new(),
         }
     }
 }
--- a/toucanchute_router/src/actor.rs
+++ b/toucanchute_router/src/actor.rs
@@ -10,6 +10,7 @@
 mod orders;
 mod post;
 mod prepaid;
+mod routing_status;
 mod standings;
 
 pub(crate) use budget::BudgetActor;
@@ -21,4 +22,5 @@
 pub(crate) use orders::{OrderError, OrdersActor, OrdersInput, SubmitOrder};
 pub(crate) use post::post;
 pub(crate) use prepaid::{PrepaidActor, PrepaidInput, PrepaidParts};
+pub(crate) use routing_status::RoutingStatus;
 pub(crate) use standings::{RequestStandings, StandingCount};
--- a/toucanchute_router/src/actor/dispatch.rs
+++ b/toucanchute_router/src/actor/dispatch.rs
@@ -22,7 +22,7 @@
 };
 use xtra::prelude::*;
 
-use super::{FleetActor, FleetInput, RequestStandings, post};
+use super::{FleetActor, FleetInput, RequestStandings, RoutingStatus, post};
 use crate::{clock, gateway::StreamOriginKeeper, link::Mesh};
 
 /// Number of ticks per [`Event::Tick`] while no call is pending.
@@ -50,6 +50,7 @@
     /// configuration allows in a burst.
     router_count: usize,
     standings: Arc<RequestStandings>,
+    status: Arc<RoutingStatus>,
     /// Learns the software of registered backend servers, if they register themselves.
     origins: Option<Arc<StreamOriginKeeper<StoreClient>>>,
     actions: Vec<Action>,
@@ -71,6 +72,8 @@
     Config(Arc<Config>),
     /// The backend servers of these names receive no new work. Replaces the previous set.
     Withdraw(BTreeSet<String>),
+    /// The backend servers of these failure domains receive no new work. Replaces the previous set.
+    Evacuate(BTreeSet<String>),
     /// The registrations of backend servers changed.
     Backends {
         /// The backend servers that accept work.
@@ -117,6 +120,8 @@
     pub(crate) config: Arc<Config>,
     /// Logs and counts verdicts on requests.
     pub(crate) standings: Arc<RequestStandings>,
+    /// Logs and keeps what the metrics show of the machine's state.
+    pub(crate) status: Arc<RoutingStatus>,
     /// Learns the software of registered backend servers, if they register themselves.
     pub(crate) origins: Option<Arc<StreamOriginKeeper<StoreClient>>>,
 }
@@ -131,6 +136,7 @@
             capacity,
             config,
             standings,
+            status,
             origins,
         } = parts;
         DispatchActor {
@@ -146,6 +152,7 @@
             registered: None,
             router_count: 1,
             standings,
+            status,
             origins,
             actions: Vec::new(),
         }
@@ -208,6 +215,14 @@
                 self.reply(call, Err(refusal));
             }
             Action::BackendChanged { backend, state } => log_backend_state(&backend, state),
+            Action::EvacuationChanged {
+                failure_domain,
+                evacuated,
+                backends,
+            } => {
+                self.status
+                    .record_evacuation(failure_domain, evacuated, backends);
+            }
             Action::Hint(hint) => post(&self.fleet, FleetInput::Hint(hint)),
             Action::SendPermitMessage { to, message } => {
                 self.mesh.send(to, FrameKind::Permits, &message);
@@ -306,6 +321,7 @@
                 self.withdrawn = names;
                 self.configure();
             }
+            DispatchInput::Evacuate(domains) => self.feed(Event::Evacuate(domains)),
             DispatchInput::Backends { live, lapsed } => {
                 for backend in lapsed {
                     self.feed(Event::RegistrationLapsed { backend });
@@ -381,6 +397,7 @@
         models: config.models.clone(),
         services: config.services.clone(),
         backends: backends.collect(),
+        evacuated_domains: config.evacuated_domains.clone(),
         ..Config::default()
     }
 }
--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -11,7 +11,9 @@
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
     config::Config,
-    fleet::{BackendHint, FleetMessage, FoundBody, Load, Member, MemberState, Verdict},
+    fleet::{
+        BackendHint, EvacuationList, FleetMessage, FoundBody, Load, Member, MemberState, Verdict,
+    },
     peer::FrameKind,
 };
 use xtra::prelude::*;
@@ -88,6 +90,9 @@
     /// Registrations of backend servers, all or those that changed, and the time at which they
     /// were requested or last known to be current.
     Registrations(FoundBody, Millis),
+    /// The operator's orders to evacuate failure domains, as read from the platform. Sent before the
+    /// head of the configuration that the same call read.
+    Evacuations(EvacuationList),
     /// A configuration was read from the platform.
     Config(Arc<Config>, Digest),
     /// A call to the platform failed or had no answer.
@@ -185,6 +190,9 @@
                 let input = DispatchInput::Backends { live, lapsed };
                 self.with_outputs(|out| post(&out.dispatch, input));
             }
+            Action::Evacuate(domains) => {
+                self.with_outputs(|out| post(&out.dispatch, DispatchInput::Evacuate(domains)));
+            }
             Action::Load(load) => {
                 self.with_outputs(|out| post(&out.dispatch, DispatchInput::Load(load)));
             }
@@ -311,6 +319,7 @@
                 body,
                 requested_at: request_time,
             },
+            FleetInput::Evacuations(list) => Event::Evacuations(list),
             FleetInput::Config(config, digest) => Event::Config { config, digest },
             FleetInput::PlatformDown => Event::PlatformDown,
             FleetInput::Load(load) => Event::LoadReport(load),
--- a/toucanchute_router/src/gateway/metrics.rs
+++ b/toucanchute_router/src/gateway/metrics.rs
@@ -23,7 +23,7 @@
 use toucanchute_store::CallCounts;
 
 use super::http_server;
-use crate::actor::{RequestStandings, StandingCount};
+use crate::actor::{RequestStandings, RoutingStatus, StandingCount};
 
 /// Upper bounds of the latency histogram buckets, in milliseconds. They range from a short response
 /// to a whole stream.
@@ -44,6 +44,7 @@
     store_calls: Family<StoreCallLabels, Gauge>,
     log_lines_dropped: Gauge,
     standings: Family<StandingLabels, Gauge>,
+    evacuated: Family<DomainLabels, Gauge>,
     notices: Family<NoticeLabels, Counter>,
     permits_used: Counter,
     responses: Family<ResponseLabels, Counter>,
@@ -98,6 +99,11 @@
     source: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DomainLabels {
+    failure_domain: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ReservationLabels {
     /// Whether it is the first part of its request or a further one.
@@ -119,6 +125,7 @@
             store_calls: Family::default(),
             log_lines_dropped: Gauge::default(),
             standings: Family::default(),
+            evacuated: Family::default(),
             notices: Family::default(),
             permits_used: Counter::default(),
             responses: Family::default(),
@@ -173,6 +180,11 @@
             "Verdicts on requests during which backend servers ended",
             self.standings.clone(),
         );
+        registry.register(
+            "domain_evacuated",
+            "1 if the failure domain is evacuated, for those that ever were",
+            self.evacuated.clone(),
+        );
         registry.register(
             "backend_words",
             "Responses in which backend servers announce that they leave, a backoff or a rate limit",
@@ -298,6 +310,15 @@
         }
     }
 
+    /// Sets which failure domains are evacuated.
+    fn set_evacuations(&self, status: &RoutingStatus) {
+        for (failure_domain, evacuated) in status.evacuations() {
+            let labels = DomainLabels { failure_domain };
+            let gauge = self.evacuated.get_or_create(&labels);
+            gauge.set(i64::from(evacuated));
+        }
+    }
+
     /// Sets the counts of callers' connections.
     fn set_connections(&self, counts: &ConnectionCounts) {
         for state in ConnectionState::ALL {
@@ -320,6 +341,7 @@
         self.set_store_calls(sources.store.counts());
         self.set_standings(sources.standings.counts());
         self.set_connections(&sources.connections);
+        self.set_evacuations(&sources.status);
         self.in_flight
             .set(i64::try_from(in_flight).unwrap_or(i64::MAX));
         let dropped = toucanchute_log::dropped_lines();
@@ -343,6 +365,7 @@
     pub(super) connections: Arc<ConnectionCounts>,
     pub(super) store: StoreClient,
     pub(super) standings: Arc<RequestStandings>,
+    pub(super) status: Arc<RoutingStatus>,
 }
 
 /// Serves the metrics on every path until `ended` resolves.
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -42,7 +42,8 @@
 use crate::{
     actor::{
         BudgetActor, DispatchActor, DispatchInput, DispatchParts, FleetActor, FleetInput,
-        FleetOutputs, FleetParts, PrepaidActor, PrepaidInput, PrepaidParts, RequestStandings, post,
+        FleetOutputs, FleetParts, PrepaidActor, PrepaidInput, PrepaidParts, RequestStandings,
+        RoutingStatus, post,
     },
     keyvalue::LedgerStore,
     link::{LinkIdentity, Mesh},
@@ -149,6 +150,7 @@
     registry: RouterRegistry,
     store: StoreClient,
     standings: Arc<RequestStandings>,
+    status: Arc<RoutingStatus>,
     metrics: Arc<GatewayMetrics>,
     /// Requests in progress.
     in_flight: Arc<AtomicU64>,
@@ -204,6 +206,7 @@
         let prepaid = xtra::spawn_tokio(prepaid, Mailbox::unbounded());
         let machine = Dispatcher::new(incarnation, failure_domain, incarnation.0);
         let standings = Arc::new(RequestStandings::default());
+        let status = Arc::new(RoutingStatus::default());
         let origins = StreamOriginKeeper::start(store.clone(), &settings.router.host, store.eras());
         let dispatch = DispatchActor::new(DispatchParts {
             machine,
@@ -213,6 +216,7 @@
             capacity: settings.router.capacity,
             config: view.config(),
             standings: Arc::clone(&standings),
+            status: Arc::clone(&status),
         });
         let dispatch = xtra::spawn_tokio(dispatch, Mailbox::unbounded());
 
@@ -273,6 +277,7 @@
             registry,
             store,
             standings,
+            status,
             metrics,
             in_flight,
             connections: Arc::default(),
@@ -310,6 +315,7 @@
                 connections: Arc::clone(&self.connections),
                 store: self.store.clone(),
                 standings: Arc::clone(&self.standings),
+                status: Arc::clone(&self.status),
             };
             let metrics = Arc::clone(&self.metrics);
             servers.spawn(metrics::serve(listener, metrics, sources, ended()));
--- a/toucanchute_router/src/gateway/store_reader.rs
+++ b/toucanchute_router/src/gateway/store_reader.rs
@@ -1,11 +1,15 @@
 //! Reads the operator's configuration and the backend servers' registrations from the store and
 //! sends them to the fleet actor.
 
+mod evacuation_orders;
+
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use tokio::sync::watch;
 use toucanchute_core::fleet::StoreReadMode;
-use toucanchute_platform::{BACKENDS_PREFIX, CONFIG_KEY, StoreClient, read_backend, read_config};
+use toucanchute_platform::{
+    BACKENDS_PREFIX, CONFIG_KEY, OPERATOR_PREFIX, StoreClient, read_backend, read_config,
+};
 use toucanchute_proto::{
     Digest, Millis,
     config::{Config, Ledger, Routing},
@@ -15,6 +19,7 @@
 use toucanchute_store::{Entry, KeySelection, Revision, Snapshot, Store, WatchUpdate};
 use xtra::prelude::*;
 
+use self::evacuation_orders::EvacuationOrders;
 use crate::{
     actor::{FleetActor, FleetInput, post},
     clock,
@@ -48,7 +53,8 @@
 /// Returns the age of its view at which a router starts to read the store itself.
 pub(super) fn max_view_age(settings: &GatewaySettings) -> Millis {
     let bounds = &settings.bounds;
-    let bound = Millis(bounds.withdrawal_ms.min(bounds.configuration_ms));
+    let shortest = bounds.withdrawal_ms.min(bounds.configuration_ms);
+    let bound = Millis(shortest.min(bounds.evacuation_ms));
     bound.since(OWN_READ_TIME).max(MIN_VIEW_AGE)
 }
 
@@ -75,6 +81,7 @@
             reader: self.clone(),
             policy: LocalPolicy::new(settings),
             last_read: None,
+            evacuations: EvacuationOrders::default(),
         };
         let mut backends = BackendReader {
             reader: self.clone(),
@@ -176,12 +183,14 @@
     u32::try_from(used).unwrap_or(u32::MAX)
 }
 
-/// Reads the configuration and follows its changes.
+/// Reads what the operator wrote, that is, the configuration and the orders to evacuate failure domains,
+/// and follows its changes.
 struct ConfigReader {
     reader: StoreReader,
     policy: LocalPolicy,
     /// Version and digest of the newest configuration that was read.
     last_read: Option<(u64, Digest)>,
+    evacuations: EvacuationOrders,
 }
 
 impl ConfigReader {
@@ -191,9 +200,11 @@
             let requested_at = clock::now();
             // A watch alone is not enough: the key may have changed last before the oldest revision
             // that the store's history still contains.
-            match self.reader.store.get_prefix(CONFIG_KEY).await {
+            match self.reader.store.get_prefix(OPERATOR_PREFIX).await {
                 Ok(snapshot) => {
                     failures = 0;
+                    self.evacuations.replace(&snapshot);
+                    self.send_evacuations();
                     let mut entries = snapshot.entries.iter();
                     if let Some(entry) = entries.find(|e| e.key == CONFIG_KEY) {
                         self.apply_entry(entry);
@@ -216,12 +227,16 @@
     /// Follows the changes from a revision on, until the store's history no longer contains the
     /// next one.
     async fn follow(&mut self, from: Revision) {
-        let selection = KeySelection::Key(CONFIG_KEY.to_owned());
+        let selection = KeySelection::Prefix(OPERATOR_PREFIX.to_owned());
         let mut watch = self.reader.store.watch(selection, from);
         let mut requested_at = clock::now();
         while let Some(update) = watch.next().await {
             match update {
-                WatchUpdate::Put(entry) => self.apply_entry(&entry),
+                WatchUpdate::Put(entry) if entry.key == CONFIG_KEY => self.apply_entry(&entry),
+                WatchUpdate::Put(entry) => self.record_evacuation(&entry.key, entry.revision, true),
+                WatchUpdate::Delete { key, revision } => {
+                    self.record_evacuation(&key, revision, false);
+                }
                 WatchUpdate::Progress { waited, .. } => {
                     self.send_head(confirmed_at(requested_at, waited));
                     requested_at = clock::now();
@@ -234,11 +249,23 @@
                     log::info!("config-history-lost");
                     return;
                 }
-                WatchUpdate::Delete { .. } => {}
             }
         }
     }
 
+    /// Records that an order to evacuate a failure domain was given or taken back, if the key is one.
+    fn record_evacuation(&mut self, key: &str, revision: Revision, ordered: bool) {
+        if self.evacuations.record(key, revision, ordered) {
+            self.send_evacuations();
+        }
+    }
+
+    /// Sends the orders to evacuate failure domains to the fleet actor.
+    fn send_evacuations(&self) {
+        let list = self.evacuations.list();
+        post(&self.reader.fleet, FleetInput::Evacuations(list));
+    }
+
     /// Reports to the fleet actor that the last configuration read was the current one at
     /// `requested_at`.
     fn send_head(&self, requested_at: Millis) {
--- a/toucanchute_router/src/server.rs
+++ b/toucanchute_router/src/server.rs
@@ -155,6 +155,7 @@
                 capacity: 0,
                 config: view.config(),
                 standings: Arc::default(),
+                status: Arc::default(),
                 origins: None,
             });
             xtra::spawn_tokio(actor, Mailbox::unbounded())
--- a/toucanchute_settings/src/folder/sections.rs
+++ b/toucanchute_settings/src/folder/sections.rs
@@ -18,7 +18,7 @@
     let name = section.name().to_owned();
     let mut r = SectionReader::new(section, faults);
     match section.kind() {
-        "site" => cfg.site = r.required("name", &format::NAME).unwrap_or_default(),
+        "site" => read_site(&mut r, cfg),
         "routing" => read_routing(&mut r, cfg),
         "ledger" => read_ledger(&mut r, cfg),
         "model" => cfg.models.extend(read_model(&mut r, name)),
@@ -35,6 +35,12 @@
     r.finish();
 }
 
+fn read_site(r: &mut SectionReader<'_>, cfg: &mut Config) {
+    cfg.site = r.required("name", &format::NAME).unwrap_or_default();
+    let evacuated = r.optional_non_empty("evacuated", &format::NAMES);
+    cfg.evacuated_domains = evacuated.unwrap_or_default();
+}
+
 fn read_routing(r: &mut SectionReader<'_>, cfg: &mut Config) {
     let routing = &mut cfg.routing;
     r.set(
--- a/toucanchute_settings/src/format.rs
+++ b/toucanchute_settings/src/format.rs
@@ -56,6 +56,11 @@
     |s| is_name(s).then(|| s.to_owned()),
 );
 
+pub(crate) const NAMES: Format<Vec<String>> = Format::new("names, separated by commas", |s| {
+    let names = s.split(',').map(str::trim);
+    names.map(|n| is_name(n).then(|| n.to_owned())).collect()
+});
+
 pub(crate) const ADDRESS: Format<SocketAddr> =
     Format::new("an IP number and port such as 10.0.0.1:8080", parse_address);
 
--- a/toucanchute_settings/src/gateway.rs
+++ b/toucanchute_settings/src/gateway.rs
@@ -36,6 +36,9 @@
 /// Default time within which a withdrawal or a configuration has to take effect, in milliseconds.
 const DEFAULT_BOUND_MS: u64 = 2_000;
 
+/// Default time within which an evacuation has to take effect, in milliseconds.
+const DEFAULT_EVACUATION_MS: u64 = 5_000;
+
 /// Maximum time within which a withdrawal or a configuration has to take effect, in milliseconds.
 /// Longer times are reduced to it.
 const MAX_BOUND_MS: u64 = 60_000;
@@ -92,6 +95,7 @@
         bounds: bounds.unwrap_or(BoundsSection {
             withdrawal_ms: DEFAULT_BOUND_MS,
             configuration_ms: DEFAULT_BOUND_MS,
+            evacuation_ms: DEFAULT_EVACUATION_MS,
         }),
         retries: retries.unwrap_or(RetriesSection { percent, burst }),
         leave: leave.unwrap_or(LeaveSection {
@@ -173,10 +177,14 @@
     let mut r = SectionReader::new(section, faults);
     let withdrawal = r.optional_non_empty("withdrawal", &format::DURATION_OR_ZERO);
     let configuration = r.optional_non_empty("configuration", &format::DURATION_OR_ZERO);
+    let evacuation = r.optional_non_empty("evacuation", &format::DURATION_OR_ZERO);
     r.finish();
     BoundsSection {
         withdrawal_ms: withdrawal.unwrap_or(DEFAULT_BOUND_MS).min(MAX_BOUND_MS),
         configuration_ms: configuration.unwrap_or(DEFAULT_BOUND_MS).min(MAX_BOUND_MS),
+        evacuation_ms: evacuation
+            .unwrap_or(DEFAULT_EVACUATION_MS)
+            .min(MAX_BOUND_MS),
     }
 }
 
--- a/toucanchute_settings/tests/settings/folder.rs
+++ b/toucanchute_settings/tests/settings/folder.rs
@@ -43,6 +43,15 @@
     assert_eq!(cfg.customers[0].token_sha256, digest);
 }
 
+/// Guards against an evacuation that an operator applied and that no router sees.
+#[test]
+fn evacuated_domains_are_read() {
+    let site = SITE.replace("portones\n", "portones\nevacuated = bilbao, oviedo\n");
+    let folder = Folder::with(&[("a.ini", &site)]);
+    let cfg = load_folder(folder.path()).unwrap();
+    assert_eq!(cfg.evacuated_domains, ["bilbao", "oviedo"]);
+}
+
 /// Defines a test for each case: the text of a file added to valid ones, and the complete error
 /// message expected.
 macro_rules! faults {
--- a/toucanchute_settings/tests/settings/gateway.rs
+++ b/toucanchute_settings/tests/settings/gateway.rs
@@ -28,6 +28,7 @@
     assert_eq!(settings.prepaid.witnesses, 5);
     assert_eq!(settings.prepaid.acks, 3);
     assert_eq!(settings.leave.grace_ms, 8_000);
+    assert_eq!(settings.bounds.evacuation_ms, 5_000);
     assert!(settings.monitor.listen.is_none());
 }
 
--- a/toucanchute_settings/tests/settings/packed.rs
+++ b/toucanchute_settings/tests/settings/packed.rs
@@ -21,6 +21,7 @@
             })
             .collect(),
         customers: Vec::new(),
+        evacuated_domains: Vec::new(),
     }
 }
 
