--- a/toucanchute_core/examples/capacity.rs
+++ b/toucanchute_core/examples/capacity.rs
@@ -212,6 +212,8 @@
 fn engine_pool(n: usize) -> Pool {
     Pool {
         tokens_per_event: 1,
+        cold_rate: None,
+        cold_start_ms: 0,
         name: format!("pool-{n}"),
         kind: PoolKind::Engine,
         fencing: None,
--- a/toucanchute_core/src/fleet/action.rs
+++ b/toucanchute_core/src/fleet/action.rs
@@ -1,7 +1,7 @@
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
 use toucanchute_proto::{
-    Incarnation,
+    Incarnation, Millis,
     config::Config,
     fleet::{BackendHint, FleetMessage, Load, MemberState, Verdict},
 };
@@ -36,6 +36,14 @@
     Evacuate(BTreeSet<String>),
     /// Use the registered backend servers that take work. Replaces the previous list.
     Backends(DiscoveryUpdate),
+    /// A registration that has just been learned says that the backend server warms up. Sent before the
+    /// [`Action::Backends`] that contains it.
+    Cold {
+        /// Name of the backend server.
+        backend: String,
+        /// Time from now on for which it does.
+        remaining: Millis,
+    },
     /// All known members but this router. Replaces the previous list.
     Members(Vec<MemberView>),
     /// Whether this router may take new work, or the reason why not.
--- a/toucanchute_core/src/fleet/registration_sync.rs
+++ b/toucanchute_core/src/fleet/registration_sync.rs
@@ -26,6 +26,11 @@
         if self.registrations.apply(body) != ApplyOutcome::Updated {
             return;
         }
+        let cold = self.registrations.take_cold();
+        out.extend(
+            cold.into_iter()
+                .map(|(backend, remaining)| Action::Cold { backend, remaining }),
+        );
         let era = Revision(self.registrations.revision()).era();
         if before > 0 && era > Revision(before).era() {
             self.discovery.record_restore(now);
--- a/toucanchute_core/src/fleet/registrations.rs
+++ b/toucanchute_core/src/fleet/registrations.rs
@@ -1,6 +1,9 @@
 use std::collections::BTreeMap;
 
-use toucanchute_proto::fleet::{Found, FoundBody, Registration};
+use toucanchute_proto::{
+    Millis,
+    fleet::{Found, FoundBody, Registration},
+};
 
 /// Revisions whose removed keys are remembered, so that peers can be sent only what changed.
 const MAX_REMOVALS: usize = 512;
@@ -20,6 +23,9 @@
     removals_since: u64,
     /// Revision of the store; 0 before the first list.
     revision: u64,
+    /// Backend servers that warm up by entries applied since the last
+    /// [`Registrations::take_cold`], by name, and for how long.
+    cold: Vec<(String, Millis)>,
 }
 
 #[derive(Debug)]
@@ -55,9 +61,10 @@
         if body.revision <= self.revision {
             return ApplyOutcome::Unchanged;
         }
+        let mut before = BTreeMap::new();
         match body.since {
             None => {
-                self.entries.clear();
+                before = std::mem::take(&mut self.entries);
                 self.removed.clear();
                 self.removals_since = body.revision;
             }
@@ -65,6 +72,10 @@
             Some(_) => {}
         }
         for entry in body.entries {
+            let known = before.get(&entry.key).map(|e| e.revision);
+            if known != Some(entry.revision) {
+                self.record_cold(&entry);
+            }
             self.apply_entry(entry, body.since.is_some());
         }
         self.revision = body.revision;
@@ -72,6 +83,19 @@
         ApplyOutcome::Updated
     }
 
+    /// Returns the backend servers that warm up by entries that were new, and for how long from their
+    /// arrival on.
+    pub(super) fn take_cold(&mut self) -> Vec<(String, Millis)> {
+        std::mem::take(&mut self.cold)
+    }
+
+    fn record_cold(&mut self, entry: &Registration) {
+        let backend = entry.backend.as_ref();
+        if let Some((backend, time)) = backend.and_then(|b| Some((b, b.cold_ms?))) {
+            self.cold.push((backend.name.clone(), time));
+        }
+    }
+
     fn apply_entry(&mut self, entry: Registration, is_change: bool) {
         let Registration {
             key,
--- a/toucanchute_core/src/fleet/tests/found.rs
+++ b/toucanchute_core/src/fleet/tests/found.rs
@@ -26,6 +26,7 @@
         leaving: false,
         slots: 64,
         software: None,
+        cold_ms: None,
     }
 }
 
--- a/toucanchute_core/src/routing.rs
+++ b/toucanchute_core/src/routing.rs
@@ -8,6 +8,7 @@
 mod availability;
 mod cache;
 mod choose;
+mod cold;
 mod configure;
 mod dispatch;
 mod dispatcher;
@@ -30,6 +31,7 @@
 mod unanswered;
 
 pub use action::{Action, BackendState, RefusalReason};
+pub use cold::ColdCause;
 pub use dispatcher::Dispatcher;
 pub use event::{
     AttemptReport, BackendNotice, CacheChange, CacheEvent, CrashKind, Event, FleetRouter,
--- a/toucanchute_core/src/routing/action.rs
+++ b/toucanchute_core/src/routing/action.rs
@@ -6,6 +6,8 @@
     permits::PermitMessage,
 };
 
+use super::ColdCause;
+
 /// An effect that the caller of a [`Dispatcher`](super::Dispatcher) has to carry out.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[non_exhaustive]
@@ -92,6 +94,13 @@
         /// Router that got the answer.
         source: Incarnation,
     },
+    /// It is cold, and each request for it needs a permit.
+    Cold {
+        /// Time from now on for which it is cold.
+        remaining: Millis,
+        /// Why it counts as cold.
+        cause: ColdCause,
+    },
     /// Its answers name no rate limit any more.
     RateLimitEnded {
         /// Time since a limit was first known.
@@ -113,6 +122,9 @@
     BackingOff,
     /// All backend servers that could serve it named rate limits, which are used up.
     RateLimited,
+    /// All backend servers that could serve it have a limited rate, some of them as they warm up, and
+    /// the permits are used up.
+    WarmingUp,
     /// The retry budget is used up.
     RetriesExhausted,
     /// The request is quarantined, since it was in flight when backend servers crashed.
--- a/toucanchute_core/src/routing/attempts.rs
+++ b/toucanchute_core/src/routing/attempts.rs
@@ -3,7 +3,7 @@
 use toucanchute_proto::{AttemptId, Millis};
 
 use super::{
-    Action, AttemptReport, CrashKind, Dispatcher, RoutingRequest,
+    Action, AttemptReport, ColdCause, CrashKind, Dispatcher, RoutingRequest,
     availability::Backoff,
     fault::Fault,
     health::Failure,
@@ -110,7 +110,7 @@
             attempt: id,
             backend: r.name.clone(),
             address: r.address,
-            rate_limited: r.rate_limit.is_some(),
+            rate_limited: r.permit_need(now).is_some(),
             software: r.software.clone(),
         });
         let attempt = Attempt {
@@ -145,7 +145,7 @@
         let r = &mut self.replicas[attempt.replica];
         r.record_end(now);
         if is_answer(report) {
-            r.record_answer(attempt.started);
+            r.record_answer(now, attempt.started);
         }
         match report {
             AttemptReport::FirstToken
@@ -188,7 +188,7 @@
         }
         let (key, ms) = (attempt.replica, now.since(attempt.started).0 as f64);
         let tokens = attempt.tokens;
-        self.replicas[key].record_answer(attempt.started);
+        self.replicas[key].record_answer(now, attempt.started);
         let slow = self.pools[self.replicas[key].pool].record_first_token(ms, tokens);
         self.record_progress(now, key, slow);
     }
@@ -210,7 +210,7 @@
         attempt.silent = false;
         attempt.end_recorded = false;
         let replica = &mut self.replicas[attempt.replica];
-        replica.record_answer(attempt.started);
+        replica.record_answer(now, attempt.started);
         if replica.health.record_progress() {
             replica.begin_slow_start(now);
         }
@@ -353,6 +353,7 @@
         let name = r.name.clone();
         if !std::mem::replace(&mut r.ended, true) {
             self.suspects.record_replica_crash(now, &name);
+            self.begin_start(now, key, ColdCause::Ended, out);
         }
         let r = &mut self.replicas[key];
         let mut changed = false;
--- a/toucanchute_core/src/routing/choose.rs
+++ b/toucanchute_core/src/routing/choose.rs
@@ -78,7 +78,7 @@
         let mut open = self.open_replicas_for(req);
         open.retain(|&k| {
             let r = &self.replicas[k];
-            r.rate_limit.is_none() && !self.suspects.is_claimed(&r.name)
+            r.permit_need(self.now).is_none() && !self.suspects.is_claimed(&r.name)
         });
         let untried = |k: &BackendKey| !req.exclude.contains(&self.replicas[*k].name);
         if open.iter().any(untried) {
--- a/toucanchute_core/src/routing/configure.rs
+++ b/toucanchute_core/src/routing/configure.rs
@@ -7,6 +7,7 @@
 
 use super::{
     Dispatcher, Target,
+    cold::WarmUpPolicy,
     fault::Fault,
     health::Health,
     pool::{Pool, PoolKey},
@@ -48,6 +49,7 @@
             let pool = &mut self.pools[key];
             pool.max_concurrency = p.max_concurrency * factor;
             let routing = &config.routing;
+            pool.warm_up = WarmUpPolicy::new(p, routing);
             pool.retries
                 .configure(routing.retry_share_percent, routing.retry_burst);
         }
@@ -76,6 +78,8 @@
                 let mut replica = Replica::new(&b.name, address, &b.failure_domain, pool);
                 replica.backoff = self.saved_backoffs.take(&b.name);
                 replica.rate_limit = self.known_limits.get(&b.name).map(|k| k.rate);
+                replica.warm_up.policy = self.pools[pool].warm_up;
+                replica.warm_up.extend(self.cold_notices.take(&b.name));
                 let key = self.replicas.insert(replica);
                 self.keys_by_name.insert(b.name.clone(), key);
                 key
@@ -97,9 +101,11 @@
         r.listed = listed;
         r.leaving = self.leaving.contains(&b.name);
         r.set_evacuated(now, self.evacuation.contains(&b.failure_domain));
+        r.warm_up.policy = self.pools[pool].warm_up;
         r.limit.set_max(self.pools[pool].max_concurrency);
         self.pools[old].members.retain(|k| *k != key);
         self.pools[pool].members.push(key);
+        self.open_cold_issuer(now, key);
         Some(key)
     }
 
--- a/toucanchute_core/src/routing/dispatch.rs
+++ b/toucanchute_core/src/routing/dispatch.rs
@@ -199,7 +199,7 @@
 
     /// Returns the step that starts a call without a permit, or first gets it one.
     fn start(&self, req: &RoutingRequest, replica: BackendKey, suspect: bool) -> Step {
-        match self.chooser.replicas[replica].rate_limit {
+        match self.chooser.replicas[replica].permit_need(self.chooser.now) {
             Some(_) => Step::AskForPermit {
                 replica,
                 deadline: req.deadline,
--- a/toucanchute_core/src/routing/dispatcher.rs
+++ b/toucanchute_core/src/routing/dispatcher.rs
@@ -7,6 +7,7 @@
 use super::{
     Action, Event, RefusalReason, RoutingRequest, Target,
     attempts::Attempt,
+    cold::ColdNotices,
     evacuation::Evacuation,
     fault::Fault,
     notices::{LeavingBackends, SavedBackoffs},
@@ -60,6 +61,9 @@
     pub(super) issuers: IssuerChoice,
     /// Permits that this router issues to others and to itself.
     pub(super) permit_issuer: PermitIssuer,
+    /// Permits for cold backend servers that this router issues to others and to itself.
+    pub(super) cold_issuer: PermitIssuer,
+    pub(super) cold_notices: ColdNotices,
     /// Permits that this router has or has asked for.
     pub(super) permit_asks: PermitAsks,
     pub(super) rng: SmallRng,
@@ -95,6 +99,8 @@
             known_limits: KnownLimits::default(),
             issuers: IssuerChoice::new(incarnation),
             permit_issuer: PermitIssuer::default(),
+            cold_issuer: PermitIssuer::default(),
+            cold_notices: ColdNotices::default(),
             permit_asks: PermitAsks::default(),
             rng: SmallRng::seed_from_u64(seed),
             #[cfg(test)]
@@ -193,7 +199,8 @@
             return;
         }
         if let Some(after) = self.permit_retry_after(now, key) {
-            refuse(&req, RefusalReason::RateLimited, after, out);
+            let reason = self.limit_reason(now, key);
+            refuse(&req, reason, after, out);
             return;
         }
         if !req.may_wait {
@@ -216,7 +223,7 @@
     fn enqueue(&mut self, now: Millis, key: PoolKey, req: RoutingRequest, out: &mut Vec<Action>) {
         let start_late = self.has(Fault::StartLate);
         let propagating = self.suspects.is_propagating(now, &req);
-        let is_limited = self.is_pool_limited(key);
+        let is_limited = self.is_pool_limited(now, key);
         let pool = &mut self.pools[key];
         // Where all replicas are limited, the wait for a permit was checked before.
         let wait = match is_limited {
--- a/toucanchute_core/src/routing/evacuation.rs
+++ b/toucanchute_core/src/routing/evacuation.rs
@@ -4,7 +4,7 @@
 
 use toucanchute_proto::Millis;
 
-use super::{Action, Dispatcher, fault::Fault};
+use super::{Action, ColdCause, Dispatcher, fault::Fault, pool::BackendKey};
 
 /// Evacuated failure domains, by the source of the order.
 #[derive(Debug, Default)]
@@ -64,8 +64,12 @@
         if domains == *before {
             return;
         }
-        for replica in self.replicas.values_mut() {
-            replica.set_evacuated(now, domains.contains(&replica.domain));
+        for key in self.replicas.keys().collect::<Vec<BackendKey>>() {
+            let replica = &mut self.replicas[key];
+            let evacuated = domains.contains(&replica.domain);
+            if replica.set_evacuated(now, evacuated) {
+                self.begin_start(now, key, ColdCause::Restored, out);
+            }
         }
         for domain in domains.symmetric_difference(before) {
             let backends = self.replicas.values().filter(|r| r.domain == *domain);
--- a/toucanchute_core/src/routing/event.rs
+++ b/toucanchute_core/src/routing/event.rs
@@ -7,7 +7,7 @@
     permits::PermitMessage,
 };
 
-use super::SoftwareNeed;
+use super::{ColdCause, SoftwareNeed};
 
 /// Input of a [`Dispatcher`](super::Dispatcher).
 #[derive(Clone, Debug)]
@@ -79,7 +79,7 @@
     Tick,
 }
 
-/// A notice that a backend server sends about itself with an answer.
+/// A notice of a backend server about itself, with an answer or in its registration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BackendNotice {
     /// It is leaving. This holds for this process of the server, whatever its registration says.
@@ -96,6 +96,13 @@
         /// The attempt whose answer names it.
         attempt: AttemptId,
     },
+    /// It is cold.
+    Cold {
+        /// Time for which it stays so.
+        remaining: Millis,
+        /// Whether it said so in its registration or in a response.
+        cause: ColdCause,
+    },
     /// Its answer to this attempt names no rate limit.
     NoRateLimit {
         /// The attempt.
@@ -106,6 +113,8 @@
 /// The routers of the fleet, as far as the dispatcher needs them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct FleetView {
+    /// Name of this router's host.
+    pub host: String,
     /// Processor capacity of this router's host, in thousandths of a core; 0 if unknown.
     pub capacity: u32,
     /// Whether this router is leaving the fleet.
--- a/toucanchute_core/src/routing/fault.rs
+++ b/toucanchute_core/src/routing/fault.rs
@@ -7,6 +7,8 @@
     UseWithdrawn,
     /// Replicas of evacuated failure domains get work.
     IgnoreEvacuations,
+    /// Each router issues the permits of cold replicas to itself.
+    OwnColdPermits,
     /// Replicas get more than the configured concurrency.
     ExceedConcurrency,
     /// Calls start after their deadline.
--- a/toucanchute_core/src/routing/notices.rs
+++ b/toucanchute_core/src/routing/notices.rs
@@ -98,6 +98,9 @@
             BackendNotice::RateLimit { rate, attempt } => {
                 self.apply_rate_limit(now, backend, rate, attempt, out);
             }
+            BackendNotice::Cold { remaining, cause } => {
+                self.apply_cold_notice(now, backend, remaining, cause, out);
+            }
             BackendNotice::NoRateLimit { attempt } => {
                 self.end_rate_limit(now, backend, attempt, out);
             }
--- a/toucanchute_core/src/routing/pool.rs
+++ b/toucanchute_core/src/routing/pool.rs
@@ -1,7 +1,7 @@
 use slotmap::new_key_type;
 use toucanchute_proto::Millis;
 
-use super::{queue::FairQueue, retry::RetryBudget};
+use super::{cold::WarmUpPolicy, queue::FairQueue, retry::RetryBudget};
 
 new_key_type! {
     /// Key of a backend server in the dispatcher's arena.
@@ -39,6 +39,8 @@
 pub(super) struct Pool {
     pub(super) name: String,
     pub(super) max_concurrency: u32,
+    /// How its replicas warm up; `None` if they take any number of requests at once.
+    pub(super) warm_up: Option<WarmUpPolicy>,
     pub(super) members: Vec<BackendKey>,
     pub(super) queue: FairQueue,
     pub(super) retries: RetryBudget,
@@ -86,6 +88,7 @@
         Pool {
             name: name.to_owned(),
             max_concurrency: 1,
+            warm_up: None,
             members: Vec::new(),
             queue: FairQueue::default(),
             retries: RetryBudget::new(),
--- a/toucanchute_core/src/routing/rate_limit.rs
+++ b/toucanchute_core/src/routing/rate_limit.rs
@@ -15,9 +15,9 @@
 };
 
 pub(super) use self::{
-    asks::{PermitAsks, PermitStatus},
+    asks::{PermitAsks, PermitStatus, USE_TIME},
     fleet::IssuerChoice,
-    issuer::PermitIssuer,
+    issuer::{MAX_BUCKET, PermitIssuer},
     known::KnownLimits,
 };
 use super::{Action, BackendState, Dispatcher, attempts::Attempt};
--- a/toucanchute_core/src/routing/rate_limit/asks.rs
+++ b/toucanchute_core/src/routing/rate_limit/asks.rs
@@ -10,7 +10,8 @@
 /// Time from an ask, or from as much later as the permit is granted ahead, for which the permit may
 /// be used: until the answer is there and the next tick has passed. The ask precedes the grant, so
 /// this also bounds the time from the grant to the start of the request.
-pub(super) const USE_TIME: Millis = Millis(ANSWER_TIMEOUT.0 + Dispatcher::MAX_TICK_INTERVAL.0);
+pub(in crate::routing) const USE_TIME: Millis =
+    Millis(ANSWER_TIMEOUT.0 + Dispatcher::MAX_TICK_INTERVAL.0);
 
 /// Permits that this router has asked for, by the calls that they are for.
 #[derive(Debug, Default)]
@@ -26,6 +27,8 @@
 pub(in crate::routing) struct Ask {
     pub(in crate::routing) replica: BackendKey,
     pub(in crate::routing) issuer: Incarnation,
+    /// Whether the permit is for a cold replica.
+    pub(in crate::routing) warming: bool,
     state: AskState,
 }
 
@@ -85,6 +88,7 @@
         call: u64,
         replica: BackendKey,
         issuer: Incarnation,
+        warming: bool,
     ) -> u64 {
         self.last_seq += 1;
         let seq = self.last_seq;
@@ -92,6 +96,7 @@
         let ask = Ask {
             replica,
             issuer,
+            warming,
             state,
         };
         self.by_call.insert(call, ask);
--- a/toucanchute_core/src/routing/rate_limit/issuer.rs
+++ b/toucanchute_core/src/routing/rate_limit/issuer.rs
@@ -17,6 +17,9 @@
 /// Largest part of a bucket's capacity beyond one permit.
 const MAX_EXTRA_BURST: f64 = 1.0;
 
+/// Largest number of permits that a bucket holds.
+pub(in crate::routing) const MAX_BUCKET: f64 = 1.0 + MAX_EXTRA_BURST;
+
 /// Time for which a router counts as one that asks for permits, after its permit or the time at
 /// which it may ask again.
 const ASKER_TIME: Millis = Millis(2_000);
--- a/toucanchute_core/src/routing/rate_limit/permits.rs
+++ b/toucanchute_core/src/routing/rate_limit/permits.rs
@@ -11,12 +11,14 @@
 use super::{
     MIN_RATE,
     asks::{Ask, PermitStatus},
-    issuer::{Decision, granted_per_second},
+    issuer::{Decision, PermitIssuer, granted_per_second},
 };
 use crate::routing::{
     Action, Dispatcher, FleetView, RefusalReason,
     dispatcher::refuse,
+    fault::Fault,
     pool::{BackendKey, PoolKey},
+    replica::PermitNeed,
 };
 
 /// Longest time that a call waits for its permit if all replicas of its pool are limited.
@@ -48,6 +50,8 @@
         let issuers = &self.issuers;
         self.permit_issuer
             .retain(|backend| issuers.is_issuer(backend));
+        self.cold_issuer
+            .retain(|backend| issuers.is_steady_issuer(backend));
         let limited: Vec<String> = self.known_limits.names().map(str::to_owned).collect();
         for backend in limited {
             self.open_issuer(now, &backend);
@@ -77,16 +81,20 @@
             }
             PermitMessage::Grant(grant) => self.handle_grant(now, from, grant, out),
             PermitMessage::Denial(denial) => self.handle_denial(now, denial, out),
-            PermitMessage::Release(PermitRelease { backend }) => {
-                self.permit_issuer.release(&backend);
+            PermitMessage::Release(PermitRelease { backend, warming }) => {
+                self.issuer_of(warming).release(&backend);
             }
         }
     }
 
     /// Decides on an ask of another router or of this one.
     fn decide_ask(&mut self, now: Millis, from: Incarnation, ask: &PermitAsk) -> PermitMessage {
-        let seq = ask.seq;
-        if !self.issuers.is_issuer(&ask.backend) {
+        let (seq, warming) = (ask.seq, ask.warming);
+        let is_issuer = match warming {
+            true => self.steady_issuer(&ask.backend) == Some(self.incarnation),
+            false => self.issuers.is_issuer(&ask.backend),
+        };
+        if !is_issuer {
             return PermitMessage::Denial(PermitDenial {
                 seq,
                 retry_after: ISSUER_CHANGE_PAUSE,
@@ -96,15 +104,15 @@
         let known = self.known_limits.get(&ask.backend);
         let rate = known.map_or(ask.rate, |k| k.rate.min(ask.rate));
         let rate = rate.max(MIN_RATE).scaled(self.issuers.share());
-        let (decision, askers) =
-            self.permit_issuer
-                .decide(now, &ask.backend, rate, ask.max_delay, from);
+        let issuer = self.issuer_of(warming);
+        let (decision, askers) = issuer.decide(now, &ask.backend, rate, ask.max_delay, from);
         match decision {
             Decision::Granted(delay) => PermitMessage::Grant(PermitGrant {
                 seq,
                 backend: ask.backend.clone(),
                 delay,
                 askers,
+                warming,
             }),
             Decision::Denied(retry_after) => PermitMessage::Denial(PermitDenial {
                 seq,
@@ -114,6 +122,22 @@
         }
     }
 
+    /// Returns the router that issues the permits of a cold backend server, if one may do so now.
+    fn steady_issuer(&self, backend: &str) -> Option<Incarnation> {
+        match self.has(Fault::OwnColdPermits) {
+            true => Some(self.incarnation),
+            false => self.issuers.steady_issuer(backend),
+        }
+    }
+
+    /// Returns the buckets of cold servers or those of rate-limited ones.
+    fn issuer_of(&mut self, warming: bool) -> &mut PermitIssuer {
+        match warming {
+            true => &mut self.cold_issuer,
+            false => &mut self.permit_issuer,
+        }
+    }
+
     // Asking
 
     /// Asks the issuer of a limited replica for a permit for a waiting call.
@@ -127,18 +151,26 @@
     ) {
         self.release_permit(call, out);
         let r = &self.replicas[key];
-        let (Some(rate), Some(issuer)) = (r.rate_limit, self.issuers.issuer(&r.name)) else {
+        let need = r.permit_need(now);
+        let issuer = match need.is_some_and(|n| n.warming) {
+            true => self.steady_issuer(&r.name),
+            false => self.issuers.issuer(&r.name),
+        };
+        let (Some(PermitNeed { rate, warming }), Some(issuer)) = (need, issuer) else {
             self.replicas[key].no_permit_until = now + UNANSWERED_PAUSE;
             return;
         };
         let backend = r.name.clone();
         let max_delay = self.max_permit_delay(now, r.pool, deadline);
-        let seq = self.permit_asks.record_sent(now, call, key, issuer);
+        let seq = self
+            .permit_asks
+            .record_sent(now, call, key, issuer, warming);
         let ask = PermitAsk {
             seq,
             backend,
             rate,
             max_delay,
+            warming,
         };
         if issuer == self.incarnation {
             let answer = self.decide_ask(now, issuer, &ask);
@@ -155,7 +187,7 @@
     /// Returns how long a call may wait for a permit: not at all if another replica can take it
     /// without one.
     fn max_permit_delay(&self, now: Millis, pool: PoolKey, deadline: Millis) -> Millis {
-        match self.is_pool_limited(pool) {
+        match self.is_pool_limited(now, pool) {
             true => MAX_PERMIT_DELAY.min(self.pools[pool].latest_start(deadline).since(now)),
             false => Millis(0),
         }
@@ -170,7 +202,7 @@
         out: &mut Vec<Action>,
     ) {
         let Some(call) = self.permit_asks.call_of(now, grant.seq) else {
-            self.send_release(from, grant.backend, out);
+            self.send_release(from, grant.backend, grant.warming, out);
             return;
         };
         self.permit_asks.record_granted(now, call, grant.delay);
@@ -244,16 +276,22 @@
         };
         if let Some(r) = self.replicas.get(ask.replica) {
             let backend = r.name.clone();
-            self.send_release(ask.issuer, backend, out);
+            self.send_release(ask.issuer, backend, ask.warming, out);
         }
     }
 
-    fn send_release(&mut self, issuer: Incarnation, backend: String, out: &mut Vec<Action>) {
+    fn send_release(
+        &mut self,
+        issuer: Incarnation,
+        backend: String,
+        warming: bool,
+        out: &mut Vec<Action>,
+    ) {
         if issuer == self.incarnation {
-            self.permit_issuer.release(&backend);
+            self.issuer_of(warming).release(&backend);
             return;
         }
-        let message = PermitMessage::Release(PermitRelease { backend });
+        let message = PermitMessage::Release(PermitRelease { backend, warming });
         out.push(Action::SendPermitMessage {
             to: issuer,
             message,
@@ -263,22 +301,34 @@
     // Refusing
 
     /// Whether all replicas of a pool that may get work are limited.
-    pub(in crate::routing) fn is_pool_limited(&self, pool: PoolKey) -> bool {
+    pub(in crate::routing) fn is_pool_limited(&self, now: Millis, pool: PoolKey) -> bool {
         let members = self.pools[pool].members.iter().map(|&k| &self.replicas[k]);
         let mut staying = members.filter(|r| r.is_staying()).peekable();
-        staying.peek().is_some() && staying.all(|r| r.rate_limit.is_some())
+        staying.peek().is_some() && staying.all(|r| r.permit_need(now).is_some())
+    }
+
+    /// Returns why requests for a pool all of whose replicas need permits are refused.
+    pub(in crate::routing) fn limit_reason(&self, now: Millis, pool: PoolKey) -> RefusalReason {
+        let members = self.pools[pool].members.iter().map(|&k| &self.replicas[k]);
+        let mut needs = members.filter_map(|r| r.permit_need(now));
+        match needs.any(|n| n.warming) {
+            true => RefusalReason::WarmingUp,
+            false => RefusalReason::RateLimited,
+        }
     }
 
     /// Returns when the replicas of a pool will grant permits; `None` unless all of them are limited.
     fn permit_outlook(&self, now: Millis, pool: PoolKey) -> Option<PermitOutlook> {
-        if !self.is_pool_limited(pool) {
+        if !self.is_pool_limited(now, pool) {
             return None;
         }
         let p = &self.pools[pool];
         let members = p.members.iter().map(|&k| &self.replicas[k]);
         let (mut total_rate, mut first) = (0.0, Millis::MAX);
         for r in members.filter(|r| r.is_staying()) {
-            total_rate += r.rate_limit.map_or(0.0, granted_per_second);
+            total_rate += r
+                .permit_need(now)
+                .map_or(0.0, |n| granted_per_second(n.rate));
             let backoff = r.backoff.remaining(now).unwrap_or_default();
             first = first.min(r.no_permit_until.since(now).max(backoff));
         }
@@ -351,7 +401,8 @@
         for call in refused {
             if let Some(req) = self.pools[pool].queue.remove(call) {
                 let after = self.next_return(now, pool, outlook);
-                refuse(&req, RefusalReason::RateLimited, after, out);
+                let reason = self.limit_reason(now, pool);
+                refuse(&req, reason, after, out);
             }
         }
     }
--- a/toucanchute_core/src/routing/replica.rs
+++ b/toucanchute_core/src/routing/replica.rs
@@ -6,6 +6,7 @@
     RoutingRequest,
     availability::{Availability, Backoff},
     cache::PrefixCache,
+    cold::WarmUp,
     health::Health,
     limit::ConcurrencyLimit,
     pool::{Average, PoolKey},
@@ -32,6 +33,26 @@
 /// Bounds of a replica's token time as a multiple of its pool's average.
 const RELATIVE_TOKEN_TIME_BOUNDS: (f64, f64) = (0.5, 8.0);
 
+/// Time after which requests are told to retry while a cold replica may get none at all.
+const CLOSED_RETRY_TIME: Millis = Millis(1_000);
+
+/// Permits that the requests for a replica need.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct PermitNeed {
+    /// Rate of the permits.
+    pub(super) rate: RequestRate,
+    /// Whether they are needed because the replica warms up.
+    pub(super) warming: bool,
+}
+
+impl PermitNeed {
+    /// Whether there are none. A rate limit of zero is not closed: a server that gets nothing could never
+    /// say that its limit has ended.
+    fn is_closed(self) -> bool {
+        self.warming && self.rate == RequestRate(0)
+    }
+}
+
 /// State of one backend server as known to this router.
 #[derive(Debug)]
 pub(super) struct Replica {
@@ -58,6 +79,7 @@
     pub(super) backoff: Backoff,
     /// Rate limit that it named. While there is one, each request needs a permit.
     pub(super) rate_limit: Option<RequestRate>,
+    pub(super) warm_up: WarmUp,
     /// Time before which its issuer grants no permit.
     pub(super) no_permit_until: Millis,
     /// When its registration lapsed without a notice, if it has answered nothing since.
@@ -92,6 +114,7 @@
             evacuated: false,
             backoff: Backoff::None,
             rate_limit: None,
+            warm_up: WarmUp::default(),
             no_permit_until: Millis(0),
             lapsed_at: None,
             ended: false,
@@ -107,11 +130,13 @@
         self.joined_at = Some(now);
     }
 
-    /// Records that it answered a request that was sent at `sent`.
-    pub(super) fn record_answer(&mut self, sent: Millis) {
+    /// Records that it answered a request that was sent at `sent`. If it had ended, it has started again.
+    pub(super) fn record_answer(&mut self, now: Millis, sent: Millis) {
         self.unanswered.record_answer(sent);
         self.lapsed_at = None;
-        self.ended = false;
+        if std::mem::replace(&mut self.ended, false) {
+            self.warm_up.extend_by_start(now);
+        }
     }
 
     // Load
@@ -201,10 +226,34 @@
             (_, Some(0)) => Availability::Ejected,
             (_, Some(cap)) if self.in_flight >= cap => Availability::Full,
             _ if self.estimated_requests(now) + 1.0 > self.request_limit(now) => Availability::Full,
-            _ if self.rate_limit.is_some() && self.no_permit_until > now => {
+            _ => self.permit_availability(now),
+        }
+    }
+
+    /// Returns whether a request may ask for a permit, or needs none.
+    fn permit_availability(&self, now: Millis) -> Availability {
+        match self.permit_need(now) {
+            Some(need) if need.is_closed() => Availability::RateLimited(now + CLOSED_RETRY_TIME),
+            Some(_) if self.no_permit_until > now => {
                 Availability::RateLimited(self.no_permit_until)
             }
-            _ => Availability::Open,
+            Some(_) | None => Availability::Open,
+        }
+    }
+
+    /// Returns the permits that its requests need; `None` if they need none.
+    pub(super) fn permit_need(&self, now: Millis) -> Option<PermitNeed> {
+        let cold = self.warm_up.rate(now, self.ended);
+        match (cold, self.rate_limit) {
+            (Some(cold), named) => Some(PermitNeed {
+                rate: named.map_or(cold, |named| named.min(cold)),
+                warming: true,
+            }),
+            (None, Some(rate)) => Some(PermitNeed {
+                rate,
+                warming: false,
+            }),
+            (None, None) => None,
         }
     }
 
@@ -224,12 +273,14 @@
         self.listed && !self.leaving && self.evacuated
     }
 
-    /// Sets whether its failure domain is evacuated. When that ends, work returns to it slowly.
-    pub(super) fn set_evacuated(&mut self, now: Millis, evacuated: bool) {
+    /// Sets whether its failure domain is evacuated; returns whether that has just ended. Work returns
+    /// to it slowly then.
+    pub(super) fn set_evacuated(&mut self, now: Millis, evacuated: bool) -> bool {
         let restored = std::mem::replace(&mut self.evacuated, evacuated) && !evacuated;
         if restored {
             self.begin_slow_start(now);
         }
+        restored
     }
 
     fn slow_start_share(&self, now: Millis) -> f64 {
--- a/toucanchute_core/src/routing/tests/rate_limit.rs
+++ b/toucanchute_core/src/routing/tests/rate_limit.rs
@@ -1,5 +1,6 @@
 //! Backend servers that name a limit on the requests per second from all routers together.
 
+mod cold;
 mod fleet;
 mod knowledge;
 mod trouble;
@@ -52,6 +53,7 @@
         servers,
         limited_servers: 1,
         rate,
+        cold: false,
         named_at: Millis(2_000),
         ends_at: Millis::MAX,
         requests_until: Millis::MAX,
@@ -59,6 +61,8 @@
         load,
         rhythm: Rhythm::Steady,
         trouble: Trouble::None,
+        view_time: (300, 800),
+        fault: None,
     }
 }
 
--- a/toucanchute_core/src/routing/tests/rate_limit/fleet.rs
+++ b/toucanchute_core/src/routing/tests/rate_limit/fleet.rs
@@ -15,7 +15,8 @@
 };
 use super::trouble::Trouble;
 use crate::routing::{
-    Action, AttemptReport, BackendNotice, Dispatcher, Event, tests::simulation::config,
+    Action, AttemptReport, BackendNotice, ColdCause, Dispatcher, Event, fault::Fault,
+    tests::simulation::config,
 };
 
 /// Time from the start of an attempt until its answer.
@@ -33,6 +34,18 @@
 /// Time after an answer with a limit from which the limit counts as known.
 const LEARNING_TIME: Millis = Millis(500);
 
+/// Time in which routers learn that a server is cold.
+pub(super) const COLD_NEWS_TIME: Millis = Millis(500);
+
+/// Time for which a server is cold after its start.
+const COLD_START: Millis = Millis(3_000);
+
+/// Factor by which the requests to a cold server may exceed its rate in a second, in thousandths.
+pub(super) const COLD_OVERSHOOT_PERMILLE: u32 = 1_500;
+
+/// Requests by which they may exceed that, in thousandths.
+pub(super) const COLD_SLACK_PERMILLE: u32 = 5_000;
+
 /// Parameters of a simulated fleet.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Scenario {
@@ -43,7 +56,9 @@
     pub(super) limited_servers: usize,
     /// Limit that they name.
     pub(super) rate: RequestRate,
-    /// When they begin to name it.
+    /// Whether they are cold in place of naming it.
+    pub(super) cold: bool,
+    /// When they begin to name it, or turn cold.
     pub(super) named_at: Millis,
     /// Requests that callers send in one second, on average.
     pub(super) requests_per_second: f64,
@@ -54,6 +69,11 @@
     /// When the servers stop naming the limit.
     pub(super) ends_at: Millis,
     pub(super) trouble: Trouble,
+    /// Bounds of the time in which a change of a router's state reaches the other routers, in
+    /// milliseconds.
+    pub(super) view_time: (u64, u64),
+    /// Fault of all routers.
+    pub(super) fault: Option<Fault>,
 }
 
 /// One router and what it has learned.
@@ -116,7 +136,7 @@
             scenario,
             now: Millis(0),
             routers: (0..scenario.routers)
-                .map(|i| Router::new(scenario.seed, i as u64 + 1))
+                .map(|i| Router::new(scenario, i as u64 + 1))
                 .collect(),
             due: BTreeMap::new(),
             serial: 0,
@@ -134,6 +154,12 @@
         }
         fleet.post_next_request();
         fleet.post_next_trouble();
+        if scenario.cold {
+            for i in 0..scenario.routers {
+                let delay = fleet.rng.random_range(0..COLD_NEWS_TIME.0);
+                fleet.post_cold_notice(i, scenario.named_at + Millis(delay));
+            }
+        }
         fleet
     }
 
@@ -152,11 +178,34 @@
     // Inputs
 
     fn configure(&mut self, router: usize) {
-        let config = config(self.scenario.servers, CONCURRENCY).into();
+        let mut config = config(self.scenario.servers, CONCURRENCY);
+        if self.scenario.cold {
+            config.pools[0].cold_rate = Some(self.scenario.rate);
+            config.pools[0].cold_start_ms = COLD_START.0;
+            config.routing.cold_overshoot_permille = COLD_OVERSHOOT_PERMILLE;
+            config.routing.cold_slack_permille = COLD_SLACK_PERMILLE;
+        }
+        let config = config.into();
         let withdrawn = BTreeSet::default();
         self.handle(router, Event::Configure { config, withdrawn });
     }
 
+    /// Lets a router learn after `delay` which servers are cold. They stay so until the end of the run.
+    fn post_cold_notice(&mut self, router: usize, delay: Millis) {
+        if !self.scenario.cold || self.now + delay < self.scenario.named_at {
+            return;
+        }
+        for server in 0..self.scenario.limited_servers {
+            let notice = BackendNotice::Cold {
+                remaining: Millis(600_000),
+                cause: ColdCause::Registered,
+            };
+            let backend = format!("b{server}");
+            let event = Event::Notice { backend, notice };
+            self.post(router, delay, Delivery::Event(event));
+        }
+    }
+
     fn post(&mut self, router: usize, delay: Millis, delivery: Delivery) {
         self.serial += 1;
         let key = (self.now + delay, self.serial);
@@ -214,6 +263,7 @@
         }
         let scenario = self.scenario;
         let names_limit = server < scenario.limited_servers
+            && !scenario.cold
             && (scenario.named_at..scenario.ends_at).contains(&self.now);
         let notice = match names_limit {
             true => BackendNotice::RateLimit {
@@ -310,10 +360,12 @@
 }
 
 impl Router {
-    fn new(seed: u64, incarnation: u64) -> Router {
+    fn new(scenario: Scenario, incarnation: u64) -> Router {
         let incarnation = Incarnation(incarnation);
+        let mut dispatcher = Dispatcher::new(incarnation, "d0", scenario.seed ^ incarnation.0);
+        dispatcher.fault = scenario.fault;
         Router {
-            dispatcher: Dispatcher::new(incarnation, "d0", seed ^ incarnation.0),
+            dispatcher,
             incarnation,
             frozen_until: Millis(0),
             up: true,
--- a/toucanchute_core/src/routing/tests/rate_limit/fleet/view.rs
+++ b/toucanchute_core/src/routing/tests/rate_limit/fleet/view.rs
@@ -6,9 +6,6 @@
 use super::{Delivery, Fleet, Router};
 use crate::routing::{Event, FleetRouter, FleetView, RouterState};
 
-/// Time in which a change of a router's state reaches the other routers.
-const VIEW_TIME: (u64, u64) = (300, 800);
-
 /// Time for which a router is silent until the others count it as unreachable.
 const SUSPICION_TIME: Millis = Millis(500);
 
@@ -34,6 +31,7 @@
             },
         };
         let view = FleetView {
+            host: format!("host-{router}"),
             capacity: 250,
             leaving: !me.up,
             routers: others.map(view).collect(),
@@ -44,11 +42,16 @@
     /// Lets all routers learn the state of the fleet, each after a time of its own.
     pub(in super::super) fn spread_views(&mut self) {
         for i in 0..self.routers.len() {
-            let delay = self.rng.random_range(VIEW_TIME.0..VIEW_TIME.1);
+            let delay = self.view_delay();
             self.post(i, Millis(delay), Delivery::View);
         }
     }
 
+    fn view_delay(&mut self) -> u64 {
+        let (least, most) = self.scenario.view_time;
+        self.rng.random_range(least..most)
+    }
+
     pub(in super::super) fn router_count(&self) -> usize {
         self.routers.len()
     }
@@ -58,7 +61,7 @@
         self.routers[router].frozen_until = self.now + span;
         self.spread_views();
         for i in 0..self.routers.len() {
-            let delay = self.rng.random_range(VIEW_TIME.0..VIEW_TIME.1);
+            let delay = self.view_delay();
             self.post(i, span + Millis(delay), Delivery::View);
         }
     }
@@ -67,10 +70,11 @@
     pub(in super::super) fn restart(&mut self, router: usize) {
         self.serial += 1;
         let incarnation = self.serial + 1_000_000;
-        self.routers[router] = Router::new(self.scenario.seed, incarnation);
+        self.routers[router] = Router::new(self.scenario, incarnation);
         self.configure(router);
+        self.post_cold_notice(router, Millis(0));
         for hint in self.hints.clone().into_values() {
-            let delay = self.rng.random_range(VIEW_TIME.0..VIEW_TIME.1);
+            let delay = self.view_delay();
             self.post(router, Millis(delay), Delivery::Event(Event::Hint(hint)));
         }
         self.spread_views();
--- a/toucanchute_core/src/routing/tests/simulation.rs
+++ b/toucanchute_core/src/routing/tests/simulation.rs
@@ -93,6 +93,8 @@
             fencing: config.pools[0].fencing,
             max_concurrency: concurrency,
             tokens_per_event: 1,
+            cold_rate: None,
+            cold_start_ms: 0,
         }
     );
     config
--- a/toucanchute_core/tests/discovery.rs
+++ b/toucanchute_core/tests/discovery.rs
@@ -12,6 +12,7 @@
         leaving,
         slots: 64,
         software: None,
+        cold_ms: None,
     }
 }
 
--- a/toucanchute_core/tests/store_readers/world.rs
+++ b/toucanchute_core/tests/store_readers/world.rs
@@ -208,6 +208,7 @@
                 leaving: false,
                 slots: 8,
                 software: None,
+                cold_ms: None,
             }),
         });
     }
--- a/toucanchute_edge/src/control.rs
+++ b/toucanchute_edge/src/control.rs
@@ -293,6 +293,9 @@
     Resting,
     /// All backend servers that could serve the request named rate limits, which are used up.
     RateLimited,
+    /// All backend servers that could serve the request have a limited rate, some of them as they warm
+    /// up, and the permits are used up.
+    WarmingUp,
     /// The retry budget is used up.
     RetriesExhausted,
     /// This request crashed backend servers before.
@@ -326,6 +329,7 @@
             routing::RefusalReason::Evacuated => RefusalReason::Evacuated,
             routing::RefusalReason::BackingOff => RefusalReason::Resting,
             routing::RefusalReason::RateLimited => RefusalReason::RateLimited,
+            routing::RefusalReason::WarmingUp => RefusalReason::WarmingUp,
             routing::RefusalReason::RetriesExhausted => RefusalReason::RetriesExhausted,
             routing::RefusalReason::Quarantined => RefusalReason::Quarantined,
             _ => RefusalReason::Overloaded,
--- a/toucanchute_edge/src/passthrough/dialect.rs
+++ b/toucanchute_edge/src/passthrough/dialect.rs
@@ -51,6 +51,8 @@
     pub leaving: bool,
     /// Time for which the backend server wants no requests from this router.
     pub retry_after: Option<Millis>,
+    /// Time for which the backend server stays cold.
+    pub cold: Option<Millis>,
     /// What it states about the requests that the backend server takes from all routers together.
     pub rate_limit: RateLimitHeader,
     /// Load of the backend server.
--- a/toucanchute_edge/src/passthrough/failure.rs
+++ b/toucanchute_edge/src/passthrough/failure.rs
@@ -133,6 +133,7 @@
         RefusalReason::Evacuated => "domains-evacuated",
         RefusalReason::Resting => "backends-resting",
         RefusalReason::RateLimited => "backends-rate-limited",
+        RefusalReason::WarmingUp => "backends-warming",
         RefusalReason::RetriesExhausted => "retries-exhausted",
         RefusalReason::Quarantined => "quarantined",
         RefusalReason::StaleView => "stale-view",
--- a/toucanchute_edge/src/passthrough/proxied_request/reports.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/reports.rs
@@ -1,7 +1,7 @@
 //! What the head of a response reports about the backend server and about the attempt.
 
 use http::response;
-use toucanchute_core::routing::BackendNotice;
+use toucanchute_core::routing::{BackendNotice, ColdCause};
 
 use super::{ProxiedRequest, RequestTrace};
 use crate::{
@@ -52,6 +52,10 @@
         if let Some(span) = info.retry_after {
             control.report_notice(backend, BackendNotice::Backoff { duration: span });
         }
+        if let Some(remaining) = info.cold {
+            let cause = ColdCause::Reported;
+            control.report_notice(backend, BackendNotice::Cold { remaining, cause });
+        }
         self.report_rate_limit(&attempt.assignment, info, record);
         let Some(load) = info.load else {
             return;
--- a/toucanchute_edge/src/problem.rs
+++ b/toucanchute_edge/src/problem.rs
@@ -280,6 +280,12 @@
             true,
             "all backend servers that could serve the request are at their rate limits; try again later",
         ),
+        RefusalReason::WarmingUp => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "backends-warming",
+            true,
+            "the backend servers that could serve the request are warming up; try again later",
+        ),
         RefusalReason::RetriesExhausted => (
             StatusCode::SERVICE_UNAVAILABLE,
             "retries-exhausted",
--- a/toucanchute_edge/tests/passthrough/support.rs
+++ b/toucanchute_edge/tests/passthrough/support.rs
@@ -386,6 +386,7 @@
             encoded: headers.contains_key("content-encoding"),
             leaving: headers.contains_key("x-leaving"),
             retry_after: header_text(headers, "x-rest").map(|ms| Millis(ms.parse().unwrap())),
+            cold: None,
             rate_limit: header_text(headers, "x-limit")
                 .and_then(|rate| RequestRate::from_per_second(rate.parse().unwrap()))
                 .map_or(RateLimitHeader::Absent, RateLimitHeader::Limit),
--- a/toucanchute_router/src/actor.rs
+++ b/toucanchute_router/src/actor.rs
@@ -22,5 +22,5 @@
 pub(crate) use orders::{OrderError, OrdersActor, OrdersInput, SubmitOrder};
 pub(crate) use post::post;
 pub(crate) use prepaid::{PrepaidActor, PrepaidInput, PrepaidParts};
-pub(crate) use routing_status::RoutingStatus;
+pub(crate) use routing_status::{RoutingStatus, cold_cause_name};
 pub(crate) use standings::{RequestStandings, StandingCount};
--- a/toucanchute_router/src/actor/dispatch.rs
+++ b/toucanchute_router/src/actor/dispatch.rs
@@ -22,7 +22,7 @@
 };
 use xtra::prelude::*;
 
-use super::{FleetActor, FleetInput, RequestStandings, RoutingStatus, post};
+use super::{FleetActor, FleetInput, RequestStandings, RoutingStatus, cold_cause_name, post};
 use crate::{clock, gateway::StreamOriginKeeper, link::Mesh};
 
 /// Number of ticks per [`Event::Tick`] while no call is pending.
@@ -34,6 +34,8 @@
     machine: Dispatcher,
     fleet: Address<FleetActor>,
     mesh: Mesh,
+    /// Name of this router's host.
+    host: String,
     /// Processor capacity of this router's host, in thousandths of a core; 0 if unknown.
     capacity: u32,
     /// Senders of the replies to calls that wait for a backend server, by call number.
@@ -114,6 +116,8 @@
     pub(crate) fleet: Address<FleetActor>,
     /// Links to other routers.
     pub(crate) mesh: Mesh,
+    /// Name of this router's host.
+    pub(crate) host: String,
     /// Processor capacity of this router's host, in thousandths of a core; 0 if unknown.
     pub(crate) capacity: u32,
     /// Initial configuration.
@@ -133,6 +137,7 @@
             machine,
             fleet,
             mesh,
+            host,
             capacity,
             config,
             standings,
@@ -143,6 +148,7 @@
             machine,
             fleet,
             mesh,
+            host,
             capacity,
             pending_calls: HashMap::new(),
             next_call: 0,
@@ -214,7 +220,12 @@
                 };
                 self.reply(call, Err(refusal));
             }
-            Action::BackendChanged { backend, state } => log_backend_state(&backend, state),
+            Action::BackendChanged { backend, state } => {
+                if let BackendState::Cold { cause, .. } = state {
+                    self.status.record_cold(cause);
+                }
+                log_backend_state(&backend, state);
+            }
             Action::EvacuationChanged {
                 failure_domain,
                 evacuated,
@@ -261,6 +272,7 @@
     /// Applies another view of the fleet.
     fn set_members(&mut self, members: &[MemberView], leaving: bool) {
         self.feed(Event::Fleet(FleetView {
+            host: self.host.clone(),
             capacity: self.capacity,
             leaving,
             routers: members.iter().map(fleet_router).collect(),
@@ -416,6 +428,14 @@
         BackendState::RateLimited { rate, source } => {
             log::info!(backend = backend, rate:% = rate, router:% = source; "backend-rate-limited");
         }
+        BackendState::Cold { remaining, cause } => {
+            log::info!(
+                backend = backend,
+                remaining_ms = remaining.0,
+                cause = cold_cause_name(cause);
+                "backend-cold"
+            );
+        }
         BackendState::RateLimitEnded { after } => {
             log::info!(backend = backend, after_ms = after.0; "backend-rate-limit-ended");
         }
--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -6,6 +6,7 @@
 use toucanchute_core::{
     discovery::DiscoveryUpdate,
     fleet::{Action, Event, Fleet, HostEntry, MemberView, NotReady, StoreReadMode},
+    routing::{BackendNotice, ColdCause},
 };
 use toucanchute_edge::{AddressList, Refusal, RefusalOutcome, RefusalReason};
 use toucanchute_proto::{
@@ -193,6 +194,12 @@
             Action::Evacuate(domains) => {
                 self.with_outputs(|out| post(&out.dispatch, DispatchInput::Evacuate(domains)));
             }
+            Action::Cold { backend, remaining } => {
+                let cause = ColdCause::Registered;
+                let notice = BackendNotice::Cold { remaining, cause };
+                let input = DispatchInput::Notice(backend, notice);
+                self.with_outputs(|out| post(&out.dispatch, input));
+            }
             Action::Load(load) => {
                 self.with_outputs(|out| post(&out.dispatch, DispatchInput::Load(load)));
             }
--- a/toucanchute_router/src/actor/routing_status.rs
+++ b/toucanchute_router/src/actor/routing_status.rs
@@ -3,11 +3,15 @@
     sync::{Mutex, PoisonError},
 };
 
+use toucanchute_core::routing::ColdCause;
+
 /// What operators have to see of the dispatcher's state in the metrics.
 #[derive(Debug, Default)]
 pub(crate) struct RoutingStatus {
     /// Whether each failure domain is evacuated, for those that ever were.
     evacuated: Mutex<BTreeMap<String, bool>>,
+    /// How often backend servers were found cold, by the name of the cause.
+    cold: Mutex<BTreeMap<&'static str, u64>>,
 }
 
 impl RoutingStatus {
@@ -30,4 +34,27 @@
         let domains = self.evacuated.lock();
         domains.unwrap_or_else(PoisonError::into_inner).clone()
     }
+
+    /// Counts that a backend server was found cold.
+    pub(crate) fn record_cold(&self, cause: ColdCause) {
+        let counts = self.cold.lock();
+        let mut counts = counts.unwrap_or_else(PoisonError::into_inner);
+        *counts.entry(cold_cause_name(cause)).or_default() += 1;
+    }
+
+    /// Returns how often backend servers were found cold, by the name of the cause.
+    pub(crate) fn cold_counts(&self) -> BTreeMap<&'static str, u64> {
+        let counts = self.cold.lock();
+        counts.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+/// Returns the name of a cause in logs and metrics.
+pub(crate) fn cold_cause_name(cause: ColdCause) -> &'static str {
+    match cause {
+        ColdCause::Registered => "registered",
+        ColdCause::Reported => "reported",
+        ColdCause::Restored => "restored",
+        ColdCause::Ended => "ended",
+    }
 }
--- a/toucanchute_router/src/gateway/metrics.rs
+++ b/toucanchute_router/src/gateway/metrics.rs
@@ -45,6 +45,7 @@
     log_lines_dropped: Gauge,
     standings: Family<StandingLabels, Gauge>,
     evacuated: Family<DomainLabels, Gauge>,
+    cold: Family<ColdLabels, Gauge>,
     notices: Family<NoticeLabels, Counter>,
     permits_used: Counter,
     responses: Family<ResponseLabels, Counter>,
@@ -104,6 +105,11 @@
     failure_domain: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ColdLabels {
+    cause: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ReservationLabels {
     /// Whether it is the first part of its request or a further one.
@@ -126,6 +132,7 @@
             log_lines_dropped: Gauge::default(),
             standings: Family::default(),
             evacuated: Family::default(),
+            cold: Family::default(),
             notices: Family::default(),
             permits_used: Counter::default(),
             responses: Family::default(),
@@ -185,6 +192,11 @@
             "1 if the failure domain is evacuated, for those that ever were",
             self.evacuated.clone(),
         );
+        registry.register(
+            "backends_cold",
+            "How often backend servers were found cold since the start, by the cause",
+            self.cold.clone(),
+        );
         registry.register(
             "backend_words",
             "Responses in which backend servers announce that they leave, a backoff or a rate limit",
@@ -268,6 +280,7 @@
             BackendNotice::Leaving => "leaving",
             BackendNotice::Backoff { .. } => "rest",
             BackendNotice::RateLimit { .. } => "rate-limit",
+            BackendNotice::Cold { .. } => "cold",
             BackendNotice::NoRateLimit { .. } => "no-rate-limit",
         };
         self.notices.get_or_create(&NoticeLabels { word }).inc();
@@ -310,13 +323,17 @@
         }
     }
 
-    /// Sets which failure domains are evacuated.
-    fn set_evacuations(&self, status: &RoutingStatus) {
+    /// Sets which failure domains are evacuated, and how often backend servers were cold.
+    fn set_routing_status(&self, status: &RoutingStatus) {
         for (failure_domain, evacuated) in status.evacuations() {
             let labels = DomainLabels { failure_domain };
             let gauge = self.evacuated.get_or_create(&labels);
             gauge.set(i64::from(evacuated));
         }
+        for (cause, count) in status.cold_counts() {
+            let gauge = self.cold.get_or_create(&ColdLabels { cause });
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
     }
 
     /// Sets the counts of callers' connections.
@@ -341,7 +358,7 @@
         self.set_store_calls(sources.store.counts());
         self.set_standings(sources.standings.counts());
         self.set_connections(&sources.connections);
-        self.set_evacuations(&sources.status);
+        self.set_routing_status(&sources.status);
         self.in_flight
             .set(i64::try_from(in_flight).unwrap_or(i64::MAX));
         let dropped = toucanchute_log::dropped_lines();
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -213,6 +213,7 @@
             origins: Some(Arc::clone(&origins)),
             fleet: fleet.clone(),
             mesh: mesh.clone(),
+            host: settings.router.host.clone(),
             capacity: settings.router.capacity,
             config: view.config(),
             standings: Arc::clone(&standings),
--- a/toucanchute_router/src/gateway/store_reader.rs
+++ b/toucanchute_router/src/gateway/store_reader.rs
@@ -165,6 +165,8 @@
                 address_max_age_ms: settings.callers.address_max_age_ms,
                 retry_share_percent: used_retries(settings.retries.percent),
                 retry_burst: used_retries(settings.retries.burst),
+                cold_overshoot_permille: settings.bounds.cold_overshoot_permille,
+                cold_slack_permille: settings.bounds.cold_slack_permille,
                 view_bound_ms: (max_view_age(settings) + OUTAGE_AGREEMENT_TIME).0,
                 ..Routing::default()
             },
--- a/toucanchute_router/src/gateway/store_reader/evacuation_orders.rs
+++ b/toucanchute_router/src/gateway/store_reader/evacuation_orders.rs
@@ -1,3 +1,6 @@
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeSet;
 
 use toucanchute_platform::read_evacuation;
--- a/toucanchute_router/src/server.rs
+++ b/toucanchute_router/src/server.rs
@@ -152,6 +152,7 @@
                 machine,
                 fleet: fleet.clone(),
                 mesh: mesh.clone(),
+                host: own.host.clone(),
                 capacity: 0,
                 config: view.config(),
                 standings: Arc::default(),
--- a/toucanchute_settings/src/folder/sections.rs
+++ b/toucanchute_settings/src/folder/sections.rs
@@ -1,4 +1,7 @@
-use toucanchute_proto::config::{Backend, Budget, Config, Customer, Model, Pool, Service};
+use toucanchute_proto::{
+    RequestRate,
+    config::{Backend, Budget, Config, Customer, Model, Pool, Service},
+};
 
 use crate::{
     document::Section,
@@ -118,12 +121,16 @@
     let kind = r.required("kind", &format::POOL_KIND);
     let fencing = r.optional("fencing", &format::FENCING);
     let max_concurrency = r.optional("max_concurrency", &format::COUNT);
+    let cold_rate = r.optional("cold_rate", &format::THOUSANDTHS);
+    let cold_start_ms = r.optional("cold_start", &format::DURATION);
     Some(Pool {
         name,
         kind: kind?,
         fencing: Some(fencing.unwrap_or_default()),
         max_concurrency: max_concurrency.unwrap_or(DEFAULT_MAX_CONCURRENCY),
         tokens_per_event: 1,
+        cold_rate: cold_rate.map(|rate| RequestRate(rate.into())),
+        cold_start_ms: cold_start_ms.unwrap_or(0),
     })
 }
 
--- a/toucanchute_settings/src/gateway.rs
+++ b/toucanchute_settings/src/gateway.rs
@@ -96,6 +96,8 @@
             withdrawal_ms: DEFAULT_BOUND_MS,
             configuration_ms: DEFAULT_BOUND_MS,
             evacuation_ms: DEFAULT_EVACUATION_MS,
+            cold_overshoot_permille: WHOLE,
+            cold_slack_permille: 0,
         }),
         retries: retries.unwrap_or(RetriesSection { percent, burst }),
         leave: leave.unwrap_or(LeaveSection {
@@ -178,6 +180,8 @@
     let withdrawal = r.optional_non_empty("withdrawal", &format::DURATION_OR_ZERO);
     let configuration = r.optional_non_empty("configuration", &format::DURATION_OR_ZERO);
     let evacuation = r.optional_non_empty("evacuation", &format::DURATION_OR_ZERO);
+    let overshoot = r.optional_non_empty("cold_overshoot", &format::THOUSANDTHS);
+    let slack = r.optional_non_empty("cold_slack", &format::THOUSANDTHS);
     r.finish();
     BoundsSection {
         withdrawal_ms: withdrawal.unwrap_or(DEFAULT_BOUND_MS).min(MAX_BOUND_MS),
@@ -185,6 +189,8 @@
         evacuation_ms: evacuation
             .unwrap_or(DEFAULT_EVACUATION_MS)
             .min(MAX_BOUND_MS),
+        cold_overshoot_permille: overshoot.unwrap_or(WHOLE),
+        cold_slack_permille: slack.unwrap_or(0),
     }
 }
 
