fix(routing): calls that are free to start are not held up by suspects of their customer

Cause: the queue considers four calls of a customer at a time. Suspects, which wait for a replica of their own, took these four places, so that the customer's other calls waited behind them although servers were free; and these counted as ahead of all new calls, which were then refused for their predicted wait. Now a customer's first four free calls are considered as well as its first four others, and a call that can start at once is not refused for the wait of others.

--- a/toucanchute_core/src/routing/dispatch.rs
+++ b/toucanchute_core/src/routing/dispatch.rs
@@ -123,7 +123,8 @@
             return None;
         }
         let is_held = |req: &RoutingRequest| asks.contains(req.call) || !chooser.has_room_for(req);
-        let mut calls = pool.queue.candidates(is_held);
+        let is_free = |req: &RoutingRequest| self.suspects.permit(now, req) == Permit::Free;
+        let mut calls = pool.queue.candidates(is_held, is_free);
         calls.extend(calls_with_permits(now, pool, asks));
         calls.retain(|c| c.deadline >= now || late);
         calls.sort_by_key(|c| (!asks.contains(c.call), c.attempts == 0));
--- a/toucanchute_core/src/routing/dispatcher.rs
+++ b/toucanchute_core/src/routing/dispatcher.rs
@@ -7,6 +7,7 @@
 use super::{
     Action, Event, RefusalReason, RoutingRequest, Target,
     attempts::Attempt,
+    availability::Availability,
     cold::ColdNotices,
     evacuation::Evacuation,
     fault::Fault,
@@ -226,10 +227,11 @@
     fn enqueue(&mut self, now: Millis, key: PoolKey, req: RoutingRequest, out: &mut Vec<Action>) {
         let start_late = self.has(Fault::StartLate);
         let propagating = self.suspects.is_propagating(now, &req);
-        let is_limited = self.is_pool_limited(now, key);
+        // Where all replicas are limited, the wait for a permit was checked before. What waits although
+        // there is room, such as suspects, does not hold up a call that can start.
+        let starts = self.is_pool_limited(now, key) || self.can_start(now, key, &req);
         let pool = &mut self.pools[key];
-        // Where all replicas are limited, the wait for a permit was checked before.
-        let wait = match is_limited {
+        let wait = match starts {
             true => Millis(0),
             false => pool.predicted_wait(pool.queue.count_ahead(&req)),
         };
@@ -249,6 +251,14 @@
         }
     }
 
+    /// Whether a call finds room now and is no suspect. Calls that could take that room first have been
+    /// started before.
+    fn can_start(&self, now: Millis, key: PoolKey, req: &RoutingRequest) -> bool {
+        let members = self.pools[key].members.iter().map(|&k| &self.replicas[k]);
+        let mut open = members.filter(|r| r.availability(now) == Availability::Open);
+        open.any(|r| r.may_run(req)) && self.suspects.permit(now, req) == Permit::Free
+    }
+
     fn abandon(&mut self, call: u64) {
         for pool in self.pools.values_mut() {
             pool.queue.remove(call);
--- a/toucanchute_core/src/routing/queue.rs
+++ b/toucanchute_core/src/routing/queue.rs
@@ -8,7 +8,8 @@
 /// Units of virtual time for one token at weight 1.
 const UNITS_PER_TOKEN: u64 = 1_000;
 
-/// Number of a customer's waiting calls that are considered before those of the next customer.
+/// Number of a customer's waiting calls that are considered before those of the next customer, of the calls
+/// that are free to start and of the others each.
 const CALLS_PER_CUSTOMER: usize = 4;
 
 /// Calls that wait for a replica of one pool.
@@ -65,10 +66,12 @@
     }
 
     /// Returns the calls that may start next: by priority, then those of the customers with the
-    /// least service so far. Calls for which `is_held` holds are left out.
+    /// least service so far. Calls for which `is_held` holds are left out. A customer's calls that are not
+    /// free to start (`is_free`) do not take the place of those that are.
     pub(super) fn candidates(
         &self,
         is_held: impl Fn(&RoutingRequest) -> bool,
+        is_free: impl Fn(&RoutingRequest) -> bool,
     ) -> Vec<&RoutingRequest> {
         let mut candidates = Vec::new();
         for level in self.levels.values() {
@@ -76,8 +79,8 @@
             let mut queues: Vec<&CustomerQueue> = waiting.collect();
             queues.sort_by_key(|q| q.normalized_service);
             for queue in queues {
-                let free = queue.calls.iter().filter(|c| !is_held(c));
-                candidates.extend(free.take(CALLS_PER_CUSTOMER));
+                let calls = queue.calls.iter().filter(|c| !is_held(c));
+                candidates.extend(first_of_each_kind(calls, &is_free));
             }
         }
         candidates
@@ -165,6 +168,30 @@
     }
 }
 
+/// Returns the first [`CALLS_PER_CUSTOMER`] calls that are free to start and as many others, in their
+/// order.
+fn first_of_each_kind<'a>(
+    calls: impl Iterator<Item = &'a RoutingRequest>,
+    is_free: impl Fn(&RoutingRequest) -> bool,
+) -> Vec<&'a RoutingRequest> {
+    let (mut first, mut free, mut others) = (Vec::new(), 0, 0);
+    for call in calls {
+        let count = if is_free(call) {
+            &mut free
+        } else {
+            &mut others
+        };
+        *count += 1;
+        if *count <= CALLS_PER_CUSTOMER {
+            first.push(call);
+        }
+        if free >= CALLS_PER_CUSTOMER {
+            break;
+        }
+    }
+    first
+}
+
 impl PriorityLevel {
     fn len(&self) -> usize {
         self.customers.values().map(|q| q.calls.len()).sum()
--- a/toucanchute_core/src/routing/tests/policy.rs
+++ b/toucanchute_core/src/routing/tests/policy.rs
@@ -376,3 +376,30 @@
     }
     assert_eq!(harness.started().len(), 1);
 }
+
+/// Calls of a customer that the queue considers at a time.
+const CONSIDERED_CALLS: usize = 4;
+
+/// Guards against sound calls that wait, or are refused as overloaded, while servers are free, because calls
+/// of their customer wait as suspects.
+#[test]
+fn suspects_that_wait_do_not_refuse_sound_calls_while_servers_are_free() {
+    let mut harness = Harness::new(4, 64);
+    let suspect = |call| RoutingRequest {
+        digest: Digest(7),
+        ..request(call)
+    };
+    let (attempt, _) = harness.call(1, suspect(1)).unwrap();
+    let kind = CrashKind::Disconnected;
+    harness.report(20, attempt, AttemptReport::Crashed { kind });
+    for call in 0..40 {
+        let now = 100 + call * 100;
+        harness.call(now, suspect(1_000 + call));
+        let (attempt, _) = harness
+            .call(now + 20, request(2_000 + call))
+            .unwrap_or_else(|| panic!("refused at {now}: {:?}", harness.refused()));
+        harness.report(now + 60, attempt, AttemptReport::Done { tokens: 1 });
+    }
+    let waiting = harness.dispatcher.waiting();
+    assert!(waiting > 2 * CONSIDERED_CALLS, "{waiting}");
+}
