--- a/toucanchute_core/src/origins.rs
+++ b/toucanchute_core/src/origins.rs
@@ -132,6 +132,15 @@
         }
     }
 
+    /// Whether several versions serve in `service`, or began streams that may be taken up.
+    #[must_use]
+    pub fn has_several_versions(&self, service: &str) -> bool {
+        let begun = self.begun.values().map(|(origin, _)| origin);
+        let mut known = self.registered.iter().chain(begun);
+        let first = known.find(|o| o.service == service);
+        known.any(|o| o.service == service && Some(o) != first)
+    }
+
     /// Returns the software of a service if all routers know one version only.
     fn sole_software(&self, service: &str, records: &[StreamRecord]) -> Option<StreamOrigin> {
         let recorded = records.iter().flat_map(|r| &r.software);
--- a/toucanchute_edge/src/passthrough.rs
+++ b/toucanchute_edge/src/passthrough.rs
@@ -14,6 +14,7 @@
 mod guards;
 mod handler;
 mod headers;
+mod observed_ends;
 mod pace;
 mod planned_stop;
 mod pool;
--- a/toucanchute_edge/src/passthrough/control.rs
+++ b/toucanchute_edge/src/passthrough/control.rs
@@ -52,6 +52,13 @@
     /// Records that a stream began, or goes on, at `origin`. Its caller may take it up again for `keep`.
     fn record_stream(&self, stream: StreamId, origin: StreamOrigin, keep: Millis);
 
+    /// Whether several versions of software serve `service`, or began streams that callers may take up.
+    fn has_several_versions(&self, service: &str) -> bool;
+
+    /// Whether `backend`, in the run that its registration describes, was registered at `at` or later, as
+    /// far as is known.
+    fn was_registered_at(&self, backend: &str, at: Millis) -> bool;
+
     /// Returns what began a stream that `service` would go on with, or `None` if that is not known.
     fn find_origin(
         &self,
--- a/toucanchute_edge/src/passthrough/pool.rs
+++ b/toucanchute_edge/src/passthrough/pool.rs
@@ -22,6 +22,10 @@
 use socket2::SockRef;
 use tokio::{net::TcpStream, sync::Notify, task::JoinHandle, time::timeout};
 use toucanchute_core::routing::{AttemptReport, CrashKind};
+use toucanchute_proto::Millis;
+
+use super::observed_ends::ObservedEnds;
+use crate::settings::now;
 
 /// Time limit for opening a connection to a backend server in the same region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -57,6 +61,7 @@
 #[derive(Debug, Default)]
 pub(super) struct ConnectionPool {
     idle: Mutex<HashMap<String, Vec<IdleConnection>>>,
+    ends: Arc<ObservedEnds>,
 }
 
 #[derive(Debug)]
@@ -74,6 +79,8 @@
     task: JoinHandle<()>,
     /// Whether an earlier request was sent over it.
     pub(super) reused: bool,
+    /// When it was opened.
+    pub(super) opened_at: Millis,
     /// Hashes of the attempts that were sent over it. Invariant: no attempt is sent over it twice, so
     /// that a response that names an attempt answers the only request with it.
     carried: Vec<u64>,
@@ -91,6 +98,10 @@
     /// The connection was closed before the request was written.
     #[snafu(display("the connection was closed before the request was sent"))]
     Unsent,
+    /// The connection may lead to a later run of the backend server, with another version of its
+    /// software, so that nothing was sent.
+    #[snafu(display("the backend server may have started again as another version"))]
+    Unconfirmed,
     /// The backend server sent too many interim responses. It may have read the request.
     #[snafu(display("the backend server sent more than {MAX_INTERIM_RESPONSES} interim answers"))]
     TooManyInterim,
@@ -107,7 +118,7 @@
     /// the request was still queued in front of it.
     pub(crate) fn is_unsent(&self) -> bool {
         match self {
-            SendError::Connect { .. } | SendError::Unsent => true,
+            SendError::Connect { .. } | SendError::Unsent | SendError::Unconfirmed => true,
             SendError::TooManyInterim | SendError::Broken { .. } => false,
         }
     }
@@ -116,7 +127,10 @@
     pub(super) fn is_connect_timeout(&self) -> bool {
         match self {
             SendError::Connect { source } => source.kind() == io::ErrorKind::TimedOut,
-            SendError::Unsent | SendError::TooManyInterim | SendError::Broken { .. } => false,
+            SendError::Unsent
+            | SendError::Unconfirmed
+            | SendError::TooManyInterim
+            | SendError::Broken { .. } => false,
         }
     }
 
@@ -125,7 +139,10 @@
     pub(super) fn is_connection_refused(&self) -> bool {
         match self {
             SendError::Connect { source } => source.kind() == io::ErrorKind::ConnectionRefused,
-            SendError::Unsent | SendError::TooManyInterim | SendError::Broken { .. } => false,
+            SendError::Unsent
+            | SendError::Unconfirmed
+            | SendError::TooManyInterim
+            | SendError::Broken { .. } => false,
         }
     }
 }
@@ -149,16 +166,44 @@
                 return Ok(conn);
             }
         }
-        open(address, attempt).await
+        self.open(backend, address, attempt).await
     }
 
     /// Opens a new connection for an attempt, without regard to idle ones.
     pub(super) async fn connect_new(
         &self,
+        backend: &str,
         address: SocketAddr,
         attempt: Option<&str>,
     ) -> Result<Connection, SendError> {
-        open(address, attempt.map(attempt_hash)).await
+        self.open(backend, address, attempt.map(attempt_hash)).await
+    }
+
+    /// Returns the ends of backend servers that their connections showed.
+    pub(super) fn ends(&self) -> &ObservedEnds {
+        &self.ends
+    }
+
+    async fn open(
+        &self,
+        backend: &str,
+        address: SocketAddr,
+        attempt: Option<u64>,
+    ) -> Result<Connection, SendError> {
+        let opened_at = now();
+        let ends = Arc::clone(&self.ends);
+        let opened = open(backend, address, ends).await;
+        if opened.is_err() {
+            self.ends.record(backend, opened_at);
+        }
+        let (tx, task) = opened?;
+        Ok(Connection {
+            tx,
+            task,
+            reused: false,
+            opened_at,
+            carried: attempt.into_iter().collect(),
+        })
     }
 
     fn take_idle(
@@ -317,8 +362,12 @@
     hasher.finish()
 }
 
-/// Opens a connection for an attempt with this hash.
-async fn open(address: SocketAddr, attempt: Option<u64>) -> Result<Connection, SendError> {
+/// Opens a connection to a backend server, and records its end in `ends` unless this side closes it.
+async fn open(
+    backend: &str,
+    address: SocketAddr,
+    ends: Arc<ObservedEnds>,
+) -> Result<(SendRequest<Full<Bytes>>, JoinHandle<()>), SendError> {
     let opened = async {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
@@ -329,15 +378,12 @@
     let (tx, conn) = opened
         .await
         .map_err(|source| SendError::Connect { source })?;
+    let backend = backend.to_owned();
     let task = tokio::spawn(async move {
         if let Err(e) = conn.await {
             log::debug!(error:% = e; "backend-connection-ended");
         }
+        ends.record(&backend, now());
     });
-    Ok(Connection {
-        tx,
-        task,
-        reused: false,
-        carried: attempt.into_iter().collect(),
-    })
+    Ok((tx, task))
 }
--- a/toucanchute_edge/src/passthrough/proxied_request.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request.rs
@@ -2,6 +2,7 @@
 
 mod exchange;
 mod hedge;
+mod origin;
 mod reports;
 mod responses;
 mod retry;
@@ -13,10 +14,7 @@
 use http::{Response, request, response};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
-use toucanchute_core::{
-    origins::{StreamId, StreamOrigin},
-    routing::{SoftwareNeed, Target, request_digest},
-};
+use toucanchute_core::routing::{SoftwareNeed, Target, request_digest};
 use toucanchute_proto::{
     Digest, Millis,
     config::{Customer, Route, RouteKind},
@@ -37,12 +35,13 @@
     table::RouteTable,
 };
 use crate::{
-    control::{AssignRequest, Assignment, Refusal},
+    control::{AssignRequest, Refusal},
     run_record::RunRecord,
     settings::now,
 };
-use exchange::{Exchange, Exchanged};
+use exchange::{Exchange, Exchanged, SendTerms};
 pub(super) use hedge::{FirstAttempt, Hedged, event_patience};
+pub(super) use origin::ServerRun;
 pub(super) use retry::RetryState;
 pub(super) use trace::RequestTrace;
 
@@ -59,9 +58,6 @@
 /// Least number of events of a stream whose tokens are reserved before it begins.
 const MIN_FIRST_EVENTS: u64 = 4;
 
-/// Time beyond a route's time limit for which what began a stream is kept.
-const RETURN_TIME: Millis = Millis(5_000);
-
 /// A request that was admitted and is forwarded to backend servers.
 pub(super) struct ProxiedRequest<C: RouteControl, D> {
     pub(super) state: Arc<GatewayState<C, D>>,
@@ -194,54 +190,6 @@
         now() + Millis(left)
     }
 
-    // Streams that callers take up again
-
-    /// Whether the caller takes up a stream of which it has events.
-    fn is_taken_up(&self) -> bool {
-        let route = self.route();
-        let has_events = self.info.resume_after.is_some_and(|id| id > 0);
-        route.kind == RouteKind::Stream && route.resumable && has_events
-    }
-
-    /// Identifies the stream over all attempts of its caller.
-    fn stream_id(&self) -> StreamId {
-        let attempt = match self.is_taken_up() {
-            true => self.info.resumes.as_deref(),
-            false => self.info.attempt.as_deref().map(str::as_bytes),
-        };
-        let customer = self.customer().map_or("", |c| c.name.as_str());
-        StreamId::new(customer, attempt.unwrap_or_default())
-    }
-
-    /// Returns the software that the request needs: any, or what began the stream that its caller takes
-    /// up. Chooses the service that began it. Fails if that is not known or no longer serves the route,
-    /// since no other one can continue its text.
-    async fn find_software(&mut self, record: &RunRecord) -> Result<SoftwareNeed, Failure> {
-        if !self.is_taken_up() {
-            return Ok(SoftwareNeed::Any);
-        }
-        let control = &self.state.control;
-        let origin = control.find_origin(self.stream_id(), &self.service).await;
-        let is_target = |service: &str| self.route().targets.iter().any(|t| t.service == service);
-        let origin = origin.filter(|o| is_target(&o.service));
-        let origin =
-            origin.ok_or_else(|| Failure::unserved(record, "stream-origin-unknown", None))?;
-        self.service = origin.service;
-        Ok(SoftwareNeed::of_stream(origin.software.as_deref()))
-    }
-
-    /// Records which software began the stream, or goes on with it, so that its caller can take it up.
-    pub(super) fn record_origin(&self, assignment: &Assignment) {
-        let route = self.route();
-        if !route.resumable {
-            return;
-        }
-        let origin = StreamOrigin::new(&self.service, assignment.software.as_deref());
-        let keep = Millis(route.timeout_ms) + RETURN_TIME;
-        let control = &self.state.control;
-        control.record_stream(self.stream_id(), origin, keep);
-    }
-
     // Tokens
 
     async fn reserve_tokens(
@@ -326,7 +274,12 @@
                 patience: hedge::head_patience(self.route()),
                 resume_after,
             };
-            let exchange = self.run_exchange(attempt, !retries.is_idempotent(), resume_after);
+            let terms = SendTerms {
+                non_idempotent: !retries.is_idempotent(),
+                needs_software: *retries.software() != SoftwareNeed::Any,
+                resume_after,
+            };
+            let exchange = self.run_exchange(attempt, terms);
             let is_answer = |exchanged: &Exchanged<C>| self.is_answer(exchanged);
             let hedged = self.hedge(first, exchange, is_answer, retries, trace).await;
             let response = match hedged {
@@ -411,6 +364,11 @@
     }
 
     async fn assign(&self, retries: &RetryState) -> Result<AttemptGuard<C>, Failure> {
+        if let Some(run) = retries.begun_by()
+            && !self.confirm(run).await
+        {
+            return Err(retries.unserved("stream-origin-unknown", None));
+        }
         let control = &self.state.control;
         let assigned =
             timeout_at(self.deadline, control.assign(self.assign_request(retries))).await;
--- a/toucanchute_edge/src/passthrough/proxied_request/exchange.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/exchange.rs
@@ -10,16 +10,28 @@
 use toucanchute_core::routing::{AttemptReport, CrashKind};
 use toucanchute_proto::{AttemptId, Millis};
 
-use super::{ProxiedRequest, hedge::head_patience};
+use super::{ProxiedRequest, ServerRun, hedge::head_patience};
 use crate::{
     passthrough::{
         Dialect, ForwardInfo, RouteControl,
         guards::AttemptGuard,
+        observed_ends::ConnectionLifetime,
         pool::{Connection, SendError, broken_connection_report},
     },
     run_record::AttemptNotRun,
 };
 
+/// How a request is sent to a backend server.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SendTerms {
+    /// Whether it may run once only.
+    pub(super) non_idempotent: bool,
+    /// Whether only the run of the server may get it that was assigned, for the sake of its software.
+    pub(super) needs_software: bool,
+    /// Last event of the stream that was relayed.
+    pub(super) resume_after: Option<u64>,
+}
+
 /// A backend server's response whose head has been received.
 pub(super) struct Exchange<C: RouteControl> {
     pub(super) attempt: AttemptGuard<C>,
@@ -43,10 +55,9 @@
     pub(super) async fn run_exchange(
         &self,
         mut attempt: AttemptGuard<C>,
-        non_idempotent: bool,
-        resume_after: Option<u64>,
+        terms: SendTerms,
     ) -> Exchanged<C> {
-        let exchanged = self.exchange(&attempt, non_idempotent, resume_after).await;
+        let exchanged = self.exchange(&attempt, terms).await;
         match exchanged {
             Ok((res, conn)) => {
                 attempt.record_bytes();
@@ -71,8 +82,7 @@
     async fn exchange(
         &self,
         attempt: &AttemptGuard<C>,
-        non_idempotent: bool,
-        resume_after: Option<u64>,
+        terms: SendTerms,
     ) -> Result<(Response<Incoming>, Connection), ExchangeError> {
         let assignment = &attempt.assignment;
         let pool = &self.state.pool;
@@ -81,17 +91,18 @@
             &assignment.backend,
             assignment.address,
             attempt_name,
-            non_idempotent,
+            terms.non_idempotent,
         );
         let conn = connect_by(self.deadline, connect).await?;
         let reused = conn.reused;
-        match self.send_over(conn, attempt, resume_after).await {
+        match self.send_over(conn, attempt, terms).await {
             Err(ExchangeError::Send {
                 source: SendError::Unsent,
             }) if reused => {
-                let connect = pool.connect_new(assignment.address, attempt_name);
+                let connect =
+                    pool.connect_new(&assignment.backend, assignment.address, attempt_name);
                 let conn = connect_by(self.deadline, connect).await?;
-                self.send_over(conn, attempt, resume_after).await
+                self.send_over(conn, attempt, terms).await
             }
             exchanged => exchanged,
         }
@@ -102,9 +113,16 @@
         &self,
         mut conn: Connection,
         attempt: &AttemptGuard<C>,
-        resume_after: Option<u64>,
+        terms: SendTerms,
     ) -> Result<(Response<Incoming>, Connection), ExchangeError> {
-        let send = conn.send(self.backend_request(attempt, resume_after));
+        let run = ServerRun {
+            assignment: attempt.assignment.clone(),
+            connection: ConnectionLifetime::since(conn.opened_at),
+        };
+        if terms.needs_software && !self.confirm(&run).await {
+            return Err(SendError::Unconfirmed.into());
+        }
+        let send = conn.send(self.backend_request(attempt, terms.resume_after));
         let res = with_deadline(self.deadline, send).await?;
         Ok((res, conn))
     }
@@ -161,6 +179,9 @@
             ExchangeError::Send {
                 source: SendError::Connect { .. } | SendError::Unsent,
             } => AttemptReport::Unsent,
+            ExchangeError::Send {
+                source: SendError::Unconfirmed,
+            } => AttemptReport::NotTried,
             ExchangeError::Send {
                 source: SendError::Broken { .. },
             } => broken_connection_report(attempt.assignment.address).await,
--- a/toucanchute_edge/src/passthrough/proxied_request/retry.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/retry.rs
@@ -11,11 +11,12 @@
     config::{Route, RouteKind},
 };
 
-use super::{MAX_CONNECT_FAILURES, RequestTrace, responses::LateResponse};
+use super::{MAX_CONNECT_FAILURES, RequestTrace, ServerRun, responses::LateResponse};
 use crate::{
-    control::{Assignment, Refusal},
+    control::Refusal,
     passthrough::{Failure, FailureKind, ResponseBody, RouteControl},
     run_record::{AttemptNotRun, RunRecord},
+    settings::now,
 };
 
 /// Time after which a caller should retry if no backend server could be reached.
@@ -41,6 +42,8 @@
     running_on: Vec<String>,
     /// Version of the software that may run it.
     software: SoftwareNeed,
+    /// What began the response, once an event of it was relayed.
+    begun_by: Option<ServerRun>,
     /// A backend server's error response, for the caller if no other backend server does better.
     fallback: Option<Response<ResponseBody>>,
     /// One whose body has not arrived yet.
@@ -62,6 +65,7 @@
             hedges_wait: false,
             running_on: Vec::new(),
             software: SoftwareNeed::Any,
+            begun_by: None,
             fallback: None,
             late_fallback: None,
         }
@@ -142,8 +146,21 @@
     // Software
 
     /// Keeps further attempts to the software of the backend server that began the response.
-    pub(in crate::passthrough) fn keep_software(&mut self, assignment: &Assignment) {
-        self.software = SoftwareNeed::of_stream(assignment.software.as_deref());
+    pub(in crate::passthrough) fn keep_software(&mut self, run: ServerRun) {
+        self.software = SoftwareNeed::of_stream(run.assignment.software.as_deref());
+        self.begun_by = Some(run);
+    }
+
+    /// Records that the backend server that began the response no longer writes it.
+    pub(in crate::passthrough) fn record_end(&mut self) {
+        if let Some(run) = &mut self.begun_by {
+            run.connection.ended_at.get_or_insert_with(now);
+        }
+    }
+
+    /// Returns what began the response, if this process relayed its beginning.
+    pub(super) fn begun_by(&self) -> Option<&ServerRun> {
+        self.begun_by.as_ref()
     }
 
     /// Returns the version of the software that may run the request.
--- a/toucanchute_edge/src/passthrough/relay.rs
+++ b/toucanchute_edge/src/passthrough/relay.rs
@@ -15,9 +15,10 @@
     framing::Framing,
     guards::AttemptGuard,
     handler::InFlightGuard,
+    observed_ends::ConnectionLifetime,
     pool::{broken_connection_report, undelimited_end_report},
     proxied_request::{
-        BackendResponse, FirstAttempt, Hedged, ProxiedRequest, RequestTrace, RetryState,
+        BackendResponse, FirstAttempt, Hedged, ProxiedRequest, RequestTrace, RetryState, ServerRun,
         event_patience,
     },
     request_tokens::RequestTokens,
@@ -50,6 +51,7 @@
         trace,
         tx,
         events_relayed: 0,
+        origin_recorded: false,
         first_assigned_at: response.attempt.assigned_at,
         _in_flight: in_flight,
     };
@@ -68,6 +70,8 @@
     last_event_id: Option<u64>,
     /// Number of events relayed from all backend servers.
     events_relayed: u64,
+    /// Whether it was recorded which software began the stream.
+    origin_recorded: bool,
     /// When the first backend server was assigned.
     first_assigned_at: Instant,
     _in_flight: InFlightGuard,
@@ -183,6 +187,7 @@
     async fn relay(mut self, mut response: BackendResponse<C>) {
         loop {
             let (end, next) = self.relay_events(&mut response).await;
+            self.retries.record_end();
             let report = response.attempt.ended_with();
             let report = report.unwrap_or_else(|| self.report(end, &response.attempt));
             let BackendResponse {
@@ -243,6 +248,10 @@
     ) -> (StreamEnd, Option<BackendResponse<C>>) {
         let mut splitter = EventSplitter::default();
         let assignment = response.attempt.assignment.clone();
+        let run = ServerRun {
+            assignment: assignment.clone(),
+            connection: ConnectionLifetime::since(response.conn.opened_at),
+        };
         let mut last_event_at = Instant::now();
         loop {
             let next = self.next_events(response, &mut splitter, &assignment);
@@ -261,13 +270,15 @@
             let now = Instant::now();
             let pace = &self.request.timing.pace;
             if self.events_relayed == count {
-                self.retries.keep_software(&assignment);
-                self.request.record_origin(&assignment);
+                self.retries.keep_software(run.clone());
                 response.attempt.report_first_byte();
                 pace.record_first_event(now - self.first_assigned_at);
             } else {
                 pace.record_events(now - last_event_at, count);
             }
+            if !self.origin_recorded {
+                self.origin_recorded = self.request.record_origin(&run);
+            }
             if let Some(end) = self.charge_events().await {
                 return (end, None);
             }
--- a/toucanchute_edge/tests/passthrough/dispatcher_gateway.rs
+++ b/toucanchute_edge/tests/passthrough/dispatcher_gateway.rs
@@ -253,6 +253,14 @@
         self.streams.lock().unwrap().insert(stream, origin);
     }
 
+    fn has_several_versions(&self, _service: &str) -> bool {
+        false
+    }
+
+    fn was_registered_at(&self, _backend: &str, _at: Millis) -> bool {
+        true
+    }
+
     async fn find_origin(&self, stream: StreamId, _service: &str) -> Option<StreamOrigin> {
         self.streams.lock().unwrap().get(&stream).cloned()
     }
--- a/toucanchute_edge/tests/passthrough/support.rs
+++ b/toucanchute_edge/tests/passthrough/support.rs
@@ -1,33 +1,26 @@
 //! Test setup: a gateway, a control that assigns scripted backend servers, and a caller.
 
+mod control;
+mod dialect;
+
 use std::{
-    collections::HashMap,
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
 };
 
-use http::{HeaderMap, HeaderName, HeaderValue, request, response};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    sync::watch,
-    time::Instant,
-};
-use toucanchute_core::origins::{StreamId, StreamOrigin};
-use toucanchute_edge::{
-    AssignRequest, Assignment, AttemptReport, BackendNotice, CrashKind, Refusal, RefusalOutcome,
-    RefusalReason,
-    passthrough::{
-        Dialect, ForwardInfo, Gateway, PlannedStop, PromptPart, RateLimitHeader, RequestEnd,
-        RequestInfo, ResponseInfo, ResponseRecord, RouteControl, TokenBound, TokenRefusal,
-        TokenRefusalReason, TokenRequest, TokenReservation, strip_connection_headers,
-    },
 };
-use toucanchute_proto::{AttemptId, Incarnation, Millis, RequestRate, config::Config, fleet::Load};
+use toucanchute_edge::passthrough::Gateway;
+use toucanchute_proto::config::Config;
+
+pub(crate) use control::ScriptedControl;
+pub(crate) use dialect::TestDialect;
 
 use crate::raw_backend::read_request;
 
@@ -156,248 +149,6 @@
     }
 }
 
-// Control
-
-#[derive(Debug)]
-pub(crate) struct ScriptedControl {
-    config: Arc<Config>,
-    backends: Vec<SocketAddr>,
-    /// Tokens that may still be reserved.
-    pub(crate) tokens: Mutex<u64>,
-    /// Tokens that each settled request used.
-    pub(crate) used: Mutex<Vec<u64>>,
-    pub(crate) reports: Mutex<Vec<AttemptReport>>,
-    pub(crate) notices: Mutex<Vec<BackendNotice>>,
-    next: AtomicU64,
-    /// Number of attempts that have not ended, and the largest that it was.
-    open_attempts: Mutex<(usize, usize)>,
-    /// The planned stop, once a test begins one.
-    pub(crate) stop: watch::Sender<Option<PlannedStop>>,
-    stop_rx: watch::Receiver<Option<PlannedStop>>,
-    /// What began the streams that callers may take up.
-    streams: Mutex<HashMap<StreamId, StreamOrigin>>,
-    /// Time that each assignment of a backend server takes.
-    pub(crate) assign_time: Mutex<Duration>,
-}
-
-impl RouteControl for ScriptedControl {
-    fn config(&self) -> Arc<Config> {
-        Arc::clone(&self.config)
-    }
-
-    fn unready(&self) -> Option<Refusal> {
-        let until = self.stop.borrow().map(|s| s.accepts_until);
-        let refuses = until.is_some_and(|until| Instant::now() >= until);
-        refuses.then(PlannedStop::refusal)
-    }
-
-    fn planned_stop(&self) -> &watch::Receiver<Option<PlannedStop>> {
-        &self.stop_rx
-    }
-
-    async fn reserve(&self, req: TokenRequest) -> Result<TokenReservation, TokenRefusal> {
-        let mut tokens = self.tokens.lock().unwrap();
-        if *tokens < req.tokens {
-            return Err(TokenRefusal {
-                reason: TokenRefusalReason::Exhausted,
-                retry_after: None,
-            });
-        }
-        *tokens -= req.tokens;
-        Ok(TokenReservation {
-            id: 1,
-            tokens: req.tokens,
-            owner: Incarnation(1),
-        })
-    }
-
-    fn settle(&self, reservation: TokenReservation, used: u64) {
-        *self.tokens.lock().unwrap() += reservation.tokens - used;
-        self.used.lock().unwrap().push(used);
-    }
-
-    async fn assign(&self, req: AssignRequest) -> Result<Assignment, Refusal> {
-        let assign_time = *self.assign_time.lock().unwrap();
-        if !assign_time.is_zero() {
-            tokio::time::sleep(assign_time).await;
-        }
-        let name = |i: usize| format!("b{i}");
-        let free = (0..self.backends.len()).find(|&i| !req.exclude.contains(&name(i)));
-        let Some(i) = free else {
-            return Err(Refusal {
-                reason: RefusalReason::NoBackend,
-                outcome: RefusalOutcome::NothingSent,
-                retry_after: Some(Millis(250)),
-                elsewhere: None,
-            });
-        };
-        let attempt = self.next.fetch_add(1, Ordering::Relaxed);
-        let mut open = self.open_attempts.lock().unwrap();
-        open.0 += 1;
-        open.1 = open.1.max(open.0);
-        drop(open);
-        Ok(Assignment {
-            attempt: AttemptId(Incarnation(1), attempt),
-            backend: name(i),
-            address: self.backends[i],
-            rate_limited: false,
-            software: None,
-        })
-    }
-
-    fn report(&self, _attempt: AttemptId, report: AttemptReport) {
-        let is_end = !matches!(
-            report,
-            AttemptReport::FirstToken | AttemptReport::Silent | AttemptReport::Resumed
-        );
-        self.open_attempts.lock().unwrap().0 -= usize::from(is_end);
-        self.reports.lock().unwrap().push(report);
-    }
-
-    fn report_load(&self, _load: Load) {}
-
-    fn report_notice(&self, _backend: &str, notice: BackendNotice) {
-        self.notices.lock().unwrap().push(notice);
-    }
-
-    fn record_stream(&self, stream: StreamId, origin: StreamOrigin, _keep: Millis) {
-        self.streams.lock().unwrap().insert(stream, origin);
-    }
-
-    async fn find_origin(&self, stream: StreamId, _service: &str) -> Option<StreamOrigin> {
-        self.streams.lock().unwrap().get(&stream).cloned()
-    }
-
-    fn record_response(&self, _response: &ResponseRecord) {}
-
-    fn record_end(&self, _end: &RequestEnd<'_>) {}
-}
-
-impl ScriptedControl {
-    /// Creates a control with one route of `kind`, to whose JSON `extra` is added, and one public
-    /// route.
-    pub(crate) fn new(kind: &str, extra: &str, backends: &[&Backend]) -> ScriptedControl {
-        let (stop, stop_rx) = watch::channel(None);
-        ScriptedControl {
-            config: Arc::new(config(kind, extra)),
-            backends: backends.iter().map(|b| b.address).collect(),
-            tokens: Mutex::new(1_000),
-            used: Mutex::default(),
-            reports: Mutex::default(),
-            notices: Mutex::default(),
-            next: AtomicU64::new(0),
-            open_attempts: Mutex::default(),
-            stop,
-            stop_rx,
-            streams: Mutex::default(),
-            assign_time: Mutex::default(),
-        }
-    }
-
-    /// Returns the largest number of attempts that were open at once.
-    pub(crate) fn most_open_attempts(&self) -> usize {
-        self.open_attempts.lock().unwrap().1
-    }
-
-    /// Returns how often an attempt was reported in this way.
-    pub(crate) fn report_count(&self, report: AttemptReport) -> usize {
-        let reports = self.reports.lock().unwrap();
-        reports.iter().filter(|r| **r == report).count()
-    }
-
-    /// Whether an attempt was reported to have crashed in this way.
-    pub(crate) fn crashed(&self, kind: CrashKind) -> bool {
-        self.reports
-            .lock()
-            .unwrap()
-            .contains(&AttemptReport::Crashed { kind })
-    }
-}
-
-// Dialect
-
-/// Dialect with header names of these tests.
-pub(crate) struct TestDialect;
-
-fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
-
-/// Parses parts of a prompt, as `ID:TOKENS` separated by commas, with hexadecimal identifiers.
-fn parse_prompt(text: &str) -> Vec<PromptPart> {
-    let parts = text.split(',').map(|part| {
-        let (id, tokens) = part.split_once(':').unwrap();
-        PromptPart {
-            id: u64::from_str_radix(id, 16).unwrap(),
-            tokens: tokens.parse().unwrap(),
-        }
-    });
-    parts.collect()
-}
-
-impl Dialect for TestDialect {
-    fn read_request(&self, head: &request::Parts) -> RequestInfo {
-        let headers = &head.headers;
-        let tokens = header_text(headers, "x-tokens").and_then(|t| t.split_once('+'));
-        RequestInfo {
-            attempt: header_text(headers, "x-attempt").map(str::to_owned),
-            credential: header_text(headers, "x-key").map(|k| k.to_owned().into()),
-            timeout: header_text(headers, "x-patience")
-                .and_then(|p| p.parse().ok())
-                .map(Millis),
-            tokens: tokens.map(|(prompt, output)| TokenBound {
-                prompt: prompt.parse().unwrap(),
-                output: output.parse().unwrap(),
-            }),
-            prompt: header_text(headers, "x-prompt")
-                .map(parse_prompt)
-                .unwrap_or_default(),
-            output_estimate: None,
-            resume_after: header_text(headers, "x-after").and_then(|id| id.parse().ok()),
-            resumes: header_text(headers, "x-resumes").map(|a| a.to_owned().into()),
-        }
-    }
-
-    fn forward_headers(&self, head: &request::Parts, forward: &ForwardInfo<'_>) -> HeaderMap {
-        let mut headers = head.headers.clone();
-        strip_connection_headers(&mut headers);
-        headers.remove("x-key");
-        let mut set = |name: &'static str, value: String| {
-            let value = HeaderValue::try_from(value).unwrap();
-            headers.insert(HeaderName::from_static(name), value);
-        };
-        set("x-backend", forward.backend.to_owned());
-        set("x-customer", forward.customer.unwrap_or("-").to_owned());
-        if let Some(id) = forward.resume_after {
-            set("x-resume-after", id.to_string());
-        }
-        headers
-    }
-
-    fn read_response(&self, head: &response::Parts) -> ResponseInfo {
-        let headers = &head.headers;
-        let attempts = headers.get_all("x-attempt").iter();
-        let attempts: Vec<&str> = attempts.map(|a| a.to_str().unwrap()).collect();
-        ResponseInfo {
-            attempt: (!attempts.is_empty()).then(|| attempts.join(",")),
-            sealed: headers.contains_key("x-seal"),
-            not_run: headers.contains_key("x-not-run"),
-            misdirected: head.status == 421,
-            encoded: headers.contains_key("content-encoding"),
-            leaving: headers.contains_key("x-leaving"),
-            retry_after: header_text(headers, "x-rest").map(|ms| Millis(ms.parse().unwrap())),
-            rate_limit: header_text(headers, "x-limit")
-                .and_then(|rate| RequestRate::from_per_second(rate.parse().unwrap()))
-                .map_or(RateLimitHeader::Absent, RateLimitHeader::Limit),
-            load: None,
-            keep_alive: None,
-            closes_connection: header_text(headers, "connection") == Some("close"),
-        }
-    }
-}
-
-// Gateway
-
 /// Returns a configuration with one route of `kind`, to whose JSON `extra` is added, and one public
 /// route.
 pub(crate) fn config(kind: &str, extra: &str) -> Config {
--- a/toucanchute_router/src/gateway/control.rs
+++ b/toucanchute_router/src/gateway/control.rs
@@ -107,6 +107,15 @@
         self.origins.record(stream, origin, keep);
     }
 
+    fn has_several_versions(&self, service: &str) -> bool {
+        self.origins.has_several_versions(service)
+    }
+
+    fn was_registered_at(&self, backend: &str, at: Millis) -> bool {
+        let confirmed = self.view.store_answered_at();
+        confirmed.is_some_and(|as_of| as_of >= at) && self.origins.is_registered(backend)
+    }
+
     async fn find_origin(&self, stream: StreamId, service: &str) -> Option<StreamOrigin> {
         self.origins.find(stream, service).await
     }
--- a/toucanchute_router/src/gateway/stream_origins.rs
+++ b/toucanchute_router/src/gateway/stream_origins.rs
@@ -2,7 +2,7 @@
 //! again at any router, also after the loss of all of them.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeSet, HashSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -58,6 +58,8 @@
     /// Key of this router's record.
     key: String,
     origins: Mutex<StreamOrigins>,
+    /// Names of the backend servers that are registered.
+    registered: Mutex<HashSet<String>>,
     /// Number of routers that share the writes per second.
     router_count: Mutex<u32>,
     /// Notified of changes of the software that serves.
@@ -80,6 +82,7 @@
             store,
             key: format!("{RECORDS_PREFIX}{host}"),
             origins: Mutex::default(),
+            registered: Mutex::default(),
             router_count: Mutex::new(1),
             software_changed: Notify::new(),
             stream_begun: Notify::new(),
@@ -95,11 +98,22 @@
         let software: BTreeSet<StreamOrigin> = registered.iter().map(origin).collect();
         let router_count = u32::try_from(router_count).unwrap_or(u32::MAX);
         *lock(&self.router_count) = router_count.max(1);
+        *lock(&self.registered) = registered.iter().map(|f| f.name.clone()).collect();
         if lock(&self.origins).set_registered(software) {
             self.software_changed.notify_one();
         }
     }
 
+    /// Whether this run of a backend server is registered.
+    pub(super) fn is_registered(&self, backend: &str) -> bool {
+        lock(&self.registered).contains(backend)
+    }
+
+    /// Whether several versions serve, or have served lately, in `service`.
+    pub(super) fn has_several_versions(&self, service: &str) -> bool {
+        lock(&self.origins).has_several_versions(service)
+    }
+
     /// Records that a stream began, or goes on, at `origin`, and may be taken up again for `keep`.
     pub(super) fn record(&self, stream: StreamId, origin: StreamOrigin, keep: Millis) {
         let now = clock::now();
