test(routing): each way to an evacuated domain fails without the check

The tests of permits, claims and resumptions passed with the check taken out of Replica::availability: the permit's pool had one server, whose calls were refused before; the claim was made after the evacuation; the resumption was a retry by another name. A router whose fleet machine ignores orders is found, too.

--- a/toucanchute_core/src/fleet/tests/evacuations.rs
+++ b/toucanchute_core/src/fleet/tests/evacuations.rs
@@ -9,7 +9,7 @@
 use yare::parameterized;
 
 use super::peers::{linked, no_gossip};
-use crate::fleet::{Action, Event, Fleet};
+use crate::fleet::{Action, Event, Fleet, fault::Fault};
 
 const PEER: Incarnation = Incarnation(2);
 const OTHER_PEER: Incarnation = Incarnation(3);
@@ -173,3 +173,11 @@
         .collect();
     assert_eq!(evacuated(&out), Some(vec![]));
 }
+
+/// Shows that the tests above find a router that ignores orders.
+#[test]
+fn ignored_orders_are_detected() {
+    let mut fleet = fleet();
+    fleet.fault = Some(Fault::IgnoreEvacuations);
+    assert_eq!(evacuated(&read(&mut fleet, 1_000, 10, &["d0"])), None);
+}
--- a/toucanchute_core/src/routing/tests/evacuation.rs
+++ b/toucanchute_core/src/routing/tests/evacuation.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use toucanchute_proto::RequestRate;
+use toucanchute_proto::{Digest, RequestRate};
 use yare::parameterized;
 
 use super::{
@@ -14,6 +14,9 @@
     SoftwareNeed,
 };
 
+/// Version that the servers run.
+const SOFTWARE: &str = "v1";
+
 fn evacuate(harness: &mut Harness, now: u64, domains: &[&str]) {
     let domains: BTreeSet<String> = domains.iter().map(|&d| d.to_owned()).collect();
     harness.handle(now, Event::Evacuate(domains));
@@ -37,12 +40,23 @@
 
 fn resumption(call: u64) -> RoutingRequest {
     RoutingRequest {
-        software: SoftwareNeed::Any,
+        software: SoftwareNeed::of_stream(Some(SOFTWARE)),
         ..retry(call)
     }
 }
 
-/// Affinity that would choose a replica of d0 is not known, so several are tried.
+/// Returns a harness whose servers all run [`SOFTWARE`].
+fn harness(replicas: usize, concurrency: u32) -> Harness {
+    let mut harness = Harness::new(replicas, concurrency);
+    let mut config = config(replicas, concurrency);
+    for backend in &mut config.backends {
+        backend.software = Some(SOFTWARE.to_owned());
+    }
+    let (config, withdrawn) = (config.into(), BTreeSet::new());
+    harness.handle(0, Event::Configure { config, withdrawn });
+    harness
+}
+
 fn with_affinity(call: u64) -> RoutingRequest {
     RoutingRequest {
         affinity: Some(call),
@@ -59,13 +73,13 @@
     resumptions = { resumption },
 )]
 fn an_evacuated_domain_gets_no(kind: fn(u64) -> RoutingRequest) {
-    let mut harness = Harness::new(5, 64);
+    let mut harness = harness(5, 64);
     evacuate(&mut harness, 1, &["d0"]);
-    for call in 0..40 {
-        let started = harness.call(2 + call, kind(call));
-        if let Some((_, backend)) = started {
-            assert!(["b1", "b3"].contains(&backend.as_str()), "{backend}");
-        }
+    let calls = 0..40;
+    let started: Vec<_> = calls.filter_map(|c| harness.call(2 + c, kind(c))).collect();
+    assert!(!started.is_empty());
+    for (_, backend) in started {
+        assert!(["b1", "b3"].contains(&backend.as_str()), "{backend}");
     }
 }
 
@@ -90,44 +104,63 @@
     assert_eq!(started, ["b1"]);
 }
 
-/// Guards against a permit that was granted before the evacuation and is used after it (EVAC).
-#[test]
-fn a_permit_is_not_used_in_an_evacuated_domain() {
-    let mut harness = Harness::new(1, 4);
-    let (attempt, backend) = harness.call(1, request(1)).unwrap();
-    let rate = RequestRate::from_per_second(1.0).unwrap();
-    let notice = BackendNotice::RateLimit { rate, attempt };
-    harness.handle(2, Event::Notice { backend, notice });
-    harness.report(3, attempt, AttemptReport::Done { tokens: 1 });
-    assert_eq!(harness.call(500, request(2)), None);
-    assert_eq!(harness.refused(), None);
-    evacuate(&mut harness, 600, &["d0"]);
-    for now in (600..4_000).step_by(50) {
+/// Guards against a permit that was granted before the evacuation and is used after it (EVAC). The permits
+/// lie at one of the two servers.
+#[parameterized(
+    first = { "d0", "b0" },
+    second = { "d1", "b1" },
+)]
+fn a_permit_is_not_used_in_an_evacuated_domain(domain: &str, evacuated: &str) {
+    let mut harness = Harness::new(2, 64);
+    let rate = RequestRate::from_per_second(2.0).unwrap();
+    for call in 0..2 {
+        let (attempt, _) = harness.call(1, request(call)).unwrap();
+        let backend = format!("b{call}");
+        let notice = BackendNotice::RateLimit { rate, attempt };
+        harness.handle(2, Event::Notice { backend, notice });
+    }
+    for call in 2..8 {
+        harness.call(900, request(call));
+    }
+    assert!(harness.dispatcher.waiting() >= 2);
+    evacuate(&mut harness, 910, &[domain]);
+    harness.out.clear();
+    for now in (950..4_000).step_by(50) {
         harness.handle(now, Event::Tick);
-        assert_eq!(harness.started(), []);
     }
-    assert_eq!(harness.refused(), Some(RefusalReason::Evacuated));
+    assert!(harness.started().iter().all(|(_, _, b)| b != evacuated));
 }
 
 /// Guards against a suspect that runs on the replica that was claimed for it although the replica's domain
 /// has been evacuated since (EVAC).
 #[test]
 fn a_claim_does_not_outlast_an_evacuation() {
-    let mut harness = Harness::new(2, 4);
+    let mut harness = Harness::new(4, 4);
     let poison = |call| RoutingRequest {
-        digest: toucanchute_proto::Digest(7),
+        digest: Digest(7),
         ..request(call)
     };
     let (attempt, _) = harness.call(1, poison(1)).unwrap();
     let kind = CrashKind::Disconnected;
     harness.report(20, attempt, AttemptReport::Crashed { kind });
-    evacuate(&mut harness, 21, &["d0"]);
     assert_eq!(harness.call(22, poison(2)), None);
+    let claimed = harness.out.iter().find_map(|a| match a {
+        Action::Verdict(v) => v.claim.as_ref().map(|c| c.replica.clone()),
+        _ => None,
+    });
+    let claimed = claimed.unwrap();
+    let domain = if claimed == "b1" || claimed == "b3" {
+        "d1"
+    } else {
+        "d0"
+    };
+    evacuate(&mut harness, 23, &[domain]);
+    harness.out.clear();
     for now in (50..5_000).step_by(50) {
         harness.handle(now, Event::Tick);
-        let started = harness.started();
-        assert!(started.iter().all(|(_, _, b)| b == "b1"), "{started:?}");
     }
+    let started: Vec<String> = harness.started().into_iter().map(|s| s.2).collect();
+    assert!(started.len() == 1 && started[0] != claimed, "{started:?}");
 }
 
 /// Guards against calls that wait for an operator when all domains are evacuated.
