feat: callers are placed by what hosts can carry

Lists name the largest hosts while these are lightly used, and hosts ask for a smaller share of the lists when they choke. A host whose link is nearly full is not ready while others of its domain can take its callers. A budget of the link refuses at the head of a request what the link cannot carry, so that tokens and news of peers no longer wait behind it.

--- a/toucanchute_core/examples/gossip_cost.rs
+++ b/toucanchute_core/examples/gossip_cost.rs
@@ -84,6 +84,7 @@
             caller_address: address(i, 80),
             peer_address: address(i, 81),
             capacity: 0,
+            bandwidth: 0,
             seeds: (0..3).map(|i| address(i, 81)).collect(),
         };
         let identities: Vec<RouterIdentity> = (0..routers).map(identity).collect();
--- a/toucanchute_core/src/fleet/action.rs
+++ b/toucanchute_core/src/fleet/action.rs
@@ -81,6 +81,10 @@
     pub peer_address: SocketAddr,
     /// Processor capacity of its host, in thousandths of a core; 0 if unknown.
     pub capacity: u32,
+    /// Bandwidth of its host's link in each direction, in kbit/s; 0 if unknown.
+    pub bandwidth: u32,
+    /// Share of the lists of addresses that should name it, in eighths, as it last reported.
+    pub list_share: u8,
     /// Its state as far as this router knows.
     pub state: MemberState,
     /// Whether its run is known to have ended.
--- a/toucanchute_core/src/fleet/event.rs
+++ b/toucanchute_core/src/fleet/event.rs
@@ -69,6 +69,8 @@
     Hint(BackendHint),
     /// Quarantines that were read from the platform's store.
     StoredQuarantines(Vec<Verdict>),
+    /// The share of the lists of addresses that should name this router, in eighths, has changed.
+    ListShare(u8),
     /// Number of requests in progress at this router. Required every
     /// [`Fleet::TICK`](super::Fleet::TICK) during a graceful shutdown.
     InFlight(u64),
--- a/toucanchute_core/src/fleet/machine.rs
+++ b/toucanchute_core/src/fleet/machine.rs
@@ -7,7 +7,7 @@
     fleet::{BackendHint, Head, Member, MemberState, Standing, Verdict},
 };
 
-use crate::discovery::Discovery;
+use crate::{discovery::Discovery, placement::FULL_SHARE};
 
 use super::{
     Action, Event,
@@ -41,6 +41,8 @@
     pub peer_address: SocketAddr,
     /// Processor capacity of its host, in thousandths of a core; 0 if unknown.
     pub capacity: u32,
+    /// Bandwidth of its host's link in each direction, in kbit/s; 0 if unknown.
+    pub bandwidth: u32,
     /// Peer addresses of routers through which it finds the other members.
     pub seeds: Vec<SocketAddr>,
 }
@@ -59,6 +61,7 @@
 ///     caller_address: "192.0.2.1:8000".parse().unwrap(),
 ///     peer_address: "192.0.2.1:8001".parse().unwrap(),
 ///     capacity: 500,
+///     bandwidth: 200_000,
 ///     seeds: Vec::new(),
 /// }, 7);
 /// let mut out = Vec::new();
@@ -124,6 +127,8 @@
             update: 0,
             outage: false,
             capacity: identity.capacity,
+            bandwidth: identity.bandwidth,
+            list_share: FULL_SHARE,
         };
         Fleet {
             identity,
@@ -189,6 +194,7 @@
             Event::Verdicts(verdicts) => self.handle_own_verdicts(&verdicts, out),
             Event::Hint(hint) => self.handle_own_hint(now, &hint, out),
             Event::StoredQuarantines(verdicts) => self.restore_quarantines(now, verdicts, out),
+            Event::ListShare(share) => self.set_list_share(share),
             Event::InFlight(count) => self.set_in_flight(count),
             Event::Drain => self.start_drain(now, out),
             Event::GrantsReturned => self.finish_drain(out),
@@ -319,6 +325,13 @@
         }
     }
 
+    fn set_list_share(&mut self, share: u8) {
+        if self.me.list_share != share {
+            self.me.list_share = share;
+            self.announce_self();
+        }
+    }
+
     /// Raises the update number of this router's member record and gossips the record again.
     pub(super) fn announce_self(&mut self) {
         self.me.update += 1;
--- a/toucanchute_core/src/fleet/publish.rs
+++ b/toucanchute_core/src/fleet/publish.rs
@@ -228,6 +228,8 @@
                 caller_address: m.caller_address.parse().ok()?,
                 peer_address: m.peer_address.parse().ok()?,
                 capacity: m.capacity,
+                bandwidth: m.bandwidth,
+                list_share: m.list_share,
                 state: m.state,
                 ended: e.ended,
                 outage: m.outage,
--- a/toucanchute_core/src/fleet/tests/outage.rs
+++ b/toucanchute_core/src/fleet/tests/outage.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::fleet::{Action, Event, Fleet, NotReady, RouterIdentity};
+use crate::placement::FULL_SHARE;
 
 /// Number of members besides the router under test.
 const OTHERS: u64 = 100;
@@ -32,6 +33,8 @@
         update: 1,
         outage: false,
         capacity: 120,
+        bandwidth: 10_000,
+        list_share: FULL_SHARE,
     }
 }
 
@@ -45,6 +48,7 @@
         caller_address: "192.0.2.200:80".parse().unwrap(),
         peer_address: "192.0.2.200:81".parse().unwrap(),
         capacity: 120,
+        bandwidth: 10_000,
         seeds: Vec::new(),
     };
     let mut router = Fleet::new(id, 1).following_registrations(Millis(MAX_AGE));
--- a/toucanchute_core/src/fleet/tests/peers.rs
+++ b/toucanchute_core/src/fleet/tests/peers.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::fleet::{Action, Event, Fleet, RouterIdentity};
+use crate::placement::FULL_SHARE;
 
 /// Number of failure domains over which the routers are spread.
 const DOMAINS: u64 = 3;
@@ -23,6 +24,8 @@
         update: 0,
         outage: false,
         capacity: 0,
+        bandwidth: 0,
+        list_share: FULL_SHARE,
     }
 }
 
@@ -37,6 +40,7 @@
         caller_address: me.caller_address.parse().unwrap(),
         peer_address: me.peer_address.parse().unwrap(),
         capacity: 0,
+        bandwidth: 0,
         seeds: Vec::new(),
     };
     let mut router = Fleet::new(id, i).following_registrations(view_age);
--- a/toucanchute_core/src/fleet/tests/world.rs
+++ b/toucanchute_core/src/fleet/tests/world.rs
@@ -126,6 +126,7 @@
             caller_address: address(80),
             peer_address: address(81),
             capacity: 0,
+            bandwidth: 0,
             seeds: (0..ROUTERS)
                 .map(|i| format!("192.0.2.{i}:81").parse().unwrap())
                 .collect(),
--- a/toucanchute_core/src/lib.rs
+++ b/toucanchute_core/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod ledger;
 pub mod money;
 pub mod origins;
+pub mod placement;
 pub mod prepaid;
 pub mod routing;
--- a/toucanchute_core/tests/store_readers/world.rs
+++ b/toucanchute_core/tests/store_readers/world.rs
@@ -7,6 +7,7 @@
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use toucanchute_core::fleet::{Action, Event, Fleet, RouterIdentity, StoreReadMode};
+use toucanchute_core::placement::FULL_SHARE;
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
     config::Config,
@@ -145,6 +146,8 @@
             update: 0,
             outage: false,
             capacity: if i.is_multiple_of(16) { 500 } else { 120 },
+            bandwidth: 10_000,
+            list_share: FULL_SHARE,
         };
         let id = RouterIdentity {
             incarnation: member.incarnation,
@@ -154,6 +157,7 @@
             caller_address: member.caller_address.parse().unwrap(),
             peer_address: member.peer_address.parse().unwrap(),
             capacity: member.capacity,
+            bandwidth: member.bandwidth,
             seeds: Vec::new(),
         };
         Router {
--- a/toucanchute_edge/src/connection/counts.rs
+++ b/toucanchute_edge/src/connection/counts.rs
@@ -13,6 +13,8 @@
 pub struct ConnectionCounts {
     open: [AtomicU64; ConnectionState::ALL.len()],
     ended: [AtomicU64; ConnectionEnd::ALL.len()],
+    /// Bytes read from and written to callers.
+    bytes: AtomicU64,
 }
 
 impl ConnectionCounts {
@@ -28,6 +30,16 @@
         self.ended[end as usize].load(Ordering::Relaxed)
     }
 
+    /// Returns the number of bytes read from and written to callers since the process started.
+    #[must_use]
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn add_bytes(&self, len: usize) {
+        self.bytes.fetch_add(len as u64, Ordering::Relaxed);
+    }
+
     pub(super) fn add_open(&self, state: ConnectionState) {
         self.open[state as usize].fetch_add(1, Ordering::Relaxed);
     }
--- a/toucanchute_edge/src/connection/stream.rs
+++ b/toucanchute_edge/src/connection/stream.rs
@@ -50,7 +50,10 @@
                     self.tracker.caller_closed();
                     return Poll::Ready(Err(e));
                 }
-                Ok(len) => return Poll::Ready(Ok(len)),
+                Ok(len) => {
+                    self.tracker.bytes_written(len);
+                    return Poll::Ready(Ok(len));
+                }
             }
         }
     }
@@ -74,8 +77,8 @@
                     self.tracker.caller_closed();
                     return Poll::Ready(Ok(()));
                 }
-                Ok(_) => {
-                    self.tracker.bytes_read();
+                Ok(len) => {
+                    self.tracker.bytes_read(len);
                     return Poll::Ready(Ok(()));
                 }
             }
--- a/toucanchute_edge/src/connection/tracker.rs
+++ b/toucanchute_edge/src/connection/tracker.rs
@@ -60,8 +60,14 @@
         tracked.state = state;
     }
 
+    /// Records that bytes were written to the caller.
+    pub(super) fn bytes_written(&self, len: usize) {
+        self.counts.add_bytes(len);
+    }
+
     /// Records that bytes of the caller were read.
-    pub(super) fn bytes_read(&self) {
+    pub(super) fn bytes_read(&self, len: usize) {
+        self.counts.add_bytes(len);
         let mut tracked = self.lock();
         if matches!(
             tracked.state,
--- a/toucanchute_edge/src/control.rs
+++ b/toucanchute_edge/src/control.rs
@@ -319,6 +319,8 @@
     LedgerUnavailable,
     /// The grant was reclaimed before the bill was committed.
     GrantReclaimed,
+    /// The link of the router's host cannot carry the request now.
+    HostBusy,
     /// The router's view of configuration and withdrawals is too old.
     StaleView,
     /// The router is draining.
--- a/toucanchute_edge/src/passthrough/control.rs
+++ b/toucanchute_edge/src/passthrough/control.rs
@@ -3,6 +3,7 @@
 use tokio::sync::watch;
 use toucanchute_core::{
     origins::{StreamId, StreamOrigin},
+    placement::LinkRequest,
     routing::{AttemptReport, BackendNotice},
 };
 use toucanchute_proto::{AttemptId, BudgetId, Incarnation, Millis, config::Config, fleet::Load};
@@ -21,6 +22,13 @@
     /// Returns the channel with the planned stop of the process, empty until one begins.
     fn planned_stop(&self) -> &watch::Receiver<Option<PlannedStop>>;
 
+    /// Admits a request to the link of this router's host, or refuses it because the link cannot carry it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal, with the time after which the request may be repeated.
+    fn admit_to_link(&self, req: LinkRequest<'_>) -> Result<(), Refusal>;
+
     /// Reserves tokens of a request. Dropping the future releases them.
     fn reserve(
         &self,
--- a/toucanchute_edge/src/passthrough/failure.rs
+++ b/toucanchute_edge/src/passthrough/failure.rs
@@ -137,6 +137,7 @@
         RefusalReason::WarmingUp => "backends-warming",
         RefusalReason::RetriesExhausted => "retries-exhausted",
         RefusalReason::Quarantined => "quarantined",
+        RefusalReason::HostBusy => "host-busy",
         RefusalReason::StaleView => "stale-view",
         RefusalReason::Draining => "draining",
         RefusalReason::Starting => "starting",
--- a/toucanchute_edge/src/passthrough/handler.rs
+++ b/toucanchute_edge/src/passthrough/handler.rs
@@ -11,6 +11,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
 use tokio::time::Instant;
+use toucanchute_core::placement::LinkRequest;
 use toucanchute_proto::{
     Millis,
     config::{CallerLimits, Customer, RouteKind},
@@ -26,6 +27,9 @@
 };
 use crate::{connection::UnreadBody, run_record::RunRecord, settings::duration};
 
+/// Bytes of the heads of a request and of its response.
+const HEADS_BYTES: u64 = 800;
+
 /// State that all requests of one gateway share.
 pub(super) struct GatewayState<C, D> {
     /// Source of the router's decisions.
@@ -113,7 +117,11 @@
     trace.config_version = table.version();
     trace.record_resumption(&info);
     let record = RunRecord::new();
-    match admit(&state, &table, &head, &info, &record, &mut trace) {
+    let admitted = admit(&state, &table, &head, &info, &record, &mut trace).and_then(|admitted| {
+        admit_to_link(&state, &table, &admitted, &body, &record)?;
+        Ok(admitted)
+    });
+    match admitted {
         Ok(admitted) => {
             let timing = RequestTiming::new(&state, &table, &admitted, &info, received_at);
             let limits = table.config().callers.clone().unwrap_or_default();
@@ -234,6 +242,28 @@
     })
 }
 
+/// Refuses a request whose body and response the link of this router's host cannot carry now. It is asked
+/// before the body is read, since a body that has been read was carried in vain.
+fn admit_to_link<C: RouteControl, D: Dialect>(
+    state: &GatewayState<C, D>,
+    table: &RouteTable,
+    admitted: &AdmittedRequest,
+    body: &Incoming,
+    record: &RunRecord,
+) -> Result<(), Failure> {
+    let route = table.route_at(admitted.route);
+    let customer = admitted.customer.map(|index| table.customer_at(index));
+    let priority = customer.and_then(|c| c.route_priority);
+    let body_bytes = body.size_hint().lower() + HEADS_BYTES;
+    let req = LinkRequest {
+        customer: customer.map_or("", |c| c.name.as_str()),
+        rank: table.rank_of(priority.unwrap_or(route.priority)),
+        bytes: body_bytes + state.paces.route(&route.name).mean_response_bytes(),
+    };
+    let admitted = state.control.admit_to_link(req);
+    admitted.map_err(|refusal| Failure::from_refusal(record, &refusal))
+}
+
 /// Reads the whole request body, at most as many bytes as callers may send.
 async fn read_body(body: Incoming, limits: &CallerLimits) -> Result<Bytes, Failure> {
     let limit = usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX);
--- a/toucanchute_edge/src/passthrough/pace.rs
+++ b/toucanchute_edge/src/passthrough/pace.rs
@@ -49,6 +49,8 @@
     whole: SmoothedTime,
     /// Number of events of a stream that was answered.
     length: Smoothed,
+    /// Bytes of a response to a caller, without its head.
+    response_bytes: Smoothed,
 }
 
 impl RoutePace {
@@ -77,6 +79,16 @@
         self.lock().length.record(events as f64);
     }
 
+    /// Records the bytes of a response that was answered.
+    pub(super) fn record_response_bytes(&self, bytes: u64) {
+        self.lock().response_bytes.record(bytes as f64);
+    }
+
+    /// Returns the mean number of bytes of a response; 0 before the first.
+    pub(super) fn mean_response_bytes(&self) -> u64 {
+        self.lock().response_bytes.mean().map_or(0, |b| b as u64)
+    }
+
     /// Returns the number of events that a stream probably has at most, if any was answered.
     pub(super) fn likely_length(&self) -> Option<u64> {
         let events = self.lock().length.likely_max()?;
@@ -133,6 +145,10 @@
         statistics.mean += error / MEAN_DIVISOR;
     }
 
+    fn mean(&self) -> Option<f64> {
+        self.0.map(|s| s.mean)
+    }
+
     /// Returns a value that most observations do not exceed.
     fn likely_max(&self) -> Option<f64> {
         self.0.map(|s| s.mean + s.deviation)
--- a/toucanchute_edge/src/passthrough/proxied_request/responses.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/responses.rs
@@ -280,6 +280,8 @@
                 if !info.closes_connection {
                     self.state.pool.put_idle(&backend, conn, info.keep_alive);
                 }
+                let pace = &self.timing.pace;
+                pace.record_response_bytes(body.len() as u64);
                 return Ok(head.to_response(ResponseBody::full(body)));
             }
             Ok(Err(e @ BackendError::TooLarge { .. })) => {
--- a/toucanchute_edge/src/passthrough/relay.rs
+++ b/toucanchute_edge/src/passthrough/relay.rs
@@ -28,6 +28,9 @@
 /// Most chunks of a response that are queued for a slow caller.
 const MAX_QUEUED_CHUNKS: usize = 16;
 
+/// Bytes that a chunk of a stream adds to its events: the frame of the chunk.
+const CHUNK_OVERHEAD_BYTES: u64 = 8;
+
 /// Outcome of a stream that reached its end.
 const ANSWERED: &str = "answered";
 
@@ -51,6 +54,7 @@
         trace,
         tx,
         events_relayed: 0,
+        bytes_relayed: 0,
         origin_recorded: false,
         first_assigned_at: response.attempt.assigned_at,
         _in_flight: in_flight,
@@ -70,6 +74,8 @@
     last_event_id: Option<u64>,
     /// Number of events relayed from all backend servers.
     events_relayed: u64,
+    /// Number of their bytes, with what each chunk adds on the way.
+    bytes_relayed: u64,
     /// Whether it was recorded which software began the stream.
     origin_recorded: bool,
     /// When the first backend server was assigned.
@@ -283,6 +289,7 @@
                 return (end, None);
             }
             last_event_at = Instant::now();
+            self.bytes_relayed += chunk.len() as u64 + CHUNK_OVERHEAD_BYTES;
             if self.tx.send(Ok(chunk)).await.is_err() {
                 return (StreamEnd::CallerDisconnected, None);
             }
@@ -373,6 +380,8 @@
             let time = self.first_assigned_at.elapsed();
             self.request.timing.pace.record_whole(time);
             self.request.timing.pace.record_length(self.events_relayed);
+            let pace = &self.request.timing.pace;
+            pace.record_response_bytes(self.bytes_relayed);
         }
         self.trace.record_stream_end(outcome);
     }
--- a/toucanchute_edge/src/passthrough/table.rs
+++ b/toucanchute_edge/src/passthrough/table.rs
@@ -17,6 +17,8 @@
     customers_by_token: HashMap<[u8; 32], usize>,
     /// Prepaid budgets: the tokens that may be spent in total.
     prepaid_budgets: HashMap<BudgetId, u64>,
+    /// Priorities of the routes, each once, the most urgent first.
+    priorities: Vec<u8>,
 }
 
 impl RouteTable {
@@ -40,7 +42,11 @@
         let prepaid_budgets = config.budgets.iter();
         let prepaid_budgets =
             prepaid_budgets.filter_map(|b| Some((BudgetId::from_name(&b.name), b.prepaid?)));
+        let mut priorities: Vec<u8> = config.routes.iter().map(|r| r.priority).collect();
+        priorities.sort_unstable_by_key(|&p| std::cmp::Reverse(p));
+        priorities.dedup();
         RouteTable {
+            priorities,
             prepaid_budgets: prepaid_budgets.collect(),
             routes_by_host,
             customers_by_token,
@@ -82,6 +88,12 @@
         &self.config.customers[index]
     }
 
+    /// Returns the number of priorities of routes that are more urgent than this one.
+    pub(super) fn rank_of(&self, priority: u8) -> u8 {
+        let before = self.priorities.iter().filter(|&&p| p > priority).count();
+        u8::try_from(before).unwrap_or(u8::MAX)
+    }
+
     /// Whether callers need a token on routes that are not public. Budgets count as well as
     /// customers, because they remain in the configuration when all tokens are revoked.
     pub(super) fn requires_credential(&self) -> bool {
--- a/toucanchute_edge/src/problem.rs
+++ b/toucanchute_edge/src/problem.rs
@@ -292,6 +292,12 @@
             true,
             "the backend servers that could serve the request are warming up; try again later",
         ),
+        RefusalReason::HostBusy => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "host-busy",
+            true,
+            "the link of the router's host is full; try again later or at another router",
+        ),
         RefusalReason::RetriesExhausted => (
             StatusCode::SERVICE_UNAVAILABLE,
             "retries-exhausted",
--- a/toucanchute_edge/tests/passthrough/callers.rs
+++ b/toucanchute_edge/tests/passthrough/callers.rs
@@ -1,5 +1,7 @@
 //! Which requests of callers are accepted, and what the response is otherwise.
 
+use toucanchute_core::placement::LinkBudget;
+
 use crate::support::{Backend, Script, TestGateway, full_response};
 
 async fn start_gateway() -> (Backend, TestGateway) {
@@ -48,6 +50,27 @@
     assert_eq!(backend.request_count(), 0);
 }
 
+/// Guards against a full link of the host on which an admitted request waits behind those that come later.
+#[tokio::test]
+async fn a_request_that_the_link_cannot_carry_is_not_sent() {
+    let (backend, gateway) = start_gateway().await;
+    // 1 kB passes in the time in which the budget fills, less than the heads and the body together.
+    *gateway.control.link.lock().unwrap() = Some(LinkBudget::new(20));
+    let body = "x".repeat(500);
+    assert!(
+        gateway
+            .send("POST /a/b", &body)
+            .await
+            .starts_with("HTTP/1.1 200")
+    );
+    let res = gateway.send("POST /a/b", &body).await;
+    assert!(
+        res.starts_with("HTTP/1.1 503") && res.contains("host-busy") && res.contains("retry-after"),
+        "{res}"
+    );
+    assert_eq!(backend.request_count(), 1);
+}
+
 #[tokio::test]
 async fn without_backend_servers_a_caller_gets_a_retry_time() {
     let gateway = TestGateway::start("idempotent", "", &[]).await;
--- a/toucanchute_edge/tests/passthrough/dispatcher_gateway.rs
+++ b/toucanchute_edge/tests/passthrough/dispatcher_gateway.rs
@@ -14,6 +14,7 @@
 };
 use toucanchute_core::{
     origins::{StreamId, StreamOrigin},
+    placement::LinkRequest,
     routing::{self, Action, Dispatcher, Event},
 };
 use toucanchute_edge::{
@@ -215,6 +216,10 @@
         &self.no_stop
     }
 
+    fn admit_to_link(&self, _req: LinkRequest<'_>) -> Result<(), Refusal> {
+        Ok(())
+    }
+
     async fn reserve(&self, req: TokenRequest) -> Result<TokenReservation, TokenRefusal> {
         Ok(TokenReservation {
             id: 1,
--- a/toucanchute_edge/tests/passthrough/support/control.rs
+++ b/toucanchute_edge/tests/passthrough/support/control.rs
@@ -11,7 +11,10 @@
 };
 
 use tokio::{sync::watch, time::Instant};
-use toucanchute_core::origins::{StreamId, StreamOrigin};
+use toucanchute_core::{
+    origins::{StreamId, StreamOrigin},
+    placement::{LinkBudget, LinkRequest},
+};
 use toucanchute_edge::{
     AssignRequest, Assignment, AttemptReport, BackendNotice, CrashKind, Refusal, RefusalOutcome,
     RefusalReason,
@@ -44,6 +47,8 @@
     streams: Mutex<HashMap<StreamId, StreamOrigin>>,
     /// Time that each assignment of a backend server takes.
     pub(crate) assign_time: Mutex<Duration>,
+    /// Budget of the host's link; absent if it has none.
+    pub(crate) link: Mutex<Option<LinkBudget>>,
 }
 
 impl RouteControl for ScriptedControl {
@@ -61,6 +66,17 @@
         &self.stop_rx
     }
 
+    fn admit_to_link(&self, req: LinkRequest<'_>) -> Result<(), Refusal> {
+        let mut link = self.link.lock().unwrap();
+        let admitted = link.as_mut().map_or(Ok(()), |l| l.admit(Millis(0), req));
+        admitted.map_err(|wait| Refusal {
+            reason: RefusalReason::HostBusy,
+            outcome: RefusalOutcome::NothingSent,
+            retry_after: Some(wait),
+            elsewhere: None,
+        })
+    }
+
     async fn reserve(&self, req: TokenRequest) -> Result<TokenReservation, TokenRefusal> {
         let mut tokens = self.tokens.lock().unwrap();
         if *tokens < req.tokens {
@@ -165,6 +181,7 @@
             stop_rx,
             streams: Mutex::default(),
             assign_time: Mutex::default(),
+            link: Mutex::default(),
         }
     }
 
--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -107,6 +107,8 @@
     Hint(BackendHint),
     /// Quarantines that were read from the platform's store.
     StoredQuarantines(Vec<Verdict>),
+    /// The share of the lists of addresses that should name this router, in eighths, has changed.
+    ListShare(u8),
     /// Number of requests in progress.
     InFlight(u64),
     /// The process was asked to stop and has to leave the fleet gracefully.
@@ -333,6 +335,7 @@
             FleetInput::Verdicts(verdicts) => Event::Verdicts(verdicts),
             FleetInput::Hint(hint) => Event::Hint(hint),
             FleetInput::StoredQuarantines(verdicts) => Event::StoredQuarantines(verdicts),
+            FleetInput::ListShare(share) => Event::ListShare(share),
             FleetInput::InFlight(count) => Event::InFlight(count),
             FleetInput::Drain => {
                 self.leave();
--- a/toucanchute_router/src/gateway.rs
+++ b/toucanchute_router/src/gateway.rs
@@ -4,6 +4,7 @@
 
 mod control;
 mod directory;
+mod host_link;
 mod http_server;
 mod metrics;
 mod quarantine;
--- a/toucanchute_router/src/gateway/control.rs
+++ b/toucanchute_router/src/gateway/control.rs
@@ -4,7 +4,10 @@
     sync::{oneshot, watch},
     time::Instant,
 };
-use toucanchute_core::origins::{StreamId, StreamOrigin};
+use toucanchute_core::{
+    origins::{StreamId, StreamOrigin},
+    placement::LinkRequest,
+};
 use toucanchute_edge::{
     AssignRequest, Assignment, AttemptReport, BackendNotice, Refusal, RefusalOutcome,
     RefusalReason,
@@ -17,7 +20,9 @@
 use toucanchute_proto::{AttemptId, Millis, config::Config, fleet::Load};
 use xtra::prelude::*;
 
-use super::{metrics::GatewayMetrics, shutdown, stream_origins::StreamOriginKeeper};
+use super::{
+    host_link::HostLink, metrics::GatewayMetrics, shutdown, stream_origins::StreamOriginKeeper,
+};
 use crate::{
     actor::{AssignBackend, DispatchActor, DispatchInput, PrepaidActor, PrepaidInput, post},
     clock,
@@ -37,6 +42,7 @@
     /// What began the streams that callers may take up.
     pub(super) origins: Arc<StreamOriginKeeper<StoreClient>>,
     pub(super) metrics: Arc<GatewayMetrics>,
+    pub(super) host_link: Arc<HostLink>,
 }
 
 impl RouteControl for GatewayControl {
@@ -56,6 +62,10 @@
         &self.stop
     }
 
+    fn admit_to_link(&self, req: LinkRequest<'_>) -> Result<(), Refusal> {
+        self.host_link.admit(req)
+    }
+
     async fn reserve(&self, req: TokenRequest) -> Result<TokenReservation, TokenRefusal> {
         let (tx, rx) = oneshot::channel();
         let is_new = req.extends.is_none();
--- a/toucanchute_router/src/gateway/control/tests.rs
+++ b/toucanchute_router/src/gateway/control/tests.rs
@@ -1,7 +1,10 @@
 use std::{sync::Arc, time::Duration};
 
 use tokio::sync::watch;
-use toucanchute_core::routing::{RegionNeed, SoftwareNeed};
+use toucanchute_core::{
+    placement::HostCapacity,
+    routing::{RegionNeed, SoftwareNeed},
+};
 use toucanchute_edge::{
     AssignRequest, RefusalOutcome, RefusalReason, Target,
     passthrough::{RouteControl, TokenRefusalReason, TokenRequest},
@@ -13,7 +16,7 @@
 use super::GatewayControl;
 use crate::{
     actor::{DispatchActor, PrepaidActor},
-    gateway::{StreamOriginKeeper, metrics::GatewayMetrics},
+    gateway::{StreamOriginKeeper, host_link::HostLink, metrics::GatewayMetrics},
     server::starting_refusal,
     view::RouterView,
 };
@@ -45,6 +48,7 @@
         closing: closing_rx,
         origins: StreamOriginKeeper::start(no_store, "h", eras),
         metrics: Arc::new(GatewayMetrics::new()),
+        host_link: Arc::new(HostLink::new(HostCapacity::default(), Arc::default())),
     };
     SilentActors {
         control,
--- a/toucanchute_router/src/gateway/directory.rs
+++ b/toucanchute_router/src/gateway/directory.rs
@@ -11,16 +11,17 @@
 use hyper::body::Incoming;
 use rand::seq::SliceRandom;
 use tokio::{net::TcpListener, sync::watch};
+use toucanchute_core::{
+    fleet::MemberView,
+    placement::{CallerDomain, FULL_SHARE, HostCapacity, PlacedHost, can_relieve, choose_hosts},
+};
 use toucanchute_edge::passthrough::PlannedStop;
 use toucanchute_platform::{ApiRequest, api_response, read_api_request};
 use toucanchute_proto::{Millis, fleet::MemberState};
 
-use super::http_server;
+use super::{host_link::HostLink, http_server};
 use crate::{clock, view::RouterView};
 
-/// Addresses of other failure domains are added only to reach this number.
-const MIN_LISTED_ADDRESSES: usize = 2;
-
 /// Most addresses in one response.
 const MAX_ADDRESSES: usize = 64;
 
@@ -34,6 +35,9 @@
     pub(super) own_address: SocketAddr,
     pub(super) own_failure_domain: String,
     pub(super) own_region: String,
+    /// What this router's host can carry.
+    pub(super) own_capacity: HostCapacity,
+    pub(super) host_link: Arc<HostLink>,
     /// How long callers may cache the addresses.
     pub(super) address_max_age: Millis,
 }
@@ -41,7 +45,7 @@
 impl DirectoryService {
     fn respond<B>(&self, req: &Request<B>) -> Response<Full<Bytes>> {
         match read_api_request(req) {
-            Some(ApiRequest::Ready) => api_response::ready(self.is_ready()),
+            Some(ApiRequest::Ready) => api_response::ready(self.is_ready() && !self.is_relieved()),
             Some(ApiRequest::Addresses {
                 region,
                 failure_domain,
@@ -58,52 +62,91 @@
         !leaving && self.view.unready(clock::now()).is_none()
     }
 
-    /// Returns addresses of routers for a caller of this region and failure domain, see [`choose`].
-    fn addresses(&self, region: &str, failure_domain: &str) -> Vec<SocketAddr> {
+    /// Whether load balancers that follow the readiness check should send callers elsewhere for a while: this
+    /// host is nearly choked, and others of its failure domain are not. Callers that share one router come to it
+    /// whatever the lists of addresses say.
+    fn is_relieved(&self) -> bool {
+        if !self.host_link.is_relieved() {
+            return false;
+        }
         let members = self.view.members();
         let alive = members.iter().filter(|m| m.state == MemberState::Alive);
-        let mut routers: Vec<ListedRouter<'_>> = alive
-            .map(|m| ListedRouter {
-                region: &m.region,
-                failure_domain: &m.failure_domain,
-                address: m.caller_address,
-            })
-            .collect();
+        let others = alive.map(|m| ListedRouter::from(m).host);
+        can_relieve(others, &self.own_failure_domain)
+    }
+
+    /// Returns addresses of routers for a caller of this region and failure domain, see [`choose_hosts`].
+    fn addresses(&self, region: &str, failure_domain: &str) -> Vec<SocketAddr> {
+        let members = self.view.members();
+        let takes_callers = listed_states(&members);
+        let others = members.iter().filter(|m| takes_callers.contains(&m.state));
+        let mut routers: Vec<ListedRouter<'_>> = others.map(ListedRouter::from).collect();
         if self.is_ready() {
-            routers.push(ListedRouter {
+            routers.push(self.own_entry());
+        }
+        let caller = CallerDomain {
+            region,
+            failure_domain,
+        };
+        routers.shuffle(&mut rand::rng());
+        choose(&routers, caller)
+    }
+
+    fn own_entry(&self) -> ListedRouter<'_> {
+        ListedRouter {
+            host: PlacedHost {
                 region: &self.own_region,
                 failure_domain: &self.own_failure_domain,
-                address: self.own_address,
-            });
+                capacity: self.own_capacity,
+                share: self.host_link.list_share(),
+            },
+            address: self.own_address,
         }
-        routers.shuffle(&mut rand::rng());
-        choose(&routers, region, failure_domain)
     }
 }
 
 /// A router that takes callers.
 struct ListedRouter<'a> {
-    region: &'a str,
-    failure_domain: &'a str,
+    host: PlacedHost<'a>,
     address: SocketAddr,
 }
 
-/// Returns the addresses of the routers in a failure domain, followed by some of the same region if there
-/// are fewer than [`MIN_LISTED_ADDRESSES`]. Routers of other regions are named only if the region has
-/// none, as requests may have to stay in it.
-fn choose(routers: &[ListedRouter<'_>], region: &str, failure_domain: &str) -> Vec<SocketAddr> {
-    let is_near = |r: &&ListedRouter<'_>| r.failure_domain == failure_domain;
-    let is_in_region = |r: &&ListedRouter<'_>| r.region == region;
-    let near = routers.iter().filter(is_near);
-    let mut chosen: Vec<SocketAddr> = near.map(|r| r.address).take(MAX_ADDRESSES).collect();
-    let missing = MIN_LISTED_ADDRESSES.saturating_sub(chosen.len());
-    let others = routers.iter().filter(|r| !is_near(r) && is_in_region(r));
-    chosen.extend(others.map(|r| r.address).take(missing));
-    if chosen.is_empty() {
-        let any = routers.iter().map(|r| r.address);
-        chosen.extend(any.take(MIN_LISTED_ADDRESSES));
+impl<'a> From<&'a MemberView> for ListedRouter<'a> {
+    fn from(member: &'a MemberView) -> ListedRouter<'a> {
+        ListedRouter {
+            host: PlacedHost {
+                region: &member.region,
+                failure_domain: &member.failure_domain,
+                capacity: HostCapacity {
+                    processor: member.capacity,
+                    bandwidth: member.bandwidth,
+                },
+                share: member.list_share,
+            },
+            address: member.caller_address,
+        }
     }
+}
+
+/// Returns the states of members that callers may use. Suspected ones are among them while they outnumber
+/// those that are alive: then this router is the one that is cut off, and would name itself alone.
+fn listed_states(members: &[MemberView]) -> &'static [MemberState] {
+    let count = |state| members.iter().filter(|m| m.state == state).count();
+    match count(MemberState::Suspect) > count(MemberState::Alive) {
+        true => &[MemberState::Alive, MemberState::Suspect],
+        false => &[MemberState::Alive],
+    }
+}
+
+/// Returns the addresses of the routers that a caller should use.
+fn choose(routers: &[ListedRouter<'_>], caller: CallerDomain<'_>) -> Vec<SocketAddr> {
+    let hosts: Vec<PlacedHost<'_>> = routers.iter().map(|r| r.host).collect();
+    let draw = || rand::random_range(0..FULL_SHARE);
+    let chosen = choose_hosts(&hosts, caller, draw).into_iter();
     chosen
+        .map(|i| routers[i].address)
+        .take(MAX_ADDRESSES)
+        .collect()
 }
 
 /// Serves `listener` until `ended` resolves.
--- a/toucanchute_router/src/gateway/directory/tests.rs
+++ b/toucanchute_router/src/gateway/directory/tests.rs
@@ -4,7 +4,16 @@
 
 use yare::parameterized;
 
-use super::{ListedRouter, choose};
+use toucanchute_core::{
+    fleet::MemberView,
+    placement::{CallerDomain, FULL_SHARE, HostCapacity, PlacedHost},
+};
+use toucanchute_proto::{
+    Incarnation,
+    fleet::MemberState::{self, Alive, Gone, Suspect},
+};
+
+use super::{ListedRouter, choose, listed_states};
 
 fn address(host: u8) -> SocketAddr {
     SocketAddr::from(([192, 0, 2, host], 80))
@@ -19,8 +28,12 @@
         ("south", "c"),
     ];
     let router = |(i, (region, failure_domain))| ListedRouter {
-        region,
-        failure_domain,
+        host: PlacedHost {
+            region,
+            failure_domain,
+            capacity: HostCapacity::default(),
+            share: FULL_SHARE,
+        },
         address: address(i as u8 + 1),
     };
     places.into_iter().enumerate().map(router).collect()
@@ -35,6 +48,39 @@
     a_region_without_routers = { "west", "w", &[1, 2] },
 )]
 fn addresses_stay_in_the_region(region: &str, failure_domain: &str, hosts: &[u8]) {
+    let caller = CallerDomain {
+        region,
+        failure_domain,
+    };
     let expected: Vec<SocketAddr> = hosts.iter().map(|&h| address(h)).collect();
-    assert_eq!(choose(&routers(), region, failure_domain), expected);
+    assert_eq!(choose(&routers(), caller), expected);
+}
+
+fn member(state: MemberState) -> MemberView {
+    MemberView {
+        incarnation: Incarnation(1),
+        host: "h".to_owned(),
+        failure_domain: "a".to_owned(),
+        region: "north".to_owned(),
+        caller_address: address(1),
+        peer_address: address(2),
+        capacity: 0,
+        bandwidth: 0,
+        list_share: FULL_SHARE,
+        state,
+        ended: false,
+        outage: false,
+    }
+}
+
+/// Guards against a router that is cut off from its peers and names itself alone, so that all its callers
+/// stay with it.
+#[parameterized(
+    healthy = { &[Alive, Alive, Suspect], &[Alive] },
+    cut_off = { &[Suspect, Suspect, Alive], &[Alive, Suspect] },
+    others_gone_for_good = { &[Gone, Gone, Gone], &[Alive] },
+)]
+fn a_router_that_is_cut_off_names_its_peers(states: &[MemberState], expected: &[MemberState]) {
+    let members: Vec<MemberView> = states.iter().map(|&s| member(s)).collect();
+    assert_eq!(listed_states(&members), expected);
 }
--- a/toucanchute_router/src/gateway/metrics.rs
+++ b/toucanchute_router/src/gateway/metrics.rs
@@ -22,7 +22,7 @@
 use toucanchute_platform::StoreClient;
 use toucanchute_store::CallCounts;
 
-use super::http_server;
+use super::{host_link::HostLink, http_server};
 use crate::actor::{RequestStandings, RoutingStatus, StandingCount};
 
 /// Upper bounds of the latency histogram buckets, in milliseconds. They range from a short response
@@ -41,6 +41,9 @@
     reservations: Family<ReservationLabels, Counter>,
     tokens_used: Counter,
     in_flight: Gauge,
+    list_share: Gauge,
+    host_link_use: Gauge,
+    host_timer_delay: Gauge,
     store_calls: Family<StoreCallLabels, Gauge>,
     log_lines_dropped: Gauge,
     standings: Family<StandingLabels, Gauge>,
@@ -128,6 +131,9 @@
             reservations: Family::default(),
             tokens_used: Counter::default(),
             in_flight: Gauge::default(),
+            list_share: Gauge::default(),
+            host_link_use: Gauge::default(),
+            host_timer_delay: Gauge::default(),
             store_calls: Family::default(),
             log_lines_dropped: Gauge::default(),
             standings: Family::default(),
@@ -172,6 +178,21 @@
             self.tokens_used.clone(),
         );
         registry.register("in_flight", "Requests in progress", self.in_flight.clone());
+        registry.register(
+            "list_share_eighths",
+            "Share of the lists of addresses that should name the router, in eighths",
+            self.list_share.clone(),
+        );
+        registry.register(
+            "host_link_permille",
+            "Mean use of the host's link, in thousandths of its bandwidth",
+            self.host_link_use.clone(),
+        );
+        registry.register(
+            "host_timer_delay_ms",
+            "Mean delay of the router's timers, in milliseconds",
+            self.host_timer_delay.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the platform's store since the start",
@@ -225,6 +246,16 @@
         );
     }
 
+    /// Sets the load of the host.
+    fn set_host_load(&self, host: &HostLink) {
+        self.list_share.set(i64::from(host.list_share()));
+        let (link_permille, timer_delay_ms) = host.means();
+        let link_permille = i64::try_from(link_permille).unwrap_or(i64::MAX);
+        let timer_delay_ms = i64::try_from(timer_delay_ms).unwrap_or(i64::MAX);
+        self.host_link_use.set(link_permille);
+        self.host_timer_delay.set(timer_delay_ms);
+    }
+
     /// Counts a request that has ended and records its time to first byte, if it is known.
     pub(super) fn record_request(&self, end: &RequestEnd<'_>) {
         let labels = RequestLabels {
@@ -359,6 +390,7 @@
         self.set_standings(sources.standings.counts());
         self.set_connections(&sources.connections);
         self.set_routing_status(&sources.status);
+        self.set_host_load(&sources.host_link);
         self.in_flight
             .set(i64::try_from(in_flight).unwrap_or(i64::MAX));
         let dropped = toucanchute_log::dropped_lines();
@@ -380,6 +412,7 @@
     pub(super) in_flight: Arc<AtomicU64>,
     /// Connections of callers.
     pub(super) connections: Arc<ConnectionCounts>,
+    pub(super) host_link: Arc<HostLink>,
     pub(super) store: StoreClient,
     pub(super) standings: Arc<RequestStandings>,
     pub(super) status: Arc<RoutingStatus>,
--- a/toucanchute_router/src/gateway/router_registry.rs
+++ b/toucanchute_router/src/gateway/router_registry.rs
@@ -8,6 +8,7 @@
 };
 
 use tokio::sync::watch;
+use toucanchute_core::placement::FULL_SHARE;
 use toucanchute_platform::StoreClient;
 use toucanchute_proto::{
     Incarnation, Millis,
@@ -194,5 +195,7 @@
         update: 0,
         outage: false,
         capacity: settings.router.capacity,
+        bandwidth: settings.router.bandwidth,
+        list_share: FULL_SHARE,
     }
 }
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -15,6 +15,7 @@
 };
 use toucanchute_core::{
     fleet::{Fleet, RouterIdentity, StoreReadMode},
+    placement::HostCapacity,
     prepaid::{self, PrepaidAccounts},
     routing::Dispatcher,
 };
@@ -31,6 +32,7 @@
 use super::{
     control::GatewayControl,
     directory::{self, DirectoryService},
+    host_link::HostLink,
     metrics::{self, GatewayMetrics},
     quarantine,
     router_registry::RouterRegistry,
@@ -156,6 +158,7 @@
     in_flight: Arc<AtomicU64>,
     /// Connections of callers.
     connections: Arc<ConnectionCounts>,
+    host_link: Arc<HostLink>,
     /// Set to the times of the planned stop when it begins.
     stop: watch::Sender<Option<PlannedStop>>,
     /// Set to true when no request is in progress and all accounts are handed on.
@@ -180,6 +183,13 @@
         let store = StoreClient::new(endpoint, Millis(settings.store.timeout_ms), timeout);
         let in_flight = Arc::new(AtomicU64::new(0));
         let metrics = Arc::new(GatewayMetrics::new());
+        let connections = Arc::<ConnectionCounts>::default();
+        let capacity = HostCapacity {
+            processor: settings.router.capacity,
+            bandwidth: settings.router.bandwidth,
+        };
+        let host_link = HostLink::new(capacity, Arc::clone(&connections));
+        let host_link = Arc::new(host_link);
 
         let machine = Fleet::new(fleet_identity(settings, incarnation), incarnation.0)
             .following_registrations(store_reader::max_view_age(settings));
@@ -245,6 +255,8 @@
             prepaid: prepaid.clone(),
             dispatch: dispatch.clone(),
             in_flight: Arc::clone(&in_flight),
+            host_link: Arc::clone(&host_link),
+            mesh: mesh.clone(),
         };
         tokio::spawn(targets.run_ticks());
         let registry = RouterRegistry::start(
@@ -268,6 +280,7 @@
             closing: closing.subscribe(),
             origins,
             metrics: Arc::clone(&metrics),
+            host_link: Arc::clone(&host_link),
         });
         RunningGateway {
             mesh,
@@ -281,7 +294,8 @@
             status,
             metrics,
             in_flight,
-            connections: Arc::default(),
+            connections,
+            host_link,
             stop,
             exit,
             closing,
@@ -298,7 +312,12 @@
         let service = Arc::new(DirectoryService {
             view: Arc::clone(&self.view),
             stop: self.stop.subscribe(),
+            host_link: Arc::clone(&self.host_link),
             own_address: settings.callers.listen,
+            own_capacity: HostCapacity {
+                processor: settings.router.capacity,
+                bandwidth: settings.router.bandwidth,
+            },
             own_failure_domain: settings.router.failure_domain.clone(),
             own_region: settings.router.region.clone(),
             address_max_age: Millis(settings.callers.address_max_age_ms),
@@ -315,6 +334,7 @@
             let sources = metrics::MetricSources {
                 in_flight: Arc::clone(&self.in_flight),
                 connections: Arc::clone(&self.connections),
+                host_link: Arc::clone(&self.host_link),
                 store: self.store.clone(),
                 standings: Arc::clone(&self.standings),
                 status: Arc::clone(&self.status),
@@ -341,6 +361,9 @@
     prepaid: Address<PrepaidActor>,
     dispatch: Address<DispatchActor>,
     in_flight: Arc<AtomicU64>,
+    host_link: Arc<HostLink>,
+    /// Source of the traffic on links to other routers.
+    mesh: Mesh,
 }
 
 impl TickTargets {
@@ -349,8 +372,11 @@
         interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut ticks: u64 = 0;
         loop {
-            interval.tick().await;
+            let due = interval.tick().await;
             ticks += 1;
+            if let Some(share) = self.host_link.measure(due.elapsed(), self.mesh.counts()) {
+                post(&self.fleet, FleetInput::ListShare(share));
+            }
             post(&self.prepaid, PrepaidInput::Tick);
             post(&self.dispatch, DispatchInput::Tick);
             if !ticks.is_multiple_of(TICKS_PER_FLEET_TICK) {
@@ -373,6 +399,7 @@
         caller_address: settings.callers.listen.to_string(),
         peer_address: settings.router.peer_advertise.to_string(),
         capacity: settings.router.capacity,
+        bandwidth: settings.router.bandwidth,
         nonce: 0,
     };
     LinkIdentity {
@@ -391,6 +418,7 @@
         caller_address: settings.callers.listen,
         peer_address: settings.router.peer_advertise,
         capacity: settings.router.capacity,
+        bandwidth: settings.router.bandwidth,
         seeds: Vec::new(),
     }
 }
--- a/toucanchute_router/src/server.rs
+++ b/toucanchute_router/src/server.rs
@@ -14,6 +14,7 @@
 use toucanchute_core::{
     fleet::{Fleet, RouterIdentity, StoreReadMode},
     money,
+    placement::FULL_SHARE,
     routing::Dispatcher,
 };
 use toucanchute_edge::{Edge, EdgeSettings, Refusal, RefusalOutcome, RefusalReason};
@@ -317,6 +318,7 @@
         caller_address: own.caller_address.to_string(),
         peer_address: own.peer_address.to_string(),
         capacity: 0,
+        bandwidth: 0,
         nonce: 0,
     };
     let secret = settings.router.peer_secret.clone();
@@ -336,6 +338,7 @@
         caller_address: own.caller_address,
         peer_address: own.peer_address,
         capacity: 0,
+        bandwidth: 0,
         seeds: settings.peers.addresses.clone(),
     }
 }
@@ -353,6 +356,8 @@
         update: 0,
         outage: false,
         capacity: peer.hello.capacity,
+        bandwidth: peer.hello.bandwidth,
+        list_share: FULL_SHARE,
     }
 }
 
--- a/toucanchute_settings/src/gateway.rs
+++ b/toucanchute_settings/src/gateway.rs
@@ -125,6 +125,7 @@
     let peer_secret = r.required("peer_secret", &format::SECRET);
     let processors = r.optional_non_empty("processors", &format::THOUSANDTHS);
     let share = r.optional_non_empty("processor_share", &format::THOUSANDTHS);
+    let bandwidth = r.optional_non_empty("bandwidth", &format::THOUSANDTHS);
     check_advertised(&mut r, "peer_advertise", peer_advertise);
     r.finish();
     let failure_domain = failure_domain?;
@@ -140,6 +141,7 @@
         peer_advertise: peer_advertise?,
         peer_secret: peer_secret?,
         capacity: share.map_or(0, |share| capacity(share, processors.unwrap_or(WHOLE))),
+        bandwidth: bandwidth.unwrap_or(0),
     })
 }
 
--- a/toucanchute_settings/tests/settings/gateway.rs
+++ b/toucanchute_settings/tests/settings/gateway.rs
@@ -127,6 +127,21 @@
     assert_eq!(settings.router.capacity, capacity);
 }
 
+#[parameterized(
+    missing = { "", 0 },
+    whole = { "bandwidth = 200\n", 200_000 },
+    fractional = { "bandwidth = 10.5\n", 10_500 },
+    zero = { "bandwidth = 0\n", 0 },
+    empty = { "bandwidth =\n", 0 },
+    very_large = { "bandwidth = 1e30\n", u32::MAX },
+)]
+fn bandwidth_is_read_in_megabits(text: &str, bandwidth: u32) {
+    let text = GATEWAY.replace("region = north\n", &format!("region = north\n{text}"));
+    let folder = Folder::with(&[("g.ini", &text)]);
+    let settings = load_gateway(&folder.path().join("g.ini")).unwrap();
+    assert_eq!(settings.router.bandwidth, bandwidth);
+}
+
 #[test]
 fn region_defaults_to_failure_domain() {
     let text = GATEWAY.replace("region = north\n", "");
