feat(routing): loads of servers shared between routers, retries that spare busy ones

The load and pace that answers state now go to the other routers with their age, and old reports approach the pool's typical load. - Servers were left out as full at exactly their slots, by old reports. In the model of tests/server_loads.rs that makes shared reports worse than none. A quarter of headroom: 64 routers wait 31, 63, 88 ms with reports of 100, 250, 500 ms, 343 without. - A silence was 70 % of the route's target, whatever the pool took: second sends doubled the load of bursts, and three of them paused a sound server. Now it is measured against the pool. - A predicted first-token time refused all calls of a short deadline, and was then never measured again. It is halved with each second without a measurement. - Connections that open late on a full link paused all servers. What a server sent since counts.

--- a/toucanchute_core/examples/gossip_cost.rs
+++ b/toucanchute_core/examples/gossip_cost.rs
@@ -181,6 +181,9 @@
                     waiting,
                     capacity,
                     kv_used,
+                    polled: true,
+                    pace_percent: None,
+                    token_time_us: None,
                     as_of,
                 };
                 self.post(i, 2, Event::LoadReport(load));
--- a/toucanchute_core/examples/routing_load/simulation.rs
+++ b/toucanchute_core/examples/routing_load/simulation.rs
@@ -181,6 +181,9 @@
                     waiting,
                     capacity: SLOTS as u32,
                     kv_used: 0,
+                    polled: true,
+                    pace_percent: None,
+                    token_time_us: None,
                     as_of: Millis(as_of / 1_000),
                 };
                 (0..ROUTERS).for_each(|r| self.send_event(r, Event::Load(load.clone())));
--- a/toucanchute_core/src/fleet.rs
+++ b/toucanchute_core/src/fleet.rs
@@ -12,6 +12,7 @@
 mod hosts;
 mod leave;
 mod links;
+mod load_rumors;
 mod machine;
 mod members;
 mod messages;
--- a/toucanchute_core/src/fleet/event.rs
+++ b/toucanchute_core/src/fleet/event.rs
@@ -62,6 +62,8 @@
     PlatformDown,
     /// A backend server that this router polls reported its load.
     LoadReport(Load),
+    /// A backend server's answer to this router stated its load, which the dispatcher knows.
+    ShareLoad(Load),
     /// This router's verdicts about requests, and parts of prompts, that were in flight on a replica
     /// when that crashed.
     Verdicts(Vec<Verdict>),
--- a/toucanchute_core/src/fleet/machine.rs
+++ b/toucanchute_core/src/fleet/machine.rs
@@ -101,6 +101,8 @@
     /// the first such report.
     pub(super) in_flight: Option<u64>,
     pub(super) published: Published,
+    /// Time of the event that is handled.
+    pub(super) now: Millis,
     pub(super) next_gossip: Millis,
     pub(super) next_connect: Millis,
     pub(super) next_config_fetch: Millis,
@@ -152,6 +154,7 @@
             drain: DrainStage::Running,
             in_flight: None,
             published: Published::default(),
+            now: Millis::default(),
             next_gossip: Millis::default(),
             next_connect: Millis::default(),
             next_config_fetch: Millis::default(),
@@ -166,6 +169,7 @@
         if self.drain == DrainStage::Exited {
             return;
         }
+        self.now = now;
         self.record_start(now);
         match event {
             Event::PeerUp(member) => self.peer_up(now, &member, out),
@@ -191,6 +195,7 @@
             Event::Evacuations(list) => self.apply_evacuations(now, list, None, out),
             Event::PlatformDown => self.platform_down(),
             Event::LoadReport(load) => self.handle_load_report(load, out),
+            Event::ShareLoad(load) => drop(self.rumors.loads.add_own(&load)),
             Event::Verdicts(verdicts) => self.handle_own_verdicts(&verdicts, out),
             Event::Hint(hint) => self.handle_own_hint(now, &hint, out),
             Event::StoredQuarantines(verdicts) => self.restore_quarantines(now, verdicts, out),
@@ -343,9 +348,9 @@
         self.in_flight = self.published.is_refusing().then_some(count);
     }
 
+    /// Passes a report that this router polled to its dispatcher, and on to the other routers.
     fn handle_load_report(&mut self, load: toucanchute_proto::fleet::Load, out: &mut Vec<Action>) {
-        let fleet = self.known_members();
-        if self.rumors.add_load(&load, fleet) {
+        if self.rumors.loads.add_own(&load) {
             out.push(Action::Load(load));
         }
     }
--- a/toucanchute_core/src/fleet/messages.rs
+++ b/toucanchute_core/src/fleet/messages.rs
@@ -105,11 +105,9 @@
                 out.push(Action::Hint(hint));
             }
         }
-        for load in gossip.loads {
-            if self.rumors.add_load(&load, fleet) {
-                out.push(Action::Load(load));
-            }
-        }
+        let shared = gossip.shared_loads.into_iter();
+        let loads = shared.filter_map(|load| self.rumors.loads.add_shared(now, load));
+        out.extend(loads.map(Action::Load));
         if urgent {
             self.push(Some(from), out);
         }
@@ -342,7 +340,7 @@
             evacuations: self.evacuations.newer_than(known_evacuations),
             members: self.rumors.take_members(&self.me, &self.members),
             verdicts: self.rumors.take_verdicts(),
-            loads: self.rumors.take_loads(),
+            shared_loads: self.rumors.loads.take(self.now),
             hints: self.rumors.take_hints(),
         }
     }
--- a/toucanchute_core/src/fleet/rumors.rs
+++ b/toucanchute_core/src/fleet/rumors.rs
@@ -2,10 +2,10 @@
 
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
-    fleet::{BackendHint, HintedState, Load, Member, Standing, Verdict},
+    fleet::{BackendHint, HintedState, Member, Standing, Verdict},
 };
 
-use super::members::Members;
+use super::{load_rumors::LoadRumors, members::Members};
 use crate::hash;
 
 /// Number of messages that carry one rumor, plus one for each doubling of the fleet's size.
@@ -14,9 +14,6 @@
 /// Most member updates in one message.
 const MAX_MEMBERS: usize = 24;
 
-/// Most load reports in one message.
-const MAX_LOADS: usize = 8;
-
 /// Most quarantines in one message.
 const MAX_QUARANTINES: usize = 128;
 
@@ -35,11 +32,9 @@
 pub(super) struct Rumors {
     members: BTreeMap<Incarnation, u32>,
     verdicts: BTreeMap<Digest, (Verdict, u32)>,
-    loads: BTreeMap<String, (Load, u32)>,
     /// Hints about backend servers, by name and whether the hint is that the server is leaving.
     hints: BTreeMap<(String, bool), HintRumor>,
-    /// Time of the newest load report of each backend server, to detect copies and older reports.
-    load_times: BTreeMap<String, Millis>,
+    pub(super) loads: LoadRumors,
 }
 
 impl Rumors {
@@ -62,18 +57,6 @@
         true
     }
 
-    /// Adds a load report unless it is known or outdated; returns whether it was added.
-    pub(super) fn add_load(&mut self, load: &Load, fleet: usize) -> bool {
-        let newest = self.load_times.get(&load.backend);
-        if newest.is_some_and(|&t| t >= load.as_of) {
-            return false;
-        }
-        self.load_times.insert(load.backend.clone(), load.as_of);
-        self.loads
-            .insert(load.backend.clone(), (load.clone(), copies(fleet)));
-        true
-    }
-
     /// Adds a hint about a backend server unless one with the same or a greater version is known;
     /// returns whether it was added. That a server is leaving is final, so one such hint is enough.
     pub(super) fn add_hint(&mut self, now: Millis, hint: &BackendHint, fleet: usize) -> bool {
@@ -92,6 +75,7 @@
         self.hints
             .retain(|_, (_, _, added)| now.since(*added) < HINT_RETENTION);
         self.verdicts.retain(|_, (v, _)| v.until > now);
+        self.loads.remove_expired(now);
     }
 
     pub(super) fn take_members(&mut self, me: &Member, members: &Members) -> Vec<Member> {
@@ -125,16 +109,6 @@
         out
     }
 
-    pub(super) fn take_loads(&mut self) -> Vec<Load> {
-        let mut out = Vec::new();
-        for (load, remaining) in self.loads.values_mut().take(MAX_LOADS) {
-            *remaining -= 1;
-            out.push(load.clone());
-        }
-        self.loads.retain(|_, (_, remaining)| *remaining > 0);
-        out
-    }
-
     pub(super) fn take_hints(&mut self) -> Vec<BackendHint> {
         let pending = self.hints.values_mut().filter(|(_, left, _)| *left > 0);
         let taken = pending.take(MAX_HINTS).map(|(hint, left, _)| {
--- a/toucanchute_core/src/fleet/tests.rs
+++ b/toucanchute_core/src/fleet/tests.rs
@@ -6,6 +6,7 @@
 mod fuzz;
 mod hints;
 mod list_shares;
+mod loads;
 mod oracle;
 mod outage;
 mod peers;
--- a/toucanchute_core/src/fleet/tests/hints.rs
+++ b/toucanchute_core/src/fleet/tests/hints.rs
@@ -43,16 +43,16 @@
 }
 
 /// Routers in a ring, each with links to some neighbours.
-struct Ring {
+pub(super) struct Ring {
     routers: Vec<Fleet>,
-    /// Routers that passed a hint to their dispatchers.
-    informed: BTreeSet<usize>,
+    /// Routers that passed a hint, or another router's load report, to their dispatchers.
+    pub(super) informed: BTreeSet<usize>,
     rng: SmallRng,
     now: u64,
 }
 
 impl Ring {
-    fn new(count: u64) -> Ring {
+    pub(super) fn new(count: u64) -> Ring {
         let router = |i: u64| {
             let neighbours =
                 (1..=NEIGHBOURS).flat_map(|d| [(i + d) % count, (i + count - d) % count]);
@@ -67,7 +67,7 @@
         }
     }
 
-    fn run(&mut self, span: u64) {
+    pub(super) fn run(&mut self, span: u64) {
         let end = self.now + span;
         while self.now < end {
             self.now += Fleet::TICK.0;
@@ -77,14 +77,14 @@
         }
     }
 
-    fn handle(&mut self, router: usize, event: Event) {
+    pub(super) fn handle(&mut self, router: usize, event: Event) {
         let mut inbox = vec![(router, event)];
         while let Some((to, event)) = inbox.pop() {
             let mut out = Vec::new();
             self.routers[to].handle(Millis(self.now), event, &mut out);
             for action in out {
                 match action {
-                    Action::Hint(_) => drop(self.informed.insert(to)),
+                    Action::Hint(_) | Action::Load(_) => drop(self.informed.insert(to)),
                     Action::Send { to: peer, message } => {
                         inbox.extend(self.transmit(to, peer, message));
                     }
--- a/toucanchute_core/src/fleet/tests/outage.rs
+++ b/toucanchute_core/src/fleet/tests/outage.rs
@@ -132,7 +132,7 @@
                 evacuations: None,
                 members: Vec::new(),
                 verdicts: Vec::new(),
-                loads: Vec::new(),
+                shared_loads: Vec::new(),
                 hints: Vec::new(),
             };
             let message = Box::new(FleetMessage { body, gossip });
--- a/toucanchute_core/src/fleet/tests/peers.rs
+++ b/toucanchute_core/src/fleet/tests/peers.rs
@@ -64,7 +64,7 @@
         evacuations: None,
         members: Vec::new(),
         verdicts: Vec::new(),
-        loads: Vec::new(),
+        shared_loads: Vec::new(),
         hints: Vec::new(),
     }
 }
--- a/toucanchute_core/src/routing.rs
+++ b/toucanchute_core/src/routing.rs
@@ -6,6 +6,7 @@
 mod action;
 mod attempts;
 mod availability;
+mod believed_load;
 mod cache;
 mod choose;
 mod cold;
@@ -18,6 +19,7 @@
 mod health;
 mod hedge;
 mod limit;
+mod loads;
 mod notices;
 mod pool;
 mod queue;
--- a/toucanchute_core/src/routing/action.rs
+++ b/toucanchute_core/src/routing/action.rs
@@ -2,7 +2,7 @@
 
 use toucanchute_proto::{
     AttemptId, Incarnation, Millis, RequestRate,
-    fleet::{BackendHint, Verdict},
+    fleet::{BackendHint, Load, Verdict},
     permits::PermitMessage,
 };
 
@@ -38,6 +38,8 @@
     },
     /// Send this verdict to all other routers.
     Verdict(Verdict),
+    /// Tell other routers the load that a backend server's answer stated.
+    ShareLoad(Load),
     /// Tell all other routers what this one learned from a backend server's answer.
     Hint(BackendHint),
     /// Send a message about permits to another router.
--- a/toucanchute_core/src/routing/attempts.rs
+++ b/toucanchute_core/src/routing/attempts.rs
@@ -7,7 +7,7 @@
     availability::Backoff,
     fault::Fault,
     health::Failure,
-    pool::BackendKey,
+    pool::{BackendKey, Pool},
     suspects::{CrashedRun, Survivors, SuspectKey},
     unanswered::{TerminationEvidence, UnansweredAttempt},
 };
@@ -51,6 +51,14 @@
         self.silent
     }
 
+    /// Whether it has waited longer for its first token than others of the pool do at present. Later in an
+    /// answer, any silence that is reported counts.
+    fn is_overdue(&self, now: Millis, pool: &Pool) -> bool {
+        let waited = now.since(self.started).0 as f64;
+        let is_slow = pool.is_slow_first_token(waited, self.tokens);
+        self.first_token_at.is_some() || is_slow.unwrap_or(true)
+    }
+
     /// Returns the record of this attempt if it ended at `ended` without an answer.
     fn unanswered(&self, ended: Millis, ended_by_server: bool) -> UnansweredAttempt {
         UnansweredAttempt {
@@ -146,6 +154,8 @@
         r.record_end(now);
         if is_answer(report) {
             r.record_answer(now, attempt.started);
+            let time = now.since(attempt.started);
+            self.pools[r.pool].loads.record_attempt_time(time);
         }
         match report {
             AttemptReport::FirstToken
@@ -161,7 +171,7 @@
             AttemptReport::Rejected => self.record_progress(now, attempt.replica, false),
             AttemptReport::Refused => self.handle_refused(now, &attempt),
             AttemptReport::Unsent => self.record_failure(now, &attempt, Failure::Hard),
-            AttemptReport::Unreached => self.record_unreached(now, attempt.replica),
+            AttemptReport::Unreached => self.record_unreached(now, &attempt),
             AttemptReport::Gone => {
                 self.record_failure(now, &attempt, Failure::Hard);
                 self.backend_ended(now, attempt.replica, TerminationEvidence::Gone, out);
@@ -189,20 +199,39 @@
         let (key, ms) = (attempt.replica, now.since(attempt.started).0 as f64);
         let tokens = attempt.tokens;
         self.replicas[key].record_answer(now, attempt.started);
-        let slow = self.pools[self.replicas[key].pool].record_first_token(ms, tokens);
+        let slow = self.pools[self.replicas[key].pool].record_first_token(now, ms, tokens);
         self.record_progress(now, key, slow);
     }
 
     /// Records that a backend server is silent. It may be sound and go on, so that its attempt goes on
-    /// too.
+    /// too. While all servers of a pool are slow to begin, one that is no slower counts as busy, not silent.
     fn handle_silent(&mut self, now: Millis, id: AttemptId) {
-        if let Some(attempt) = self.attempts.get_mut(&id) {
+        let pools = &self.pools;
+        let replicas = &self.replicas;
+        if let Some(attempt) = self.attempts.get_mut(&id)
+            && attempt.is_overdue(now, &pools[replicas[attempt.replica].pool])
+        {
             attempt.silent = true;
             let key = attempt.replica;
             self.record_silence(now, key);
         }
     }
 
+    /// Whether a request that is in progress may be tried on one more server: one of its attempts is silent,
+    /// or is by now.
+    pub(super) fn may_hedge(&mut self, now: Millis, req: &RoutingRequest) -> bool {
+        let runs_request = |a: &Attempt| {
+            req.running_on.contains(&self.replicas[a.replica].name)
+                && SuspectKey::all(req).eq(a.keys.iter().copied())
+        };
+        let running = self.attempts.iter().filter(|(_, a)| runs_request(a));
+        let running: Vec<(AttemptId, bool)> = running.map(|(&id, a)| (id, a.silent)).collect();
+        for &(id, _) in running.iter().filter(|(_, silent)| !silent) {
+            self.handle_silent(now, id);
+        }
+        running.is_empty() || running.iter().any(|(id, _)| self.attempts[id].silent)
+    }
+
     fn handle_resumed(&mut self, now: Millis, id: AttemptId) {
         let Some(attempt) = self.attempts.get_mut(&id) else {
             return;
@@ -222,9 +251,12 @@
         }
     }
 
-    fn record_unreached(&mut self, now: Millis, key: BackendKey) {
-        if !self.has(Fault::NeverEject) {
-            self.replicas[key].health.record_unreached(now);
+    /// Records that no connection was opened in time. If the server answered other requests meanwhile, this
+    /// host's link delays new connections, to all servers alike.
+    fn record_unreached(&mut self, now: Millis, attempt: &Attempt) {
+        let r = &mut self.replicas[attempt.replica];
+        if !r.has_answered_since(attempt.started) && !self.has(Fault::NeverEject) {
+            self.replicas[attempt.replica].health.record_unreached(now);
         }
     }
 
@@ -246,10 +278,13 @@
         }
     }
 
+    /// Records that a backend server sends something. A slow answer lowers its limit of requests only if it
+    /// does not report its load: by its reports it is known to be full or not, and may be slow by nature.
     fn record_progress(&mut self, now: Millis, key: BackendKey, slow: bool) {
         let r = &mut self.replicas[key];
-        let load = r.estimated_requests(now);
-        r.limit.record_measurement(now, slow, load);
+        let load = r.load.requests(now);
+        let overloaded = slow && !r.load.is_known(now);
+        r.limit.record_measurement(now, overloaded, load);
         r.backoff.record_served();
         if r.health.record_progress() {
             r.begin_slow_start(now);
@@ -409,7 +444,7 @@
     pub(super) fn remove_if_done(&mut self, now: Millis, key: BackendKey) {
         let r = &self.replicas[key];
         let configured = self.pools[r.pool].members.contains(&key) && r.listed;
-        if !configured && r.in_flight == 0 && !self.withdrawn.contains(&r.name) {
+        if !configured && r.load.in_flight() == 0 && !self.withdrawn.contains(&r.name) {
             if let Backoff::Until(until) = r.backoff {
                 self.saved_backoffs.save(now, &r.name, until);
             }
--- a/toucanchute_core/src/routing/choose.rs
+++ b/toucanchute_core/src/routing/choose.rs
@@ -146,7 +146,7 @@
     /// For a replica without a report only this router's own requests count. In a large fleet these
     /// are a small part of all, so that including them would make the reporting replicas look busy.
     fn mean_load(&self, open: &[BackendKey], loads: &[f64]) -> f64 {
-        let known = |k: BackendKey| self.replicas[k].is_load_known(self.now);
+        let known = |k: BackendKey| self.replicas[k].load.is_known(self.now);
         let reported = open.iter().zip(loads).filter(|(k, _)| known(**k));
         let reported: Vec<f64> = reported.map(|(_, &load)| load).collect();
         let counted = if reported.is_empty() {
@@ -161,7 +161,7 @@
     /// share of its limit, multiplied by its relative token time.
     fn load(&self, key: BackendKey) -> f64 {
         let r = &self.replicas[key];
-        let requests = r.estimated_requests(self.now) + self.asks.count(key) as f64;
+        let requests = r.load.requests(self.now) + self.asks.count(key) as f64;
         let load = (requests + 1.0) / r.request_limit(self.now);
         load * r.relative_token_time(self.pool.token_time())
     }
@@ -220,6 +220,7 @@
         } else {
             0.0
         };
-        self.load(key) + distance + suspects - r.cache.cached_share(&req.prefix) * PREFIX_WORTH
+        let load = self.load(key) * r.load.relative_pace(self.now);
+        load + distance + suspects - r.cache.cached_share(&req.prefix) * PREFIX_WORTH
     }
 }
--- a/toucanchute_core/src/routing/dispatcher.rs
+++ b/toucanchute_core/src/routing/dispatcher.rs
@@ -128,11 +128,8 @@
             Event::Report { attempt, report } => self.handle_report(now, attempt, report, out),
             Event::Notice { backend, notice } => self.apply_notice(now, &backend, notice, out),
             Event::RegistrationLapsed { backend } => self.record_lapse(now, &backend, out),
-            Event::Load(load) => {
-                if let Some(&key) = self.keys_by_name.get(&load.backend) {
-                    self.replicas[key].update_load(now, load);
-                }
-            }
+            Event::OwnLoad(load) => self.apply_own_load(now, load, out),
+            Event::Load(load) => self.apply_load(now, &load),
             Event::CacheEvents {
                 backend,
                 events,
@@ -207,6 +204,10 @@
             refuse(&req, reason, after, out);
             return;
         }
+        if !req.running_on.is_empty() && !self.may_hedge(now, &req) {
+            refuse(&req, RefusalReason::Overloaded, Millis(0), out);
+            return;
+        }
         if !req.may_wait {
             self.admit_hedge(now, key, &req, out);
             return;
@@ -235,7 +236,7 @@
             true => Millis(0),
             false => pool.predicted_wait(pool.queue.count_ahead(&req)),
         };
-        let late = now + wait > pool.latest_start(req.deadline);
+        let late = now + wait > pool.latest_start(now, req.deadline);
         let long = wait > pool.max_wait(now);
         if (late || long) && !start_late && !propagating {
             refuse(&req, RefusalReason::Overloaded, wait, out);
@@ -317,7 +318,7 @@
         for pool in self.pools.values_mut().filter(|p| !p.queue.is_empty()) {
             let propagating = |c: &RoutingRequest| self.suspects.is_propagating(now, c);
             let late = |c: &RoutingRequest| {
-                pool.latest_start(c.deadline) < now && !ignore_deadlines && !propagating(c)
+                pool.latest_start(now, c.deadline) < now && !ignore_deadlines && !propagating(c)
             };
             let ids: Vec<u64> = pool
                 .queue
--- a/toucanchute_core/src/routing/event.rs
+++ b/toucanchute_core/src/routing/event.rs
@@ -50,7 +50,9 @@
         /// The notice.
         notice: BackendNotice,
     },
-    /// A backend server's load report, which arrives with a delay.
+    /// A backend server's answer to this router stated its load.
+    OwnLoad(Load),
+    /// A backend server's load report from a poll or another router, which arrives with a delay.
     Load(Load),
     /// Changes of a backend server's prefix cache, which arrive with a delay.
     CacheEvents {
--- a/toucanchute_core/src/routing/limit.rs
+++ b/toucanchute_core/src/routing/limit.rs
@@ -32,6 +32,11 @@
         self.value
     }
 
+    /// Returns the present limit as a share of the greatest.
+    pub(super) fn share(&self) -> f64 {
+        self.value / self.max
+    }
+
     pub(super) fn set_max(&mut self, max: u32) {
         let max = f64::from(max.max(1));
         if self.value >= self.max {
--- a/toucanchute_core/src/routing/pool.rs
+++ b/toucanchute_core/src/routing/pool.rs
@@ -1,7 +1,9 @@
 use slotmap::new_key_type;
 use toucanchute_proto::Millis;
 
-use super::{cold::WarmUpPolicy, queue::FairQueue, retry::RetryBudget};
+use super::{
+    believed_load::LoadStatistics, cold::WarmUpPolicy, queue::FairQueue, retry::RetryBudget,
+};
 
 new_key_type! {
     /// Key of a backend server in the dispatcher's arena.
@@ -25,6 +27,10 @@
 /// Average deviations that a call's deadline has to leave beyond the average first-token time.
 const DEADLINE_SPREADS: f64 = 2.0;
 
+/// Time without a first token in which the time predicted for one is halved. Calls that are refused by the
+/// prediction bring no measurement that could correct it.
+const PREDICTION_HALF_LIFE: Millis = Millis(1_000);
+
 /// Time after which a queue that has not been empty counts as overload instead of a burst.
 const MAX_BURST: Millis = Millis(2_000);
 
@@ -44,8 +50,14 @@
     pub(super) members: Vec<BackendKey>,
     pub(super) queue: FairQueue,
     pub(super) retries: RetryBudget,
+    /// What its replicas reported of their loads.
+    pub(super) loads: LoadStatistics,
+    /// When the replicas next learn their pool's typical load.
+    pub(super) next_typical_load: Millis,
     /// Average time to the first token, in milliseconds.
     first_token: Average,
+    /// When the last one was measured.
+    last_first_token: Millis,
     /// Average size of requests, in tokens.
     request_size: Average,
     /// Average absolute deviation of first-token times from their average, in milliseconds.
@@ -92,7 +104,10 @@
             members: Vec::new(),
             queue: FairQueue::default(),
             retries: RetryBudget::new(),
+            loads: LoadStatistics::default(),
+            next_typical_load: Millis(0),
             first_token: Average::default(),
+            last_first_token: Millis(0),
             request_size: Average::default(),
             first_token_spread: Average::default(),
             token_time: Average::default(),
@@ -106,16 +121,21 @@
 
     // Latency
 
-    /// Records the time to the first token of a request of `tokens`, in milliseconds; returns
-    /// whether it is slow for the request's size.
-    pub(super) fn record_first_token(&mut self, ms: f64, tokens: u64) -> bool {
+    /// Whether a request of `tokens` has waited longer for its first token than the pool's servers take
+    /// for its size at present, in milliseconds; `None` before the first measurement.
+    pub(super) fn is_slow_first_token(&self, ms: f64, tokens: u64) -> Option<bool> {
         let average = self.request_size.get().unwrap_or(0.0).max(1.0);
         let scale = (tokens as f64 / average).max(1.0);
+        let usual = self.first_token.get()?;
+        Some(ms > 2.0 * usual * scale + FIRST_TOKEN_SLACK_MS)
+    }
+
+    /// Records the time to the first token of a request of `tokens`, in milliseconds; returns
+    /// whether it is slow for the request's size.
+    pub(super) fn record_first_token(&mut self, now: Millis, ms: f64, tokens: u64) -> bool {
+        self.last_first_token = now;
+        let slow = self.is_slow_first_token(ms, tokens).unwrap_or(false);
         self.request_size.add(tokens as f64, AVERAGE_WEIGHT);
-        let slow = self
-            .first_token
-            .get()
-            .is_some_and(|avg| ms > 2.0 * avg * scale + FIRST_TOKEN_SLACK_MS);
         if let Some(avg) = self.first_token.get() {
             self.first_token_spread
                 .add((ms - avg).abs(), AVERAGE_WEIGHT);
@@ -141,10 +161,13 @@
 
     /// Returns the latest time at which a call may start and still get its first byte by
     /// `deadline`.
-    pub(super) fn latest_start(&self, deadline: Millis) -> Millis {
+    pub(super) fn latest_start(&self, now: Millis, deadline: Millis) -> Millis {
         let average = self.first_token.get().unwrap_or(0.0);
         let spread = self.first_token_spread.get().unwrap_or(0.0);
-        deadline - Millis((average + DEADLINE_SPREADS * spread) as u64)
+        let age = now.since(self.last_first_token).0 as f64;
+        let half_lives = age / PREDICTION_HALF_LIFE.0 as f64;
+        let predicted = (average + DEADLINE_SPREADS * spread) * 0.5_f64.powf(half_lives);
+        deadline - Millis(predicted as u64)
     }
 
     // Waiting
--- a/toucanchute_core/src/routing/rate_limit/permits.rs
+++ b/toucanchute_core/src/routing/rate_limit/permits.rs
@@ -188,7 +188,7 @@
     /// without one.
     fn max_permit_delay(&self, now: Millis, pool: PoolKey, deadline: Millis) -> Millis {
         match self.is_pool_limited(now, pool) {
-            true => MAX_PERMIT_DELAY.min(self.pools[pool].latest_start(deadline).since(now)),
+            true => MAX_PERMIT_DELAY.min(self.pools[pool].latest_start(now, deadline).since(now)),
             false => Millis(0),
         }
     }
--- a/toucanchute_core/src/routing/replica.rs
+++ b/toucanchute_core/src/routing/replica.rs
@@ -1,10 +1,11 @@
-use std::{collections::VecDeque, net::SocketAddr};
+use std::net::SocketAddr;
 
-use toucanchute_proto::{Millis, RequestRate, fleet::Load};
+use toucanchute_proto::{Millis, RequestRate};
 
 use super::{
     RoutingRequest,
     availability::{Availability, Backoff},
+    believed_load::BelievedLoad,
     cache::PrefixCache,
     cold::WarmUp,
     health::Health,
@@ -14,12 +15,10 @@
 };
 use crate::hash;
 
-/// Age up to which a load report is used.
-const MAX_LOAD_AGE: Millis = Millis(3_000);
-
-/// Factor on a replica's reported capacity. Some work beyond it keeps the replica from idling while
-/// load reports are on their way.
-const CAPACITY_HEADROOM: f64 = 1.1;
+/// Factor on a replica's reported slots up to which it may get requests. Reports are old: some replicas
+/// that look full have room by now, and if all of them are left out, the work of all routers goes to the
+/// few others.
+const CAPACITY_HEADROOM: f64 = 1.25;
 
 /// Time in which a joining replica's limit rises to its full value.
 const SLOW_START_TIME: Millis = Millis(10_000);
@@ -30,6 +29,9 @@
 /// Weight of one measurement in a replica's averages.
 const AVERAGE_WEIGHT: f64 = 0.2;
 
+/// Weight in them of what another router measured, which is an average itself.
+const PEER_AVERAGE_WEIGHT: f64 = 0.05;
+
 /// Bounds of a replica's token time as a multiple of its pool's average.
 const RELATIVE_TOKEN_TIME_BOUNDS: (f64, f64) = (0.5, 8.0);
 
@@ -68,8 +70,6 @@
     pub(super) pool: PoolKey,
     /// Whether it is configured and not withdrawn. An unlisted replica gets no new work.
     pub(super) listed: bool,
-    /// Number of this router's attempts that have not ended.
-    pub(super) in_flight: u32,
     pub(super) health: Health,
     pub(super) limit: ConcurrencyLimit,
     pub(super) cache: PrefixCache,
@@ -88,12 +88,15 @@
     pub(super) lapsed_at: Option<Millis>,
     /// Whether it ended and has answered nothing since.
     pub(super) ended: bool,
+    /// When it last sent this router something.
+    answered_at: Option<Millis>,
     /// When its limit began to rise from [`SLOW_START_SHARE`].
     joined_at: Option<Millis>,
-    load: Option<Load>,
-    /// Starts (1) and ends (-1) of this router's attempts since the load report, oldest first.
-    own_changes: VecDeque<(Millis, i32)>,
-    /// Average time between tokens, in milliseconds.
+    /// Its requests and its pace.
+    pub(super) load: BelievedLoad,
+    /// Average time between tokens by the measurements of this router, in milliseconds.
+    own_token_time: Average,
+    /// The same by the measurements of all routers.
     token_time: Average,
 }
 
@@ -108,7 +111,6 @@
             software: None,
             pool,
             listed: false,
-            in_flight: 0,
             health: Health::new(),
             limit: ConcurrencyLimit::new(1),
             cache: PrefixCache::new(),
@@ -121,9 +123,10 @@
             no_permit_until: Millis(0),
             lapsed_at: None,
             ended: false,
+            answered_at: None,
             joined_at: None,
-            load: None,
-            own_changes: VecDeque::new(),
+            load: BelievedLoad::default(),
+            own_token_time: Average::default(),
             token_time: Average::default(),
         }
     }
@@ -135,6 +138,7 @@
 
     /// Records that it answered a request that was sent at `sent`. If it had ended, it has started again.
     pub(super) fn record_answer(&mut self, now: Millis, sent: Millis) {
+        self.answered_at = Some(now);
         self.unanswered.record_answer(sent);
         self.lapsed_at = None;
         if std::mem::replace(&mut self.ended, false) {
@@ -142,70 +146,29 @@
         }
     }
 
-    // Load
-
-    pub(super) fn update_load(&mut self, now: Millis, mut load: Load) {
-        load.as_of = load.as_of.min(now);
-        if self.load.as_ref().is_some_and(|old| old.as_of > load.as_of) {
-            return;
-        }
-        self.health.record_load_report(load.as_of);
-        while self
-            .own_changes
-            .front()
-            .is_some_and(|(at, _)| *at <= load.as_of)
-        {
-            self.own_changes.pop_front();
-        }
-        self.load = Some(load);
+    /// Whether it has sent this router something since `time`.
+    pub(super) fn has_answered_since(&self, time: Millis) -> bool {
+        self.answered_at.is_some_and(|at| at >= time)
     }
 
+    // Load
+
     pub(super) fn record_start(&mut self, now: Millis) {
-        self.in_flight += 1;
-        self.record_change(now, 1);
+        self.load.record_start(now);
     }
 
     pub(super) fn record_end(&mut self, now: Millis) {
-        self.in_flight = self.in_flight.saturating_sub(1);
-        self.record_change(now, -1);
-    }
-
-    /// Returns the estimated number of requests that it has from all routers.
-    pub(super) fn estimated_requests(&self, now: Millis) -> f64 {
-        let own = i64::from(self.in_flight);
-        let Some(load) = self.fresh_load(now) else {
-            return own as f64;
-        };
-        let reported = i64::from(load.running) + i64::from(load.waiting);
-        let since: i64 = self.own_changes.iter().map(|(_, c)| i64::from(*c)).sum();
-        own.max(reported + since) as f64
-    }
-
-    fn record_change(&mut self, now: Millis, change: i32) {
-        self.own_changes.push_back((now, change));
-        let old = |at: Millis| now.since(at) > MAX_LOAD_AGE;
-        while self.own_changes.front().is_some_and(|(at, _)| old(*at)) {
-            self.own_changes.pop_front();
-        }
-    }
-
-    /// Whether its last load report is at most [`MAX_LOAD_AGE`] old.
-    pub(super) fn is_load_known(&self, now: Millis) -> bool {
-        self.fresh_load(now).is_some()
-    }
-
-    fn fresh_load(&self, now: Millis) -> Option<&Load> {
-        let load = self.load.as_ref();
-        load.filter(|l| now.since(l.as_of) <= MAX_LOAD_AGE)
+        self.load.record_end(now);
     }
 
     // Capacity
 
-    /// Returns the number of requests that it may have now from all routers, at least 1.
+    /// Returns the number of requests that it may have now from all routers, at least 1: by the slots that it
+    /// reports, or else by the configured limit, less what its refusals showed.
     pub(super) fn request_limit(&self, now: Millis) -> f64 {
-        let capacity = self.fresh_load(now).filter(|l| l.capacity > 0);
-        let capacity = capacity.map_or(f64::MAX, |l| f64::from(l.capacity) * CAPACITY_HEADROOM);
-        let full = self.limit.get().min(capacity);
+        let slots = self.load.slots(now);
+        let reported = slots.map(|slots| f64::from(slots) * CAPACITY_HEADROOM);
+        let full = reported.map_or(self.limit.get(), |full| full * self.limit.share());
         (full * self.slow_start_share(now)).max(1.0)
     }
 
@@ -227,8 +190,9 @@
         match (self.backoff, cap) {
             (Backoff::Until(until), _) => Availability::BackingOff(until),
             (_, Some(0)) => Availability::Ejected,
-            (_, Some(cap)) if self.in_flight >= cap => Availability::Full,
-            _ if self.estimated_requests(now) + 1.0 > self.request_limit(now) => Availability::Full,
+            (_, Some(cap)) if self.load.in_flight() >= cap => Availability::Full,
+            _ if f64::from(self.load.in_flight()) + 1.0 > self.limit.get() => Availability::Full,
+            _ if self.load.requests(now) + 1.0 > self.request_limit(now) => Availability::Full,
             _ => self.permit_availability(now),
         }
     }
@@ -301,10 +265,22 @@
 
     // Latency
 
+    /// Records a time between tokens that this router measured.
     pub(super) fn record_token_time(&mut self, ms: f64) {
+        self.own_token_time.add(ms, AVERAGE_WEIGHT);
         self.token_time.add(ms, AVERAGE_WEIGHT);
     }
 
+    /// Records the average time between tokens that another router measured.
+    pub(super) fn record_peer_token_time(&mut self, ms: f64) {
+        self.token_time.add(ms, PEER_AVERAGE_WEIGHT);
+    }
+
+    /// Returns the average time between tokens that this router measured, in milliseconds.
+    pub(super) fn own_token_time(&self) -> Option<f64> {
+        self.own_token_time.get()
+    }
+
     /// Returns its token time as a multiple of its pool's average; 1 if either is unknown.
     pub(super) fn relative_token_time(&self, pool: Option<f64>) -> f64 {
         match (self.token_time.get(), pool) {
--- a/toucanchute_core/src/routing/tests.rs
+++ b/toucanchute_core/src/routing/tests.rs
@@ -12,6 +12,7 @@
 mod rate_limit;
 mod region;
 mod retries;
+mod server_loads;
 mod silence;
 mod simulation;
 mod software;
--- a/toucanchute_core/src/routing/tests/affinity.rs
+++ b/toucanchute_core/src/routing/tests/affinity.rs
@@ -70,6 +70,9 @@
         waiting: 0,
         capacity: 64,
         kv_used: 0,
+        polled: true,
+        pace_percent: None,
+        token_time_us: None,
         as_of: Millis(0),
     })
 }
@@ -144,6 +147,7 @@
                 | Action::BackendChanged { .. }
                 | Action::EvacuationChanged { .. }
                 | Action::Hint(_)
+                | Action::ShareLoad(_)
                 | Action::SendPermitMessage { .. }
                 | Action::PermitUnanswered { .. } => {}
             }
--- a/toucanchute_core/src/routing/tests/harness.rs
+++ b/toucanchute_core/src/routing/tests/harness.rs
@@ -85,6 +85,9 @@
             waiting,
             capacity,
             kv_used,
+            polled: true,
+            pace_percent: None,
+            token_time_us: None,
             as_of,
         };
         self.handle(now, Event::Load(load));
--- a/toucanchute_core/src/routing/tests/simulation.rs
+++ b/toucanchute_core/src/routing/tests/simulation.rs
@@ -335,6 +335,7 @@
             Action::BackendChanged { .. }
             | Action::EvacuationChanged { .. }
             | Action::Hint(_)
+            | Action::ShareLoad(_)
             | Action::SendPermitMessage { .. }
             | Action::PermitUnanswered { .. } => {}
             Action::Verdict(v) => {
--- a/toucanchute_core/src/routing/tests/simulation/replicas.rs
+++ b/toucanchute_core/src/routing/tests/simulation/replicas.rs
@@ -109,6 +109,9 @@
             waiting: 0,
             capacity: CONCURRENCY,
             kv_used: 0,
+            polled: true,
+            pace_percent: None,
+            token_time_us: None,
             as_of: self.now,
         };
         (0..ROUTERS).for_each(|r| self.post(r, lag, Event::Load(load.clone())));
--- a/toucanchute_edge/src/passthrough/dialect.rs
+++ b/toucanchute_edge/src/passthrough/dialect.rs
@@ -84,4 +84,7 @@
     pub waiting: u32,
     /// Requests that it can run at the same time.
     pub slots: u32,
+    /// Time that work takes on its machine at the moment, in percent of the usual time; `None` if it states
+    /// none.
+    pub pace_percent: Option<u32>,
 }
--- a/toucanchute_edge/src/passthrough/proxied_request/reports.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/reports.rs
@@ -66,6 +66,9 @@
             waiting: load.waiting,
             capacity: load.slots,
             kv_used: 0,
+            polled: false,
+            pace_percent: load.pace_percent,
+            token_time_us: None,
             as_of: now(),
         });
     }
--- a/toucanchute_router/src/actor/dispatch.rs
+++ b/toucanchute_router/src/actor/dispatch.rs
@@ -93,6 +93,8 @@
     Notice(String, BackendNotice),
     /// A backend server reported its load.
     Load(Load),
+    /// A backend server's answer to this router stated its load.
+    OwnLoad(Load),
     /// A backend server's prefix cache changed.
     CacheEvents {
         /// Name of the backend server.
@@ -234,6 +236,7 @@
                 self.status
                     .record_evacuation(failure_domain, evacuated, backends);
             }
+            Action::ShareLoad(load) => post(&self.fleet, FleetInput::ShareLoad(load)),
             Action::Hint(hint) => post(&self.fleet, FleetInput::Hint(hint)),
             Action::SendPermitMessage { to, message } => {
                 self.mesh.send(to, FrameKind::Permits, &message);
@@ -267,6 +270,9 @@
         if !self.pending_calls.is_empty() || self.ticks.is_multiple_of(IDLE_TICK_INTERVAL) {
             self.feed(Event::Tick);
         }
+        if let Some(error) = self.machine.load_error() {
+            self.status.record_load_error(error);
+        }
     }
 
     /// Applies another view of the fleet.
@@ -347,6 +353,7 @@
                 self.feed(Event::PermitMessage { from, message });
             }
             DispatchInput::Notice(backend, notice) => self.feed(Event::Notice { backend, notice }),
+            DispatchInput::OwnLoad(load) => self.feed(Event::OwnLoad(load)),
             DispatchInput::Load(load) => self.feed(Event::Load(load)),
             DispatchInput::CacheEvents {
                 backend,
--- a/toucanchute_router/src/actor/fleet.rs
+++ b/toucanchute_router/src/actor/fleet.rs
@@ -100,6 +100,8 @@
     PlatformDown,
     /// A backend server reported its load.
     Load(Load),
+    /// A backend server's answer to this router stated its load; other routers should learn it.
+    ShareLoad(Load),
     /// This router's verdicts on requests, and parts of prompts, that were in flight on a replica that
     /// crashed.
     Verdicts(Vec<Verdict>),
@@ -332,6 +334,7 @@
             FleetInput::Config(config, digest) => Event::Config { config, digest },
             FleetInput::PlatformDown => Event::PlatformDown,
             FleetInput::Load(load) => Event::LoadReport(load),
+            FleetInput::ShareLoad(load) => Event::ShareLoad(load),
             FleetInput::Verdicts(verdicts) => Event::Verdicts(verdicts),
             FleetInput::Hint(hint) => Event::Hint(hint),
             FleetInput::StoredQuarantines(verdicts) => Event::StoredQuarantines(verdicts),
--- a/toucanchute_router/src/actor/routing_status.rs
+++ b/toucanchute_router/src/actor/routing_status.rs
@@ -1,6 +1,9 @@
 use std::{
     collections::BTreeMap,
-    sync::{Mutex, PoisonError},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use toucanchute_core::routing::ColdCause;
@@ -12,6 +15,9 @@
     evacuated: Mutex<BTreeMap<String, bool>>,
     /// How often backend servers were found cold, by the name of the cause.
     cold: Mutex<BTreeMap<&'static str, u64>>,
+    /// Mean difference between believed and reported requests at backend servers, in thousandths of their
+    /// slots.
+    load_error_permille: AtomicU64,
 }
 
 impl RoutingStatus {
@@ -35,6 +41,18 @@
         domains.unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Records how far the believed loads of backend servers differ from the reported ones, as a share of
+    /// their slots.
+    pub(crate) fn record_load_error(&self, share: f64) {
+        let permille = (share * 1_000.0) as u64;
+        self.load_error_permille.store(permille, Ordering::Relaxed);
+    }
+
+    /// Returns the recorded difference, in thousandths.
+    pub(crate) fn load_error_permille(&self) -> u64 {
+        self.load_error_permille.load(Ordering::Relaxed)
+    }
+
     /// Counts that a backend server was found cold.
     pub(crate) fn record_cold(&self, cause: ColdCause) {
         let counts = self.cold.lock();
--- a/toucanchute_router/src/engine_poller.rs
+++ b/toucanchute_router/src/engine_poller.rs
@@ -137,6 +137,9 @@
         running: load.running,
         waiting: load.waiting,
         capacity: load.capacity,
+        polled: true,
+        pace_percent: None,
+        token_time_us: None,
         kv_used: (load.kv_used.clamp(0.0, 1.0) * 1000.0) as u32,
         as_of: Millis(load.as_of_ms),
     }
--- a/toucanchute_router/src/gateway/control.rs
+++ b/toucanchute_router/src/gateway/control.rs
@@ -104,7 +104,7 @@
     }
 
     fn report_load(&self, load: Load) {
-        post(&self.dispatch, DispatchInput::Load(load));
+        post(&self.dispatch, DispatchInput::OwnLoad(load));
     }
 
     fn report_notice(&self, backend: &str, notice: BackendNotice) {
--- a/toucanchute_router/src/gateway/metrics.rs
+++ b/toucanchute_router/src/gateway/metrics.rs
@@ -44,6 +44,7 @@
     list_share: Gauge,
     host_link_use: Gauge,
     host_timer_delay: Gauge,
+    load_error: Gauge,
     store_calls: Family<StoreCallLabels, Gauge>,
     log_lines_dropped: Gauge,
     standings: Family<StandingLabels, Gauge>,
@@ -134,6 +135,7 @@
             list_share: Gauge::default(),
             host_link_use: Gauge::default(),
             host_timer_delay: Gauge::default(),
+            load_error: Gauge::default(),
             store_calls: Family::default(),
             log_lines_dropped: Gauge::default(),
             standings: Family::default(),
@@ -193,6 +195,12 @@
             "Mean delay of the router's timers, in milliseconds",
             self.host_timer_delay.clone(),
         );
+        registry.register(
+            "load_error_permille",
+            "Mean difference between the believed and the reported requests at backend servers, in \
+             thousandths of their slots",
+            self.load_error.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the platform's store since the start",
@@ -354,8 +362,11 @@
         }
     }
 
-    /// Sets which failure domains are evacuated, and how often backend servers were cold.
+    /// Sets which failure domains are evacuated, how often backend servers were cold, and how far their loads
+    /// are known.
     fn set_routing_status(&self, status: &RoutingStatus) {
+        let error = i64::try_from(status.load_error_permille());
+        self.load_error.set(error.unwrap_or(i64::MAX));
         for (failure_domain, evacuated) in status.evacuations() {
             let labels = DomainLabels { failure_domain };
             let gauge = self.evacuated.get_or_create(&labels);
