--- a/toucanchute_core/src/routing/tests/server_loads.rs
+++ b/toucanchute_core/src/routing/tests/server_loads.rs
@@ -326,3 +326,47 @@
     assert_eq!(harness.call(3_100, call(3_100)), None);
     assert!(harness.call(4_600, call(4_600)).is_some());
 }
+
+/// Returns the report of an idle server that states `pace`.
+fn idle(backend: &str, as_of: u64, polled: bool, pace: Option<u32>) -> Event {
+    Event::Load(Load {
+        backend: backend.to_owned(),
+        running: 0,
+        waiting: 0,
+        capacity: 16,
+        kv_used: 0,
+        polled,
+        pace_percent: pace,
+        token_time_us: None,
+        as_of: Millis(as_of),
+    })
+}
+
+// Guards against a server that refuses everything, looks idle to others for it, and draws work again.
+#[parameterized(
+    answer_to_another_router = { false },
+    poll = { true },
+)]
+fn only_a_poll_ends_an_ejection_early(polled: bool) {
+    let mut harness = Harness::new(1, 16);
+    for call in 1..=2 {
+        // The second failure, of a probe, doubles the ejection.
+        let at = call * 1_100;
+        let (attempt, _) = harness.call(at, request(call)).unwrap();
+        harness.report(at, attempt, AttemptReport::Unsent);
+    }
+    harness.handle(3_300, idle("b0", 3_300, polled, None));
+    assert_eq!(harness.call(3_301, request(3)).is_some(), polled);
+}
+
+// Guards against work for a server that is slow at this moment while others are not.
+#[test]
+fn a_server_that_states_a_slow_pace_gets_no_work_beside_an_idle_one() {
+    let mut harness = Harness::new(2, 16);
+    for at in 1_000..1_050 {
+        harness.handle(at, idle("b1", at, false, Some(100)));
+    }
+    harness.handle(1_050, idle("b0", 1_050, false, Some(250)));
+    let now = chosen(&mut harness, 1_060, 10);
+    assert_eq!(now.get("b1"), Some(&10), "{now:?}");
+}
