--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -90,11 +90,17 @@
 
 
 def listen():
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(('127.0.0.1', 0))
-    sock.listen(256)
-    return sock
+    """Listens at a free port below those of outgoing connections, which could take it while its owner is down."""
+    for _ in range(200):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind(('127.0.0.1', random.randrange(10_000, 32_000)))
+            sock.listen(256)
+            return sock
+        except OSError:
+            sock.close()
+    raise RuntimeError('no free port')
 
 
 def address_of(sock):
