--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds what the scripts of review/6 to review/10 start beside the routers of the deploy file. The stand-ins are in
+# Builds what the scripts of review/6 to review/10 and review/extra-2 start beside the routers of the deploy file. The stand-ins are in
 # Python and need no build; this checks that they can be read.
 set -euo pipefail
 cd "$(dirname "$0")"
--- a/review/10/query.py
+++ b/review/extra-2/query.py
@@ -1,4 +1,4 @@
-"""A second way to refuse sound lookups, not run by run.sh: one lookup crashes the replicas that run it: what becomes of the lookups with other queries on the same path?"""
+"""Shown, but not among the five cases: one lookup crashes the replicas that run it: what becomes of the lookups with other queries on the same path?"""
 import pathlib, sys, threading, time
 
 HERE = pathlib.Path(__file__).resolve().parent
