--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -376,6 +376,7 @@
         self.handle, self.slots, self.version = handle, slots, version
         self.sock = listen()
         self.port = self.sock.getsockname()[1]
+        self.last_beat = time.monotonic()
         self.start()
 
     def start(self, first_beat_s=0.0):
@@ -401,6 +402,7 @@
         """Ends without a word: its port refuses and its connections end."""
         self.record(f'replica {self.id} ({self.version}): crashes')
         self.run = None
+        spawn(self.expire)
         # Ends a waiting accept too, which would hold the port open.
         self.sock.shutdown(socket.SHUT_RDWR)
         self.sock.close()
@@ -425,8 +427,10 @@
         spawn(self.expire)
 
     def expire(self):
-        time.sleep(SILENT_HEARTBEATS * HEARTBEAT_S)
-        if self.run is None:
+        """Removes the entry after three heartbeats of silence, unless the replica has written it again."""
+        last = self.last_beat
+        time.sleep(max(0.0, last + SILENT_HEARTBEATS * HEARTBEAT_S - time.monotonic()))
+        if self.last_beat == last:
             self.store.remove(f'servers/{self.id}')
             self.record(f'store: the entry of {self.id} is removed after {SILENT_HEARTBEATS} silent heartbeats')
 
@@ -439,6 +443,7 @@
     def beat(self, run, first_beat_s):
         time.sleep(first_beat_s)
         while self.run is run:
+            self.last_beat = time.monotonic()
             self.store.put(f'servers/{self.id}', self.entry())
             time.sleep(HEARTBEAT_S)
 
