fix(prepaid): routers agree on who owns an account, whatever messages are lost

Cause: each router acted on its own belief of the owner. The sender of a hand-over believed in the receiver, which had ended; the record still named the sender; the router that should have claimed read the record, found the sender alive and redirected callers to it; it redirected them back. A router that was told "not me" forgot what it knew, so the answer reached nobody else.

Change: what is known of an owner is a view, ordered by its term. Views travel with asks and redirects and go before the record. A router that is asked and finds no owner claims in the store, which is safe at any time: fences bound what the receiver of a late hand-over can spend. A hand-over is opened once. One more circle is gone: a router that is advised to claim does so, in place of asking its adviser again.

--- a/toucanchute_core/src/prepaid.rs
+++ b/toucanchute_core/src/prepaid.rs
@@ -28,6 +28,7 @@
 mod fault;
 mod fencing;
 mod handover;
+mod known_owners;
 mod local_requests;
 mod machine;
 mod marks;
--- a/toucanchute_core/src/prepaid/action.rs
+++ b/toucanchute_core/src/prepaid/action.rs
@@ -107,6 +107,16 @@
         /// Error of the decoder.
         error: String,
     },
+    /// This router takes the account over although its record names a router that can be reached, which no
+    /// longer owns it.
+    RecordOutdated {
+        /// Budget of the account.
+        budget: toucanchute_proto::BudgetId,
+        /// Epoch of the record.
+        epoch: u64,
+        /// Router that the record names.
+        named: Incarnation,
+    },
     /// Unused tokens of a request of this router were not returned. They count as spent.
     RefundLost {
         /// Budget of the account.
@@ -131,7 +141,10 @@
     /// It released the account to the store.
     Released,
     /// It handed the account over to another router.
-    HandedOver,
+    HandedOver {
+        /// The receiver.
+        to: Incarnation,
+    },
     /// Another router took the account over, or another writer changed its record.
     Superseded,
 }
--- a/toucanchute_core/src/prepaid/candidates.rs
+++ b/toucanchute_core/src/prepaid/candidates.rs
@@ -55,7 +55,7 @@
     /// all others send their requests to this router.
     fn preclaimable_budgets(&self) -> Vec<BudgetId> {
         let me = Some(self.me());
-        let informed = |b| self.known_owners.contains_key(&b) || self.registrar(b) == me;
+        let informed = |b| self.known_owners.get(b).is_some() || self.registrar(b) == me;
         let budgets = self.limits.keys().copied();
         budgets
             .filter(|&b| self.candidate(b) == me && informed(b))
@@ -79,6 +79,14 @@
         best.map(|c| c.id)
     }
 
+    /// Returns the router that a request goes to while no owner of its account can be reached.
+    pub(super) fn next_without_owner(&self, budget: BudgetId) -> Option<Incarnation> {
+        match self.registrar(budget) {
+            Some(me) if me == self.me() => self.candidate(budget),
+            registrar => registrar,
+        }
+    }
+
     /// Returns the routers that may take an account over.
     fn candidates(&self, budget: BudgetId) -> impl Iterator<Item = Candidate> {
         let candidate = move |id: Incarnation, up: bool, capacity: u32| {
--- a/toucanchute_core/src/prepaid/handover.rs
+++ b/toucanchute_core/src/prepaid/handover.rs
@@ -10,7 +10,6 @@
 use super::{
     Action, CloseCause, PrepaidAccounts,
     account::OwnedAccount,
-    machine::KnownOwner,
     marks::Marks,
     record,
     reservations::{RequestId, Reservation},
@@ -115,18 +114,17 @@
         let term = body.term;
         let message = PrepaidMessage::Handover(body);
         out.push(Action::send(to, message));
-        self.known_owners
-            .insert(budget, KnownOwner { term, owner: to });
-        self.close(budget, CloseCause::HandedOver, out);
+        self.known_owners.confirm(budget, term, to);
+        self.close(budget, CloseCause::HandedOver { to }, out);
     }
 
     pub(super) fn on_handover(&mut self, body: Handover, out: &mut Vec<Action>) {
         let budget = body.budget;
-        let newer = self
-            .known_owners
-            .get(&budget)
-            .is_none_or(|k| k.term < body.term);
-        if !newer || self.accounts.contains_key(&budget) {
+        let term = body.term;
+        let superseded = self.known_owners.term(budget).is_some_and(|t| t > term);
+        // Spending in a term fences it, so a message that arrives twice is refused as well.
+        let fenced = self.witness_marks.term(budget).is_some_and(|t| t >= term);
+        if superseded || fenced || self.accounts.contains_key(&budget) {
             return;
         }
         let takeover = self.takeovers.remove(&budget);
--- a/toucanchute_core/src/prepaid/local_requests.rs
+++ b/toucanchute_core/src/prepaid/local_requests.rs
@@ -2,15 +2,12 @@
 
 use toucanchute_proto::{
     BudgetId, Incarnation, Millis,
-    prepaid::{Ask, AskAnswer, PrepaidMessage, Term, Verdict},
+    prepaid::{Ask, AskAnswer, OwnerView, PrepaidMessage, Term, Verdict},
 };
 
 use super::{
-    Action, CallId, PrepaidAccounts, Refusal, RefusalReason,
-    account::WaitingRequest,
-    event::TokenDemand,
-    machine::{KnownOwner, NO_TERM},
-    reservations::RequestId,
+    Action, CallId, PrepaidAccounts, Refusal, RefusalReason, account::WaitingRequest,
+    event::TokenDemand, machine::NO_TERM, reservations::RequestId,
 };
 
 /// Longest time that a request waits for tokens.
@@ -51,6 +48,8 @@
     until: Millis,
     /// Router to which the request was sent last.
     to: Option<Incarnation>,
+    /// Router to ask next, by the redirect of another one. This router if it should take the account over.
+    advised: Option<Incarnation>,
     sent_at: Millis,
     sends: u32,
 }
@@ -90,6 +89,7 @@
             demand,
             until: deadline.min(self.now + MAX_WAIT),
             to: None,
+            advised: None,
             sent_at: self.now,
             sends: 0,
         };
@@ -99,16 +99,15 @@
 
     /// Sends a request to the owner of the account, which may be this router.
     fn send_request(&mut self, call: CallId, out: &mut Vec<Action>) {
-        let Some(budget) = self.requests.unanswered.get(&call).map(|a| a.demand.budget) else {
+        let Some(request) = self.requests.unanswered.get_mut(&call) else {
             return;
         };
-        let to = self.locate_owner(budget, out);
+        let (budget, advised) = (request.demand.budget, request.advised.take());
+        let to = self.locate_owner(budget, advised, out);
         let (now, me) = (self.now, self.me());
-        let known = self
-            .known_owners
-            .get(&budget)
-            .filter(|k| Some(k.owner) == to);
-        let term = known.map_or(NO_TERM, |k| k.term);
+        let view = self.known_owners.get(budget);
+        let known = view.filter(|v| v.owner.is_some() && v.owner == to);
+        let term = known.map_or(NO_TERM, |v| v.term);
         let Some(request) = self.requests.unanswered.get_mut(&call) else {
             return;
         };
@@ -146,6 +145,7 @@
                     term,
                     rest: Some(rest),
                     extends,
+                    view,
                 });
                 out.push(Action::send(to, message));
             }
@@ -153,8 +153,14 @@
     }
 
     /// Returns the router to send requests for a budget to: its owner or, if none is known, the
-    /// router that should know it or become it. Starts a takeover if that is this router.
-    fn locate_owner(&mut self, budget: BudgetId, out: &mut Vec<Action>) -> Option<Incarnation> {
+    /// `advised` one or the router that should know it or become it. Starts a takeover if that is this
+    /// router.
+    fn locate_owner(
+        &mut self,
+        budget: BudgetId,
+        advised: Option<Incarnation>,
+        out: &mut Vec<Action>,
+    ) -> Option<Incarnation> {
         let me = self.me();
         if self.accounts.contains_key(&budget) || self.takeovers.contains_key(&budget) {
             return Some(me);
@@ -162,13 +168,10 @@
         if let Some(owner) = self.reachable_owner(budget) {
             return Some(owner);
         }
-        let registrar = self.registrar(budget)?;
-        if registrar != me {
-            return Some(registrar);
-        }
-        let candidate = self.candidate(budget)?;
-        if candidate != me {
-            return Some(candidate);
+        let advised = advised.filter(|&id| id == me || self.is_reachable(id));
+        let next = advised.or_else(|| self.next_without_owner(budget))?;
+        if next != me {
+            return Some(next);
         }
         if !self.may_claim() {
             return None;
@@ -231,24 +234,28 @@
         body: &AskAnswer,
         out: &mut Vec<Action>,
     ) {
-        let budget = body.budget;
-        if self
-            .known_owners
-            .get(&budget)
-            .is_some_and(|k| k.owner == from)
-        {
-            self.known_owners.remove(&budget);
+        match body.view {
+            Some(view) => self.learn_owner(body.budget, view),
+            None => self.learn_owner_by_redirect(from, body),
         }
-        if let Some(owner) = body.owner.filter(|&o| o != self.me()) {
-            let known = self.known_owners.get(&budget);
-            if known.is_none_or(|k| k.term <= body.term) {
-                let term = body.term;
-                self.known_owners.insert(budget, KnownOwner { term, owner });
-            }
+        if let Some(request) = self.requests.unanswered.get_mut(&call) {
+            request.advised = body.owner;
         }
         self.resend_request(call, out);
     }
 
+    /// Learns of an owner by the redirect of a router that knows none, or of an earlier version.
+    fn learn_owner_by_redirect(&mut self, from: Incarnation, body: &AskAnswer) {
+        self.known_owners.give_up(body.budget, from);
+        if body.term > NO_TERM && body.owner.is_some() {
+            let view = OwnerView {
+                term: body.term,
+                owner: body.owner,
+            };
+            self.learn_owner(body.budget, view);
+        }
+    }
+
     /// Refuses a request of this router, unless it is already answered.
     pub(super) fn refuse_call(
         &mut self,
@@ -289,7 +296,7 @@
     /// that the owner is known.
     pub(super) fn reroute_budget(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
         let me = self.me();
-        let owner = self.known_owners.get(&budget).map(|k| k.owner);
+        let owner = self.known_owners.get(budget).and_then(|v| v.owner);
         let misrouted =
             |a: &UnansweredRequest| a.demand.budget == budget && a.to != owner && a.to != Some(me);
         for call in self.requests.calls_where(misrouted) {
--- a/toucanchute_core/src/prepaid/machine.rs
+++ b/toucanchute_core/src/prepaid/machine.rs
@@ -4,13 +4,13 @@
     BudgetId, Incarnation, Millis,
     config::Ledger,
     fleet::MemberState,
-    prepaid::{Account, Announce, PrepaidMessage, Term},
+    prepaid::{Account, Announce, OwnerView, PrepaidMessage, Term},
 };
 
 use super::{
     AccountEvent, Action, CallId, ClockSpread, CloseCause, Event, Fault, Peer,
-    account::OwnedAccount, local_requests::LocalRequests, refunds::Refunds, takeover::Takeover,
-    witness::WitnessMarks,
+    account::OwnedAccount, known_owners::KnownOwners, local_requests::LocalRequests,
+    refunds::Refunds, takeover::Takeover, witness::WitnessMarks,
 };
 use crate::ledger::{StoreOp, StoreRequest};
 
@@ -96,8 +96,7 @@
     pub(super) limits: BTreeMap<BudgetId, u64>,
     pub(super) policy: Ledger,
     pub(super) peers: BTreeMap<Incarnation, Peer>,
-    /// Last known owner of each account.
-    pub(super) known_owners: BTreeMap<BudgetId, KnownOwner>,
+    pub(super) known_owners: KnownOwners,
     /// Accounts that this router owns.
     pub(super) accounts: BTreeMap<BudgetId, OwnedAccount>,
     /// Accounts that this router is taking over. None of them is in `accounts`.
@@ -123,13 +122,6 @@
     drained: bool,
 }
 
-/// The owner of an account, as far as this router knows.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct KnownOwner {
-    pub(super) term: Term,
-    pub(super) owner: Incarnation,
-}
-
 /// Term of an account whose owner is not known.
 pub(super) const NO_TERM: Term = Term { epoch: 0, turn: 0 };
 
@@ -151,7 +143,7 @@
             limits: BTreeMap::new(),
             policy: Ledger::default(),
             peers: BTreeMap::new(),
-            known_owners: BTreeMap::new(),
+            known_owners: KnownOwners::default(),
             accounts: BTreeMap::new(),
             takeovers: BTreeMap::new(),
             clocks: ClockSpread {
@@ -313,8 +305,18 @@
 
     /// Returns the owner of an account if it is another router that can be reached.
     pub(super) fn reachable_owner(&self, budget: BudgetId) -> Option<Incarnation> {
-        let known = self.known_owners.get(&budget)?;
-        self.is_reachable(known.owner).then_some(known.owner)
+        let owner = self.known_owners.get(budget)?.owner;
+        owner.filter(|&o| self.is_reachable(o))
+    }
+
+    /// Merges what another router, or a record in the store, says of the owner of an account.
+    pub(super) fn learn_owner(&mut self, budget: BudgetId, view: OwnerView) {
+        if self.accounts.contains_key(&budget) {
+            // If this router was superseded, its witnesses refuse its marks.
+            return;
+        }
+        let owner = view.owner.filter(|&o| o != self.me());
+        self.known_owners.merge(budget, OwnerView { owner, ..view });
     }
 
     // Announcements
@@ -343,15 +345,9 @@
 
     fn on_announce(&mut self, from: Incarnation, body: &Announce, out: &mut Vec<Action>) {
         let &Announce { budget, term } = body;
-        if self
-            .known_owners
-            .get(&budget)
-            .is_some_and(|k| k.term > term)
-        {
+        if !self.known_owners.confirm(budget, term, from) {
             return;
         }
-        self.known_owners
-            .insert(budget, KnownOwner { term, owner: from });
         if self.accounts.get(&budget).is_some_and(|a| a.term < term) {
             self.close(budget, CloseCause::Superseded, out);
         }
@@ -364,6 +360,7 @@
             return;
         };
         self.ops.retain(|_, b| *b != budget);
+        self.known_owners.give_up(budget, self.cfg.incarnation);
         out.push(Action::Log(AccountEvent::Closed { budget, cause }));
         for waiting in owned.waiting {
             self.redirect(budget, owned.term, waiting.id, out);
--- a/toucanchute_core/src/prepaid/owner.rs
+++ b/toucanchute_core/src/prepaid/owner.rs
@@ -21,18 +21,25 @@
             term,
             rest,
             extends,
+            view,
         } = body;
         let id = RequestId { router: from, seq };
+        // The sender takes this router for the owner in a term that it does not know of.
+        let named = term > self.known_owners.term(budget).unwrap_or(NO_TERM);
+        if let Some(view) = view {
+            self.learn_owner(budget, view);
+        }
         let here = self.accounts.contains_key(&budget) || self.takeovers.contains_key(&budget);
         if !here {
             let unowned = self.reachable_owner(budget).is_none();
             let is_candidate = self.candidate(budget) == Some(self.me());
-            // A term greater than the known one was read from the record, which names this router.
-            let named = term > self.known_owners.get(&budget).map_or(term, |k| k.term);
             if !(named || unowned && is_candidate) || !self.may_claim() {
                 return self.redirect(budget, NO_TERM, id, out);
             }
-            self.start_takeover(budget, out);
+            match named {
+                true => self.start_takeover_as_named(budget, term, out),
+                false => self.start_takeover(budget, out),
+            }
         }
         let until = self.now + MAX_WAIT;
         let waiting = WaitingRequest {
@@ -181,6 +188,7 @@
                 term,
                 verdict,
                 owner: None,
+                view: None,
             });
             out.push(Action::send(id.router, message));
             return;
@@ -230,22 +238,20 @@
         if id.router == self.me() {
             return self.resend_request(CallId(id.seq), out);
         }
-        let known = self
-            .known_owners
-            .get(&budget)
-            .filter(|k| self.is_reachable(k.owner));
-        let term = known.map_or(term, |k| k.term);
-        let next = match self.registrar(budget) {
-            Some(me) if me == self.me() => self.candidate(budget),
-            registrar => registrar,
+        let view = self.known_owners.get(budget);
+        let known = self.reachable_owner(budget);
+        let term = match (known, view) {
+            (Some(_), Some(view)) => view.term,
+            _ => term,
         };
-        let owner = known.map(|k| k.owner).or(next);
+        let owner = known.or_else(|| self.next_without_owner(budget));
         let message = PrepaidMessage::Answer(AskAnswer {
             budget,
             seq: id.seq,
             term,
             verdict: Verdict::Elsewhere,
             owner: owner.filter(|&o| o != self.me()),
+            view,
         });
         out.push(Action::send(id.router, message));
     }
--- a/toucanchute_core/src/prepaid/refunds.rs
+++ b/toucanchute_core/src/prepaid/refunds.rs
@@ -2,12 +2,11 @@
 
 use toucanchute_proto::{
     BudgetId, Incarnation, Millis,
-    prepaid::{PrepaidMessage, ReservationSettled, SettleReservation, Term},
+    prepaid::{OwnerView, PrepaidMessage, ReservationSettled, SettleReservation, Term},
 };
 
 use super::{
     AccountEvent, Action, CallId, Fault, PrepaidAccounts, local_requests::LocalReservation,
-    machine::KnownOwner,
 };
 
 /// Pause before a refund that is not acknowledged is sent again, or one that cannot be sent is tried
@@ -123,15 +122,18 @@
 
     /// Returns the router to send a refund to, and its term; `None` if there is none at present.
     fn refund_target(&self, refund: &Refund) -> Option<(Incarnation, Term)> {
-        let known = self.known_owners.get(&refund.budget());
+        let known = self.known_owners.get(refund.budget());
         let sent_to = refund.sent_to;
         if let Some((owner, term)) = sent_to.filter(|_| !self.has_fault(Fault::ReaddressRefunds)) {
             let moved = known.filter(|k| k.term.epoch == term.epoch);
-            return Some((moved.map_or(owner, |k| k.owner), term));
+            return Some((moved.and_then(|k| k.owner).unwrap_or(owner), term));
         }
         let LocalReservation { owner, term, .. } = refund.reservation;
         let known = known.filter(|k| k.term.epoch >= term.epoch);
-        let (owner, term) = known.map_or((owner, term), |k| (k.owner, k.term));
+        let (owner, term) = match known {
+            Some(view) => (view.owner?, view.term),
+            None => (owner, term),
+        };
         (owner == self.me() || self.is_reachable(owner)).then_some((owner, term))
     }
 
@@ -141,14 +143,9 @@
             self.refunds.0.remove(&body.seq);
             return;
         };
-        if let Some(owner) = body.owner
-            && self
-                .known_owners
-                .get(&body.budget)
-                .is_none_or(|k| k.term < term)
-        {
-            self.known_owners
-                .insert(body.budget, KnownOwner { term, owner });
+        let owner = body.owner;
+        if owner.is_some() {
+            self.learn_owner(body.budget, OwnerView { term, owner });
         }
         let refund = self.refunds.0.get(&body.seq);
         let sent_in = refund.and_then(|r| r.sent_to).map(|(_, term)| term.epoch);
@@ -203,15 +200,12 @@
             term: None,
         };
         if !self.settle_reservation(from, &body, out) {
-            let Some(known) = self.known_owners.get(&budget) else {
+            // Without an owner, the sender tries again when it is known who owns the account.
+            let known = self.known_owners.get(budget);
+            let Some(known) = known.filter(|k| k.owner.is_some()) else {
                 return;
             };
-            let here = self.accounts.contains_key(&budget);
-            if known.owner == self.me() && !here {
-                // The sender tries again when it is known who owns the account.
-                return;
-            }
-            settled.owner = Some(known.owner);
+            settled.owner = known.owner;
             settled.term = Some(known.term);
         }
         let message = PrepaidMessage::Settled(settled);
--- a/toucanchute_core/src/prepaid/takeover.rs
+++ b/toucanchute_core/src/prepaid/takeover.rs
@@ -2,14 +2,14 @@
 
 use toucanchute_proto::{
     BudgetId, Millis, Revision, from_cbor,
-    prepaid::{Account, Quorum, Verdict},
+    prepaid::{Account, OwnerView, Quorum, Term, Verdict},
 };
 
 use super::{
     AccountEvent, Action, Fault, PrepaidAccounts, TakeoverBasis,
     account::{OwnedAccount, WaitingRequest},
     bounds::STORE_RETRY,
-    machine::{KnownOwner, NO_TERM, first_term},
+    machine::{NO_TERM, first_term},
     proof::FenceProof,
     ramp::{Ramp, ramp_max},
     record,
@@ -20,6 +20,9 @@
 /// run again. A takeover waits this long for proof that the owner has ended.
 pub(super) const PROOF_TIMEOUT: Millis = Millis(3_000);
 
+/// Time for a hand-over to arrive at a router that was named as the owner before.
+const HANDOVER_TIME: Millis = Millis(200);
+
 /// Number of low bits of an epoch for the claims of one era of the store. The eras of claims that
 /// cannot rely on the epoch in the record are in the bits above.
 const ERA_EPOCH_BITS: u32 = 32;
@@ -71,10 +74,30 @@
 
 impl PrepaidAccounts {
     pub(super) fn start_takeover(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
+        self.insert_takeover(budget, self.now);
+        self.read_record(budget, out);
+    }
+
+    /// Takes an account over that other routers say this router owns in `term`, unless the account
+    /// arrives by a hand-over first.
+    pub(super) fn start_takeover_as_named(
+        &mut self,
+        budget: BudgetId,
+        term: Term,
+        out: &mut Vec<Action>,
+    ) {
+        if term == first_term(term.epoch) {
+            // The term began with a claim of this router whose result it did not learn.
+            return self.start_takeover(budget, out);
+        }
+        self.insert_takeover(budget, self.now + HANDOVER_TIME);
+    }
+
+    fn insert_takeover(&mut self, budget: BudgetId, retry_at: Millis) {
         let takeover = Takeover {
             waiting: VecDeque::new(),
             step: TakeoverStep::Start,
-            retry_at: self.now,
+            retry_at,
             lost: 0,
             basis: TakeoverBasis::Marks,
             stale: false,
@@ -82,7 +105,6 @@
             unreadable: None,
         };
         self.takeovers.insert(budget, takeover);
-        self.read_record(budget, out);
     }
 
     pub(super) fn tick_takeover(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
@@ -217,20 +239,21 @@
         if let Some(takeover) = self.takeovers.get_mut(&budget) {
             takeover.unreadable = None;
         }
-        let owner = account
-            .owner
-            .filter(|&o| o != self.me() && self.is_reachable(o));
-        if let Some(owner) = owner {
-            let term = first_term(account.epoch);
-            if self
-                .known_owners
-                .get(&budget)
-                .is_none_or(|k| k.term <= term)
-            {
-                self.known_owners.insert(budget, KnownOwner { term, owner });
-            }
+        self.learn_owner_by_record(budget, &account);
+        if self.reachable_owner(budget).is_some() {
             return self.abandon_takeover(budget, out);
         }
+        if let Some(named) = account
+            .owner
+            .filter(|&o| o != self.me() && self.is_reachable(o))
+        {
+            let epoch = account.epoch;
+            out.push(Action::Log(AccountEvent::RecordOutdated {
+                budget,
+                epoch,
+                named,
+            }));
+        }
         let written_in = account.era.filter(|_| !self.has_fault(Fault::TrustOldEras));
         let stale = written_in.is_some_and(|era| era < Revision(revision).era());
         self.set_stale(budget, stale);
@@ -241,6 +264,19 @@
         self.claim_if_unchanged(budget, revision, account, out);
     }
 
+    /// Merges what a record says of the owner. The record names the router that wrote it, also after that
+    /// one has handed the account over, and names none if any owner of its epoch has released it.
+    fn learn_owner_by_record(&mut self, budget: BudgetId, record: &Account) {
+        let first = first_term(record.epoch);
+        let known = self.known_owners.term(budget).unwrap_or(first);
+        let term = match record.owner {
+            None if known.epoch == record.epoch => known,
+            _ => first,
+        };
+        let owner = record.owner;
+        self.learn_owner(budget, OwnerView { term, owner });
+    }
+
     /// Refuses all waiting requests, and reads the record again later.
     fn on_unreadable_record(
         &mut self,
@@ -386,10 +422,10 @@
         waiting: VecDeque<WaitingRequest>,
         out: &mut Vec<Action>,
     ) {
-        let owner = self.me();
         let term = owned.term;
         self.witness_marks.fence(budget, term);
-        self.known_owners.insert(budget, KnownOwner { term, owner });
+        self.known_owners
+            .confirm(budget, term, self.cfg.incarnation);
         owned.set_fault(self.cfg.fault);
         for request in waiting {
             owned.enqueue(request);
--- a/toucanchute_core/src/prepaid/witness.rs
+++ b/toucanchute_core/src/prepaid/witness.rs
@@ -24,6 +24,11 @@
 }
 
 impl WitnessMarks {
+    /// Returns the greatest term of an account that set a mark or a fence.
+    pub(super) fn term(&self, budget: BudgetId) -> Option<Term> {
+        self.marks.get(&budget).map(|kept| kept.term)
+    }
+
     /// Raises the mark of an account, or returns the greater term that forbids it.
     pub(super) fn raise(&mut self, body: &Mark) -> Result<(), Term> {
         let term = body.term;
--- a/toucanchute_core/tests/prepaid_cases.rs
+++ b/toucanchute_core/tests/prepaid_cases.rs
@@ -6,6 +6,8 @@
 mod extensions;
 #[path = "prepaid_cases/fleet.rs"]
 mod fleet;
+#[path = "prepaid_cases/handover.rs"]
+mod handover;
 #[path = "support/memory_store.rs"]
 mod memory_store;
 #[path = "prepaid_cases/owner_loss.rs"]
--- a/toucanchute_router/src/actor/prepaid.rs
+++ b/toucanchute_router/src/actor/prepaid.rs
@@ -284,6 +284,13 @@
             } => {
                 log::error!(budget = name(budget), revision = revision, error = error; "account-unreadable");
             }
+            AccountEvent::RecordOutdated {
+                budget,
+                epoch,
+                named,
+            } => {
+                log::info!(budget = name(budget), epoch = epoch, named:% = named; "account-record-outdated");
+            }
             AccountEvent::RefundLost { budget, seq, sent } => {
                 log::warn!(budget = name(budget), seq = seq, sent = sent; "refund-lost");
             }
