--- a/toucanchute_core/src/prepaid/action.rs
+++ b/toucanchute_core/src/prepaid/action.rs
@@ -126,6 +126,13 @@
         /// Whether the refund was sent to an owner.
         sent: bool,
     },
+    /// This router handed the account over. It does not know whether the message arrives.
+    HandedOver {
+        /// Budget of the account.
+        budget: toucanchute_proto::BudgetId,
+        /// The receiver.
+        to: Incarnation,
+    },
     /// This router no longer spends from the account.
     Closed {
         /// Budget of the account.
@@ -141,10 +148,7 @@
     /// It released the account to the store.
     Released,
     /// It handed the account over to another router.
-    HandedOver {
-        /// The receiver.
-        to: Incarnation,
-    },
+    HandedOver,
     /// Another router took the account over, or another writer changed its record.
     Superseded,
 }
--- a/toucanchute_core/src/prepaid/handover.rs
+++ b/toucanchute_core/src/prepaid/handover.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    Action, CloseCause, PrepaidAccounts,
+    AccountEvent, Action, CloseCause, PrepaidAccounts,
     account::OwnedAccount,
     marks::Marks,
     record,
@@ -115,7 +115,8 @@
         let message = PrepaidMessage::Handover(body);
         out.push(Action::send(to, message));
         self.known_owners.confirm(budget, term, to);
-        self.close(budget, CloseCause::HandedOver { to }, out);
+        out.push(Action::Log(AccountEvent::HandedOver { budget, to }));
+        self.close(budget, CloseCause::HandedOver, out);
     }
 
     pub(super) fn on_handover(&mut self, body: Handover, out: &mut Vec<Action>) {
--- a/toucanchute_core/tests/prepaid_cases/fleet.rs
+++ b/toucanchute_core/tests/prepaid_cases/fleet.rs
@@ -548,7 +548,8 @@
             Action::Log(
                 AccountEvent::Refused { .. }
                 | AccountEvent::RefundLost { .. }
-                | AccountEvent::RecordOutdated { .. },
+                | AccountEvent::RecordOutdated { .. }
+                | AccountEvent::HandedOver { .. },
             )
             | Action::Drained => {}
         }
--- a/toucanchute_router/src/actor/prepaid.rs
+++ b/toucanchute_router/src/actor/prepaid.rs
@@ -294,6 +294,9 @@
             AccountEvent::RefundLost { budget, seq, sent } => {
                 log::warn!(budget = name(budget), seq = seq, sent = sent; "refund-lost");
             }
+            AccountEvent::HandedOver { budget, to } => {
+                log::info!(budget = name(budget), to:% = to; "account-handed-over");
+            }
             AccountEvent::Closed { budget, cause } => {
                 log::info!(budget = name(budget), cause:? = cause; "account-closed");
             }
