fix(routing): a suspect runs at one router at a time, whoever claimed first

Cause: a router of lower incarnation that held no claim itself disregarded the verdict with which another one claimed a server, and claimed one too while the other's run was in progress. And a router that recorded a crash of its own run forgot the claim of another one that it had heard of.

Change: for parts, a verdict with a claim goes before an entry without one; of two claims the lower incarnation's stands; a verdict without a claim ends only the claim of its own router. After a crash a part waits as long as it did for the claim of another router.

--- a/toucanchute_core/src/routing/suspects/entry.rs
+++ b/toucanchute_core/src/routing/suspects/entry.rs
@@ -93,11 +93,25 @@
             (Standing::Quarantined, _) => false,
             (_, Standing::Quarantined) => true,
             _ if self.running => false,
+            (Standing::Suspect, Standing::Suspect) if is_part && self.has_claim_of_other(v) => {
+                v.claim.is_some() && v.router < self.router
+            }
+            (Standing::Suspect, Standing::Suspect)
+                if is_part && self.claim.is_none() && v.claim.is_some() =>
+            {
+                true
+            }
             (Standing::Suspect, _) if self.router < v.router => false,
             _ => newer,
         }
     }
 
+    /// Whether a router other than that of a verdict has claimed a replica. Its claim stands until it releases it
+    /// or a router of lower incarnation has claimed one as well.
+    fn has_claim_of_other(&self, v: &Verdict) -> bool {
+        self.claim.is_some() && self.router != v.router
+    }
+
     /// Whether another router's verdict names a different crash than this entry.
     pub(super) fn is_different_crash(&self, v: &Verdict) -> bool {
         let (Some(own), Some(other)) = (&self.crash, &v.crash) else {
--- a/toucanchute_core/src/routing/suspects/evidence.rs
+++ b/toucanchute_core/src/routing/suspects/evidence.rs
@@ -174,7 +174,7 @@
             trusted_crashes: counted.map_or(0, |e| e.trusted_crashes) + u32::from(trusted),
             trusted,
             rivals,
-            ready_at: now,
+            ready_at: self.ready_after_crash(now, old),
             running: old.is_some_and(|e| e.running) && !run.claimed,
             shared: old.is_some_and(|e| e.shared),
             ..Entry::new(self.router, now, old.map_or(now, |e| e.until))
@@ -193,6 +193,13 @@
         (!is_local).then(|| self.issue_verdict(now, key))
     }
 
+    /// Returns when a part may run again that just crashed a replica: at once, unless another router has
+    /// claimed a replica for it.
+    fn ready_after_crash(&self, now: Millis, old: Option<&Entry>) -> Millis {
+        let elsewhere = old.filter(|e| e.claim.is_some() && e.router != self.router);
+        elsewhere.map_or(now, |e| e.ready_at)
+    }
+
     /// Records that a replica crashed.
     pub(in crate::routing) fn record_replica_crash(&mut self, now: Millis, replica: &str) {
         self.crashed_replicas
