fix(routing): the claim of a router that has ended gives way to a later one

Change: a claim of another router stands for as long as this one waits for it. a_claim_of_a_router_that_has_ended_gives_way_to_a_later_one fails before.

--- a/toucanchute_core/src/routing/suspects/entry.rs
+++ b/toucanchute_core/src/routing/suspects/entry.rs
@@ -93,23 +93,21 @@
             (Standing::Quarantined, _) => false,
             (_, Standing::Quarantined) => true,
             _ if self.running => false,
-            (Standing::Suspect, Standing::Suspect) if is_part && self.has_claim_of_other(v) => {
-                v.claim.is_some() && v.router < self.router
-            }
             (Standing::Suspect, Standing::Suspect)
-                if is_part && self.claim.is_none() && v.claim.is_some() =>
+                if is_part && self.router != v.router && self.has_claim(now) =>
             {
-                true
+                v.claim.is_some() && v.router < self.router
             }
+            (Standing::Suspect, Standing::Suspect) if is_part && v.claim.is_some() => true,
             (Standing::Suspect, _) if self.router < v.router => false,
             _ => newer,
         }
     }
 
-    /// Whether a router other than that of a verdict has claimed a replica. Its claim stands until it releases it
-    /// or a router of lower incarnation has claimed one as well.
-    fn has_claim_of_other(&self, v: &Verdict) -> bool {
-        self.claim.is_some() && self.router != v.router
+    /// Whether a replica is claimed. A claim of another router, which may have ended, lapses after
+    /// [`REMOTE_SUSPECT_DELAY`].
+    fn has_claim(&self, now: Millis) -> bool {
+        self.claim.is_some() && (self.claimed_for.is_some() || now < self.ready_at)
     }
 
     /// Whether another router's verdict names a different crash than this entry.
--- a/toucanchute_core/src/routing/tests/policy.rs
+++ b/toucanchute_core/src/routing/tests/policy.rs
@@ -381,6 +381,31 @@
     assert_eq!(harness.started().len(), 1);
 }
 
+// Guards against a part that two routers try at the same time, because the claim of one that has ended
+// keeps them from learning of each other's.
+#[test]
+fn a_claim_of_a_router_that_has_ended_gives_way_to_a_later_one() {
+    let mut harness = Harness::new(4, 4);
+    let mut req = request(SUSPECT_CALL);
+    req.parts = vec![Digest(7)];
+    let claim_by = |router: u64, at: u64| Verdict {
+        scope: Scope::Part,
+        crashes: 1,
+        router: Incarnation(router),
+        claim: Some(Claim {
+            replica: "b1".to_owned(),
+            at: Millis(at),
+        }),
+        ..suspect_verdict(Digest(7), at)
+    };
+    harness.handle(10_000, Event::Verdict(claim_by(2, 10_000)));
+    harness.handle(15_500, Event::Verdict(claim_by(9, 15_500)));
+    harness.out.clear();
+    assert!(harness.call(15_600, req).is_none());
+    let is_claim = |a: &Action| matches!(a, Action::Verdict(v) if v.claim.is_some());
+    assert!(!harness.out.iter().any(is_claim), "{:?}", harness.out);
+}
+
 /// Calls of a customer that the queue considers at a time.
 const CONSIDERED_CALLS: usize = 4;
 
