fix(prepaid): a budget that its owner does not know yet is not used up

Found while looking for what happens to a hand-over at a receiver that is not configured yet: its total counted as 0 there, so each request of another router with a later configuration was refused as exhausted, which callers see as 402.

Change: an owner without the budget in its configuration refuses as unavailable, with a time to return. a_budget_that_the_owner_does_not_know_yet_is_not_reported_as_exhausted: Exhausted before. No run with real processes shows it.

--- a/toucanchute_core/src/prepaid/owner.rs
+++ b/toucanchute_core/src/prepaid/owner.rs
@@ -88,6 +88,8 @@
     pub(super) fn serve(&mut self, budget: BudgetId, out: &mut Vec<Action>) {
         let (now, limit) = (self.now, self.limit(budget));
         let store_up = self.store_up();
+        // A router that has asked may have a later configuration than this one.
+        let configured = self.limits.contains_key(&budget);
         let mut short = false;
         while let Some(owned) = self.accounts.get_mut(&budget) {
             let Some(&request) = owned.waiting.front() else {
@@ -110,7 +112,7 @@
             } else if has_room && need <= max {
                 short = true;
                 break;
-            } else if has_room {
+            } else if has_room || !configured {
                 Verdict::Unavailable
             } else if owned.settled + tokens + request.rest > limit {
                 Verdict::Exhausted
--- a/toucanchute_core/tests/prepaid_cases.rs
+++ b/toucanchute_core/tests/prepaid_cases.rs
@@ -56,6 +56,18 @@
     assert_eq!(fleet.request(1, 2_000), Err(RefusalReason::Exhausted));
 }
 
+// Guards against callers who are told that their total is used up because the router that owns the account
+// does not have the configuration with it yet.
+#[test]
+fn a_budget_that_the_owner_does_not_know_yet_is_not_reported_as_exhausted() {
+    let mut fleet = Fleet::new(3, TOTAL);
+    fleet.warm_up();
+    let owner = fleet.owners()[0];
+    fleet.remove_budgets(owner);
+    let other = (0..3).find(|&i| i != owner).unwrap();
+    assert_eq!(fleet.request(other, 100), Err(RefusalReason::Unavailable));
+}
+
 #[test]
 fn a_planned_stop_keeps_reservations_and_loses_nothing() {
     let mut fleet = Fleet::new(3, TOTAL);
--- a/toucanchute_core/tests/prepaid_cases/fleet.rs
+++ b/toucanchute_core/tests/prepaid_cases/fleet.rs
@@ -176,6 +176,17 @@
         }
     }
 
+    /// Gives a router a configuration without any budget, as one that has not got the latest.
+    pub(crate) fn remove_budgets(&mut self, router: usize) {
+        let id = self.routers[router].id;
+        let event = Event::Configure {
+            limits: BTreeMap::new(),
+            policy: Ledger::default(),
+        };
+        self.queue.push_back((id, event));
+        self.run();
+    }
+
     /// Adds budgets to the configuration that are not used.
     pub(crate) fn add_unused_budgets(&mut self, count: usize) {
         self.unused_budgets = count;
