test(routing): which suspect is tried first, and what elimination names

Two of eleven mutations of the rule on rivals were found by no test: suspects in the order of arrival, and rivals that count although they are cleared. Both are found now. A third one, of what a released record says of its owner, is not.

--- a/toucanchute_core/src/routing/tests/policy.rs
+++ b/toucanchute_core/src/routing/tests/policy.rs
@@ -406,6 +406,56 @@
     assert!(!harness.out.iter().any(is_claim), "{:?}", harness.out);
 }
 
+// Guards against one more crash under a part that is named by elimination, by a request without the part
+// that was blamed with it and has been cleared since.
+#[parameterized(
+    the_rival_is_blamed = { true, None },
+    the_rival_is_cleared = { false, Some(RefusalReason::Quarantined) },
+)]
+fn a_part_is_refused_once_its_rivals_are_cleared(blamed: bool, refused: Option<RefusalReason>) {
+    let mut harness = Harness::new(4, 4);
+    let quarantine = |part: u128| Verdict {
+        scope: Scope::Part,
+        standing: Standing::Quarantined,
+        crashes: 3,
+        candidates: vec![Digest(7), Digest(8)],
+        trial_at: Some(Millis(40_000)),
+        ..suspect_verdict(Digest(part), 10_000)
+    };
+    harness.handle(10_000, Event::Verdict(quarantine(8)));
+    if blamed {
+        harness.handle(10_000, Event::Verdict(quarantine(7)));
+    }
+    let mut req = request(SUSPECT_CALL);
+    req.parts = vec![Digest(9), Digest(8)];
+    assert!(harness.call(10_200, req).is_none());
+    assert_eq!(harness.refused(), refused);
+}
+
+// Guards against runs that cannot tell which of several parts is bad while a request waits that can.
+#[test]
+fn the_request_with_the_fewest_suspects_is_tried_first() {
+    let mut harness = Harness::new(4, 4);
+    for part in [7, 8] {
+        let verdict = Verdict {
+            scope: Scope::Part,
+            crashes: 1,
+            ..suspect_verdict(Digest(part), 10_000)
+        };
+        harness.handle(10_000, Event::Verdict(verdict));
+    }
+    for (call, parts) in [(1, vec![7, 8]), (2, vec![7])] {
+        let mut req = request(call);
+        req.parts = parts.into_iter().map(Digest).collect();
+        assert!(harness.call(10_001, req).is_none());
+    }
+    harness.out.clear();
+    for now in (10_010..10_300).step_by(10) {
+        harness.handle(now, Event::Tick);
+    }
+    assert_eq!(harness.started()[0].0, 2);
+}
+
 /// Calls of a customer that the queue considers at a time.
 const CONSIDERED_CALLS: usize = 4;
 
