feat(gateway): count streams that callers take up, by why they are refused

A refusal as stream-origin-unknown did not say whether the stream is in no record or the records could not be read in time.

--- a/toucanchute_router/src/gateway/control.rs
+++ b/toucanchute_router/src/gateway/control.rs
@@ -127,7 +127,9 @@
     }
 
     async fn find_origin(&self, stream: StreamId, service: &str) -> Option<StreamOrigin> {
-        self.origins.find(stream, service).await
+        let found = self.origins.find(stream, service).await;
+        self.metrics.record_take_up(&found);
+        found.ok()
     }
 
     fn record_response(&self, response: &ResponseRecord) {
--- a/toucanchute_router/src/gateway/metrics.rs
+++ b/toucanchute_router/src/gateway/metrics.rs
@@ -15,6 +15,7 @@
     registry::Registry,
 };
 use tokio::net::TcpListener;
+use toucanchute_core::origins::StreamOrigin;
 use toucanchute_edge::{
     AttemptReport, BackendNotice, ConnectionCounts, ConnectionEnd, ConnectionState,
     passthrough::{RequestEnd, ResponseRecord, TokenRefusal, TokenReservation},
@@ -22,7 +23,7 @@
 use toucanchute_platform::StoreClient;
 use toucanchute_store::CallCounts;
 
-use super::{host_link::HostLink, http_server};
+use super::{host_link::HostLink, http_server, stream_origins::UnknownOrigin};
 use crate::actor::{RequestStandings, RoutingStatus, StandingCount};
 
 /// Upper bounds of the latency histogram buckets, in milliseconds. They range from a short response
@@ -52,6 +53,7 @@
     cold: Family<ColdLabels, Gauge>,
     notices: Family<NoticeLabels, Counter>,
     permits_used: Counter,
+    take_ups: Family<TakeUpLabels, Counter>,
     responses: Family<ResponseLabels, Counter>,
     connections: Family<ConnectionLabels, Gauge>,
     connections_ended: Family<ConnectionEndLabels, Gauge>,
@@ -80,6 +82,12 @@
     word: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TakeUpLabels {
+    /// Whether it is known what began the stream, or why not.
+    origin: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ResponseLabels {
     status: u16,
@@ -143,6 +151,7 @@
             cold: Family::default(),
             notices: Family::default(),
             permits_used: Counter::default(),
+            take_ups: Family::default(),
             responses: Family::default(),
             connections: Family::default(),
             connections_ended: Family::default(),
@@ -236,6 +245,11 @@
             "Attempts at rate-limited backend servers",
             self.permits_used.clone(),
         );
+        registry.register(
+            "streams_taken_up",
+            "Streams that callers take up, by whether it is known what began them",
+            self.take_ups.clone(),
+        );
         registry.register(
             "backend_responses",
             "Responses of backend servers by status, by the attempt that they name, by whether they \
@@ -325,6 +339,15 @@
         self.notices.get_or_create(&NoticeLabels { word }).inc();
     }
 
+    /// Counts a stream that its caller takes up, by whether it is known what began it.
+    pub(super) fn record_take_up(&self, found: &Result<StreamOrigin, UnknownOrigin>) {
+        let origin = match found {
+            Ok(_) => "known",
+            Err(unknown) => unknown.name(),
+        };
+        self.take_ups.get_or_create(&TakeUpLabels { origin }).inc();
+    }
+
     /// Counts an attempt at a rate-limited backend server, which used a permit.
     pub(super) fn record_permit_used(&self) {
         self.permits_used.inc();
--- a/toucanchute_router/src/gateway/stream_origins.rs
+++ b/toucanchute_router/src/gateway/stream_origins.rs
@@ -51,6 +51,28 @@
     Expired,
 }
 
+/// Why it is not known what began a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum UnknownOrigin {
+    /// No record names the stream, and several versions serve.
+    NotRecorded,
+    /// The records were not read in time.
+    RecordsLate,
+    /// The store failed to return the records.
+    RecordsUnread,
+}
+
+impl UnknownOrigin {
+    /// Returns the name in metrics.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            UnknownOrigin::NotRecorded => "not-recorded",
+            UnknownOrigin::RecordsLate => "records-late",
+            UnknownOrigin::RecordsUnread => "records-unread",
+        }
+    }
+}
+
 /// Knows what began streams, and keeps this router's record.
 #[derive(Debug)]
 pub(crate) struct StreamOriginKeeper<S> {
@@ -121,22 +143,32 @@
         self.stream_begun.notify_one();
     }
 
-    /// Returns what began a stream that `service` would go on with, if it is known.
-    pub(super) async fn find(&self, stream: StreamId, service: &str) -> Option<StreamOrigin> {
-        let own = lock(&self.origins).find_own(stream);
-        if own.is_some() {
-            return own;
+    /// Returns what began a stream that `service` would go on with.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it is not known.
+    pub(super) async fn find(
+        &self,
+        stream: StreamId,
+        service: &str,
+    ) -> Result<StreamOrigin, UnknownOrigin> {
+        if let Some(own) = lock(&self.origins).find_own(stream) {
+            return Ok(own);
         }
         let records = timeout(READ_TIMEOUT, self.read_records(Instant::now())).await;
         match records {
-            Ok(Ok(records)) => lock(&self.origins).find(stream, service, &records),
+            Ok(Ok(records)) => {
+                let found = lock(&self.origins).find(stream, service, &records);
+                found.ok_or(UnknownOrigin::NotRecorded)
+            }
             Ok(Err(e)) => {
                 log::info!(error:% = e; "stream-records-read-failed");
-                None
+                Err(UnknownOrigin::RecordsUnread)
             }
             Err(_) => {
                 log::info!("stream-records-read-late");
-                None
+                Err(UnknownOrigin::RecordsLate)
             }
         }
     }
