--- a/toucanchute_scenario/src/lib.rs
+++ b/toucanchute_scenario/src/lib.rs
@@ -19,5 +19,5 @@
 pub use error::ScenarioError;
 pub use link::{Dialer, LinkState, Links, forward};
 pub use ports::free_address;
-pub use process::{Process, Signal};
+pub use process::{Process, Signal, signal_all};
 pub use runner::Runner;
--- a/toucanchute_scenario/src/process.rs
+++ b/toucanchute_scenario/src/process.rs
@@ -74,26 +74,22 @@
         Ok(Process { name, child })
     }
 
+    /// Returns the identifier of the process, or `None` if it has ended.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Sends a signal to this process alone.
     ///
     /// # Errors
     ///
     /// Fails if `kill` cannot be run.
     pub async fn signal(&self, signal: Signal) -> Result<(), ScenarioError> {
-        let Some(pid) = self.child.id() else {
-            return Ok(());
-        };
-        let pid = pid.to_string();
-        let status = Command::new("kill")
-            .args([signal.kill_option(), &pid])
-            .status()
-            .await;
-        let action = "signal";
-        status.context(ProcessSnafu {
-            action,
-            name: &self.name,
-        })?;
-        Ok(())
+        match self.id() {
+            Some(id) => signal_all(&[id], signal).await,
+            None => Ok(()),
+        }
     }
 
     /// Waits until the process ends. Returns its exit code, or `None` if a signal ended it.
@@ -112,6 +108,26 @@
     }
 }
 
+/// Sends a signal to each of these processes; those that have ended are passed over.
+///
+/// # Errors
+///
+/// Fails if `kill` cannot be run.
+pub async fn signal_all(ids: &[u32], signal: Signal) -> Result<(), ScenarioError> {
+    if ids.is_empty() {
+        return Ok(());
+    }
+    let status = Command::new("kill")
+        .arg(signal.kill_option())
+        .args(ids.iter().map(u32::to_string))
+        .stderr(Stdio::null())
+        .status()
+        .await;
+    let (action, name) = ("run", "kill");
+    status.context(ProcessSnafu { action, name })?;
+    Ok(())
+}
+
 /// Exit code and output of a command.
 #[derive(Debug)]
 pub(crate) struct CommandOutput {
