fix(gateway): copy what began a stream to other routers before its first event

Cause: an event with an identifier, which the caller may name later, was relayed before anybody but the router knew what had begun the stream. The store learned of it in batches, 250 ms apart and 10 ms for each router: 0.7 s at 70.

Now the first event waits, 100 ms at most, until one of four routers has acknowledged a copy, while several versions serve. A router that is asked to take a stream up asks the five that may hold one before it reads the records. Holders follow from the stream's group and the members by weighted rendezvous hashing of host names, so that any router finds them and a router needs 32 links for them at most; docs/design/stream-origins.md.

--- a/toucanchute_core/src/origins.rs
+++ b/toucanchute_core/src/origins.rs
@@ -3,10 +3,12 @@
 //! What two versions of a backend server's software write does not fit together. A caller that takes a
 //! stream up names the attempt that brought its first event, and [`StreamOrigins`] tells which software
 //! that was: from the streams of this router, from the records of all routers, or because one version
-//! serves only. What none of these tells is unknown.
+//! serves only. Other routers know by their [`OriginCopies`]. What none of these tells is unknown.
 
+mod copies;
 mod id;
 mod origin;
+mod table;
 #[cfg(test)]
 mod tests;
 
@@ -17,11 +19,10 @@
     streams::{SoftwareStreams, StreamRecord},
 };
 
+pub use copies::{AddressedMessage, CopyEvent, OriginCopies};
 pub use id::StreamId;
 pub use origin::StreamOrigin;
-
-/// Most streams that are remembered; of more, those that are forgotten next go first.
-const MAX_STREAMS: usize = 16_384;
+use table::StreamTable;
 
 /// Time for which a stream of an earlier run of this router is remembered.
 const ADOPTED_TIME: Millis = Millis(60_000);
@@ -40,8 +41,8 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
-    /// Streams of this router, each with the time at which it is forgotten.
-    begun: BTreeMap<StreamId, (StreamOrigin, Millis)>,
+    /// Streams of this router.
+    begun: StreamTable,
     /// Software of the backend servers that are registered.
     registered: BTreeSet<StreamOrigin>,
 }
@@ -56,10 +57,7 @@
 
     /// Records that a stream began, or goes on, at `origin`. It is remembered until `until`.
     pub fn record(&mut self, now: Millis, stream: StreamId, origin: StreamOrigin, until: Millis) {
-        if self.begun.len() >= MAX_STREAMS {
-            self.forget_old(now);
-        }
-        self.begun.insert(stream, (origin, until));
+        self.begun.insert(now, stream, origin, until);
     }
 
     /// Takes over the streams of an earlier run of this router.
@@ -69,8 +67,7 @@
             for &stream in &software.streams {
                 let until = now + ADOPTED_TIME;
                 self.begun
-                    .entry(StreamId(stream))
-                    .or_insert_with(|| (origin.clone(), until));
+                    .insert_missing(now, StreamId(stream), &origin, until);
             }
         }
     }
@@ -92,14 +89,14 @@
     /// Returns what began a stream of this router.
     #[must_use]
     pub fn find_own(&self, stream: StreamId) -> Option<StreamOrigin> {
-        self.begun.get(&stream).map(|(origin, _)| origin.clone())
+        self.begun.get(stream).cloned()
     }
 
     /// Returns the record of this router's streams. It names streams only of services with several
     /// versions, since one version answers for all others.
     pub fn to_record(&mut self, now: Millis) -> StreamRecord {
-        self.begun.retain(|_, (_, until)| *until > now);
-        let used = self.begun.values().map(|(origin, _)| origin);
+        self.begun.forget_old(now);
+        let used = self.begun.origins();
         let mut streams: BTreeMap<&StreamOrigin, Vec<u64>> = self
             .registered
             .iter()
@@ -113,7 +110,7 @@
             .copied()
             .filter(|s| has_several(s))
             .collect();
-        for (stream, (origin, _)) in &self.begun {
+        for (stream, origin) in self.begun.iter() {
             if several.contains(origin.service.as_str())
                 && let Some(streams) = streams.get_mut(origin)
             {
@@ -135,8 +132,7 @@
     /// Whether several versions serve in `service`, or began streams that may be taken up.
     #[must_use]
     pub fn has_several_versions(&self, service: &str) -> bool {
-        let begun = self.begun.values().map(|(origin, _)| origin);
-        let mut known = self.registered.iter().chain(begun);
+        let mut known = self.registered.iter().chain(self.begun.origins());
         let first = known.find(|o| o.service == service);
         known.any(|o| o.service == service && Some(o) != first)
     }
@@ -145,24 +141,12 @@
     fn sole_software(&self, service: &str, records: &[StreamRecord]) -> Option<StreamOrigin> {
         let recorded = records.iter().flat_map(|r| &r.software);
         let recorded = recorded.map(StreamOrigin::of);
-        let begun = self.begun.values().map(|(origin, _)| origin.clone());
+        let begun = self.begun.origins().cloned();
         let all = self.registered.iter().cloned().chain(begun).chain(recorded);
         let versions: BTreeSet<StreamOrigin> = all.filter(|o| o.service == service).collect();
         let mut versions = versions.into_iter();
         versions.next().filter(|_| versions.next().is_none())
     }
-
-    /// Forgets streams until there is room for another one.
-    fn forget_old(&mut self, now: Millis) {
-        self.begun.retain(|_, (_, until)| *until > now);
-        while self.begun.len() >= MAX_STREAMS {
-            let next = self.begun.iter().min_by_key(|(_, (_, until))| *until);
-            let Some(stream) = next.map(|(&stream, _)| stream) else {
-                return;
-            };
-            self.begun.remove(&stream);
-        }
-    }
 }
 
 /// Returns what began a stream by the records of all routers, unless they contradict each other.
--- a/toucanchute_core/src/origins/origin.rs
+++ b/toucanchute_core/src/origins/origin.rs
@@ -1,4 +1,4 @@
-use toucanchute_proto::streams::SoftwareStreams;
+use toucanchute_proto::streams::{SoftwareStreams, SoftwareVersion};
 
 /// Software of the backend servers of one service.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -22,4 +22,15 @@
     pub(super) fn of(software: &SoftwareStreams) -> StreamOrigin {
         StreamOrigin::new(&software.service, software.version.as_deref())
     }
+
+    pub(super) fn of_version(version: &SoftwareVersion) -> StreamOrigin {
+        StreamOrigin::new(&version.service, version.version.as_deref())
+    }
+
+    pub(super) fn to_version(&self) -> SoftwareVersion {
+        SoftwareVersion {
+            service: self.service.clone(),
+            version: self.software.clone(),
+        }
+    }
 }
--- a/toucanchute_core/src/origins/tests.rs
+++ b/toucanchute_core/src/origins/tests.rs
@@ -3,7 +3,7 @@
 use toucanchute_proto::{Millis, streams::StreamRecord};
 use yare::parameterized;
 
-use super::{MAX_STREAMS, StreamId, StreamOrigin, StreamOrigins};
+use super::{StreamId, StreamOrigin, StreamOrigins, table::MAX_STREAMS};
 
 /// Time for which these tests remember streams.
 const LIFE: Millis = Millis(20_000);
--- a/toucanchute_edge/src/passthrough/control.rs
+++ b/toucanchute_edge/src/passthrough/control.rs
@@ -58,7 +58,13 @@
     fn report_notice(&self, backend: &str, notice: BackendNotice);
 
     /// Records that a stream began, or goes on, at `origin`. Its caller may take it up again for `keep`.
-    fn record_stream(&self, stream: StreamId, origin: StreamOrigin, keep: Millis);
+    /// Resolves once other routers know it as well, or after a short time in which none answered.
+    fn record_stream(
+        &self,
+        stream: StreamId,
+        origin: StreamOrigin,
+        keep: Millis,
+    ) -> impl Future<Output = ()> + Send;
 
     /// Whether several versions of software serve `service`, or began streams that callers may take up.
     fn has_several_versions(&self, service: &str) -> bool;
--- a/toucanchute_edge/src/passthrough/proxied_request/origin.rs
+++ b/toucanchute_edge/src/passthrough/proxied_request/origin.rs
@@ -72,8 +72,9 @@
     }
 
     /// Records which software began the stream, or goes on with it, so that its caller can take it up.
-    /// Returns false if it is not known yet whether the connection leads to that software.
-    pub(in crate::passthrough) fn record_origin(&self, run: &ServerRun) -> bool {
+    /// Resolves when the next event may be relayed, to false if it is not known yet whether the connection
+    /// leads to that software.
+    pub(in crate::passthrough) async fn record_origin(&self, run: &ServerRun) -> bool {
         let route = self.route();
         if !route.resumable {
             return true;
@@ -85,7 +86,7 @@
         let origin = StreamOrigin::new(&self.service, assignment.software.as_deref());
         let keep = Millis(route.timeout_ms) + RETURN_TIME;
         let control = &self.state.control;
-        control.record_stream(self.stream_id(), origin, keep);
+        control.record_stream(self.stream_id(), origin, keep).await;
         true
     }
 
--- a/toucanchute_edge/src/passthrough/relay.rs
+++ b/toucanchute_edge/src/passthrough/relay.rs
@@ -283,7 +283,7 @@
                 pace.record_events(now - last_event_at, count);
             }
             if !self.origin_recorded {
-                self.origin_recorded = self.request.record_origin(&run);
+                self.origin_recorded = self.request.record_origin(&run).await;
             }
             if let Some(end) = self.charge_events().await {
                 return (end, None);
--- a/toucanchute_edge/tests/passthrough/dispatcher_gateway.rs
+++ b/toucanchute_edge/tests/passthrough/dispatcher_gateway.rs
@@ -41,6 +41,8 @@
 /// A gateway whose backend servers the dispatcher chooses.
 pub(crate) struct DispatcherGateway {
     address: SocketAddr,
+    /// Whether other routers know what begins streams at once, or not at all.
+    pub(crate) peers_know: watch::Sender<bool>,
 }
 
 struct DispatcherControl {
@@ -50,6 +52,7 @@
     registered_names: Mutex<BTreeSet<String>>,
     /// What began the streams that callers may take up.
     streams: Mutex<HashMap<StreamId, StreamOrigin>>,
+    peers_know: watch::Receiver<bool>,
     /// A channel on which no stop is ever announced.
     no_stop: watch::Receiver<Option<PlannedStop>>,
 }
@@ -73,6 +76,7 @@
         extra: &str,
         mut registrations: watch::Receiver<Vec<Backend>>,
     ) -> DispatcherGateway {
+        let (peers_know, peers_know_rx) = watch::channel(true);
         let control = Arc::new(DispatcherControl {
             config: Arc::new(config(kind, extra)),
             state: Mutex::new(State {
@@ -82,6 +86,7 @@
             }),
             registered_names: Mutex::default(),
             streams: Mutex::default(),
+            peers_know: peers_know_rx,
             no_stop: watch::channel(None).1,
         });
         control.apply_registrations(&registrations.borrow_and_update().clone());
@@ -103,7 +108,10 @@
         let address = listener.local_addr().unwrap();
         let gateway = Gateway::new(control, TestDialect, Arc::default(), 100);
         tokio::spawn(async move { gateway.serve(listener, std::future::pending()).await });
-        DispatcherGateway { address }
+        DispatcherGateway {
+            address,
+            peers_know,
+        }
     }
 
     /// Sends a request with this body over a new connection and returns the response.
@@ -127,6 +135,11 @@
 
     /// Does the same as `send`, with further lines `headers` in the head.
     pub(crate) async fn send_with_headers(&self, headers: &str, body: &str) -> String {
+        read_all(self.open_request(headers, body).await).await
+    }
+
+    /// Sends a request with further lines `headers` in the head over a new connection, which is returned.
+    pub(crate) async fn open_request(&self, headers: &str, body: &str) -> TcpStream {
         let mut stream = TcpStream::connect(self.address).await.unwrap();
         let len = body.len();
         let req = format!(
@@ -134,7 +147,7 @@
             {headers}Connection: close\r\nContent-Length: {len}\r\n\r\n{body}"
         );
         stream.write_all(req.as_bytes()).await.unwrap();
-        read_all(stream).await
+        stream
     }
 }
 
@@ -254,7 +267,10 @@
         self.handle_event(Event::Notice { backend, notice });
     }
 
-    fn record_stream(&self, stream: StreamId, origin: StreamOrigin, _keep: Millis) {
+    async fn record_stream(&self, stream: StreamId, origin: StreamOrigin, _keep: Millis) {
+        let mut peers_know = self.peers_know.clone();
+        // Fails if the test has ended.
+        let _ = peers_know.wait_for(|know| *know).await;
         self.streams.lock().unwrap().insert(stream, origin);
     }
 
--- a/toucanchute_edge/tests/passthrough/software.rs
+++ b/toucanchute_edge/tests/passthrough/software.rs
@@ -2,13 +2,17 @@
 
 use std::time::Duration;
 
-use tokio::{sync::watch, time::sleep};
+use tokio::{
+    io::AsyncReadExt,
+    sync::watch,
+    time::{sleep, timeout},
+};
 use toucanchute_proto::config;
 
 use crate::{
     dispatcher_gateway::DispatcherGateway,
     raw_backend::{RawBackend, Step},
-    support::{LAST_CHUNK, chunk, event, event_ids, stream_head},
+    support::{LAST_CHUNK, chunk, event, event_ids, read_all, stream_head},
 };
 
 /// Time after which the other servers are registered: by then the first one has begun the stream.
@@ -179,6 +183,30 @@
     assert_eq!(other.requests_begun(), 0);
 }
 
+/// Guards against a caller that has an event of a stream, and may take it up, while only the router that relays
+/// it knows what began it (LOST).
+#[tokio::test]
+async fn the_first_event_waits_until_other_routers_know_the_stream() {
+    let only = RawBackend::start(vec![stream_from(1)]).await;
+    let list = vec![registration((0, &(&only, Some("v1"))))];
+    let registrations = watch::Sender::new(list);
+    let gateway = DispatcherGateway::start("stream", ROUTE, registrations.subscribe()).await;
+    gateway.peers_know.send_replace(false);
+    let patience = format!("X-Patience: {}\r\n", PATIENCE.as_millis());
+    let mut caller = gateway.open_request(&patience, "body").await;
+    let mut before = Vec::new();
+    let read = timeout(2 * HEAD_START, caller.read_to_end(&mut before));
+    assert!(read.await.is_err());
+    assert!(only.requests_begun() > 0);
+    assert_eq!(
+        event_ids(&String::from_utf8(before).unwrap()),
+        Vec::<u64>::new()
+    );
+    gateway.peers_know.send_replace(true);
+    let res = read_all(caller).await;
+    assert!(is_whole(&res), "{res:?}");
+}
+
 /// Names tests of a stream that its caller takes up and that no server may go on with.
 macro_rules! is_refused_as_not_run {
     ($($(#[$doc:meta])* $name:ident: $attempt:expr, $left:expr;)*) => {$(
--- a/toucanchute_edge/tests/passthrough/support/control.rs
+++ b/toucanchute_edge/tests/passthrough/support/control.rs
@@ -142,7 +142,7 @@
         self.notices.lock().unwrap().push(notice);
     }
 
-    fn record_stream(&self, stream: StreamId, origin: StreamOrigin, _keep: Millis) {
+    async fn record_stream(&self, stream: StreamId, origin: StreamOrigin, _keep: Millis) {
         self.streams.lock().unwrap().insert(stream, origin);
     }
 
--- a/toucanchute_router/src/actor/dispatch.rs
+++ b/toucanchute_router/src/actor/dispatch.rs
@@ -283,6 +283,9 @@
             leaving,
             routers: members.iter().map(fleet_router).collect(),
         }));
+        if let Some(origins) = &self.origins {
+            origins.set_members(members);
+        }
         let router_count = members.len() + 1;
         if std::mem::replace(&mut self.router_count, router_count) != router_count
             && self.registered.is_some()
--- a/toucanchute_router/src/gateway.rs
+++ b/toucanchute_router/src/gateway.rs
@@ -13,6 +13,7 @@
 mod shutdown;
 mod signals;
 mod store_reader;
+mod stream_copies;
 mod stream_origins;
 
 use std::path::PathBuf;
@@ -27,6 +28,7 @@
     run::level_filter,
 };
 use signals::Signals;
+pub(crate) use stream_copies::StreamCopies;
 pub(crate) use stream_origins::StreamOriginKeeper;
 
 /// Most log lines that wait to be written; further ones are dropped and counted.
--- a/toucanchute_router/src/gateway/control.rs
+++ b/toucanchute_router/src/gateway/control.rs
@@ -113,8 +113,9 @@
         post(&self.dispatch, input);
     }
 
-    fn record_stream(&self, stream: StreamId, origin: StreamOrigin, keep: Millis) {
-        self.origins.record(stream, origin, keep);
+    async fn record_stream(&self, stream: StreamId, origin: StreamOrigin, keep: Millis) {
+        let copied = self.origins.record(stream, origin, keep).await;
+        self.metrics.record_stream_copy(copied);
     }
 
     fn has_several_versions(&self, service: &str) -> bool {
--- a/toucanchute_router/src/gateway/control/tests.rs
+++ b/toucanchute_router/src/gateway/control/tests.rs
@@ -1,6 +1,6 @@
 use std::{sync::Arc, time::Duration};
 
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use toucanchute_core::{
     placement::HostCapacity,
     routing::{RegionNeed, SoftwareNeed},
@@ -16,7 +16,7 @@
 use super::GatewayControl;
 use crate::{
     actor::{DispatchActor, PrepaidActor},
-    gateway::{StreamOriginKeeper, host_link::HostLink, metrics::GatewayMetrics},
+    gateway::{StreamCopies, StreamOriginKeeper, host_link::HostLink, metrics::GatewayMetrics},
     server::starting_refusal,
     view::RouterView,
 };
@@ -37,6 +37,7 @@
     let (closing, closing_rx) = watch::channel(false);
     let no_store = StoreClient::new(([127, 0, 0, 1], 1).into(), Millis(100), Millis(100));
     let eras = no_store.eras();
+    let (no_peers, _) = mpsc::unbounded_channel();
     let control = GatewayControl {
         view: Arc::new(RouterView::new(
             Arc::new(Config::default()),
@@ -46,7 +47,12 @@
         dispatch,
         stop: watch::channel(None).1,
         closing: closing_rx,
-        origins: StreamOriginKeeper::start(no_store, "h", eras),
+        origins: StreamOriginKeeper::start(
+            no_store,
+            "h",
+            eras,
+            Arc::new(StreamCopies::new(no_peers)),
+        ),
         metrics: Arc::new(GatewayMetrics::new()),
         host_link: Arc::new(HostLink::new(HostCapacity::default(), Arc::default())),
     };
--- a/toucanchute_router/src/gateway/metrics.rs
+++ b/toucanchute_router/src/gateway/metrics.rs
@@ -23,7 +23,9 @@
 use toucanchute_platform::StoreClient;
 use toucanchute_store::CallCounts;
 
-use super::{host_link::HostLink, http_server, stream_origins::UnknownOrigin};
+use super::{
+    host_link::HostLink, http_server, stream_copies::CopyResult, stream_origins::UnknownOrigin,
+};
 use crate::actor::{RequestStandings, RoutingStatus, StandingCount};
 
 /// Upper bounds of the latency histogram buckets, in milliseconds. They range from a short response
@@ -54,6 +56,7 @@
     notices: Family<NoticeLabels, Counter>,
     permits_used: Counter,
     take_ups: Family<TakeUpLabels, Counter>,
+    stream_copies: Family<StreamCopyLabels, Counter>,
     responses: Family<ResponseLabels, Counter>,
     connections: Family<ConnectionLabels, Gauge>,
     connections_ended: Family<ConnectionEndLabels, Gauge>,
@@ -88,6 +91,11 @@
     origin: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StreamCopyLabels {
+    result: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ResponseLabels {
     status: u16,
@@ -152,6 +160,7 @@
             notices: Family::default(),
             permits_used: Counter::default(),
             take_ups: Family::default(),
+            stream_copies: Family::default(),
             responses: Family::default(),
             connections: Family::default(),
             connections_ended: Family::default(),
@@ -250,6 +259,12 @@
             "Streams that callers take up, by whether it is known what began them",
             self.take_ups.clone(),
         );
+        registry.register(
+            "stream_copies",
+            "Streams that callers may take up, by whether another router knew what began them before \
+             their first event was relayed",
+            self.stream_copies.clone(),
+        );
         registry.register(
             "backend_responses",
             "Responses of backend servers by status, by the attempt that they name, by whether they \
@@ -348,6 +363,13 @@
         self.take_ups.get_or_create(&TakeUpLabels { origin }).inc();
     }
 
+    /// Counts a stream that its caller may take up, by whether another router holds a copy of what began it.
+    pub(super) fn record_stream_copy(&self, result: CopyResult) {
+        let result = result.name();
+        let labels = StreamCopyLabels { result };
+        self.stream_copies.get_or_create(&labels).inc();
+    }
+
     /// Counts an attempt at a rate-limited backend server, which used a permit.
     pub(super) fn record_permit_used(&self) {
         self.permits_used.inc();
--- a/toucanchute_router/src/gateway/server.rs
+++ b/toucanchute_router/src/gateway/server.rs
@@ -39,6 +39,7 @@
     shutdown,
     signals::Signals,
     store_reader::{self, StoreReader},
+    stream_copies::StreamCopies,
     stream_origins::StreamOriginKeeper,
 };
 use crate::{
@@ -217,7 +218,10 @@
         let machine = Dispatcher::new(incarnation, failure_domain, incarnation.0);
         let standings = Arc::new(RequestStandings::default());
         let status = Arc::new(RoutingStatus::default());
-        let origins = StreamOriginKeeper::start(store.clone(), &settings.router.host, store.eras());
+        let copies = Arc::new(StreamCopies::over(mesh.clone()));
+        let host = &settings.router.host;
+        let origins =
+            StreamOriginKeeper::start(store.clone(), host, store.eras(), Arc::clone(&copies));
         let dispatch = DispatchActor::new(DispatchParts {
             machine,
             origins: Some(Arc::clone(&origins)),
@@ -249,6 +253,7 @@
             fleet.clone(),
             budgets,
             dispatch.clone(),
+            Some(copies),
         ));
         let targets = TickTargets {
             fleet: fleet.clone(),
--- a/toucanchute_router/src/gateway/stream_origins.rs
+++ b/toucanchute_router/src/gateway/stream_origins.rs
@@ -1,5 +1,5 @@
-//! Keeps what began the streams of this router in the platform's store, so that callers can take them up
-//! again at any router, also after the loss of all of them.
+//! Keeps what began the streams of this router at other routers and in the platform's store, so that callers
+//! can take them up again at any router, also after the loss of all of them.
 
 use std::{
     collections::{BTreeSet, HashSet},
@@ -12,10 +12,14 @@
     sync::{Mutex as AsyncMutex, Notify, watch},
     time::{Instant, sleep, sleep_until, timeout},
 };
-use toucanchute_core::origins::{StreamId, StreamOrigin, StreamOrigins};
+use toucanchute_core::{
+    fleet::MemberView,
+    origins::{StreamId, StreamOrigin, StreamOrigins},
+};
 use toucanchute_proto::{Millis, fleet::Found, from_cbor, streams::StreamRecord, to_cbor};
 use toucanchute_store::{LeaseId, Store, StoreError};
 
+use super::stream_copies::{CopyResult, StreamCopies};
 use crate::clock;
 
 /// Prefix of the keys of the routers' records.
@@ -80,6 +84,7 @@
     /// Key of this router's record.
     key: String,
     origins: Mutex<StreamOrigins>,
+    copies: Arc<StreamCopies>,
     /// Names of the backend servers that are registered.
     registered: Mutex<HashSet<String>>,
     /// Number of routers that share the writes per second.
@@ -99,11 +104,13 @@
         store: S,
         host: &str,
         eras: watch::Receiver<u64>,
+        copies: Arc<StreamCopies>,
     ) -> Arc<StreamOriginKeeper<S>> {
         let keeper = Arc::new(StreamOriginKeeper {
             store,
             key: format!("{RECORDS_PREFIX}{host}"),
             origins: Mutex::default(),
+            copies,
             registered: Mutex::default(),
             router_count: Mutex::new(1),
             software_changed: Notify::new(),
@@ -126,6 +133,11 @@
         }
     }
 
+    /// Sets the other members of the fleet.
+    pub(crate) fn set_members(&self, members: &[MemberView]) {
+        self.copies.set_members(members);
+    }
+
     /// Whether this run of a backend server is registered.
     pub(super) fn is_registered(&self, backend: &str) -> bool {
         lock(&self.registered).contains(backend)
@@ -136,11 +148,22 @@
         lock(&self.origins).has_several_versions(service)
     }
 
-    /// Records that a stream began, or goes on, at `origin`, and may be taken up again for `keep`.
-    pub(super) fn record(&self, stream: StreamId, origin: StreamOrigin, keep: Millis) {
+    /// Records that a stream began, or goes on, at `origin`, and may be taken up again for `keep`. While
+    /// several versions serve, resolves once another router holds a copy, or none has acknowledged one in time.
+    pub(super) async fn record(
+        &self,
+        stream: StreamId,
+        origin: StreamOrigin,
+        keep: Millis,
+    ) -> CopyResult {
         let now = clock::now();
-        lock(&self.origins).record(now, stream, origin, now + keep);
+        let needs_copy = self.has_several_versions(&origin.service);
+        lock(&self.origins).record(now, stream, origin.clone(), now + keep);
         self.stream_begun.notify_one();
+        match needs_copy {
+            true => self.copies.copy(stream, &origin, keep).await,
+            false => CopyResult::NotNeeded,
+        }
     }
 
     /// Returns what began a stream that `service` would go on with.
@@ -156,6 +179,11 @@
         if let Some(own) = lock(&self.origins).find_own(stream) {
             return Ok(own);
         }
+        if self.has_several_versions(service)
+            && let Some(origin) = self.copies.find(stream).await
+        {
+            return Ok(origin);
+        }
         let records = timeout(READ_TIMEOUT, self.read_records(Instant::now())).await;
         match records {
             Ok(Ok(records)) => {
@@ -306,3 +334,6 @@
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
+
+#[cfg(test)]
+mod tests;
--- a/toucanchute_router/src/link/frame.rs
+++ b/toucanchute_router/src/link/frame.rs
@@ -10,7 +10,7 @@
 
 /// Version of the protocol between routers. A router ignores frames of unknown kinds only if they
 /// have a later version than its own.
-pub(crate) const PROTOCOL_VERSION: u16 = 2;
+pub(crate) const PROTOCOL_VERSION: u16 = 3;
 
 /// A received frame whose message is not decoded yet.
 #[derive(Clone, Debug)]
--- a/toucanchute_router/src/server.rs
+++ b/toucanchute_router/src/server.rs
@@ -37,6 +37,7 @@
     admin::{AdminApi, CounterSources, OwnHost},
     control::{ControlParts, RouterControl},
     engine_poller::EnginePoller,
+    gateway::StreamCopies,
     http_client::HttpClient,
     keyvalue::{LeaseStore, LedgerStore, PlatformReader, PlatformReaderParts},
     link::{LinkEvent, LinkIdentity, Mesh, Peer},
@@ -200,6 +201,7 @@
             fleet.clone(),
             BudgetActor::Ledger(money.clone()),
             dispatch.clone(),
+            None,
         ));
         tokio::spawn(run_ticks(MONEY_TICK, money.clone(), || MoneyInput::Tick));
         tokio::spawn(run_ticks(DISPATCH_TICK, dispatch.clone(), || {
@@ -240,12 +242,14 @@
 
 // --- tasks
 
-/// Forwards link events and received frames to the actors that handle them.
+/// Forwards link events and received frames to the actors that handle them. Without `copies` the router holds
+/// none of what began streams.
 pub(crate) async fn forward_link_events(
     mut links: mpsc::UnboundedReceiver<LinkEvent>,
     fleet: Address<FleetActor>,
     budgets: BudgetActor,
     dispatch: Address<DispatchActor>,
+    copies: Option<Arc<StreamCopies>>,
 ) {
     while let Some(event) = links.recv().await {
         match event {
@@ -263,6 +267,11 @@
                     }
                     Err(e) => log::warn!(peer:% = frame.from, error:% = e; "frame-malformed"),
                 },
+                FrameKind::Streams => match (frame.message(), &copies) {
+                    (Ok(message), Some(copies)) => copies.receive(frame.from, message),
+                    (Ok(_), None) => {}
+                    (Err(e), _) => log::warn!(peer:% = frame.from, error:% = e; "frame-malformed"),
+                },
                 FrameKind::Hello | FrameKind::Proof => {}
             },
         }
