--- a/toucanchute_router/src/gateway/metrics.rs
+++ b/toucanchute_router/src/gateway/metrics.rs
@@ -1,4 +1,6 @@
-//! CounterSources, gauges and latency histograms of a gateway, served in the Prometheus text format.
+//! Counters, gauges and latency histograms of a gateway, served in the Prometheus text format.
+
+mod labels;
 
 use std::sync::{
     Arc, Mutex, PoisonError,
@@ -10,7 +12,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use prometheus_client::{
-    encoding::{EncodeLabelSet, text::encode},
+    encoding::text::encode,
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
@@ -27,6 +29,11 @@
     host_link::HostLink, http_server, stream_copies::CopyResult, stream_origins::UnknownOrigin,
 };
 use crate::actor::{RequestStandings, RoutingStatus, StandingCount};
+use labels::{
+    AttemptLabels, ColdLabels, ConnectionEndLabels, ConnectionLabels, DomainLabels, NoticeLabels,
+    RequestLabels, ReservationLabels, ResponseLabels, StandingLabels, StoreCallLabels,
+    StreamCopyLabels, TakeUpLabels,
+};
 
 /// Upper bounds of the latency histogram buckets, in milliseconds. They range from a short response
 /// to a whole stream.
@@ -62,81 +69,6 @@
     connections_ended: Family<ConnectionEndLabels, Gauge>,
 }
 
-// The fields of label sets are written out under their own names.
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct RequestLabels {
-    status: u16,
-    outcome: String,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct StoreCallLabels {
-    kind: &'static str,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct AttemptLabels {
-    end: &'static str,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct NoticeLabels {
-    word: &'static str,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct TakeUpLabels {
-    /// Whether it is known what began the stream, or why not.
-    origin: &'static str,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct StreamCopyLabels {
-    result: &'static str,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ResponseLabels {
-    status: u16,
-    names: &'static str,
-    not_run: &'static str,
-    connection: &'static str,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ConnectionLabels {
-    state: &'static str,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ConnectionEndLabels {
-    end: &'static str,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct StandingLabels {
-    standing: &'static str,
-    source: &'static str,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct DomainLabels {
-    failure_domain: String,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ColdLabels {
-    cause: &'static str,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ReservationLabels {
-    /// Whether it is the first part of its request or a further one.
-    part: &'static str,
-    result: &'static str,
-}
-
 impl GatewayMetrics {
     /// Creates and registers the metrics, all zero.
     pub(super) fn new() -> GatewayMetrics {
