--- a/toucanchute_core/src/origins/copies/tests.rs
+++ b/toucanchute_core/src/origins/copies/tests.rs
@@ -104,6 +104,13 @@
         found.next()
     }
 
+    /// Returns the routers that hold a copy.
+    fn holders(&self, stream: StreamId) -> BTreeSet<Incarnation> {
+        let holders = self.routers.iter();
+        let holders = holders.filter(|(_, r)| r.find_held(stream).is_some());
+        holders.map(|(&id, _)| id).collect()
+    }
+
     fn lose(&mut self, routers: &BTreeSet<Incarnation>) {
         self.routers.retain(|id, _| !routers.contains(id));
     }
@@ -203,6 +210,26 @@
     assert!(8 * found > 6 * all, "{found} of {all}");
 }
 
+/// Guards against a copy that is not found because the routers that were lost have started again (LOST).
+#[test]
+fn a_stream_is_found_while_one_holder_lives() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    for i in 0..200 {
+        let mut fleet = Fleet::new(70);
+        let router = fleet.any_router(&mut rng);
+        assert!(fleet.begin(START, router, stream(i)));
+        let mut lost = fleet.holders(stream(i));
+        let survivor = lost.iter().nth(rng.random_range(0..COPIES)).copied();
+        lost.remove(&survivor.unwrap());
+        lost.insert(router);
+        fleet.lose(&lost);
+        fleet.notice_losses();
+        fleet.restart(&lost);
+        let asking = fleet.any_router(&mut rng);
+        assert_eq!(fleet.find(START, asking, stream(i)), Some(origin()));
+    }
+}
+
 /// Guards against links of all routers with all.
 #[test]
 fn copies_of_a_router_go_to_few_others() {
