fix(gateway): store what began a stream of a small fleet before its first event

A fleet writes its records at most 100 times a second in all. Of up to ten routers each may write every 100 ms or more often, so that the first event now also waits for that write, 100 ms at most, and not while the store is slow or away. Larger fleets write too rarely for that.

The tests' store in memory moves to a file of its own.

--- a/toucanchute_core/src/origins/copies.rs
+++ b/toucanchute_core/src/origins/copies.rs
@@ -1,8 +1,8 @@
 //! Copies of what began streams, which a few other routers hold.
 //!
-//! An event is relayed only after another router has acknowledged a copy, so that the loss of the router
-//! that relays it leaves somebody who knows. The holders follow from the stream and the members of the fleet
-//! alone, so that any router finds them.
+//! The first event of a stream waits until another router has acknowledged a copy, so that the stream can be
+//! taken up after the loss of the router that relays it. The holders follow from the stream and the members of
+//! the fleet alone, so that any router finds them.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/toucanchute_router/src/gateway.rs
+++ b/toucanchute_router/src/gateway.rs
@@ -6,6 +6,8 @@
 mod directory;
 mod host_link;
 mod http_server;
+#[cfg(test)]
+mod memory_store;
 mod metrics;
 mod quarantine;
 mod router_registry;
--- a/toucanchute_router/src/gateway/quarantine/tests.rs
+++ b/toucanchute_router/src/gateway/quarantine/tests.rs
@@ -1,104 +1,13 @@
 //! Tests of the stored list of quarantines, with an in-memory store and concurrent writers.
 
-use std::{
-    collections::BTreeMap,
-    sync::{Arc, Mutex},
-};
-
 use bytes::Bytes;
 use toucanchute_proto::{
     Digest, Incarnation, Millis,
     fleet::{Scope, Standing},
 };
-use toucanchute_store::{Entry, KeySelection, LeaseId, Snapshot, Watch};
 
 use super::*;
-
-/// An in-memory key-value store that can simulate a write by another router between a read and a
-/// compare-and-swap.
-#[derive(Clone, Default)]
-struct MemoryStore {
-    entries: Arc<Mutex<BTreeMap<String, Entry>>>,
-    /// Value that another router writes right before the next compare-and-swap.
-    concurrent_write: Arc<Mutex<Option<Bytes>>>,
-}
-
-impl MemoryStore {
-    fn set(&self, key: &str, value: Bytes) -> Revision {
-        let mut entries = self.entries.lock().unwrap();
-        let revision = entries.get(key).map_or(Revision(1), |e| e.revision.next());
-        let key = key.to_owned();
-        let entry = Entry {
-            key: key.clone(),
-            value,
-            revision,
-        };
-        entries.insert(key, entry);
-        revision
-    }
-
-    fn entry(&self, key: &str) -> Option<Entry> {
-        self.entries.lock().unwrap().get(key).cloned()
-    }
-}
-
-impl Store for MemoryStore {
-    async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
-        Ok(self.entry(key))
-    }
-
-    async fn get_prefix(&self, _prefix: &str) -> Result<Snapshot, StoreError> {
-        Ok(Snapshot::default())
-    }
-
-    async fn cas(
-        &self,
-        key: &str,
-        expected: Revision,
-        value: Bytes,
-    ) -> Result<CasOutcome, StoreError> {
-        if let Some(concurrent_write) = self.concurrent_write.lock().unwrap().take() {
-            self.set(key, concurrent_write);
-        }
-        let current = self.entry(key);
-        let revision = current.as_ref().map_or(Revision::ABSENT, |e| e.revision);
-        match revision == expected {
-            true => Ok(CasOutcome::Applied {
-                revision: self.set(key, value),
-            }),
-            false => Ok(CasOutcome::Conflict { current }),
-        }
-    }
-
-    async fn put(
-        &self,
-        key: &str,
-        value: Bytes,
-        _lease: Option<LeaseId>,
-    ) -> Result<Revision, StoreError> {
-        Ok(self.set(key, value))
-    }
-
-    async fn delete(&self, _key: &str) -> Result<bool, StoreError> {
-        Ok(false)
-    }
-
-    async fn grant_lease(&self, _ttl: Millis) -> Result<LeaseId, StoreError> {
-        Ok(LeaseId(1))
-    }
-
-    async fn keep_alive(&self, _lease: LeaseId) -> Result<Millis, StoreError> {
-        Ok(Millis(0))
-    }
-
-    async fn revoke_lease(&self, _lease: LeaseId) -> Result<(), StoreError> {
-        Ok(())
-    }
-
-    fn watch(&self, _selection: KeySelection, _from: Revision) -> Watch {
-        Watch::channel().1
-    }
-}
+use crate::gateway::memory_store::MemoryStore;
 
 /// Returns a quarantine that expires in `remaining_ms` milliseconds.
 fn quarantine(digest: u128, remaining_ms: u64) -> Verdict {
--- a/toucanchute_router/src/gateway/stream_origins.rs
+++ b/toucanchute_router/src/gateway/stream_origins.rs
@@ -3,7 +3,10 @@
 
 use std::{
     collections::{BTreeSet, HashSet},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -32,11 +35,15 @@
 const RENEW_PAUSE: Duration = Duration::from_secs(40);
 
 /// Least time between two writes of new streams.
-const MIN_WRITE_PAUSE: Duration = Duration::from_millis(250);
+const MIN_WRITE_PAUSE: Duration = Duration::from_millis(50);
 
 /// Most writes of new streams per second of all routers together.
 const MAX_WRITES_PER_SECOND: u32 = 100;
 
+/// Longest time for which the first event of a stream waits for a write. The pause between two writes is shorter
+/// in fleets of up to ten routers, which may all be lost at once; others write too rarely to wait.
+const STORE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -93,6 +100,9 @@
     software_changed: Notify,
     /// Notified of new streams.
     stream_begun: Notify,
+    /// Number of streams recorded since the start. It changes under the lock of `origins`.
+    recorded: AtomicU64,
+    stored: watch::Sender<StoredStreams>,
     /// Records of all routers and the time at which their read began.
     records: AsyncMutex<Option<(Instant, Vec<StreamRecord>)>>,
 }
@@ -115,6 +125,8 @@
             router_count: Mutex::new(1),
             software_changed: Notify::new(),
             stream_begun: Notify::new(),
+            recorded: AtomicU64::new(0),
+            stored: watch::Sender::new(StoredStreams::default()),
             records: AsyncMutex::default(),
         });
         tokio::spawn(Arc::clone(&keeper).keep_record(eras));
@@ -149,7 +161,8 @@
     }
 
     /// Records that a stream began, or goes on, at `origin`, and may be taken up again for `keep`. While
-    /// several versions serve, resolves once another router holds a copy, or none has acknowledged one in time.
+    /// several versions serve, resolves once another router holds a copy and, in a small fleet, the store has
+    /// the stream, or neither was to be had in time.
     pub(super) async fn record(
         &self,
         stream: StreamId,
@@ -158,12 +171,29 @@
     ) -> CopyResult {
         let now = clock::now();
         let needs_copy = self.has_several_versions(&origin.service);
-        lock(&self.origins).record(now, stream, origin.clone(), now + keep);
+        let number = {
+            let mut origins = lock(&self.origins);
+            origins.record(now, stream, origin.clone(), now + keep);
+            self.recorded.fetch_add(1, Ordering::Relaxed) + 1
+        };
         self.stream_begun.notify_one();
-        match needs_copy {
-            true => self.copies.copy(stream, &origin, keep).await,
-            false => CopyResult::NotNeeded,
+        if !needs_copy {
+            return CopyResult::NotNeeded;
+        }
+        let copied = self.copies.copy(stream, &origin, keep);
+        let (copied, ()) = tokio::join!(copied, self.wait_until_stored(number));
+        copied
+    }
+
+    /// Resolves once the store has the first `number` streams, or cannot be expected to have them soon.
+    async fn wait_until_stored(&self, number: u64) {
+        if self.write_pause() > STORE_TIMEOUT {
+            return;
         }
+        let mut stored = self.stored.subscribe();
+        let settled = stored.wait_for(|s| s.count >= number || !s.is_prompt);
+        // The stream goes on without the store after that time.
+        _ = timeout(STORE_TIMEOUT, settled).await;
     }
 
     /// Returns what began a stream that `service` would go on with.
@@ -224,7 +254,14 @@
         eras.mark_unchanged();
         let mut written: Option<Written> = None;
         loop {
-            match self.write_changes(written.take()).await {
+            let began = Instant::now();
+            let (record, count) = self.next_record();
+            let result = self.write_changes(written.take(), record).await;
+            self.stored.send_modify(|stored| {
+                stored.is_prompt = result.is_ok() && began.elapsed() <= STORE_TIMEOUT;
+                stored.count = if result.is_ok() { count } else { stored.count };
+            });
+            match result {
                 Ok(now) => {
                     let renew_at = now.renewed_at + RENEW_PAUSE;
                     let next_write = now.at + self.write_pause();
@@ -274,9 +311,19 @@
         }
     }
 
+    /// Returns the record and the number of streams that were recorded when it was made.
+    fn next_record(&self) -> (StreamRecord, u64) {
+        let mut origins = lock(&self.origins);
+        let record = origins.to_record(clock::now());
+        (record, self.recorded.load(Ordering::Relaxed))
+    }
+
     /// Writes the record if it differs from the last one, and renews its lease when that is due.
-    async fn write_changes(&self, last: Option<Written>) -> Result<Written, RecordWriteError> {
-        let record = lock(&self.origins).to_record(clock::now());
+    async fn write_changes(
+        &self,
+        last: Option<Written>,
+        record: StreamRecord,
+    ) -> Result<Written, RecordWriteError> {
         let Some(mut written) = last else {
             let lease = self.store.grant_lease(LEASE_TTL).await?;
             self.store
@@ -300,6 +347,15 @@
     }
 }
 
+/// What the store has of the streams of this router.
+#[derive(Clone, Copy, Debug, Default)]
+struct StoredStreams {
+    /// Number of the first streams since the start that it has, of those that need a record.
+    count: u64,
+    /// Whether the last write was answered in time.
+    is_prompt: bool,
+}
+
 /// This router's record as it was written last.
 struct Written {
     record: StreamRecord,
--- a/toucanchute_router/src/gateway/stream_origins/tests.rs
+++ b/toucanchute_router/src/gateway/stream_origins/tests.rs
@@ -1,11 +1,12 @@
-//! Tests of routers that exchange copies without a network, beside a store that does not answer.
+//! Tests of routers that exchange copies without a network, beside a store in memory.
 
-use tokio::sync::mpsc;
+use tokio::{runtime::Builder, sync::mpsc};
 use toucanchute_core::origins::AddressedMessage;
-use toucanchute_platform::StoreClient;
 use toucanchute_proto::{Incarnation, fleet::MemberState};
+use yare::parameterized;
 
 use super::*;
+use crate::gateway::memory_store::MemoryStore;
 
 /// Time for which these tests keep streams.
 const KEEP: Millis = Millis(20_000);
@@ -15,7 +16,7 @@
 
 /// A router of such a test.
 struct TestRouter {
-    keeper: Arc<StreamOriginKeeper<StoreClient>>,
+    keeper: Arc<StreamOriginKeeper<MemoryStore>>,
     copies: Arc<StreamCopies>,
     outbox: mpsc::UnboundedReceiver<AddressedMessage>,
 }
@@ -50,13 +51,24 @@
     }
 }
 
-/// Returns a router that knows servers of `versions` and the routers `others`.
+/// Returns a store whose writes are lost.
+fn lost_store() -> MemoryStore {
+    let store = MemoryStore::default();
+    store.holds_writes.store(true, Ordering::Relaxed);
+    store
+}
+
+/// Returns a router that knows servers of `versions` and the routers `others`, and whose writes are lost.
 fn router(versions: &[&str], others: &[u64]) -> TestRouter {
-    let store = StoreClient::new(([127, 0, 0, 1], 1).into(), Millis(100), Millis(100));
-    let eras = store.eras();
+    router_at(&lost_store(), versions, others)
+}
+
+/// Returns a router that knows servers of `versions` and the routers `others`.
+fn router_at(store: &MemoryStore, versions: &[&str], others: &[u64]) -> TestRouter {
+    let (_, eras) = watch::channel(1);
     let (tx, outbox) = mpsc::unbounded_channel();
     let copies = Arc::new(StreamCopies::new(tx));
-    let keeper = StreamOriginKeeper::start(store, "host-1", eras, Arc::clone(&copies));
+    let keeper = StreamOriginKeeper::start(store.clone(), "host-1", eras, Arc::clone(&copies));
     let registered: Vec<Found> = versions.iter().map(|v| found(v)).collect();
     keeper.set_registered(&registered, others.len() + 1);
     let members: Vec<MemberView> = others.iter().map(|&id| member(id)).collect();
@@ -133,3 +145,39 @@
     let unknown = deliver_until(&mut one, &mut other, unknown).await;
     assert!(unknown.is_err(), "{unknown:?}");
 }
+
+/// Guards against streams that nobody can take up after all routers of a small fleet were lost at once (LOST).
+#[tokio::test(start_paused = true)]
+async fn a_stream_of_a_small_fleet_is_stored_before_its_first_event() {
+    let store = MemoryStore::default();
+    let one = router_at(&store, &VERSIONS, &[]);
+    sleep(MIN_WRITE_PAUSE).await;
+    for i in 0..20_u64 {
+        let stream = StreamId::new("north", &i.to_be_bytes());
+        one.keeper.record(stream, origin(), KEEP).await;
+        let other = router_at(&store, &VERSIONS, &[]);
+        assert_eq!(other.keeper.find(stream, "model").await, Ok(origin()));
+    }
+}
+
+/// Guards against first events that wait for a store that does not answer, or that a large fleet cannot write
+/// to for each stream.
+#[parameterized(
+    lost_writes = { lost_store(), 1 },
+    large_fleet = { MemoryStore::default(), 70 },
+)]
+fn no_stream_waits_for_a_store_that_is_not_written_soon(store: MemoryStore, others: u64) {
+    let mut runtime = Builder::new_current_thread();
+    let runtime = runtime.enable_time().start_paused(true);
+    runtime.build().unwrap().block_on(async {
+        let others: Vec<u64> = (2..2 + others).collect();
+        let mut one = router_at(&store, &VERSIONS, &others);
+        let mut other = router_at(&lost_store(), &VERSIONS, &[1]);
+        sleep(MIN_WRITE_PAUSE).await;
+        let keeper = Arc::clone(&one.keeper);
+        let began = Instant::now();
+        let recorded = keeper.record(stream(), origin(), KEEP);
+        deliver_until(&mut one, &mut other, recorded).await;
+        assert_eq!(began.elapsed(), Duration::ZERO);
+    });
+}
